--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,3 @@
+//! Counts the control traffic of many hosts.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/banyanarch.rs
@@ -0,0 +1,3 @@
+//! The command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/banyanarchd.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/board/mod.rs
@@ -0,0 +1,69 @@
+//! The blackboard: what controllers read and write in place of calling each other.
+
+mod host_view;
+mod shards;
+mod upstream_view;
+
+pub use host_view::HostState;
+pub use host_view::HostView;
+pub use shards::Shards;
+pub use upstream_view::UpstreamView;
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use crate::manifest::InForce;
+use crate::units::HostId;
+use crate::units::UpstreamId;
+
+/// The state that the parts of one host share.
+#[derive(Debug)]
+pub struct Board {
+    /// Hosts of the system, by name.
+    pub hosts: Shards<HostId, HostView>,
+    /// Upstreams, by name.
+    pub upstreams: Shards<UpstreamId, UpstreamView>,
+    manifest: RwLock<Option<Arc<InForce>>>,
+}
+
+impl Board {
+    /// An empty board.
+    pub fn new() -> Self {
+        Self {
+            hosts: Shards::new(),
+            upstreams: Shards::new(),
+            manifest: RwLock::new(None),
+        }
+    }
+
+    /// The manifest in force, if one is known yet.
+    pub fn manifest(&self) -> Option<Arc<InForce>> {
+        self.manifest
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a manifest in force unless the one in force is as new or newer. Returns whether it is
+    /// in force now because of this call.
+    pub fn advance_manifest(&self, next: InForce) -> bool {
+        let mut manifest = self
+            .manifest
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_newer = manifest
+            .as_ref()
+            .is_none_or(|old| old.generation < next.generation);
+        if is_newer {
+            *manifest = Some(Arc::new(next));
+        }
+        is_newer
+    }
+}
+
+impl Default for Board {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/board/shards.rs
@@ -0,0 +1,109 @@
+//! A map in shards, each under its own lock.
+
+use std::hash::BuildHasher;
+use std::hash::Hash;
+use std::hash::RandomState;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use indexmap::IndexMap;
+
+/// Enough that a dozen threads seldom meet at one lock.
+const SHARD_COUNT: usize = 32;
+
+/// A map in shards. No call holds more than one lock, so that no two calls can wait for each other.
+#[derive(Debug)]
+pub struct Shards<K, V> {
+    hasher: RandomState,
+    shards: Vec<Mutex<IndexMap<K, V>>>,
+}
+
+impl<K: Hash + Eq + Clone, V> Shards<K, V> {
+    /// An empty map.
+    pub fn new() -> Self {
+        let shards = (0..SHARD_COUNT)
+            .map(|_| Mutex::new(IndexMap::new()))
+            .collect();
+        Self {
+            hasher: RandomState::new(),
+            shards,
+        }
+    }
+
+    /// Sets a value and returns the earlier one.
+    pub fn insert(&self, key: K, value: V) -> Option<V> {
+        self.shard(&key).insert(key, value)
+    }
+
+    /// Removes a value.
+    pub fn remove(&self, key: &K) -> Option<V> {
+        self.shard(key).swap_remove(key)
+    }
+
+    /// Runs `change` on the value of a key under its shard's lock.
+    pub fn update<R>(&self, key: &K, change: impl FnOnce(&mut V) -> R) -> Option<R> {
+        self.shard(key).get_mut(key).map(change)
+    }
+
+    /// Runs `change` on the value of a key, made by `make` if there is none.
+    pub fn upsert<R>(
+        &self,
+        key: &K,
+        make: impl FnOnce() -> V,
+        change: impl FnOnce(&mut V) -> R,
+    ) -> R {
+        change(self.shard(key).entry(key.clone()).or_insert_with(make))
+    }
+
+    /// Keeps the entries that `keep` wants.
+    pub fn retain(&self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        for shard in &self.shards {
+            lock(shard).retain(&mut keep);
+        }
+    }
+
+    /// How many entries there are; other threads may be changing it.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).len()).sum()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, key: &K) -> MutexGuard<'_, IndexMap<K, V>> {
+        let hash = self.hasher.hash_one(key);
+        let index = usize::try_from(hash % SHARD_COUNT as u64).unwrap_or(0);
+        lock(&self.shards[index])
+    }
+}
+
+impl<K: Hash + Eq + Clone, V: Clone> Shards<K, V> {
+    /// A copy of one value.
+    pub fn get(&self, key: &K) -> Option<V> {
+        self.shard(key).get(key).cloned()
+    }
+
+    /// A copy of all entries, shard by shard.
+    pub fn snapshot(&self) -> Vec<(K, V)> {
+        let copy = |shard: &Mutex<IndexMap<K, V>>| -> Vec<(K, V)> {
+            lock(shard)
+                .iter()
+                .map(|(key, value)| (key.clone(), value.clone()))
+                .collect()
+        };
+        self.shards.iter().flat_map(copy).collect()
+    }
+}
+
+impl<K: Hash + Eq + Clone, V> Default for Shards<K, V> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn lock<K, V>(shard: &Mutex<IndexMap<K, V>>) -> MutexGuard<'_, IndexMap<K, V>> {
+    shard.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,19 @@
+//! The clock as an interface, so that decisions can be tested by moving time by hand.
+
+mod manual;
+mod system;
+
+use std::time::Instant;
+use std::time::SystemTime;
+
+pub use manual::ManualClock;
+pub use system::SystemClock;
+
+/// A source of time.
+pub trait Clock: Send + Sync {
+    /// Monotonic time; all deadlines and ages are measured on it.
+    fn now(&self) -> Instant;
+
+    /// Time of day, for logs and for people only: hosts' clocks differ.
+    fn wall(&self) -> SystemTime;
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,1 @@
+//! The subcommands of the command-line tool, one a file.
--- /dev/null
+++ b/src/control/homes/mod.rs
@@ -0,0 +1,1 @@
+//! Which host is the home of which pool.
--- /dev/null
+++ b/src/control/manifests/mod.rs
@@ -0,0 +1,1 @@
+//! How a manifest gets in force on every host.
--- /dev/null
+++ b/src/control/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which hosts are there: gossip with suspicion and refutation.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,9 @@
+//! Controllers: state machines without I/O that keep what must hold and the fleet in order.
+
+pub mod claims;
+pub mod home;
+pub mod homes;
+pub mod manifests;
+pub mod membership;
+pub mod orders;
+pub mod status;
--- /dev/null
+++ b/src/control/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to engines under a lease.
--- /dev/null
+++ b/src/control/status/mod.rs
@@ -0,0 +1,1 @@
+//! Reports of this host, bounded in size and rate.
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon: builds the parts and connects them.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Callers' requests from the first byte to the outcome.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! banyanarch: a serving layer for language-model prompts of very unlike lengths.
+//!
+//! The decisions and controllers ([`decide`], [`control`]) are plain state machines without I/O.
+//! The platform, upstreams, other hosts and the clock stand behind traits ([`platform`],
+//! [`upstream`], [`peer`], [`clock`]). docs/DESIGN.md tells why.
+
+#![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+pub mod board;
+pub mod clock;
+pub mod cmd;
+pub mod control;
+pub mod daemon;
+pub mod decide;
+pub mod entry;
+pub mod manifest;
+pub mod observe;
+pub mod peer;
+pub mod platform;
+pub mod settings;
+pub mod units;
+pub mod upstream;
--- /dev/null
+++ b/src/manifest/mod.rs
@@ -0,0 +1,15 @@
+//! The manifest: models, services, customers, priorities and limits that operators publish.
+
+mod in_force;
+mod spec;
+
+pub use in_force::InForce;
+pub use spec::CustomerSpec;
+pub use spec::FencingSupport;
+pub use spec::LimitsSpec;
+pub use spec::Manifest;
+pub use spec::ModelSpec;
+pub use spec::Objective;
+pub use spec::PrioritySpec;
+pub use spec::RepeatRule;
+pub use spec::ServiceSpec;
--- /dev/null
+++ b/src/observe/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics, logs and explanations of what was decided.
--- /dev/null
+++ b/src/units/mod.rs
@@ -0,0 +1,35 @@
+//! Newtypes for ids, sizes, rates and counters, each with `Display` and `FromStr`.
+//!
+//! Ids that people choose are shared strings, so that a clone costs a reference count; ids that the
+//! system draws are random 128-bit numbers in hexadecimal.
+
+mod byte_size;
+mod counters;
+mod error;
+mod macros;
+mod names;
+mod random_ids;
+mod rates;
+mod tokens;
+
+pub use byte_size::ByteSize;
+pub use counters::FencingNumber;
+pub use counters::Generation;
+pub use counters::Incarnation;
+pub use counters::ObjectVersion;
+pub use counters::Priority;
+pub use error::ParseUnitError;
+pub use names::CustomerId;
+pub use names::FailureDomainId;
+pub use names::HostId;
+pub use names::IdempotencyKey;
+pub use names::PoolId;
+pub use names::TargetId;
+pub use names::UpstreamId;
+pub use random_ids::AttemptId;
+pub use random_ids::ContentHash;
+pub use random_ids::GrantId;
+pub use random_ids::RequestId;
+pub use rates::RequestsPerSecond;
+pub use rates::TokensPerSecond;
+pub use tokens::Tokens;
--- /dev/null
+++ b/src/units/names.rs
@@ -0,0 +1,47 @@
+//! Ids that people choose.
+
+use crate::units::macros::name_newtype;
+
+name_newtype!(
+    /// One of the system's own processes, by the name its settings give it.
+    HostId,
+    "a host name"
+);
+name_newtype!(
+    /// A part of the site that can be cut off as a whole.
+    FailureDomainId,
+    "a failure domain name"
+);
+name_newtype!(
+    /// Who a request is served for.
+    CustomerId,
+    "a customer name"
+);
+name_newtype!(
+    /// One back end: a model engine or one instance of a plain service.
+    UpstreamId,
+    "an upstream name"
+);
+name_newtype!(
+    /// What a caller asks for: a model, an adapter or a plain service of the manifest.
+    TargetId,
+    "a model or service name"
+);
+name_newtype!(
+    /// The upstreams of one target in one failure domain that share a home host, written
+    /// `DOMAIN/TARGET/SHARD`.
+    PoolId,
+    "a pool name"
+);
+name_newtype!(
+    /// A caller's key that makes repeated sendings one request.
+    IdempotencyKey,
+    "an idempotency key of 1 to 128 characters out of A-Z a-z 0-9 . _ : @ / -"
+);
+
+impl PoolId {
+    /// The name of shard `shard` of a target's upstreams in a failure domain.
+    pub fn new(domain: &FailureDomainId, target: &TargetId, shard: u32) -> Self {
+        Self(format!("{domain}/{target}/{shard}").into())
+    }
+}
--- /dev/null
+++ b/src/units/rates.rs
@@ -0,0 +1,57 @@
+//! Rates a second.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::units::ParseUnitError;
+use crate::units::Tokens;
+
+/// Defines a rate: a finite number, not negative, with a unit that is written behind it.
+macro_rules! rate_newtype {
+    ($(#[$doc:meta])* $name:ident, $unit:literal, $wanted:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+        pub struct $name(pub f64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}{}", self.0, $unit)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseUnitError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let number = text.strip_suffix($unit).and_then(|number| number.trim().parse().ok());
+                match number {
+                    Some(number) if f64::is_finite(number) && number >= 0.0 => Ok(Self(number)),
+                    _ => Err(ParseUnitError::new($wanted, text)),
+                }
+            }
+        }
+
+        crate::units::macros::serde_as_text!($name);
+    };
+}
+
+rate_newtype!(
+    /// Tokens a second.
+    TokensPerSecond,
+    "tok/s",
+    "a rate like 8000tok/s"
+);
+rate_newtype!(
+    /// Requests a second.
+    RequestsPerSecond,
+    "req/s",
+    "a rate like 20req/s"
+);
+
+impl TokensPerSecond {
+    /// How long `tokens` take at this rate; a rate of 0 never ends.
+    pub fn time_for(self, tokens: Tokens) -> Duration {
+        Duration::try_from_secs_f64(tokens.as_f64() / self.0).unwrap_or(Duration::MAX)
+    }
+}
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Small fakes of what stands around banyanarch, and a load tool.
+
+fn main() {}
