Home of a pool: grants, ledger, take-over and reconciling

Cause: a grant is soft state, so every message of it can be lost, and a home can die, freeze or be doubled; an engine must not lose memory for good by that.

Ruled out: ending a hold by lapse of time (engines would run out of memory that the ledger calls free), and cancelling whatever the ledger does not know (a second home for a moment would cut off the first one's answers).

Change: HomeController, a state machine around a Policy. A hold ends by its host's word, by a confirmed cancel, or by a list of the engine's. What an engine lists and nobody announces is counted, its host is asked, and it is cancelled only on that host's own word or its death. After a take-over a small share of short requests is granted until hosts and engines have been heard. Conversions of all grant messages.

--- /dev/null
+++ b/src/control/home/answer.rs
@@ -0,0 +1,68 @@
+//! What a home says of a request.
+
+use std::time::Duration;
+
+use crate::decide::Grant;
+use crate::decide::RefuseReason;
+use crate::units::AttemptId;
+use crate::units::GrantId;
+use crate::units::RequestId;
+use crate::units::UpstreamId;
+
+/// What a home says of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GrantAnswer {
+    /// The request.
+    pub request: RequestId,
+    /// Where it stands.
+    pub verdict: Verdict,
+}
+
+/// Where a request stands at its home.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The receiver is not the home of that pool.
+    NotHome,
+    /// It waits; the decision is pushed, and asking again is harmless.
+    Queued,
+    /// It may be dispatched, once.
+    Granted(Granted),
+    /// It is turned away, not run.
+    Refused {
+        /// Why.
+        reason: RefuseReason,
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+}
+
+/// A grant as its entry host gets it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Granted {
+    /// The grant.
+    pub grant: GrantId,
+    /// The engines, the leader first.
+    pub upstreams: Vec<UpstreamId>,
+    /// How long it waited in the home's queue.
+    pub waited: Duration,
+    /// Why these upstreams, in a few words for `explain`.
+    pub why: String,
+}
+
+impl Granted {
+    /// The attempt that uses up the grant: it has the same number.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId(self.grant.0)
+    }
+}
+
+impl From<&Grant> for Granted {
+    fn from(grant: &Grant) -> Self {
+        Self {
+            grant: grant.id,
+            upstreams: grant.upstreams.clone(),
+            waited: grant.waited,
+            why: grant.why.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/fakes/make.rs
@@ -0,0 +1,57 @@
+//! Values with the fields that a test does not care about filled in.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::Done;
+use banyanarch::decide::Ended;
+use banyanarch::decide::UpstreamHealth;
+use banyanarch::decide::UpstreamSeen;
+use banyanarch::decide::Work;
+use banyanarch::units::HostId;
+use banyanarch::units::Priority;
+use banyanarch::units::RequestId;
+use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
+
+pub(crate) fn host(name: &str) -> HostId {
+    name.parse().unwrap()
+}
+
+pub(crate) fn upstream(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+pub(crate) fn work(request: u128, from: &HostId, tokens: u64, now: Instant) -> Work {
+    Work {
+        request: RequestId(request),
+        host: from.clone(),
+        customer: "studio".parse().unwrap(),
+        priority: Priority(0),
+        prompt_tokens: Tokens(tokens),
+        output_tokens: Tokens::ZERO,
+        prefixes: Vec::new(),
+        deadline: now + Duration::from_secs(60),
+        avoid: Vec::new(),
+    }
+}
+
+pub(crate) fn engine(name: &str, memory_tokens: u64, health: UpstreamHealth) -> UpstreamSeen {
+    UpstreamSeen {
+        id: upstream(name),
+        memory_tokens: Tokens(memory_tokens),
+        slots: 64,
+        health,
+    }
+}
+
+pub(crate) fn done(ended: Ended) -> Done {
+    Done {
+        ended,
+        first_token: None,
+        total: Duration::from_millis(1),
+        prompt_tokens: Tokens::ZERO,
+        cached_tokens: Tokens::ZERO,
+        output_tokens: Tokens::ZERO,
+    }
+}
