--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,4 +6,5 @@
 pub mod manifests;
 pub mod membership;
 pub mod orders;
+pub mod outcome;
 pub mod status;
--- /dev/null
+++ b/src/control/outcome/answer_check.rs
@@ -0,0 +1,169 @@
+//! Matches every piece of an answer before it goes to the caller.
+
+use crate::control::outcome::AnswerFault;
+use crate::units::AttemptId;
+use crate::upstream::AnswerEvent;
+
+/// What to do with a piece of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerStep {
+    /// It is the next piece: pass it on.
+    Forward(AnswerEvent),
+    /// The caller has all of it already.
+    Skip,
+    /// It is the end mark, and nothing is missing: the answer is whole.
+    End(AnswerEvent),
+    /// It must not reach the caller.
+    Fault(AnswerFault),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expecting {
+    /// The status of a plain service's answer.
+    Head,
+    Body,
+    Nothing,
+}
+
+/// Matches every piece of one request's answer by attempt and offset.
+///
+/// The failure this guards against: an upstream or a connection gives a late, repeated or crossed
+/// piece, leaves one out, or stops; the caller would read another customer's words, or a letter
+/// that lacks its end. Each piece names its attempt and offset, and only the next one passes.
+///
+/// The same check goes on over resumed streams of the attempt, so that what comes again is skipped.
+/// An engine's last event has an offset too, also when it holds no token: its `Tokens` piece comes
+/// before `End`, so that a missing tail shows as a gap.
+#[derive(Clone, Debug)]
+pub struct AnswerCheck {
+    /// None for plain services, whose answers have no ids: there the connection is the match.
+    attempt: Option<AttemptId>,
+    offset_tokens: u64,
+    expecting: Expecting,
+}
+
+impl AnswerCheck {
+    /// For a model's answer to an attempt, from its first token on.
+    pub fn model(attempt: AttemptId) -> Self {
+        Self::resumed(attempt, 0)
+    }
+
+    /// For a model's answer of which the caller already has `offset_tokens` tokens.
+    pub fn resumed(attempt: AttemptId, offset_tokens: u64) -> Self {
+        Self {
+            attempt: Some(attempt),
+            offset_tokens,
+            expecting: Expecting::Body,
+        }
+    }
+
+    /// For a plain service's answer.
+    pub fn service() -> Self {
+        Self {
+            attempt: None,
+            offset_tokens: 0,
+            expecting: Expecting::Head,
+        }
+    }
+
+    /// How many tokens the caller has: where to resume.
+    pub fn offset_tokens(&self) -> u64 {
+        self.offset_tokens
+    }
+
+    /// Whether the end mark has come.
+    pub fn is_whole(&self) -> bool {
+        self.expecting == Expecting::Nothing
+    }
+
+    /// Takes in a piece.
+    pub fn take(&mut self, event: AnswerEvent) -> AnswerStep {
+        if self.is_whole() {
+            return AnswerStep::Fault(AnswerFault::AfterEnd);
+        }
+        match self.attempt {
+            Some(attempt) => self.take_model(attempt, event),
+            None => self.take_service(event),
+        }
+    }
+
+    /// Takes in that the stream has stopped.
+    pub fn stopped(&self) -> Result<(), AnswerFault> {
+        if self.is_whole() {
+            return Ok(());
+        }
+        Err(AnswerFault::Cut {
+            wanted_offset_tokens: self.offset_tokens,
+        })
+    }
+
+    fn take_model(&mut self, attempt: AttemptId, event: AnswerEvent) -> AnswerStep {
+        match event {
+            AnswerEvent::Tokens { attempt: got, .. } if got != attempt => crossed(got),
+            AnswerEvent::Tokens {
+                offset_tokens,
+                count,
+                ..
+            } => self.take_tokens(offset_tokens, count, event),
+            AnswerEvent::End {
+                attempt: Some(got), ..
+            } if got != attempt => crossed(got),
+            AnswerEvent::End { attempt: None, .. } => out_of_place("an end without an id"),
+            AnswerEvent::End { .. } => {
+                self.expecting = Expecting::Nothing;
+                AnswerStep::End(event)
+            }
+            AnswerEvent::Head { .. } => out_of_place("a status"),
+            AnswerEvent::Data(_) => out_of_place("bytes"),
+        }
+    }
+
+    fn take_tokens(&mut self, offset: u64, count: u64, event: AnswerEvent) -> AnswerStep {
+        let wanted = self.offset_tokens;
+        let end = offset.saturating_add(count);
+        if offset == wanted {
+            self.offset_tokens = end;
+            return AnswerStep::Forward(event);
+        }
+        if end <= wanted {
+            return AnswerStep::Skip;
+        }
+        let fault = if offset > wanted {
+            AnswerFault::Gap {
+                wanted_offset_tokens: wanted,
+                got_offset_tokens: offset,
+            }
+        } else {
+            AnswerFault::Overlap {
+                wanted_offset_tokens: wanted,
+                got_offset_tokens: offset,
+            }
+        };
+        AnswerStep::Fault(fault)
+    }
+
+    fn take_service(&mut self, event: AnswerEvent) -> AnswerStep {
+        match (self.expecting, &event) {
+            (Expecting::Head, AnswerEvent::Head { .. }) => {
+                self.expecting = Expecting::Body;
+                AnswerStep::Forward(event)
+            }
+            (Expecting::Body, AnswerEvent::Data(_)) => AnswerStep::Forward(event),
+            (Expecting::Body, AnswerEvent::End { .. }) => {
+                self.expecting = Expecting::Nothing;
+                AnswerStep::End(event)
+            }
+            (_, AnswerEvent::Tokens { .. }) => out_of_place("tokens"),
+            (_, AnswerEvent::Head { .. }) => out_of_place("a second status"),
+            _ => out_of_place("a body before its status"),
+        }
+    }
+}
+
+fn crossed(got: AttemptId) -> AnswerStep {
+    AnswerStep::Fault(AnswerFault::Crossed { got })
+}
+
+fn out_of_place(what: &'static str) -> AnswerStep {
+    AnswerStep::Fault(AnswerFault::OutOfPlace(what))
+}
--- /dev/null
+++ b/tests/outcome.rs
@@ -0,0 +1,172 @@
+//! Callers are told the truth: whose answer it is, and whether a request may have run.
+
+use banyanarch::control::outcome::AfterFailure;
+use banyanarch::control::outcome::AnswerCheck;
+use banyanarch::control::outcome::AnswerFault;
+use banyanarch::control::outcome::AnswerStep;
+use banyanarch::control::outcome::Outcome;
+use banyanarch::control::outcome::RunRecord;
+use banyanarch::units::AttemptId;
+use banyanarch::upstream::AnswerEvent;
+use banyanarch::upstream::UpstreamError;
+use yare::parameterized;
+
+const OURS: AttemptId = AttemptId(1);
+const OTHER: AttemptId = AttemptId(2);
+
+fn tokens(attempt: AttemptId, offset_tokens: u64, count: u64) -> AnswerEvent {
+    AnswerEvent::Tokens {
+        attempt,
+        offset_tokens,
+        count,
+        text: "x".repeat(usize::try_from(count).unwrap()),
+    }
+}
+
+fn end(attempt: Option<AttemptId>) -> AnswerEvent {
+    AnswerEvent::End {
+        attempt,
+        finish_reason: "stop".to_owned(),
+        prompt_tokens: 0,
+        cached_tokens: 0,
+    }
+}
+
+fn head() -> AnswerEvent {
+    AnswerEvent::Head {
+        status: 200,
+        content_type: None,
+    }
+}
+
+fn gap(wanted_offset_tokens: u64, got_offset_tokens: u64) -> AnswerFault {
+    AnswerFault::Gap {
+        wanted_offset_tokens,
+        got_offset_tokens,
+    }
+}
+
+fn overlap(wanted_offset_tokens: u64, got_offset_tokens: u64) -> AnswerFault {
+    AnswerFault::Overlap {
+        wanted_offset_tokens,
+        got_offset_tokens,
+    }
+}
+
+/// Two connections to an engine are mixed up, or one repeats or loses a piece. The caller would read
+/// words of another customer's case, or a letter with a hole in it.
+#[parameterized(
+    crossed = { tokens(OTHER, 3, 1), AnswerFault::Crossed { got: OTHER } },
+    crossed_at_the_same_offset_as_a_repeat = { tokens(OTHER, 0, 3), AnswerFault::Crossed { got: OTHER } },
+    crossed_end = { end(Some(OTHER)), AnswerFault::Crossed { got: OTHER } },
+    end_without_id = { end(None), AnswerFault::OutOfPlace("an end without an id") },
+    hole = { tokens(OURS, 4, 1), gap(3, 4) },
+    missing_tail = { tokens(OURS, 9, 0), gap(3, 9) },
+    overlapping = { tokens(OURS, 2, 2), overlap(3, 2) },
+    bytes = { AnswerEvent::Data("x".into()), AnswerFault::OutOfPlace("bytes") },
+)]
+fn wrong_pieces_do_not_pass(event: AnswerEvent, fault: AnswerFault) {
+    let mut check = AnswerCheck::model(OURS);
+    let first = tokens(OURS, 0, 3);
+    assert_eq!(check.take(first.clone()), AnswerStep::Forward(first));
+    assert_eq!(check.take(event), AnswerStep::Fault(fault));
+    let next = tokens(OURS, 3, 1);
+    assert_eq!(check.take(next.clone()), AnswerStep::Forward(next));
+}
+
+/// A connection breaks, the stream is resumed, and the engine sends some of it again. The caller
+/// must get each token once, and the end only after all of them.
+#[test]
+fn resumed_streams_repeat_nothing() {
+    let mut check = AnswerCheck::model(OURS);
+    check.take(tokens(OURS, 0, 3));
+    let cut = AnswerFault::Cut {
+        wanted_offset_tokens: 3,
+    };
+    assert_eq!(check.stopped(), Err(cut));
+    assert!(cut.can_resume());
+    assert_eq!(check.offset_tokens(), 3);
+    assert_eq!(check.take(tokens(OURS, 0, 2)), AnswerStep::Skip);
+    assert_eq!(check.take(tokens(OURS, 2, 1)), AnswerStep::Skip);
+    let rest = tokens(OURS, 3, 2);
+    assert_eq!(check.take(rest.clone()), AnswerStep::Forward(rest));
+    let last = end(Some(OURS));
+    assert_eq!(check.take(last.clone()), AnswerStep::End(last));
+    assert_eq!(check.stopped(), Ok(()));
+    assert_eq!(
+        check.take(tokens(OURS, 5, 1)),
+        AnswerStep::Fault(AnswerFault::AfterEnd)
+    );
+}
+
+/// A plain service's connection breaks before its answer has ended. A short answer must not pass as
+/// a whole one, and there is no way to resume it.
+#[test]
+fn service_answers_are_whole_or_cut() {
+    let mut check = AnswerCheck::service();
+    let early = check.take(AnswerEvent::Data("x".into()));
+    assert!(matches!(
+        early,
+        AnswerStep::Fault(AnswerFault::OutOfPlace(_))
+    ));
+    assert_eq!(check.take(head()), AnswerStep::Forward(head()));
+    check.take(AnswerEvent::Data("x".into()));
+    assert!(check.stopped().is_err());
+    assert_eq!(check.take(end(None)), AnswerStep::End(end(None)));
+    assert_eq!(check.stopped(), Ok(()));
+}
+
+fn refused() -> UpstreamError {
+    UpstreamError::Refused {
+        status: 503,
+        why: String::new(),
+        retry_after: None,
+    }
+}
+
+/// An upstream fails after bytes of a licence grant have left. Told "not run", the caller would send
+/// it again, and two would be issued.
+#[parameterized(
+    not_sent = { UpstreamError::NotSent(String::new()), Outcome::NotRun },
+    turned_away = { refused(), Outcome::NotRun },
+    interrupted = { UpstreamError::Interrupted(String::new()), Outcome::MayHaveRun },
+    garbled = { UpstreamError::Garbled(String::new()), Outcome::MayHaveRun },
+    failed = { UpstreamError::Failed(String::new()), Outcome::MayHaveRun },
+    unknown = { UpstreamError::UnknownAttempt, Outcome::MayHaveRun },
+)]
+fn not_run_is_said_only_when_certain(error: UpstreamError, outcome: Outcome) {
+    let mut record = RunRecord::new(false);
+    assert_eq!(record.outcome(), Outcome::NotRun);
+    record.sending();
+    assert_eq!(
+        record.outcome(),
+        Outcome::MayHaveRun,
+        "the task may end here"
+    );
+    let after = record.failed(&error);
+    assert_eq!(record.outcome(), outcome);
+    assert_eq!(
+        after == AfterFailure::MayTryAgain,
+        outcome == Outcome::NotRun
+    );
+    assert_eq!(outcome.name().parse(), Ok(outcome));
+}
+
+/// A stream breaks and the engine refuses to resume it, or a second attempt is refused after a first
+/// one may have run. The refusal is certain, but not about the first attempt.
+#[test]
+fn later_refusal_does_not_undo_an_earlier_doubt() {
+    let mut record = RunRecord::new(true);
+    record.sending();
+    record.failed(&UpstreamError::Interrupted(String::new()));
+    record.failed(&refused());
+    assert_eq!(record.outcome(), Outcome::MayHaveRun);
+    record.sending();
+    assert_eq!(record.failed(&refused()), AfterFailure::MayTryAgain);
+    assert_eq!(record.outcome(), Outcome::MayHaveRun);
+    let mut resumed = RunRecord::new(false);
+    resumed.sending();
+    resumed.answered();
+    assert_eq!(resumed.failed(&refused()), AfterFailure::MustStop);
+    assert_eq!(resumed.outcome(), Outcome::MayHaveRun);
+}
