Claims of requests that are not repeatable, committed in groups

Cause: a write to the platform can take effect while its answer is lost, hosts pause for any time, and the platform takes a few hundred writes a second; a licence grant must still run at most once.

Ruled out: freeing a claim after a time (a paused holder wakes up and sends); one object a key (a write a request); answering "held" from what was read before the question (a claim given back since would block its key for good); forgetting a claim whose caller gave up while its write was in doubt.

--- /dev/null
+++ b/src/control/claims/key.rs
@@ -0,0 +1,45 @@
+//! What a claim is found by.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::units::ContentHash;
+use crate::units::CustomerId;
+use crate::units::IdempotencyKey;
+
+/// A customer's idempotency key, hashed. The hash is cryptographic, so that no customer can make a
+/// key that meets another one's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClaimKey(pub ContentHash);
+
+impl ClaimKey {
+    /// The key of one customer's idempotency key.
+    pub fn new(customer: &CustomerId, key: &IdempotencyKey) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(customer.as_str());
+        // Names can't hold this byte.
+        hash.update([0]);
+        hash.update(key.as_str());
+        let digest = hash.finalize();
+        let bytes = digest.iter().take(size_of::<u128>());
+        Self(ContentHash(
+            bytes.fold(0, |hash, byte| hash << 8 | u128::from(*byte)),
+        ))
+    }
+
+    /// The shard out of `count` that holds the key's claim.
+    pub fn shard(self, count: u32) -> u32 {
+        u32::try_from(self.0.0 % u128::from(count.max(1))).unwrap_or(0)
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- a/tests/fakes/make.rs
+++ b/tests/fakes/make.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::control::claims::Claim;
+use banyanarch::control::claims::ClaimKey;
+use banyanarch::control::claims::ClaimState;
 use banyanarch::decide::Done;
 use banyanarch::decide::Ended;
 use banyanarch::decide::UpstreamHealth;
 use banyanarch::decide::UpstreamSeen;
 use banyanarch::decide::Work;
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
 use banyanarch::units::HostId;
 use banyanarch::units::Priority;
 use banyanarch::units::RequestId;
@@ -55,3 +60,17 @@
         output_tokens: Tokens::ZERO,
     }
 }
+
+pub(crate) fn claim_key(key: &str) -> ClaimKey {
+    ClaimKey::new(&"studio".parse().unwrap(), &key.parse().unwrap())
+}
+
+pub(crate) fn claim(attempt: u128, holder: &HostId, content: u128) -> Claim {
+    Claim {
+        attempt: AttemptId(attempt),
+        holder: holder.clone(),
+        upstream: upstream("accounts-1"),
+        content: ContentHash(content),
+        state: ClaimState::Held,
+    }
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -4,3 +4,5 @@
 
 pub(crate) mod first_fit;
 pub(crate) mod make;
+pub(crate) mod object;
+pub(crate) mod platform;
--- /dev/null
+++ b/tests/fakes/object.rs
@@ -0,0 +1,95 @@
+//! One object of a platform whose calls can go wrong.
+
+use banyanarch::control::claims::ShardValue;
+use banyanarch::platform::Expected;
+use banyanarch::platform::Kind;
+use banyanarch::platform::Object;
+use banyanarch::platform::ObjectKey;
+use banyanarch::platform::PlatformError;
+use banyanarch::units::ObjectVersion;
+
+/// How a call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// As it should.
+    None,
+    /// It does not reach the platform.
+    Unavailable,
+    /// It takes effect, but its answer is lost.
+    AnswerLost,
+    /// It is stuck on its way: a write may take effect later.
+    Delayed,
+}
+
+/// One object with conditional writes.
+#[derive(Debug, Default)]
+pub(crate) struct FakeObject {
+    pub(crate) version: u64,
+    pub(crate) value: Option<ShardValue>,
+    pub(crate) writes: u64,
+    pub(crate) reads: u64,
+    delayed: Vec<(ShardValue, Expected)>,
+}
+
+impl FakeObject {
+    pub(crate) fn get(&mut self, fault: Fault) -> Result<Object, PlatformError> {
+        match fault {
+            Fault::None => (),
+            Fault::Unavailable => return Err(PlatformError::Unavailable("down".to_owned())),
+            _ => return Err(PlatformError::Unknown("lost".to_owned())),
+        }
+        self.reads += 1;
+        let value = self.value.as_ref().ok_or(PlatformError::Absent)?;
+        Ok(Object {
+            key: ObjectKey::new(Kind::Claims, "shard-00"),
+            version: ObjectVersion(self.version),
+            value: value.to_json().unwrap(),
+        })
+    }
+
+    pub(crate) fn put(
+        &mut self,
+        value: ShardValue,
+        expected: Expected,
+        fault: Fault,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let lost = Err(PlatformError::Unknown("lost".to_owned()));
+        match fault {
+            Fault::None => self.apply(value, expected),
+            Fault::Unavailable => Err(PlatformError::Unavailable("down".to_owned())),
+            Fault::AnswerLost => {
+                let _ = self.apply(value, expected);
+                lost
+            }
+            Fault::Delayed => {
+                self.delayed.push((value, expected));
+                lost
+            }
+        }
+    }
+
+    /// Delayed writes arrive now, in whatever state the object is.
+    pub(crate) fn arrive(&mut self) {
+        for (value, expected) in std::mem::take(&mut self.delayed) {
+            let _ = self.apply(value, expected);
+        }
+    }
+
+    fn apply(
+        &mut self,
+        value: ShardValue,
+        expected: Expected,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let is_met = match expected {
+            Expected::Absent => self.value.is_none(),
+            Expected::Version(version) => self.value.is_some() && version.0 == self.version,
+        };
+        if !is_met {
+            return Err(PlatformError::Conflict);
+        }
+        self.writes += 1;
+        self.version += 1;
+        self.value = Some(value);
+        Ok(ObjectVersion(self.version))
+    }
+}
--- /dev/null
+++ b/tests/fakes/platform.rs
@@ -0,0 +1,100 @@
+//! A platform in memory, with a delay for each call.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use banyanarch::control::claims::ShardValue;
+use banyanarch::platform::Expected;
+use banyanarch::platform::Kind;
+use banyanarch::platform::Object;
+use banyanarch::platform::ObjectKey;
+use banyanarch::platform::ObjectList;
+use banyanarch::platform::Platform;
+use banyanarch::platform::PlatformError;
+use banyanarch::units::ObjectVersion;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use indexmap::IndexMap;
+
+use super::object::FakeObject;
+use super::object::Fault;
+
+pub(crate) struct FakePlatform {
+    latency: Duration,
+    objects: Mutex<IndexMap<ObjectKey, FakeObject>>,
+    fault: Mutex<Fault>,
+}
+
+impl FakePlatform {
+    pub(crate) fn new(latency: Duration) -> Self {
+        Self {
+            latency,
+            objects: Mutex::default(),
+            fault: Mutex::new(Fault::None),
+        }
+    }
+
+    pub(crate) fn set_fault(&self, fault: Fault) {
+        *self.fault.lock().unwrap() = fault;
+    }
+
+    pub(crate) fn writes(&self) -> u64 {
+        self.objects
+            .lock()
+            .unwrap()
+            .values()
+            .map(|object| object.writes)
+            .sum()
+    }
+
+    pub(crate) fn reads(&self) -> u64 {
+        self.objects
+            .lock()
+            .unwrap()
+            .values()
+            .map(|object| object.reads)
+            .sum()
+    }
+
+    fn on<T>(&self, key: ObjectKey, call: impl FnOnce(&mut FakeObject, Fault) -> T) -> T {
+        let fault = *self.fault.lock().unwrap();
+        call(self.objects.lock().unwrap().entry(key).or_default(), fault)
+    }
+}
+
+impl Platform for FakePlatform {
+    fn get(&self, key: ObjectKey) -> BoxFuture<'_, Result<Object, PlatformError>> {
+        async move {
+            tokio::time::sleep(self.latency).await;
+            self.on(key, FakeObject::get)
+        }
+        .boxed()
+    }
+
+    fn put(
+        &self,
+        key: ObjectKey,
+        value: serde_json::Value,
+        expected: Expected,
+    ) -> BoxFuture<'_, Result<ObjectVersion, PlatformError>> {
+        async move {
+            tokio::time::sleep(self.latency).await;
+            let value = ShardValue::from_json(value).unwrap();
+            self.on(key, |object, fault| object.put(value, expected, fault))
+        }
+        .boxed()
+    }
+
+    fn list(&self, _kind: Kind) -> BoxFuture<'_, Result<ObjectList, PlatformError>> {
+        async { Ok(ObjectList::default()) }.boxed()
+    }
+
+    fn watch(
+        &self,
+        _kind: Kind,
+        _after: ObjectVersion,
+        _wait: Duration,
+    ) -> BoxFuture<'_, Result<ObjectList, PlatformError>> {
+        async { Ok(ObjectList::default()) }.boxed()
+    }
+}
