Shutdown as a state machine: notice, draining, settling claims, done

Cause: a host that goes faster than the balancer looks turns callers away at a closed port, and one that ends by time cuts off audits.

Ruled out: a limit on draining; each request has its own. Ruled out: exit as soon as nothing is in flight, since an idle host's next caller is on its way.

Change: DrainController.

--- /dev/null
+++ b/src/control/drain/mod.rs
@@ -0,0 +1,9 @@
+//! How a host shuts down without cutting off a request.
+
+mod controller;
+
+pub use controller::DrainAction;
+pub use controller::DrainConf;
+pub use controller::DrainController;
+pub use controller::DrainEvent;
+pub use controller::DrainPhase;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: state machines without I/O that keep what must hold and the fleet in order.
 
 pub mod claims;
+pub mod drain;
 pub mod home;
 pub mod homes;
 pub mod manifests;
