Home: stories for three mechanisms that no test needed; one rule dropped

Change: stories for a grant that nobody used, a host that comes back and reads on, and a late NotSent. Withdrawing a dead host's requests at once is gone: they are forgotten after three seconds without a question anyway.

--- a/src/control/home/controller.rs
+++ b/src/control/home/controller.rs
@@ -132,7 +132,7 @@
             HomeEvent::Announce { from, grants } => self.announce(&from, grants, now),
             HomeEvent::Finish { from, grant, done } => self.finish(&from, grant, done, now),
             HomeEvent::Withdraw { from, request } => self.withdraw(&from, request, now),
-            HomeEvent::HostDead(host) => self.host_dead(&host, now),
+            HomeEvent::HostDead(host) => self.hosts.set_dead(&host, now),
             HomeEvent::HostAlive(host) => self.hosts.set_alive(&host),
             HomeEvent::EngineListed {
                 upstream,
@@ -289,13 +289,6 @@
         }
     }
 
-    fn host_dead(&mut self, host: &HostId, now: Instant) {
-        self.hosts.set_dead(host, now);
-        for request in self.requests.waiting_of(host) {
-            self.withdraw(host, request, now);
-        }
-    }
-
     fn listed(
         &mut self,
         upstream: &UpstreamId,
--- a/src/control/home/requests.rs
+++ b/src/control/home/requests.rs
@@ -122,11 +122,6 @@
         abandoned.map(|(request, _)| *request).collect()
     }
 
-    pub(crate) fn waiting_of(&self, host: &HostId) -> Vec<RequestId> {
-        let waiting = self.waiting().filter(|(_, asked)| asked.host == *host);
-        waiting.map(|(request, _)| *request).collect()
-    }
-
     pub(crate) fn all_waiting(&self) -> Vec<(RequestId, HostId)> {
         let waiting = self.waiting();
         waiting
--- a/tests/home.rs
+++ b/tests/home.rs
@@ -336,6 +336,7 @@
     let grant = home.ask_granted(1, &a, 6_000).grant;
     let actions = home.finish(&a, grant, Ended::Failed);
     assert_eq!(cancels(&actions), [AttemptId(grant.0)]);
+    home.finish(&a, grant, Ended::NotSent);
     assert_eq!(home.ask(2, &a, 6_000), Verdict::Queued);
     home.confirm(grant);
     home.ask_granted(2, &a, 6_000);
@@ -510,3 +511,31 @@
     let cancelled = cancels(&home.pass(Duration::from_secs(80), &held, &[]));
     assert!(cancelled.contains(&AttemptId(77)) && cancelled.contains(&AttemptId(78)));
 }
+
+/// A host asks, gets a grant, and turns to another home before the reply comes. It never announces
+/// here, and the engine never hears of it: only the engine's list can show that nothing is held.
+#[test]
+fn grant_that_nobody_ever_used_is_dropped() {
+    let mut home = Home::serving();
+    home.ask_granted(1, &host("entry-a"), 6_000);
+    let actions = home.pass(Duration::from_secs(8), &[], &[]);
+    assert!(cancels(&actions).is_empty());
+    assert_eq!(home.home.ledger_len(), 0);
+}
+
+/// A host is silent for long, is held for dead, and the cancel of its attempt is lost. Then it is
+/// back, still reading, and announces: the cancel must not be tried again.
+#[test]
+fn host_that_comes_back_goes_on_reading() {
+    let mut home = Home::serving();
+    let a = host("entry-a");
+    home.join(&["entry-b", "entry-c"]);
+    let grant = home.ask_granted(1, &a, 6_000).grant;
+    let held = [running(grant, &a, 6_000)];
+    home.hear(HomeEvent::HostDead(a.clone()));
+    let lost = home.pass(Duration::from_millis(5_250), &held, &[]);
+    assert_eq!(cancels(&lost), [AttemptId(grant.0)]);
+    let grants = vec![live(grant, 1, &a, 6_000, home.clock.now())];
+    let actions = home.pass(Duration::from_secs(20), &held, &[(&a, grants)]);
+    assert!(cancels(&actions).is_empty());
+}
