HTTP adapters of the platform and of upstreams

Cause: the path needs both ends. A client library that repeats a request by itself on a stale connection would run it twice unseen. Change: a small client over hyper connections that hands a request to a second connection only when the first gave it back untouched; the object API; answers of models (server-sent events with an end mark) and of plain services. Ruled out: the pooled client of hyper-util, which resends on its own.

--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,164 @@
+//! Connections to one address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::http::ChunksBody;
+use crate::http::HttpError;
+use crate::http::PooledBody;
+
+/// More than an upstream batches; beyond it connections are closed after use.
+const IDLE_MAX: usize = 128;
+
+/// Inside a site a connection takes a few milliseconds. A host that is cut off does not answer at
+/// all; this is how long it can hold a request up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// Connections that wait for a request.
+#[derive(Debug, Default)]
+pub(crate) struct IdleConnections {
+    senders: Mutex<Vec<SendRequest<ChunksBody>>>,
+}
+
+impl IdleConnections {
+    pub(crate) fn put(&self, sender: SendRequest<ChunksBody>) {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        if !sender.is_closed() && senders.len() < IDLE_MAX {
+            senders.push(sender);
+        }
+    }
+
+    fn take(&self) -> Option<SendRequest<ChunksBody>> {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+}
+
+/// What came of handing a request to one connection.
+enum Handed {
+    Answered(Box<Response<PooledBody>>),
+    /// The connection was closed before it took the request, which comes back untouched.
+    Returned(Box<Request<ChunksBody>>),
+}
+
+/// A client of one address. It never sends a request twice: a library that repeats a request by
+/// itself on another connection would make an upstream run it twice, unseen by the ledger and by
+/// the claims. Only a request that no connection has taken is handed to a second one.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    addr: SocketAddr,
+    host_header: HeaderValue,
+    idle: Arc<IdleConnections>,
+}
+
+impl HttpClient {
+    /// A client of `addr`; it connects when it has something to send.
+    pub fn new(addr: SocketAddr) -> Self {
+        let host_header = HeaderValue::try_from(addr.to_string());
+        let host_header = host_header.unwrap_or_else(|_| HeaderValue::from_static("upstream"));
+        Self {
+            addr,
+            host_header,
+            idle: Arc::default(),
+        }
+    }
+
+    /// The address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends a request and returns the answer's head with its body still to be read.
+    pub async fn send(
+        &self,
+        mut req: Request<ChunksBody>,
+    ) -> Result<Response<PooledBody>, HttpError> {
+        req.headers_mut()
+            .entry(HOST)
+            .or_insert_with(|| self.host_header.clone());
+        while let Some(sender) = self.idle.take() {
+            match self.hand_over(sender, req).await? {
+                Handed::Answered(res) => return Ok(*res),
+                Handed::Returned(back) => req = *back,
+            }
+        }
+        let sender = self.connect().await?;
+        match self.hand_over(sender, req).await? {
+            Handed::Answered(res) => Ok(*res),
+            Handed::Returned(_) => Err(HttpError::NotSent("connection closed at once".to_owned())),
+        }
+    }
+
+    /// Sends a request and reads the whole answer, at most `len_max` bytes, within `limit`.
+    pub async fn call(
+        &self,
+        req: Request<ChunksBody>,
+        len_max: usize,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let whole = async {
+            let (head, body) = self.send(req).await?.into_parts();
+            let body = Limited::new(body, len_max).collect().await;
+            let body = body.map_err(|err| HttpError::Interrupted(err.to_string()))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        let timed_out = |_| HttpError::Interrupted(format!("no answer within {limit:?}"));
+        timeout(limit, whole).await.map_err(timed_out)?
+    }
+
+    async fn connect(&self) -> Result<SendRequest<ChunksBody>, HttpError> {
+        let not_sent = |why: String| HttpError::NotSent(format!("{}: {why}", self.addr));
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
+        let stream = stream.map_err(|_| not_sent("connecting timed out".to_owned()))?;
+        let stream = stream.map_err(|err| not_sent(err.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|err| not_sent(err.to_string()))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, conn) = handshake.map_err(|err| not_sent(err.to_string()))?;
+        tokio::spawn(conn);
+        Ok(sender)
+    }
+
+    async fn hand_over(
+        &self,
+        mut sender: SendRequest<ChunksBody>,
+        req: Request<ChunksBody>,
+    ) -> Result<Handed, HttpError> {
+        if sender.ready().await.is_err() {
+            return Ok(Handed::Returned(Box::new(req)));
+        }
+        match sender.try_send_request(req).await {
+            Ok(res) => {
+                let idle = Arc::clone(&self.idle);
+                let res = res.map(|incoming| PooledBody::new(incoming, sender, idle));
+                Ok(Handed::Answered(Box::new(res)))
+            }
+            Err(mut err) => match err.take_message() {
+                Some(req) => Ok(Handed::Returned(Box::new(req))),
+                None => Err(HttpError::Interrupted(err.into_error().to_string())),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! A small HTTP/1.1 client over hyper that says whether a request may have left.
+
+mod body;
+mod client;
+mod error;
+mod sse;
+
+pub use body::ChunksBody;
+pub use body::PooledBody;
+pub use client::HttpClient;
+pub use error::HttpError;
+pub use sse::SseEvent;
+pub use sse::SseParser;
--- /dev/null
+++ b/src/platform/http/mod.rs
@@ -0,0 +1,203 @@
+//! The platform's object service over HTTP.
+
+mod wire;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use log::debug;
+
+use crate::http::ChunksBody;
+use crate::http::HttpClient;
+use crate::http::HttpError;
+use crate::platform::Expected;
+use crate::platform::Kind;
+use crate::platform::Object;
+use crate::platform::ObjectKey;
+use crate::platform::ObjectList;
+use crate::platform::Platform;
+use crate::platform::PlatformError;
+use crate::platform::http::wire::WireEvent;
+use crate::platform::http::wire::WireList;
+use crate::platform::http::wire::WireObject;
+use crate::units::ObjectVersion;
+
+const BASE: &str = "/apis/banyanarch.dev/v1";
+
+/// The service holds values up to a megabyte; a list holds many.
+const ANSWER_LEN_MAX: usize = 64 << 20;
+
+/// How much longer than its own wait a watch may take to answer.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// A client of the platform's object service.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    client: HttpClient,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// A client that gives each call `timeout`.
+    pub fn new(client: HttpClient, timeout: Duration) -> Self {
+        Self { client, timeout }
+    }
+
+    async fn read(&self, path: &str, limit: Duration) -> Result<Bytes, PlatformError> {
+        let req = Request::get(path).body(ChunksBody::default());
+        let req = req.map_err(|err| PlatformError::Refused(err.to_string()))?;
+        let res = self
+            .client
+            .call(req, ANSWER_LEN_MAX, limit)
+            .await
+            .map_err(|err| read_error(&err))?;
+        match res.status() {
+            StatusCode::OK => Ok(res.into_body()),
+            StatusCode::NOT_FOUND => Err(PlatformError::Absent),
+            status if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS => {
+                Err(PlatformError::Refused(reason(&res)))
+            }
+            _ => Err(PlatformError::Unavailable(reason(&res))),
+        }
+    }
+
+    async fn write(
+        &self,
+        key: &ObjectKey,
+        value: serde_json::Value,
+        expected: Expected,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let kind = key.kind.plural();
+        let (method, path, version) = match expected {
+            Expected::Absent => (Method::POST, format!("{BASE}/{kind}"), None),
+            Expected::Version(version) => (
+                Method::PUT,
+                format!("{BASE}/{kind}/{}", key.name),
+                Some(version),
+            ),
+        };
+        let object = WireObject::new(key, value, version);
+        let refused = |err: serde_json::Error| PlatformError::Refused(err.to_string());
+        let body = serde_json::to_vec(&object).map_err(refused)?;
+        let req = Request::builder().method(method).uri(path);
+        let req = req
+            .header(CONTENT_TYPE, "application/json")
+            .body(ChunksBody::one(body));
+        let req = req.map_err(|err| PlatformError::Refused(err.to_string()))?;
+        let res = self.client.call(req, ANSWER_LEN_MAX, self.timeout).await;
+        let res = res.map_err(write_error)?;
+        match res.status() {
+            StatusCode::OK | StatusCode::CREATED => {
+                let object: WireObject = parse(res.body()).map_err(PlatformError::Unknown)?;
+                object.version().map_err(PlatformError::Unknown)
+            }
+            StatusCode::CONFLICT => Err(PlatformError::Conflict),
+            StatusCode::NOT_FOUND => Err(PlatformError::Absent),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(PlatformError::Unavailable(reason(&res)))
+            }
+            status if status.is_client_error() => Err(PlatformError::Refused(reason(&res))),
+            _ => Err(PlatformError::Unknown(reason(&res))),
+        }
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, key: ObjectKey) -> BoxFuture<'_, Result<Object, PlatformError>> {
+        async move {
+            let path = format!("{BASE}/{}/{}", key.kind.plural(), key.name);
+            let body = self.read(&path, self.timeout).await?;
+            let object: WireObject = parse(&body).map_err(PlatformError::Unavailable)?;
+            object
+                .into_object(key.kind)
+                .map_err(PlatformError::Unavailable)
+        }
+        .boxed()
+    }
+
+    fn put(
+        &self,
+        key: ObjectKey,
+        value: serde_json::Value,
+        expected: Expected,
+    ) -> BoxFuture<'_, Result<ObjectVersion, PlatformError>> {
+        async move { self.write(&key, value, expected).await }.boxed()
+    }
+
+    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<ObjectList, PlatformError>> {
+        async move {
+            let path = format!("{BASE}/{}", kind.plural());
+            let body = self.read(&path, self.timeout).await?;
+            let list: WireList = parse(&body).map_err(PlatformError::Unavailable)?;
+            list.into_list(kind).map_err(PlatformError::Unavailable)
+        }
+        .boxed()
+    }
+
+    fn watch(
+        &self,
+        kind: Kind,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<ObjectList, PlatformError>> {
+        async move {
+            let wait_s = wait.as_secs().max(1);
+            let path = format!(
+                "{BASE}/{}?watch=true&resourceVersion={after}&timeoutSeconds={wait_s}",
+                kind.plural()
+            );
+            let limit = Duration::from_secs(wait_s) + WATCH_GRACE;
+            let body = self.read(&path, limit).await?;
+            let mut list = ObjectList {
+                items: Vec::new(),
+                version: after,
+            };
+            for line in body
+                .split(|byte| *byte == b'\n')
+                .filter(|line| !line.is_empty())
+            {
+                let event: WireEvent = parse(line).map_err(PlatformError::Unavailable)?;
+                let object = event
+                    .object
+                    .into_object(kind)
+                    .map_err(PlatformError::Unavailable)?;
+                list.version = list.version.max(object.version);
+                if event.kind == "DELETED" {
+                    debug!("platform: {} was deleted", object.key);
+                } else {
+                    list.items.push(object);
+                }
+            }
+            Ok(list)
+        }
+        .boxed()
+    }
+}
+
+fn parse<'a, T: serde::Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|err| format!("not the object API: {err}"))
+}
+
+fn read_error(err: &HttpError) -> PlatformError {
+    PlatformError::Unavailable(err.to_string())
+}
+
+fn write_error(err: HttpError) -> PlatformError {
+    match err {
+        HttpError::NotSent(why) => PlatformError::Unavailable(why),
+        HttpError::Interrupted(why) => PlatformError::Unknown(why),
+    }
+}
+
+fn reason(res: &Response<Bytes>) -> String {
+    let text = String::from_utf8_lossy(res.body());
+    let text: String = text.chars().take(200).collect();
+    format!("{}: {text}", res.status())
+}
--- /dev/null
+++ b/src/platform/http/wire.rs
@@ -0,0 +1,97 @@
+//! The JSON of the object API.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::platform::Kind;
+use crate::platform::Object;
+use crate::platform::ObjectKey;
+use crate::platform::ObjectList;
+use crate::units::ObjectVersion;
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct WireObject {
+    api_version: String,
+    kind: String,
+    metadata: WireMetadata,
+    spec: serde_json::Value,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireMetadata {
+    #[serde(default)]
+    name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    resource_version: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct WireList {
+    metadata: WireMetadata,
+    items: Vec<WireObject>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct WireEvent {
+    #[serde(rename = "type")]
+    pub(crate) kind: String,
+    pub(crate) object: WireObject,
+}
+
+impl WireObject {
+    pub(crate) fn new(
+        key: &ObjectKey,
+        spec: serde_json::Value,
+        version: Option<ObjectVersion>,
+    ) -> Self {
+        let resource_version = version.map(|version| version.to_string());
+        Self {
+            api_version: "banyanarch.dev/v1".to_owned(),
+            kind: key.kind.plural().to_owned(),
+            metadata: WireMetadata {
+                name: key.name.clone(),
+                resource_version,
+            },
+            spec,
+        }
+    }
+
+    pub(crate) fn version(&self) -> Result<ObjectVersion, String> {
+        self.metadata.version()
+    }
+
+    pub(crate) fn into_object(self, kind: Kind) -> Result<Object, String> {
+        let version = self.version()?;
+        let key = ObjectKey::new(kind, self.metadata.name);
+        Ok(Object {
+            key,
+            version,
+            value: self.spec,
+        })
+    }
+}
+
+impl WireMetadata {
+    fn version(&self) -> Result<ObjectVersion, String> {
+        let text = self.resource_version.as_deref().unwrap_or_default();
+        text.parse()
+            .map_err(|err| format!("metadata.resourceVersion: {err}"))
+    }
+}
+
+impl WireList {
+    pub(crate) fn into_list(self, kind: Kind) -> Result<ObjectList, String> {
+        let version = self.metadata.version()?;
+        let items: Result<Vec<Object>, String> = self
+            .items
+            .into_iter()
+            .map(|object| object.into_object(kind))
+            .collect();
+        Ok(ObjectList {
+            items: items?,
+            version,
+        })
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! which only get, list, create, replace and watch are used. docs/PROTOCOLS.md gives the details.
 
 mod error;
+mod http;
 mod object;
 
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use futures_util::future::BoxFuture;
 
 pub use error::PlatformError;
+pub use http::HttpPlatform;
 pub use object::Expected;
 pub use object::Kind;
 pub use object::Object;
--- /dev/null
+++ b/src/upstream/http/mod.rs
@@ -0,0 +1,332 @@
+//! Upstreams over HTTP.
+
+mod answer_reader;
+mod model_event;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::RETRY_AFTER;
+use hyper::http::request::Builder;
+use serde::de::DeserializeOwned;
+
+use crate::http::ChunksBody;
+use crate::http::HttpClient;
+use crate::http::HttpError;
+use crate::http::PooledBody;
+use crate::units::AttemptId;
+use crate::units::ContentHash;
+use crate::units::HostId;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+use crate::upstream::AnswerStream;
+use crate::upstream::CacheEvent;
+use crate::upstream::Dispatch;
+use crate::upstream::EngineState;
+use crate::upstream::LoadReport;
+use crate::upstream::Order;
+use crate::upstream::RunningAttempt;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamError;
+
+/// How long a call beside the answers may take. A frozen engine costs a controller this much.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An export of key and value cache is the largest control answer.
+const CONTROL_LEN_MAX: usize = 64 << 20;
+
+/// The longest error text that is read from an upstream.
+const ERROR_LEN_MAX: usize = 64 << 10;
+
+/// A client of one upstream.
+#[derive(Clone, Debug)]
+pub struct HttpUpstream {
+    client: HttpClient,
+}
+
+impl HttpUpstream {
+    /// A client of the upstream behind `client`.
+    pub fn new(client: HttpClient) -> Self {
+        Self { client }
+    }
+
+    async fn start_attempt(&self, dispatch: Dispatch) -> Result<AnswerStream, UpstreamError> {
+        let is_model = dispatch.is_model;
+        let attempt = dispatch.attempt;
+        let res = self.client.send(dispatch_request(dispatch)?).await?;
+        if is_refusal(&res) {
+            return Err(refusal(res).await);
+        }
+        if !is_model {
+            return Ok(answer_reader::service_answer(res));
+        }
+        if res.status() != StatusCode::OK {
+            return Err(UpstreamError::Failed(error_text(res).await));
+        }
+        Ok(answer_reader::model_answer(res.into_body(), attempt))
+    }
+
+    async fn resume_attempt(
+        &self,
+        attempt: AttemptId,
+        offset_tokens: u64,
+    ) -> Result<AnswerStream, UpstreamError> {
+        let req = Request::get(format!("/v1/attempts/{attempt}/stream"))
+            .header("Last-Event-ID", format!("{attempt}:{offset_tokens}"));
+        let sent = self.client.send(finish(req, ChunksBody::default())?);
+        let res = tokio::time::timeout(CONTROL_TIMEOUT, sent).await;
+        let res = res.map_err(|_| UpstreamError::Interrupted("resume timed out".to_owned()))??;
+        match res.status() {
+            StatusCode::OK => Ok(answer_reader::model_answer(res.into_body(), attempt)),
+            StatusCode::NOT_FOUND => Err(UpstreamError::UnknownAttempt),
+            _ => Err(UpstreamError::Failed(error_text(res).await)),
+        }
+    }
+
+    async fn control(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+    ) -> Result<Bytes, UpstreamError> {
+        let req = Request::builder().method(method).uri(path);
+        let req = req.header(CONTENT_TYPE, "application/json");
+        let body = body.map(ChunksBody::one).unwrap_or_default();
+        let res = self
+            .client
+            .call(finish(req, body)?, CONTROL_LEN_MAX, CONTROL_TIMEOUT)
+            .await?;
+        let why = || {
+            String::from_utf8_lossy(res.body())
+                .chars()
+                .take(200)
+                .collect()
+        };
+        match res.status() {
+            status if status.is_success() => Ok(res.into_body()),
+            StatusCode::NOT_FOUND => Err(UpstreamError::UnknownAttempt),
+            status if status.is_client_error() => Err(UpstreamError::Refused {
+                status: status.as_u16(),
+                why: why(),
+                retry_after: None,
+            }),
+            _ => Err(UpstreamError::Failed(why())),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, UpstreamError> {
+        let body = self.control(Method::GET, path, None).await?;
+        let parsed = serde_json::from_slice(&body);
+        parsed.map_err(|err| UpstreamError::Garbled(format!("{path}: {err}")))
+    }
+}
+
+impl Upstream for HttpUpstream {
+    fn start(&self, dispatch: Dispatch) -> BoxFuture<'_, Result<AnswerStream, UpstreamError>> {
+        self.start_attempt(dispatch).boxed()
+    }
+
+    fn resume(
+        &self,
+        attempt: AttemptId,
+        offset_tokens: u64,
+    ) -> BoxFuture<'_, Result<AnswerStream, UpstreamError>> {
+        self.resume_attempt(attempt, offset_tokens).boxed()
+    }
+
+    fn cancel(&self, attempt: AttemptId) -> BoxFuture<'_, Result<(), UpstreamError>> {
+        async move {
+            let path = format!("/v1/attempts/{attempt}");
+            match self.control(Method::DELETE, &path, None).await {
+                Ok(_) | Err(UpstreamError::UnknownAttempt) => Ok(()),
+                Err(err) => Err(err),
+            }
+        }
+        .boxed()
+    }
+
+    fn list_running(&self) -> BoxFuture<'_, Result<Vec<RunningAttempt>, UpstreamError>> {
+        self.read("/v1/attempts").boxed()
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<LoadReport, UpstreamError>> {
+        self.read("/load").boxed()
+    }
+
+    fn cache_events(
+        &self,
+        after_seq: u64,
+    ) -> BoxFuture<'_, Result<Vec<CacheEvent>, UpstreamError>> {
+        async move {
+            self.read(&format!("/v1/cache/events?after={after_seq}"))
+                .await
+        }
+        .boxed()
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, Result<(), UpstreamError>> {
+        async move {
+            let body = json(&order)?;
+            self.control(Method::PUT, "/v1/state", Some(body))
+                .await
+                .map(drop)
+        }
+        .boxed()
+    }
+
+    fn state(&self) -> BoxFuture<'_, Result<EngineState, UpstreamError>> {
+        self.read("/v1/state").boxed()
+    }
+
+    fn hold_gang(
+        &self,
+        attempt: AttemptId,
+        host: HostId,
+        tokens: Tokens,
+        hold: Duration,
+    ) -> BoxFuture<'_, Result<(), UpstreamError>> {
+        async move {
+            let hold_ms = u64::try_from(hold.as_millis()).unwrap_or(u64::MAX);
+            let body = json(&GangHold {
+                tokens,
+                hold_ms,
+                host,
+            })?;
+            let path = format!("/v1/gang/{attempt}");
+            self.control(Method::POST, &path, Some(body))
+                .await
+                .map(drop)
+        }
+        .boxed()
+    }
+
+    fn release_gang(&self, attempt: AttemptId) -> BoxFuture<'_, Result<(), UpstreamError>> {
+        async move {
+            match self
+                .control(Method::DELETE, &format!("/v1/gang/{attempt}"), None)
+                .await
+            {
+                Ok(_) | Err(UpstreamError::UnknownAttempt) => Ok(()),
+                Err(err) => Err(err),
+            }
+        }
+        .boxed()
+    }
+
+    fn export_kv(&self, prefix: ContentHash) -> BoxFuture<'_, Result<Bytes, UpstreamError>> {
+        async move {
+            self.control(Method::GET, &format!("/v1/kv/{prefix}"), None)
+                .await
+        }
+        .boxed()
+    }
+
+    fn import_kv(
+        &self,
+        prefix: ContentHash,
+        kv: Bytes,
+    ) -> BoxFuture<'_, Result<(), UpstreamError>> {
+        async move {
+            let path = format!("/v1/kv/{prefix}");
+            self.control(Method::PUT, &path, Some(kv)).await.map(drop)
+        }
+        .boxed()
+    }
+}
+
+impl From<HttpError> for UpstreamError {
+    fn from(err: HttpError) -> Self {
+        match err {
+            HttpError::NotSent(why) => Self::NotSent(why),
+            HttpError::Interrupted(why) => Self::Interrupted(why),
+        }
+    }
+}
+
+#[derive(serde::Serialize)]
+struct GangHold {
+    tokens: Tokens,
+    hold_ms: u64,
+    host: HostId,
+}
+
+fn dispatch_request(dispatch: Dispatch) -> Result<Request<ChunksBody>, UpstreamError> {
+    let remaining_ms = dispatch.remaining.as_millis().to_string();
+    let mut req = Request::builder()
+        .method(dispatch.method.as_str())
+        .uri(&dispatch.path)
+        .header("X-Request-Id", dispatch.attempt.to_string())
+        .header("X-Host", dispatch.host.as_str())
+        .header("X-Priority", dispatch.priority.to_string())
+        .header("X-Timeout-Ms", remaining_ms);
+    if let Some(content_type) = &dispatch.content_type {
+        req = req.header(CONTENT_TYPE, content_type);
+    }
+    if dispatch.is_model {
+        req = req.header("X-Stream", "true");
+    }
+    if !dispatch.gang.is_empty() {
+        let names: Vec<&str> = dispatch.gang.iter().map(UpstreamId::as_str).collect();
+        req = req.header("X-Gang", names.join(","));
+    }
+    finish(req, ChunksBody::new(dispatch.body.chunks))
+}
+
+fn finish(req: Builder, body: ChunksBody) -> Result<Request<ChunksBody>, UpstreamError> {
+    req.body(body)
+        .map_err(|err| UpstreamError::NotSent(err.to_string()))
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Result<Bytes, UpstreamError> {
+    let text = serde_json::to_vec(value).map_err(|err| UpstreamError::NotSent(err.to_string()))?;
+    Ok(Bytes::from(text))
+}
+
+/// An upstream may refuse only with the header that says so: a plain 503 can also come from an
+/// upstream that broke down in the middle of the work.
+fn is_refusal(res: &Response<PooledBody>) -> bool {
+    res.headers()
+        .get("X-Not-Run")
+        .is_some_and(|value| value.as_bytes() == b"true")
+}
+
+async fn refusal(res: Response<PooledBody>) -> UpstreamError {
+    let status = res.status().as_u16();
+    let retry_after = res
+        .headers()
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok());
+    let retry_after = retry_after
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_secs);
+    UpstreamError::Refused {
+        status,
+        why: error_text(res).await,
+        retry_after,
+    }
+}
+
+async fn error_text(res: Response<PooledBody>) -> String {
+    use http_body_util::BodyExt;
+    use http_body_util::Limited;
+
+    let status = res.status();
+    let body = Limited::new(res.into_body(), ERROR_LEN_MAX).collect();
+    match tokio::time::timeout(CONTROL_TIMEOUT, body).await {
+        Ok(Ok(body)) => {
+            let text: String = String::from_utf8_lossy(&body.to_bytes())
+                .chars()
+                .take(200)
+                .collect();
+            format!("{status}: {text}")
+        }
+        _ => status.to_string(),
+    }
+}
--- /dev/null
+++ b/src/upstream/http/model_event.rs
@@ -0,0 +1,96 @@
+//! The JSON of a model's answer.
+
+use serde::Deserialize;
+
+use crate::units::AttemptId;
+use crate::upstream::AnswerEvent;
+use crate::upstream::UpstreamError;
+
+/// What one event's data says.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum ModelEvent {
+    /// A piece of the answer.
+    Tokens(AnswerEvent),
+    /// The model has stopped; the stream's end mark has yet to come.
+    Stopped {
+        /// Tokens that came with the last event.
+        tokens: Option<AnswerEvent>,
+        /// What to hand on once the end mark has come.
+        end: AnswerEvent,
+    },
+    /// The end mark.
+    Done,
+}
+
+#[derive(Deserialize)]
+struct EventBody {
+    #[serde(default)]
+    id: String,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    #[serde(default)]
+    offset: u64,
+    #[serde(default)]
+    count: u64,
+    usage: Option<Usage>,
+    error: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+impl ModelEvent {
+    /// Reads the data of one event.
+    pub(crate) fn parse(data: &str) -> Result<Self, UpstreamError> {
+        if data == "[DONE]" {
+            return Ok(Self::Done);
+        }
+        let garbled = |why: String| UpstreamError::Garbled(why);
+        let body: EventBody = serde_json::from_str(data).map_err(|err| garbled(err.to_string()))?;
+        if let Some(error) = body.error {
+            return Err(UpstreamError::Failed(error.to_string()));
+        }
+        let attempt: AttemptId = body
+            .id
+            .parse()
+            .map_err(|err| garbled(format!("id: {err}")))?;
+        let choice = body.choices.into_iter().next();
+        let choice = choice.ok_or_else(|| garbled("an event without choices".to_owned()))?;
+        let has_tokens = body.count > 0;
+        let tokens = AnswerEvent::Tokens {
+            attempt,
+            offset_tokens: body.offset,
+            count: body.count,
+            text: choice.text,
+        };
+        let Some(finish_reason) = choice.finish_reason else {
+            return Ok(Self::Tokens(tokens));
+        };
+        let usage = body.usage.unwrap_or(Usage {
+            prompt_tokens: 0,
+            cached_tokens: 0,
+        });
+        let end = AnswerEvent::End {
+            attempt: Some(attempt),
+            finish_reason,
+            prompt_tokens: usage.prompt_tokens,
+            cached_tokens: usage.cached_tokens,
+        };
+        Ok(Self::Stopped {
+            tokens: has_tokens.then_some(tokens),
+            end,
+        })
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,9 +6,13 @@
 mod answer;
 mod dispatch;
 mod error;
+mod http;
 mod order;
 mod report;
 
+use std::time::Duration;
+
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
 
 pub use answer::AnswerEvent;
@@ -16,6 +20,7 @@
 pub use dispatch::Dispatch;
 pub use dispatch::RequestBody;
 pub use error::UpstreamError;
+pub use http::HttpUpstream;
 pub use order::EngineState;
 pub use order::Order;
 pub use report::CacheEvent;
@@ -24,6 +29,9 @@
 pub use report::RunningAttempt;
 
 use crate::units::AttemptId;
+use crate::units::ContentHash;
+use crate::units::HostId;
+use crate::units::Tokens;
 
 /// One upstream. Model engines answer all of these calls, plain services only `start`.
 pub trait Upstream: Send + Sync {
@@ -57,16 +65,23 @@
     /// What the engine has loaded now.
     fn state(&self) -> BoxFuture<'_, Result<EngineState, UpstreamError>>;
 
-    /// The key and value cache of a prompt prefix, for another engine to import.
-    fn export_kv(
+    /// Holds memory of a gang member for an attempt that another engine leads. The hold ends by
+    /// itself after `hold`, so that a gang whose host died gives everything back.
+    fn hold_gang(
         &self,
-        prefix: crate::units::ContentHash,
-    ) -> BoxFuture<'_, Result<bytes::Bytes, UpstreamError>>;
+        attempt: AttemptId,
+        host: HostId,
+        tokens: Tokens,
+        hold: Duration,
+    ) -> BoxFuture<'_, Result<(), UpstreamError>>;
+
+    /// Gives a gang member's memory back.
+    fn release_gang(&self, attempt: AttemptId) -> BoxFuture<'_, Result<(), UpstreamError>>;
+
+    /// The key and value cache of a prompt prefix, for another engine to import.
+    fn export_kv(&self, prefix: ContentHash) -> BoxFuture<'_, Result<Bytes, UpstreamError>>;
 
     /// Takes in what another engine exported.
-    fn import_kv(
-        &self,
-        prefix: crate::units::ContentHash,
-        kv: bytes::Bytes,
-    ) -> BoxFuture<'_, Result<(), UpstreamError>>;
+    fn import_kv(&self, prefix: ContentHash, kv: Bytes)
+    -> BoxFuture<'_, Result<(), UpstreamError>>;
 }
