Entry: life of a request, jobs, replies, attempts

Cause: what a request may be put through has to be readable and testable without a network. Change: the life as a state machine (statig), the checked job, the reply in its three forms, bounded body memory, matching of answer pieces. Ruled out: deciding retries inside the I/O loop, where the rule for saying "not run" would be spread over every error path.

--- /dev/null
+++ b/src/entry/body_reader.rs
@@ -0,0 +1,97 @@
+//! Reads callers' bodies within bounds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+use crate::entry::FailReason;
+use crate::units::ByteSize;
+
+/// Memory is counted in steps of this size, since a semaphore counts in 32 bits.
+const STEP_BYTES: usize = 1 << 10;
+
+/// A caller that sends nothing for this long in the middle of its body is gone.
+const BODY_STALL: Duration = Duration::from_secs(10);
+
+/// The memory for bodies of requests that have not ended. A body is kept until then, since a retry
+/// sends it again. Without this bound a burst of million-token prompts would take the host's memory
+/// and every request on it; with it the surplus is told to come back.
+#[derive(Clone, Debug)]
+pub struct BodyMemory {
+    steps: Arc<Semaphore>,
+    steps_max: usize,
+}
+
+/// A body that has been read, and the memory it takes.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The bytes in one piece.
+    pub bytes: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl BodyMemory {
+    /// Memory of this size.
+    pub fn new(size: ByteSize) -> Self {
+        let steps_max = (size.as_usize() / STEP_BYTES).min(Semaphore::MAX_PERMITS);
+        Self {
+            steps: Arc::new(Semaphore::new(steps_max)),
+            steps_max,
+        }
+    }
+
+    /// The bytes that are taken now.
+    pub fn used_bytes(&self) -> usize {
+        (self.steps_max - self.steps.available_permits()) * STEP_BYTES
+    }
+
+    /// Reads a body of at most `size_max`.
+    pub async fn read(
+        &self,
+        mut body: Incoming,
+        size_max: ByteSize,
+    ) -> Result<HeldBody, FailReason> {
+        let announced = body.size_hint().upper();
+        if announced.is_some_and(|len| len > size_max.0) {
+            return Err(FailReason::BodyTooLarge);
+        }
+        let announced_len = announced.and_then(|len| usize::try_from(len).ok());
+        let mut permit = self.take(announced_len.unwrap_or(0))?;
+        let mut bytes = BytesMut::with_capacity(announced_len.unwrap_or(0));
+        loop {
+            let frame = tokio::time::timeout(BODY_STALL, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| FailReason::BadRequest)? else {
+                break;
+            };
+            let frame = frame.map_err(|_| FailReason::BadRequest)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if (bytes.len() + data.len()) as u64 > size_max.0 {
+                return Err(FailReason::BodyTooLarge);
+            }
+            if announced_len.is_none() {
+                permit.merge(self.take(data.len())?);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(HeldBody {
+            bytes: bytes.freeze(),
+            _permit: permit,
+        })
+    }
+
+    fn take(&self, len: usize) -> Result<OwnedSemaphorePermit, FailReason> {
+        let steps = u32::try_from(len.div_ceil(STEP_BYTES));
+        let steps = steps.map_err(|_| FailReason::BodyTooLarge)?;
+        let permit = Arc::clone(&self.steps).try_acquire_many_owned(steps);
+        permit.map_err(|_| FailReason::BodyMemory)
+    }
+}
--- /dev/null
+++ b/src/entry/job.rs
@@ -0,0 +1,335 @@
+//! What is to be done for one request.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Method;
+
+use crate::decide::Work;
+use crate::entry::CallKind;
+use crate::entry::CallerHeaders;
+use crate::entry::FailReason;
+use crate::entry::LifeRules;
+use crate::entry::ModelCall;
+use crate::entry::ReplyShape;
+use crate::manifest::CustomerSpec;
+use crate::manifest::Manifest;
+use crate::manifest::ModelSpec;
+use crate::manifest::RepeatRule;
+use crate::manifest::ServiceSpec;
+use crate::units::ByteSize;
+use crate::units::ContentHash;
+use crate::units::CustomerId;
+use crate::units::HostId;
+use crate::units::IdempotencyKey;
+use crate::units::Priority;
+use crate::units::RequestId;
+use crate::units::TargetId;
+use crate::units::Tokens;
+
+/// What a failure takes to reach the caller, so that it does so within the time limit: a twentieth
+/// of the limit, at most this.
+const ANSWER_MARGIN_MAX: Duration = Duration::from_millis(100);
+
+/// A request that was read and checked.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The upstreams it needs.
+    pub target: TargetId,
+    /// The request for the decisions.
+    pub work: Work,
+    /// What it may be put through.
+    pub rules: LifeRules,
+    /// The form of its answer.
+    pub shape: ReplyShape,
+    /// The model's name as the caller gave it; empty for plain services.
+    pub model: String,
+    /// The key that makes repeated sendings one request.
+    pub key: Option<IdempotencyKey>,
+    /// A hash over customer, path and body.
+    pub content: ContentHash,
+    /// The HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The head of a request: all that is known before its body.
+#[derive(Clone, Debug)]
+pub struct JobHead {
+    /// The request.
+    pub request: RequestId,
+    /// The host that holds the caller's connection.
+    pub host: HostId,
+    /// When its first byte came.
+    pub received: Instant,
+    /// The HTTP method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// Path and query.
+    pub path_and_query: String,
+    /// The content type of the body.
+    pub content_type: Option<String>,
+    /// What the caller says in headers.
+    pub headers: CallerHeaders,
+}
+
+/// What a path leads to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Route {
+    /// A model call; which model is in the body.
+    Model(CallKind),
+    /// A plain service.
+    Service(ServiceSpec),
+}
+
+/// A request that can't be served, with a sentence for its caller.
+pub type Rejection = (FailReason, String);
+
+impl JobHead {
+    /// Where the request goes.
+    pub fn route(&self, manifest: &Manifest) -> Result<Route, Rejection> {
+        let kind = match self.path.as_str() {
+            "/v1/completions" => Some(CallKind::Completion),
+            "/v1/chat/completions" => Some(CallKind::Chat),
+            _ => None,
+        };
+        if let Some(kind) = kind {
+            if self.method != Method::POST {
+                return Err((FailReason::NotServed, format!("{} takes POST", self.path)));
+            }
+            return Ok(Route::Model(kind));
+        }
+        let name = self
+            .path
+            .trim_start_matches('/')
+            .split('/')
+            .next()
+            .unwrap_or_default();
+        let service = manifest
+            .services
+            .iter()
+            .find(|service| service.name.as_str() == name);
+        let unknown = || {
+            (
+                FailReason::NotServed,
+                format!("no service at {}", self.path),
+            )
+        };
+        service.cloned().map(Route::Service).ok_or_else(unknown)
+    }
+
+    /// Who the request is for.
+    pub fn customer<'a>(&self, manifest: &'a Manifest) -> Result<&'a CustomerSpec, Rejection> {
+        let name = self
+            .headers
+            .customer
+            .as_ref()
+            .map_or("default", CustomerId::as_str);
+        let find = |name: &str| {
+            manifest
+                .customers
+                .iter()
+                .find(|spec| spec.name.as_str() == name)
+        };
+        let unknown = || {
+            (
+                FailReason::Forbidden,
+                format!("customer {name} is not in the manifest"),
+            )
+        };
+        find(name).or_else(|| find("default")).ok_or_else(unknown)
+    }
+
+    /// When it must have been answered.
+    pub fn deadline(&self, manifest: &Manifest) -> Instant {
+        let limits = &manifest.limits;
+        let longest = Duration::from_millis(limits.deadline_max_ms);
+        let usual = Duration::from_millis(limits.deadline_default_ms);
+        let limit = self.headers.timeout.unwrap_or(usual).min(longest);
+        self.received + limit.saturating_sub((limit / 20).min(ANSWER_MARGIN_MAX))
+    }
+
+    /// The largest body it may have.
+    pub fn body_size_max(manifest: &Manifest) -> ByteSize {
+        manifest.limits.body_size_max
+    }
+
+    /// The whole job, once the body is there.
+    pub fn into_job(
+        self,
+        route: &Route,
+        manifest: &Manifest,
+        body: Bytes,
+    ) -> Result<Job, Rejection> {
+        let customer = self.customer(manifest)?;
+        let priority = self.priority(manifest, customer)?;
+        let customer = self
+            .headers
+            .customer
+            .clone()
+            .unwrap_or_else(|| customer.name.clone());
+        let deadline = self.deadline(manifest);
+        let plan = match route {
+            Route::Model(kind) => model_plan(*kind, manifest, &body)?,
+            Route::Service(service) => self.service_plan(service),
+        };
+        let repeatable = self.headers.repeatable.unwrap_or(plan.repeatable);
+        if plan.key_required && !repeatable && self.headers.key.is_none() {
+            let why = format!("{} needs an Idempotency-Key", plan.target);
+            return Err((FailReason::BadRequest, why));
+        }
+        let needs_claim = !repeatable && self.headers.key.is_some();
+        let content = self.content_hash(&customer, &body);
+        Ok(Job {
+            work: Work {
+                request: self.request,
+                host: self.host,
+                customer,
+                priority,
+                prompt_tokens: plan.prompt_tokens,
+                output_tokens: plan.output_tokens,
+                prefixes: plan.prefixes,
+                deadline,
+                avoid: Vec::new(),
+            },
+            target: plan.target,
+            rules: LifeRules {
+                repeatable,
+                needs_claim,
+            },
+            shape: plan.shape,
+            model: plan.model,
+            key: self.headers.key,
+            content,
+            method: self.method,
+            path: self.path_and_query,
+            content_type: self.content_type,
+            body,
+        })
+    }
+
+    fn priority(
+        &self,
+        manifest: &Manifest,
+        customer: &CustomerSpec,
+    ) -> Result<Priority, Rejection> {
+        let rank = |name: &str| {
+            let spec = manifest.priorities.iter().find(|spec| spec.name == name);
+            let unknown = || {
+                (
+                    FailReason::BadRequest,
+                    format!("no priority is named {name}"),
+                )
+            };
+            spec.map(|spec| spec.rank).ok_or_else(unknown)
+        };
+        let first = rank(&customer.priority)?;
+        let Some(name) = &self.headers.priority else {
+            return Ok(first);
+        };
+        let wanted = rank(name)?;
+        if wanted < first {
+            let why = format!("{} may not name the priority {name}", customer.name);
+            return Err((FailReason::Forbidden, why));
+        }
+        Ok(wanted)
+    }
+
+    fn service_plan(&self, service: &ServiceSpec) -> Plan {
+        let repeatable = match service.repeatable {
+            RepeatRule::Always => true,
+            RepeatRule::Never => false,
+            RepeatRule::ByMethod => self.method.is_idempotent(),
+        };
+        Plan {
+            target: service.name.clone(),
+            repeatable,
+            key_required: service.key_required,
+            shape: ReplyShape::Plain,
+            model: String::new(),
+            prompt_tokens: Tokens::ZERO,
+            output_tokens: Tokens::ZERO,
+            prefixes: Vec::new(),
+        }
+    }
+
+    fn content_hash(&self, customer: &CustomerId, body: &[u8]) -> ContentHash {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        for part in [
+            customer.as_str(),
+            self.method.as_str(),
+            &self.path_and_query,
+        ] {
+            hasher.update(part.as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.update(body);
+        ContentHash(hasher.digest128())
+    }
+}
+
+struct Plan {
+    target: TargetId,
+    repeatable: bool,
+    key_required: bool,
+    shape: ReplyShape,
+    model: String,
+    prompt_tokens: Tokens,
+    output_tokens: Tokens,
+    prefixes: Vec<(ContentHash, Tokens)>,
+}
+
+fn model_plan(kind: CallKind, manifest: &Manifest, body: &[u8]) -> Result<Plan, Rejection> {
+    let call = ModelCall::read(kind, body).map_err(|why| (FailReason::BadRequest, why))?;
+    let unknown = || {
+        (
+            FailReason::UnknownTarget,
+            format!("no model is named {}", call.target),
+        )
+    };
+    let spec = find_model(manifest, &call.target).ok_or_else(unknown)?;
+    let output_tokens = call
+        .output_tokens
+        .unwrap_or(manifest.limits.output_tokens_default);
+    if call.prompt_tokens + output_tokens > spec.context_tokens_max {
+        let why = format!(
+            "prompt and answer come to about {} tokens, {} takes {}",
+            call.prompt_tokens + output_tokens,
+            spec.name,
+            spec.context_tokens_max
+        );
+        return Err((FailReason::BodyTooLarge, why));
+    }
+    Ok(Plan {
+        target: spec.name.clone(),
+        repeatable: true,
+        key_required: false,
+        shape: if call.stream {
+            ReplyShape::Stream(kind)
+        } else {
+            ReplyShape::Whole(kind)
+        },
+        model: call.target.to_string(),
+        prompt_tokens: call.prompt_tokens,
+        output_tokens,
+        prefixes: call.prefixes,
+    })
+}
+
+/// A model by its name, or by `MODEL:ADAPTER`.
+fn find_model<'a>(manifest: &'a Manifest, target: &TargetId) -> Option<&'a ModelSpec> {
+    let name = target.as_str();
+    manifest.models.iter().find(|spec| {
+        let rest = name.strip_prefix(spec.name.as_str());
+        let adapter = rest.and_then(|rest| rest.strip_prefix(':'));
+        rest == Some("")
+            || adapter.is_some_and(|wanted| spec.adapters.iter().any(|name| name == wanted))
+    })
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,47 @@
 //! Callers' requests from the first byte to the outcome.
+
+mod attempt;
+mod body_reader;
+mod claim_desk;
+mod directory;
+mod granter;
+mod headers;
+mod job;
+mod life;
+mod model_call;
+mod reply;
+mod verdict;
+
+pub use attempt::Attempt;
+pub use attempt::break_of;
+pub use body_reader::BodyMemory;
+pub use body_reader::HeldBody;
+pub use claim_desk::ClaimAnswer;
+pub use claim_desk::ClaimDesk;
+pub use claim_desk::ClaimWanted;
+pub use directory::UpstreamDirectory;
+pub use granter::GrantAnswer;
+pub use granter::Granter;
+pub use granter::HeldGrant;
+pub use headers::CallerHeaders;
+pub use job::Job;
+pub use job::JobHead;
+pub use job::Rejection;
+pub use job::Route;
+pub use life::Break;
+pub use life::Life;
+pub use life::LifeEvent;
+pub use life::LifeRules;
+pub use life::LifeStep;
+pub use life::advance;
+pub use model_call::CallKind;
+pub use model_call::ModelCall;
+pub use reply::CallerGone;
+pub use reply::Failure;
+pub use reply::Piece;
+pub use reply::Reply;
+pub use reply::ReplyBody;
+pub use reply::ReplyShape;
+pub use reply::Usage;
+pub use verdict::FailReason;
+pub use verdict::Verdict;
--- /dev/null
+++ b/src/entry/reply.rs
@@ -0,0 +1,374 @@
+//! The answer to a caller while it is being made.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::RETRY_AFTER;
+use hyper::http::response::Builder;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::entry::CallKind;
+use crate::entry::Verdict;
+use crate::units::HostId;
+use crate::units::RequestId;
+
+/// Pieces that wait for a caller that reads slowly. Beyond them the upstream's stream is not read
+/// on, so that the memory a request takes here does not depend on its caller.
+const PIECES_MAX: usize = 32;
+
+/// A caller that takes nothing for this long pins an engine's memory for an answer that it does not
+/// read. Someone who listens to an answer being read out pauses for seconds, not for this long.
+const STALL_MAX: Duration = Duration::from_secs(30);
+
+/// The caller is gone or has stalled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// The form of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyShape {
+    /// Server-sent events in the form of the API.
+    Stream(CallKind),
+    /// One JSON object.
+    Whole(CallKind),
+    /// Whatever a plain service answers.
+    Plain,
+}
+
+/// A failure as the caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Failure {
+    /// The outcome and its reason.
+    pub verdict: Verdict,
+    /// A sentence for people.
+    pub message: String,
+    /// When to come back, if that helps.
+    pub retry_after: Option<Duration>,
+}
+
+/// The counts at the end of a model's answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// In pieces.
+    Pieces(mpsc::Receiver<Piece>),
+}
+
+/// A piece of a body, or a cut, which breaks the connection so that nobody takes a part of an
+/// answer for the whole.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The answer ends here and is not whole.
+    Cut,
+}
+
+/// The error that makes the server break a connection.
+#[derive(Debug)]
+pub struct CutAnswer;
+
+impl std::fmt::Display for CutAnswer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer was cut")
+    }
+}
+
+impl std::error::Error for CutAnswer {}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = CutAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutAnswer>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Pieces(pieces) => pieces.poll_recv(cx).map(|piece| match piece? {
+                Piece::Data(bytes) => Some(Ok(Frame::data(bytes))),
+                Piece::Cut => Some(Err(CutAnswer)),
+            }),
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let len = bytes.as_ref().map_or(0, Bytes::len);
+                hyper::body::SizeHint::with_exact(len as u64)
+            }
+            Self::Pieces(_) => hyper::body::SizeHint::default(),
+        }
+    }
+}
+
+/// Makes the answer to one request.
+#[derive(Debug)]
+pub struct Reply {
+    shape: ReplyShape,
+    request: RequestId,
+    host: HostId,
+    model: String,
+    head: Option<oneshot::Sender<Response<ReplyBody>>>,
+    pieces: Option<mpsc::Sender<Piece>>,
+    whole_text: String,
+}
+
+impl Reply {
+    /// A reply whose head goes to `head`.
+    pub fn new(
+        request: RequestId,
+        host: HostId,
+        head: oneshot::Sender<Response<ReplyBody>>,
+    ) -> Self {
+        Self {
+            shape: ReplyShape::Plain,
+            request,
+            host,
+            model: String::new(),
+            head: Some(head),
+            pieces: None,
+            whole_text: String::new(),
+        }
+    }
+
+    /// Sets the form once the request has been read.
+    pub fn set_shape(&mut self, shape: ReplyShape, model: &str) {
+        self.shape = shape;
+        model.clone_into(&mut self.model);
+    }
+
+    /// Whether something of an answer has gone to the caller.
+    pub fn is_delivered(&self) -> bool {
+        self.pieces.is_some()
+    }
+
+    /// Comes back when the caller is gone.
+    pub async fn gone(&mut self) {
+        if let Some(pieces) = &self.pieces {
+            pieces.closed().await;
+        } else if let Some(head) = &mut self.head {
+            head.closed().await;
+        }
+    }
+
+    /// Hands on tokens of a model's answer.
+    pub async fn tokens(&mut self, text: &str) -> Result<(), CallerGone> {
+        match self.shape {
+            ReplyShape::Whole(_) | ReplyShape::Plain => {
+                self.whole_text.push_str(text);
+                Ok(())
+            }
+            ReplyShape::Stream(kind) => {
+                self.open_stream()?;
+                let event = self.stream_event(kind, text, None);
+                self.send(event).await
+            }
+        }
+    }
+
+    /// Hands on the head of a plain service's answer.
+    pub fn service_head(
+        &mut self,
+        status: u16,
+        content_type: Option<&str>,
+    ) -> Result<(), CallerGone> {
+        let head = self.head_builder().status(status);
+        let content_type = content_type.unwrap_or("application/octet-stream");
+        self.open(head.header(CONTENT_TYPE, content_type))
+    }
+
+    /// Hands on bytes of a plain service's answer.
+    pub async fn data(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        self.send(bytes).await
+    }
+
+    /// Ends a whole answer.
+    pub async fn complete(&mut self, finish_reason: &str, usage: Usage) -> Result<(), CallerGone> {
+        match self.shape {
+            ReplyShape::Plain => {
+                self.pieces = None;
+                Ok(())
+            }
+            ReplyShape::Stream(kind) => {
+                self.open_stream()?;
+                let last = self.stream_event(kind, "", Some((finish_reason, usage)));
+                self.send(last).await?;
+                self.send(Bytes::from_static(b"data: [DONE]\n\n")).await?;
+                self.pieces = None;
+                Ok(())
+            }
+            ReplyShape::Whole(kind) => {
+                let body = self.whole_body(kind, finish_reason, usage);
+                let head = self.head_builder().status(200);
+                let head = head.header("Banyanarch-Outcome", Verdict::Completed.outcome());
+                self.send_whole(head.header(CONTENT_TYPE, "application/json"), &body)
+            }
+        }
+    }
+
+    /// Tells the caller at once that the request failed.
+    pub async fn fail(&mut self, failure: &Failure) -> Result<(), CallerGone> {
+        let body = self.failure_body(failure);
+        if self.pieces.is_none() {
+            let mut head = self.head_builder().status(failure.verdict.status());
+            head = head.header("Banyanarch-Outcome", failure.verdict.outcome());
+            if let Some(retry_after) = failure.retry_after {
+                let retry_after_s = retry_after.as_secs_f64().ceil().max(1.0);
+                head = head.header(RETRY_AFTER, retry_after_s.to_string());
+            }
+            return self.send_whole(head.header(CONTENT_TYPE, "application/json"), &body);
+        }
+        if let ReplyShape::Stream(_) = self.shape {
+            self.send(Bytes::from(format!("data: {body}\n\n"))).await?;
+        } else {
+            self.send_piece(Piece::Cut).await?;
+        }
+        self.pieces = None;
+        Ok(())
+    }
+
+    fn head_builder(&self) -> Builder {
+        Response::builder()
+            .header("Banyanarch-Request-Id", self.request.to_string())
+            .header("Banyanarch-Host", self.host.as_str())
+    }
+
+    fn open_stream(&mut self) -> Result<(), CallerGone> {
+        if self.pieces.is_some() {
+            return Ok(());
+        }
+        let head = self.head_builder().status(200);
+        let head = head.header("Cache-Control", "no-store");
+        self.open(head.header(CONTENT_TYPE, "text/event-stream"))
+    }
+
+    fn open(&mut self, head: Builder) -> Result<(), CallerGone> {
+        let (tx, rx) = mpsc::channel(PIECES_MAX);
+        self.send_head(head, ReplyBody::Pieces(rx))?;
+        self.pieces = Some(tx);
+        Ok(())
+    }
+
+    fn send_whole(&mut self, head: Builder, body: &serde_json::Value) -> Result<(), CallerGone> {
+        let mut text = body.to_string();
+        text.push('\n');
+        self.send_head(head, ReplyBody::Whole(Some(Bytes::from(text))))
+    }
+
+    fn send_head(&mut self, head: Builder, body: ReplyBody) -> Result<(), CallerGone> {
+        let sender = self.head.take().ok_or(CallerGone)?;
+        let res = head.body(body).map_err(|_| CallerGone)?;
+        sender.send(res).map_err(|_| CallerGone)
+    }
+
+    async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+        self.send_piece(Piece::Data(bytes)).await
+    }
+
+    async fn send_piece(&self, piece: Piece) -> Result<(), CallerGone> {
+        let pieces = self.pieces.as_ref().ok_or(CallerGone)?;
+        let sent = tokio::time::timeout(STALL_MAX, pieces.send(piece)).await;
+        sent.map_err(|_| CallerGone)?.map_err(|_| CallerGone)
+    }
+
+    fn stream_event(&self, kind: CallKind, text: &str, end: Option<(&str, Usage)>) -> Bytes {
+        let finish_reason = end.map(|(reason, _)| reason);
+        let choice = match kind {
+            CallKind::Completion => {
+                json!({"index": 0, "text": text, "finish_reason": finish_reason})
+            }
+            CallKind::Chat => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": finish_reason})
+            }
+        };
+        let object = match kind {
+            CallKind::Completion => "text_completion",
+            CallKind::Chat => "chat.completion.chunk",
+        };
+        let mut event = json!({
+            "id": self.request,
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if let Some((_, usage)) = end {
+            event["usage"] = usage.to_json();
+            event["outcome"] = json!(Verdict::Completed.outcome());
+        }
+        Bytes::from(format!("data: {event}\n\n"))
+    }
+
+    fn whole_body(
+        &mut self,
+        kind: CallKind,
+        finish_reason: &str,
+        usage: Usage,
+    ) -> serde_json::Value {
+        let text = std::mem::take(&mut self.whole_text);
+        let (object, choice) = match kind {
+            CallKind::Completion => (
+                "text_completion",
+                json!({"index": 0, "text": text, "finish_reason": finish_reason}),
+            ),
+            CallKind::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": finish_reason,
+                }),
+            ),
+        };
+        json!({
+            "id": self.request,
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage.to_json(),
+        })
+    }
+
+    fn failure_body(&self, failure: &Failure) -> serde_json::Value {
+        let retry_after_ms = failure.retry_after.map(|after| after.as_millis());
+        json!({"error": {
+            "message": failure.message,
+            "type": failure.verdict.reason(),
+            "outcome": failure.verdict.outcome(),
+            "request_id": self.request,
+            "host": self.host,
+            "retry_after_ms": retry_after_ms,
+        }})
+    }
+}
+
+impl Usage {
+    fn to_json(self) -> serde_json::Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.prompt_tokens + self.completion_tokens,
+        })
+    }
+}
