Baseline policies and policy_for

Cause: the home needs a policy by name before the shipped one is written. Ruled out: a queue inside the baselines; they are there to show what happens without one. Change: round robin, least in flight and a host that decides alone, all over one policy that dispatches at once, respects leaving upstreams and sends a prompt larger than one engine to as many as it needs. The shipped name stands for least in flight until its parts are in.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,9 +3,18 @@
 //! The home host of a pool runs one [`Policy`]: it sees every request for that pool's upstreams and
 //! keeps the ledger of their memory and prefill work. Time is passed in.
 
+pub mod baseline;
+mod config;
+mod gang;
+mod policies;
 mod policy;
 mod work;
 
+pub use config::CustomerShare;
+pub use config::PolicyConfig;
+pub use config::PoolKind;
+pub use gang::gang_share;
+pub use policies::policy_for;
 pub use policy::Decision;
 pub use policy::Done;
 pub use policy::Ended;
