--- /dev/null
+++ b/src/decide/poison.rs
@@ -0,0 +1,113 @@
+//! Requests that crash each upstream that runs them are recognised and refused.
+//!
+//! Load it answers: a caller, or a retry, sends such a request again and again. Without the list it
+//! takes down one engine after another, with all else that runs there.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::Poison;
+use crate::decide::PoisonMark;
+use crate::units::AttemptId;
+
+/// One crash may be the upstream's own; a second one of another attempt elsewhere is held against
+/// the request. Two is the least that tells these apart.
+const CRASHES_MAX: usize = 2;
+/// Marks kept in memory, about 100 bytes each.
+const MARKS_MAX: usize = 8_192;
+/// How long after its last crash a mark is kept: longer than callers go on sending again, short
+/// enough that a repaired engine gets the request again the same day.
+const KEPT_FOR: Duration = Duration::from_secs(3_600);
+
+/// What one host knows of requests that crash upstreams.
+#[derive(Debug, Default)]
+pub struct PoisonList {
+    marks: IndexMap<PoisonMark, Crashes>,
+}
+
+#[derive(Debug)]
+struct Crashes {
+    attempts: Vec<AttemptId>,
+    last_at: Instant,
+}
+
+impl PoisonList {
+    /// An empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in that the upstream of an attempt crashed while it ran. Returns what to tell the other
+    /// hosts, empty if they need not hear of it again.
+    pub fn on_crash(
+        &mut self,
+        marks: &[PoisonMark],
+        attempt: AttemptId,
+        now: Instant,
+    ) -> Vec<Poison> {
+        let news = marks.iter().map(|mark| Poison {
+            mark: *mark,
+            attempts: vec![attempt],
+        });
+        news.filter(|poison| self.merge(poison, now)).collect()
+    }
+
+    /// Takes in what another host tells. Returns whether it was new.
+    pub fn merge(&mut self, poison: &Poison, now: Instant) -> bool {
+        self.make_room(poison.mark, now);
+        let crashes = self.marks.entry(poison.mark).or_insert_with(|| Crashes {
+            attempts: Vec::with_capacity(CRASHES_MAX),
+            last_at: now,
+        });
+        let known = crashes.attempts.len();
+        for attempt in &poison.attempts {
+            let is_known = crashes.attempts.contains(attempt);
+            if !is_known && crashes.attempts.len() < CRASHES_MAX {
+                crashes.attempts.push(*attempt);
+                crashes.last_at = now;
+            }
+        }
+        crashes.attempts.len() > known
+    }
+
+    /// Whether a request with any of these marks is to be refused.
+    pub fn is_poison(&self, marks: &[PoisonMark], now: Instant) -> bool {
+        marks.iter().any(|mark| {
+            let crashes = self.marks.get(mark);
+            crashes.is_some_and(|c| c.attempts.len() >= CRASHES_MAX && !c.is_old(now))
+        })
+    }
+
+    /// All that is known, for a host that has just started.
+    pub fn all(&self, now: Instant) -> Vec<Poison> {
+        let kept = self.marks.iter().filter(|(_, c)| !c.is_old(now));
+        kept.map(|(mark, crashes)| Poison {
+            mark: *mark,
+            attempts: crashes.attempts.clone(),
+        })
+        .collect()
+    }
+
+    /// Drops old marks from the front, and the oldest when the list is full. New marks are added at
+    /// the end, so the front holds the ones that came first.
+    fn make_room(&mut self, mark: PoisonMark, now: Instant) {
+        if self.marks.contains_key(&mark) {
+            return;
+        }
+        let is_old = |c: &Crashes| c.is_old(now);
+        while let Some((_, first)) = self.marks.first() {
+            if !is_old(first) && self.marks.len() < MARKS_MAX {
+                return;
+            }
+            self.marks.shift_remove_index(0);
+        }
+    }
+}
+
+impl Crashes {
+    fn is_old(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_at) > KEPT_FOR
+    }
+}
