Entry: the driver and the callers' port

Cause: the life of a request needs hands. Change: a driver does each step and reports one event back; attempts are given back only when the engine has confirmed that their memory is free; a claimed request runs on without its caller. Ruled out: running a request inside the connection's own future, which hyper drops when the caller goes, and with it the duty to cancel.

--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -59,6 +59,13 @@
     pub body: Bytes,
 }
 
+impl Job {
+    /// Whether its answer is a stream of tokens.
+    pub fn is_model(&self) -> bool {
+        self.shape != ReplyShape::Plain
+    }
+}
+
 /// The head of a request: all that is known before its body.
 #[derive(Clone, Debug)]
 pub struct JobHead {
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -159,6 +159,11 @@
         model.clone_into(&mut self.model);
     }
 
+    /// Forgets what an attempt that is made again has answered so far.
+    pub fn restart(&mut self) {
+        self.whole_text.clear();
+    }
+
     /// Whether something of an answer has gone to the caller.
     pub fn is_delivered(&self) -> bool {
         self.pieces.is_some()
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,231 @@
+//! The port for callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use log::debug;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::entry::CallerHeaders;
+use crate::entry::EntryParts;
+use crate::entry::FailReason;
+use crate::entry::Failure;
+use crate::entry::Job;
+use crate::entry::JobHead;
+use crate::entry::Rejection;
+use crate::entry::Reply;
+use crate::entry::ReplyBody;
+use crate::entry::Route;
+use crate::entry::Verdict;
+use crate::entry::driver::Driver;
+use crate::manifest::Manifest;
+use crate::units::RequestId;
+
+/// A caller that has not sent its whole head by then holds a connection for nothing.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// More than any client library sends; larger heads get 431.
+const HEAD_LEN_MAX: usize = 64 << 10;
+
+/// Parsing a body of a million tokens takes milliseconds, in which the thread would serve nobody
+/// else and short requests would wait. Bodies beyond this size are parsed on a thread of their own.
+const PARSE_INLINE_MAX: usize = 256 << 10;
+
+/// The pause after the system refused a connection, mostly for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// When to come back to a host that has no manifest yet, drains, or has no memory for the body.
+const RETRY_AFTER_HOST: Duration = Duration::from_secs(1);
+
+/// Serves callers until `stop` turns true, then finishes the connections that carry a request.
+pub async fn serve_callers(
+    parts: Arc<EntryParts>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                warn!("entry: cannot accept: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(err) = stream.set_nodelay(true) {
+            debug!("entry: a connection closed at once: {err}");
+            continue;
+        }
+        let parts = Arc::clone(&parts);
+        let service = service_fn(move |req| answer(Arc::clone(&parts), req));
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(HEAD_LEN_MAX)
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            if let Err(err) = conn.await {
+                debug!("entry: a connection ended early: {err}");
+            }
+        });
+    }
+    graceful.shutdown().await;
+}
+
+async fn answer(
+    parts: Arc<EntryParts>,
+    req: Request<Incoming>,
+) -> Result<Response<ReplyBody>, hyper::Error> {
+    let request = RequestId(rand::random());
+    let (head_tx, head_rx) = oneshot::channel();
+    // A task of its own: hyper drops this future when the caller goes, and what an upstream holds
+    // for the request has to be given back even then.
+    tokio::spawn(async move {
+        let mut reply = Reply::new(request, parts.host.clone(), head_tx);
+        handle(&parts, request, req, &mut reply).await;
+    });
+    Ok(head_rx.await.unwrap_or_else(|_| broken_reply()))
+}
+
+/// The answer if the request's task broke down; it can't know whether anything ran.
+fn broken_reply() -> Response<ReplyBody> {
+    let body =
+        r#"{"error":{"message":"internal error","type":"internal","outcome":"may-have-run"}}"#;
+    let mut res = Response::new(ReplyBody::Whole(Some(body.into())));
+    *res.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+    let headers = res.headers_mut();
+    headers.insert(
+        CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    headers.insert(
+        "Banyanarch-Outcome",
+        hyper::header::HeaderValue::from_static("may-have-run"),
+    );
+    res
+}
+
+async fn handle(
+    parts: &Arc<EntryParts>,
+    request: RequestId,
+    req: Request<Incoming>,
+    reply: &mut Reply,
+) {
+    let Some(_guard) = parts.in_flight.enter() else {
+        let why = "this host is shutting down".to_owned();
+        return reject(reply, (FailReason::Draining, why)).await;
+    };
+    let Some(in_force) = parts.board.manifest() else {
+        let why = "this host knows no manifest yet".to_owned();
+        return reject(reply, (FailReason::NotReady, why)).await;
+    };
+    match read_job(parts, request, req, &in_force.manifest).await {
+        Ok((job, _body)) => {
+            reply.set_shape(job.shape, &job.model);
+            let verdict = Driver::new(parts, job, reply).run().await;
+            debug!("entry: request {request} ended: {verdict:?}");
+        }
+        Err(rejection) => reject(reply, rejection).await,
+    }
+}
+
+async fn reject(reply: &mut Reply, (reason, message): Rejection) {
+    let comes_back = matches!(
+        reason,
+        FailReason::Draining | FailReason::NotReady | FailReason::BodyMemory
+    );
+    let retry_after = comes_back.then_some(RETRY_AFTER_HOST);
+    let failure = Failure {
+        verdict: Verdict::NotRun(reason),
+        message,
+        retry_after,
+    };
+    if reply.fail(&failure).await.is_err() {
+        debug!("entry: a caller went before its rejection");
+    }
+}
+
+async fn read_job(
+    parts: &Arc<EntryParts>,
+    request: RequestId,
+    req: Request<Incoming>,
+    manifest: &Manifest,
+) -> Result<(Job, crate::entry::HeldBody), Rejection> {
+    let (head, body) = req.into_parts();
+    let headers = CallerHeaders::read(&head.headers);
+    let headers = headers.map_err(|why| (FailReason::BadRequest, why))?;
+    let content_type = head
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    let job_head = JobHead {
+        request,
+        host: parts.host.clone(),
+        received: parts.clock.now(),
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        path_and_query: head
+            .uri
+            .path_and_query()
+            .map_or("/", |path| path.as_str())
+            .to_owned(),
+        content_type: content_type.map(str::to_owned),
+        headers,
+    };
+    let route = job_head.route(manifest)?;
+    job_head.customer(manifest)?;
+    let deadline = job_head.deadline(manifest);
+    let read = parts.bodies.read(body, JobHead::body_size_max(manifest));
+    let held = tokio::time::timeout_at(deadline.into(), read).await;
+    let late = |_| {
+        (
+            FailReason::TimeUp,
+            "the body did not come in time".to_owned(),
+        )
+    };
+    let held = held
+        .map_err(late)?
+        .map_err(|reason| (reason, body_message(reason).to_owned()))?;
+    let job = parse_job(job_head, route, manifest, held.bytes.clone()).await?;
+    Ok((job, held))
+}
+
+fn body_message(reason: FailReason) -> &'static str {
+    match reason {
+        FailReason::BodyTooLarge => "the body is larger than the manifest's body_size_max",
+        FailReason::BodyMemory => "this host has no memory left for the body",
+        _ => "the body broke off",
+    }
+}
+
+async fn parse_job(
+    head: JobHead,
+    route: Route,
+    manifest: &Manifest,
+    body: bytes::Bytes,
+) -> Result<Job, Rejection> {
+    if body.len() <= PARSE_INLINE_MAX {
+        return head.into_job(&route, manifest, body);
+    }
+    let manifest = manifest.clone();
+    let parsed = tokio::task::spawn_blocking(move || head.into_job(&route, &manifest, body)).await;
+    parsed.unwrap_or_else(|_| Err((FailReason::BadRequest, "the body can't be read".to_owned())))
+}
--- /dev/null
+++ b/src/entry/settle.rs
@@ -0,0 +1,82 @@
+//! Ends an attempt: its grant, and what it may still hold at its upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::debug;
+use tokio::time::sleep;
+
+use crate::decide::Ended;
+use crate::entry::Attempt;
+use crate::entry::EntryParts;
+use crate::entry::HeldGrant;
+use crate::units::UpstreamId;
+
+/// The first pause between two tries to cancel; it doubles up to [`CANCEL_PAUSE_MAX`].
+const CANCEL_PAUSE_MIN: Duration = Duration::from_millis(100);
+
+/// An upstream that does not answer is asked this often.
+const CANCEL_PAUSE_MAX: Duration = Duration::from_secs(5);
+
+/// Engines end an attempt at its own time limit. This much later an attempt that could not be
+/// cancelled holds nothing any more, or its home finds it in the engine's list.
+const CANCEL_GRACE: Duration = Duration::from_secs(10);
+
+/// Gives back all that an attempt holds. The grant is given back only when the engine has confirmed
+/// that the attempt's memory is free: a grant that ended earlier would let the home promise memory
+/// that the engine does not have.
+pub(crate) fn settle(
+    parts: &Arc<EntryParts>,
+    attempt: &Attempt,
+    ended: Ended,
+    deadline: Instant,
+    is_model: bool,
+) {
+    let held = attempt.held.clone();
+    let done = attempt.done(ended, parts.clock.now());
+    let is_gang = held.upstreams.len() > 1;
+    let may_hold = is_model && matches!(ended, Ended::Cancelled | Ended::Failed);
+    if !may_hold && !is_gang {
+        parts.granter.finish(&held, done);
+        return;
+    }
+    let parts = Arc::clone(parts);
+    let guard = parts.in_flight.track();
+    tokio::spawn(async move {
+        let until = deadline + CANCEL_GRACE;
+        for (position, id) in held.upstreams.iter().enumerate() {
+            if position > 0 || may_hold {
+                release(&parts, &held, id, position > 0, until).await;
+            }
+        }
+        parts.granter.finish(&held, done);
+        drop(guard);
+    });
+}
+
+async fn release(
+    parts: &EntryParts,
+    held: &HeldGrant,
+    id: &UpstreamId,
+    is_member: bool,
+    until: Instant,
+) {
+    let mut pause = CANCEL_PAUSE_MIN;
+    while let Some(upstream) = parts.upstreams.upstream(id) {
+        let released = if is_member {
+            upstream.release_gang(held.attempt()).await
+        } else {
+            upstream.cancel(held.attempt()).await
+        };
+        let Err(err) = released else {
+            return;
+        };
+        debug!("entry: cancel of attempt {} at {id}: {err}", held.attempt());
+        if parts.clock.now() + pause > until {
+            return;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(CANCEL_PAUSE_MAX);
+    }
+}
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -44,4 +44,9 @@
     pub fn new(domain: &FailureDomainId, target: &TargetId, shard: u32) -> Self {
         Self(format!("{domain}/{target}/{shard}").into())
     }
+
+    /// Stands for no pool: the answer of an earlier sending is read without a grant.
+    pub fn of_followed() -> Self {
+        Self("followed".into())
+    }
 }
