Add the stand-ins of platform, engine and service

The daemon's adapters need something to talk to that speaks docs/PROTOCOLS.md and can fail. Ruled out: one process with all of them, since the whole path is to be shown over TCP between processes. All three run alone or inside a test.

--- /dev/null
+++ b/standin/src/answer.rs
@@ -0,0 +1,32 @@
+//! The answers of the stand-in engine: a function of the request's body alone, so that anyone who
+//! knows the body can tell whether an answer belongs to it.
+
+use banyanarch::units::ContentHash;
+
+/// The text of the token at `offset` of the answer to the body with this hash.
+pub fn text(body_hash: ContentHash, offset: u64) -> String {
+    let mut seed = [0; 24];
+    seed[..16].copy_from_slice(&body_hash.0.to_le_bytes());
+    seed[16..].copy_from_slice(&offset.to_le_bytes());
+    let word = ContentHash::of(&seed).0 & 0xffff;
+    format!("{word:04x} ")
+}
+
+/// The text of `count` tokens from `offset` on.
+pub fn texts(body_hash: ContentHash, offset: u64, count: u64) -> String {
+    (offset..offset + count)
+        .map(|at| text(body_hash, at))
+        .collect()
+}
+
+/// How many tokens the answer has: between half of what was allowed and all of it.
+pub fn len_tokens(body_hash: ContentHash, max_tokens: u64) -> u64 {
+    let half = max_tokens / 2;
+    let more = u64::try_from(body_hash.0 % u128::from(max_tokens - half + 1)).unwrap_or(0);
+    (half + more).max(1)
+}
+
+/// The whole answer.
+pub fn whole(body_hash: ContentHash, max_tokens: u64) -> String {
+    texts(body_hash, 0, len_tokens(body_hash, max_tokens))
+}
--- /dev/null
+++ b/standin/src/engine/cache.rs
@@ -0,0 +1,104 @@
+//! The prefix cache: segments of prompts in the memory that no attempt needs.
+
+use banyanarch::units::ContentHash;
+use banyanarch::units::Tokens;
+use banyanarch::upstream::CacheEvent;
+use banyanarch::upstream::CacheEventKind;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One segment: the tokens between the prefix that it follows and its own end.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub(crate) struct Segment {
+    pub(crate) prefix: ContentHash,
+    /// The prefix that it follows; none for the first one.
+    pub(crate) parent: Option<ContentHash>,
+    /// Its own length.
+    pub(crate) tokens: u64,
+    /// The length of the prefix up to its end.
+    pub(crate) end_tokens: u64,
+}
+
+/// Segments, the longest unused first.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixCache {
+    segments: IndexMap<ContentHash, Segment>,
+    held_tokens: u64,
+    seq: u64,
+    /// Events that nobody has collected yet.
+    events: Vec<CacheEvent>,
+}
+
+impl PrefixCache {
+    /// How many tokens of a prompt are cached, and marks them as used.
+    pub(crate) fn hit(&mut self, prefixes: &[Segment]) -> u64 {
+        let chain = prefixes
+            .iter()
+            .take_while(|segment| self.segments.contains_key(&segment.prefix));
+        let found: Vec<Segment> = chain.cloned().collect();
+        self.touch(&found);
+        found.last().map_or(0, |segment| segment.end_tokens)
+    }
+
+    /// Stores the segments of a prompt as far as `room_tokens` allows.
+    pub(crate) fn store(&mut self, prefixes: &[Segment], room_tokens: u64) {
+        for segment in prefixes {
+            if self.segments.contains_key(&segment.prefix) {
+                continue;
+            }
+            if segment.end_tokens > room_tokens {
+                break;
+            }
+            self.held_tokens += segment.tokens;
+            self.segments.insert(segment.prefix, segment.clone());
+            self.note(CacheEventKind::Stored, segment);
+        }
+        self.touch(prefixes);
+        self.shrink_to(room_tokens);
+    }
+
+    /// Evicts until no more than `room_tokens` are held.
+    pub(crate) fn shrink_to(&mut self, room_tokens: u64) {
+        while self.held_tokens > room_tokens {
+            let Some((_, segment)) = self.segments.shift_remove_index(0) else {
+                return;
+            };
+            self.held_tokens -= segment.tokens;
+            self.note(CacheEventKind::Evicted, &segment);
+        }
+    }
+
+    /// The segments that make up a prefix, the first one first; none when one is missing.
+    pub(crate) fn export(&self, prefix: ContentHash) -> Option<Vec<Segment>> {
+        let mut chain = vec![self.segments.get(&prefix)?.clone()];
+        while let Some(parent) = chain.last().and_then(|segment| segment.parent) {
+            chain.push(self.segments.get(&parent)?.clone());
+        }
+        chain.reverse();
+        Some(chain)
+    }
+
+    pub(crate) fn take_events(&mut self) -> Vec<CacheEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Moves a chain to the end, its last segment first, so that a chain is evicted from its end.
+    fn touch(&mut self, chain: &[Segment]) {
+        for segment in chain.iter().rev() {
+            if let Some((prefix, segment)) = self.segments.shift_remove_entry(&segment.prefix) {
+                self.segments.insert(prefix, segment);
+            }
+        }
+    }
+
+    fn note(&mut self, kind: CacheEventKind, segment: &Segment) {
+        self.seq += 1;
+        self.events.push(CacheEvent {
+            seq: self.seq,
+            kind,
+            prefix: segment.prefix,
+            tokens: Tokens(segment.end_tokens),
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/engine/prompt.rs
@@ -0,0 +1,91 @@
+//! What an engine reads out of a request's body.
+
+use banyanarch::units::ContentHash;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::engine::cache::Segment;
+
+/// Lengths in bytes at which prefixes are hashed, as docs/PROTOCOLS.md gives them.
+const PREFIX_LENS_BYTES: [usize; 4] = [4_096, 16_384, 65_536, 262_144];
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// A request's body, as far as an engine cares.
+#[derive(Clone, Debug)]
+pub(crate) struct Prompt {
+    pub(crate) text: String,
+    pub(crate) max_tokens: Option<u64>,
+    pub(crate) stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    content: Value,
+}
+
+impl Prompt {
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, String> {
+        let wire: Wire = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let text = match wire.prompt {
+            Some(prompt) => prompt,
+            None => wire.messages.iter().map(Message::text).collect(),
+        };
+        if text.is_empty() {
+            return Err("neither prompt nor messages".to_owned());
+        }
+        Ok(Self {
+            text,
+            max_tokens: wire.max_tokens.or(wire.max_completion_tokens),
+            stream: wire.stream,
+        })
+    }
+
+    pub(crate) fn len_tokens(&self) -> u64 {
+        (self.text.len() as u64).div_ceil(BYTES_PER_TOKEN)
+    }
+
+    /// The segments of the prompt that a cache can hold.
+    pub(crate) fn segments(&self) -> Vec<Segment> {
+        let mut segments: Vec<Segment> = Vec::new();
+        let bytes = self.text.as_bytes();
+        for len in PREFIX_LENS_BYTES {
+            let Some(prefix) = bytes.get(..len) else {
+                break;
+            };
+            let end_tokens = len as u64 / BYTES_PER_TOKEN;
+            let parent = segments.last();
+            segments.push(Segment {
+                prefix: ContentHash::of(prefix),
+                parent: parent.map(|segment| segment.prefix),
+                tokens: end_tokens - parent.map_or(0, |segment| segment.end_tokens),
+                end_tokens,
+            });
+        }
+        segments
+    }
+}
+
+impl Message {
+    /// The text of a message whose content is a string or a list of parts.
+    fn text(&self) -> String {
+        match &self.content {
+            Value::String(text) => text.clone(),
+            Value::Array(parts) => parts.iter().filter_map(|p| p["text"].as_str()).collect(),
+            _ => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/engine/reports.rs
@@ -0,0 +1,67 @@
+//! What an engine says of itself, late and with gaps.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::upstream::CacheEvent;
+use banyanarch::upstream::LoadReport;
+
+const LOADS_MAX: usize = 1_000;
+const EVENTS_MAX: usize = 4_000;
+
+/// Load reports and cache events with the instants they are of.
+#[derive(Debug)]
+pub(crate) struct Reports {
+    load_lag: Duration,
+    event_lag: Duration,
+    gap_one_in: u64,
+    loads: VecDeque<(Instant, LoadReport)>,
+    events: VecDeque<(Instant, CacheEvent)>,
+}
+
+impl Reports {
+    pub(crate) fn new(load_lag: Duration, event_lag: Duration, gap_one_in: u64) -> Self {
+        Self {
+            load_lag,
+            event_lag,
+            gap_one_in,
+            loads: VecDeque::new(),
+            events: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn add_load(&mut self, load: LoadReport, now: Instant) {
+        self.loads.push_back((now, load));
+        let is_old = |(at, _): &(Instant, LoadReport)| now >= *at + self.load_lag;
+        while self.loads.len() > LOADS_MAX || self.loads.get(1).is_some_and(is_old) {
+            self.loads.pop_front();
+        }
+    }
+
+    pub(crate) fn add_events(&mut self, events: Vec<CacheEvent>, now: Instant) {
+        let gap =
+            |event: &CacheEvent| self.gap_one_in > 0 && event.seq.is_multiple_of(self.gap_one_in);
+        let kept = events.into_iter().filter(|event| !gap(event));
+        self.events.extend(kept.map(|event| (now, event)));
+        while self.events.len() > EVENTS_MAX {
+            self.events.pop_front();
+        }
+    }
+
+    /// The newest load that is as old as the lag; none when the engine is younger than that.
+    pub(crate) fn load(&self, now: Instant) -> Option<LoadReport> {
+        let seen = self.loads.iter().rev();
+        let mut old = seen.filter(|(at, _)| now >= *at + self.load_lag);
+        old.next().map(|(_, load)| load.clone())
+    }
+
+    pub(crate) fn events_after(&self, seq: u64, now: Instant) -> Vec<CacheEvent> {
+        let seen = self
+            .events
+            .iter()
+            .filter(|(at, _)| now >= *at + self.event_lag);
+        let newer = seen.filter(|(_, event)| event.seq > seq);
+        newer.map(|(_, event)| event.clone()).collect()
+    }
+}
--- /dev/null
+++ b/standin/src/engine/stream.rs
@@ -0,0 +1,190 @@
+//! An answer as server-sent events.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use banyanarch::units::ContentHash;
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::stream;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::answer;
+use crate::engine::RunEnd;
+use crate::engine::attempt::Progress;
+use crate::engine::shared::Shared;
+
+/// What a reader needs of an attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Source {
+    pub(crate) id: String,
+    pub(crate) body_hash: ContentHash,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) max_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) progress: watch::Receiver<Progress>,
+}
+
+impl Source {
+    pub(crate) fn finish_reason(&self) -> &'static str {
+        match self.answer_tokens == self.max_tokens {
+            true => "length",
+            false => "stop",
+        }
+    }
+
+    pub(crate) fn usage(&self, progress: Progress) -> Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": progress.output_tokens,
+            "cached_tokens": progress.cached_tokens,
+        })
+    }
+}
+
+/// How an answer breaks off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Break {
+    /// It does not.
+    Never,
+    /// After half of its tokens the connection is cut.
+    Cut,
+    /// After half of its tokens it ends as if it were whole, without an end mark.
+    Short,
+}
+
+/// The events of an answer from `offset` on.
+pub(crate) fn events(
+    shared: Arc<Shared>,
+    source: Source,
+    offset: u64,
+    breaks: Break,
+) -> impl Stream<Item = io::Result<Bytes>> + Send {
+    let reader = Reader {
+        shared,
+        source,
+        offset,
+        breaks,
+        ready: VecDeque::new(),
+        is_over: false,
+    };
+    stream::unfold(reader, |mut reader| async move {
+        let piece = reader.next_piece().await?;
+        Some((piece, reader))
+    })
+}
+
+struct Reader {
+    shared: Arc<Shared>,
+    source: Source,
+    offset: u64,
+    breaks: Break,
+    ready: VecDeque<Bytes>,
+    is_over: bool,
+}
+
+impl Reader {
+    async fn next_piece(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            if let Some(piece) = self.ready.pop_front() {
+                return Some(Ok(piece));
+            }
+            if self.is_over {
+                return None;
+            }
+            let progress = *self.source.progress.borrow_and_update();
+            let has_news = progress.output_tokens > self.offset || progress.end.is_some();
+            if !has_news {
+                let changed = self.source.progress.changed().await;
+                if changed.is_err() {
+                    return Some(Err(io::Error::other("the attempt was forgotten")));
+                }
+                continue;
+            }
+            self.shared.wait_until_thawed().await;
+            let delay_ms = self.shared.faults().delay_answers_ms;
+            if delay_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            if let Some(ended) = self.take_in(progress) {
+                return ended;
+            }
+        }
+    }
+
+    /// Makes events of what is new; some when the answer breaks off here.
+    fn take_in(&mut self, progress: Progress) -> Option<Option<io::Result<Bytes>>> {
+        let half = self.source.answer_tokens.div_ceil(2);
+        if progress.output_tokens >= half && self.offset >= half.min(progress.output_tokens) {
+            match self.breaks {
+                Break::Never => (),
+                Break::Cut => return Some(Some(Err(io::Error::other("cut off")))),
+                Break::Short => return Some(None),
+            }
+        }
+        let until = match self.breaks {
+            Break::Never => progress.output_tokens,
+            Break::Cut | Break::Short => progress.output_tokens.min(half),
+        };
+        if until > self.offset {
+            let event = self.tokens(until - self.offset);
+            self.ready.push_back(event);
+            self.offset = until;
+            if self.offset < progress.output_tokens {
+                return None;
+            }
+        }
+        if let (Some(end), Break::Never) = (progress.end, self.breaks) {
+            self.finish(progress, end);
+        }
+        None
+    }
+
+    fn tokens(&self, count: u64) -> Bytes {
+        let (id, body_hash) = match self.shared.faults().cross_answers {
+            true => self.shared.another(&self.source),
+            false => (self.source.id.clone(), self.source.body_hash),
+        };
+        let text = answer::texts(body_hash, self.offset, count);
+        let data = json!({
+            "id": id,
+            "choices": [{"index": 0, "text": text, "finish_reason": null}],
+            "offset": self.offset,
+            "count": count,
+        });
+        event(&id, self.offset, &data)
+    }
+
+    fn finish(&mut self, progress: Progress, end: RunEnd) {
+        self.is_over = true;
+        let id = &self.source.id;
+        if end != RunEnd::Completed {
+            let why = match end {
+                RunEnd::TimedOut => "the time ran out",
+                RunEnd::Cancelled => "cancelled",
+                RunEnd::Completed | RunEnd::Failed => "failed",
+            };
+            let data = json!({"id": id, "error": {"message": why}});
+            self.ready.push_back(event(id, self.offset, &data));
+            return;
+        }
+        let data = json!({
+            "id": id,
+            "choices": [{"index": 0, "text": "", "finish_reason": self.source.finish_reason()}],
+            "offset": self.offset,
+            "count": 0,
+            "usage": self.source.usage(progress),
+        });
+        self.ready.push_back(event(id, self.offset, &data));
+        self.ready
+            .push_back(Bytes::from_static(b"data: [DONE]\n\n"));
+    }
+}
+
+fn event(id: &str, offset: u64, data: &Value) -> Bytes {
+    Bytes::from(format!("id: {id}:{offset}\ndata: {data}\n\n"))
+}
--- /dev/null
+++ b/standin/src/http/client.rs
@@ -0,0 +1,86 @@
+//! A client that opens one connection a call, so that nothing is resent unseen.
+
+use std::error::Error;
+use std::fmt;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+/// Why a call gave no answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection came about, so nothing was sent.
+    Connect(String),
+    /// The connection broke after the call began.
+    Cut(String),
+    /// The answer had this status, with its body.
+    Status(u16, String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(why) => write!(f, "no connection: {why}"),
+            Self::Cut(why) => write!(f, "cut off: {why}"),
+            Self::Status(status, body) => write!(f, "status {status}: {body}"),
+        }
+    }
+}
+
+impl Error for CallError {}
+
+/// Sends one request and returns the answer's head with its body to read.
+pub async fn call(
+    addr: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, CallError> {
+    let conn = TcpStream::connect(addr).await;
+    let conn = conn.map_err(|e| CallError::Connect(e.to_string()))?;
+    let _ = conn.set_nodelay(true);
+    let handshake = http1::handshake(TokioIo::new(conn)).await;
+    let (mut sender, driver) = handshake.map_err(|e| CallError::Connect(e.to_string()))?;
+    tokio::spawn(driver);
+    let answer = sender.send_request(request).await;
+    answer.map_err(|e| CallError::Cut(e.to_string()))
+}
+
+/// Sends JSON, or nothing where `value` is null, and reads a JSON answer; null for an empty one.
+pub async fn call_json(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    value: &Value,
+) -> Result<Value, CallError> {
+    let bytes = match value {
+        Value::Null => Bytes::new(),
+        value => Bytes::from(value.to_string()),
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", addr.to_string())
+        .header("content-type", "application/json")
+        .body(Full::new(bytes));
+    let request = request.map_err(|e| CallError::Connect(e.to_string()))?;
+    let answer = call(addr, request).await?;
+    let status = answer.status();
+    let collected = answer.into_body().collect().await;
+    let bytes = collected
+        .map_err(|e| CallError::Cut(e.to_string()))?
+        .to_bytes();
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(&bytes).into_owned();
+        return Err(CallError::Status(status.as_u16(), body));
+    }
+    Ok(serde_json::from_slice(&bytes).unwrap_or(Value::Null))
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small fakes of what stands around banyanarch (platform, model engines, plain services), and the
+//! load and demo tools that run them.
+//!
+//! Tests run the fakes in their own process: [`platform::PlatformFake::start`],
+//! [`engine::Engine::start`] and [`service::Service::start`] each return a handle with its address,
+//! its record and its faults.
+
+pub mod answer;
+pub mod engine;
+pub mod http;
+pub mod machine;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/standin/src/machine.rs
@@ -0,0 +1,90 @@
+//! Registers a fake in the platform's list, so that hosts find it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http::CallError;
+use crate::http::call_json;
+
+const PATH: &str = "/apis/banyanarch.dev/v1/machines";
+const TRIES: u32 = 50;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What the platform's list says of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The model or service that it serves.
+    pub target: String,
+    /// The platform stand-in.
+    pub platform: SocketAddr,
+}
+
+impl Machine {
+    /// Reads `--machine`, `--domain`, `--target` and `--platform`; none when there is no `--machine`.
+    pub fn from_args(args: &mut pico_args::Arguments) -> Result<Option<Self>, pico_args::Error> {
+        let Some(name) = args.opt_value_from_str("--machine")? else {
+            return Ok(None);
+        };
+        Ok(Some(Self {
+            name,
+            domain: args.value_from_str("--domain")?,
+            target: args.value_from_str("--target")?,
+            platform: args.value_from_str("--platform")?,
+        }))
+    }
+
+    /// Enters it in the list as live at `addr`, replacing an earlier entry of that name.
+    pub async fn register(&self, addr: SocketAddr) -> Result<(), CallError> {
+        self.set_state(addr, "live").await
+    }
+
+    /// Enters it in the list with a state, `live` or `leaving`. Tries for some seconds.
+    pub async fn set_state(&self, addr: SocketAddr, state: &str) -> Result<(), CallError> {
+        let spec = json!({
+            "role": "upstream",
+            "target": self.target,
+            "domain": self.domain,
+            "address": addr.to_string(),
+            "state": state,
+        });
+        let mut last = CallError::Connect("not tried".to_owned());
+        for _ in 0..TRIES {
+            match put(self.platform, PATH, &self.name, &spec).await {
+                Ok(()) => return Ok(()),
+                Err(e) => last = e,
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Err(last)
+    }
+}
+
+/// Writes an object whatever its version is.
+pub async fn put(
+    platform: SocketAddr,
+    path: &str,
+    name: &str,
+    spec: &Value,
+) -> Result<(), CallError> {
+    let own_path = format!("{path}/{name}");
+    let (method, to, metadata) =
+        match call_json(platform, Method::GET, &own_path, &Value::Null).await {
+            Ok(object) => {
+                let version = &object["metadata"]["resourceVersion"];
+                let metadata = json!({"name": name, "resourceVersion": version});
+                (Method::PUT, own_path.as_str(), metadata)
+            }
+            Err(CallError::Status(404, _)) => (Method::POST, path, json!({"name": name})),
+            Err(e) => return Err(e),
+        };
+    let object = json!({"metadata": metadata, "spec": spec});
+    call_json(platform, method, to, &object).await.map(drop)
+}
--- /dev/null
+++ b/standin/src/platform/api.rs
@@ -0,0 +1,319 @@
+//! The object API over HTTP.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::http;
+use crate::http::Body;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::platform::Outage;
+use crate::platform::PlatformFaults;
+use crate::platform::Stats;
+use crate::platform::store::Store;
+use crate::platform::store::Written;
+
+const ROOT: &str = "/apis/banyanarch.dev/v1/";
+const MACHINES: &str = "machines";
+const WATCH_TIMEOUT_DEFAULT_S: u64 = 30;
+/// How often a watch on a lagging list looks whether something has become visible.
+const LAG_POLL: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Default)]
+pub(crate) struct Api {
+    inner: Mutex<Inner>,
+    /// Counts writes and changes of faults, to wake watches.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    store: Store,
+    stats: Stats,
+    faults: PlatformFaults,
+}
+
+impl Api {
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().faults = faults;
+        self.wake();
+    }
+
+    pub(crate) fn stats(&self) -> Stats {
+        self.lock().stats.clone()
+    }
+
+    async fn route(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        let query = Query::parse(head.uri.query().unwrap_or(""));
+        let body = http::read_body(body).await?;
+        match (&head.method, path.as_str()) {
+            (&Method::GET, "/stats") => return Ok(http::json(StatusCode::OK, &self.stats())),
+            (&Method::PUT, "/faults") => return Ok(self.put_faults(&body)),
+            _ => (),
+        }
+        let Some(target) = path.strip_prefix(ROOT) else {
+            return Ok(http::text(StatusCode::NOT_FOUND, "no such path"));
+        };
+        let faults = self.lock().faults.clone();
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if let Some(reply) = self.outage() {
+            return reply;
+        }
+        match (&head.method, target.split_once('/')) {
+            (&Method::GET, Some((kind, name))) => Ok(self.get(kind, name)),
+            (&Method::GET, None) if query.watch => Ok(self.watch(target, &query)),
+            (&Method::GET, None) => Ok(self.list(target)),
+            (&Method::POST, None) => self.write("POST", target, "", &body),
+            (&Method::PUT, Some((kind, name))) => self.write("PUT", kind, name, &body),
+            (&Method::DELETE, Some((kind, name))) => self.write("DELETE", kind, name, &body),
+            _ => Ok(http::empty(StatusCode::METHOD_NOT_ALLOWED)),
+        }
+    }
+
+    fn outage(&self) -> Option<Reply> {
+        let mut inner = self.lock();
+        let reply = match inner.faults.outage {
+            Outage::None => return None,
+            Outage::Unavailable => Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+            Outage::Closed => Err(io::Error::other("outage")),
+        };
+        inner.stats.turned_away += 1;
+        Some(reply)
+    }
+
+    fn put_faults(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.set_faults(faults);
+                http::empty(StatusCode::OK)
+            }
+            Err(e) => http::text(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Response<Body> {
+        let mut inner = self.lock();
+        inner.stats.count_read("GET", kind);
+        match inner.store.get(kind, name) {
+            Some(object) => http::json(StatusCode::OK, &object),
+            None => http::text(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    fn list(&self, kind: &str) -> Response<Body> {
+        let mut inner = self.lock();
+        inner.stats.count_read("LIST", kind);
+        let (version, items) = inner.store.list(kind, inner.seen_at(kind));
+        let metadata = json!({"resourceVersion": version.to_string()});
+        http::json(
+            StatusCode::OK,
+            &json!({"metadata": metadata, "items": items}),
+        )
+    }
+
+    fn write(&self, call: &str, kind: &str, name: &str, body: &[u8]) -> Reply {
+        let object: Value = match (call, serde_json::from_slice(body)) {
+            ("DELETE", _) => Value::Null,
+            (_, Ok(object)) => object,
+            (_, Err(e)) => return Ok(http::text(StatusCode::BAD_REQUEST, e.to_string())),
+        };
+        let spec = object["spec"].clone();
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.stats.count_write(call, kind);
+        let written = match call {
+            "DELETE" => inner.store.delete(kind, name, now),
+            "POST" => {
+                let Some(name) = object["metadata"]["name"].as_str() else {
+                    return Ok(http::text(StatusCode::BAD_REQUEST, "no metadata.name"));
+                };
+                inner.store.create(kind, name, spec, now)
+            }
+            _ => {
+                let Some(expected) = version_of(&object["metadata"]["resourceVersion"]) else {
+                    let why = "no metadata.resourceVersion";
+                    return Ok(http::text(StatusCode::BAD_REQUEST, why));
+                };
+                inner.store.replace((kind, name), expected, spec, now)
+            }
+        };
+        let reply = inner.reply_to(call, written);
+        drop(inner);
+        self.wake();
+        reply
+    }
+
+    fn watch(self: &Arc<Self>, kind: &str, query: &Query) -> Response<Body> {
+        self.lock().stats.count_read("WATCH", kind);
+        let ends_at = Instant::now() + Duration::from_secs(query.timeout_s);
+        let lines = Arc::clone(self).watch_lines(kind.to_owned(), query.version, ends_at);
+        http::streamed("application/json", lines)
+    }
+
+    fn watch_lines(
+        self: Arc<Self>,
+        kind: String,
+        after: u64,
+        ends_at: Instant,
+    ) -> impl Stream<Item = io::Result<Bytes>> + Send {
+        let watcher = Watcher {
+            changed: self.changed.subscribe(),
+            api: self,
+            kind,
+            after,
+            ends_at,
+            ready: VecDeque::new(),
+        };
+        stream::unfold(watcher, |mut watcher| async move {
+            let line = watcher.next_line().await?;
+            Some((line, watcher))
+        })
+    }
+
+    fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for Api {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+        Box::pin(self.route(request))
+    }
+}
+
+impl Inner {
+    /// The instant whose state a list of this kind shows.
+    fn seen_at(&self, kind: &str) -> Instant {
+        let now = Instant::now();
+        if kind != MACHINES {
+            return now;
+        }
+        let lag = Duration::from_millis(self.faults.machines_lag_ms);
+        now.checked_sub(lag).unwrap_or(now)
+    }
+
+    fn reply_to(&mut self, call: &str, written: Written) -> Reply {
+        let object = match written {
+            Written::Done(object) => object,
+            Written::Absent => return Ok(http::text(StatusCode::NOT_FOUND, "no such object")),
+            Written::Conflict => {
+                self.stats.conflicts += 1;
+                return Ok(http::text(StatusCode::CONFLICT, "the object has changed"));
+            }
+        };
+        let one_in = self.faults.lose_answer_one_in;
+        if one_in > 0 && self.stats.writes.is_multiple_of(one_in) {
+            self.stats.lost_answers += 1;
+            return Err(io::Error::other("answer lost"));
+        }
+        let status = match call {
+            "POST" => StatusCode::CREATED,
+            _ => StatusCode::OK,
+        };
+        Ok(http::json(status, &object))
+    }
+}
+
+struct Watcher {
+    api: Arc<Api>,
+    changed: watch::Receiver<u64>,
+    kind: String,
+    after: u64,
+    ends_at: Instant,
+    ready: VecDeque<Bytes>,
+}
+
+impl Watcher {
+    /// The next line; none at the end of the watch, an error in an outage.
+    async fn next_line(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            if let Some(line) = self.ready.pop_front() {
+                return Some(Ok(line));
+            }
+            if self.api.lock().faults.outage != Outage::None {
+                return Some(Err(io::Error::other("outage")));
+            }
+            self.changed.mark_unchanged();
+            self.collect();
+            if self.ready.is_empty() && !self.wait().await {
+                return None;
+            }
+        }
+    }
+
+    fn collect(&mut self) {
+        let inner = self.api.lock();
+        let seen_at = inner.seen_at(&self.kind);
+        let changes = inner.store.changes(&self.kind, self.after, seen_at);
+        for change in changes {
+            self.after = change.version;
+            let event = json!({"type": change.what, "object": change.object});
+            self.ready.push_back(Bytes::from(format!("{event}\n")));
+        }
+    }
+
+    /// Waits for a change; false when the watch's time is over.
+    async fn wait(&mut self) -> bool {
+        let now = Instant::now();
+        if now >= self.ends_at {
+            return false;
+        }
+        let lag_ms = self.api.lock().faults.machines_lag_ms;
+        let until = match self.kind.as_str() {
+            MACHINES if lag_ms > 0 => self.ends_at.min(now + LAG_POLL),
+            _ => self.ends_at,
+        };
+        let _ = tokio::time::timeout_at(until.into(), self.changed.changed()).await;
+        true
+    }
+}
+
+struct Query {
+    watch: bool,
+    version: u64,
+    timeout_s: u64,
+}
+
+impl Query {
+    fn parse(query: &str) -> Self {
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let number = |name: &str| value(name).and_then(|text| text.parse().ok());
+        Self {
+            watch: value("watch") == Some("true"),
+            version: number("resourceVersion").unwrap_or(0),
+            timeout_s: number("timeoutSeconds").unwrap_or(WATCH_TIMEOUT_DEFAULT_S),
+        }
+    }
+}
+
+fn version_of(value: &Value) -> Option<u64> {
+    value.as_str()?.parse().ok()
+}
--- /dev/null
+++ b/standin/src/platform/store.rs
@@ -0,0 +1,164 @@
+//! Objects with versions that grow over the whole store.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use serde_json::Value;
+use serde_json::json;
+
+/// Revisions kept of one object, so that a lagging list can show an older one.
+const REVISIONS_MAX: usize = 16;
+
+/// What came of a write.
+#[derive(Debug)]
+pub(crate) enum Written {
+    /// It took effect; the object as it is now.
+    Done(Value),
+    /// The object exists, or has another version.
+    Conflict,
+    /// There is no such object.
+    Absent,
+}
+
+/// A change that a watch tells of.
+#[derive(Debug)]
+pub(crate) struct Change {
+    pub(crate) version: u64,
+    pub(crate) what: &'static str,
+    pub(crate) object: Value,
+}
+
+#[derive(Debug)]
+struct Revision {
+    at: Instant,
+    version: u64,
+    /// None for a deletion.
+    spec: Option<Value>,
+}
+
+/// All objects.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    version: u64,
+    objects: IndexMap<(String, String), Vec<Revision>>,
+}
+
+impl Store {
+    pub(crate) fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let revision = self.newest(kind, name)?;
+        let spec = revision.spec.as_ref()?;
+        Some(object(kind, name, revision.version, spec))
+    }
+
+    pub(crate) fn create(&mut self, kind: &str, name: &str, spec: Value, now: Instant) -> Written {
+        if self.newest(kind, name).is_some_and(|r| r.spec.is_some()) {
+            return Written::Conflict;
+        }
+        self.push(kind, name, Some(spec), now)
+    }
+
+    pub(crate) fn replace(
+        &mut self,
+        (kind, name): (&str, &str),
+        expected: u64,
+        spec: Value,
+        now: Instant,
+    ) -> Written {
+        match self.newest(kind, name) {
+            Some(Revision { spec: None, .. }) | None => Written::Absent,
+            Some(revision) if revision.version != expected => Written::Conflict,
+            Some(_) => self.push(kind, name, Some(spec), now),
+        }
+    }
+
+    pub(crate) fn delete(&mut self, kind: &str, name: &str, now: Instant) -> Written {
+        match self.newest(kind, name) {
+            Some(Revision { spec: Some(_), .. }) => self.push(kind, name, None, now),
+            _ => Written::Absent,
+        }
+    }
+
+    /// The objects of a kind as they were at `at`, and the version to watch after.
+    pub(crate) fn list(&self, kind: &str, at: Instant) -> (u64, Vec<Value>) {
+        let seen = self.seen(kind, at);
+        let newest = seen.iter().map(|(_, revision)| revision.version).max();
+        let items = seen.iter().filter_map(|(name, revision)| {
+            let spec = revision.spec.as_ref()?;
+            Some(object(kind, name, revision.version, spec))
+        });
+        (newest.unwrap_or(0), items.collect())
+    }
+
+    /// What changed after a version, as seen at `at`, in order of version. An object that changed
+    /// twice is told of once, in its newest form.
+    pub(crate) fn changes(&self, kind: &str, after: u64, at: Instant) -> Vec<Change> {
+        let seen = self.seen(kind, at);
+        let newer = seen.into_iter().filter(|(_, r)| r.version > after);
+        let mut changes: Vec<Change> = newer
+            .map(|(name, revision)| Change {
+                version: revision.version,
+                what: match (&revision.spec, self.is_first(kind, name, revision.version)) {
+                    (None, _) => "DELETED",
+                    (Some(_), true) => "ADDED",
+                    (Some(_), false) => "MODIFIED",
+                },
+                object: object(
+                    kind,
+                    name,
+                    revision.version,
+                    revision.spec.as_ref().unwrap_or(&Value::Null),
+                ),
+            })
+            .collect();
+        changes.sort_by_key(|change| change.version);
+        changes
+    }
+
+    fn seen(&self, kind: &str, at: Instant) -> Vec<(&str, &Revision)> {
+        let of_kind = self.objects.iter().filter(|((k, _), _)| k == kind);
+        of_kind
+            .filter_map(|((_, name), revisions)| {
+                let revision = revisions.iter().rev().find(|r| r.at <= at)?;
+                Some((name.as_str(), revision))
+            })
+            .collect()
+    }
+
+    fn is_first(&self, kind: &str, name: &str, version: u64) -> bool {
+        let revisions = self.objects.get(&(kind.to_owned(), name.to_owned()));
+        revisions
+            .and_then(|revisions| revisions.first())
+            .is_some_and(|first| first.version == version)
+    }
+
+    fn newest(&self, kind: &str, name: &str) -> Option<&Revision> {
+        let revisions = self.objects.get(&(kind.to_owned(), name.to_owned()));
+        revisions.and_then(|revisions| revisions.last())
+    }
+
+    fn push(&mut self, kind: &str, name: &str, spec: Option<Value>, now: Instant) -> Written {
+        self.version += 1;
+        let version = self.version;
+        let shown = object(kind, name, version, spec.as_ref().unwrap_or(&Value::Null));
+        let key = (kind.to_owned(), name.to_owned());
+        let revisions = self.objects.entry(key).or_default();
+        if revisions.len() == REVISIONS_MAX {
+            revisions.remove(0);
+        }
+        revisions.push(Revision {
+            at: now,
+            version,
+            spec,
+        });
+        Written::Done(shown)
+    }
+}
+
+fn object(kind: &str, name: &str, version: u64, spec: &Value) -> Value {
+    json!({
+        "apiVersion": "banyanarch.dev/v1",
+        "kind": kind,
+        "metadata": {"name": name, "resourceVersion": version.to_string()},
+        "spec": spec,
+    })
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,253 @@
+//! A plain service that echoes its calls after a while, and remembers them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
+use futures_util::future::BoxFuture;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::engine::RunEnd;
+use crate::engine::RunLog;
+use crate::engine::RunRecord;
+use crate::engine::wall_ms;
+use crate::http;
+use crate::http::Body;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::Server;
+
+/// What `standin service` takes.
+pub const USAGE: &str = "\
+standin service [--listen ADDR] [--latency-ms N] [--slots N] [--record FILE]
+                [--machine NAME --domain D --target T --platform ADDR]
+
+A plain service: echoes each call's body after the latency, which grows when more calls than
+slots are at work. GET /record tells every call that ever ran, PUT /faults sets faults:
+  freeze, slow_factor, fail_one_in, cut_one_in, refuse
+";
+
+/// How a stand-in service is made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceOptions {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// How long a call takes.
+    pub latency_ms: u64,
+    /// Calls that it can work on at once; more make all of them slower.
+    pub slots: u64,
+    /// Where starts and ends are written, so that they outlive a crash.
+    pub record_file: Option<PathBuf>,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            latency_ms: 5,
+            slots: 32,
+            record_file: None,
+        }
+    }
+}
+
+impl ServiceOptions {
+    /// Reads the options that the usage text names.
+    pub fn from_args(args: &mut pico_args::Arguments) -> Result<Self, pico_args::Error> {
+        let default = Self::default();
+        Ok(Self {
+            listen: args
+                .opt_value_from_str("--listen")?
+                .unwrap_or(default.listen),
+            latency_ms: args
+                .opt_value_from_str("--latency-ms")?
+                .unwrap_or(default.latency_ms),
+            slots: args.opt_value_from_str("--slots")?.unwrap_or(default.slots),
+            record_file: args.opt_value_from_str("--record")?,
+        })
+    }
+}
+
+/// Faults of a service; the default is none.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// It stands still: calls are taken and not answered.
+    pub freeze: bool,
+    /// Each call takes so many times as long.
+    pub slow_factor: f64,
+    /// Of each so many calls one fails with a status of 500.
+    pub fail_one_in: u64,
+    /// Of each so many calls one runs and its answer is cut off.
+    pub cut_one_in: u64,
+    /// Each call is refused before it runs.
+    pub refuse: bool,
+}
+
+impl Default for ServiceFaults {
+    fn default() -> Self {
+        Self {
+            freeze: false,
+            slow_factor: 1.0,
+            fail_one_in: 0,
+            cut_one_in: 0,
+            refuse: false,
+        }
+    }
+}
+
+/// A running service. Dropping it closes it.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    api: Arc<Api>,
+}
+
+impl Service {
+    /// Starts it on the current runtime.
+    pub async fn start(options: ServiceOptions) -> io::Result<Self> {
+        let listen = options.listen;
+        let api = Arc::new(Api {
+            log: Mutex::new(RunLog::new(options.record_file.as_deref())?),
+            faults: watch::Sender::new(ServiceFaults::default()),
+            at_work: watch::Sender::new(0),
+            options,
+        });
+        let server = Server::start(listen, Arc::clone(&api) as _).await?;
+        Ok(Self { server, api })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Sets all faults at once.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.api.faults.send_replace(faults);
+    }
+
+    /// Every call that ever ran.
+    pub fn record(&self) -> Vec<RunRecord> {
+        self.api.log().all()
+    }
+
+    /// Returns when it was closed.
+    pub async fn closed(&self) {
+        self.server.closed().await;
+    }
+}
+
+#[derive(Debug)]
+struct Api {
+    options: ServiceOptions,
+    log: Mutex<RunLog>,
+    faults: watch::Sender<ServiceFaults>,
+    at_work: watch::Sender<u64>,
+}
+
+impl Api {
+    async fn route(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let body = http::read_body(body).await?;
+        match (head.method.as_str(), head.uri.path()) {
+            ("GET", "/record") => return Ok(http::json(StatusCode::OK, &self.log().all())),
+            ("PUT", "/faults") => return Ok(self.put_faults(&body)),
+            _ => (),
+        }
+        let faults = self.faults.borrow().clone();
+        if faults.refuse {
+            return Ok(http::not_run("told to refuse"));
+        }
+        // The work goes on when the caller goes away, as a real service's would.
+        let worker = tokio::spawn(Arc::clone(&self).work(run_of(&head, &body), faults.clone()));
+        let count = worker.await.map_err(io::Error::other)?;
+        if is_nth(count, faults.cut_one_in) {
+            return Err(io::Error::other("cut off"));
+        }
+        if is_nth(count, faults.fail_one_in) {
+            return Ok(http::text(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
+        }
+        Ok(http::text(StatusCode::OK, body))
+    }
+
+    /// Works on a call and returns its number.
+    async fn work(self: Arc<Self>, run: RunRecord, faults: ServiceFaults) -> u64 {
+        let attempt = run.attempt.clone();
+        let count = {
+            let mut log = self.log();
+            log.start(run);
+            log.len()
+        };
+        self.at_work.send_modify(|at_work| *at_work += 1);
+        let _ = self
+            .faults
+            .subscribe()
+            .wait_for(|faults| !faults.freeze)
+            .await;
+        let crowd = (*self.at_work.borrow() as f64 / self.options.slots.max(1) as f64).max(1.0);
+        let latency = Duration::from_millis(self.options.latency_ms);
+        tokio::time::sleep(latency.mul_f64(faults.slow_factor.max(0.0) * crowd)).await;
+        self.at_work.send_modify(|at_work| *at_work -= 1);
+        let end = match is_nth(count, faults.fail_one_in) {
+            true => RunEnd::Failed,
+            false => RunEnd::Completed,
+        };
+        self.log().end(&attempt, end);
+        count
+    }
+
+    fn put_faults(&self, body: &[u8]) -> Response<Body> {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.faults.send_replace(faults);
+                http::empty(StatusCode::OK)
+            }
+            Err(e) => http::text(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+
+    fn log(&self) -> MutexGuard<'_, RunLog> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for Api {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Reply> {
+        Box::pin(self.route(request))
+    }
+}
+
+fn run_of(head: &Parts, body: &[u8]) -> RunRecord {
+    let text = |name| http::header(&head.headers, name).map(str::to_owned);
+    RunRecord {
+        attempt: text("x-request-id").unwrap_or_else(|| AttemptId(rand::random()).to_string()),
+        host: text("x-host").unwrap_or_else(|| "none".to_owned()),
+        request_hash: ContentHash::of(body),
+        key: text("idempotency-key"),
+        path: head.uri.path().to_owned(),
+        taken_ms: wall_ms(),
+        ended_ms: None,
+        end: None,
+        prefilled_tokens: 0,
+        output_tokens: 0,
+    }
+}
+
+fn is_nth(count: u64, one_in: u64) -> bool {
+    one_in > 0 && count.is_multiple_of(one_in)
+}
