Fleet: homes on this host, and asking homes for grants

Cause: the home controller and the entry need peers, upstreams and timers. Ruled out: waiting for the membership before the second candidate is asked, which would add its detection time to every request of a dead home.

--- a/src/board/shards.rs
+++ b/src/board/shards.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// How many entries are such; other threads may be changing them.
+    pub fn count(&self, mut is_such: impl FnMut(&V) -> bool) -> usize {
+        let of_shard = |shard: &Mutex<IndexMap<K, V>>| {
+            lock(shard).values().filter(|value| is_such(value)).count()
+        };
+        self.shards.iter().map(of_shard).sum()
+    }
+
     /// How many entries there are; other threads may be changing it.
     pub fn len(&self) -> usize {
         self.shards.iter().map(|shard| lock(shard).len()).sum()
--- a/src/control/home/controller.rs
+++ b/src/control/home/controller.rs
@@ -25,6 +25,7 @@
 use crate::decide::LengthClass;
 use crate::decide::LiveGrant;
 use crate::decide::Policy;
+use crate::decide::PolicyConfig;
 use crate::decide::PoolLoad;
 use crate::decide::UpstreamSeen;
 use crate::decide::Work;
@@ -116,6 +117,11 @@
         self.policy.load(now)
     }
 
+    /// Takes in a new manifest; what waits and what runs stays.
+    pub fn set_config(&mut self, conf: &PolicyConfig, now: Instant) {
+        self.policy.set_config(conf, now);
+    }
+
     /// When [`HomeEvent::Tick`] is due.
     pub fn next_wake(&self, now: Instant) -> Instant {
         let tick = now + TICK;
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::PolicyConfig;
 use crate::decide::Work;
 use crate::units::GrantId;
 use crate::units::RequestId;
@@ -20,6 +21,10 @@
     /// Replaces the set of upstreams. One that has vanished or is leaving gets no new grant.
     fn set_upstreams(&mut self, upstreams: &[UpstreamSeen], now: Instant);
 
+    /// Takes in a new manifest; what waits and what runs stays. A policy that takes nothing from
+    /// the manifest has nothing to do.
+    fn set_config(&mut self, _conf: &PolicyConfig, _now: Instant) {}
+
     /// Takes in a request. The decision comes from `poll`, at once or later.
     fn offer(&mut self, work: Work, now: Instant);
 
--- /dev/null
+++ b/src/fleet/grant_waiters.rs
@@ -0,0 +1,34 @@
+//! Requests that wait for a home's decision.
+
+use tokio::sync::mpsc;
+
+use crate::board::Shards;
+use crate::control::home::GrantAnswer;
+use crate::units::RequestId;
+
+/// Requests that wait for a home's decision, by their id.
+#[derive(Debug, Default)]
+pub struct GrantWaiters {
+    senders: Shards<RequestId, mpsc::UnboundedSender<GrantAnswer>>,
+}
+
+impl GrantWaiters {
+    /// Starts to wait. A request gets at most one decision an asking, so the channel stays short.
+    pub fn wait(&self, request: RequestId) -> mpsc::UnboundedReceiver<GrantAnswer> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.senders.insert(request, tx);
+        rx
+    }
+
+    /// Stops waiting.
+    pub fn forget(&self, request: RequestId) {
+        self.senders.remove(&request);
+    }
+
+    /// Hands a decision to the request that waits for it. Returns whether one does.
+    pub fn decided(&self, answer: GrantAnswer) -> bool {
+        let request = answer.request;
+        let sent = self.senders.update(&request, |tx| tx.send(answer).is_ok());
+        sent.unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/src/fleet/home_desk.rs
@@ -0,0 +1,402 @@
+//! The homes on this host, with their hands.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::debug;
+use log::info;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::board::Board;
+use crate::board::Shards;
+use crate::clock::Clock;
+use crate::control::home::GrantAnswer;
+use crate::control::home::HomeAction;
+use crate::control::home::HomeConf;
+use crate::control::home::HomeController;
+use crate::control::home::HomeEvent;
+use crate::control::home::Verdict;
+use crate::control::home::wire;
+use crate::decide::PolicyConfig;
+use crate::decide::PoolKind;
+use crate::decide::PoolLoad;
+use crate::decide::UpstreamSeen;
+use crate::decide::policy_for;
+use crate::entry::UpstreamDirectory;
+use crate::fleet::GrantWaiters;
+use crate::fleet::HomeMap;
+use crate::peer::Message;
+use crate::peer::Peers;
+use crate::peer::message;
+use crate::settings::PolicyName;
+use crate::units::Generation;
+use crate::units::HostId;
+use crate::units::PoolId;
+use crate::units::TargetId;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// How many of a pool's candidates take requests: the home, and the one after it, which entry hosts
+/// ask while the membership has not yet noticed that the home is dead.
+const CANDIDATES_SERVING: usize = 2;
+
+/// A home that is not the first candidate and was asked nothing for this long hands over.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// A home with nothing to wait for still looks after its graces this often.
+const WAKE_MAX: Duration = Duration::from_millis(500);
+
+/// One home.
+struct Home {
+    controller: Mutex<HomeController>,
+    woken: Notify,
+    asked_at: Mutex<Instant>,
+    target: TargetId,
+    made_of: Mutex<(Generation, Vec<UpstreamSeen>)>,
+}
+
+/// The homes on this host.
+pub struct HomeDesk {
+    clock: Arc<dyn Clock>,
+    host: HostId,
+    board: Arc<Board>,
+    peers: Arc<dyn Peers>,
+    map: Arc<dyn HomeMap>,
+    upstreams: Arc<dyn UpstreamDirectory>,
+    waiters: Arc<GrantWaiters>,
+    policy: PolicyName,
+    homes: Shards<PoolId, Arc<Home>>,
+}
+
+/// What a desk works with.
+pub struct HomeDeskParts {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// This host.
+    pub host: HostId,
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// Other hosts.
+    pub peers: Arc<dyn Peers>,
+    /// Which hosts are homes.
+    pub map: Arc<dyn HomeMap>,
+    /// Upstreams.
+    pub upstreams: Arc<dyn UpstreamDirectory>,
+    /// This host's own requests that wait.
+    pub waiters: Arc<GrantWaiters>,
+    /// The decisions.
+    pub policy: PolicyName,
+}
+
+impl HomeDesk {
+    /// A desk without homes; they are made when they are asked.
+    pub fn new(parts: HomeDeskParts) -> Self {
+        Self {
+            clock: parts.clock,
+            host: parts.host,
+            board: parts.board,
+            peers: parts.peers,
+            map: parts.map,
+            upstreams: parts.upstreams,
+            waiters: parts.waiters,
+            policy: parts.policy,
+            homes: Shards::new(),
+        }
+    }
+
+    /// Handles what a host says to the home of a pool, and returns the reply to a request.
+    pub fn handle(self: &Arc<Self>, pool: &PoolId, event: HomeEvent) -> Option<GrantAnswer> {
+        let home = match &event {
+            HomeEvent::Request { from, .. } => self.home_to_ask(pool, from),
+            HomeEvent::Announce { from, .. } => self.home_to_ask(pool, from),
+            _ => self.homes.get(pool),
+        };
+        let Some(home) = home else {
+            return not_home(&event);
+        };
+        if matches!(event, HomeEvent::Request { .. }) {
+            *lock(&home.asked_at) = self.clock.now();
+        }
+        self.tell(pool, &home, event)
+    }
+
+    /// Passes something on to every home.
+    pub fn tell_all(self: &Arc<Self>, event: &HomeEvent) {
+        for (pool, home) in self.homes.snapshot() {
+            self.tell(&pool, &home, event.clone());
+        }
+    }
+
+    /// Passes something on to the homes of one upstream.
+    pub fn tell_of_upstream(self: &Arc<Self>, upstream: &UpstreamId, event: &HomeEvent) {
+        for (pool, home) in self.homes.snapshot() {
+            let is_member = lock(&home.made_of)
+                .1
+                .iter()
+                .any(|seen| seen.id == *upstream);
+            if is_member {
+                self.tell(&pool, &home, event.clone());
+            }
+        }
+    }
+
+    /// The pools that have their home here, with their load.
+    pub fn pools(&self) -> Vec<(PoolId, PoolLoad)> {
+        let now = self.clock.now();
+        let load = |(pool, home): (PoolId, Arc<Home>)| {
+            let load = lock(&home.controller).load(now);
+            (pool, load)
+        };
+        self.homes.snapshot().into_iter().map(load).collect()
+    }
+
+    /// Takes in changes of the upstreams, of the manifest and of who is home.
+    pub fn refresh(self: &Arc<Self>) {
+        for (pool, home) in self.homes.snapshot() {
+            self.refresh_home(&pool, &home);
+            let is_idle = self.clock.now() >= *lock(&home.asked_at) + IDLE_MAX;
+            let is_first = self.map.candidates(&pool).first() == Some(&self.host);
+            if is_idle && !is_first {
+                self.close(&pool, &home);
+            }
+        }
+    }
+
+    /// Hands all homes over: this host drains.
+    pub fn hand_over(self: &Arc<Self>) {
+        for (pool, home) in self.homes.snapshot() {
+            self.close(&pool, &home);
+        }
+    }
+
+    fn close(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>) {
+        info!("homes: hand over pool {pool}");
+        self.tell(pool, home, HomeEvent::HandOver);
+        self.homes.remove(pool);
+        home.woken.notify_one();
+    }
+
+    fn home_to_ask(self: &Arc<Self>, pool: &PoolId, from: &HostId) -> Option<Arc<Home>> {
+        if let Some(home) = self.homes.get(pool) {
+            return Some(home);
+        }
+        let candidates = self.map.candidates(pool);
+        let serving = candidates.iter().take(CANDIDATES_SERVING);
+        let is_serving = serving.clone().any(|host| *host == self.host);
+        // This host's own requests come here last of all, when no candidate answers.
+        if is_serving || *from == self.host {
+            self.make(pool)
+        } else {
+            None
+        }
+    }
+
+    fn make(self: &Arc<Self>, pool: &PoolId) -> Option<Arc<Home>> {
+        let target = pool.target()?;
+        let in_force = self.board.manifest()?;
+        let upstreams = self.upstreams_seen(pool, &target)?;
+        let conf = self.policy_config(pool, &target)?;
+        let now = self.clock.now();
+        let policy = policy_for(self.policy, &conf, rand::random());
+        let controller = HomeController::new(pool.clone(), policy, HomeConf::default(), now);
+        let home = Arc::new(Home {
+            controller: Mutex::new(controller),
+            woken: Notify::new(),
+            asked_at: Mutex::new(now),
+            target,
+            made_of: Mutex::new((in_force.generation, upstreams.clone())),
+        });
+        let made = self
+            .homes
+            .upsert(pool, || Arc::clone(&home), |home| Arc::clone(home));
+        if Arc::ptr_eq(&made, &home) {
+            info!("homes: this host is the home of pool {pool}");
+            self.tell(pool, &home, HomeEvent::Upstreams(upstreams));
+            tokio::spawn(Arc::clone(self).keep(pool.clone(), home));
+        }
+        Some(made)
+    }
+
+    fn refresh_home(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>) {
+        let Some(in_force) = self.board.manifest() else {
+            return;
+        };
+        let Some(upstreams) = self.upstreams_seen(pool, &home.target) else {
+            return;
+        };
+        let before = lock(&home.made_of).clone();
+        if before.1 != upstreams {
+            *lock(&home.made_of) = (before.0, upstreams.clone());
+            self.tell(pool, home, HomeEvent::Upstreams(upstreams));
+        }
+        if before.0 != in_force.generation {
+            lock(&home.made_of).0 = in_force.generation;
+            self.tell_config(pool, home);
+        }
+    }
+
+    /// A home keeps its queue and its ledger through a new manifest: its policy takes in the new
+    /// configuration.
+    fn tell_config(&self, pool: &PoolId, home: &Arc<Home>) {
+        if let Some(conf) = self.policy_config(pool, &home.target) {
+            lock(&home.controller).set_config(&conf, self.clock.now());
+        }
+    }
+
+    fn policy_config(&self, pool: &PoolId, target: &TargetId) -> Option<PolicyConfig> {
+        let in_force = self.board.manifest()?;
+        let of_pool = self.map.upstreams_of(pool).len();
+        let of_target = self.board.upstreams.count(|view| view.target == *target);
+        let pool_part = of_pool as f64 / of_target.max(1) as f64;
+        PolicyConfig::for_pool(&in_force.manifest, target, pool_part)
+    }
+
+    fn upstreams_seen(&self, pool: &PoolId, target: &TargetId) -> Option<Vec<UpstreamSeen>> {
+        let in_force = self.board.manifest()?;
+        let (memory_tokens, slots) = size_of(&in_force.manifest, target)?;
+        let seen = |id: UpstreamId| {
+            let health = self.board.upstreams.get(&id)?.health;
+            Some(UpstreamSeen {
+                id,
+                memory_tokens,
+                slots,
+                health,
+            })
+        };
+        let mut seen: Vec<_> = self
+            .map
+            .upstreams_of(pool)
+            .into_iter()
+            .filter_map(seen)
+            .collect();
+        seen.sort_by(|a, b| a.id.cmp(&b.id));
+        Some(seen)
+    }
+
+    fn tell(
+        self: &Arc<Self>,
+        pool: &PoolId,
+        home: &Arc<Home>,
+        event: HomeEvent,
+    ) -> Option<GrantAnswer> {
+        let now = self.clock.now();
+        let actions = lock(&home.controller).handle(event, now);
+        home.woken.notify_one();
+        let mut reply = None;
+        for action in actions {
+            match action {
+                HomeAction::Reply { answer, .. } => reply = Some(answer),
+                HomeAction::Push { to, answer } => self.push(pool, &to, answer),
+                HomeAction::Cancel { upstream, attempt } if self.policy == PolicyName::Shipped => {
+                    let event = HomeEvent::CancelConfirmed {
+                        upstream: upstream.clone(),
+                        attempt,
+                    };
+                    let desk = Arc::clone(self);
+                    let home = Arc::clone(home);
+                    let pool = pool.clone();
+                    tokio::spawn(async move {
+                        let Some(client) = desk.upstreams.upstream(&upstream) else {
+                            return;
+                        };
+                        debug!("homes: cancel attempt {attempt} at {upstream}");
+                        let is_free = client.cancel(attempt).await.is_ok()
+                            && client.release_gang(attempt).await.is_ok();
+                        if is_free {
+                            desk.tell(&pool, &home, event);
+                        }
+                    });
+                }
+                // Baselines run a home on each host, none of which sees all attempts.
+                HomeAction::Cancel { .. } => {}
+                HomeAction::List { upstream, seq } => {
+                    let desk = Arc::clone(self);
+                    let home = Arc::clone(home);
+                    let pool = pool.clone();
+                    tokio::spawn(async move {
+                        let Some(client) = desk.upstreams.upstream(&upstream) else {
+                            return;
+                        };
+                        if let Ok(running) = client.list_running().await {
+                            let event = HomeEvent::EngineListed {
+                                upstream,
+                                seq,
+                                running,
+                            };
+                            desk.tell(&pool, &home, event);
+                        }
+                    });
+                }
+                HomeAction::AskAnnounce { to } => {
+                    let ask = message::Announce {
+                        pool: pool.to_string(),
+                        grants: Vec::new(),
+                    };
+                    self.peers.send(&to, Message::Announce(ask));
+                }
+            }
+        }
+        reply
+    }
+
+    fn push(&self, pool: &PoolId, to: &HostId, answer: GrantAnswer) {
+        if *to == self.host {
+            self.waiters.decided(answer);
+        } else {
+            self.peers
+                .send(to, Message::GrantReply(wire::answer_to(pool, &answer)));
+        }
+    }
+
+    /// Wakes a home when its time has come, until it is closed.
+    async fn keep(self: Arc<Self>, pool: PoolId, home: Arc<Home>) {
+        loop {
+            let now = self.clock.now();
+            let wake = lock(&home.controller).next_wake(now).min(now + WAKE_MAX);
+            let wait = wake
+                .saturating_duration_since(now)
+                .max(Duration::from_millis(1));
+            let is_due = timeout(wait, home.woken.notified()).await.is_err();
+            let is_open = self
+                .homes
+                .get(&pool)
+                .is_some_and(|open| Arc::ptr_eq(&open, &home));
+            if !is_open {
+                return;
+            }
+            if is_due {
+                self.tell(&pool, &home, HomeEvent::Tick);
+            }
+        }
+    }
+}
+
+fn not_home(event: &HomeEvent) -> Option<GrantAnswer> {
+    match event {
+        HomeEvent::Request { work, .. } => Some(GrantAnswer {
+            request: work.request,
+            verdict: Verdict::NotHome,
+        }),
+        _ => None,
+    }
+}
+
+fn size_of(manifest: &crate::manifest::Manifest, target: &TargetId) -> Option<(Tokens, u32)> {
+    let model = manifest.models.iter().find(|spec| spec.name == *target);
+    if let Some(spec) = model {
+        return Some((spec.engine_memory_tokens, spec.engine_slots));
+    }
+    match PolicyConfig::for_pool(manifest, target, 1.0)?.kind {
+        PoolKind::Service { concurrency_max } => Some((Tokens::ZERO, concurrency_max)),
+        PoolKind::Model { .. } => None,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/fleet/home_map.rs
@@ -0,0 +1,21 @@
+//! Which hosts are asked for grants of which pools.
+
+use crate::units::HostId;
+use crate::units::PoolId;
+use crate::units::TargetId;
+use crate::units::UpstreamId;
+
+/// What this host knows of pools and their homes.
+pub trait HomeMap: Send + Sync {
+    /// The pools of a target, those of this host's failure domain first.
+    fn pools_of(&self, target: &TargetId) -> Vec<PoolId>;
+
+    /// The hosts to ask, the home first.
+    fn candidates(&self, pool: &PoolId) -> Vec<HostId>;
+
+    /// The upstreams of a pool.
+    fn upstreams_of(&self, pool: &PoolId) -> Vec<UpstreamId>;
+
+    /// A host did not answer when it was asked for a grant.
+    fn suspect(&self, host: &HostId);
+}
--- /dev/null
+++ b/src/fleet/upstream_registry.rs
@@ -0,0 +1,46 @@
+//! Clients of upstreams by name.
+
+use std::sync::Arc;
+
+use crate::board::Board;
+use crate::board::Shards;
+use crate::entry::UpstreamDirectory;
+use crate::http::HttpClient;
+use crate::units::UpstreamId;
+use crate::upstream::HttpUpstream;
+use crate::upstream::Upstream;
+
+/// Clients of the upstreams on the board. A client keeps its idle connections, so it is made once
+/// and made anew only when the upstream's address has changed.
+#[derive(Debug)]
+pub struct UpstreamRegistry {
+    board: Arc<Board>,
+    clients: Shards<UpstreamId, HttpClient>,
+}
+
+impl UpstreamRegistry {
+    /// A registry of what is on the board.
+    pub fn new(board: Arc<Board>) -> Self {
+        Self {
+            board,
+            clients: Shards::new(),
+        }
+    }
+}
+
+impl UpstreamDirectory for UpstreamRegistry {
+    fn upstream(&self, id: &UpstreamId) -> Option<Arc<dyn Upstream>> {
+        let addr = self.board.upstreams.get(id)?.addr;
+        let client = self.clients.upsert(
+            id,
+            || HttpClient::new(addr),
+            |client| {
+                if client.addr() != addr {
+                    *client = HttpClient::new(addr);
+                }
+                client.clone()
+            },
+        );
+        Some(Arc::new(HttpUpstream::new(client)))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod decide;
 pub mod entry;
+pub mod fleet;
 pub mod http;
 pub mod manifest;
 pub mod observe;
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -45,6 +45,20 @@
         Self(format!("{domain}/{target}/{shard}").into())
     }
 
+    /// The target whose upstreams the pool holds; none if this is not the name of a pool.
+    pub fn target(&self) -> Option<TargetId> {
+        let (rest, _shard) = self.0.rsplit_once('/')?;
+        let (_domain, target) = rest.split_once('/')?;
+        target.parse().ok()
+    }
+
+    /// The failure domain of the pool's upstreams; none if this is not the name of a pool.
+    pub fn domain(&self) -> Option<FailureDomainId> {
+        self.0
+            .split_once('/')
+            .and_then(|(domain, _)| domain.parse().ok())
+    }
+
     /// Stands for no pool: the answer of an earlier sending is read without a grant.
     pub fn of_followed() -> Self {
         Self("followed".into())
