Settings and manifest: checked YAML that reports all problems at once

Cause: a serde derive stops at the first wrong field, so an operator learns of four faults in four restarts. Ruled out: repairing the tree and deriving again (a missing field can't be repaired), and a macro for both (hides the fields). Change: src/yaml reads a file into a tree that knows its lines and takes sections field by field; settings and manifest describe their fields and clashes with it. Scalars stay text, so an unquoted version 1.10 is not read as 1.1. Lookups for customers, targets and ranks; the weight store's rate; sample files of both deployments.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod settings;
 pub mod units;
 pub mod upstream;
+pub mod yaml;
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -1,8 +1,14 @@
 //! The manifest: models, services, customers, priorities and limits that operators publish.
 
+mod clashes;
+mod errors;
 mod in_force;
+mod lookup;
+mod parse;
 mod spec;
+mod target;
 
+pub use errors::ManifestErrors;
 pub use in_force::InForce;
 pub use spec::CustomerSpec;
 pub use spec::FencingSupport;
@@ -13,3 +19,5 @@
 pub use spec::PrioritySpec;
 pub use spec::RepeatRule;
 pub use spec::ServiceSpec;
+pub use spec::WeightStoreSpec;
+pub use target::Target;
--- /dev/null
+++ b/src/manifest/parse.rs
@@ -0,0 +1,321 @@
+//! Reading and checking a manifest.
+
+use crate::manifest::CustomerSpec;
+use crate::manifest::LimitsSpec;
+use crate::manifest::Manifest;
+use crate::manifest::ManifestErrors;
+use crate::manifest::ModelSpec;
+use crate::manifest::PrioritySpec;
+use crate::manifest::ServiceSpec;
+use crate::manifest::WeightStoreSpec;
+use crate::manifest::clashes;
+use crate::manifest::lookup::ADAPTER_SEPARATOR;
+use crate::manifest::spec;
+use crate::units::ByteSize;
+use crate::units::RequestsPerSecond;
+use crate::units::TargetId;
+use crate::units::Tokens;
+use crate::units::TokensPerSecond;
+use crate::yaml;
+use crate::yaml::Fields;
+use crate::yaml::FileErrors;
+use crate::yaml::Item;
+use crate::yaml::Problem;
+use crate::yaml::Problems;
+use crate::yaml::Section;
+
+/// The platform holds values up to a megabyte; the object around the text takes the rest.
+const JSON_LEN_MAX: usize = 1_000_000 - 1_024;
+const ABOVE_ZERO: &str = "must be above 0";
+const NOT_EMPTY: &str = "is empty";
+
+impl Manifest {
+    /// Reads and checks a manifest. `file` is the name that problems are reported under.
+    pub fn parse(text: &str, file: &str) -> Result<Self, ManifestErrors> {
+        let manifest = yaml::read(text, file)?;
+        let too_large = size_problem(text);
+        match too_large {
+            Some(problem) => {
+                let mut problems = Problems::default();
+                problems.push(problem);
+                Err(FileErrors::new(file, problems).into())
+            }
+            None => Ok(manifest),
+        }
+    }
+}
+
+impl Section for Manifest {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let deployment = fields.required("deployment");
+        let objective = fields.optional("objective", Default::default());
+        let models = fields.optional_list("models");
+        let services = fields.optional_list("services");
+        let customers = fields.list("customers");
+        let priorities = fields.list("priorities");
+        let limits = fields.optional_section("limits");
+        let weight_store = fields.optional_section("weight_store");
+
+        fields.check(
+            "deployment",
+            deployment.as_ref(),
+            |text: &String| is_filled(text),
+            NOT_EMPTY,
+        );
+        clashes::check_targets(fields, &models, &services);
+        clashes::check_customers(fields, &customers, &priorities);
+        clashes::check_priorities(fields, &priorities);
+        clashes::check_output(fields, &models, limits.as_ref());
+        Some(Self {
+            deployment: deployment?,
+            objective: objective?,
+            models: values(models),
+            services: values(services),
+            customers: values(customers),
+            priorities: values(priorities),
+            limits: limits?,
+            weight_store: weight_store?,
+        })
+    }
+}
+
+impl Section for ModelSpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let name = fields.required("name");
+        let version = fields.required("version");
+        let adapters = fields.optional_values("adapters");
+        let role = fields.optional("role", spec::default_role());
+        let engine_memory_tokens = fields.required("engine_memory_tokens");
+        let engine_slots = fields.required("engine_slots");
+        let prefill_speed = fields.required("prefill_speed");
+        let context_tokens_max = fields.required("context_tokens_max");
+        let fencing = fields.optional("fencing", Default::default());
+        let weight_size = fields.optional("weight_size", ByteSize::default());
+        let loaded_percent_min =
+            fields.optional("loaded_percent_min", spec::default_loaded_percent_min());
+
+        check_target_name(fields, name.as_ref());
+        check_adapters(fields, &adapters);
+        fields.check(
+            "version",
+            version.as_ref(),
+            |text: &String| is_filled(text),
+            NOT_EMPTY,
+        );
+        fields.check(
+            "role",
+            role.as_ref(),
+            |text: &String| is_filled(text),
+            NOT_EMPTY,
+        );
+        let some = |tokens: &Tokens| tokens.0 > 0;
+        fields.check(
+            "engine_memory_tokens",
+            engine_memory_tokens.as_ref(),
+            some,
+            ABOVE_ZERO,
+        );
+        fields.check(
+            "context_tokens_max",
+            context_tokens_max.as_ref(),
+            some,
+            ABOVE_ZERO,
+        );
+        fields.check(
+            "engine_slots",
+            engine_slots.as_ref(),
+            |slots| *slots > 0,
+            ABOVE_ZERO,
+        );
+        let moves = |speed: &TokensPerSecond| speed.0 > 0.0;
+        fields.check("prefill_speed", prefill_speed.as_ref(), moves, ABOVE_ZERO);
+        let is_percent = |percent: &u8| *percent <= 100;
+        fields.check(
+            "loaded_percent_min",
+            loaded_percent_min.as_ref(),
+            is_percent,
+            "must be at most 100",
+        );
+        Some(Self {
+            name: name?,
+            version: version?,
+            adapters,
+            role: role?,
+            engine_memory_tokens: engine_memory_tokens?,
+            engine_slots: engine_slots?,
+            prefill_speed: prefill_speed?,
+            context_tokens_max: context_tokens_max?,
+            fencing: fencing?,
+            weight_size: weight_size?,
+            loaded_percent_min: loaded_percent_min?,
+        })
+    }
+}
+
+impl Section for ServiceSpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let name = fields.required("name");
+        let repeatable = fields.optional("repeatable", Default::default());
+        let key_required = fields.optional("key_required", false);
+        let concurrency_max = fields.required("concurrency_max");
+        check_target_name(fields, name.as_ref());
+        fields.check(
+            "concurrency_max",
+            concurrency_max.as_ref(),
+            |max| *max > 0,
+            ABOVE_ZERO,
+        );
+        Some(Self {
+            name: name?,
+            repeatable: repeatable?,
+            key_required: key_required?,
+            concurrency_max: concurrency_max?,
+        })
+    }
+}
+
+impl Section for CustomerSpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let name = fields.required("name");
+        let share = fields.optional("share", spec::default_share());
+        let rate = fields.required::<RequestsPerSecond>("rate");
+        let burst_requests = fields.required("burst_requests");
+        let priority = fields.required("priority");
+        fields.check("share", share.as_ref(), |share| *share > 0, ABOVE_ZERO);
+        if rate.is_some_and(|rate| rate.0 > 0.0) {
+            let what = "must be above 0, or the rate lets nothing in";
+            fields.check(
+                "burst_requests",
+                burst_requests.as_ref(),
+                |burst| *burst > 0,
+                what,
+            );
+        }
+        Some(Self {
+            name: name?,
+            share: share?,
+            rate: rate?,
+            burst_requests: burst_requests?,
+            priority: priority?,
+        })
+    }
+}
+
+impl Section for PrioritySpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let name = fields.required("name");
+        let rank = fields.required("rank");
+        fields.check(
+            "name",
+            name.as_ref(),
+            |text: &String| is_filled(text),
+            NOT_EMPTY,
+        );
+        Some(Self {
+            name: name?,
+            rank: rank?,
+        })
+    }
+}
+
+impl Section for LimitsSpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let defaults = Self::default();
+        let deadline_default_ms =
+            fields.optional("deadline_default_ms", defaults.deadline_default_ms);
+        let deadline_max_ms = fields.optional("deadline_max_ms", defaults.deadline_max_ms);
+        let output_tokens_default =
+            fields.optional("output_tokens_default", defaults.output_tokens_default);
+        let body_size_max = fields.optional("body_size_max", defaults.body_size_max);
+
+        let some_ms = |ms: &u64| *ms > 0;
+        fields.check(
+            "deadline_default_ms",
+            deadline_default_ms.as_ref(),
+            some_ms,
+            ABOVE_ZERO,
+        );
+        fields.check(
+            "deadline_max_ms",
+            deadline_max_ms.as_ref(),
+            some_ms,
+            ABOVE_ZERO,
+        );
+        let is_within = |ms: &u64| deadline_max_ms.is_none_or(|max| *ms <= max);
+        let what = "is above deadline_max_ms";
+        fields.check(
+            "deadline_default_ms",
+            deadline_default_ms.as_ref(),
+            is_within,
+            what,
+        );
+        let some = |tokens: &Tokens| tokens.0 > 0;
+        fields.check(
+            "output_tokens_default",
+            output_tokens_default.as_ref(),
+            some,
+            ABOVE_ZERO,
+        );
+        let some = |size: &ByteSize| size.0 > 0;
+        fields.check("body_size_max", body_size_max.as_ref(), some, ABOVE_ZERO);
+        Some(Self {
+            deadline_default_ms: deadline_default_ms?,
+            deadline_max_ms: deadline_max_ms?,
+            output_tokens_default: output_tokens_default?,
+            body_size_max: body_size_max?,
+        })
+    }
+}
+
+impl Section for WeightStoreSpec {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let default = Self::default().load_size_per_second;
+        let load_size_per_second = fields.optional("load_size_per_second", default);
+        let some = |size: &ByteSize| size.0 > 0;
+        fields.check(
+            "load_size_per_second",
+            load_size_per_second.as_ref(),
+            some,
+            ABOVE_ZERO,
+        );
+        Some(Self {
+            load_size_per_second: load_size_per_second?,
+        })
+    }
+}
+
+/// A target's name is a part of a path, and of `MODEL:ADAPTER`.
+fn check_target_name(fields: &mut Fields<'_>, name: Option<&TargetId>) {
+    let is_plain = |name: &TargetId| !name.as_str().contains([ADAPTER_SEPARATOR, '/']);
+    fields.check("name", name, is_plain, "must not contain `:` or `/`");
+}
+
+fn check_adapters(fields: &mut Fields<'_>, adapters: &[String]) {
+    for (index, adapter) in adapters.iter().enumerate() {
+        let path = format!("adapters[{index}]");
+        if adapter.parse::<TargetId>().is_err() || adapter.contains([ADAPTER_SEPARATOR, '/']) {
+            fields.problem(&path, format!("expected an adapter name, got `{adapter}`"));
+        }
+        if adapters[..index].contains(adapter) {
+            fields.problem(&path, format!("`{adapter}` is listed twice"));
+        }
+    }
+}
+
+fn is_filled(text: &str) -> bool {
+    !text.is_empty()
+}
+
+fn values<T>(items: Vec<Item<T>>) -> Vec<T> {
+    items.into_iter().map(|item| item.value).collect()
+}
+
+/// A manifest that the platform can't hold is better refused here, with a reason, than there.
+fn size_problem(text: &str) -> Option<Problem> {
+    let json_len = serde_json::to_string(text).map_or(usize::MAX, |json| json.len());
+    (json_len > JSON_LEN_MAX).then(|| Problem {
+        line: 1,
+        field: "(file)".to_owned(),
+        what: format!("takes {json_len} bytes as JSON; the platform holds {JSON_LEN_MAX}"),
+    })
+}
--- a/src/manifest/spec.rs
+++ b/src/manifest/spec.rs
@@ -33,6 +33,9 @@
     /// The limits on every request.
     #[serde(default)]
     pub limits: LimitsSpec,
+    /// The weight store that engines load from.
+    #[serde(default)]
+    pub weight_store: WeightStoreSpec,
 }
 
 /// The measure that decisions lean towards.
@@ -58,7 +61,7 @@
     #[serde(default)]
     pub adapters: Vec<String>,
     /// The role wanted of its engines.
-    #[serde(default = "mixed_role")]
+    #[serde(default = "default_role")]
     pub role: String,
     /// The memory of one engine for keys and values.
     pub engine_memory_tokens: Tokens,
@@ -161,6 +164,23 @@
     pub body_size_max: ByteSize,
 }
 
+/// What the weight store gives.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+#[serde(default)]
+pub struct WeightStoreSpec {
+    /// The bytes a second that all engines of a failure domain may load together.
+    pub load_size_per_second: ByteSize,
+}
+
+impl Default for WeightStoreSpec {
+    fn default() -> Self {
+        Self {
+            load_size_per_second: ByteSize(1 << 30),
+        }
+    }
+}
+
 impl Default for LimitsSpec {
     fn default() -> Self {
         Self {
@@ -172,14 +192,14 @@
     }
 }
 
-fn mixed_role() -> String {
+pub(crate) fn default_role() -> String {
     "mixed".to_owned()
 }
 
-fn default_loaded_percent_min() -> u8 {
+pub(crate) fn default_loaded_percent_min() -> u8 {
     75
 }
 
-fn default_share() -> u32 {
+pub(crate) fn default_share() -> u32 {
     1
 }
--- a/src/settings/spec.rs
+++ b/src/settings/spec.rs
@@ -169,14 +169,14 @@
     Alone,
 }
 
-fn default_platform_timeout_ms() -> u64 {
+pub(crate) fn default_platform_timeout_ms() -> u64 {
     1_000
 }
 
-fn default_control_bytes_per_second() -> u64 {
+pub(crate) fn default_control_bytes_per_second() -> u64 {
     4_096
 }
 
-fn default_body_memory_size() -> ByteSize {
+pub(crate) fn default_body_memory_size() -> ByteSize {
     ByteSize(128 << 20)
 }
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -45,3 +45,10 @@
         Self(format!("{domain}/{target}/{shard}").into())
     }
 }
+
+impl CustomerId {
+    /// The customer that stands for all that the manifest does not name.
+    pub fn fallback() -> Self {
+        Self("default".into())
+    }
+}
--- /dev/null
+++ b/src/yaml/scalar.rs
@@ -0,0 +1,78 @@
+//! One scalar's text as a serde input, so that every leaf type reads itself.
+
+use serde::de::DeserializeOwned;
+use serde::de::Error as _;
+use serde::de::IntoDeserializer;
+use serde::de::Visitor;
+use serde::de::value::Error;
+use serde::forward_to_deserialize_any;
+
+/// Reads a scalar's text as `T`: a number, a boolean, a name out of an enum, or a newtype.
+pub(crate) fn read<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    T::deserialize(Scalar(text))
+}
+
+struct Scalar<'a>(&'a str);
+
+impl Scalar<'_> {
+    fn whole_number(&self) -> Result<u64, Error> {
+        let number = self.0.parse();
+        number.map_err(|_| Error::custom("expected a whole number, 0 or more, without a unit"))
+    }
+}
+
+impl<'de> serde::Deserializer<'de> for Scalar<'_> {
+    type Error = Error;
+
+    fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_str(self.0)
+    }
+
+    fn deserialize_bool<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        match self.0 {
+            "true" => visitor.visit_bool(true),
+            "false" => visitor.visit_bool(false),
+            _ => Err(Error::custom("expected true or false")),
+        }
+    }
+
+    fn deserialize_u8<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_u64(self.whole_number()?)
+    }
+
+    fn deserialize_u16<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_u64(self.whole_number()?)
+    }
+
+    fn deserialize_u32<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_u64(self.whole_number()?)
+    }
+
+    fn deserialize_u64<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
+        visitor.visit_u64(self.whole_number()?)
+    }
+
+    fn deserialize_newtype_struct<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Error> {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_enum<V: Visitor<'de>>(
+        self,
+        name: &'static str,
+        variants: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Error> {
+        self.0
+            .into_deserializer()
+            .deserialize_enum(name, variants, visitor)
+    }
+
+    forward_to_deserialize_any! {
+        i8 i16 i32 i64 i128 u128 f32 f64 char str string bytes byte_buf option unit unit_struct
+        seq tuple tuple_struct map struct identifier ignored_any
+    }
+}
--- /dev/null
+++ b/tests/manifest.rs
@@ -0,0 +1,315 @@
+//! A manifest is checked whole before it is published, and says the same after a round trip.
+
+use banyanarch::manifest::CustomerSpec;
+use banyanarch::manifest::LimitsSpec;
+use banyanarch::manifest::Manifest;
+use banyanarch::manifest::ModelSpec;
+use banyanarch::manifest::PrioritySpec;
+use banyanarch::manifest::ServiceSpec;
+use banyanarch::manifest::Target;
+use banyanarch::manifest::WeightStoreSpec;
+use banyanarch::settings::Settings;
+use banyanarch::units::ByteSize;
+use banyanarch::units::CustomerId;
+use banyanarch::units::Priority;
+use banyanarch::units::RequestsPerSecond;
+use banyanarch::units::TargetId;
+use banyanarch::units::Tokens;
+use banyanarch::units::TokensPerSecond;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use yare::parameterized;
+
+const DESAI: &str = include_str!("../examples/desai/manifest.yaml");
+const ACORNLEAF: &str = include_str!("../examples/acornleaf/manifest.yaml");
+
+fn problems(text: &str) -> Vec<String> {
+    match Manifest::parse(text, "m.yaml") {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.to_string().lines().map(str::to_owned).collect(),
+    }
+}
+
+#[parameterized(
+    desai = { "desai", DESAI, &["navrangpura", "sg-highway", "gandhinagar"] },
+    acornleaf = { "acornleaf", ACORNLEAF, &["hall-a", "hall-b", "hall-c"] },
+)]
+fn examples_are_good(deployment: &str, manifest: &str, domains: &[&str]) {
+    let manifest = Manifest::parse(manifest, "manifest.yaml").unwrap();
+    assert_eq!(manifest.deployment, deployment);
+    assert_eq!(manifest.customers.len(), 10);
+    let derived: Manifest =
+        serde_saphyr::from_str(&serde_saphyr::to_string(&manifest).unwrap()).unwrap();
+    assert_eq!(derived, manifest);
+    for domain in domains {
+        let file = format!("examples/{deployment}/{deployment}-{domain}-1.yaml");
+        let settings = Settings::read(file.as_ref()).unwrap();
+        assert_eq!(settings.deployment, deployment);
+        assert_eq!(settings.failure_domain.as_str(), *domain);
+    }
+}
+
+#[test]
+fn names_are_found() {
+    let manifest = Manifest::parse(DESAI, "m.yaml").unwrap();
+    let target = |name: &str| manifest.target(&name.parse::<TargetId>().unwrap());
+    assert!(matches!(target("geet-model"), Some(Target::Model(_))));
+    assert!(matches!(
+        target("geet-model:hindi"),
+        Some(Target::Adapter {
+            adapter: "hindi",
+            ..
+        })
+    ));
+    assert!(matches!(target("adhikar-app"), Some(Target::Service(_))));
+    assert_eq!(target("geet-model:tamil"), None);
+    assert_eq!(target("v1"), None);
+    let share = |name: &str| {
+        manifest
+            .customer(&name.parse::<CustomerId>().unwrap())
+            .share
+    };
+    assert_eq!(share("garba-karaoke"), 6);
+    assert_eq!(share("a-stranger"), 1);
+    assert_eq!(manifest.rank("audit"), Some(Priority(2)));
+    assert_eq!(manifest.rank("urgent"), None);
+}
+
+/// A version that looks like a number: read as one it would become 1.1, and engines would be ordered
+/// to load a version that nobody published.
+#[parameterized(ten = { "1.10" }, octal = { "0755" }, truth = { "yes" }, hex = { "0x10" }, big = { "9e999" })]
+fn an_unquoted_version_stays_text(version: &str) {
+    let text = DESAI.replacen("version: \"2026.11\"", &format!("version: {version}"), 1);
+    let manifest = Manifest::parse(&text, "m.yaml").unwrap();
+    assert_eq!(manifest.models[0].version, version);
+}
+
+/// A build pipeline generates a manifest with several faults. One check must show them all with
+/// their lines, or the fleet keeps the old manifest for as many rounds as there are faults.
+#[test]
+fn all_problems_are_told_at_once() {
+    let text = "\
+deployment: desai
+models:
+  - name: geet-model
+    version: 1.10
+    engine_memory_tokens: -5
+    engine_slots: 64
+    prefill_speed: 12000
+    context_tokens_max: 1000000
+services:
+  - {name: v1, concurrency_max: 0}
+  - {name: v1, concurrency_max: 8}
+priorities:
+  - {name: lookup, rank: 0}
+customers:
+  - {name: a, rate: 5req/s, burst_requests: 0, priority: lookup}
+  - {name: a, rate: 5req/s, burst_requests: 9, priority: urgent}
+limits:
+  deadline_default_ms: 9000
+  deadline_max_ms: 8000
+  deadline_min_ms: 1
+";
+    let expected = [
+        "m.yaml:5: models[0].engine_memory_tokens: expected a whole number, 0 or more, without a \
+         unit (tokens), got `-5`",
+        "m.yaml:7: models[0].prefill_speed: expected a rate like 8000tok/s, got `12000`",
+        "m.yaml:10: services[0].concurrency_max: must be above 0",
+        "m.yaml:10: services[0].name: `v1` is the path of the model calls",
+        "m.yaml:11: services[1].name: `v1` is taken by services[0].name",
+        "m.yaml:11: services[1].name: `v1` is the path of the model calls",
+        "m.yaml:15: customers: has none named `default`, for all that are not listed",
+        "m.yaml:15: customers[0].burst_requests: must be above 0, or the rate lets nothing in",
+        "m.yaml:16: customers[1].name: `a` is taken by customers[0].name",
+        "m.yaml:16: customers[1].priority: `urgent` is no priority of this manifest",
+        "m.yaml:18: limits.deadline_default_ms: is above deadline_max_ms",
+        "m.yaml:20: limits.deadline_min_ms: is not known here; known are deadline_default_ms, \
+         deadline_max_ms, output_tokens_default, body_size_max",
+    ];
+    assert_eq!(problems(text), expected);
+}
+
+#[parameterized(
+    model_as_service = { "name: adhikar-app", "name: geet-model", "`geet-model` is taken by models[0]" },
+    separator = { "name: geet-model", "name: geet:model", "must not contain `:` or `/`" },
+    adapter_twice = { "[gujarati, hindi]", "[hindi, hindi]", "adapters[1]: `hindi` is listed twice" },
+    rank_twice = { "rank: 2", "rank: 1", "priorities[2].rank: `1` is taken by priorities[1].rank" },
+    percent = { "loaded_percent_min: 75", "loaded_percent_min: 101", "must be at most 100" },
+    rule = { "by_method", "sometimes", "unknown variant `sometimes`" },
+    context = { "context_tokens_max: 1048576", "context_tokens_max: 512", "leaves no room" },
+    missing = { "rank: 2", "order: 2", "priorities[2].rank: is missing" },
+    not_a_list = { "adapters: [gujarati, hindi]", "adapters: hindi", "expected a list" },
+)]
+fn a_wrong_manifest_names_the_field(from: &str, to: &str, told: &str) {
+    assert!(DESAI.contains(from));
+    let found = problems(&DESAI.replacen(from, to, 1));
+    assert!(found.iter().any(|line| line.contains(told)), "{found:#?}");
+}
+
+/// The platform refuses values above a megabyte, and a refusal there reaches the operator late.
+#[test]
+fn a_manifest_beyond_the_platforms_limit_is_refused() {
+    let text = format!("{DESAI}# {}\n", "x".repeat(1_000_000));
+    assert!(problems(&text)[0].contains("the platform holds"));
+}
+
+/// Aliases let a short file stand for an enormous one.
+#[test]
+fn an_alias_bomb_is_an_error() {
+    let mut text = String::from("a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n");
+    for n in 1..12 {
+        let names = vec![format!("*a{}", n - 1); 10].join(", ");
+        text.push_str(&format!("a{n}: &a{n} [{names}]\n"));
+    }
+    assert!(problems(&text)[0].starts_with("m.yaml:"));
+}
+
+/// Free texts; those that YAML would rather read as something else are among them.
+fn text() -> impl Strategy<Value = String> {
+    let tricky = vec![
+        "null",
+        "true",
+        "no",
+        "1.10",
+        "0x1f",
+        "1e3",
+        "~",
+        "- a",
+        "a: b",
+        "#",
+        "'",
+        "ગીત",
+    ];
+    prop_oneof![
+        prop::sample::select(tricky).prop_map(str::to_owned),
+        "[ -~]{1,16}",
+    ]
+}
+
+fn manifests() -> impl Strategy<Value = Manifest> {
+    let names = prop::collection::btree_set("[a-z0-9._@-]{3,12}", 5);
+    let texts = prop::collection::vec(text(), 4);
+    (names, texts, any::<[u16; 6]>()).prop_map(|(names, texts, numbers)| {
+        let names: Vec<String> = names.into_iter().collect();
+        build(&names, &texts, numbers.map(u64::from))
+    })
+}
+
+fn build(names: &[String], texts: &[String], numbers: [u64; 6]) -> Manifest {
+    let model = ModelSpec {
+        name: names[0].parse().unwrap(),
+        version: texts[0].clone(),
+        adapters: vec![names[1].clone(), names[2].clone()],
+        role: texts[1].clone(),
+        engine_memory_tokens: Tokens(numbers[0] + 1),
+        engine_slots: 7,
+        prefill_speed: TokensPerSecond(f64::from(u32::MAX) / (numbers[1] + 1) as f64),
+        context_tokens_max: Tokens(numbers[2] + 1_000),
+        fencing: Default::default(),
+        weight_size: ByteSize(numbers[3] << 20),
+        loaded_percent_min: 100,
+    };
+    let service = ServiceSpec {
+        name: names[3].parse().unwrap(),
+        repeatable: Default::default(),
+        key_required: numbers[4].is_multiple_of(2),
+        concurrency_max: 1,
+    };
+    let customer = |name: CustomerId| CustomerSpec {
+        name,
+        share: 3,
+        rate: RequestsPerSecond(numbers[5] as f64 / 7.0),
+        burst_requests: 9,
+        priority: texts[2].clone(),
+    };
+    let limits = LimitsSpec {
+        deadline_default_ms: numbers[4] + 1,
+        ..LimitsSpec::default()
+    };
+    Manifest {
+        deployment: texts[3].clone(),
+        objective: Default::default(),
+        models: vec![model],
+        services: vec![service],
+        customers: vec![
+            customer(CustomerId::fallback()),
+            customer(names[4].parse().unwrap()),
+        ],
+        priorities: vec![PrioritySpec {
+            name: texts[2].clone(),
+            rank: Priority(0),
+        }],
+        limits,
+        weight_store: WeightStoreSpec::default(),
+    }
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(21))]
+
+    #[test]
+    fn a_manifest_written_and_read_again_is_equal(manifest in manifests()) {
+        let text = serde_saphyr::to_string(&manifest).unwrap();
+        let again = Manifest::parse(&text, "m.yaml");
+        prop_assert_eq!(again.as_ref(), Ok(&manifest), "{}", text);
+    }
+
+    #[test]
+    fn broken_manifests_never_panic_and_name_file_and_line(
+        at in 0..DESAI.len(),
+        cut in 0_usize..60,
+        noise in prop::collection::vec(prop::sample::select(NOISE), 0..6),
+    ) {
+        let end = (at + cut).min(DESAI.len());
+        let text = format!("{}{}{}", &DESAI[..at], noise.concat(), &DESAI[end..]);
+        for line in problems(&text) {
+            let rest = line.strip_prefix("m.yaml:");
+            let number = rest.and_then(|rest| rest.split(": ").next());
+            prop_assert!(number.is_some_and(|it| it.parse::<u64>().is_ok()), "{}", line);
+        }
+    }
+}
+
+const NOISE: &[&str] = &[
+    "\n",
+    " ",
+    "\t",
+    ":",
+    "- ",
+    "[",
+    "{",
+    "&a ",
+    "*a",
+    "!!int ",
+    "\"",
+    "'",
+    "#",
+    "|",
+    "<<: ",
+    "-1",
+    "1e400",
+    "0x1f",
+    "\u{0}",
+    "ગીત",
+    "---\n",
+    "? ",
+    "~",
+];
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,167 @@
+//! Settings are checked before anything binds, and all that is wrong is told at once.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use banyanarch::settings::LogFormat;
+use banyanarch::settings::Settings;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use yare::parameterized;
+
+const GOOD: &str = include_str!("../examples/desai/desai-navrangpura-1.yaml");
+
+fn problems(text: &str) -> Vec<String> {
+    match Settings::parse(text, "host.yaml") {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.to_string().lines().map(str::to_owned).collect(),
+    }
+}
+
+#[test]
+fn fields_and_defaults_are_read() {
+    let settings = Settings::parse(GOOD, "host.yaml").unwrap();
+    let status: SocketAddr = "10.20.1.11:9090".parse().unwrap();
+    assert_eq!(settings.host.as_str(), "desai-navrangpura-1");
+    assert_eq!(settings.listen.status, status);
+    assert_eq!(settings.logs.format, LogFormat::Json);
+    assert_eq!(settings.peers.seeds.len(), 7);
+
+    let short = GOOD.split("\ndrain:").next().unwrap();
+    let settings = Settings::parse(short, "host.yaml").unwrap();
+    assert_eq!(settings.drain.notice_ms, 5_000);
+    assert_eq!(settings.logs.format, LogFormat::Text);
+    assert_eq!(settings.body_memory_size.to_string(), "128MiB");
+}
+
+/// An operator renames a key, forgets one, gives a time with a unit and two listeners one port, all
+/// in one change. The host must not start, and one run of the check must show all four, or the
+/// operator learns of them one restart after the other.
+#[test]
+fn all_problems_are_told_at_once() {
+    let text = "\
+host: a
+deployment: desai
+failure_domain: navrangpura
+listen:
+  callers: 10.0.0.1:8080
+  peers: 10.0.0.1:7070
+  status: 10.0.0.1:8080
+platform:
+  address: 10.0.0.9:8443
+  timeout_ms: 5s
+peers:
+  kyes: []
+threads: -1
+";
+    let expected = [
+        "host.yaml:7: listen.status: 10.0.0.1:8080 is taken by listen.callers",
+        "host.yaml:10: platform.timeout_ms: expected a whole number, 0 or more, without a unit \
+         (milliseconds), got `5s`",
+        "host.yaml:12: peers.keys: is missing",
+        "host.yaml:12: peers.kyes: is not known here; known are seeds, keys, \
+         control_bytes_per_second",
+        "host.yaml:13: threads: expected a whole number, 0 or more, without a unit, got `-1`",
+    ];
+    assert_eq!(problems(text), expected);
+}
+
+#[parameterized(
+    short_secret = { "replace-me-before-use", "short", "peers.keys[0].secret: must have at least" },
+    unit_missing = { "body_memory_size: 128MiB", "body_memory_size: 128", "expected a size like" },
+    seed_twice = { "desai-sg-highway-2", "desai-sg-highway-1", "is named by seeds[3] too" },
+    seed_elsewhere = { "\"10.20.1.11:7070\"", "\"10.20.9.9:7070\"", "is not where desai-navrangpura-1" },
+    peers_unspecified = { "peers: 10.20.1.11", "peers: 0.0.0.0", "must be an address that other" },
+    platform_port = { "10.20.0.5:8443", "10.20.0.5:0", "must be an address and port to connect to" },
+    level = { "level: info", "level: loud", "must be one of off, error, warn" },
+    format = { "format: json", "format: xml", "unknown variant `xml`" },
+    no_value = { "host: desai-navrangpura-1\n", "host:\n", "host: has no value" },
+    a_list = { "deployment: desai", "deployment: [desai]", "expected one value, not a list" },
+    twice = { "deployment: desai", "deployment: desai\nhost: b", "host: is given twice, first in line 2" },
+    tab = { "  callers:", "\tcallers:", "(syntax)" },
+)]
+fn wrong_settings_name_line_and_field(from: &str, to: &str, told: &str) {
+    assert!(GOOD.contains(from));
+    let found = problems(&GOOD.replacen(from, to, 1));
+    let place = found.iter().find(|line| line.contains(told));
+    let place = place.unwrap_or_else(|| panic!("{told} is not among {found:#?}"));
+    let line = place
+        .strip_prefix("host.yaml:")
+        .and_then(|rest| rest.split(':').next());
+    assert!(line.unwrap().parse::<usize>().is_ok(), "{place}");
+}
+
+/// Settings end up in logs when they are wrong. A secret must not.
+#[test]
+fn a_wrong_secret_is_not_repeated() {
+    let found = problems(&GOOD.replace("replace-me-before-use", "hush-hush"));
+    assert!(
+        found[0].contains("secret") && !found[0].contains("hush"),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn a_missing_file_is_told_with_its_name() {
+    let error = Settings::read(Path::new("/nonexistent/host.yaml")).unwrap_err();
+    assert!(
+        error
+            .to_string()
+            .starts_with("/nonexistent/host.yaml:1: (file): can't be read")
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn broken_settings_never_panic_and_name_file_and_line(
+        at in 0..GOOD.len(),
+        cut in 0_usize..40,
+        noise in prop::collection::vec(prop::sample::select(NOISE), 0..6),
+    ) {
+        let end = (at + cut).min(GOOD.len());
+        let text = format!("{}{}{}", &GOOD[..at], noise.concat(), &GOOD[end..]);
+        for line in problems(&text) {
+            let rest = line.strip_prefix("host.yaml:");
+            let number = rest.and_then(|rest| rest.split(": ").next());
+            prop_assert!(number.is_some_and(|it| it.parse::<u64>().is_ok()), "{}", line);
+        }
+    }
+}
+
+const NOISE: &[&str] = &[
+    "\n",
+    " ",
+    "\t",
+    ":",
+    "- ",
+    "[",
+    "{",
+    "&a ",
+    "*a",
+    "!!int ",
+    "\"",
+    "'",
+    "#",
+    "|",
+    "<<: ",
+    "-1",
+    "1e400",
+    "0x1f",
+    "\u{0}",
+    "ગીત",
+    "---\n",
+    "? ",
+    "~",
+];
