--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod settings;
 pub mod units;
 pub mod upstream;
+pub mod yaml;
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -64,3 +64,10 @@
         Self("followed".into())
     }
 }
+
+impl CustomerId {
+    /// The customer that stands for all that the manifest does not name.
+    pub fn fallback() -> Self {
+        Self("default".into())
+    }
+}
