The daemon serves the whole path with one host

Cause: the parts need a process around them. Change: settings to ports, the platform's machines and manifest, homes, polls, health and status pages, drain on SIGTERM. Ruled out: reading a watch to its end, which left a new manifest unseen until the watch timed out; a watch now returns with its first lines. Figures: by hand on loopback, platform, two engines, one service and one host as processes: a whole, a streamed and a service call completed.

--- a/src/bin/banyanarchd.rs
+++ b/src/bin/banyanarchd.rs
@@ -1,3 +1,68 @@
 //! The daemon.
 
-fn main() {}
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use banyanarch::daemon;
+use banyanarch::daemon::DaemonError;
+use banyanarch::settings::EXIT_BAD_SETTINGS;
+use banyanarch::settings::run_daemon_check;
+use pico_args::Arguments;
+
+const USAGE: &str = "
+Serves requests of callers from the upstreams of one fleet.
+
+Usage:
+    banyanarchd --settings FILE
+    banyanarchd --check FILE
+    banyanarchd --help | --version
+
+Options:
+    --settings FILE    Run with these settings.
+    --check FILE       Check these settings and bind nothing.
+
+Exit codes: 0 drained or good, 1 failed while running, 2 bad settings or command line.
+";
+
+fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    if args.contains(["-V", "--version"]) {
+        println!("banyanarchd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let check_path = args.opt_value_from_str::<_, PathBuf>("--check");
+    let settings_path = args.opt_value_from_str::<_, PathBuf>("--settings");
+    match (check_path, settings_path) {
+        (Ok(Some(path)), Ok(None)) => check(&path),
+        (Ok(None), Ok(Some(path))) => run(&path),
+        _ => {
+            eprint!("{USAGE}");
+            ExitCode::from(EXIT_BAD_SETTINGS)
+        }
+    }
+}
+
+fn check(path: &Path) -> ExitCode {
+    let checked = run_daemon_check(path);
+    println!("{}", checked.report.trim_end());
+    ExitCode::from(checked.exit_code)
+}
+
+fn run(path: &Path) -> ExitCode {
+    match daemon::run(path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(DaemonError::Settings(errors)) => {
+            eprintln!("{errors}");
+            ExitCode::from(EXIT_BAD_SETTINGS)
+        }
+        Err(err) => {
+            eprintln!("banyanarchd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/error.rs
@@ -0,0 +1,59 @@
+//! What keeps a daemon from starting.
+
+use std::error::Error;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+use crate::settings::SettingsErrors;
+
+/// Why a daemon could not start.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// The settings are wrong.
+    Settings(SettingsErrors),
+    /// An address could not be bound.
+    Bind {
+        /// Which listener, as the settings name it.
+        field: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The runtime or signals could not be set up.
+    Io(io::Error),
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(errors) => errors.fmt(f),
+            Self::Bind {
+                field,
+                addr,
+                source,
+            } => {
+                write!(
+                    f,
+                    "settings field {field}: cannot listen on {addr}: {source}"
+                )
+            }
+            Self::Io(err) => err.fmt(f),
+        }
+    }
+}
+
+impl Error for DaemonError {}
+
+impl From<SettingsErrors> for DaemonError {
+    fn from(errors: SettingsErrors) -> Self {
+        Self::Settings(errors)
+    }
+}
+
+impl From<io::Error> for DaemonError {
+    fn from(err: io::Error) -> Self {
+        Self::Io(err)
+    }
+}
--- /dev/null
+++ b/src/daemon/poll.rs
@@ -0,0 +1,82 @@
+//! Asks upstreams for their load and cache events, for the homes on this host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::control::home::HomeEvent;
+use crate::entry::UpstreamDirectory;
+use crate::fleet::HomeDesk;
+use crate::fleet::HomeMap;
+use crate::units::UpstreamId;
+
+/// Reports lag by about as much at the engine already; asking more often tells nothing new.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Polls the upstreams of the homes on this host.
+pub(crate) async fn keep(
+    desk: Arc<HomeDesk>,
+    map: Arc<dyn HomeMap>,
+    upstreams: Arc<dyn UpstreamDirectory>,
+) {
+    let mut seqs: IndexMap<UpstreamId, u64> = IndexMap::new();
+    loop {
+        sleep(PAUSE).await;
+        let mut asked = JoinSet::new();
+        let ids = desk
+            .pools()
+            .into_iter()
+            .flat_map(|(pool, _)| map.upstreams_of(&pool));
+        for id in ids {
+            let after_seq = seqs.get(&id).copied().unwrap_or(0);
+            asked.spawn(poll_one(
+                Arc::clone(&desk),
+                Arc::clone(&upstreams),
+                id,
+                after_seq,
+            ));
+        }
+        while let Some(polled) = asked.join_next().await {
+            if let Ok((id, seq)) = polled {
+                seqs.insert(id, seq);
+            }
+        }
+    }
+}
+
+async fn poll_one(
+    desk: Arc<HomeDesk>,
+    upstreams: Arc<dyn UpstreamDirectory>,
+    id: UpstreamId,
+    after_seq: u64,
+) -> (UpstreamId, u64) {
+    let Some(client) = upstreams.upstream(&id) else {
+        return (id, after_seq);
+    };
+    if let Ok(report) = client.load().await {
+        let event = HomeEvent::Report {
+            upstream: id.clone(),
+            report,
+        };
+        desk.tell_of_upstream(&id, &event);
+    }
+    let Ok(events) = client.cache_events(after_seq).await else {
+        return (id, after_seq);
+    };
+    let seq = events
+        .iter()
+        .map(|event| event.seq)
+        .max()
+        .unwrap_or(after_seq);
+    if !events.is_empty() {
+        let event = HomeEvent::CacheEvents {
+            upstream: id.clone(),
+            events,
+        };
+        desk.tell_of_upstream(&id, &event);
+    }
+    (id, seq)
+}
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,44 @@
+//! From the settings to the end of the process.
+
+use std::path::Path;
+
+use log::info;
+use tokio::runtime::Builder;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::daemon::DaemonError;
+use crate::daemon::host::Host;
+use crate::settings::Settings;
+
+/// Runs a daemon until it has drained after SIGTERM or SIGINT, or until the second of them.
+pub fn run(settings_path: &Path) -> Result<(), DaemonError> {
+    let settings = Settings::read(settings_path)?;
+    let mut runtime = Builder::new_multi_thread();
+    if settings.threads > 0 {
+        runtime.worker_threads(settings.threads);
+    }
+    let runtime = runtime.enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let host = Host::start(settings).await?;
+    any_of(&mut terminate, &mut interrupt).await;
+    info!("daemon: drains, a second signal ends it at once");
+    tokio::select! {
+        () = host.drain() => info!("daemon: drained"),
+        () = any_of(&mut terminate, &mut interrupt) => info!("daemon: ends at once"),
+    }
+    Ok(())
+}
+
+async fn any_of(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/src/platform/http/mod.rs
+++ b/src/platform/http/mod.rs
@@ -7,12 +7,14 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use log::debug;
+use tokio::time::timeout;
 
 use crate::http::ChunksBody;
 use crate::http::HttpClient;
@@ -68,6 +70,31 @@
         }
     }
 
+    /// Reads a watch up to the end of its first lines. The service would hold it open to send later
+    /// changes too; they come with the next watch.
+    async fn first_lines(&self, path: &str) -> Result<Vec<u8>, PlatformError> {
+        let req = Request::get(path).body(ChunksBody::default());
+        let req = req.map_err(|err| PlatformError::Refused(err.to_string()))?;
+        let res = self
+            .client
+            .send(req)
+            .await
+            .map_err(|err| read_error(&err))?;
+        if res.status() != StatusCode::OK {
+            return Err(PlatformError::Unavailable(res.status().to_string()));
+        }
+        let mut body = res.into_body();
+        let mut lines = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| PlatformError::Unavailable(err.to_string()))?;
+            lines.extend_from_slice(frame.data_ref().map_or(&[], Bytes::as_ref));
+            if lines.ends_with(b"\n") {
+                break;
+            }
+        }
+        Ok(lines)
+    }
+
     async fn write(
         &self,
         key: &ObjectKey,
@@ -154,7 +181,9 @@
                 kind.plural()
             );
             let limit = Duration::from_secs(wait_s) + WATCH_GRACE;
-            let body = self.read(&path, limit).await?;
+            let body = timeout(limit, self.first_lines(&path)).await;
+            let body =
+                body.map_err(|_| PlatformError::Unavailable("watch timed out".to_owned()))??;
             let mut list = ObjectList {
                 items: Vec::new(),
                 version: after,
