The shipped policy: queue, lanes, ledger, placement, gangs, estimates, ejection

Cause: the home dispatched each request at once, so short prompts shared engines with long ones and saturation was worked off in the order of arrival. Ruled out: one queue for all lengths (a long head blocks short ones), and a split that follows each change at once. Change: each decision as a small module of its own, put together by one policy for engines and one for plain services; small fake engines with a clock moved by hand, and an example that plays loads against each policy.

--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -27,6 +27,8 @@
     pub customers: IndexMap<CustomerId, CustomerShare>,
     /// What holds for a customer that is not listed.
     pub default_customer: CustomerShare,
+    /// The account of all customers that are not listed.
+    pub default_account: CustomerId,
 }
 
 /// What the upstreams of a pool are.
@@ -79,6 +81,7 @@
             kind,
             customers,
             default_customer,
+            default_account: DEFAULT_CUSTOMER.parse().ok()?,
         })
     }
 
--- /dev/null
+++ b/src/decide/engine_fleet.rs
@@ -0,0 +1,243 @@
+//! The engines of one pool: who is in, who is out, and what each has been given.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+
+use crate::decide::Done;
+use crate::decide::EjectionStep;
+use crate::decide::Ended;
+use crate::decide::Hold;
+use crate::decide::LaneSplit;
+use crate::decide::LiveGrant;
+use crate::decide::PoolMedian;
+use crate::decide::PoolUpstream;
+use crate::decide::SpeedEstimate;
+use crate::decide::SplitInput;
+use crate::decide::UpstreamHealth;
+use crate::decide::UpstreamSeen;
+use crate::decide::WarmUp;
+use crate::decide::estimator::token_gap_seconds;
+use crate::manifest::Objective;
+use crate::units::Tokens;
+use crate::units::TokensPerSecond;
+use crate::units::UpstreamId;
+
+/// At most this part of a pool is out at the same time: with more out, the rest would drown, and
+/// what looks like many bad engines is more probably something else.
+const OUT_PART_MAX: f64 = 0.5;
+/// Upstreams that are new together are warmed in steps only while they are at most this part of the
+/// pool: there must be others that carry the load meanwhile.
+const COLD_PART_MAX: f64 = 0.5;
+/// How often stalls are looked for.
+const STALL_CHECK: Duration = Duration::from_secs(1);
+
+/// The engines of one pool.
+#[derive(Debug)]
+pub(crate) struct EngineFleet {
+    pub(crate) upstreams: IndexMap<UpstreamId, PoolUpstream>,
+    pub(crate) split: LaneSplit,
+    first_speed: TokensPerSecond,
+    stalls_checked_at: Option<Instant>,
+}
+
+impl EngineFleet {
+    pub(crate) fn new(objective: Objective, first_speed: TokensPerSecond) -> Self {
+        Self {
+            upstreams: IndexMap::new(),
+            split: LaneSplit::new(objective),
+            first_speed,
+            stalls_checked_at: None,
+        }
+    }
+
+    /// Takes in the list. One that has vanished stays, closed, until its grants have ended.
+    pub(crate) fn set(&mut self, seen: &[UpstreamSeen], now: Instant) {
+        let is_new = |seen: &&UpstreamSeen| !self.upstreams.contains_key(&seen.id);
+        let new = seen.iter().filter(is_new).count();
+        let is_cold =
+            (new as f64) <= COLD_PART_MAX * seen.len() as f64 && !self.upstreams.is_empty();
+        let speed = self.first_estimate();
+        for upstream in self.upstreams.values_mut() {
+            upstream.seen.health = UpstreamHealth::Leaving;
+        }
+        for seen in seen {
+            let warm_up = if is_cold {
+                WarmUp::cold(now)
+            } else {
+                WarmUp::warm(now)
+            };
+            let new = || PoolUpstream::new(seen.clone(), speed, warm_up, now);
+            let upstream = self.upstreams.entry(seen.id.clone()).or_insert_with(new);
+            upstream.seen = seen.clone();
+        }
+        self.drop_gone();
+        self.upstreams.sort_unstable_keys();
+    }
+
+    /// Lets the prefill of all engines go on until `now`, and follows the load.
+    pub(crate) fn advance(
+        &mut self,
+        long_waited: Option<Duration>,
+        now: Instant,
+        rng: &mut StdRng,
+    ) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.ledger.advance(now);
+        }
+        let since_check = |at| now.saturating_duration_since(at);
+        if self
+            .stalls_checked_at
+            .is_none_or(|at| since_check(at) >= STALL_CHECK)
+        {
+            self.stalls_checked_at = Some(now);
+            self.eject_stalled(now, rng);
+        }
+        let input = SplitInput {
+            upstreams: self.open(now).count(),
+            speed: self.median(now).speed.max(1.0),
+            long_waited,
+        };
+        self.split.update(&input, now);
+    }
+
+    pub(crate) fn open(&self, now: Instant) -> impl Iterator<Item = &PoolUpstream> {
+        self.upstreams
+            .values()
+            .filter(move |upstream| upstream.is_open(now))
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &PoolUpstream> {
+        self.upstreams
+            .values()
+            .filter(|upstream| upstream.is_live())
+    }
+
+    /// Enters a grant at each of its engines.
+    pub(crate) fn hold(&mut self, grant: &LiveGrant, hold: &Hold, now: Instant) {
+        for id in &grant.upstreams {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.on_grant(now);
+                upstream.prefix.on_grant(&grant.work);
+                upstream.ledger.advance(now);
+                upstream.ledger.hold(grant.id, hold.clone());
+            }
+        }
+    }
+
+    /// Ends a grant at each of its engines, and learns from it.
+    pub(crate) fn finish(
+        &mut self,
+        grant: &LiveGrant,
+        hinted: Tokens,
+        done: &Done,
+        now: Instant,
+        rng: &mut StdRng,
+    ) {
+        for id in &grant.upstreams {
+            let Some(upstream) = self.upstreams.get_mut(id) else {
+                continue;
+            };
+            upstream.ledger.advance(now);
+            let hold = upstream.ledger.release(&grant.id);
+            if grant.upstreams.len() > 1 {
+                // Which member failed is not known, and a gang's speed is not that of one engine.
+                upstream.on_progress(None, now);
+                continue;
+            }
+            upstream.on_progress(token_gap_seconds(done), now);
+            upstream.prefix.on_done(&grant.work, hinted, done);
+            if let (Some(hold), Some(first_token)) = (hold, done.first_token) {
+                let others = upstream.ledger.others_prefill(&hold);
+                let own = prefill_done(&hold, done);
+                upstream.ledger.speed.observe(own, others, first_token);
+            }
+            self.judge(id, done.ended, now, rng);
+        }
+        self.drop_gone();
+    }
+
+    pub(crate) fn median(&self, now: Instant) -> PoolMedian {
+        PoolMedian::of(self.open(now))
+    }
+
+    /// Prefill a second over all engines that may get work.
+    pub(crate) fn speed(&self, now: Instant) -> f64 {
+        self.open(now)
+            .map(|upstream| upstream.ledger.speed.get())
+            .sum()
+    }
+
+    fn judge(&mut self, id: &UpstreamId, ended: Ended, now: Instant, rng: &mut StdRng) {
+        let median = self.median(now);
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let is_slow = upstream.is_slow(&median);
+        let was_out = upstream.ejection.is_out();
+        let step = upstream.ejection.on_end(ended);
+        if ended == Ended::Completed {
+            upstream.warm_up.on_success(now);
+        }
+        match step {
+            EjectionStep::Return if is_slow => upstream.ejection.eject(now, rng),
+            EjectionStep::Return => upstream.warm_up = WarmUp::cold(now),
+            EjectionStep::Eject => self.eject(id, now, rng),
+            EjectionStep::Stay if is_slow && !was_out => self.eject(id, now, rng),
+            EjectionStep::Stay => {}
+        }
+    }
+
+    fn eject(&mut self, id: &UpstreamId, now: Instant, rng: &mut StdRng) {
+        let live = self.live().count();
+        let out = self
+            .live()
+            .filter(|u| u.ejection.is_out() && u.seen.id != *id)
+            .count();
+        if (out + 1) as f64 > live as f64 * OUT_PART_MAX {
+            return;
+        }
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.ejection.eject(now, rng);
+        }
+    }
+
+    fn eject_stalled(&mut self, now: Instant, rng: &mut StdRng) {
+        let is_stalled = |u: &&PoolUpstream| u.is_stalled(now) && !u.ejection.is_out();
+        let stalled: Vec<UpstreamId> = self
+            .live()
+            .filter(is_stalled)
+            .map(|u| u.seen.id.clone())
+            .collect();
+        for id in stalled {
+            self.eject(&id, now, rng);
+        }
+    }
+
+    /// What a new engine is expected to do: the same as those that are known.
+    fn first_estimate(&self) -> SpeedEstimate {
+        let median = PoolMedian::of(self.upstreams.values()).speed;
+        let speed = if median > 0.0 {
+            TokensPerSecond(median)
+        } else {
+            self.first_speed
+        };
+        SpeedEstimate::new(speed)
+    }
+
+    fn drop_gone(&mut self) {
+        self.upstreams
+            .retain(|_, upstream| upstream.is_live() || upstream.running() > 0);
+    }
+}
+
+/// The prefill that the engine did for a grant, by its own word where it gave one.
+fn prefill_done(hold: &Hold, done: &Done) -> Tokens {
+    if done.prompt_tokens == Tokens::ZERO {
+        hold.prefill_tokens
+    } else {
+        done.prompt_tokens.saturating_sub(done.cached_tokens)
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,25 +1,73 @@
 //! The decisions under load, without I/O: what is let in, what waits, where work goes.
 //!
 //! The home host of a pool runs one [`Policy`]: it sees every request for that pool's upstreams and
-//! keeps the ledger of their memory and prefill work. Time is passed in.
+//! keeps the ledger of their memory and prefill work. Time is passed in. Each decision has a module
+//! of its own; [`shipped`] puts them together, [`baseline`] holds what it is measured against.
+//! docs/DECISIONS.md gives the measured figures.
 
+mod admission;
 pub mod baseline;
+mod concurrency;
 mod config;
+mod customer_bucket;
+mod drain_rate;
+mod ejection;
+mod engine_fleet;
 mod engine_priority;
+pub(crate) mod estimator;
 mod gang;
+mod hold;
+mod intake;
+mod lane;
+mod lane_split;
+mod ledger;
+pub(crate) mod placement;
 mod poison;
 mod poison_mark;
 mod policies;
 mod policy;
+mod pool_upstream;
+mod prefix;
+mod queue;
+mod rank_queue;
 mod retry;
+mod retry_after;
 mod retry_verdict;
+mod service_upstream;
+pub mod shipped;
+mod speed;
+mod waiting;
+mod warm_up;
 mod work;
 
+pub use admission::Admission;
+pub use admission::Forecast;
+pub use concurrency::ConcurrencyLimit;
 pub use config::CustomerShare;
 pub use config::PolicyConfig;
 pub use config::PoolKind;
+pub use customer_bucket::CustomerBucket;
+pub use drain_rate::DrainRate;
+pub use ejection::Access;
+pub use ejection::Ejection;
+pub use ejection::EjectionStep;
+pub(crate) use engine_fleet::EngineFleet;
 pub use engine_priority::engine_priority;
+pub use estimator::Estimator;
+pub use gang::GangPlan;
+pub use gang::Reservation;
+pub use gang::gang_has_room;
 pub use gang::gang_share;
+pub use gang::plan_gang;
+pub use hold::Hold;
+pub(crate) use intake::Intake;
+pub use lane::Lane;
+pub use lane::is_heavy;
+pub use lane_split::LaneSplit;
+pub use lane_split::SplitInput;
+pub use ledger::UpstreamLedger;
+pub use placement::Placement;
+pub use placement::Places;
 pub use poison::PoisonList;
 pub use poison_mark::Poison;
 pub use poison_mark::PoisonMark;
@@ -34,9 +82,18 @@
 pub use policy::RefuseReason;
 pub use policy::UpstreamHealth;
 pub use policy::UpstreamSeen;
+pub use pool_upstream::PoolMedian;
+pub use pool_upstream::PoolUpstream;
+pub use prefix::PrefixHints;
+pub use queue::FairQueue;
 pub use retry::RetryBudget;
+pub use retry_after::retry_after;
 pub use retry_verdict::FailedAttempt;
 pub use retry_verdict::RetryStop;
 pub use retry_verdict::RetryVerdict;
+pub use service_upstream::ServiceUpstream;
+pub use speed::SpeedEstimate;
+pub use waiting::Waiting;
+pub use warm_up::WarmUp;
 pub use work::LengthClass;
 pub use work::Work;
--- /dev/null
+++ b/src/decide/placement.rs
@@ -0,0 +1,233 @@
+//! Which upstream a request goes to, or whether it had better wait.
+//!
+//! Load it answers: upstreams of unlike load, speed and cache. The cost compared is the time to the
+//! first token: the prefill that the prompt's cached prefix leaves, beside what prefills there.
+//! Without it requests are spread by number, and a clause lookup shares an engine with a catalogue.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::Access;
+use crate::decide::Lane;
+use crate::decide::PoolUpstream;
+use crate::decide::Waiting;
+use crate::decide::is_heavy;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// Short prefill that an upstream may have left when it gets more: it covers the round trip of the
+/// next grant, so that the engine does not run dry, and keeps all else in the home's queue, where
+/// order can still be decided.
+const HEADROOM: Duration = Duration::from_millis(30);
+/// Long prefills that one upstream carries at once, a heavy one among them at most.
+const LONG_PREFILLS_MAX: usize = 2;
+/// An attempt that runs makes each step a little longer. It also spreads equals.
+const RUNNING_COST: f64 = 0.000_5;
+/// Waiting for a better upstream must save this part of the time, since the wait is a forecast.
+const WAIT_GAIN: f64 = 0.8;
+/// A probe may cost its caller a retry, so there must be time for many such requests.
+const PROBE_TIME_FACTOR: u32 = 10;
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Placement {
+    /// To this upstream.
+    Go {
+        /// Its index.
+        index: usize,
+        /// The expected time to the first token.
+        first_token: Duration,
+        /// The prefill expected there.
+        prefill_tokens: f64,
+        /// Why, in a few words.
+        why: &'static str,
+    },
+    /// Nowhere yet.
+    Wait,
+}
+
+/// A pool's upstreams, as placement sees them.
+#[derive(Debug)]
+pub struct Places<'a> {
+    /// The upstreams.
+    pub upstreams: &'a IndexMap<UpstreamId, PoolUpstream>,
+    /// How many of those that may get work are open to long prefill, from the front.
+    pub open_to_long: usize,
+    /// Now.
+    pub now: Instant,
+}
+
+/// What one upstream offers a request.
+struct Offer {
+    index: usize,
+    seconds: f64,
+    prefill: f64,
+    is_cached: bool,
+    is_ready: bool,
+    /// How long until it is ready.
+    ready_seconds: f64,
+}
+
+impl Places<'_> {
+    /// Where a request of this lane goes.
+    pub fn choose(&self, waiting: &Waiting, lane: Lane) -> Placement {
+        if let Some(placement) = self.probe(waiting, lane) {
+            return placement;
+        }
+        let avoids = self.can_avoid(waiting);
+        let mut best: Option<Offer> = None;
+        let mut soonest = f64::INFINITY;
+        let mut rank = 0;
+        for (index, upstream) in self.upstreams.values().enumerate() {
+            if !upstream.is_open(self.now) {
+                continue;
+            }
+            rank += 1;
+            if avoids && waiting.work.avoid.contains(&upstream.seen.id) {
+                continue;
+            }
+            let is_open_to_long = rank <= self.open_to_long;
+            let Some(offer) = self.offer(waiting, lane, index, upstream, is_open_to_long) else {
+                continue;
+            };
+            if !offer.is_ready {
+                soonest = soonest.min(offer.ready_seconds + offer.seconds);
+            } else if best
+                .as_ref()
+                .is_none_or(|best| offer.seconds < best.seconds)
+            {
+                best = Some(offer);
+            }
+        }
+        match best {
+            Some(best) if soonest >= best.seconds * WAIT_GAIN => best.placement(),
+            _ => Placement::Wait,
+        }
+    }
+
+    /// What an upstream offers; none if it has no room or is not open to such work.
+    fn offer(
+        &self,
+        waiting: &Waiting,
+        lane: Lane,
+        index: usize,
+        upstream: &PoolUpstream,
+        is_open_to_long: bool,
+    ) -> Option<Offer> {
+        let ledger = &upstream.ledger;
+        let prompt = waiting.prompt_tokens.as_f64();
+        let cached = upstream.prefix.cached_tokens(&waiting.work).min(prompt);
+        let prefill = prompt - cached;
+        let speed = ledger.speed.get();
+        let lane_here = match lane {
+            Lane::Short => Lane::Short,
+            Lane::Long => Lane::of(whole(prefill)),
+        };
+        let fits = ledger.free_tokens(upstream.seen.memory_tokens) >= waiting.memory_tokens();
+        let has_suspect = || ledger.holds().values().any(|hold| hold.is_suspect);
+        if !fits || !upstream.has_slot(self.now) || (waiting.is_suspect() && has_suspect()) {
+            return None;
+        }
+        if lane_here == Lane::Long && !(is_open_to_long && self.takes_long(upstream)) {
+            return None;
+        }
+        let (is_ready, ready_seconds) = readiness(upstream, lane_here, prefill);
+        // Until it is ready the upstream works off what it has.
+        let beside = if is_ready {
+            ledger.work_until(prefill)
+        } else {
+            prefill
+        };
+        Some(Offer {
+            index,
+            seconds: beside / speed + RUNNING_COST * upstream.running() as f64,
+            prefill,
+            is_cached: cached > 0.0,
+            is_ready,
+            ready_seconds,
+        })
+    }
+
+    fn takes_long(&self, upstream: &PoolUpstream) -> bool {
+        upstream.warm_up.takes_long(self.now) && !upstream.ledger.is_reserved()
+    }
+
+    /// An upstream that was taken out and may be tried: it gets a short request that has time.
+    fn probe(&self, waiting: &Waiting, lane: Lane) -> Option<Placement> {
+        if lane == Lane::Long || waiting.is_suspect() {
+            return None;
+        }
+        let may_probe = |upstream: &PoolUpstream| {
+            let memory = upstream.ledger.free_tokens(upstream.seen.memory_tokens);
+            upstream.access(self.now) == Access::Probe && memory >= waiting.memory_tokens()
+        };
+        let index = self.upstreams.values().position(may_probe)?;
+        let prefill = waiting.prompt_tokens.as_f64();
+        let seconds = prefill / self.upstreams[index].ledger.speed.get();
+        let first_token = duration(seconds);
+        let remaining = waiting.work.deadline.saturating_duration_since(self.now);
+        let has_time = remaining >= first_token.saturating_mul(PROBE_TIME_FACTOR);
+        has_time.then_some(Placement::Go {
+            index,
+            first_token,
+            prefill_tokens: prefill,
+            why: "probe",
+        })
+    }
+
+    /// Whether there is an upstream that has not failed the request.
+    fn can_avoid(&self, waiting: &Waiting) -> bool {
+        let avoid = &waiting.work.avoid;
+        let mut open = self.upstreams.values().filter(|u| u.is_open(self.now));
+        !avoid.is_empty() && open.any(|upstream| !avoid.contains(&upstream.seen.id))
+    }
+}
+
+impl Offer {
+    fn placement(&self) -> Placement {
+        let why = if self.is_cached {
+            "cached prefix"
+        } else {
+            "least prefill work"
+        };
+        Placement::Go {
+            index: self.index,
+            first_token: duration(self.seconds),
+            prefill_tokens: self.prefill,
+            why,
+        }
+    }
+}
+
+/// Whether an upstream may get such prefill now, and when else.
+fn readiness(upstream: &PoolUpstream, lane: Lane, prefill: f64) -> (bool, f64) {
+    let ledger = &upstream.ledger;
+    let speed = ledger.speed.get();
+    match lane {
+        Lane::Short => {
+            let over = ledger.lane_backlog(Lane::Short) / speed - HEADROOM.as_secs_f64();
+            (over <= 0.0, over.max(0.0))
+        }
+        Lane::Long => {
+            let (long, heavy) = ledger.long_prefills();
+            let is_ready = long < LONG_PREFILLS_MAX && !(heavy > 0 && is_heavy(whole(prefill)));
+            (is_ready, ledger.backlog() / speed)
+        }
+    }
+}
+
+/// Seconds as a duration.
+pub(crate) fn duration(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "a float saturates when it becomes a whole number"
+)]
+#[allow(clippy::cast_sign_loss, reason = "never negative")]
+pub(crate) fn whole(tokens: f64) -> Tokens {
+    Tokens(tokens.max(0.0) as u64)
+}
--- /dev/null
+++ b/tests/decide_fakes/bench.rs
@@ -0,0 +1,366 @@
+//! Plays a load against one policy, or several that share the engines.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::clock::Clock;
+use banyanarch::clock::ManualClock;
+use banyanarch::decide::Decision;
+use banyanarch::decide::Done;
+use banyanarch::decide::Ended;
+use banyanarch::decide::FailedAttempt;
+use banyanarch::decide::Grant;
+use banyanarch::decide::Policy;
+use banyanarch::decide::RetryBudget;
+use banyanarch::decide::RetryVerdict;
+use banyanarch::decide::UpstreamHealth;
+use banyanarch::decide::UpstreamSeen;
+use banyanarch::decide::Work;
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
+use banyanarch::units::GrantId;
+use banyanarch::units::RequestId;
+use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
+use banyanarch::upstream::LoadReport;
+use indexmap::IndexMap;
+
+use super::Engine;
+use super::Load;
+use super::Outcome;
+use super::Outcomes;
+use super::engine::Event;
+
+const STEP: Duration = Duration::from_millis(5);
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+pub struct Bench {
+    clock: ManualClock,
+    policies: Vec<Box<dyn Policy>>,
+    pub engines: Vec<Engine>,
+    flights: IndexMap<AttemptId, Flight>,
+    outcomes: Vec<Outcome>,
+    again: Vec<(Instant, usize, Vec<UpstreamId>)>,
+    pub budget: Option<RetryBudget>,
+    /// Engines that are down, with from and to in seconds.
+    pub outage: Option<(std::ops::Range<usize>, f64, f64)>,
+    /// Changes a report before it is delivered.
+    pub report_as: fn(LoadReport) -> LoadReport,
+    pub decided_in: Duration,
+    start: Instant,
+}
+
+struct Flight {
+    call: usize,
+    policy: usize,
+    engines: Vec<usize>,
+    work: Work,
+    since: Instant,
+    prefills: usize,
+    first_token: Option<Duration>,
+    cached: u64,
+}
+
+impl Bench {
+    pub fn new(engines: Vec<Engine>, policies: Vec<Box<dyn Policy>>) -> Self {
+        let clock = ManualClock::new();
+        let start = clock.now();
+        Self {
+            clock,
+            policies,
+            engines,
+            flights: IndexMap::new(),
+            outcomes: Vec::new(),
+            again: Vec::new(),
+            budget: None,
+            outage: None,
+            report_as: |report| report,
+            decided_in: Duration::ZERO,
+            start,
+        }
+    }
+
+    /// Plays the load to its end and returns what callers got, in the order of their requests.
+    pub fn play(mut self, load: Load) -> (Outcomes, Self) {
+        let mut asks = load.asks;
+        asks.sort_by_key(|ask| ask.at);
+        let last = asks
+            .iter()
+            .map(|ask| ask.at + ask.limit)
+            .max()
+            .unwrap_or_default();
+        self.outcomes = asks.iter().map(Outcome::of).collect();
+        self.list_engines();
+        let mut reports: Vec<LoadReport> = self.engines.iter().map(Engine::report).collect();
+        let (mut next, mut elapsed) = (0, Duration::ZERO);
+        while elapsed <= last && (next < asks.len() || !self.is_at_rest()) {
+            while asks.get(next).is_some_and(|ask| ask.at <= elapsed) {
+                self.offer(next, Vec::new());
+                next += 1;
+            }
+            self.offer_again();
+            self.poll();
+            self.set_outage(elapsed.as_secs_f64());
+            self.step();
+            if elapsed.as_millis() % REPORT_EVERY.as_millis() == 0 {
+                self.deliver(&reports);
+                reports = self.engines.iter().map(Engine::report).collect();
+            }
+            self.clock.advance(STEP);
+            elapsed += STEP;
+        }
+        (Outcomes(std::mem::take(&mut self.outcomes)), self)
+    }
+
+    pub fn policy(&self, index: usize) -> &dyn Policy {
+        &*self.policies[index]
+    }
+
+    fn is_at_rest(&self) -> bool {
+        let now = self.clock.now();
+        let is_waiting = |policy: &dyn Policy| policy.load(now).waiting > 0;
+        self.flights.is_empty()
+            && self.again.is_empty()
+            && !self.policies.iter().any(|policy| is_waiting(&**policy))
+    }
+
+    fn list_engines(&mut self) {
+        let seen: Vec<UpstreamSeen> = (0..self.engines.len())
+            .map(|index| UpstreamSeen {
+                id: name(index),
+                memory_tokens: Tokens(self.engines[index].memory),
+                slots: self.engines[index].slots as u32,
+                health: UpstreamHealth::Live,
+            })
+            .collect();
+        for policy in &mut self.policies {
+            policy.set_upstreams(&seen, self.clock.now());
+        }
+    }
+
+    fn offer(&mut self, call: usize, avoid: Vec<UpstreamId>) {
+        let outcome = &mut self.outcomes[call];
+        let ask = &outcome.ask;
+        outcome.attempts += 1;
+        let prefixes = ask
+            .prefix
+            .map(|(name, tokens)| (ContentHash(name), Tokens(tokens)));
+        let policy = call % self.policies.len();
+        let work = Work {
+            request: RequestId(call as u128 | (u128::from(outcome.attempts) << 64)),
+            host: format!("host-{policy}").parse().unwrap(),
+            customer: ask.customer.parse().unwrap(),
+            priority: banyanarch::units::Priority(ask.rank),
+            prompt_tokens: Tokens(ask.prompt),
+            output_tokens: Tokens(ask.output_max),
+            prefixes: prefixes.into_iter().collect(),
+            deadline: self.start + ask.at + ask.limit,
+            avoid,
+        };
+        self.timed(|policies, now| policies[policy].offer(work, now));
+    }
+
+    fn offer_again(&mut self) {
+        let now = self.clock.now();
+        let (due, later) = std::mem::take(&mut self.again)
+            .into_iter()
+            .partition(|a| a.0 <= now);
+        self.again = later;
+        let due: Vec<(Instant, usize, Vec<UpstreamId>)> = due;
+        for (_, call, avoid) in due {
+            self.offer(call, avoid);
+        }
+    }
+
+    fn poll(&mut self) {
+        for index in 0..self.policies.len() {
+            for decision in self.timed(|policies, now| policies[index].poll(now)) {
+                match decision {
+                    Decision::Dispatch(grant) => self.dispatch(index, &grant),
+                    Decision::Refuse {
+                        request, reason, ..
+                    } => {
+                        self.outcomes[request.0 as u32 as usize].refused = Some(reason);
+                    }
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, policy: usize, grant: &Grant) {
+        let call = grant.request.0 as u32 as usize;
+        let index = |id: &UpstreamId| id.as_str()[7..].parse().unwrap();
+        let engines: Vec<usize> = grant.upstreams.iter().map(index).collect();
+        let live = self.policies[policy].live_grants();
+        let work = live
+            .into_iter()
+            .find(|live| live.id == grant.id)
+            .unwrap()
+            .work;
+        let attempt = AttemptId(grant.id.0);
+        let members = engines.len() as u64;
+        let share = work.memory_tokens().0.div_ceil(members);
+        let flight = Flight {
+            call,
+            policy,
+            engines: engines.clone(),
+            work: work.clone(),
+            since: self.clock.now(),
+            prefills: engines.len(),
+            first_token: None,
+            cached: 0,
+        };
+        self.outcomes[call].engines = engines.clone();
+        self.flights.insert(attempt, flight);
+        let has_room = |index: &usize| members == 1 || self.engines[*index].has_room(share);
+        if engines.iter().any(|index| self.engines[*index].is_dead) {
+            self.end(attempt, Ended::NotSent);
+        } else if !engines.iter().all(has_room) {
+            self.end(attempt, Ended::Refused);
+        } else {
+            let output = self.outcomes[call].ask.output;
+            for index in engines {
+                self.engines[index].start(attempt, &work, output, members);
+                self.flights[&attempt].cached = self.engines[index].jobs[&attempt].cached;
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now() + STEP;
+        let mut events = Vec::new();
+        for engine in self.engines.iter_mut().filter(|engine| !engine.is_dead) {
+            engine.step(STEP, &mut events);
+        }
+        for event in events {
+            match event {
+                Event::FirstToken(attempt) => {
+                    let flight = &mut self.flights[&attempt];
+                    flight.prefills -= 1;
+                    if flight.prefills == 0 {
+                        flight.first_token = Some(now - flight.since);
+                        let outcome = &mut self.outcomes[flight.call];
+                        outcome.first_token = Some(now - self.start - outcome.ask.at);
+                    }
+                }
+                Event::End(attempt) => {
+                    if self
+                        .flights
+                        .get(&attempt)
+                        .is_some_and(|flight| flight.prefills == 0)
+                    {
+                        self.end(attempt, Ended::Completed);
+                    }
+                }
+            }
+        }
+        let late = |flight: &Flight| flight.work.deadline <= now;
+        let cut: Vec<AttemptId> = self
+            .flights
+            .iter()
+            .filter(|(_, f)| late(f))
+            .map(|(id, _)| *id)
+            .collect();
+        for attempt in cut {
+            self.end(attempt, Ended::Cancelled);
+        }
+    }
+
+    fn end(&mut self, attempt: AttemptId, ended: Ended) {
+        let flight = self.flights.swap_remove(&attempt).unwrap();
+        for index in &flight.engines {
+            self.engines[*index].jobs.shift_remove(&attempt);
+        }
+        let now = self.clock.now() + STEP;
+        let outcome = &mut self.outcomes[flight.call];
+        let is_completed = ended == Ended::Completed;
+        if is_completed {
+            outcome.completed = Some(now - self.start - outcome.ask.at);
+        }
+        let done = Done {
+            ended,
+            first_token: flight.first_token,
+            total: now - flight.since,
+            prompt_tokens: if is_completed {
+                flight.work.prompt_tokens
+            } else {
+                Tokens::ZERO
+            },
+            cached_tokens: Tokens(flight.cached),
+            output_tokens: Tokens(if is_completed { outcome.ask.output } else { 0 }),
+        };
+        if matches!(ended, Ended::Failed | Ended::NotSent | Ended::Refused) {
+            self.retry(&flight, ended, now);
+        }
+        self.timed(|policies, now| policies[flight.policy].finish(GrantId(attempt.0), done, now));
+    }
+
+    fn retry(&mut self, flight: &Flight, ended: Ended, now: Instant) {
+        let Some(budget) = &mut self.budget else {
+            return;
+        };
+        let failed = FailedAttempt {
+            attempts: self.outcomes[flight.call].attempts,
+            did_not_run: ended != Ended::Failed,
+            is_repeatable: true,
+            answer_started: false,
+            retry_after: None,
+            deadline: flight.work.deadline,
+        };
+        if failed.attempts == 1 {
+            budget.on_first_attempt();
+        }
+        if let RetryVerdict::Again { after } = budget.judge(&failed, now) {
+            let mut avoid = flight.work.avoid.clone();
+            avoid.extend(flight.engines.iter().map(|index| name(*index)));
+            self.again.push((now + after, flight.call, avoid));
+        }
+    }
+
+    fn set_outage(&mut self, seconds: f64) {
+        let Some((engines, from, to)) = self.outage.clone() else {
+            return;
+        };
+        for index in engines {
+            let is_dead = (from..to).contains(&seconds);
+            let lost: Vec<AttemptId> = self.engines[index].jobs.keys().copied().collect();
+            self.engines[index].is_dead = is_dead;
+            for attempt in lost.into_iter().filter(|_| is_dead) {
+                self.end(attempt, Ended::Failed);
+            }
+        }
+    }
+
+    fn deliver(&mut self, reports: &[LoadReport]) {
+        for (index, report) in reports.iter().enumerate() {
+            let report = (self.report_as)(report.clone());
+            for policy in &mut self.policies {
+                policy.report(&name(index), &report, self.clock.now());
+            }
+        }
+    }
+
+    fn timed<R>(&mut self, call: impl FnOnce(&mut [Box<dyn Policy>], Instant) -> R) -> R {
+        let began = Instant::now();
+        let result = call(&mut self.policies, self.clock.now());
+        self.decided_in += began.elapsed();
+        result
+    }
+}
+
+pub fn name(index: usize) -> UpstreamId {
+    format!("engine-{index:02}").parse().unwrap()
+}
+
+impl Outcome {
+    fn of(ask: &super::Ask) -> Self {
+        Self {
+            ask: ask.clone(),
+            first_token: None,
+            completed: None,
+            refused: None,
+            engines: Vec::new(),
+            attempts: 0,
+        }
+    }
+}
--- /dev/null
+++ b/tests/decide_fakes/load.rs
@@ -0,0 +1,106 @@
+//! What callers ask, drawn from a seed.
+
+use std::time::Duration;
+
+use banyanarch::decide::CustomerShare;
+use banyanarch::decide::PolicyConfig;
+use banyanarch::decide::PoolKind;
+use banyanarch::manifest::Objective;
+use banyanarch::units::RequestsPerSecond;
+use banyanarch::units::Tokens;
+use banyanarch::units::TokensPerSecond;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub at: Duration,
+    pub customer: &'static str,
+    pub rank: u8,
+    pub prompt: u64,
+    pub output_max: u64,
+    pub output: u64,
+    pub limit: Duration,
+    /// Names a prefix and its length.
+    pub prefix: Option<(u128, u64)>,
+}
+
+impl Ask {
+    pub fn short() -> Self {
+        Self {
+            at: Duration::ZERO,
+            customer: "desk",
+            rank: 0,
+            prompt: 1_000,
+            output_max: 64,
+            output: 32,
+            limit: Duration::from_secs(20),
+            prefix: None,
+        }
+    }
+
+    pub fn long(prompt: u64) -> Self {
+        Self {
+            prompt,
+            limit: Duration::from_secs(600),
+            ..Self::short()
+        }
+    }
+}
+
+pub struct Load {
+    pub asks: Vec<Ask>,
+    rng: StdRng,
+}
+
+impl Load {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            asks: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Adds a Poisson stream of requests like `ask`, from and to these seconds. Prompts and answers
+    /// vary from a half to one and a half of the given length.
+    pub fn stream(mut self, rate: f64, seconds: (f64, f64), ask: &Ask) -> Self {
+        let mut at = seconds.0;
+        loop {
+            at += -self.rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln() / rate;
+            if at >= seconds.1 {
+                return self;
+            }
+            let mut vary = |middle: u64| self.rng.random_range(middle / 2..=middle * 3 / 2);
+            let (prompt, output) = (vary(ask.prompt), vary(ask.output));
+            self.asks.push(Ask {
+                at: Duration::from_secs_f64(at),
+                prompt: prompt.max(ask.prefix.map_or(1, |(_, tokens)| tokens + 100)),
+                output: output.clamp(1, ask.output_max),
+                ..ask.clone()
+            });
+        }
+    }
+}
+
+pub fn config(objective: Objective, speed: f64) -> PolicyConfig {
+    let share = CustomerShare {
+        share: 1,
+        rate: RequestsPerSecond(1_000.0),
+        burst_requests: 1_000.0,
+    };
+    let names = ["desk", "studio", "agency", "karaoke", "branch", "app"];
+    let customers: IndexMap<_, _> = names.iter().map(|n| (n.parse().unwrap(), share)).collect();
+    PolicyConfig {
+        objective,
+        kind: PoolKind::Model {
+            prefill_speed: TokensPerSecond(speed),
+            context_tokens_max: Tokens(1_100_000),
+        },
+        customers,
+        default_customer: share,
+        default_account: "default".parse().unwrap(),
+    }
+}
--- /dev/null
+++ b/tests/decide_fakes/mod.rs
@@ -0,0 +1,17 @@
+//! A few fake engines and a clock moved by hand, to play a load against a policy.
+#![allow(dead_code, reason = "each test uses a part")]
+#![allow(unreachable_pub, reason = "shared by tests and an example")]
+#![allow(clippy::cast_possible_truncation, reason = "small numbers")]
+
+mod bench;
+mod engine;
+mod load;
+mod outcome;
+
+pub use bench::Bench;
+pub use engine::Engine;
+pub use load::Ask;
+pub use load::Load;
+pub use load::config;
+pub use outcome::Outcome;
+pub use outcome::Outcomes;
--- /dev/null
+++ b/tests/decide_fakes/outcome.rs
@@ -0,0 +1,85 @@
+//! What callers got.
+
+use std::time::Duration;
+
+use banyanarch::decide::LengthClass;
+use banyanarch::decide::RefuseReason;
+use banyanarch::units::Tokens;
+
+use super::Ask;
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub ask: Ask,
+    /// From the request to its first token.
+    pub first_token: Option<Duration>,
+    /// From the request to its end within its time limit.
+    pub completed: Option<Duration>,
+    pub refused: Option<RefuseReason>,
+    pub engines: Vec<usize>,
+    pub attempts: u32,
+}
+
+pub struct Outcomes(pub Vec<Outcome>);
+
+impl Outcomes {
+    pub fn only(&self, keep: impl Fn(&Outcome) -> bool) -> Self {
+        Self(
+            self.0
+                .iter()
+                .filter(|outcome| keep(outcome))
+                .cloned()
+                .collect(),
+        )
+    }
+
+    pub fn class(&self, class: LengthClass) -> Self {
+        self.only(|outcome| LengthClass::of(Tokens(outcome.ask.prompt)) == class)
+    }
+
+    pub fn customer(&self, name: &str) -> Self {
+        self.only(|outcome| outcome.ask.customer == name)
+    }
+
+    /// Time to first token in seconds at a quantile, over those that got one.
+    pub fn ttft(&self, quantile: f64) -> f64 {
+        let mut all: Vec<f64> = self
+            .0
+            .iter()
+            .filter_map(|o| o.first_token)
+            .map(|t| t.as_secs_f64())
+            .collect();
+        all.sort_by(f64::total_cmp);
+        let index = (all.len() as f64 * quantile) as usize;
+        all.get(index.min(all.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(f64::NAN)
+    }
+
+    pub fn completed(&self) -> usize {
+        self.0
+            .iter()
+            .filter(|outcome| outcome.completed.is_some())
+            .count()
+    }
+
+    pub fn refused(&self) -> usize {
+        self.0
+            .iter()
+            .filter(|outcome| outcome.refused.is_some())
+            .count()
+    }
+
+    /// The part completed in time.
+    pub fn part(&self) -> f64 {
+        self.completed() as f64 / self.0.len().max(1) as f64
+    }
+
+    /// Tokens of prompts and answers completed in time.
+    pub fn goodput(&self) -> f64 {
+        let completed = self.0.iter().filter(|outcome| outcome.completed.is_some());
+        completed
+            .map(|o| (o.ask.prompt + o.ask.output) as f64)
+            .sum()
+    }
+}
