--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod daemon;
 pub mod decide;
 pub mod entry;
+pub mod fleet;
+pub mod http;
 pub mod manifest;
 pub mod observe;
 pub mod peer;
