Load and demo tools over a fleet of processes

The demo and the scenarios need one way to start platform, engines, services and hosts, to send requests whose answers are known beforehand, and to compare what callers saw with what ran. Ruled out: a simulator in one process, which would not show the daemon. Hosts can't be started yet: the daemon's entry point is not there, so neither tool has run.

--- /dev/null
+++ b/standin/src/caller/ask.rs
@@ -0,0 +1,130 @@
+//! A request whose answer is known beforehand.
+
+use std::time::Duration;
+
+use banyanarch::decide::LengthClass;
+use banyanarch::units::ContentHash;
+use banyanarch::units::Tokens;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::json;
+
+use crate::answer;
+use crate::fleet::MODEL;
+use crate::fleet::SERVICE;
+
+const BYTES_PER_TOKEN: u64 = 4;
+const FILLER: &str = "the licence for this verse is held by the estate and renewed each spring; ";
+
+/// Whom a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A completion call.
+    Completion,
+    /// A chat call.
+    Chat,
+    /// A call of the plain service.
+    Service,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Its number within the run.
+    pub number: u64,
+    /// When it is sent, from the start of the run on.
+    pub at: Duration,
+    /// Whom it is for.
+    pub target: Target,
+    /// The customer.
+    pub customer: String,
+    /// The length of the prompt.
+    pub prompt_tokens: u64,
+    /// Prompts of the same group begin with the same text.
+    pub prefix_group: u64,
+    /// How much of the prompt is the group's.
+    pub prefix_tokens: u64,
+    /// The longest answer.
+    pub max_tokens: u64,
+    /// The time limit.
+    pub limit: Duration,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// The key that makes repeated sendings one request.
+    pub key: Option<String>,
+}
+
+impl Ask {
+    /// Its length class.
+    pub fn class(&self) -> LengthClass {
+        LengthClass::of(Tokens(self.prompt_tokens))
+    }
+
+    /// The body, unlike that of any other request of the run.
+    pub fn body(&self) -> Bytes {
+        let prompt = self.prompt();
+        let (model, max_tokens) = (MODEL, self.max_tokens);
+        let body = match self.target {
+            Target::Completion => json!({
+                "model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+            }),
+            Target::Chat => json!({
+                "model": model,
+                "messages": [{"role": "user", "content": prompt}],
+                "max_tokens": max_tokens,
+                "stream": true,
+            }),
+            Target::Service => json!({"grant": prompt}),
+        };
+        Bytes::from(body.to_string())
+    }
+
+    /// The answer that belongs to a body.
+    pub fn answer(&self, body: &[u8]) -> String {
+        match self.target {
+            Target::Service => String::from_utf8_lossy(body).into_owned(),
+            _ => answer::whole(ContentHash::of(body), self.max_tokens),
+        }
+    }
+
+    /// The HTTP request.
+    pub fn request(&self, body: Bytes) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let path = match self.target {
+            Target::Completion => "/v1/completions".to_owned(),
+            Target::Chat => "/v1/chat/completions".to_owned(),
+            Target::Service => format!("/{SERVICE}/grant"),
+        };
+        let mut request = Request::post(path)
+            .header("host", "entry")
+            .header("content-type", "application/json")
+            .header("banyanarch-customer", &self.customer)
+            .header("banyanarch-timeout-ms", self.limit.as_millis().to_string())
+            .header("banyanarch-repeatable", self.repeatable.to_string());
+        if let Some(key) = &self.key {
+            request = request.header("idempotency-key", key);
+        }
+        request.body(Full::new(body))
+    }
+
+    fn prompt(&self) -> String {
+        let len = len_bytes(self.prompt_tokens);
+        let mut prompt = format!("group {}: ", self.prefix_group);
+        fill(&mut prompt, len_bytes(self.prefix_tokens));
+        prompt.push_str(&format!("request {}: ", self.number));
+        fill(&mut prompt, len);
+        prompt
+    }
+}
+
+fn len_bytes(tokens: u64) -> usize {
+    usize::try_from(tokens * BYTES_PER_TOKEN).unwrap_or(usize::MAX)
+}
+
+fn fill(text: &mut String, len: usize) {
+    text.reserve(len.saturating_sub(text.len()));
+    while text.len() < len {
+        let missing = (len - text.len()).min(FILLER.len());
+        text.push_str(&FILLER[..missing]);
+    }
+}
--- /dev/null
+++ b/standin/src/cmd/daemon.rs
@@ -0,0 +1,34 @@
+//! `standin daemon`: an entry host, as `banyanarchd` runs it.
+
+use std::error::Error;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+use crate::cmd;
+use crate::cmd::Done;
+
+/// What it takes.
+pub const USAGE: &str = "\
+standin daemon --settings FILE
+
+Runs an entry host as banyanarchd does, so that the tools need no other program.
+";
+
+struct Args {
+    settings: PathBuf,
+}
+
+impl Args {
+    fn parse(mut args: Arguments) -> Result<Self, Box<dyn Error>> {
+        let settings = args.value_from_str("--settings")?;
+        cmd::finish(args)?;
+        Ok(Self { settings })
+    }
+}
+
+/// Runs it until it is told to end.
+pub fn run(args: Arguments) -> Done {
+    let args = Args::parse(args)?;
+    Err(format!("no daemon yet: {}", args.settings.display()).into())
+}
--- /dev/null
+++ b/standin/src/cmd/load.rs
@@ -0,0 +1,75 @@
+//! `standin load`.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use banyanarch::settings::PolicyName;
+use pico_args::Arguments;
+use serde_json::Value;
+
+use crate::cmd;
+use crate::cmd::Done;
+use crate::load;
+use crate::load::LoadOptions;
+
+/// What it takes.
+pub const USAGE: &str = "\
+standin load --scenario NAME [--policy P] [--objective O] [--seed N] [--json FILE]
+             [--report FILE.html] [--keep]
+
+Starts its own fleet of processes on loopback, plays one scenario and prints what callers got.
+Scenarios: burst, two-customers, hot-key, slow-upstream, short-among-long, saturation, retry-storm,
+  wrong-reports, seven-hosts, path-cost
+Policies: shipped (the default), round-robin, least-in-flight, alone
+Objectives: short_slowdown (the default), first_token
+--json and --report write the figures to files, --keep leaves the logs in place.
+";
+
+struct Args {
+    options: LoadOptions,
+    json: Option<PathBuf>,
+    report: Option<PathBuf>,
+}
+
+impl Args {
+    fn parse(mut args: Arguments) -> Result<Self, Box<dyn Error>> {
+        let policy: Option<String> = args.opt_value_from_str("--policy")?;
+        let objective: Option<String> = args.opt_value_from_str("--objective")?;
+        let options = LoadOptions {
+            scenario: args.value_from_str("--scenario")?,
+            policy: policy.map_or(Ok(PolicyName::default()), |name| policy_of(&name))?,
+            objective: objective.unwrap_or_else(|| "short_slowdown".to_owned()),
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            keep: args.contains("--keep"),
+        };
+        let json = args.opt_value_from_str("--json")?;
+        let report = args.opt_value_from_str("--report")?;
+        cmd::finish(args)?;
+        Ok(Self {
+            options,
+            json,
+            report,
+        })
+    }
+}
+
+fn policy_of(name: &str) -> Result<PolicyName, String> {
+    serde_json::from_value(Value::from(name)).map_err(|_| format!("--policy: `{name}` is unknown"))
+}
+
+/// Plays a scenario and prints its figures.
+pub fn run(args: Arguments) -> Done {
+    let args = Args::parse(args)?;
+    cmd::block_on(4, async move {
+        let outcome = load::run(&args.options).await?;
+        if let Some(path) = args.json {
+            std::fs::write(path, outcome.to_json())?;
+        }
+        if let Some(path) = args.report {
+            std::fs::write(path, outcome.to_html())?;
+        }
+        print!("{}", outcome.to_text());
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- /dev/null
+++ b/standin/src/cmd/platform.rs
@@ -0,0 +1,46 @@
+//! `standin platform`.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+use crate::cmd;
+use crate::cmd::Done;
+use crate::platform::PlatformFake;
+
+/// What it takes.
+pub const USAGE: &str = "\
+standin platform [--listen ADDR]
+
+Serves the platform's object API from memory.
+GET /stats counts calls, PUT /faults sets faults:
+  {\"outage\":\"none|unavailable|closed\",\"delay_ms\":N,\"lose_answer_one_in\":N,
+   \"machines_lag_ms\":N}
+";
+
+struct Args {
+    listen: SocketAddr,
+}
+
+impl Args {
+    fn parse(mut args: Arguments) -> Result<Self, Box<dyn Error>> {
+        let listen = args.opt_value_from_str("--listen")?;
+        cmd::finish(args)?;
+        Ok(Self {
+            listen: listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+        })
+    }
+}
+
+/// Runs it until it is killed.
+pub fn run(args: Arguments) -> Done {
+    let args = Args::parse(args)?;
+    cmd::block_on(cmd::THREADS, async move {
+        let platform = PlatformFake::start(args.listen).await?;
+        println!("listening {}", platform.addr());
+        platform.closed().await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- /dev/null
+++ b/standin/src/demo/mod.rs
@@ -0,0 +1,78 @@
+//! The whole path as separate processes, with an engine and an entry host killed on the way.
+
+mod asks;
+mod carry;
+mod tally;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use serde_json::Value;
+use tokio::task::JoinSet;
+
+pub use tally::Tally;
+
+use crate::demo::asks::asks;
+use crate::demo::carry::Carried;
+use crate::demo::carry::carry;
+use crate::fleet::Fleet;
+use crate::fleet::FleetError;
+use crate::fleet::FleetPlan;
+use crate::http::call_json;
+
+const DOMAIN: &str = "sg-highway";
+const ENGINES: usize = 4;
+const SERVICES: usize = 2;
+const HOSTS: usize = 3;
+const ENGINE_DIES_AT: Duration = Duration::from_secs(5);
+const HOST_DIES_AT: Duration = Duration::from_secs(9);
+
+/// Runs the demo and prints its table.
+pub async fn run(seed: u64, keep: bool) -> Result<Tally, FleetError> {
+    let plan = FleetPlan::new(&[DOMAIN], ENGINES, SERVICES, HOSTS);
+    println!("starting {ENGINES} engines, {SERVICES} service instances and {HOSTS} entry hosts");
+    let mut fleet = Fleet::start(&plan).await?;
+    let hosts: Arc<[SocketAddr]> = fleet.callers().into();
+    let start = Instant::now();
+    let mut callers = JoinSet::new();
+    for ask in asks(seed) {
+        callers.spawn(carry(ask, Arc::clone(&hosts), start));
+    }
+    tokio::time::sleep_until((start + ENGINE_DIES_AT).into()).await;
+    kill_busiest_engine(&mut fleet).await;
+    tokio::time::sleep_until((start + HOST_DIES_AT).into()).await;
+    kill_host(&mut fleet);
+    let carried: Vec<Carried> = callers.join_all().await;
+    let tally = Tally::new(&carried, &fleet.runs()?);
+    print!("{}", tally.to_text());
+    if !tally.is_clean() {
+        eprintln!("{}", fleet.host_logs());
+    }
+    if keep || !tally.is_clean() {
+        fleet.keep_dir();
+    }
+    Ok(tally)
+}
+
+async fn kill_busiest_engine(fleet: &mut Fleet) {
+    let mut busiest = (0, 0);
+    for (at, engine) in fleet.engines.iter().enumerate() {
+        let listed = call_json(engine.addr, Method::GET, "/v1/attempts", &Value::Null).await;
+        let count = listed.map_or(0, |listed| listed.as_array().map_or(0, Vec::len));
+        busiest = busiest.max((count, at));
+    }
+    let (count, at) = busiest;
+    let child = &mut fleet.engines[at].child;
+    println!("killing {} with {count} requests in it", child.name);
+    child.kill();
+}
+
+fn kill_host(fleet: &mut Fleet) {
+    if let Some(host) = fleet.hosts.last_mut() {
+        println!("killing {}", host.child.name);
+        host.child.kill();
+    }
+}
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod reports;
 mod shared;
 mod stream;
+mod throughput;
 
 use std::io;
 use std::net::SocketAddr;
@@ -31,25 +32,12 @@
 pub use record::RunRecord;
 pub use record::read_runs;
 pub use record::wall_ms;
+pub use throughput::throughput;
 
 use crate::engine::api::Api;
 use crate::engine::shared::Shared;
 use crate::http::Server;
 
-/// What `standin engine` takes.
-pub const USAGE: &str = "\
-standin engine [--listen ADDR] [--memory-tokens N] [--slots N] [--queue-max N]
-               [--prefill-speed TOKENS_A_SECOND] [--prefill-chunk TOKENS]
-               [--step-base-us N] [--step-per-attempt-us N]
-               [--report-lag-ms N] [--cache-event-lag-ms N] [--cache-event-gap ONE_IN]
-               [--load-ms N] [--model NAME] [--version V] [--checks-fencing] [--record FILE]
-               [--machine NAME --domain D --target T --platform ADDR]
-
-A model engine. GET /record tells every attempt that ever ran, PUT /faults sets faults:
-  die, freeze, slow_factor, cross_answers, delay_answers_ms, cut_one_in, short_one_in,
-  fail_one_in, lose_memory_count, leak_one_in, report_factor, crash_marker
-";
-
 /// The exit code of an engine that was told to die.
 const DIED: i32 = 137;
 
--- a/standin/src/engine/prompt.rs
+++ b/standin/src/engine/prompt.rs
@@ -21,7 +21,7 @@
 #[derive(Deserialize)]
 struct Wire {
     #[serde(default)]
-    prompt: Option<String>,
+    prompt: Value,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default)]
@@ -41,15 +41,15 @@
     pub(crate) fn parse(body: &[u8]) -> Result<Self, String> {
         let wire: Wire = serde_json::from_slice(body).map_err(|e| e.to_string())?;
         let text = match wire.prompt {
-            Some(prompt) => prompt,
-            None => wire.messages.iter().map(Message::text).collect(),
+            Value::Null => wire.messages.iter().map(|m| text_of(&m.content)).collect(),
+            prompt => text_of(&prompt),
         };
         if text.is_empty() {
             return Err("neither prompt nor messages".to_owned());
         }
         Ok(Self {
             text,
-            max_tokens: wire.max_tokens.or(wire.max_completion_tokens),
+            max_tokens: wire.max_completion_tokens.or(wire.max_tokens),
             stream: wire.stream,
         })
     }
@@ -79,13 +79,11 @@
     }
 }
 
-impl Message {
-    /// The text of a message whose content is a string or a list of parts.
-    fn text(&self) -> String {
-        match &self.content {
-            Value::String(text) => text.clone(),
-            Value::Array(parts) => parts.iter().filter_map(|p| p["text"].as_str()).collect(),
-            _ => String::new(),
-        }
+/// The text of a prompt or a message: a string, or a list of strings or of parts with a text.
+fn text_of(content: &Value) -> String {
+    match content {
+        Value::String(text) => text.clone(),
+        Value::Array(parts) => parts.iter().map(text_of).collect(),
+        part => part["text"].as_str().unwrap_or("").to_owned(),
     }
 }
--- /dev/null
+++ b/standin/src/fleet/child.rs
@@ -0,0 +1,90 @@
+//! A child process: this program again, with another subcommand.
+
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+
+use crate::fleet::FleetError;
+use crate::fleet::WorkDir;
+
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running child. Dropping it kills it.
+#[derive(Debug)]
+pub struct Child {
+    /// Its name, which is also the name of its log.
+    pub name: String,
+    process: std::process::Child,
+    out_path: std::path::PathBuf,
+}
+
+impl Child {
+    /// Starts it; its output goes to files in `dir`.
+    pub fn start(dir: &WorkDir, name: &str, args: &[String]) -> Result<Self, FleetError> {
+        let out_path = dir.path(&format!("{name}.out"));
+        let log = File::create(dir.path(&format!("{name}.log")))?;
+        let process = Command::new(std::env::current_exe()?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(File::create(&out_path)?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            name: name.to_owned(),
+            process,
+            out_path,
+        })
+    }
+
+    /// Waits for its line `listening ADDR`.
+    pub async fn listening(&self) -> Result<SocketAddr, FleetError> {
+        let give_up = Instant::now() + START_TIMEOUT;
+        while Instant::now() < give_up {
+            let out = fs::read_to_string(&self.out_path)?;
+            let addr = out.lines().find_map(|line| line.strip_prefix("listening "));
+            if let Some(addr) = addr.and_then(|addr| addr.parse().ok()) {
+                return Ok(addr);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(FleetError(format!("{} did not come up", self.name)))
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Ends it at once, as a crash would (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Asks it to end (SIGTERM).
+    pub fn terminate(&self) {
+        if let Ok(pid) = i32::try_from(self.process.id()) {
+            let _ = signal::kill(Pid::from_raw(pid), Signal::SIGTERM);
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.process.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/standin/src/fleet/dir.rs
@@ -0,0 +1,62 @@
+//! A directory for settings, records and logs of one run.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+const TAIL_LINES: usize = 20;
+
+/// A fresh directory under the machine's temporary one, removed when dropped.
+#[derive(Debug)]
+pub struct WorkDir {
+    path: PathBuf,
+    keeps: bool,
+}
+
+impl WorkDir {
+    /// Makes it.
+    pub fn new() -> io::Result<Self> {
+        let name = format!(
+            "standin-{}-{:08x}",
+            std::process::id(),
+            rand::random::<u32>()
+        );
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir(&path)?;
+        Ok(Self { path, keeps: false })
+    }
+
+    /// The path of a file in it.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
+    /// The directory itself.
+    pub fn root(&self) -> &Path {
+        &self.path
+    }
+
+    /// Leaves it in place.
+    pub fn keep(&mut self) {
+        self.keeps = true;
+    }
+
+    /// The last lines of a process's log.
+    pub fn tail(&self, name: &str) -> String {
+        let text = fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let from = lines.len().saturating_sub(TAIL_LINES);
+        format!("--- {name}\n{}\n", lines[from..].join("\n"))
+    }
+}
+
+impl Drop for WorkDir {
+    fn drop(&mut self) {
+        if self.keeps {
+            eprintln!("logs are in {}", self.path.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.path);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/fleet/host.rs
@@ -0,0 +1,160 @@
+//! Entry hosts as child processes.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::settings::Settings;
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::Child;
+use crate::fleet::FleetError;
+use crate::fleet::FleetPlan;
+use crate::fleet::WorkDir;
+use crate::http::call_json;
+use crate::machine;
+
+const START_TRIES: u32 = 3;
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+
+/// An entry host of a fleet.
+#[derive(Debug)]
+pub struct Host {
+    /// The process.
+    pub child: Child,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other hosts reach it.
+    pub peers: SocketAddr,
+    /// Where its health and metrics are.
+    pub status: SocketAddr,
+}
+
+impl Host {
+    /// Starts all hosts of a plan and waits until they are ready. Their ports are free when they
+    /// are picked; should another process be quicker to bind one, all are picked anew.
+    pub async fn start_all(
+        dir: &WorkDir,
+        plan: &FleetPlan,
+        platform: SocketAddr,
+    ) -> Result<Vec<Self>, FleetError> {
+        let mut last = FleetError("no host was started".to_owned());
+        for _ in 0..START_TRIES {
+            match Self::try_start_all(dir, plan, platform).await {
+                Ok(hosts) => return Ok(hosts),
+                Err(e) => last = e,
+            }
+        }
+        Err(last)
+    }
+
+    async fn try_start_all(
+        dir: &WorkDir,
+        plan: &FleetPlan,
+        platform: SocketAddr,
+    ) -> Result<Vec<Self>, FleetError> {
+        let ports = free_addrs(3 * plan.hosts.len())?;
+        let seats: Vec<(&(String, String), &[SocketAddr])> =
+            plan.hosts.iter().zip(ports.chunks(3)).collect();
+        let seeds: Vec<Value> = seats
+            .iter()
+            .map(|((name, domain), addrs)| {
+                json!({"host": name, "failure_domain": domain, "address": addrs[1]})
+            })
+            .collect();
+        let mut hosts = Vec::new();
+        for ((name, domain), addrs) in seats {
+            let settings = settings(plan, (name, domain), addrs, &seeds, platform)?;
+            let path = dir.path(&format!("{name}.yaml"));
+            fs::write(
+                &path,
+                serde_json::to_string_pretty(&settings).unwrap_or_default(),
+            )?;
+            let args = ["daemon", "--settings", &path.display().to_string()].map(str::to_owned);
+            hosts.push(Self {
+                child: Child::start(dir, name, &args)?,
+                domain: domain.clone(),
+                callers: addrs[0],
+                peers: addrs[1],
+                status: addrs[2],
+            });
+            register(name, domain, addrs[1], platform).await?;
+        }
+        for host in &mut hosts {
+            host.wait_until_ready(dir).await?;
+        }
+        Ok(hosts)
+    }
+
+    async fn wait_until_ready(&mut self, dir: &WorkDir) -> Result<(), FleetError> {
+        let give_up = Instant::now() + READY_TIMEOUT;
+        while Instant::now() < give_up && !self.child.has_ended() {
+            let ready = call_json(self.status, Method::GET, "/readyz", &Value::Null).await;
+            if ready.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let log = dir.tail(&self.child.name);
+        Err(FleetError(format!(
+            "{} did not get ready\n{log}",
+            self.child.name
+        )))
+    }
+}
+
+fn settings(
+    plan: &FleetPlan,
+    (name, domain): (&str, &str),
+    addrs: &[SocketAddr],
+    seeds: &[Value],
+    platform: SocketAddr,
+) -> Result<Settings, FleetError> {
+    let others: Vec<&Value> = seeds.iter().filter(|seed| seed["host"] != name).collect();
+    let settings = json!({
+        "host": name,
+        "deployment": plan.deployment,
+        "failure_domain": domain,
+        "listen": {"callers": addrs[0], "peers": addrs[1], "status": addrs[2]},
+        "platform": {"address": platform},
+        "peers": {
+            "seeds": others,
+            "keys": [{"id": "run", "secret": "a secret for one run only"}],
+        },
+        "policy": plan.policy,
+        "threads": plan.host_threads,
+        "drain": {"notice_ms": plan.drain_notice_ms},
+    });
+    serde_json::from_value(settings).map_err(|e| FleetError(format!("settings: {e}")))
+}
+
+async fn register(
+    name: &str,
+    domain: &str,
+    peers: SocketAddr,
+    platform: SocketAddr,
+) -> Result<(), FleetError> {
+    let spec = json!({
+        "role": "entry",
+        "domain": domain,
+        "address": peers.to_string(),
+        "state": "live",
+    });
+    let done = machine::put(platform, machine::PATH, name, &spec).await;
+    done.map_err(|e| FleetError(format!("{name}: {e}")))
+}
+
+/// Addresses that are free now.
+fn free_addrs(count: usize) -> Result<Vec<SocketAddr>, FleetError> {
+    let bind = |_| TcpListener::bind(("127.0.0.1", 0));
+    let held: Result<Vec<TcpListener>, _> = (0..count).map(bind).collect();
+    let addrs: Result<Vec<SocketAddr>, _> = held?.iter().map(TcpListener::local_addr).collect();
+    Ok(addrs?)
+}
--- /dev/null
+++ b/standin/src/fleet/mod.rs
@@ -0,0 +1,136 @@
+//! A platform, engines, a service and entry hosts as child processes on loopback.
+
+mod child;
+mod dir;
+mod host;
+mod manifest;
+mod plan;
+
+use std::error::Error;
+use std::fmt;
+use std::net::SocketAddr;
+
+pub use child::Child;
+pub use dir::WorkDir;
+pub use host::Host;
+pub use manifest::publish;
+pub use plan::FleetPlan;
+pub use plan::MODEL;
+pub use plan::SERVICE;
+
+use crate::engine::RunRecord;
+use crate::engine::read_runs;
+
+/// Why a fleet did not come up, or a tool could not go on.
+#[derive(Debug)]
+pub struct FleetError(pub String);
+
+impl fmt::Display for FleetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Error for FleetError {}
+
+impl From<std::io::Error> for FleetError {
+    fn from(e: std::io::Error) -> Self {
+        Self(e.to_string())
+    }
+}
+
+/// An upstream of a fleet.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub child: Child,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    record_name: String,
+}
+
+/// A running fleet. Dropping it ends its processes.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform stand-in.
+    pub platform: Child,
+    /// Where the platform listens.
+    pub platform_addr: SocketAddr,
+    /// The engines.
+    pub engines: Vec<Node>,
+    /// The instances of the plain service.
+    pub services: Vec<Node>,
+    /// The entry hosts.
+    pub hosts: Vec<Host>,
+    dir: WorkDir,
+}
+
+impl Fleet {
+    /// Starts all processes, publishes the manifest and waits until each host is ready.
+    pub async fn start(plan: &FleetPlan) -> Result<Self, FleetError> {
+        let dir = WorkDir::new()?;
+        let platform = Child::start(&dir, "platform", &["platform".to_owned()])?;
+        let platform_addr = platform.listening().await?;
+        publish(platform_addr, &plan.manifest()).await?;
+        let mut fleet = Self {
+            platform,
+            platform_addr,
+            engines: Vec::new(),
+            services: Vec::new(),
+            hosts: Vec::new(),
+            dir,
+        };
+        for (name, args) in plan.engines(platform_addr) {
+            let node = fleet.start_node(&name, args)?;
+            fleet.engines.push(node);
+        }
+        for (name, args) in plan.services(platform_addr) {
+            let node = fleet.start_node(&name, args)?;
+            fleet.services.push(node);
+        }
+        for node in fleet.engines.iter_mut().chain(&mut fleet.services) {
+            node.addr = node.child.listening().await?;
+        }
+        fleet.hosts = Host::start_all(&fleet.dir, plan, platform_addr).await?;
+        Ok(fleet)
+    }
+
+    /// All that engines and services ever ran, also those that have died.
+    pub fn runs(&self) -> Result<Vec<RunRecord>, FleetError> {
+        let mut runs = Vec::new();
+        for node in self.engines.iter().chain(&self.services) {
+            runs.extend(read_runs(&self.dir.path(&node.record_name))?);
+        }
+        Ok(runs)
+    }
+
+    /// Where callers reach the hosts.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.callers).collect()
+    }
+
+    /// The last lines of each host's log, for a run that went wrong.
+    pub fn host_logs(&self) -> String {
+        let logs = self
+            .hosts
+            .iter()
+            .map(|host| self.dir.tail(&host.child.name));
+        logs.collect()
+    }
+
+    /// Leaves the directory with the logs in place when the fleet ends.
+    pub fn keep_dir(&mut self) {
+        self.dir.keep();
+    }
+
+    fn start_node(&self, name: &str, mut args: Vec<String>) -> Result<Node, FleetError> {
+        let record_name = format!("{name}.record");
+        let record_path = self.dir.path(&record_name);
+        args.extend(["--record".to_owned(), record_path.display().to_string()]);
+        Ok(Node {
+            child: Child::start(&self.dir, name, &args)?,
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            record_name,
+        })
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,8 +6,13 @@
 //! its record and its faults.
 
 pub mod answer;
+pub mod caller;
+pub mod cmd;
+pub mod demo;
 pub mod engine;
+pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod machine;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/standin/src/load/figures.rs
@@ -0,0 +1,177 @@
+//! Figures of a run.
+
+use std::time::Duration;
+
+use banyanarch::decide::LengthClass;
+use banyanarch::units::ContentHash;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::caller::Verdict;
+use crate::caller::percentile_ms;
+use crate::engine::RunEnd;
+use crate::engine::RunRecord;
+use crate::load::fairness::fairness;
+use crate::load::player::Sample;
+
+/// Figures of one length class, or of all.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct ClassFigures {
+    pub(crate) class: String,
+    pub(crate) sent: usize,
+    pub(crate) completed: usize,
+    /// Completed within the limit.
+    pub(crate) good: usize,
+    pub(crate) not_run: usize,
+    pub(crate) may_have_run: usize,
+    /// Cut off without an outcome, or answered wrongly.
+    pub(crate) broken: usize,
+    pub(crate) ttft_p50_ms: Option<f64>,
+    pub(crate) ttft_p95_ms: Option<f64>,
+    pub(crate) ttft_p99_ms: Option<f64>,
+    pub(crate) total_p95_ms: Option<f64>,
+    /// The total time at p95 over that of the class alone.
+    pub(crate) slowdown_p95: Option<f64>,
+}
+
+/// Figures of a whole run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Figures {
+    pub(crate) classes: Vec<ClassFigures>,
+    pub(crate) all: ClassFigures,
+    /// Requests completed within their limit, a second.
+    pub(crate) goodput_per_s: f64,
+    /// Prompt tokens of requests completed within their limit, a second.
+    pub(crate) good_tokens_per_s: f64,
+    /// Goodput in tokens over that of the load that was played to compare with.
+    pub(crate) goodput_ratio: Option<f64>,
+    /// The share of the engines' tokens that went into no good answer.
+    pub(crate) wasted: f64,
+    /// Jain's index over customers.
+    pub(crate) jain: f64,
+    /// The least share of what was fair that a customer got.
+    pub(crate) least_of_fair: f64,
+    /// Sendings a request.
+    pub(crate) sendings: f64,
+    /// What hosts said when they turned requests away, with counts.
+    pub(crate) reasons: IndexMap<String, usize>,
+}
+
+impl Figures {
+    /// Works them out from what callers got and what engines ran in `lasts_s` of arrivals.
+    pub(crate) fn new(
+        samples: &[Sample],
+        alone: &[Vec<Sample>],
+        runs: &[RunRecord],
+        lasts_s: f64,
+    ) -> Self {
+        let good = samples.iter().filter(|sample| sample.is_good());
+        let good_tokens: u64 = good.clone().map(|sample| sample.ask.prompt_tokens).sum();
+        let (jain, least_of_fair) = fairness(samples);
+        let sendings: u32 = samples.iter().map(|sample| sample.sendings).sum();
+        let of_class = |class: &LengthClass| {
+            let own: Vec<&Sample> = samples.iter().filter(|s| s.ask.class() == *class).collect();
+            let alone = alone.iter().flatten().filter(|s| s.ask.class() == *class);
+            (!own.is_empty()).then(|| ClassFigures::new(class.name(), &own, &totals(alone)))
+        };
+        Self {
+            classes: LengthClass::ALL.iter().filter_map(of_class).collect(),
+            all: ClassFigures::new("all", &samples.iter().collect::<Vec<_>>(), &[]),
+            goodput_per_s: good.count() as f64 / lasts_s,
+            good_tokens_per_s: good_tokens as f64 / lasts_s,
+            goodput_ratio: None,
+            wasted: wasted(samples, runs),
+            jain,
+            least_of_fair,
+            sendings: f64::from(sendings) / samples.len().max(1) as f64,
+            reasons: reasons(samples),
+        }
+    }
+
+    /// The figures of a class.
+    pub(crate) fn class(&self, class: LengthClass) -> Option<&ClassFigures> {
+        self.classes.iter().find(|one| one.class == class.name())
+    }
+}
+
+impl ClassFigures {
+    fn new(name: &str, samples: &[&Sample], alone: &[Duration]) -> Self {
+        let completed: Vec<&Sample> = samples
+            .iter()
+            .copied()
+            .filter(|s| s.is_completed())
+            .collect();
+        let first: Vec<Duration> = completed
+            .iter()
+            .filter_map(|s| s.sent.first_token)
+            .collect();
+        let totals = totals(completed.iter().copied());
+        let total_p95_ms = percentile_ms(&totals, 95.0);
+        let alone_p95_ms = percentile_ms(alone, 95.0);
+        let count =
+            |keep: fn(&Verdict) -> bool| samples.iter().filter(|s| keep(&s.sent.verdict)).count();
+        Self {
+            class: name.to_owned(),
+            sent: samples.len(),
+            completed: completed.len(),
+            good: samples.iter().filter(|s| s.is_good()).count(),
+            not_run: count(|v| matches!(v, Verdict::NotRun { .. })),
+            may_have_run: count(|v| matches!(v, Verdict::MayHaveRun(_))),
+            broken: count(|v| matches!(v, Verdict::Cut(_) | Verdict::Wrong(_))),
+            ttft_p50_ms: percentile_ms(&first, 50.0),
+            ttft_p95_ms: percentile_ms(&first, 95.0),
+            ttft_p99_ms: percentile_ms(&first, 99.0),
+            total_p95_ms,
+            slowdown_p95: total_p95_ms
+                .zip(alone_p95_ms)
+                .map(|(mix, alone)| mix / alone),
+        }
+    }
+}
+
+fn totals<'a>(samples: impl Iterator<Item = &'a Sample>) -> Vec<Duration> {
+    samples
+        .filter(|sample| sample.is_completed())
+        .map(|sample| sample.sent.total)
+        .collect()
+}
+
+fn reasons(samples: &[Sample]) -> IndexMap<String, usize> {
+    let mut reasons = IndexMap::new();
+    for sample in samples {
+        let reason = match &sample.sent.verdict {
+            Verdict::Completed => continue,
+            Verdict::NotRun { reason, .. } => format!("not run: {reason}"),
+            Verdict::MayHaveRun(reason) => format!("may have run: {reason}"),
+            Verdict::Cut(why) => format!("cut: {why}"),
+            Verdict::Wrong(why) => format!("wrong: {why}"),
+        };
+        *reasons.entry(reason).or_insert(0) += 1;
+    }
+    reasons
+}
+
+/// Of the tokens that engines read in and made, the share that did not end in an answer that a
+/// caller got in time. Of several runs of one request only one completed run counts as useful.
+fn wasted(samples: &[Sample], runs: &[RunRecord]) -> f64 {
+    let mut is_good: IndexMap<ContentHash, bool> = samples
+        .iter()
+        .map(|sample| (sample.body_hash, sample.is_good()))
+        .collect();
+    let (mut all, mut useful) = (0, 0);
+    for run in runs {
+        let Some(good) = is_good.get_mut(&run.request_hash) else {
+            continue;
+        };
+        let tokens = run.prefilled_tokens + run.output_tokens;
+        all += tokens;
+        if *good && run.end == Some(RunEnd::Completed) {
+            useful += tokens;
+            *good = false;
+        }
+    }
+    match all {
+        0 => 0.0,
+        all => 1.0 - useful as f64 / all as f64,
+    }
+}
--- /dev/null
+++ b/standin/src/load/mod.rs
@@ -0,0 +1,104 @@
+//! The load tool: plays a scenario against a fleet of its own and works out what callers got.
+
+mod arrivals;
+mod capacity;
+mod fairness;
+mod figures;
+mod html;
+mod outcome;
+mod path_cost;
+mod player;
+mod scenario;
+
+use std::time::Duration;
+
+use banyanarch::settings::PolicyName;
+
+pub use outcome::Outcome;
+
+use crate::caller::Ask;
+use crate::fleet::Fleet;
+use crate::fleet::FleetError;
+use crate::load::arrivals::arrivals;
+use crate::load::figures::Figures;
+use crate::load::player::Sample;
+use crate::load::player::play;
+use crate::load::scenario::Scenario;
+
+/// Numbers of requests in the parts of a run differ by this much, so that no cache helps the next.
+const PART_STEP: u64 = 10_000_000;
+/// Engines and queues get empty between the parts of a run.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What to play.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The decisions that homes run.
+    pub policy: PolicyName,
+    /// What the manifest weighs more heavily.
+    pub objective: String,
+    /// The seed of the arrivals.
+    pub seed: u64,
+    /// Whether the logs stay in place.
+    pub keep: bool,
+}
+
+/// Plays a scenario.
+pub async fn run(options: &LoadOptions) -> Result<Outcome, FleetError> {
+    if options.scenario == path_cost::NAME {
+        return path_cost::run(options).await;
+    }
+    let unknown = || FleetError(format!("no scenario `{}`", options.scenario));
+    let scenario = Scenario::named(options).ok_or_else(unknown)?;
+    let mut fleet = Fleet::start(&scenario.plan).await?;
+    if options.keep {
+        fleet.keep_dir();
+    }
+    let asks = arrivals(&scenario, 1.0, options.seed);
+    let alone = play_alone(&scenario, &fleet, &asks).await;
+    let compared = play_compared(&scenario, &fleet, options.seed).await;
+    let samples = play(&scenario, &fleet, asks, true).await;
+    let runs = fleet.runs()?;
+    let mut figures = Figures::new(&samples, &alone, &runs, scenario.lasts_s);
+    figures.goodput_ratio = compared.map(|compared| {
+        let before = Figures::new(&compared, &[], &runs, scenario.lasts_s);
+        figures.good_tokens_per_s / before.good_tokens_per_s
+    });
+    Ok(Outcome::of_scenario(
+        &scenario, options, &figures, &samples, &alone,
+    ))
+}
+
+/// Plays the first seconds of each class without the others.
+async fn play_alone(scenario: &Scenario, fleet: &Fleet, asks: &[Ask]) -> Vec<Vec<Sample>> {
+    let window = Duration::from_secs_f64(scenario.alone_s);
+    let mut parts = Vec::new();
+    for (class, _) in &scenario.mix {
+        let own = asks
+            .iter()
+            .filter(|ask| ask.class() == *class && ask.at < window);
+        let own = numbered(own.cloned().collect(), parts.len() as u64 + 1);
+        parts.push(play(scenario, fleet, own, false).await);
+        tokio::time::sleep(PAUSE).await;
+    }
+    parts
+}
+
+async fn play_compared(scenario: &Scenario, fleet: &Fleet, seed: u64) -> Option<Vec<Sample>> {
+    let times = scenario.compare_with?;
+    let part = scenario.mix.len() as u64 + 1;
+    let asks = numbered(arrivals(scenario, times, seed), part);
+    let samples = play(scenario, fleet, asks, false).await;
+    tokio::time::sleep(PAUSE).await;
+    Some(samples)
+}
+
+fn numbered(mut asks: Vec<Ask>, part: u64) -> Vec<Ask> {
+    for ask in &mut asks {
+        ask.number += part * PART_STEP;
+        ask.prefix_group += part * PART_STEP;
+    }
+    asks
+}
--- /dev/null
+++ b/standin/src/load/outcome.rs
@@ -0,0 +1,153 @@
+//! What a run shows, as text, JSON and a page.
+
+use std::fmt::Write;
+
+use banyanarch::decide::LengthClass;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::caller::show_ms;
+use crate::load::LoadOptions;
+use crate::load::figures::ClassFigures;
+use crate::load::figures::Figures;
+use crate::load::html;
+use crate::load::player::Sample;
+use crate::load::scenario::Scenario;
+
+/// The result of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub(crate) text: String,
+    pub(crate) json: Value,
+    pub(crate) html: String,
+}
+
+impl Outcome {
+    /// For people.
+    pub fn to_text(&self) -> &str {
+        &self.text
+    }
+
+    /// For machines.
+    pub fn to_json(&self) -> String {
+        format!("{:#}\n", self.json)
+    }
+
+    /// One page with plots.
+    pub fn to_html(&self) -> &str {
+        &self.html
+    }
+
+    pub(crate) fn of_scenario(
+        scenario: &Scenario,
+        options: &LoadOptions,
+        figures: &Figures,
+        samples: &[Sample],
+        alone: &[Vec<Sample>],
+    ) -> Self {
+        let policy = json!(options.policy);
+        let policy = policy.as_str().unwrap_or("");
+        let title = format!(
+            "{}, policy {policy}, objective {}, seed {}",
+            scenario.name, scenario.plan.objective, options.seed
+        );
+        let text = text(&title, scenario, figures);
+        Self {
+            json: json!({
+                "scenario": scenario.name,
+                "policy": policy,
+                "objective": scenario.plan.objective,
+                "seed": options.seed,
+                "figures": figures,
+            }),
+            html: html::page(&title, &text, samples, alone),
+            text,
+        }
+    }
+}
+
+fn text(title: &str, scenario: &Scenario, figures: &Figures) -> String {
+    let mut out = format!("{title}\n{}\n\n", scenario.about);
+    let _ = writeln!(
+        out,
+        "{:<8}{:>6}{:>7}{:>9}{:>10}{:>8}{:>10}{:>10}{:>10}{:>11}{:>10}",
+        "class",
+        "sent",
+        "good",
+        "not run",
+        "may have",
+        "broken",
+        "ttft p50",
+        "ttft p95",
+        "ttft p99",
+        "total p95",
+        "slowdown"
+    );
+    for class in figures.classes.iter().chain([&figures.all]) {
+        out.push_str(&row(class));
+    }
+    for (reason, count) in &figures.reasons {
+        let _ = writeln!(out, "{count:>6} {reason}");
+    }
+    let _ = writeln!(
+        out,
+        "\nwithin limit {:.1} requests/s, {:.0} prompt tokens/s, {:.1} percent of requests",
+        figures.goodput_per_s,
+        figures.good_tokens_per_s,
+        100.0 * good_share(&figures.all)
+    );
+    if let Some(ratio) = figures.goodput_ratio {
+        let _ = writeln!(
+            out,
+            "goodput (tokens) against the load at capacity {ratio:.3}"
+        );
+    }
+    let _ = writeln!(
+        out,
+        "wasted engine work {:.1} percent, sendings a request {:.2}",
+        100.0 * figures.wasted,
+        figures.sendings
+    );
+    let _ = writeln!(
+        out,
+        "Jain's index over customers {:.3}, least of a fair share {:.3}",
+        figures.jain, figures.least_of_fair
+    );
+    let _ = writeln!(out, "{}", last_line(figures));
+    out
+}
+
+fn row(class: &ClassFigures) -> String {
+    let slowdown = class
+        .slowdown_p95
+        .map_or_else(|| "-".to_owned(), |s| format!("{s:.2}"));
+    format!(
+        "{:<8}{:>6}{:>7}{:>9}{:>10}{:>8}{:>7} ms{:>7} ms{:>7} ms{:>8} ms{:>10}\n",
+        class.class,
+        class.sent,
+        class.good,
+        class.not_run,
+        class.may_have_run,
+        class.broken,
+        show_ms(class.ttft_p50_ms),
+        show_ms(class.ttft_p95_ms),
+        show_ms(class.ttft_p99_ms),
+        show_ms(class.total_p95_ms),
+        slowdown,
+    )
+}
+
+fn last_line(figures: &Figures) -> String {
+    let short = figures.class(LengthClass::Short);
+    let slowdown = short.and_then(|class| class.slowdown_p95);
+    format!(
+        "short slowdown p95 {}, ttft p95 all {} ms, goodput {:.3}",
+        slowdown.map_or_else(|| "-".to_owned(), |s| format!("{s:.2}")),
+        show_ms(figures.all.ttft_p95_ms),
+        good_share(&figures.all)
+    )
+}
+
+fn good_share(class: &ClassFigures) -> f64 {
+    class.good as f64 / class.sent.max(1) as f64
+}
--- /dev/null
+++ b/standin/src/load/scenario.rs
@@ -0,0 +1,249 @@
+//! The scenarios: which load comes, and what goes wrong meanwhile.
+
+use banyanarch::decide::LengthClass;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::FleetPlan;
+use crate::load::LoadOptions;
+
+const DOMAIN: &str = "hall-a";
+const ENGINES: usize = 8;
+const HOSTS: usize = 3;
+
+/// One scenario.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    /// The load in one sentence.
+    pub(crate) about: &'static str,
+    pub(crate) plan: FleetPlan,
+    /// For how long requests arrive.
+    pub(crate) lasts_s: f64,
+    /// For how long each class is played alone before.
+    pub(crate) alone_s: f64,
+    /// Classes with the share of all engines' time that their arrivals would take.
+    pub(crate) mix: Vec<(LengthClass, f64)>,
+    pub(crate) pattern: Pattern,
+    /// Customers with their shares of the arrivals.
+    pub(crate) customers: Vec<(String, f64)>,
+    /// The share of requests that begin with the same text.
+    pub(crate) hot_share: f64,
+    /// Faults of engines: when, which, what.
+    pub(crate) faults: Vec<(f64, Engines, Value)>,
+    /// Callers send again what failed, as soon as they may.
+    pub(crate) sends_again: bool,
+    /// Play this part of the load first, to compare goodput with.
+    pub(crate) compare_with: Option<f64>,
+}
+
+/// When requests arrive.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Pattern {
+    /// At random, evenly.
+    Even,
+    /// At random, and for some time at a higher rate.
+    Burst {
+        from_s: f64,
+        until_s: f64,
+        times: f64,
+    },
+    /// All at common instants.
+    Together { each_s: f64 },
+}
+
+/// Which engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Engines {
+    All,
+    First,
+    Even,
+}
+
+impl Engines {
+    pub(crate) fn has(self, at: usize) -> bool {
+        match self {
+            Self::All => true,
+            Self::First => at == 0,
+            Self::Even => at.is_multiple_of(2),
+        }
+    }
+}
+
+impl Scenario {
+    /// The scenario of a name.
+    pub(crate) fn named(options: &LoadOptions) -> Option<Self> {
+        let mut scenario = match options.scenario.as_str() {
+            "burst" => burst(),
+            "two-customers" => two_customers(),
+            "hot-key" => hot_key(),
+            "slow-upstream" => slow_upstream(),
+            "short-among-long" => short_among_long(),
+            "saturation" => saturation(),
+            "retry-storm" => retry_storm(),
+            "wrong-reports" => wrong_reports(),
+            "seven-hosts" => seven_hosts(),
+            _ => return None,
+        };
+        scenario.plan.policy = options.policy;
+        scenario.plan.objective = match options.objective.as_str() {
+            "first_token" => "first_token",
+            _ => "short_slowdown",
+        };
+        let customers = scenario.customers.iter();
+        scenario.plan.customers = customers.map(|(name, _)| (name.clone(), 1)).collect();
+        scenario.plan.customers.push(("default".to_owned(), 1));
+        Some(scenario)
+    }
+
+    /// The customer that `draw`, between 0 and 1, falls on.
+    pub(crate) fn customer(&self, draw: f64) -> String {
+        let mut left = draw;
+        for (name, share) in &self.customers {
+            if left < *share {
+                return name.clone();
+            }
+            left -= share;
+        }
+        self.customers[0].0.clone()
+    }
+}
+
+fn base(name: &'static str, about: &'static str, mix: &[(LengthClass, f64)]) -> Scenario {
+    Scenario {
+        name,
+        about,
+        plan: FleetPlan::new(&[DOMAIN], ENGINES, 0, HOSTS),
+        lasts_s: 18.0,
+        alone_s: 4.0,
+        mix: mix.to_vec(),
+        pattern: Pattern::Even,
+        customers: even_customers(8, 1.0),
+        hot_share: 0.0,
+        faults: Vec::new(),
+        sends_again: false,
+        compare_with: None,
+    }
+}
+
+fn even_customers(count: usize, share: f64) -> Vec<(String, f64)> {
+    let customer = |at| (format!("customer-{at}"), share / count as f64);
+    (1..=count).map(customer).collect()
+}
+
+fn burst() -> Scenario {
+    let mix = [(LengthClass::Short, 0.2), (LengthClass::Medium, 0.2)];
+    Scenario {
+        pattern: Pattern::Burst {
+            from_s: 5.0,
+            until_s: 7.0,
+            times: 10.0,
+        },
+        ..base("burst", "ten times the usual load for two seconds", &mix)
+    }
+}
+
+fn two_customers() -> Scenario {
+    let mix = [(LengthClass::Short, 0.6), (LengthClass::Medium, 0.6)];
+    let mut customers = vec![("large-1".to_owned(), 0.45), ("large-2".to_owned(), 0.45)];
+    customers.extend(even_customers(8, 0.1));
+    Scenario {
+        customers,
+        ..base(
+            "two-customers",
+            "1.2 times capacity, 90 percent of it from two of ten customers",
+            &mix,
+        )
+    }
+}
+
+fn hot_key() -> Scenario {
+    let mix = [(LengthClass::Short, 0.2), (LengthClass::Medium, 0.5)];
+    Scenario {
+        hot_share: 0.5,
+        ..base(
+            "hot-key",
+            "half of all prompts begin with the same text",
+            &mix,
+        )
+    }
+}
+
+fn slow_upstream() -> Scenario {
+    let mix = [(LengthClass::Short, 0.25), (LengthClass::Medium, 0.25)];
+    Scenario {
+        faults: vec![(4.0, Engines::First, json!({"slow_factor": 5.0}))],
+        ..base(
+            "slow-upstream",
+            "one engine gets five times slower after 4 s",
+            &mix,
+        )
+    }
+}
+
+fn short_among_long() -> Scenario {
+    let mix = [
+        (LengthClass::Short, 0.15),
+        (LengthClass::Long, 0.25),
+        (LengthClass::Huge, 0.25),
+    ];
+    base(
+        "short-among-long",
+        "clause lookups while long prompts take half of the engines' time",
+        &mix,
+    )
+}
+
+fn saturation() -> Scenario {
+    let mix = [
+        (LengthClass::Short, 0.8),
+        (LengthClass::Medium, 0.8),
+        (LengthClass::Long, 0.4),
+    ];
+    Scenario {
+        lasts_s: 14.0,
+        alone_s: 2.0,
+        compare_with: Some(0.5),
+        ..base("saturation", "twice what the engines can do", &mix)
+    }
+}
+
+fn retry_storm() -> Scenario {
+    let mix = [(LengthClass::Short, 0.35), (LengthClass::Medium, 0.25)];
+    Scenario {
+        faults: vec![
+            (4.0, Engines::All, json!({"fail_one_in": 1})),
+            (7.0, Engines::All, json!({})),
+        ],
+        sends_again: true,
+        ..base(
+            "retry-storm",
+            "all engines fail from 4 s to 7 s, and callers send again at once",
+            &mix,
+        )
+    }
+}
+
+fn wrong_reports() -> Scenario {
+    let mix = [(LengthClass::Short, 0.3), (LengthClass::Medium, 0.4)];
+    let mut scenario = base(
+        "wrong-reports",
+        "reports are 3 s old, and those of half of the engines say that they are idle",
+        &mix,
+    );
+    scenario.plan.engine.report_lag_ms = 3_000;
+    scenario.faults = vec![(0.0, Engines::Even, json!({"report_factor": 0.0}))];
+    scenario
+}
+
+fn seven_hosts() -> Scenario {
+    let mix = [(LengthClass::Short, 0.3), (LengthClass::Medium, 0.3)];
+    let mut scenario = base(
+        "seven-hosts",
+        "seven hosts get their requests at the same instants, twice a second",
+        &mix,
+    );
+    scenario.plan.hosts = FleetPlan::new(&[DOMAIN], 0, 0, 7).hosts;
+    scenario.pattern = Pattern::Together { each_s: 0.5 };
+    scenario
+}
--- a/standin/src/machine.rs
+++ b/standin/src/machine.rs
@@ -10,7 +10,8 @@
 use crate::http::CallError;
 use crate::http::call_json;
 
-const PATH: &str = "/apis/banyanarch.dev/v1/machines";
+/// The path of the list.
+pub const PATH: &str = "/apis/banyanarch.dev/v1/machines";
 const TRIES: u32 = 50;
 const PAUSE: Duration = Duration::from_millis(100);
 
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -16,16 +16,6 @@
 use crate::http::Server;
 use crate::platform::api::Api;
 
-/// What `standin platform` takes.
-pub const USAGE: &str = "\
-standin platform [--listen ADDR]
-
-Serves the platform's object API from memory.
-GET /stats counts calls, PUT /faults sets faults:
-  {\"outage\":\"none|unavailable|closed\",\"delay_ms\":N,\"lose_answer_one_in\":N,
-   \"machines_lag_ms\":N}
-";
-
 /// A running platform stand-in.
 #[derive(Debug)]
 pub struct PlatformFake {
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -31,16 +31,6 @@
 use crate::http::Reply;
 use crate::http::Server;
 
-/// What `standin service` takes.
-pub const USAGE: &str = "\
-standin service [--listen ADDR] [--latency-ms N] [--slots N] [--record FILE]
-                [--machine NAME --domain D --target T --platform ADDR]
-
-A plain service: echoes each call's body after the latency, which grows when more calls than
-slots are at work. GET /record tells every call that ever ran, PUT /faults sets faults:
-  freeze, slow_factor, fail_one_in, cut_one_in, refuse
-";
-
 /// How a stand-in service is made.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceOptions {
