Entry: metrics, logs and explanations of each request

Cause: operators must see why a request went where it went. Change: each step notes what was decided, where and why; histograms for each customer and class; one Outcome type for headers, metrics and checks. Ruled out: a second Outcome in the observe module, which said the same thing.

--- a/src/daemon/error.rs
+++ b/src/daemon/error.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::observe::ObserveError;
 use crate::settings::SettingsErrors;
 
 /// Why a daemon could not start.
@@ -21,6 +22,8 @@
         /// Why.
         source: io::Error,
     },
+    /// Logs or metrics could not be set up.
+    Observe(ObserveError),
     /// The runtime or signals could not be set up.
     Io(io::Error),
 }
@@ -39,6 +42,7 @@
                     "settings field {field}: cannot listen on {addr}: {source}"
                 )
             }
+            Self::Observe(err) => err.fmt(f),
             Self::Io(err) => err.fmt(f),
         }
     }
@@ -52,6 +56,12 @@
     }
 }
 
+impl From<ObserveError> for DaemonError {
+    fn from(err: ObserveError) -> Self {
+        Self::Observe(err)
+    }
+}
+
 impl From<io::Error> for DaemonError {
     fn from(err: io::Error) -> Self {
         Self::Io(err)
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -47,10 +47,14 @@
 use crate::fleet::HomeMap;
 use crate::fleet::UpstreamRegistry;
 use crate::http::HttpClient;
+use crate::observe::Bounds;
+use crate::observe::Explanations;
+use crate::observe::Metrics;
 use crate::platform::HttpPlatform;
 use crate::platform::Kind;
 use crate::platform::Platform;
 use crate::settings::Settings;
+use crate::units::RequestId;
 
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 const MACHINES_PAUSE: Duration = Duration::from_secs(1);
@@ -121,6 +125,8 @@
             poison: Mutex::new(PoisonList::new()),
             poison_spread: Arc::new(NoSpread),
             retries: Mutex::new(IndexMap::new()),
+            metrics: Arc::new(Metrics::new()?),
+            explanations: Arc::new(Explanations::new(Arc::clone(&clock), Bounds::default())),
         });
         let is_draining = Arc::new(AtomicBool::new(false));
         let pages = HostPages {
@@ -212,7 +218,8 @@
             "/livez" => Some(Page::text(StatusCode::OK, "live\n")),
             "/readyz" => Some(self.ready()),
             "/status" => Some(self.status()),
-            _ => None,
+            "/metrics" => Some(self.metrics()),
+            _ => path.strip_prefix("/explain/").map(|id| self.explain(id)),
         }
     }
 }
@@ -228,6 +235,28 @@
         Page::text(StatusCode::OK, "ready\n")
     }
 
+    fn metrics(&self) -> Page {
+        match self.parts.metrics.render() {
+            Ok(text) => Page::text(StatusCode::OK, text),
+            Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
+        }
+    }
+
+    fn explain(&self, id: &str) -> Page {
+        let request: RequestId = match id.parse() {
+            Ok(request) => request,
+            Err(err) => return Page::text(StatusCode::BAD_REQUEST, format!("{err}\n")),
+        };
+        let Some(explanation) = self.parts.explanations.get(request) else {
+            let why = "this host knows nothing of the request, or no longer\n";
+            return Page::text(StatusCode::NOT_FOUND, why);
+        };
+        match serde_json::to_string(&explanation) {
+            Ok(text) => Page::json(StatusCode::OK, text + "\n"),
+            Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
+        }
+    }
+
     fn status(&self) -> Page {
         let generation = self
             .parts
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -10,11 +10,13 @@
 
 use crate::daemon::DaemonError;
 use crate::daemon::host::Host;
+use crate::observe::logs;
 use crate::settings::Settings;
 
 /// Runs a daemon until it has drained after SIGTERM or SIGINT, or until the second of them.
 pub fn run(settings_path: &Path) -> Result<(), DaemonError> {
     let settings = Settings::read(settings_path)?;
+    logs::init(&settings.logs)?;
     let mut runtime = Builder::new_multi_thread();
     if settings.threads > 0 {
         runtime.worker_threads(settings.threads);
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -1,5 +1,6 @@
 //! Does what the life of a request says, and reports back what came of it.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +39,7 @@
 use crate::entry::attempt::Piece;
 use crate::entry::break_of;
 use crate::entry::settle::settle;
+use crate::observe::StepKind;
 use crate::units::IdempotencyKey;
 use crate::units::UpstreamId;
 use crate::upstream::AnswerStream;
@@ -122,8 +124,31 @@
         }
     }
 
+    fn note(&self, what: StepKind, place: &str, why: impl Into<Cow<'static, str>>) {
+        self.parts
+            .explanations
+            .note(self.job.work.request, what, place, why);
+    }
+
+    fn leader(&self) -> &str {
+        self.attempt
+            .as_ref()
+            .and_then(Attempt::leader)
+            .map_or("", UpstreamId::as_str)
+    }
+
     /// A request that crashed upstreams before is turned away before it costs anything.
     fn admit(&mut self) -> LifeEvent {
+        let work = &self.job.work;
+        let why = format!(
+            "{} for {}, {} prompt tokens ({}), rank {}",
+            self.job.target,
+            work.customer,
+            work.prompt_tokens,
+            work.class(),
+            work.priority
+        );
+        self.note(StepKind::Received, self.parts.host.as_str(), why);
         if self
             .parts
             .poison_list()
@@ -156,11 +181,8 @@
         };
         match answer {
             GrantAnswer::Granted(held) => {
+                self.note_granted(&held);
                 let now = self.parts.clock.now();
-                debug!(
-                    "entry: request {} goes to {:?}",
-                    held.work.request, held.upstreams
-                );
                 self.attempt = Some(Attempt::new(*held, now));
                 LifeEvent::Granted
             }
@@ -170,11 +192,22 @@
             } => {
                 self.retry_after = Some(retry_after);
                 self.message = format!("turned away: {reason}");
+                self.note(StepKind::Refused, "", reason.name());
                 LifeEvent::Refused(reason)
             }
         }
     }
 
+    fn note_granted(&self, held: &HeldGrant) {
+        let places: Vec<&str> = held.upstreams.iter().map(UpstreamId::as_str).collect();
+        let why = format!("{} after {:?}, pool {}", held.why, held.waited, held.pool);
+        self.note(StepKind::Granted, &places.join(","), why);
+        let work = &held.work;
+        self.parts
+            .metrics
+            .queue_wait(&work.customer, work.class(), held.waited);
+    }
+
     async fn claim(&mut self) -> LifeEvent {
         let Some(wanted) = self.claim_wanted() else {
             return LifeEvent::ClaimFailed(FailReason::Refused(RefuseReason::NoClaim));
@@ -184,10 +217,17 @@
         let answer = self.parts.claims.claim(wanted.clone()).await;
         match answer {
             ClaimAnswer::Claimed => {
+                self.note(
+                    StepKind::Claimed,
+                    self.leader(),
+                    "recorded for this attempt",
+                );
                 self.claimed = Some(wanted);
                 LifeEvent::Claimed
             }
             ClaimAnswer::Held { attempt, upstream } => {
+                let why = format!("an earlier sending runs as attempt {attempt}");
+                self.note(StepKind::Claimed, upstream.as_str(), why);
                 self.end_attempt(Ended::NotSent);
                 self.followed = Some((ClaimWanted { attempt, ..wanted }, upstream));
                 LifeEvent::ClaimHeld
@@ -246,6 +286,11 @@
             return self.broken(UpstreamError::NotSent(why)).await;
         };
         let dispatch = self.dispatch_of(&held, now);
+        self.note(
+            StepKind::Dispatched,
+            self.leader(),
+            format!("attempt {}", held.attempt()),
+        );
         let deadline = self.job.work.deadline;
         let started = tokio::select! {
             started = upstream.start(dispatch) => started,
@@ -321,7 +366,11 @@
             return self.broken(UpstreamError::UnknownAttempt).await;
         };
         match upstream.resume(attempt.id(), attempt.offset_tokens()).await {
-            Ok(answer) => self.pump(answer, life).await,
+            Ok(answer) => {
+                let why = format!("from token {}", attempt.offset_tokens());
+                self.note(StepKind::Resumed, self.leader(), why);
+                self.pump(answer, life).await
+            }
             Err(UpstreamError::NotSent(why)) => {
                 // The attempt had started, its connection broke, and now nobody listens there: the
                 // upstream died with it.
@@ -396,7 +445,10 @@
 
     async fn hand_on(&mut self, piece: Piece) -> Handed {
         let handed = match piece {
-            Piece::Text { text, .. } => self.reply.tokens(&text).await,
+            Piece::Text { text, gap } => {
+                self.note_tokens(gap);
+                self.reply.tokens(&text).await
+            }
             Piece::Head {
                 status,
                 content_type,
@@ -422,6 +474,20 @@
         }
     }
 
+    fn note_tokens(&self, gap: Option<Duration>) {
+        let work = &self.job.work;
+        let metrics = &self.parts.metrics;
+        match gap {
+            Some(gap) => metrics.between_tokens(&work.customer, work.class(), gap),
+            None => {
+                let now = self.parts.clock.now();
+                let took = now.saturating_duration_since(self.job.received);
+                metrics.first_token(&work.customer, work.class(), took);
+                self.note(StepKind::FirstToken, self.leader(), "");
+            }
+        }
+    }
+
     /// A claimed request runs on without its caller, who will ask for the answer again with the
     /// same key: ending it would leave nothing but "may have run".
     fn detach(&mut self) -> bool {
@@ -433,6 +499,13 @@
         let broke = break_of(&err);
         info!("entry: request {} broke: {err}", self.job.work.request);
         self.message = err.to_string();
+        let is_cut = broke == Break::Cut;
+        let what = if is_cut {
+            StepKind::Resumed
+        } else {
+            StepKind::Retried
+        };
+        self.note(what, self.leader(), err.to_string());
         if let UpstreamError::Refused { retry_after, .. } = &err {
             self.retry_after = *retry_after;
         }
@@ -494,6 +567,7 @@
             .with_budget(&self.job.target, |budget| budget.judge(&failed, now))
         {
             RetryVerdict::Again { after } => {
+                self.parts.metrics.retry(self.last_reason());
                 self.reply.restart();
                 sleep(after).await;
                 LifeEvent::RetryAllowed
@@ -508,6 +582,15 @@
         }
     }
 
+    fn last_reason(&self) -> &'static str {
+        match &self.last_error {
+            Some(UpstreamError::NotSent(_)) => "not_sent",
+            Some(UpstreamError::Refused { .. }) => "refused",
+            Some(UpstreamError::Garbled(_)) => "garbled",
+            _ => "failed",
+        }
+    }
+
     /// Ends the current attempt, if there is one, and remembers its upstreams as ones to avoid.
     fn end_attempt(&mut self, ended: Ended) {
         let Some(attempt) = self.attempt.take() else {
@@ -528,6 +611,11 @@
     }
 
     async fn finish(&mut self, verdict: Verdict) {
+        self.note(
+            StepKind::Ended,
+            "",
+            format!("{} {}", verdict.outcome(), verdict.reason()),
+        );
         let ended = match verdict {
             Verdict::Completed => Ended::Completed,
             Verdict::NotRun(_) => Ended::NotSent,
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -39,6 +39,8 @@
     pub target: TargetId,
     /// The request for the decisions.
     pub work: Work,
+    /// When its first byte came.
+    pub received: Instant,
     /// What it may be put through.
     pub rules: LifeRules,
     /// The form of its answer.
@@ -207,6 +209,7 @@
                 avoid: Vec::new(),
             },
             target: plan.target,
+            received: self.received,
             rules: LifeRules {
                 repeatable,
                 needs_claim,
--- a/src/entry/parts.rs
+++ b/src/entry/parts.rs
@@ -17,6 +17,8 @@
 use crate::entry::Granter;
 use crate::entry::InFlight;
 use crate::entry::UpstreamDirectory;
+use crate::observe::Explanations;
+use crate::observe::Metrics;
 use crate::units::HostId;
 use crate::units::TargetId;
 
@@ -48,6 +50,10 @@
     pub poison: Mutex<PoisonList>,
     /// Tells other hosts of them.
     pub poison_spread: Arc<dyn PoisonSpread>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// What was decided for requests.
+    pub explanations: Arc<Explanations>,
     /// A retry budget for each target.
     pub retries: Mutex<IndexMap<TargetId, RetryBudget>>,
 }
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -227,7 +227,7 @@
             ReplyShape::Whole(kind) => {
                 let body = self.whole_body(kind, finish_reason, usage);
                 let head = self.head_builder().status(200);
-                let head = head.header("Banyanarch-Outcome", Verdict::Completed.outcome());
+                let head = head.header("Banyanarch-Outcome", Verdict::Completed.outcome().name());
                 self.send_whole(head.header(CONTENT_TYPE, "application/json"), &body)
             }
         }
@@ -238,7 +238,7 @@
         let body = self.failure_body(failure);
         if self.pieces.is_none() {
             let mut head = self.head_builder().status(failure.verdict.status());
-            head = head.header("Banyanarch-Outcome", failure.verdict.outcome());
+            head = head.header("Banyanarch-Outcome", failure.verdict.outcome().name());
             if let Some(retry_after) = failure.retry_after {
                 let retry_after_s = retry_after.as_secs_f64().ceil().max(1.0);
                 head = head.header(RETRY_AFTER, retry_after_s.to_string());
@@ -320,7 +320,7 @@
         });
         if let Some((_, usage)) = end {
             event["usage"] = usage.to_json();
-            event["outcome"] = json!(Verdict::Completed.outcome());
+            event["outcome"] = json!(Verdict::Completed.outcome().name());
         }
         Bytes::from(format!("data: {event}\n\n"))
     }
@@ -360,7 +360,7 @@
         json!({"error": {
             "message": failure.message,
             "type": failure.verdict.reason(),
-            "outcome": failure.verdict.outcome(),
+            "outcome": failure.verdict.outcome().name(),
             "request_id": self.request,
             "host": self.host,
             "retry_after_ms": retry_after_ms,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::control::outcome::Outcome;
 use crate::entry::CallerHeaders;
 use crate::entry::EntryParts;
 use crate::entry::FailReason;
@@ -140,8 +141,17 @@
     match read_job(parts, request, req, &in_force.manifest).await {
         Ok((job, _body)) => {
             reply.set_shape(job.shape, &job.model);
+            let (customer, class) = (job.work.customer.clone(), job.work.class());
+            parts.metrics.in_flight(class, 1);
             let verdict = Driver::new(parts, job, reply).run().await;
-            debug!("entry: request {request} ended: {verdict:?}");
+            parts.metrics.in_flight(class, -1);
+            // A caller that went away before the end did not see whether it ran.
+            let (outcome, reason) = verdict
+                .map_or((Outcome::MayHaveRun, "caller_gone"), |verdict| {
+                    (verdict.outcome(), verdict.reason())
+                });
+            parts.metrics.outcome(&customer, class, outcome, reason);
+            debug!(request:% = request; "entry: {outcome} {reason}");
         }
         Err(rejection) => reject(reply, rejection).await,
     }
--- a/src/entry/verdict.rs
+++ b/src/entry/verdict.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 
+use crate::control::outcome::Outcome;
 use crate::decide::RefuseReason;
 
 /// The three outcomes.
@@ -17,11 +18,11 @@
 
 impl Verdict {
     /// The outcome as headers and bodies give it.
-    pub fn outcome(self) -> &'static str {
+    pub fn outcome(self) -> Outcome {
         match self {
-            Self::Completed => "completed",
-            Self::NotRun(_) => "not-run",
-            Self::MayHaveRun(_) => "may-have-run",
+            Self::Completed => Outcome::Completed,
+            Self::NotRun(_) => Outcome::NotRun,
+            Self::MayHaveRun(_) => Outcome::MayHaveRun,
         }
     }
 
