Test the stand-ins through the clients that hosts use

Cause: the fakes and the adapters were written apart, from the same page. Ruled out: tests over raw sockets, which would not show that both read docs/PROTOCOLS.md alike. Change: 18 tests, of the engine (resume, rank, memory, holds, fencing, cache, faults) and of the platform (conflict, lost answer, watch, lag, outage). Seen on the way: the platform client's watch returns only when its time is over, also when something changed at once.

--- /dev/null
+++ b/standin/tests/engine.rs
@@ -0,0 +1,269 @@
+//! The stand-in engine, through the client that hosts use.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::http::HttpClient;
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
+use banyanarch::units::FencingNumber;
+use banyanarch::units::Priority;
+use banyanarch::upstream::AnswerEvent;
+use banyanarch::upstream::AnswerStream;
+use banyanarch::upstream::Dispatch;
+use banyanarch::upstream::EngineState;
+use banyanarch::upstream::HttpUpstream;
+use banyanarch::upstream::Order;
+use banyanarch::upstream::RequestBody;
+use banyanarch::upstream::Upstream;
+use banyanarch::upstream::UpstreamError;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use hyper::Method;
+use serde_json::json;
+use standin::answer;
+use standin::caller::Ask;
+use standin::caller::Target;
+use standin::caller::Verdict;
+use standin::caller::send;
+use standin::engine::Engine;
+use standin::engine::EngineFaults;
+use standin::engine::EngineOptions;
+use standin::engine::RunEnd;
+use standin::http::call_json;
+use yare::parameterized;
+
+const MAX_TOKENS: u64 = 40;
+
+fn ask(number: u64, prompt_tokens: u64) -> Ask {
+    Ask {
+        number,
+        at: Duration::ZERO,
+        target: Target::Completion,
+        customer: "default".to_owned(),
+        prompt_tokens,
+        prefix_group: number,
+        prefix_tokens: 0,
+        max_tokens: MAX_TOKENS,
+        limit: Duration::from_secs(10),
+        repeatable: true,
+        key: None,
+    }
+}
+
+fn dispatch(attempt: u128, priority: u8, body: &Bytes) -> Dispatch {
+    Dispatch {
+        attempt: AttemptId(attempt),
+        host: "entry-1".parse().unwrap(),
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        content_type: Some("application/json".to_owned()),
+        body: RequestBody {
+            chunks: vec![body.clone()],
+        },
+        priority: Priority(priority),
+        remaining: Duration::from_secs(10),
+        gang: Vec::new(),
+        is_model: true,
+    }
+}
+
+fn client(engine: &Engine) -> HttpUpstream {
+    HttpUpstream::new(HttpClient::new(engine.addr()))
+}
+
+async fn engine(options: EngineOptions) -> Engine {
+    Engine::start(options).await.unwrap()
+}
+
+/// Reads an answer to its end and returns its text.
+async fn text_of(mut stream: AnswerStream) -> Result<String, UpstreamError> {
+    let mut text = String::new();
+    while let Some(event) = stream.next().await {
+        if let AnswerEvent::Tokens { text: piece, .. } = event? {
+            text.push_str(&piece);
+        }
+    }
+    Ok(text)
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    let give_up = Instant::now() + Duration::from_secs(10);
+    while !holds() {
+        assert!(Instant::now() < give_up, "waited in vain");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A host dies after the first tokens of an answer. The engine does not notice; another host reads
+/// the rest by the attempt's id, and both parts together are the answer to that very body.
+#[tokio::test]
+async fn an_attempt_outlives_its_reader() {
+    let engine = engine(EngineOptions::default()).await;
+    let body = ask(1, 500).body();
+    let mut first = client(&engine).start(dispatch(7, 0, &body)).await.unwrap();
+    let Some(Ok(AnswerEvent::Tokens { text, count, .. })) = first.next().await else {
+        panic!("no tokens");
+    };
+    drop(first);
+    let rest = client(&engine).resume(AttemptId(7), count).await.unwrap();
+    let whole = text + &text_of(rest).await.unwrap();
+    assert_eq!(whole, answer::whole(ContentHash::of(&body), MAX_TOKENS));
+    assert_eq!(engine.record()[0].end, Some(RunEnd::Completed));
+}
+
+/// A long prompt arrives first, a short one with a better rank right after. The short one is read
+/// in between two chunks of the long one, and ends before it.
+#[tokio::test]
+async fn a_better_rank_goes_first() {
+    let engine = engine(EngineOptions::default()).await;
+    let upstream = client(&engine);
+    let (long, short) = (ask(1, 100_000).body(), ask(2, 500).body());
+    let _long = upstream.start(dispatch(1, 1, &long)).await.unwrap();
+    let _short = upstream.start(dispatch(2, 0, &short)).await.unwrap();
+    until(|| engine.record().iter().all(|run| run.end.is_some())).await;
+    let ended: Vec<Option<u64>> = engine.record().iter().map(|run| run.ended_ms).collect();
+    assert!(ended[1] < ended[0], "{ended:?}");
+}
+
+/// An engine's memory is full. Another request waits in the engine, a third one finds the queue
+/// full and is refused as not run. When the first is cancelled, its memory is free for the second.
+#[tokio::test]
+async fn memory_is_limited_and_comes_back() {
+    let options = EngineOptions {
+        memory_tokens: 10_000,
+        queue_max: 1,
+        ..EngineOptions::default()
+    };
+    let engine = engine(options).await;
+    engine.set_faults(EngineFaults {
+        slow_factor: 20.0,
+        ..EngineFaults::default()
+    });
+    let upstream = client(&engine);
+    let body = ask(1, 8_000).body();
+    let _first = upstream.start(dispatch(1, 0, &body)).await.unwrap();
+    until(|| engine.free_tokens() < 10_000).await;
+    let _second = upstream.start(dispatch(2, 0, &body)).await.unwrap();
+    let third = upstream.start(dispatch(3, 0, &body)).await;
+    let too_large = upstream.start(dispatch(4, 0, &ask(1, 11_000).body())).await;
+    assert!(third.is_err_and(|e| e.did_not_run()));
+    assert!(too_large.is_err_and(|e| e.did_not_run()));
+    upstream.cancel(AttemptId(1)).await.unwrap();
+    engine.set_faults(EngineFaults::default());
+    until(|| engine.record()[1].end == Some(RunEnd::Completed)).await;
+    assert_eq!(engine.free_tokens(), 10_000);
+    assert_eq!(engine.record().len(), 2);
+}
+
+/// A host holds a part of an engine for a gang and dies. The hold ends by itself.
+#[tokio::test]
+async fn a_hold_expires() {
+    let engine = engine(EngineOptions::default()).await;
+    let hold = json!({"tokens": 150_000, "hold_ms": 50, "host": "entry-1"});
+    let path = "/v1/gang/00000000000000000000000000000009";
+    call_json(engine.addr(), Method::POST, path, &hold)
+        .await
+        .unwrap();
+    let refused = call_json(engine.addr(), Method::POST, "/v1/gang/other", &hold).await;
+    assert!(refused.is_err(), "held twice");
+    until(|| engine.free_tokens() == 200_000).await;
+}
+
+/// A host whose lease has lapsed unnoticed gives an order after its successor did. An engine that
+/// checks who gives orders refuses it, one that does not obeys and ends up in the old state.
+#[parameterized(
+    checked = { true, "new" },
+    ignored = { false, "old" },
+)]
+#[test_macro(tokio::test)]
+async fn an_old_order(checks_fencing: bool, version: &str) {
+    let options = EngineOptions {
+        checks_fencing,
+        ..EngineOptions::default()
+    };
+    let engine = engine(options).await;
+    let order = |fencing, version: &str| Order {
+        fencing: FencingNumber(fencing),
+        state: EngineState {
+            version: version.to_owned(),
+            ..EngineOptions::default().state
+        },
+    };
+    client(&engine).order(order(2, "new")).await.unwrap();
+    let late = client(&engine).order(order(1, "old")).await;
+    assert_eq!(late.is_err(), checks_fencing);
+    assert_eq!(client(&engine).state().await.unwrap().version, version);
+}
+
+/// What a caller must be able to tell apart when it talks to an engine with a fault: an answer that
+/// is cut, one that ends early as if it were whole, one that is another's, and none at all.
+#[parameterized(
+    cut = { EngineFaults { cut_one_in: 1, ..EngineFaults::default() }, "cut" },
+    short = { EngineFaults { short_one_in: 1, ..EngineFaults::default() }, "cut" },
+    crossed = { EngineFaults { cross_answers: true, ..EngineFaults::default() }, "wrong" },
+    failed = { EngineFaults { fail_one_in: 1, ..EngineFaults::default() }, "may have run" },
+    poison = { EngineFaults { crash_marker: Some("verse".into()), ..EngineFaults::default() }, "cut" },
+    none = { EngineFaults::default(), "completed" },
+)]
+#[test_macro(tokio::test)]
+async fn faults_show(faults: EngineFaults, told: &str) {
+    let engine = engine(EngineOptions::default()).await;
+    engine.set_faults(faults);
+    assert_eq!(told_by(engine.addr()).await, told);
+    assert_eq!(engine.record().len(), 1);
+}
+
+async fn told_by(addr: SocketAddr) -> &'static str {
+    let ask = ask(1, 500);
+    match send(addr, &ask, ask.body(), Instant::now()).await.verdict {
+        Verdict::Completed => "completed",
+        Verdict::Wrong(_) => "wrong",
+        Verdict::NotRun { .. } => "not run",
+        Verdict::MayHaveRun(_) => "may have run",
+        Verdict::Cut(_) => "cut",
+    }
+}
+
+/// Two prompts share their first 16 KiB. The second is read in from there on, and the cache's
+/// events tell of the shared parts.
+#[tokio::test]
+async fn a_shared_prefix_is_cached() {
+    let options = EngineOptions {
+        cache_event_lag_ms: 0,
+        cache_event_gap_one_in: 0,
+        ..EngineOptions::default()
+    };
+    let engine = engine(options).await;
+    let of_group = |number| Ask {
+        prefix_group: 3,
+        prefix_tokens: 5_000,
+        ..ask(number, 6_000)
+    };
+    for number in [1, 2] {
+        let body = of_group(number).body();
+        let stream = client(&engine)
+            .start(dispatch(number.into(), 0, &body))
+            .await;
+        text_of(stream.unwrap()).await.unwrap();
+    }
+    let read_in: Vec<u64> = engine
+        .record()
+        .iter()
+        .map(|run| run.prefilled_tokens)
+        .collect();
+    assert_eq!(read_in, [6_000, 6_000 - 4_096]);
+    let events = client(&engine).cache_events(0).await.unwrap();
+    assert_eq!(events.len(), 2);
+    let kv = client(&engine).export_kv(events[1].prefix).await.unwrap();
+    let other = self::engine(EngineOptions::default()).await;
+    client(&other)
+        .import_kv(events[1].prefix, kv)
+        .await
+        .unwrap();
+    let body = of_group(3).body();
+    let stream = client(&other).start(dispatch(3, 0, &body)).await.unwrap();
+    text_of(stream).await.unwrap();
+    assert_eq!(other.record()[0].prefilled_tokens, 6_000 - 4_096);
+}
--- /dev/null
+++ b/standin/tests/platform.rs
@@ -0,0 +1,129 @@
+//! The stand-in platform, through the client that hosts use.
+
+use std::time::Duration;
+
+use banyanarch::http::HttpClient;
+use banyanarch::platform::Expected;
+use banyanarch::platform::HttpPlatform;
+use banyanarch::platform::Kind;
+use banyanarch::platform::ObjectKey;
+use banyanarch::platform::Platform;
+use banyanarch::platform::PlatformError;
+use banyanarch::units::ObjectVersion;
+use serde_json::json;
+use standin::platform::Outage;
+use standin::platform::PlatformFake;
+use standin::platform::PlatformFaults;
+
+const WAIT: Duration = Duration::from_secs(2);
+
+async fn platform() -> (PlatformFake, HttpPlatform) {
+    let fake = PlatformFake::start(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let client = HttpPlatform::new(HttpClient::new(fake.addr()), WAIT);
+    (fake, client)
+}
+
+fn key(kind: Kind) -> ObjectKey {
+    ObjectKey::new(kind, "one")
+}
+
+/// Two operators publish at the same moment: of two writes that expect the same version one wins.
+#[tokio::test]
+async fn one_of_two_writes_wins() {
+    let (fake, client) = platform().await;
+    let key = key(Kind::Manifests);
+    let first = client
+        .put(key.clone(), json!(1), Expected::Absent)
+        .await
+        .unwrap();
+    let again = client.put(key.clone(), json!(1), Expected::Absent).await;
+    assert_eq!(again, Err(PlatformError::Conflict));
+    let second = client
+        .put(key.clone(), json!(2), Expected::Version(first))
+        .await;
+    let third = client
+        .put(key.clone(), json!(3), Expected::Version(first))
+        .await;
+    assert!(second.is_ok());
+    assert_eq!(third, Err(PlatformError::Conflict));
+    assert_eq!(client.get(key).await.unwrap().value, json!(2));
+    assert_eq!(fake.stats().conflicts, 2);
+}
+
+/// A write takes effect and its answer is lost: the client learns nothing, and must read it back.
+#[tokio::test]
+async fn a_lost_answer_has_taken_effect() {
+    let (fake, client) = platform().await;
+    fake.set_faults(PlatformFaults {
+        lose_answer_one_in: 1,
+        ..PlatformFaults::default()
+    });
+    let lost = client
+        .put(key(Kind::Claims), json!("mine"), Expected::Absent)
+        .await;
+    assert!(matches!(lost, Err(PlatformError::Unknown(_))), "{lost:?}");
+    let read = client.get(key(Kind::Claims)).await.unwrap();
+    assert_eq!(read.value, json!("mine"));
+}
+
+/// A watch waits through other kinds' writes, tells of its own, and counts as one call.
+#[tokio::test]
+async fn a_watch_waits_for_its_kind() {
+    let (fake, client) = platform().await;
+    let watch = client.watch(Kind::Manifests, ObjectVersion(0), WAIT);
+    let write = async {
+        client
+            .put(key(Kind::Claims), json!(1), Expected::Absent)
+            .await
+            .unwrap();
+        client
+            .put(key(Kind::Manifests), json!(2), Expected::Absent)
+            .await
+            .unwrap()
+    };
+    let (seen, version) = tokio::join!(watch, write);
+    let seen = seen.unwrap();
+    assert_eq!(seen.items[0].value, json!(2));
+    assert_eq!(seen.version, version);
+    assert_eq!(fake.stats().reads, 1);
+}
+
+/// The list of machines is older than the store, and catches up.
+#[tokio::test]
+async fn the_list_of_machines_lags() {
+    let (fake, client) = platform().await;
+    fake.set_faults(PlatformFaults {
+        machines_lag_ms: 300,
+        ..PlatformFaults::default()
+    });
+    client
+        .put(key(Kind::Machines), json!(1), Expected::Absent)
+        .await
+        .unwrap();
+    let early = client.list(Kind::Machines).await.unwrap();
+    assert!(early.items.is_empty());
+    let later = client
+        .watch(Kind::Machines, early.version, WAIT)
+        .await
+        .unwrap();
+    assert_eq!(later.items.len(), 1);
+}
+
+/// In an outage nothing is written, and the client can tell.
+#[tokio::test]
+async fn an_outage_writes_nothing() {
+    let (fake, client) = platform().await;
+    fake.set_faults(PlatformFaults {
+        outage: Outage::Unavailable,
+        ..PlatformFaults::default()
+    });
+    let put = client
+        .put(key(Kind::Leases), json!(1), Expected::Absent)
+        .await;
+    assert!(matches!(put, Err(PlatformError::Unavailable(_))), "{put:?}");
+    fake.set_faults(PlatformFaults::default());
+    let read = client.get(key(Kind::Leases)).await;
+    assert_eq!(read, Err(PlatformError::Absent));
+}
