Metrics use the one outcome type; the published manifest as a type

Change: metrics take control::outcome::Outcome; manifest::PublishedManifest names the fields of the platform's object for the tool and the daemon. Runs: tests/observe.rs, tests/observe_memory.rs and tests/manifest.rs pass.

--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -5,11 +5,14 @@
 mod in_force;
 mod lookup;
 mod parse;
+mod published;
 mod spec;
 mod target;
 
 pub use errors::ManifestErrors;
 pub use in_force::InForce;
+pub use published::CURRENT;
+pub use published::PublishedManifest;
 pub use spec::CustomerSpec;
 pub use spec::FencingSupport;
 pub use spec::LimitsSpec;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -24,11 +24,11 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::control::outcome::Outcome;
 use crate::decide::LengthClass;
 use crate::manifest::Manifest;
 use crate::observe::LedgerTotals;
 use crate::observe::ObserveError;
-use crate::observe::Outcome;
 use crate::units::CustomerId;
 use crate::units::Generation;
 use crate::units::PoolId;
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -5,7 +5,6 @@
 mod ledger_totals;
 pub mod logs;
 mod metrics;
-mod outcome;
 mod step;
 
 pub use error::ObserveError;
@@ -13,7 +12,6 @@
 pub use explanations::Explanations;
 pub use ledger_totals::LedgerTotals;
 pub use metrics::Metrics;
-pub use outcome::Outcome;
 pub use step::Explanation;
 pub use step::Step;
 pub use step::StepKind;
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use banyanarch::clock::ManualClock;
+use banyanarch::control::outcome::Outcome;
 use banyanarch::decide::LengthClass;
 use banyanarch::manifest::Manifest;
 use banyanarch::observe::Bounds;
 use banyanarch::observe::Explanations;
 use banyanarch::observe::Metrics;
-use banyanarch::observe::Outcome;
 use banyanarch::observe::StepKind;
 use banyanarch::observe::logs;
 use banyanarch::settings::LogFormat;
--- a/tests/observe_memory.rs
+++ b/tests/observe_memory.rs
@@ -4,11 +4,11 @@
 use std::fs;
 use std::time::Duration;
 
+use banyanarch::control::outcome::Outcome;
 use banyanarch::decide::LengthClass;
 use banyanarch::manifest::CustomerSpec;
 use banyanarch::manifest::Manifest;
 use banyanarch::observe::Metrics;
-use banyanarch::observe::Outcome;
 
 const DESAI: &str = include_str!("../examples/desai/manifest.yaml");
 const CUSTOMERS: usize = 670;
