--- a/src/control/outcome/run_record.rs
+++ b/src/control/outcome/run_record.rs
@@ -57,7 +57,12 @@
     /// An attempt, or resuming one, failed. An error that shows that nothing ran says so of this
     /// sending only: what was in doubt before stays in doubt.
     pub fn failed(&mut self, error: &UpstreamError) -> AfterFailure {
-        if !error.did_not_run() {
+        self.ended(error.did_not_run())
+    }
+
+    /// An attempt ended without its whole answer.
+    pub fn ended(&mut self, did_not_run: bool) -> AfterFailure {
+        if !did_not_run {
             self.may_have_run = true;
         }
         self.is_in_flight = false;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::control::outcome::AnswerCheck;
+use crate::control::outcome::AnswerFault;
+use crate::control::outcome::AnswerStep;
 use crate::decide::Done;
 use crate::decide::Ended;
 use crate::entry::Break;
@@ -38,10 +41,10 @@
         /// Why the model stopped.
         finish_reason: String,
     },
-    /// It has been handed on before.
+    /// There is nothing in it that was not handed on before.
     Repeated,
     /// It is not the next piece of this attempt's answer.
-    Wrong(String),
+    Wrong(AnswerFault),
 }
 
 /// An attempt, from its grant to its end.
@@ -52,20 +55,25 @@
     started: Instant,
     first_token: Option<Duration>,
     last_token: Option<Instant>,
-    offset_tokens: u64,
+    check: AnswerCheck,
     prompt_tokens: u64,
     cached_tokens: u64,
 }
 
 impl Attempt {
     /// An attempt that is about to be dispatched.
-    pub fn new(held: HeldGrant, now: Instant) -> Self {
+    pub fn new(held: HeldGrant, is_model: bool, now: Instant) -> Self {
+        let id = held.attempt();
         Self {
             held,
             started: now,
             first_token: None,
             last_token: None,
-            offset_tokens: 0,
+            check: if is_model {
+                AnswerCheck::model(id)
+            } else {
+                AnswerCheck::service()
+            },
             prompt_tokens: 0,
             cached_tokens: 0,
         }
@@ -83,7 +91,7 @@
 
     /// How many tokens have been handed on.
     pub fn offset_tokens(&self) -> u64 {
-        self.offset_tokens
+        self.check.offset_tokens()
     }
 
     /// When its last sign of life came.
@@ -99,6 +107,15 @@
     /// Checks a piece before a byte of it reaches the caller. Answers can be late, crossed, cut or
     /// repeated; only the next tokens of this very attempt may pass.
     pub fn take(&mut self, event: AnswerEvent, now: Instant) -> Piece {
+        match self.check.take(event) {
+            AnswerStep::Skip => Piece::Repeated,
+            AnswerStep::Fault(fault) => Piece::Wrong(fault),
+            AnswerStep::Forward(event) => self.forward(event, now),
+            AnswerStep::End(event) => self.end(event),
+        }
+    }
+
+    fn forward(&mut self, event: AnswerEvent, now: Instant) -> Piece {
         match event {
             AnswerEvent::Head {
                 status,
@@ -111,46 +128,28 @@
                 self.note_token(now);
                 Piece::Data(bytes)
             }
-            AnswerEvent::Tokens {
-                attempt,
-                offset_tokens,
-                count,
-                text,
-            } => {
-                if attempt != self.id() {
-                    return Piece::Wrong(format!("an answer of attempt {attempt}"));
-                }
-                self.take_tokens(offset_tokens, count, text, now)
-            }
-            AnswerEvent::End {
-                attempt,
-                finish_reason,
-                prompt_tokens,
-                cached_tokens,
-            } => {
-                if attempt.is_some_and(|attempt| attempt != self.id()) {
-                    return Piece::Wrong("the end of another attempt".to_owned());
-                }
-                self.prompt_tokens = prompt_tokens;
-                self.cached_tokens = cached_tokens;
-                Piece::Whole { finish_reason }
+            AnswerEvent::Tokens { count: 0, .. } => Piece::Repeated,
+            AnswerEvent::Tokens { text, .. } => {
+                let gap = self.note_token(now);
+                Piece::Text { text, gap }
             }
+            AnswerEvent::End { .. } => self.end(event),
         }
     }
 
-    fn take_tokens(&mut self, offset_tokens: u64, count: u64, text: String, now: Instant) -> Piece {
-        if offset_tokens + count <= self.offset_tokens {
-            return Piece::Repeated;
-        }
-        if offset_tokens != self.offset_tokens {
-            let expected = self.offset_tokens;
-            return Piece::Wrong(format!(
-                "tokens from {offset_tokens} on, not from {expected}"
-            ));
-        }
-        self.offset_tokens += count;
-        let gap = self.note_token(now);
-        Piece::Text { text, gap }
+    fn end(&mut self, event: AnswerEvent) -> Piece {
+        let AnswerEvent::End {
+            finish_reason,
+            prompt_tokens,
+            cached_tokens,
+            ..
+        } = event
+        else {
+            return Piece::Wrong(AnswerFault::OutOfPlace("an end"));
+        };
+        self.prompt_tokens = prompt_tokens;
+        self.cached_tokens = cached_tokens;
+        Piece::Whole { finish_reason }
     }
 
     fn note_token(&mut self, now: Instant) -> Option<Duration> {
@@ -168,7 +167,7 @@
     pub fn usage(&self) -> Usage {
         Usage {
             prompt_tokens: self.prompt_tokens,
-            completion_tokens: self.offset_tokens,
+            completion_tokens: self.offset_tokens(),
         }
     }
 
@@ -180,11 +179,21 @@
             total: now.saturating_duration_since(self.started),
             prompt_tokens: Tokens(self.prompt_tokens),
             cached_tokens: Tokens(self.cached_tokens),
-            output_tokens: Tokens(self.offset_tokens),
+            output_tokens: Tokens(self.offset_tokens()),
         }
     }
 }
 
+/// The error that a faulty answer amounts to. Where the same attempt can be read on, what was wrong
+/// was the stream, and not the attempt.
+pub(crate) fn error_of(fault: AnswerFault) -> UpstreamError {
+    if fault.can_resume() {
+        UpstreamError::Interrupted(fault.to_string())
+    } else {
+        UpstreamError::Garbled(fault.to_string())
+    }
+}
+
 /// What an upstream's error means for the life of a request.
 pub fn break_of(err: &UpstreamError) -> Break {
     match err {
--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -2,6 +2,9 @@
 
 use statig::prelude::*;
 
+use crate::control::outcome::AfterFailure;
+use crate::control::outcome::Outcome as RunOutcome;
+use crate::control::outcome::RunRecord;
 use crate::decide::RefuseReason;
 use crate::entry::FailReason;
 use crate::entry::Verdict;
@@ -95,8 +98,7 @@
 #[derive(Debug)]
 pub struct Life {
     rules: LifeRules,
-    ran_before: bool,
-    is_out: bool,
+    record: RunRecord,
     delivered: bool,
     resumes: u8,
     last_break: Option<Break>,
@@ -107,8 +109,7 @@
     pub fn new(rules: LifeRules) -> Self {
         Self {
             rules,
-            ran_before: false,
-            is_out: false,
+            record: RunRecord::new(rules.repeatable),
             delivered: false,
             resumes: 0,
             last_break: None,
@@ -116,34 +117,27 @@
     }
 
     fn failed(&self, reason: FailReason) -> LifeStep {
-        let may_have_run = self.ran_before || self.is_out;
-        LifeStep::Finish(if may_have_run {
-            Verdict::MayHaveRun(reason)
-        } else {
-            Verdict::NotRun(reason)
+        LifeStep::Finish(match self.record.outcome() {
+            RunOutcome::NotRun => Verdict::NotRun(reason),
+            RunOutcome::MayHaveRun | RunOutcome::Completed => Verdict::MayHaveRun(reason),
         })
     }
 
+    fn dispatch(&mut self) -> LifeStep {
+        self.record.sending();
+        self.resumes = 0;
+        LifeStep::Dispatch
+    }
+
     fn after_break(&mut self, broke: Break) -> NextAfterBreak {
         self.last_break = Some(broke);
-        match broke {
-            Break::DidNotRun => {
-                self.is_out = false;
-                NextAfterBreak::ConsiderRetry
-            }
-            Break::Cut if self.resumes < RESUMES_MAX => {
-                self.resumes += 1;
-                NextAfterBreak::Resume
-            }
-            Break::Cut | Break::Lost | Break::Garbled => {
-                self.ran_before = true;
-                self.is_out = false;
-                if self.rules.repeatable && !self.delivered {
-                    NextAfterBreak::ConsiderRetry
-                } else {
-                    NextAfterBreak::Fail
-                }
-            }
+        if broke == Break::Cut && self.resumes < RESUMES_MAX {
+            self.resumes += 1;
+            return NextAfterBreak::Resume;
+        }
+        match self.record.ended(broke == Break::DidNotRun) {
+            AfterFailure::MayTryAgain if !self.delivered => NextAfterBreak::ConsiderRetry,
+            _ => NextAfterBreak::Fail,
         }
     }
 
@@ -186,9 +180,7 @@
                 Transition(State::claiming())
             }
             LifeEvent::Granted => {
-                self.is_out = true;
-                self.resumes = 0;
-                *context = LifeStep::Dispatch;
+                *context = self.dispatch();
                 Transition(State::running())
             }
             LifeEvent::Refused(reason) => {
@@ -203,19 +195,17 @@
     fn claiming(&mut self, context: &mut LifeStep, event: &LifeEvent) -> Outcome<State> {
         match event {
             LifeEvent::Claimed => {
-                self.is_out = true;
-                self.resumes = 0;
-                *context = LifeStep::Dispatch;
+                *context = self.dispatch();
                 Transition(State::running())
             }
             LifeEvent::ClaimHeld => {
                 // The key's earlier sending has run or runs: "not run" would be wrong from here on.
-                self.ran_before = true;
+                self.record.answered();
                 *context = LifeStep::Follow;
                 Transition(State::following())
             }
             LifeEvent::ClaimFailed(FailReason::KeyMayHaveRun) => {
-                self.ran_before = true;
+                self.record.answered();
                 *context = self.failed(FailReason::KeyMayHaveRun);
                 Transition(State::closed())
             }
--- a/src/upstream/http/answer_reader.rs
+++ b/src/upstream/http/answer_reader.rs
@@ -122,7 +122,7 @@
         match ModelEvent::parse(data)? {
             ModelEvent::Tokens(tokens) => self.ready.push_back(tokens),
             ModelEvent::Stopped { tokens, end } => {
-                self.ready.extend(tokens);
+                self.ready.push_back(tokens);
                 self.end = Some(end);
             }
             ModelEvent::Done => {
