Engines of nearly equal speed count as equal; fake engines work in chunks

Cause: estimates of equal engines differ by chance, and the one that looked the fastest drew a sixth of all short prompts. Change: speeds within a factor of 1.4 of the median count as the median; the ledger lets prefill go on in the engines' own order, by rank and arrival; the policies take a new manifest in.

--- a/src/decide/hold.rs
+++ b/src/decide/hold.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::decide::Lane;
+use crate::units::Priority;
 use crate::units::Tokens;
 
 /// What one grant holds of one upstream.
@@ -15,6 +16,8 @@
     pub prefill_tokens: Tokens,
     /// The part of that which is not done yet, by the ledger's reckoning.
     pub prefill_left: f64,
+    /// The rank that the engine was given.
+    pub rank: Priority,
     /// Its lane.
     pub lane: Lane,
     /// Whether another upstream failed the request before.
--- a/src/decide/lane_split.rs
+++ b/src/decide/lane_split.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Takes in what the deployment weighs more heavily.
+    pub fn set_objective(&mut self, objective: Objective) {
+        self.objective = objective;
+    }
+
     /// Takes in prefill that was let in.
     pub fn on_admitted(&mut self, tokens: f64, is_long: bool, now: Instant) {
         let rate = if is_long {
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -14,6 +14,7 @@
 use crate::decide::SpeedEstimate;
 use crate::decide::is_heavy;
 use crate::units::GrantId;
+use crate::units::Priority;
 use crate::units::Tokens;
 use crate::upstream::LoadReport;
 
@@ -57,7 +58,7 @@
         }
     }
 
-    /// Lets prefill go on until `now`, shared equally among what prefills.
+    /// Lets prefill go on until `now`, in the order in which engines work: by rank, then by arrival.
     pub fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.advanced_at);
         self.advanced_at = self.advanced_at.max(now);
@@ -66,25 +67,13 @@
         self.unknown_prefill -= unknown;
         budget -= unknown;
         while budget > 0.0 {
-            let left = |hold: &Hold| hold.prefill_left;
-            let prefilling = self.holds.values().filter(|hold| hold.is_prefilling());
-            let count = prefilling.clone().count();
-            let least = prefilling.map(left).fold(f64::INFINITY, f64::min);
-            if count == 0 {
+            let prefilling = self.holds.values_mut().filter(|hold| hold.is_prefilling());
+            let Some(first) = prefilling.min_by_key(|hold| (hold.rank, hold.since)) else {
                 break;
-            }
-            let step = least.min(budget / count as f64);
-            budget -= step * count as f64;
-            for hold in self.holds.values_mut().filter(|hold| hold.is_prefilling()) {
-                hold.prefill_left -= step;
-                // Less than a token is a rounding error, and would keep the loop going.
-                if hold.prefill_left < 1.0 {
-                    hold.prefill_left = 0.0;
-                }
-            }
-            if step < 1.0e-6 {
-                break;
-            }
+            };
+            let step = first.prefill_left.min(budget);
+            first.prefill_left -= step;
+            budget -= step;
         }
     }
 
@@ -156,9 +145,16 @@
         (long.count(), heavy.count())
     }
 
-    /// The work done here until a new prefill ends, its own included, when all share equally.
-    pub fn work_until(&self, prefill: f64) -> f64 {
-        let beside = |hold: &Hold| hold.prefill_left.min(prefill);
+    /// The work done here until a new prefill ends, its own included: all that goes before it, and
+    /// of what goes after it as much again, since engines finish a chunk that they have begun.
+    pub fn work_until(&self, prefill: f64, rank: Priority) -> f64 {
+        let beside = |hold: &Hold| {
+            if hold.rank <= rank {
+                hold.prefill_left
+            } else {
+                hold.prefill_left.min(prefill)
+            }
+        };
         let others: f64 = self.holds.values().map(beside).sum();
         prefill + others + self.unknown_prefill.min(prefill)
     }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -13,6 +13,7 @@
 use crate::decide::Lane;
 use crate::decide::PoolUpstream;
 use crate::decide::Waiting;
+use crate::decide::engine_priority;
 use crate::decide::is_heavy;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
@@ -24,7 +25,9 @@
 /// Long prefills that one upstream carries at once, a heavy one among them at most.
 const LONG_PREFILLS_MAX: usize = 2;
 /// An attempt that runs makes each step a little longer. It also spreads equals.
-const RUNNING_COST: f64 = 0.000_5;
+const RUNNING_COST: f64 = 0.002;
+/// Speeds that differ by less than this factor count as equal.
+const EQUAL_SPEED: f64 = 1.4;
 /// Waiting for a better upstream must save this part of the time, since the wait is a forecast.
 const WAIT_GAIN: f64 = 0.8;
 /// A probe may cost its caller a retry, so there must be time for many such requests.
@@ -55,6 +58,8 @@
     pub upstreams: &'a IndexMap<UpstreamId, PoolUpstream>,
     /// How many of those that may get work are open to long prefill, from the front.
     pub open_to_long: usize,
+    /// The median prefill speed of those that may get work.
+    pub median_speed: f64,
     /// Now.
     pub now: Instant,
 }
@@ -120,7 +125,7 @@
         let prompt = waiting.prompt_tokens.as_f64();
         let cached = upstream.prefix.cached_tokens(&waiting.work).min(prompt);
         let prefill = prompt - cached;
-        let speed = ledger.speed.get();
+        let speed = self.speed_of(upstream);
         let lane_here = match lane {
             Lane::Short => Lane::Short,
             Lane::Long => Lane::of(whole(prefill)),
@@ -136,7 +141,7 @@
         let (is_ready, ready_seconds) = readiness(upstream, lane_here, prefill);
         // Until it is ready the upstream works off what it has.
         let beside = if is_ready {
-            ledger.work_until(prefill)
+            ledger.work_until(prefill, engine_priority(&waiting.work))
         } else {
             prefill
         };
@@ -150,6 +155,14 @@
         })
     }
 
+    /// Speeds near the median count as equal. Estimates of equal engines differ by chance, and the
+    /// one that looks the fastest would draw all the work until it no longer does.
+    fn speed_of(&self, upstream: &PoolUpstream) -> f64 {
+        let speed = upstream.ledger.speed.get();
+        let is_near = (speed / self.median_speed).ln().abs() < EQUAL_SPEED.ln();
+        if is_near { self.median_speed } else { speed }
+    }
+
     fn takes_long(&self, upstream: &PoolUpstream) -> bool {
         upstream.warm_up.takes_long(self.now) && !upstream.ledger.is_reserved()
     }
--- a/src/decide/shipped/engines.rs
+++ b/src/decide/shipped/engines.rs
@@ -28,6 +28,7 @@
 use crate::decide::UpstreamSeen;
 use crate::decide::Waiting;
 use crate::decide::Work;
+use crate::decide::engine_priority;
 use crate::decide::gang_has_room;
 use crate::decide::gang_share;
 use crate::decide::placement::duration;
@@ -243,6 +244,7 @@
         let places = Places {
             upstreams: &self.fleet.upstreams,
             open_to_long: self.fleet.split.open(),
+            median_speed: self.fleet.median(now).speed.max(1.0),
             now,
         };
         let Placement::Go {
@@ -426,6 +428,11 @@
         self.fleet.set(upstreams, now);
     }
 
+    fn set_config(&mut self, conf: &PolicyConfig, _now: Instant) {
+        self.intake.conf = conf.clone();
+        self.fleet.split.set_objective(conf.objective);
+    }
+
     fn offer(&mut self, work: Work, now: Instant) {
         let waiting = self.size_up(work, now);
         let request = waiting.work.request;
@@ -551,6 +558,7 @@
         memory_tokens: gang_share(waiting.memory_tokens(), members),
         prefill_tokens: whole(prefill),
         prefill_left: prefill,
+        rank: engine_priority(&waiting.work),
         lane: Lane::of(whole(prefill)),
         is_suspect: waiting.is_suspect(),
         since: now,
--- a/src/decide/shipped/services.rs
+++ b/src/decide/shipped/services.rs
@@ -232,6 +232,10 @@
             .retain(|_, upstream| upstream.is_live() || upstream.running > 0);
     }
 
+    fn set_config(&mut self, conf: &PolicyConfig, _now: Instant) {
+        self.intake.conf = conf.clone();
+    }
+
     fn offer(&mut self, work: Work, now: Instant) {
         let waiting = self.size_up(work, now);
         match self.admit(&waiting, now) {
--- a/tests/decide_fakes/engine.rs
+++ b/tests/decide_fakes/engine.rs
@@ -13,25 +13,30 @@
 
 /// Tokens that the prefix cache holds.
 const CACHE_TOKENS: u64 = 400_000;
+const CHUNK_TOKENS: f64 = 512.0;
+const STEP_BASE: f64 = 0.015;
+const STEP_PER_ANSWER: f64 = 0.000_2;
 
 pub struct Engine {
     pub memory: u64,
     pub slots: usize,
     pub speed: f64,
-    /// The time between two tokens of an answer when little runs.
-    pub gap: f64,
+    /// How fast it works, 1 as it should.
+    pub pace: f64,
     /// Whether prefill of a lower rank waits for that of a higher one.
     pub honours_rank: bool,
     pub is_dead: bool,
     pub jobs: IndexMap<AttemptId, Job>,
     cache: IndexMap<ContentHash, u64>,
+    time: f64,
+    plan: Option<(f64, Vec<(AttemptId, f64)>)>,
 }
 
 pub struct Job {
     rank: Priority,
     memory: u64,
     is_running: bool,
-    prefill_left: f64,
+    pub prefill_left: f64,
     output_left: f64,
     pub cached: u64,
     prefixes: Vec<(ContentHash, Tokens)>,
@@ -49,11 +54,13 @@
             memory,
             slots: 32,
             speed,
-            gap: 0.025,
-            honours_rank: false,
+            pace: 1.0,
+            honours_rank: true,
             is_dead: false,
             jobs: IndexMap::new(),
             cache: IndexMap::new(),
+            time: 0.0,
+            plan: None,
         }
     }
 
@@ -82,44 +89,67 @@
         self.jobs.insert(attempt, job);
     }
 
+    /// Lets time pass: as many steps as fit, each of which reads a chunk in and makes a token for
+    /// each attempt that answers.
     pub fn step(&mut self, dt: Duration, events: &mut Vec<Event>) {
-        self.take_in();
-        let running = self.jobs.values().filter(|job| job.is_running).count() as f64;
-        let mut budget = self.speed * dt.as_secs_f64() * (1.0 - 0.3 * running / self.slots as f64);
-        let prefills = |job: &Job| job.is_running && job.prefill_left > 0.0;
-        let is_prefilling = self.jobs.values().any(prefills);
-        let gap =
-            self.gap * (1.0 + running / self.slots as f64) * if is_prefilling { 2.0 } else { 1.0 };
-        let tokens = dt.as_secs_f64() / gap;
+        self.time += dt.as_secs_f64() * self.pace;
+        loop {
+            if self.plan.is_none() {
+                self.take_in();
+                self.plan = self.plan();
+            }
+            let Some((takes, _)) = &self.plan else {
+                self.time = 0.0;
+                return;
+            };
+            if *takes > self.time {
+                return;
+            }
+            self.time -= takes;
+            let (_, chunks) = self.plan.take().unwrap();
+            self.apply(&chunks, events);
+        }
+    }
+
+    /// The time of the next step, and what each attempt reads in.
+    fn plan(&self) -> Option<(f64, Vec<(AttemptId, f64)>)> {
+        let running = || self.jobs.iter().filter(|(_, job)| job.is_running);
+        let mut prefills: Vec<_> = running().filter(|(_, job)| job.prefill_left > 0.0).collect();
+        if self.honours_rank {
+            prefills.sort_by_key(|(_, job)| job.rank);
+        }
+        let mut budget = CHUNK_TOKENS;
+        let count = prefills.len() as f64;
+        let mut chunks = Vec::new();
+        for (attempt, job) in &prefills {
+            let most = if self.honours_rank { budget } else { CHUNK_TOKENS / count };
+            let chunk = job.prefill_left.min(most);
+            budget -= chunk;
+            chunks.push((**attempt, chunk));
+        }
+        let answers = running().count() - prefills.len();
+        let takes = STEP_BASE + STEP_PER_ANSWER * answers as f64 + (CHUNK_TOKENS - budget) / self.speed;
+        (running().count() > 0).then_some((takes, chunks))
+    }
+
+    fn apply(&mut self, chunks: &[(AttemptId, f64)], events: &mut Vec<Event>) {
         for (attempt, job) in &mut self.jobs {
             if job.is_running && job.prefill_left <= 0.0 {
-                job.output_left -= tokens;
+                job.output_left -= 1.0;
                 if job.output_left <= 0.0 {
                     events.push(Event::End(*attempt));
                 }
             }
         }
-        while budget > 0.01 && self.jobs.values().any(prefills) {
-            let best = self
-                .jobs
-                .values()
-                .filter(|job| prefills(job))
-                .map(|job| job.rank)
-                .min();
-            let chosen = |job: &Job, all: bool| prefills(job) && (all || Some(job.rank) == best);
-            let all = !self.honours_rank;
-            let count = self.jobs.values().filter(|job| chosen(job, all)).count() as f64;
-            let share = budget / count;
-            for (attempt, job) in self.jobs.iter_mut().filter(|(_, job)| chosen(job, all)) {
-                let done = job.prefill_left.min(share);
-                job.prefill_left -= done;
-                budget -= done;
-                if job.prefill_left <= 0.01 {
-                    job.prefill_left = 0.0;
-                    events.push(Event::FirstToken(*attempt));
-                    self.cache
-                        .extend(job.prefixes.iter().map(|(hash, tokens)| (*hash, tokens.0)));
-                }
+        for (attempt, chunk) in chunks {
+            let Some(job) = self.jobs.get_mut(attempt) else {
+                continue;
+            };
+            job.prefill_left -= chunk;
+            if job.prefill_left < 0.01 && *chunk > 0.0 {
+                job.prefill_left = 0.0;
+                events.push(Event::FirstToken(*attempt));
+                self.cache.extend(job.prefixes.iter().map(|(hash, tokens)| (*hash, tokens.0)));
             }
         }
         while self.cache.values().sum::<u64>() > CACHE_TOKENS {
