The command-line tool: check, diff, publish, status, explain

Cause: operators drive the fleet by publishing manifests and reading status back, and must be told the truth when a write's answer is lost or two of them publish at once. Ruled out: stopping at the first lost answer as unknown (a read and the same write again settle it whenever the platform comes back within ten seconds); taking 409 after a lost answer as a refusal (it may be the tool's own first write). Change: one file a subcommand, one error enum, exit codes 0 to 4. check also finds files that are each good and do not go together. status shows whatever fields a report has; explain merges hosts.

--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,120 @@
+//! `banyanarch check`.
+
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+use crate::cmd::CmdError;
+use crate::cmd::Exit;
+use crate::cmd::cross_check::CheckedFiles;
+use crate::cmd::files::read_text;
+use crate::cmd::files::rest;
+use crate::manifest::Manifest;
+use crate::settings::Settings;
+use crate::yaml::Node;
+
+pub(crate) const USAGE: &str = "
+Checks settings and manifests, and whether those given together go together. Reports every problem
+as `FILE:LINE: FIELD: what is wrong`.
+
+Usage:
+    banyanarch check [--settings | --manifest] FILE...
+
+Options:
+    --settings    Take all files for settings.
+    --manifest    Take all files for manifests.
+                  Without either, a file with the key `listen` is taken for settings.
+
+Exit codes: 0 all good, 2 a problem or a bad command line.
+";
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum FileKind {
+    Settings,
+    Manifest,
+}
+
+struct Args {
+    kind: Option<FileKind>,
+    files: Vec<PathBuf>,
+}
+
+impl Args {
+    fn parse(mut args: Arguments) -> Result<Self, CmdError> {
+        let settings = args.contains("--settings");
+        let manifest = args.contains("--manifest");
+        let files = rest(args)?;
+        let kind = match (settings, manifest) {
+            (true, true) => {
+                let why = "give one of --settings and --manifest";
+                return Err(CmdError::Usage(why.to_owned()));
+            }
+            (true, false) => Some(FileKind::Settings),
+            (false, true) => Some(FileKind::Manifest),
+            (false, false) => None,
+        };
+        if files.is_empty() {
+            return Err(CmdError::Usage("expected at least one FILE".to_owned()));
+        }
+        Ok(Self { kind, files })
+    }
+}
+
+pub(crate) fn run(args: Arguments, out: &mut dyn Write) -> Result<Exit, CmdError> {
+    let args = Args::parse(args)?;
+    let mut checked = CheckedFiles::default();
+    let mut problems = Vec::new();
+    for path in &args.files {
+        match check_file(path, args.kind, &mut checked) {
+            Ok(what) => writeln!(out, "{}: good: {what}", path.display())?,
+            Err(error) => problems.push(error.to_string()),
+        }
+    }
+    problems.extend(checked.clashes().iter().map(ToString::to_string));
+    for problem in &problems {
+        eprintln!("{problem}");
+    }
+    Ok(if problems.is_empty() {
+        Exit::Done
+    } else {
+        Exit::BadInput
+    })
+}
+
+fn check_file(
+    path: &Path,
+    kind: Option<FileKind>,
+    checked: &mut CheckedFiles,
+) -> Result<String, CmdError> {
+    let text = read_text(path)?;
+    let file = path.display().to_string();
+    match kind.unwrap_or_else(|| guess(&text)) {
+        FileKind::Settings => {
+            let settings = Settings::parse(&text, &file)?;
+            let what = format!("settings of host {}", settings.host);
+            checked.add_settings(file, &text, settings);
+            Ok(what)
+        }
+        FileKind::Manifest => {
+            let manifest = Manifest::parse(&text, &file)?;
+            let what = format!(
+                "manifest of {}, {} models, {} services, {} customers",
+                manifest.deployment,
+                manifest.models.len(),
+                manifest.services.len(),
+                manifest.customers.len()
+            );
+            checked.add_manifest(file, manifest);
+            Ok(what)
+        }
+    }
+}
+
+fn guess(text: &str) -> FileKind {
+    match Node::parse(text) {
+        Ok(root) if root.has_key("listen") => FileKind::Settings,
+        _ => FileKind::Manifest,
+    }
+}
--- /dev/null
+++ b/src/cmd/explain_text.rs
@@ -0,0 +1,122 @@
+//! What several hosts know of one request.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::cmd::CmdError;
+use crate::units::RequestId;
+
+/// A host's page. Only what is shown is read, so that hosts of a neighbouring version can be asked.
+#[derive(Deserialize)]
+struct Page {
+    #[serde(default)]
+    host: Option<String>,
+    steps: Vec<PageStep>,
+    #[serde(default)]
+    left_out: u64,
+}
+
+#[derive(Deserialize)]
+struct PageStep {
+    wall_ms: u64,
+    what: String,
+    #[serde(default)]
+    place: String,
+    #[serde(default)]
+    why: String,
+}
+
+/// The steps that all asked hosts know of one request.
+#[derive(Debug, Serialize)]
+pub(crate) struct Merged {
+    request_id: RequestId,
+    pub(crate) steps: Vec<MergedStep>,
+    left_out: u64,
+    pub(crate) not_reached: Vec<SocketAddr>,
+}
+
+/// A step with the host that noted it.
+#[derive(Debug, Serialize)]
+pub(crate) struct MergedStep {
+    host: String,
+    wall_ms: u64,
+    what: String,
+    place: String,
+    why: String,
+}
+
+impl Merged {
+    pub(crate) fn new(request: RequestId) -> Self {
+        Self {
+            request_id: request,
+            steps: Vec::new(),
+            left_out: 0,
+            not_reached: Vec::new(),
+        }
+    }
+
+    pub(crate) fn take_in(
+        &mut self,
+        addr: SocketAddr,
+        page: serde_json::Value,
+    ) -> Result<(), CmdError> {
+        let page: Page = serde_json::from_value(page)?;
+        let host = page.host.unwrap_or_else(|| addr.to_string());
+        self.left_out += page.left_out;
+        self.steps
+            .extend(page.steps.into_iter().map(|step| MergedStep {
+                host: host.clone(),
+                wall_ms: step.wall_ms,
+                what: step.what,
+                place: step.place,
+                why: step.why,
+            }));
+        Ok(())
+    }
+
+    /// Orders the steps by hosts' clocks, which may differ by a little; the steps of one host keep
+    /// their order.
+    pub(crate) fn sort(&mut self) {
+        self.steps.sort_by_key(|step| step.wall_ms);
+    }
+}
+
+impl fmt::Display for Merged {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(first) = self.steps.first() else {
+            return writeln!(
+                f,
+                "{}: not known to any host that answered",
+                self.request_id
+            );
+        };
+        writeln!(f, "{}:", self.request_id)?;
+        let host_width = self
+            .steps
+            .iter()
+            .map(|step| step.host.len())
+            .max()
+            .unwrap_or(0);
+        for step in &self.steps {
+            let elapsed_ms = step.wall_ms - first.wall_ms;
+            write!(
+                f,
+                "{elapsed_ms:>8} ms  {:host_width$}  {}",
+                step.host, step.what
+            )?;
+            for detail in [&step.place, &step.why] {
+                if !detail.is_empty() {
+                    write!(f, "  {detail}")?;
+                }
+            }
+            writeln!(f)?;
+        }
+        if self.left_out > 0 {
+            writeln!(f, "{} steps in the middle were left out", self.left_out)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cmd/files.rs
@@ -0,0 +1,65 @@
+//! Files and options that several subcommands read alike.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+use crate::cmd::CmdError;
+use crate::manifest::Manifest;
+use crate::yaml::FileErrors;
+
+/// A manifest file that has been read and checked.
+pub(crate) struct ManifestFile {
+    pub(crate) text: String,
+    pub(crate) manifest: Manifest,
+}
+
+pub(crate) fn read_text(path: &Path) -> Result<String, CmdError> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| FileErrors::unreadable(&file, &error))?;
+    Ok(text)
+}
+
+pub(crate) fn read_manifest(path: &Path) -> Result<ManifestFile, CmdError> {
+    let text = read_text(path)?;
+    let manifest = Manifest::parse(&text, &path.display().to_string())?;
+    Ok(ManifestFile { text, manifest })
+}
+
+/// The files that are left on the command line.
+pub(crate) fn rest(args: Arguments) -> Result<Vec<PathBuf>, CmdError> {
+    let rest = args.finish();
+    match rest
+        .iter()
+        .find(|arg| arg.to_string_lossy().starts_with('-'))
+    {
+        Some(option) => Err(unknown_option(&option.to_string_lossy())),
+        None => Ok(rest.into_iter().map(PathBuf::from).collect()),
+    }
+}
+
+/// The one file that must be left on the command line.
+pub(crate) fn one_file(args: Arguments) -> Result<PathBuf, CmdError> {
+    let mut files = rest(args)?;
+    match (files.pop(), files.is_empty()) {
+        (Some(file), true) => Ok(file),
+        _ => Err(CmdError::Usage("expected one FILE".to_owned())),
+    }
+}
+
+/// Nothing may be left on the command line.
+pub(crate) fn finish(args: Arguments) -> Result<(), CmdError> {
+    match rest(args)?.first() {
+        Some(extra) => Err(CmdError::Usage(format!(
+            "unexpected argument `{}`",
+            extra.display()
+        ))),
+        None => Ok(()),
+    }
+}
+
+fn unknown_option(option: &str) -> CmdError {
+    CmdError::Usage(format!("unknown option `{option}`"))
+}
--- /dev/null
+++ b/src/cmd/publish.rs
@@ -0,0 +1,72 @@
+//! `banyanarch publish`.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use pico_args::Arguments;
+
+use crate::cmd::CmdError;
+use crate::cmd::Exit;
+use crate::cmd::files::one_file;
+use crate::cmd::files::read_manifest;
+use crate::cmd::publication;
+use crate::cmd::remote::block_on;
+use crate::cmd::remote::platform;
+use crate::units::Generation;
+
+pub(crate) const USAGE: &str = "
+Checks a manifest and publishes it. Prints `accepted as generation N`, `refused (WHY)` or
+`unknown (WHY)`.
+
+Usage:
+    banyanarch publish FILE --platform ADDR [--expect GENERATION]
+
+Options:
+    --platform ADDR        IP:PORT of the platform's object service.
+    --expect GENERATION    Publish only if this generation is the one published now (0: none).
+
+Exit codes: 0 accepted, or published already; 1 refused; 2 the file is wrong; 3 the platform was
+not reached and nothing was written; 4 unknown: the platform took the write and did not answer.
+After 4, run the same command again: what was published already is not published twice.
+";
+
+/// About ten seconds in all: the platform answers in milliseconds when it is well.
+const PAUSES: [Duration; 8] = [
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+    Duration::from_millis(1_600),
+    Duration::from_secs(2),
+    Duration::from_secs(2),
+    Duration::from_secs(3),
+];
+
+struct Args {
+    file: PathBuf,
+    platform: SocketAddr,
+    expect: Option<Generation>,
+}
+
+impl Args {
+    fn parse(mut args: Arguments) -> Result<Self, CmdError> {
+        Ok(Self {
+            platform: args.value_from_str("--platform")?,
+            expect: args.opt_value_from_str("--expect")?,
+            file: one_file(args)?,
+        })
+    }
+}
+
+pub(crate) fn run(args: Arguments, out: &mut dyn Write) -> Result<Exit, CmdError> {
+    let args = Args::parse(args)?;
+    let file = read_manifest(&args.file)?;
+    let platform = platform(args.platform);
+    let publish_id = rand::random();
+    let work = publication::publish(&platform, &file.text, publish_id, args.expect, &PAUSES);
+    let verdict = block_on(work)??;
+    writeln!(out, "{verdict}")?;
+    Ok(verdict.exit())
+}
--- /dev/null
+++ b/src/cmd/remote.rs
@@ -0,0 +1,45 @@
+//! Calls to the platform and to hosts.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::cmd::CmdError;
+use crate::http::HttpClient;
+use crate::manifest::CURRENT;
+use crate::manifest::PublishedManifest;
+use crate::platform::HttpPlatform;
+use crate::platform::Kind;
+use crate::platform::ObjectKey;
+use crate::platform::Platform;
+use crate::platform::PlatformError;
+use crate::units::ObjectVersion;
+
+/// Long enough for a platform that is slow; an operator waits for it.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs a command's calls to their end on this thread.
+pub(crate) fn block_on<T>(work: impl Future<Output = T>) -> Result<T, CmdError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    Ok(runtime.map_err(CmdError::Runtime)?.block_on(work))
+}
+
+pub(crate) fn platform(addr: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(HttpClient::new(addr), CALL_TIMEOUT)
+}
+
+/// The manifest that the platform holds, with its object's version.
+pub(crate) async fn published(
+    platform: &dyn Platform,
+) -> Result<Option<(PublishedManifest, ObjectVersion)>, CmdError> {
+    match platform.get(ObjectKey::new(Kind::Manifests, CURRENT)).await {
+        Ok(object) => Ok(Some((
+            serde_json::from_value(object.value)?,
+            object.version,
+        ))),
+        Err(PlatformError::Absent) => Ok(None),
+        Err(error) => Err(error.into()),
+    }
+}
--- a/src/yaml/node.rs
+++ b/src/yaml/node.rs
@@ -55,6 +55,11 @@
             .map_err(|error| syntax_problem(&error))
     }
 
+    /// Whether it is a mapping with this key.
+    pub fn has_key(&self, key: &str) -> bool {
+        matches!(&self.value, Value::Mapping(entries) if find(entries, key).is_some())
+    }
+
     /// The line of a field under this node, or of the deepest part of the way to it that exists.
     pub(crate) fn line_of(&self, path: &str) -> u64 {
         let mut node = self;
--- /dev/null
+++ b/tests/cmd_host.rs
@@ -0,0 +1,141 @@
+//! `banyanarch status` and `explain`, against ports that answer like hosts and the platform.
+
+mod workdir;
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+
+use workdir::WorkDir;
+
+const REQUEST: &str = "0000000000000000000000000000000a";
+
+/// Answers the given paths with JSON and all others with 404, one request a connection.
+fn serve(pages: &'static [(&'static str, &'static str)]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut head = Vec::new();
+            for line in BufReader::new(&stream).lines() {
+                let line = line.unwrap();
+                if line.is_empty() {
+                    break;
+                }
+                head.push(line);
+            }
+            let path = head[0].split(' ').nth(1).unwrap().to_owned();
+            let page = pages.iter().find(|(known, _)| *known == path);
+            let (status, body) = page.map_or(("404 Not Found", ""), |(_, body)| ("200 OK", body));
+            let len = body.len();
+            let head = format!("HTTP/1.1 {status}\r\nContent-Length: {len}\r\nConnection: close");
+            write!(stream, "{head}\r\n\r\n{body}").unwrap();
+        }
+    });
+    addr
+}
+
+/// A parent complains of a late answer. Its request was received by one host and granted by another,
+/// and a third host is gone: the operator must see one story, and that a part may be missing.
+#[test]
+fn explain_merges_what_hosts_know() {
+    let entry = serve(&[(
+        "/explain/0000000000000000000000000000000a",
+        r#"{"host":"hall-a-1","left_out":0,"steps":[
+            {"wall_ms":1000,"elapsed_ms":0,"what":"received","place":"","why":"42 tokens"},
+            {"wall_ms":1090,"elapsed_ms":90,"what":"dispatched","place":"engine-3","why":""}]}"#,
+    )]);
+    let home = serve(&[(
+        "/explain/0000000000000000000000000000000a",
+        r#"{"steps":[{"wall_ms":1040,"what":"granted","place":"engine-3","why":"prefix"}]}"#,
+    )]);
+    let gone = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let (entry, home, gone) = (entry.to_string(), home.to_string(), gone.to_string());
+    let dir = WorkDir::new();
+    let hosts = ["--host", &home, "--host", &entry, "--host", &gone];
+    let ran = dir.run(&[&["explain", REQUEST], &hosts[..]].concat());
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let lines: Vec<&str> = ran.stdout.lines().map(str::trim).collect();
+    assert_eq!(lines[0], format!("{REQUEST}:"));
+    assert!(lines[1].starts_with("0 ms  hall-a-1") && lines[1].ends_with("received  42 tokens"));
+    assert_eq!(
+        lines[2],
+        format!("40 ms  {home:15}  granted  engine-3  prefix")
+    );
+    assert!(lines[3].starts_with("90 ms  hall-a-1") && lines[3].ends_with("dispatched  engine-3"));
+    assert!(ran.stderr.contains(&gone) && ran.stderr.contains("its steps are missing"));
+
+    let ran = dir.run(&["explain", &REQUEST.replace('a', "b"), "--host", &entry]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    let ran = dir.run(&["explain", REQUEST, "--host", &gone]);
+    assert_eq!(ran.code, 3, "{ran:?}");
+}
+
+#[test]
+fn status_shows_a_hosts_view_as_text_and_json() {
+    let host = serve(&[(
+        "/status",
+        r#"{"host":"hall-a-1","generation":7,"upstreams":[
+            {"id":"engine-1","health":"live","load":{"running":3}},
+            {"id":"engine-22","health":"leaving"}],"homes":[],"manifest":{"age_ms":12}}"#,
+    )]);
+    let dir = WorkDir::new();
+    let ran = dir.run(&["status", "--host", &host.to_string()]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(
+        ran.stdout,
+        "generation: 7\n\
+         homes: -\n\
+         host: hall-a-1\n\
+         manifest:\n  age_ms: 12\n\
+         upstreams:\n  \
+           health   id         load.running\n  \
+           live     engine-1   3\n  \
+           leaving  engine-22  -\n"
+    );
+    let ran = dir.run(&["status", "--json", "--host", &host.to_string()]);
+    let json: serde_json::Value = serde_json::from_str(&ran.stdout).unwrap();
+    assert_eq!(json["generation"], 7);
+}
+
+#[test]
+fn status_reads_the_reports_of_all_hosts_from_the_platform() {
+    let platform = serve(&[
+        (
+            "/apis/banyanarch.dev/v1/manifests/current",
+            r#"{"apiVersion":"banyanarch.dev/v1","kind":"manifests",
+                "metadata":{"name":"current","resourceVersion":"4"},
+                "spec":{"generation":9,"publish_id":"p","hash":
+                "00000000000000000000000000000001","text":""}}"#,
+        ),
+        (
+            "/apis/banyanarch.dev/v1/statuses",
+            r#"{"metadata":{"resourceVersion":"5"},"items":[
+                {"apiVersion":"banyanarch.dev/v1","kind":"statuses",
+                 "metadata":{"name":"hall-b-1","resourceVersion":"3"},"spec":{"generation":8}}]}"#,
+        ),
+    ]);
+    let ran = WorkDir::new().run(&["status", "--platform", &platform.to_string()]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(
+        ran.stdout,
+        "published_generation: 9\nreports:\n  generation  host\n  8           hall-b-1\n"
+    );
+}
+
+#[test]
+fn a_first_manifest_is_all_new() {
+    let platform = serve(&[]).to_string();
+    let dir = WorkDir::new();
+    dir.file("m.yaml", include_str!("../examples/desai/manifest.yaml"));
+    let ran = dir.run(&["diff", "m.yaml", "--platform", &platform]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert_eq!(ran.stdout, "no manifest is published; all of it is new\n");
+}
--- /dev/null
+++ b/tests/workdir/mod.rs
@@ -0,0 +1,58 @@
+//! A directory for a command's files, and the command run in it.
+
+use std::env;
+use std::fs;
+use std::path::PathBuf;
+use std::process;
+use std::process::Command;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+static COUNT: AtomicU32 = AtomicU32::new(0);
+
+/// A directory that is removed at the end of a test.
+pub(crate) struct WorkDir(PathBuf);
+
+/// What a command printed and how it ended.
+#[derive(Debug)]
+pub(crate) struct Ran {
+    pub(crate) code: i32,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+impl WorkDir {
+    /// An empty directory of its own.
+    pub(crate) fn new() -> Self {
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let path = env::temp_dir().join(format!("banyanarch-{}-{number}", process::id()));
+        fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    /// Writes a file.
+    pub(crate) fn file(&self, name: &str, text: &str) -> &Self {
+        fs::write(self.0.join(name), text).unwrap();
+        self
+    }
+
+    /// Runs the tool in the directory.
+    pub(crate) fn run(&self, args: &[&str]) -> Ran {
+        let output = Command::new(env!("CARGO_BIN_EXE_banyanarch"))
+            .args(args)
+            .current_dir(&self.0)
+            .output()
+            .unwrap();
+        Ran {
+            code: output.status.code().unwrap(),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+impl Drop for WorkDir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
