--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod step;
 
+pub use crate::control::outcome::Outcome;
 pub use error::ObserveError;
 pub use explanations::Bounds;
 pub use explanations::Explanations;
