Tests of the whole path over processes; the peers' port is bound

Cause: the path needs a proof that callers see. Change: a small site for tests; the port for peers is bound from the start.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -68,17 +68,20 @@
     is_draining: Arc<AtomicBool>,
     stop: watch::Sender<bool>,
     callers: tokio::task::JoinHandle<()>,
+    _peers: TcpListener,
 }
 
 impl Host {
     /// Binds all ports and starts all parts.
     pub(crate) async fn start(settings: Settings) -> Result<Self, DaemonError> {
         let callers = bind("listen.callers", settings.listen.callers).await?;
+        let peers = bind("listen.peers", settings.listen.peers).await?;
         let status = bind("listen.status", settings.listen.status).await?;
         info!(
-            "daemon: host {} serves callers on {}, status on {}",
+            "daemon: host {} serves callers on {}, peers on {}, status on {}",
             settings.host,
             callers.local_addr()?,
+            peers.local_addr()?,
             status.local_addr()?
         );
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
@@ -154,6 +157,7 @@
             is_draining,
             stop,
             callers,
+            _peers: peers,
         })
     }
 
--- /dev/null
+++ b/tests/site/host.rs
@@ -0,0 +1,184 @@
+//! A host as a process of its own.
+
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use banyanarch::http::HttpError;
+use bytes::Bytes;
+use hyper::Response;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use standin::machine;
+
+use crate::site::call;
+use crate::site::completion;
+use crate::site::get;
+use crate::site::until;
+
+/// A running `banyanarchd`. It is killed when it is dropped.
+pub struct Host {
+    pub name: String,
+    pub domain: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub status: SocketAddr,
+    child: Child,
+    dir: PathBuf,
+}
+
+impl Host {
+    /// Starts a host on ports of the machine's choice, and waits until it tells which.
+    pub async fn start(name: &str, domain: &str, platform: SocketAddr) -> Self {
+        let unique: u64 = rand::random();
+        let dir = std::env::temp_dir().join(format!("banyanarch-test-{unique:016x}"));
+        fs::create_dir(&dir).unwrap();
+        let settings = format!(
+            "host: {name}\n\
+             deployment: test\n\
+             failure_domain: {domain}\n\
+             listen:\n  \
+               callers: 127.0.0.1:0\n  \
+               peers: 127.0.0.1:0\n  \
+               status: 127.0.0.1:0\n\
+             platform:\n  \
+               address: {platform}\n  \
+               timeout_ms: 500\n\
+             peers:\n  \
+               keys:\n    \
+                 - id: first\n      \
+                   secret: a-secret-of-this-test-run\n\
+             drain:\n  \
+               notice_ms: 300\n\
+             logs:\n  \
+               level: debug\n\
+             threads: 2\n"
+        );
+        let file = dir.join("settings.yaml");
+        fs::write(&file, settings).unwrap();
+        let log = File::create(dir.join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_banyanarchd"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut host = Self {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            callers: unknown,
+            peers: unknown,
+            status: unknown,
+            child,
+            dir,
+        };
+        until("the addresses of a host", async || {
+            host.log().contains("status on ")
+        })
+        .await;
+        let log = host.log();
+        host.callers = addr_after(&log, "serves callers on ");
+        host.peers = addr_after(&log, "peers on ");
+        host.status = addr_after(&log, "status on ");
+        host
+    }
+
+    /// Enters it in the platform's list.
+    pub async fn register(&self, platform: SocketAddr, state: &str) {
+        let spec = serde_json::json!({
+            "role": "entry",
+            "domain": self.domain,
+            "address": self.peers,
+            "state": state,
+        });
+        machine::put(platform, machine::PATH, &self.name, &spec)
+            .await
+            .unwrap();
+    }
+
+    /// Waits until the balancer may send work.
+    pub async fn ready(&self) {
+        until("readiness", async || {
+            get(self.status, "/readyz")
+                .await
+                .is_ok_and(|res| res.status() == 200)
+        })
+        .await;
+    }
+
+    /// Sends a whole completion call.
+    pub async fn complete(
+        &self,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<Response<Bytes>, HttpError> {
+        call(
+            self.callers,
+            "/v1/completions",
+            &[],
+            &completion(prompt, max_tokens, false),
+        )
+        .await
+    }
+
+    /// The page of its status.
+    pub async fn status(&self) -> serde_json::Value {
+        match get(self.status, "/status").await {
+            Ok(res) => serde_json::from_slice(res.body()).unwrap_or_default(),
+            Err(_) => serde_json::Value::Null,
+        }
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        kill(pid, signal).unwrap();
+    }
+
+    /// Waits until the process has ended.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the end of a host", async || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        })
+        .await;
+        status.unwrap()
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.dir.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("--- log of {}\n{}", self.name, tail(&self.log()));
+        }
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn tail(log: &str) -> &str {
+    let start = log.len().saturating_sub(6_000);
+    let start = (start..log.len()).find(|at| log.is_char_boundary(*at));
+    &log[start.unwrap_or(0)..]
+}
+
+fn addr_after(log: &str, mark: &str) -> SocketAddr {
+    let rest = log.split(mark).nth(1).unwrap();
+    let end = rest.find([',', '\n', ' ']).unwrap_or(rest.len());
+    rest[..end].trim().parse().unwrap()
+}
--- /dev/null
+++ b/tests/site/mod.rs
@@ -0,0 +1,261 @@
+//! A small site: the stand-ins in this process, and hosts as processes of their own.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+mod host;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use banyanarch::http::ChunksBody;
+use banyanarch::http::HttpClient;
+use banyanarch::http::HttpError;
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use standin::engine::Engine;
+use standin::engine::EngineOptions;
+use standin::machine;
+use standin::machine::Machine;
+use standin::platform::PlatformFake;
+use standin::service::Service;
+use standin::service::ServiceOptions;
+
+pub use host::Host;
+
+/// Long against everything that a test waits for, short against a CI run that hangs.
+const PATIENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(20);
+const BODY_LEN_MAX: usize = 16 << 20;
+
+/// The manifest of every test; `generation` only tells publications apart.
+pub const MANIFEST: &str = "
+deployment: test
+models:
+  - name: geet-model
+    version: \"1\"
+    engine_memory_tokens: 200000
+    engine_slots: 64
+    prefill_speed: 100000tok/s
+    context_tokens_max: 1000000
+services:
+  - name: adhikar-app
+    concurrency_max: 16
+    repeatable: by_method
+customers:
+  - name: default
+    rate: 1000req/s
+    burst_requests: 1000
+    priority: normal
+  - name: studio
+    rate: 1000req/s
+    burst_requests: 1000
+    priority: bulk
+priorities:
+  - name: normal
+    rank: 1
+  - name: bulk
+    rank: 2
+";
+
+/// The stand-ins around the hosts of a test.
+pub struct Site {
+    pub platform: PlatformFake,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+    pub hosts: Vec<Host>,
+}
+
+impl Site {
+    /// A platform with the manifest, and nothing else yet.
+    pub async fn start() -> Self {
+        let platform = PlatformFake::start(loopback()).await.unwrap();
+        let site = Self {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            hosts: Vec::new(),
+        };
+        site.publish(1, MANIFEST).await;
+        site
+    }
+
+    /// A platform, some engines in failure domain `a`, one service and some hosts there.
+    pub async fn with(engines: usize, hosts: usize) -> Self {
+        let mut site = Self::start().await;
+        for _ in 0..engines {
+            site.add_engine("a", EngineOptions::default()).await;
+        }
+        site.add_service("a").await;
+        for _ in 0..hosts {
+            site.add_host("a").await;
+        }
+        site.ready().await;
+        site
+    }
+
+    /// Adds an engine.
+    pub async fn add_engine(&mut self, domain: &str, options: EngineOptions) -> usize {
+        let engine = Engine::start(options).await.unwrap();
+        let index = self.engines.len();
+        self.machine(&format!("engine-{index}"), domain, "geet-model")
+            .register(engine.addr())
+            .await
+            .unwrap();
+        self.engines.push(engine);
+        index
+    }
+
+    /// Adds a service instance.
+    pub async fn add_service(&mut self, domain: &str) -> usize {
+        let service = Service::start(ServiceOptions::default()).await.unwrap();
+        let index = self.services.len();
+        self.machine(&format!("service-{index}"), domain, "adhikar-app")
+            .register(service.addr())
+            .await
+            .unwrap();
+        self.services.push(service);
+        index
+    }
+
+    /// Adds a host and enters it in the platform's list.
+    pub async fn add_host(&mut self, domain: &str) -> usize {
+        let index = self.hosts.len();
+        let host = Host::start(&format!("host-{index}"), domain, self.platform.addr()).await;
+        host.register(self.platform.addr(), "live").await;
+        self.hosts.push(host);
+        index
+    }
+
+    /// Enters an upstream as leaving.
+    pub async fn engine_leaves(&self, index: usize, domain: &str) {
+        let machine = self.machine(&format!("engine-{index}"), domain, "geet-model");
+        machine
+            .set_state(self.engines[index].addr(), "leaving")
+            .await
+            .unwrap();
+    }
+
+    /// Publishes a manifest whatever is there.
+    pub async fn publish(&self, generation: u64, text: &str) {
+        let spec = serde_json::json!({
+            "generation": generation,
+            "publish_id": format!("test-{generation}"),
+            "hash": banyanarch::units::ContentHash::of(text.as_bytes()),
+            "text": text,
+        });
+        let path = "/apis/banyanarch.dev/v1/manifests";
+        machine::put(self.platform.addr(), path, "current", &spec)
+            .await
+            .unwrap();
+    }
+
+    /// Waits until every host is ready and serves the model.
+    pub async fn ready(&self) {
+        for host in &self.hosts {
+            host.ready().await;
+            until("a host that serves", async || {
+                let res = host.complete("ready?", 1).await;
+                res.is_ok_and(|res| res.status() == 200)
+            })
+            .await;
+        }
+    }
+
+    /// All attempts that the engines ran for this body.
+    pub fn runs_of(&self, body: &str) -> usize {
+        let hash = banyanarch::units::ContentHash::of(body.as_bytes());
+        let records = self.engines.iter().flat_map(Engine::record);
+        records.filter(|record| record.request_hash == hash).count()
+    }
+
+    /// All calls that the services ran for this body.
+    pub fn service_runs_of(&self, body: &str) -> usize {
+        let hash = banyanarch::units::ContentHash::of(body.as_bytes());
+        let records = self.services.iter().flat_map(Service::record);
+        records.filter(|record| record.request_hash == hash).count()
+    }
+
+    fn machine(&self, name: &str, domain: &str, target: &str) -> Machine {
+        Machine {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            target: target.to_owned(),
+            platform: self.platform.addr(),
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "waited in vain for {what}"
+        );
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// A completion call's body.
+pub fn completion(prompt: &str, max_tokens: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": "geet-model",
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": stream,
+    })
+    .to_string()
+}
+
+/// Sends one call and reads its whole answer.
+pub async fn call(
+    addr: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Result<Response<Bytes>, HttpError> {
+    let mut req = Request::post(path);
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(ChunksBody::one(body.to_owned())).unwrap();
+    HttpClient::new(addr)
+        .call(req, BODY_LEN_MAX, PATIENCE)
+        .await
+}
+
+/// Reads a page.
+pub async fn get(addr: SocketAddr, path: &str) -> Result<Response<Bytes>, HttpError> {
+    let req = Request::get(path).body(ChunksBody::default()).unwrap();
+    HttpClient::new(addr)
+        .call(req, BODY_LEN_MAX, PATIENCE)
+        .await
+}
+
+/// The outcome header of an answer.
+pub fn outcome(res: &Response<Bytes>) -> &str {
+    let header = res.headers().get("banyanarch-outcome");
+    header.map_or("", |value| value.to_str().unwrap())
+}
+
+/// The text of a whole completion.
+pub fn text_of(res: &Response<Bytes>) -> String {
+    let body: serde_json::Value = serde_json::from_slice(res.body()).unwrap();
+    body["choices"][0]["text"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// The answer that belongs to a body.
+pub fn answer_to(body: &str, max_tokens: u64) -> String {
+    let hash = banyanarch::units::ContentHash::of(body.as_bytes());
+    standin::answer::whole(hash, max_tokens)
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
