Peer protocol: authenticated frames, server and connection pool

Cause: hosts need one authenticated connection to each other for grants, membership and manifests.

Ruled out: a tag on each frame without a handshake, which a recorded connection passes again; one task a request at the server, which loses the order of one-way messages.

The server hands messages over in order and lets replies overtake each other. The pool keeps one connection a host with a bounded queue, jittered backoff and a stall bound. Control bytes have a counter and a bound of their own.

--- /dev/null
+++ b/src/peer/handshake.rs
@@ -0,0 +1,255 @@
+//! The handshake by which two hosts prove to each other that they hold the same key.
+//!
+//! The caller sends its name, a key's name and a fresh nonce; the server answers with its own nonce
+//! and an HMAC over all of it; the caller answers with another. Both nonces go into the keys of the
+//! session, so that a recorded connection can't be played again.
+
+use std::fmt;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use hmac::Mac;
+use hmac::digest::InvalidLength;
+use prost::Message;
+use rand::RngCore;
+use rand::rngs::StdRng;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::peer::EnvelopeCodec;
+use crate::peer::FrameError;
+use crate::peer::Keyring;
+use crate::peer::Seal;
+use crate::peer::codec::framing;
+use crate::peer::keyring::hmac_with;
+use crate::settings::PeerKey;
+use crate::units::HostId;
+
+/// A stranger can't make this host read more than this.
+const HANDSHAKE_FRAME_SIZE_MAX: usize = 1 << 10;
+const NONCE_LEN: usize = 32;
+const PROTOCOL: u32 = 1;
+
+/// A connection whose ends have authenticated each other.
+pub(crate) type PeerStream = Framed<TcpStream, EnvelopeCodec>;
+
+type HandshakeStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Why a handshake failed.
+#[derive(Debug)]
+pub(crate) enum HandshakeError {
+    /// The connection broke or carried something else than a handshake.
+    Frame(FrameError),
+    /// The other side refused, with its reason.
+    Refused(String),
+    /// The other side is not who it should be or lacks the key.
+    Stranger(String),
+    /// The settings hold no key.
+    NoKey,
+}
+
+impl fmt::Display for HandshakeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Frame(error) => write!(f, "handshake broke: {error}"),
+            Self::Refused(why) => write!(f, "handshake refused: {why}"),
+            Self::Stranger(why) => write!(f, "not a peer: {why}"),
+            Self::NoKey => f.write_str("no key in the settings"),
+        }
+    }
+}
+
+impl<E: Into<FrameError>> From<E> for HandshakeError {
+    fn from(error: E) -> Self {
+        Self::Frame(error.into())
+    }
+}
+
+impl From<InvalidLength> for FrameError {
+    fn from(_: InvalidLength) -> Self {
+        Self::Unexpected("key length")
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Hello {
+    #[prost(uint32, tag = "1")]
+    protocol: u32,
+    #[prost(string, tag = "2")]
+    host: String,
+    #[prost(string, tag = "3")]
+    key_id: String,
+    #[prost(bytes = "vec", tag = "4")]
+    nonce: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Challenge {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(bytes = "vec", tag = "2")]
+    nonce: Vec<u8>,
+    #[prost(bytes = "vec", tag = "3")]
+    proof: Vec<u8>,
+    /// Why the server refuses; empty when it does not.
+    #[prost(string, tag = "4")]
+    refusal: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Proof {
+    #[prost(bytes = "vec", tag = "1")]
+    proof: Vec<u8>,
+}
+
+/// What both sides have said, under the key they share.
+struct Transcript<'a> {
+    key: &'a PeerKey,
+    hello: &'a Hello,
+    server: &'a str,
+    server_nonce: &'a [u8],
+}
+
+impl Transcript<'_> {
+    fn mac(&self, purpose: &str) -> Result<hmac::Hmac<sha2::Sha256>, InvalidLength> {
+        let mut mac = hmac_with(self.key.secret.as_bytes())?;
+        let hello = self.hello.encode_to_vec();
+        for part in [
+            purpose.as_bytes(),
+            &hello,
+            self.server.as_bytes(),
+            self.server_nonce,
+        ] {
+            mac.update(&u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
+            mac.update(part);
+        }
+        Ok(mac)
+    }
+
+    fn proof(&self, purpose: &str) -> Result<Vec<u8>, InvalidLength> {
+        Ok(self.mac(purpose)?.finalize().into_bytes().to_vec())
+    }
+
+    fn check(&self, purpose: &str, proof: &[u8]) -> Result<(), HandshakeError> {
+        let mac = self.mac(purpose)?;
+        mac.verify_slice(proof)
+            .map_err(|_| HandshakeError::Stranger("wrong proof of the key".to_owned()))
+    }
+
+    fn seal(&self, purpose: &str) -> Result<Seal, InvalidLength> {
+        Seal::new(&self.proof(purpose)?)
+    }
+}
+
+/// Authenticates a connection that this host opened to `server`.
+pub(crate) async fn connect(
+    stream: TcpStream,
+    host: &HostId,
+    server: &HostId,
+    keys: &Keyring,
+    rng: &mut StdRng,
+) -> Result<PeerStream, HandshakeError> {
+    let key = keys.signing().ok_or(HandshakeError::NoKey)?;
+    let mut stream = Framed::new(stream, framing(HANDSHAKE_FRAME_SIZE_MAX));
+    let hello = Hello {
+        protocol: PROTOCOL,
+        host: host.to_string(),
+        key_id: key.id.clone(),
+        nonce: nonce(rng),
+    };
+    write(&mut stream, &hello).await?;
+    let challenge: Challenge = read(&mut stream).await?;
+    if !challenge.refusal.is_empty() {
+        return Err(HandshakeError::Refused(challenge.refusal));
+    }
+    if challenge.host != server.as_str() {
+        let why = format!("the address of {server} belongs to {}", challenge.host);
+        return Err(HandshakeError::Stranger(why));
+    }
+    let transcript = Transcript {
+        key,
+        hello: &hello,
+        server: &challenge.host,
+        server_nonce: &challenge.nonce,
+    };
+    transcript.check("server", &challenge.proof)?;
+    let proof = transcript.proof("client")?;
+    write(&mut stream, &Proof { proof }).await?;
+    let codec = EnvelopeCodec::new(
+        server.as_str(),
+        transcript.seal("to server")?,
+        transcript.seal("to client")?,
+    );
+    Ok(stream.map_codec(|_| codec))
+}
+
+/// Authenticates a connection that another host opened, and tells its name.
+pub(crate) async fn accept(
+    stream: TcpStream,
+    host: &HostId,
+    keys: &Keyring,
+    rng: &mut StdRng,
+) -> Result<(HostId, PeerStream), HandshakeError> {
+    let mut stream = Framed::new(stream, framing(HANDSHAKE_FRAME_SIZE_MAX));
+    let hello: Hello = read(&mut stream).await?;
+    let Some(key) = accepted_key(&hello, keys) else {
+        let refusal = format!("protocol {} with key `{}`", hello.protocol, hello.key_id);
+        let challenge = Challenge {
+            refusal: refusal.clone(),
+            ..Challenge::default()
+        };
+        write(&mut stream, &challenge).await?;
+        return Err(HandshakeError::Stranger(refusal));
+    };
+    let client: HostId = hello
+        .host
+        .parse()
+        .map_err(|error| HandshakeError::Stranger(format!("{error}")))?;
+    let server_nonce = nonce(rng);
+    let transcript = Transcript {
+        key,
+        hello: &hello,
+        server: host.as_str(),
+        server_nonce: &server_nonce,
+    };
+    let challenge = Challenge {
+        host: host.to_string(),
+        nonce: server_nonce.clone(),
+        proof: transcript.proof("server")?,
+        refusal: String::new(),
+    };
+    write(&mut stream, &challenge).await?;
+    let answer: Proof = read(&mut stream).await?;
+    transcript.check("client", &answer.proof)?;
+    let codec = EnvelopeCodec::new(
+        client.as_str(),
+        transcript.seal("to client")?,
+        transcript.seal("to server")?,
+    );
+    Ok((client, stream.map_codec(|_| codec)))
+}
+
+fn accepted_key<'a>(hello: &Hello, keys: &'a Keyring) -> Option<&'a PeerKey> {
+    let is_well_formed = hello.protocol == PROTOCOL && hello.nonce.len() == NONCE_LEN;
+    is_well_formed.then(|| keys.find(&hello.key_id)).flatten()
+}
+
+fn nonce(rng: &mut StdRng) -> Vec<u8> {
+    let mut nonce = vec![0; NONCE_LEN];
+    rng.fill_bytes(&mut nonce);
+    nonce
+}
+
+async fn write(stream: &mut HandshakeStream, message: &impl Message) -> Result<(), HandshakeError> {
+    Ok(stream.send(Bytes::from(message.encode_to_vec())).await?)
+}
+
+async fn read<M: Message + Default>(stream: &mut HandshakeStream) -> Result<M, HandshakeError> {
+    let frame = stream
+        .next()
+        .await
+        .ok_or(FrameError::Unexpected("end of the connection"))??;
+    Ok(M::decode(frame)?)
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,14 +1,37 @@
 //! The protocol between the system's own processes: framed protobuf over TCP.
 
+mod addrs;
+mod codec;
 mod error;
+mod frame_error;
+mod handshake;
+mod keyring;
+mod link;
 pub mod message;
+mod pool;
+mod seal;
+mod server;
+mod token_bucket;
+mod traffic;
 
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 
+pub use addrs::PeerAddrs;
+pub use codec::EnvelopeCodec;
+pub use codec::FRAME_OVERHEAD;
+pub use codec::FRAME_SIZE_MAX;
 pub use error::PeerError;
+pub use frame_error::FrameError;
+pub use keyring::Keyring;
 pub use message::Message;
+pub use pool::PeerPool;
+pub use seal::Seal;
+pub use server::PeerServer;
+pub use token_bucket::TokenBucket;
+pub use traffic::Traffic;
+pub use traffic::TrafficClass;
 
 use crate::units::HostId;
 
