Homes: pools of upstreams and their home hosts by rendezvous hashing

Cause: each pool needs one home that all hosts name without talking to each other.

Ruled out: assigning over the live hosts alone. With a bounded load, the pools of a dead host then push out pools of others, whose ledgers would be rebuilt for nothing.

Change: pools are assigned over all known members first; those whose home is not eligible are placed in the room that is left, so no other pool moves. The hosts that follow are computed the same way. Upstreams of a target are cut into pools of at most 16.

--- /dev/null
+++ b/src/control/homes/pools.rs
@@ -0,0 +1,49 @@
+//! The pools of a target: shards of its upstreams in one failure domain.
+
+use indexmap::IndexMap;
+
+use crate::control::homes::assign;
+use crate::units::FailureDomainId;
+use crate::units::PoolId;
+use crate::units::TargetId;
+use crate::units::UpstreamId;
+
+/// Upstreams of one pool at most. One home decides for all of them over one queue, so a larger pool
+/// places better; the bound keeps one home's work small and lets the load of a target at 910
+/// upstreams spread over many hosts.
+pub const POOL_UPSTREAMS_MAX: usize = 16;
+
+/// How full pools are when their number grows. The room that is left keeps most upstreams with the
+/// shard that they prefer, so that an upstream which comes or goes moves few others.
+const POOL_UPSTREAMS_TYPICAL: usize = 12;
+
+/// Partitions the upstreams of a target in a failure domain into pools.
+pub fn pools_of(
+    domain: &FailureDomainId,
+    target: &TargetId,
+    upstreams: &[UpstreamId],
+) -> IndexMap<PoolId, Vec<UpstreamId>> {
+    let shard_count = upstreams.len().div_ceil(POOL_UPSTREAMS_TYPICAL);
+    let shards: Vec<PoolId> = (0..u32::try_from(shard_count).unwrap_or(u32::MAX))
+        .map(|shard| PoolId::new(domain, target, shard))
+        .collect();
+    let shard_names: Vec<&str> = shards.iter().map(PoolId::as_str).collect();
+    let upstream_names: Vec<&str> = upstreams.iter().map(UpstreamId::as_str).collect();
+    let assignment = assign(&upstream_names, &shard_names, POOL_UPSTREAMS_MAX);
+    let mut pools: IndexMap<PoolId, Vec<UpstreamId>> = shards
+        .into_iter()
+        .map(|shard| (shard, Vec::new()))
+        .collect();
+    for upstream in upstreams {
+        let shard = assignment.get(upstream.as_str());
+        let pool = shard.and_then(|shard| pools.iter_mut().find(|(id, _)| id.as_str() == shard));
+        if let Some((_, members)) = pool {
+            members.push(upstream.clone());
+        }
+    }
+    pools.retain(|_, members| !members.is_empty());
+    for members in pools.values_mut() {
+        members.sort_unstable();
+    }
+    pools
+}
--- /dev/null
+++ b/src/control/homes/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing.
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// The weight of a pair: the same on every host, and independent for each pair.
+pub(crate) fn weight(key: &str, candidate: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(key.as_bytes());
+    // Names hold no zero byte, so that no two pairs run together.
+    hasher.update(&[0]);
+    hasher.update(candidate.as_bytes());
+    hasher.digest()
+}
+
+/// The candidates in the order that a key prefers them. When one goes, the order of the others
+/// stays.
+pub fn rank<C: AsRef<str> + Clone>(key: &str, candidates: &[C]) -> Vec<C> {
+    let mut ranked: Vec<C> = candidates.to_vec();
+    ranked.sort_by_cached_key(|candidate| {
+        let name = candidate.as_ref();
+        (std::cmp::Reverse(weight(key, name)), name.to_owned())
+    });
+    ranked
+}
