Membership: gossip with suspicion, refutation and a byte budget

Cause: hosts must know within about two seconds which of them died, take back those that were paused, and spread news, while what each sends does not grow with the fleet.

Change: probes with indirect probes, suspicion halved by a second word, incarnations, lists pulled only where a difference lasts, digests between failure domains by three hosts of each, tries at dead hosts, leaving upstreams and poison notices as news, and a token bucket that every message passes.

The reserve for probes under an empty budget has no test that fails without it.

--- /dev/null
+++ b/src/control/membership/roster.rs
@@ -0,0 +1,170 @@
+//! All hosts that are known, with a hash of them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::board::HostState;
+use crate::board::HostView;
+use crate::control::membership::record::to_record;
+use crate::peer::message::HostRecord;
+use crate::units::FailureDomainId;
+use crate::units::Generation;
+use crate::units::HostId;
+use crate::units::Incarnation;
+
+/// What a word about a host changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Applied {
+    /// Nothing: the word is old.
+    Old,
+    /// Only the generation that the host has in force.
+    Generation,
+    /// Its state, incarnation or address.
+    Changed,
+    /// The host was not known.
+    New,
+}
+
+/// All hosts that are known.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    hosts: IndexMap<HostId, Entry>,
+    hashes: IndexMap<FailureDomainId, u64>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    view: HostView,
+    changed_at: Instant,
+}
+
+impl Roster {
+    /// Takes in a word about a host, true since `since`. The larger incarnation wins; within one,
+    /// the later state.
+    pub(crate) fn apply(&mut self, view: HostView, since: Instant) -> Applied {
+        let Some(old) = self.hosts.get(&view.id).map(|entry| &entry.view) else {
+            self.set(view, since);
+            return Applied::New;
+        };
+        if rank(&view) <= rank(old) {
+            return self.apply_generation(&view.id, view.incarnation, view.generation);
+        }
+        let generation = match old.incarnation == view.incarnation {
+            true => old.generation.max(view.generation),
+            false => view.generation,
+        };
+        self.set(HostView { generation, ..view }, since);
+        Applied::Changed
+    }
+
+    /// Takes in which generation a host has in force, as one process of it says.
+    pub(crate) fn apply_generation(
+        &mut self,
+        host: &HostId,
+        incarnation: Incarnation,
+        generation: Generation,
+    ) -> Applied {
+        let Some(entry) = self.hosts.get_mut(host) else {
+            return Applied::Old;
+        };
+        let is_later = entry.view.incarnation <= incarnation && entry.view.generation < generation;
+        if !is_later {
+            return Applied::Old;
+        }
+        entry.view.generation = generation;
+        Applied::Generation
+    }
+
+    /// Sets a host as it is seen, true since `since`.
+    pub(crate) fn set(&mut self, view: HostView, since: Instant) {
+        if let Some(old) = self.hosts.get(&view.id) {
+            *self.hashes.entry(old.view.domain.clone()).or_default() ^= hash(&old.view);
+        }
+        *self.hashes.entry(view.domain.clone()).or_default() ^= hash(&view);
+        let entry = Entry {
+            view,
+            changed_at: since,
+        };
+        self.hosts.insert(entry.view.id.clone(), entry);
+    }
+
+    pub(crate) fn get(&self, host: &HostId) -> Option<&HostView> {
+        self.hosts.get(host).map(|entry| &entry.view)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &HostView> {
+        self.hosts.values().map(|entry| &entry.view)
+    }
+
+    /// The hosts of a failure domain that are not dead.
+    pub(crate) fn present<'a>(
+        &'a self,
+        domain: &'a FailureDomainId,
+    ) -> impl Iterator<Item = &'a HostView> {
+        self.iter()
+            .filter(move |view| view.domain == *domain && view.state != HostState::Dead)
+    }
+
+    /// How a host is told to others.
+    pub(crate) fn record(&self, host: &HostId, now: Instant) -> Option<HostRecord> {
+        let entry = self.hosts.get(host)?;
+        let dead_for = match entry.view.state {
+            HostState::Dead => now.saturating_duration_since(entry.changed_at),
+            _ => Duration::ZERO,
+        };
+        Some(HostRecord {
+            dead_for_s: u32::try_from(dead_for.as_secs()).unwrap_or(u32::MAX),
+            ..to_record(&entry.view)
+        })
+    }
+
+    /// Removes hosts that have been dead since before `before`, and names them.
+    pub(crate) fn forget_dead(&mut self, before: Instant) -> Vec<HostId> {
+        let is_old =
+            |entry: &Entry| entry.view.state == HostState::Dead && entry.changed_at < before;
+        let old: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|entry| is_old(entry))
+            .map(|entry| entry.view.id.clone())
+            .collect();
+        self.hosts.retain(|_, entry| !is_old(entry));
+        old
+    }
+
+    /// A hash of the hosts of a failure domain; equal views give equal hashes.
+    pub(crate) fn domain_hash(&self, domain: &FailureDomainId) -> u64 {
+        self.hashes.get(domain).copied().unwrap_or(0)
+    }
+
+    /// A hash of all hosts.
+    pub(crate) fn view_hash(&self) -> u64 {
+        self.hashes.values().fold(0, |all, hash| all ^ hash)
+    }
+
+    pub(crate) fn domains(&self) -> impl Iterator<Item = &FailureDomainId> {
+        self.hashes.keys()
+    }
+}
+
+fn rank(view: &HostView) -> (Incarnation, HostState) {
+    (view.incarnation, view.state)
+}
+
+/// The hash of one host. Suspicions come and go, dead hosts are forgotten at different times, and
+/// generations change too often: none of them makes a difference.
+fn hash(view: &HostView) -> u64 {
+    let state = match view.state {
+        HostState::Dead => return 0,
+        HostState::Leaving => "leaving",
+        HostState::Alive | HostState::Suspect => "alive",
+    };
+    let text = format!(
+        "{} {} {} {} {state}",
+        view.id, view.domain, view.peer_addr, view.incarnation
+    );
+    xxh3_64(text.as_bytes())
+}
--- a/src/peer/addrs.rs
+++ b/src/peer/addrs.rs
@@ -1,8 +1,11 @@
 //! Where other hosts listen.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::board::Board;
+use crate::board::Shards;
+use crate::settings::PeerSeed;
 use crate::units::HostId;
 
 /// Knows where hosts listen for peers.
@@ -11,8 +14,34 @@
     fn peer_addr(&self, host: &HostId) -> Option<SocketAddr>;
 }
 
-impl PeerAddrs for Board {
+/// The addresses that the membership knows, and for others those of seeds.
+#[derive(Debug)]
+pub struct SeededAddrs {
+    board: Arc<Board>,
+    seeds: Shards<HostId, SocketAddr>,
+}
+
+impl SeededAddrs {
+    /// The addresses on the board, and no seeds yet.
+    pub fn new(board: Arc<Board>) -> Self {
+        Self {
+            board,
+            seeds: Shards::new(),
+        }
+    }
+
+    /// Takes in seeds of the settings or of the platform's list.
+    pub fn learn(&self, seeds: &[PeerSeed]) {
+        for seed in seeds {
+            self.seeds.insert(seed.host.clone(), seed.address);
+        }
+    }
+}
+
+impl PeerAddrs for SeededAddrs {
     fn peer_addr(&self, host: &HostId) -> Option<SocketAddr> {
-        self.hosts.get(host).map(|view| view.peer_addr)
+        let view = self.board.hosts.get(host);
+        view.map(|view| view.peer_addr)
+            .or_else(|| self.seeds.get(host))
     }
 }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -8,6 +8,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::peer::FrameError;
+use crate::peer::Message;
 use crate::peer::Seal;
 use crate::peer::message::Envelope;
 use crate::peer::seal::TAG_LEN;
@@ -89,6 +90,11 @@
     }
 }
 
+/// How many bytes a message without a call takes on a connection, but for those of TCP and IP.
+pub fn wire_len(message: &Message) -> usize {
+    FRAME_OVERHEAD + message.encoded_len()
+}
+
 /// Length-delimited frames of at most `size_max` bytes.
 pub(crate) fn framing(size_max: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
--- a/src/peer/message/mod.rs
+++ b/src/peer/message/mod.rs
@@ -3,9 +3,19 @@
 //! Field numbers are never used again for another meaning, so that hosts of neighbouring versions
 //! understand each other while they are replaced one by one.
 
+mod gossip;
 mod grant;
 mod relay;
 
+pub use gossip::DomainDigest;
+pub use gossip::Gossip;
+pub use gossip::GossipBody;
+pub use gossip::HostRecord;
+pub use gossip::LeavingUpstream;
+pub use gossip::Probe;
+pub use gossip::ProbeAck;
+pub use gossip::ProbeFor;
+pub use gossip::Pull;
 pub use grant::Announce;
 pub use grant::DoneReport;
 pub use grant::Finish;
@@ -33,7 +43,7 @@
     #[prost(bool, tag = "3")]
     pub is_reply: bool,
     /// The message. Tags below 30 are taken by grants and relays, from 30 on by the fleet.
-    #[prost(oneof = "Message", tags = "10, 11, 12, 13, 14, 20, 21, 22, 29")]
+    #[prost(oneof = "Message", tags = "10, 11, 12, 13, 14, 20, 21, 22, 29, 30")]
     pub message: Option<Message>,
 }
 
@@ -67,4 +77,7 @@
     /// Taken in; there is nothing to say.
     #[prost(message, tag = "29")]
     Ack(()),
+    /// Membership.
+    #[prost(message, tag = "30")]
+    Gossip(Gossip),
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -19,9 +19,11 @@
 use futures_util::future::BoxFuture;
 
 pub use addrs::PeerAddrs;
+pub use addrs::SeededAddrs;
 pub use codec::EnvelopeCodec;
 pub use codec::FRAME_OVERHEAD;
 pub use codec::FRAME_SIZE_MAX;
+pub use codec::wire_len;
 pub use error::PeerError;
 pub use frame_error::FrameError;
 pub use keyring::Keyring;
--- a/src/peer/traffic.rs
+++ b/src/peer/traffic.rs
@@ -40,6 +40,7 @@
             | Message::PlatformReply(_)
             | Message::PoisonNotice(_)
             | Message::Ack(()) => Self::Work,
+            Message::Gossip(_) => Self::Control,
         }
     }
 }
