--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -1,9 +1,18 @@
 //! The manifest: models, services, customers, priorities and limits that operators publish.
 
+mod clashes;
+mod errors;
 mod in_force;
+mod lookup;
+mod parse;
+mod published;
 mod spec;
+mod target;
 
+pub use errors::ManifestErrors;
 pub use in_force::InForce;
+pub use published::CURRENT;
+pub use published::PublishedManifest;
 pub use spec::CustomerSpec;
 pub use spec::FencingSupport;
 pub use spec::LimitsSpec;
@@ -13,3 +22,5 @@
 pub use spec::PrioritySpec;
 pub use spec::RepeatRule;
 pub use spec::ServiceSpec;
+pub use spec::WeightStoreSpec;
+pub use target::Target;
