--- /dev/null
+++ b/examples/sweep/main.rs
@@ -0,0 +1,121 @@
+//! Prints the figures of docs/DECISIONS.md: each load against each policy, then each threshold.
+//! All is played against small fake engines with a clock moved by hand, so only the time that
+//! decisions take differs between two runs.
+
+#[path = "../../tests/decide_fakes/mod.rs"]
+mod decide_fakes;
+mod scenario;
+mod timing;
+
+use std::time::Duration;
+
+use banyanarch::decide::Tuning;
+use banyanarch::manifest::Objective;
+use banyanarch::settings::PolicyName;
+use banyanarch::units::Tokens;
+use scenario::Setup;
+
+const POLICIES: [PolicyName; 4] = [
+    PolicyName::Shipped,
+    PolicyName::Alone,
+    PolicyName::LeastInFlight,
+    PolicyName::RoundRobin,
+];
+
+fn main() {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let is_wanted = |name: &str| wanted.is_empty() || wanted.iter().any(|want| want == name);
+    for (name, play) in scenario::ALL {
+        if is_wanted(name) {
+            println!("\n## {name}");
+            for policy in POLICIES {
+                println!("{:<15} {}", format!("{policy:?}"), play(&Setup::of(policy)));
+            }
+        }
+    }
+    if is_wanted("objective") {
+        println!("\n## objective, short-among-long");
+        for objective in [Objective::ShortSlowdown, Objective::FirstToken] {
+            let setup = Setup {
+                objective,
+                tuning: Tuning::of(objective),
+                ..Setup::of(PolicyName::Shipped)
+            };
+            println!("{objective:<15?} {}", scenario::short_among_long(&setup));
+        }
+    }
+    if is_wanted("thresholds") {
+        thresholds();
+    }
+    if is_wanted("timing") {
+        timing::print();
+    }
+}
+
+fn thresholds() {
+    let base = || Setup::of(PolicyName::Shipped).tuning;
+    let ms = Duration::from_millis;
+    sweep("headroom, ms", &[0, 10, 30, 100, 300], |at| Tuning {
+        headroom: ms(at),
+        ..base()
+    });
+    sweep("equal_speed, percent", &[100, 120, 140, 200, 400], |at| {
+        Tuning {
+            equal_speed: at as f64 / 100.0,
+            ..base()
+        }
+    });
+    sweep(
+        "short_tokens_max",
+        &[1_000, 2_000, 4_000, 8_000, 16_000],
+        |at| Tuning {
+            short_tokens_max: Tokens(at),
+            ..base()
+        },
+    );
+    sweep("long_prefills_max", &[1, 2, 4, 8], |at| Tuning {
+        long_prefills_max: at as usize,
+        ..base()
+    });
+    sweep("long_busy, percent", &[50, 70, 85, 100], |at| Tuning {
+        long_busy: at as f64 / 100.0,
+        ..base()
+    });
+    sweep("short_busy, percent", &[30, 45, 60, 80, 100], |at| Tuning {
+        short_busy: at as f64 / 100.0,
+        ..base()
+    });
+    sweep("long_sure_part, percent", &[0, 10, 25, 50], |at| Tuning {
+        long_sure_part: at as f64 / 100.0,
+        ..base()
+    });
+    sweep("wait_gain, percent", &[0, 50, 80, 100], |at| Tuning {
+        wait_gain: at as f64 / 100.0,
+        ..base()
+    });
+    sweep("slow_part, percent", &[0, 20, 40, 60, 80], |at| Tuning {
+        slow_part: at as f64 / 100.0,
+        ..base()
+    });
+    sweep("out_part_max, percent", &[0, 25, 50, 100], |at| Tuning {
+        out_part_max: at as f64 / 100.0,
+        ..base()
+    });
+}
+
+fn sweep(name: &str, values: &[u64], tuning: impl Fn(u64) -> Tuning) {
+    println!("\n## threshold {name}");
+    for at in values {
+        let setup = Setup {
+            tuning: tuning(*at),
+            ..Setup::of(PolicyName::Shipped)
+        };
+        println!("{at:>6} mixed: {}", scenario::short_among_long(&setup));
+        println!("{:>6} slow one: {}", "", scenario::slow_upstream(&setup));
+        println!(
+            "{:>6} saturated: {}",
+            "",
+            scenario::mixed_saturation(&setup)
+        );
+    }
+}
--- /dev/null
+++ b/examples/sweep/scenario.rs
@@ -0,0 +1,344 @@
+//! The loads of the sweep. Twenty engines of 8,000 tokens a second and 300,000 tokens of memory read
+//! about 120 prompts of 1,000 tokens a second.
+
+use std::time::Duration;
+
+use banyanarch::decide::LengthClass;
+use banyanarch::decide::Policy;
+use banyanarch::decide::PolicyConfig;
+use banyanarch::decide::RetryBudget;
+use banyanarch::decide::Tuning;
+use banyanarch::decide::policy_for;
+use banyanarch::manifest::Objective;
+use banyanarch::settings::PolicyName;
+use banyanarch::upstream::LoadReport;
+
+use crate::decide_fakes::Ask;
+use crate::decide_fakes::Bench;
+use crate::decide_fakes::Engine;
+use crate::decide_fakes::Load;
+use crate::decide_fakes::Outcomes;
+use crate::decide_fakes::config;
+
+const ENGINES: usize = 20;
+const SPEED: f64 = 8_000.0;
+const MINUTE: (f64, f64) = (0.0, 60.0);
+
+/// A load with what it prints.
+pub(crate) type Scenario = fn(&Setup) -> String;
+
+/// All loads.
+pub(crate) const ALL: [(&str, Scenario); 12] = [
+    ("short-among-long", short_among_long),
+    ("short-among-long-no-ranks", short_among_long_no_ranks),
+    ("burst", burst),
+    ("two-customers", two_customers),
+    ("hot-prefix", hot_prefix),
+    ("slow-upstream", slow_upstream),
+    ("saturation", saturation),
+    ("mixed-saturation", mixed_saturation),
+    ("outage", outage),
+    ("wrong-reports", wrong_reports),
+    ("wrong-speed", wrong_speed),
+    ("seven-hosts", seven_hosts),
+];
+
+/// What a load is played against.
+pub(crate) struct Setup {
+    pub(crate) policy: PolicyName,
+    pub(crate) objective: Objective,
+    pub(crate) tuning: Tuning,
+}
+
+impl Setup {
+    pub(crate) fn of(policy: PolicyName) -> Self {
+        Self {
+            policy,
+            objective: Objective::ShortSlowdown,
+            tuning: Tuning::of(Objective::ShortSlowdown),
+        }
+    }
+
+    fn conf(&self) -> PolicyConfig {
+        PolicyConfig {
+            tuning: self.tuning.clone(),
+            ..config(self.objective, SPEED)
+        }
+    }
+
+    fn bench(&self, hosts: u64) -> Bench {
+        let policies = (0..hosts).map(|seed| policy_for(self.policy, &self.conf(), seed));
+        let policies: Vec<Box<dyn Policy>> = policies.collect();
+        let engines = (0..ENGINES).map(|_| Engine::new(300_000, SPEED)).collect();
+        Bench::new(engines, policies)
+    }
+
+    fn play(&self, load: Load) -> Outcomes {
+        self.bench(1).play(load).0
+    }
+}
+
+fn shorts(seed: u64, rate: f64) -> Load {
+    Load::new(seed).stream(rate, (0.0, 120.0), &Ask::short())
+}
+
+/// Long prompts that take about half of the engines' time.
+fn with_long(load: Load) -> Load {
+    let long = |prompt| Ask {
+        customer: "studio",
+        ..Ask::long(prompt)
+    };
+    let two_minutes = (0.0, 120.0);
+    load.stream(0.6, two_minutes, &long(60_000))
+        .stream(0.1, two_minutes, &long(200_000))
+        .stream(0.02, two_minutes, &long(500_000))
+}
+
+fn mixed(setup: &Setup, change: fn(&mut Engine)) -> String {
+    let play = |load| {
+        let mut bench = setup.bench(1);
+        bench.engines.iter_mut().for_each(change);
+        bench.play(load).0
+    };
+    let alone = play(shorts(7, 24.0));
+    let all = play(with_long(shorts(7, 24.0)));
+    let short = all.class(LengthClass::Short);
+    format!(
+        "short slowdown p50 {:.3} p95 {:.3} p99 {:.3}, {}, all p95 {:.3} s, done {:.3}",
+        short.ttft(0.5) / alone.ttft(0.5),
+        short.ttft(0.95) / alone.ttft(0.95),
+        short.ttft(0.99) / alone.ttft(0.99),
+        by_class(&all),
+        all.ttft(0.95),
+        all.part(),
+    )
+}
+
+fn by_class(all: &Outcomes) -> String {
+    let classes = [LengthClass::Short, LengthClass::Long, LengthClass::Huge];
+    let figures = classes.map(|class| {
+        let of = all.class(class);
+        format!("{class} p50 {:.2} p95 {:.2} s", of.ttft(0.5), of.ttft(0.95))
+    });
+    figures.join(", ")
+}
+
+pub(crate) fn short_among_long(setup: &Setup) -> String {
+    mixed(setup, |_| {})
+}
+
+fn short_among_long_no_ranks(setup: &Setup) -> String {
+    mixed(setup, |engine| engine.honours_rank = false)
+}
+
+/// Ten times the load for five seconds.
+fn burst(setup: &Setup) -> String {
+    let ask = Ask {
+        limit: Duration::from_secs(8),
+        ..Ask::short()
+    };
+    let load = Load::new(3)
+        .stream(30.0, MINUTE, &ask)
+        .stream(270.0, (20.0, 25.0), &ask);
+    let all = setup.play(load);
+    let after = all.only(|o| o.ask.at >= Duration::from_secs(35));
+    format!(
+        "done {:.3}, refused {:.3}, p95 {:.2} s; from 10 s after the burst on: p95 {:.3} s",
+        all.part(),
+        all.refused() as f64 / all.0.len() as f64,
+        all.ttft(0.95),
+        after.ttft(0.95),
+    )
+}
+
+/// Two of six customers send 90 percent of twice the capacity.
+fn two_customers(setup: &Setup) -> String {
+    let ask = |customer| Ask {
+        customer,
+        limit: Duration::from_secs(10),
+        ..Ask::short()
+    };
+    let mut load = Load::new(5);
+    for large in ["studio", "agency"] {
+        load = load.stream(108.0, MINUTE, &ask(large));
+    }
+    for small in ["desk", "karaoke", "branch", "app"] {
+        load = load.stream(6.0, MINUTE, &ask(small));
+    }
+    let all = setup.play(load);
+    let small = all.only(|o| !["studio", "agency"].contains(&o.ask.customer));
+    let large = all.only(|o| ["studio", "agency"].contains(&o.ask.customer));
+    format!(
+        "small done {:.3} p95 {:.2} s, large done {:.3} p95 {:.2} s, goodput {:.0} tok/s",
+        small.part(),
+        small.ttft(0.95),
+        large.part(),
+        large.ttft(0.95),
+        all.goodput() / 60.0,
+    )
+}
+
+/// Half of all prompts begin with the same 3,000 tokens, the others with one of a hundred prefixes.
+fn hot_prefix(setup: &Setup) -> String {
+    let ask = |prefix: u128| Ask {
+        prompt: 3_400,
+        prefix: Some((prefix, 3_000)),
+        ..Ask::short()
+    };
+    let mut load = Load::new(9).stream(35.0, MINUTE, &ask(1_000));
+    for prefix in 0..100 {
+        load = load.stream(0.35, MINUTE, &ask(prefix));
+    }
+    let all = setup.play(load);
+    let on = |index: usize| all.only(|o| o.engines.first() == Some(&index)).0.len();
+    let most = (0..ENGINES).map(on).max().unwrap_or(0);
+    format!(
+        "p50 {:.3} s p95 {:.3} s, done {:.3}, fullest engine {:.3} of all",
+        all.ttft(0.5),
+        all.ttft(0.95),
+        all.part(),
+        most as f64 / all.0.len() as f64,
+    )
+}
+
+/// One engine is five times slower.
+pub(crate) fn slow_upstream(setup: &Setup) -> String {
+    let mut bench = setup.bench(1);
+    bench.engines[5].pace = 0.2;
+    let all = bench.play(shorts(11, 60.0)).0;
+    let slow = all.only(|o| o.engines.first() == Some(&5)).0.len();
+    format!(
+        "p50 {:.3} p95 {:.3} p99 {:.3} s, done {:.3}, on the slow one {:.3} of all",
+        all.ttft(0.5),
+        all.ttft(0.95),
+        all.ttft(0.99),
+        all.part(),
+        slow as f64 / all.0.len() as f64,
+    )
+}
+
+/// Twice the capacity for a minute, against just the capacity.
+fn saturation(setup: &Setup) -> String {
+    let ask = Ask {
+        limit: Duration::from_secs(6),
+        ..Ask::short()
+    };
+    let play = |rate| setup.play(Load::new(13).stream(rate, MINUTE, &ask));
+    let (once, twice) = (play(110.0), play(240.0));
+    format!(
+        "goodput at twice {:.3} of that at capacity, done {:.3}, refused {:.3}, p95 {:.2} s",
+        twice.goodput() / once.goodput(),
+        twice.part(),
+        twice.refused() as f64 / twice.0.len() as f64,
+        twice.ttft(0.95),
+    )
+}
+
+/// Twice the capacity in short and long prompts together.
+pub(crate) fn mixed_saturation(setup: &Setup) -> String {
+    let short = Ask {
+        limit: Duration::from_secs(10),
+        ..Ask::short()
+    };
+    let long = Ask {
+        customer: "studio",
+        limit: Duration::from_secs(60),
+        ..Ask::long(60_000)
+    };
+    let play = |part: f64| {
+        let load = Load::new(17).stream(55.0 * part, MINUTE, &short);
+        setup.play(load.stream(0.9 * part, MINUTE, &long))
+    };
+    let (once, twice) = (play(1.0), play(2.0));
+    let (short, long) = (
+        twice.class(LengthClass::Short),
+        twice.class(LengthClass::Long),
+    );
+    format!(
+        "goodput at twice {:.3}, short done {:.3} p95 {:.2} s, long done {:.3} p95 {:.2} s",
+        twice.goodput() / once.goodput(),
+        short.part(),
+        short.ttft(0.95),
+        long.part(),
+        long.ttft(0.95),
+    )
+}
+
+/// Half of the engines are gone for five seconds, and hosts retry.
+fn outage(setup: &Setup) -> String {
+    let ask = Ask {
+        limit: Duration::from_secs(10),
+        ..Ask::short()
+    };
+    let mut bench = setup.bench(1);
+    bench.retry_with(|now| RetryBudget::new(1, now));
+    bench.outage = Some((0..10, 20.0, 25.0));
+    let all = bench.play(Load::new(19).stream(80.0, MINUTE, &ask)).0;
+    let attempts: u32 = all.0.iter().map(|o| o.attempts).sum();
+    let after = all.only(|o| o.ask.at >= Duration::from_secs(30));
+    format!(
+        "done {:.3}, attempts a request {:.3}; from 5 s after it on: done {:.3}, p95 {:.3} s",
+        all.part(),
+        f64::from(attempts) / all.0.len() as f64,
+        after.part(),
+        after.ttft(0.95),
+    )
+}
+
+/// Reports say nothing, or ten times too much, or are as they should be.
+fn wrong_reports(setup: &Setup) -> String {
+    let changes: [(&str, fn(LoadReport) -> LoadReport); 3] = [
+        ("right", |report| report),
+        ("nothing", |_| LoadReport::default()),
+        ("tenfold", |report| LoadReport {
+            used_tokens: banyanarch::units::Tokens(report.used_tokens.0 * 10),
+            prefill_backlog_tokens: banyanarch::units::Tokens(report.prefill_backlog_tokens.0 * 10),
+            ..report
+        }),
+    ];
+    let figures = changes.map(|(name, change)| {
+        let mut bench = setup.bench(1);
+        bench.report_as = change;
+        let all = bench.play(with_long(shorts(7, 24.0))).0;
+        let short = all.class(LengthClass::Short);
+        format!(
+            "{name}: short p95 {:.3} s done {:.3}",
+            short.ttft(0.95),
+            all.part()
+        )
+    });
+    figures.join(", ")
+}
+
+/// The manifest's prefill speed is five times too high, or too low.
+fn wrong_speed(setup: &Setup) -> String {
+    let figures = [0.2, 1.0, 5.0].map(|factor| {
+        let conf = PolicyConfig {
+            tuning: setup.tuning.clone(),
+            ..config(setup.objective, SPEED * factor)
+        };
+        let engines = (0..ENGINES).map(|_| Engine::new(300_000, SPEED)).collect();
+        let bench = Bench::new(engines, vec![policy_for(setup.policy, &conf, 1)]);
+        let all = bench.play(with_long(shorts(7, 24.0))).0;
+        let short = all.class(LengthClass::Short);
+        format!(
+            "x{factor}: short p95 {:.3} s done {:.3}",
+            short.ttft(0.95),
+            all.part()
+        )
+    });
+    figures.join(", ")
+}
+
+/// Seven hosts that decide each by itself, against one home.
+fn seven_hosts(setup: &Setup) -> String {
+    let figures = [1, 7].map(|hosts| {
+        let all = setup.bench(hosts).play(with_long(shorts(7, 60.0))).0;
+        format!(
+            "{hosts} deciding: {}, done {:.3}",
+            by_class(&all),
+            all.part()
+        )
+    });
+    figures.join("; ")
+}
--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::Tuning;
 use crate::manifest::CustomerSpec;
 use crate::manifest::Manifest;
 use crate::manifest::ModelSpec;
@@ -21,6 +22,8 @@
 pub struct PolicyConfig {
     /// What the deployment weighs more heavily.
     pub objective: Objective,
+    /// Thresholds, which follow from that.
+    pub tuning: Tuning,
     /// What the pool's upstreams are.
     pub kind: PoolKind,
     /// Customers by name.
@@ -78,6 +81,7 @@
         let default_customer = default_spec.map_or_else(CustomerShare::unlisted, share);
         Some(Self {
             objective: manifest.objective,
+            tuning: Tuning::of(manifest.objective),
             kind,
             customers,
             default_customer,
--- a/src/decide/engine_fleet.rs
+++ b/src/decide/engine_fleet.rs
@@ -16,18 +16,15 @@
 use crate::decide::PoolUpstream;
 use crate::decide::SpeedEstimate;
 use crate::decide::SplitInput;
+use crate::decide::Tuning;
 use crate::decide::UpstreamHealth;
 use crate::decide::UpstreamSeen;
 use crate::decide::WarmUp;
 use crate::decide::estimator::token_gap_seconds;
-use crate::manifest::Objective;
 use crate::units::Tokens;
 use crate::units::TokensPerSecond;
 use crate::units::UpstreamId;
 
-/// At most this part of a pool is out at the same time: with more out, the rest would drown, and
-/// what looks like many bad engines is more probably something else.
-const OUT_PART_MAX: f64 = 0.5;
 /// Upstreams that are new together are warmed in steps only while they are at most this part of the
 /// pool: there must be others that carry the load meanwhile.
 const COLD_PART_MAX: f64 = 0.5;
@@ -39,16 +36,21 @@
 pub(crate) struct EngineFleet {
     pub(crate) upstreams: IndexMap<UpstreamId, PoolUpstream>,
     pub(crate) split: LaneSplit,
+    pub(crate) tuning: Tuning,
     first_speed: TokensPerSecond,
+    /// Over the engines that may get work, as of the last change.
+    median: PoolMedian,
     stalls_checked_at: Option<Instant>,
 }
 
 impl EngineFleet {
-    pub(crate) fn new(objective: Objective, first_speed: TokensPerSecond) -> Self {
+    pub(crate) fn new(tuning: Tuning, first_speed: TokensPerSecond) -> Self {
         Self {
             upstreams: IndexMap::new(),
-            split: LaneSplit::new(objective),
+            split: LaneSplit::new(),
+            tuning,
             first_speed,
+            median: PoolMedian::default(),
             stalls_checked_at: None,
         }
     }
@@ -75,6 +77,7 @@
         }
         self.drop_gone();
         self.upstreams.sort_unstable_keys();
+        self.update_median(now);
     }
 
     /// Lets the prefill of all engines go on until `now`, and follows the load.
@@ -97,10 +100,10 @@
         }
         let input = SplitInput {
             upstreams: self.open(now).count(),
-            speed: self.median(now).speed.max(1.0),
+            speed: self.median_speed(),
             long_waited,
         };
-        self.split.update(&input, now);
+        self.split.update(&input, &self.tuning, now);
     }
 
     pub(crate) fn open(&self, now: Instant) -> impl Iterator<Item = &PoolUpstream> {
@@ -116,13 +119,13 @@
     }
 
     /// Enters a grant at each of its engines.
-    pub(crate) fn hold(&mut self, grant: &LiveGrant, hold: &Hold, now: Instant) {
+    pub(crate) fn hold(&mut self, grant: &LiveGrant, hold: &Hold, prefill: f64, now: Instant) {
         for id in &grant.upstreams {
             if let Some(upstream) = self.upstreams.get_mut(id) {
                 upstream.on_grant(now);
                 upstream.prefix.on_grant(&grant.work);
                 upstream.ledger.advance(now);
-                upstream.ledger.hold(grant.id, hold.clone());
+                upstream.ledger.hold(grant.id, hold.clone(), prefill);
             }
         }
     }
@@ -150,17 +153,29 @@
             upstream.on_progress(token_gap_seconds(done), now);
             upstream.prefix.on_done(&grant.work, hinted, done);
             if let (Some(hold), Some(first_token)) = (hold, done.first_token) {
-                let others = upstream.ledger.others_prefill(&hold);
+                let ahead = upstream.ledger.ahead_of(&hold);
                 let own = prefill_done(&hold, done);
-                upstream.ledger.speed.observe(own, others, first_token);
+                upstream.ledger.speed.observe(own, ahead, first_token);
             }
             self.judge(id, done.ended, now, rng);
         }
         self.drop_gone();
     }
 
-    pub(crate) fn median(&self, now: Instant) -> PoolMedian {
-        PoolMedian::of(self.open(now))
+    /// The memory of the largest engine that is not leaving.
+    pub(crate) fn largest_memory(&self) -> Tokens {
+        let memory = self.live().map(|upstream| upstream.seen.memory_tokens);
+        memory.max().unwrap_or_default()
+    }
+
+    /// Medians over the engines that may get work.
+    pub(crate) fn median(&self) -> PoolMedian {
+        self.median
+    }
+
+    /// The median prefill speed, never 0.
+    pub(crate) fn median_speed(&self) -> f64 {
+        self.median.speed.max(1.0)
     }
 
     /// Prefill a second over all engines that may get work.
@@ -170,12 +185,17 @@
             .sum()
     }
 
+    fn update_median(&mut self, now: Instant) {
+        self.median = PoolMedian::of(self.open(now));
+    }
+
     fn judge(&mut self, id: &UpstreamId, ended: Ended, now: Instant, rng: &mut StdRng) {
-        let median = self.median(now);
+        self.update_median(now);
+        let median = self.median();
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
-        let is_slow = upstream.is_slow(&median);
+        let is_slow = upstream.is_slow(&median, self.tuning.slow_part);
         let was_out = upstream.ejection.is_out();
         let step = upstream.ejection.on_end(ended);
         if ended == Ended::Completed {
@@ -196,7 +216,7 @@
             .live()
             .filter(|u| u.ejection.is_out() && u.seen.id != *id)
             .count();
-        if (out + 1) as f64 > live as f64 * OUT_PART_MAX {
+        if (out + 1) as f64 > live as f64 * self.tuning.out_part_max {
             return;
         }
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/src/decide/estimator.rs
+++ b/src/decide/estimator.rs
@@ -22,6 +22,9 @@
 /// to twelve bytes, and four are assumed.
 const PROMPT_RATIO_MIN: f64 = 0.33;
 const PROMPT_RATIO_MAX: f64 = 4.0;
+/// Attempts take at most this many times what was expected, and at least this part of it.
+const OVERRUN_MIN: f64 = 0.5;
+const OVERRUN_MAX: f64 = 4.0;
 /// The part of the allowed answer that is expected at least, as a guard against a run of short ones.
 const OUTPUT_PART_MIN: f64 = 0.1;
 
@@ -31,6 +34,7 @@
     prompt_ratios: IndexMap<CustomerId, f64>,
     output_part: f64,
     token_gap_seconds: f64,
+    overrun: f64,
 }
 
 impl Estimator {
@@ -40,6 +44,7 @@
             prompt_ratios: IndexMap::new(),
             output_part: 1.0,
             token_gap_seconds: TOKEN_GAP_FIRST,
+            overrun: 1.0,
         }
     }
 
@@ -67,20 +72,30 @@
             let ratio = self.prompt_ratios.entry(account.clone()).or_insert(1.0);
             blend(ratio, seen.clamp(PROMPT_RATIO_MIN, PROMPT_RATIO_MAX));
         }
-        if done.ended == Ended::Completed {
-            self.observe_output(work, done);
+        if let Some(gap) = token_gap_seconds(done) {
+            blend(&mut self.token_gap_seconds, gap);
         }
-    }
-
-    fn observe_output(&mut self, work: &Work, done: &Done) {
-        let output = done.output_tokens.as_f64();
-        if work.output_tokens > Tokens::ZERO {
-            let part = output / work.output_tokens.as_f64();
+        if done.ended == Ended::Completed && work.output_tokens > Tokens::ZERO {
+            let part = done.output_tokens.as_f64() / work.output_tokens.as_f64();
             blend(&mut self.output_part, part.clamp(OUTPUT_PART_MIN, 1.0));
         }
-        if let Some(gap) = token_gap_seconds(done) {
-            blend(&mut self.token_gap_seconds, gap);
+    }
+
+    /// Takes in how long an attempt took against what was expected. Attempts that were cut at their
+    /// deadline count as well: those that completed are the quick ones, and alone they would make
+    /// each forecast too short just when it matters.
+    pub fn observe_total(&mut self, expected: Duration, done: &Done) {
+        let has_worked = matches!(done.ended, Ended::Completed | Ended::Cancelled);
+        if !has_worked || done.first_token.is_none() || expected.is_zero() {
+            return;
         }
+        let ratio = done.total.as_secs_f64() / expected.as_secs_f64();
+        blend(&mut self.overrun, ratio.clamp(OVERRUN_MIN, OVERRUN_MAX));
+    }
+
+    /// How much longer attempts take than expected; at least 1, since being early harms nobody.
+    pub fn overrun(&self) -> f64 {
+        self.overrun.max(1.0)
     }
 }
 
--- a/src/decide/hold.rs
+++ b/src/decide/hold.rs
@@ -14,8 +14,6 @@
     pub memory_tokens: Tokens,
     /// The prefill expected for it, less what is probably cached.
     pub prefill_tokens: Tokens,
-    /// The part of that which is not done yet, by the ledger's reckoning.
-    pub prefill_left: f64,
     /// The rank that the engine was given.
     pub rank: Priority,
     /// Its lane.
@@ -26,15 +24,8 @@
     pub since: Instant,
     /// How long it is expected to take in all.
     pub expected: Duration,
-    /// Prefill that the upstream had when it was granted.
-    pub backlog_before: f64,
-    /// The upstream's count of granted prefill right after this grant.
-    pub granted_mark: f64,
-}
-
-impl Hold {
-    /// Whether its prefill is still going on, by the ledger's reckoning.
-    pub fn is_prefilling(&self) -> bool {
-        self.prefill_left > 0.0
-    }
+    /// Prefill that the upstream had before it when it was granted; the ledger fills it in.
+    pub ahead_before: f64,
+    /// The upstream's count of granted prefill of higher rank then; the ledger fills it in.
+    pub higher_mark: f64,
 }
--- a/src/decide/lane_split.rs
+++ b/src/decide/lane_split.rs
@@ -8,22 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::manifest::Objective;
+use crate::decide::Tuning;
 
 /// The memory of the rates of long and short work: longer than a burst, shorter than an operator's
 /// patience.
 const RATE_MEMORY: Duration = Duration::from_secs(20);
-/// How busy upstreams that are open to long prefill may be. The weight on short requests packs long
-/// ones tightly; the weight on all first tokens gives long ones room.
-const LONG_BUSY_SHORT_SLOWDOWN: f64 = 0.85;
-const LONG_BUSY_FIRST_TOKEN: f64 = 0.7;
-/// How busy short work leaves the others at most, before long work gets no more of them.
-const SHORT_BUSY: f64 = 0.6;
-/// Long work gets this part of the upstreams whatever the short load is.
-const LONG_SURE_PART: f64 = 0.25;
-/// Long work that has waited this long asks for one upstream more.
-const LONG_WAIT_SHORT_SLOWDOWN: Duration = Duration::from_secs(3);
-const LONG_WAIT_FIRST_TOKEN: Duration = Duration::from_secs(1);
 /// Steps up and down. Down is slower: an upstream that is taken from long work still carries it.
 const RAISE_EVERY: Duration = Duration::from_secs(1);
 const LOWER_EVERY: Duration = Duration::from_secs(5);
@@ -44,7 +33,6 @@
 /// The number of upstreams that are open to long prefill.
 #[derive(Debug)]
 pub struct LaneSplit {
-    objective: Objective,
     open: usize,
     changed_at: Option<Instant>,
     long: WorkRate,
@@ -53,9 +41,8 @@
 
 impl LaneSplit {
     /// One upstream is open.
-    pub fn new(objective: Objective) -> Self {
+    pub fn new() -> Self {
         Self {
-            objective,
             open: 1,
             changed_at: None,
             long: WorkRate::default(),
@@ -63,11 +50,6 @@
         }
     }
 
-    /// Takes in what the deployment weighs more heavily.
-    pub fn set_objective(&mut self, objective: Objective) {
-        self.objective = objective;
-    }
-
     /// Takes in prefill that was let in.
     pub fn on_admitted(&mut self, tokens: f64, is_long: bool, now: Instant) {
         let rate = if is_long {
@@ -84,14 +66,14 @@
     }
 
     /// Follows the load.
-    pub fn update(&mut self, input: &SplitInput, now: Instant) {
-        let most = self.most(input, now);
-        let by_load = self.long.get(now) / input.speed / self.long_busy();
+    pub fn update(&mut self, input: &SplitInput, tuning: &Tuning, now: Instant) {
+        let most = self.most(input, tuning, now);
+        let by_load = self.long.get(now) / input.speed / tuning.long_busy;
         let since = |at| now.saturating_duration_since(at);
         let since_change = self.changed_at.map_or(Duration::MAX, since);
         let is_waiting = input
             .long_waited
-            .is_some_and(|waited| waited > self.long_wait());
+            .is_some_and(|waited| waited > tuning.long_wait);
         let is_short = ceil(by_load) > self.open || is_waiting;
         if self.open > most {
             self.set(most, now);
@@ -108,10 +90,10 @@
     }
 
     /// The most that long work may have: what short work leaves, or its sure part.
-    fn most(&self, input: &SplitInput, now: Instant) -> usize {
+    fn most(&self, input: &SplitInput, tuning: &Tuning, now: Instant) -> usize {
         let upstreams = input.upstreams;
-        let short = ceil(self.short.get(now) / input.speed / SHORT_BUSY).max(1);
-        let sure = ceil(upstreams as f64 * LONG_SURE_PART).max(1);
+        let short = ceil(self.short.get(now) / input.speed / tuning.short_busy).max(1);
+        let sure = ceil(upstreams as f64 * tuning.long_sure_part).max(1);
         let left = upstreams.saturating_sub(short);
         left.max(sure).clamp(1, upstreams.saturating_sub(1).max(1))
     }
@@ -120,19 +102,11 @@
         self.open = open;
         self.changed_at = Some(now);
     }
+}
 
-    fn long_busy(&self) -> f64 {
-        match self.objective {
-            Objective::ShortSlowdown => LONG_BUSY_SHORT_SLOWDOWN,
-            Objective::FirstToken => LONG_BUSY_FIRST_TOKEN,
-        }
-    }
-
-    fn long_wait(&self) -> Duration {
-        match self.objective {
-            Objective::ShortSlowdown => LONG_WAIT_SHORT_SLOWDOWN,
-            Objective::FirstToken => LONG_WAIT_FIRST_TOKEN,
-        }
+impl Default for LaneSplit {
+    fn default() -> Self {
+        Self::new()
     }
 }
 
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -11,6 +11,7 @@
 
 use crate::decide::Hold;
 use crate::decide::Lane;
+use crate::decide::Prefill;
 use crate::decide::SpeedEstimate;
 use crate::decide::is_heavy;
 use crate::units::GrantId;
@@ -31,14 +32,17 @@
     /// How fast it reads prompts.
     pub speed: SpeedEstimate,
     holds: IndexMap<GrantId, Hold>,
+    /// In the order in which engines work: by rank, then by arrival.
+    prefills: Vec<Prefill>,
     held_tokens: Tokens,
     /// Memory kept for a gang that waits.
     reserved_tokens: Tokens,
     unknown_tokens: Tokens,
     unknown_prefill: f64,
     excess_before: Option<(f64, Tokens)>,
-    /// All prefill ever granted here.
-    granted_prefill: f64,
+    /// All prefill ever granted here, by rank.
+    granted_prefill: IndexMap<Priority, f64>,
+    suspects: usize,
     advanced_at: Instant,
 }
 
@@ -48,17 +52,19 @@
         Self {
             speed,
             holds: IndexMap::new(),
+            prefills: Vec::new(),
             held_tokens: Tokens::ZERO,
             reserved_tokens: Tokens::ZERO,
             unknown_tokens: Tokens::ZERO,
             unknown_prefill: 0.0,
             excess_before: None,
-            granted_prefill: 0.0,
+            granted_prefill: IndexMap::new(),
+            suspects: 0,
             advanced_at: now,
         }
     }
 
-    /// Lets prefill go on until `now`, in the order in which engines work: by rank, then by arrival.
+    /// Lets prefill go on until `now`.
     pub fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.advanced_at);
         self.advanced_at = self.advanced_at.max(now);
@@ -66,38 +72,57 @@
         let unknown = self.unknown_prefill.min(budget);
         self.unknown_prefill -= unknown;
         budget -= unknown;
-        while budget > 0.0 {
-            let prefilling = self.holds.values_mut().filter(|hold| hold.is_prefilling());
-            let Some(first) = prefilling.min_by_key(|hold| (hold.rank, hold.since)) else {
-                break;
-            };
-            let step = first.prefill_left.min(budget);
-            first.prefill_left -= step;
+        let mut done = 0;
+        for prefill in &mut self.prefills {
+            let step = prefill.left.min(budget);
+            prefill.left -= step;
             budget -= step;
+            if prefill.left > 0.0 {
+                break;
+            }
+            done += 1;
         }
+        self.prefills.drain(..done);
     }
 
-    /// Enters a grant.
-    pub fn hold(&mut self, grant: GrantId, mut hold: Hold) {
-        hold.backlog_before = self.backlog();
-        self.granted_prefill += hold.prefill_left;
-        hold.granted_mark = self.granted_prefill;
-        self.held_tokens += hold.memory_tokens;
-        if let Some(old) = self.holds.insert(grant, hold) {
-            self.held_tokens = self.held_tokens.saturating_sub(old.memory_tokens);
+    /// Enters a grant with its prefill.
+    pub fn hold(&mut self, grant: GrantId, mut hold: Hold, prefill: f64) {
+        self.release(&grant);
+        let ahead = |p: &&Prefill| p.rank <= hold.rank;
+        let ahead_before: f64 = self.prefills.iter().filter(ahead).map(|p| p.left).sum();
+        hold.ahead_before = ahead_before + self.unknown_prefill;
+        hold.higher_mark = self.granted_above(hold.rank);
+        *self.granted_prefill.entry(hold.rank).or_default() += prefill;
+        if prefill > 0.0 {
+            let place = self.prefills.partition_point(|p| p.rank <= hold.rank);
+            let prefill = Prefill {
+                grant,
+                rank: hold.rank,
+                lane: hold.lane,
+                is_heavy: is_heavy(hold.prefill_tokens),
+                left: prefill,
+            };
+            self.prefills.insert(place, prefill);
         }
+        self.held_tokens += hold.memory_tokens;
+        self.suspects += usize::from(hold.is_suspect);
+        self.holds.insert(grant, hold);
     }
 
     /// Ends a grant. Its prefill, if any was left, is over.
     pub fn release(&mut self, grant: &GrantId) -> Option<Hold> {
         let hold = self.holds.swap_remove(grant)?;
+        self.prefills.retain(|prefill| prefill.grant != *grant);
         self.held_tokens = self.held_tokens.saturating_sub(hold.memory_tokens);
+        self.suspects -= usize::from(hold.is_suspect);
         Some(hold)
     }
 
-    /// The prefill of others that the upstream may have done while this hold's went on.
-    pub fn others_prefill(&self, hold: &Hold) -> f64 {
-        hold.backlog_before + (self.granted_prefill - hold.granted_mark).max(0.0)
+    /// The prefill of others that engines do before this hold's is done: what they had, and what
+    /// came later with a higher rank.
+    pub fn ahead_of(&self, hold: &Hold) -> f64 {
+        let higher = self.granted_above(hold.rank) - hold.higher_mark;
+        hold.ahead_before + higher.max(0.0)
     }
 
     /// Memory that is promised to nobody.
@@ -123,39 +148,45 @@
         self.reserved_tokens > Tokens::ZERO
     }
 
+    /// Whether it runs a request that another upstream failed before.
+    pub fn has_suspect(&self) -> bool {
+        self.suspects > 0
+    }
+
     /// Prefill that is not done yet, in tokens.
     pub fn backlog(&self) -> f64 {
-        let known: f64 = self.holds.values().map(|hold| hold.prefill_left).sum();
-        known + self.unknown_prefill
+        self.known_backlog() + self.unknown_prefill
     }
 
     /// Prefill of one lane that is not done yet, in tokens.
     pub fn lane_backlog(&self, lane: Lane) -> f64 {
-        let of_lane = self.holds.values().filter(|hold| hold.lane == lane);
-        of_lane.map(|hold| hold.prefill_left).sum()
+        let of_lane = self.prefills.iter().filter(|prefill| prefill.lane == lane);
+        of_lane.map(|prefill| prefill.left).sum()
     }
 
     /// How many long prefills go on, and how many of them are heavy.
     pub fn long_prefills(&self) -> (usize, usize) {
         let long = self
-            .holds
-            .values()
-            .filter(|hold| hold.lane == Lane::Long && hold.is_prefilling());
-        let heavy = long.clone().filter(|hold| is_heavy(hold.prefill_tokens));
-        (long.count(), heavy.count())
+            .prefills
+            .iter()
+            .filter(|prefill| prefill.lane == Lane::Long);
+        (
+            long.clone().count(),
+            long.filter(|prefill| prefill.is_heavy).count(),
+        )
     }
 
     /// The work done here until a new prefill ends, its own included: all that goes before it, and
     /// of what goes after it as much again, since engines finish a chunk that they have begun.
     pub fn work_until(&self, prefill: f64, rank: Priority) -> f64 {
-        let beside = |hold: &Hold| {
-            if hold.rank <= rank {
-                hold.prefill_left
+        let beside = |other: &Prefill| {
+            if other.rank <= rank {
+                other.left
             } else {
-                hold.prefill_left.min(prefill)
+                other.left.min(prefill)
             }
         };
-        let others: f64 = self.holds.values().map(beside).sum();
+        let others: f64 = self.prefills.iter().map(beside).sum();
         prefill + others + self.unknown_prefill.min(prefill)
     }
 
@@ -173,13 +204,10 @@
         self.advance(now);
         let lag_work = REPORT_LAG.as_secs_f64() * self.speed.get();
         let reported = report.prefill_backlog_tokens.as_f64();
-        let known: f64 = self.holds.values().map(|hold| hold.prefill_left).sum();
-        let excess = (reported - known - lag_work).max(0.0);
+        let excess = (reported - self.known_backlog() - lag_work).max(0.0);
         let memory_excess = report.used_tokens.saturating_sub(self.held_tokens);
-        let (excess_before, memory_before) = self
-            .excess_before
-            .replace((excess, memory_excess))
-            .unwrap_or_default();
+        let before = self.excess_before.replace((excess, memory_excess));
+        let (excess_before, memory_before) = before.unwrap_or_default();
         let cap = UNKNOWN_PREFILL_MAX.as_secs_f64() * self.speed.get();
         self.unknown_prefill = excess.min(excess_before).min(cap);
         self.unknown_tokens = memory_excess.min(memory_before);
@@ -187,21 +215,36 @@
     }
 
     fn scale_down(&mut self, reported: f64, now: Instant) {
-        let is_old = |hold: &Hold| now.saturating_duration_since(hold.since) > REPORT_LAG * 2;
+        let holds = &self.holds;
+        let is_old = |prefill: &Prefill| {
+            let since = holds.get(&prefill.grant).map(|hold| hold.since);
+            since.is_some_and(|since| now.saturating_duration_since(since) > REPORT_LAG * 2)
+        };
         let old: f64 = self
-            .holds
-            .values()
-            .filter(|hold| is_old(hold))
-            .map(|hold| hold.prefill_left)
+            .prefills
+            .iter()
+            .filter(|p| is_old(p))
+            .map(|p| p.left)
             .sum();
         if old <= reported {
             return;
         }
-        let ratio = reported / old;
-        for hold in self.holds.values_mut().filter(|hold| is_old(hold)) {
-            hold.prefill_left *= ratio;
+        for prefill in self.prefills.iter_mut().filter(|prefill| is_old(prefill)) {
+            prefill.left *= reported / old;
         }
     }
+
+    fn known_backlog(&self) -> f64 {
+        self.prefills.iter().map(|prefill| prefill.left).sum()
+    }
+
+    fn granted_above(&self, rank: Priority) -> f64 {
+        let above = self
+            .granted_prefill
+            .iter()
+            .filter(|(other, _)| **other < rank);
+        above.map(|(_, granted)| granted).sum()
+    }
 }
 
 #[allow(
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -12,24 +12,15 @@
 use crate::decide::Access;
 use crate::decide::Lane;
 use crate::decide::PoolUpstream;
+use crate::decide::Tuning;
 use crate::decide::Waiting;
 use crate::decide::engine_priority;
 use crate::decide::is_heavy;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
-/// Short prefill that an upstream may have left when it gets more: it covers the round trip of the
-/// next grant, so that the engine does not run dry, and keeps all else in the home's queue, where
-/// order can still be decided.
-const HEADROOM: Duration = Duration::from_millis(30);
-/// Long prefills that one upstream carries at once, a heavy one among them at most.
-const LONG_PREFILLS_MAX: usize = 2;
 /// An attempt that runs makes each step a little longer. It also spreads equals.
 const RUNNING_COST: f64 = 0.002;
-/// Speeds that differ by less than this factor count as equal.
-const EQUAL_SPEED: f64 = 1.4;
-/// Waiting for a better upstream must save this part of the time, since the wait is a forecast.
-const WAIT_GAIN: f64 = 0.8;
 /// A probe may cost its caller a retry, so there must be time for many such requests.
 const PROBE_TIME_FACTOR: u32 = 10;
 
@@ -56,6 +47,8 @@
 pub struct Places<'a> {
     /// The upstreams.
     pub upstreams: &'a IndexMap<UpstreamId, PoolUpstream>,
+    /// The thresholds.
+    pub tuning: &'a Tuning,
     /// How many of those that may get work are open to long prefill, from the front.
     pub open_to_long: usize,
     /// The median prefill speed of those that may get work.
@@ -76,6 +69,19 @@
 }
 
 impl Places<'_> {
+    /// Whether any upstream may be ready for a request of this lane.
+    pub fn has_room(&self, lane: Lane) -> bool {
+        self.upstreams
+            .values()
+            .any(|upstream| match upstream.access(self.now) {
+                Access::Closed => false,
+                Access::Probe => lane == Lane::Short,
+                Access::Open => {
+                    upstream.has_slot(self.now) && readiness(upstream, self.tuning, lane, 0.0).0
+                }
+            })
+    }
+
     /// Where a request of this lane goes.
     pub fn choose(&self, waiting: &Waiting, lane: Lane) -> Placement {
         if let Some(placement) = self.probe(waiting, lane) {
@@ -107,7 +113,7 @@
             }
         }
         match best {
-            Some(best) if soonest >= best.seconds * WAIT_GAIN => best.placement(),
+            Some(best) if soonest >= best.seconds * self.tuning.wait_gain => best.placement(),
             _ => Placement::Wait,
         }
     }
@@ -128,17 +134,16 @@
         let speed = self.speed_of(upstream);
         let lane_here = match lane {
             Lane::Short => Lane::Short,
-            Lane::Long => Lane::of(whole(prefill)),
+            Lane::Long => self.tuning.lane(whole(prefill)),
         };
         let fits = ledger.free_tokens(upstream.seen.memory_tokens) >= waiting.memory_tokens();
-        let has_suspect = || ledger.holds().values().any(|hold| hold.is_suspect);
-        if !fits || !upstream.has_slot(self.now) || (waiting.is_suspect() && has_suspect()) {
+        if !fits || !upstream.has_slot(self.now) || (waiting.is_suspect() && ledger.has_suspect()) {
             return None;
         }
         if lane_here == Lane::Long && !(is_open_to_long && self.takes_long(upstream)) {
             return None;
         }
-        let (is_ready, ready_seconds) = readiness(upstream, lane_here, prefill);
+        let (is_ready, ready_seconds) = readiness(upstream, self.tuning, lane_here, prefill);
         // Until it is ready the upstream works off what it has.
         let beside = if is_ready {
             ledger.work_until(prefill, engine_priority(&waiting.work))
@@ -159,7 +164,7 @@
     /// one that looks the fastest would draw all the work until it no longer does.
     fn speed_of(&self, upstream: &PoolUpstream) -> f64 {
         let speed = upstream.ledger.speed.get();
-        let is_near = (speed / self.median_speed).ln().abs() < EQUAL_SPEED.ln();
+        let is_near = (speed / self.median_speed).ln().abs() < self.tuning.equal_speed.ln();
         if is_near { self.median_speed } else { speed }
     }
 
@@ -215,17 +220,18 @@
 }
 
 /// Whether an upstream may get such prefill now, and when else.
-fn readiness(upstream: &PoolUpstream, lane: Lane, prefill: f64) -> (bool, f64) {
+fn readiness(upstream: &PoolUpstream, tuning: &Tuning, lane: Lane, prefill: f64) -> (bool, f64) {
     let ledger = &upstream.ledger;
     let speed = ledger.speed.get();
     match lane {
         Lane::Short => {
-            let over = ledger.lane_backlog(Lane::Short) / speed - HEADROOM.as_secs_f64();
+            let over = ledger.lane_backlog(Lane::Short) / speed - tuning.headroom.as_secs_f64();
             (over <= 0.0, over.max(0.0))
         }
         Lane::Long => {
             let (long, heavy) = ledger.long_prefills();
-            let is_ready = long < LONG_PREFILLS_MAX && !(heavy > 0 && is_heavy(whole(prefill)));
+            let is_ready =
+                long < tuning.long_prefills_max && !(heavy > 0 && is_heavy(whole(prefill)));
             (is_ready, ledger.backlog() / speed)
         }
     }
--- a/src/decide/pool_upstream.rs
+++ b/src/decide/pool_upstream.rs
@@ -18,9 +18,6 @@
 const STALL_MIN: Duration = Duration::from_secs(5);
 /// The weight of one sample of the time between tokens.
 const GAP_GAIN: f64 = 0.1;
-/// Below this part of the pool's median speed, or above the inverse in time between tokens, an
-/// upstream is slow. Batches of unlike lengths spread speeds by a factor of two.
-const SLOW_PART: f64 = 0.4;
 /// Samples before an upstream can be called slow.
 const SLOW_SAMPLES_MIN: u32 = 4;
 
@@ -114,15 +111,16 @@
         now.saturating_duration_since(self.progress_at) > allowed
     }
 
-    /// Whether it is far slower than the median of its pool.
-    pub fn is_slow(&self, median: &PoolMedian) -> bool {
+    /// Whether its prefill is below `slow_part` of the median of its pool, or its time between tokens
+    /// above the inverse. Batches of unlike lengths spread both by a factor of two.
+    pub fn is_slow(&self, median: &PoolMedian, slow_part: f64) -> bool {
         if self.ledger.speed.samples() < SLOW_SAMPLES_MIN {
             return false;
         }
-        let is_slow_prefill = self.ledger.speed.get() < median.speed * SLOW_PART;
+        let is_slow_prefill = self.ledger.speed.get() < median.speed * slow_part;
         let gap = self.token_gap_seconds.unwrap_or(0.0);
         let is_slow_output =
-            median.token_gap_seconds > 0.0 && gap * SLOW_PART > median.token_gap_seconds;
+            median.token_gap_seconds > 0.0 && gap * slow_part > median.token_gap_seconds;
         is_slow_prefill || is_slow_output
     }
 }
--- a/src/decide/shipped/engines.rs
+++ b/src/decide/shipped/engines.rs
@@ -8,12 +8,10 @@
 use crate::decide::Admission;
 use crate::decide::Decision;
 use crate::decide::Done;
-use crate::decide::DrainRate;
 use crate::decide::EngineFleet;
 use crate::decide::Estimator;
 use crate::decide::FairQueue;
 use crate::decide::Forecast;
-use crate::decide::GangPlan;
 use crate::decide::Hold;
 use crate::decide::Intake;
 use crate::decide::Lane;
@@ -24,18 +22,16 @@
 use crate::decide::PolicyConfig;
 use crate::decide::PoolLoad;
 use crate::decide::RefuseReason;
-use crate::decide::Reservation;
 use crate::decide::UpstreamSeen;
 use crate::decide::Waiting;
 use crate::decide::Work;
 use crate::decide::engine_priority;
-use crate::decide::gang_has_room;
 use crate::decide::gang_share;
 use crate::decide::placement::duration;
 use crate::decide::placement::whole;
-use crate::decide::plan_gang;
+use crate::decide::shipped::GangStep;
 use crate::decide::shipped::Granted;
-use crate::units::CustomerId;
+use crate::decide::shipped::Lanes;
 use crate::units::GrantId;
 use crate::units::RequestId;
 use crate::units::Tokens;
@@ -65,60 +61,42 @@
     intake: Intake,
     fleet: EngineFleet,
     estimator: Estimator,
-    short: LaneQueue,
-    long: LaneQueue,
-    gangs: FairQueue,
-    reservation: Option<Reservation>,
+    lanes: Lanes,
     granted: IndexMap<GrantId, Granted>,
     wake: Option<Instant>,
 }
 
-#[derive(Debug, Default)]
-struct LaneQueue {
-    queue: FairQueue,
-    drain: DrainRate,
-}
-
-/// What became of an attempt to place the head of a lane.
+/// What became of an attempt to place a request.
 enum Step {
     Went,
     Refused,
     Blocked,
 }
 
+/// Where a request goes.
+struct Chosen {
+    upstreams: Vec<UpstreamId>,
+    prefill_tokens: f64,
+    expected: Duration,
+    why: &'static str,
+}
+
 impl EnginePolicy {
     /// A policy without upstreams.
     pub fn new(conf: PolicyConfig, speed: TokensPerSecond, seed: u64) -> Self {
-        let fleet = EngineFleet::new(conf.objective, speed);
+        let fleet = EngineFleet::new(conf.tuning.clone(), speed);
         Self {
             intake: Intake::new(conf, seed),
             fleet,
             estimator: Estimator::new(),
-            short: LaneQueue::default(),
-            long: LaneQueue::default(),
-            gangs: FairQueue::new(),
-            reservation: None,
+            lanes: Lanes::default(),
             granted: IndexMap::new(),
             wake: None,
         }
     }
 
-    fn waiting(&self) -> usize {
-        self.short.queue.len() + self.long.queue.len() + self.gangs.len()
-    }
-
-    fn lane(&self, lane: Lane) -> &LaneQueue {
-        match lane {
-            Lane::Short => &self.short,
-            Lane::Long => &self.long,
-        }
-    }
-
-    fn lane_mut(&mut self, lane: Lane) -> &mut LaneQueue {
-        match lane {
-            Lane::Short => &mut self.short,
-            Lane::Long => &mut self.long,
-        }
+    fn lane_of(&self, waiting: &Waiting) -> Lane {
+        self.fleet.tuning.lane(waiting.prompt_tokens)
     }
 
     fn size_up(&self, work: Work, now: Instant) -> Waiting {
@@ -134,7 +112,7 @@
         }
     }
 
-    /// Whether to let a request in, and if not, why not and for how long.
+    /// Whether to let a request in, and if not, why not and how long its lane takes to drain.
     fn admit(&mut self, waiting: &Waiting, now: Instant) -> Result<(), (RefuseReason, Duration)> {
         if waiting.work.deadline <= now {
             return Err((RefuseReason::Expired, Duration::ZERO));
@@ -142,25 +120,25 @@
         if self.fleet.live().next().is_none() {
             return Err((RefuseReason::NoUpstream, Duration::ZERO));
         }
-        let lane = Lane::of(waiting.prompt_tokens);
-        let drain = self.lane_wait(lane, self.lane(lane).queue.cost(), now);
-        if self.waiting() >= WAITING_MAX {
+        let lane = self.lane_of(waiting);
+        let drain = self.drain_time(lane, now);
+        if self.lanes.len() >= WAITING_MAX {
             return Err((RefuseReason::QueueFull, drain));
         }
         let (account, share) = self.intake.account(&waiting.work.customer);
         let is_within = self.intake.take_rate(&account, &share, now);
-        let loaded = if lane == Lane::Short {
-            SHORT_LOADED
-        } else {
-            LONG_LOADED
+        let loaded = match lane {
+            Lane::Short => SHORT_LOADED,
+            Lane::Long => LONG_LOADED,
         };
         if !is_within && drain > loaded {
             return Err((RefuseReason::CustomerLimit, drain));
         }
         let remaining = waiting.work.deadline.saturating_duration_since(now);
+        let remaining = remaining.mul_f64(self.fleet.tuning.admit_part);
         match self
             .forecast(waiting, lane, now)
-            .judge(remaining, self.is_idle())
+            .judge(remaining, self.granted.is_empty())
         {
             Admission::Admit => Ok(()),
             Admission::TooLate => Err((RefuseReason::Deadline, drain)),
@@ -168,103 +146,105 @@
     }
 
     fn forecast(&self, waiting: &Waiting, lane: Lane, now: Instant) -> Forecast {
-        let queue = &self.lane(lane).queue;
-        let ahead = queue.cost_ahead(waiting.work.priority, &waiting.account, waiting.share);
-        let speed = self.fleet.median(now).speed.max(1.0);
-        let cached = self
-            .fleet
-            .open(now)
-            .map(|u| u.prefix.cached_tokens(&waiting.work));
-        let cached = cached.fold(0.0, f64::max);
+        let cached = self.cached_tokens(&waiting.work, now);
         let prefill = (waiting.prompt_tokens.as_f64() - cached).max(0.0);
-        Forecast {
-            wait: self.lane_wait(lane, ahead, now),
-            prefill: duration(prefill / speed / self.gang_size(waiting) as f64),
+        let speed = self.fleet.median_speed() * self.gang_size(waiting) as f64;
+        let forecast = Forecast {
+            wait: self
+                .lanes
+                .get(lane)
+                .wait(waiting, self.nominal_drain(lane, now), now),
+            prefill: duration(prefill / speed),
             output: self.estimator.output_time(waiting.output_tokens),
+        };
+        forecast.stretched(self.estimator.overrun())
+    }
+
+    /// The longest prefix that some engine probably has.
+    fn cached_tokens(&self, work: &Work, now: Instant) -> f64 {
+        if work.prefixes.is_empty() {
+            return 0.0;
         }
+        let cached = self.fleet.open(now).map(|u| u.prefix.cached_tokens(work));
+        cached.fold(0.0, f64::max)
     }
 
-    /// How long this much cost takes to leave a lane's queue.
-    fn lane_wait(&self, lane: Lane, cost: f64, now: Instant) -> Duration {
-        let all = self.fleet.speed(now).max(1.0);
-        let long = self.fleet.split.open() as f64 * self.fleet.median(now).speed;
-        let nominal = match lane {
-            Lane::Short => (all - long / 2.0).max(all / 4.0),
-            Lane::Long => long.max(1.0),
-        };
-        duration(cost / self.lane(lane).drain.per_second(nominal, now))
+    fn drain_time(&self, lane: Lane, now: Instant) -> Duration {
+        self.lanes
+            .get(lane)
+            .drain_time(self.nominal_drain(lane, now), now)
     }
 
-    fn is_idle(&self) -> bool {
-        self.granted.is_empty()
+    /// The cost a second that leaves a lane's queue while nothing better is known.
+    fn nominal_drain(&self, lane: Lane, now: Instant) -> f64 {
+        let all = self.fleet.speed(now).max(1.0);
+        let long = self.fleet.split.open() as f64 * self.fleet.median_speed();
+        match lane {
+            Lane::Short => (all - long / 2.0).max(all / 4.0),
+            Lane::Long => long,
+        }
     }
 
     fn gang_size(&self, waiting: &Waiting) -> usize {
-        let largest = self.fleet.live().map(|u| u.seen.memory_tokens).max();
-        let largest = largest.unwrap_or_default().0.max(1);
+        let largest = self.fleet.largest_memory().0.max(1);
         let size = waiting.memory_tokens().0.div_ceil(largest);
         usize::try_from(size).unwrap_or(usize::MAX).max(1)
     }
 
-    fn refuse(&mut self, request: RequestId, reason: RefuseReason, lane: Lane, now: Instant) {
-        let drain = self.lane_wait(lane, self.lane(lane).queue.cost(), now);
-        self.intake.refuse(request, reason, drain);
+    fn refuse(&mut self, waiting: &Waiting, reason: RefuseReason, now: Instant) {
+        let drain = self.drain_time(self.lane_of(waiting), now);
+        self.intake.refuse(waiting.work.request, reason, drain);
     }
 
     fn expire(&mut self, now: Instant) {
-        let mut expired = self.short.queue.take_expired(now);
-        expired.extend(self.long.queue.take_expired(now));
-        expired.extend(self.gangs.take_expired(now));
+        let expired = self.lanes.take_expired(now);
         for waiting in expired {
-            let lane = Lane::of(waiting.prompt_tokens);
-            self.refuse(waiting.work.request, RefuseReason::Expired, lane, now);
+            self.refuse(&waiting, RefuseReason::Expired, now);
         }
     }
 
     fn dispatch_lane(&mut self, lane: Lane, now: Instant) {
-        loop {
-            let heads = self.lane(lane).queue.heads(TRIED_MAX);
+        while self.places(now).has_room(lane) {
+            let heads = self.lanes.get(lane).queue.heads(TRIED_MAX);
             let requests: Vec<RequestId> = heads.iter().map(|head| head.work.request).collect();
-            let step = requests
+            let mut steps = requests
                 .iter()
-                .map(|request| self.try_place(*request, lane, now));
-            let is_over = step.into_iter().all(|step| matches!(step, Step::Blocked));
-            if is_over {
+                .map(|request| self.try_place(request, lane, now));
+            if steps.all(|step| matches!(step, Step::Blocked)) {
                 break;
             }
         }
-        let is_waiting = !self.lane(lane).queue.is_empty();
-        self.lane_mut(lane).drain.observe(0.0, is_waiting, now);
+        self.lanes.get_mut(lane).on_blocked(now);
     }
 
-    fn try_place(&mut self, request: RequestId, lane: Lane, now: Instant) -> Step {
-        let Some(waiting) = self.lane(lane).queue.get(&request) else {
-            return Step::Blocked;
-        };
-        let places = Places {
+    fn places(&self, now: Instant) -> Places<'_> {
+        Places {
             upstreams: &self.fleet.upstreams,
+            tuning: &self.fleet.tuning,
             open_to_long: self.fleet.split.open(),
-            median_speed: self.fleet.median(now).speed.max(1.0),
+            median_speed: self.fleet.median_speed(),
             now,
+        }
+    }
+
+    fn try_place(&mut self, request: &RequestId, lane: Lane, now: Instant) -> Step {
+        let Some(waiting) = self.lanes.get(lane).queue.get(request) else {
+            return Step::Blocked;
         };
         let Placement::Go {
             index,
             first_token,
             prefill_tokens,
             why,
-        } = places.choose(waiting, lane)
+        } = self.places(now).choose(waiting, lane)
         else {
             return Step::Blocked;
         };
-        let forecast = Forecast {
-            wait: Duration::ZERO,
-            prefill: first_token,
-            output: self.estimator.output_time(waiting.output_tokens),
-        };
-        let remaining = waiting.work.deadline.saturating_duration_since(now);
-        if forecast.judge(remaining, self.is_idle()) == Admission::TooLate {
-            self.lane_mut(lane).queue.remove(&request);
-            self.refuse(request, RefuseReason::Deadline, lane, now);
+        let forecast = self.run_forecast(waiting, first_token);
+        if self.is_too_late(waiting, forecast, now) {
+            if let Some(waiting) = self.lanes.get_mut(lane).queue.remove(request) {
+                self.refuse(&waiting, RefuseReason::Deadline, now);
+            }
             return Step::Refused;
         }
         let upstream = self
@@ -272,190 +252,168 @@
             .upstreams
             .get_index(index)
             .map(|(id, _)| id.clone());
-        let Some(waiting) = self.lane_mut(lane).queue.take(&request) else {
+        let Some(waiting) = self.lanes.get_mut(lane).take(request, now) else {
             return Step::Blocked;
         };
-        self.lane_mut(lane).drain.observe(waiting.cost(), true, now);
-        let upstreams = upstream.into_iter().collect();
-        self.grant(&waiting, upstreams, prefill_tokens, why, now);
+        let chosen = Chosen {
+            upstreams: upstream.into_iter().collect(),
+            prefill_tokens,
+            expected: forecast.total(),
+            why,
+        };
+        self.grant(&waiting, chosen, now);
         Step::Went
     }
 
-    fn grant(
-        &mut self,
-        waiting: &Waiting,
-        upstreams: Vec<UpstreamId>,
-        prefill_tokens: f64,
-        why: &'static str,
-        now: Instant,
-    ) {
-        let speed = self.fleet.median(now).speed.max(1.0);
-        let expected = duration(prefill_tokens / speed)
-            .saturating_add(self.estimator.output_time(waiting.output_tokens));
-        let id = self.intake.grant(waiting, upstreams.clone(), why, now);
-        let hinted_tokens = upstreams
+    fn run_forecast(&self, waiting: &Waiting, first_token: Duration) -> Forecast {
+        Forecast {
+            wait: Duration::ZERO,
+            prefill: first_token,
+            output: self.estimator.output_time(waiting.output_tokens),
+        }
+    }
+
+    /// Whether a request that could go now would not end in time.
+    fn is_too_late(&self, waiting: &Waiting, forecast: Forecast, now: Instant) -> bool {
+        let remaining = waiting.work.deadline.saturating_duration_since(now);
+        let forecast = forecast.stretched(self.estimator.overrun());
+        forecast.judge(remaining, self.granted.is_empty()) == Admission::TooLate
+    }
+
+    fn grant(&mut self, waiting: &Waiting, chosen: Chosen, now: Instant) {
+        let id = self
+            .intake
+            .grant(waiting, chosen.upstreams.clone(), chosen.why, now);
+        let leader = chosen
+            .upstreams
             .first()
-            .and_then(|id| self.fleet.upstreams.get(id))
-            .map_or(Tokens::ZERO, |u| u.prefix.hinted_tokens(&waiting.work));
-        let hold = hold_of(waiting, upstreams.len(), prefill_tokens, expected, now);
+            .and_then(|id| self.fleet.upstreams.get(id));
+        let hinted_tokens = leader.map_or(Tokens::ZERO, |u| u.prefix.hinted_tokens(&waiting.work));
         let grant = LiveGrant {
             id,
             work: waiting.work.clone(),
-            upstreams,
+            upstreams: chosen.upstreams,
         };
-        self.fleet.hold(&grant, &hold, now);
-        let account = waiting.account.clone();
-        self.granted.insert(
-            id,
-            Granted {
-                grant,
-                account,
-                hinted_tokens,
-            },
+        let prefill = chosen.prefill_tokens;
+        self.enter(
+            grant,
+            waiting,
+            hinted_tokens,
+            (prefill, chosen.expected),
+            now,
         );
     }
 
-    fn dispatch_gangs(&mut self, now: Instant) {
-        while let Some(head) = self.gangs.heads(1).first().copied() {
-            let request = head.work.request;
-            let reserved = self
-                .reservation
-                .clone()
-                .filter(|kept| kept.request == request);
-            let Some(reservation) = reserved else {
-                if self.reserve(request, now) {
-                    continue;
-                }
-                return;
-            };
-            match gang_has_room(&reservation, &self.fleet.upstreams, now) {
-                None => self.unreserve(),
-                Some(false) => return,
-                Some(true) => self.grant_gang(request, &reservation, now),
-            }
-        }
-        self.unreserve();
-    }
-
-    /// Reserves engines for the request. Returns whether to look again.
-    fn reserve(&mut self, request: RequestId, now: Instant) -> bool {
-        self.unreserve();
-        let Some(waiting) = self.gangs.get(&request) else {
-            return true;
+    /// Enters a grant in the ledger, with its prefill and the time expected for it.
+    fn enter(
+        &mut self,
+        grant: LiveGrant,
+        waiting: &Waiting,
+        hinted_tokens: Tokens,
+        (prefill, expected): (f64, Duration),
+        now: Instant,
+    ) {
+        let hold = Hold {
+            memory_tokens: gang_share(waiting.memory_tokens(), grant.upstreams.len()),
+            prefill_tokens: whole(prefill),
+            rank: engine_priority(&waiting.work),
+            lane: self.fleet.tuning.lane(whole(prefill)),
+            is_suspect: waiting.is_suspect(),
+            since: now,
+            expected: expected.min(EXPECTED_MAX),
+            ahead_before: 0.0,
+            higher_mark: 0.0,
         };
-        let open_to_long = self.fleet.split.open();
-        match plan_gang(waiting, &self.fleet.upstreams, open_to_long, now) {
-            GangPlan::Reserve(reservation) => {
-                for member in &reservation.members {
-                    if let Some(upstream) = self.fleet.upstreams.get_mut(member) {
-                        upstream.ledger.reserve(reservation.share);
-                    }
-                }
-                self.reservation = Some(reservation);
-                true
-            }
-            GangPlan::TooLarge => {
-                self.gangs.remove(&request);
-                self.refuse(request, RefuseReason::TooLarge, Lane::Long, now);
-                true
-            }
-            GangPlan::Wait => false,
-        }
+        self.fleet.hold(&grant, &hold, prefill, now);
+        let granted = Granted {
+            account: waiting.account.clone(),
+            hinted_tokens,
+            expected,
+            grant,
+        };
+        self.granted.insert(granted.grant.id, granted);
     }
 
-    fn unreserve(&mut self) {
-        let members = self.reservation.take().map(|kept| kept.members);
-        for member in members.unwrap_or_default() {
-            if let Some(upstream) = self.fleet.upstreams.get_mut(&member) {
-                upstream.ledger.reserve(Tokens::ZERO);
+    fn dispatch_gangs(&mut self, now: Instant) {
+        loop {
+            match self.lanes.gangs.next(&mut self.fleet, now) {
+                GangStep::Nothing => return,
+                GangStep::TooLarge(waiting) => self.refuse(&waiting, RefuseReason::TooLarge, now),
+                GangStep::Grant(waiting, members) => self.grant_gang(&waiting, members, now),
             }
         }
     }
 
-    fn grant_gang(&mut self, request: RequestId, reservation: &Reservation, now: Instant) {
-        self.unreserve();
-        let Some(waiting) = self.gangs.take(&request) else {
-            return;
-        };
-        let size = reservation.members.len() as f64;
-        let prefill = waiting.prompt_tokens.as_f64() / size;
-        let speed = self.fleet.median(now).speed.max(1.0);
-        let forecast = Forecast {
-            wait: Duration::ZERO,
-            prefill: duration(prefill / speed),
-            output: self.estimator.output_time(waiting.output_tokens),
-        };
-        let remaining = waiting.work.deadline.saturating_duration_since(now);
-        if forecast.judge(remaining, self.is_idle()) == Admission::TooLate {
-            self.refuse(request, RefuseReason::Deadline, Lane::Long, now);
+    fn grant_gang(&mut self, waiting: &Waiting, members: Vec<UpstreamId>, now: Instant) {
+        let prefill_tokens = waiting.prompt_tokens.as_f64() / members.len().max(1) as f64;
+        let first_token = duration(prefill_tokens / self.fleet.median_speed());
+        let forecast = self.run_forecast(waiting, first_token);
+        if self.is_too_late(waiting, forecast, now) {
+            self.refuse(waiting, RefuseReason::Deadline, now);
             return;
         }
-        let members = reservation.members.clone();
-        self.grant(&waiting, members, prefill, "gang", now);
+        let chosen = Chosen {
+            upstreams: members,
+            prefill_tokens,
+            expected: forecast.total(),
+            why: "gang",
+        };
+        self.grant(waiting, chosen, now);
     }
 
     fn long_waited(&self, now: Instant) -> Option<Duration> {
-        let head = self.long.queue.heads(1).first().copied()?;
+        let head = self.lanes.long.queue.heads(1).first().copied()?;
         Some(now.saturating_duration_since(head.since))
     }
 
     /// When to poll again: when an engine is expected to be ready, or a request's time runs out.
     fn plan_wake(&mut self, now: Instant) {
-        if self.waiting() == 0 {
+        if self.lanes.len() == 0 {
             self.wake = None;
             return;
         }
-        let is_short_waiting = !self.short.queue.is_empty();
-        let ready = self
-            .fleet
-            .open(now)
-            .filter(|_| is_short_waiting)
+        let is_short_waiting = !self.lanes.short.queue.is_empty();
+        let engines = self.fleet.open(now).filter(|_| is_short_waiting);
+        let ready = engines
             .map(|u| duration(u.ledger.lane_backlog(Lane::Short) / u.ledger.speed.get()))
             .min();
-        let ready = ready.unwrap_or(WAKE_MAX).clamp(WAKE_MIN, WAKE_MAX);
-        let expiry = [&self.short.queue, &self.long.queue, &self.gangs]
-            .into_iter()
-            .filter_map(FairQueue::next_expiry)
-            .min();
-        let ready_at = now + ready;
+        let ready_at = now + ready.unwrap_or(WAKE_MAX).clamp(WAKE_MIN, WAKE_MAX);
+        let expiry = self.lanes.queues().filter_map(FairQueue::next_expiry).min();
         self.wake = Some(expiry.map_or(ready_at, |expiry| expiry.min(ready_at)));
     }
 }
 
 impl Policy for EnginePolicy {
     fn set_upstreams(&mut self, upstreams: &[UpstreamSeen], now: Instant) {
-        self.unreserve();
+        self.lanes.gangs.unreserve(&mut self.fleet);
         self.fleet.set(upstreams, now);
     }
 
     fn set_config(&mut self, conf: &PolicyConfig, _now: Instant) {
         self.intake.conf = conf.clone();
-        self.fleet.split.set_objective(conf.objective);
+        self.fleet.tuning = conf.tuning.clone();
     }
 
     fn offer(&mut self, work: Work, now: Instant) {
         let waiting = self.size_up(work, now);
-        let request = waiting.work.request;
         if let Err((reason, drain)) = self.admit(&waiting, now) {
-            self.intake.refuse(request, reason, drain);
+            self.intake.refuse(waiting.work.request, reason, drain);
             return;
         }
-        let lane = Lane::of(waiting.prompt_tokens);
+        let lane = self.lane_of(&waiting);
         let tokens = waiting.prompt_tokens.as_f64();
         self.fleet
             .split
             .on_admitted(tokens, lane == Lane::Long, now);
         if self.gang_size(&waiting) > 1 {
-            self.gangs.push(waiting);
+            self.lanes.gangs.queue.push(waiting);
         } else {
-            self.lane_mut(lane).queue.push(waiting);
+            self.lanes.get_mut(lane).queue.push(waiting);
         }
     }
 
     fn withdraw(&mut self, request: RequestId, _now: Instant) {
-        self.short.queue.remove(&request);
-        self.long.queue.remove(&request);
-        self.gangs.remove(&request);
+        self.lanes.remove(&request);
     }
 
     fn poll(&mut self, now: Instant) -> Vec<Decision> {
@@ -477,14 +435,12 @@
         let Some(granted) = self.granted.swap_remove(&grant) else {
             return;
         };
-        let Granted {
-            grant,
-            account,
-            hinted_tokens,
-        } = granted;
-        self.estimator.observe(&grant.work, &account, &done);
+        let work = &granted.grant.work;
+        self.estimator.observe(work, &granted.account, &done);
+        self.estimator.observe_total(granted.expected, &done);
         let rng = &mut self.intake.rng;
-        self.fleet.finish(&grant, hinted_tokens, &done, now, rng);
+        self.fleet
+            .finish(&granted.grant, granted.hinted_tokens, &done, now, rng);
     }
 
     fn adopt(&mut self, grant: LiveGrant, now: Instant) {
@@ -494,23 +450,13 @@
         let waiting = self.size_up(grant.work.clone(), now);
         // How far it has come is not known. A short prefill is over by now; a long one may not be,
         // and the engine's next reports tell.
-        let prefill = match Lane::of(waiting.prompt_tokens) {
+        let prefill = match self.lane_of(&waiting) {
             Lane::Short => 0.0,
             Lane::Long => waiting.prompt_tokens.as_f64() / grant.upstreams.len().max(1) as f64,
         };
-        let expected = duration(prefill / self.fleet.median(now).speed.max(1.0))
-            .saturating_add(self.estimator.output_time(waiting.output_tokens));
-        let hold = hold_of(&waiting, grant.upstreams.len(), prefill, expected, now);
-        self.fleet.hold(&grant, &hold, now);
-        let account: CustomerId = waiting.account;
-        self.granted.insert(
-            grant.id,
-            Granted {
-                grant,
-                account,
-                hinted_tokens: Tokens::ZERO,
-            },
-        );
+        let first_token = duration(prefill / self.fleet.median_speed());
+        let expected = self.run_forecast(&waiting, first_token).total();
+        self.enter(grant, &waiting, Tokens::ZERO, (prefill, expected), now);
     }
 
     fn live_grants(&self) -> Vec<LiveGrant> {
@@ -538,32 +484,11 @@
             .open(now)
             .map(|u| u.ledger.free_tokens(u.seen.memory_tokens));
         PoolLoad {
-            waiting: self.waiting() as u64,
+            waiting: self.lanes.len() as u64,
             running: self.granted.len() as u64,
-            short_wait: self.lane_wait(Lane::Short, self.short.queue.cost(), now),
+            short_wait: self.drain_time(Lane::Short, now),
             free_tokens: free.sum(),
             upstreams: u32::try_from(self.fleet.open(now).count()).unwrap_or(u32::MAX),
         }
     }
 }
-
-fn hold_of(
-    waiting: &Waiting,
-    members: usize,
-    prefill: f64,
-    expected: Duration,
-    now: Instant,
-) -> Hold {
-    Hold {
-        memory_tokens: gang_share(waiting.memory_tokens(), members),
-        prefill_tokens: whole(prefill),
-        prefill_left: prefill,
-        rank: engine_priority(&waiting.work),
-        lane: Lane::of(whole(prefill)),
-        is_suspect: waiting.is_suspect(),
-        since: now,
-        expected: expected.min(EXPECTED_MAX),
-        backlog_before: 0.0,
-        granted_mark: 0.0,
-    }
-}
--- /dev/null
+++ b/src/decide/shipped/lanes.rs
@@ -0,0 +1,55 @@
+//! All requests of a pool that wait.
+
+use std::time::Instant;
+
+use crate::decide::FairQueue;
+use crate::decide::Lane;
+use crate::decide::Waiting;
+use crate::decide::shipped::GangQueue;
+use crate::decide::shipped::LaneQueue;
+use crate::units::RequestId;
+
+/// All requests of a pool that wait.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    pub(crate) short: LaneQueue,
+    pub(crate) long: LaneQueue,
+    pub(crate) gangs: GangQueue,
+}
+
+impl Lanes {
+    pub(crate) fn get(&self, lane: Lane) -> &LaneQueue {
+        match lane {
+            Lane::Short => &self.short,
+            Lane::Long => &self.long,
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, lane: Lane) -> &mut LaneQueue {
+        match lane {
+            Lane::Short => &mut self.short,
+            Lane::Long => &mut self.long,
+        }
+    }
+
+    pub(crate) fn queues(&self) -> impl Iterator<Item = &FairQueue> {
+        [&self.short.queue, &self.long.queue, &self.gangs.queue].into_iter()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.queues().map(FairQueue::len).sum()
+    }
+
+    pub(crate) fn remove(&mut self, request: &RequestId) {
+        self.short.queue.remove(request);
+        self.long.queue.remove(request);
+        self.gangs.queue.remove(request);
+    }
+
+    pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<Waiting> {
+        let mut expired = self.short.queue.take_expired(now);
+        expired.extend(self.long.queue.take_expired(now));
+        expired.extend(self.gangs.queue.take_expired(now));
+        expired
+    }
+}
--- a/src/decide/shipped/services.rs
+++ b/src/decide/shipped/services.rs
@@ -178,6 +178,7 @@
                 grant,
                 account: waiting.account.clone(),
                 hinted_tokens: Tokens::ZERO,
+                expected: Duration::ZERO,
             },
         );
     }
--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -45,20 +45,21 @@
     }
 
     /// Takes in a first token. In the time that it took, the engine read at least the prompt itself
-    /// (`own`), and at most that and all other work it then had (`others`): whatever order it works
-    /// in, its speed lies between these two, and only what lies outside is corrected.
-    pub fn observe(&mut self, own: Tokens, others: f64, took: Duration) {
+    /// (`own`), and at most that and what came before it (`ahead`): its speed lies between these
+    /// two, and only what lies outside is corrected.
+    pub fn observe(&mut self, own: Tokens, ahead: f64, took: Duration) {
         let seconds = took.saturating_sub(OVERHEAD).as_secs_f64();
         if own.as_f64() < SAMPLE_TOKENS_MIN || seconds <= 0.0 {
             return;
         }
         self.samples = self.samples.saturating_add(1);
+        // The first samples count for more, so that a wrong setting is left behind at once.
+        let gain = GAIN.max(1.0 / f64::from(self.samples));
         let least = own.as_f64() / seconds;
-        let most = (own.as_f64() + others) / seconds;
+        let most = (own.as_f64() + ahead) / seconds;
         let target = self.tokens_per_second.clamp(least, most);
-        // Ratios are averaged, not differences, so that a wrong setting is left behind as fast
-        // from above as from below.
-        let step = (target / self.tokens_per_second).powf(GAIN);
+        // Ratios are averaged, not differences: too high and too low settings are alike.
+        let step = (target / self.tokens_per_second).powf(gain);
         self.tokens_per_second = (self.tokens_per_second * step).clamp(SPEED_MIN, SPEED_MAX);
     }
 }
--- /dev/null
+++ b/src/decide/tuning.rs
@@ -0,0 +1,75 @@
+//! Thresholds that the sweep varies. docs/DECISIONS.md gives the figures behind each.
+
+use std::time::Duration;
+
+use crate::decide::Lane;
+use crate::manifest::Objective;
+use crate::units::Tokens;
+
+/// Thresholds of the shipped policy for engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// The part of the time that remains which a request's forecast may fill for it to be let in.
+    pub admit_part: f64,
+    /// Prompts up to this length share the short lane.
+    pub short_tokens_max: Tokens,
+    /// Short prefill that an upstream may have left when it gets more. It covers the round trip of
+    /// the next grant; all else stays in the home's queue, where order can still be decided.
+    pub headroom: Duration,
+    /// Speeds that differ from the median by less than this factor count as equal. Estimates of
+    /// equal engines differ by chance, and the one that looks the fastest would draw all the work.
+    pub equal_speed: f64,
+    /// Waiting for a better upstream must save at least the rest of this part of the time.
+    pub wait_gain: f64,
+    /// Long prefills that one upstream carries at once, a heavy one among them at most.
+    pub long_prefills_max: usize,
+    /// How busy upstreams that are open to long prefill may be.
+    pub long_busy: f64,
+    /// How busy short work leaves the others at most, before long work gets no more of them.
+    pub short_busy: f64,
+    /// The part of the upstreams that long work gets whatever the short load is.
+    pub long_sure_part: f64,
+    /// Long work that has waited this long asks for one upstream more.
+    pub long_wait: Duration,
+    /// Below this part of the pool's median speed an upstream is slow and taken out.
+    pub slow_part: f64,
+    /// The part of a pool that may be out at the same time.
+    pub out_part_max: f64,
+}
+
+impl Tuning {
+    /// The thresholds for what a deployment weighs more heavily.
+    pub fn of(objective: Objective) -> Self {
+        let base = Self {
+            admit_part: 0.8,
+            short_tokens_max: Tokens(4_000),
+            headroom: Duration::from_millis(30),
+            equal_speed: 1.4,
+            wait_gain: 0.8,
+            long_prefills_max: 2,
+            long_busy: 0.85,
+            short_busy: 0.6,
+            long_sure_part: 0.25,
+            long_wait: Duration::from_secs(3),
+            slow_part: 0.4,
+            out_part_max: 0.5,
+        };
+        match objective {
+            Objective::ShortSlowdown => base,
+            Objective::FirstToken => Self {
+                long_busy: 0.7,
+                long_wait: Duration::from_secs(1),
+                ..base
+            },
+        }
+    }
+
+    /// The lane of a prefill.
+    pub fn lane(&self, prefill: Tokens) -> Lane {
+        if prefill <= self.short_tokens_max {
+            Lane::Short
+        } else {
+            Lane::Long
+        }
+    }
+}
--- a/tests/decide_fakes/bench.rs
+++ b/tests/decide_fakes/bench.rs
@@ -41,7 +41,7 @@
     flights: IndexMap<AttemptId, Flight>,
     outcomes: Vec<Outcome>,
     again: Vec<(Instant, usize, Vec<UpstreamId>)>,
-    pub budget: Option<RetryBudget>,
+    budget: Option<RetryBudget>,
     /// Engines that are down, with from and to in seconds.
     pub outage: Option<(std::ops::Range<usize>, f64, f64)>,
     /// Changes a report before it is delivered.
@@ -112,8 +112,9 @@
         (Outcomes(std::mem::take(&mut self.outcomes)), self)
     }
 
-    pub fn policy(&self, index: usize) -> &dyn Policy {
-        &*self.policies[index]
+    /// Lets hosts retry within a budget.
+    pub fn retry_with(&mut self, budget: impl FnOnce(Instant) -> RetryBudget) {
+        self.budget = Some(budget(self.start));
     }
 
     fn is_at_rest(&self) -> bool {
@@ -211,11 +212,6 @@
             cached: 0,
         };
         self.outcomes[call].engines = engines.clone();
-        if std::env::var("DBG").is_ok() && work.prompt_tokens.0 < 4000 {
-            let e = &self.engines[engines[0]];
-            let b: f64 = e.jobs.values().map(|j| j.prefill_left).sum();
-            if b > 100.0 { eprintln!("{:?} short {} on {} beside {} jobs {:?}", (self.clock.now()-self.start).as_millis(), call, engines[0], b, e.jobs.values().filter(|j| j.prefill_left>0.0).map(|j| j.prefill_left as u64).collect::<Vec<_>>()); }
-        }
         self.flights.insert(attempt, flight);
         let has_room = |index: &usize| members == 1 || self.engines[*index].has_room(share);
         if engines.iter().any(|index| self.engines[*index].is_dead) {
@@ -273,6 +269,10 @@
 
     fn end(&mut self, attempt: AttemptId, ended: Ended) {
         let flight = self.flights.swap_remove(&attempt).unwrap();
+        let left = self.engines[flight.engines[0]]
+            .jobs
+            .get(&attempt)
+            .map_or(0.0, |job| job.output_left);
         for index in &flight.engines {
             self.engines[*index].jobs.shift_remove(&attempt);
         }
@@ -292,7 +292,7 @@
                 Tokens::ZERO
             },
             cached_tokens: Tokens(flight.cached),
-            output_tokens: Tokens(if is_completed { outcome.ask.output } else { 0 }),
+            output_tokens: Tokens(outcome.ask.output - (left as u64).min(outcome.ask.output)),
         };
         if matches!(ended, Ended::Failed | Ended::NotSent | Ended::Refused) {
             self.retry(&flight, ended, now);
--- a/tests/decide_fakes/load.rs
+++ b/tests/decide_fakes/load.rs
@@ -5,6 +5,7 @@
 use banyanarch::decide::CustomerShare;
 use banyanarch::decide::PolicyConfig;
 use banyanarch::decide::PoolKind;
+use banyanarch::decide::Tuning;
 use banyanarch::manifest::Objective;
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::Tokens;
@@ -95,6 +96,7 @@
     let customers: IndexMap<_, _> = names.iter().map(|n| (n.parse().unwrap(), share)).collect();
     PolicyConfig {
         objective,
+        tuning: Tuning::of(objective),
         kind: PoolKind::Model {
             prefill_speed: TokensPerSecond(speed),
             context_tokens_max: Tokens(1_100_000),
