Steady speed estimates, reports against the ledger's peak, prefixes that are read first

Cause: under load the speed estimates swung between 2,000 and 23,000 tokens a second, since what waited inside an engine was taken for its speed; prompts were sent after a prefix that was still being read. Ruled out: learning from all first tokens (swings), bounds by all later work (never correct downwards). Change: a line through overhead and speed, learned from requests that did not wait; reports are compared with the ledger's peak of the last second or two, and ignored when they can't be true.

--- a/examples/sweep/scenario.rs
+++ b/examples/sweep/scenario.rs
@@ -234,7 +234,7 @@
     )
 }
 
-/// Twice the capacity in short and long prompts together.
+/// Twice the capacity in short and long prompts together; what counts is asked in the middle.
 pub(crate) fn mixed_saturation(setup: &Setup) -> String {
     let short = Ask {
         limit: Duration::from_secs(10),
@@ -246,8 +246,10 @@
         ..Ask::long(60_000)
     };
     let play = |part: f64| {
-        let load = Load::new(17).stream(55.0 * part, MINUTE, &short);
-        setup.play(load.stream(0.9 * part, MINUTE, &long))
+        let all_along = (0.0, 150.0);
+        let load = Load::new(17).stream(55.0 * part, all_along, &short);
+        let all = setup.play(load.stream(0.9 * part, all_along, &long));
+        all.only(|o| (30..90).contains(&o.ask.at.as_secs()))
     };
     let (once, twice) = (play(1.0), play(2.0));
     let (short, long) = (
@@ -255,8 +257,9 @@
         twice.class(LengthClass::Long),
     );
     format!(
-        "goodput at twice {:.3}, short done {:.3} p95 {:.2} s, long done {:.3} p95 {:.2} s",
+        "goodput at twice {:.3}, {:.0} tok/s, short done {:.3} p95 {:.2} s, long done {:.3} p95 {:.2} s",
         twice.goodput() / once.goodput(),
+        twice.goodput() / 60.0,
         short.part(),
         short.ttft(0.95),
         long.part(),
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -5,8 +5,6 @@
 
 use std::time::Duration;
 
-use crate::decide::placement::duration;
-
 /// What a request is expected to take from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Forecast {
@@ -35,16 +33,6 @@
             .saturating_add(self.output)
     }
 
-    /// The same with prefill and output that take this many times longer.
-    pub fn stretched(self, factor: f64) -> Self {
-        let longer = |time: Duration| duration(time.as_secs_f64() * factor);
-        Self {
-            wait: self.wait,
-            prefill: longer(self.prefill),
-            output: longer(self.output),
-        }
-    }
-
     /// Whether it ends within what remains. A pool without work always takes a request in: if the
     /// forecast is wrong, only a run can correct it.
     pub fn judge(&self, remaining: Duration, is_idle: bool) -> Admission {
--- a/src/decide/engine_fleet.rs
+++ b/src/decide/engine_fleet.rs
@@ -28,6 +28,11 @@
 /// Upstreams that are new together are warmed in steps only while they are at most this part of the
 /// pool: there must be others that carry the load meanwhile.
 const COLD_PART_MAX: f64 = 0.5;
+/// Samples that are taken in under load, to leave a wrong setting behind.
+const SAMPLES_UNDER_LOAD: u32 = 4;
+/// No engine is believed to be faster than the median by more than this: a true one loses a little
+/// work by it, a wrong one would draw all of it.
+const FASTER_MAX: f64 = 1.3;
 /// How often stalls are looked for.
 const STALL_CHECK: Duration = Duration::from_secs(1);
 
@@ -123,8 +128,9 @@
         for id in &grant.upstreams {
             if let Some(upstream) = self.upstreams.get_mut(id) {
                 upstream.on_grant(now);
-                upstream.prefix.on_grant(&grant.work);
                 upstream.ledger.advance(now);
+                let read_at = now + upstream.ledger.time_for(prefill, hold.rank);
+                upstream.prefix.on_grant(&grant.work, read_at);
                 upstream.ledger.hold(grant.id, hold.clone(), prefill);
             }
         }
@@ -155,7 +161,12 @@
             if let (Some(hold), Some(first_token)) = (hold, done.first_token) {
                 let ahead = upstream.ledger.ahead_of(&hold);
                 let own = prefill_done(&hold, done);
-                upstream.ledger.speed.observe(own, ahead, first_token);
+                let speed = &mut upstream.ledger.speed;
+                if is_telling(&hold, speed) {
+                    speed.observe(own, ahead, first_token);
+                } else {
+                    speed.observe_least(own, first_token);
+                }
             }
             self.judge(id, done.ended, now, rng);
         }
@@ -185,8 +196,21 @@
             .sum()
     }
 
+    /// Follows what has been seen. Engines of which nothing has been seen are expected to be like
+    /// the others, not like their settings.
     fn update_median(&mut self, now: Instant) {
-        self.median = PoolMedian::of(self.open(now));
+        let is_seen = |upstream: &&PoolUpstream| upstream.ledger.speed.samples() > 0;
+        self.median = PoolMedian::of(self.open(now).filter(is_seen));
+        if self.median.speed <= 0.0 {
+            self.median = PoolMedian::of(self.open(now));
+        }
+        let like_others = SpeedEstimate::new(TokensPerSecond(self.median.speed.max(1.0)));
+        for upstream in self.upstreams.values_mut() {
+            if upstream.ledger.speed.samples() == 0 && self.median.speed > 0.0 {
+                upstream.ledger.speed = like_others;
+            }
+            upstream.ledger.speed.bound(self.median.speed * FASTER_MAX);
+        }
     }
 
     fn judge(&mut self, id: &UpstreamId, ended: Ended, now: Instant, rng: &mut StdRng) {
@@ -253,6 +277,13 @@
     }
 }
 
+/// Whether a first token tells of the engine's speed. Under load it tells of what waits inside the
+/// engine as well, and a speed that follows that swings: the engine is left idle, looks fast again,
+/// and gets too much. So once it is known a speed is learned only from what did not wait.
+fn is_telling(hold: &Hold, speed: &SpeedEstimate) -> bool {
+    !hold.has_waited || speed.samples() < SAMPLES_UNDER_LOAD
+}
+
 /// The prefill that the engine did for a grant, by its own word where it gave one.
 fn prefill_done(hold: &Hold, done: &Done) -> Tokens {
     if done.prompt_tokens == Tokens::ZERO {
--- a/src/decide/estimator.rs
+++ b/src/decide/estimator.rs
@@ -22,9 +22,6 @@
 /// to twelve bytes, and four are assumed.
 const PROMPT_RATIO_MIN: f64 = 0.33;
 const PROMPT_RATIO_MAX: f64 = 4.0;
-/// Attempts take at most this many times what was expected, and at least this part of it.
-const OVERRUN_MIN: f64 = 0.5;
-const OVERRUN_MAX: f64 = 4.0;
 /// The part of the allowed answer that is expected at least, as a guard against a run of short ones.
 const OUTPUT_PART_MIN: f64 = 0.1;
 
@@ -34,7 +31,6 @@
     prompt_ratios: IndexMap<CustomerId, f64>,
     output_part: f64,
     token_gap_seconds: f64,
-    overrun: f64,
 }
 
 impl Estimator {
@@ -44,7 +40,6 @@
             prompt_ratios: IndexMap::new(),
             output_part: 1.0,
             token_gap_seconds: TOKEN_GAP_FIRST,
-            overrun: 1.0,
         }
     }
 
@@ -72,6 +67,8 @@
             let ratio = self.prompt_ratios.entry(account.clone()).or_insert(1.0);
             blend(ratio, seen.clamp(PROMPT_RATIO_MIN, PROMPT_RATIO_MAX));
         }
+        // Attempts that were cut at their deadline count as well: those that completed are the
+        // quick ones, and alone they would make each forecast too short just when it matters.
         if let Some(gap) = token_gap_seconds(done) {
             blend(&mut self.token_gap_seconds, gap);
         }
@@ -80,23 +77,6 @@
             blend(&mut self.output_part, part.clamp(OUTPUT_PART_MIN, 1.0));
         }
     }
-
-    /// Takes in how long an attempt took against what was expected. Attempts that were cut at their
-    /// deadline count as well: those that completed are the quick ones, and alone they would make
-    /// each forecast too short just when it matters.
-    pub fn observe_total(&mut self, expected: Duration, done: &Done) {
-        let has_worked = matches!(done.ended, Ended::Completed | Ended::Cancelled);
-        if !has_worked || done.first_token.is_none() || expected.is_zero() {
-            return;
-        }
-        let ratio = done.total.as_secs_f64() / expected.as_secs_f64();
-        blend(&mut self.overrun, ratio.clamp(OVERRUN_MIN, OVERRUN_MAX));
-    }
-
-    /// How much longer attempts take than expected; at least 1, since being early harms nobody.
-    pub fn overrun(&self) -> f64 {
-        self.overrun.max(1.0)
-    }
 }
 
 impl Default for Estimator {
--- a/src/decide/hold.rs
+++ b/src/decide/hold.rs
@@ -20,6 +20,8 @@
     pub lane: Lane,
     /// Whether another upstream failed the request before.
     pub is_suspect: bool,
+    /// Whether it waited in the home's queue, so that its engine was probably full.
+    pub has_waited: bool,
     /// When it was granted.
     pub since: Instant,
     /// How long it is expected to take in all.
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -11,9 +11,11 @@
 
 use crate::decide::Hold;
 use crate::decide::Lane;
+use crate::decide::Peak;
 use crate::decide::Prefill;
 use crate::decide::SpeedEstimate;
 use crate::decide::is_heavy;
+use crate::decide::placement::duration;
 use crate::units::GrantId;
 use crate::units::Priority;
 use crate::units::Tokens;
@@ -23,9 +25,15 @@
 const REPORT_LAG: Duration = Duration::from_secs(1);
 /// What a report shows beyond the ledger is believed up to this much prefill, and for half of the
 /// memory, so that a wrong report cannot shut an upstream out.
-const UNKNOWN_PREFILL_MAX: Duration = Duration::from_secs(10);
+const UNKNOWN_PREFILL_MAX: Duration = Duration::from_secs(3);
 const UNKNOWN_MEMORY_PART: f64 = 0.5;
 
+/// A long prefill may take this part longer than reckoned. Until then short prompts count it as still
+/// going on: to meet it costs them more than to avoid an idle engine.
+const TAIL_PART: f64 = 0.1;
+/// Longer is as good as never.
+const TIME_MAX: Duration = Duration::from_secs(86_400);
+
 /// What one upstream has been given and has not ended.
 #[derive(Debug)]
 pub struct UpstreamLedger {
@@ -34,12 +42,15 @@
     holds: IndexMap<GrantId, Hold>,
     /// In the order in which engines work: by rank, then by arrival.
     prefills: Vec<Prefill>,
+    /// Until when a long prefill that should have ended may still go on.
+    tail_until: Option<Instant>,
     held_tokens: Tokens,
     /// Memory kept for a gang that waits.
     reserved_tokens: Tokens,
     unknown_tokens: Tokens,
     unknown_prefill: f64,
     excess_before: Option<(f64, Tokens)>,
+    peak: Peak,
     /// All prefill ever granted here, by rank.
     granted_prefill: IndexMap<Priority, f64>,
     suspects: usize,
@@ -53,11 +64,13 @@
             speed,
             holds: IndexMap::new(),
             prefills: Vec::new(),
+            tail_until: None,
             held_tokens: Tokens::ZERO,
             reserved_tokens: Tokens::ZERO,
             unknown_tokens: Tokens::ZERO,
             unknown_prefill: 0.0,
             excess_before: None,
+            peak: Peak::new(now),
             granted_prefill: IndexMap::new(),
             suspects: 0,
             advanced_at: now,
@@ -67,6 +80,9 @@
     /// Lets prefill go on until `now`.
     pub fn advance(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.advanced_at);
+        if elapsed.is_zero() {
+            return;
+        }
         self.advanced_at = self.advanced_at.max(now);
         let mut budget = elapsed.as_secs_f64() * self.speed.get();
         let unknown = self.unknown_prefill.min(budget);
@@ -82,7 +98,12 @@
             }
             done += 1;
         }
-        self.prefills.drain(..done);
+        let ended = self.prefills.drain(..done);
+        for long in ended.filter(|prefill| prefill.lane == Lane::Long) {
+            let since = self.holds.get(&long.grant).map_or(now, |hold| hold.since);
+            let took = now.saturating_duration_since(since);
+            self.tail_until = Some(now + took.mul_f64(TAIL_PART));
+        }
     }
 
     /// Enters a grant with its prefill.
@@ -106,7 +127,9 @@
         }
         self.held_tokens += hold.memory_tokens;
         self.suspects += usize::from(hold.is_suspect);
+        let now = hold.since;
         self.holds.insert(grant, hold);
+        self.note_peak(now);
     }
 
     /// Ends a grant. Its prefill, if any was left, is over.
@@ -158,6 +181,11 @@
         self.known_backlog() + self.unknown_prefill
     }
 
+    /// Prefill that reports show and no grant explains.
+    pub fn unknown_prefill(&self) -> f64 {
+        self.unknown_prefill
+    }
+
     /// Prefill of one lane that is not done yet, in tokens.
     pub fn lane_backlog(&self, lane: Lane) -> f64 {
         let of_lane = self.prefills.iter().filter(|prefill| prefill.lane == lane);
@@ -187,7 +215,19 @@
             }
         };
         let others: f64 = self.prefills.iter().map(beside).sum();
-        prefill + others + self.unknown_prefill.min(prefill)
+        let is_tail = self
+            .tail_until
+            .is_some_and(|until| self.advanced_at < until);
+        let tail = if is_tail { prefill } else { 0.0 };
+        prefill + others + tail + self.unknown_prefill.min(prefill)
+    }
+
+    /// How long a new prefill takes here, from now to the first token.
+    pub fn time_for(&self, prefill: f64, rank: Priority) -> Duration {
+        let seconds = self.work_until(prefill, rank) / self.speed.get();
+        duration(seconds)
+            .saturating_add(self.speed.overhead())
+            .min(TIME_MAX)
     }
 
     /// The holds.
@@ -197,15 +237,20 @@
 
     /// Corrects the ledger by a lagging report.
     ///
-    /// What a report shows in excess counts only when two in a row show it, since one may have been
-    /// made before the ledger's latest releases. What it lacks counts only against grants older than
-    /// the lag, since it may have been made before the others.
-    pub fn correct(&mut self, report: &LoadReport, now: Instant) {
+    /// The report is compared with the most that the ledger showed lately, since it may be of any
+    /// moment in that time. What it shows beyond that counts only when two in a row show it. What it
+    /// lacks counts only against grants older than the lag, which it must have seen.
+    pub fn correct(&mut self, report: &LoadReport, capacity: Tokens, now: Instant) {
         self.advance(now);
-        let lag_work = REPORT_LAG.as_secs_f64() * self.speed.get();
+        self.note_peak(now);
+        if !self.is_plausible(report, capacity, now) {
+            self.excess_before = None;
+            return;
+        }
         let reported = report.prefill_backlog_tokens.as_f64();
-        let excess = (reported - self.known_backlog() - lag_work).max(0.0);
-        let memory_excess = report.used_tokens.saturating_sub(self.held_tokens);
+        let (prefill_peak, memory_peak) = self.peak.most();
+        let excess = (reported - prefill_peak).max(0.0);
+        let memory_excess = report.used_tokens.saturating_sub(memory_peak);
         let before = self.excess_before.replace((excess, memory_excess));
         let (excess_before, memory_before) = before.unwrap_or_default();
         let cap = UNKNOWN_PREFILL_MAX.as_secs_f64() * self.speed.get();
@@ -214,6 +259,20 @@
         self.scale_down(reported, now);
     }
 
+    /// A report that holds more than the engine has, or shows nothing of attempts that run for long,
+    /// is wrong and not only late.
+    fn is_plausible(&self, report: &LoadReport, capacity: Tokens, now: Instant) -> bool {
+        let is_old = |hold: &&Hold| now.saturating_duration_since(hold.since) > REPORT_LAG * 2;
+        let old = self.holds.values().filter(is_old).count() as u64;
+        let shows_old = (report.running + report.waiting) * 2 >= old;
+        report.used_tokens <= capacity && shows_old
+    }
+
+    fn note_peak(&mut self, now: Instant) {
+        let backlog = self.known_backlog();
+        self.peak.note(backlog, self.held_tokens, now);
+    }
+
     fn scale_down(&mut self, reported: f64, now: Instant) {
         let holds = &self.holds;
         let is_old = |prefill: &Prefill| {
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -129,7 +129,10 @@
     ) -> Option<Offer> {
         let ledger = &upstream.ledger;
         let prompt = waiting.prompt_tokens.as_f64();
-        let cached = upstream.prefix.cached_tokens(&waiting.work).min(prompt);
+        let cached = upstream
+            .prefix
+            .cached_tokens(&waiting.work, self.now)
+            .min(prompt);
         let prefill = prompt - cached;
         let speed = self.speed_of(upstream);
         let lane_here = match lane {
@@ -225,7 +228,8 @@
     let speed = ledger.speed.get();
     match lane {
         Lane::Short => {
-            let over = ledger.lane_backlog(Lane::Short) / speed - tuning.headroom.as_secs_f64();
+            let backlog = ledger.lane_backlog(Lane::Short) + ledger.unknown_prefill();
+            let over = backlog / speed - tuning.headroom.as_secs_f64();
             (over <= 0.0, over.max(0.0))
         }
         Lane::Long => {
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -6,6 +6,8 @@
 //! One prefix with half of all calls does not melt its upstream, because the load there raises the
 //! cost until reading the prefix once more elsewhere is cheaper; from then on both have it.
 
+use std::time::Instant;
+
 use indexmap::IndexMap;
 
 use crate::decide::Done;
@@ -23,7 +25,8 @@
 /// What is known of one upstream's cache.
 #[derive(Debug)]
 pub struct PrefixHints {
-    prefixes: IndexMap<ContentHash, Tokens>,
+    /// When each is in the cache, if all goes as expected.
+    prefixes: IndexMap<ContentHash, Instant>,
     trust: f64,
 }
 
@@ -37,14 +40,17 @@
     }
 
     /// The tokens of this prompt that are probably cached.
-    pub fn cached_tokens(&self, work: &Work) -> f64 {
-        self.hinted_tokens(work).as_f64() * self.trust
+    pub fn cached_tokens(&self, work: &Work, now: Instant) -> f64 {
+        self.hinted_tokens(work, now).as_f64() * self.trust
     }
 
-    /// Takes in that a prompt goes there, which leaves its prefixes in the cache.
-    pub fn on_grant(&mut self, work: &Work) {
-        for (prefix, tokens) in &work.prefixes {
-            self.remember(*prefix, *tokens);
+    /// Takes in that a prompt goes there, which leaves its prefixes in the cache when it has been
+    /// read. A second prompt that comes before then reads them again.
+    pub fn on_grant(&mut self, work: &Work, read_at: Instant) {
+        for (prefix, _) in &work.prefixes {
+            if !self.prefixes.contains_key(prefix) {
+                self.remember(*prefix, read_at);
+            }
         }
     }
 
@@ -65,10 +71,10 @@
     }
 
     /// Takes in cache events.
-    pub fn on_events(&mut self, events: &[CacheEvent]) {
+    pub fn on_events(&mut self, events: &[CacheEvent], now: Instant) {
         for event in events {
             match event.kind {
-                CacheEventKind::Stored => self.remember(event.prefix, event.tokens),
+                CacheEventKind::Stored => self.remember(event.prefix, now),
                 CacheEventKind::Evicted => {
                     self.prefixes.swap_remove(&event.prefix);
                 }
@@ -77,18 +83,22 @@
     }
 
     /// The longest prefix of this prompt that is thought to be cached.
-    pub fn hinted_tokens(&self, work: &Work) -> Tokens {
-        let known = |(prefix, _): &&(ContentHash, Tokens)| self.prefixes.contains_key(prefix);
+    pub fn hinted_tokens(&self, work: &Work, now: Instant) -> Tokens {
+        let known = |(prefix, _): &&(ContentHash, Tokens)| {
+            self.prefixes
+                .get(prefix)
+                .is_some_and(|read_at| *read_at <= now)
+        };
         let longest = work.prefixes.iter().rev().find(known);
         longest.map_or(Tokens::ZERO, |(_, tokens)| *tokens)
     }
 
-    fn remember(&mut self, prefix: ContentHash, tokens: Tokens) {
+    fn remember(&mut self, prefix: ContentHash, read_at: Instant) {
         if self.prefixes.len() >= PREFIXES_MAX && !self.prefixes.contains_key(&prefix) {
             // The first one is among the oldest; exact order is not worth its cost for hints.
             self.prefixes.swap_remove_index(0);
         }
-        self.prefixes.insert(prefix, tokens);
+        self.prefixes.insert(prefix, read_at);
     }
 }
 
--- a/src/decide/shipped/engines.rs
+++ b/src/decide/shipped/engines.rs
@@ -149,15 +149,14 @@
         let cached = self.cached_tokens(&waiting.work, now);
         let prefill = (waiting.prompt_tokens.as_f64() - cached).max(0.0);
         let speed = self.fleet.median_speed() * self.gang_size(waiting) as f64;
-        let forecast = Forecast {
+        Forecast {
             wait: self
                 .lanes
                 .get(lane)
                 .wait(waiting, self.nominal_drain(lane, now), now),
             prefill: duration(prefill / speed),
             output: self.estimator.output_time(waiting.output_tokens),
-        };
-        forecast.stretched(self.estimator.overrun())
+        }
     }
 
     /// The longest prefix that some engine probably has.
@@ -165,7 +164,10 @@
         if work.prefixes.is_empty() {
             return 0.0;
         }
-        let cached = self.fleet.open(now).map(|u| u.prefix.cached_tokens(work));
+        let cached = self
+            .fleet
+            .open(now)
+            .map(|u| u.prefix.cached_tokens(work, now));
         cached.fold(0.0, f64::max)
     }
 
@@ -276,7 +278,6 @@
     /// Whether a request that could go now would not end in time.
     fn is_too_late(&self, waiting: &Waiting, forecast: Forecast, now: Instant) -> bool {
         let remaining = waiting.work.deadline.saturating_duration_since(now);
-        let forecast = forecast.stretched(self.estimator.overrun());
         forecast.judge(remaining, self.granted.is_empty()) == Admission::TooLate
     }
 
@@ -288,7 +289,8 @@
             .upstreams
             .first()
             .and_then(|id| self.fleet.upstreams.get(id));
-        let hinted_tokens = leader.map_or(Tokens::ZERO, |u| u.prefix.hinted_tokens(&waiting.work));
+        let hinted_tokens =
+            leader.map_or(Tokens::ZERO, |u| u.prefix.hinted_tokens(&waiting.work, now));
         let grant = LiveGrant {
             id,
             work: waiting.work.clone(),
@@ -319,6 +321,7 @@
             rank: engine_priority(&waiting.work),
             lane: self.fleet.tuning.lane(whole(prefill)),
             is_suspect: waiting.is_suspect(),
+            has_waited: now.saturating_duration_since(waiting.since) > self.fleet.tuning.headroom,
             since: now,
             expected: expected.min(EXPECTED_MAX),
             ahead_before: 0.0,
@@ -328,7 +331,6 @@
         let granted = Granted {
             account: waiting.account.clone(),
             hinted_tokens,
-            expected,
             grant,
         };
         self.granted.insert(granted.grant.id, granted);
@@ -437,7 +439,6 @@
         };
         let work = &granted.grant.work;
         self.estimator.observe(work, &granted.account, &done);
-        self.estimator.observe_total(granted.expected, &done);
         let rng = &mut self.intake.rng;
         self.fleet
             .finish(&granted.grant, granted.hinted_tokens, &done, now, rng);
@@ -468,13 +469,14 @@
 
     fn report(&mut self, upstream: &UpstreamId, report: &LoadReport, now: Instant) {
         if let Some(upstream) = self.fleet.upstreams.get_mut(upstream) {
-            upstream.ledger.correct(report, now);
+            let capacity = upstream.seen.memory_tokens;
+            upstream.ledger.correct(report, capacity, now);
         }
     }
 
-    fn cache_events(&mut self, upstream: &UpstreamId, events: &[CacheEvent], _now: Instant) {
+    fn cache_events(&mut self, upstream: &UpstreamId, events: &[CacheEvent], now: Instant) {
         if let Some(upstream) = self.fleet.upstreams.get_mut(upstream) {
-            upstream.prefix.on_events(events);
+            upstream.prefix.on_events(events, now);
         }
     }
 
--- a/src/decide/shipped/granted.rs
+++ b/src/decide/shipped/granted.rs
@@ -1,7 +1,5 @@
 //! A grant with what was expected of it.
 
-use std::time::Duration;
-
 use crate::decide::LiveGrant;
 use crate::units::CustomerId;
 use crate::units::Tokens;
@@ -14,6 +12,4 @@
     pub(crate) account: CustomerId,
     /// The prefix that its engine was thought to have cached.
     pub(crate) hinted_tokens: Tokens,
-    /// How long it should take in all.
-    pub(crate) expected: Duration,
 }
--- a/src/decide/shipped/services.rs
+++ b/src/decide/shipped/services.rs
@@ -178,7 +178,6 @@
                 grant,
                 account: waiting.account.clone(),
                 hinted_tokens: Tokens::ZERO,
-                expected: Duration::ZERO,
             },
         );
     }
