Short work leaves long work its part; the ledger counts the start of a prefill

Cause: engines serve short prompts first, so at twice the capacity 9 in 100 long prompts ended in time although a quarter of the engines was theirs; short ones met on engines that the ledger thought idle 20 to 70 ms too early. Change: short work takes at most a quarter of an engine that carries long prefill; the overhead of a first token is entered in the ledger; upstreams are kept for short work at 0.45 of their time under the weight on short slowdown.

--- a/examples/sweep/main.rs
+++ b/examples/sweep/main.rs
@@ -89,6 +89,18 @@
         long_sure_part: at as f64 / 100.0,
         ..base()
     });
+    sweep("short_on_long_max, percent", &[0, 10, 25, 50, 100], |at| {
+        Tuning {
+            short_on_long_max: at as f64 / 100.0,
+            ..base()
+        }
+    });
+    sweep("admit_part, percent", &[60, 80, 90, 100, 120], |at| {
+        Tuning {
+            admit_part: at as f64 / 100.0,
+            ..base()
+        }
+    });
     sweep("wait_gain, percent", &[0, 50, 80, 100], |at| Tuning {
         wait_gain: at as f64 / 100.0,
         ..base()
--- a/examples/sweep/scenario.rs
+++ b/examples/sweep/scenario.rs
@@ -218,7 +218,7 @@
 }
 
 /// Twice the capacity for a minute, against just the capacity.
-fn saturation(setup: &Setup) -> String {
+pub(crate) fn saturation(setup: &Setup) -> String {
     let ask = Ask {
         limit: Duration::from_secs(6),
         ..Ask::short()
--- a/src/decide/lane_split.rs
+++ b/src/decide/lane_split.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use crate::decide::Tuning;
+use crate::decide::WorkRate;
 
 /// The memory of the rates of long and short work: longer than a burst, shorter than an operator's
 /// patience.
@@ -45,8 +46,8 @@
         Self {
             open: 1,
             changed_at: None,
-            long: WorkRate::default(),
-            short: WorkRate::default(),
+            long: WorkRate::new(RATE_MEMORY),
+            short: WorkRate::new(RATE_MEMORY),
         }
     }
 
@@ -110,26 +111,6 @@
     }
 }
 
-/// An exponentially weighted rate.
-#[derive(Debug, Default)]
-struct WorkRate {
-    per_second: f64,
-    at: Option<Instant>,
-}
-
-impl WorkRate {
-    fn add(&mut self, amount: f64, now: Instant) {
-        self.per_second = self.get(now) + amount / RATE_MEMORY.as_secs_f64();
-        self.at = Some(now);
-    }
-
-    fn get(&self, now: Instant) -> f64 {
-        let since = |at| now.saturating_duration_since(at).as_secs_f64();
-        let elapsed = self.at.map_or(0.0, since);
-        self.per_second * (-elapsed / RATE_MEMORY.as_secs_f64()).exp()
-    }
-}
-
 #[allow(
     clippy::cast_possible_truncation,
     reason = "a float saturates when it becomes a whole number"
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -14,6 +14,7 @@
 use crate::decide::Peak;
 use crate::decide::Prefill;
 use crate::decide::SpeedEstimate;
+use crate::decide::WorkRate;
 use crate::decide::is_heavy;
 use crate::decide::placement::duration;
 use crate::units::GrantId;
@@ -28,6 +29,8 @@
 const UNKNOWN_PREFILL_MAX: Duration = Duration::from_secs(3);
 const UNKNOWN_MEMORY_PART: f64 = 0.5;
 
+/// The memory of how much short prefill an engine gets: some dozens of short prompts.
+const SHORT_MEMORY: Duration = Duration::from_secs(5);
 /// A long prefill may take this part longer than reckoned. Until then short prompts count it as still
 /// going on: to meet it costs them more than to avoid an idle engine.
 const TAIL_PART: f64 = 0.1;
@@ -42,6 +45,7 @@
     holds: IndexMap<GrantId, Hold>,
     /// In the order in which engines work: by rank, then by arrival.
     prefills: Vec<Prefill>,
+    short_rate: WorkRate,
     /// Until when a long prefill that should have ended may still go on.
     tail_until: Option<Instant>,
     held_tokens: Tokens,
@@ -64,6 +68,7 @@
             speed,
             holds: IndexMap::new(),
             prefills: Vec::new(),
+            short_rate: WorkRate::new(SHORT_MEMORY),
             tail_until: None,
             held_tokens: Tokens::ZERO,
             reserved_tokens: Tokens::ZERO,
@@ -121,10 +126,13 @@
                 rank: hold.rank,
                 lane: hold.lane,
                 is_heavy: is_heavy(hold.prefill_tokens),
-                left: prefill,
+                left: prefill + self.start_tokens(),
             };
             self.prefills.insert(place, prefill);
         }
+        if hold.lane == Lane::Short {
+            self.short_rate.add(prefill, hold.since);
+        }
         self.held_tokens += hold.memory_tokens;
         self.suspects += usize::from(hold.is_suspect);
         let now = hold.since;
@@ -132,6 +140,15 @@
         self.note_peak(now);
     }
 
+    /// What beginning costs an engine that does no prefill, in tokens that it could have read.
+    fn start_tokens(&self) -> f64 {
+        if self.prefills.is_empty() {
+            self.speed.overhead().as_secs_f64() * self.speed.get()
+        } else {
+            0.0
+        }
+    }
+
     /// Ends a grant. Its prefill, if any was left, is over.
     pub fn release(&mut self, grant: &GrantId) -> Option<Hold> {
         let hold = self.holds.swap_remove(grant)?;
@@ -181,6 +198,11 @@
         self.known_backlog() + self.unknown_prefill
     }
 
+    /// The part of its time that short prefill has taken lately.
+    pub fn short_part(&self, now: Instant) -> f64 {
+        (self.short_rate.get(now) / self.speed.get()).min(1.0)
+    }
+
     /// Prefill that reports show and no grant explains.
     pub fn unknown_prefill(&self) -> f64 {
         self.unknown_prefill
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
 mod waiting;
 mod warm_up;
 mod work;
+mod work_rate;
 
 pub use admission::Admission;
 pub use admission::Forecast;
@@ -103,3 +104,4 @@
 pub use warm_up::WarmUp;
 pub use work::LengthClass;
 pub use work::Work;
+pub use work_rate::WorkRate;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -21,6 +21,8 @@
 
 /// An attempt that runs makes each step a little longer. It also spreads equals.
 const RUNNING_COST: f64 = 0.002;
+/// Forecasts of long prefill do not count on less than the rest of this part.
+const SHORT_PART_MAX: f64 = 0.5;
 /// A probe may cost its caller a retry, so there must be time for many such requests.
 const PROBE_TIME_FACTOR: u32 = 10;
 
@@ -146,6 +148,9 @@
         if lane_here == Lane::Long && !(is_open_to_long && self.takes_long(upstream)) {
             return None;
         }
+        if lane_here == Lane::Short && self.is_kept_for_long(upstream) {
+            return None;
+        }
         let (is_ready, ready_seconds) = readiness(upstream, self.tuning, lane_here, prefill);
         // Until it is ready the upstream works off what it has.
         let beside = if is_ready {
@@ -153,9 +158,14 @@
         } else {
             prefill
         };
+        // Short work that keeps coming takes its part of the time that a long prefill takes.
+        let short_part = match lane_here {
+            Lane::Short => 0.0,
+            Lane::Long => ledger.short_part(self.now).min(SHORT_PART_MAX),
+        };
         Some(Offer {
             index,
-            seconds: beside / speed + RUNNING_COST * upstream.running() as f64,
+            seconds: beside / speed / (1.0 - short_part) + RUNNING_COST * upstream.running() as f64,
             prefill,
             is_cached: cached > 0.0,
             is_ready,
@@ -163,6 +173,13 @@
         })
     }
 
+    /// Whether short work has had its part of an upstream on which long prefill goes on. Engines
+    /// serve the short first, so without this bound long work would never end under load.
+    fn is_kept_for_long(&self, upstream: &PoolUpstream) -> bool {
+        let has_long = upstream.ledger.long_prefills().0 > 0;
+        has_long && upstream.ledger.short_part(self.now) > self.tuning.short_on_long_max
+    }
+
     /// Speeds near the median count as equal. Estimates of equal engines differ by chance, and the
     /// one that looks the fastest would draw all the work until it no longer does.
     fn speed_of(&self, upstream: &PoolUpstream) -> f64 {
--- a/src/decide/tuning.rs
+++ b/src/decide/tuning.rs
@@ -29,6 +29,8 @@
     pub short_busy: f64,
     /// The part of the upstreams that long work gets whatever the short load is.
     pub long_sure_part: f64,
+    /// The part of its time that short work may take of an upstream while long prefill goes on there.
+    pub short_on_long_max: f64,
     /// Long work that has waited this long asks for one upstream more.
     pub long_wait: Duration,
     /// Below this part of the pool's median speed an upstream is slow and taken out.
@@ -48,8 +50,9 @@
             wait_gain: 0.8,
             long_prefills_max: 2,
             long_busy: 0.85,
-            short_busy: 0.6,
+            short_busy: 0.45,
             long_sure_part: 0.25,
+            short_on_long_max: 0.25,
             long_wait: Duration::from_secs(3),
             slow_part: 0.4,
             out_part_max: 0.5,
@@ -58,6 +61,7 @@
             Objective::ShortSlowdown => base,
             Objective::FirstToken => Self {
                 long_busy: 0.7,
+                short_busy: 0.6,
                 long_wait: Duration::from_secs(1),
                 ..base
             },
