--- a/src/decide/tuning.rs
+++ b/src/decide/tuning.rs
@@ -47,7 +47,7 @@
             short_tokens_max: Tokens(4_000),
             headroom: Duration::from_millis(30),
             equal_speed: 1.4,
-            wait_gain: 0.8,
+            wait_gain: 0.5,
             long_prefills_max: 2,
             long_busy: 0.85,
             short_busy: 0.45,
--- /dev/null
+++ b/tests/decide_load.rs
@@ -0,0 +1,329 @@
+//! What callers get from the shipped policy under load, on fake engines and fixed seeds.
+
+mod decide_fakes;
+
+use std::time::Duration;
+
+use banyanarch::decide::LengthClass;
+use banyanarch::decide::Policy;
+use banyanarch::decide::RefuseReason;
+use banyanarch::decide::RetryBudget;
+use banyanarch::decide::policy_for;
+use banyanarch::manifest::Objective;
+use banyanarch::settings::PolicyName;
+use banyanarch::units::Tokens;
+use banyanarch::upstream::LoadReport;
+use decide_fakes::Ask;
+use decide_fakes::Bench;
+use decide_fakes::Engine;
+use decide_fakes::Load;
+use decide_fakes::Outcomes;
+use decide_fakes::config;
+use yare::parameterized;
+
+const SPEED: f64 = 8_000.0;
+
+/// Ten engines, which read about 60 prompts of 1,000 tokens a second.
+fn bench(name: PolicyName, hosts: u64) -> Bench {
+    let conf = config(Objective::ShortSlowdown, SPEED);
+    let policies: Vec<Box<dyn Policy>> = (0..hosts)
+        .map(|seed| policy_for(name, &conf, seed))
+        .collect();
+    Bench::new(
+        (0..10).map(|_| Engine::new(300_000, SPEED)).collect(),
+        policies,
+    )
+}
+
+fn play(name: PolicyName, load: Load) -> Outcomes {
+    bench(name, 1).play(load).0
+}
+
+fn within(seconds: u64) -> Ask {
+    Ask {
+        limit: Duration::from_secs(seconds),
+        ..Ask::short()
+    }
+}
+
+fn mixed(seed: u64) -> Load {
+    let long = Ask {
+        customer: "studio",
+        ..Ask::long(60_000)
+    };
+    Load::new(seed)
+        .stream(12.0, (0.0, 60.0), &Ask::short())
+        .stream(0.5, (0.0, 60.0), &long)
+}
+
+/// A caller on the line asks for a clause while studios send audits that take half of the engines.
+/// Audits go to any engine that looks free, and the clause is read between their chunks, so that it
+/// comes late. Engines kept free of long prefill answer it as if there were no audits.
+#[test]
+fn short_prompts_hardly_notice_long_ones() {
+    let alone = play(
+        PolicyName::Shipped,
+        Load::new(1).stream(12.0, (0.0, 60.0), &Ask::short()),
+    );
+    let slowdown =
+        |name| play(name, mixed(1)).class(LengthClass::Short).ttft(0.95) / alone.ttft(0.95);
+    let (shipped, least) = (
+        slowdown(PolicyName::Shipped),
+        slowdown(PolicyName::LeastInFlight),
+    );
+    assert!(shipped < 1.10, "shipped {shipped}");
+    assert!(
+        (least - 1.0) > 3.0 * (shipped - 1.0),
+        "least {least}, shipped {shipped}"
+    );
+}
+
+/// Clause lookups alone fill the engines twice over, and an audit waits. Engines serve the short
+/// first, so without a part of its own the audit would run out of time, also where it was let in.
+#[test]
+fn long_work_has_its_part_under_load() {
+    let long = Ask {
+        customer: "studio",
+        limit: Duration::from_secs(60),
+        ..Ask::long(60_000)
+    };
+    let load = || {
+        let short = Load::new(2).stream(70.0, (0.0, 80.0), &within(8));
+        short.stream(0.1, (10.0, 20.0), &long)
+    };
+    let done = |name| play(name, load()).class(LengthClass::Long).part();
+    assert!(done(PolicyName::LeastInFlight) < 0.5);
+    assert!(done(PolicyName::Shipped) > 0.9);
+}
+
+/// Ten times the load for five seconds. What can't end in time is told so at once; what is let in
+/// ends, and ten seconds later nobody notices any more.
+#[test]
+fn a_burst_is_over_soon() {
+    let load = || {
+        let usual = Load::new(3).stream(15.0, (0.0, 40.0), &within(8));
+        usual.stream(135.0, (10.0, 15.0), &within(8))
+    };
+    let all = play(PolicyName::Shipped, load());
+    let let_in = all.only(|o| o.refused.is_none());
+    let after = all.only(|o| o.ask.at > Duration::from_secs(25));
+    assert!(let_in.part() > 0.97, "let in and done {}", let_in.part());
+    assert!(after.ttft(0.95) < 0.4, "after {}", after.ttft(0.95));
+    let least = play(PolicyName::LeastInFlight, load());
+    assert!(all.completed() > least.completed());
+}
+
+/// Two of six customers send nine tenths of twice what the engines can do. The four others send
+/// less than their share, so all of theirs is done, and soon; with one queue for all they would wait
+/// as long as the large ones.
+#[test]
+fn small_customers_do_not_wait_for_large_ones() {
+    let ask = |customer| Ask {
+        customer,
+        ..within(10)
+    };
+    let load = || {
+        let mut load = Load::new(4);
+        for (customer, rate) in [
+            ("studio", 54.0),
+            ("agency", 54.0),
+            ("desk", 3.0),
+            ("karaoke", 3.0),
+            ("branch", 3.0),
+            ("app", 3.0),
+        ] {
+            load = load.stream(rate, (0.0, 40.0), &ask(customer));
+        }
+        load
+    };
+    let is_large = |o: &decide_fakes::Outcome| ["studio", "agency"].contains(&o.ask.customer);
+    let all = play(PolicyName::Shipped, load());
+    let (small, large) = (all.only(|o| !is_large(o)), all.only(is_large));
+    assert!(small.part() > 0.99, "small done {}", small.part());
+    assert!(small.ttft(0.95) * 5.0 < large.ttft(0.95));
+    let (studio, agency) = (
+        all.customer("studio").completed(),
+        all.customer("agency").completed(),
+    );
+    assert!(
+        studio.abs_diff(agency) * 10 < studio,
+        "{studio} and {agency}"
+    );
+}
+
+/// Half of all prompts begin with the same 3,000 tokens. Sent where they are cached they cost a
+/// tenth; if all went there, that engine would melt. Callers get first tokens several times sooner
+/// than with any spread that ignores the cache, and no engine gets more than twice its part.
+#[test]
+fn a_hot_prefix_is_read_seldom_and_melts_no_engine() {
+    let ask = |prefix| Ask {
+        prompt: 3_400,
+        prefix: Some((prefix, 3_000)),
+        ..Ask::short()
+    };
+    let load = || {
+        let hot = Load::new(5).stream(16.0, (0.0, 40.0), &ask(1_000));
+        (0..40).fold(hot, |load, prefix| {
+            load.stream(0.4, (0.0, 40.0), &ask(prefix))
+        })
+    };
+    let all = play(PolicyName::Shipped, load());
+    let least = play(PolicyName::LeastInFlight, load());
+    assert!(
+        all.ttft(0.5) * 2.0 < least.ttft(0.5),
+        "{} {}",
+        all.ttft(0.5),
+        least.ttft(0.5)
+    );
+    let on = |index| all.only(|o| o.engines == [index]).0.len();
+    let most = (0..10).map(on).max().unwrap();
+    assert!(most * 5 < all.0.len(), "{most} of {}", all.0.len());
+}
+
+/// One engine works five times slower than the others from the start. It always looks as if it had
+/// fewer requests in flight, and the callers sent there wait five times as long.
+#[test]
+fn a_slow_upstream_is_left_alone() {
+    let with_slow = |name, pace| {
+        let mut bench = bench(name, 1);
+        bench.engines[3].pace = pace;
+        bench
+            .play(Load::new(6).stream(25.0, (0.0, 60.0), &Ask::short()))
+            .0
+    };
+    let (well, slow) = (
+        with_slow(PolicyName::Shipped, 1.0),
+        with_slow(PolicyName::Shipped, 0.2),
+    );
+    let least = with_slow(PolicyName::LeastInFlight, 0.2);
+    assert!(slow.ttft(0.98) < 1.1 * well.ttft(0.98));
+    assert!(least.ttft(0.98) > 1.5 * well.ttft(0.98));
+    // It is tried again now and then.
+    assert!(
+        slow.0
+            .iter()
+            .any(|o| o.engines == [3] && o.ask.at > Duration::from_secs(20))
+    );
+}
+
+/// Twice the capacity for a minute. Without admission each request waits, is worked on, and is cut
+/// at its limit: the engines are busy and nobody gets an answer.
+#[test]
+fn saturation_keeps_the_goodput() {
+    let goodput = |name, rate| {
+        let all = play(name, Load::new(7).stream(rate, (0.0, 60.0), &within(6)));
+        let expired = all.only(|o| o.refused == Some(RefuseReason::Expired));
+        (all.goodput(), expired.0.len())
+    };
+    let (at_capacity, _) = goodput(PolicyName::Shipped, 55.0);
+    let (at_twice, expired) = goodput(PolicyName::Shipped, 110.0);
+    assert!(at_twice > 0.9 * at_capacity, "{at_twice} of {at_capacity}");
+    assert!(
+        expired < 330,
+        "{expired} of 6,600 were let in and ran out of time in the queue"
+    );
+    assert!(goodput(PolicyName::LeastInFlight, 110.0).0 < 0.5 * at_capacity);
+}
+
+/// Half of the engines are gone for five seconds, and hosts send again what failed. Upstreams that
+/// fail are taken out after a few requests, so most callers never meet one, and the others' second
+/// attempt goes elsewhere.
+#[test]
+fn an_outage_costs_few_callers_and_few_retries() {
+    let outage = |name| {
+        let mut bench = bench(name, 1);
+        bench.retry_with(|now| RetryBudget::new(1, now));
+        bench.outage = Some((0..5, 10.0, 15.0));
+        bench
+            .play(Load::new(8).stream(20.0, (0.0, 40.0), &within(10)))
+            .0
+    };
+    let (shipped, robin) = (outage(PolicyName::Shipped), outage(PolicyName::RoundRobin));
+    let retries = |all: &Outcomes| all.0.iter().map(|o| o.attempts - 1).sum::<u32>();
+    assert!(shipped.part() > 0.98, "shipped {}", shipped.part());
+    assert!(shipped.part() > robin.part());
+    assert!(retries(&shipped) <= 60, "{} retries", retries(&shipped));
+    let after = shipped.only(|o| o.ask.at > Duration::from_secs(30));
+    assert!(after.ttft(0.95) < 0.4, "after {}", after.ttft(0.95));
+}
+
+/// Load reports say nothing, or ten times too much. A policy that trusts them sends all work to the
+/// engine that claims to be idle; the home's own ledger makes them a correction only.
+#[parameterized(
+    nothing = { |_| LoadReport::default() },
+    tenfold = { |report| LoadReport {
+        used_tokens: Tokens(report.used_tokens.0 * 10),
+        prefill_backlog_tokens: Tokens(report.prefill_backlog_tokens.0 * 10),
+        ..report
+    } },
+)]
+fn wrong_reports_do_little_harm(report_as: fn(LoadReport) -> LoadReport) {
+    let p95 = |change: fn(LoadReport) -> LoadReport| {
+        let mut bench = bench(PolicyName::Shipped, 1);
+        bench.report_as = change;
+        bench.play(mixed(9)).0.class(LengthClass::Short).ttft(0.95)
+    };
+    let (right, wrong) = (p95(|report| report), p95(report_as));
+    assert!(wrong < 1.15 * right, "right {right}, wrong {wrong}");
+}
+
+/// The manifest's prefill speed is five times too low or too high. First tokens tell the true one.
+#[parameterized(too_low = { 0.2 }, too_high = { 5.0 })]
+fn a_wrong_speed_in_the_manifest_is_corrected(factor: f64) {
+    let p95 = |factor| {
+        let conf = config(Objective::ShortSlowdown, SPEED * factor);
+        let engines = (0..10).map(|_| Engine::new(300_000, SPEED)).collect();
+        let bench = Bench::new(engines, vec![policy_for(PolicyName::Shipped, &conf, 1)]);
+        bench.play(mixed(10)).0.class(LengthClass::Short).ttft(0.95)
+    };
+    let (right, wrong) = (p95(1.0), p95(factor));
+    assert!(wrong < 1.15 * right, "right {right}, wrong {wrong}");
+}
+
+/// Seven hosts decide at the same moment. Each from lagging reports alone, they pick the same idle
+/// engine; one home that keeps the ledger spreads them.
+#[test]
+fn one_home_beats_seven_hosts_alone() {
+    let load = || {
+        let short = Load::new(11).stream(30.0, (0.0, 60.0), &Ask::short());
+        short.stream(0.3, (0.0, 60.0), &Ask::long(60_000))
+    };
+    let p95 = |bench: Bench| bench.play(load()).0.class(LengthClass::Short).ttft(0.95);
+    let home = p95(bench(PolicyName::Shipped, 1));
+    let alone = p95(bench(PolicyName::Alone, 7));
+    assert!(home * 3.0 < alone, "home {home}, alone {alone}");
+}
+
+/// A catalogue of 500,000 tokens needs two engines of 300,000, and shorter audits keep all of them
+/// filled. If it waited for two to be empty by chance it would wait for ever; reserved ones are
+/// emptied for it, and two such catalogues never hold a part each.
+#[test]
+fn a_huge_prompt_does_not_starve() {
+    let audit = Ask {
+        customer: "studio",
+        output: 600,
+        output_max: 1_000,
+        ..Ask::long(120_000)
+    };
+    let huge = Ask {
+        output: 200,
+        output_max: 300,
+        ..Ask::long(400_000)
+    };
+    let load = Load::new(12)
+        .stream(0.5, (0.0, 120.0), &audit)
+        .stream(0.04, (20.0, 100.0), &huge);
+    let all = play(PolicyName::Shipped, load);
+    let huge = all.only(|o| o.engines.len() > 1);
+    assert!(!huge.0.is_empty());
+    assert!(huge.part() > 0.99, "huge done {}", huge.part());
+    for outcome in &huge.0 {
+        let wait = outcome.first_token.unwrap().as_secs_f64();
+        assert!(
+            wait < 200.0,
+            "{} tokens waited {wait} s",
+            outcome.ask.prompt
+        );
+        assert!(outcome.engines.is_sorted());
+    }
+}
