Tests of single decisions, retries and poison; the split swings less

Cause: under long load that goes up and down each second the number of upstreams open to it changed 9 times in 80 s. Ruled out: a slower rate memory alone, since it delays the rise as well.

--- a/examples/sweep/main.rs
+++ b/examples/sweep/main.rs
@@ -74,7 +74,7 @@
         },
     );
     sweep("long_prefills_max", &[1, 2, 4, 8], |at| Tuning {
-        long_prefills_max: at as usize,
+        long_prefills_max: usize::try_from(at).unwrap_or(usize::MAX),
         ..base()
     });
     sweep("long_busy, percent", &[50, 70, 85, 100], |at| Tuning {
--- a/examples/sweep/scenario.rs
+++ b/examples/sweep/scenario.rs
@@ -288,9 +288,11 @@
     )
 }
 
+type Change = fn(LoadReport) -> LoadReport;
+
 /// Reports say nothing, or ten times too much, or are as they should be.
 fn wrong_reports(setup: &Setup) -> String {
-    let changes: [(&str, fn(LoadReport) -> LoadReport); 3] = [
+    let changes: [(&str, Change); 3] = [
         ("right", |report| report),
         ("nothing", |_| LoadReport::default()),
         ("tenfold", |report| LoadReport {
--- a/examples/sweep/timing.rs
+++ b/examples/sweep/timing.rs
@@ -55,12 +55,11 @@
         output_tokens: Tokens(32),
     };
     let customers = ["desk", "studio", "agency", "karaoke", "branch", "app"];
+    let customer = |number: u64| customers[usize::try_from(number).unwrap() % customers.len()];
     let work = |number: u64, now: Instant| Work {
         request: RequestId(u128::from(number)),
         host: "host-0".parse().unwrap(),
-        customer: customers[number as usize % customers.len()]
-            .parse()
-            .unwrap(),
+        customer: customer(number).parse().unwrap(),
         priority: Priority(0),
         prompt_tokens: Tokens(1_000),
         output_tokens: Tokens(64),
--- a/src/decide/lane_split.rs
+++ b/src/decide/lane_split.rs
@@ -18,7 +18,7 @@
 const RAISE_EVERY: Duration = Duration::from_secs(1);
 const LOWER_EVERY: Duration = Duration::from_secs(5);
 /// The number goes down only when it is too large by more than this.
-const LOWER_MARGIN: f64 = 0.25;
+const LOWER_MARGIN: f64 = 0.75;
 
 /// What the split is worked out from.
 #[derive(Clone, Copy, Debug)]
--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -17,6 +17,8 @@
 const CRASHES_MAX: usize = 2;
 /// Marks kept in memory, about 100 bytes each.
 const MARKS_MAX: usize = 8_192;
+/// Marks dropped at once when the list is full.
+const DROPPED_AT_ONCE: usize = 1_024;
 /// How long after its last crash a mark is kept: longer than callers go on sending again, short
 /// enough that a repaired engine gets the request again the same day.
 const KEPT_FOR: Duration = Duration::from_secs(3_600);
@@ -90,19 +92,15 @@
         .collect()
     }
 
-    /// Drops old marks from the front, and the oldest when the list is full. New marks are added at
-    /// the end, so the front holds the ones that came first.
+    /// Drops marks from the front, where the oldest stand, when the list is full: many at once, since
+    /// each time the others move up.
     fn make_room(&mut self, mark: PoisonMark, now: Instant) {
-        if self.marks.contains_key(&mark) {
+        if self.marks.len() < MARKS_MAX || self.marks.contains_key(&mark) {
             return;
         }
-        let is_old = |c: &Crashes| c.is_old(now);
-        while let Some((_, first)) = self.marks.first() {
-            if !is_old(first) && self.marks.len() < MARKS_MAX {
-                return;
-            }
-            self.marks.shift_remove_index(0);
-        }
+        self.marks.retain(|_, crashes| !crashes.is_old(now));
+        let surplus = self.marks.len().saturating_sub(MARKS_MAX - DROPPED_AT_ONCE);
+        self.marks.drain(..surplus);
     }
 }
 
--- a/tests/decide_fakes/mod.rs
+++ b/tests/decide_fakes/mod.rs
@@ -1,4 +1,5 @@
 //! A few fake engines and a clock moved by hand, to play a load against a policy.
+#![allow(unused_imports, reason = "each test uses a part")]
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(unreachable_pub, reason = "shared by tests and an example")]
 #![allow(clippy::cast_possible_truncation, reason = "small numbers")]
--- /dev/null
+++ b/tests/decide_retry.rs
@@ -0,0 +1,151 @@
+//! Retries and poison: what entry hosts ask before another attempt.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::FailedAttempt;
+use banyanarch::decide::Poison;
+use banyanarch::decide::PoisonList;
+use banyanarch::decide::PoisonMark;
+use banyanarch::decide::RetryBudget;
+use banyanarch::decide::RetryStop;
+use banyanarch::decide::RetryVerdict;
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
+use yare::parameterized;
+
+fn failed(now: Instant) -> FailedAttempt {
+    FailedAttempt {
+        attempts: 1,
+        did_not_run: true,
+        is_repeatable: true,
+        answer_started: false,
+        retry_after: None,
+        deadline: now + Duration::from_secs(10),
+    }
+}
+
+#[parameterized(
+    may_have_run = { |f| FailedAttempt { did_not_run: false, is_repeatable: false, ..f }, RetryStop::NotRepeatable },
+    started = { |f| FailedAttempt { answer_started: true, ..f }, RetryStop::AnswerStarted },
+    third = { |f| FailedAttempt { attempts: 3, ..f }, RetryStop::Attempts },
+    no_time = { |f| FailedAttempt { retry_after: Some(Duration::from_secs(11)), ..f }, RetryStop::Deadline },
+)]
+fn some_attempts_are_never_repeated(change: fn(FailedAttempt) -> FailedAttempt, why: RetryStop) {
+    let now = Instant::now();
+    let verdict = RetryBudget::new(1, now).judge(&change(failed(now)), now);
+    assert_eq!(verdict, RetryVerdict::GiveUp(why));
+}
+
+#[test]
+fn what_provably_did_not_run_is_repeated_although_it_may_not_run_twice() {
+    let now = Instant::now();
+    let attempt = FailedAttempt {
+        is_repeatable: false,
+        ..failed(now)
+    };
+    let verdict = RetryBudget::new(1, now).judge(&attempt, now);
+    assert!(matches!(verdict, RetryVerdict::Again { .. }));
+}
+
+/// All upstreams of a service fail for a minute at a hundred requests a second. If each request were
+/// made three times, the service would meet three hundred when it comes back.
+#[test]
+fn an_outage_does_not_multiply_the_load() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(1, start);
+    let mut retries = 0;
+    let mut pauses = Vec::new();
+    for request in 0..6_000 {
+        let now = start + Duration::from_millis(10) * request;
+        budget.on_first_attempt();
+        for attempts in 1..3 {
+            let attempt = FailedAttempt {
+                attempts,
+                ..failed(now)
+            };
+            if let RetryVerdict::Again { after } = budget.judge(&attempt, now) {
+                retries += 1;
+                pauses.push(after);
+            }
+        }
+    }
+    assert!(
+        (1_100..=1_400).contains(&retries),
+        "{retries} retries of 6,000 requests"
+    );
+    pauses.sort();
+    pauses.dedup();
+    assert!(pauses.len() > 1_000, "pauses are jittered");
+}
+
+fn mark() -> PoisonMark {
+    PoisonMark::of_content(ContentHash(7))
+}
+
+fn poison(attempt: u128) -> Poison {
+    Poison {
+        mark: mark(),
+        attempts: vec![AttemptId(attempt)],
+    }
+}
+
+/// A request crashes the engine that runs it, and its caller sends it again through another host.
+/// Hosts tell each other of the crashes, in any order and more than once; after two crashes of
+/// distinct attempts every host refuses it. One crash, told twice, is not held against it.
+#[test]
+fn two_crashes_anywhere_make_a_request_poison() {
+    let now = Instant::now();
+    let (mut here, mut there) = (PoisonList::new(), PoisonList::new());
+    let told = here.on_crash(&[mark()], AttemptId(1), now);
+    assert!(here.on_crash(&[mark()], AttemptId(1), now).is_empty());
+    assert!(there.merge(&told[0], now));
+    assert!(!there.merge(&told[0], now));
+    assert!(!here.is_poison(&[mark()], now) && !there.is_poison(&[mark()], now));
+    let told = there.on_crash(&[mark()], AttemptId(2), now);
+    assert!(there.is_poison(&[mark()], now));
+    told.iter()
+        .for_each(|poison| assert!(here.merge(poison, now)));
+    assert!(here.is_poison(&[mark()], now));
+    let mut fresh = PoisonList::new();
+    here.all(now)
+        .iter()
+        .rev()
+        .for_each(|poison| assert!(fresh.merge(poison, now)));
+    assert!(fresh.is_poison(&[mark()], now));
+    assert!(!fresh.is_poison(&[mark()], now + Duration::from_secs(7_200)));
+}
+
+#[test]
+fn the_same_key_is_recognised_with_another_body() {
+    let now = Instant::now();
+    let key =
+        |customer: &str| PoisonMark::of_key(&customer.parse().unwrap(), &"k-1".parse().unwrap());
+    let mut list = PoisonList::new();
+    for attempt in [1, 2] {
+        let body = PoisonMark::of_content(ContentHash(attempt));
+        list.on_crash(&[body, key("desk")], AttemptId(attempt), now);
+    }
+    assert!(list.is_poison(&[key("desk")], now));
+    assert!(!list.is_poison(&[key("studio")], now));
+}
+
+#[test]
+fn the_list_stays_bounded_and_keeps_the_newest() {
+    let now = Instant::now();
+    let mut list = PoisonList::new();
+    for number in 0..20_000 {
+        let mark = PoisonMark::of_content(ContentHash(number + 100));
+        list.merge(
+            &Poison {
+                mark,
+                ..poison(number)
+            },
+            now,
+        );
+    }
+    list.merge(&poison(1), now);
+    list.merge(&poison(2), now);
+    assert!(list.all(now).len() <= 8_192);
+    assert!(list.is_poison(&[mark()], now));
+}
