--- a/src/decide/engine_fleet.rs
+++ b/src/decide/engine_fleet.rs
@@ -16,21 +16,23 @@
 use crate::decide::PoolUpstream;
 use crate::decide::SpeedEstimate;
 use crate::decide::SplitInput;
+use crate::decide::Tuning;
 use crate::decide::UpstreamHealth;
 use crate::decide::UpstreamSeen;
 use crate::decide::WarmUp;
 use crate::decide::estimator::token_gap_seconds;
-use crate::manifest::Objective;
 use crate::units::Tokens;
 use crate::units::TokensPerSecond;
 use crate::units::UpstreamId;
 
-/// At most this part of a pool is out at the same time: with more out, the rest would drown, and
-/// what looks like many bad engines is more probably something else.
-const OUT_PART_MAX: f64 = 0.5;
 /// Upstreams that are new together are warmed in steps only while they are at most this part of the
 /// pool: there must be others that carry the load meanwhile.
 const COLD_PART_MAX: f64 = 0.5;
+/// Samples that are taken in under load, to leave a wrong setting behind.
+const SAMPLES_UNDER_LOAD: u32 = 4;
+/// No engine is believed to be faster than the median by more than this: a true one loses a little
+/// work by it, a wrong one would draw all of it.
+const FASTER_MAX: f64 = 1.3;
 /// How often stalls are looked for.
 const STALL_CHECK: Duration = Duration::from_secs(1);
 
@@ -39,16 +41,21 @@
 pub(crate) struct EngineFleet {
     pub(crate) upstreams: IndexMap<UpstreamId, PoolUpstream>,
     pub(crate) split: LaneSplit,
+    pub(crate) tuning: Tuning,
     first_speed: TokensPerSecond,
+    /// Over the engines that may get work, as of the last change.
+    median: PoolMedian,
     stalls_checked_at: Option<Instant>,
 }
 
 impl EngineFleet {
-    pub(crate) fn new(objective: Objective, first_speed: TokensPerSecond) -> Self {
+    pub(crate) fn new(tuning: Tuning, first_speed: TokensPerSecond) -> Self {
         Self {
             upstreams: IndexMap::new(),
-            split: LaneSplit::new(objective),
+            split: LaneSplit::new(),
+            tuning,
             first_speed,
+            median: PoolMedian::default(),
             stalls_checked_at: None,
         }
     }
@@ -75,6 +82,7 @@
         }
         self.drop_gone();
         self.upstreams.sort_unstable_keys();
+        self.update_median(now);
     }
 
     /// Lets the prefill of all engines go on until `now`, and follows the load.
@@ -97,10 +105,10 @@
         }
         let input = SplitInput {
             upstreams: self.open(now).count(),
-            speed: self.median(now).speed.max(1.0),
+            speed: self.median_speed(),
             long_waited,
         };
-        self.split.update(&input, now);
+        self.split.update(&input, &self.tuning, now);
     }
 
     pub(crate) fn open(&self, now: Instant) -> impl Iterator<Item = &PoolUpstream> {
@@ -116,13 +124,14 @@
     }
 
     /// Enters a grant at each of its engines.
-    pub(crate) fn hold(&mut self, grant: &LiveGrant, hold: &Hold, now: Instant) {
+    pub(crate) fn hold(&mut self, grant: &LiveGrant, hold: &Hold, prefill: f64, now: Instant) {
         for id in &grant.upstreams {
             if let Some(upstream) = self.upstreams.get_mut(id) {
                 upstream.on_grant(now);
-                upstream.prefix.on_grant(&grant.work);
                 upstream.ledger.advance(now);
-                upstream.ledger.hold(grant.id, hold.clone());
+                let read_at = now + upstream.ledger.time_for(prefill, hold.rank);
+                upstream.prefix.on_grant(&grant.work, read_at);
+                upstream.ledger.hold(grant.id, hold.clone(), prefill);
             }
         }
     }
@@ -150,17 +159,34 @@
             upstream.on_progress(token_gap_seconds(done), now);
             upstream.prefix.on_done(&grant.work, hinted, done);
             if let (Some(hold), Some(first_token)) = (hold, done.first_token) {
-                let others = upstream.ledger.others_prefill(&hold);
+                let ahead = upstream.ledger.ahead_of(&hold);
                 let own = prefill_done(&hold, done);
-                upstream.ledger.speed.observe(own, others, first_token);
+                let speed = &mut upstream.ledger.speed;
+                if is_telling(&hold, speed) {
+                    speed.observe(own, ahead, first_token);
+                } else {
+                    speed.observe_least(own, first_token);
+                }
             }
             self.judge(id, done.ended, now, rng);
         }
         self.drop_gone();
     }
 
-    pub(crate) fn median(&self, now: Instant) -> PoolMedian {
-        PoolMedian::of(self.open(now))
+    /// The memory of the largest engine that is not leaving.
+    pub(crate) fn largest_memory(&self) -> Tokens {
+        let memory = self.live().map(|upstream| upstream.seen.memory_tokens);
+        memory.max().unwrap_or_default()
+    }
+
+    /// Medians over the engines that may get work.
+    pub(crate) fn median(&self) -> PoolMedian {
+        self.median
+    }
+
+    /// The median prefill speed, never 0.
+    pub(crate) fn median_speed(&self) -> f64 {
+        self.median.speed.max(1.0)
     }
 
     /// Prefill a second over all engines that may get work.
@@ -170,12 +196,30 @@
             .sum()
     }
 
+    /// Follows what has been seen. Engines of which nothing has been seen are expected to be like
+    /// the others, not like their settings.
+    fn update_median(&mut self, now: Instant) {
+        let is_seen = |upstream: &&PoolUpstream| upstream.ledger.speed.samples() > 0;
+        self.median = PoolMedian::of(self.open(now).filter(is_seen));
+        if self.median.speed <= 0.0 {
+            self.median = PoolMedian::of(self.open(now));
+        }
+        let like_others = SpeedEstimate::new(TokensPerSecond(self.median.speed.max(1.0)));
+        for upstream in self.upstreams.values_mut() {
+            if upstream.ledger.speed.samples() == 0 && self.median.speed > 0.0 {
+                upstream.ledger.speed = like_others;
+            }
+            upstream.ledger.speed.bound(self.median.speed * FASTER_MAX);
+        }
+    }
+
     fn judge(&mut self, id: &UpstreamId, ended: Ended, now: Instant, rng: &mut StdRng) {
-        let median = self.median(now);
+        self.update_median(now);
+        let median = self.median();
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
-        let is_slow = upstream.is_slow(&median);
+        let is_slow = upstream.is_slow(&median, self.tuning.slow_part);
         let was_out = upstream.ejection.is_out();
         let step = upstream.ejection.on_end(ended);
         if ended == Ended::Completed {
@@ -196,7 +240,7 @@
             .live()
             .filter(|u| u.ejection.is_out() && u.seen.id != *id)
             .count();
-        if (out + 1) as f64 > live as f64 * OUT_PART_MAX {
+        if (out + 1) as f64 > live as f64 * self.tuning.out_part_max {
             return;
         }
         if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -233,6 +277,13 @@
     }
 }
 
+/// Whether a first token tells of the engine's speed. Under load it tells of what waits inside the
+/// engine as well, and a speed that follows that swings: the engine is left idle, looks fast again,
+/// and gets too much. So once it is known a speed is learned only from what did not wait.
+fn is_telling(hold: &Hold, speed: &SpeedEstimate) -> bool {
+    !hold.has_waited || speed.samples() < SAMPLES_UNDER_LOAD
+}
+
 /// The prefill that the engine did for a grant, by its own word where it gave one.
 fn prefill_done(hold: &Hold, done: &Done) -> Tokens {
     if done.prompt_tokens == Tokens::ZERO {
