--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -16,12 +16,15 @@
 use banyanarch::observe::logs;
 use banyanarch::settings::LogFormat;
 use banyanarch::settings::LogSettings;
+use banyanarch::settings::Settings;
 use banyanarch::units::CustomerId;
+use banyanarch::units::Generation;
 use banyanarch::units::PoolId;
 use banyanarch::units::RequestId;
 use banyanarch::units::Tokens;
 
 const DESAI: &str = include_str!("../examples/desai/manifest.yaml");
+const HOST: &str = include_str!("../examples/desai/desai-navrangpura-1.yaml");
 const LOG_CHILD: &str = "BANYANARCH_TEST_LOG_CHILD";
 
 fn customer(name: &str) -> CustomerId {
@@ -72,6 +75,57 @@
     }
 }
 
+/// An operator who looks a metric up, or a setting, finds it on the operators' page.
+#[test]
+fn the_operators_page_names_all_metrics_and_settings() {
+    let page = include_str!("../docs/OPERATING.md");
+    let metrics = metrics();
+    let films = customer("sabarmati-films");
+    metrics.first_token(&films, LengthClass::Short, Duration::ZERO);
+    metrics.between_tokens(&films, LengthClass::Short, Duration::ZERO);
+    metrics.queue_wait(&films, LengthClass::Short, Duration::ZERO);
+    metrics.outcome(&films, LengthClass::Short, Outcome::NotRun, "deadline");
+    metrics.retry("refused");
+    metrics.in_flight(LengthClass::Short, 1);
+    metrics.ledger(&"a/b/0".parse().unwrap(), Tokens(0), Tokens(1));
+    metrics.control_bytes("membership", 1);
+    metrics.generation(Generation(1));
+    metrics.platform_age(Duration::ZERO);
+    metrics.hosts("alive", 1);
+    let text = metrics.render().unwrap();
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
+    assert_eq!(names.len(), 13);
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+    let settings = Settings::parse(HOST, "host.yaml").unwrap();
+    let manifest = Manifest::parse(DESAI, "m.yaml").unwrap();
+    let mut fields = Vec::new();
+    collect_fields("", &serde_json::to_value(settings).unwrap(), &mut fields);
+    collect_fields("", &serde_json::to_value(manifest).unwrap(), &mut fields);
+    for field in fields.iter().filter(|field| !field.starts_with("peers.")) {
+        assert!(page.contains(&format!("| `{field}` |")), "{field}");
+    }
+}
+
+fn collect_fields(path: &str, value: &serde_json::Value, fields: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(entries) => {
+            for (key, value) in entries {
+                let dot = if path.is_empty() { "" } else { "." };
+                collect_fields(&format!("{path}{dot}{key}"), value, fields);
+            }
+        }
+        serde_json::Value::Array(items) if items.iter().any(serde_json::Value::is_object) => {
+            items
+                .iter()
+                .for_each(|item| collect_fields(&format!("{path}[]"), item, fields));
+        }
+        _ => fields.push(path.to_owned()),
+    }
+}
+
 /// A caller puts a fresh name into the customer header of every request. With a series for each,
 /// the host's memory grows until it is killed, and all its requests with it.
 #[test]
