Metrics count the board: generation, hosts, upstreams, customers

Cause: customers get series only after set_customers, a call that the daemon can forget, and then all count as default without a sign of it. Change: Metrics::see_board takes customers, generation, hosts by state and upstreams by target from the board in one call; the counts are replaced as a whole, so what is gone is not shown. Without the customers in see_board its test fails.

--- /dev/null
+++ b/src/observe/board_totals.rs
@@ -0,0 +1,69 @@
+//! What the blackboard holds, counted for metrics.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use indexmap::IndexMap;
+
+use crate::board::Board;
+use crate::board::HostState;
+use crate::decide::UpstreamHealth;
+use crate::units::Generation;
+use crate::units::TargetId;
+
+/// The latest counts. They are replaced as a whole: a gauge that kept the count of a target that is
+/// gone would show upstreams that are not there.
+#[derive(Debug, Default)]
+pub(crate) struct BoardTotals {
+    totals: Mutex<Totals>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Totals {
+    pub(crate) generation: Option<Generation>,
+    pub(crate) hosts: IndexMap<&'static str, u64>,
+    pub(crate) upstreams: IndexMap<(TargetId, &'static str), u64>,
+}
+
+impl BoardTotals {
+    /// Counts what the board holds now.
+    pub(crate) fn count(&self, board: &Board) {
+        let mut totals = Totals {
+            generation: board.manifest().map(|in_force| in_force.generation),
+            ..Totals::default()
+        };
+        for (_, host) in board.hosts.snapshot() {
+            *totals.hosts.entry(state_name(host.state)).or_default() += 1;
+        }
+        for (_, upstream) in board.upstreams.snapshot() {
+            let key = (upstream.target, health_name(upstream.health));
+            *totals.upstreams.entry(key).or_default() += 1;
+        }
+        *self.lock() = totals;
+    }
+
+    pub(crate) fn latest(&self) -> Totals {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Totals> {
+        self.totals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn state_name(state: HostState) -> &'static str {
+    match state {
+        HostState::Alive => "alive",
+        HostState::Suspect => "suspect",
+        HostState::Leaving => "leaving",
+        HostState::Dead => "dead",
+    }
+}
+
+fn health_name(health: UpstreamHealth) -> &'static str {
+    match health {
+        UpstreamHealth::Live => "live",
+        UpstreamHealth::Leaving => "leaving",
+    }
+}
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -24,13 +24,15 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::board::Board;
 use crate::control::outcome::Outcome;
 use crate::decide::LengthClass;
 use crate::manifest::Manifest;
 use crate::observe::LedgerTotals;
 use crate::observe::ObserveError;
+use crate::observe::board_totals::BoardTotals;
+use crate::observe::gauges;
 use crate::units::CustomerId;
-use crate::units::Generation;
 use crate::units::PoolId;
 use crate::units::Tokens;
 
@@ -58,6 +60,7 @@
     _provider: SdkMeterProvider,
     customers: RwLock<IndexMap<CustomerId, StringValue>>,
     ledgers: Arc<LedgerTotals>,
+    board: Arc<BoardTotals>,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
     queue_wait: Histogram<f64>,
@@ -66,9 +69,7 @@
     retries: Counter<u64>,
     control_bytes: Counter<u64>,
     in_flight: UpDownCounter<i64>,
-    generation: Gauge<u64>,
     platform_age: Gauge<f64>,
-    hosts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -87,11 +88,14 @@
             .build();
         let meter = provider.meter("banyanarch");
         let ledgers = Arc::new(LedgerTotals::default());
-        observe_ledgers(&meter, &ledgers);
+        let board = Arc::new(BoardTotals::default());
+        gauges::observe_ledgers(&meter, &ledgers);
+        gauges::observe_board(&meter, &board);
         let metrics = Self {
             registry,
             customers: RwLock::default(),
             ledgers,
+            board,
             first_token: seconds(&meter, "time_to_first_token", &FIRST_TOKEN_BOUNDS),
             between_tokens: seconds(&meter, "time_between_tokens", &BETWEEN_TOKENS_BOUNDS),
             queue_wait: seconds(&meter, "queue_wait", &QUEUE_WAIT_BOUNDS),
@@ -100,23 +104,34 @@
             retries: meter.u64_counter("retries").build(),
             control_bytes: meter.u64_counter("control").with_unit("By").build(),
             in_flight: meter.i64_up_down_counter("in_flight").build(),
-            generation: meter.u64_gauge("manifest_generation").build(),
             platform_age: meter.f64_gauge("platform_age").with_unit("s").build(),
-            hosts: meter.u64_gauge("hosts").build(),
             _provider: provider,
         };
         Ok(metrics)
     }
 
-    /// Takes the customers of a manifest that has come in force as the ones that get series.
+    /// Takes in what the board holds: the customers of the manifest in force, which get series, and
+    /// the counts of hosts and upstreams. To be called often, such as each second.
+    pub fn see_board(&self, board: &Board) {
+        let before = self.board.latest().generation;
+        self.board.count(board);
+        if let Some(in_force) = board.manifest()
+            && before != Some(in_force.generation)
+        {
+            self.set_customers(&in_force.manifest);
+        }
+    }
+
+    /// Takes the customers of a manifest as the ones that get series.
     pub fn set_customers(&self, manifest: &Manifest) {
         let label = |name: &CustomerId| StringValue::from(Arc::<str>::from(name.as_str()));
         let names = manifest.customers.iter().map(|customer| &customer.name);
         let customers = names.map(|name| (name.clone(), label(name))).collect();
-        *self
+        let mut known = self
             .customers
             .write()
-            .unwrap_or_else(PoisonError::into_inner) = customers;
+            .unwrap_or_else(PoisonError::into_inner);
+        *known = customers;
     }
 
     /// From a request's first byte to the first token of its answer.
@@ -183,21 +198,11 @@
             .add(change, &[KeyValue::new("class", class.name())]);
     }
 
-    /// The manifest in force.
-    pub fn generation(&self, generation: Generation) {
-        self.generation.record(generation.0, &[]);
-    }
-
     /// How long ago the platform last answered.
     pub fn platform_age(&self, age: Duration) {
         self.platform_age.record(age.as_secs_f64(), &[]);
     }
 
-    /// How many hosts membership knows in a state.
-    pub fn hosts(&self, state: &'static str, count: u64) {
-        self.hosts.record(count, &[KeyValue::new("state", state)]);
-    }
-
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Result<String, ObserveError> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
@@ -229,29 +234,3 @@
         .build()
         .ok()
 }
-
-fn observe_ledgers(meter: &Meter, ledgers: &Arc<LedgerTotals>) {
-    let seen = ledgers.clone();
-    let held = meter.u64_observable_gauge("ledger_held_tokens");
-    held.with_callback(move |gauge| {
-        for (pool, total) in seen.snapshot() {
-            gauge.observe(
-                total.held_tokens.0,
-                &[KeyValue::new("pool", pool.to_string())],
-            );
-        }
-    })
-    .build();
-    let seen = ledgers.clone();
-    let capacity = meter.u64_observable_gauge("ledger_capacity_tokens");
-    capacity
-        .with_callback(move |gauge| {
-            for (pool, total) in seen.snapshot() {
-                gauge.observe(
-                    total.capacity_tokens.0,
-                    &[KeyValue::new("pool", pool.to_string())],
-                );
-            }
-        })
-        .build();
-}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,7 +1,9 @@
 //! Metrics, logs and explanations of what was decided.
 
+mod board_totals;
 mod error;
 mod explanations;
+mod gauges;
 mod ledger_totals;
 pub mod logs;
 mod metrics;
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -5,9 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::board::Board;
+use banyanarch::board::HostState;
+use banyanarch::board::HostView;
+use banyanarch::board::UpstreamView;
 use banyanarch::clock::ManualClock;
 use banyanarch::control::outcome::Outcome;
 use banyanarch::decide::LengthClass;
+use banyanarch::decide::UpstreamHealth;
+use banyanarch::manifest::InForce;
 use banyanarch::manifest::Manifest;
 use banyanarch::observe::Bounds;
 use banyanarch::observe::Explanations;
@@ -17,8 +23,10 @@
 use banyanarch::settings::LogFormat;
 use banyanarch::settings::LogSettings;
 use banyanarch::settings::Settings;
+use banyanarch::units::ContentHash;
 use banyanarch::units::CustomerId;
 use banyanarch::units::Generation;
+use banyanarch::units::Incarnation;
 use banyanarch::units::PoolId;
 use banyanarch::units::RequestId;
 use banyanarch::units::Tokens;
@@ -89,13 +97,12 @@
     metrics.in_flight(LengthClass::Short, 1);
     metrics.ledger(&"a/b/0".parse().unwrap(), Tokens(0), Tokens(1));
     metrics.control_bytes("membership", 1);
-    metrics.generation(Generation(1));
     metrics.platform_age(Duration::ZERO);
-    metrics.hosts("alive", 1);
+    metrics.see_board(&board());
     let text = metrics.render().unwrap();
     let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
-    assert_eq!(names.len(), 13);
+    assert_eq!(names.len(), 14);
     for name in names {
         assert!(page.contains(&format!("| `{name}` |")), "{name}");
     }
@@ -126,6 +133,56 @@
     }
 }
 
+fn board() -> Board {
+    let board = Board::new();
+    board.advance_manifest(InForce {
+        generation: Generation(4),
+        hash: ContentHash::of(DESAI.as_bytes()),
+        manifest: Manifest::parse(DESAI, "m.yaml").unwrap(),
+    });
+    let upstream = UpstreamView {
+        id: "engine-1".parse().unwrap(),
+        target: "geet-model".parse().unwrap(),
+        domain: "navrangpura".parse().unwrap(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        health: UpstreamHealth::Live,
+    };
+    board.upstreams.insert(upstream.id.clone(), upstream);
+    let host = HostView {
+        id: "host-1".parse().unwrap(),
+        domain: "navrangpura".parse().unwrap(),
+        peer_addr: "127.0.0.1:9".parse().unwrap(),
+        incarnation: Incarnation(1),
+        state: HostState::Suspect,
+        generation: Generation(4),
+    };
+    board.hosts.insert(host.id.clone(), host);
+    board
+}
+
+/// A host starts, gets its first manifest, and later its last upstream vanishes. The customers must
+/// get their own series from the manifest on, and the gauges must not keep what is gone.
+#[test]
+fn the_board_is_counted_anew_each_time() {
+    let metrics = Metrics::new().unwrap();
+    let board = board();
+    metrics.see_board(&board);
+    metrics.first_token(
+        &customer("garba-karaoke"),
+        LengthClass::Short,
+        Duration::ZERO,
+    );
+    let text = metrics.render().unwrap();
+    assert!(text.contains("banyanarch_manifest_generation 4"));
+    assert!(text.contains("banyanarch_hosts{state=\"suspect\"} 1"));
+    let live = "banyanarch_upstreams{health=\"live\",target=\"geet-model\"}";
+    assert!(text.contains(&format!("{live} 1")));
+    assert!(text.contains("customer=\"garba-karaoke\""));
+    board.upstreams.retain(|_, _| false);
+    metrics.see_board(&board);
+    assert!(!metrics.render().unwrap().contains(live));
+}
+
 /// A caller puts a fresh name into the customer header of every request. With a series for each,
 /// the host's memory grows until it is killed, and all its requests with it.
 #[test]
