--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -14,6 +14,7 @@
 mod manifest_changes;
 mod publication;
 mod publish;
+mod publish_verdict;
 mod remote;
 mod show;
 mod status;
@@ -28,8 +29,8 @@
 pub use error::CmdError;
 pub use exit::Exit;
 pub use manifest_changes::changes;
-pub use publication::PublishVerdict;
 pub use publication::publish;
+pub use publish_verdict::PublishVerdict;
 
 /// Runs the tool with the arguments after its name. What it has to say goes to `out`, problems go
 /// to standard error.
--- a/src/cmd/publication.rs
+++ b/src/cmd/publication.rs
@@ -6,11 +6,10 @@
 //! second identical write under the same expected version is harmless: at most one of the two can
 //! take effect, and both say the same.
 
-use std::fmt;
 use std::time::Duration;
 
 use crate::cmd::CmdError;
-use crate::cmd::Exit;
+use crate::cmd::PublishVerdict;
 use crate::cmd::remote::published;
 use crate::manifest::CURRENT;
 use crate::manifest::PublishedManifest;
@@ -22,42 +21,6 @@
 use crate::units::Generation;
 use crate::units::ObjectVersion;
 
-/// What came of publishing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PublishVerdict {
-    /// It is the manifest of this generation.
-    Accepted(Generation),
-    /// It was not taken and never will be.
-    Refused(String),
-    /// The platform was not reached; nothing was written.
-    Unreachable(String),
-    /// The platform did not say.
-    Unknown(String),
-}
-
-impl PublishVerdict {
-    /// The exit code that goes with it.
-    pub fn exit(&self) -> Exit {
-        match self {
-            Self::Accepted(_) => Exit::Done,
-            Self::Refused(_) => Exit::Refused,
-            Self::Unreachable(_) => Exit::Unreachable,
-            Self::Unknown(_) => Exit::Unknown,
-        }
-    }
-}
-
-impl fmt::Display for PublishVerdict {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Accepted(generation) => write!(f, "accepted as generation {generation}"),
-            Self::Refused(why) => write!(f, "refused ({why})"),
-            Self::Unreachable(why) => write!(f, "refused ({why}; nothing was written)"),
-            Self::Unknown(why) => write!(f, "unknown ({why})"),
-        }
-    }
-}
-
 /// The manifest that the platform holds, with its object's version.
 type Current = Option<(PublishedManifest, ObjectVersion)>;
 
--- a/src/yaml/mod.rs
+++ b/src/yaml/mod.rs
@@ -8,6 +8,7 @@
 mod file_errors;
 mod node;
 mod problem;
+mod raw;
 mod scalar;
 
 pub use fields::Fields;
