publish refuses the manifest of another deployment

Cause: with two addresses mixed up, one operator's publish left the hosts of the other deployment with a manifest that none of them takes. Change: the tool compares with the deployment of the held manifest before it writes. Runs: tests/cmd_publish.rs 15 passed; without the comparison its test fails.

--- a/src/cmd/publication.rs
+++ b/src/cmd/publication.rs
@@ -12,6 +12,7 @@
 use crate::cmd::PublishVerdict;
 use crate::cmd::remote::published;
 use crate::manifest::CURRENT;
+use crate::manifest::Manifest;
 use crate::manifest::PublishedManifest;
 use crate::platform::Expected;
 use crate::platform::Kind;
@@ -77,7 +78,12 @@
         let why = format!("generation {generation} is published");
         return Next::Tell(PublishVerdict::Refused(why));
     }
-    if current.is_some_and(|(held, _)| held.text == text) {
+    let held_text = current.as_ref().map(|(held, _)| held.text.as_str());
+    if let Some(other) = held_text.and_then(|held| other_deployment(held, text)) {
+        let why = format!("this platform holds the manifest of deployment {other}");
+        return Next::Tell(PublishVerdict::Refused(why));
+    }
+    if held_text == Some(text) {
         return Next::Tell(PublishVerdict::Accepted(generation));
     }
     Next::Write(Write {
@@ -86,6 +92,18 @@
     })
 }
 
+/// The deployment of the held manifest, if it is not that of the new one. Hosts would refuse the new
+/// one and be left without a manifest that they can take.
+fn other_deployment(held: &str, new: &str) -> Option<String> {
+    let deployment = |text| {
+        Manifest::parse(text, "")
+            .ok()
+            .map(|manifest| manifest.deployment)
+    };
+    let held = deployment(held)?;
+    (Some(&held) != deployment(new).as_ref()).then_some(held)
+}
+
 async fn put(
     platform: &dyn Platform,
     write: &Write,
--- a/tests/cmd_publish.rs
+++ b/tests/cmd_publish.rs
@@ -247,6 +247,20 @@
     );
 }
 
+/// An operator of two deployments mixes up the addresses. The hosts would refuse the other
+/// deployment's manifest, and new hosts would find none that they can take.
+#[test]
+fn a_manifest_of_another_deployment_is_refused() {
+    let theirs = include_str!("../examples/acornleaf/manifest.yaml");
+    let platform = FakePlatform::holding(theirs);
+    let verdict = publish_to(&platform, None);
+    assert!(
+        verdict.to_string().contains("deployment acornleaf"),
+        "{verdict}"
+    );
+    assert_eq!(platform.held().text, theirs);
+}
+
 #[test]
 fn a_platform_that_is_away_is_told_apart_from_a_refusal() {
     let platform = FakePlatform::holding("old");
