--- a/src/cmd/publication.rs
+++ b/src/cmd/publication.rs
@@ -56,7 +56,7 @@
         }
         Err(error) => return Err(error),
     };
-    let write = match plan(current, text, publish_id, expect) {
+    let write = match plan(&current, text, publish_id, expect) {
         Next::Write(write) => write,
         Next::Tell(verdict) => return Ok(verdict),
     };
@@ -69,8 +69,8 @@
     }
 }
 
-fn plan(current: Current, text: &str, publish_id: u128, expect: Option<Generation>) -> Next {
-    let (generation, expected) = match &current {
+fn plan(current: &Current, text: &str, publish_id: u128, expect: Option<Generation>) -> Next {
+    let (generation, expected) = match current {
         Some((held, version)) => (held.generation, Expected::Version(*version)),
         None => (Generation::default(), Expected::Absent),
     };
