--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -5,9 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::board::Board;
+use banyanarch::board::HostState;
+use banyanarch::board::HostView;
+use banyanarch::board::UpstreamView;
 use banyanarch::clock::ManualClock;
 use banyanarch::control::outcome::Outcome;
 use banyanarch::decide::LengthClass;
+use banyanarch::decide::UpstreamHealth;
+use banyanarch::manifest::InForce;
 use banyanarch::manifest::Manifest;
 use banyanarch::observe::Bounds;
 use banyanarch::observe::Explanations;
@@ -16,12 +22,17 @@
 use banyanarch::observe::logs;
 use banyanarch::settings::LogFormat;
 use banyanarch::settings::LogSettings;
+use banyanarch::settings::Settings;
+use banyanarch::units::ContentHash;
 use banyanarch::units::CustomerId;
+use banyanarch::units::Generation;
+use banyanarch::units::Incarnation;
 use banyanarch::units::PoolId;
 use banyanarch::units::RequestId;
 use banyanarch::units::Tokens;
 
 const DESAI: &str = include_str!("../examples/desai/manifest.yaml");
+const HOST: &str = include_str!("../examples/desai/desai-navrangpura-1.yaml");
 const LOG_CHILD: &str = "BANYANARCH_TEST_LOG_CHILD";
 
 fn customer(name: &str) -> CustomerId {
@@ -72,6 +83,106 @@
     }
 }
 
+/// An operator who looks a metric up, or a setting, finds it on the operators' page.
+#[test]
+fn the_operators_page_names_all_metrics_and_settings() {
+    let page = include_str!("../docs/OPERATING.md");
+    let metrics = metrics();
+    let films = customer("sabarmati-films");
+    metrics.first_token(&films, LengthClass::Short, Duration::ZERO);
+    metrics.between_tokens(&films, LengthClass::Short, Duration::ZERO);
+    metrics.queue_wait(&films, LengthClass::Short, Duration::ZERO);
+    metrics.outcome(&films, LengthClass::Short, Outcome::NotRun, "deadline");
+    metrics.retry("refused");
+    metrics.in_flight(LengthClass::Short, 1);
+    metrics.ledger(&"a/b/0".parse().unwrap(), Tokens(0), Tokens(1));
+    metrics.control_bytes("membership", 1);
+    metrics.platform_age(Duration::ZERO);
+    metrics.see_board(&board());
+    let text = metrics.render().unwrap();
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
+    assert_eq!(names.len(), 14);
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+    let settings = Settings::parse(HOST, "host.yaml").unwrap();
+    let manifest = Manifest::parse(DESAI, "m.yaml").unwrap();
+    let mut fields = Vec::new();
+    collect_fields("", &serde_json::to_value(settings).unwrap(), &mut fields);
+    collect_fields("", &serde_json::to_value(manifest).unwrap(), &mut fields);
+    for field in fields.iter().filter(|field| !field.starts_with("peers.")) {
+        assert!(page.contains(&format!("| `{field}` |")), "{field}");
+    }
+}
+
+fn collect_fields(path: &str, value: &serde_json::Value, fields: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(entries) => {
+            for (key, value) in entries {
+                let dot = if path.is_empty() { "" } else { "." };
+                collect_fields(&format!("{path}{dot}{key}"), value, fields);
+            }
+        }
+        serde_json::Value::Array(items) if items.iter().any(serde_json::Value::is_object) => {
+            items
+                .iter()
+                .for_each(|item| collect_fields(&format!("{path}[]"), item, fields));
+        }
+        _ => fields.push(path.to_owned()),
+    }
+}
+
+fn board() -> Board {
+    let board = Board::new();
+    board.advance_manifest(InForce {
+        generation: Generation(4),
+        hash: ContentHash::of(DESAI.as_bytes()),
+        manifest: Manifest::parse(DESAI, "m.yaml").unwrap(),
+    });
+    let upstream = UpstreamView {
+        id: "engine-1".parse().unwrap(),
+        target: "geet-model".parse().unwrap(),
+        domain: "navrangpura".parse().unwrap(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        health: UpstreamHealth::Live,
+    };
+    board.upstreams.insert(upstream.id.clone(), upstream);
+    let host = HostView {
+        id: "host-1".parse().unwrap(),
+        domain: "navrangpura".parse().unwrap(),
+        peer_addr: "127.0.0.1:9".parse().unwrap(),
+        incarnation: Incarnation(1),
+        state: HostState::Suspect,
+        generation: Generation(4),
+    };
+    board.hosts.insert(host.id.clone(), host);
+    board
+}
+
+/// A host starts, gets its first manifest, and later its last upstream vanishes. The customers must
+/// get their own series from the manifest on, and the gauges must not keep what is gone.
+#[test]
+fn the_board_is_counted_anew_each_time() {
+    let metrics = Metrics::new().unwrap();
+    let board = board();
+    metrics.see_board(&board);
+    metrics.first_token(
+        &customer("garba-karaoke"),
+        LengthClass::Short,
+        Duration::ZERO,
+    );
+    let text = metrics.render().unwrap();
+    assert!(text.contains("banyanarch_manifest_generation 4"));
+    assert!(text.contains("banyanarch_hosts{state=\"suspect\"} 1"));
+    let live = "banyanarch_upstreams{health=\"live\",target=\"geet-model\"}";
+    assert!(text.contains(&format!("{live} 1")));
+    assert!(text.contains("customer=\"garba-karaoke\""));
+    board.upstreams.retain(|_, _| false);
+    metrics.see_board(&board);
+    assert!(!metrics.render().unwrap().contains(live));
+}
+
 /// A caller puts a fresh name into the customer header of every request. With a series for each,
 /// the host's memory grows until it is killed, and all its requests with it.
 #[test]
