--- a/standin/src/demo/tally.rs
+++ b/standin/src/demo/tally.rs
@@ -23,6 +23,8 @@
     pub lost: u64,
     /// Requests that must not run twice and did.
     pub doubled: u64,
+    /// What callers were told where no answer came, with counts.
+    reasons: IndexMap<String, u64>,
     faults: Vec<String>,
 }
 
@@ -59,6 +61,7 @@
             tally.rows.push(row);
         }
         for one in carried {
+            tally.note_reason(&one.verdict);
             tally.check(one, ran.get(&one.body_hash).copied().unwrap_or(0));
         }
         tally
@@ -98,6 +101,9 @@
                 show_ms(percentile_ms(&row.totals, 95.0)),
             );
         }
+        for (reason, count) in &self.reasons {
+            let _ = writeln!(out, "{count:>6} {reason}");
+        }
         for fault in &self.faults {
             let _ = writeln!(out, "{fault}");
         }
@@ -110,6 +116,15 @@
         out
     }
 
+    fn note_reason(&mut self, verdict: &Verdict) {
+        let reason = match verdict {
+            Verdict::NotRun { reason, .. } => format!("not run: {reason}"),
+            Verdict::MayHaveRun(reason) => format!("may have run: {reason}"),
+            _ => return,
+        };
+        *self.reasons.entry(reason).or_insert(0) += 1;
+    }
+
     fn check(&mut self, one: &Carried, ran: u64) {
         let number = one.ask.number;
         let lost = match (&one.verdict, ran) {
--- /dev/null
+++ b/standin/tests/service.rs
@@ -0,0 +1,58 @@
+//! The stand-in service.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standin::caller::Ask;
+use standin::caller::Target;
+use standin::caller::Verdict;
+use standin::caller::send;
+use standin::engine::RunEnd;
+use standin::service::Service;
+use standin::service::ServiceFaults;
+use standin::service::ServiceOptions;
+use yare::parameterized;
+
+fn grant() -> Ask {
+    Ask {
+        number: 1,
+        at: Duration::ZERO,
+        target: Target::Service,
+        customer: "film-studio".to_owned(),
+        prompt_tokens: 20,
+        prefix_group: 1,
+        prefix_tokens: 0,
+        max_tokens: 0,
+        limit: Duration::from_secs(5),
+        repeatable: false,
+        key: Some("grant-1".to_owned()),
+    }
+}
+
+/// A licence grant is made and its answer gets lost. The caller can't know, but the record does; a
+/// grant that was refused is not in the record.
+#[parameterized(
+    answered = { ServiceFaults::default(), Some(RunEnd::Completed), true },
+    cut = { ServiceFaults { cut_one_in: 1, ..ServiceFaults::default() }, Some(RunEnd::Completed), false },
+    failed = { ServiceFaults { fail_one_in: 1, ..ServiceFaults::default() }, Some(RunEnd::Failed), false },
+    refused = { ServiceFaults { refuse: true, ..ServiceFaults::default() }, None, false },
+)]
+#[test_macro(tokio::test)]
+async fn what_ran_is_recorded(faults: ServiceFaults, end: Option<RunEnd>, completed: bool) {
+    let service = Service::start(ServiceOptions::default()).await.unwrap();
+    service.set_faults(faults);
+    let ask = grant();
+    let sent = send(service.addr(), &ask, ask.body(), Instant::now()).await;
+    assert_eq!(sent.verdict == Verdict::Completed, completed);
+    assert_eq!(
+        matches!(sent.verdict, Verdict::NotRun { .. }),
+        end.is_none()
+    );
+    let record = service.record();
+    assert_eq!(record.first().and_then(|run| run.end), end);
+    assert!(
+        record
+            .iter()
+            .all(|run| run.key.as_deref() == Some("grant-1"))
+    );
+}
