--- a/src/bin/banyanarchd.rs
+++ b/src/bin/banyanarchd.rs
@@ -55,7 +55,7 @@
 
 fn run(path: &Path) -> ExitCode {
     match daemon::run(path) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => ExitCode::from(u8::try_from(code).unwrap_or(1)),
         Err(DaemonError::Settings(errors)) => {
             eprintln!("{errors}");
             ExitCode::from(EXIT_BAD_SETTINGS)
--- a/src/board/upstream_view.rs
+++ b/src/board/upstream_view.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::UpstreamHealth;
 use crate::units::FailureDomainId;
+use crate::units::ObjectVersion;
 use crate::units::TargetId;
 use crate::units::UpstreamId;
 
@@ -18,6 +19,8 @@
     pub domain: FailureDomainId,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// The version of the platform's word on it.
+    pub version: ObjectVersion,
     /// Whether it may get new work.
     pub health: UpstreamHealth,
 }
--- /dev/null
+++ b/src/daemon/drain.rs
@@ -0,0 +1,86 @@
+//! Runs the shutdown of a host.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::time::sleep;
+
+use crate::control::drain::DrainAction;
+use crate::control::drain::DrainConf;
+use crate::control::drain::DrainController;
+use crate::control::drain::DrainEvent;
+use crate::daemon::host::Host;
+use crate::settings::DrainSettings;
+
+/// How often the shutdown looks at what is left.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Once nothing is in flight, the last answers still have to leave for their callers.
+const LAST_WRITES: Duration = Duration::from_millis(200);
+
+/// The shutdown of a host.
+pub(crate) struct Drain {
+    controller: Mutex<DrainController>,
+}
+
+impl Drain {
+    pub(crate) fn new(settings: &DrainSettings, now: Instant) -> Self {
+        Self {
+            controller: Mutex::new(DrainController::new(DrainConf::from(settings), now)),
+        }
+    }
+
+    /// Whether the balancer may send work, as far as the shutdown is concerned.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.lock().is_ready()
+    }
+
+    /// Shuts the host down and returns the exit code.
+    pub(crate) async fn run(&self, host: &Host) -> i32 {
+        if let Some(code) = self.step(host, DrainEvent::Signal) {
+            return code;
+        }
+        loop {
+            sleep(LOOK_PAUSE).await;
+            let left = DrainEvent::Left {
+                in_flight: host.parts.in_flight.count(),
+                claims: host.parts.claims.pending(),
+            };
+            if let Some(code) = self.step(host, left) {
+                sleep(LAST_WRITES).await;
+                return code;
+            }
+        }
+    }
+
+    /// The second signal.
+    pub(crate) fn cut(&self, host: &Host) -> i32 {
+        self.step(host, DrainEvent::Signal).unwrap_or(1)
+    }
+
+    fn step(&self, host: &Host, event: DrainEvent) -> Option<i32> {
+        let actions = self.lock().handle(event, host.clock.now());
+        let mut code = None;
+        for action in actions {
+            match action {
+                DrainAction::AnnounceLeaving => host.membership.leave(),
+                DrainAction::HandOverHomes => host.homes.hand_over(),
+                DrainAction::StopAccepting => {
+                    host.parts.in_flight.close();
+                    host.stop_callers.send_replace(true);
+                }
+                DrainAction::Exit(exit) => code = Some(exit),
+            }
+        }
+        code
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DrainController> {
+        self.controller
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -1,107 +1,144 @@
 //! One host: all parts of a running daemon.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::UNIX_EPOCH;
 
-use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
-use hyper::StatusCode;
 use indexmap::IndexMap;
 use log::info;
-use log::warn;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::board::Board;
 use crate::clock::Clock;
 use crate::clock::SystemClock;
+use crate::control::claims::ClaimConf;
+use crate::control::claims::ClaimStore;
+use crate::control::membership::Membership;
+use crate::control::membership::MembershipConf;
 use crate::daemon::DaemonError;
-use crate::daemon::machine_list;
+use crate::daemon::drain::Drain;
+use crate::daemon::loops;
 use crate::daemon::manifest_loop;
-use crate::daemon::no_peers::NoPeers;
-use crate::daemon::own_homes::OwnHomes;
+use crate::daemon::news::News;
+use crate::daemon::pages::HostPages;
 use crate::daemon::poll;
 use crate::daemon::status_server;
-use crate::daemon::status_server::Page;
-use crate::daemon::status_server::Pages;
-use crate::decide::Poison;
 use crate::decide::PoisonList;
 use crate::entry::BodyMemory;
-use crate::entry::ClaimAnswer;
-use crate::entry::ClaimDesk;
-use crate::entry::ClaimWanted;
 use crate::entry::EntryParts;
 use crate::entry::InFlight;
-use crate::entry::PoisonSpread;
 use crate::entry::serve_callers;
+use crate::fleet::FleetHomes;
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeDesk;
 use crate::fleet::HomeDeskParts;
 use crate::fleet::HomeGranter;
 use crate::fleet::HomeGranterParts;
 use crate::fleet::HomeMap;
+use crate::fleet::MembershipDesk;
+use crate::fleet::PeerDesk;
+use crate::fleet::RelayPlatform;
 use crate::fleet::UpstreamRegistry;
 use crate::http::HttpClient;
 use crate::observe::Bounds;
 use crate::observe::Explanations;
 use crate::observe::Metrics;
+use crate::peer::Keyring;
+use crate::peer::PeerPool;
+use crate::peer::PeerServer;
+use crate::peer::SeededAddrs;
+use crate::peer::Traffic;
 use crate::platform::HttpPlatform;
-use crate::platform::Kind;
 use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::units::RequestId;
+use crate::units::Incarnation;
 
-const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
-const MACHINES_PAUSE: Duration = Duration::from_secs(1);
-const REFRESH_PAUSE: Duration = Duration::from_millis(200);
-
-/// A running daemon.
+/// A running daemon: what its loops and its shutdown work with.
 pub(crate) struct Host {
-    settings: Settings,
-    parts: Arc<EntryParts>,
-    desk: Arc<HomeDesk>,
-    is_draining: Arc<AtomicBool>,
-    stop: watch::Sender<bool>,
-    callers: tokio::task::JoinHandle<()>,
-    _peers: TcpListener,
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) parts: Arc<EntryParts>,
+    pub(crate) homes: Arc<HomeDesk>,
+    pub(crate) home_table: Arc<FleetHomes>,
+    pub(crate) granter: Arc<HomeGranter>,
+    pub(crate) membership: Arc<MembershipDesk>,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) addrs: Arc<SeededAddrs>,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) news: Arc<News>,
+    pub(crate) drain: Arc<Drain>,
+    pub(crate) stop_callers: watch::Sender<bool>,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    status: TcpListener,
 }
 
 impl Host {
     /// Binds all ports and starts all parts.
-    pub(crate) async fn start(settings: Settings) -> Result<Self, DaemonError> {
-        let callers = bind("listen.callers", settings.listen.callers).await?;
-        let peers = bind("listen.peers", settings.listen.peers).await?;
-        let status = bind("listen.status", settings.listen.status).await?;
+    pub(crate) async fn start(settings: Settings) -> Result<Arc<Self>, DaemonError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let peer_addr = listeners.peers.local_addr()?;
         info!(
             "daemon: host {} serves callers on {}, peers on {}, status on {}",
             settings.host,
-            callers.local_addr()?,
-            peers.local_addr()?,
-            status.local_addr()?
+            listeners.callers.local_addr()?,
+            peer_addr,
+            listeners.status.local_addr()?
         );
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let board = Arc::new(Board::new());
-        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
-            HttpClient::new(settings.platform.address),
-            Duration::from_millis(settings.platform.timeout_ms),
+        let traffic = Arc::new(Traffic::new(
+            Arc::clone(&clock),
+            settings.peers.control_bytes_per_second,
+        ));
+        let addrs = Arc::new(SeededAddrs::new(Arc::clone(&board)));
+        addrs.learn(&settings.peers.seeds);
+        let peers = Arc::new(PeerPool::new(
+            settings.host.clone(),
+            Keyring::new(settings.peers.keys.clone()),
+            Arc::clone(&addrs) as _,
+            Arc::clone(&traffic),
+            StdRng::from_os_rng(),
+        ));
+        let membership = Arc::new(MembershipDesk::new(
+            Arc::clone(&clock),
+            Arc::clone(&board),
+            Arc::clone(&peers) as _,
+            Membership::new(
+                MembershipConf {
+                    host: settings.host.clone(),
+                    domain: settings.failure_domain.clone(),
+                    peer_addr,
+                    incarnation: first_incarnation(&*clock),
+                    bytes_per_second: settings.peers.control_bytes_per_second,
+                    seeds: settings.peers.seeds.clone(),
+                },
+                StdRng::from_os_rng(),
+                clock.now(),
+            ),
+        ));
+        let home_table = Arc::new(FleetHomes::new(
+            Arc::clone(&board),
+            Arc::clone(&membership),
+            settings.failure_domain.clone(),
         ));
+        let map = Arc::clone(&home_table) as Arc<dyn HomeMap>;
         let upstreams = Arc::new(UpstreamRegistry::new(Arc::clone(&board)));
-        let map: Arc<dyn HomeMap> = Arc::new(OwnHomes {
-            board: Arc::clone(&board),
-            host: settings.host.clone(),
-            domain: settings.failure_domain.clone(),
-        });
         let waiters = Arc::new(GrantWaiters::default());
-        let desk = Arc::new(HomeDesk::new(HomeDeskParts {
+        let homes = Arc::new(HomeDesk::new(HomeDeskParts {
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
             board: Arc::clone(&board),
-            peers: Arc::new(NoPeers),
+            peers: Arc::clone(&peers) as _,
             map: Arc::clone(&map),
             upstreams: Arc::clone(&upstreams) as _,
             waiters: Arc::clone(&waiters),
@@ -110,74 +147,118 @@
         let granter = Arc::new(HomeGranter::new(HomeGranterParts {
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
-            peers: Arc::new(NoPeers),
+            peers: Arc::clone(&peers) as _,
             map: Arc::clone(&map),
-            desk: Arc::clone(&desk),
-            waiters,
+            desk: Arc::clone(&homes),
+            waiters: Arc::clone(&waiters),
             policy: settings.policy,
         }));
+        let direct: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
+            HttpClient::new(settings.platform.address),
+            Duration::from_millis(settings.platform.timeout_ms),
+        ));
+        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform {
+            direct: Arc::clone(&direct),
+            peers: Arc::clone(&peers) as _,
+            board: Arc::clone(&board),
+            host: settings.host.clone(),
+            domain: settings.failure_domain.clone(),
+        });
+        let claims = ClaimStore::new(
+            &relayed,
+            &clock,
+            ClaimConf::default(),
+            &mut StdRng::from_os_rng(),
+        );
         let parts = Arc::new(EntryParts {
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
             board: Arc::clone(&board),
             granter: Arc::clone(&granter) as _,
-            claims: Arc::new(NoClaims),
+            claims: Arc::new(claims),
             upstreams: Arc::clone(&upstreams) as _,
             bodies: BodyMemory::new(settings.body_memory_size),
             in_flight: InFlight::default(),
             poison: Mutex::new(PoisonList::new()),
-            poison_spread: Arc::new(NoSpread),
+            poison_spread: Arc::clone(&membership) as _,
             retries: Mutex::new(IndexMap::new()),
             metrics: Arc::new(Metrics::new()?),
             explanations: Arc::new(Explanations::new(Arc::clone(&clock), Bounds::default())),
         });
-        let is_draining = Arc::new(AtomicBool::new(false));
-        let pages = HostPages {
+        let news = Arc::new(News {
             parts: Arc::clone(&parts),
-            desk: Arc::clone(&desk),
-            is_draining: Arc::clone(&is_draining),
-        };
-        tokio::spawn(status_server::serve(Arc::new(pages), status));
-        let deployment = settings.deployment.clone();
-        tokio::spawn(manifest_loop::keep(
-            Arc::clone(&board),
-            Arc::clone(&platform),
-            deployment,
+            homes: Arc::clone(&homes),
+            peers: Arc::clone(&peers),
+        });
+        let peer_desk = Arc::new(PeerDesk {
+            clock: Arc::clone(&clock),
+            homes: Arc::clone(&homes),
+            granter: Arc::clone(&granter),
+            waiters,
+            membership: Arc::clone(&membership),
+            news: Arc::clone(&news) as _,
+            platform: Arc::clone(&direct),
+            peers: Arc::clone(&peers) as _,
+        });
+        let peer_server = Arc::new(PeerServer::new(
+            settings.host.clone(),
+            Keyring::new(settings.peers.keys.clone()),
+            peer_desk,
+            Arc::clone(&traffic),
+            StdRng::from_os_rng(),
         ));
-        tokio::spawn(keep_machines(Arc::clone(&board), Arc::clone(&platform)));
-        tokio::spawn(poll::keep(Arc::clone(&desk), Arc::clone(&map), upstreams));
-        tokio::spawn(keep_homes(Arc::clone(&desk)));
-        tokio::spawn(keep_announcing(granter));
-        let (stop, stopped) = watch::channel(false);
-        let callers = tokio::spawn(serve_callers(Arc::clone(&parts), callers, stopped));
-        Ok(Self {
+        let drain = Arc::new(Drain::new(&settings.drain, clock.now()));
+        let (stop_callers, callers_stopped) = watch::channel(false);
+        let host = Arc::new(Self {
             settings,
+            clock,
+            board,
             parts,
-            desk,
-            is_draining,
-            stop,
-            callers,
-            _peers: peers,
-        })
+            homes,
+            home_table,
+            granter,
+            membership,
+            platform: direct,
+            addrs,
+            traffic,
+            news,
+            drain,
+            stop_callers,
+        });
+        let deployment = host.settings.deployment.clone();
+        tokio::spawn(status_server::serve(
+            Arc::new(HostPages(Arc::clone(&host))),
+            listeners.status,
+        ));
+        tokio::spawn(peer_server.serve(listeners.peers, CancellationToken::new()));
+        tokio::spawn(manifest_loop::keep(
+            Arc::clone(&host.board),
+            Arc::clone(&host.platform),
+            deployment,
+        ));
+        tokio::spawn(poll::keep(Arc::clone(&host.homes), map, upstreams));
+        loops::start(&host);
+        tokio::spawn(serve_callers(
+            Arc::clone(&host.parts),
+            listeners.callers,
+            callers_stopped,
+        ));
+        Ok(host)
     }
+}
 
-    /// Fails readiness, takes new work until the balancer has had time to see it, hands the homes
-    /// over, and waits until every request has ended.
-    pub(crate) async fn drain(self) {
-        self.is_draining.store(true, Ordering::SeqCst);
-        sleep(Duration::from_millis(self.settings.drain.notice_ms)).await;
-        self.parts.in_flight.close();
-        self.desk.hand_over();
-        self.parts.in_flight.empty().await;
-        // Whoever waits for a channel that is gone takes it for stopped.
-        self.stop.send_replace(true);
-        if let Err(err) = self.callers.await {
-            warn!("daemon: the callers' port broke down: {err}");
-        }
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, DaemonError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("listen.callers", listen.callers).await?,
+            peers: bind("listen.peers", listen.peers).await?,
+            status: bind("listen.status", listen.status).await?,
+        })
     }
 }
 
-async fn bind(field: &'static str, addr: SocketAddr) -> Result<TcpListener, DaemonError> {
+async fn bind(field: &'static str, addr: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
     let bound = TcpListener::bind(addr).await;
     bound.map_err(|source| DaemonError::Bind {
         field,
@@ -186,125 +267,7 @@
     })
 }
 
-async fn keep_machines(board: Arc<Board>, platform: Arc<dyn Platform>) {
-    loop {
-        match platform.list(Kind::Machines).await {
-            Ok(list) => machine_list::take_in(&board, &list.items),
-            Err(err) => warn!("platform: no list of machines: {err}"),
-        }
-        sleep(MACHINES_PAUSE).await;
-    }
-}
-
-async fn keep_homes(desk: Arc<HomeDesk>) {
-    loop {
-        sleep(REFRESH_PAUSE).await;
-        desk.refresh();
-    }
-}
-
-async fn keep_announcing(granter: Arc<HomeGranter>) {
-    loop {
-        sleep(ANNOUNCE_PAUSE).await;
-        granter.announce();
-    }
-}
-
-struct HostPages {
-    parts: Arc<EntryParts>,
-    desk: Arc<HomeDesk>,
-    is_draining: Arc<AtomicBool>,
-}
-
-impl Pages for HostPages {
-    fn page(&self, path: &str) -> Option<Page> {
-        match path {
-            "/livez" => Some(Page::text(StatusCode::OK, "live\n")),
-            "/readyz" => Some(self.ready()),
-            "/status" => Some(self.status()),
-            "/metrics" => Some(self.metrics()),
-            _ => path.strip_prefix("/explain/").map(|id| self.explain(id)),
-        }
-    }
-}
-
-impl HostPages {
-    fn ready(&self) -> Page {
-        if self.is_draining.load(Ordering::SeqCst) {
-            return Page::text(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
-        }
-        if self.parts.board.manifest().is_none() {
-            return Page::text(StatusCode::SERVICE_UNAVAILABLE, "no manifest yet\n");
-        }
-        Page::text(StatusCode::OK, "ready\n")
-    }
-
-    fn metrics(&self) -> Page {
-        match self.parts.metrics.render() {
-            Ok(text) => Page::text(StatusCode::OK, text),
-            Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
-        }
-    }
-
-    fn explain(&self, id: &str) -> Page {
-        let request: RequestId = match id.parse() {
-            Ok(request) => request,
-            Err(err) => return Page::text(StatusCode::BAD_REQUEST, format!("{err}\n")),
-        };
-        let Some(explanation) = self.parts.explanations.get(request) else {
-            let why = "this host knows nothing of the request, or no longer\n";
-            return Page::text(StatusCode::NOT_FOUND, why);
-        };
-        match serde_json::to_string(&explanation) {
-            Ok(text) => Page::json(StatusCode::OK, text + "\n"),
-            Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
-        }
-    }
-
-    fn status(&self) -> Page {
-        let generation = self
-            .parts
-            .board
-            .manifest()
-            .map(|in_force| in_force.generation);
-        let pools: Vec<String> = self
-            .desk
-            .pools()
-            .into_iter()
-            .map(|(pool, _)| pool.to_string())
-            .collect();
-        let status = serde_json::json!({
-            "host": self.parts.host,
-            "generation": generation,
-            "in_flight": self.parts.in_flight.count(),
-            "upstreams": self.parts.board.upstreams.len(),
-            "homes": pools,
-        });
-        Page::json(StatusCode::OK, format!("{status}\n"))
-    }
-}
-
-struct NoClaims;
-
-impl ClaimDesk for NoClaims {
-    fn claim(&self, _: ClaimWanted) -> BoxFuture<'_, ClaimAnswer> {
-        async {
-            ClaimAnswer::Unavailable {
-                retry_after: Duration::from_secs(1),
-            }
-        }
-        .boxed()
-    }
-
-    fn give_back(&self, _: ClaimWanted) -> BoxFuture<'_, ()> {
-        async {}.boxed()
-    }
-
-    fn finish(&self, _: ClaimWanted) {}
-}
-
-struct NoSpread;
-
-impl PoisonSpread for NoSpread {
-    fn spread(&self, _: &Poison) {}
+fn first_incarnation(clock: &dyn Clock) -> Incarnation {
+    let since_epoch = clock.wall().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.map_or(1, |elapsed| elapsed.as_secs()))
 }
--- a/src/daemon/machine_list.rs
+++ b/src/daemon/machine_list.rs
@@ -9,7 +9,10 @@
 use crate::board::UpstreamView;
 use crate::decide::UpstreamHealth;
 use crate::platform::Object;
+use crate::platform::ObjectList;
+use crate::settings::PeerSeed;
 use crate::units::FailureDomainId;
+use crate::units::ObjectVersion;
 use crate::units::TargetId;
 use crate::units::UpstreamId;
 
@@ -22,67 +25,99 @@
     state: MachineState,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum MachineRole {
     Upstream,
     Entry,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum MachineState {
     Live,
     Leaving,
 }
 
+/// What the list told.
+#[derive(Default)]
+pub(crate) struct Listed {
+    /// Hosts that may be there.
+    pub(crate) seeds: Vec<PeerSeed>,
+    /// Upstreams that are leaving, for those who have an older list.
+    pub(crate) leaving: Vec<(UpstreamId, ObjectVersion)>,
+}
+
 /// Puts the upstreams of the platform's list on the board. One that is no longer listed counts as
-/// leaving: its running requests still need its address.
-pub(crate) fn take_in(board: &Board, machines: &[Object]) {
-    let listed: Vec<UpstreamView> = machines.iter().filter_map(upstream_of).collect();
+/// leaving: its running requests still need its address. The list lags, so what a peer has told of
+/// a later version stays.
+pub(crate) fn take_in(board: &Board, list: &ObjectList) -> Listed {
+    let mut listed = Listed::default();
+    let mut ids: Vec<UpstreamId> = Vec::new();
+    for object in &list.items {
+        match machine_of(object) {
+            Some(Machine::Upstream(view)) => {
+                ids.push(view.id.clone());
+                take_in_upstream(board, view);
+            }
+            Some(Machine::Entry(seed)) => listed.seeds.push(seed),
+            None => {}
+        }
+    }
     board.upstreams.retain(|id, view| {
-        if !listed.iter().any(|listed| listed.id == *id) {
+        let is_listed = ids.contains(id);
+        if !is_listed && view.version <= list.version {
             view.health = UpstreamHealth::Leaving;
         }
+        if view.health == UpstreamHealth::Leaving {
+            listed.leaving.push((id.clone(), view.version));
+        }
         true
     });
-    for mut view in listed {
-        let before = board.upstreams.get(&view.id);
-        // The list lags: an upstream that is known to leave at this address goes on leaving.
-        let left = before.is_some_and(|before| {
-            before.health == UpstreamHealth::Leaving && before.addr == view.addr
-        });
-        if left {
-            view.health = UpstreamHealth::Leaving;
-        }
+    listed
+}
+
+fn take_in_upstream(board: &Board, view: UpstreamView) {
+    let known = board.upstreams.get(&view.id);
+    if known.is_none_or(|known| known.version <= view.version) {
         board.upstreams.insert(view.id.clone(), view);
     }
 }
 
-fn upstream_of(object: &Object) -> Option<UpstreamView> {
-    let spec: MachineSpec = match serde_json::from_value(object.value.clone()) {
+enum Machine {
+    Upstream(UpstreamView),
+    Entry(PeerSeed),
+}
+
+fn machine_of(object: &Object) -> Option<Machine> {
+    let name = &object.key.name;
+    let spec = match MachineSpec::deserialize(&object.value) {
         Ok(spec) => spec,
         Err(err) => {
-            warn!(
-                "platform: machine {} is not understood: {err}",
-                object.key.name
-            );
+            warn!("platform: machine {name} is not understood: {err}");
             return None;
         }
     };
-    if spec.role != MachineRole::Upstream {
-        return None;
+    match spec.role {
+        MachineRole::Upstream => {
+            let is_live = spec.state == MachineState::Live;
+            Some(Machine::Upstream(UpstreamView {
+                id: name.parse().ok()?,
+                target: spec.target?,
+                domain: spec.domain,
+                addr: spec.address,
+                version: object.version,
+                health: if is_live {
+                    UpstreamHealth::Live
+                } else {
+                    UpstreamHealth::Leaving
+                },
+            }))
+        }
+        MachineRole::Entry => Some(Machine::Entry(PeerSeed {
+            host: name.parse().ok()?,
+            failure_domain: spec.domain,
+            address: spec.address,
+        })),
     }
-    let id: UpstreamId = object.key.name.parse().ok()?;
-    let health = match spec.state {
-        MachineState::Live => UpstreamHealth::Live,
-        MachineState::Leaving => UpstreamHealth::Leaving,
-    };
-    Some(UpstreamView {
-        id,
-        target: spec.target?,
-        domain: spec.domain,
-        addr: spec.address,
-        health,
-    })
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,11 +1,13 @@
 //! The daemon: builds the parts and connects them.
 
+mod drain;
 mod error;
 mod host;
+mod loops;
 mod machine_list;
 mod manifest_loop;
-mod no_peers;
-mod own_homes;
+mod news;
+mod pages;
 mod poll;
 mod run;
 mod status_server;
--- /dev/null
+++ b/src/daemon/news.rs
@@ -0,0 +1,46 @@
+//! Acts on changes of the membership.
+
+use std::sync::Arc;
+
+use log::info;
+
+use crate::control::home::HomeEvent;
+use crate::entry::EntryParts;
+use crate::fleet::FleetNews;
+use crate::fleet::HomeDesk;
+use crate::fleet::NewsSink;
+use crate::fleet::poison_wire;
+use crate::peer::PeerPool;
+
+/// Tells the parts of a host what has changed among the others.
+pub(crate) struct News {
+    pub(crate) parts: Arc<EntryParts>,
+    pub(crate) homes: Arc<HomeDesk>,
+    pub(crate) peers: Arc<PeerPool>,
+}
+
+impl NewsSink for News {
+    fn take(&self, news: Vec<FleetNews>) {
+        for item in news {
+            match item {
+                FleetNews::HostAlive(host) => self.homes.tell_all(&HomeEvent::HostAlive(host)),
+                FleetNews::HostDead(host) => {
+                    self.peers.reset(&host);
+                    self.homes.tell_all(&HomeEvent::HostDead(host));
+                }
+                FleetNews::DropWhatIsHeld => self.homes.hand_over(),
+                FleetNews::Poison(notice) => {
+                    let now = self.parts.clock.now();
+                    if let Some(poison) = poison_wire::poison_of(&notice)
+                        && self.parts.poison_list().merge(&poison, now)
+                    {
+                        info!(
+                            "poison: another host saw {:?} crash an upstream",
+                            poison.mark
+                        );
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -13,8 +13,9 @@
 use crate::observe::logs;
 use crate::settings::Settings;
 
-/// Runs a daemon until it has drained after SIGTERM or SIGINT, or until the second of them.
-pub fn run(settings_path: &Path) -> Result<(), DaemonError> {
+/// Runs a daemon until it has drained after SIGTERM or SIGINT, or until the second of them, and
+/// returns the exit code.
+pub fn run(settings_path: &Path) -> Result<i32, DaemonError> {
     let settings = Settings::read(settings_path)?;
     logs::init(&settings.logs)?;
     let mut runtime = Builder::new_multi_thread();
@@ -25,17 +26,18 @@
     runtime.block_on(serve(settings))
 }
 
-async fn serve(settings: Settings) -> Result<(), DaemonError> {
+async fn serve(settings: Settings) -> Result<i32, DaemonError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let host = Host::start(settings).await?;
     any_of(&mut terminate, &mut interrupt).await;
     info!("daemon: drains, a second signal ends it at once");
-    tokio::select! {
-        () = host.drain() => info!("daemon: drained"),
-        () = any_of(&mut terminate, &mut interrupt) => info!("daemon: ends at once"),
-    }
-    Ok(())
+    let code = tokio::select! {
+        code = host.drain.run(&host) => code,
+        () = any_of(&mut terminate, &mut interrupt) => host.drain.cut(&host),
+    };
+    info!("daemon: ends with code {code}");
+    Ok(code)
 }
 
 async fn any_of(terminate: &mut Signal, interrupt: &mut Signal) {
--- a/src/entry/claim_desk.rs
+++ b/src/entry/claim_desk.rs
@@ -1,59 +1,44 @@
 //! Claims as the entry asks for them.
 
-use std::time::Duration;
-use std::time::Instant;
-
+use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
+use crate::control::claims::Claim;
+use crate::control::claims::ClaimKey;
+use crate::control::claims::ClaimState;
+use crate::control::claims::ClaimStore;
+use crate::control::claims::ClaimVerdict;
 use crate::units::AttemptId;
-use crate::units::ContentHash;
-use crate::units::IdempotencyKey;
-use crate::units::UpstreamId;
-
-/// The claim that a request needs before its dispatch.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ClaimWanted {
-    /// The caller's key, made unique for its customer.
-    pub key: IdempotencyKey,
-    /// The hash of what the key stands for.
-    pub content: ContentHash,
-    /// The attempt that is to be dispatched.
-    pub attempt: AttemptId,
-    /// Where it is to be dispatched.
-    pub upstream: UpstreamId,
-    /// When the request must have been answered.
-    pub deadline: Instant,
-}
-
-/// What came of asking for a claim.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ClaimAnswer {
-    /// It is recorded as this attempt's.
-    Claimed,
-    /// An earlier sending has it; its answer may still be there.
-    Held {
-        /// The attempt of that sending.
-        attempt: AttemptId,
-        /// Where it was dispatched.
-        upstream: UpstreamId,
-    },
-    /// The key stands for another request.
-    KeyReused,
-    /// It could not be recorded and never will be: the request was not run.
-    Unavailable {
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
 
 /// Whoever records claims.
 pub trait ClaimDesk: Send + Sync {
-    /// Records a claim.
-    fn claim(&self, wanted: ClaimWanted) -> BoxFuture<'_, ClaimAnswer>;
+    /// Records a claim. Only [`ClaimVerdict::Claimed`] allows to dispatch.
+    fn claim(&self, key: ClaimKey, claim: Claim) -> BoxFuture<'_, ClaimVerdict>;
 
     /// Gives a claim back, with the promise that its attempt is not dispatched any more.
-    fn give_back(&self, wanted: ClaimWanted) -> BoxFuture<'_, ()>;
+    fn give_back(&self, key: ClaimKey, attempt: AttemptId);
+
+    /// Notes how the attempt has ended, so that the claim can be collected in time.
+    fn finish(&self, key: ClaimKey, attempt: AttemptId, state: ClaimState);
+
+    /// How many claims the platform does not know the end of.
+    fn pending(&self) -> usize;
+}
+
+impl ClaimDesk for ClaimStore {
+    fn claim(&self, key: ClaimKey, claim: Claim) -> BoxFuture<'_, ClaimVerdict> {
+        self.claim(key, claim).boxed()
+    }
+
+    fn give_back(&self, key: ClaimKey, attempt: AttemptId) {
+        self.give_back(key, attempt);
+    }
+
+    fn finish(&self, key: ClaimKey, attempt: AttemptId, state: ClaimState) {
+        self.finish(key, attempt, state);
+    }
 
-    /// Notes that the attempt has ended, so that the claim can be collected in time.
-    fn finish(&self, wanted: ClaimWanted);
+    fn pending(&self) -> usize {
+        self.pending()
+    }
 }
--- a/src/entry/driver/dispatching.rs
+++ b/src/entry/driver/dispatching.rs
@@ -37,7 +37,7 @@
         let now = self.parts.clock.now();
         // Checked again right before the dispatch: the host may have been paused since the grant.
         if now >= self.job.work.deadline {
-            self.give_back(Ended::NotSent).await;
+            self.give_back(Ended::NotSent);
             advance(life, LifeEvent::Broken(Break::DidNotRun));
             return LifeEvent::TimeUp;
         }
@@ -153,15 +153,15 @@
 
     /// Reads the answer of an earlier sending of the same key.
     pub(super) async fn follow(&mut self, life: &mut StateMachine<Life>) -> LifeEvent {
-        let Some((claim, upstream_id)) = self.followed.clone() else {
+        let Some(claim) = self.followed.clone() else {
             return LifeEvent::Broken(Break::Lost);
         };
         "an earlier sending of this key may have run".clone_into(&mut self.message);
-        let Some(upstream) = self.parts.upstreams.upstream(&upstream_id) else {
+        let Some(upstream) = self.parts.upstreams.upstream(&claim.upstream) else {
             return LifeEvent::Broken(Break::Lost);
         };
         if self.attempt.is_none() {
-            let held = HeldGrant::followed(&claim, &upstream_id, &self.job.work);
+            let held = HeldGrant::followed(&claim, &self.job.work);
             self.attempt = Some(Attempt::new(
                 held,
                 self.job.is_model(),
--- a/src/entry/driver/mod.rs
+++ b/src/entry/driver/mod.rs
@@ -15,6 +15,9 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::control::claims::Claim;
+use crate::control::claims::ClaimKey;
+use crate::control::claims::ClaimState;
 use crate::decide::Ended;
 use crate::decide::FailedAttempt;
 use crate::decide::PoisonMark;
@@ -22,7 +25,6 @@
 use crate::decide::RetryVerdict;
 use crate::entry::Attempt;
 use crate::entry::Break;
-use crate::entry::ClaimWanted;
 use crate::entry::EntryParts;
 use crate::entry::FailReason;
 use crate::entry::Failure;
@@ -38,6 +40,7 @@
 use crate::entry::break_of;
 use crate::entry::settle::settle;
 use crate::observe::StepKind;
+use crate::units::AttemptId;
 use crate::units::UpstreamId;
 use crate::upstream::UpstreamError;
 
@@ -50,8 +53,8 @@
     job: Job,
     reply: &'a mut Reply,
     attempt: Option<Attempt>,
-    claimed: Option<ClaimWanted>,
-    followed: Option<(ClaimWanted, UpstreamId)>,
+    claimed: Option<(ClaimKey, AttemptId)>,
+    followed: Option<Claim>,
     attempts: u32,
     last_error: Option<UpstreamError>,
     message: String,
@@ -219,8 +222,7 @@
                     Ended::Refused
                 } else {
                     Ended::NotSent
-                })
-                .await;
+                });
             }
             Break::Cut => {}
             Break::Lost | Break::Garbled => self.end_attempt(Ended::Failed),
@@ -230,10 +232,10 @@
     }
 
     /// The attempt provably did not run: its grant and its claim are free again.
-    pub(super) async fn give_back(&mut self, ended: Ended) {
+    pub(super) fn give_back(&mut self, ended: Ended) {
         self.end_attempt(ended);
-        if let Some(claimed) = self.claimed.take() {
-            self.parts.claims.give_back(claimed).await;
+        if let Some((key, attempt)) = self.claimed.take() {
+            self.parts.claims.give_back(key, attempt);
         }
     }
 
@@ -325,8 +327,12 @@
             Verdict::MayHaveRun(_) => Ended::Cancelled,
         };
         self.end_attempt(ended);
-        if let Some(claimed) = self.claimed.take() {
-            self.parts.claims.finish(claimed);
+        if let Some((key, attempt)) = self.claimed.take() {
+            let state = match verdict {
+                Verdict::Completed => ClaimState::Completed,
+                Verdict::NotRun(_) | Verdict::MayHaveRun(_) => ClaimState::MayHaveRun,
+            };
+            self.parts.claims.finish(key, attempt, state);
         }
         if verdict == Verdict::Completed {
             return;
--- a/src/entry/granter.rs
+++ b/src/entry/granter.rs
@@ -4,10 +4,10 @@
 
 use futures_util::future::BoxFuture;
 
+use crate::control::claims::Claim;
 use crate::decide::Done;
 use crate::decide::RefuseReason;
 use crate::decide::Work;
-use crate::entry::ClaimWanted;
 use crate::units::AttemptId;
 use crate::units::GrantId;
 use crate::units::PoolId;
@@ -33,11 +33,11 @@
 
 impl HeldGrant {
     /// Stands in for the grant of an earlier sending whose answer is read; it is never given back.
-    pub fn followed(claim: &ClaimWanted, upstream: &UpstreamId, work: &Work) -> Self {
+    pub fn followed(claim: &Claim, work: &Work) -> Self {
         Self {
             pool: PoolId::of_followed(),
             grant: GrantId(claim.attempt.0),
-            upstreams: vec![upstream.clone()],
+            upstreams: vec![claim.upstream.clone()],
             waited: Duration::ZERO,
             why: "answer of an earlier sending".to_owned(),
             work: work.clone(),
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -180,6 +181,7 @@
     manifest: &Manifest,
 ) -> Result<(Job, crate::entry::HeldBody), Rejection> {
     let (head, body) = req.into_parts();
+    check_head(&head.headers)?;
     let headers = CallerHeaders::read(&head.headers);
     let headers = headers.map_err(|why| (FailReason::BadRequest, why))?;
     let content_type = head
@@ -218,6 +220,21 @@
     Ok((job, held))
 }
 
+/// hyper bounds what it reads ahead, which a head that arrives at once can exceed.
+fn check_head(headers: &HeaderMap) -> Result<(), Rejection> {
+    let len: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if len <= HEAD_LEN_MAX {
+        return Ok(());
+    }
+    Err((
+        FailReason::HeadTooLarge,
+        format!("the head has {len} bytes, at most {HEAD_LEN_MAX} are taken"),
+    ))
+}
+
 fn body_message(reason: FailReason) -> &'static str {
     match reason {
         FailReason::BodyTooLarge => "the body is larger than the manifest's body_size_max",
--- a/src/entry/verdict.rs
+++ b/src/entry/verdict.rs
@@ -52,6 +52,8 @@
     UnknownTarget,
     /// The customer is unknown, or may not name that priority.
     Forbidden,
+    /// The head is larger than any client library sends.
+    HeadTooLarge,
     /// The body is larger than the manifest allows.
     BodyTooLarge,
     /// The method or path is not served.
@@ -83,6 +85,7 @@
             Self::BadRequest => "bad_request",
             Self::UnknownTarget => "unknown_target",
             Self::Forbidden => "forbidden",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NotServed => "not_served",
             Self::BodyMemory => "body_memory",
@@ -103,6 +106,7 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::UnknownTarget | Self::NotServed => StatusCode::NOT_FOUND,
             Self::Forbidden => StatusCode::FORBIDDEN,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::KeyReused | Self::Refused(RefuseReason::Poison) => {
                 StatusCode::UNPROCESSABLE_ENTITY
--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk.rs
@@ -125,6 +125,11 @@
         self.tell(pool, &home, event)
     }
 
+    /// Whether the home of a pool is here.
+    pub fn has(&self, pool: &PoolId) -> bool {
+        self.homes.get(pool).is_some()
+    }
+
     /// Passes something on to every home.
     pub fn tell_all(self: &Arc<Self>, event: &HomeEvent) {
         for (pool, home) in self.homes.snapshot() {
--- a/src/fleet/home_granter.rs
+++ b/src/fleet/home_granter.rs
@@ -164,7 +164,7 @@
     }
 
     async fn decide(&self, target: &TargetId, work: &Work) -> GrantAnswer {
-        let pools = self.map.pools_of(target);
+        let pools = self.map.pools_of(target, spread_of(work));
         let mut refused = GrantAnswer::Refused {
             reason: RefuseReason::NoUpstream,
             retry_after: RETRY_AFTER_NO_POOL,
@@ -349,6 +349,13 @@
     }
 }
 
+/// Requests with the same beginning go the same way, all others any way.
+fn spread_of(work: &Work) -> u64 {
+    let prefix = work.prefixes.first().map(|(hash, _)| hash.0);
+    let hash = prefix.unwrap_or(work.request.0);
+    u64::try_from(hash >> u64::BITS).unwrap_or(0)
+}
+
 /// Whether another pool may decide otherwise.
 fn is_of_pool(reason: RefuseReason) -> bool {
     matches!(
--- a/src/fleet/home_map.rs
+++ b/src/fleet/home_map.rs
@@ -7,8 +7,9 @@
 
 /// What this host knows of pools and their homes.
 pub trait HomeMap: Send + Sync {
-    /// The pools of a target, those of this host's failure domain first.
-    fn pools_of(&self, target: &TargetId) -> Vec<PoolId>;
+    /// The pools of a target, those of this host's failure domain first. `spread` turns the order
+    /// among them, so that requests which share a prompt's beginning ask the same pool first.
+    fn pools_of(&self, target: &TargetId, spread: u64) -> Vec<PoolId>;
 
     /// The hosts to ask, the home first.
     fn candidates(&self, pool: &PoolId) -> Vec<HostId>;
--- /dev/null
+++ b/src/fleet/home_table.rs
@@ -0,0 +1,170 @@
+//! Pools and their homes, worked out from the board and the membership.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use indexmap::IndexMap;
+
+use crate::board::Board;
+use crate::board::UpstreamView;
+use crate::control::homes::HomeTable;
+use crate::control::homes::Member;
+use crate::control::homes::pools_of;
+use crate::fleet::HomeMap;
+use crate::fleet::MembershipDesk;
+use crate::units::FailureDomainId;
+use crate::units::HostId;
+use crate::units::PoolId;
+use crate::units::TargetId;
+use crate::units::UpstreamId;
+
+/// What the tables are worked out from; they are worked out again only when it has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Inputs {
+    upstreams: IndexMap<(FailureDomainId, TargetId), Vec<UpstreamId>>,
+    members: IndexMap<FailureDomainId, Vec<Member>>,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    inputs: Inputs,
+    pools: IndexMap<PoolId, Vec<UpstreamId>>,
+    by_target: IndexMap<TargetId, Vec<PoolId>>,
+    homes: IndexMap<FailureDomainId, HomeTable>,
+}
+
+/// Pools and their homes as this host sees them.
+pub struct FleetHomes {
+    board: Arc<Board>,
+    membership: Arc<MembershipDesk>,
+    domain: FailureDomainId,
+    tables: RwLock<Arc<Tables>>,
+}
+
+impl FleetHomes {
+    /// Empty tables, for a host of `domain`.
+    pub fn new(
+        board: Arc<Board>,
+        membership: Arc<MembershipDesk>,
+        domain: FailureDomainId,
+    ) -> Self {
+        Self {
+            board,
+            membership,
+            domain,
+            tables: RwLock::default(),
+        }
+    }
+
+    /// Works the tables out again if something has changed.
+    pub fn refresh(&self) {
+        let inputs = self.inputs();
+        if self.tables().inputs == inputs {
+            return;
+        }
+        let tables = Arc::new(self.work_out(inputs));
+        *self.tables.write().unwrap_or_else(PoisonError::into_inner) = tables;
+    }
+
+    /// The home of each pool, for status.
+    pub fn homes(&self) -> Vec<(PoolId, Option<HostId>)> {
+        let tables = self.tables();
+        let home = |pool: &PoolId| tables.candidates(pool).first().cloned();
+        tables
+            .pools
+            .keys()
+            .map(|pool| (pool.clone(), home(pool)))
+            .collect()
+    }
+
+    fn tables(&self) -> Arc<Tables> {
+        Arc::clone(&self.tables.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn inputs(&self) -> Inputs {
+        let mut inputs = Inputs::default();
+        let mut views = self.board.upstreams.snapshot();
+        views.sort_by(|a, b| a.0.cmp(&b.0));
+        for (id, UpstreamView { domain, target, .. }) in views {
+            inputs.members.entry(domain.clone()).or_default();
+            inputs
+                .upstreams
+                .entry((domain, target))
+                .or_default()
+                .push(id);
+        }
+        for (domain, members) in &mut inputs.members {
+            *members = self.membership.members(domain);
+            members.sort_by(|a, b| a.host.cmp(&b.host));
+        }
+        inputs
+    }
+
+    fn work_out(&self, inputs: Inputs) -> Tables {
+        let mut tables = Tables::default();
+        let mut by_domain: IndexMap<FailureDomainId, Vec<PoolId>> = IndexMap::new();
+        for ((domain, target), upstreams) in &inputs.upstreams {
+            for (pool, members) in pools_of(domain, target, upstreams) {
+                by_domain
+                    .entry(domain.clone())
+                    .or_default()
+                    .push(pool.clone());
+                tables
+                    .by_target
+                    .entry(target.clone())
+                    .or_default()
+                    .push(pool.clone());
+                tables.pools.insert(pool, members);
+            }
+        }
+        for pools in tables.by_target.values_mut() {
+            pools.sort_by_key(|pool| pool.domain().as_ref() != Some(&self.domain));
+        }
+        for (domain, pools) in by_domain {
+            let members = inputs.members.get(&domain).map_or(&[][..], Vec::as_slice);
+            tables.homes.insert(domain, HomeTable::new(&pools, members));
+        }
+        Tables { inputs, ..tables }
+    }
+}
+
+impl Tables {
+    fn candidates(&self, pool: &PoolId) -> &[HostId] {
+        let homes = pool.domain().and_then(|domain| self.homes.get(&domain));
+        homes.map_or(&[], |homes| homes.candidates(pool))
+    }
+}
+
+impl HomeMap for FleetHomes {
+    fn pools_of(&self, target: &TargetId, spread: u64) -> Vec<PoolId> {
+        let tables = self.tables();
+        let mut pools = tables.by_target.get(target).cloned().unwrap_or_default();
+        let is_own = |pool: &PoolId| pool.domain().as_ref() == Some(&self.domain);
+        let own = pools.iter().take_while(|pool| is_own(pool)).count();
+        rotate(&mut pools[..own], spread);
+        rotate(&mut pools[own..], spread);
+        pools
+    }
+
+    fn candidates(&self, pool: &PoolId) -> Vec<HostId> {
+        self.tables().candidates(pool).to_vec()
+    }
+
+    fn upstreams_of(&self, pool: &PoolId) -> Vec<UpstreamId> {
+        self.tables().pools.get(pool).cloned().unwrap_or_default()
+    }
+
+    fn suspect(&self, host: &HostId) {
+        self.membership.suspect(host);
+    }
+}
+
+fn rotate(pools: &mut [PoolId], spread: u64) {
+    if let Some(by) = usize::try_from(spread)
+        .unwrap_or(0)
+        .checked_rem(pools.len())
+    {
+        pools.rotate_left(by);
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,9 +1,15 @@
-//! Connects the controllers of homes and claims with peers, upstreams and the platform.
+//! Connects the controllers of homes, claims and the membership with peers, upstreams and the
+//! platform.
 
 mod grant_waiters;
 mod home_desk;
 mod home_granter;
 mod home_map;
+mod home_table;
+mod membership_desk;
+mod peer_desk;
+pub mod poison_wire;
+mod relay_platform;
 mod upstream_registry;
 
 pub use grant_waiters::GrantWaiters;
@@ -12,4 +18,10 @@
 pub use home_granter::HomeGranter;
 pub use home_granter::HomeGranterParts;
 pub use home_map::HomeMap;
+pub use home_table::FleetHomes;
+pub use membership_desk::FleetNews;
+pub use membership_desk::MembershipDesk;
+pub use peer_desk::NewsSink;
+pub use peer_desk::PeerDesk;
+pub use relay_platform::RelayPlatform;
 pub use upstream_registry::UpstreamRegistry;
--- /dev/null
+++ b/src/fleet/peer_desk.rs
@@ -0,0 +1,174 @@
+//! Hands other hosts' messages to the parts that they are for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use log::debug;
+
+use crate::clock::Clock;
+use crate::control::claims::relay;
+use crate::control::claims::relay::RelayedCall;
+use crate::control::home::GrantAnswer;
+use crate::control::home::HomeEvent;
+use crate::control::home::Verdict;
+use crate::control::home::wire;
+use crate::decide::Done;
+use crate::decide::Ended;
+use crate::fleet::FleetNews;
+use crate::fleet::GrantWaiters;
+use crate::fleet::HomeDesk;
+use crate::fleet::HomeGranter;
+use crate::fleet::MembershipDesk;
+use crate::peer::Message;
+use crate::peer::PeerHandler;
+use crate::peer::Peers;
+use crate::peer::message::Announce;
+use crate::peer::message::GrantReply;
+use crate::peer::message::GrantRequest;
+use crate::peer::message::PlatformCall;
+use crate::platform::Platform;
+use crate::units::HostId;
+use crate::units::PoolId;
+use crate::units::Tokens;
+
+/// Whoever acts on changes of the membership.
+pub trait NewsSink: Send + Sync {
+    /// Takes in what has changed.
+    fn take(&self, news: Vec<FleetNews>);
+}
+
+/// Hands other hosts' messages to the parts that they are for.
+pub struct PeerDesk {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The homes on this host.
+    pub homes: Arc<HomeDesk>,
+    /// The grants of this host.
+    pub granter: Arc<HomeGranter>,
+    /// Requests of this host that wait.
+    pub waiters: Arc<GrantWaiters>,
+    /// The membership.
+    pub membership: Arc<MembershipDesk>,
+    /// Whoever acts on changes of the membership.
+    pub news: Arc<dyn NewsSink>,
+    /// The platform, as this host reaches it itself.
+    pub platform: Arc<dyn Platform>,
+    /// Other hosts.
+    pub peers: Arc<dyn Peers>,
+}
+
+impl PeerDesk {
+    fn request(&self, from: HostId, request: &GrantRequest) -> Option<Message> {
+        match wire::request_from(request, self.clock.now()) {
+            Ok((pool, work)) => {
+                let answer = self
+                    .homes
+                    .handle(&pool, HomeEvent::Request { from, work })?;
+                Some(Message::GrantReply(wire::answer_to(&pool, &answer)))
+            }
+            Err(err) => {
+                debug!("homes: {from} asked wrongly: {err}");
+                None
+            }
+        }
+    }
+
+    /// A decision that was pushed. If nobody waits for it any more, the grant goes back at once.
+    fn pushed(&self, from: &HostId, reply: &GrantReply) {
+        let Ok((pool, answer)) = wire::answer_from(reply) else {
+            debug!("homes: {from} pushed a decision that can't be read");
+            return;
+        };
+        let GrantAnswer { verdict, .. } = answer.clone();
+        if self.waiters.decided(answer) {
+            return;
+        }
+        if let Verdict::Granted(granted) = verdict {
+            let finish = wire::finish_to(&pool, granted.grant, &not_sent());
+            self.peers.send(from, Message::Finish(finish));
+        }
+    }
+
+    fn announce(&self, from: HostId, announce: &Announce) {
+        let Ok((pool, grants)) = wire::announce_from(announce, self.clock.now()) else {
+            debug!("homes: {from} announced what can't be read");
+            return;
+        };
+        if grants.is_empty() && !self.homes.has(&pool) {
+            return self.granter.announce_pool(&pool, &from);
+        }
+        self.homes
+            .handle(&pool, HomeEvent::Announce { from, grants });
+    }
+
+    fn of_home(&self, pool: &PoolId, event: HomeEvent) {
+        self.homes.handle(pool, event);
+    }
+
+    async fn relay(&self, call: PlatformCall) -> Message {
+        let reply = match relay::call_from(&call) {
+            Ok(RelayedCall::Get(key)) => relay::got_to(&self.platform.get(key).await),
+            Ok(RelayedCall::Put {
+                key,
+                value,
+                expected,
+            }) => relay::written_to(&self.platform.put(key, value, expected).await),
+            Err(err) => relay::written_to(&Err(err)),
+        };
+        Message::PlatformReply(reply)
+    }
+}
+
+impl PeerHandler for PeerDesk {
+    fn handle(&self, from: HostId, message: Message) -> BoxFuture<'_, Option<Message>> {
+        async move {
+            match message {
+                Message::GrantRequest(request) => self.request(from, &request),
+                Message::GrantReply(reply) => {
+                    self.pushed(&from, &reply);
+                    None
+                }
+                Message::Finish(finish) => {
+                    if let Ok((pool, grant, done)) = wire::finish_from(&finish) {
+                        self.of_home(&pool, HomeEvent::Finish { from, grant, done });
+                    }
+                    None
+                }
+                Message::Withdraw(withdraw) => {
+                    if let Ok((pool, request)) = wire::withdraw_from(&withdraw) {
+                        self.of_home(&pool, HomeEvent::Withdraw { from, request });
+                    }
+                    None
+                }
+                Message::Announce(announce) => {
+                    self.announce(from, &announce);
+                    None
+                }
+                Message::PlatformCall(call) => Some(self.relay(call).await),
+                Message::Gossip(gossip) => {
+                    self.news.take(self.membership.handle(&from, gossip));
+                    None
+                }
+                Message::PoisonNotice(notice) => {
+                    self.news.take(vec![FleetNews::Poison(notice)]);
+                    None
+                }
+                Message::PlatformReply(_) | Message::Ack(()) => None,
+            }
+        }
+        .boxed()
+    }
+}
+
+fn not_sent() -> Done {
+    Done {
+        ended: Ended::NotSent,
+        first_token: None,
+        total: Duration::ZERO,
+        prompt_tokens: Tokens::ZERO,
+        cached_tokens: Tokens::ZERO,
+        output_tokens: Tokens::ZERO,
+    }
+}
--- /dev/null
+++ b/src/fleet/poison_wire.rs
@@ -0,0 +1,47 @@
+//! Requests that crash upstreams, as messages.
+
+use crate::decide::Poison;
+use crate::decide::PoisonMark;
+use crate::peer::message::PoisonNotice;
+use crate::units::AttemptId;
+use crate::units::ContentHash;
+
+const KEY_MARK: u8 = 1;
+
+/// A poison as a message.
+pub fn notice_of(poison: &Poison) -> PoisonNotice {
+    let content = match poison.mark {
+        PoisonMark::Content(hash) => hash.0.to_be_bytes().to_vec(),
+        PoisonMark::Key(hash) => {
+            let mut bytes = vec![KEY_MARK];
+            bytes.extend(hash.0.to_be_bytes());
+            bytes
+        }
+    };
+    let attempts = poison
+        .attempts
+        .iter()
+        .map(|attempt| attempt.0.to_be_bytes().to_vec());
+    PoisonNotice {
+        content,
+        attempts: attempts.collect(),
+    }
+}
+
+/// A poison out of a message; none if it can't be read.
+pub fn poison_of(notice: &PoisonNotice) -> Option<Poison> {
+    let hash_of = |bytes: &[u8]| {
+        let bytes: [u8; 16] = bytes.try_into().ok()?;
+        Some(ContentHash(u128::from_be_bytes(bytes)))
+    };
+    let mark = match notice.content.as_slice() {
+        [KEY_MARK, hash @ ..] if hash.len() == 16 => PoisonMark::Key(hash_of(hash)?),
+        content => PoisonMark::Content(hash_of(content)?),
+    };
+    let attempt_of = |bytes: &Vec<u8>| hash_of(bytes).map(|hash| AttemptId(hash.0));
+    let attempts: Option<Vec<AttemptId>> = notice.attempts.iter().map(attempt_of).collect();
+    Some(Poison {
+        mark,
+        attempts: attempts?,
+    })
+}
--- a/src/peer/message/relay.rs
+++ b/src/peer/message/relay.rs
@@ -34,10 +34,11 @@
     pub value: Vec<u8>,
 }
 
-/// A request that crashed upstreams, by its content and, where it had one, its key.
+/// A request that crashed upstreams, by its content or its key.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PoisonNotice {
-    /// The content hash of the body, 16 bytes.
+    /// What it is recognised by: the 16 bytes of a content hash, or a byte 1 and the 16 bytes of the
+    /// hash of an idempotency key.
     #[prost(bytes = "vec", tag = "1")]
     pub content: Vec<u8>,
     /// The attempts that ended in a crash, 16 bytes each, so that none counts twice.
--- a/standin/src/cmd/daemon.rs
+++ b/standin/src/cmd/daemon.rs
@@ -31,6 +31,6 @@
 /// Runs it until it is told to end.
 pub fn run(args: Arguments) -> Done {
     let args = Args::parse(args)?;
-    banyanarch::daemon::run(&args.settings)?;
-    Ok(ExitCode::SUCCESS)
+    let code = banyanarch::daemon::run(&args.settings)?;
+    Ok(ExitCode::from(u8::try_from(code).unwrap_or(1)))
 }
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -141,6 +141,7 @@
         manifest: Manifest::parse(DESAI, "m.yaml").unwrap(),
     });
     let upstream = UpstreamView {
+        version: banyanarch::units::ObjectVersion(1),
         id: "engine-1".parse().unwrap(),
         target: "geet-model".parse().unwrap(),
         domain: "navrangpura".parse().unwrap(),
--- a/tests/site/host.rs
+++ b/tests/site/host.rs
@@ -23,19 +23,19 @@
 use crate::site::until;
 
 /// A running `banyanarchd`. It is killed when it is dropped.
-pub struct Host {
-    pub name: String,
-    pub domain: String,
-    pub callers: SocketAddr,
-    pub peers: SocketAddr,
-    pub status: SocketAddr,
+pub(crate) struct Host {
+    pub(crate) name: String,
+    pub(crate) domain: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) status: SocketAddr,
     child: Child,
     dir: PathBuf,
 }
 
 impl Host {
     /// Starts a host on ports of the machine's choice, and waits until it tells which.
-    pub async fn start(name: &str, domain: &str, platform: SocketAddr) -> Self {
+    pub(crate) async fn start(name: &str, domain: &str, platform: SocketAddr) -> Self {
         let unique: u64 = rand::random();
         let dir = std::env::temp_dir().join(format!("banyanarch-test-{unique:016x}"));
         fs::create_dir(&dir).unwrap();
@@ -92,7 +92,7 @@
     }
 
     /// Enters it in the platform's list.
-    pub async fn register(&self, platform: SocketAddr, state: &str) {
+    pub(crate) async fn register(&self, platform: SocketAddr, state: &str) {
         let spec = serde_json::json!({
             "role": "entry",
             "domain": self.domain,
@@ -105,7 +105,7 @@
     }
 
     /// Waits until the balancer may send work.
-    pub async fn ready(&self) {
+    pub(crate) async fn ready(&self) {
         until("readiness", async || {
             get(self.status, "/readyz")
                 .await
@@ -115,7 +115,7 @@
     }
 
     /// Sends a whole completion call.
-    pub async fn complete(
+    pub(crate) async fn complete(
         &self,
         prompt: &str,
         max_tokens: u64,
@@ -130,7 +130,7 @@
     }
 
     /// The page of its status.
-    pub async fn status(&self) -> serde_json::Value {
+    pub(crate) async fn status(&self) -> serde_json::Value {
         match get(self.status, "/status").await {
             Ok(res) => serde_json::from_slice(res.body()).unwrap_or_default(),
             Err(_) => serde_json::Value::Null,
@@ -138,13 +138,13 @@
     }
 
     /// Sends it a signal.
-    pub fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
         kill(pid, signal).unwrap();
     }
 
     /// Waits until the process has ended.
-    pub async fn ended(&mut self) -> ExitStatus {
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
         let mut status = None;
         until("the end of a host", async || {
             status = self.child.try_wait().unwrap();
@@ -155,7 +155,7 @@
     }
 
     /// What it has logged.
-    pub fn log(&self) -> String {
+    pub(crate) fn log(&self) -> String {
         fs::read_to_string(self.dir.join("log")).unwrap_or_default()
     }
 }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -22,7 +22,7 @@
 use standin::service::Service;
 use standin::service::ServiceOptions;
 
-pub use host::Host;
+pub(crate) use host::Host;
 
 /// Long against everything that a test waits for, short against a CI run that hangs.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -30,7 +30,7 @@
 const BODY_LEN_MAX: usize = 16 << 20;
 
 /// The manifest of every test; `generation` only tells publications apart.
-pub const MANIFEST: &str = "
+pub(crate) const MANIFEST: &str = "
 deployment: test
 models:
   - name: geet-model
@@ -60,16 +60,16 @@
 ";
 
 /// The stand-ins around the hosts of a test.
-pub struct Site {
-    pub platform: PlatformFake,
-    pub engines: Vec<Engine>,
-    pub services: Vec<Service>,
-    pub hosts: Vec<Host>,
+pub(crate) struct Site {
+    pub(crate) platform: PlatformFake,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) services: Vec<Service>,
+    pub(crate) hosts: Vec<Host>,
 }
 
 impl Site {
     /// A platform with the manifest, and nothing else yet.
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let platform = PlatformFake::start(loopback()).await.unwrap();
         let site = Self {
             platform,
@@ -82,7 +82,7 @@
     }
 
     /// A platform, some engines in failure domain `a`, one service and some hosts there.
-    pub async fn with(engines: usize, hosts: usize) -> Self {
+    pub(crate) async fn with(engines: usize, hosts: usize) -> Self {
         let mut site = Self::start().await;
         for _ in 0..engines {
             site.add_engine("a", EngineOptions::default()).await;
@@ -96,7 +96,7 @@
     }
 
     /// Adds an engine.
-    pub async fn add_engine(&mut self, domain: &str, options: EngineOptions) -> usize {
+    pub(crate) async fn add_engine(&mut self, domain: &str, options: EngineOptions) -> usize {
         let engine = Engine::start(options).await.unwrap();
         let index = self.engines.len();
         self.machine(&format!("engine-{index}"), domain, "geet-model")
@@ -108,7 +108,7 @@
     }
 
     /// Adds a service instance.
-    pub async fn add_service(&mut self, domain: &str) -> usize {
+    pub(crate) async fn add_service(&mut self, domain: &str) -> usize {
         let service = Service::start(ServiceOptions::default()).await.unwrap();
         let index = self.services.len();
         self.machine(&format!("service-{index}"), domain, "adhikar-app")
@@ -120,7 +120,7 @@
     }
 
     /// Adds a host and enters it in the platform's list.
-    pub async fn add_host(&mut self, domain: &str) -> usize {
+    pub(crate) async fn add_host(&mut self, domain: &str) -> usize {
         let index = self.hosts.len();
         let host = Host::start(&format!("host-{index}"), domain, self.platform.addr()).await;
         host.register(self.platform.addr(), "live").await;
@@ -129,7 +129,7 @@
     }
 
     /// Enters an upstream as leaving.
-    pub async fn engine_leaves(&self, index: usize, domain: &str) {
+    pub(crate) async fn engine_leaves(&self, index: usize, domain: &str) {
         let machine = self.machine(&format!("engine-{index}"), domain, "geet-model");
         machine
             .set_state(self.engines[index].addr(), "leaving")
@@ -138,7 +138,7 @@
     }
 
     /// Publishes a manifest whatever is there.
-    pub async fn publish(&self, generation: u64, text: &str) {
+    pub(crate) async fn publish(&self, generation: u64, text: &str) {
         let spec = serde_json::json!({
             "generation": generation,
             "publish_id": format!("test-{generation}"),
@@ -152,7 +152,7 @@
     }
 
     /// Waits until every host is ready and serves the model.
-    pub async fn ready(&self) {
+    pub(crate) async fn ready(&self) {
         for host in &self.hosts {
             host.ready().await;
             until("a host that serves", async || {
@@ -164,14 +164,14 @@
     }
 
     /// All attempts that the engines ran for this body.
-    pub fn runs_of(&self, body: &str) -> usize {
+    pub(crate) fn runs_of(&self, body: &str) -> usize {
         let hash = banyanarch::units::ContentHash::of(body.as_bytes());
         let records = self.engines.iter().flat_map(Engine::record);
         records.filter(|record| record.request_hash == hash).count()
     }
 
     /// All calls that the services ran for this body.
-    pub fn service_runs_of(&self, body: &str) -> usize {
+    pub(crate) fn service_runs_of(&self, body: &str) -> usize {
         let hash = banyanarch::units::ContentHash::of(body.as_bytes());
         let records = self.services.iter().flat_map(Service::record);
         records.filter(|record| record.request_hash == hash).count()
@@ -188,7 +188,7 @@
 }
 
 /// Waits until a condition holds.
-pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let deadline = tokio::time::Instant::now() + PATIENCE;
     while !holds().await {
         assert!(
@@ -200,7 +200,7 @@
 }
 
 /// A completion call's body.
-pub fn completion(prompt: &str, max_tokens: u64, stream: bool) -> String {
+pub(crate) fn completion(prompt: &str, max_tokens: u64, stream: bool) -> String {
     serde_json::json!({
         "model": "geet-model",
         "prompt": prompt,
@@ -211,7 +211,7 @@
 }
 
 /// Sends one call and reads its whole answer.
-pub async fn call(
+pub(crate) async fn call(
     addr: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
@@ -228,7 +228,7 @@
 }
 
 /// Reads a page.
-pub async fn get(addr: SocketAddr, path: &str) -> Result<Response<Bytes>, HttpError> {
+pub(crate) async fn get(addr: SocketAddr, path: &str) -> Result<Response<Bytes>, HttpError> {
     let req = Request::get(path).body(ChunksBody::default()).unwrap();
     HttpClient::new(addr)
         .call(req, BODY_LEN_MAX, PATIENCE)
@@ -236,13 +236,13 @@
 }
 
 /// The outcome header of an answer.
-pub fn outcome(res: &Response<Bytes>) -> &str {
+pub(crate) fn outcome(res: &Response<Bytes>) -> &str {
     let header = res.headers().get("banyanarch-outcome");
     header.map_or("", |value| value.to_str().unwrap())
 }
 
 /// The text of a whole completion.
-pub fn text_of(res: &Response<Bytes>) -> String {
+pub(crate) fn text_of(res: &Response<Bytes>) -> String {
     let body: serde_json::Value = serde_json::from_slice(res.body()).unwrap();
     body["choices"][0]["text"]
         .as_str()
@@ -251,7 +251,7 @@
 }
 
 /// The answer that belongs to a body.
-pub fn answer_to(body: &str, max_tokens: u64) -> String {
+pub(crate) fn answer_to(body: &str, max_tokens: u64) -> String {
     let hash = banyanarch::units::ContentHash::of(body.as_bytes());
     standin::answer::whole(hash, max_tokens)
 }
