Goodput counts what ends while others arrive; saturation is of a mix's capacity

Cause: goodput divided all that ended, also seconds after the last arrival, by the time of arrivals: 741,344 prompt tokens/s from engines that can read in about 520,000, and a goodput of 1.36 times that at capacity. Change: what ends between 3 s and the last arrival counts, and the load at capacity is counted on the mix.

--- a/standin/src/load/arrivals.rs
+++ b/standin/src/load/arrivals.rs
@@ -44,12 +44,17 @@
 /// All requests of a scenario, in order of arrival. `times` multiplies its load.
 pub(crate) fn arrivals(scenario: &Scenario, times: f64, seed: u64) -> Vec<Ask> {
     let mut asks = Vec::new();
+    let engine = &scenario.plan.engine;
+    let gain = match scenario.is_of_capacity {
+        true => capacity::mix_gain(engine, &scenario.mix, seed),
+        false => 1.0,
+    };
     for (class, engine_share) in &scenario.mix {
         // A generator for each class, so that a class alone is the same as in the mix.
         let mut rng = StdRng::seed_from_u64(seed * 16 + *class as u64);
-        let one = capacity::requests_per_second(&scenario.plan.engine, *class, &mut rng);
+        let one = capacity::requests_per_second(engine, *class, &mut rng);
         let engines = scenario.plan.engine_domains.len() as f64;
-        let rate = one * engines * engine_share * times;
+        let rate = one * engines * engine_share * times * gain;
         class_arrivals(scenario, *class, rate, &mut rng, &mut asks);
     }
     asks.sort_by_key(|ask| ask.at);
--- a/standin/src/load/figures.rs
+++ b/standin/src/load/figures.rs
@@ -14,6 +14,9 @@
 use crate::load::fairness::fairness;
 use crate::load::player::Sample;
 
+/// Goodput counts from here on, since what needs seconds can't end in the first ones.
+const RAMP_S: f64 = 3.0;
+
 /// Figures of one length class, or of all.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct ClassFigures {
@@ -41,9 +44,9 @@
 pub(crate) struct Figures {
     pub(crate) classes: Vec<ClassFigures>,
     pub(crate) all: ClassFigures,
-    /// Requests completed within their limit, a second.
+    /// Requests completed within their limit, a second, while others arrive.
     pub(crate) goodput_per_s: f64,
-    /// Prompt tokens of requests completed within their limit, a second.
+    /// Prompt tokens of such requests, a second.
     pub(crate) good_tokens_per_s: f64,
     /// Goodput in tokens over that of the load that was played to compare with.
     pub(crate) goodput_ratio: Option<f64>,
@@ -67,7 +70,10 @@
         runs: &[RunRecord],
         lasts_s: f64,
     ) -> Self {
-        let good = samples.iter().filter(|sample| sample.is_good());
+        let counted = RAMP_S..lasts_s;
+        let good = samples
+            .iter()
+            .filter(|sample| sample.is_good() && counted.contains(&sample.ended_s()));
         let good_tokens: u64 = good.clone().map(|sample| sample.ask.prompt_tokens).sum();
         let (jain, least_of_fair) = fairness(samples);
         let sendings: u32 = samples.iter().map(|sample| sample.sendings).sum();
@@ -79,8 +85,8 @@
         Self {
             classes: LengthClass::ALL.iter().filter_map(of_class).collect(),
             all: ClassFigures::new("all", &samples.iter().collect::<Vec<_>>(), &[]),
-            goodput_per_s: good.count() as f64 / lasts_s,
-            good_tokens_per_s: good_tokens as f64 / lasts_s,
+            goodput_per_s: good.count() as f64 / (lasts_s - RAMP_S),
+            good_tokens_per_s: good_tokens as f64 / (lasts_s - RAMP_S),
             goodput_ratio: None,
             wasted: wasted(samples, runs),
             jain,
--- a/standin/src/load/player.rs
+++ b/standin/src/load/player.rs
@@ -37,6 +37,11 @@
         self.sent.verdict == Verdict::Completed
     }
 
+    /// When it ended, from the start of the run on.
+    pub(crate) fn ended_s(&self) -> f64 {
+        (self.ask.at + self.sent.total).as_secs_f64()
+    }
+
     /// Whether the whole answer came within the limit.
     pub(crate) fn is_good(&self) -> bool {
         self.is_completed() && self.sent.total <= self.ask.limit
--- a/standin/src/load/scenario.rs
+++ b/standin/src/load/scenario.rs
@@ -24,6 +24,9 @@
     pub(crate) alone_s: f64,
     /// Classes with the share of all engines' time that their arrivals would take.
     pub(crate) mix: Vec<(LengthClass, f64)>,
+    /// Whether the shares are of what engines can do with the mix, which is more than with its
+    /// classes one by one.
+    pub(crate) is_of_capacity: bool,
     pub(crate) pattern: Pattern,
     /// Customers with their shares of the arrivals.
     pub(crate) customers: Vec<(String, f64)>,
@@ -117,6 +120,7 @@
         lasts_s: 16.0,
         alone_s: 3.5,
         mix: mix.to_vec(),
+        is_of_capacity: false,
         pattern: Pattern::Even,
         customers: even_customers(8, 1.0),
         hot_share: 0.0,
@@ -148,6 +152,7 @@
     let mut customers = vec![("large-1".to_owned(), 0.45), ("large-2".to_owned(), 0.45)];
     customers.extend(even_customers(8, 0.1));
     Scenario {
+        is_of_capacity: true,
         customers,
         ..base(
             "two-customers",
@@ -201,8 +206,9 @@
         (LengthClass::Long, 0.4),
     ];
     Scenario {
-        lasts_s: 14.0,
-        alone_s: 2.0,
+        lasts_s: 11.0,
+        alone_s: 1.0,
+        is_of_capacity: true,
         compare_with: Some(0.5),
         ..base("saturation", "twice what the engines can do", &mix)
     }
--- a/tests/decide_fakes/bench.rs
+++ b/tests/decide_fakes/bench.rs
@@ -214,7 +214,20 @@
         if std::env::var("DBG").is_ok() && work.prompt_tokens.0 < 4000 {
             let e = &self.engines[engines[0]];
             let b: f64 = e.jobs.values().map(|j| j.prefill_left).sum();
-            if b > 100.0 { eprintln!("{:?} short {} on {} beside {} jobs {:?}", (self.clock.now()-self.start).as_millis(), call, engines[0], b, e.jobs.values().filter(|j| j.prefill_left>0.0).map(|j| j.prefill_left as u64).collect::<Vec<_>>()); }
+            if b > 100.0 {
+                eprintln!(
+                    "{:?} short {} on {} beside {} jobs {:?}",
+                    (self.clock.now() - self.start).as_millis(),
+                    call,
+                    engines[0],
+                    b,
+                    e.jobs
+                        .values()
+                        .filter(|j| j.prefill_left > 0.0)
+                        .map(|j| j.prefill_left as u64)
+                        .collect::<Vec<_>>()
+                );
+            }
         }
         self.flights.insert(attempt, flight);
         let has_room = |index: &usize| members == 1 || self.engines[*index].has_room(share);
--- a/tests/decide_fakes/engine.rs
+++ b/tests/decide_fakes/engine.rs
@@ -114,7 +114,9 @@
     /// The time of the next step, and what each attempt reads in.
     fn plan(&self) -> Option<(f64, Vec<(AttemptId, f64)>)> {
         let running = || self.jobs.iter().filter(|(_, job)| job.is_running);
-        let mut prefills: Vec<_> = running().filter(|(_, job)| job.prefill_left > 0.0).collect();
+        let mut prefills: Vec<_> = running()
+            .filter(|(_, job)| job.prefill_left > 0.0)
+            .collect();
         if self.honours_rank {
             prefills.sort_by_key(|(_, job)| job.rank);
         }
@@ -122,13 +124,18 @@
         let count = prefills.len() as f64;
         let mut chunks = Vec::new();
         for (attempt, job) in &prefills {
-            let most = if self.honours_rank { budget } else { CHUNK_TOKENS / count };
+            let most = if self.honours_rank {
+                budget
+            } else {
+                CHUNK_TOKENS / count
+            };
             let chunk = job.prefill_left.min(most);
             budget -= chunk;
             chunks.push((**attempt, chunk));
         }
         let answers = running().count() - prefills.len();
-        let takes = STEP_BASE + STEP_PER_ANSWER * answers as f64 + (CHUNK_TOKENS - budget) / self.speed;
+        let takes =
+            STEP_BASE + STEP_PER_ANSWER * answers as f64 + (CHUNK_TOKENS - budget) / self.speed;
         (running().count() > 0).then_some((takes, chunks))
     }
 
@@ -149,7 +156,8 @@
             if job.prefill_left < 0.01 && *chunk > 0.0 {
                 job.prefill_left = 0.0;
                 events.push(Event::FirstToken(*attempt));
-                self.cache.extend(job.prefixes.iter().map(|(hash, tokens)| (*hash, tokens.0)));
+                self.cache
+                    .extend(job.prefixes.iter().map(|(hash, tokens)| (*hash, tokens.0)));
             }
         }
         while self.cache.values().sum::<u64>() > CACHE_TOKENS {
