Fleets end with their tool

Cause: a tool that was interrupted left 13 processes running. Ruled out: a death signal of the kernel, which needs unsafe code. Change: a child holds a pipe of its parent as standard input and ends when it closes.

--- a/standin/src/fleet/child.rs
+++ b/standin/src/fleet/child.rs
@@ -34,7 +34,8 @@
         let log = File::create(dir.path(&format!("{name}.log")))?;
         let process = Command::new(std::env::current_exe()?)
             .args(args)
-            .stdin(Stdio::null())
+            .arg("--with-parent")
+            .stdin(Stdio::piped())
             .stdout(File::create(&out_path)?)
             .stderr(log)
             .spawn()?;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,6 +1,8 @@
 //! Small fakes of what stands around banyanarch, and a load tool.
 
+use std::io;
 use std::process::ExitCode;
+use std::thread;
 
 use pico_args::Arguments;
 use standin::cmd;
@@ -30,8 +32,18 @@
         print!("{usage}");
         return ExitCode::SUCCESS;
     }
+    if args.contains("--with-parent") {
+        thread::spawn(end_with_parent);
+    }
     run(args).unwrap_or_else(|e| {
         eprintln!("standin: {e}");
         ExitCode::FAILURE
     })
 }
+
+/// Ends the process when its standard input ends, which a dead parent can't keep open. Without this
+/// a tool that was interrupted would leave its fleet running.
+fn end_with_parent() {
+    let _ = io::copy(&mut io::stdin(), &mut io::sink());
+    std::process::exit(1);
+}
