Platform stand-in: rates beyond which calls get 429

What the platform takes in a second is limited, and claims have to live with that. Test: the outage test takes the rate as a second case; without the check on the rate that case fails (tried).

--- a/standin/src/platform/api.rs
+++ b/standin/src/platform/api.rs
@@ -34,6 +34,7 @@
 
 const ROOT: &str = "/apis/banyanarch.dev/v1/";
 const MACHINES: &str = "machines";
+const SECOND: Duration = Duration::from_secs(1);
 const WATCH_TIMEOUT_DEFAULT_S: u64 = 30;
 /// How often a watch on a lagging list looks whether something has become visible.
 const LAG_POLL: Duration = Duration::from_millis(20);
@@ -50,6 +51,10 @@
     store: Store,
     stats: Stats,
     faults: PlatformFaults,
+    /// The second that calls are counted in, with its reads and writes.
+    second: Option<Instant>,
+    reads: u64,
+    writes: u64,
 }
 
 impl Api {
@@ -77,7 +82,7 @@
         };
         let faults = self.lock().faults.clone();
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-        if let Some(reply) = self.outage() {
+        if let Some(reply) = self.turned_away(head.method == Method::GET) {
             return reply;
         }
         match (&head.method, target.split_once('/')) {
@@ -91,9 +96,13 @@
         }
     }
 
-    fn outage(&self) -> Option<Reply> {
+    fn turned_away(&self, is_read: bool) -> Option<Reply> {
         let mut inner = self.lock();
-        let reply = match inner.faults.outage {
+        let outage = inner.faults.outage;
+        let reply = match outage {
+            Outage::None if inner.is_over_rate(is_read, Instant::now()) => {
+                Ok(http::text(StatusCode::TOO_MANY_REQUESTS, "over the rate"))
+            }
             Outage::None => return None,
             Outage::Unavailable => Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "outage")),
             Outage::Closed => Err(io::Error::other("outage")),
@@ -207,6 +216,20 @@
 }
 
 impl Inner {
+    fn is_over_rate(&mut self, is_read: bool, now: Instant) -> bool {
+        if self.second.is_none_or(|start| now >= start + SECOND) {
+            self.second = Some(now);
+            self.reads = 0;
+            self.writes = 0;
+        }
+        let (count, most) = match is_read {
+            true => (&mut self.reads, self.faults.reads_per_second),
+            false => (&mut self.writes, self.faults.writes_per_second),
+        };
+        *count += 1;
+        most.is_some_and(|most| *count > most)
+    }
+
     /// The instant whose state a list of this kind shows.
     fn seen_at(&self, kind: &str) -> Instant {
         let now = Instant::now();
--- a/standin/src/platform/faults.rs
+++ b/standin/src/platform/faults.rs
@@ -15,6 +15,10 @@
     pub lose_answer_one_in: u64,
     /// How old the list of machines is.
     pub machines_lag_ms: u64,
+    /// Gets, lists and watches that it takes in a second; more get 429.
+    pub reads_per_second: Option<u64>,
+    /// Writes that it takes in a second; more get 429.
+    pub writes_per_second: Option<u64>,
 }
 
 /// How the platform is down.
--- a/standin/src/platform/stats.rs
+++ b/standin/src/platform/stats.rs
@@ -14,7 +14,7 @@
     pub conflicts: u64,
     /// Writes that took effect and whose answer was lost.
     pub lost_answers: u64,
-    /// Calls that an outage turned away.
+    /// Calls that an outage or a rate turned away.
     pub turned_away: u64,
     /// Calls by method and kind, such as `PUT claims` or `WATCH manifests`.
     pub by_call: IndexMap<String, u64>,
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -14,6 +14,7 @@
 use standin::platform::Outage;
 use standin::platform::PlatformFake;
 use standin::platform::PlatformFaults;
+use yare::parameterized;
 
 const WAIT: Duration = Duration::from_secs(2);
 
@@ -111,14 +112,16 @@
     assert_eq!(later.items.len(), 1);
 }
 
-/// In an outage nothing is written, and the client can tell.
-#[tokio::test]
-async fn an_outage_writes_nothing() {
+/// In an outage, or when more is written than the platform takes, nothing is written, and the client
+/// can tell.
+#[parameterized(
+    outage = { PlatformFaults { outage: Outage::Unavailable, ..PlatformFaults::default() } },
+    rate = { PlatformFaults { writes_per_second: Some(0), ..PlatformFaults::default() } },
+)]
+#[test_macro(tokio::test)]
+async fn what_is_turned_away_is_not_written(faults: PlatformFaults) {
     let (fake, client) = platform().await;
-    fake.set_faults(PlatformFaults {
-        outage: Outage::Unavailable,
-        ..PlatformFaults::default()
-    });
+    fake.set_faults(faults);
     let put = client
         .put(key(Kind::Leases), json!(1), Expected::Absent)
         .await;
