--- a/standin/src/engine/stream.rs
+++ b/standin/src/engine/stream.rs
@@ -64,11 +64,16 @@
     offset: u64,
     breaks: Break,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
+    let limit = match breaks {
+        Break::Never => u64::MAX,
+        Break::Cut | Break::Short => source.answer_tokens.div_ceil(2),
+    };
     let reader = Reader {
         shared,
         source,
         offset,
         breaks,
+        limit,
         ready: VecDeque::new(),
         is_over: false,
     };
@@ -83,6 +88,8 @@
     source: Source,
     offset: u64,
     breaks: Break,
+    /// Where it breaks off.
+    limit: u64,
     ready: VecDeque<Bytes>,
     is_over: bool,
 }
@@ -96,52 +103,41 @@
             if self.is_over {
                 return None;
             }
-            let progress = *self.source.progress.borrow_and_update();
-            let has_news = progress.output_tokens > self.offset || progress.end.is_some();
-            if !has_news {
-                let changed = self.source.progress.changed().await;
-                if changed.is_err() {
-                    return Some(Err(io::Error::other("the attempt was forgotten")));
-                }
-                continue;
-            }
-            self.shared.wait_until_thawed().await;
-            let delay_ms = self.shared.faults().delay_answers_ms;
-            if delay_ms > 0 {
-                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            if self.offset >= self.limit {
+                return match self.breaks {
+                    Break::Cut => Some(Err(io::Error::other("cut off"))),
+                    Break::Short | Break::Never => None,
+                };
             }
-            if let Some(ended) = self.take_in(progress) {
-                return ended;
+            let progress = *self.source.progress.borrow_and_update();
+            if progress.output_tokens > self.offset || progress.end.is_some() {
+                self.wait_for_faults().await;
+                self.take_in(progress);
+            } else if self.source.progress.changed().await.is_err() {
+                return Some(Err(io::Error::other("the attempt was forgotten")));
             }
         }
     }
 
-    /// Makes events of what is new; some when the answer breaks off here.
-    fn take_in(&mut self, progress: Progress) -> Option<Option<io::Result<Bytes>>> {
-        let half = self.source.answer_tokens.div_ceil(2);
-        if progress.output_tokens >= half && self.offset >= half.min(progress.output_tokens) {
-            match self.breaks {
-                Break::Never => (),
-                Break::Cut => return Some(Some(Err(io::Error::other("cut off")))),
-                Break::Short => return Some(None),
-            }
+    async fn wait_for_faults(&self) {
+        self.shared.wait_until_thawed().await;
+        let delay_ms = self.shared.faults().delay_answers_ms;
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        let until = match self.breaks {
-            Break::Never => progress.output_tokens,
-            Break::Cut | Break::Short => progress.output_tokens.min(half),
-        };
+    }
+
+    /// Makes events of what is new.
+    fn take_in(&mut self, progress: Progress) {
+        let until = progress.output_tokens.min(self.limit);
         if until > self.offset {
             let event = self.tokens(until - self.offset);
             self.ready.push_back(event);
             self.offset = until;
-            if self.offset < progress.output_tokens {
-                return None;
-            }
         }
-        if let (Some(end), Break::Never) = (progress.end, self.breaks) {
+        if let Some(end) = progress.end.filter(|_| until < self.limit) {
             self.finish(progress, end);
         }
-        None
     }
 
     fn tokens(&self, count: u64) -> Bytes {
