--- a/standin/src/caller/percentile.rs
+++ b/standin/src/caller/percentile.rs
@@ -1,15 +1,22 @@
-//! Percentiles of exact samples.
+//! Percentiles of times.
 
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+
 /// The value that `percent` of the samples do not exceed, in milliseconds; none without samples.
 pub fn percentile_ms(samples: &[Duration], percent: f64) -> Option<f64> {
-    let mut sorted = samples.to_vec();
-    sorted.sort_unstable();
-    let last = sorted.len().checked_sub(1)?;
-    let exact = percent / 100.0 * last as f64;
-    let at = (0..=last).find(|at| *at as f64 >= exact).unwrap_or(last);
-    Some(sorted[at].as_secs_f64() * 1_000.0)
+    let mut histogram = Histogram::<u64>::new(SIGNIFICANT_DIGITS).ok()?;
+    for sample in samples {
+        let sample_us = u64::try_from(sample.as_micros()).ok()?;
+        histogram.record(sample_us).ok()?;
+    }
+    if histogram.is_empty() {
+        return None;
+    }
+    Some(histogram.value_at_percentile(percent) as f64 / 1_000.0)
 }
 
 /// A value in milliseconds, or a dash.
