--- a/standin/src/load/arrivals.rs
+++ b/standin/src/load/arrivals.rs
@@ -51,7 +51,7 @@
     };
     for (class, engine_share) in &scenario.mix {
         // A generator for each class, so that a class alone is the same as in the mix.
-        let mut rng = StdRng::seed_from_u64(seed * 16 + *class as u64);
+        let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(16) + *class as u64);
         let one = capacity::requests_per_second(engine, *class, &mut rng);
         let engines = scenario.plan.engine_domains.len() as f64;
         let rate = one * engines * engine_share * times * gain;
