--- /dev/null
+++ b/src/daemon/host.rs
@@ -0,0 +1,273 @@
+//! One host: all parts of a running daemon.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use indexmap::IndexMap;
+use log::info;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::board::Board;
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::control::claims::ClaimConf;
+use crate::control::claims::ClaimStore;
+use crate::control::membership::Membership;
+use crate::control::membership::MembershipConf;
+use crate::daemon::DaemonError;
+use crate::daemon::drain::Drain;
+use crate::daemon::loops;
+use crate::daemon::manifest_loop;
+use crate::daemon::news::News;
+use crate::daemon::pages::HostPages;
+use crate::daemon::poll;
+use crate::daemon::status_server;
+use crate::decide::PoisonList;
+use crate::entry::BodyMemory;
+use crate::entry::EntryParts;
+use crate::entry::InFlight;
+use crate::entry::serve_callers;
+use crate::fleet::FleetHomes;
+use crate::fleet::GrantWaiters;
+use crate::fleet::HomeDesk;
+use crate::fleet::HomeDeskParts;
+use crate::fleet::HomeGranter;
+use crate::fleet::HomeGranterParts;
+use crate::fleet::HomeMap;
+use crate::fleet::MembershipDesk;
+use crate::fleet::PeerDesk;
+use crate::fleet::RelayPlatform;
+use crate::fleet::UpstreamRegistry;
+use crate::http::HttpClient;
+use crate::observe::Bounds;
+use crate::observe::Explanations;
+use crate::observe::Metrics;
+use crate::peer::Keyring;
+use crate::peer::PeerPool;
+use crate::peer::PeerServer;
+use crate::peer::SeededAddrs;
+use crate::peer::Traffic;
+use crate::platform::HttpPlatform;
+use crate::platform::Platform;
+use crate::settings::Settings;
+use crate::units::Incarnation;
+
+/// A running daemon: what its loops and its shutdown work with.
+pub(crate) struct Host {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) parts: Arc<EntryParts>,
+    pub(crate) homes: Arc<HomeDesk>,
+    pub(crate) home_table: Arc<FleetHomes>,
+    pub(crate) granter: Arc<HomeGranter>,
+    pub(crate) membership: Arc<MembershipDesk>,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) addrs: Arc<SeededAddrs>,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) news: Arc<News>,
+    pub(crate) drain: Arc<Drain>,
+    pub(crate) stop_callers: watch::Sender<bool>,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    status: TcpListener,
+}
+
+impl Host {
+    /// Binds all ports and starts all parts.
+    pub(crate) async fn start(settings: Settings) -> Result<Arc<Self>, DaemonError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let peer_addr = listeners.peers.local_addr()?;
+        info!(
+            "daemon: host {} serves callers on {}, peers on {}, status on {}",
+            settings.host,
+            listeners.callers.local_addr()?,
+            peer_addr,
+            listeners.status.local_addr()?
+        );
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let board = Arc::new(Board::new());
+        let traffic = Arc::new(Traffic::new(
+            Arc::clone(&clock),
+            settings.peers.control_bytes_per_second,
+        ));
+        let addrs = Arc::new(SeededAddrs::new(Arc::clone(&board)));
+        addrs.learn(&settings.peers.seeds);
+        let peers = Arc::new(PeerPool::new(
+            settings.host.clone(),
+            Keyring::new(settings.peers.keys.clone()),
+            Arc::clone(&addrs) as _,
+            Arc::clone(&traffic),
+            StdRng::from_os_rng(),
+        ));
+        let membership = Arc::new(MembershipDesk::new(
+            Arc::clone(&clock),
+            Arc::clone(&board),
+            Arc::clone(&peers) as _,
+            Membership::new(
+                MembershipConf {
+                    host: settings.host.clone(),
+                    domain: settings.failure_domain.clone(),
+                    peer_addr,
+                    incarnation: first_incarnation(&*clock),
+                    bytes_per_second: settings.peers.control_bytes_per_second,
+                    seeds: settings.peers.seeds.clone(),
+                },
+                StdRng::from_os_rng(),
+                clock.now(),
+            ),
+        ));
+        let home_table = Arc::new(FleetHomes::new(
+            Arc::clone(&board),
+            Arc::clone(&membership),
+            settings.failure_domain.clone(),
+        ));
+        let map = Arc::clone(&home_table) as Arc<dyn HomeMap>;
+        let upstreams = Arc::new(UpstreamRegistry::new(Arc::clone(&board)));
+        let waiters = Arc::new(GrantWaiters::default());
+        let homes = Arc::new(HomeDesk::new(HomeDeskParts {
+            clock: Arc::clone(&clock),
+            host: settings.host.clone(),
+            board: Arc::clone(&board),
+            peers: Arc::clone(&peers) as _,
+            map: Arc::clone(&map),
+            upstreams: Arc::clone(&upstreams) as _,
+            waiters: Arc::clone(&waiters),
+            policy: settings.policy,
+        }));
+        let granter = Arc::new(HomeGranter::new(HomeGranterParts {
+            clock: Arc::clone(&clock),
+            host: settings.host.clone(),
+            peers: Arc::clone(&peers) as _,
+            map: Arc::clone(&map),
+            desk: Arc::clone(&homes),
+            waiters: Arc::clone(&waiters),
+            policy: settings.policy,
+        }));
+        let direct: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
+            HttpClient::new(settings.platform.address),
+            Duration::from_millis(settings.platform.timeout_ms),
+        ));
+        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform {
+            direct: Arc::clone(&direct),
+            peers: Arc::clone(&peers) as _,
+            board: Arc::clone(&board),
+            host: settings.host.clone(),
+            domain: settings.failure_domain.clone(),
+        });
+        let claims = ClaimStore::new(
+            &relayed,
+            &clock,
+            ClaimConf::default(),
+            &mut StdRng::from_os_rng(),
+        );
+        let parts = Arc::new(EntryParts {
+            clock: Arc::clone(&clock),
+            host: settings.host.clone(),
+            board: Arc::clone(&board),
+            granter: Arc::clone(&granter) as _,
+            claims: Arc::new(claims),
+            upstreams: Arc::clone(&upstreams) as _,
+            bodies: BodyMemory::new(settings.body_memory_size),
+            in_flight: InFlight::default(),
+            poison: Mutex::new(PoisonList::new()),
+            poison_spread: Arc::clone(&membership) as _,
+            retries: Mutex::new(IndexMap::new()),
+            metrics: Arc::new(Metrics::new()?),
+            explanations: Arc::new(Explanations::new(Arc::clone(&clock), Bounds::default())),
+        });
+        let news = Arc::new(News {
+            parts: Arc::clone(&parts),
+            homes: Arc::clone(&homes),
+            peers: Arc::clone(&peers),
+        });
+        let peer_desk = Arc::new(PeerDesk {
+            clock: Arc::clone(&clock),
+            homes: Arc::clone(&homes),
+            granter: Arc::clone(&granter),
+            waiters,
+            membership: Arc::clone(&membership),
+            news: Arc::clone(&news) as _,
+            platform: Arc::clone(&direct),
+            peers: Arc::clone(&peers) as _,
+        });
+        let peer_server = Arc::new(PeerServer::new(
+            settings.host.clone(),
+            Keyring::new(settings.peers.keys.clone()),
+            peer_desk,
+            Arc::clone(&traffic),
+            StdRng::from_os_rng(),
+        ));
+        let drain = Arc::new(Drain::new(&settings.drain, clock.now()));
+        let (stop_callers, callers_stopped) = watch::channel(false);
+        let host = Arc::new(Self {
+            settings,
+            clock,
+            board,
+            parts,
+            homes,
+            home_table,
+            granter,
+            membership,
+            platform: direct,
+            addrs,
+            traffic,
+            news,
+            drain,
+            stop_callers,
+        });
+        let deployment = host.settings.deployment.clone();
+        tokio::spawn(status_server::serve(
+            Arc::new(HostPages(Arc::clone(&host))),
+            listeners.status,
+        ));
+        tokio::spawn(peer_server.serve(listeners.peers, CancellationToken::new()));
+        tokio::spawn(manifest_loop::keep(
+            Arc::clone(&host.board),
+            Arc::clone(&host.platform),
+            deployment,
+        ));
+        tokio::spawn(poll::keep(Arc::clone(&host.homes), map, upstreams));
+        loops::start(&host);
+        tokio::spawn(serve_callers(
+            Arc::clone(&host.parts),
+            listeners.callers,
+            callers_stopped,
+        ));
+        Ok(host)
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, DaemonError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("listen.callers", listen.callers).await?,
+            peers: bind("listen.peers", listen.peers).await?,
+            status: bind("listen.status", listen.status).await?,
+        })
+    }
+}
+
+async fn bind(field: &'static str, addr: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|source| DaemonError::Bind {
+        field,
+        addr,
+        source,
+    })
+}
+
+fn first_incarnation(clock: &dyn Clock) -> Incarnation {
+    let since_epoch = clock.wall().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.map_or(1, |elapsed| elapsed.as_secs()))
+}
--- /dev/null
+++ b/src/decide/shipped/engines.rs
@@ -0,0 +1,496 @@
+//! The shipped policy for a pool of model engines.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::Admission;
+use crate::decide::Decision;
+use crate::decide::Done;
+use crate::decide::EngineFleet;
+use crate::decide::Estimator;
+use crate::decide::FairQueue;
+use crate::decide::Forecast;
+use crate::decide::Hold;
+use crate::decide::Intake;
+use crate::decide::Lane;
+use crate::decide::LiveGrant;
+use crate::decide::Placement;
+use crate::decide::Places;
+use crate::decide::Policy;
+use crate::decide::PolicyConfig;
+use crate::decide::PoolLoad;
+use crate::decide::RefuseReason;
+use crate::decide::UpstreamSeen;
+use crate::decide::Waiting;
+use crate::decide::Work;
+use crate::decide::engine_priority;
+use crate::decide::gang_share;
+use crate::decide::placement::duration;
+use crate::decide::placement::whole;
+use crate::decide::shipped::GangStep;
+use crate::decide::shipped::Granted;
+use crate::decide::shipped::Lanes;
+use crate::units::GrantId;
+use crate::units::RequestId;
+use crate::units::Tokens;
+use crate::units::TokensPerSecond;
+use crate::units::UpstreamId;
+use crate::upstream::CacheEvent;
+use crate::upstream::LoadReport;
+
+/// Requests that wait at most, over all lanes: about ten megabytes.
+const WAITING_MAX: usize = 10_000;
+/// Requests tried when the first can't be placed, so that one that waits for a certain upstream does
+/// not hold up the others.
+const TRIED_MAX: usize = 8;
+/// A lane with longer waits than this is loaded: customers over their rate are turned away.
+const SHORT_LOADED: Duration = Duration::from_millis(250);
+const LONG_LOADED: Duration = Duration::from_secs(5);
+/// Forecasts beyond this are as good as never.
+const EXPECTED_MAX: Duration = Duration::from_secs(86_400);
+/// The least and the longest time between two polls while requests wait: the headroom of placement
+/// covers the least, and the longest lets what depends on time go on.
+const WAKE_MIN: Duration = Duration::from_millis(2);
+const WAKE_MAX: Duration = Duration::from_millis(100);
+
+/// The shipped policy for model engines.
+#[derive(Debug)]
+pub struct EnginePolicy {
+    intake: Intake,
+    fleet: EngineFleet,
+    estimator: Estimator,
+    lanes: Lanes,
+    granted: IndexMap<GrantId, Granted>,
+    wake: Option<Instant>,
+}
+
+/// What became of an attempt to place a request.
+enum Step {
+    Went,
+    Refused,
+    Blocked,
+}
+
+/// Where a request goes.
+struct Chosen {
+    upstreams: Vec<UpstreamId>,
+    prefill_tokens: f64,
+    expected: Duration,
+    why: &'static str,
+}
+
+impl EnginePolicy {
+    /// A policy without upstreams.
+    pub fn new(conf: PolicyConfig, speed: TokensPerSecond, seed: u64) -> Self {
+        let fleet = EngineFleet::new(conf.tuning.clone(), speed);
+        Self {
+            intake: Intake::new(conf, seed),
+            fleet,
+            estimator: Estimator::new(),
+            lanes: Lanes::default(),
+            granted: IndexMap::new(),
+            wake: None,
+        }
+    }
+
+    fn lane_of(&self, waiting: &Waiting) -> Lane {
+        self.fleet.tuning.lane(waiting.prompt_tokens)
+    }
+
+    fn size_up(&self, work: Work, now: Instant) -> Waiting {
+        let (account, share) = self.intake.account(&work.customer);
+        let prompt_tokens = self.estimator.prompt_tokens(&work, &account);
+        Waiting {
+            prompt_tokens,
+            output_tokens: self.estimator.output_tokens(&work),
+            account,
+            share: share.share,
+            work,
+            since: now,
+        }
+    }
+
+    /// Whether to let a request in, and if not, why not and how long its lane takes to drain.
+    fn admit(&mut self, waiting: &Waiting, now: Instant) -> Result<(), (RefuseReason, Duration)> {
+        if waiting.work.deadline <= now {
+            return Err((RefuseReason::Expired, Duration::ZERO));
+        }
+        if self.fleet.live().next().is_none() {
+            return Err((RefuseReason::NoUpstream, Duration::ZERO));
+        }
+        let lane = self.lane_of(waiting);
+        let drain = self.drain_time(lane, now);
+        if self.lanes.len() >= WAITING_MAX {
+            return Err((RefuseReason::QueueFull, drain));
+        }
+        let (account, share) = self.intake.account(&waiting.work.customer);
+        let is_within = self.intake.take_rate(&account, &share, now);
+        let loaded = match lane {
+            Lane::Short => SHORT_LOADED,
+            Lane::Long => LONG_LOADED,
+        };
+        if !is_within && drain > loaded {
+            return Err((RefuseReason::CustomerLimit, drain));
+        }
+        let remaining = waiting.work.deadline.saturating_duration_since(now);
+        let remaining = remaining.mul_f64(self.fleet.tuning.admit_part);
+        match self
+            .forecast(waiting, lane, now)
+            .judge(remaining, self.granted.is_empty())
+        {
+            Admission::Admit => Ok(()),
+            Admission::TooLate => Err((RefuseReason::Deadline, drain)),
+        }
+    }
+
+    fn forecast(&self, waiting: &Waiting, lane: Lane, now: Instant) -> Forecast {
+        let cached = self.cached_tokens(&waiting.work, now);
+        let prefill = (waiting.prompt_tokens.as_f64() - cached).max(0.0);
+        let speed = self.fleet.median_speed() * self.gang_size(waiting) as f64;
+        Forecast {
+            wait: self
+                .lanes
+                .get(lane)
+                .wait(waiting, self.nominal_drain(lane, now), now),
+            prefill: duration(prefill / speed),
+            output: self.estimator.output_time(waiting.output_tokens),
+        }
+    }
+
+    /// The longest prefix that some engine probably has.
+    fn cached_tokens(&self, work: &Work, now: Instant) -> f64 {
+        if work.prefixes.is_empty() {
+            return 0.0;
+        }
+        let cached = self
+            .fleet
+            .open(now)
+            .map(|u| u.prefix.cached_tokens(work, now));
+        cached.fold(0.0, f64::max)
+    }
+
+    fn drain_time(&self, lane: Lane, now: Instant) -> Duration {
+        self.lanes
+            .get(lane)
+            .drain_time(self.nominal_drain(lane, now), now)
+    }
+
+    /// The cost a second that leaves a lane's queue while nothing better is known.
+    fn nominal_drain(&self, lane: Lane, now: Instant) -> f64 {
+        let all = self.fleet.speed(now).max(1.0);
+        let long = self.fleet.split.open() as f64 * self.fleet.median_speed();
+        match lane {
+            Lane::Short => (all - long / 2.0).max(all / 4.0),
+            Lane::Long => long,
+        }
+    }
+
+    fn gang_size(&self, waiting: &Waiting) -> usize {
+        let largest = self.fleet.largest_memory().0.max(1);
+        let size = waiting.memory_tokens().0.div_ceil(largest);
+        usize::try_from(size).unwrap_or(usize::MAX).max(1)
+    }
+
+    fn refuse(&mut self, waiting: &Waiting, reason: RefuseReason, now: Instant) {
+        let drain = self.drain_time(self.lane_of(waiting), now);
+        self.intake.refuse(waiting.work.request, reason, drain);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let expired = self.lanes.take_expired(now);
+        for waiting in expired {
+            self.refuse(&waiting, RefuseReason::Expired, now);
+        }
+    }
+
+    fn dispatch_lane(&mut self, lane: Lane, now: Instant) {
+        while self.places(now).has_room(lane) {
+            let heads = self.lanes.get(lane).queue.heads(TRIED_MAX);
+            let requests: Vec<RequestId> = heads.iter().map(|head| head.work.request).collect();
+            let mut steps = requests
+                .iter()
+                .map(|request| self.try_place(request, lane, now));
+            if steps.all(|step| matches!(step, Step::Blocked)) {
+                break;
+            }
+        }
+        self.lanes.get_mut(lane).on_blocked(now);
+    }
+
+    fn places(&self, now: Instant) -> Places<'_> {
+        Places {
+            upstreams: &self.fleet.upstreams,
+            tuning: &self.fleet.tuning,
+            open_to_long: self.fleet.split.open(),
+            median_speed: self.fleet.median_speed(),
+            now,
+        }
+    }
+
+    fn try_place(&mut self, request: &RequestId, lane: Lane, now: Instant) -> Step {
+        let Some(waiting) = self.lanes.get(lane).queue.get(request) else {
+            return Step::Blocked;
+        };
+        let Placement::Go {
+            index,
+            first_token,
+            prefill_tokens,
+            why,
+        } = self.places(now).choose(waiting, lane)
+        else {
+            return Step::Blocked;
+        };
+        let forecast = self.run_forecast(waiting, first_token);
+        if self.is_too_late(waiting, forecast, now) {
+            if let Some(waiting) = self.lanes.get_mut(lane).queue.remove(request) {
+                self.refuse(&waiting, RefuseReason::Deadline, now);
+            }
+            return Step::Refused;
+        }
+        let upstream = self
+            .fleet
+            .upstreams
+            .get_index(index)
+            .map(|(id, _)| id.clone());
+        let Some(waiting) = self.lanes.get_mut(lane).take(request, now) else {
+            return Step::Blocked;
+        };
+        let chosen = Chosen {
+            upstreams: upstream.into_iter().collect(),
+            prefill_tokens,
+            expected: forecast.total(),
+            why,
+        };
+        self.grant(&waiting, chosen, now);
+        Step::Went
+    }
+
+    fn run_forecast(&self, waiting: &Waiting, first_token: Duration) -> Forecast {
+        Forecast {
+            wait: Duration::ZERO,
+            prefill: first_token,
+            output: self.estimator.output_time(waiting.output_tokens),
+        }
+    }
+
+    /// Whether a request that could go now would not end in time.
+    fn is_too_late(&self, waiting: &Waiting, forecast: Forecast, now: Instant) -> bool {
+        let remaining = waiting.work.deadline.saturating_duration_since(now);
+        forecast.judge(remaining, self.granted.is_empty()) == Admission::TooLate
+    }
+
+    fn grant(&mut self, waiting: &Waiting, chosen: Chosen, now: Instant) {
+        let id = self
+            .intake
+            .grant(waiting, chosen.upstreams.clone(), chosen.why, now);
+        let leader = chosen
+            .upstreams
+            .first()
+            .and_then(|id| self.fleet.upstreams.get(id));
+        let hinted_tokens =
+            leader.map_or(Tokens::ZERO, |u| u.prefix.hinted_tokens(&waiting.work, now));
+        let grant = LiveGrant {
+            id,
+            work: waiting.work.clone(),
+            upstreams: chosen.upstreams,
+        };
+        let prefill = chosen.prefill_tokens;
+        self.enter(
+            grant,
+            waiting,
+            hinted_tokens,
+            (prefill, chosen.expected),
+            now,
+        );
+    }
+
+    /// Enters a grant in the ledger, with its prefill and the time expected for it.
+    fn enter(
+        &mut self,
+        grant: LiveGrant,
+        waiting: &Waiting,
+        hinted_tokens: Tokens,
+        (prefill, expected): (f64, Duration),
+        now: Instant,
+    ) {
+        let hold = Hold {
+            memory_tokens: gang_share(waiting.memory_tokens(), grant.upstreams.len()),
+            prefill_tokens: whole(prefill),
+            rank: engine_priority(&waiting.work),
+            lane: self.fleet.tuning.lane(whole(prefill)),
+            is_suspect: waiting.is_suspect(),
+            has_waited: now.saturating_duration_since(waiting.since) > self.fleet.tuning.headroom,
+            since: now,
+            expected: expected.min(EXPECTED_MAX),
+            ahead_before: 0.0,
+            higher_mark: 0.0,
+        };
+        self.fleet.hold(&grant, &hold, prefill, now);
+        let granted = Granted {
+            account: waiting.account.clone(),
+            hinted_tokens,
+            grant,
+        };
+        self.granted.insert(granted.grant.id, granted);
+    }
+
+    fn dispatch_gangs(&mut self, now: Instant) {
+        loop {
+            match self.lanes.gangs.next(&mut self.fleet, now) {
+                GangStep::Nothing => return,
+                GangStep::TooLarge(waiting) => self.refuse(&waiting, RefuseReason::TooLarge, now),
+                GangStep::Grant(waiting, members) => self.grant_gang(&waiting, members, now),
+            }
+        }
+    }
+
+    fn grant_gang(&mut self, waiting: &Waiting, members: Vec<UpstreamId>, now: Instant) {
+        let prefill_tokens = waiting.prompt_tokens.as_f64() / members.len().max(1) as f64;
+        let first_token = duration(prefill_tokens / self.fleet.median_speed());
+        let forecast = self.run_forecast(waiting, first_token);
+        if self.is_too_late(waiting, forecast, now) {
+            self.refuse(waiting, RefuseReason::Deadline, now);
+            return;
+        }
+        let chosen = Chosen {
+            upstreams: members,
+            prefill_tokens,
+            expected: forecast.total(),
+            why: "gang",
+        };
+        self.grant(waiting, chosen, now);
+    }
+
+    fn long_waited(&self, now: Instant) -> Option<Duration> {
+        let head = self.lanes.long.queue.heads(1).first().copied()?;
+        Some(now.saturating_duration_since(head.since))
+    }
+
+    /// When to poll again: when an engine is expected to be ready, or a request's time runs out.
+    fn plan_wake(&mut self, now: Instant) {
+        if self.lanes.len() == 0 {
+            self.wake = None;
+            return;
+        }
+        let is_short_waiting = !self.lanes.short.queue.is_empty();
+        let engines = self.fleet.open(now).filter(|_| is_short_waiting);
+        let ready = engines
+            .map(|u| duration(u.ledger.lane_backlog(Lane::Short) / u.ledger.speed.get()))
+            .min();
+        let ready_at = now + ready.unwrap_or(WAKE_MAX).clamp(WAKE_MIN, WAKE_MAX);
+        let expiry = self.lanes.queues().filter_map(FairQueue::next_expiry).min();
+        self.wake = Some(expiry.map_or(ready_at, |expiry| expiry.min(ready_at)));
+    }
+}
+
+impl Policy for EnginePolicy {
+    fn set_upstreams(&mut self, upstreams: &[UpstreamSeen], now: Instant) {
+        self.lanes.gangs.unreserve(&mut self.fleet);
+        self.fleet.set(upstreams, now);
+    }
+
+    fn set_config(&mut self, conf: &PolicyConfig, _now: Instant) {
+        self.intake.conf = conf.clone();
+        self.fleet.tuning = conf.tuning.clone();
+    }
+
+    fn offer(&mut self, work: Work, now: Instant) {
+        let waiting = self.size_up(work, now);
+        if let Err((reason, drain)) = self.admit(&waiting, now) {
+            self.intake.refuse(waiting.work.request, reason, drain);
+            return;
+        }
+        let lane = self.lane_of(&waiting);
+        let tokens = waiting.prompt_tokens.as_f64();
+        self.fleet
+            .split
+            .on_admitted(tokens, lane == Lane::Long, now);
+        if self.gang_size(&waiting) > 1 {
+            self.lanes.gangs.queue.push(waiting);
+        } else {
+            self.lanes.get_mut(lane).queue.push(waiting);
+        }
+    }
+
+    fn withdraw(&mut self, request: RequestId, _now: Instant) {
+        self.lanes.remove(&request);
+    }
+
+    fn poll(&mut self, now: Instant) -> Vec<Decision> {
+        let long_waited = self.long_waited(now);
+        self.fleet.advance(long_waited, now, &mut self.intake.rng);
+        self.expire(now);
+        self.dispatch_gangs(now);
+        self.dispatch_lane(Lane::Short, now);
+        self.dispatch_lane(Lane::Long, now);
+        self.plan_wake(now);
+        self.intake.take_due()
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        self.wake
+    }
+
+    fn finish(&mut self, grant: GrantId, done: Done, now: Instant) {
+        let Some(granted) = self.granted.swap_remove(&grant) else {
+            return;
+        };
+        let work = &granted.grant.work;
+        self.estimator.observe(work, &granted.account, &done);
+        let rng = &mut self.intake.rng;
+        self.fleet
+            .finish(&granted.grant, granted.hinted_tokens, &done, now, rng);
+    }
+
+    fn adopt(&mut self, grant: LiveGrant, now: Instant) {
+        if self.granted.contains_key(&grant.id) {
+            return;
+        }
+        let waiting = self.size_up(grant.work.clone(), now);
+        // How far it has come is not known. A short prefill is over by now; a long one may not be,
+        // and the engine's next reports tell.
+        let prefill = match self.lane_of(&waiting) {
+            Lane::Short => 0.0,
+            Lane::Long => waiting.prompt_tokens.as_f64() / grant.upstreams.len().max(1) as f64,
+        };
+        let first_token = duration(prefill / self.fleet.median_speed());
+        let expected = self.run_forecast(&waiting, first_token).total();
+        self.enter(grant, &waiting, Tokens::ZERO, (prefill, expected), now);
+    }
+
+    fn live_grants(&self) -> Vec<LiveGrant> {
+        self.granted
+            .values()
+            .map(|granted| granted.grant.clone())
+            .collect()
+    }
+
+    fn report(&mut self, upstream: &UpstreamId, report: &LoadReport, now: Instant) {
+        if let Some(upstream) = self.fleet.upstreams.get_mut(upstream) {
+            let capacity = upstream.seen.memory_tokens;
+            upstream.ledger.correct(report, capacity, now);
+        }
+    }
+
+    fn cache_events(&mut self, upstream: &UpstreamId, events: &[CacheEvent], now: Instant) {
+        if let Some(upstream) = self.fleet.upstreams.get_mut(upstream) {
+            upstream.prefix.on_events(events, now);
+        }
+    }
+
+    fn load(&self, now: Instant) -> PoolLoad {
+        let free = self
+            .fleet
+            .open(now)
+            .map(|u| u.ledger.free_tokens(u.seen.memory_tokens));
+        PoolLoad {
+            waiting: self.lanes.len() as u64,
+            running: self.granted.len() as u64,
+            short_wait: self.drain_time(Lane::Short, now),
+            free_tokens: free.sum(),
+            upstreams: u32::try_from(self.fleet.open(now).count()).unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/claim_desk.rs
@@ -0,0 +1,44 @@
+//! Claims as the entry asks for them.
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+
+use crate::control::claims::Claim;
+use crate::control::claims::ClaimKey;
+use crate::control::claims::ClaimState;
+use crate::control::claims::ClaimStore;
+use crate::control::claims::ClaimVerdict;
+use crate::units::AttemptId;
+
+/// Whoever records claims.
+pub trait ClaimDesk: Send + Sync {
+    /// Records a claim. Only [`ClaimVerdict::Claimed`] allows to dispatch.
+    fn claim(&self, key: ClaimKey, claim: Claim) -> BoxFuture<'_, ClaimVerdict>;
+
+    /// Gives a claim back, with the promise that its attempt is not dispatched any more.
+    fn give_back(&self, key: ClaimKey, attempt: AttemptId);
+
+    /// Notes how the attempt has ended, so that the claim can be collected in time.
+    fn finish(&self, key: ClaimKey, attempt: AttemptId, state: ClaimState);
+
+    /// How many claims the platform does not know the end of.
+    fn pending(&self) -> usize;
+}
+
+impl ClaimDesk for ClaimStore {
+    fn claim(&self, key: ClaimKey, claim: Claim) -> BoxFuture<'_, ClaimVerdict> {
+        self.claim(key, claim).boxed()
+    }
+
+    fn give_back(&self, key: ClaimKey, attempt: AttemptId) {
+        self.give_back(key, attempt);
+    }
+
+    fn finish(&self, key: ClaimKey, attempt: AttemptId, state: ClaimState) {
+        self.finish(key, attempt, state);
+    }
+
+    fn pending(&self) -> usize {
+        self.pending()
+    }
+}
--- /dev/null
+++ b/standin/src/caller/percentile.rs
@@ -0,0 +1,25 @@
+//! Percentiles of times.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// The value that `percent` of the samples do not exceed, in milliseconds; none without samples.
+pub fn percentile_ms(samples: &[Duration], percent: f64) -> Option<f64> {
+    let mut histogram = Histogram::<u64>::new(SIGNIFICANT_DIGITS).ok()?;
+    for sample in samples {
+        let sample_us = u64::try_from(sample.as_micros()).ok()?;
+        histogram.record(sample_us).ok()?;
+    }
+    if histogram.is_empty() {
+        return None;
+    }
+    Some(histogram.value_at_percentile(percent) as f64 / 1_000.0)
+}
+
+/// A value in milliseconds, or a dash.
+pub fn show_ms(value: Option<f64>) -> String {
+    value.map_or_else(|| "-".to_owned(), |ms| format!("{ms:.0}"))
+}
--- /dev/null
+++ b/tests/decide_fakes/engine.rs
@@ -0,0 +1,197 @@
+//! One fake engine: continuous batching in small steps of time.
+
+use std::time::Duration;
+
+use banyanarch::decide::Work;
+use banyanarch::decide::engine_priority;
+use banyanarch::units::AttemptId;
+use banyanarch::units::ContentHash;
+use banyanarch::units::Priority;
+use banyanarch::units::Tokens;
+use banyanarch::upstream::LoadReport;
+use indexmap::IndexMap;
+
+/// Tokens that the prefix cache holds.
+const CACHE_TOKENS: u64 = 400_000;
+const CHUNK_TOKENS: f64 = 512.0;
+const STEP_BASE: f64 = 0.015;
+const STEP_PER_ANSWER: f64 = 0.000_2;
+
+pub struct Engine {
+    pub memory: u64,
+    pub slots: usize,
+    pub speed: f64,
+    /// How fast it works, 1 as it should.
+    pub pace: f64,
+    /// Whether prefill of a lower rank waits for that of a higher one.
+    pub honours_rank: bool,
+    pub is_dead: bool,
+    pub jobs: IndexMap<AttemptId, Job>,
+    cache: IndexMap<ContentHash, u64>,
+    time: f64,
+    plan: Option<(f64, Vec<(AttemptId, f64)>)>,
+}
+
+pub struct Job {
+    rank: Priority,
+    memory: u64,
+    is_running: bool,
+    pub prefill_left: f64,
+    pub output_left: f64,
+    pub cached: u64,
+    prefixes: Vec<(ContentHash, Tokens)>,
+}
+
+/// What became of a job in one step.
+pub enum Event {
+    FirstToken(AttemptId),
+    End(AttemptId),
+}
+
+impl Engine {
+    pub fn new(memory: u64, speed: f64) -> Self {
+        Self {
+            memory,
+            slots: 32,
+            speed,
+            pace: 1.0,
+            honours_rank: true,
+            is_dead: false,
+            jobs: IndexMap::new(),
+            cache: IndexMap::new(),
+            time: 0.0,
+            plan: None,
+        }
+    }
+
+    pub fn has_room(&self, memory: u64) -> bool {
+        let held: u64 = self.jobs.values().map(|job| job.memory).sum();
+        held + memory <= self.memory
+    }
+
+    /// Starts an attempt of which this engine is one of `members`; `output` is what it will answer.
+    pub fn start(&mut self, attempt: AttemptId, work: &Work, output: u64, members: u64) {
+        let hit = work
+            .prefixes
+            .iter()
+            .rev()
+            .find(|(hash, _)| self.cache.contains_key(hash));
+        let cached = hit.map_or(0, |(_, tokens)| tokens.0);
+        let job = Job {
+            rank: engine_priority(work),
+            memory: work.memory_tokens().0.div_ceil(members),
+            is_running: false,
+            prefill_left: (work.prompt_tokens.0 - cached) as f64 / members as f64,
+            output_left: output.max(1) as f64,
+            cached,
+            prefixes: work.prefixes.clone(),
+        };
+        self.jobs.insert(attempt, job);
+    }
+
+    /// Lets time pass: as many steps as fit, each of which reads a chunk in and makes a token for
+    /// each attempt that answers.
+    pub fn step(&mut self, dt: Duration, events: &mut Vec<Event>) {
+        self.time += dt.as_secs_f64() * self.pace;
+        loop {
+            if self.plan.is_none() {
+                self.take_in();
+                self.plan = self.plan();
+            }
+            let Some((takes, _)) = &self.plan else {
+                self.time = 0.0;
+                return;
+            };
+            if *takes > self.time {
+                return;
+            }
+            self.time -= takes;
+            let (_, chunks) = self.plan.take().unwrap();
+            self.apply(&chunks, events);
+        }
+    }
+
+    /// The time of the next step, and what each attempt reads in.
+    fn plan(&self) -> Option<(f64, Vec<(AttemptId, f64)>)> {
+        let running = || self.jobs.iter().filter(|(_, job)| job.is_running);
+        let mut prefills: Vec<_> = running()
+            .filter(|(_, job)| job.prefill_left > 0.0)
+            .collect();
+        if self.honours_rank {
+            prefills.sort_by_key(|(_, job)| job.rank);
+        }
+        let mut budget = CHUNK_TOKENS;
+        let count = prefills.len() as f64;
+        let mut chunks = Vec::new();
+        for (attempt, job) in &prefills {
+            let most = if self.honours_rank {
+                budget
+            } else {
+                CHUNK_TOKENS / count
+            };
+            let chunk = job.prefill_left.min(most);
+            budget -= chunk;
+            chunks.push((**attempt, chunk));
+        }
+        let answers = running().count() - prefills.len();
+        let takes =
+            STEP_BASE + STEP_PER_ANSWER * answers as f64 + (CHUNK_TOKENS - budget) / self.speed;
+        (running().count() > 0).then_some((takes, chunks))
+    }
+
+    fn apply(&mut self, chunks: &[(AttemptId, f64)], events: &mut Vec<Event>) {
+        for (attempt, job) in &mut self.jobs {
+            if job.is_running && job.prefill_left <= 0.0 {
+                job.output_left -= 1.0;
+                if job.output_left <= 0.0 {
+                    events.push(Event::End(*attempt));
+                }
+            }
+        }
+        for (attempt, chunk) in chunks {
+            let Some(job) = self.jobs.get_mut(attempt) else {
+                continue;
+            };
+            job.prefill_left -= chunk;
+            if job.prefill_left < 0.01 && *chunk > 0.0 {
+                job.prefill_left = 0.0;
+                events.push(Event::FirstToken(*attempt));
+                self.cache
+                    .extend(job.prefixes.iter().map(|(hash, tokens)| (*hash, tokens.0)));
+            }
+        }
+        while self.cache.values().sum::<u64>() > CACHE_TOKENS {
+            self.cache.shift_remove_index(0);
+        }
+    }
+
+    pub fn report(&self) -> LoadReport {
+        let running = || self.jobs.values().filter(|job| job.is_running);
+        let backlog: f64 = self.jobs.values().map(|job| job.prefill_left).sum();
+        LoadReport {
+            running: running().count() as u64,
+            waiting: (self.jobs.len() - running().count()) as u64,
+            used_tokens: Tokens(running().map(|job| job.memory).sum()),
+            capacity_tokens: Tokens(self.memory),
+            prefill_backlog_tokens: Tokens(backlog as u64),
+            prefill_tokens_per_second: self.speed,
+        }
+    }
+
+    /// Lets jobs in that fit, in order of rank and arrival.
+    fn take_in(&mut self) {
+        let running = || self.jobs.values().filter(|job| job.is_running);
+        let mut slots = self.slots.saturating_sub(running().count());
+        let mut free = self.memory - running().map(|job| job.memory).sum::<u64>();
+        let mut queued: Vec<&mut Job> = self.jobs.values_mut().filter(|j| !j.is_running).collect();
+        queued.sort_by_key(|job| job.rank);
+        for job in queued {
+            if slots == 0 || job.memory > free {
+                break;
+            }
+            job.is_running = true;
+            slots -= 1;
+            free -= job.memory;
+        }
+    }
+}
