Manifests are spread among hosts

Cause: every host watched the platform, and a host that can't reach it had no manifest. Change: a few watch, the rest hear from peers; readiness follows what the platform or enough neighbours said. Ruled out: a watch by each host, 400 waiting calls at the platform.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -18,6 +18,7 @@
 use crate::clock::SystemClock;
 use crate::control::claims::ClaimConf;
 use crate::control::claims::ClaimStore;
+use crate::control::manifests::Manifests;
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipConf;
 use crate::daemon::DaemonError;
@@ -40,6 +41,8 @@
 use crate::fleet::HomeGranter;
 use crate::fleet::HomeGranterParts;
 use crate::fleet::HomeMap;
+use crate::fleet::ManifestDesk;
+use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
 use crate::fleet::PeerDesk;
 use crate::fleet::RelayPlatform;
@@ -68,6 +71,7 @@
     pub(crate) home_table: Arc<FleetHomes>,
     pub(crate) granter: Arc<HomeGranter>,
     pub(crate) membership: Arc<MembershipDesk>,
+    pub(crate) manifests: Arc<ManifestDesk>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -185,6 +189,22 @@
             metrics: Arc::new(Metrics::new()?),
             explanations: Arc::new(Explanations::new(Arc::clone(&clock), Bounds::default())),
         });
+        let manifests = Arc::new(ManifestDesk::new(
+            ManifestDeskParts {
+                clock: Arc::clone(&clock),
+                board: Arc::clone(&board),
+                peers: Arc::clone(&peers) as _,
+                metrics: Arc::clone(&parts.metrics),
+                host: settings.host.clone(),
+                domain: settings.failure_domain.clone(),
+            },
+            Manifests::new(
+                manifest_loop::check_for(settings.deployment.clone()),
+                settings.peers.control_bytes_per_second,
+                StdRng::from_os_rng(),
+                clock.now(),
+            ),
+        ));
         let news = Arc::new(News {
             parts: Arc::clone(&parts),
             homes: Arc::clone(&homes),
@@ -196,6 +216,7 @@
             granter: Arc::clone(&granter),
             waiters,
             membership: Arc::clone(&membership),
+            manifests: Arc::clone(&manifests),
             news: Arc::clone(&news) as _,
             platform: Arc::clone(&direct),
             peers: Arc::clone(&peers) as _,
@@ -218,6 +239,7 @@
             home_table,
             granter,
             membership,
+            manifests,
             platform: direct,
             addrs,
             traffic,
@@ -225,17 +247,12 @@
             drain,
             stop_callers,
         });
-        let deployment = host.settings.deployment.clone();
         tokio::spawn(status_server::serve(
             Arc::new(HostPages(Arc::clone(&host))),
             listeners.status,
         ));
         tokio::spawn(peer_server.serve(listeners.peers, CancellationToken::new()));
-        tokio::spawn(manifest_loop::keep(
-            Arc::clone(&host.board),
-            Arc::clone(&host.platform),
-            deployment,
-        ));
+        tokio::spawn(manifest_loop::keep(Arc::clone(&host)));
         tokio::spawn(poll::keep(Arc::clone(&host.homes), map, upstreams));
         loops::start(&host);
         tokio::spawn(serve_callers(
--- a/src/daemon/loops.rs
+++ b/src/daemon/loops.rs
@@ -24,6 +24,7 @@
     every(host, MEMBERSHIP_TICK, |host| {
         host.news.take(host.membership.tick());
     });
+    every(host, MEMBERSHIP_TICK, |host| host.manifests.tick());
     every(host, ANNOUNCE_PAUSE, |host| host.granter.announce());
     every(host, REFRESH_PAUSE, |host| {
         host.home_table.refresh();
--- a/src/daemon/manifest_loop.rs
+++ b/src/daemon/manifest_loop.rs
@@ -1,80 +1,111 @@
 //! Reads the manifest from the platform.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use log::info;
+use futures_util::FutureExt;
 use log::warn;
 use serde::Deserialize;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
-use crate::board::Board;
-use crate::manifest::InForce;
+use crate::control::manifests::CheckManifest;
+use crate::control::manifests::PlatformWord;
+use crate::control::manifests::watchers;
+use crate::daemon::host::Host;
 use crate::manifest::Manifest;
+use crate::manifest::PublishedManifest;
 use crate::platform::Kind;
-use crate::platform::Object;
-use crate::platform::Platform;
+use crate::platform::ObjectList;
 use crate::platform::PlatformError;
-use crate::units::ContentHash;
-use crate::units::Generation;
 use crate::units::ObjectVersion;
 
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// A watch is asked again at this interval even if nothing changed, so that a connection that is
+/// dead without a sign is noticed.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// After a failure, and between looks at whether this host has become a watcher.
 const PAUSE: Duration = Duration::from_secs(1);
 
-#[derive(Deserialize)]
-struct ManifestSpec {
-    generation: Generation,
-    text: String,
+/// What a published manifest must be for this host to take it.
+pub(crate) fn check_for(deployment: String) -> CheckManifest {
+    Box::new(move |text| {
+        let manifest = Manifest::parse(text, "manifest").map_err(|errors| errors.to_string())?;
+        if manifest.deployment == deployment {
+            Ok(manifest)
+        } else {
+            Err(format!("it is for deployment {}", manifest.deployment))
+        }
+    })
 }
 
-/// Keeps the manifest on the board up with the platform.
-pub(crate) async fn keep(board: Arc<Board>, platform: Arc<dyn Platform>, deployment: String) {
+/// Tells the desk what the platform says: all the time if this host watches for its failure domain,
+/// else once at the start and whenever the desk wants to know.
+pub(crate) async fn keep(host: std::sync::Arc<Host>) {
+    let mut version = None;
     loop {
-        if let Err(err) = follow(&board, &*platform, &deployment).await {
-            warn!("manifests: {err}");
+        let read = match version {
+            Some(after) if is_watcher(&host) => watch(&host, after).await,
+            Some(_) => wait_until_wanted(&host).await,
+            None => list(&host).await,
+        };
+        match read {
+            Ok(next) => version = next,
+            Err(err) => {
+                warn!("manifests: {err}");
+                version = None;
+                sleep(PAUSE).await;
+            }
         }
-        sleep(PAUSE).await;
     }
 }
 
-async fn follow(
-    board: &Board,
-    platform: &dyn Platform,
-    deployment: &str,
-) -> Result<(), PlatformError> {
-    let list = platform.list(Kind::Manifests).await?;
-    take_in_all(board, &list.items, deployment);
-    let mut version: ObjectVersion = list.version;
-    loop {
-        let changes = platform.watch(Kind::Manifests, version, WATCH_WAIT).await?;
-        take_in_all(board, &changes.items, deployment);
-        version = changes.version;
+async fn watch(host: &Host, after: ObjectVersion) -> Result<Option<ObjectVersion>, PlatformError> {
+    let changes = host
+        .platform
+        .watch(Kind::Manifests, after, WATCH_WAIT)
+        .await?;
+    if changes.items.is_empty() {
+        host.manifests.platform(PlatformWord::Unchanged);
     }
+    take_in(host, &changes);
+    Ok(Some(changes.version))
 }
 
-fn take_in_all(board: &Board, objects: &[Object], deployment: &str) {
-    for object in objects {
-        if let Err(why) = take_in(board, object, deployment) {
-            warn!("manifests: {} is not taken: {why}", object.key);
-        }
-    }
+/// A host that does not watch hears of new generations from peers.
+async fn wait_until_wanted(host: &Host) -> Result<Option<ObjectVersion>, PlatformError> {
+    let is_wanted = timeout(PAUSE, host.manifests.wants_platform())
+        .await
+        .is_ok();
+    let has_become_watcher = is_watcher(host);
+    Ok(if is_wanted || has_become_watcher {
+        None
+    } else {
+        Some(ObjectVersion::default())
+    })
 }
 
-fn take_in(board: &Board, object: &Object, deployment: &str) -> Result<(), String> {
-    let spec = ManifestSpec::deserialize(&object.value).map_err(|err| err.to_string())?;
-    let manifest = Manifest::parse(&spec.text, "manifest").map_err(|err| err.to_string())?;
-    if manifest.deployment != deployment {
-        return Err(format!("it is for deployment {}", manifest.deployment));
+async fn list(host: &Host) -> Result<Option<ObjectVersion>, PlatformError> {
+    // What the desk wanted until now is answered by this read.
+    let _ = host.manifests.wants_platform().now_or_never();
+    let list = host.platform.list(Kind::Manifests).await?;
+    if list.items.is_empty() {
+        host.manifests.platform(PlatformWord::Absent);
     }
-    let hash = ContentHash::of(spec.text.as_bytes());
-    let generation = spec.generation;
-    if board.advance_manifest(InForce {
-        generation,
-        hash,
-        manifest,
-    }) {
-        info!("manifests: generation {generation} is in force");
+    take_in(host, &list);
+    Ok(Some(list.version))
+}
+
+fn is_watcher(host: &Host) -> bool {
+    let domain = &host.settings.failure_domain;
+    let members = host.membership.members(domain);
+    watchers(domain, &members).contains(&host.settings.host)
+}
+
+fn take_in(host: &Host, list: &ObjectList) {
+    for object in &list.items {
+        match PublishedManifest::deserialize(&object.value) {
+            Ok(published) => host.manifests.platform(PlatformWord::Published(published)),
+            Err(err) => warn!("manifests: {} is not understood: {err}", object.key),
+        }
     }
-    Ok(())
 }
--- a/src/daemon/pages.rs
+++ b/src/daemon/pages.rs
@@ -30,8 +30,8 @@
         if !self.0.drain.is_ready() {
             return Page::text(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
         }
-        if self.0.board.manifest().is_none() {
-            return Page::text(StatusCode::SERVICE_UNAVAILABLE, "no manifest yet\n");
+        if let Some(why) = self.0.manifests.knowledge().why_not_ready {
+            return Page::text(StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n"));
         }
         Page::text(StatusCode::OK, "ready\n")
     }
@@ -84,6 +84,7 @@
             "host": host.settings.host,
             "domain": host.settings.failure_domain,
             "generation": generation,
+            "manifest": host.manifests.knowledge(),
             "in_flight": host.parts.in_flight.count(),
             "grants": host.granter.live_count(),
             "claims_pending": host.parts.claims.pending(),
--- /dev/null
+++ b/src/fleet/manifest_desk.rs
@@ -0,0 +1,144 @@
+//! Runs the spreading of manifests on this host.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::Notify;
+
+use crate::board::Board;
+use crate::board::HostState;
+use crate::clock::Clock;
+use crate::control::manifests::Knowledge;
+use crate::control::manifests::ManifestAction;
+use crate::control::manifests::Manifests;
+use crate::control::manifests::PlatformWord;
+use crate::observe::Metrics;
+use crate::peer::Message;
+use crate::peer::Peers;
+use crate::units::FailureDomainId;
+use crate::units::HostId;
+
+/// Runs the spreading of manifests on this host and puts them in force on the board.
+pub struct ManifestDesk {
+    clock: Arc<dyn Clock>,
+    board: Arc<Board>,
+    peers: Arc<dyn Peers>,
+    metrics: Arc<Metrics>,
+    host: HostId,
+    domain: FailureDomainId,
+    manifests: Mutex<Manifests>,
+    read_platform: Notify,
+}
+
+/// What a desk works with.
+pub struct ManifestDeskParts {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// Other hosts.
+    pub peers: Arc<dyn Peers>,
+    /// Metrics, which follow the manifest's customers.
+    pub metrics: Arc<Metrics>,
+    /// This host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+}
+
+impl ManifestDesk {
+    /// A desk around a state machine.
+    pub fn new(parts: ManifestDeskParts, manifests: Manifests) -> Self {
+        Self {
+            clock: parts.clock,
+            board: parts.board,
+            peers: parts.peers,
+            metrics: parts.metrics,
+            host: parts.host,
+            domain: parts.domain,
+            manifests: Mutex::new(manifests),
+            read_platform: Notify::new(),
+        }
+    }
+
+    /// Does what is due now.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let (neighbours, strangers) = self.others();
+        let heard = self.generations();
+        let mut actions = Vec::new();
+        {
+            let mut manifests = self.lock();
+            manifests.set_hosts(neighbours, strangers);
+            for (host, generation) in heard {
+                actions.extend(manifests.heard(&host, generation, now));
+            }
+            actions.extend(manifests.tick(now));
+        }
+        self.perform(actions);
+    }
+
+    /// Takes in a message of another host.
+    pub fn handle(&self, from: &HostId, message: Message) {
+        let actions = self.lock().handle(from, message, self.clock.now());
+        self.perform(actions);
+    }
+
+    /// Takes in what the platform said.
+    pub fn platform(&self, word: PlatformWord) {
+        let actions = self.lock().platform(word, self.clock.now());
+        self.perform(actions);
+    }
+
+    /// What this host knows.
+    pub fn knowledge(&self) -> Knowledge {
+        self.lock().knowledge(self.clock.now())
+    }
+
+    /// Comes back when the platform should be read.
+    pub async fn wants_platform(&self) {
+        self.read_platform.notified().await;
+    }
+
+    fn others(&self) -> (Vec<HostId>, Vec<HostId>) {
+        let views = self
+            .board
+            .hosts
+            .snapshot()
+            .into_iter()
+            .map(|(_, view)| view);
+        let others = views.filter(|view| view.id != self.host && view.state != HostState::Dead);
+        let (near, far): (Vec<_>, Vec<_>) = others.partition(|view| view.domain == self.domain);
+        let ids = |views: Vec<crate::board::HostView>| views.into_iter().map(|view| view.id);
+        (ids(near).collect(), ids(far).collect())
+    }
+
+    fn generations(&self) -> Vec<(HostId, crate::units::Generation)> {
+        let views = self.board.hosts.snapshot().into_iter();
+        views
+            .map(|(id, view)| (id, view.generation))
+            .filter(|(id, _)| *id != self.host)
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Manifests> {
+        self.manifests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn perform(&self, actions: Vec<ManifestAction>) {
+        for action in actions {
+            match action {
+                ManifestAction::Send { to, message } => self.peers.send(&to, message),
+                ManifestAction::ReadPlatform => self.read_platform.notify_one(),
+                ManifestAction::PutInForce(in_force) => {
+                    self.metrics.set_customers(&in_force.manifest);
+                    self.board.advance_manifest(in_force);
+                }
+            }
+        }
+    }
+}
--- a/src/fleet/peer_desk.rs
+++ b/src/fleet/peer_desk.rs
@@ -20,6 +20,7 @@
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeDesk;
 use crate::fleet::HomeGranter;
+use crate::fleet::ManifestDesk;
 use crate::fleet::MembershipDesk;
 use crate::peer::Message;
 use crate::peer::PeerHandler;
@@ -51,6 +52,8 @@
     pub waiters: Arc<GrantWaiters>,
     /// The membership.
     pub membership: Arc<MembershipDesk>,
+    /// The spreading of manifests.
+    pub manifests: Arc<ManifestDesk>,
     /// Whoever acts on changes of the membership.
     pub news: Arc<dyn NewsSink>,
     /// The platform, as this host reaches it itself.
@@ -155,6 +158,15 @@
                     self.news.take(vec![FleetNews::Poison(notice)]);
                     None
                 }
+                message @ (Message::ManifestNotice(_)
+                | Message::ManifestQuery(_)
+                | Message::IndexRequest(_)
+                | Message::ManifestIndex(_)
+                | Message::PartsRequest(_)
+                | Message::ManifestParts(_)) => {
+                    self.manifests.handle(&from, message);
+                    None
+                }
                 Message::PlatformReply(_) | Message::Ack(()) => None,
             }
         }
