--- a/src/decide/service_upstream.rs
+++ b/src/decide/service_upstream.rs
@@ -79,7 +79,7 @@
     pub fn on_done(&mut self, done: &Done, now: Instant) {
         match done.ended {
             Ended::Completed => {
-                self.limit.observe(done.total, self.running);
+                self.limit.observe(done.total, self.running, now);
                 self.warm_up.on_success(now);
                 let latency = done.total.as_secs_f64();
                 self.latency_seconds += LATENCY_GAIN * (latency - self.latency_seconds);
