Orders: level-triggered reconciling of engines under a fenced lease

Cause: engines must come to what the manifest wants although holders are paused, answers get lost and some engines obey every order.

Ruled out: renewing every pool's lease all the time (15 writes a second at 75 pools for nothing): a lease is held only while there is something to change. Trusting an order's answer: the engine is read again, and an order counts as at work until its longest flight is over.

Change: a lease without I/O whose time is counted from before the write was sent; a plan that keeps loaded_percent_min of the engines loaded; a token bucket over the weight store's rate; for engines that ignore fencing the wait of lease and flight; each order carries the moment after which it must not be sent.

That an engine which is loading does not count as loaded has no test that fails without it.

--- a/src/control/orders/mod.rs
+++ b/src/control/orders/mod.rs
@@ -1,1 +1,20 @@
 //! Orders to engines under a lease.
+//!
+//! Level-triggered: what the manifest wants is compared with what engines report, again and again;
+//! nothing depends on an order or its answer having arrived. Orders go out only under the pool's
+//! lease in the platform, whose object version is the fencing number. Without a lease nothing is
+//! ordered, and serving goes on.
+
+mod lease;
+mod machine;
+mod plan;
+
+pub use lease::Lease;
+pub use lease::LeaseAction;
+pub use lease::LeaseSpec;
+pub use machine::OrderAction;
+pub use machine::Orders;
+pub use machine::OrdersConf;
+pub use plan::EngineSeen;
+pub use plan::Wanted;
+pub use plan::plan;
