--- a/src/control/manifests/fetch.rs
+++ b/src/control/manifests/fetch.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::control::manifests::parts::page_hashes;
 use crate::control::manifests::parts::to_bytes;
 use crate::peer::Message;
 use crate::peer::message::IndexRequest;
@@ -18,7 +19,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Parts in one request: about 256 KiB, well inside a frame.
-const PARTS_ASKED_MAX: usize = 64;
+const PARTS_ASKED_MAX: usize = 256;
+
+/// Where this much is missing, about 64 KiB, the platform is asked.
+const PLATFORM_PARTS: usize = 64;
 
 /// How long to wait for the platform before a large manifest is taken from other hosts after all.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -40,7 +44,7 @@
 struct Index {
     generation: Generation,
     hash: ContentHash,
-    parts: Vec<ContentHash>,
+    pages: Vec<ContentHash>,
 }
 
 /// What a fetch has come to.
@@ -87,7 +91,7 @@
         &mut self,
         generation: Generation,
         hash: ContentHash,
-        parts: Vec<ContentHash>,
+        pages: Vec<ContentHash>,
     ) {
         let known = self.index.as_ref().map(|index| index.generation);
         if generation < self.generation || known.is_some_and(|known| known >= generation) {
@@ -96,19 +100,18 @@
         self.index = Some(Index {
             generation,
             hash,
-            parts,
+            pages,
         });
         self.asked = None;
     }
 
-    /// Takes in parts. What was not asked for is dropped, so that nobody can fill this memory.
+    /// Takes in parts and pages. What is not missing is dropped, so that nobody can fill this
+    /// memory.
     pub(crate) fn take_parts(&mut self, parts: Vec<String>) {
-        let Some(index) = &self.index else {
-            return;
-        };
+        let missing = self.missing();
         for part in parts {
             let hash = ContentHash::of(part.as_bytes());
-            if index.parts.contains(&hash) {
+            if missing.contains(&hash) {
                 self.parts.insert(hash, part);
             }
         }
@@ -123,7 +126,7 @@
         {
             return self.assemble(index);
         }
-        if missing.len() > PARTS_ASKED_MAX {
+        if missing.len() > PLATFORM_PARTS {
             let asked_at = *self.asked_platform_at.get_or_insert(now);
             if asked_at == now {
                 return FetchStep::ReadPlatform;
@@ -156,17 +159,29 @@
         FetchStep::Ask { to, message }
     }
 
+    /// Pages that are not there, and parts of the pages that are.
     fn missing(&self) -> IndexSet<ContentHash> {
-        let index = self.index.iter().flat_map(|index| &index.parts);
-        index
-            .filter(|hash| !self.parts.contains_key(*hash))
-            .copied()
-            .collect()
+        let pages = self.index.iter().flat_map(|index| &index.pages);
+        let mut missing = IndexSet::new();
+        for page in pages {
+            match self.parts.get(page) {
+                None => {
+                    missing.insert(*page);
+                }
+                Some(page) => {
+                    missing.extend(page_hashes(page).filter(|hash| !self.parts.contains_key(hash)));
+                }
+            }
+        }
+        missing
     }
 
     fn assemble(&self, index: &Index) -> FetchStep {
-        let parts = index.parts.iter().filter_map(|hash| self.parts.get(hash));
-        let text: String = parts.map(String::as_str).collect();
+        let pages = index.pages.iter().filter_map(|hash| self.parts.get(hash));
+        let parts = pages.flat_map(|page| page_hashes(page));
+        let text: String = parts
+            .filter_map(|hash| self.parts.get(&hash).map(String::as_str))
+            .collect();
         if ContentHash::of(text.as_bytes()) != index.hash {
             return FetchStep::Broken;
         }
--- a/src/control/manifests/machine.rs
+++ b/src/control/manifests/machine.rs
@@ -13,6 +13,7 @@
 use crate::control::manifests::fetch::Fetch;
 use crate::control::manifests::fetch::FetchStep;
 use crate::control::manifests::parts::from_bytes;
+use crate::control::manifests::parts::pages;
 use crate::control::manifests::parts::split;
 use crate::control::manifests::parts::to_bytes;
 use crate::manifest::InForce;
@@ -52,7 +53,7 @@
 const BURST_BYTES: f64 = 1_250_000.0;
 
 /// Parts in a request that count as a large one.
-const BULK_PARTS: usize = 16;
+const BULK_PARTS: usize = 64;
 
 /// A host that has asked for nothing for this long has what it wanted.
 const BULK_PAUSE: Duration = Duration::from_millis(300);
@@ -90,8 +91,25 @@
 struct Held {
     generation: Generation,
     hash: ContentHash,
+    /// Parts and pages by hash.
     parts: IndexMap<ContentHash, String>,
-    order: Vec<ContentHash>,
+    pages: Vec<ContentHash>,
+}
+
+impl Held {
+    fn new(generation: Generation, text: &str) -> Self {
+        let by_hash = |part: String| (ContentHash::of(part.as_bytes()), part);
+        let parts = split(text).into_iter().map(str::to_owned).map(by_hash);
+        let parts: Vec<(ContentHash, String)> = parts.collect();
+        let order: Vec<ContentHash> = parts.iter().map(|(hash, _)| *hash).collect();
+        let pages: Vec<(ContentHash, String)> = pages(&order).into_iter().map(by_hash).collect();
+        Self {
+            generation,
+            hash: ContentHash::of(text.as_bytes()),
+            pages: pages.iter().map(|(hash, _)| *hash).collect(),
+            parts: parts.into_iter().chain(pages).collect(),
+        }
+    }
 }
 
 impl Manifests {
@@ -127,12 +145,14 @@
         self.confirmed_at = Some(now);
         match word {
             PlatformWord::Published(published) => {
-                self.platform_says = Some(published.generation);
+                // An earlier read may be told later.
+                self.platform_says = self.platform_says.max(Some(published.generation));
                 self.take(published.generation, &published.text, &mut actions);
-                // Hosts with the same generation learn that it still is the newest.
             }
             PlatformWord::Unchanged => {}
-            PlatformWord::Absent => self.platform_says = Some(Generation::default()),
+            PlatformWord::Absent => {
+                self.platform_says = self.platform_says.max(Some(Generation::default()));
+            }
         }
         actions
     }
@@ -249,16 +269,9 @@
                 return;
             }
         };
-        let hash = ContentHash::of(text.as_bytes());
-        let parts = split(text).into_iter();
-        let parts = parts.map(|part| (ContentHash::of(part.as_bytes()), part.to_owned()));
-        let parts: Vec<(ContentHash, String)> = parts.collect();
-        self.in_force = Some(Held {
-            generation,
-            hash,
-            order: parts.iter().map(|(hash, _)| *hash).collect(),
-            parts: parts.into_iter().collect(),
-        });
+        let held = Held::new(generation, text);
+        let hash = held.hash;
+        self.in_force = Some(held);
         self.refused = None;
         self.fetch = None;
         log::info!("manifests: generation {generation} is in force");
@@ -387,15 +400,15 @@
         Some(ManifestIndex {
             generation: held.generation.0,
             hash: held.hash.0.to_be_bytes().to_vec(),
-            parts: to_bytes(held.order.iter()),
+            pages: to_bytes(held.pages.iter()),
         })
     }
 
     fn take_index(&mut self, index: &ManifestIndex) {
         let hash = from_bytes(&index.hash).and_then(|hashes| hashes.first().copied());
-        let parts = from_bytes(&index.parts);
-        if let (Some(hash), Some(parts), Some(fetch)) = (hash, parts, &mut self.fetch) {
-            fetch.take_index(Generation(index.generation), hash, parts);
+        let pages = from_bytes(&index.pages);
+        if let (Some(hash), Some(pages), Some(fetch)) = (hash, pages, &mut self.fetch) {
+            fetch.take_index(Generation(index.generation), hash, pages);
         }
     }
 
--- a/src/control/manifests/parts.rs
+++ b/src/control/manifests/parts.rs
@@ -1,47 +1,100 @@
 //! A manifest's text in parts that are named by their content.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::units::ContentHash;
 
-/// Parts are cut behind a line whose hash says so, one in this many: where a part ends depends on
-/// the text around it alone, so that a change in one place leaves all other parts as they were.
-const LINES_A_CUT: u64 = 64;
+/// A part ends behind a line where the hash of the last lines says so, on average one in this many.
+/// Where it ends depends on the text around it alone, so that a change in one place leaves all other
+/// parts as they were.
+const LINES_A_CUT: u64 = 16;
+
+/// Lines that go into such a hash. Manifests are generated and full of lines that stand in every
+/// entry; a few of them together hold something that tells the entries apart.
+const WINDOW_LINES: usize = 8;
 
 /// No part is shorter, so that the list of parts stays short.
-const PART_LEN_MIN: usize = 2 << 10;
+const PART_LEN_MIN: usize = 512;
 
 /// No part is longer, also where one line is.
-const PART_LEN_MAX: usize = 16 << 10;
+const PART_LEN_MAX: usize = 4 << 10;
+
+/// A page of hashes ends behind a hash that says so, on average one in this many.
+const HASHES_A_CUT: u128 = 16;
+
+/// No page holds more hashes.
+const PAGE_HASHES_MAX: usize = 64;
+
+/// A hash as it stands on a page.
+const PAGE_HASH_LEN: usize = 32;
 
 /// The parts of a text, in order.
 pub fn split(text: &str) -> Vec<&str> {
     let mut parts = Vec::new();
-    let mut rest = text;
-    while !rest.is_empty() {
-        let (part, after) = rest.split_at(part_len(rest));
-        parts.push(part);
-        rest = after;
+    let mut window: Vec<&str> = Vec::new();
+    let mut start = 0;
+    let mut end = 0;
+    for line in text.split_inclusive('\n').flat_map(pieces) {
+        if end + line.len() - start > PART_LEN_MAX {
+            parts.push(&text[start..end]);
+            start = end;
+        }
+        end += line.len();
+        if window.len() == WINDOW_LINES {
+            window.remove(0);
+        }
+        window.push(line);
+        if end - start >= PART_LEN_MIN && is_cut(&window) {
+            parts.push(&text[start..end]);
+            start = end;
+        }
+    }
+    if start < end {
+        parts.push(&text[start..end]);
     }
     parts
 }
 
-fn part_len(text: &str) -> usize {
-    let mut len = 0;
-    for line in text.split_inclusive('\n') {
-        if len + line.len() > PART_LEN_MAX {
-            break;
-        }
-        len += line.len();
-        let is_cut = xxh3_64(line.as_bytes()).is_multiple_of(LINES_A_CUT);
-        if is_cut && len >= PART_LEN_MIN {
-            return len;
+fn is_cut(window: &[&str]) -> bool {
+    let mut hasher = Xxh3::new();
+    for line in window {
+        hasher.update(line.as_bytes());
+    }
+    hasher.digest().is_multiple_of(LINES_A_CUT)
+}
+
+/// A line, cut where it is longer than a part.
+fn pieces(line: &str) -> impl Iterator<Item = &str> {
+    let mut rest = line;
+    std::iter::from_fn(move || {
+        let (piece, after) = rest.split_at(char_boundary(rest, PART_LEN_MAX));
+        rest = after;
+        (!piece.is_empty()).then_some(piece)
+    })
+}
+
+/// The hashes of parts on pages, cut by content like the text: a change of one part changes one
+/// page, so that the list of a megabyte's parts need not travel whole either.
+pub(crate) fn pages(parts: &[ContentHash]) -> Vec<String> {
+    let mut pages = Vec::new();
+    let mut page = String::new();
+    for hash in parts {
+        page.push_str(&hash.to_string());
+        let is_full = page.len() >= PAGE_HASH_LEN * PAGE_HASHES_MAX;
+        if is_full || hash.0.is_multiple_of(HASHES_A_CUT) {
+            pages.push(std::mem::take(&mut page));
         }
     }
-    match len {
-        0 => char_boundary(text, PART_LEN_MAX),
-        len => len,
+    if !page.is_empty() {
+        pages.push(page);
     }
+    pages
+}
+
+/// The hashes on a page; what is none is left out, and the whole text's hash then does not fit.
+pub(crate) fn page_hashes(page: &str) -> impl Iterator<Item = ContentHash> {
+    let chunks = page.as_bytes().chunks(PAGE_HASH_LEN);
+    chunks.filter_map(|hash| std::str::from_utf8(hash).ok()?.parse().ok())
 }
 
 fn char_boundary(text: &str, at: usize) -> usize {
--- a/src/control/membership/conf.rs
+++ b/src/control/membership/conf.rs
@@ -33,6 +33,9 @@
 /// Between tries to find the others of the failure domain while none is known.
 pub(crate) const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Tries to join by seeds of the own failure domain before others are asked too.
+pub(crate) const NEAR_JOIN_TRIES: usize = 3;
+
 /// Between tries to reach a host that is dead or a seed that is not known: finds again what a cut
 /// had separated, when each side has declared the other dead.
 pub(crate) const REACH_INTERVAL: Duration = Duration::from_secs(5);
@@ -43,8 +46,9 @@
 /// Hosts of a failure domain that send digests; more than one, so that losing one delays nothing.
 pub(crate) const BRIDGES: usize = 3;
 
-/// News settles by itself in a few rounds; only a difference that lasts is worth a pull.
-pub(crate) const DIFFERENCE_MIN: Duration = Duration::from_secs(4);
+/// News settles by itself, also from other failure domains, in some ten seconds; only a difference
+/// that lasts is worth a pull. At 4 s each restart made most hosts pull whole lists.
+pub(crate) const DIFFERENCE_MIN: Duration = Duration::from_secs(15);
 
 /// Between pulls of one host.
 pub(crate) const PULL_INTERVAL: Duration = Duration::from_secs(5);
--- a/src/control/membership/machine/hearing.rs
+++ b/src/control/membership/machine/hearing.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::seq::SliceRandom;
+
 use crate::board::HostState;
 use crate::board::HostView;
 use crate::control::membership::Membership;
@@ -43,7 +45,7 @@
             }
             GossipBody::Join(record) => {
                 self.hear_host(&record, true, now);
-                self.answer_pull(from, &Pull::default(), now);
+                self.answer_join(from, &record, now);
             }
             GossipBody::Members(()) => self.has_joined = true,
             GossipBody::Digest(digest) => self.handle_digest(from, &digest, now),
@@ -66,11 +68,13 @@
     fn compare(&mut self, from: &HostId, their_hash: u64, now: Instant) {
         if their_hash == self.roster.view_hash() {
             self.differs_since = None;
+            self.has_agreed = true;
             return;
         }
         let since = *self.differs_since.get_or_insert(now);
         let lasts = now.saturating_duration_since(since) >= conf::DIFFERENCE_MIN;
-        if lasts && self.may_pull(now) {
+        // A host that has just come knows few others, and needs not wait.
+        if (lasts || !self.has_agreed) && self.may_pull(now) {
             let known = self.roster.domains();
             let known = known.map(|domain| self.digest_of(domain)).collect();
             let only_known = false;
@@ -99,6 +103,26 @@
         true
     }
 
+    /// Tells a host that has come of some in its failure domain, or here if there are none. The rest
+    /// it pulls from whoever probes it, so that a restart of many does not fall on the few seeds.
+    fn answer_join(&mut self, from: &HostId, record: &HostRecord, now: Instant) {
+        let theirs = record.domain.parse().ok();
+        let is_there = |domain: &FailureDomainId| self.roster.present(domain).nth(1).is_some();
+        let domain = theirs.filter(is_there).unwrap_or(self.me.domain.clone());
+        let mut hosts: Vec<HostId> = self
+            .roster
+            .present(&domain)
+            .map(|view| view.id.clone())
+            .collect();
+        hosts.shuffle(&mut self.rng);
+        hosts.truncate(conf::LIST_MAX - 1);
+        hosts.push(self.me.id.clone());
+        let records = hosts.iter();
+        let records = records.filter_map(|host| self.roster.record(host, now));
+        let records: Vec<HostRecord> = records.collect();
+        self.outbox.send_list(from, &records, now);
+    }
+
     fn answer_pull(&mut self, from: &HostId, pull: &Pull, now: Instant) {
         let is_wanted = |domain: &FailureDomainId| {
             let known = &pull.known;
--- a/src/control/membership/machine/mod.rs
+++ b/src/control/membership/machine/mod.rs
@@ -1,5 +1,6 @@
 //! The membership's state machine: what it does by itself.
 
+mod digests;
 mod hearing;
 
 use std::time::Duration;
@@ -14,10 +15,10 @@
 use crate::board::HostState;
 use crate::board::HostView;
 use crate::control::homes::Member;
-use crate::control::homes::rank;
 use crate::control::membership::MembershipAction;
 use crate::control::membership::MembershipConf;
 use crate::control::membership::conf;
+use crate::control::membership::conf::NEAR_JOIN_TRIES;
 use crate::control::membership::notices::Notices;
 use crate::control::membership::outbox::Outbox;
 use crate::control::membership::probes::ProbeStep;
@@ -27,7 +28,6 @@
 use crate::control::membership::roster::Roster;
 use crate::control::membership::rumours::News;
 use crate::control::membership::suspicion::Suspicion;
-use crate::peer::message::DomainDigest;
 use crate::peer::message::Gossip;
 use crate::peer::message::GossipBody;
 use crate::peer::message::LeavingUpstream;
@@ -57,6 +57,8 @@
     heard_domains: IndexMap<FailureDomainId, Instant>,
     ring: Vec<HostId>,
     has_joined: bool,
+    has_agreed: bool,
+    join_tries: usize,
     differs_since: Option<Instant>,
     pulled_at: Option<Instant>,
     last_active: Instant,
@@ -91,6 +93,8 @@
             heard_domains: IndexMap::new(),
             ring: Vec::new(),
             has_joined: false,
+            has_agreed: false,
+            join_tries: 0,
             differs_since: None,
             pulled_at: None,
             last_active: now,
@@ -203,6 +207,12 @@
         }
     }
 
+    /// Whether another host of this failure domain was found to see the same hosts. Until then this
+    /// one may know only some of them, and name other homes.
+    pub fn has_agreed(&self) -> bool {
+        self.has_agreed
+    }
+
     /// All hosts that are known, this one among them.
     pub fn hosts(&self) -> impl Iterator<Item = &HostView> {
         self.roster.iter()
@@ -330,9 +340,12 @@
             .seeds
             .values()
             .partition(|seed| seed.failure_domain == self.me.domain);
+        // Seeds of other failure domains only where none here may be left.
+        self.join_tries += 1;
+        let far_count = usize::from(near.is_empty() || self.join_tries > NEAR_JOIN_TRIES);
         let near = near.choose_multiple(&mut self.rng, 2);
         let mut chosen: Vec<HostId> = near.map(|seed| seed.host.clone()).collect();
-        let far = far.choose_multiple(&mut self.rng, 1);
+        let far = far.choose_multiple(&mut self.rng, far_count);
         chosen.extend(far.map(|seed| seed.host.clone()));
         for host in chosen {
             self.send(&host, GossipBody::Join(to_record(&self.me)), now);
@@ -371,38 +384,6 @@
         }
     }
 
-    fn send_digest(&mut self, now: Instant) {
-        let mut domains: Vec<FailureDomainId> = self.roster.domains().cloned().collect();
-        let seeds = self.seeds.values();
-        domains.extend(seeds.map(|seed| seed.failure_domain.clone()));
-        domains.sort_unstable();
-        domains.dedup();
-        domains.retain(|domain| *domain != self.me.domain);
-        let Some(domain) = domains.choose(&mut self.rng) else {
-            return;
-        };
-        self.heard_domains.entry(domain.clone()).or_insert(now);
-        if let Some(host) = self.digest_receiver(domain) {
-            let digest = self.digest_of(&self.me.domain);
-            self.send(&host, GossipBody::Digest(digest), now);
-        }
-    }
-
-    /// One of the hosts that exchange digests there; now and then any host of that failure domain,
-    /// since all that are known may have been replaced during a cut.
-    fn digest_receiver(&mut self, domain: &FailureDomainId) -> Option<HostId> {
-        let bridges = bridges(&self.roster, domain);
-        if !bridges.is_empty() && self.rng.random_ratio(3, 4) {
-            return bridges.choose(&mut self.rng).cloned();
-        }
-        let known = self.roster.iter().filter(|view| view.domain == *domain);
-        let mut all: Vec<HostId> = known.map(|view| view.id.clone()).collect();
-        let seeds = self.seeds.values();
-        let seeds = seeds.filter(|seed| seed.failure_domain == *domain);
-        all.extend(seeds.map(|seed| seed.host.clone()));
-        all.choose(&mut self.rng).cloned()
-    }
-
     fn spread_self(&mut self, now: Instant) {
         self.roster.set(self.me.clone(), now);
         self.outbox
@@ -448,17 +429,6 @@
             .or_insert_with(|| Suspicion::new(now))
     }
 
-    fn digest_of(&self, domain: &FailureDomainId) -> DomainDigest {
-        DomainDigest {
-            domain: domain.to_string(),
-            hash: self.roster.domain_hash(domain),
-        }
-    }
-
-    fn is_bridge(&self) -> bool {
-        bridges(&self.roster, &self.me.domain).contains(&self.me.id)
-    }
-
     fn neighbour_count(&self) -> usize {
         self.roster.present(&self.me.domain).count()
     }
@@ -477,20 +447,6 @@
     }
 }
 
-/// The hosts of a failure domain that exchange digests with others: the same for all who see the
-/// same hosts there.
-fn bridges(roster: &Roster, domain: &FailureDomainId) -> Vec<HostId> {
-    let names: Vec<&str> = roster
-        .present(domain)
-        .map(|view| view.id.as_str())
-        .collect();
-    rank(domain.as_str(), &names)
-        .into_iter()
-        .take(conf::BRIDGES)
-        .filter_map(|name| name.parse().ok())
-        .collect()
-}
-
 /// Whether something is due, and when next: never twice to catch up.
 fn is_due(next: &mut Instant, interval: Duration, now: Instant) -> bool {
     if now < *next {
--- a/src/peer/message/manifest.rs
+++ b/src/peer/message/manifest.rs
@@ -19,7 +19,7 @@
     pub generation: u64,
 }
 
-/// A request for the parts that a manifest consists of.
+/// A request for the pages that list the parts of a manifest.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct IndexRequest {
     /// The least generation wanted.
@@ -27,7 +27,7 @@
     pub generation: u64,
 }
 
-/// The parts that a manifest consists of.
+/// The pages on which the parts of a manifest are listed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ManifestIndex {
     /// Its generation.
@@ -36,12 +36,12 @@
     /// The hash of its whole text, 16 bytes.
     #[prost(bytes = "vec", tag = "2")]
     pub hash: Vec<u8>,
-    /// The hashes of its parts in order, 16 bytes each.
+    /// The hashes of the pages in order, 16 bytes each.
     #[prost(bytes = "vec", tag = "3")]
-    pub parts: Vec<u8>,
+    pub pages: Vec<u8>,
 }
 
-/// A request for parts.
+/// A request for parts and pages.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PartsRequest {
     /// Their hashes, 16 bytes each.
@@ -49,7 +49,7 @@
     pub parts: Vec<u8>,
 }
 
-/// Parts of a manifest; the receiver hashes them itself.
+/// Parts and pages of a manifest; the receiver hashes them itself.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ManifestParts {
     /// The parts.
--- a/tests/manifests.rs
+++ b/tests/manifests.rs
@@ -71,6 +71,8 @@
     in_flight: Vec<(HostId, HostId, Message)>,
     stopped: Vec<HostId>,
     taken: Vec<(HostId, Generation)>,
+    /// What had been published when each process started.
+    started_at: IndexMap<HostId, Generation>,
     sent_bytes: u64,
     seed: u64,
 }
@@ -83,6 +85,7 @@
             in_flight: Vec::new(),
             stopped: Vec::new(),
             taken: Vec::new(),
+            started_at: IndexMap::new(),
             sent_bytes: 0,
             seed: 0,
         };
@@ -96,6 +99,9 @@
     /// Starts a process that knows nothing, in place of an earlier one of that name.
     fn start(&mut self, host: &HostId) {
         self.seed += 1;
+        let generations = self.hosts.values().filter_map(Manifests::generation);
+        let newest = generations.max().unwrap_or_default();
+        self.started_at.insert(host.clone(), newest);
         let rng = StdRng::seed_from_u64(self.seed);
         let manifests = Manifests::new(check(), 2_048, rng, self.now);
         self.hosts.insert(host.clone(), manifests);
@@ -579,7 +585,10 @@
         // What was read is told late and in any order, to whoever.
         let word = reads.swap_remove(rng.random_range(0..reads.len()));
         let told = host(&format!("h{}", rng.random_range(0..5)));
-        domain.tell(&told, PlatformWord::Published(word));
+        // A process reads after it has started, and the platform never goes back.
+        if word.generation >= domain.started_at[&told] {
+            domain.tell(&told, PlatformWord::Published(word));
+        }
         domain.in_flight.retain(|_| rng.random_ratio(9, 10));
         domain.run(STEP * rng.random_range(0..40));
         let restarted = host(&format!("h{}", rng.random_range(0..5)));
