--- a/src/control/home/controller.rs
+++ b/src/control/home/controller.rs
@@ -138,7 +138,7 @@
             HomeEvent::Announce { from, grants } => self.announce(&from, grants, now),
             HomeEvent::Finish { from, grant, done } => self.finish(&from, grant, done, now),
             HomeEvent::Withdraw { from, request } => self.withdraw(&from, request, now),
-            HomeEvent::HostDead(host) => self.host_dead(&host, now),
+            HomeEvent::HostDead(host) => self.hosts.set_dead(&host, now),
             HomeEvent::HostAlive(host) => self.hosts.set_alive(&host),
             HomeEvent::EngineListed {
                 upstream,
@@ -165,7 +165,7 @@
     fn request(&mut self, from: &HostId, work: Work, now: Instant) -> Vec<HomeAction> {
         let request = work.request;
         self.replying_to = Some(request);
-        self.void_if_leaving(request, now);
+        self.void_if_unusable(request);
         match self.requests.get_mut(request) {
             Some(asked) => {
                 asked.asked_at = now;
@@ -187,9 +187,11 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// A host that asks again has not got its grant, and by now the upstream may be leaving: it must
-    /// not get new work although it was promised some.
-    fn void_if_leaving(&mut self, request: RequestId, now: Instant) {
+    /// A host that asks again has not got its grant, or found it stale. By now the upstream may be
+    /// leaving and must not get new work; or the home has given the grant up, and a cancel that is
+    /// on its way would end the attempt. Both get a new grant. The old one goes on counting until
+    /// its host or the engine has shown that it is not used: the question may have crossed it.
+    fn void_if_unusable(&mut self, request: RequestId) {
         let Some(Standing::Granted(granted)) =
             self.requests.get(request).map(|asked| &asked.standing)
         else {
@@ -197,12 +199,10 @@
         };
         let grant = granted.grant;
         let may_work = granted.upstreams.iter().all(|id| self.engines.may_work(id));
-        if may_work || self.ledger.is_announced(grant) {
-            return;
+        let is_leaving = !may_work && !self.ledger.is_announced(grant);
+        if is_leaving || self.ledger.is_disowned(grant) {
+            self.requests.remove(request);
         }
-        self.ledger.end(grant, false, now);
-        self.policy.finish(grant, ended_unseen(Ended::NotSent), now);
-        self.requests.remove(request);
     }
 
     fn take_in(&mut self, from: &HostId, work: Work, now: Instant) {
@@ -253,6 +253,10 @@
             return;
         }
         self.requests.forget_grant(grant);
+        // What an engine may still hold ends by the engine's word only.
+        if self.ledger.is_disowned(grant) {
+            return;
+        }
         let ended = done.ended;
         let is_known = self.ledger.holder(grant).is_some();
         if is_known {
@@ -291,13 +295,6 @@
         }
     }
 
-    fn host_dead(&mut self, host: &HostId, now: Instant) {
-        self.hosts.set_dead(host, now);
-        for request in self.requests.waiting_of(host) {
-            self.withdraw(host, request, now);
-        }
-    }
-
     fn listed(
         &mut self,
         upstream: &UpstreamId,
@@ -349,7 +346,7 @@
             .forget_ended(conf.ended_memory, conf.ended_max, now);
         let ledger = &self.ledger;
         self.hosts
-            .forget_dead(conf.ended_memory, now, |host| ledger.holds_any_of(host));
+            .forget_dead(conf.dead_host_memory, now, |host| ledger.holds_any_of(host));
     }
 
     fn reconcile(&mut self, now: Instant) {
--- a/src/control/home/ledger.rs
+++ b/src/control/home/ledger.rs
@@ -89,10 +89,8 @@
 
     fn is_unowned(&self, hosts: &Hosts, conf: &HomeConf, now: Instant) -> bool {
         let host = &self.grant.work.host;
-        if hosts
-            .dead_for(host, now)
-            .is_some_and(|dead| dead >= conf.dead_host_grace)
-        {
+        let given_up_at = hosts.given_up_at(host, self.heard_at, conf);
+        if given_up_at.is_some_and(|at| now >= at) {
             return true;
         }
         // Only a host's own word counts: one that announces to another home, since the two homes'
@@ -134,6 +132,11 @@
             .is_some_and(|entry| entry.is_announced)
     }
 
+    pub(crate) fn is_disowned(&self, grant: GrantId) -> bool {
+        let entry = self.entries.get(&grant);
+        entry.is_some_and(|entry| entry.disowned_at.is_some())
+    }
+
     pub(crate) fn holder(&self, grant: GrantId) -> Option<&HostId> {
         self.entries.get(&grant).map(|entry| &entry.grant.work.host)
     }
--- a/standin/src/demo/tally.rs
+++ b/standin/src/demo/tally.rs
@@ -23,6 +23,8 @@
     pub lost: u64,
     /// Requests that must not run twice and did.
     pub doubled: u64,
+    /// What callers were told where no answer came, with counts.
+    reasons: IndexMap<String, u64>,
     faults: Vec<String>,
 }
 
@@ -41,9 +43,12 @@
 impl Tally {
     /// Compares what callers saw with the records of engines and services.
     pub(crate) fn new(carried: &[Carried], runs: &[RunRecord]) -> Self {
-        let mut ran: IndexMap<ContentHash, u64> = IndexMap::new();
+        let mut ran_ms: IndexMap<ContentHash, Vec<u64>> = IndexMap::new();
         for run in runs {
-            *ran.entry(run.request_hash).or_insert(0) += 1;
+            ran_ms
+                .entry(run.request_hash)
+                .or_default()
+                .push(run.taken_ms);
         }
         let mut tally = Self {
             in_all: Row::named("all"),
@@ -59,7 +64,9 @@
             tally.rows.push(row);
         }
         for one in carried {
-            tally.check(one, ran.get(&one.body_hash).copied().unwrap_or(0));
+            tally.note_reason(&one.verdict);
+            let ran_ms = ran_ms.get(&one.body_hash).map_or(&[][..], Vec::as_slice);
+            tally.check(one, ran_ms);
         }
         tally
     }
@@ -98,6 +105,9 @@
                 show_ms(percentile_ms(&row.totals, 95.0)),
             );
         }
+        for (reason, count) in &self.reasons {
+            let _ = writeln!(out, "{count:>6} {reason}");
+        }
         for fault in &self.faults {
             let _ = writeln!(out, "{fault}");
         }
@@ -110,14 +120,30 @@
         out
     }
 
-    fn check(&mut self, one: &Carried, ran: u64) {
+    fn note_reason(&mut self, verdict: &Verdict) {
+        let reason = match verdict {
+            Verdict::NotRun { reason, .. } => format!("not run: {reason}"),
+            Verdict::MayHaveRun(reason) => format!("may have run: {reason}"),
+            _ => return,
+        };
+        *self.reasons.entry(reason).or_insert(0) += 1;
+    }
+
+    fn check(&mut self, one: &Carried, ran_ms: &[u64]) {
         let number = one.ask.number;
-        let lost = match (&one.verdict, ran) {
-            (Verdict::Cut(why), _) => Some(format!("no outcome: {why}")),
-            (Verdict::Wrong(why), _) => Some(format!("not its own answer: {why}")),
-            (Verdict::Completed, 0) => Some("completed, but nothing ran it".to_owned()),
-            (Verdict::NotRun { reason, .. }, 1..) => {
-                Some(format!("told `not run` ({reason}), but it ran"))
+        let ran = ran_ms.len();
+        let is_lie = |(begin_ms, end_ms): &(u64, u64)| {
+            ran_ms
+                .iter()
+                .any(|at_ms| (*begin_ms..=*end_ms).contains(at_ms))
+        };
+        let lost = match &one.verdict {
+            Verdict::Cut(why) => Some(format!("no outcome: {why}")),
+            Verdict::Wrong(why) => Some(format!("not its own answer: {why}")),
+            Verdict::Completed if ran == 0 => Some("completed, but nothing ran it".to_owned()),
+            Verdict::NotRun { .. } if ran > 0 => Some("told `not run`, but it ran".to_owned()),
+            _ if one.told_not_run_ms.iter().any(is_lie) => {
+                Some("one sending was told `not run`, but it ran".to_owned())
             }
             _ => None,
         };
--- a/tests/home.rs
+++ b/tests/home.rs
@@ -67,6 +67,12 @@
         home
     }
 
+    fn join(&mut self, members: &[&str]) {
+        for member in members {
+            self.hear(HomeEvent::HostAlive(host(member)));
+        }
+    }
+
     fn hear(&mut self, event: HomeEvent) -> Vec<HomeAction> {
         self.home.handle(event, self.clock.now())
     }
@@ -221,6 +227,7 @@
 fn streams_of_a_dead_host_are_cancelled_until_confirmed() {
     let mut home = Home::serving();
     let a = host("entry-a");
+    home.join(&["entry-b", "entry-c"]);
     let grant = home.ask_granted(1, &a, 6_000).grant;
     let held = [running(grant, &a, 6_000)];
     home.announce(&a, &[live(grant, 1, &a, 6_000, home.clock.now())]);
@@ -302,12 +309,22 @@
 fn unseen_grant_on_a_leaving_upstream_is_void() {
     let mut home = Home::serving();
     let a = host("entry-a");
-    let old = home.ask_granted(1, &a, 6_000);
+    let old = home.ask_granted(1, &a, 4_000);
     home.set_engine(UpstreamHealth::Leaving);
-    assert_eq!(home.ask(1, &a, 6_000), Verdict::Queued);
+    assert_eq!(home.ask(1, &a, 4_000), Verdict::Queued);
     home.set_engine(UpstreamHealth::Live);
-    assert_ne!(home.ask_granted(1, &a, 6_000).grant, old.grant);
-    assert_eq!(home.home.ledger_len(), 1);
+    let new = home.ask_granted(1, &a, 4_000);
+    assert_ne!(new.grant, old.grant);
+    assert_eq!(
+        home.ask(2, &a, 4_000),
+        Verdict::Queued,
+        "the old one may have been used"
+    );
+    let grants = vec![live(new.grant, 1, &a, 4_000, home.clock.now())];
+    let actions = home.pass(Duration::from_secs(4), &[], &[(&a, grants)]);
+    assert!(cancels(&actions).contains(&AttemptId(old.grant.0)));
+    home.confirm(old.grant);
+    home.ask_granted(2, &a, 4_000);
 }
 
 /// The connection to an engine breaks in the middle of an answer. The host tells its home at once,
@@ -319,6 +336,7 @@
     let grant = home.ask_granted(1, &a, 6_000).grant;
     let actions = home.finish(&a, grant, Ended::Failed);
     assert_eq!(cancels(&actions), [AttemptId(grant.0)]);
+    home.finish(&a, grant, Ended::NotSent);
     assert_eq!(home.ask(2, &a, 6_000), Verdict::Queued);
     home.confirm(grant);
     home.ask_granted(2, &a, 6_000);
@@ -414,3 +432,110 @@
     let cut = banyanarch::peer::message::GrantRequest::default();
     assert_eq!(wire::request_from(&cut, here).unwrap_err().field, "pool");
 }
+
+/// A host restarts, membership says so late, and the new process asks before anybody calls it alive.
+/// Its grant came after the death that membership tells of: cancelling it would cut off an answer
+/// that is being read.
+#[test]
+fn host_that_is_back_keeps_new_grants() {
+    let mut home = Home::serving();
+    let a = host("entry-a");
+    home.join(&["entry-b", "entry-c"]);
+    home.hear(HomeEvent::HostDead(a.clone()));
+    home.pass(Duration::from_secs(8), &[], &[]);
+    let grant = home.ask_granted(1, &a, 6_000).grant;
+    let held = [running(grant, &a, 6_000)];
+    let grants = vec![live(grant, 1, &a, 6_000, home.clock.now())];
+    let actions = home.pass(Duration::from_secs(20), &held, &[(&a, grants)]);
+    assert!(cancels(&actions).is_empty());
+    assert_eq!(home.home.ledger_len(), 1);
+}
+
+/// A host is paused with a grant on its way; its home gives the grant up and cancels it. Awake, the
+/// host asks again while the cancel is not confirmed yet. The same grant would be cancelled as soon
+/// as it is used.
+#[test]
+fn grant_that_was_given_up_is_not_given_again() {
+    let mut home = Home::serving();
+    let a = host("entry-a");
+    let old = home.ask_granted(1, &a, 4_000);
+    let given_up = home.pass(Duration::from_secs(4), &[], &[(&a, Vec::new())]);
+    assert!(!cancels(&given_up).is_empty());
+    let new = home.ask_granted(1, &a, 4_000);
+    assert_ne!(new.grant, old.grant);
+    home.confirm(old.grant);
+    assert_eq!(home.home.ledger_len(), 1);
+    let now = home.clock.now();
+    assert!(new.is_fresh(now - Duration::from_millis(600), now));
+    assert!(!old.is_fresh(now - Duration::from_secs(4), now));
+}
+
+/// A refusal's reply is lost, and the host asks again: a second decision could contradict what the
+/// first caller was told. But refusals come in thousands, and must be forgotten some time.
+#[test]
+fn refusals_are_remembered_for_a_while() {
+    let mut home = Home::serving();
+    let a = host("entry-a");
+    let mut late = work(1, &a, 1_000, home.clock.now());
+    late.deadline = home.clock.now();
+    let event = HomeEvent::Request {
+        from: a.clone(),
+        work: late,
+    };
+    let first = home.hear(event.clone());
+    home.pass(Duration::from_secs(1), &[], &[]);
+    assert_eq!(home.hear(event), first);
+    assert_eq!(home.home.requests_len(), 1);
+    home.pass(Duration::from_secs(10), &[], &[]);
+    assert_eq!(home.home.requests_len(), 0);
+}
+
+/// A host is cut off from all others but not from the engines, or wakes up from a pause, and holds
+/// everybody else for dead. As the home of everything it would cancel what they are reading.
+#[test]
+fn host_that_is_alone_cancels_nothing() {
+    let mut home = Home::serving();
+    let (a, b) = (host("entry-a"), host("entry-b"));
+    home.join(&["entry-c"]);
+    let held = [
+        running(GrantId(77), &a, 1_000),
+        running(GrantId(78), &host("entry-x"), 1_000),
+    ];
+    home.hear(HomeEvent::HostDead(a.clone()));
+    home.hear(HomeEvent::HostDead(b));
+    let day = Duration::from_secs(86_400);
+    home.pass(Duration::from_secs(80), &held, &[]);
+    home.clock.advance(day);
+    assert!(cancels(&home.pass(Duration::from_secs(80), &held, &[])).is_empty());
+    home.join(&["entry-b", "entry-d"]);
+    let cancelled = cancels(&home.pass(Duration::from_secs(80), &held, &[]));
+    assert!(cancelled.contains(&AttemptId(77)) && cancelled.contains(&AttemptId(78)));
+}
+
+/// A host asks, gets a grant, and turns to another home before the reply comes. It never announces
+/// here, and the engine never hears of it: only the engine's list can show that nothing is held.
+#[test]
+fn grant_that_nobody_ever_used_is_dropped() {
+    let mut home = Home::serving();
+    home.ask_granted(1, &host("entry-a"), 6_000);
+    let actions = home.pass(Duration::from_secs(8), &[], &[]);
+    assert!(cancels(&actions).is_empty());
+    assert_eq!(home.home.ledger_len(), 0);
+}
+
+/// A host is silent for long, is held for dead, and the cancel of its attempt is lost. Then it is
+/// back, still reading, and announces: the cancel must not be tried again.
+#[test]
+fn host_that_comes_back_goes_on_reading() {
+    let mut home = Home::serving();
+    let a = host("entry-a");
+    home.join(&["entry-b", "entry-c"]);
+    let grant = home.ask_granted(1, &a, 6_000).grant;
+    let held = [running(grant, &a, 6_000)];
+    home.hear(HomeEvent::HostDead(a.clone()));
+    let lost = home.pass(Duration::from_millis(5_250), &held, &[]);
+    assert_eq!(cancels(&lost), [AttemptId(grant.0)]);
+    let grants = vec![live(grant, 1, &a, 6_000, home.clock.now())];
+    let actions = home.pass(Duration::from_secs(20), &held, &[(&a, grants)]);
+    assert!(cancels(&actions).is_empty());
+}
