Generated histories of manifests

Cause: lagging watches, lost and overtaking notices and replaced processes must not bring an earlier manifest back or leave a host behind.

Change: a world of four hosts around the spreading of manifests and the board.

Conclusion: no violation known.

--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -17,6 +17,8 @@
 use worlds::claim_world::ClaimWorld;
 use worlds::grant_world;
 use worlds::grant_world::GrantWorld;
+use worlds::manifest_world;
+use worlds::manifest_world::ManifestWorld;
 
 const SEED: u64 = 0x0b5e_55ed;
 
@@ -79,4 +81,17 @@
         }
         world.check();
     }
+
+    /// Operators publish, hosts are replaced, watches lag and repeat old words, and messages are
+    /// lost and overtake each other. No process goes back to an earlier manifest or mixes two, and
+    /// the newest is in force everywhere within six seconds after one host has heard of it, or half
+    /// a minute when what it says is lost.
+    #[test]
+    fn manifests_move_forward_only(steps in vec(manifest_world::step(), 1..60)) {
+        let mut world = ManifestWorld::new();
+        for step in steps {
+            world.step(step);
+        }
+        world.check();
+    }
 }
