Status: a bounded report of a host, and when it is written

Cause: whoever is on call must see on any one host what the system did and why, and 400 reports must not load the platform.

Change: a ring of events in which repeats only count; a report over domains, hosts, homes, upstreams, generation with age, and suspected partitions; without the list of hosts for the platform, so that it does not grow with the fleet; a reporter that writes at most every 30 s, jittered, and reads back after a lost answer.

--- /dev/null
+++ b/src/control/status/report.rs
@@ -0,0 +1,245 @@
+//! The report of one host.
+
+use indexmap::IndexMap;
+
+use crate::board::Board;
+use crate::board::HostState;
+use crate::board::HostView;
+use crate::control::manifests::Knowledge;
+use crate::control::status::EventReport;
+use crate::control::status::Events;
+use crate::decide::PoolLoad;
+use crate::decide::UpstreamHealth;
+use crate::units::FailureDomainId;
+use crate::units::Generation;
+use crate::units::HostId;
+use crate::units::PoolId;
+use crate::units::TargetId;
+
+/// Hosts, homes and targets that a report lists at most; their numbers are always told in full.
+const LIST_MAX: usize = 1_024;
+
+/// Events in a report.
+const EVENTS: usize = 50;
+
+/// Events in a report to the platform.
+const EVENTS_TO_PLATFORM: usize = 10;
+
+/// What a report is made of.
+pub struct StatusParts<'a> {
+    /// This host.
+    pub host: &'a HostId,
+    /// Its failure domain.
+    pub domain: &'a FailureDomainId,
+    /// Hosts and upstreams.
+    pub board: &'a Board,
+    /// What it knows of manifests.
+    pub manifest: Knowledge,
+    /// The homes on this host.
+    pub homes: Vec<(PoolId, PoolLoad)>,
+    /// Failure domains that are suspected to be cut off.
+    pub silent_domains: Vec<FailureDomainId>,
+    /// What it did lately.
+    pub events: &'a Events,
+}
+
+/// How one host sees the fleet, and what it did lately.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct StatusReport {
+    /// The host that reports.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// The generation in force.
+    pub generation: Option<Generation>,
+    /// How long ago the platform last said, directly or through other hosts, that there is no
+    /// newer one; none if it never did.
+    pub generation_confirmed_ago_s: Option<u64>,
+    /// Why this host may not serve; none if it may.
+    pub not_ready: Option<&'static str>,
+    /// The published manifest that this host refused, and why.
+    pub manifest_refused: Option<String>,
+    /// Failure domains that are suspected to be cut off from this one.
+    pub suspected_partitions: Vec<FailureDomainId>,
+    /// The failure domains.
+    pub domains: Vec<DomainReport>,
+    /// The homes on this host.
+    pub homes: Vec<HomeReport>,
+    /// The upstreams by target.
+    pub upstreams: Vec<TargetReport>,
+    /// The hosts, in a report to the platform none: each reports itself there.
+    pub hosts: Vec<HostReport>,
+    /// What this host did lately, the newest first.
+    pub lately: Vec<EventReport>,
+}
+
+/// A failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct DomainReport {
+    /// Its name.
+    pub domain: String,
+    /// Hosts that answer.
+    pub alive: usize,
+    /// Hosts that may be gone.
+    pub suspect: usize,
+    /// Hosts that drain.
+    pub leaving: usize,
+    /// Hosts that are gone.
+    pub dead: usize,
+    /// The least generation that a live host was heard to have in force.
+    pub generation_min: Option<Generation>,
+}
+
+/// A home.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct HomeReport {
+    /// Its pool.
+    pub pool: PoolId,
+    /// Requests that wait.
+    pub waiting: u64,
+    /// Requests that run.
+    pub running: u64,
+    /// How long a short request would wait now.
+    pub short_wait_ms: u64,
+    /// Memory that is not promised.
+    pub free_tokens: u64,
+    /// Upstreams that may get work.
+    pub upstreams: u32,
+}
+
+/// The upstreams of a target in a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct TargetReport {
+    /// The target.
+    pub target: TargetId,
+    /// The failure domain.
+    pub domain: FailureDomainId,
+    /// Upstreams that may get work.
+    pub live: usize,
+    /// Upstreams that leave.
+    pub leaving: usize,
+}
+
+/// A host.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct HostReport {
+    /// Its name.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Its state.
+    pub state: &'static str,
+    /// The generation that it was last heard to have in force.
+    pub generation: Generation,
+}
+
+impl StatusReport {
+    /// The report as it is now.
+    pub fn new(parts: StatusParts<'_>) -> Self {
+        let mut views: Vec<HostView> = parts
+            .board
+            .hosts
+            .snapshot()
+            .into_iter()
+            .map(|(_, view)| view)
+            .collect();
+        views.sort_by(|a, b| (&a.domain, &a.id).cmp(&(&b.domain, &b.id)));
+        let knowledge = parts.manifest;
+        let refused = knowledge.refused.as_ref();
+        let mut homes: Vec<HomeReport> = parts.homes.iter().map(home_report).collect();
+        homes.sort_by(|a, b| a.pool.cmp(&b.pool));
+        homes.truncate(LIST_MAX);
+        Self {
+            host: parts.host.clone(),
+            domain: parts.domain.clone(),
+            generation: knowledge.generation,
+            generation_confirmed_ago_s: knowledge.confirmed_ago.map(|ago| ago.as_secs()),
+            not_ready: knowledge.why_not_ready,
+            manifest_refused: refused
+                .map(|refused| format!("generation {}: {}", refused.generation, refused.why)),
+            suspected_partitions: parts.silent_domains,
+            domains: domain_reports(&views),
+            homes,
+            upstreams: target_reports(parts.board),
+            hosts: views.iter().take(LIST_MAX).map(host_report).collect(),
+            lately: parts.events.latest(EVENTS),
+        }
+    }
+
+    /// The part that goes to the platform. Without the list of hosts it does not grow with the
+    /// fleet: 400 hosts that each list 400 would be 160,000 entries.
+    pub fn for_platform(mut self) -> Self {
+        self.hosts.clear();
+        self.lately.truncate(EVENTS_TO_PLATFORM);
+        self
+    }
+}
+
+fn domain_reports(views: &[HostView]) -> Vec<DomainReport> {
+    let mut domains: IndexMap<&FailureDomainId, DomainReport> = IndexMap::new();
+    for view in views {
+        let report = domains.entry(&view.domain).or_insert_with(|| DomainReport {
+            domain: view.domain.to_string(),
+            ..DomainReport::default()
+        });
+        match view.state {
+            HostState::Alive => report.alive += 1,
+            HostState::Suspect => report.suspect += 1,
+            HostState::Leaving => report.leaving += 1,
+            HostState::Dead => {
+                report.dead += 1;
+                continue;
+            }
+        }
+        let least = report.generation_min.unwrap_or(view.generation);
+        report.generation_min = Some(least.min(view.generation));
+    }
+    domains.into_values().collect()
+}
+
+fn home_report((pool, load): &(PoolId, PoolLoad)) -> HomeReport {
+    HomeReport {
+        pool: pool.clone(),
+        waiting: load.waiting,
+        running: load.running,
+        short_wait_ms: u64::try_from(load.short_wait.as_millis()).unwrap_or(u64::MAX),
+        free_tokens: load.free_tokens.0,
+        upstreams: load.upstreams,
+    }
+}
+
+fn target_reports(board: &Board) -> Vec<TargetReport> {
+    let mut targets: IndexMap<(TargetId, FailureDomainId), (usize, usize)> = IndexMap::new();
+    for (_, view) in board.upstreams.snapshot() {
+        let (live, leaving) = targets.entry((view.target, view.domain)).or_default();
+        match view.health {
+            UpstreamHealth::Live => *live += 1,
+            UpstreamHealth::Leaving => *leaving += 1,
+        }
+    }
+    targets.sort_unstable_keys();
+    targets
+        .into_iter()
+        .take(LIST_MAX)
+        .map(|((target, domain), (live, leaving))| TargetReport {
+            target,
+            domain,
+            live,
+            leaving,
+        })
+        .collect()
+}
+
+fn host_report(view: &HostView) -> HostReport {
+    HostReport {
+        host: view.id.clone(),
+        domain: view.domain.clone(),
+        state: match view.state {
+            HostState::Alive => "alive",
+            HostState::Suspect => "suspect",
+            HostState::Leaving => "leaving",
+            HostState::Dead => "dead",
+        },
+        generation: view.generation,
+    }
+}
--- /dev/null
+++ b/tests/status.rs
@@ -0,0 +1,179 @@
+//! Reports: bounded in size and rate, and telling what matters.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::board::Board;
+use banyanarch::board::HostState;
+use banyanarch::board::HostView;
+use banyanarch::clock::ManualClock;
+use banyanarch::control::manifests::Knowledge;
+use banyanarch::control::manifests::Refusal;
+use banyanarch::control::status::Events;
+use banyanarch::control::status::Reporter;
+use banyanarch::control::status::ReporterAction;
+use banyanarch::control::status::StatusParts;
+use banyanarch::control::status::StatusReport;
+use banyanarch::platform::Expected;
+use banyanarch::platform::PlatformError;
+use banyanarch::units::Generation;
+use banyanarch::units::HostId;
+use banyanarch::units::Incarnation;
+use banyanarch::units::ObjectVersion;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn board(host_count: u64) -> Board {
+    let board = Board::new();
+    for n in 0..host_count {
+        let id: HostId = format!("host-{n}").parse().unwrap();
+        let view = HostView {
+            id: id.clone(),
+            domain: format!("domain-{}", n % 6).parse().unwrap(),
+            peer_addr: "127.0.0.1:1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            state: if n == 7 {
+                HostState::Dead
+            } else {
+                HostState::Alive
+            },
+            generation: Generation(if n == 13 { 4 } else { 5 }),
+        };
+        board.hosts.insert(id, view);
+    }
+    board
+}
+
+fn report(board: &Board, events: &Events) -> StatusReport {
+    StatusReport::new(StatusParts {
+        host: &"host-0".parse().unwrap(),
+        domain: &"domain-0".parse().unwrap(),
+        board,
+        manifest: Knowledge {
+            generation: Some(Generation(5)),
+            confirmed_ago: Some(Duration::from_secs(90)),
+            is_ready: true,
+            why_not_ready: None,
+            refused: Some(Refusal {
+                generation: Generation(6),
+                why: "line 3: unknown key".to_owned(),
+            }),
+        },
+        homes: Vec::new(),
+        silent_domains: vec!["domain-2".parse().unwrap()],
+        events,
+    })
+}
+
+/// At night a host flaps a thousand times. Whoever is on call must still see what came before it,
+/// and the report must not have grown with it.
+#[test]
+fn a_report_stays_small_and_tells_what_matters() {
+    let clock = Arc::new(ManualClock::new());
+    let events = Events::new(clock.clone());
+    events.record("homes", "took over pool a", "host-7 is dead");
+    clock.advance(Duration::from_secs(60));
+    for _ in 0..1_000 {
+        events.record("membership", "host-9 is suspect", "no answer");
+    }
+    for n in 0..2_000 {
+        let why = "x".repeat(10_000);
+        events.record("orders", &format!("ordered engine-{n}"), &why);
+    }
+    let latest = events.latest(10_000);
+    assert_eq!(latest.len(), 256);
+    assert!(latest.iter().all(|event| event.why.len() <= 200));
+
+    let events = Events::new(clock.clone());
+    events.record("homes", "took over pool a", "host-7 is dead");
+    clock.advance(Duration::from_secs(60));
+    for _ in 0..1_000 {
+        events.record("membership", "host-9 is suspect", "no answer");
+    }
+    let report = report(&board(400), &events);
+    assert_eq!(report.lately.len(), 2);
+    assert_eq!(report.lately[0].times, 1_000);
+    assert_eq!(report.lately[1].ago_s, 60);
+    assert_eq!(report.generation_confirmed_ago_s, Some(90));
+    assert_eq!(report.hosts.len(), 400);
+    let domain = &report.domains[1];
+    assert_eq!((domain.alive, domain.dead), (66, 1));
+    assert_eq!(domain.generation_min, Some(Generation(4)));
+    assert!(report.manifest_refused.as_ref().unwrap().contains("line 3"));
+    let to_platform = serde_json::to_string(&report.for_platform()).unwrap();
+    assert!(to_platform.len() < 8_192, "{}", to_platform.len());
+}
+
+/// The platform was away, and 400 hosts have news of it. If they all wrote at once and went on at
+/// each change, they would bring it down again.
+#[test]
+fn four_hundred_reporters_keep_to_a_rate() {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut reporters: Vec<Reporter> = (0..400)
+        .map(|n| Reporter::new(StdRng::seed_from_u64(n), start))
+        .collect();
+    let mut most = 0;
+    let mut writes = 0;
+    for second in 0..1_200_u64 {
+        let now = start + Duration::from_secs(second);
+        let is_away = (300..600).contains(&second);
+        let mut calls = 0;
+        for reporter in &mut reporters {
+            let Some(action) = reporter.tick(rng.random(), now) else {
+                continue;
+            };
+            calls += 1;
+            let away = || PlatformError::Unavailable("away".to_owned());
+            match action {
+                ReporterAction::Read if is_away => reporter.read(&Err(away()), now),
+                ReporterAction::Read => reporter.read(&Err(PlatformError::Absent), now),
+                ReporterAction::Write(_) if is_away => reporter.written(&Err(away()), now),
+                ReporterAction::Write(_) => {
+                    writes += 1;
+                    reporter.written(&Ok(ObjectVersion(1)), now);
+                }
+            }
+        }
+        most = most.max(calls);
+    }
+    assert!(most <= 60, "{most} calls in a second");
+    assert!(writes <= 400 * 900 / 30, "{writes}");
+}
+
+/// The answer to a write was lost. The next write must not fail for ever on the version before it.
+#[test]
+fn a_lost_answer_is_read_back() {
+    let start = Instant::now();
+    let mut reporter = Reporter::new(StdRng::seed_from_u64(1), start);
+    let at = |seconds| start + Duration::from_secs(seconds);
+    assert_eq!(reporter.tick(1, at(60)), Some(ReporterAction::Read));
+    reporter.read(&Err(PlatformError::Absent), at(60));
+    let write = ReporterAction::Write(Expected::Absent);
+    assert_eq!(reporter.tick(1, at(60)), Some(write));
+    reporter.written(&Err(PlatformError::Unknown("lost".to_owned())), at(60));
+    assert_eq!(reporter.tick(1, at(61)), None);
+    assert_eq!(reporter.tick(1, at(120)), Some(ReporterAction::Read));
+}
+
+/// Nothing changes; the report is still written now and then, or it would look like a dead host's.
+#[test]
+fn an_unchanged_report_is_written_seldom() {
+    let start = Instant::now();
+    let mut reporter = Reporter::new(StdRng::seed_from_u64(1), start);
+    let mut writes = 0;
+    for second in 0..3_600 {
+        let now = start + Duration::from_secs(second);
+        match reporter.tick(1, now) {
+            Some(ReporterAction::Read) => reporter.read(&Err(PlatformError::Absent), now),
+            Some(ReporterAction::Write(_)) => {
+                writes += 1;
+                reporter.written(&Ok(ObjectVersion(2)), now);
+            }
+            None => {}
+        }
+    }
+    assert!((8..=13).contains(&writes), "{writes}");
+}
