Membership: digests in turn and answered, lists not passed on by hosts that have just come

Cause: whether another failure domain was heard depended on random choices; at six domains a host would have called one silent by chance in about one case in three, and the cut's test failed once so. Hosts that have just come passed on all that they were told, for minutes.

Change: digests go round in turn and are answered; a domain counts as cut off after three turns without a word. A host passes on lists only once it has found another that sees the same.

--- a/src/control/membership/conf.rs
+++ b/src/control/membership/conf.rs
@@ -53,11 +53,15 @@
 /// Between pulls of one host.
 pub(crate) const PULL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Between pulls of a host that has just come.
+pub(crate) const PULL_INTERVAL_FRESH: Duration = Duration::from_secs(1);
+
 /// How long a dead host is remembered. Forgetting it earlier would let old news bring it back.
 pub(crate) const DEAD_KEPT: Duration = Duration::from_secs(600);
 
-/// A failure domain that was not heard for this long is shown as cut off.
-pub(crate) const DOMAIN_SILENCE: Duration = Duration::from_secs(10);
+/// A failure domain that was not heard for this long is shown as cut off: three turns of the digests
+/// of one host over five others.
+pub(crate) const DOMAIN_SILENCE: Duration = Duration::from_secs(30);
 
 /// The longest burst of bytes: the list of 400 hosts for one that has just come.
 pub(crate) const BURST_BYTES: f64 = 32_768.0;
--- a/src/control/membership/machine/digests.rs
+++ b/src/control/membership/machine/digests.rs
@@ -22,12 +22,17 @@
         domains.sort_unstable();
         domains.dedup();
         domains.retain(|domain| *domain != self.me.domain);
-        let Some(domain) = domains.choose(&mut self.rng) else {
+        // In turn, so that each is asked within a known time.
+        self.digest_turn += 1;
+        let Some(domain) = domains.get(self.digest_turn % domains.len().max(1)) else {
             return;
         };
         self.heard_domains.entry(domain.clone()).or_insert(now);
         if let Some(host) = self.digest_receiver(domain) {
-            let digest = self.digest_of(&self.me.domain);
+            let digest = DomainDigest {
+                wants_answer: true,
+                ..self.digest_of(&self.me.domain)
+            };
             self.send(&host, GossipBody::Digest(digest), now);
         }
     }
@@ -51,6 +56,7 @@
         DomainDigest {
             domain: domain.to_string(),
             hash: self.roster.domain_hash(domain),
+            wants_answer: false,
         }
     }
 
--- a/src/control/membership/machine/hearing.rs
+++ b/src/control/membership/machine/hearing.rs
@@ -87,6 +87,10 @@
             return;
         };
         self.heard_domains.insert(domain.clone(), now);
+        if digest.wants_answer {
+            let answer = self.digest_of(&self.me.domain);
+            self.send(from, GossipBody::Digest(answer), now);
+        }
         if digest.hash != self.roster.domain_hash(&domain) && self.may_pull(now) {
             let known = vec![self.digest_of(&domain)];
             let only_known = true;
@@ -95,7 +99,11 @@
     }
 
     fn may_pull(&mut self, now: Instant) -> bool {
-        let is_early = |at: Instant| now.saturating_duration_since(at) < conf::PULL_INTERVAL;
+        let interval = match self.has_agreed {
+            true => conf::PULL_INTERVAL,
+            false => conf::PULL_INTERVAL_FRESH,
+        };
+        let is_early = |at: Instant| now.saturating_duration_since(at) < interval;
         if self.pulled_at.is_some_and(is_early) {
             return false;
         }
--- a/src/control/membership/machine/mod.rs
+++ b/src/control/membership/machine/mod.rs
@@ -56,6 +56,7 @@
     seeds: IndexMap<HostId, PeerSeed>,
     heard_domains: IndexMap<FailureDomainId, Instant>,
     ring: Vec<HostId>,
+    digest_turn: usize,
     has_joined: bool,
     has_agreed: bool,
     join_tries: usize,
@@ -81,6 +82,7 @@
         };
         // Hosts that are started together must not probe together ever after.
         let offset = conf::ROUND.mul_f64(rng.random());
+        let digest_turn = rng.random_range(0..60);
         let mut membership = Self {
             me,
             rng,
@@ -92,6 +94,7 @@
             seeds: IndexMap::new(),
             heard_domains: IndexMap::new(),
             ring: Vec::new(),
+            digest_turn,
             has_joined: false,
             has_agreed: false,
             join_tries: 0,
@@ -143,7 +146,8 @@
         self.notice_pause(now);
         self.hear_sender(from, &gossip, now);
         let is_list = matches!(gossip.body, Some(GossipBody::Members(())));
-        let passes_on = !is_list || self.has_joined;
+        // A host that has just come hears of all others, which is news to nobody else.
+        let passes_on = !is_list || self.has_agreed;
         for record in &gossip.hosts {
             self.hear_host(record, passes_on, now);
         }
--- a/src/peer/message/gossip.rs
+++ b/src/peer/message/gossip.rs
@@ -90,6 +90,9 @@
     /// The hash.
     #[prost(fixed64, tag = "2")]
     pub hash: u64,
+    /// Whether the receiver is to answer with that of its own failure domain.
+    #[prost(bool, tag = "3")]
+    pub wants_answer: bool,
 }
 
 /// A request for hosts.
