Engines are brought to what the manifest wants

Cause: a new model version in the manifest reached no engine. Change: the home of a pool runs its orders under a lease; a manifest that changes fencing or weights starts the pool's orders anew. Ruled out: keeping the first configuration of a pool; a test that turned fencing on then waited for the lease and flight of engines that ignore it. Conclusion: wired; changes in the middle of a load are tested in tests/orders.rs only.

--- a/src/control/orders/machine.rs
+++ b/src/control/orders/machine.rs
@@ -33,7 +33,7 @@
 const READ_INTERVAL_CHANGING: Duration = Duration::from_secs(1);
 
 /// What a reconciler starts from.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrdersConf {
     /// This host.
     pub host: HostId,
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -44,6 +44,8 @@
 use crate::fleet::ManifestDesk;
 use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
+use crate::fleet::OrderDesk;
+use crate::fleet::OrderDeskParts;
 use crate::fleet::PeerDesk;
 use crate::fleet::RelayPlatform;
 use crate::fleet::RelayPlatformParts;
@@ -73,6 +75,7 @@
     pub(crate) granter: Arc<HomeGranter>,
     pub(crate) membership: Arc<MembershipDesk>,
     pub(crate) manifests: Arc<ManifestDesk>,
+    pub(crate) orders: Arc<OrderDesk>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -114,6 +117,7 @@
             Arc::clone(&traffic),
             StdRng::from_os_rng(),
         ));
+        let incarnation = first_incarnation(&*clock);
         let membership = Arc::new(MembershipDesk::new(
             Arc::clone(&clock),
             Arc::clone(&board),
@@ -123,7 +127,7 @@
                     host: settings.host.clone(),
                     domain: settings.failure_domain.clone(),
                     peer_addr,
-                    incarnation: first_incarnation(&*clock),
+                    incarnation,
                     bytes_per_second: settings.peers.control_bytes_per_second,
                     seeds: settings.peers.seeds.clone(),
                 },
@@ -207,6 +211,15 @@
                 clock.now(),
             ),
         ));
+        let orders = Arc::new(OrderDesk::new(OrderDeskParts {
+            clock: Arc::clone(&clock),
+            board: Arc::clone(&board),
+            map: Arc::clone(&map),
+            platform: Arc::clone(&relayed),
+            upstreams: Arc::clone(&upstreams) as _,
+            host: settings.host.clone(),
+            incarnation,
+        }));
         let news = Arc::new(News {
             parts: Arc::clone(&parts),
             homes: Arc::clone(&homes),
@@ -243,6 +256,7 @@
             granter,
             membership,
             manifests,
+            orders,
             platform: relayed,
             addrs,
             traffic,
--- a/src/daemon/loops.rs
+++ b/src/daemon/loops.rs
@@ -17,6 +17,7 @@
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 const MACHINES_PAUSE: Duration = Duration::from_secs(1);
+const ORDERS_PAUSE: Duration = Duration::from_secs(1);
 const REFRESH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts the loops of a host.
@@ -30,6 +31,7 @@
         host.home_table.refresh();
         host.homes.refresh();
     });
+    every(host, ORDERS_PAUSE, |host| host.orders.tick());
     tokio::spawn(keep_machines(Arc::clone(host)));
 }
 
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -22,7 +22,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
+use banyanarch::upstream::EngineState;
 use tokio::task::JoinHandle;
 
 pub use faults::EngineFaults;
@@ -82,6 +84,11 @@
         self.shared.batch().log.all()
     }
 
+    /// What it has loaded.
+    pub fn state(&self) -> EngineState {
+        self.shared.loaded().state(Instant::now())
+    }
+
     /// Memory that no attempt and no hold has.
     pub fn free_tokens(&self) -> u64 {
         self.shared.batch().free_tokens()
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -548,3 +548,41 @@
     site.hosts[1].ended().await;
     site.at_rest().await;
 }
+
+/// A new version of the model is published while callers work. If all engines load it at once, nobody
+/// is served until they have; if an order is lost, an engine keeps the old version for good. Enough
+/// engines stay loaded, and all of them get there.
+#[tokio::test]
+async fn a_new_version_is_loaded_while_callers_are_served() {
+    let mut site = Site::start().await;
+    for _ in 0..4 {
+        let options = EngineOptions {
+            load_ms: 500,
+            checks_fencing: true,
+            ..Default::default()
+        };
+        site.add_engine("a", options).await;
+    }
+    site.add_host("a").await;
+    site.add_host("a").await;
+    site.ready().await;
+    site.joined().await;
+    site.publish(
+        2,
+        &MANIFEST.replace("version: \"1\"", "version: \"2\"\n    fencing: checked"),
+    )
+    .await;
+    let mut round = 0;
+    until("version 2 on all engines", async || {
+        round += 1;
+        let res = site.hosts[round % 2]
+            .complete(&format!("during a load, {round}"), 2)
+            .await;
+        assert_eq!(res.unwrap().status(), 200);
+        site.engines.iter().all(|engine| {
+            let state = engine.state();
+            state.version == "2" && !state.loading
+        })
+    })
+    .await;
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -104,7 +104,9 @@
     }
 
     /// Adds an engine.
-    pub(crate) async fn add_engine(&mut self, domain: &str, options: EngineOptions) -> usize {
+    pub(crate) async fn add_engine(&mut self, domain: &str, mut options: EngineOptions) -> usize {
+        // Loaded as the manifest wants it, so that no test begins with a load.
+        options.state.model = "geet-model".to_owned();
         let engine = Engine::start(options).await.unwrap();
         let index = self.engines.len();
         self.machine(&format!("engine-{index}"), domain, "geet-model")
