Status: one report for operators and the platform, with what a host did lately

Cause: the status page was made by hand and the platform had no history. Change: the page and the platform's object come from one report; membership, homes, manifests and orders record what they did and why. Ruled out: writing at each change; the reporter bounds the rate.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -21,6 +21,7 @@
 use crate::control::manifests::Manifests;
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipConf;
+use crate::control::status::Events;
 use crate::daemon::DaemonError;
 use crate::daemon::drain::Drain;
 use crate::daemon::loops;
@@ -76,6 +77,7 @@
     pub(crate) membership: Arc<MembershipDesk>,
     pub(crate) manifests: Arc<ManifestDesk>,
     pub(crate) orders: Arc<OrderDesk>,
+    pub(crate) events: Arc<Events>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -104,6 +106,7 @@
         );
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let board = Arc::new(Board::new());
+        let events = Arc::new(Events::new(Arc::clone(&clock)));
         let traffic = Arc::new(Traffic::new(
             Arc::clone(&clock),
             settings.peers.control_bytes_per_second,
@@ -122,6 +125,7 @@
             Arc::clone(&clock),
             Arc::clone(&board),
             Arc::clone(&peers) as _,
+            Arc::clone(&events),
             Membership::new(
                 MembershipConf {
                     host: settings.host.clone(),
@@ -148,6 +152,7 @@
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
             board: Arc::clone(&board),
+            events: Arc::clone(&events),
             peers: Arc::clone(&peers) as _,
             map: Arc::clone(&map),
             upstreams: Arc::clone(&upstreams) as _,
@@ -199,6 +204,7 @@
             ManifestDeskParts {
                 clock: Arc::clone(&clock),
                 board: Arc::clone(&board),
+                events: Arc::clone(&events),
                 peers: Arc::clone(&peers) as _,
                 metrics: Arc::clone(&parts.metrics),
                 host: settings.host.clone(),
@@ -214,6 +220,7 @@
         let orders = Arc::new(OrderDesk::new(OrderDeskParts {
             clock: Arc::clone(&clock),
             board: Arc::clone(&board),
+            events: Arc::clone(&events),
             map: Arc::clone(&map),
             platform: Arc::clone(&relayed),
             upstreams: Arc::clone(&upstreams) as _,
@@ -257,6 +264,7 @@
             membership,
             manifests,
             orders,
+            events,
             platform: relayed,
             addrs,
             traffic,
--- a/src/daemon/loops.rs
+++ b/src/daemon/loops.rs
@@ -10,6 +10,7 @@
 
 use crate::daemon::host::Host;
 use crate::daemon::machine_list;
+use crate::daemon::status_loop;
 use crate::fleet::NewsSink;
 use crate::platform::Kind;
 
@@ -32,6 +33,7 @@
         host.homes.refresh();
     });
     every(host, ORDERS_PAUSE, |host| host.orders.tick());
+    tokio::spawn(status_loop::keep(Arc::clone(host)));
     tokio::spawn(keep_machines(Arc::clone(host)));
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 mod pages;
 mod poll;
 mod run;
+mod status_loop;
 mod status_server;
 
 pub use error::DaemonError;
--- a/src/daemon/pages.rs
+++ b/src/daemon/pages.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::daemon::host::Host;
+use crate::daemon::status_loop;
 use crate::daemon::status_server::Page;
 use crate::daemon::status_server::Pages;
 use crate::units::RequestId;
@@ -58,44 +59,31 @@
         }
     }
 
+    /// The report that the platform gets too, and what only this host can tell.
     fn status(&self) -> Page {
         let host = &self.0;
-        let generation = host.board.manifest().map(|in_force| in_force.generation);
-        let homes = host.home_table.homes();
-        let homes: Vec<_> = homes
-            .iter()
+        let mut page = match serde_json::to_value(status_loop::report(host)) {
+            Ok(page) => page,
+            Err(err) => {
+                return Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n"));
+            }
+        };
+        let pools = host.home_table.homes().into_iter();
+        let pools: Vec<_> = pools
             .map(|(pool, home)| json!({"pool": pool, "home": home}))
             .collect();
-        let hosts: Vec<_> = host
-            .board
-            .hosts
-            .snapshot()
-            .into_iter()
-            .map(|(id, view)| {
-                json!({
-                    "host": id,
-                    "domain": view.domain,
-                    "state": format!("{:?}", view.state).to_lowercase(),
-                    "generation": view.generation,
-                })
-            })
+        let orders = host.orders.progress().into_iter();
+        let orders: Vec<_> = orders
+            .map(|(pool, (done, all))| json!({"pool": pool, "loaded": done, "engines": all}))
             .collect();
-        let status = json!({
-            "host": host.settings.host,
-            "domain": host.settings.failure_domain,
-            "generation": generation,
-            "manifest": host.manifests.knowledge(),
-            "in_flight": host.parts.in_flight.count(),
-            "grants": host.granter.live_count(),
-            "claims_pending": host.parts.claims.pending(),
-            "body_bytes": host.parts.bodies.used_bytes(),
-            "control_bytes": host.traffic.control_bytes(),
-            "work_bytes": host.traffic.work_bytes(),
-            "silent_domains": host.membership.silent_domains(),
-            "upstreams": host.board.upstreams.len(),
-            "hosts": hosts,
-            "homes": homes,
-        });
-        Page::json(StatusCode::OK, format!("{status}\n"))
+        page["pools"] = json!(pools);
+        page["orders"] = json!(orders);
+        page["in_flight"] = json!(host.parts.in_flight.count());
+        page["grants"] = json!(host.granter.live_count());
+        page["claims_pending"] = json!(host.parts.claims.pending());
+        page["body_bytes"] = json!(host.parts.bodies.used_bytes());
+        page["control_bytes"] = json!(host.traffic.control_bytes());
+        page["work_bytes"] = json!(host.traffic.work_bytes());
+        Page::json(StatusCode::OK, format!("{page}\n"))
     }
 }
--- /dev/null
+++ b/src/daemon/status_loop.rs
@@ -0,0 +1,89 @@
+//! Writes this host's report to the platform at a bounded rate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::debug;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::control::status::Reporter;
+use crate::control::status::ReporterAction;
+use crate::control::status::StatusParts;
+use crate::control::status::StatusReport;
+use crate::daemon::host::Host;
+use crate::platform::Expected;
+use crate::platform::Kind;
+use crate::platform::ObjectKey;
+use crate::platform::PlatformError;
+use crate::units::ObjectVersion;
+
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// The report of a host as it is now.
+pub(crate) fn report(host: &Host) -> StatusReport {
+    StatusReport::new(StatusParts {
+        host: &host.settings.host,
+        domain: &host.settings.failure_domain,
+        board: &host.board,
+        manifest: host.manifests.knowledge(),
+        homes: host.homes.pools(),
+        silent_domains: host.membership.silent_domains(),
+        events: &host.events,
+    })
+}
+
+/// Writes the report whenever the reporter wants it.
+pub(crate) async fn keep(host: Arc<Host>) {
+    let mut reporter = Reporter::new(StdRng::from_os_rng(), host.clock.now());
+    let key = ObjectKey::new(Kind::Statuses, host.settings.host.as_str());
+    loop {
+        sleep(PAUSE).await;
+        let report = report(&host).for_platform();
+        match reporter.tick(hash_without_ages(&report), host.clock.now()) {
+            Some(ReporterAction::Read) => {
+                let read = host.platform.get(key.clone()).await;
+                reporter.read(&read, host.clock.now());
+            }
+            Some(ReporterAction::Write(expected)) => {
+                let written = write(&host, key.clone(), &report, expected).await;
+                if let Err(err) = &written {
+                    debug!("status: the report was not written: {err}");
+                }
+                reporter.written(&written, host.clock.now());
+            }
+            None => {}
+        }
+    }
+}
+
+async fn write(
+    host: &Host,
+    key: ObjectKey,
+    report: &StatusReport,
+    expected: Expected,
+) -> Result<ObjectVersion, PlatformError> {
+    let value = serde_json::to_value(report);
+    let value = value.map_err(|err| PlatformError::Refused(err.to_string()))?;
+    host.platform.put(key, value, expected).await
+}
+
+/// Ages change all the time and are no news.
+fn hash_without_ages(report: &StatusReport) -> u64 {
+    let mut ageless = report.clone();
+    ageless.generation_confirmed_ago_s = None;
+    for event in &mut ageless.lately {
+        event.ago_s = 0;
+    }
+    for home in &mut ageless.homes {
+        (
+            home.waiting,
+            home.running,
+            home.short_wait_ms,
+            home.free_tokens,
+        ) = (0, 0, 0, 0);
+    }
+    xxh3_64(format!("{ageless:?}").as_bytes())
+}
--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk.rs
@@ -25,6 +25,7 @@
 use crate::control::home::HomeEvent;
 use crate::control::home::Verdict;
 use crate::control::home::wire;
+use crate::control::status::Events;
 use crate::decide::PolicyConfig;
 use crate::decide::PoolKind;
 use crate::decide::PoolLoad;
@@ -68,6 +69,7 @@
     clock: Arc<dyn Clock>,
     host: HostId,
     board: Arc<Board>,
+    events: Arc<Events>,
     peers: Arc<dyn Peers>,
     map: Arc<dyn HomeMap>,
     upstreams: Arc<dyn UpstreamDirectory>,
@@ -85,6 +87,8 @@
     pub host: HostId,
     /// The blackboard.
     pub board: Arc<Board>,
+    /// What this host did lately.
+    pub events: Arc<Events>,
     /// Other hosts.
     pub peers: Arc<dyn Peers>,
     /// Which hosts are homes.
@@ -104,6 +108,7 @@
             clock: parts.clock,
             host: parts.host,
             board: parts.board,
+            events: parts.events,
             peers: parts.peers,
             map: parts.map,
             upstreams: parts.upstreams,
@@ -205,6 +210,11 @@
 
     fn close(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>) {
         info!("homes: hand over pool {pool}");
+        self.events.record(
+            "homes",
+            &format!("handed over {pool}"),
+            "another host is its home",
+        );
         self.tell(pool, home, HomeEvent::HandOver);
         self.homes.remove(pool);
         home.woken.notify_one();
@@ -246,6 +256,11 @@
             .upsert(pool, || Arc::clone(&home), |home| Arc::clone(home));
         if Arc::ptr_eq(&made, &home) {
             info!("homes: this host is the home of pool {pool}");
+            self.events.record(
+                "homes",
+                &format!("took over {pool}"),
+                "first of its candidates",
+            );
             self.tell_hosts(pool, &home);
             self.tell(pool, &home, HomeEvent::Upstreams(upstreams));
             tokio::spawn(Arc::clone(self).keep(pool.clone(), home));
--- a/src/fleet/manifest_desk.rs
+++ b/src/fleet/manifest_desk.rs
@@ -14,6 +14,7 @@
 use crate::control::manifests::ManifestAction;
 use crate::control::manifests::Manifests;
 use crate::control::manifests::PlatformWord;
+use crate::control::status::Events;
 use crate::observe::Metrics;
 use crate::peer::Message;
 use crate::peer::Peers;
@@ -24,6 +25,7 @@
 pub struct ManifestDesk {
     clock: Arc<dyn Clock>,
     board: Arc<Board>,
+    events: Arc<Events>,
     peers: Arc<dyn Peers>,
     metrics: Arc<Metrics>,
     host: HostId,
@@ -38,6 +40,8 @@
     pub clock: Arc<dyn Clock>,
     /// The blackboard.
     pub board: Arc<Board>,
+    /// What this host did lately.
+    pub events: Arc<Events>,
     /// Other hosts.
     pub peers: Arc<dyn Peers>,
     /// Metrics, which follow the manifest's customers.
@@ -54,6 +58,7 @@
         Self {
             clock: parts.clock,
             board: parts.board,
+            events: parts.events,
             peers: parts.peers,
             metrics: parts.metrics,
             host: parts.host,
@@ -135,6 +140,8 @@
                 ManifestAction::Send { to, message } => self.peers.send(&to, message),
                 ManifestAction::ReadPlatform => self.read_platform.notify_one(),
                 ManifestAction::PutInForce(in_force) => {
+                    let what = format!("put generation {} in force", in_force.generation);
+                    self.events.record("manifests", &what, "it is newer");
                     self.metrics.set_customers(&in_force.manifest);
                     self.board.advance_manifest(in_force);
                 }
--- a/src/fleet/membership_desk.rs
+++ b/src/fleet/membership_desk.rs
@@ -16,6 +16,7 @@
 use crate::control::homes::Member;
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipAction;
+use crate::control::status::Events;
 use crate::decide::Poison;
 use crate::decide::UpstreamHealth;
 use crate::entry::PoisonSpread;
@@ -47,6 +48,7 @@
     clock: Arc<dyn Clock>,
     board: Arc<Board>,
     peers: Arc<dyn Peers>,
+    events: Arc<Events>,
     membership: Mutex<Membership>,
 }
 
@@ -56,12 +58,14 @@
         clock: Arc<dyn Clock>,
         board: Arc<Board>,
         peers: Arc<dyn Peers>,
+        events: Arc<Events>,
         membership: Membership,
     ) -> Self {
         Self {
             clock,
             board,
             peers,
+            events,
             membership: Mutex::new(membership),
         }
     }
@@ -147,10 +151,15 @@
                 None
             }
             MembershipAction::Woke { paused } => {
+                self.events
+                    .record("membership", "dropped what it held", "it was paused");
                 warn!("membership: this process was paused for {paused:?}, drops what it held");
                 Some(FleetNews::DropWhatIsHeld)
             }
             MembershipAction::DeclaredDead => {
+                let why = "the others took it for dead";
+                self.events
+                    .record("membership", "dropped what it held", why);
                 warn!("membership: the others took this host for dead, drops what it held");
                 Some(FleetNews::DropWhatIsHeld)
             }
@@ -174,6 +183,8 @@
             return None;
         }
         info!("membership: host {id} is {state:?}");
+        self.events
+            .record("membership", &format!("host {id} is {state:?}"), "gossip");
         match state {
             HostState::Dead => Some(FleetNews::HostDead(id)),
             HostState::Alive => Some(FleetNews::HostAlive(id)),
--- a/src/fleet/order_desk.rs
+++ b/src/fleet/order_desk.rs
@@ -17,6 +17,7 @@
 use crate::control::orders::Orders;
 use crate::control::orders::OrdersConf;
 use crate::control::orders::Wanted;
+use crate::control::status::Events;
 use crate::entry::UpstreamDirectory;
 use crate::fleet::HomeMap;
 use crate::manifest::Manifest;
@@ -46,6 +47,8 @@
     pub clock: Arc<dyn Clock>,
     /// The blackboard.
     pub board: Arc<Board>,
+    /// What this host did lately.
+    pub events: Arc<Events>,
     /// Which pools have their home here.
     pub map: Arc<dyn HomeMap>,
     /// The platform, for leases.
@@ -186,6 +189,10 @@
             info!("orders: the lease ran out before an order to {id} left");
             return;
         }
+        let what = format!("told {id} to load {} {}", state.model, state.version);
+        self.parts
+            .events
+            .record("orders", &what, "the manifest wants it");
         match upstream.order(order).await {
             Ok(()) => info!(
                 "orders: {id} was told to load {} {}",
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -214,7 +214,7 @@
     /// The host that is the home of a target's pool.
     pub(crate) async fn home_of(&self, target: &str) -> usize {
         let status = self.hosts[0].status().await;
-        let homes = status["homes"].as_array().cloned().unwrap_or_default();
+        let homes = status["pools"].as_array().cloned().unwrap_or_default();
         let home = homes
             .iter()
             .find(|home| home["pool"].as_str().unwrap().contains(target));
