--- a/examples/sweep/scenario.rs
+++ b/examples/sweep/scenario.rs
@@ -288,17 +288,17 @@
     )
 }
 
-type Change = fn(LoadReport) -> LoadReport;
+type Change = fn(&LoadReport) -> LoadReport;
 
 /// Reports say nothing, or ten times too much, or are as they should be.
 fn wrong_reports(setup: &Setup) -> String {
     let changes: [(&str, Change); 3] = [
-        ("right", |report| report),
+        ("right", Clone::clone),
         ("nothing", |_| LoadReport::default()),
         ("tenfold", |report| LoadReport {
             used_tokens: banyanarch::units::Tokens(report.used_tokens.0 * 10),
             prefill_backlog_tokens: banyanarch::units::Tokens(report.prefill_backlog_tokens.0 * 10),
-            ..report
+            ..report.clone()
         }),
     ];
     let figures = changes.map(|(name, change)| {
--- a/tests/decide_fakes/bench.rs
+++ b/tests/decide_fakes/bench.rs
@@ -45,7 +45,7 @@
     /// Engines that are down, with from and to in seconds.
     pub outage: Option<(std::ops::Range<usize>, f64, f64)>,
     /// Changes a report before it is delivered.
-    pub report_as: fn(LoadReport) -> LoadReport,
+    pub report_as: fn(&LoadReport) -> LoadReport,
     pub decided_in: Duration,
     start: Instant,
 }
@@ -74,7 +74,7 @@
             again: Vec::new(),
             budget: None,
             outage: None,
-            report_as: |report| report,
+            report_as: Clone::clone,
             decided_in: Duration::ZERO,
             start,
         }
@@ -338,7 +338,7 @@
 
     fn deliver(&mut self, reports: &[LoadReport]) {
         for (index, report) in reports.iter().enumerate() {
-            let report = (self.report_as)(report.clone());
+            let report = (self.report_as)(report);
             for policy in &mut self.policies {
                 policy.report(&name(index), &report, self.clock.now());
             }
--- a/tests/decide_load.rs
+++ b/tests/decide_load.rs
@@ -264,11 +264,11 @@
     tenfold_no_ranks = { times_ten, false, 1.3 },
 )]
 fn wrong_reports_do_little_harm(
-    report_as: fn(LoadReport) -> LoadReport,
+    report_as: fn(&LoadReport) -> LoadReport,
     honours_rank: bool,
     bound: f64,
 ) {
-    let p95 = |change: fn(LoadReport) -> LoadReport| {
+    let p95 = |change: fn(&LoadReport) -> LoadReport| {
         let mut bench = bench(PolicyName::Shipped, 1);
         bench.report_as = change;
         bench
@@ -277,15 +277,15 @@
             .for_each(|engine| engine.honours_rank = honours_rank);
         bench.play(mixed(9)).0.class(LengthClass::Short).ttft(0.95)
     };
-    let (right, wrong) = (p95(|report| report), p95(report_as));
+    let (right, wrong) = (p95(Clone::clone), p95(report_as));
     assert!(wrong < bound * right, "right {right}, wrong {wrong}");
 }
 
-fn times_ten(report: LoadReport) -> LoadReport {
+fn times_ten(report: &LoadReport) -> LoadReport {
     LoadReport {
         used_tokens: Tokens(report.used_tokens.0 * 10),
         prefill_backlog_tokens: Tokens(report.prefill_backlog_tokens.0 * 10),
-        ..report
+        ..report.clone()
     }
 }
 
