--- a/src/control/home/hosts.rs
+++ b/src/control/home/hosts.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use crate::control::home::HomeConf;
 use crate::units::HostId;
 
 /// What is known of one host.
@@ -34,20 +35,45 @@
         seen.is_member = false;
     }
 
-    /// A host that speaks lives, whatever membership says a moment later.
     pub(crate) fn set_announced(&mut self, host: &HostId, now: Instant) {
-        let seen = self.seen.entry(host.clone()).or_default();
-        seen.announced_at = Some(now);
-        seen.dead_since = None;
+        self.seen.entry(host.clone()).or_default().announced_at = Some(now);
     }
 
     pub(crate) fn announced_at(&self, host: &HostId) -> Option<Instant> {
         self.seen.get(host).and_then(|seen| seen.announced_at)
     }
 
-    pub(crate) fn dead_for(&self, host: &HostId, now: Instant) -> Option<Duration> {
-        let seen = self.seen.get(host)?;
-        seen.dead_since.map(|since| now.duration_since(since))
+    /// From when on the grants of a host that was last heard at `heard_at` have no owner, if it is
+    /// dead.
+    ///
+    /// The failure this guards against: this host is cut off from the others, or was paused and
+    /// wakes up, and holds all of them for dead. It would cancel what the whole failure domain is
+    /// reading. So deaths count only while at least as many members live as have died. A tie counts:
+    /// a failure domain of today has two hosts, and the death of one would never be believed.
+    /// Inside a failure domain the network does not part, so that a host which finds one of two gone
+    /// is not the one that is cut off.
+    pub(crate) fn given_up_at(
+        &self,
+        host: &HostId,
+        heard_at: Instant,
+        conf: &HomeConf,
+    ) -> Option<Instant> {
+        let members = self.seen.values().filter(|seen| seen.is_member).count();
+        let dead = self.seen.values().filter(|seen| seen.dead_since.is_some());
+        if members < dead.count() {
+            return None;
+        }
+        match self.seen.get(host) {
+            // Membership may be wrong or behind, and a message may come after its sender's death.
+            // So a host held for dead that goes on speaking keeps its grants, and one that spoke
+            // last keeps them for the grace only.
+            Some(seen) => seen
+                .dead_since
+                .map(|at| at.max(heard_at) + conf.dead_host_grace),
+            // It died before this home took over, and membership has forgotten it.
+            None if members > 1 => Some(heard_at + conf.unknown_host_grace),
+            None => None,
+        }
     }
 
     pub(crate) fn all_announced(&self) -> bool {
--- a/src/entry/driver/mod.rs
+++ b/src/entry/driver/mod.rs
@@ -15,6 +15,9 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::control::claims::Claim;
+use crate::control::claims::ClaimKey;
+use crate::control::claims::ClaimState;
 use crate::decide::Ended;
 use crate::decide::FailedAttempt;
 use crate::decide::PoisonMark;
@@ -22,7 +25,6 @@
 use crate::decide::RetryVerdict;
 use crate::entry::Attempt;
 use crate::entry::Break;
-use crate::entry::ClaimWanted;
 use crate::entry::EntryParts;
 use crate::entry::FailReason;
 use crate::entry::Failure;
@@ -38,20 +40,24 @@
 use crate::entry::break_of;
 use crate::entry::settle::settle;
 use crate::observe::StepKind;
+use crate::units::AttemptId;
 use crate::units::UpstreamId;
 use crate::upstream::UpstreamError;
 
 /// When a request that failed not run may come back where nothing better is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
+/// An attempt that breaks this close to the time limit broke for the limit.
+const NEARLY_OVER: Duration = Duration::from_millis(100);
+
 /// One request on its way.
 pub(crate) struct Driver<'a> {
     parts: &'a Arc<EntryParts>,
     job: Job,
     reply: &'a mut Reply,
     attempt: Option<Attempt>,
-    claimed: Option<ClaimWanted>,
-    followed: Option<(ClaimWanted, UpstreamId)>,
+    claimed: Option<(ClaimKey, AttemptId)>,
+    followed: Option<Claim>,
     attempts: u32,
     last_error: Option<UpstreamError>,
     message: String,
@@ -219,21 +225,30 @@
                     Ended::Refused
                 } else {
                     Ended::NotSent
-                })
-                .await;
+                });
             }
             Break::Cut => {}
             Break::Lost | Break::Garbled => self.end_attempt(Ended::Failed),
         }
         self.last_error = Some(err);
+        if broke != Break::DidNotRun && self.is_nearly_over() {
+            return LifeEvent::TimeUp;
+        }
         LifeEvent::Broken(broke)
     }
 
+    /// Engines end an attempt at the same time limit; whichever is first, the caller is told that
+    /// the time ran out, and not that the engine failed.
+    fn is_nearly_over(&self) -> bool {
+        let now = self.parts.clock.now();
+        self.job.work.deadline.saturating_duration_since(now) < NEARLY_OVER
+    }
+
     /// The attempt provably did not run: its grant and its claim are free again.
-    pub(super) async fn give_back(&mut self, ended: Ended) {
+    pub(super) fn give_back(&mut self, ended: Ended) {
         self.end_attempt(ended);
-        if let Some(claimed) = self.claimed.take() {
-            self.parts.claims.give_back(claimed).await;
+        if let Some((key, attempt)) = self.claimed.take() {
+            self.parts.claims.give_back(key, attempt);
         }
     }
 
@@ -325,8 +340,12 @@
             Verdict::MayHaveRun(_) => Ended::Cancelled,
         };
         self.end_attempt(ended);
-        if let Some(claimed) = self.claimed.take() {
-            self.parts.claims.finish(claimed);
+        if let Some((key, attempt)) = self.claimed.take() {
+            let state = match verdict {
+                Verdict::Completed => ClaimState::Completed,
+                Verdict::NotRun(_) | Verdict::MayHaveRun(_) => ClaimState::MayHaveRun,
+            };
+            self.parts.claims.finish(key, attempt, state);
         }
         if verdict == Verdict::Completed {
             return;
