--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -44,8 +44,11 @@
 use crate::fleet::ManifestDesk;
 use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
+use crate::fleet::OrderDesk;
+use crate::fleet::OrderDeskParts;
 use crate::fleet::PeerDesk;
 use crate::fleet::RelayPlatform;
+use crate::fleet::RelayPlatformParts;
 use crate::fleet::UpstreamRegistry;
 use crate::http::HttpClient;
 use crate::observe::Bounds;
@@ -72,6 +75,7 @@
     pub(crate) granter: Arc<HomeGranter>,
     pub(crate) membership: Arc<MembershipDesk>,
     pub(crate) manifests: Arc<ManifestDesk>,
+    pub(crate) orders: Arc<OrderDesk>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -113,6 +117,7 @@
             Arc::clone(&traffic),
             StdRng::from_os_rng(),
         ));
+        let incarnation = first_incarnation(&*clock);
         let membership = Arc::new(MembershipDesk::new(
             Arc::clone(&clock),
             Arc::clone(&board),
@@ -122,7 +127,7 @@
                     host: settings.host.clone(),
                     domain: settings.failure_domain.clone(),
                     peer_addr,
-                    incarnation: first_incarnation(&*clock),
+                    incarnation,
                     bytes_per_second: settings.peers.control_bytes_per_second,
                     seeds: settings.peers.seeds.clone(),
                 },
@@ -133,6 +138,7 @@
         let home_table = Arc::new(FleetHomes::new(
             Arc::clone(&board),
             Arc::clone(&membership),
+            settings.host.clone(),
             settings.failure_domain.clone(),
         ));
         let map = Arc::clone(&home_table) as Arc<dyn HomeMap>;
@@ -161,13 +167,13 @@
             HttpClient::new(settings.platform.address),
             Duration::from_millis(settings.platform.timeout_ms),
         ));
-        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform {
+        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform::new(RelayPlatformParts {
             direct: Arc::clone(&direct),
             peers: Arc::clone(&peers) as _,
             board: Arc::clone(&board),
             host: settings.host.clone(),
             domain: settings.failure_domain.clone(),
-        });
+        }));
         let claims = ClaimStore::new(
             &relayed,
             &clock,
@@ -205,10 +211,20 @@
                 clock.now(),
             ),
         ));
+        let orders = Arc::new(OrderDesk::new(OrderDeskParts {
+            clock: Arc::clone(&clock),
+            board: Arc::clone(&board),
+            map: Arc::clone(&map),
+            platform: Arc::clone(&relayed),
+            upstreams: Arc::clone(&upstreams) as _,
+            host: settings.host.clone(),
+            incarnation,
+        }));
         let news = Arc::new(News {
             parts: Arc::clone(&parts),
             homes: Arc::clone(&homes),
             peers: Arc::clone(&peers),
+            domain: settings.failure_domain.clone(),
         });
         let peer_desk = Arc::new(PeerDesk {
             clock: Arc::clone(&clock),
@@ -240,7 +256,8 @@
             granter,
             membership,
             manifests,
-            platform: direct,
+            orders,
+            platform: relayed,
             addrs,
             traffic,
             news,
