Metrics are filled from the board and the host's own counts

Cause: ledgers, bytes to peers and the manifest's age had methods that nobody called, so their series stayed empty. Ruled out: calls at each place that counts (the parts count already; two counts drift apart). With pools kept from one count to the next, a_pool_that_was_handed_over_is_shown_no_more fails.

--- a/src/daemon/pages.rs
+++ b/src/daemon/pages.rs
@@ -8,6 +8,7 @@
 use crate::daemon::host::Host;
 use crate::daemon::status_server::Page;
 use crate::daemon::status_server::Pages;
+use crate::observe::HostCounts;
 use crate::units::RequestId;
 
 /// The pages of a host.
@@ -37,7 +38,18 @@
     }
 
     fn metrics(&self) -> Page {
-        match self.0.parts.metrics.render() {
+        let host = &self.0;
+        let metrics = &host.parts.metrics;
+        metrics.see_board(&host.board);
+        metrics.see_host(HostCounts {
+            peer_control_bytes: host.traffic.control_bytes(),
+            peer_work_bytes: host.traffic.work_bytes(),
+            peer_dropped_messages: host.traffic.dropped_messages(),
+            peer_refused_connections: host.traffic.refused_connections(),
+            manifest_confirmed_ago: host.manifests.knowledge().confirmed_ago,
+            pools: host.homes.pools(),
+        });
+        match metrics.render() {
             Ok(text) => Page::text(StatusCode::OK, text),
             Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
         }
--- a/src/observe/board_totals.rs
+++ b/src/observe/board_totals.rs
@@ -1,4 +1,4 @@
-//! What the blackboard holds, counted for metrics.
+//! The latest counts of a host, for metrics that are read when they are rendered.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +9,7 @@
 use crate::board::Board;
 use crate::board::HostState;
 use crate::decide::UpstreamHealth;
+use crate::observe::HostCounts;
 use crate::units::Generation;
 use crate::units::TargetId;
 
@@ -17,6 +18,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct BoardTotals {
     totals: Mutex<Totals>,
+    counts: Mutex<HostCounts>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -43,6 +45,16 @@
         *self.lock() = totals;
     }
 
+    /// Takes in what the host's parts count.
+    pub(crate) fn set_counts(&self, counts: HostCounts) {
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner) = counts;
+    }
+
+    pub(crate) fn counts(&self) -> HostCounts {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.clone()
+    }
+
     pub(crate) fn latest(&self) -> Totals {
         self.lock().clone()
     }
--- a/src/observe/gauges.rs
+++ b/src/observe/gauges.rs
@@ -5,35 +5,9 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
 
-use crate::observe::LedgerTotals;
+use crate::decide::PoolLoad;
 use crate::observe::board_totals::BoardTotals;
 
-pub(crate) fn observe_ledgers(meter: &Meter, ledgers: &Arc<LedgerTotals>) {
-    let seen = ledgers.clone();
-    let held = meter.u64_observable_gauge("ledger_held_tokens");
-    held.with_callback(move |gauge| {
-        for (pool, total) in seen.snapshot() {
-            gauge.observe(
-                total.held_tokens.0,
-                &[KeyValue::new("pool", pool.to_string())],
-            );
-        }
-    })
-    .build();
-    let seen = ledgers.clone();
-    let capacity = meter.u64_observable_gauge("ledger_capacity_tokens");
-    capacity
-        .with_callback(move |gauge| {
-            for (pool, total) in seen.snapshot() {
-                gauge.observe(
-                    total.capacity_tokens.0,
-                    &[KeyValue::new("pool", pool.to_string())],
-                );
-            }
-        })
-        .build();
-}
-
 pub(crate) fn observe_board(meter: &Meter, board: &Arc<BoardTotals>) {
     let seen = board.clone();
     let generation = meter.u64_observable_gauge("manifest_generation");
@@ -64,3 +38,64 @@
         })
         .build();
 }
+
+pub(crate) fn observe_counts(meter: &Meter, board: &Arc<BoardTotals>) {
+    let seen = board.clone();
+    let bytes = meter.u64_observable_counter("peer").with_unit("By");
+    bytes
+        .with_callback(move |counter| {
+            let counts = seen.counts();
+            let purpose = |name| [KeyValue::new("purpose", name)];
+            counter.observe(counts.peer_control_bytes, &purpose("control"));
+            counter.observe(counts.peer_work_bytes, &purpose("work"));
+        })
+        .build();
+    let seen = board.clone();
+    let dropped = meter.u64_observable_counter("peer_dropped_messages");
+    dropped
+        .with_callback(move |counter| counter.observe(seen.counts().peer_dropped_messages, &[]))
+        .build();
+    let seen = board.clone();
+    let refused = meter.u64_observable_counter("peer_refused_connections");
+    refused
+        .with_callback(move |counter| counter.observe(seen.counts().peer_refused_connections, &[]))
+        .build();
+    let seen = board.clone();
+    let confirmed = meter.f64_observable_gauge("manifest_confirmed_age");
+    confirmed
+        .with_unit("s")
+        .with_callback(move |gauge| {
+            if let Some(ago) = seen.counts().manifest_confirmed_ago {
+                gauge.observe(ago.as_secs_f64(), &[]);
+            }
+        })
+        .build();
+}
+
+pub(crate) fn observe_pools(meter: &Meter, board: &Arc<BoardTotals>) {
+    pool_gauge(meter, board, "ledger_free_tokens", |load| {
+        load.free_tokens.0
+    });
+    pool_gauge(meter, board, "ledger_running", |load| load.running);
+    pool_gauge(meter, board, "ledger_waiting", |load| load.waiting);
+    pool_gauge(meter, board, "ledger_upstreams", |load| {
+        load.upstreams.into()
+    });
+}
+
+fn pool_gauge(
+    meter: &Meter,
+    board: &Arc<BoardTotals>,
+    name: &'static str,
+    value: impl Fn(&PoolLoad) -> u64 + Send + Sync + 'static,
+) {
+    let seen = board.clone();
+    let gauge = meter.u64_observable_gauge(name);
+    gauge
+        .with_callback(move |gauge| {
+            for (pool, load) in seen.counts().pools {
+                gauge.observe(value(&load), &[KeyValue::new("pool", pool.to_string())]);
+            }
+        })
+        .build();
+}
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -13,7 +13,6 @@
 use opentelemetry::KeyValue;
 use opentelemetry::StringValue;
 use opentelemetry::metrics::Counter;
-use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
@@ -28,13 +27,11 @@
 use crate::control::outcome::Outcome;
 use crate::decide::LengthClass;
 use crate::manifest::Manifest;
-use crate::observe::LedgerTotals;
+use crate::observe::HostCounts;
 use crate::observe::ObserveError;
 use crate::observe::board_totals::BoardTotals;
 use crate::observe::gauges;
 use crate::units::CustomerId;
-use crate::units::PoolId;
-use crate::units::Tokens;
 
 /// 670 customers in 4 classes and 3 outcomes are 8,040 series of one metric.
 const SERIES_MAX: usize = 10_000;
@@ -59,7 +56,6 @@
     // The instruments go quiet when their provider is dropped.
     _provider: SdkMeterProvider,
     customers: RwLock<IndexMap<CustomerId, StringValue>>,
-    ledgers: Arc<LedgerTotals>,
     board: Arc<BoardTotals>,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
@@ -67,9 +63,7 @@
     requests: Counter<u64>,
     failures: Counter<u64>,
     retries: Counter<u64>,
-    control_bytes: Counter<u64>,
     in_flight: UpDownCounter<i64>,
-    platform_age: Gauge<f64>,
 }
 
 impl Metrics {
@@ -87,14 +81,13 @@
             .with_view(series_bound)
             .build();
         let meter = provider.meter("banyanarch");
-        let ledgers = Arc::new(LedgerTotals::default());
         let board = Arc::new(BoardTotals::default());
-        gauges::observe_ledgers(&meter, &ledgers);
         gauges::observe_board(&meter, &board);
+        gauges::observe_counts(&meter, &board);
+        gauges::observe_pools(&meter, &board);
         let metrics = Self {
             registry,
             customers: RwLock::default(),
-            ledgers,
             board,
             first_token: seconds(&meter, "time_to_first_token", &FIRST_TOKEN_BOUNDS),
             between_tokens: seconds(&meter, "time_between_tokens", &BETWEEN_TOKENS_BOUNDS),
@@ -102,9 +95,7 @@
             requests: meter.u64_counter("requests").build(),
             failures: meter.u64_counter("failures").build(),
             retries: meter.u64_counter("retries").build(),
-            control_bytes: meter.u64_counter("control").with_unit("By").build(),
             in_flight: meter.i64_up_down_counter("in_flight").build(),
-            platform_age: meter.f64_gauge("platform_age").with_unit("s").build(),
             _provider: provider,
         };
         Ok(metrics)
@@ -122,6 +113,11 @@
         }
     }
 
+    /// Takes in what the host's parts count, right before metrics are rendered.
+    pub fn see_host(&self, counts: HostCounts) {
+        self.board.set_counts(counts);
+    }
+
     /// Takes the customers of a manifest as the ones that get series.
     pub fn set_customers(&self, manifest: &Manifest) {
         let label = |name: &CustomerId| StringValue::from(Arc::<str>::from(name.as_str()));
@@ -176,33 +172,12 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// The ledger of a pool that this host is home of.
-    pub fn ledger(&self, pool: &PoolId, held_tokens: Tokens, capacity_tokens: Tokens) {
-        self.ledgers.set(pool, held_tokens, capacity_tokens);
-    }
-
-    /// Forgets the ledger of a pool that this host has handed over.
-    pub fn ledger_gone(&self, pool: &PoolId) {
-        self.ledgers.remove(pool);
-    }
-
-    /// Bytes sent to other hosts, by what for (`membership`, `manifests`, `grants`, …).
-    pub fn control_bytes(&self, purpose: &'static str, bytes: u64) {
-        self.control_bytes
-            .add(bytes, &[KeyValue::new("purpose", purpose)]);
-    }
-
     /// A change of the number of requests that have not ended: +1 or -1.
     pub fn in_flight(&self, class: LengthClass, change: i64) {
         self.in_flight
             .add(change, &[KeyValue::new("class", class.name())]);
     }
 
-    /// How long ago the platform last answered.
-    pub fn platform_age(&self, age: Duration) {
-        self.platform_age.record(age.as_secs_f64(), &[]);
-    }
-
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Result<String, ObserveError> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -12,11 +12,13 @@
 use banyanarch::clock::ManualClock;
 use banyanarch::control::outcome::Outcome;
 use banyanarch::decide::LengthClass;
+use banyanarch::decide::PoolLoad;
 use banyanarch::decide::UpstreamHealth;
 use banyanarch::manifest::InForce;
 use banyanarch::manifest::Manifest;
 use banyanarch::observe::Bounds;
 use banyanarch::observe::Explanations;
+use banyanarch::observe::HostCounts;
 use banyanarch::observe::Metrics;
 use banyanarch::observe::StepKind;
 use banyanarch::observe::logs;
@@ -27,7 +29,6 @@
 use banyanarch::units::CustomerId;
 use banyanarch::units::Generation;
 use banyanarch::units::Incarnation;
-use banyanarch::units::PoolId;
 use banyanarch::units::RequestId;
 use banyanarch::units::Tokens;
 
@@ -54,7 +55,6 @@
     metrics.queue_wait(&films, LengthClass::Short, Duration::from_millis(3));
     metrics.outcome(&films, LengthClass::Short, Outcome::NotRun, "deadline");
     metrics.retry("refused");
-    metrics.control_bytes("membership", 120);
     metrics.in_flight(LengthClass::Long, 2);
     metrics.in_flight(LengthClass::Long, -1);
     let text = metrics.render().unwrap();
@@ -73,7 +73,6 @@
         "banyanarch_failures_total{class=\"short\",outcome=\"not-run\",reason=\"deadline\"} 1"
             .to_owned(),
         "banyanarch_retries_total{reason=\"refused\"} 1".to_owned(),
-        "banyanarch_control_bytes_total{purpose=\"membership\"} 120".to_owned(),
         "banyanarch_in_flight{class=\"long\"} 1".to_owned(),
     ] {
         assert!(
@@ -95,14 +94,12 @@
     metrics.outcome(&films, LengthClass::Short, Outcome::NotRun, "deadline");
     metrics.retry("refused");
     metrics.in_flight(LengthClass::Short, 1);
-    metrics.ledger(&"a/b/0".parse().unwrap(), Tokens(0), Tokens(1));
-    metrics.control_bytes("membership", 1);
-    metrics.platform_age(Duration::ZERO);
+    metrics.see_host(counts());
     metrics.see_board(&board());
     let text = metrics.render().unwrap();
     let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
-    assert_eq!(names.len(), 14);
+    assert_eq!(names.len(), 18);
     for name in names {
         assert!(page.contains(&format!("| `{name}` |")), "{name}");
     }
@@ -206,14 +203,27 @@
 #[test]
 fn a_pool_that_was_handed_over_is_shown_no_more() {
     let metrics = metrics();
-    let pool: PoolId = "hall-a/llm-advisor/0".parse().unwrap();
-    metrics.ledger(&pool, Tokens(700), Tokens(1_000));
+    metrics.see_host(counts());
     let text = metrics.render().unwrap();
-    assert!(text.contains("banyanarch_ledger_held_tokens{pool=\"hall-a/llm-advisor/0\"} 700"));
-    metrics.ledger_gone(&pool);
+    assert!(text.contains("banyanarch_ledger_free_tokens{pool=\"hall-a/llm-advisor/0\"} 700"));
+    assert!(text.contains("banyanarch_peer_bytes_total{purpose=\"control\"} 120"));
+    metrics.see_host(HostCounts::default());
     assert!(!metrics.render().unwrap().contains("hall-a"));
 }
 
+fn counts() -> HostCounts {
+    let load = PoolLoad {
+        free_tokens: Tokens(700),
+        ..PoolLoad::default()
+    };
+    HostCounts {
+        peer_control_bytes: 120,
+        manifest_confirmed_ago: Some(Duration::from_secs(2)),
+        pools: vec![("hall-a/llm-advisor/0".parse().unwrap(), load)],
+        ..HostCounts::default()
+    }
+}
+
 fn explanations(bounds: Bounds) -> (Arc<ManualClock>, Explanations) {
     let clock = Arc::new(ManualClock::new());
     (clock.clone(), Explanations::new(clock, bounds))
