--- a/src/cmd/show.rs
+++ b/src/cmd/show.rs
@@ -1,6 +1,7 @@
 //! JSON reports as text for people, whatever their fields are.
 
 use std::fmt::Write;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -22,7 +23,7 @@
 fn show_entries(entries: &Map<String, Value>, depth: usize, out: &mut String) {
     for (key, value) in entries {
         match value {
-            Value::Object(nested) if !nested.is_empty() => {
+            Value::Object(nested) if is_section(value) => {
                 push_line(out, depth, &format!("{key}:"));
                 show_entries(nested, depth + INDENT, out);
             }
@@ -87,7 +88,7 @@
             format!("{path}.{key}")
         };
         match value {
-            Value::Object(nested) if !nested.is_empty() => flatten(&column, nested, cells),
+            Value::Object(nested) if is_section(value) => flatten(&column, nested, cells),
             other => {
                 cells.insert(column, inline(other));
             }
@@ -102,10 +103,29 @@
         Value::Array(items) if items.is_empty() => "-".to_owned(),
         Value::Array(items) => items.iter().map(inline).collect::<Vec<_>>().join(", "),
         Value::Object(entries) if entries.is_empty() => "-".to_owned(),
-        other => other.to_string(),
+        other => duration(other).unwrap_or_else(|| other.to_string()),
     }
 }
 
+fn is_section(value: &Value) -> bool {
+    let is_empty = value.as_object().is_none_or(Map::is_empty);
+    !is_empty && duration(value).is_none()
+}
+
+/// A duration as serde writes it.
+fn duration(value: &Value) -> Option<String> {
+    let entries = value.as_object().filter(|entries| entries.len() == 2)?;
+    let secs = entries.get("secs")?.as_u64()?;
+    let nanos = entries.get("nanos")?.as_u64()?;
+    let text = || {
+        format!(
+            "{:.3}s",
+            secs as f64 + Duration::from_nanos(nanos).as_secs_f64()
+        )
+    };
+    (nanos < 1_000_000_000).then(text)
+}
+
 fn push_line(out: &mut String, depth: usize, line: &str) {
     // Writing to a string does not fail.
     let _ = writeln!(out, "{:depth$}{}", "", line.trim_end());
--- a/tests/cmd_host.rs
+++ b/tests/cmd_host.rs
@@ -84,7 +84,7 @@
         "/status",
         r#"{"host":"hall-a-1","generation":7,"upstreams":[
             {"id":"engine-1","health":"live","load":{"running":3}},
-            {"id":"engine-22","health":"leaving"}],"homes":[],"manifest":{"age_ms":12}}"#,
+            {"id":"engine-22","health":"leaving"}],"homes":[],"manifest":{"confirmed_ago":{"secs":2,"nanos":39718955}}}"#,
     )]);
     let dir = WorkDir::new();
     let ran = dir.run(&["status", "--host", &host.to_string()]);
@@ -94,7 +94,7 @@
         "generation: 7\n\
          homes: -\n\
          host: hall-a-1\n\
-         manifest:\n  age_ms: 12\n\
+         manifest:\n  confirmed_ago: 2.040s\n\
          upstreams:\n  \
            health   id         load.running\n  \
            live     engine-1   3\n  \
