--- a/src/cmd/show.rs
+++ b/src/cmd/show.rs
@@ -10,6 +10,9 @@
 
 const INDENT: usize = 2;
 
+/// What names a thing stands before what is said of it.
+const NAMES: [&str; 5] = ["host", "domain", "pool", "target", "id"];
+
 /// A report as lines of `key: value`; a list of objects becomes a table.
 pub(crate) fn text(report: &Value) -> String {
     let mut out = String::new();
@@ -21,7 +24,7 @@
 }
 
 fn show_entries(entries: &Map<String, Value>, depth: usize, out: &mut String) {
-    for (key, value) in entries {
+    for (key, value) in names_first(entries) {
         match value {
             Value::Object(nested) if is_section(value) => {
                 push_line(out, depth, &format!("{key}:"));
@@ -81,7 +84,7 @@
 }
 
 fn flatten(path: &str, entries: &Map<String, Value>, cells: &mut IndexMap<String, String>) {
-    for (key, value) in entries {
+    for (key, value) in names_first(entries) {
         let column = if path.is_empty() {
             key.clone()
         } else {
@@ -101,12 +104,22 @@
         Value::Null => "-".to_owned(),
         Value::String(text) => text.clone(),
         Value::Array(items) if items.is_empty() => "-".to_owned(),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            format!("({} entries)", items.len())
+        }
         Value::Array(items) => items.iter().map(inline).collect::<Vec<_>>().join(", "),
         Value::Object(entries) if entries.is_empty() => "-".to_owned(),
         other => duration(other).unwrap_or_else(|| other.to_string()),
     }
 }
 
+fn names_first(entries: &Map<String, Value>) -> Vec<(&String, &Value)> {
+    let mut sorted: Vec<(&String, &Value)> = entries.iter().collect();
+    let rank = |key: &str| NAMES.iter().position(|name| *name == key);
+    sorted.sort_by_key(|(key, _)| rank(key).unwrap_or(NAMES.len()));
+    sorted
+}
+
 fn is_section(value: &Value) -> bool {
     let is_empty = value.as_object().is_none_or(Map::is_empty);
     !is_empty && duration(value).is_none()
--- a/tests/cmd_host.rs
+++ b/tests/cmd_host.rs
@@ -91,14 +91,14 @@
     assert_eq!(ran.code, 0, "{ran:?}");
     assert_eq!(
         ran.stdout,
-        "generation: 7\n\
+        "host: hall-a-1\n\
+         generation: 7\n\
          homes: -\n\
-         host: hall-a-1\n\
          manifest:\n  confirmed_ago: 2.040s\n\
          upstreams:\n  \
-           health   id         load.running\n  \
-           live     engine-1   3\n  \
-           leaving  engine-22  -\n"
+           id         health   load.running\n  \
+           engine-1   live     3\n  \
+           engine-22  leaving  -\n"
     );
     let ran = dir.run(&["status", "--json", "--host", &host.to_string()]);
     let json: serde_json::Value = serde_json::from_str(&ran.stdout).unwrap();
@@ -119,14 +119,14 @@
             "/apis/banyanarch.dev/v1/statuses",
             r#"{"metadata":{"resourceVersion":"5"},"items":[
                 {"apiVersion":"banyanarch.dev/v1","kind":"statuses",
-                 "metadata":{"name":"hall-b-1","resourceVersion":"3"},"spec":{"generation":8}}]}"#,
+                 "metadata":{"name":"hall-b-1","resourceVersion":"3"},"spec":{"generation":8,"homes":[{"pool":"p"}]}}]}"#,
         ),
     ]);
     let ran = WorkDir::new().run(&["status", "--platform", &platform.to_string()]);
     assert_eq!(ran.code, 0, "{ran:?}");
     assert_eq!(
         ran.stdout,
-        "published_generation: 9\nreports:\n  generation  host\n  8           hall-b-1\n"
+        "published_generation: 9\nreports:\n  host      generation  homes\n  hall-b-1  8           (1 entries)\n"
     );
 }
 
