--- a/standin/src/load/figures.rs
+++ b/standin/src/load/figures.rs
@@ -48,8 +48,8 @@
     pub(crate) goodput_per_s: f64,
     /// Prompt tokens of such requests, a second.
     pub(crate) good_tokens_per_s: f64,
-    /// Goodput in tokens over that of the load that was played to compare with.
-    pub(crate) goodput_ratio: Option<f64>,
+    /// What came of the load that was played to compare with.
+    pub(crate) compared: Option<Compared>,
     /// The share of the engines' tokens that went into no good answer.
     pub(crate) wasted: f64,
     /// Jain's index over customers.
@@ -62,6 +62,17 @@
     pub(crate) reasons: IndexMap<String, usize>,
 }
 
+/// Figures of a run beside those of a load that was played before it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Compared {
+    /// Goodput in tokens a second of the load before.
+    pub(crate) good_tokens_per_s: f64,
+    /// The share of its requests that completed within their limit.
+    pub(crate) good_share: f64,
+    /// This run's goodput in tokens over that of the load before.
+    pub(crate) goodput_ratio: f64,
+}
+
 impl Figures {
     /// Works them out from what callers got and what engines ran in `lasts_s` of arrivals.
     pub(crate) fn new(
@@ -87,7 +98,7 @@
             all: ClassFigures::new("all", &samples.iter().collect::<Vec<_>>(), &[]),
             goodput_per_s: good.count() as f64 / (lasts_s - RAMP_S),
             good_tokens_per_s: good_tokens as f64 / (lasts_s - RAMP_S),
-            goodput_ratio: None,
+            compared: None,
             wasted: wasted(samples, runs),
             jain,
             least_of_fair,
@@ -96,6 +107,15 @@
         }
     }
 
+    /// Takes in the figures of the load that was played before.
+    pub(crate) fn compare_with(&mut self, before: &Self) {
+        self.compared = Some(Compared {
+            good_tokens_per_s: before.good_tokens_per_s,
+            good_share: before.all.good_share(),
+            goodput_ratio: self.good_tokens_per_s / before.good_tokens_per_s,
+        });
+    }
+
     /// The figures of a class.
     pub(crate) fn class(&self, class: LengthClass) -> Option<&ClassFigures> {
         self.classes.iter().find(|one| one.class == class.name())
@@ -103,6 +123,11 @@
 }
 
 impl ClassFigures {
+    /// The share of requests that completed within their limit.
+    pub(crate) fn good_share(&self) -> f64 {
+        self.good as f64 / self.sent.max(1) as f64
+    }
+
     fn new(name: &str, samples: &[&Sample], alone: &[Duration]) -> Self {
         let completed: Vec<&Sample> = samples
             .iter()
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -63,10 +63,9 @@
     let samples = play(&scenario, &fleet, asks, true).await;
     let runs = fleet.runs()?;
     let mut figures = Figures::new(&samples, &alone, &runs, scenario.lasts_s);
-    figures.goodput_ratio = compared.map(|compared| {
-        let before = Figures::new(&compared, &[], &runs, scenario.lasts_s);
-        figures.good_tokens_per_s / before.good_tokens_per_s
-    });
+    if let Some(compared) = compared {
+        figures.compare_with(&Figures::new(&compared, &[], &runs, scenario.lasts_s));
+    }
     Ok(Outcome::of_scenario(
         &scenario, options, &figures, &samples, &alone,
     ))
--- a/standin/src/load/outcome.rs
+++ b/standin/src/load/outcome.rs
@@ -95,12 +95,15 @@
         "\nwithin limit {:.1} requests/s, {:.0} prompt tokens/s, {:.1} percent of requests",
         figures.goodput_per_s,
         figures.good_tokens_per_s,
-        100.0 * good_share(&figures.all)
+        100.0 * figures.all.good_share()
     );
-    if let Some(ratio) = figures.goodput_ratio {
+    if let Some(before) = &figures.compared {
         let _ = writeln!(
             out,
-            "goodput (tokens) against the load at capacity {ratio:.3}"
+            "at capacity {:.0} prompt tokens/s, {:.1} percent of requests; goodput ratio {:.3}",
+            before.good_tokens_per_s,
+            100.0 * before.good_share,
+            before.goodput_ratio
         );
     }
     let _ = writeln!(
@@ -146,10 +149,6 @@
         "short slowdown p95 {}, ttft p95 all {} ms, goodput {:.3}",
         slowdown.map_or_else(|| "-".to_owned(), |s| format!("{s:.2}")),
         show_ms(figures.all.ttft_p95_ms),
-        good_share(&figures.all)
+        figures.all.good_share()
     )
 }
-
-fn good_share(class: &ClassFigures) -> f64 {
-    class.good as f64 / class.sent.max(1) as f64
-}
