Homes: the dead are not forgotten while they outnumber the living

Ruled out: taking the tie back, which leaves a failure domain of two hosts with what its dead host held. Change: deaths that are not believed are not forgotten.

--- a/src/control/home/hosts.rs
+++ b/src/control/home/hosts.rs
@@ -58,9 +58,8 @@
         heard_at: Instant,
         conf: &HomeConf,
     ) -> Option<Instant> {
-        let members = self.seen.values().filter(|seen| seen.is_member).count();
-        let dead = self.seen.values().filter(|seen| seen.dead_since.is_some());
-        if members < dead.count() {
+        let members = self.members();
+        if !self.believes_deaths() {
             return None;
         }
         match self.seen.get(host) {
@@ -76,6 +75,15 @@
         }
     }
 
+    fn members(&self) -> usize {
+        self.seen.values().filter(|seen| seen.is_member).count()
+    }
+
+    fn believes_deaths(&self) -> bool {
+        let dead = self.seen.values().filter(|seen| seen.dead_since.is_some());
+        self.members() >= dead.count()
+    }
+
     pub(crate) fn all_announced(&self) -> bool {
         let silent = |seen: &HostSeen| seen.is_member && seen.announced_at.is_none();
         !self.seen.values().any(silent)
@@ -94,6 +102,10 @@
         now: Instant,
         holds: impl Fn(&HostId) -> bool,
     ) {
+        // Forgotten one by one, the dead would come to be fewer than the living.
+        if !self.believes_deaths() {
+            return;
+        }
         self.seen.retain(|host, seen| {
             let is_old = seen
                 .dead_since
