Homes ask for announcements with a question of their own

Cause: an empty announcement stood for a question, so a host that had a home of the same pool never answered, and a home never asked its own host; both made a rebuilding last its full 1.5 s. The status page showed this host's own generation as 0, and explain did not name its host. Ruled out: a shorter bound on rebuilding, which overcommits after a take-over. Change: a flag in the message; the grants that a host holds are shared by its granter and its homes; both pages are mended.

--- a/src/control/home/action.rs
+++ b/src/control/home/action.rs
@@ -39,8 +39,7 @@
         /// The number that the report repeats.
         seq: u64,
     },
-    /// Ask a host to announce its grants of this pool now: an empty `Announce`, which a host that
-    /// is not the pool's home answers with its own.
+    /// Ask a host, which may be this one, to announce its grants of this pool now.
     AskAnnounce {
         /// The host.
         to: HostId,
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -42,6 +42,7 @@
 use crate::fleet::HomeGranter;
 use crate::fleet::HomeGranterParts;
 use crate::fleet::HomeMap;
+use crate::fleet::LiveGrants;
 use crate::fleet::ManifestDesk;
 use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
@@ -126,6 +127,7 @@
             Arc::clone(&board),
             Arc::clone(&peers) as _,
             Arc::clone(&events),
+            settings.host.clone(),
             Membership::new(
                 MembershipConf {
                     host: settings.host.clone(),
@@ -148,6 +150,7 @@
         let map = Arc::clone(&home_table) as Arc<dyn HomeMap>;
         let upstreams = Arc::new(UpstreamRegistry::new(Arc::clone(&board)));
         let waiters = Arc::new(GrantWaiters::default());
+        let live = Arc::new(LiveGrants::default());
         let homes = Arc::new(HomeDesk::new(HomeDeskParts {
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
@@ -157,6 +160,7 @@
             map: Arc::clone(&map),
             upstreams: Arc::clone(&upstreams) as _,
             waiters: Arc::clone(&waiters),
+            live: Arc::clone(&live),
             policy: settings.policy,
         }));
         let granter = Arc::new(HomeGranter::new(HomeGranterParts {
@@ -166,6 +170,7 @@
             map: Arc::clone(&map),
             desk: Arc::clone(&homes),
             waiters: Arc::clone(&waiters),
+            live,
             policy: settings.policy,
         }));
         let direct: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
--- a/src/daemon/pages.rs
+++ b/src/daemon/pages.rs
@@ -65,8 +65,11 @@
             let why = "this host knows nothing of the request, or no longer\n";
             return Page::text(StatusCode::NOT_FOUND, why);
         };
-        match serde_json::to_string(&explanation) {
-            Ok(text) => Page::json(StatusCode::OK, text + "\n"),
+        match serde_json::to_value(&explanation) {
+            Ok(mut page) => {
+                page["host"] = json!(self.0.settings.host);
+                Page::json(StatusCode::OK, format!("{page}\n"))
+            }
             Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
         }
     }
--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk.rs
@@ -34,6 +34,7 @@
 use crate::entry::UpstreamDirectory;
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeMap;
+use crate::fleet::LiveGrants;
 use crate::peer::Message;
 use crate::peer::Peers;
 use crate::peer::message;
@@ -74,6 +75,7 @@
     map: Arc<dyn HomeMap>,
     upstreams: Arc<dyn UpstreamDirectory>,
     waiters: Arc<GrantWaiters>,
+    live: Arc<LiveGrants>,
     policy: PolicyName,
     homes: Shards<PoolId, Arc<Home>>,
     is_closed: AtomicBool,
@@ -97,6 +99,8 @@
     pub upstreams: Arc<dyn UpstreamDirectory>,
     /// This host's own requests that wait.
     pub waiters: Arc<GrantWaiters>,
+    /// The grants that this host holds.
+    pub live: Arc<LiveGrants>,
     /// The decisions.
     pub policy: PolicyName,
 }
@@ -113,6 +117,7 @@
             map: parts.map,
             upstreams: parts.upstreams,
             waiters: parts.waiters,
+            live: parts.live,
             policy: parts.policy,
             homes: Shards::new(),
             is_closed: AtomicBool::new(false),
@@ -396,18 +401,30 @@
                         }
                     });
                 }
-                HomeAction::AskAnnounce { to } => {
-                    let ask = message::Announce {
-                        pool: pool.to_string(),
-                        grants: Vec::new(),
-                    };
-                    self.peers.send(&to, Message::Announce(ask));
-                }
+                HomeAction::AskAnnounce { to } => self.ask_announce(pool, home, &to),
             }
         }
         reply
     }
 
+    /// Asks a host for the grants that it holds of a pool; this host's own are at hand.
+    fn ask_announce(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>, to: &HostId) {
+        if *to == self.host {
+            let event = HomeEvent::Announce {
+                from: self.host.clone(),
+                grants: self.live.of_pool(pool),
+            };
+            self.tell(pool, home, event);
+            return;
+        }
+        let ask = message::Announce {
+            pool: pool.to_string(),
+            is_question: true,
+            ..Default::default()
+        };
+        self.peers.send(to, Message::Announce(ask));
+    }
+
     fn push(&self, pool: &PoolId, to: &HostId, answer: GrantAnswer) {
         if *to == self.host {
             self.waiters.decided(answer);
--- a/src/fleet/home_granter.rs
+++ b/src/fleet/home_granter.rs
@@ -5,12 +5,10 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use indexmap::IndexMap;
 use log::debug;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::board::Shards;
 use crate::clock::Clock;
 use crate::control::home::GrantAnswer as HomeAnswer;
 use crate::control::home::Granted;
@@ -27,6 +25,7 @@
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeDesk;
 use crate::fleet::HomeMap;
+use crate::fleet::LiveGrants;
 use crate::peer::Message;
 use crate::peer::Peers;
 use crate::settings::PolicyName;
@@ -58,7 +57,7 @@
     desk: Arc<HomeDesk>,
     waiters: Arc<GrantWaiters>,
     policy: PolicyName,
-    live: Shards<GrantId, (PoolId, LiveGrant)>,
+    live: Arc<LiveGrants>,
 }
 
 /// What a granter works with.
@@ -75,6 +74,8 @@
     pub desk: Arc<HomeDesk>,
     /// Requests that wait.
     pub waiters: Arc<GrantWaiters>,
+    /// The grants that this host holds.
+    pub live: Arc<LiveGrants>,
     /// The decisions; baselines decide on this host alone.
     pub policy: PolicyName,
 }
@@ -102,14 +103,14 @@
             desk: parts.desk,
             waiters: parts.waiters,
             policy: parts.policy,
-            live: Shards::new(),
+            live: parts.live,
         }
     }
 
     /// Announces the live grants to the homes of their pools. A home that has taken over learns
     /// from it what an earlier one has granted; one that knows them keeps them.
     pub fn announce(&self) {
-        for (pool, grants) in self.live_by_pool() {
+        for (pool, grants) in self.live.by_pool() {
             if let Some(home) = self.candidates(&pool).into_iter().next() {
                 self.announce_to(&pool, grants, &home);
             }
@@ -118,13 +119,13 @@
 
     /// Announces the live grants of one pool to a host that asked for them.
     pub fn announce_pool(&self, pool: &PoolId, to: &HostId) {
-        let grants = self.live_by_pool().swap_remove(pool).unwrap_or_default();
+        let grants = self.live.of_pool(pool);
         self.announce_to(pool, grants, to);
     }
 
     /// How many grants have not ended.
     pub fn live_count(&self) -> usize {
-        self.live.len()
+        self.live.count()
     }
 
     fn announce_to(&self, pool: &PoolId, grants: Vec<LiveGrant>, to: &HostId) {
@@ -142,14 +143,6 @@
         }
     }
 
-    fn live_by_pool(&self) -> IndexMap<PoolId, Vec<LiveGrant>> {
-        let mut by_pool: IndexMap<PoolId, Vec<LiveGrant>> = IndexMap::new();
-        for (_, (pool, grant)) in self.live.snapshot() {
-            by_pool.entry(pool).or_default().push(grant);
-        }
-        by_pool
-    }
-
     /// The candidates, and this host behind them: a host that reaches no home decides alone, within
     /// the small share that a home without a ledger grants.
     fn candidates(&self, pool: &PoolId) -> Vec<HostId> {
@@ -284,7 +277,7 @@
             work: work.clone(),
             upstreams: granted.upstreams.clone(),
         };
-        self.live.insert(granted.grant, (pool.clone(), live));
+        self.live.begin(pool, live);
         GrantAnswer::Granted(Box::new(HeldGrant {
             pool: pool.clone(),
             grant: granted.grant,
@@ -324,7 +317,7 @@
     }
 
     fn finish(&self, held: &HeldGrant, done: Done) {
-        self.live.remove(&held.grant);
+        self.live.end(held.grant);
         if let Some(home) = self.candidates(&held.pool).first() {
             self.tell_finish(home, &held.pool, held.grant, done);
         }
--- a/src/fleet/membership_desk.rs
+++ b/src/fleet/membership_desk.rs
@@ -49,6 +49,7 @@
     board: Arc<Board>,
     peers: Arc<dyn Peers>,
     events: Arc<Events>,
+    host: HostId,
     membership: Mutex<Membership>,
 }
 
@@ -59,6 +60,7 @@
         board: Arc<Board>,
         peers: Arc<dyn Peers>,
         events: Arc<Events>,
+        host: HostId,
         membership: Membership,
     ) -> Self {
         Self {
@@ -66,6 +68,7 @@
             board,
             peers,
             events,
+            host,
             membership: Mutex::new(membership),
         }
     }
@@ -77,6 +80,9 @@
             let mut membership = self.lock();
             if let Some(in_force) = self.board.manifest() {
                 membership.set_generation(in_force.generation, now);
+                self.board
+                    .hosts
+                    .update(&self.host, |view| view.generation = in_force.generation);
             }
             membership.tick(now)
         };
--- a/src/fleet/peer_desk.rs
+++ b/src/fleet/peer_desk.rs
@@ -99,7 +99,7 @@
             debug!("homes: {from} announced what can't be read");
             return;
         };
-        if grants.is_empty() && !self.homes.has(&pool) {
+        if announce.is_question {
             return self.granter.announce_pool(&pool, &from);
         }
         self.homes
--- a/src/peer/message/grant.rs
+++ b/src/peer/message/grant.rs
@@ -169,4 +169,7 @@
     /// The grants.
     #[prost(message, repeated, tag = "2")]
     pub grants: Vec<WorkWithGrant>,
+    /// Whether this is a home's question for the receiver's grants, and no announcement.
+    #[prost(bool, tag = "3")]
+    pub is_question: bool,
 }
