Entry hosts use no grant that has gone stale

Cause: the histories of grants show that a host which was paused with a grant on its way must not use it: its home may have given it up and cancels it.

Change: HomeGranter asks again where a grant is not fresh (Granted::is_fresh).

No test over real processes shows it.

--- a/src/fleet/home_granter.rs
+++ b/src/fleet/home_granter.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -234,7 +235,11 @@
         work: &Work,
     ) -> Waited {
         loop {
-            if let Ok(Some(answer)) = timeout(ASK_AGAIN, pushes.recv()).await {
+            let asked_at = self.clock.now();
+            let pushed = timeout(ASK_AGAIN, pushes.recv()).await;
+            if let Ok(Some(answer)) = pushed
+                && !self.is_stale(&answer.verdict, asked_at)
+            {
                 return Waited::Decided(answer.verdict);
             }
             match self.ask_one(candidate, pool, work).await {
@@ -249,7 +254,26 @@
         }
     }
 
+    /// Asks a candidate, and again if this host stood still before it could use the grant.
     async fn ask_one(&self, candidate: &HostId, pool: &PoolId, work: &Work) -> Asked {
+        loop {
+            let asked_at = self.clock.now();
+            match self.ask_once(candidate, pool, work).await {
+                Asked::Said(verdict) if self.is_stale(&verdict, asked_at) => {}
+                asked => return asked,
+            }
+        }
+    }
+
+    /// Whether a grant has waited here so long that its home may have given it up.
+    fn is_stale(&self, verdict: &Verdict, asked_at: Instant) -> bool {
+        let Verdict::Granted(granted) = verdict else {
+            return false;
+        };
+        !granted.is_fresh(asked_at, self.clock.now())
+    }
+
+    async fn ask_once(&self, candidate: &HostId, pool: &PoolId, work: &Work) -> Asked {
         if *candidate == self.host {
             let event = HomeEvent::Request {
                 from: self.host.clone(),
