Membership: a difference of views is not over when one host agrees

Cause: a host reset its wait for a pull whenever one other saw the same hosts. Where a few shared a part of the truth, as after a start of all, none ever pulled; the count did not converge within 120 s at 50 hosts.

Change: a difference goes on while this host's view is the same and others that differ are met; in its first minute a host pulls without waiting.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -5,6 +5,10 @@
 //! While bytes are counted, the load is that of the target's day: a manifest of a megabyte is
 //! changed in one place every 78 s, and hosts are restarted at 490 a day for 400 hosts.
 //! The parts of the sum are printed to standard error.
+//!
+//! `cargo bench --locked --bench control -- daemons 3 12 30 60` counts with that many real daemons.
+
+mod daemons;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -395,6 +399,12 @@
 }
 
 fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == "daemons") {
+        let counts = args.iter().filter_map(|arg| arg.parse().ok());
+        counts.for_each(daemons::count);
+        return;
+    }
     for host_count in HOST_COUNTS {
         let mut fleet = Fleet::new(host_count);
         fleet.publish();
--- a/src/control/membership/conf.rs
+++ b/src/control/membership/conf.rs
@@ -50,9 +50,15 @@
 /// that lasts is worth a pull. At 4 s each restart made most hosts pull whole lists.
 pub(crate) const DIFFERENCE_MIN: Duration = Duration::from_secs(15);
 
+/// A difference that nobody showed for this long is over.
+pub(crate) const DIFFERENCE_GAP: Duration = Duration::from_secs(10);
+
 /// Between pulls of one host.
 pub(crate) const PULL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long a host counts as one that has just come.
+pub(crate) const FRESH: Duration = Duration::from_secs(60);
+
 /// Between pulls of a host that has just come.
 pub(crate) const PULL_INTERVAL_FRESH: Duration = Duration::from_secs(1);
 
--- a/src/control/membership/machine/hearing.rs
+++ b/src/control/membership/machine/hearing.rs
@@ -10,6 +10,7 @@
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipAction;
 use crate::control::membership::conf;
+use crate::control::membership::machine::Differing;
 use crate::control::membership::record::from_record;
 use crate::control::membership::roster::Applied;
 use crate::control::membership::rumours::News;
@@ -67,14 +68,13 @@
     /// Asks for hosts when the views have differed for longer than news takes to settle.
     fn compare(&mut self, from: &HostId, their_hash: u64, now: Instant) {
         if their_hash == self.roster.view_hash() {
-            self.differs_since = None;
+            // Others may still see it differently, as where a few share a part of the truth.
             self.has_agreed = true;
             return;
         }
-        let since = *self.differs_since.get_or_insert(now);
-        let lasts = now.saturating_duration_since(since) >= conf::DIFFERENCE_MIN;
+        let lasts = self.differing_for(now) >= conf::DIFFERENCE_MIN;
         // A host that has just come knows few others, and needs not wait.
-        if (lasts || !self.has_agreed) && self.may_pull(now) {
+        if (lasts || self.is_fresh(now)) && self.may_pull(now) {
             let known = self.roster.domains();
             let known = known.map(|domain| self.digest_of(domain)).collect();
             let only_known = false;
@@ -82,6 +82,25 @@
         }
     }
 
+    /// How long this host has seen the same and met others that see something else.
+    fn differing_for(&mut self, now: Instant) -> Duration {
+        let view_hash = self.roster.view_hash();
+        let goes_on = |differing: &Differing| {
+            let since_last = now.saturating_duration_since(differing.last);
+            differing.view_hash == view_hash && since_last < conf::DIFFERENCE_GAP
+        };
+        let since = match self.differing.filter(goes_on) {
+            Some(differing) => differing.since,
+            None => now,
+        };
+        self.differing = Some(Differing {
+            since,
+            last: now,
+            view_hash,
+        });
+        now.saturating_duration_since(since)
+    }
+
     fn handle_digest(&mut self, from: &HostId, digest: &DomainDigest, now: Instant) {
         let Ok(domain) = digest.domain.parse::<FailureDomainId>() else {
             return;
@@ -98,10 +117,16 @@
         }
     }
 
+    /// Whether this host has just come. Among hosts that all have just come, two that agree may
+    /// know as little as each other.
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) < conf::FRESH
+    }
+
     fn may_pull(&mut self, now: Instant) -> bool {
-        let interval = match self.has_agreed {
-            true => conf::PULL_INTERVAL,
-            false => conf::PULL_INTERVAL_FRESH,
+        let interval = match self.is_fresh(now) {
+            true => conf::PULL_INTERVAL_FRESH,
+            false => conf::PULL_INTERVAL,
         };
         let is_early = |at: Instant| now.saturating_duration_since(at) < interval;
         if self.pulled_at.is_some_and(is_early) {
--- a/src/control/membership/machine/mod.rs
+++ b/src/control/membership/machine/mod.rs
@@ -60,8 +60,9 @@
     has_joined: bool,
     has_agreed: bool,
     join_tries: usize,
-    differs_since: Option<Instant>,
+    differing: Option<Differing>,
     pulled_at: Option<Instant>,
+    started_at: Instant,
     last_active: Instant,
     next_round: Instant,
     next_digest: Instant,
@@ -69,6 +70,15 @@
     next_reach: Instant,
 }
 
+/// A difference of views that goes on.
+#[derive(Clone, Copy, Debug)]
+struct Differing {
+    since: Instant,
+    last: Instant,
+    /// The view of this host meanwhile.
+    view_hash: u64,
+}
+
 impl Membership {
     /// A membership that knows only this host and its seeds.
     pub fn new(conf: MembershipConf, mut rng: StdRng, now: Instant) -> Self {
@@ -98,8 +108,9 @@
             has_joined: false,
             has_agreed: false,
             join_tries: 0,
-            differs_since: None,
+            differing: None,
             pulled_at: None,
+            started_at: now,
             last_active: now,
             next_round: now + offset,
             next_digest: now + offset,
