Membership: a list that is cut short brings other hosts the next time

Cause: in the count of 400 hosts started at once, lists were cut short by the budget at the same place each time, and views did not meet within 120 s.

Change: lists are sent in random order, and a host that has just come pulls every 3 s.

--- a/src/control/membership/conf.rs
+++ b/src/control/membership/conf.rs
@@ -59,8 +59,8 @@
 /// How long a host counts as one that has just come.
 pub(crate) const FRESH: Duration = Duration::from_secs(60);
 
-/// Between pulls of a host that has just come.
-pub(crate) const PULL_INTERVAL_FRESH: Duration = Duration::from_secs(1);
+/// Between pulls of a host that has just come. Each may cost the other ten seconds of its budget.
+pub(crate) const PULL_INTERVAL_FRESH: Duration = Duration::from_secs(3);
 
 /// How long a dead host is remembered. Forgetting it earlier would let old news bring it back.
 pub(crate) const DEAD_KEPT: Duration = Duration::from_secs(600);
--- a/src/control/membership/machine/hearing.rs
+++ b/src/control/membership/machine/hearing.rs
@@ -164,12 +164,14 @@
                 None => !pull.only_known,
             }
         };
-        let records: Vec<HostRecord> = self
+        let mut records: Vec<HostRecord> = self
             .roster
             .iter()
             .filter(|view| is_wanted(&view.domain))
             .filter_map(|view| self.roster.record(&view.id, now))
             .collect();
+        // The budget may cut the list short, and another pull must then bring others.
+        records.shuffle(&mut self.rng);
         self.outbox.send_list(from, &records, now);
     }
 
