--- a/src/control/home/hosts.rs
+++ b/src/control/home/hosts.rs
@@ -48,16 +48,18 @@
     ///
     /// The failure this guards against: this host is cut off from the others, or was paused and
     /// wakes up, and holds all of them for dead. It would cancel what the whole failure domain is
-    /// reading. So deaths count only while more members live than have died.
+    /// reading. So deaths count only while at least as many members live as have died. A tie counts:
+    /// a failure domain of today has two hosts, and the death of one would never be believed.
+    /// Inside a failure domain the network does not part, so that a host which finds one of two gone
+    /// is not the one that is cut off.
     pub(crate) fn given_up_at(
         &self,
         host: &HostId,
         heard_at: Instant,
         conf: &HomeConf,
     ) -> Option<Instant> {
-        let members = self.seen.values().filter(|seen| seen.is_member).count();
-        let dead = self.seen.values().filter(|seen| seen.dead_since.is_some());
-        if members <= dead.count() {
+        let members = self.members();
+        if !self.believes_deaths() {
             return None;
         }
         match self.seen.get(host) {
@@ -73,6 +75,15 @@
         }
     }
 
+    fn members(&self) -> usize {
+        self.seen.values().filter(|seen| seen.is_member).count()
+    }
+
+    fn believes_deaths(&self) -> bool {
+        let dead = self.seen.values().filter(|seen| seen.dead_since.is_some());
+        self.members() >= dead.count()
+    }
+
     pub(crate) fn all_announced(&self) -> bool {
         let silent = |seen: &HostSeen| seen.is_member && seen.announced_at.is_none();
         !self.seen.values().any(silent)
@@ -91,6 +102,10 @@
         now: Instant,
         holds: impl Fn(&HostId) -> bool,
     ) {
+        // Forgotten one by one, the dead would come to be fewer than the living.
+        if !self.believes_deaths() {
+            return;
+        }
         self.seen.retain(|host, seen| {
             let is_old = seen
                 .dead_since
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -21,6 +21,7 @@
 use crate::control::manifests::Manifests;
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipConf;
+use crate::control::status::Events;
 use crate::daemon::DaemonError;
 use crate::daemon::drain::Drain;
 use crate::daemon::loops;
@@ -44,8 +45,11 @@
 use crate::fleet::ManifestDesk;
 use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
+use crate::fleet::OrderDesk;
+use crate::fleet::OrderDeskParts;
 use crate::fleet::PeerDesk;
 use crate::fleet::RelayPlatform;
+use crate::fleet::RelayPlatformParts;
 use crate::fleet::UpstreamRegistry;
 use crate::http::HttpClient;
 use crate::observe::Bounds;
@@ -72,6 +76,8 @@
     pub(crate) granter: Arc<HomeGranter>,
     pub(crate) membership: Arc<MembershipDesk>,
     pub(crate) manifests: Arc<ManifestDesk>,
+    pub(crate) orders: Arc<OrderDesk>,
+    pub(crate) events: Arc<Events>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -100,6 +106,7 @@
         );
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let board = Arc::new(Board::new());
+        let events = Arc::new(Events::new(Arc::clone(&clock)));
         let traffic = Arc::new(Traffic::new(
             Arc::clone(&clock),
             settings.peers.control_bytes_per_second,
@@ -113,16 +120,18 @@
             Arc::clone(&traffic),
             StdRng::from_os_rng(),
         ));
+        let incarnation = first_incarnation(&*clock);
         let membership = Arc::new(MembershipDesk::new(
             Arc::clone(&clock),
             Arc::clone(&board),
             Arc::clone(&peers) as _,
+            Arc::clone(&events),
             Membership::new(
                 MembershipConf {
                     host: settings.host.clone(),
                     domain: settings.failure_domain.clone(),
                     peer_addr,
-                    incarnation: first_incarnation(&*clock),
+                    incarnation,
                     bytes_per_second: settings.peers.control_bytes_per_second,
                     seeds: settings.peers.seeds.clone(),
                 },
@@ -133,6 +142,7 @@
         let home_table = Arc::new(FleetHomes::new(
             Arc::clone(&board),
             Arc::clone(&membership),
+            settings.host.clone(),
             settings.failure_domain.clone(),
         ));
         let map = Arc::clone(&home_table) as Arc<dyn HomeMap>;
@@ -142,6 +152,7 @@
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
             board: Arc::clone(&board),
+            events: Arc::clone(&events),
             peers: Arc::clone(&peers) as _,
             map: Arc::clone(&map),
             upstreams: Arc::clone(&upstreams) as _,
@@ -161,13 +172,13 @@
             HttpClient::new(settings.platform.address),
             Duration::from_millis(settings.platform.timeout_ms),
         ));
-        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform {
+        let relayed: Arc<dyn Platform> = Arc::new(RelayPlatform::new(RelayPlatformParts {
             direct: Arc::clone(&direct),
             peers: Arc::clone(&peers) as _,
             board: Arc::clone(&board),
             host: settings.host.clone(),
             domain: settings.failure_domain.clone(),
-        });
+        }));
         let claims = ClaimStore::new(
             &relayed,
             &clock,
@@ -193,6 +204,7 @@
             ManifestDeskParts {
                 clock: Arc::clone(&clock),
                 board: Arc::clone(&board),
+                events: Arc::clone(&events),
                 peers: Arc::clone(&peers) as _,
                 metrics: Arc::clone(&parts.metrics),
                 host: settings.host.clone(),
@@ -205,10 +217,21 @@
                 clock.now(),
             ),
         ));
+        let orders = Arc::new(OrderDesk::new(OrderDeskParts {
+            clock: Arc::clone(&clock),
+            board: Arc::clone(&board),
+            events: Arc::clone(&events),
+            map: Arc::clone(&map),
+            platform: Arc::clone(&relayed),
+            upstreams: Arc::clone(&upstreams) as _,
+            host: settings.host.clone(),
+            incarnation,
+        }));
         let news = Arc::new(News {
             parts: Arc::clone(&parts),
             homes: Arc::clone(&homes),
             peers: Arc::clone(&peers),
+            domain: settings.failure_domain.clone(),
         });
         let peer_desk = Arc::new(PeerDesk {
             clock: Arc::clone(&clock),
@@ -240,7 +263,9 @@
             granter,
             membership,
             manifests,
-            platform: direct,
+            orders,
+            events,
+            platform: relayed,
             addrs,
             traffic,
             news,
--- a/src/daemon/loops.rs
+++ b/src/daemon/loops.rs
@@ -10,6 +10,7 @@
 
 use crate::daemon::host::Host;
 use crate::daemon::machine_list;
+use crate::daemon::status_loop;
 use crate::fleet::NewsSink;
 use crate::platform::Kind;
 
@@ -17,6 +18,7 @@
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(100);
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 const MACHINES_PAUSE: Duration = Duration::from_secs(1);
+const ORDERS_PAUSE: Duration = Duration::from_secs(1);
 const REFRESH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts the loops of a host.
@@ -30,6 +32,8 @@
         host.home_table.refresh();
         host.homes.refresh();
     });
+    every(host, ORDERS_PAUSE, |host| host.orders.tick());
+    tokio::spawn(status_loop::keep(Arc::clone(host)));
     tokio::spawn(keep_machines(Arc::clone(host)));
 }
 
