Load: measure a fleet whose homes have rebuilt their ledgers

Cause: the first part of a run, short requests alone, fell into the two seconds in which a fresh home rebuilds its ledger, so that alone they looked slower (1,671 ms at p95) than among long ones (275 ms). Ruled out: more requests, which would only dilute it. Change: a pause of 2.5 s before the first part.

--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -31,6 +31,10 @@
 /// Engines and queues get empty between the parts of a run.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// A home that has just begun rebuilds its ledger for some two seconds before it grants freely; what
+/// is measured is a fleet that has done so.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
 /// What to play.
 #[derive(Clone, Debug)]
 pub struct LoadOptions {
@@ -57,6 +61,7 @@
     if options.keep {
         fleet.keep_dir();
     }
+    tokio::time::sleep(SETTLE).await;
     let asks = arrivals(&scenario, 1.0, options.seed);
     let alone = play_alone(&scenario, &fleet, &asks).await;
     let compared = play_compared(&scenario, &fleet, options.seed).await;
--- a/standin/src/load/path_cost.rs
+++ b/standin/src/load/path_cost.rs
@@ -19,6 +19,7 @@
 use crate::fleet::FleetError;
 use crate::fleet::FleetPlan;
 use crate::load::LoadOptions;
+use crate::load::SETTLE;
 use crate::load::outcome::Outcome;
 
 pub(crate) const NAME: &str = "path-cost";
@@ -49,6 +50,7 @@
     if options.keep {
         fleet.keep_dir();
     }
+    tokio::time::sleep(SETTLE).await;
     let (engine, host) = (fleet.engines[0].addr, fleet.hosts[0].callers);
     let mut direct = Side::default();
     let mut through = Side::default();
