--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -21,6 +21,7 @@
 use crate::control::manifests::Manifests;
 use crate::control::membership::Membership;
 use crate::control::membership::MembershipConf;
+use crate::control::status::Events;
 use crate::daemon::DaemonError;
 use crate::daemon::drain::Drain;
 use crate::daemon::loops;
@@ -44,6 +45,8 @@
 use crate::fleet::ManifestDesk;
 use crate::fleet::ManifestDeskParts;
 use crate::fleet::MembershipDesk;
+use crate::fleet::OrderDesk;
+use crate::fleet::OrderDeskParts;
 use crate::fleet::PeerDesk;
 use crate::fleet::RelayPlatform;
 use crate::fleet::RelayPlatformParts;
@@ -73,6 +76,8 @@
     pub(crate) granter: Arc<HomeGranter>,
     pub(crate) membership: Arc<MembershipDesk>,
     pub(crate) manifests: Arc<ManifestDesk>,
+    pub(crate) orders: Arc<OrderDesk>,
+    pub(crate) events: Arc<Events>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) addrs: Arc<SeededAddrs>,
     pub(crate) traffic: Arc<Traffic>,
@@ -101,6 +106,7 @@
         );
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let board = Arc::new(Board::new());
+        let events = Arc::new(Events::new(Arc::clone(&clock)));
         let traffic = Arc::new(Traffic::new(
             Arc::clone(&clock),
             settings.peers.control_bytes_per_second,
@@ -114,16 +120,18 @@
             Arc::clone(&traffic),
             StdRng::from_os_rng(),
         ));
+        let incarnation = first_incarnation(&*clock);
         let membership = Arc::new(MembershipDesk::new(
             Arc::clone(&clock),
             Arc::clone(&board),
             Arc::clone(&peers) as _,
+            Arc::clone(&events),
             Membership::new(
                 MembershipConf {
                     host: settings.host.clone(),
                     domain: settings.failure_domain.clone(),
                     peer_addr,
-                    incarnation: first_incarnation(&*clock),
+                    incarnation,
                     bytes_per_second: settings.peers.control_bytes_per_second,
                     seeds: settings.peers.seeds.clone(),
                 },
@@ -144,6 +152,7 @@
             clock: Arc::clone(&clock),
             host: settings.host.clone(),
             board: Arc::clone(&board),
+            events: Arc::clone(&events),
             peers: Arc::clone(&peers) as _,
             map: Arc::clone(&map),
             upstreams: Arc::clone(&upstreams) as _,
@@ -195,6 +204,7 @@
             ManifestDeskParts {
                 clock: Arc::clone(&clock),
                 board: Arc::clone(&board),
+                events: Arc::clone(&events),
                 peers: Arc::clone(&peers) as _,
                 metrics: Arc::clone(&parts.metrics),
                 host: settings.host.clone(),
@@ -207,6 +217,16 @@
                 clock.now(),
             ),
         ));
+        let orders = Arc::new(OrderDesk::new(OrderDeskParts {
+            clock: Arc::clone(&clock),
+            board: Arc::clone(&board),
+            events: Arc::clone(&events),
+            map: Arc::clone(&map),
+            platform: Arc::clone(&relayed),
+            upstreams: Arc::clone(&upstreams) as _,
+            host: settings.host.clone(),
+            incarnation,
+        }));
         let news = Arc::new(News {
             parts: Arc::clone(&parts),
             homes: Arc::clone(&homes),
@@ -243,6 +263,8 @@
             granter,
             membership,
             manifests,
+            orders,
+            events,
             platform: relayed,
             addrs,
             traffic,
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -104,7 +104,9 @@
     }
 
     /// Adds an engine.
-    pub(crate) async fn add_engine(&mut self, domain: &str, options: EngineOptions) -> usize {
+    pub(crate) async fn add_engine(&mut self, domain: &str, mut options: EngineOptions) -> usize {
+        // Loaded as the manifest wants it, so that no test begins with a load.
+        options.state.model = "geet-model".to_owned();
         let engine = Engine::start(options).await.unwrap();
         let index = self.engines.len();
         self.machine(&format!("engine-{index}"), domain, "geet-model")
@@ -212,7 +214,7 @@
     /// The host that is the home of a target's pool.
     pub(crate) async fn home_of(&self, target: &str) -> usize {
         let status = self.hosts[0].status().await;
-        let homes = status["homes"].as_array().cloned().unwrap_or_default();
+        let homes = status["pools"].as_array().cloned().unwrap_or_default();
         let home = homes
             .iter()
             .find(|home| home["pool"].as_str().unwrap().contains(target));
