Homes of services and of baselines start without a rebuilding

Cause: a home waited 1.5 s for lists that plain services cannot give, and for an earlier ledger that a baseline never had; callers waited as long after a start. Ruled out: skipping the rebuilding for engines, whose memory would be promised twice. Change: a service counts as listing nothing; baselines rebuild for no time.

--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk.rs
@@ -62,6 +62,7 @@
     woken: Notify,
     asked_at: Mutex<Instant>,
     target: TargetId,
+    is_service: bool,
     made_of: Mutex<(Generation, Vec<UpstreamSeen>)>,
 }
 
@@ -248,11 +249,12 @@
         let conf = self.policy_config(pool, &target)?;
         let now = self.clock.now();
         let policy = policy_for(self.policy, &conf, rand::random());
-        let controller = HomeController::new(pool.clone(), policy, HomeConf::default(), now);
+        let controller = HomeController::new(pool.clone(), policy, self.home_conf(), now);
         let home = Arc::new(Home {
             controller: Mutex::new(controller),
             woken: Notify::new(),
             asked_at: Mutex::new(now),
+            is_service: matches!(conf.kind, PoolKind::Service { .. }),
             target,
             made_of: Mutex::new((in_force.generation, upstreams.clone())),
         });
@@ -291,6 +293,15 @@
         }
     }
 
+    /// A baseline has no earlier home whose ledger it would have to rebuild.
+    fn home_conf(&self) -> HomeConf {
+        let mut conf = HomeConf::default();
+        if self.policy != PolicyName::Shipped {
+            conf.rebuild_max = Duration::ZERO;
+        }
+        conf
+    }
+
     fn refresh_home(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>) {
         let Some(in_force) = self.board.manifest() else {
             return;
@@ -383,30 +394,41 @@
                 }
                 // Baselines run a home on each host, none of which sees all attempts.
                 HomeAction::Cancel { .. } => {}
-                HomeAction::List { upstream, seq } => {
-                    let desk = Arc::clone(self);
-                    let home = Arc::clone(home);
-                    let pool = pool.clone();
-                    tokio::spawn(async move {
-                        let Some(client) = desk.upstreams.upstream(&upstream) else {
-                            return;
-                        };
-                        if let Ok(running) = client.list_running().await {
-                            let event = HomeEvent::EngineListed {
-                                upstream,
-                                seq,
-                                running,
-                            };
-                            desk.tell(&pool, &home, event);
-                        }
-                    });
-                }
+                HomeAction::List { upstream, seq } => self.list(pool, home, upstream, seq),
                 HomeAction::AskAnnounce { to } => self.ask_announce(pool, home, &to),
             }
         }
         reply
     }
 
+    /// Asks an upstream what it runs. A plain service can't tell, and holds nothing that would be
+    /// lost: it counts as one that lists nothing, and a home need not wait for it.
+    fn list(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>, upstream: UpstreamId, seq: u64) {
+        let listed = |running| HomeEvent::EngineListed {
+            upstream: upstream.clone(),
+            seq,
+            running,
+        };
+        if home.is_service {
+            self.tell(pool, home, listed(Vec::new()));
+            return;
+        }
+        let Some(client) = self.upstreams.upstream(&upstream) else {
+            return;
+        };
+        let (desk, pool, home) = (Arc::clone(self), pool.clone(), Arc::clone(home));
+        tokio::spawn(async move {
+            if let Ok(running) = client.list_running().await {
+                let event = HomeEvent::EngineListed {
+                    upstream,
+                    seq,
+                    running,
+                };
+                desk.tell(&pool, &home, event);
+            }
+        });
+    }
+
     /// Asks a host for the grants that it holds of a pool; this host's own are at hand.
     fn ask_announce(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>, to: &HostId) {
         if *to == self.host {
