More upstreams open to long prefill

Change: long_busy 0.85 to 0.7 and long_wait 3 s to 1 s; 0.5 and 0.5 s under the weight on first tokens. The test of the split took 8 to 10 for the right number, which followed from 0.85: it now works it out from the threshold, and looks after three memories of the rate, since more upstreams take longer to reach; its bounds on swings are as before, and it fails without hysteresis.

--- a/src/decide/tuning.rs
+++ b/src/decide/tuning.rs
@@ -49,20 +49,20 @@
             equal_speed: 1.4,
             wait_gain: 0.5,
             long_prefills_max: 2,
-            long_busy: 0.85,
+            long_busy: 0.7,
             short_busy: 0.45,
             long_sure_part: 0.25,
             short_on_long_max: 0.25,
-            long_wait: Duration::from_secs(3),
+            long_wait: Duration::from_secs(1),
             slow_part: 0.4,
             out_part_max: 0.5,
         };
         match objective {
             Objective::ShortSlowdown => base,
             Objective::FirstToken => Self {
-                long_busy: 0.7,
+                long_busy: 0.5,
                 short_busy: 0.6,
-                long_wait: Duration::from_secs(1),
+                long_wait: Duration::from_millis(500),
                 ..base
             },
         }
--- a/tests/decide_policy.rs
+++ b/tests/decide_policy.rs
@@ -425,10 +425,19 @@
         split.update(&input, &tuning, now);
         seen.push(split.open());
     }
-    let settled = &seen[40..];
+    // Three memories of the rate after the start.
+    let settled = &seen[60..];
     let changes = settled.windows(2).filter(|pair| pair[0] != pair[1]).count();
-    let (least, most) = (settled.iter().min().unwrap(), settled.iter().max().unwrap());
-    assert!((8..=10).contains(most) && most - least <= 1, "{seen:?}");
+    let (least, most) = (
+        *settled.iter().min().unwrap(),
+        *settled.iter().max().unwrap(),
+    );
+    let wanted = 60_000.0 / 8_000.0 / tuning.long_busy;
+    assert!(
+        (most as f64 - wanted).abs() < 1.5,
+        "{wanted} wanted: {seen:?}"
+    );
+    assert!(most - least <= 1, "{seen:?}");
     assert!(changes <= 4, "{changes} changes: {seen:?}");
 }
 
