--- a/tests/decide_load.rs
+++ b/tests/decide_load.rs
@@ -260,8 +260,8 @@
 #[parameterized(
     nothing = { |_| LoadReport::default(), true, 1.15 },
     nothing_no_ranks = { |_| LoadReport::default(), false, 1.15 },
-    tenfold = { |report| times_ten(&report), true, 1.15 },
-    tenfold_no_ranks = { |report| times_ten(&report), false, 1.3 },
+    tenfold = { |report| times_ten(report), true, 1.15 },
+    tenfold_no_ranks = { |report| times_ten(report), false, 1.3 },
 )]
 fn wrong_reports_do_little_harm(
     report_as: fn(&LoadReport) -> LoadReport,
