--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -15,6 +15,8 @@
 use worlds::answer_world::AnswerWorld;
 use worlds::claim_world;
 use worlds::claim_world::ClaimWorld;
+use worlds::drain_world;
+use worlds::drain_world::DrainWorld;
 use worlds::grant_world;
 use worlds::grant_world::GrantWorld;
 use worlds::manifest_world;
@@ -94,4 +96,16 @@
         }
         world.check();
     }
+
+    /// A host is told to shut down while callers come and go and the platform takes claims or does
+    /// not. Nobody is turned away before the balancer knows, nobody is cut off but by a second
+    /// signal, and it ends.
+    #[test]
+    fn shutdowns_cut_off_nobody(steps in vec(drain_world::step(), 1..40)) {
+        let mut world = DrainWorld::new();
+        for step in steps {
+            world.step(step);
+        }
+        world.check();
+    }
 }
--- a/tests/worlds/mod.rs
+++ b/tests/worlds/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod answer_world;
 pub(crate) mod claim_history;
 pub(crate) mod claim_world;
+pub(crate) mod drain_world;
 pub(crate) mod entry_host;
 pub(crate) mod grant_world;
 pub(crate) mod manifest_world;
