--- a/tests/decide_load.rs
+++ b/tests/decide_load.rs
@@ -260,13 +260,8 @@
 #[parameterized(
     nothing = { |_| LoadReport::default(), true, 1.15 },
     nothing_no_ranks = { |_| LoadReport::default(), false, 1.15 },
-<<<<<<< HEAD
-    tenfold = { |report| times_ten(report), true, 1.15 },
-    tenfold_no_ranks = { |report| times_ten(report), false, 1.3 },
-=======
     tenfold = { times_ten, true, 1.15 },
     tenfold_no_ranks = { times_ten, false, 1.3 },
->>>>>>> decide
 )]
 fn wrong_reports_do_little_harm(
     report_as: fn(&LoadReport) -> LoadReport,
