Each attempt is asked for under an id of its own; deaths and births count alike

Cause: (1) a lost Finish let a home answer a retry with the grant, and so the attempt id, that had been used; (2) a decision pushed a second time made the host give back a grant in use; (3) homes heard of deaths in all failure domains and of births in their own only, so that a cut outvoted the living; (4) one late token of a two-token answer forecast an hour for a long one. Ruled out: remembering used grants at the host, which a restart forgets. Conclusion: the causes are mended; (1) and (2) have no test of their own yet.

--- a/src/cmd/explain_text.rs
+++ b/src/cmd/explain_text.rs
@@ -30,7 +30,8 @@
 }
 
 /// The steps that all asked hosts know of one request.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Merged {
     request_id: RequestId,
     pub(crate) steps: Vec<MergedStep>,
@@ -39,7 +40,8 @@
 }
 
 /// A step with the host that noted it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct MergedStep {
     host: String,
     wall_ms: u64,
--- a/src/control/claims/claim.rs
+++ b/src/control/claims/claim.rs
@@ -10,7 +10,8 @@
 
 /// A claim as the platform holds it. Field names are short, since a shard's objects are bounded and
 /// rewritten whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// The one attempt that may run the request.
     #[serde(rename = "a")]
@@ -30,7 +31,8 @@
 }
 
 /// How far a claim is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimState {
     /// Its attempt may run or be running.
     #[serde(rename = "h")]
--- a/src/control/claims/key.rs
+++ b/src/control/claims/key.rs
@@ -13,7 +13,8 @@
 
 /// A customer's idempotency key, hashed. The hash is cryptographic, so that no customer can make a
 /// key that meets another one's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ClaimKey(pub ContentHash);
 
--- a/src/control/claims/shard_value.rs
+++ b/src/control/claims/shard_value.rs
@@ -12,7 +12,8 @@
 const ENTRY_BYTES: usize = 140;
 
 /// The `spec` of a shard object.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShardValue {
     /// The claims by key.
     pub claims: IndexMap<ClaimKey, Claim>,
--- a/src/control/manifests/knowledge.rs
+++ b/src/control/manifests/knowledge.rs
@@ -5,7 +5,8 @@
 use crate::units::Generation;
 
 /// What a host knows of manifests.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Knowledge {
     /// The generation in force, if any.
     pub generation: Option<Generation>,
@@ -22,7 +23,8 @@
 }
 
 /// A published manifest that a host refused; the one before stays in force.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Refusal {
     /// Its generation.
     pub generation: Generation,
--- a/src/control/orders/lease.rs
+++ b/src/control/orders/lease.rs
@@ -26,7 +26,8 @@
 const RETRY: Duration = Duration::from_secs(1);
 
 /// A lease as the platform holds it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LeaseSpec {
     /// Who holds it.
     pub holder: HostId,
--- a/src/control/status/events.rs
+++ b/src/control/status/events.rs
@@ -31,7 +31,8 @@
 }
 
 /// An event in a report.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct EventReport {
     /// How long ago it last happened.
     pub ago_s: u64,
--- a/src/control/status/report.rs
+++ b/src/control/status/report.rs
@@ -44,7 +44,8 @@
 }
 
 /// How one host sees the fleet, and what it did lately.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct StatusReport {
     /// The host that reports.
     pub host: HostId,
@@ -74,7 +75,8 @@
 }
 
 /// A failure domain.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct DomainReport {
     /// Its name.
     pub domain: String,
@@ -91,7 +93,8 @@
 }
 
 /// A home.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct HomeReport {
     /// Its pool.
     pub pool: PoolId,
@@ -108,7 +111,8 @@
 }
 
 /// The upstreams of a target in a failure domain.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct TargetReport {
     /// The target.
     pub target: TargetId,
@@ -121,7 +125,8 @@
 }
 
 /// A host.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct HostReport {
     /// Its name.
     pub host: HostId,
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -247,7 +247,6 @@
             manifests: Arc::clone(&manifests),
             news: Arc::clone(&news) as _,
             platform: Arc::clone(&direct),
-            peers: Arc::clone(&peers) as _,
         });
         let peer_server = Arc::new(PeerServer::new(
             settings.host.clone(),
--- a/src/daemon/machine_list.rs
+++ b/src/daemon/machine_list.rs
@@ -26,14 +26,16 @@
     state: MachineState,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum MachineRole {
     Upstream,
     Entry,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum MachineState {
     Live,
--- a/src/daemon/news.rs
+++ b/src/daemon/news.rs
@@ -40,7 +40,10 @@
                 FleetNews::HostAlive(_) => {}
                 FleetNews::HostDead(host) => {
                     self.peers.reset(&host);
-                    self.homes.tell_all(&HomeEvent::HostDead(host));
+                    // The dead are weighed against the living, so that both count in one domain.
+                    if self.is_neighbour(&host) {
+                        self.homes.tell_all(&HomeEvent::HostDead(host));
+                    }
                 }
                 FleetNews::DropWhatIsHeld => self.homes.hand_over(),
                 FleetNews::Poison(notice) => {
--- a/src/decide/estimator.rs
+++ b/src/decide/estimator.rs
@@ -18,6 +18,9 @@
 const GAIN: f64 = 0.05;
 /// A first estimate of the time between two tokens.
 const TOKEN_GAP_FIRST: f64 = 0.03;
+/// Shorter answers tell more of the network than of the engine: one late piece of two would forecast
+/// an hour for a long answer.
+const GAP_TOKENS_MIN: f64 = 8.0;
 /// Estimates of prompt lengths are off by at most this factor: a token of any script in use has one
 /// to twelve bytes, and four are assumed.
 const PROMPT_RATIO_MIN: f64 = 0.33;
@@ -97,7 +100,7 @@
     let output = done.output_tokens.as_f64();
     let first_token = done.first_token?;
     let seconds = done.total.saturating_sub(first_token).as_secs_f64();
-    (output > 1.0).then(|| seconds / (output - 1.0))
+    (output >= GAP_TOKENS_MIN).then(|| seconds / (output - 1.0))
 }
 
 /// The weight of a sample; the first ones count for more.
--- a/src/entry/driver/mod.rs
+++ b/src/entry/driver/mod.rs
@@ -41,6 +41,7 @@
 use crate::entry::settle::settle;
 use crate::observe::StepKind;
 use crate::units::AttemptId;
+use crate::units::RequestId;
 use crate::units::UpstreamId;
 use crate::upstream::UpstreamError;
 
@@ -90,7 +91,7 @@
             let step = advance(&mut life, event);
             debug!(
                 "entry: request {} {event:?} leads to {step:?}",
-                self.job.work.request
+                self.job.request
             );
             event = match step {
                 LifeStep::AskGrant => self.ask_grant().await,
@@ -112,7 +113,7 @@
                     // for the next would hold the caller up for ever.
                     warn!(
                         "entry: request {} got {event:?} out of place",
-                        self.job.work.request
+                        self.job.request
                     );
                     LifeEvent::TimeUp
                 }
@@ -123,7 +124,7 @@
     fn note(&self, what: StepKind, place: &str, why: impl Into<Cow<'static, str>>) {
         self.parts
             .explanations
-            .note(self.job.work.request, what, place, why);
+            .note(self.job.request, what, place, why);
     }
 
     fn leader(&self) -> &str {
@@ -206,7 +207,7 @@
 
     pub(super) async fn broken(&mut self, err: UpstreamError) -> LifeEvent {
         let broke = break_of(&err);
-        info!("entry: request {} broke: {err}", self.job.work.request);
+        info!("entry: request {} broke: {err}", self.job.request);
         self.message = err.to_string();
         let is_cut = broke == Break::Cut;
         let what = if is_cut {
@@ -287,13 +288,18 @@
             RetryVerdict::Again { after } => {
                 self.parts.metrics.retry(self.last_reason());
                 self.reply.restart();
+                // Homes answer a request that is asked again with the grant it has. If the end of the
+                // failed attempt got lost on its way, that would be the same grant, and its attempt
+                // would run a second time under one id. So each attempt is asked for under an id of
+                // its own.
+                self.job.work.request = RequestId(rand::random());
                 sleep(after).await;
                 LifeEvent::RetryAllowed
             }
             RetryVerdict::GiveUp(stop) => {
                 debug!(
                     "entry: request {} is not retried: {stop:?}",
-                    self.job.work.request
+                    self.job.request
                 );
                 LifeEvent::RetryDenied
             }
@@ -363,7 +369,7 @@
         if self.reply.fail(&failure).await.is_err() {
             debug!(
                 "entry: the caller of {} went before the failure",
-                self.job.work.request
+                self.job.request
             );
         }
     }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -35,6 +35,8 @@
 /// A request that was read and checked.
 #[derive(Clone, Debug)]
 pub struct Job {
+    /// The request, by the id that its caller is told.
+    pub request: RequestId,
     /// The upstreams it needs.
     pub target: TargetId,
     /// The request for the decisions.
@@ -197,6 +199,7 @@
         let needs_claim = !repeatable && self.headers.key.is_some();
         let content = self.content_hash(&customer, &body);
         Ok(Job {
+            request: self.request,
             work: Work {
                 request: self.request,
                 host: self.host,
--- a/src/fleet/peer_desk.rs
+++ b/src/fleet/peer_desk.rs
@@ -1,7 +1,6 @@
 //! Hands other hosts' messages to the parts that they are for.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -10,12 +9,8 @@
 use crate::clock::Clock;
 use crate::control::claims::relay;
 use crate::control::claims::relay::RelayedCall;
-use crate::control::home::GrantAnswer;
 use crate::control::home::HomeEvent;
-use crate::control::home::Verdict;
 use crate::control::home::wire;
-use crate::decide::Done;
-use crate::decide::Ended;
 use crate::fleet::FleetNews;
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeDesk;
@@ -24,7 +19,6 @@
 use crate::fleet::MembershipDesk;
 use crate::peer::Message;
 use crate::peer::PeerHandler;
-use crate::peer::Peers;
 use crate::peer::message::Announce;
 use crate::peer::message::GrantReply;
 use crate::peer::message::GrantRequest;
@@ -32,7 +26,6 @@
 use crate::platform::Platform;
 use crate::units::HostId;
 use crate::units::PoolId;
-use crate::units::Tokens;
 
 /// Whoever acts on changes of the membership.
 pub trait NewsSink: Send + Sync {
@@ -58,8 +51,6 @@
     pub news: Arc<dyn NewsSink>,
     /// The platform, as this host reaches it itself.
     pub platform: Arc<dyn Platform>,
-    /// Other hosts.
-    pub peers: Arc<dyn Peers>,
 }
 
 impl PeerDesk {
@@ -78,19 +69,16 @@
         }
     }
 
-    /// A decision that was pushed. If nobody waits for it any more, the grant goes back at once.
+    /// A decision that was pushed. One that nobody waits for came a second time, or its request was
+    /// withdrawn, which the home was told; to give the grant back here could end one that is in use.
     fn pushed(&self, from: &HostId, reply: &GrantReply) {
-        let Ok((pool, answer)) = wire::answer_from(reply) else {
-            debug!("homes: {from} pushed a decision that can't be read");
-            return;
-        };
-        let GrantAnswer { verdict, .. } = answer.clone();
-        if self.waiters.decided(answer) {
-            return;
-        }
-        if let Verdict::Granted(granted) = verdict {
-            let finish = wire::finish_to(&pool, granted.grant, &not_sent());
-            self.peers.send(from, Message::Finish(finish));
+        match wire::answer_from(reply) {
+            Ok((pool, answer)) => {
+                if !self.waiters.decided(answer) {
+                    debug!("homes: {from} decided in {pool}, and nobody waits");
+                }
+            }
+            Err(err) => debug!("homes: {from} pushed a decision that can't be read: {err}"),
         }
     }
 
@@ -173,14 +161,3 @@
         .boxed()
     }
 }
-
-fn not_sent() -> Done {
-    Done {
-        ended: Ended::NotSent,
-        first_token: None,
-        total: Duration::ZERO,
-        prompt_tokens: Tokens::ZERO,
-        cached_tokens: Tokens::ZERO,
-        output_tokens: Tokens::ZERO,
-    }
-}
--- a/src/manifest/published.rs
+++ b/src/manifest/published.rs
@@ -10,7 +10,8 @@
 pub const CURRENT: &str = "current";
 
 /// The `spec` of the object that holds the manifest. Fields that a later version adds are ignored.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct PublishedManifest {
     /// Its generation.
     pub generation: Generation,
--- a/src/manifest/spec.rs
+++ b/src/manifest/spec.rs
@@ -12,7 +12,8 @@
 use crate::units::TokensPerSecond;
 
 /// All that operators publish.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Manifest {
     /// The deployment's name, so that a manifest can't reach the wrong one.
@@ -39,7 +40,8 @@
 }
 
 /// The measure that decisions lean towards.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Objective {
     /// Short requests slow down as little as possible while long ones run.
@@ -50,7 +52,8 @@
 }
 
 /// A model and the engines that serve it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelSpec {
     /// The name that callers use.
@@ -83,7 +86,8 @@
 }
 
 /// What engines do with an order that carries an old fencing number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FencingSupport {
     /// They refuse it.
@@ -94,7 +98,8 @@
 }
 
 /// A plain service.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
     /// The name, which is also the first part of the path.
@@ -110,7 +115,8 @@
 }
 
 /// Which calls of a service may be repeated.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RepeatRule {
     /// None.
@@ -123,7 +129,8 @@
 }
 
 /// A customer's share of the fleet.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct CustomerSpec {
     /// The customer.
@@ -140,7 +147,8 @@
 }
 
 /// A priority.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PrioritySpec {
     /// The name that customers and callers use.
@@ -150,7 +158,8 @@
 }
 
 /// Limits on every request.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 #[serde(default)]
 pub struct LimitsSpec {
@@ -165,7 +174,8 @@
 }
 
 /// What the weight store gives.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 #[serde(default)]
 pub struct WeightStoreSpec {
--- a/src/observe/step.rs
+++ b/src/observe/step.rs
@@ -7,7 +7,8 @@
 use crate::units::RequestId;
 
 /// One thing that was decided for, or happened to, a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Step {
     /// The time of day on this host's clock, in milliseconds since 1970.
     pub wall_ms: u64,
@@ -22,7 +23,8 @@
 }
 
 /// The kinds of steps.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StepKind {
     /// It arrived and was understood.
@@ -50,7 +52,8 @@
 }
 
 /// All that is known of one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Explanation {
     /// The request.
     pub request_id: RequestId,
--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -73,7 +73,8 @@
     }
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 struct Hello {
     #[prost(uint32, tag = "1")]
     protocol: u32,
@@ -85,7 +86,8 @@
     nonce: Vec<u8>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 struct Challenge {
     #[prost(string, tag = "1")]
     host: String,
@@ -98,7 +100,8 @@
     refusal: String,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 struct Proof {
     #[prost(bytes = "vec", tag = "1")]
     proof: Vec<u8>,
--- a/src/peer/message/gossip.rs
+++ b/src/peer/message/gossip.rs
@@ -3,7 +3,8 @@
 use crate::peer::message::PoisonNotice;
 
 /// One message of the membership: news of others around one step of the protocol.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Gossip {
     /// The sender's incarnation.
     #[prost(uint64, tag = "1")]
@@ -26,7 +27,8 @@
 }
 
 /// The steps of the protocol.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum GossipBody {
     /// Are you there?
     #[prost(message, tag = "10")]
@@ -52,7 +54,8 @@
 }
 
 /// A probe.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Probe {
     /// The number that the answer repeats.
     #[prost(uint64, tag = "1")]
@@ -63,7 +66,8 @@
 }
 
 /// The answer to a probe.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ProbeAck {
     /// The probe's number.
     #[prost(uint64, tag = "1")]
@@ -71,7 +75,8 @@
 }
 
 /// A request to probe another host.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ProbeFor {
     /// The number that the answer repeats.
     #[prost(uint64, tag = "1")]
@@ -82,7 +87,8 @@
 }
 
 /// A hash of the hosts of a failure domain.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct DomainDigest {
     /// The failure domain.
     #[prost(string, tag = "1")]
@@ -96,7 +102,8 @@
 }
 
 /// A request for hosts.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Pull {
     /// How the sender sees failure domains.
     #[prost(message, repeated, tag = "1")]
@@ -107,7 +114,8 @@
 }
 
 /// A host.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct HostRecord {
     /// Its name.
     #[prost(string, tag = "1")]
@@ -136,7 +144,8 @@
 }
 
 /// An upstream that leaves.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct LeavingUpstream {
     /// Its name.
     #[prost(string, tag = "1")]
--- a/src/peer/message/grant.rs
+++ b/src/peer/message/grant.rs
@@ -1,7 +1,8 @@
 //! Messages between entry hosts and homes.
 
 /// The state of a request at its home.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(prost::Enumeration)]
 #[repr(i32)]
 pub enum GrantState {
     /// The receiver is not the home of that pool.
@@ -15,7 +16,8 @@
 }
 
 /// A hash of a prompt's prefix with its length.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct PrefixHash {
     /// The hash, 16 bytes.
     #[prost(bytes = "vec", tag = "1")]
@@ -26,7 +28,8 @@
 }
 
 /// [`crate::decide::Work`] on the wire.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct WorkItem {
     /// The request, 16 bytes.
     #[prost(bytes = "vec", tag = "1")]
@@ -58,7 +61,8 @@
 }
 
 /// A request for a grant. Sent again with the same request id it gets the same answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct GrantRequest {
     /// The pool.
     #[prost(string, tag = "1")]
@@ -69,7 +73,8 @@
 }
 
 /// What a home says of a request.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct GrantReply {
     /// The pool.
     #[prost(string, tag = "1")]
@@ -98,7 +103,8 @@
 }
 
 /// A request that waits is to be forgotten.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Withdraw {
     /// The pool.
     #[prost(string, tag = "1")]
@@ -109,7 +115,8 @@
 }
 
 /// [`crate::decide::Done`] on the wire.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct DoneReport {
     /// The end: 0 completed, 1 cancelled, 2 not sent, 3 refused, 4 failed.
     #[prost(uint32, tag = "1")]
@@ -132,7 +139,8 @@
 }
 
 /// A grant has ended.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Finish {
     /// The pool.
     #[prost(string, tag = "1")]
@@ -146,7 +154,8 @@
 }
 
 /// A live grant with its work.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct WorkWithGrant {
     /// The grant, 16 bytes.
     #[prost(bytes = "vec", tag = "1")]
@@ -161,7 +170,8 @@
 
 /// All live grants of one pool that an entry host holds. A home drops what its host no longer
 /// announces, and adopts what an earlier home gave.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Announce {
     /// The pool.
     #[prost(string, tag = "1")]
--- a/src/peer/message/manifest.rs
+++ b/src/peer/message/manifest.rs
@@ -1,7 +1,8 @@
 //! Messages by which hosts pass manifests on.
 
 /// What the sender knows; generation 0 when it knows no manifest.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ManifestNotice {
     /// The generation that it has in force.
     #[prost(uint64, tag = "1")]
@@ -12,7 +13,8 @@
 }
 
 /// What do you know? The receiver answers with a [`ManifestNotice`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ManifestQuery {
     /// The generation that the sender has in force; 0 for none.
     #[prost(uint64, tag = "1")]
@@ -20,7 +22,8 @@
 }
 
 /// A request for the pages that list the parts of a manifest.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct IndexRequest {
     /// The least generation wanted.
     #[prost(uint64, tag = "1")]
@@ -28,7 +31,8 @@
 }
 
 /// The pages on which the parts of a manifest are listed.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ManifestIndex {
     /// Its generation.
     #[prost(uint64, tag = "1")]
@@ -42,7 +46,8 @@
 }
 
 /// A request for parts and pages.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct PartsRequest {
     /// Their hashes, 16 bytes each.
     #[prost(bytes = "vec", tag = "1")]
@@ -50,7 +55,8 @@
 }
 
 /// Parts and pages of a manifest; the receiver hashes them itself.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ManifestParts {
     /// The parts.
     #[prost(string, repeated, tag = "1")]
--- a/src/peer/message/mod.rs
+++ b/src/peer/message/mod.rs
@@ -38,7 +38,8 @@
 pub use relay::PoisonNotice;
 
 /// A frame's content: who sent it, which request it answers, and one message.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Envelope {
     /// The sender.
     #[prost(string, tag = "1")]
@@ -58,7 +59,8 @@
 }
 
 /// All kinds of messages.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum Message {
     /// An entry host asks a home for a grant.
     #[prost(message, tag = "10")]
--- a/src/peer/message/relay.rs
+++ b/src/peer/message/relay.rs
@@ -1,7 +1,8 @@
 //! Messages that one host passes on for another.
 
 /// A call to the platform that a host asks a peer to make for it.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct PlatformCall {
     /// The kind's plural.
     #[prost(string, tag = "1")]
@@ -18,7 +19,8 @@
 }
 
 /// What came of a call to the platform.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct PlatformReply {
     /// 0 done, 1 absent, 2 conflict, 3 refused, 4 unavailable, 5 unknown.
     #[prost(uint32, tag = "1")]
@@ -35,7 +37,8 @@
 }
 
 /// A request that crashed upstreams, by its content or its key.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct PoisonNotice {
     /// What it is recognised by: the 16 bytes of a content hash, or a byte 1 and the 16 bytes of the
     /// hash of an idempotency key.
--- a/src/platform/http/wire.rs
+++ b/src/platform/http/wire.rs
@@ -9,7 +9,8 @@
 use crate::platform::ObjectList;
 use crate::units::ObjectVersion;
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub(crate) struct WireObject {
     api_version: String,
@@ -18,7 +19,8 @@
     spec: serde_json::Value,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct WireMetadata {
     #[serde(default)]
@@ -27,13 +29,15 @@
     resource_version: Option<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct WireList {
     metadata: WireMetadata,
     items: Vec<WireObject>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct WireEvent {
     #[serde(rename = "type")]
     pub(crate) kind: String,
--- a/src/settings/spec.rs
+++ b/src/settings/spec.rs
@@ -10,7 +10,8 @@
 use crate::units::HostId;
 
 /// All settings of a daemon.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// This host's name.
@@ -43,7 +44,8 @@
 }
 
 /// Where a host listens. Port 0 lets the machine choose.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// For callers.
@@ -55,7 +57,8 @@
 }
 
 /// How to reach the platform.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Its address.
@@ -66,7 +69,8 @@
 }
 
 /// How to reach and to trust other hosts.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
     /// Hosts to ask first.
@@ -81,7 +85,8 @@
 }
 
 /// A host to ask first.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSeed {
     /// Its name.
@@ -93,7 +98,8 @@
 }
 
 /// A key that peers share.
-#[derive(Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerKey {
     /// The key's name, which is sent in the clear.
@@ -109,7 +115,8 @@
 }
 
 /// How a host shuts down.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 #[serde(default)]
 pub struct DrainSettings {
@@ -124,7 +131,8 @@
 }
 
 /// What is logged and how.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 #[serde(default)]
 pub struct LogSettings {
@@ -144,7 +152,8 @@
 }
 
 /// The form of a log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogFormat {
     /// For people.
@@ -155,7 +164,8 @@
 }
 
 /// The decisions under load that a home runs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyName {
     /// The project's own.
--- a/src/upstream/order.rs
+++ b/src/upstream/order.rs
@@ -3,7 +3,8 @@
 use crate::units::FencingNumber;
 
 /// An order: the end state wanted of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Order {
     /// The number that engines which check it compare with the highest seen.
     pub fencing: FencingNumber,
@@ -12,7 +13,8 @@
 }
 
 /// What an engine has, or should have, loaded.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EngineState {
     /// The model's name.
     pub model: String,
--- a/src/upstream/report.rs
+++ b/src/upstream/report.rs
@@ -6,7 +6,8 @@
 use crate::units::Tokens;
 
 /// An engine's load, as old as the engine's reporting interval.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// Attempts that are being worked on.
     pub running: u64,
@@ -23,7 +24,8 @@
 }
 
 /// An attempt that holds memory of an engine.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RunningAttempt {
     /// The attempt.
     pub attempt: AttemptId,
@@ -34,7 +36,8 @@
 }
 
 /// A change of an engine's prefix cache.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CacheEvent {
     /// The event's number; numbers may be missing.
     pub seq: u64,
@@ -47,7 +50,8 @@
 }
 
 /// What happened to a prefix in a cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEventKind {
     /// It was stored.
