--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -31,8 +31,8 @@
 /// Engines and queues get empty between the parts of a run.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// A home that has just begun rebuilds its ledger for some two seconds before it grants freely; what
-/// is measured is a fleet that has done so.
+/// A home begins with the first request, and rebuilds its ledger for some two seconds before it
+/// grants freely; what is measured is a fleet that has done so.
 const SETTLE: Duration = Duration::from_millis(2_500);
 
 /// What to play.
@@ -61,8 +61,8 @@
     if options.keep {
         fleet.keep_dir();
     }
-    tokio::time::sleep(SETTLE).await;
     let asks = arrivals(&scenario, 1.0, options.seed);
+    warm_up(&scenario, &fleet, &asks).await;
     let alone = play_alone(&scenario, &fleet, &asks).await;
     let compared = play_compared(&scenario, &fleet, options.seed).await;
     let samples = play(&scenario, &fleet, asks, true).await;
@@ -76,6 +76,15 @@
     ))
 }
 
+/// Sends some short requests through each host, and gives the homes time.
+async fn warm_up(scenario: &Scenario, fleet: &Fleet, asks: &[Ask]) {
+    let short = asks.iter().filter(|ask| ask.class() == LengthClass::Short);
+    let some = short.take(3 * fleet.hosts.len()).cloned().collect();
+    let part = scenario.mix.len() as u64 + 2;
+    play(scenario, fleet, numbered(some, part), false).await;
+    tokio::time::sleep(SETTLE).await;
+}
+
 /// Plays the first seconds of each class without the others.
 async fn play_alone(scenario: &Scenario, fleet: &Fleet, asks: &[Ask]) -> Vec<Vec<Sample>> {
     let mut parts = Vec::new();
