--- a/src/entry/driver/mod.rs
+++ b/src/entry/driver/mod.rs
@@ -268,6 +268,15 @@
     }
 
     pub(super) async fn consider_retry(&mut self) -> LifeEvent {
+        let now = self.parts.clock.now();
+        // Its own retries may be what crashes one upstream after the other.
+        if self
+            .parts
+            .poison_list()
+            .is_poison(&self.poison_marks(), now)
+        {
+            return LifeEvent::RetryDenied;
+        }
         let did_not_run = self
             .last_error
             .as_ref()
@@ -280,7 +289,6 @@
             retry_after: self.retry_after,
             deadline: self.job.work.deadline,
         };
-        let now = self.parts.clock.now();
         match self
             .parts
             .with_budget(&self.job.target, |budget| budget.judge(&failed, now))
