A home that is not the right one goes after two seconds

Cause: at the start each host may be the home of a pool for a moment. Ruled out: different views of who is home; all three hosts named the same one. Change: it is closed when it was asked nothing for two seconds. Foreign derives of the stand-ins stand on lines of their own too.

--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk.rs
@@ -50,8 +50,11 @@
 /// ask while the membership has not yet noticed that the home is dead.
 const CANDIDATES_SERVING: usize = 2;
 
-/// A home that is not the first candidate and was asked nothing for this long hands over.
-const IDLE_MAX: Duration = Duration::from_secs(10);
+/// A home that is not the first candidate and was asked nothing for this long hands over: four times
+/// as long as a host waits before it asks again. A home that stays beside the right one hears of
+/// attempts from engines only, and not of their ends. If it is the home later, its ledger is full of
+/// what ended long ago, and its engines look frozen.
+const IDLE_MAX: Duration = Duration::from_secs(2);
 
 /// A home with nothing to wait for still looks after its graces this often.
 const WAKE_MAX: Duration = Duration::from_millis(500);
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -9,7 +9,8 @@
 use serde::Serialize;
 
 /// One segment: the tokens between the prefix that it follows and its own end.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct Segment {
     pub(crate) prefix: ContentHash,
     /// The prefix that it follows; none for the first one.
--- a/standin/src/engine/faults.rs
+++ b/standin/src/engine/faults.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Faults of an engine; the default is none.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// It dies now: the process exits, or the server closes and cuts all connections.
--- a/standin/src/engine/record.rs
+++ b/standin/src/engine/record.rs
@@ -14,7 +14,8 @@
 use serde::Serialize;
 
 /// One attempt that ran, or runs.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RunRecord {
     /// The attempt's id as it was given.
     pub attempt: String,
@@ -39,7 +40,8 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunEnd {
     /// The whole answer was made.
--- a/standin/src/load/figures.rs
+++ b/standin/src/load/figures.rs
@@ -18,7 +18,8 @@
 const RAMP_S: f64 = 3.0;
 
 /// Figures of one length class, or of all.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct ClassFigures {
     pub(crate) class: String,
     pub(crate) sent: usize,
@@ -40,7 +41,8 @@
 }
 
 /// Figures of a whole run.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct Figures {
     pub(crate) classes: Vec<ClassFigures>,
     pub(crate) all: ClassFigures,
@@ -63,7 +65,8 @@
 }
 
 /// Figures of a run beside those of a load that was played before it.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct Compared {
     /// Goodput in tokens a second of the load before.
     pub(crate) good_tokens_per_s: f64,
--- a/standin/src/platform/faults.rs
+++ b/standin/src/platform/faults.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Faults of the platform; the default is none.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
     /// Whether it serves at all.
@@ -22,7 +23,8 @@
 }
 
 /// How the platform is down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outage {
     /// It is up.
--- a/standin/src/platform/stats.rs
+++ b/standin/src/platform/stats.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Calls so far; a watch counts once, however long it waits.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Stats {
     /// Gets, lists and watches.
     pub reads: u64,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -73,7 +73,8 @@
 }
 
 /// Faults of a service; the default is none.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// It stands still: calls are taken and not answered.
