Engines that stand still are found out; the homes' desk in three files

Cause: a request whose engine froze waited until its time limit. Ruled out: a bound on silence alone, which a long prefill exceeds. Change: after 3 s of silence the engine is asked for its load; if that fails too, the attempt is read on, then run elsewhere where it may be. Baselines pass the manifest's rank only. Two stories of callers that hang up.

--- a/benches/drills.rs
+++ b/benches/drills.rs
@@ -7,10 +7,11 @@
 use std::time::Instant;
 
 use nix::sys::signal::Signal;
+use tokio::time::sleep;
+
 use site::Site;
 use site::call;
 use site::completion;
-use tokio::time::sleep;
 
 const TAKE_OVERS: usize = 10;
 
--- a/examples/sweep/main.rs
+++ b/examples/sweep/main.rs
@@ -13,6 +13,7 @@
 use banyanarch::manifest::Objective;
 use banyanarch::settings::PolicyName;
 use banyanarch::units::Tokens;
+
 use scenario::Setup;
 
 const POLICIES: [PolicyName; 4] = [
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -197,6 +197,7 @@
             granter: Arc::clone(&granter) as _,
             claims: Arc::new(claims),
             upstreams: Arc::clone(&upstreams) as _,
+            policy: settings.policy,
             bodies: BodyMemory::new(settings.body_memory_size),
             in_flight: InFlight::default(),
             poison: Mutex::new(PoisonList::new()),
--- a/src/entry/driver/dispatching.rs
+++ b/src/entry/driver/dispatching.rs
@@ -1,5 +1,12 @@
 //! Dispatches, resumes and follows attempts.
 
+use std::time::Duration;
+use std::time::Instant;
+
+use statig::prelude::*;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
 use crate::control::claims::Claim;
 use crate::control::claims::ClaimState;
 use crate::decide::Ended;
@@ -13,19 +20,18 @@
 use crate::entry::advance;
 use crate::entry::break_of;
 use crate::entry::driver::Driver;
+use crate::entry::driver::frozen::frozen;
+use crate::entry::driver::frozen::frozen_error;
 use crate::entry::driver::gone;
 use crate::observe::StepKind;
+use crate::settings::PolicyName;
+use crate::units::Priority;
 use crate::units::UpstreamId;
 use crate::upstream::AnswerStream;
 use crate::upstream::Dispatch;
 use crate::upstream::RequestBody;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
-use statig::prelude::*;
-use std::time::Duration;
-use std::time::Instant;
-use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 /// How long to wait before an answer is read on: long enough for an upstream to notice that the
 /// connection broke, short against the time between tokens that a caller notices.
@@ -74,6 +80,7 @@
             started = upstream.start(dispatch) => started,
             () = gone(self.reply, self.is_detached) => return LifeEvent::CallerGone,
             () = sleep_until(deadline.into()) => return LifeEvent::TimeUp,
+            () = frozen(self.job.is_model().then_some(&*upstream)) => Err(frozen_error()),
         };
         match started {
             Ok(answer) => self.pump(answer, life).await,
@@ -81,6 +88,15 @@
         }
     }
 
+    /// Ranks by length are one of the shipped decisions: a baseline that had them would be stronger
+    /// than what it stands for.
+    fn rank(&self) -> Priority {
+        match self.parts.policy {
+            PolicyName::Shipped => engine_priority(&self.job.work),
+            _ => self.job.work.priority,
+        }
+    }
+
     pub(super) fn dispatch_of(&self, held: &HeldGrant, now: Instant) -> Dispatch {
         let is_gang = held.upstreams.len() > 1;
         Dispatch {
@@ -92,7 +108,7 @@
             body: RequestBody {
                 chunks: vec![self.job.body.clone()],
             },
-            priority: engine_priority(&self.job.work),
+            priority: self.rank(),
             remaining: self.job.work.deadline.saturating_duration_since(now),
             gang: if is_gang {
                 held.upstreams.clone()
--- a/src/entry/driver/mod.rs
+++ b/src/entry/driver/mod.rs
@@ -2,6 +2,7 @@
 
 mod claiming;
 mod dispatching;
+mod frozen;
 mod pumping;
 
 use std::borrow::Cow;
@@ -43,6 +44,7 @@
 use crate::units::AttemptId;
 use crate::units::RequestId;
 use crate::units::UpstreamId;
+use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 
 /// When a request that failed not run may come back where nothing better is known.
@@ -127,6 +129,13 @@
             .note(self.job.request, what, place, why);
     }
 
+    /// The engine of the current attempt; none for a plain service.
+    fn engine(&self) -> Option<Arc<dyn Upstream>> {
+        let leader = self.attempt.as_ref().and_then(Attempt::leader);
+        let leader = leader.filter(|_| self.job.is_model());
+        leader.and_then(|id| self.parts.upstreams.upstream(id))
+    }
+
     fn leader(&self) -> &str {
         self.attempt
             .as_ref()
--- a/src/entry/driver/pumping.rs
+++ b/src/entry/driver/pumping.rs
@@ -1,5 +1,11 @@
 //! Hands an upstream's answer on to the caller.
 
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use statig::prelude::*;
+use tokio::time::sleep_until;
+
 use crate::control::outcome::AnswerFault;
 use crate::entry::Attempt;
 use crate::entry::Break;
@@ -9,14 +15,12 @@
 use crate::entry::attempt::Piece;
 use crate::entry::attempt::error_of;
 use crate::entry::driver::Driver;
+use crate::entry::driver::frozen::frozen;
+use crate::entry::driver::frozen::frozen_error;
 use crate::entry::driver::gone;
 use crate::observe::StepKind;
 use crate::upstream::AnswerStream;
 use crate::upstream::UpstreamError;
-use futures_util::StreamExt;
-use statig::prelude::*;
-use std::time::Duration;
-use tokio::time::sleep_until;
 
 impl Driver<'_> {
     /// Hands an answer on until it ends, whichever way.
@@ -26,6 +30,7 @@
         life: &mut StateMachine<Life>,
     ) -> LifeEvent {
         let deadline = self.job.work.deadline;
+        let upstream = self.engine();
         loop {
             let event = tokio::select! {
                 event = answer.next() => event,
@@ -36,6 +41,7 @@
                     continue;
                 }
                 () = sleep_until(deadline.into()) => return LifeEvent::TimeUp,
+                () = frozen(upstream.as_deref()) => return self.broken(frozen_error()).await,
             };
             let event = match event {
                 Some(Ok(event)) => event,
--- a/src/entry/parts.rs
+++ b/src/entry/parts.rs
@@ -19,6 +19,7 @@
 use crate::entry::UpstreamDirectory;
 use crate::observe::Explanations;
 use crate::observe::Metrics;
+use crate::settings::PolicyName;
 use crate::units::HostId;
 use crate::units::TargetId;
 
@@ -42,6 +43,8 @@
     pub claims: Arc<dyn ClaimDesk>,
     /// Upstreams.
     pub upstreams: Arc<dyn UpstreamDirectory>,
+    /// The decisions; baselines give engines no ranks by length.
+    pub policy: PolicyName,
     /// Memory for bodies.
     pub bodies: BodyMemory,
     /// Requests that have not ended.
--- a/src/fleet/home_desk.rs
+++ b/src/fleet/home_desk/mod.rs
@@ -1,5 +1,8 @@
 //! The homes on this host, with their hands.
 
+mod hands;
+mod seen;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,24 +12,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use log::debug;
 use log::info;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use crate::board::Board;
 use crate::board::HostState;
 use crate::board::Shards;
 use crate::clock::Clock;
 use crate::control::home::GrantAnswer;
-use crate::control::home::HomeAction;
 use crate::control::home::HomeConf;
 use crate::control::home::HomeController;
 use crate::control::home::HomeEvent;
 use crate::control::home::Verdict;
-use crate::control::home::wire;
 use crate::control::status::Events;
-use crate::decide::PolicyConfig;
 use crate::decide::PoolKind;
 use crate::decide::PoolLoad;
 use crate::decide::UpstreamSeen;
@@ -35,15 +33,12 @@
 use crate::fleet::GrantWaiters;
 use crate::fleet::HomeMap;
 use crate::fleet::LiveGrants;
-use crate::peer::Message;
 use crate::peer::Peers;
-use crate::peer::message;
 use crate::settings::PolicyName;
 use crate::units::Generation;
 use crate::units::HostId;
 use crate::units::PoolId;
 use crate::units::TargetId;
-use crate::units::Tokens;
 use crate::units::UpstreamId;
 
 /// How many of a pool's candidates take requests: the home, and the one after it, which entry hosts
@@ -330,156 +325,6 @@
             lock(&home.controller).set_config(&conf, self.clock.now());
         }
     }
-
-    fn policy_config(&self, pool: &PoolId, target: &TargetId) -> Option<PolicyConfig> {
-        let in_force = self.board.manifest()?;
-        let of_pool = self.map.upstreams_of(pool).len();
-        let of_target = self.board.upstreams.count(|view| view.target == *target);
-        let pool_part = of_pool as f64 / of_target.max(1) as f64;
-        PolicyConfig::for_pool(&in_force.manifest, target, pool_part)
-    }
-
-    fn upstreams_seen(&self, pool: &PoolId, target: &TargetId) -> Option<Vec<UpstreamSeen>> {
-        let in_force = self.board.manifest()?;
-        let (memory_tokens, slots) = size_of(&in_force.manifest, target)?;
-        let seen = |id: UpstreamId| {
-            let health = self.board.upstreams.get(&id)?.health;
-            Some(UpstreamSeen {
-                id,
-                memory_tokens,
-                slots,
-                health,
-            })
-        };
-        let mut seen: Vec<_> = self
-            .map
-            .upstreams_of(pool)
-            .into_iter()
-            .filter_map(seen)
-            .collect();
-        seen.sort_by(|a, b| a.id.cmp(&b.id));
-        Some(seen)
-    }
-
-    fn tell(
-        self: &Arc<Self>,
-        pool: &PoolId,
-        home: &Arc<Home>,
-        event: HomeEvent,
-    ) -> Option<GrantAnswer> {
-        let now = self.clock.now();
-        let actions = lock(&home.controller).handle(event, now);
-        home.woken.notify_one();
-        let mut reply = None;
-        for action in actions {
-            match action {
-                HomeAction::Reply { answer, .. } => reply = Some(answer),
-                HomeAction::Push { to, answer } => self.push(pool, &to, answer),
-                HomeAction::Cancel { upstream, attempt } if self.policy == PolicyName::Shipped => {
-                    let event = HomeEvent::CancelConfirmed {
-                        upstream: upstream.clone(),
-                        attempt,
-                    };
-                    let desk = Arc::clone(self);
-                    let home = Arc::clone(home);
-                    let pool = pool.clone();
-                    tokio::spawn(async move {
-                        let Some(client) = desk.upstreams.upstream(&upstream) else {
-                            return;
-                        };
-                        debug!("homes: cancel attempt {attempt} at {upstream}");
-                        let is_free = client.cancel(attempt).await.is_ok()
-                            && client.release_gang(attempt).await.is_ok();
-                        if is_free {
-                            desk.tell(&pool, &home, event);
-                        }
-                    });
-                }
-                // Baselines run a home on each host, none of which sees all attempts.
-                HomeAction::Cancel { .. } => {}
-                HomeAction::List { upstream, seq } => self.list(pool, home, upstream, seq),
-                HomeAction::AskAnnounce { to } => self.ask_announce(pool, home, &to),
-            }
-        }
-        reply
-    }
-
-    /// Asks an upstream what it runs. A plain service can't tell, and holds nothing that would be
-    /// lost: it counts as one that lists nothing, and a home need not wait for it.
-    fn list(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>, upstream: UpstreamId, seq: u64) {
-        let listed = |running| HomeEvent::EngineListed {
-            upstream: upstream.clone(),
-            seq,
-            running,
-        };
-        if home.is_service {
-            self.tell(pool, home, listed(Vec::new()));
-            return;
-        }
-        let Some(client) = self.upstreams.upstream(&upstream) else {
-            return;
-        };
-        let (desk, pool, home) = (Arc::clone(self), pool.clone(), Arc::clone(home));
-        tokio::spawn(async move {
-            if let Ok(running) = client.list_running().await {
-                let event = HomeEvent::EngineListed {
-                    upstream,
-                    seq,
-                    running,
-                };
-                desk.tell(&pool, &home, event);
-            }
-        });
-    }
-
-    /// Asks a host for the grants that it holds of a pool; this host's own are at hand.
-    fn ask_announce(self: &Arc<Self>, pool: &PoolId, home: &Arc<Home>, to: &HostId) {
-        if *to == self.host {
-            let event = HomeEvent::Announce {
-                from: self.host.clone(),
-                grants: self.live.of_pool(pool),
-            };
-            self.tell(pool, home, event);
-            return;
-        }
-        let ask = message::Announce {
-            pool: pool.to_string(),
-            is_question: true,
-            ..Default::default()
-        };
-        self.peers.send(to, Message::Announce(ask));
-    }
-
-    fn push(&self, pool: &PoolId, to: &HostId, answer: GrantAnswer) {
-        if *to == self.host {
-            self.waiters.decided(answer);
-        } else {
-            self.peers
-                .send(to, Message::GrantReply(wire::answer_to(pool, &answer)));
-        }
-    }
-
-    /// Wakes a home when its time has come, until it is closed.
-    async fn keep(self: Arc<Self>, pool: PoolId, home: Arc<Home>) {
-        loop {
-            let now = self.clock.now();
-            let wake = lock(&home.controller).next_wake(now).min(now + WAKE_MAX);
-            let wait = wake
-                .saturating_duration_since(now)
-                .max(Duration::from_millis(1));
-            let is_due = timeout(wait, home.woken.notified()).await.is_err();
-            let is_open = self
-                .homes
-                .get(&pool)
-                .is_some_and(|open| Arc::ptr_eq(&open, &home));
-            if !is_open {
-                return;
-            }
-            if is_due {
-                self.tell(&pool, &home, HomeEvent::Tick);
-            }
-        }
-    }
 }
 
 fn not_home(event: &HomeEvent) -> Option<GrantAnswer> {
@@ -492,17 +337,6 @@
     }
 }
 
-fn size_of(manifest: &crate::manifest::Manifest, target: &TargetId) -> Option<(Tokens, u32)> {
-    let model = manifest.models.iter().find(|spec| spec.name == *target);
-    if let Some(spec) = model {
-        return Some((spec.engine_memory_tokens, spec.engine_slots));
-    }
-    match PolicyConfig::for_pool(manifest, target, 1.0)?.kind {
-        PoolKind::Service { concurrency_max } => Some((Tokens::ZERO, concurrency_max)),
-        PoolKind::Model { .. } => None,
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/tests/cmd_check.rs
+++ b/tests/cmd_check.rs
@@ -2,9 +2,10 @@
 
 mod workdir;
 
-use workdir::WorkDir;
 use yare::parameterized;
 
+use workdir::WorkDir;
+
 const MANIFEST: &str = include_str!("../examples/desai/manifest.yaml");
 const HOST_1: &str = include_str!("../examples/desai/desai-navrangpura-1.yaml");
 const HOST_2: &str = include_str!("../examples/desai/desai-sg-highway-1.yaml");
--- a/tests/cmd_publish.rs
+++ b/tests/cmd_publish.rs
@@ -23,9 +23,10 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::future::ready;
-use workdir::WorkDir;
 use yare::parameterized;
 
+use workdir::WorkDir;
+
 const MANIFEST: &str = include_str!("../examples/desai/manifest.yaml");
 const PAUSES: [Duration; 4] = [Duration::ZERO; 4];
 
--- a/tests/decide_load.rs
+++ b/tests/decide_load.rs
@@ -13,13 +13,14 @@
 use banyanarch::settings::PolicyName;
 use banyanarch::units::Tokens;
 use banyanarch::upstream::LoadReport;
+use yare::parameterized;
+
 use decide_fakes::Ask;
 use decide_fakes::Bench;
 use decide_fakes::Engine;
 use decide_fakes::Load;
 use decide_fakes::Outcomes;
 use decide_fakes::config;
-use yare::parameterized;
 
 const SPEED: f64 = 8_000.0;
 
--- a/tests/decide_policy.rs
+++ b/tests/decide_policy.rs
@@ -25,9 +25,10 @@
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
-use decide_fakes::config;
 use yare::parameterized;
 
+use decide_fakes::config;
+
 const MS: Duration = Duration::from_millis(1);
 
 struct Pool {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -8,6 +8,15 @@
 use bytes::Bytes;
 use hyper::Response;
 use nix::sys::signal::Signal;
+use standin::engine::EngineFaults;
+use standin::engine::EngineOptions;
+use standin::platform::Outage;
+use standin::platform::PlatformFaults;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
 use site::Gate;
 use site::MANIFEST;
 use site::Site;
@@ -18,12 +27,6 @@
 use site::outcome;
 use site::text_of;
 use site::until;
-use standin::engine::EngineFaults;
-use standin::engine::EngineOptions;
-use standin::platform::Outage;
-use standin::platform::PlatformFaults;
-use tokio::task::JoinHandle;
-use tokio::time::sleep;
 
 type Answered = Result<Response<Bytes>, banyanarch::http::HttpError>;
 
@@ -90,6 +93,32 @@
     assert_eq!(site.runs_of(&body), 2);
 }
 
+/// An engine stands still: its connections stay open and nothing comes. A caller on the line would wait
+/// until the time limit, a minute, while the other engine idles. The engine is asked whether it is
+/// there, and the request is run elsewhere.
+#[tokio::test]
+async fn a_frozen_engine_holds_no_repeatable_request_until_its_limit() {
+    let site = Site::with(2, 1).await;
+    let body = completion("a quote whose engine freezes", LONG_ANSWER, false);
+    let caller = send_later(site.hosts[0].callers, None, &body);
+    until_running(&site, &body).await;
+    let engine = site.engine_running(&body);
+    site.engines[engine].set_faults(EngineFaults {
+        freeze: true,
+        ..Default::default()
+    });
+    let res = caller.await.unwrap().unwrap();
+    assert_eq!(
+        (res.status().as_u16(), outcome(&res)),
+        (200, "completed"),
+        "{:?}",
+        res.body()
+    );
+    assert_eq!(text_of(&res), answer_to(&body, LONG_ANSWER));
+    site.engines[engine].set_faults(EngineFaults::default());
+    site.at_rest().await;
+}
+
 /// A guardianship letter must go out once. Its engine dies in the middle: the letter may have been
 /// sent. The caller is told so, and a second letter is not written behind its back.
 #[tokio::test]
@@ -132,6 +161,55 @@
     assert_eq!(site.runs_of(&body), 1);
 }
 
+/// A caller hangs up while its grant is being written, and calls again at once. Ended with the
+/// connection, the grant would be lost and its key used up; run again, it would be doubled.
+#[tokio::test]
+async fn a_caller_that_hangs_up_gets_its_answer_when_it_calls_again() {
+    let site = Site::with(2, 1).await;
+    let body = completion("a grant whose caller hangs up", LONG_ANSWER, true);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nIdempotency-Key: hung-up\r\n\
+         Banyanarch-Repeatable: false\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(site.hosts[0].callers).await.unwrap();
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(body.as_bytes()).await.unwrap();
+    until_running(&site, &body).await;
+    drop(caller);
+    let res = send(site.hosts[0].callers, Some("hung-up"), &body)
+        .await
+        .unwrap();
+    assert!(
+        res.body().ends_with(b"data: [DONE]\n\n"),
+        "{:?}",
+        res.body()
+    );
+    assert_eq!(site.runs_of(&body), 1);
+}
+
+/// A caller hangs up and nothing was claimed: nobody will ask for the answer again, and the engine's
+/// memory must not wait for the time limit.
+#[tokio::test]
+async fn a_caller_that_hangs_up_leaves_no_memory_behind() {
+    let site = Site::with(1, 1).await;
+    let body = completion("a question whose caller hangs up", 5_000, true);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(site.hosts[0].callers).await.unwrap();
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(body.as_bytes()).await.unwrap();
+    until_running(&site, &body).await;
+    drop(caller);
+    until("the end of the run", async || {
+        site.engines[0].record().iter().all(|run| run.end.is_some())
+    })
+    .await;
+    site.at_rest().await;
+}
+
 /// Two sendings of one key meet at the same moment at two hosts. Both claim; one wins, and both
 /// callers get the one answer.
 #[tokio::test]
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,6 +3,11 @@
 mod site;
 
 use banyanarch::units::ContentHash;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use yare::parameterized;
+
 use site::Site;
 use site::answer_to;
 use site::call;
@@ -10,10 +15,6 @@
 use site::get;
 use site::outcome;
 use site::text_of;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use yare::parameterized;
 
 #[tokio::test]
 async fn a_caller_gets_the_whole_answer_to_its_own_request() {
