--- a/src/decide/ejection.rs
+++ b/src/decide/ejection.rs
@@ -10,6 +10,7 @@
 use rand::rngs::StdRng;
 
 use crate::decide::Ended;
+use crate::decide::UpstreamSeen;
 
 /// Failures in a row. One may be the request's fault and two a coincidence.
 const FAILURES_MAX: u32 = 3;
@@ -68,6 +69,15 @@
 }
 
 impl Ejection {
+    /// What an upstream may get now; nothing when it is leaving.
+    pub fn access_of(&self, seen: &UpstreamSeen, now: Instant) -> Access {
+        if seen.is_live() {
+            self.access(now)
+        } else {
+            Access::Closed
+        }
+    }
+
     /// What it may get now.
     pub fn access(&self, now: Instant) -> Access {
         match self.state {
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -69,6 +69,13 @@
     pub health: UpstreamHealth,
 }
 
+impl UpstreamSeen {
+    /// Whether it is not leaving.
+    pub fn is_live(&self) -> bool {
+        self.health == UpstreamHealth::Live
+    }
+}
+
 /// Whether an upstream may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamHealth {
--- a/src/decide/pool_upstream.rs
+++ b/src/decide/pool_upstream.rs
@@ -7,7 +7,6 @@
 use crate::decide::Ejection;
 use crate::decide::PrefixHints;
 use crate::decide::SpeedEstimate;
-use crate::decide::UpstreamHealth;
 use crate::decide::UpstreamLedger;
 use crate::decide::UpstreamSeen;
 use crate::decide::WarmUp;
@@ -54,16 +53,12 @@
 
     /// Whether it is not leaving.
     pub fn is_live(&self) -> bool {
-        self.seen.health == UpstreamHealth::Live
+        self.seen.is_live()
     }
 
     /// What it may get now.
     pub fn access(&self, now: Instant) -> Access {
-        if self.is_live() {
-            self.ejection.access(now)
-        } else {
-            Access::Closed
-        }
+        self.ejection.access_of(&self.seen, now)
     }
 
     /// Whether it may get work as usual.
--- a/src/decide/service_upstream.rs
+++ b/src/decide/service_upstream.rs
@@ -7,7 +7,6 @@
 use crate::decide::Done;
 use crate::decide::Ejection;
 use crate::decide::Ended;
-use crate::decide::UpstreamHealth;
 use crate::decide::UpstreamSeen;
 use crate::decide::WarmUp;
 
@@ -46,16 +45,12 @@
 
     /// Whether it is not leaving.
     pub fn is_live(&self) -> bool {
-        self.seen.health == UpstreamHealth::Live
+        self.seen.is_live()
     }
 
     /// What it may get now.
     pub fn access(&self, now: Instant) -> Access {
-        if self.is_live() {
-            self.ejection.access(now)
-        } else {
-            Access::Closed
-        }
+        self.ejection.access_of(&self.seen, now)
     }
 
     /// Whether it has room for one call more.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -50,6 +50,23 @@
     }
 }
 
+/// The headers of a sending that must not run twice.
+fn keyed(key: &str) -> String {
+    format!("Idempotency-Key: {key}\r\nBanyanarch-Repeatable: false\r\n")
+}
+
+/// Sends a completion on a connection that the caller can close at any moment.
+async fn connect_and_send(addr: SocketAddr, headers: &str, body: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(addr).await.unwrap();
+    let len = body.len();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {len}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(body.as_bytes()).await.unwrap();
+    caller
+}
+
 async fn until_running(site: &Site, body: &str) {
     until("a run at an engine", async || site.runs_of(body) > 0).await;
 }
@@ -167,14 +184,7 @@
 async fn a_caller_that_hangs_up_gets_its_answer_when_it_calls_again() {
     let site = Site::with(2, 1).await;
     let body = completion("a grant whose caller hangs up", LONG_ANSWER, true);
-    let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nIdempotency-Key: hung-up\r\n\
-         Banyanarch-Repeatable: false\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let mut caller = TcpStream::connect(site.hosts[0].callers).await.unwrap();
-    caller.write_all(head.as_bytes()).await.unwrap();
-    caller.write_all(body.as_bytes()).await.unwrap();
+    let caller = connect_and_send(site.hosts[0].callers, &keyed("hung-up"), &body).await;
     until_running(&site, &body).await;
     drop(caller);
     let res = send(site.hosts[0].callers, Some("hung-up"), &body)
@@ -194,13 +204,7 @@
 async fn a_caller_that_hangs_up_leaves_no_memory_behind() {
     let site = Site::with(1, 1).await;
     let body = completion("a question whose caller hangs up", 5_000, true);
-    let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let mut caller = TcpStream::connect(site.hosts[0].callers).await.unwrap();
-    caller.write_all(head.as_bytes()).await.unwrap();
-    caller.write_all(body.as_bytes()).await.unwrap();
+    let caller = connect_and_send(site.hosts[0].callers, "", &body).await;
     until_running(&site, &body).await;
     drop(caller);
     until("the end of the run", async || {
--- a/tests/manifest.rs
+++ b/tests/manifest.rs
@@ -1,5 +1,7 @@
 //! A manifest is checked whole before it is published, and says the same after a round trip.
 
+mod broken;
+
 use banyanarch::manifest::CustomerSpec;
 use banyanarch::manifest::LimitsSpec;
 use banyanarch::manifest::Manifest;
@@ -28,6 +30,10 @@
 use proptest::test_runner::RngSeed;
 use yare::parameterized;
 
+use broken::NOISE;
+use broken::broken;
+use broken::names_file_and_line;
+
 const DESAI: &str = include_str!("../examples/desai/manifest.yaml");
 const ACORNLEAF: &str = include_str!("../examples/acornleaf/manifest.yaml");
 
@@ -278,38 +284,9 @@
         cut in 0_usize..60,
         noise in prop::collection::vec(prop::sample::select(NOISE), 0..6),
     ) {
-        let end = (at + cut).min(DESAI.len());
-        let text = format!("{}{}{}", &DESAI[..at], noise.concat(), &DESAI[end..]);
+        let text = broken(DESAI, at, cut, &noise);
         for line in problems(&text) {
-            let rest = line.strip_prefix("m.yaml:");
-            let number = rest.and_then(|rest| rest.split(": ").next());
-            prop_assert!(number.is_some_and(|it| it.parse::<u64>().is_ok()), "{}", line);
+            prop_assert!(names_file_and_line(&line, "m.yaml"), "{}", line);
         }
     }
 }
-
-const NOISE: &[&str] = &[
-    "\n",
-    " ",
-    "\t",
-    ":",
-    "- ",
-    "[",
-    "{",
-    "&a ",
-    "*a",
-    "!!int ",
-    "\"",
-    "'",
-    "#",
-    "|",
-    "<<: ",
-    "-1",
-    "1e400",
-    "0x1f",
-    "\u{0}",
-    "ગીત",
-    "---\n",
-    "? ",
-    "~",
-];
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings are checked before anything binds, and all that is wrong is told at once.
 
+mod broken;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -13,6 +15,10 @@
 use proptest::test_runner::RngSeed;
 use yare::parameterized;
 
+use broken::NOISE;
+use broken::broken;
+use broken::names_file_and_line;
+
 const GOOD: &str = include_str!("../examples/desai/desai-navrangpura-1.yaml");
 
 fn problems(text: &str) -> Vec<String> {
@@ -130,38 +136,9 @@
         cut in 0_usize..40,
         noise in prop::collection::vec(prop::sample::select(NOISE), 0..6),
     ) {
-        let end = (at + cut).min(GOOD.len());
-        let text = format!("{}{}{}", &GOOD[..at], noise.concat(), &GOOD[end..]);
+        let text = broken(GOOD, at, cut, &noise);
         for line in problems(&text) {
-            let rest = line.strip_prefix("host.yaml:");
-            let number = rest.and_then(|rest| rest.split(": ").next());
-            prop_assert!(number.is_some_and(|it| it.parse::<u64>().is_ok()), "{}", line);
+            prop_assert!(names_file_and_line(&line, "host.yaml"), "{}", line);
         }
     }
 }
-
-const NOISE: &[&str] = &[
-    "\n",
-    " ",
-    "\t",
-    ":",
-    "- ",
-    "[",
-    "{",
-    "&a ",
-    "*a",
-    "!!int ",
-    "\"",
-    "'",
-    "#",
-    "|",
-    "<<: ",
-    "-1",
-    "1e400",
-    "0x1f",
-    "\u{0}",
-    "ગીત",
-    "---\n",
-    "? ",
-    "~",
-];
