--- /dev/null
+++ b/tests/site/callers.rs
@@ -0,0 +1,56 @@
+//! Callers of a test.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hyper::Response;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::site::Site;
+use crate::site::call;
+use crate::site::until;
+
+pub(crate) type Answered = Result<Response<Bytes>, banyanarch::http::HttpError>;
+
+/// Answers that take about two seconds: 4 ms a token.
+pub(crate) const LONG_ANSWER: u64 = 500;
+
+pub(crate) fn send_later(addr: SocketAddr, key: Option<&str>, body: &str) -> JoinHandle<Answered> {
+    let key = key.map(str::to_owned);
+    let body = body.to_owned();
+    tokio::spawn(async move { send(addr, key.as_deref(), &body).await })
+}
+
+/// Sends a completion; with a key as one that must not run twice.
+pub(crate) async fn send(addr: SocketAddr, key: Option<&str>, body: &str) -> Answered {
+    match key {
+        Some(key) => {
+            let headers = [("Idempotency-Key", key), ("Banyanarch-Repeatable", "false")];
+            call(addr, "/v1/completions", &headers, body).await
+        }
+        None => call(addr, "/v1/completions", &[], body).await,
+    }
+}
+
+/// The headers of a sending that must not run twice.
+pub(crate) fn keyed(key: &str) -> String {
+    format!("Idempotency-Key: {key}\r\nBanyanarch-Repeatable: false\r\n")
+}
+
+/// Sends a completion on a connection that the caller can close at any moment.
+pub(crate) async fn connect_and_send(addr: SocketAddr, headers: &str, body: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(addr).await.unwrap();
+    let len = body.len();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {len}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(body.as_bytes()).await.unwrap();
+    caller
+}
+
+pub(crate) async fn until_running(site: &Site, body: &str) {
+    until("a run at an engine", async || site.runs_of(body) > 0).await;
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub(crate) mod callers;
 mod gate;
 mod host;
 
