One lookup of models and ranks, no copy of the manifest, dead code gone

Cause: the entry looked models and priorities up by loops of its own beside Manifest::target and Manifest::rank; each body over 256 KiB copied the whole manifest for its parsing thread; InFlight::empty and two getters of an attempt had no caller since the shutdown machine counts what is left. Ruled out: taking Manifest::customer too; its answer for a manifest without a default differs from the entry's, which refuses. Change: the entry calls the manifest's own lookups, and shares the manifest in force with the parsing thread. Conclusion: behaviour as before for every manifest that passes its check, which forbids the separator in a model's name.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -94,16 +94,6 @@
         self.check.offset_tokens()
     }
 
-    /// When its last sign of life came.
-    pub fn last_sign(&self) -> Instant {
-        self.last_token.unwrap_or(self.started)
-    }
-
-    /// The time to the first token, once it came.
-    pub fn first_token(&self) -> Option<Duration> {
-        self.first_token
-    }
-
     /// Checks a piece before a byte of it reaches the caller. Answers can be late, crossed, cut or
     /// repeated; only the next tokens of this very attempt may pass.
     pub fn take(&mut self, event: AnswerEvent, now: Instant) -> Piece {
--- a/src/entry/in_flight.rs
+++ b/src/entry/in_flight.rs
@@ -5,8 +5,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use tokio::sync::Notify;
-
 /// Requests that have not ended.
 #[derive(Clone, Debug, Default)]
 pub struct InFlight {
@@ -17,7 +15,6 @@
 struct Inner {
     count: AtomicUsize,
     is_closed: AtomicBool,
-    ended: Notify,
 }
 
 /// One request that has not ended; dropping it ends it.
@@ -51,23 +48,10 @@
     pub fn count(&self) -> usize {
         self.inner.count.load(Ordering::SeqCst)
     }
-
-    /// Waits until there are none.
-    pub async fn empty(&self) {
-        loop {
-            let ended = self.inner.ended.notified();
-            if self.count() == 0 {
-                return;
-            }
-            ended.await;
-        }
-    }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        if self.inner.count.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.inner.ended.notify_waiters();
-        }
+        self.inner.count.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -18,6 +18,7 @@
 use crate::manifest::ModelSpec;
 use crate::manifest::RepeatRule;
 use crate::manifest::ServiceSpec;
+use crate::manifest::Target;
 use crate::units::ByteSize;
 use crate::units::ContentHash;
 use crate::units::CustomerId;
@@ -234,14 +235,13 @@
         customer: &CustomerSpec,
     ) -> Result<Priority, Rejection> {
         let rank = |name: &str| {
-            let spec = manifest.priorities.iter().find(|spec| spec.name == name);
             let unknown = || {
                 (
                     FailReason::BadRequest,
                     format!("no priority is named {name}"),
                 )
             };
-            spec.map(|spec| spec.rank).ok_or_else(unknown)
+            manifest.rank(name).ok_or_else(unknown)
         };
         let first = rank(&customer.priority)?;
         let Some(name) = &self.headers.priority else {
@@ -338,11 +338,8 @@
 
 /// A model by its name, or by `MODEL:ADAPTER`.
 fn find_model<'a>(manifest: &'a Manifest, target: &TargetId) -> Option<&'a ModelSpec> {
-    let name = target.as_str();
-    manifest.models.iter().find(|spec| {
-        let rest = name.strip_prefix(spec.name.as_str());
-        let adapter = rest.and_then(|rest| rest.strip_prefix(':'));
-        rest == Some("")
-            || adapter.is_some_and(|wanted| spec.adapters.iter().any(|name| name == wanted))
-    })
+    match manifest.target(target)? {
+        Target::Model(model) | Target::Adapter { model, .. } => Some(model),
+        Target::Service(_) => None,
+    }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -32,7 +32,7 @@
 use crate::entry::Route;
 use crate::entry::Verdict;
 use crate::entry::driver::Driver;
-use crate::manifest::Manifest;
+use crate::manifest::InForce;
 use crate::units::RequestId;
 
 /// A caller that has not sent its whole head by then holds a connection for nothing.
@@ -139,7 +139,7 @@
         let why = "this host knows no manifest yet".to_owned();
         return reject(reply, (FailReason::NotReady, why)).await;
     };
-    match read_job(parts, request, req, &in_force.manifest).await {
+    match read_job(parts, request, req, &in_force).await {
         Ok((job, _body)) => {
             reply.set_shape(job.shape, &job.model);
             let (customer, class) = (job.work.customer.clone(), job.work.class());
@@ -178,8 +178,9 @@
     parts: &Arc<EntryParts>,
     request: RequestId,
     req: Request<Incoming>,
-    manifest: &Manifest,
+    in_force: &Arc<InForce>,
 ) -> Result<(Job, crate::entry::HeldBody), Rejection> {
+    let manifest = &in_force.manifest;
     let (head, body) = req.into_parts();
     check_head(&head.headers)?;
     let headers = CallerHeaders::read(&head.headers);
@@ -216,7 +217,7 @@
     let held = held
         .map_err(late)?
         .map_err(|reason| (reason, body_message(reason).to_owned()))?;
-    let job = parse_job(job_head, route, manifest, held.bytes.clone()).await?;
+    let job = parse_job(job_head, route, in_force, held.bytes.clone()).await?;
     Ok((job, held))
 }
 
@@ -246,13 +247,14 @@
 async fn parse_job(
     head: JobHead,
     route: Route,
-    manifest: &Manifest,
+    in_force: &Arc<InForce>,
     body: bytes::Bytes,
 ) -> Result<Job, Rejection> {
     if body.len() <= PARSE_INLINE_MAX {
-        return head.into_job(&route, manifest, body);
+        return head.into_job(&route, &in_force.manifest, body);
     }
-    let manifest = manifest.clone();
-    let parsed = tokio::task::spawn_blocking(move || head.into_job(&route, &manifest, body)).await;
+    let in_force = Arc::clone(in_force);
+    let parsed =
+        tokio::task::spawn_blocking(move || head.into_job(&route, &in_force.manifest, body)).await;
     parsed.unwrap_or_else(|_| Err((FailReason::BadRequest, "the body can't be read".to_owned())))
 }
