--- a/src/clock/manual.rs
+++ b/src/clock/manual.rs
@@ -45,6 +45,10 @@
         self.start + self.elapsed()
     }
 
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -3,6 +3,7 @@
 mod manual;
 mod system;
 
+use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
@@ -14,6 +15,10 @@
     /// Monotonic time; all deadlines and ages are measured on it.
     fn now(&self) -> Instant;
 
+    /// Time since the machine started, time spent suspended included. Leases are counted on it: on
+    /// [`Clock::now`] a machine that was suspended past the end of its lease would go on using it.
+    fn since_boot(&self) -> Duration;
+
     /// Time of day, for logs and for people only: hosts' clocks differ.
     fn wall(&self) -> SystemTime;
 }
--- a/src/clock/system.rs
+++ b/src/clock/system.rs
@@ -1,8 +1,12 @@
 //! The machine's clock.
 
+use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
+
 use crate::clock::Clock;
 
 /// The machine's own clock.
@@ -14,6 +18,15 @@
         Instant::now()
     }
 
+    fn since_boot(&self) -> Duration {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => time.into(),
+            // Linux has had this clock since 2.6.39. Without it every lease counts as run out,
+            // which refuses requests but breaks no promise.
+            Err(_) => Duration::MAX,
+        }
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -82,6 +82,17 @@
         })
     }
 
+    /// Takes in that a request was served to its end, which one that crashes upstreams never is.
+    /// Requests that ran beside such a one when it crashed their upstream are cleared this way.
+    pub fn acquit(&mut self, mark: PoisonMark) {
+        self.marks.swap_remove(&mark);
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty()
+    }
+
     /// All that is known, for a host that has just started.
     pub fn all(&self, now: Instant) -> Vec<Poison> {
         let kept = self.marks.iter().filter(|(_, c)| !c.is_old(now));
--- /dev/null
+++ b/src/exchange/codec.rs
@@ -0,0 +1,43 @@
+//! One message a datagram.
+
+use bytes::BytesMut;
+use prost::Message as _;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+
+use crate::exchange::ExchangeError;
+use crate::exchange::HostNews;
+
+/// The largest payload of a datagram over IPv4.
+const DATAGRAM_LEN_MAX: usize = 65_507;
+
+/// Reads and writes messages as whole datagrams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NewsCodec;
+
+impl Decoder for NewsCodec {
+    type Item = HostNews;
+    type Error = ExchangeError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<HostNews>, ExchangeError> {
+        if src.is_empty() {
+            return Ok(None);
+        }
+        // All of the datagram is taken, also when it can't be read: what is left over would be
+        // read as the beginning of the next one.
+        Ok(Some(HostNews::decode(src.split())?))
+    }
+}
+
+impl Encoder<&HostNews> for NewsCodec {
+    type Error = ExchangeError;
+
+    fn encode(&mut self, news: &HostNews, dst: &mut BytesMut) -> Result<(), ExchangeError> {
+        let len = news.encoded_len();
+        if len > DATAGRAM_LEN_MAX {
+            return Err(ExchangeError::TooLong(len));
+        }
+        dst.extend_from_slice(&news.encode_to_vec());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/exchange/error.rs
@@ -0,0 +1,39 @@
+//! What can go wrong with one datagram.
+
+use std::fmt;
+use std::io;
+
+/// Why a datagram could not be sent or read.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// The socket failed.
+    Io(io::Error),
+    /// The bytes are not a message.
+    Decode(prost::DecodeError),
+    /// The message does not fit into a datagram; its length in bytes.
+    TooLong(usize),
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(err) => write!(f, "datagram socket: {err}"),
+            Self::Decode(err) => write!(f, "datagram is no message: {err}"),
+            Self::TooLong(len) => write!(f, "message of {len} bytes is too long for a datagram"),
+        }
+    }
+}
+
+impl std::error::Error for ExchangeError {}
+
+impl From<io::Error> for ExchangeError {
+    fn from(err: io::Error) -> Self {
+        Self::Io(err)
+    }
+}
+
+impl From<prost::DecodeError> for ExchangeError {
+    fn from(err: prost::DecodeError) -> Self {
+        Self::Decode(err)
+    }
+}
--- /dev/null
+++ b/src/exchange/message.rs
@@ -0,0 +1,55 @@
+//! The messages. Field numbers are never used again.
+
+/// All that one host tells the others.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct HostNews {
+    /// The name of the sender.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Drawn at the sender's start.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Grows with each message of an incarnation.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// The sender's work at upstreams; those without any are left out.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<LoadNews>,
+    /// Requests that crashed upstreams lately.
+    #[prost(message, repeated, tag = "5")]
+    pub poisons: Vec<PoisonNews>,
+}
+
+/// The sender's work at one upstream.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct LoadNews {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests that have not ended.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Those of them with a short prompt.
+    #[prost(uint32, tag = "3")]
+    pub short_in_flight: u32,
+    /// Time until it has read in what was sent, in ms.
+    #[prost(uint32, tag = "4")]
+    pub read_backlog_ms: u32,
+    /// Memory that these requests take, in tokens.
+    #[prost(uint64, tag = "5")]
+    pub held_tokens: u64,
+}
+
+/// A request that crashed upstreams.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct PoisonNews {
+    /// The hash it is recognised by, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: Vec<u8>,
+    /// The attempts that crashed an upstream, 16 bytes each.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub attempts: Vec<Vec<u8>>,
+}
--- /dev/null
+++ b/src/gateway/beliefs.rs
@@ -0,0 +1,114 @@
+//! The blackboard of a gateway: what it takes to be true, written by the tasks that read the
+//! platform and read by every request. Each part stands under its own lock.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::gateway::Freshness;
+use crate::gateway::Listed;
+use crate::gateway::ListedHost;
+use crate::routing::RouteTable;
+use crate::units::ServiceId;
+use crate::units::UpstreamId;
+
+/// The upstreams that may be sent to, by service, each in order of id.
+pub type UpstreamsByService = IndexMap<ServiceId, Vec<Listed>>;
+
+/// What a gateway believes.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    freshness: Mutex<Freshness>,
+    upstreams: RwLock<Option<Arc<UpstreamsByService>>>,
+    hosts: RwLock<Arc<Vec<ListedHost>>>,
+}
+
+impl Beliefs {
+    /// The manifest in force; none before the first read.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a manifest in force unless a newer one is. Returns whether it is in force now.
+    pub fn set_routes(&self, routes: RouteTable) -> bool {
+        let mut current = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let is_newer = current
+            .as_ref()
+            .is_none_or(|current| routes.generation > current.generation);
+        if is_newer {
+            *current = Some(Arc::new(routes));
+        }
+        is_newer
+    }
+
+    /// How fresh the manifest is.
+    pub fn freshness(&self) -> Freshness {
+        *self.lock_freshness()
+    }
+
+    /// Takes in that a read of the manifest, asked for at this time since boot, was answered.
+    pub fn prove_fresh(&self, asked_at: Duration) {
+        self.lock_freshness().prove(asked_at);
+    }
+
+    /// The upstreams; none before the first read.
+    pub fn upstreams(&self) -> Option<Arc<UpstreamsByService>> {
+        self.upstreams
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Replaces the upstreams. Those that are leaving are left out. Returns how many are left.
+    pub fn set_upstreams(&self, listed: Vec<Listed>) -> usize {
+        let mut by_service = UpstreamsByService::new();
+        let staying = listed.into_iter().filter(|upstream| !upstream.is_leaving);
+        for upstream in staying {
+            by_service
+                .entry(upstream.service.clone())
+                .or_default()
+                .push(upstream);
+        }
+        for upstreams in by_service.values_mut() {
+            upstreams.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        let count = by_service.values().map(Vec::len).sum();
+        let mut current = self
+            .upstreams
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = Some(Arc::new(by_service));
+        count
+    }
+
+    /// Whether an upstream is listed.
+    pub fn is_listed(&self, id: &UpstreamId) -> bool {
+        let upstreams = self.upstreams();
+        upstreams.is_some_and(|by_service| by_service.values().flatten().any(|u| u.id == *id))
+    }
+
+    /// The hosts on the platform's list, this one included.
+    pub fn hosts(&self) -> Arc<Vec<ListedHost>> {
+        Arc::clone(&self.hosts.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the list of hosts.
+    pub fn set_hosts(&self, hosts: Vec<ListedHost>) {
+        *self.hosts.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(hosts);
+    }
+
+    fn lock_freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,62 @@
+//! A caller's request, read and admitted.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Uri;
+
+use crate::decide::PoisonMark;
+use crate::gateway::CallHead;
+use crate::routing::Route;
+use crate::units::ContentHash;
+use crate::units::CustomerId;
+use crate::units::ServiceId;
+
+/// A request that may be sent to upstreams.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as the caller sent them.
+    pub uri: Uri,
+    /// Its headers, as the caller sent them.
+    pub headers: HeaderMap,
+    /// Its body, whole.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: ServiceId,
+    /// Whose it is; none on a route that needs no key.
+    pub customer: Option<CustomerId>,
+    /// When its first byte was seen.
+    pub arrived: Instant,
+    /// When it must have its final answer.
+    pub ends_at: Instant,
+}
+
+impl Call {
+    /// What is left of its time.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.ends_at.saturating_duration_since(now)
+    }
+
+    /// What is left of the time in which its answer is on time.
+    pub fn objective_left(&self, now: Instant) -> Duration {
+        (self.arrived + self.route.objective).saturating_duration_since(now)
+    }
+
+    /// What it is recognised by when a caller sends it again.
+    pub fn poison_mark(&self) -> PoisonMark {
+        let customer = self.customer.as_ref().map_or("", CustomerId::as_str);
+        let mut text = format!("{}\n{}\n{customer}\n", self.method, self.uri).into_bytes();
+        text.extend_from_slice(&self.body);
+        PoisonMark::of_content(ContentHash::of(&text))
+    }
+}
--- /dev/null
+++ b/src/gateway/catalog.rs
@@ -0,0 +1,102 @@
+//! What the platform knows, as an interface: the manifest's routes, the upstreams and the hosts.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use futures_util::future::BoxFuture;
+
+use crate::routing::RouteTable;
+use crate::units::FailureDomainId;
+use crate::units::HostId;
+use crate::units::ObjectVersion;
+use crate::units::ServiceId;
+use crate::units::UpstreamId;
+
+/// An upstream on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its id, new with each start.
+    pub id: UpstreamId,
+    /// The service that it runs.
+    pub service: ServiceId,
+    /// Its address, which may have belonged to another upstream before.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it leaves: it gets no new requests.
+    pub is_leaving: bool,
+}
+
+/// A host of this system on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedHost {
+    /// Its name.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomainId,
+    /// Where it exchanges news with other hosts.
+    pub exchange_addr: SocketAddr,
+}
+
+/// The manifest, if it is another one than the caller has.
+#[derive(Clone, Debug)]
+pub enum RoutesRead {
+    /// It still has this version.
+    Unchanged,
+    /// It is a new one.
+    Changed {
+        /// Its version in the platform.
+        version: ObjectVersion,
+        /// What it says.
+        routes: Box<RouteTable>,
+    },
+}
+
+/// Why a read or a write of the catalog gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CatalogError {
+    /// There is no such object.
+    Absent,
+    /// The platform turned the call away for now; nothing was done.
+    TurnedAway(String),
+    /// No answer came. A write may have been done, or may still be.
+    NoAnswer(String),
+    /// The answer can't be understood: the object, and what is wrong with which field.
+    Malformed(String),
+}
+
+impl fmt::Display for CatalogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("no such object"),
+            Self::TurnedAway(why) => write!(f, "turned away: {why}"),
+            Self::NoAnswer(why) => write!(f, "no answer: {why}"),
+            Self::Malformed(what) => write!(f, "malformed: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for CatalogError {}
+
+/// The platform's lists. Every answer shows what is true at some moment after the call began.
+pub trait Catalog: Send + Sync {
+    /// Reads the manifest.
+    fn routes(
+        &self,
+        known: Option<ObjectVersion>,
+    ) -> BoxFuture<'_, Result<RoutesRead, CatalogError>>;
+
+    /// Reads all upstreams.
+    fn upstreams(&self) -> BoxFuture<'_, Result<Vec<Listed>, CatalogError>>;
+
+    /// Reads all hosts; the answer may be seconds old.
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>>;
+
+    /// Puts a host on the list, in place of what is there under its name.
+    fn announce(&self, host: ListedHost) -> BoxFuture<'_, Result<(), CatalogError>>;
+
+    /// Takes a host off the list.
+    fn withdraw(&self, host: HostId) -> BoxFuture<'_, Result<(), CatalogError>>;
+}
--- /dev/null
+++ b/src/gateway/decision_log.rs
@@ -0,0 +1,198 @@
+//! Writes the lines of decisions without ever holding up a request.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use serde::Serialize;
+
+use crate::clock::Clock;
+use crate::gateway::Event;
+use crate::units::HostId;
+
+/// Lines that wait to be written, about 300 bytes each. A second of a host under its heaviest load.
+const WAITING_MAX: usize = 2_048;
+/// Of these, places that only lines of failures may take.
+const KEPT_FOR_FAILURES: usize = 512;
+/// Lines are gathered for this long and written together: each write and each time the writer
+/// wakes up costs processor time.
+const GATHER_TIME: Duration = Duration::from_millis(200);
+
+#[derive(Serialize)]
+struct Line<'a> {
+    wall_ms: u64,
+    host: &'a HostId,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+#[derive(Serialize)]
+struct DroppedLine<'a> {
+    wall_ms: u64,
+    host: &'a HostId,
+    event: &'static str,
+    lines: u64,
+}
+
+#[derive(Default)]
+struct Waiting {
+    lines: Vec<(u64, Event)>,
+    dropped: u64,
+    dropped_total: u64,
+    is_closed: bool,
+}
+
+struct Shared {
+    host: HostId,
+    waiting: Mutex<Waiting>,
+    arrived: Condvar,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The decision log of a host.
+pub struct DecisionLog {
+    clock: Arc<dyn Clock>,
+    shared: Arc<Shared>,
+    writer: Mutex<Option<thread::JoinHandle<()>>>,
+}
+
+impl DecisionLog {
+    /// A log whose lines a thread of its own writes to `out`.
+    pub fn new(host: HostId, clock: Arc<dyn Clock>, out: Box<dyn Write + Send>) -> Self {
+        let shared = Arc::new(Shared {
+            host,
+            waiting: Mutex::default(),
+            arrived: Condvar::new(),
+        });
+        let writer_shared = Arc::clone(&shared);
+        let writer = thread::spawn(move || write_all(&writer_shared, out));
+        Self {
+            clock,
+            shared,
+            writer: Mutex::new(Some(writer)),
+        }
+    }
+
+    /// Notes an event. If too many wait, it is dropped and counted.
+    pub fn note(&self, event: Event) {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        let wall_ms = millis(wall.unwrap_or_default());
+        let mut waiting = self.shared.lock();
+        let places = if event.is_kept_first() {
+            WAITING_MAX
+        } else {
+            WAITING_MAX - KEPT_FOR_FAILURES
+        };
+        if waiting.lines.len() >= places {
+            waiting.dropped += 1;
+            waiting.dropped_total += 1;
+            return;
+        }
+        waiting.lines.push((wall_ms, event));
+        let is_first = waiting.lines.len() == 1;
+        drop(waiting);
+        if is_first {
+            self.shared.arrived.notify_one();
+        }
+    }
+
+    /// How many lines were dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.shared.lock().dropped_total
+    }
+
+    /// Writes what waits and ends the writer.
+    pub fn close(&self) {
+        self.shared.lock().is_closed = true;
+        self.shared.arrived.notify_one();
+        let writer = self
+            .writer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(writer) = writer
+            && writer.join().is_err()
+        {
+            log::error!("decision log: the writer broke down");
+        }
+    }
+}
+
+fn write_all(shared: &Shared, mut out: Box<dyn Write + Send>) {
+    loop {
+        let (lines, dropped, is_closed) = take_lines(shared);
+        let mut text = Vec::with_capacity(lines.len() * 300);
+        for (wall_ms, event) in &lines {
+            let line = Line {
+                wall_ms: *wall_ms,
+                host: &shared.host,
+                event,
+            };
+            append(&mut text, &line);
+        }
+        if let Some((last_ms, _)) = lines.last()
+            && dropped > 0
+        {
+            let line = DroppedLine {
+                wall_ms: *last_ms,
+                host: &shared.host,
+                event: "lines_dropped",
+                lines: dropped,
+            };
+            append(&mut text, &line);
+        }
+        let written = out.write_all(&text).and_then(|()| out.flush());
+        if let Err(err) = written {
+            // Standard output is gone: there is nobody left to read, and nothing else to tell it to.
+            log::error!("decision log: cannot write, ends: {err}");
+            return;
+        }
+        if is_closed {
+            return;
+        }
+    }
+}
+
+fn take_lines(shared: &Shared) -> (Vec<(u64, Event)>, u64, bool) {
+    let waiting = shared.lock();
+    let waiting = shared
+        .arrived
+        .wait_while(waiting, |w| w.lines.is_empty() && !w.is_closed)
+        .unwrap_or_else(PoisonError::into_inner);
+    if !waiting.is_closed {
+        drop(waiting);
+        thread::sleep(GATHER_TIME);
+    } else {
+        drop(waiting);
+    }
+    let mut waiting = shared.lock();
+    let lines = std::mem::take(&mut waiting.lines);
+    let dropped = std::mem::take(&mut waiting.dropped);
+    (lines, dropped, waiting.is_closed)
+}
+
+fn append(text: &mut Vec<u8>, line: &impl Serialize) {
+    let len = text.len();
+    match serde_json::to_writer(&mut *text, line) {
+        Ok(()) => text.push(b'\n'),
+        Err(err) => {
+            text.truncate(len);
+            log::error!("decision log: a line can't be written as JSON: {err}");
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/gateway/event.rs
@@ -0,0 +1,126 @@
+//! The lines of the decision log.
+
+use serde::Serialize;
+
+/// One decision that touches a request, or one change of what the host takes to be true. Each is
+/// written as a line of JSON.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The host has started.
+    Started {
+        /// Its failure domain.
+        domain: String,
+        /// Where callers connect.
+        callers_addr: String,
+    },
+    /// The host was asked to stop.
+    Stopping {
+        /// Requests that have not ended.
+        in_flight: u64,
+    },
+    /// The host stops.
+    Stopped {
+        /// Requests that were cut off by it.
+        cut: u64,
+    },
+    /// The settings file was read again.
+    Reloaded {
+        /// What came of it.
+        outcome: String,
+    },
+    /// A manifest is in force.
+    ManifestInForce {
+        /// Its number.
+        generation: u64,
+        /// How many routes it has.
+        routes: usize,
+        /// How many keys it has.
+        keys: usize,
+    },
+    /// The list of upstreams has changed.
+    UpstreamsChanged {
+        /// Upstreams that may get requests.
+        usable: usize,
+        /// Those that are new on the list.
+        joined: Vec<String>,
+        /// Those that left it or are leaving.
+        left: Vec<String>,
+    },
+    /// A dependency can't be reached.
+    DependencyLost {
+        /// Which one.
+        dependency: &'static str,
+        /// How it shows.
+        error: String,
+    },
+    /// A dependency can be reached again.
+    DependencyRegained {
+        /// Which one.
+        dependency: &'static str,
+        /// How long it was away, in ms.
+        away_ms: u64,
+    },
+    /// An upstream failed a request or could not be reached.
+    UpstreamFault {
+        /// The request.
+        request: String,
+        /// The upstream.
+        upstream: String,
+        /// The fault.
+        fault: String,
+        /// Since the request arrived, in ms.
+        elapsed_ms: u64,
+    },
+    /// A request was sent to an upstream.
+    Sent {
+        /// The request.
+        request: String,
+        /// The upstream.
+        upstream: String,
+        /// How many engines read parts of the prompt beside it.
+        helpers: usize,
+        /// How often it was sent before.
+        earlier_sends: u32,
+        /// When the first event is expected, in ms from now; 0 for plain services.
+        forecast_ms: u64,
+        /// Since the request arrived, in ms.
+        elapsed_ms: u64,
+        /// The prompt.
+        prompt_tokens: u64,
+        /// How old the manifest is, in ms.
+        manifest_age_ms: u64,
+    },
+    /// A request has ended.
+    Ended {
+        /// The request.
+        request: String,
+        /// Its route; empty if it has none.
+        route: String,
+        /// Whose it is; empty if nobody's.
+        customer: String,
+        /// What kind of request.
+        kind: &'static str,
+        /// What came of it, as one word.
+        outcome: String,
+        /// The status that the caller got.
+        status: u16,
+        /// Since it arrived, in ms.
+        elapsed_ms: u64,
+        /// The manifest by which it was admitted.
+        generation: u64,
+    },
+}
+
+impl Event {
+    /// Whether the line is kept before others when there are too many: those of failures and of the
+    /// host itself are, those of requests that went well are not.
+    pub fn is_kept_first(&self) -> bool {
+        match self {
+            Self::Sent { .. } => false,
+            Self::Ended { status, .. } => *status >= 400,
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/event_splitter.rs
@@ -0,0 +1,78 @@
+//! Cuts a stream into whole events without changing a byte.
+//!
+//! An upstream can break off in the middle of an event. If that half had been passed on, the event
+//! could not be sent again by the upstream that goes on: the caller would get it one and a half
+//! times. So only whole events are passed on, and the id of the last one is known.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// What has come of a stream and was not passed on yet.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    pending: BytesMut,
+    searched: usize,
+    last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Takes in bytes and returns the whole events that are there now, if any.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.pending.extend_from_slice(bytes);
+        let end = self.end_of_events()?;
+        let events = self.pending.split_to(end).freeze();
+        self.searched = 0;
+        if let Some(id) = last_id(&events) {
+            self.last_id = Some(id);
+        }
+        Some(events)
+    }
+
+    /// Whether a part of an event is waiting for its rest.
+    pub fn has_part(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Forgets a part of an event whose rest will not come.
+    pub fn drop_part(&mut self) {
+        self.pending.clear();
+        self.searched = 0;
+    }
+
+    /// The id of the last event that was passed on.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Where the last whole event ends: after an empty line. Lines end with LF or CR LF.
+    fn end_of_events(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let tail = &self.pending[from..];
+        let mut end = None;
+        for (index, byte) in tail.iter().enumerate() {
+            if *byte != b'\n' {
+                continue;
+            }
+            let rest = &tail[index + 1..];
+            if rest.first() == Some(&b'\n') {
+                end = Some(from + index + 2);
+            } else if rest.starts_with(b"\r\n") {
+                end = Some(from + index + 3);
+            }
+        }
+        self.searched = self.pending.len();
+        end
+    }
+}
+
+/// The id of the last event that has one.
+fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let value = line.strip_prefix(b"id:")?;
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        std::str::from_utf8(value).ok()
+    });
+    ids.next().map(str::to_owned)
+}
--- /dev/null
+++ b/src/gateway/load_guard.rs
@@ -0,0 +1,43 @@
+//! Keeps a request's work on the books for as long as it lasts.
+
+use std::sync::Arc;
+
+use crate::decide::LoadShare;
+use crate::gateway::Gateway;
+use crate::units::UpstreamId;
+
+/// The work of one send, which is taken off the books when the guard is dropped, however the
+/// request ends.
+pub(crate) struct LoadGuard {
+    gateway: Arc<Gateway>,
+    shares: Vec<(UpstreamId, LoadShare)>,
+}
+
+impl LoadGuard {
+    pub(crate) fn new(gateway: &Arc<Gateway>, shares: Vec<(UpstreamId, LoadShare)>) -> Self {
+        let now = gateway.clock.now();
+        let mut ledger = gateway.ledger();
+        for (upstream, share) in &shares {
+            ledger.start(upstream, share, now);
+        }
+        drop(ledger);
+        gateway.load_changed.notify_one();
+        Self {
+            gateway: Arc::clone(gateway),
+            shares,
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        let mut ledger = self.gateway.ledger();
+        for (upstream, share) in &self.shares {
+            ledger.end(upstream, share, now);
+        }
+        drop(ledger);
+        self.gateway.load_changed.notify_one();
+        self.gateway.place_freed.notify_one();
+    }
+}
--- /dev/null
+++ b/src/gateway/meters.rs
@@ -0,0 +1,122 @@
+//! The metrics of a gateway.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::observe::ObserveError;
+use crate::routing::CallKind;
+use crate::units::CustomerId;
+
+/// Seconds. The users' objectives, 0.3, 1.5, 3 and 4, are bounds of their own.
+const ANSWER_BOUNDS: [f64; 14] = [
+    0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 2.0, 3.0, 4.0, 6.0, 10.0, 15.0,
+];
+/// Seconds. The users' longest pauses, 0.2, 0.5 and 0.8, are bounds of their own.
+const PAUSE_BOUNDS: [f64; 8] = [0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 0.8, 2.0];
+/// Seconds.
+const CATALOG_BOUNDS: [f64; 8] = [0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
+/// Counters and histograms, with one series a customer and kind of call.
+pub struct Meters {
+    registry: Registry,
+    // The instruments go quiet when their provider is dropped.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    faults: Counter<u64>,
+    first_event: Histogram<f64>,
+    pause: Histogram<f64>,
+    catalog: Histogram<f64>,
+}
+
+impl Meters {
+    /// Sets up all metrics in a registry of their own.
+    pub fn new() -> Result<Self, ObserveError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("banyanarch")
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("banyanarch");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("gateway_requests").build(),
+            sends: meter.u64_counter("gateway_sends").build(),
+            faults: meter.u64_counter("gateway_upstream_faults").build(),
+            first_event: seconds(&meter, "gateway_first_event", &ANSWER_BOUNDS),
+            pause: seconds(&meter, "gateway_pause", &PAUSE_BOUNDS),
+            catalog: seconds(&meter, "gateway_catalog_call", &CATALOG_BOUNDS),
+            _provider: provider,
+        })
+    }
+
+    /// A request has ended with this outcome.
+    pub fn ended(&self, customer: Option<&CustomerId>, kind: &'static str, outcome: &str) {
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        self.requests.add(
+            1,
+            &[
+                customer_label(customer),
+                KeyValue::new("class", kind),
+                outcome,
+            ],
+        );
+    }
+
+    /// A request was sent; `is_retry` if it had been sent before.
+    pub fn sent(&self, is_retry: bool) {
+        self.sends.add(1, &[KeyValue::new("retry", is_retry)]);
+    }
+
+    /// An upstream failed.
+    pub fn fault(&self, fault: &'static str) {
+        self.faults.add(1, &[KeyValue::new("fault", fault)]);
+    }
+
+    /// From a request's arrival to its answer, or to the first event of a stream.
+    pub fn first_event(&self, customer: Option<&CustomerId>, kind: CallKind, took: Duration) {
+        let labels = [
+            customer_label(customer),
+            KeyValue::new("class", kind.name()),
+        ];
+        self.first_event.record(took.as_secs_f64(), &labels);
+    }
+
+    /// The longest pause between two events of a stream.
+    pub fn longest_pause(&self, customer: Option<&CustomerId>, took: Duration) {
+        self.pause
+            .record(took.as_secs_f64(), &[customer_label(customer)]);
+    }
+
+    /// A call to the platform's catalog took this long.
+    pub fn catalog_call(&self, what: &'static str, took: Duration) {
+        self.catalog
+            .record(took.as_secs_f64(), &[KeyValue::new("call", what)]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> Result<String, ObserveError> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
+
+fn customer_label(customer: Option<&CustomerId>) -> KeyValue {
+    let name = customer.map_or("none", CustomerId::as_str);
+    KeyValue::new("customer", name.to_owned())
+}
+
+fn seconds(meter: &Meter, name: &'static str, bounds: &[f64]) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name).with_unit("s");
+    histogram.with_boundaries(bounds.to_vec()).build()
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,60 @@
+//! The path of a call that is passed through untouched: from a caller's connection, by routes and
+//! customers' keys, to an upstream that is on the platform's list, and its answer back.
+//!
+//! [`Gateway`] holds what all requests share. [`run()`] starts the tasks around it. The platform
+//! stands behind [`Catalog`] and [`Dialect`]; decisions are those of [`crate::decide`].
+
+mod answer_body;
+mod beliefs;
+mod call;
+mod catalog;
+mod conf;
+mod courier;
+mod decision_log;
+mod dialect;
+mod drain;
+mod error;
+mod event;
+mod event_splitter;
+mod freshness;
+mod handler;
+mod load_guard;
+mod meters;
+mod news;
+mod pages;
+mod refusal;
+mod relay;
+mod run;
+mod server;
+mod shared;
+mod sync;
+mod tracker;
+
+pub use answer_body::AnswerBody;
+pub use answer_body::CutOff;
+pub use beliefs::Beliefs;
+pub use beliefs::UpstreamsByService;
+pub use call::Call;
+pub use catalog::Catalog;
+pub use catalog::CatalogError;
+pub use catalog::Listed;
+pub use catalog::ListedHost;
+pub use catalog::RoutesRead;
+pub use conf::GatewayConf;
+pub use decision_log::DecisionLog;
+pub use dialect::AnswerHead;
+pub use dialect::BadHead;
+pub use dialect::CallHead;
+pub use dialect::Dialect;
+pub use dialect::HelperAddr;
+pub use dialect::SendHead;
+pub use drain::DrainPhase;
+pub use error::GatewayError;
+pub use event::Event;
+pub use event_splitter::EventSplitter;
+pub use freshness::Freshness;
+pub use meters::Meters;
+pub use refusal::Refusal;
+pub use run::Parts;
+pub use run::run;
+pub use shared::Gateway;
--- /dev/null
+++ b/src/gateway/news.rs
@@ -0,0 +1,114 @@
+//! What a gateway tells the other hosts and hears from them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use log::warn;
+use tokio::sync::Notify;
+
+use crate::decide::Poison;
+use crate::decide::PoisonMark;
+use crate::decide::UpstreamLoad;
+use crate::exchange::HostNews;
+use crate::exchange::LoadNews;
+use crate::exchange::NewsDesk;
+use crate::exchange::PoisonNews;
+use crate::gateway::Gateway;
+use crate::units::AttemptId;
+use crate::units::ContentHash;
+use crate::units::HostId;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// Marks in one message; the others come with later ones. 64 are 4 KB.
+const POISONS_MAX: usize = 64;
+
+impl NewsDesk for Gateway {
+    fn news(&self) -> HostNews {
+        let now = self.clock.now();
+        let ledger = self.ledger();
+        let loads = ledger.own(now).map(|(id, load)| load_news(id, &load));
+        let loads = loads.collect();
+        drop(ledger);
+        let mut poisons = self.poison().all(now);
+        let surplus = poisons.len().saturating_sub(POISONS_MAX);
+        let poisons = poisons.split_off(surplus);
+        HostNews {
+            host: self.conf.host.to_string(),
+            incarnation: self.incarnation,
+            sequence: self.news_sent.fetch_add(1, Ordering::Relaxed),
+            loads,
+            poisons: poisons.iter().map(poison_news).collect(),
+        }
+    }
+
+    fn hear(&self, news: HostNews) {
+        let now = self.clock.now();
+        let Ok(host) = news.host.parse::<HostId>() else {
+            warn!("exchange: news without a host name");
+            return;
+        };
+        if host == self.conf.host {
+            return;
+        }
+        for poison in news.poisons.iter().filter_map(read_poison) {
+            self.poison().merge(&poison, now);
+        }
+        let loads: IndexMap<UpstreamId, UpstreamLoad> =
+            news.loads.iter().filter_map(read_load).collect();
+        self.ledger().hear(host, loads, now);
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let hosts = self.beliefs.hosts();
+        let others = hosts.iter().filter(|host| host.host != self.conf.host);
+        others.map(|host| host.exchange_addr).collect()
+    }
+
+    fn changed(&self) -> &Notify {
+        &self.load_changed
+    }
+}
+
+fn load_news(id: &UpstreamId, load: &UpstreamLoad) -> LoadNews {
+    LoadNews {
+        upstream: id.to_string(),
+        in_flight: load.in_flight,
+        short_in_flight: load.short_in_flight,
+        read_backlog_ms: u32::try_from(load.read_backlog.as_millis()).unwrap_or(u32::MAX),
+        held_tokens: load.held_tokens.0,
+    }
+}
+
+fn read_load(news: &LoadNews) -> Option<(UpstreamId, UpstreamLoad)> {
+    let load = UpstreamLoad {
+        in_flight: news.in_flight,
+        short_in_flight: news.short_in_flight,
+        read_backlog: Duration::from_millis(news.read_backlog_ms.into()),
+        held_tokens: Tokens(news.held_tokens),
+    };
+    Some((news.upstream.parse().ok()?, load))
+}
+
+fn poison_news(poison: &Poison) -> PoisonNews {
+    let (PoisonMark::Content(hash) | PoisonMark::Key(hash)) = poison.mark;
+    PoisonNews {
+        content: hash.0.to_be_bytes().to_vec(),
+        attempts: poison
+            .attempts
+            .iter()
+            .map(|attempt| attempt.0.to_be_bytes().to_vec())
+            .collect(),
+    }
+}
+
+fn read_poison(news: &PoisonNews) -> Option<Poison> {
+    let number = |bytes: &Vec<u8>| Some(u128::from_be_bytes(bytes.as_slice().try_into().ok()?));
+    let attempts = news.attempts.iter().filter_map(number).map(AttemptId);
+    Some(Poison {
+        mark: PoisonMark::of_content(ContentHash(number(&news.content)?)),
+        attempts: attempts.collect(),
+    })
+}
--- /dev/null
+++ b/src/gateway/pages.rs
@@ -0,0 +1,26 @@
+//! What the balancer and operators ask a host.
+
+use hyper::StatusCode;
+
+use crate::daemon::Page;
+use crate::daemon::Pages;
+use crate::gateway::Gateway;
+
+/// The pages of a gateway.
+pub(crate) struct GatewayPages(pub(crate) std::sync::Arc<Gateway>);
+
+impl Pages for GatewayPages {
+    fn page(&self, path: &str) -> Option<Page> {
+        let gateway = &self.0;
+        match path {
+            "/livez" => Some(Page::text(StatusCode::OK, "alive\n")),
+            "/readyz" if gateway.is_ready() => Some(Page::text(StatusCode::OK, "ready\n")),
+            "/readyz" => Some(Page::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+            "/metrics" => Some(match gateway.meters.render() {
+                Ok(text) => Page::text(StatusCode::OK, text),
+                Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
+            }),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,181 @@
+//! Passes a stream of events on, and goes on with another engine when the first one breaks off.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use crate::decide::UpstreamFault;
+use crate::gateway::CutOff;
+use crate::gateway::EventSplitter;
+use crate::gateway::courier::Answered;
+use crate::gateway::courier::Courier;
+use crate::gateway::courier::Delivery;
+use crate::gateway::tracker::Tracker;
+
+/// How many times the longest pause that is on time a stream may stay silent before another engine
+/// goes on with it. Callers leave after eight.
+const SILENT_PAUSES: u32 = 5;
+/// The same for streams without such a pause.
+const SILENCE_DEFAULT: Duration = Duration::from_secs(2);
+/// What the first event may take beyond twice its forecast.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
+
+/// A stream on its way to a caller.
+pub(crate) struct Relay {
+    courier: Courier,
+    current: Option<Box<Answered>>,
+    splitter: EventSplitter,
+    tracker: Tracker,
+    last_piece_at: Instant,
+    has_event: bool,
+    longest_pause: Duration,
+    is_over: bool,
+}
+
+/// What came next from an engine.
+enum Next {
+    Data(Bytes),
+    End,
+    Broken(UpstreamFault, String),
+    TimeUp,
+}
+
+impl Relay {
+    pub(crate) fn new(courier: Courier, answered: Box<Answered>, tracker: Tracker) -> Self {
+        let last_piece_at = answered.sent_at;
+        Self {
+            courier,
+            current: Some(answered),
+            splitter: EventSplitter::default(),
+            tracker,
+            last_piece_at,
+            has_event: false,
+            longest_pause: Duration::ZERO,
+            is_over: false,
+        }
+    }
+
+    /// The next whole events; none at the end.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, CutOff>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.next_from_engine().await {
+                Next::Data(bytes) => {
+                    if let Some(events) = self.splitter.push(&bytes) {
+                        self.on_events();
+                        return Some(Ok(events));
+                    }
+                }
+                Next::End if !self.splitter.has_part() => {
+                    self.finish("served");
+                    self.courier.on_served();
+                    return None;
+                }
+                Next::End => {
+                    let why = "ended in the middle of an event".to_owned();
+                    if !self.go_on_elsewhere(UpstreamFault::Broken, why).await {
+                        return Some(self.cut("broken"));
+                    }
+                }
+                Next::Broken(fault, why) => {
+                    if !self.go_on_elsewhere(fault, why).await {
+                        return Some(self.cut("broken"));
+                    }
+                }
+                Next::TimeUp => return Some(self.cut("time_up")),
+            }
+        }
+    }
+
+    async fn next_from_engine(&mut self) -> Next {
+        let now = self.courier.gateway.clock.now();
+        let time_left = self.courier.call.time_left(now);
+        if time_left.is_zero() {
+            return Next::TimeUp;
+        }
+        let silence_left = self.silence_left(now);
+        let Some(answered) = &mut self.current else {
+            return Next::Broken(UpstreamFault::Broken, "no engine".to_owned());
+        };
+        let limit = silence_left.map_or(time_left, |left| left.min(time_left));
+        match timeout(limit, answered.body.frame()).await {
+            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(err))) => Next::Broken(UpstreamFault::Broken, err.to_string()),
+            Ok(None) => Next::End,
+            Err(_) if limit == time_left => Next::TimeUp,
+            Err(_) => Next::Broken(UpstreamFault::Silent, format!("silent for {limit:?}")),
+        }
+    }
+
+    /// How long the engine may still be silent; no limit where no other engine may go on.
+    fn silence_left(&self, now: Instant) -> Option<Duration> {
+        if !self.courier.may_run_again() {
+            return None;
+        }
+        let forecast = self.current.as_ref().map(|answered| answered.forecast)?;
+        let pause = self.courier.call.route.pause_objective;
+        let pause = pause.map_or(SILENCE_DEFAULT, |pause| pause * SILENT_PAUSES);
+        let patience = if self.has_event {
+            pause
+        } else {
+            pause.max(forecast * 2 + FIRST_EVENT_SLACK)
+        };
+        let silent = now.saturating_duration_since(self.last_piece_at);
+        Some(
+            patience
+                .saturating_sub(silent)
+                .max(Duration::from_millis(1)),
+        )
+    }
+
+    fn on_events(&mut self) {
+        let now = self.courier.gateway.clock.now();
+        if self.has_event {
+            let pause = now.saturating_duration_since(self.last_piece_at);
+            self.longest_pause = self.longest_pause.max(pause);
+        } else {
+            self.tracker.on_first_event(now);
+        }
+        self.has_event = true;
+        self.last_piece_at = now;
+    }
+
+    /// Sends the call to another engine, to go on after the last event that was passed on. What came
+    /// of the event after it is forgotten: the other engine sends it again from its beginning.
+    async fn go_on_elsewhere(&mut self, fault: UpstreamFault, why: String) -> bool {
+        // Its connection is closed first: two engines must not write the same answer.
+        if let Some(failed) = self.current.take() {
+            self.courier.on_lost(&failed.upstream, fault, &why);
+        }
+        if !self.courier.may_run_again() {
+            return false;
+        }
+        self.splitter.drop_part();
+        let last_event = self.splitter.last_id().map(str::to_owned);
+        match self.courier.deliver(last_event.as_deref()).await {
+            Delivery::Answered(answered) if answered.head.status.is_success() => {
+                self.last_piece_at = answered.sent_at;
+                self.current = Some(answered);
+                true
+            }
+            Delivery::Answered(_) | Delivery::Refused(_) => false,
+        }
+    }
+
+    fn cut(&mut self, outcome: &str) -> Result<Bytes, CutOff> {
+        self.current = None;
+        self.finish(outcome);
+        Err(CutOff)
+    }
+
+    fn finish(&mut self, outcome: &str) {
+        self.is_over = true;
+        self.tracker.on_pauses(self.longest_pause);
+        self.tracker.finish(outcome, 200);
+    }
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,207 @@
+//! What all requests of a host share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::decide::HealthBook;
+use crate::decide::LoadLedger;
+use crate::decide::PoisonList;
+use crate::decide::RetryWindow;
+use crate::gateway::Beliefs;
+use crate::gateway::Call;
+use crate::gateway::DecisionLog;
+use crate::gateway::Dialect;
+use crate::gateway::DrainPhase;
+use crate::gateway::Event;
+use crate::gateway::GatewayConf;
+use crate::gateway::Meters;
+use crate::units::ServiceId;
+
+/// The shared state of one host, in parts under their own locks. No lock is held across a wait.
+pub struct Gateway {
+    /// The settings.
+    pub conf: GatewayConf,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The headers of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// What is taken to be true.
+    pub beliefs: Beliefs,
+    /// The decision log.
+    pub log: DecisionLog,
+    /// The metrics.
+    pub meters: Meters,
+    ledger: Mutex<LoadLedger>,
+    health: Mutex<HealthBook>,
+    retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
+    poison: Mutex<PoisonList>,
+    stop_asked: watch::Sender<Option<Instant>>,
+    in_flight: AtomicU64,
+    /// Notified when this host's work at upstreams changes.
+    pub(crate) load_changed: Notify,
+    /// Notified when work at an upstream ends, for requests that wait for a place.
+    pub(crate) place_freed: Notify,
+    /// Drawn at the start; tells this life of the host from earlier ones.
+    pub(crate) incarnation: u64,
+    pub(crate) news_sent: AtomicU64,
+}
+
+impl Gateway {
+    /// The shared state of a host that knows nothing yet.
+    pub fn new(
+        conf: GatewayConf,
+        clock: Arc<dyn Clock>,
+        dialect: Arc<dyn Dialect>,
+        log: DecisionLog,
+        meters: Meters,
+    ) -> Self {
+        Self {
+            conf,
+            clock,
+            dialect,
+            beliefs: Beliefs::default(),
+            log,
+            meters,
+            ledger: Mutex::default(),
+            health: Mutex::default(),
+            retries: Mutex::default(),
+            poison: Mutex::default(),
+            stop_asked: watch::Sender::new(None),
+            in_flight: AtomicU64::new(0),
+            load_changed: Notify::new(),
+            place_freed: Notify::new(),
+            incarnation: rand::random(),
+            news_sent: AtomicU64::new(0),
+        }
+    }
+
+    /// The work of all hosts at upstreams.
+    pub fn ledger(&self) -> MutexGuard<'_, LoadLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this host has seen of upstreams' faults.
+    pub fn health(&self) -> MutexGuard<'_, HealthBook> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests that crash upstreams.
+    pub fn poison(&self) -> MutexGuard<'_, PoisonList> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that a caller's request goes to a service.
+    pub fn count_request(&self, service: &ServiceId) {
+        let now = self.clock.now();
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = retries.entry(service.clone()).or_default();
+        window.on_request(&self.conf.retry_bound, now);
+    }
+
+    /// Takes one retry for a service out of this host's share of the budget.
+    pub fn try_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        let hosts = self.beliefs.hosts().len();
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = retries.entry(service.clone()).or_default();
+        window.try_retry(&self.conf.retry_bound, hosts, now)
+    }
+
+    /// Whether a call may be sent right now: its key is still in force, and this host's knowledge
+    /// of that is fresh enough. Asked right before each send, since a call may have waited.
+    pub fn may_send(&self, call: &Call) -> bool {
+        if call.customer.is_none() {
+            return true;
+        }
+        let now = self.clock.since_boot();
+        self.beliefs
+            .freshness()
+            .holds_lease(self.conf.key_lease, now)
+            && self.knows_key(call)
+    }
+
+    fn knows_key(&self, call: &Call) -> bool {
+        let routes = self.beliefs.routes();
+        let key = call.head.key.as_deref().unwrap_or_default();
+        routes.is_some_and(|routes| routes.keys.customer(key) == call.customer.as_ref())
+    }
+
+    /// How old the manifest is.
+    pub fn manifest_age(&self) -> Option<Duration> {
+        self.beliefs.freshness().age(self.clock.since_boot())
+    }
+
+    /// Whether the balancer may send connections here.
+    pub fn is_ready(&self) -> bool {
+        let now = self.clock.since_boot();
+        self.phase() == DrainPhase::Serving
+            && self.beliefs.routes().is_some()
+            && self.beliefs.upstreams().is_some()
+            && self
+                .beliefs
+                .freshness()
+                .holds_lease(self.conf.key_lease, now)
+    }
+
+    /// Begins to stop.
+    pub fn begin_stop(&self) {
+        let now = self.clock.now();
+        let begun = self.stop_asked.send_if_modified(|asked| {
+            let is_first = asked.is_none();
+            asked.get_or_insert(now);
+            is_first
+        });
+        if begun {
+            let in_flight = self.in_flight();
+            self.log.note(Event::Stopping { in_flight });
+        }
+    }
+
+    /// Waits until the host is asked to stop.
+    pub async fn stop_begun(&self) {
+        let mut asked = self.stop_asked.subscribe();
+        // Fails only when the sender is gone, which lives as long as this host.
+        let _ = asked.wait_for(Option::is_some).await;
+    }
+
+    /// How far this host has come in stopping.
+    pub fn phase(&self) -> DrainPhase {
+        let asked = *self.stop_asked.borrow();
+        DrainPhase::at(asked, self.conf.stop_grace, self.clock.now())
+    }
+
+    /// Requests that have not ended.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request for as long as the guard lives.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight {
+            gateway: Arc::clone(self),
+        }
+    }
+}
+
+/// A request that has not ended.
+pub struct InFlight {
+    gateway: Arc<Gateway>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/gateway/sync.rs
@@ -0,0 +1,194 @@
+//! Keeps what a host believes in step with the platform.
+//!
+//! The lists are read again and again rather than watched: a watch that hears nothing proves
+//! nothing, since its connection may have gone silent, while each answered read renews the lease on
+//! the keys.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexSet;
+use tokio::time::sleep;
+
+use crate::gateway::Catalog;
+use crate::gateway::CatalogError;
+use crate::gateway::Event;
+use crate::gateway::Gateway;
+use crate::gateway::ListedHost;
+use crate::gateway::RoutesRead;
+use crate::gateway::courier::millis;
+use crate::routing::RouteTable;
+use crate::units::ObjectVersion;
+use crate::units::UpstreamId;
+
+/// Between two reads of the manifest. A change has to be in force within 2 s of its acceptance: this
+/// leaves room for one failed read.
+const ROUTES_INTERVAL: Duration = Duration::from_millis(700);
+/// Between two reads of the upstreams. One that leaves must get no new request 2 s after it said so.
+const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
+/// Between two reads of the hosts, which change seldom; news of one that is missing is lost until
+/// then.
+const HOSTS_INTERVAL: Duration = Duration::from_millis(2_000);
+/// After a failed read; shorter than the interval, since what is known grows old.
+const FAILED_INTERVAL: Duration = Duration::from_millis(250);
+
+/// One dependency's state, to tell its loss and its return once each.
+struct Watchman {
+    gateway: Arc<Gateway>,
+    dependency: &'static str,
+    lost_at: Option<Instant>,
+}
+
+impl Watchman {
+    fn new(gateway: &Arc<Gateway>, dependency: &'static str) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            dependency,
+            lost_at: None,
+        }
+    }
+
+    fn on_result<T>(&mut self, asked_at: Instant, result: &Result<T, CatalogError>) {
+        let now = self.gateway.clock.now();
+        let took = now.saturating_duration_since(asked_at);
+        self.gateway.meters.catalog_call(self.dependency, took);
+        match (result, self.lost_at) {
+            (Ok(_), Some(lost_at)) => {
+                self.lost_at = None;
+                self.gateway.log.note(Event::DependencyRegained {
+                    dependency: self.dependency,
+                    away_ms: millis(now.saturating_duration_since(lost_at)),
+                });
+            }
+            (Err(err), None) => {
+                self.lost_at = Some(now);
+                self.gateway.log.note(Event::DependencyLost {
+                    dependency: self.dependency,
+                    error: err.to_string(),
+                });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Reads the manifest for as long as the process runs.
+pub(crate) async fn keep_routes(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    let mut known: Option<ObjectVersion> = None;
+    let mut watchman = Watchman::new(&gateway, "manifest");
+    loop {
+        let asked_at = gateway.clock.now();
+        // Before the question: what the answer shows is true at some moment after it.
+        let asked_since_boot = gateway.clock.since_boot();
+        let read = catalog.routes(known).await;
+        watchman.on_result(asked_at, &read);
+        let is_ok = read.is_ok();
+        if let Ok(read) = read {
+            if let RoutesRead::Changed { version, routes } = read {
+                known = Some(version);
+                put_in_force(&gateway, *routes);
+            }
+            gateway.beliefs.prove_fresh(asked_since_boot);
+        }
+        sleep(if is_ok {
+            ROUTES_INTERVAL
+        } else {
+            FAILED_INTERVAL
+        })
+        .await;
+    }
+}
+
+fn put_in_force(gateway: &Gateway, routes: RouteTable) {
+    let event = Event::ManifestInForce {
+        generation: routes.generation.0,
+        routes: routes.route_count(),
+        keys: routes.keys.len(),
+    };
+    if gateway.beliefs.set_routes(routes) {
+        gateway.log.note(event);
+    }
+}
+
+/// Reads the upstreams for as long as the process runs.
+pub(crate) async fn keep_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    let mut known: IndexSet<UpstreamId> = IndexSet::new();
+    let mut watchman = Watchman::new(&gateway, "upstreams");
+    loop {
+        let asked_at = gateway.clock.now();
+        let read = catalog.upstreams().await;
+        watchman.on_result(asked_at, &read);
+        let is_ok = read.is_ok();
+        if let Ok(listed) = read {
+            let staying = listed.iter().filter(|upstream| !upstream.is_leaving);
+            let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
+            let usable = gateway.beliefs.set_upstreams(listed);
+            gateway.health().keep(|id| staying.contains(id));
+            note_changes(&gateway, &known, &staying, usable);
+            known = staying;
+        }
+        sleep(if is_ok {
+            UPSTREAMS_INTERVAL
+        } else {
+            FAILED_INTERVAL
+        })
+        .await;
+    }
+}
+
+fn note_changes(
+    gateway: &Gateway,
+    before: &IndexSet<UpstreamId>,
+    after: &IndexSet<UpstreamId>,
+    usable: usize,
+) {
+    let names = |ids: indexmap::set::Difference<'_, UpstreamId, _>| {
+        ids.map(ToString::to_string).collect::<Vec<String>>()
+    };
+    let joined = names(after.difference(before));
+    let left = names(before.difference(after));
+    if !joined.is_empty() || !left.is_empty() {
+        gateway.log.note(Event::UpstreamsChanged {
+            usable,
+            joined,
+            left,
+        });
+    }
+}
+
+/// Puts this host on the list and reads the others, for as long as the process runs.
+pub(crate) async fn keep_hosts(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    let own = ListedHost {
+        host: gateway.conf.host.clone(),
+        domain: gateway.conf.domain.clone(),
+        exchange_addr: gateway.conf.exchange_addr,
+    };
+    let mut watchman = Watchman::new(&gateway, "hosts");
+    let mut is_announced = false;
+    loop {
+        let asked_at = gateway.clock.now();
+        if !is_announced {
+            let announced = catalog.announce(own.clone()).await;
+            is_announced = announced.is_ok();
+            watchman.on_result(asked_at, &announced);
+        }
+        let read = catalog.hosts().await;
+        watchman.on_result(asked_at, &read);
+        let is_ok = read.is_ok() && is_announced;
+        if let Ok(mut hosts) = read {
+            if !hosts.iter().any(|listed| listed.host == own.host) {
+                // The list may be seconds old.
+                hosts.push(own.clone());
+            }
+            gateway.beliefs.set_hosts(hosts);
+        }
+        gateway.ledger().forget_silent(gateway.clock.now());
+        sleep(if is_ok {
+            HOSTS_INTERVAL
+        } else {
+            FAILED_INTERVAL
+        })
+        .await;
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod client;
 mod error;
+pub mod one_shot;
 mod sse;
 
 pub use body::ChunksBody;
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,17 @@
+//! Where calls go: routes by host name and path, the services behind them, and the customers by
+//! key. All of it comes from the manifest and is replaced as a whole.
+
+mod call_kind;
+mod keys;
+mod limits;
+mod route;
+mod service;
+mod table;
+
+pub use call_kind::CallKind;
+pub use keys::CustomerKeys;
+pub use limits::CallerLimits;
+pub use route::Route;
+pub use route::Target;
+pub use service::Service;
+pub use table::RouteTable;
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,68 @@
+//! All routes, services and keys of one manifest.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::routing::CallerLimits;
+use crate::routing::CustomerKeys;
+use crate::routing::Route;
+use crate::routing::Service;
+use crate::units::Generation;
+use crate::units::ServiceId;
+
+/// The routes of a manifest, ready for lookups.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    /// The number of the manifest.
+    pub generation: Generation,
+    /// The services by name.
+    pub services: IndexMap<ServiceId, Service>,
+    /// The customers.
+    pub keys: CustomerKeys,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// The routes of a host name, the longest prefix first.
+    by_hostname: IndexMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// A table of these routes.
+    pub fn new(generation: Generation, routes: Vec<Route>) -> Self {
+        let mut by_hostname: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
+        for route in routes {
+            by_hostname
+                .entry(route.hostname.to_ascii_lowercase())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for routes in by_hostname.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self {
+            generation,
+            by_hostname,
+            ..Self::default()
+        }
+    }
+
+    /// The route of a call: of those of the host, the one with the longest prefix of the path.
+    /// `authority` may carry a port.
+    pub fn route(&self, authority: &str, path: &str) -> Option<&Arc<Route>> {
+        let hostname = authority
+            .rsplit_once(':')
+            .map_or(authority, |(name, _)| name);
+        let routes = match self.by_hostname.get(hostname) {
+            Some(routes) => routes,
+            None => self.by_hostname.get(&hostname.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// How many routes there are.
+    pub fn route_count(&self) -> usize {
+        self.by_hostname.values().map(Vec::len).sum()
+    }
+}
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -27,6 +27,11 @@
     TargetId,
     "a model or service name"
 );
+name_newtype!(
+    /// A service that routes lead to: all upstreams that run the same thing.
+    ServiceId,
+    "a service name"
+);
 name_newtype!(
     /// The upstreams of one target in one failure domain that share a home host, written
     /// `DOMAIN/TARGET/SHARD`.
