--- a/src/decide/engine_model.rs
+++ b/src/decide/engine_model.rs
@@ -37,18 +37,17 @@
         millis(tokens / self.read_tokens_per_ms + megapairs * self.read_per_megapair_ms)
     }
 
-    /// How long a pass takes with this many writers, of which each has `context` tokens, when
-    /// nothing is read in.
+    /// How long a pass takes with this many writers, whose prompts and answers together have
+    /// `context` tokens, when nothing is read in.
     pub fn pass_time(&self, writers: u32, context: Tokens) -> Duration {
-        let writers = f64::from(writers);
-        let context_kilotokens = writers * context.as_f64() / 1e3;
         let step_ms = self.step_ms
-            + writers * self.step_per_writer_ms
-            + context_kilotokens * self.step_per_kilotoken_ms;
+            + f64::from(writers) * self.step_per_writer_ms
+            + context.as_f64() / 1e3 * self.step_per_kilotoken_ms;
         millis(step_ms * f64::from(self.stride.max(1)))
     }
 
-    /// How long it takes to write an answer beside `writers` others.
+    /// How long it takes to write an answer among `writers`, whose prompts and answers together have
+    /// `context` tokens.
     pub fn write_time(&self, output: Tokens, writers: u32, context: Tokens) -> Duration {
         let passes = output.0.div_ceil(u64::from(self.stride.max(1)));
         let passes = u32::try_from(passes).unwrap_or(u32::MAX);
--- /dev/null
+++ b/src/decide/engines/ask.rs
@@ -0,0 +1,57 @@
+//! A request that wants engines.
+
+use std::time::Duration;
+
+use crate::decide::EngineModel;
+use crate::units::Tokens;
+
+/// A prompt that one engine reads in less than this is short: an answer beside it, which may pause
+/// for 200 ms, stays on time. A pass without reading takes 45 to 60 ms.
+const SHORT_READ_TIME_MAX: Duration = Duration::from_millis(120);
+/// A prompt that takes more than this part of an engine's memory is long: its answer is written
+/// among those that read long prompts, since few of them fit beside short ones.
+const LONG_MEMORY_PART: f64 = 0.25;
+
+/// How a prompt's length matters to where it goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptClass {
+    /// Read by one or two engines among short ones.
+    Short,
+    /// Read by several engines, answered among short ones.
+    Medium,
+    /// Read and answered among long ones.
+    Long,
+}
+
+/// A request that wants engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineAsk {
+    /// The prompt.
+    pub prompt: Tokens,
+    /// The longest answer.
+    pub output: Tokens,
+    /// What is left of the time in which the first event is on time.
+    pub objective_left: Duration,
+    /// What is left of the time in which the whole answer has to be there.
+    pub time_left: Duration,
+    /// Engine time that its prompt may take, by [`crate::decide::ReadWork`].
+    pub read_time_max: Duration,
+}
+
+impl EngineAsk {
+    /// The class of the prompt on engines of this model.
+    pub fn class(&self, model: &EngineModel) -> PromptClass {
+        if model.read_time(self.prompt) <= SHORT_READ_TIME_MAX {
+            PromptClass::Short
+        } else if self.prompt.as_f64() <= model.memory_tokens.as_f64() * LONG_MEMORY_PART {
+            PromptClass::Medium
+        } else {
+            PromptClass::Long
+        }
+    }
+
+    /// The memory that it takes from its first to its last token.
+    pub fn needed(&self) -> Tokens {
+        self.prompt + self.output
+    }
+}
--- /dev/null
+++ b/src/decide/engines/long.rs
@@ -0,0 +1,237 @@
+//! Engines for a prompt that several read together.
+//!
+//! Of the engines for long prompts the first few write the answers and the others only read. An
+//! engine that only reads has no answer whose pauses it could stretch, and it works in single steps
+//! instead of passes; so what waits there delays nobody but the prompts themselves.
+
+use std::time::Duration;
+
+use crate::decide::EngineModel;
+use crate::decide::RefuseReason;
+use crate::decide::engines::EngineAsk;
+use crate::decide::engines::EngineChoice;
+use crate::decide::engines::EnginePlan;
+use crate::decide::engines::EngineView;
+use crate::decide::engines::PromptClass;
+use crate::decide::engines::Reserve;
+use crate::decide::engines::border::ceil;
+use crate::units::Tokens;
+
+/// The aim for one engine's part of a prompt. Two such parts in one pass with writers stay within a
+/// pause of 200 ms.
+const PART_TIME: Duration = Duration::from_millis(60);
+/// Engines that may read one prompt: the first and at most 16 helpers, as engines allow.
+const READERS_MAX: usize = 17;
+/// Reading that waits at engines when another prompt is sent there. What waits at hosts instead can
+/// still be overtaken by a prompt that is more pressed for time.
+const BACKLOG_MAX: Duration = Duration::from_millis(300);
+/// The part of its remaining time to the first event that a prompt has to keep beyond its forecast
+/// in order to wait; with less it is sent whatever waits at the engines.
+const SLACK_PART: f64 = 0.35;
+
+/// When a prompt that costs too much now is asked for again, as a part of what is left of its time:
+/// late enough that the load may have turned, early enough to be served.
+const COME_BACK_PART: f64 = 0.3;
+
+/// Engines that would read a prompt together.
+struct Group<'a> {
+    leader: &'a EngineView,
+    /// The helpers, without the leader.
+    helpers: Vec<&'a EngineView>,
+    reserves: Vec<Reserve>,
+    part_time: Duration,
+    forecast: Duration,
+    /// What waits at the busiest of them.
+    backlog: Duration,
+    /// Whether nobody's pauses are stretched too far.
+    is_gentle: bool,
+}
+
+pub(super) fn choose(
+    model: &EngineModel,
+    engines: &[EngineView],
+    border: usize,
+    ask: &EngineAsk,
+) -> EngineChoice {
+    let (short_side, long_side) = match engines.split_at(border) {
+        (short_side, []) => (short_side, engines),
+        sides => sides,
+    };
+    // Parts of a medium prompt are small enough to be read among short answers, and there they do
+    // not wait behind long ones.
+    let sides = match ask.class(model) {
+        PromptClass::Long => [(long_side, long_side), (engines, engines)],
+        _ => [(short_side, engines), (engines, engines)],
+    };
+    let group = sides
+        .into_iter()
+        .find_map(|(leaders, readers)| group(model, leaders, readers, ask));
+    let Some(group) = group else {
+        return refuse_or_wait(model, engines, ask);
+    };
+    decide(model, group, ask)
+}
+
+/// How many of `available` engines are to read a prompt together.
+pub(super) fn parts_wanted(read_time: Duration, available: usize) -> usize {
+    let wanted = ceil(read_time.as_secs_f64() / PART_TIME.as_secs_f64());
+    wanted.clamp(1, available.clamp(1, READERS_MAX))
+}
+
+/// Sends the prompt now, keeps it back for more pressed ones, or turns it away.
+fn decide(model: &EngineModel, group: Group<'_>, ask: &EngineAsk) -> EngineChoice {
+    if group.forecast + least_write_time(model, ask) > ask.time_left {
+        return EngineChoice::refuse(RefuseReason::Deadline, group.backlog);
+    }
+    if model.read_time(ask.prompt) > ask.read_time_max {
+        return EngineChoice::refuse(RefuseReason::Cost, ask.time_left.mul_f64(COME_BACK_PART));
+    }
+    let is_free = group.is_gentle && group.backlog <= BACKLOG_MAX;
+    let slack = ask.objective_left.saturating_sub(group.forecast);
+    let may_wait = slack > ask.objective_left.mul_f64(SLACK_PART);
+    let is_late = group.forecast > ask.objective_left;
+    match (is_free, may_wait, is_late) {
+        (true, _, _) | (false, false, false) => EngineChoice::Send(plan(group)),
+        (false, true, _) => EngineChoice::wait(group.backlog.saturating_sub(BACKLOG_MAX)),
+        // Late, and in the way of prompts that could be on time.
+        (false, false, true) => EngineChoice::refuse(RefuseReason::QueueFull, group.backlog),
+    }
+}
+
+/// The engines that read a prompt with a leader of `leaders`; none if none has a place and memory.
+///
+/// The more engines share a prompt, the sooner it is read; but an engine counts only if its part
+/// stretches nobody's pauses there. A part of an archive on an engine with a dozen short answers
+/// would make all of these late for the sake of one.
+fn group<'a>(
+    model: &EngineModel,
+    leaders: &'a [EngineView],
+    readers: &'a [EngineView],
+    ask: &EngineAsk,
+) -> Option<Group<'a>> {
+    let read_time = model.read_time(ask.prompt);
+    let most = parts_wanted(read_time, readers.len());
+    let gentle = (1..=most)
+        .filter_map(|parts| group_of(model, leaders, readers, ask, parts))
+        .filter(|group| group.is_gentle)
+        .min_by_key(|group| group.forecast);
+    gentle.or_else(|| group_of(model, leaders, readers, ask, most))
+}
+
+/// A group of this many engines: the gentlest ones, then those with the least left to read.
+fn group_of<'a>(
+    model: &EngineModel,
+    leaders: &'a [EngineView],
+    readers: &'a [EngineView],
+    ask: &EngineAsk,
+    parts: usize,
+) -> Option<Group<'a>> {
+    let part_time = model.read_time(ask.prompt) / u32::try_from(parts).unwrap_or(1);
+    let leader = leader(model, leaders, part_time, ask)?;
+    let mut others: Vec<&EngineView> = readers.iter().filter(|e| e.id != leader.id).collect();
+    let reserves = reserves(model, leader, &others, ask)?;
+    if reserves.len() >= parts || others.len() + 1 < parts {
+        return None;
+    }
+    let is_reserved = |engine: &EngineView| reserves.iter().any(|r| r.helper == engine.id);
+    others.sort_by_key(|engine| {
+        let is_gentle = part_time <= engine.room(model);
+        (!is_reserved(engine), !is_gentle, engine.load.read_backlog)
+    });
+    others.truncate(parts - 1);
+    let all = || others.iter().copied().chain([leader]);
+    let forecasts = all().map(|engine| engine.first_event(model, part_time));
+    let backlogs = all().map(|engine| engine.load.read_backlog);
+    Some(Group {
+        leader,
+        part_time,
+        forecast: forecasts.max().unwrap_or_default(),
+        backlog: backlogs.max().unwrap_or_default(),
+        is_gentle: all().all(|engine| part_time <= engine.room(model)),
+        helpers: others,
+        reserves,
+    })
+}
+
+/// The engine that writes the answer: of those with a place and the memory, the first that can read
+/// its part without stretching pauses; so answers to long prompts gather on few engines. Where none
+/// has the memory, the one with the most.
+fn leader<'a>(
+    model: &EngineModel,
+    engines: &'a [EngineView],
+    part_time: Duration,
+    ask: &EngineAsk,
+) -> Option<&'a EngineView> {
+    let placed = || engines.iter().filter(|engine| engine.has_place(model));
+    let fitting = || placed().filter(|engine| engine.free_tokens(model) >= ask.needed());
+    let is_gentle = |engine: &&EngineView| part_time <= engine.room(model);
+    let gentle = match ask.class(model) {
+        PromptClass::Long => fitting().find(is_gentle),
+        _ => fitting()
+            .filter(is_gentle)
+            .min_by_key(|engine| (engine.load.read_backlog, engine.load.in_flight)),
+    };
+    gentle
+        .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
+        .or_else(|| {
+            let is_long = ask.class(model) == PromptClass::Long;
+            placed()
+                .filter(|_| is_long)
+                .min_by_key(|engine| engine.load.held_tokens)
+        })
+}
+
+/// The memory of other engines that is needed beside the leader's; none if there is not enough.
+/// The fewest engines keep it, for each of them is one more whose end ends the answer.
+fn reserves(
+    model: &EngineModel,
+    leader: &EngineView,
+    others: &[&EngineView],
+    ask: &EngineAsk,
+) -> Option<Vec<Reserve>> {
+    let mut missing = ask.needed().saturating_sub(leader.free_tokens(model));
+    let mut by_room: Vec<&&EngineView> = others.iter().collect();
+    by_room.sort_by_key(|engine| engine.load.held_tokens);
+    let mut reserves = Vec::new();
+    for engine in by_room.into_iter().take(READERS_MAX - 1) {
+        let tokens = Tokens(missing.0.min(engine.free_tokens(model).0));
+        if tokens == Tokens::ZERO {
+            break;
+        }
+        missing = missing.saturating_sub(tokens);
+        reserves.push(Reserve {
+            helper: engine.id.clone(),
+            tokens,
+        });
+    }
+    (missing == Tokens::ZERO).then_some(reserves)
+}
+
+/// No engine has a place, or all of them together have not the memory now.
+fn refuse_or_wait(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
+    let count = u64::try_from(engines.len().min(READERS_MAX)).unwrap_or(1);
+    if ask.needed().0 > count * model.memory_tokens.0 {
+        return EngineChoice::refuse_soon(RefuseReason::TooLarge);
+    }
+    let parts = u32::try_from(count).unwrap_or(1);
+    let read_time = model.read_time(ask.prompt) / parts;
+    if read_time + least_write_time(model, ask) > ask.time_left {
+        return EngineChoice::refuse_soon(RefuseReason::Deadline);
+    }
+    EngineChoice::wait(Duration::MAX)
+}
+
+fn plan(group: Group<'_>) -> EnginePlan {
+    EnginePlan {
+        leader: group.leader.id.clone(),
+        helpers: group.helpers.iter().map(|e| e.id.clone()).collect(),
+        reserves: group.reserves,
+        part_time: group.part_time,
+        forecast: group.forecast,
+    }
+}
+
+/// Time that half of the longest answer takes; most answers are shorter than the longest.
+fn least_write_time(model: &EngineModel, ask: &EngineAsk) -> Duration {
+    model.write_time(ask.output, 1, ask.prompt) / 2
+}
--- /dev/null
+++ b/src/decide/engines/mod.rs
@@ -0,0 +1,41 @@
+//! Which engines read a prompt and which one writes its answer.
+//!
+//! Load it answers: prompts from a thousand to a million tokens on the same engines. A long prompt
+//! that one engine reads stops every answer there for seconds and comes late itself. So short
+//! prompts are packed on as few engines as carry them ([`border`]), the others read long prompts
+//! together in equal parts, and no part is put where it would stretch the pauses of an answer that
+//! is being written beyond what its caller accepts ([`EngineView::room`]).
+
+mod ask;
+pub mod border;
+mod long;
+mod plan;
+mod short;
+mod view;
+
+pub use ask::EngineAsk;
+pub use ask::PromptClass;
+pub use plan::EngineChoice;
+pub use plan::EnginePlan;
+pub use plan::Reserve;
+pub use view::EngineView;
+
+use crate::decide::EngineModel;
+use crate::decide::RefuseReason;
+
+/// Chooses engines. `engines` holds those that may get work, in an order that is the same on every
+/// host, since the border between short and long prompts is a place in it.
+pub fn choose_engines(
+    model: &EngineModel,
+    engines: &[EngineView],
+    ask: &EngineAsk,
+) -> EngineChoice {
+    if engines.is_empty() {
+        return EngineChoice::refuse_soon(RefuseReason::NoUpstream);
+    }
+    let border = border::short_border(model, engines);
+    match ask.class(model) {
+        PromptClass::Short => short::choose(model, engines, border, ask),
+        PromptClass::Medium | PromptClass::Long => long::choose(model, engines, border, ask),
+    }
+}
--- /dev/null
+++ b/src/decide/engines/plan.rs
@@ -0,0 +1,71 @@
+//! What to do with a request that wants engines.
+
+use std::time::Duration;
+
+use crate::decide::RefuseReason;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// The shortest wait before a decision is made again: less would be awake more than it helps.
+const WAIT_MIN: Duration = Duration::from_millis(15);
+/// The longest wait: other hosts' work changes meanwhile.
+const WAIT_MAX: Duration = Duration::from_millis(120);
+/// The shortest time after which a caller is asked to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
+
+/// Memory that an engine sets aside for a part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reserve {
+    /// The engine, one of the helpers.
+    pub helper: UpstreamId,
+    /// How much.
+    pub tokens: Tokens,
+}
+
+/// Engines for one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EnginePlan {
+    /// The engine that gets the request and writes the answer.
+    pub leader: UpstreamId,
+    /// The engines that read the other parts.
+    pub helpers: Vec<UpstreamId>,
+    /// Memory of helpers that keeps what the leader has no room for.
+    pub reserves: Vec<Reserve>,
+    /// Engine time of one part.
+    pub part_time: Duration,
+    /// When the first event is expected, from now.
+    pub forecast: Duration,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EngineChoice {
+    /// Send it.
+    Send(EnginePlan),
+    /// Ask again after this time.
+    Wait(Duration),
+    /// Turn it away, not run.
+    Refuse {
+        /// Why.
+        reason: RefuseReason,
+        /// When it can be served, as far as is known.
+        retry_after: Duration,
+    },
+}
+
+impl EngineChoice {
+    pub(super) fn wait(wanted: Duration) -> Self {
+        Self::Wait(wanted.clamp(WAIT_MIN, WAIT_MAX))
+    }
+
+    pub(super) fn refuse(reason: RefuseReason, retry_after: Duration) -> Self {
+        Self::Refuse {
+            reason,
+            retry_after: retry_after.max(RETRY_AFTER_MIN),
+        }
+    }
+
+    pub(super) fn refuse_soon(reason: RefuseReason) -> Self {
+        Self::refuse(reason, RETRY_AFTER_MIN)
+    }
+}
--- /dev/null
+++ b/src/decide/engines/view.rs
@@ -0,0 +1,68 @@
+//! An engine as a host sees it.
+
+use std::time::Duration;
+
+use crate::decide::EngineModel;
+use crate::decide::UpstreamLoad;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// The part of an engine's memory that is given away: estimates of answers are off.
+const MEMORY_PART: f64 = 0.97;
+/// The part of an accepted pause that is planned with; the rest is for what other hosts send in the
+/// same moment.
+const PAUSE_PART: f64 = 0.9;
+/// Passes from a request's arrival to its first event, beside its own reading: half of the pass that
+/// is under way, the one that it is read in, and the one that writes the tokens of the event.
+const PASSES_TO_FIRST_EVENT: f64 = 2.5;
+
+/// An engine as this host sees it now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineView {
+    /// Its id.
+    pub id: UpstreamId,
+    /// The work of all hosts there.
+    pub load: UpstreamLoad,
+}
+
+impl EngineView {
+    /// Whether it has a free place for one more answer.
+    pub fn has_place(&self, model: &EngineModel) -> bool {
+        self.load.in_flight < model.slots
+    }
+
+    /// Memory that nothing has been promised.
+    pub fn free_tokens(&self, model: &EngineModel) -> Tokens {
+        let usable = model.memory_tokens.as_f64() * MEMORY_PART;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let usable = Tokens(usable as u64);
+        usable.saturating_sub(self.load.held_tokens)
+    }
+
+    /// How long a pass takes when nothing is read in.
+    pub fn pass_time(&self, model: &EngineModel) -> Duration {
+        model.pass_time(self.load.in_flight + 1, self.load.held_tokens)
+    }
+
+    /// How much can be read in beside what waits without stretching the pauses of the answers that
+    /// are being written there too far; unbounded where none is.
+    ///
+    /// Failure it guards against: an archive is read among clauses, and every caller there sees its
+    /// answer stand still. It holds because a pause is one pass, and a pass is its steps and all
+    /// that is read in meanwhile.
+    pub fn room(&self, model: &EngineModel) -> Duration {
+        let Some(pause) = self.load.strictest_pause else {
+            return Duration::MAX;
+        };
+        pause
+            .mul_f64(PAUSE_PART)
+            .saturating_sub(self.pass_time(model))
+            .saturating_sub(self.load.read_backlog)
+    }
+
+    /// When the first event of a request is expected that comes now and is read in `part_time`.
+    pub fn first_event(&self, model: &EngineModel, part_time: Duration) -> Duration {
+        let passes = self.pass_time(model).mul_f64(PASSES_TO_FIRST_EVENT);
+        self.load.read_backlog + part_time + passes
+    }
+}
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -17,6 +17,9 @@
 /// with its connections. Four of the longest intervals at which hosts send.
 const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 
+/// An engine begins to read with its next pass, on average after half of one.
+const READ_START_DELAY: Duration = Duration::from_millis(25);
+
 /// Work at one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamLoad {
@@ -24,6 +27,8 @@
     pub in_flight: u32,
     /// Those of them whose prompt is short.
     pub short_in_flight: u32,
+    /// The shortest pause that the caller of one of them accepts between two events.
+    pub strictest_pause: Option<Duration>,
     /// Time until it has read in what was sent there.
     pub read_backlog: Duration,
     /// Memory that these requests take, in tokens.
@@ -34,6 +39,10 @@
     fn add(&mut self, other: &Self) {
         self.in_flight += other.in_flight;
         self.short_in_flight += other.short_in_flight;
+        self.strictest_pause = match (self.strictest_pause, other.strictest_pause) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (own, other) => own.or(other),
+        };
         self.read_backlog += other.read_backlog;
         self.held_tokens += other.held_tokens;
     }
@@ -46,16 +55,20 @@
     pub takes_place: bool,
     /// Whether its prompt is short.
     pub is_short: bool,
+    /// The longest pause that its caller accepts between two events.
+    pub pause: Option<Duration>,
     /// Time that reading its prompt takes there.
     pub read_time: Duration,
     /// Memory that it takes there.
     pub held_tokens: Tokens,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct OwnLoad {
     in_flight: u32,
     short_in_flight: u32,
+    /// How many requests accept which pause.
+    pauses: IndexMap<Duration, u32>,
     reads_until: Instant,
     held_tokens: Tokens,
 }
@@ -65,6 +78,7 @@
         UpstreamLoad {
             in_flight: self.in_flight,
             short_in_flight: self.short_in_flight,
+            strictest_pause: self.pauses.keys().min().copied(),
             read_backlog: self.reads_until.saturating_duration_since(now),
             held_tokens: self.held_tokens,
         }
@@ -92,12 +106,18 @@
         let own = self.own.entry(upstream.clone()).or_insert(OwnLoad {
             in_flight: 0,
             short_in_flight: 0,
+            pauses: IndexMap::new(),
             reads_until: now,
             held_tokens: Tokens::ZERO,
         });
         own.in_flight += u32::from(share.takes_place);
         own.short_in_flight += u32::from(share.takes_place && share.is_short);
-        own.reads_until = own.reads_until.max(now) + share.read_time;
+        if let Some(pause) = share.pause.filter(|_| share.takes_place) {
+            *own.pauses.entry(pause).or_default() += 1;
+        }
+        if !share.read_time.is_zero() {
+            own.reads_until = own.reads_until.max(now + READ_START_DELAY) + share.read_time;
+        }
         own.held_tokens += share.held_tokens;
     }
 
@@ -112,6 +132,14 @@
         own.short_in_flight = own
             .short_in_flight
             .saturating_sub(place * u32::from(share.is_short));
+        if let Some(pause) = share.pause.filter(|_| share.takes_place)
+            && let Some(count) = own.pauses.get_mut(&pause)
+        {
+            *count -= 1;
+            if *count == 0 {
+                own.pauses.swap_remove(&pause);
+            }
+        }
         own.held_tokens = own.held_tokens.saturating_sub(share.held_tokens);
         if own.in_flight == 0 && own.held_tokens == Tokens::ZERO && own.reads_until <= now {
             self.own.swap_remove(upstream);
--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -24,9 +24,17 @@
 const KEPT_FOR: Duration = Duration::from_secs(3_600);
 
 /// What one host knows of requests that crash upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PoisonList {
     marks: IndexMap<PoisonMark, Crashes>,
+    crashes_max: usize,
+    kept_for: Duration,
+}
+
+impl Default for PoisonList {
+    fn default() -> Self {
+        Self::with_bounds(CRASHES_MAX, KEPT_FOR)
+    }
 }
 
 #[derive(Debug)]
@@ -41,6 +49,16 @@
         Self::default()
     }
 
+    /// An empty list that refuses a request from its `crashes_max`th crash on, until `kept_for` has
+    /// passed after the last one.
+    pub fn with_bounds(crashes_max: usize, kept_for: Duration) -> Self {
+        Self {
+            marks: IndexMap::new(),
+            crashes_max,
+            kept_for,
+        }
+    }
+
     /// Takes in that the upstream of an attempt crashed while it ran. Returns what to tell the other
     /// hosts, empty if they need not hear of it again.
     pub fn on_crash(
@@ -60,13 +78,13 @@
     pub fn merge(&mut self, poison: &Poison, now: Instant) -> bool {
         self.make_room(poison.mark, now);
         let crashes = self.marks.entry(poison.mark).or_insert_with(|| Crashes {
-            attempts: Vec::with_capacity(CRASHES_MAX),
+            attempts: Vec::with_capacity(self.crashes_max),
             last_at: now,
         });
         let known = crashes.attempts.len();
         for attempt in &poison.attempts {
             let is_known = crashes.attempts.contains(attempt);
-            if !is_known && crashes.attempts.len() < CRASHES_MAX {
+            if !is_known && crashes.attempts.len() < self.crashes_max {
                 crashes.attempts.push(*attempt);
                 crashes.last_at = now;
             }
@@ -78,7 +96,9 @@
     pub fn is_poison(&self, marks: &[PoisonMark], now: Instant) -> bool {
         marks.iter().any(|mark| {
             let crashes = self.marks.get(mark);
-            crashes.is_some_and(|c| c.attempts.len() >= CRASHES_MAX && !c.is_old(now))
+            crashes.is_some_and(|c| {
+                c.attempts.len() >= self.crashes_max && !c.is_old(self.kept_for, now)
+            })
         })
     }
 
@@ -95,7 +115,10 @@
 
     /// All that is known, for a host that has just started.
     pub fn all(&self, now: Instant) -> Vec<Poison> {
-        let kept = self.marks.iter().filter(|(_, c)| !c.is_old(now));
+        let kept = self
+            .marks
+            .iter()
+            .filter(|(_, c)| !c.is_old(self.kept_for, now));
         kept.map(|(mark, crashes)| Poison {
             mark: *mark,
             attempts: crashes.attempts.clone(),
@@ -109,14 +132,16 @@
         if self.marks.len() < MARKS_MAX || self.marks.contains_key(&mark) {
             return;
         }
-        self.marks.retain(|_, crashes| !crashes.is_old(now));
+        let kept_for = self.kept_for;
+        self.marks
+            .retain(|_, crashes| !crashes.is_old(kept_for, now));
         let surplus = self.marks.len().saturating_sub(MARKS_MAX - DROPPED_AT_ONCE);
         self.marks.drain(..surplus);
     }
 }
 
 impl Crashes {
-    fn is_old(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_at) > KEPT_FOR
+    fn is_old(&self, kept_for: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_at) > kept_for
     }
 }
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -16,6 +16,9 @@
     /// The sender's work at upstreams; those without any are left out.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<LoadNews>,
+    /// Engine time of the longer prompts that the sender sent lately, in ms.
+    #[prost(uint32, tag = "6")]
+    pub read_work_ms: u32,
     /// Requests that crashed upstreams lately.
     #[prost(message, repeated, tag = "5")]
     pub poisons: Vec<PoisonNews>,
@@ -37,6 +40,10 @@
     /// Time until it has read in what was sent, in ms.
     #[prost(uint32, tag = "4")]
     pub read_backlog_ms: u32,
+    /// The shortest pause that a caller of one of them accepts between two events, in ms; 0 if none
+    /// says.
+    #[prost(uint32, tag = "6")]
+    pub strictest_pause_ms: u32,
     /// Memory that these requests take, in tokens.
     #[prost(uint64, tag = "5")]
     pub held_tokens: u64,
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -14,13 +14,12 @@
 use tokio::time::sleep_until;
 use tokio_util::udp::UdpFramed;
 
-use crate::exchange::ExchangeError;
 use crate::exchange::HostNews;
 use crate::exchange::NewsCodec;
 
 /// The shortest time between two messages. Two hosts that decide within it can choose the same
 /// upstream; the engines' passes, which take longer, even that out.
-const INTERVAL_MIN: Duration = Duration::from_millis(40);
+const INTERVAL_MIN: Duration = Duration::from_millis(10);
 /// What each further host adds to the interval, so that a host of a large fleet receives at most
 /// 400 messages a second, a hundredth of a core at 25 microseconds each.
 const INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
@@ -52,15 +51,14 @@
 }
 
 impl Exchange {
-    /// Binds the socket.
-    pub async fn bind(addr: SocketAddr, desk: Arc<dyn NewsDesk>) -> Result<Self, ExchangeError> {
-        let socket = UdpSocket::bind(addr).await?;
-        Ok(Self {
+    /// Exchanges news over a socket.
+    pub fn new(socket: UdpSocket, desk: Arc<dyn NewsDesk>) -> Self {
+        Self {
             desk,
             framed: UdpFramed::new(socket, NewsCodec),
             told_at: Instant::now(),
             has_changed: true,
-        })
+        }
     }
 
     /// Exchanges news for as long as the process runs.
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -6,7 +6,6 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use futures_util::Stream;
 use futures_util::stream::BoxStream;
 use hyper::body::Body;
 use hyper::body::Frame;
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -12,32 +12,28 @@
 use hyper::http::response;
 use tokio::time::timeout;
 
-use crate::decide::EngineModel;
-use crate::decide::InstanceView;
-use crate::decide::LoadShare;
 use crate::decide::RefuseReason;
 use crate::decide::UpstreamFault;
-use crate::decide::choose_instance;
-use crate::decide::engine_choice::EngineAsk;
-use crate::decide::engine_choice::EngineChoice;
-use crate::decide::engine_choice::EnginePlan;
-use crate::decide::engine_choice::EngineView;
-use crate::decide::engine_choice::choose_engines;
-use crate::decide::engine_choice::is_short;
 use crate::gateway::Call;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::Listed;
+use crate::gateway::OrderError;
 use crate::gateway::Refusal;
 use crate::gateway::SendHead;
 use crate::gateway::load_guard::LoadGuard;
+use crate::gateway::placement::Choice;
+use crate::gateway::placement::NO_UPSTREAM_RETRY_AFTER;
+use crate::gateway::placement::Placement;
+use crate::gateway::placement::choose;
+use crate::gateway::reservation::Part;
+use crate::gateway::reservation::Reservation;
 use crate::http::one_shot;
 use crate::http::one_shot::OneShotBody;
 use crate::http::one_shot::OneShotError;
 use crate::routing::CallKind;
 use crate::units::AttemptId;
-use crate::units::Tokens;
 use crate::units::UpstreamId;
 
 /// A way inside a site takes at most 3 ms and an upstream a millisecond to take a connection; one
@@ -52,12 +48,11 @@
 /// What a stream's first event may take beyond twice its forecast before another engine gets it;
 /// less than the two seconds after which callers give up.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// How many times its objective a stream's first event may take at least.
+const LATE_PATIENCE: f64 = 1.5;
 /// When a caller may come again with a request that crashes upstreams: not while its other sends
 /// are still remembered by anybody.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
-/// When to come back where no upstream is left to send to; lists are read more often than this.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// An upstream's answer, its body still to be read.
 pub(crate) struct Answered {
     pub(crate) head: response::Parts,
@@ -68,6 +63,8 @@
     pub(crate) sent_at: Instant,
     /// Keeps the work on the books until the body has been read.
     pub(crate) _load: LoadGuard,
+    /// Keeps engines' memory until then.
+    pub(crate) _reservation: Option<Reservation>,
 }
 
 /// What came of bringing a call to upstreams.
@@ -78,20 +75,6 @@
     Refused(Refusal),
 }
 
-/// Where a send goes.
-struct Placement {
-    upstream: Listed,
-    helpers: Vec<HelperAddr>,
-    shares: Vec<(UpstreamId, LoadShare)>,
-    forecast: Duration,
-}
-
-enum Choice {
-    Send(Box<Placement>),
-    Wait(Duration),
-    Refuse(Refusal),
-}
-
 /// What came of one send.
 enum SendEnd {
     Answered(Box<Answered>),
@@ -160,9 +143,12 @@
                     retry_after: POISON_RETRY_AFTER,
                 }));
             }
-            let placement = match self.choose(now) {
+            let placement = match choose(&self.gateway, &self.call, &self.tried, now) {
                 Choice::Send(placement) => placement,
                 Choice::Wait(wait) => {
+                    // Spread, so that requests that wait on several hosts for the same engines do
+                    // not all choose them in the same moment.
+                    let wait = wait.mul_f64(rand::random_range(0.5..1.5));
                     tokio::time::sleep(wait.min(self.call.time_left(now))).await;
                     continue;
                 }
@@ -250,11 +236,23 @@
         self.log_sent(&placement, now);
         let load = LoadGuard::new(&self.gateway, placement.shares);
         let upstream = placement.upstream;
+        let mut helpers: Vec<HelperAddr> = placement.reserves.iter().map(Part::helper).collect();
+        helpers.extend(placement.helpers);
+        let reservation = match self.reserve(placement.reserves).await {
+            Ok(reservation) => reservation,
+            Err(err) => {
+                return SendEnd::NotRun {
+                    fault: UpstreamFault::TurnedAway,
+                    arrived: false,
+                    why: format!("no memory for a prompt of several engines: {err}"),
+                };
+            }
+        };
         let head = SendHead {
             upstream: &upstream.id,
             time_left: self.call.time_left(now),
             customer: self.call.customer.as_ref(),
-            helpers: &placement.helpers,
+            helpers: &helpers,
             last_event,
         };
         let req = self.request(&head);
@@ -299,9 +297,20 @@
             forecast: placement.forecast,
             sent_at: now,
             _load: load,
+            _reservation: reservation,
         }))
     }
 
+    async fn reserve(&self, parts: Vec<Part>) -> Result<Option<Reservation>, OrderError> {
+        if parts.is_empty() {
+            return Ok(None);
+        }
+        let request = &self.call.head.request;
+        Reservation::make(&self.gateway, request, parts)
+            .await
+            .map(Some)
+    }
+
     fn request(&self, head: &SendHead<'_>) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.call.body.clone()));
         *req.method_mut() = self.call.method.clone();
@@ -319,143 +328,13 @@
                 (self.call.route.objective * 2).max(ANSWER_PATIENCE_MIN)
             }
             CallKind::Stream { is_resumable: true } if !is_last => {
-                placement.forecast * 2 + FIRST_EVENT_PATIENCE
+                first_event_patience(&self.call, placement.forecast)
             }
             _ => time_left,
         };
         patience.min(time_left)
     }
 
-    fn choose(&self, now: Instant) -> Choice {
-        let (Some(routes), Some(by_service)) = (
-            self.gateway.beliefs.routes(),
-            self.gateway.beliefs.upstreams(),
-        ) else {
-            return Choice::Refuse(Refusal::NoManifest);
-        };
-        let listed = by_service
-            .get(&self.call.service)
-            .map_or(&[][..], Vec::as_slice);
-        let usable = self.usable(listed, now);
-        let service = routes.services.get(&self.call.service);
-        match service.and_then(|service| service.engine.as_ref()) {
-            Some(model) if self.call.route.kind.is_stream() => {
-                self.choose_engines(model, &usable, now)
-            }
-            _ => self.choose_instance(&usable, now),
-        }
-    }
-
-    /// The upstreams that may get this call: not those that failed it or that are failing, unless
-    /// there are no others.
-    fn usable<'a>(&self, listed: &'a [Listed], now: Instant) -> Vec<&'a Listed> {
-        let untried: Vec<&Listed> = listed
-            .iter()
-            .filter(|upstream| !self.tried.contains(&upstream.id))
-            .collect();
-        let health = self.gateway.health();
-        let sound: Vec<&Listed> = untried
-            .iter()
-            .copied()
-            .filter(|upstream| health.is_usable(&upstream.id, &upstream.domain, now))
-            .collect();
-        if sound.is_empty() { untried } else { sound }
-    }
-
-    fn choose_instance(&self, usable: &[&Listed], now: Instant) -> Choice {
-        let health = self.gateway.health();
-        let ledger = self.gateway.ledger();
-        let views = usable.iter().map(|upstream| InstanceView {
-            id: upstream.id.clone(),
-            in_flight: ledger.load(&upstream.id, now).in_flight,
-            is_near: upstream.domain == self.gateway.conf.domain,
-            is_failing: health.is_failing(&upstream.id),
-        });
-        let views: Vec<InstanceView> = views.collect();
-        drop(ledger);
-        drop(health);
-        let chosen = choose_instance(&views, rand::random());
-        let chosen = chosen.and_then(|id| usable.iter().find(|upstream| upstream.id == *id));
-        let Some(upstream) = chosen else {
-            return no_upstream();
-        };
-        let share = LoadShare {
-            takes_place: true,
-            is_short: false,
-            read_time: Duration::ZERO,
-            held_tokens: Tokens::ZERO,
-        };
-        Choice::Send(Box::new(Placement {
-            upstream: (*upstream).clone(),
-            helpers: Vec::new(),
-            shares: vec![(upstream.id.clone(), share)],
-            forecast: Duration::ZERO,
-        }))
-    }
-
-    fn choose_engines(&self, model: &EngineModel, usable: &[&Listed], now: Instant) -> Choice {
-        let ledger = self.gateway.ledger();
-        let views = usable.iter().map(|upstream| EngineView {
-            id: upstream.id.clone(),
-            load: ledger.load(&upstream.id, now),
-            pace: 1.0,
-        });
-        let views: Vec<EngineView> = views.collect();
-        drop(ledger);
-        let ask = EngineAsk {
-            prompt: self.call.head.prompt,
-            output: self.call.head.output,
-            objective_left: self.call.objective_left(now),
-            time_left: self.call.time_left(now),
-        };
-        match choose_engines(model, &views, &ask) {
-            EngineChoice::Send(plan) => self.place(model, &plan, usable),
-            EngineChoice::Wait(wait) => Choice::Wait(wait),
-            EngineChoice::Refuse {
-                reason,
-                retry_after,
-            } => Choice::Refuse(Refusal::Overload {
-                reason,
-                retry_after,
-            }),
-        }
-    }
-
-    fn place(&self, model: &EngineModel, plan: &EnginePlan, usable: &[&Listed]) -> Choice {
-        let find = |id: &UpstreamId| usable.iter().find(|upstream| upstream.id == *id);
-        let Some(upstream) = find(&plan.leader) else {
-            return no_upstream();
-        };
-        let helpers = plan
-            .helpers
-            .iter()
-            .filter_map(find)
-            .map(|helper| HelperAddr {
-                addr: helper.addr,
-                reservation: None,
-            });
-        let head = &self.call.head;
-        let leader_share = LoadShare {
-            takes_place: true,
-            is_short: is_short(model, head.prompt),
-            read_time: plan.part_time,
-            held_tokens: head.prompt + head.output,
-        };
-        let helper_share = LoadShare {
-            takes_place: false,
-            held_tokens: Tokens::ZERO,
-            ..leader_share
-        };
-        let mut shares = vec![(upstream.id.clone(), leader_share)];
-        shares.extend(plan.helpers.iter().map(|id| (id.clone(), helper_share)));
-        Choice::Send(Box::new(Placement {
-            upstream: (*upstream).clone(),
-            helpers: helpers.collect(),
-            shares,
-            forecast: plan.forecast,
-        }))
-    }
-
     fn is_poison(&self, now: Instant) -> bool {
         let poison = self.gateway.poison();
         // The hash of a body costs a tenth of a millisecond, so it is made only if there is a list.
@@ -506,7 +385,7 @@
         let listed = by_service.get(&self.call.service);
         let helper = listed.and_then(|listed| listed.iter().find(|u| u.addr == addr));
         if let Some(helper) = helper {
-            self.on_fault(helper, UpstreamFault::Silent, "named as at fault");
+            self.on_fault(helper, UpstreamFault::TurnedAway, "named as at fault");
         }
     }
 
@@ -536,7 +415,7 @@
         self.gateway.log.note(Event::Sent {
             request: self.call.head.request.clone(),
             upstream: placement.upstream.id.to_string(),
-            helpers: placement.helpers.len(),
+            helpers: placement.helpers.len() + placement.reserves.len(),
             earlier_sends: self.runs + self.unrun,
             forecast_ms: millis(placement.forecast),
             elapsed_ms: millis(now.saturating_duration_since(self.call.arrived)),
@@ -546,6 +425,14 @@
     }
 }
 
+/// How long a stream's first event may take before another engine gets the call. A long prompt that
+/// is sent again is read again, so it waits until it would be late anyway: forecasts can't see what
+/// other hosts send in the same moment.
+pub(crate) fn first_event_patience(call: &Call, forecast: Duration) -> Duration {
+    let late = call.route.objective.mul_f64(LATE_PATIENCE);
+    late.max(forecast * 2 + FIRST_EVENT_PATIENCE)
+}
+
 fn lost_or_not_run(err: &OneShotError) -> SendEnd {
     let why = err.to_string();
     match err {
@@ -578,13 +465,6 @@
     )
 }
 
-fn no_upstream() -> Choice {
-    Choice::Refuse(Refusal::Overload {
-        reason: RefuseReason::NoUpstream,
-        retry_after: NO_UPSTREAM_RETRY_AFTER,
-    })
-}
-
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -108,7 +108,7 @@
     }
 
     /// How many lines were dropped since the start.
-    pub fn dropped(&self) -> u64 {
+    pub fn dropped_total(&self) -> u64 {
         self.shared.lock().dropped_total
     }
 
--- a/src/gateway/error.rs
+++ b/src/gateway/error.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::io;
 
-use crate::exchange::ExchangeError;
 use crate::observe::ObserveError;
 
 /// What ends a gateway.
@@ -11,8 +10,6 @@
 pub enum GatewayError {
     /// An address can't be bound; which one, and why.
     Bind(&'static str, io::Error),
-    /// The exchange with other hosts can't start.
-    Exchange(ExchangeError),
     /// Metrics can't be set up.
     Observe(ObserveError),
     /// A signal can't be waited for.
@@ -23,7 +20,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(what, err) => write!(f, "cannot listen for {what}: {err}"),
-            Self::Exchange(err) => write!(f, "cannot exchange news: {err}"),
             Self::Observe(err) => write!(f, "cannot set up metrics: {err}"),
             Self::Signal(err) => write!(f, "cannot wait for signals: {err}"),
         }
@@ -32,12 +28,6 @@
 
 impl std::error::Error for GatewayError {}
 
-impl From<ExchangeError> for GatewayError {
-    fn from(err: ExchangeError) -> Self {
-        Self::Exchange(err)
-    }
-}
-
 impl From<ObserveError> for GatewayError {
     fn from(err: ObserveError) -> Self {
         Self::Observe(err)
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -73,6 +73,13 @@
         /// Since the request arrived, in ms.
         elapsed_ms: u64,
     },
+    /// Memory for a prompt of several engines could not be set aside.
+    ReservationRefused {
+        /// The request.
+        request: String,
+        /// What the engine said.
+        error: String,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// The request.
@@ -108,6 +115,10 @@
         status: u16,
         /// Since it arrived, in ms.
         elapsed_ms: u64,
+        /// From its arrival to the first event of its answer, in ms; none if there was no event.
+        first_event_ms: Option<u64>,
+        /// The longest pause between two events, in ms.
+        longest_pause_ms: u64,
         /// The manifest by which it was admitted.
         generation: u64,
     },
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -24,10 +24,13 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 use hyper::http::request;
+use hyper::http::uri::Authority;
 use tokio::time::timeout_at;
 
+use crate::decide::UpstreamFault;
 use crate::gateway::AnswerBody;
 use crate::gateway::Call;
+use crate::gateway::CallHead;
 use crate::gateway::DrainPhase;
 use crate::gateway::Gateway;
 use crate::gateway::Refusal;
@@ -101,7 +104,7 @@
     gateway: &Gateway,
     routes: &RouteTable,
     head: request::Parts,
-    said: crate::gateway::CallHead,
+    said: CallHead,
     arrived: Instant,
 ) -> Result<Call, Refusal> {
     let now = gateway.clock.since_boot();
@@ -116,7 +119,7 @@
         }
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let authority = head.uri.authority().map(|authority| authority.as_str());
+    let authority = head.uri.authority().map(Authority::as_str);
     let host = authority.or(host).unwrap_or_default();
     let route = routes.route(host, head.uri.path());
     let route = route.ok_or_else(|| reject(Refusal::NoRoute))?;
@@ -228,7 +231,7 @@
         }
         Ok(Err(err)) => err.to_string(),
     };
-    courier.on_lost(&upstream, crate::decide::UpstreamFault::Broken, &why);
+    courier.on_lost(&upstream, UpstreamFault::Broken, &why);
     if courier.may_run_again() {
         Err(None)
     } else {
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -40,6 +40,7 @@
             incarnation: self.incarnation,
             sequence: self.news_sent.fetch_add(1, Ordering::Relaxed),
             loads,
+            read_work_ms: millis(self.read_work().own(now)),
             poisons: poisons.iter().map(poison_news).collect(),
         }
     }
@@ -56,6 +57,8 @@
         for poison in news.poisons.iter().filter_map(read_poison) {
             self.poison().merge(&poison, now);
         }
+        let read_work = Duration::from_millis(news.read_work_ms.into());
+        self.read_work().hear(host.clone(), read_work, now);
         let loads: IndexMap<UpstreamId, UpstreamLoad> =
             news.loads.iter().filter_map(read_load).collect();
         self.ledger().hear(host, loads, now);
@@ -77,7 +80,8 @@
         upstream: id.to_string(),
         in_flight: load.in_flight,
         short_in_flight: load.short_in_flight,
-        read_backlog_ms: u32::try_from(load.read_backlog.as_millis()).unwrap_or(u32::MAX),
+        read_backlog_ms: millis(load.read_backlog),
+        strictest_pause_ms: load.strictest_pause.map_or(0, millis),
         held_tokens: load.held_tokens.0,
     }
 }
@@ -86,12 +90,18 @@
     let load = UpstreamLoad {
         in_flight: news.in_flight,
         short_in_flight: news.short_in_flight,
+        strictest_pause: (news.strictest_pause_ms > 0)
+            .then(|| Duration::from_millis(news.strictest_pause_ms.into())),
         read_backlog: Duration::from_millis(news.read_backlog_ms.into()),
         held_tokens: Tokens(news.held_tokens),
     };
     Some((news.upstream.parse().ok()?, load))
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn poison_news(poison: &Poison) -> PoisonNews {
     let (PoisonMark::Content(hash) | PoisonMark::Key(hash)) = poison.mark;
     PoisonNews {
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,215 @@
+//! Where a call goes next, by what this host believes now.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::decide::EngineModel;
+use crate::decide::InstanceView;
+use crate::decide::LoadShare;
+use crate::decide::RefuseReason;
+use crate::decide::choose_instance;
+use crate::decide::engines::EngineAsk;
+use crate::decide::engines::EngineChoice;
+use crate::decide::engines::EnginePlan;
+use crate::decide::engines::EngineView;
+use crate::decide::engines::PromptClass;
+use crate::decide::engines::choose_engines;
+use crate::gateway::Call;
+use crate::gateway::Gateway;
+use crate::gateway::HelperAddr;
+use crate::gateway::Listed;
+use crate::gateway::Refusal;
+use crate::gateway::reservation::Part;
+use crate::units::Tokens;
+use crate::units::UpstreamId;
+
+/// When to come back where no upstream is left to send to; lists are read more often than this.
+pub(crate) const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Where a send goes.
+pub(crate) struct Placement {
+    pub(crate) upstream: Listed,
+    /// Engines that read a part and keep nothing.
+    pub(crate) helpers: Vec<HelperAddr>,
+    /// Engines that read a part and keep some of the prompt.
+    pub(crate) reserves: Vec<Part>,
+    /// What the send adds to whose load.
+    pub(crate) shares: Vec<(UpstreamId, LoadShare)>,
+    pub(crate) forecast: Duration,
+}
+
+/// What to do with a call now.
+pub(crate) enum Choice {
+    Send(Box<Placement>),
+    Wait(Duration),
+    Refuse(Refusal),
+}
+
+/// Chooses among the upstreams of a call's service; `tried` are those that it was sent to.
+pub(crate) fn choose(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> Choice {
+    let (Some(routes), Some(by_service)) = (gateway.beliefs.routes(), gateway.beliefs.upstreams())
+    else {
+        return Choice::Refuse(Refusal::NoManifest);
+    };
+    let listed = by_service.get(&call.service);
+    let usable = usable(gateway, listed.map_or(&[], Vec::as_slice), tried, now);
+    let service = routes.services.get(&call.service);
+    match service.and_then(|service| service.engine.as_ref()) {
+        Some(model) if call.route.kind.is_stream() => {
+            among_engines(gateway, call, model, &usable, now)
+        }
+        _ => among_instances(gateway, &usable, now),
+    }
+}
+
+/// The upstreams that may get a call: not those that failed it or that are failing, unless there are
+/// no others.
+fn usable<'a>(
+    gateway: &Gateway,
+    listed: &'a [Listed],
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Vec<&'a Listed> {
+    let untried: Vec<&Listed> = listed.iter().filter(|u| !tried.contains(&u.id)).collect();
+    let health = gateway.health();
+    let sound: Vec<&Listed> = untried
+        .iter()
+        .copied()
+        .filter(|upstream| health.is_usable(&upstream.id, &upstream.domain, now))
+        .collect();
+    if sound.is_empty() { untried } else { sound }
+}
+
+fn among_instances(gateway: &Gateway, usable: &[&Listed], now: Instant) -> Choice {
+    let health = gateway.health();
+    let ledger = gateway.ledger();
+    let views = usable.iter().map(|upstream| InstanceView {
+        id: upstream.id.clone(),
+        in_flight: ledger.load(&upstream.id, now).in_flight,
+        is_near: upstream.domain == gateway.conf.domain,
+        is_failing: health.is_failing(&upstream.id),
+    });
+    let views: Vec<InstanceView> = views.collect();
+    drop(ledger);
+    drop(health);
+    let chosen = choose_instance(&views, rand::random());
+    let Some(upstream) = chosen.and_then(|id| find(usable, id)) else {
+        return no_upstream();
+    };
+    let share = LoadShare {
+        takes_place: true,
+        is_short: false,
+        pause: None,
+        read_time: Duration::ZERO,
+        held_tokens: Tokens::ZERO,
+    };
+    Choice::Send(Box::new(Placement {
+        upstream: upstream.clone(),
+        helpers: Vec::new(),
+        reserves: Vec::new(),
+        shares: vec![(upstream.id.clone(), share)],
+        forecast: Duration::ZERO,
+    }))
+}
+
+fn among_engines(
+    gateway: &Gateway,
+    call: &Call,
+    model: &EngineModel,
+    usable: &[&Listed],
+    now: Instant,
+) -> Choice {
+    let ledger = gateway.ledger();
+    let views = usable.iter().map(|upstream| EngineView {
+        id: upstream.id.clone(),
+        load: ledger.load(&upstream.id, now),
+    });
+    let views: Vec<EngineView> = views.collect();
+    drop(ledger);
+    let ask = EngineAsk {
+        prompt: call.head.prompt,
+        output: call.head.output,
+        objective_left: call.objective_left(now),
+        time_left: call.time_left(now),
+        read_time_max: gateway.read_work().read_time_max(views.len(), now),
+    };
+    match choose_engines(model, &views, &ask) {
+        EngineChoice::Send(plan) => {
+            if ask.class(model) != PromptClass::Short {
+                let read_time = model.read_time(ask.prompt);
+                gateway.read_work().on_sent(read_time, now);
+            }
+            place(call, model, &ask, &plan, usable)
+        }
+        EngineChoice::Wait(wait) => Choice::Wait(wait),
+        EngineChoice::Refuse {
+            reason,
+            retry_after,
+        } => Choice::Refuse(Refusal::Overload {
+            reason,
+            retry_after,
+        }),
+    }
+}
+
+fn place(
+    call: &Call,
+    model: &EngineModel,
+    ask: &EngineAsk,
+    plan: &EnginePlan,
+    usable: &[&Listed],
+) -> Choice {
+    let Some(upstream) = find(usable, &plan.leader) else {
+        return no_upstream();
+    };
+    let reserved: u64 = plan.reserves.iter().map(|reserve| reserve.tokens.0).sum();
+    let leader_share = LoadShare {
+        takes_place: true,
+        is_short: ask.class(model) == PromptClass::Short,
+        pause: call.route.pause_objective,
+        read_time: plan.part_time,
+        held_tokens: ask.needed().saturating_sub(Tokens(reserved)),
+    };
+    let mut shares = vec![(upstream.id.clone(), leader_share)];
+    let mut helpers = Vec::new();
+    let mut reserves = Vec::new();
+    for id in &plan.helpers {
+        let Some(helper) = find(usable, id) else {
+            continue;
+        };
+        let reserve = plan.reserves.iter().find(|reserve| reserve.helper == *id);
+        shares.push((
+            id.clone(),
+            LoadShare {
+                takes_place: false,
+                held_tokens: reserve.map_or(Tokens::ZERO, |reserve| reserve.tokens),
+                ..leader_share
+            },
+        ));
+        match reserve {
+            Some(reserve) => reserves.push(Part::new(helper.addr, reserve.tokens)),
+            None => helpers.push(HelperAddr {
+                addr: helper.addr,
+                reservation: None,
+            }),
+        }
+    }
+    Choice::Send(Box::new(Placement {
+        upstream: upstream.clone(),
+        helpers,
+        reserves,
+        shares,
+        forecast: plan.forecast,
+    }))
+}
+
+fn find<'a>(usable: &[&'a Listed], id: &UpstreamId) -> Option<&'a Listed> {
+    usable.iter().find(|upstream| upstream.id == *id).copied()
+}
+
+fn no_upstream() -> Choice {
+    Choice::Refuse(Refusal::Overload {
+        reason: RefuseReason::NoUpstream,
+        retry_after: NO_UPSTREAM_RETRY_AFTER,
+    })
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
 use crate::gateway::courier::Answered;
 use crate::gateway::courier::Courier;
 use crate::gateway::courier::Delivery;
+use crate::gateway::courier::first_event_patience;
 use crate::gateway::tracker::Tracker;
 
 /// How many times the longest pause that is on time a stream may stay silent before another engine
@@ -20,9 +21,6 @@
 const SILENT_PAUSES: u32 = 5;
 /// The same for streams without such a pause.
 const SILENCE_DEFAULT: Duration = Duration::from_secs(2);
-/// What the first event may take beyond twice its forecast.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
-
 /// A stream on its way to a caller.
 pub(crate) struct Relay {
     courier: Courier,
@@ -31,7 +29,6 @@
     tracker: Tracker,
     last_piece_at: Instant,
     has_event: bool,
-    longest_pause: Duration,
     is_over: bool,
 }
 
@@ -53,7 +50,6 @@
             tracker,
             last_piece_at,
             has_event: false,
-            longest_pause: Duration::ZERO,
             is_over: false,
         }
     }
@@ -123,7 +119,7 @@
         let patience = if self.has_event {
             pause
         } else {
-            pause.max(forecast * 2 + FIRST_EVENT_SLACK)
+            pause.max(first_event_patience(&self.courier.call, forecast))
         };
         let silent = now.saturating_duration_since(self.last_piece_at);
         Some(
@@ -136,8 +132,8 @@
     fn on_events(&mut self) {
         let now = self.courier.gateway.clock.now();
         if self.has_event {
-            let pause = now.saturating_duration_since(self.last_piece_at);
-            self.longest_pause = self.longest_pause.max(pause);
+            self.tracker
+                .on_pause(now.saturating_duration_since(self.last_piece_at));
         } else {
             self.tracker.on_first_event(now);
         }
@@ -175,7 +171,6 @@
 
     fn finish(&mut self, outcome: &str) {
         self.is_over = true;
-        self.tracker.on_pauses(self.longest_pause);
         self.tracker.finish(outcome, 200);
     }
 }
--- /dev/null
+++ b/src/gateway/reservation.rs
@@ -0,0 +1,139 @@
+//! Memory of several engines for one prompt, from the order to its end.
+//!
+//! An engine frees what was set aside when the time of the order has passed, not when the request
+//! ends. So a reservation is short and is renewed while the request lasts: if this host dies, the
+//! engines have their memory back within [`HOLD`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::gateway::Event;
+use crate::gateway::Gateway;
+use crate::gateway::HelperAddr;
+use crate::gateway::OrderError;
+use crate::units::Tokens;
+
+/// How long an engine keeps memory after the last order. Engines' memory must not stay unused for
+/// 4 s after a request's end.
+const HOLD: Duration = Duration::from_millis(3_400);
+/// Between two orders that renew it: two may be lost before the memory is.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_100);
+/// Orders that give memory back, in all; beyond it the memory lapses.
+const RELEASES_MAX: u32 = 3;
+/// Between two of them.
+const RELEASE_PAUSE: Duration = Duration::from_millis(300);
+
+/// One engine's part.
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub(crate) engine: SocketAddr,
+    pub(crate) name: String,
+    pub(crate) tokens: Tokens,
+}
+
+impl Part {
+    pub(crate) fn new(engine: SocketAddr, tokens: Tokens) -> Self {
+        let name = format!("b{:016x}", rand::random::<u64>());
+        Self {
+            engine,
+            name,
+            tokens,
+        }
+    }
+
+    pub(crate) fn helper(&self) -> HelperAddr {
+        HelperAddr {
+            addr: self.engine,
+            reservation: Some(self.name.clone()),
+        }
+    }
+}
+
+/// Memory that is set aside until this is dropped.
+pub(crate) struct Reservation {
+    gateway: Arc<Gateway>,
+    parts: Vec<Part>,
+    renewing: Option<JoinHandle<()>>,
+}
+
+impl Reservation {
+    /// Sets all parts aside or none.
+    pub(crate) async fn make(
+        gateway: &Arc<Gateway>,
+        request: &str,
+        parts: Vec<Part>,
+    ) -> Result<Self, OrderError> {
+        // From here on a drop gives back whatever was set aside, also where an order's answer was
+        // lost or this future is dropped in the middle.
+        let mut reservation = Self {
+            gateway: Arc::clone(gateway),
+            parts,
+            renewing: None,
+        };
+        let orders = reservation.parts.iter().map(|part| reserve(gateway, part));
+        for made in join_all(orders).await {
+            if let Err(err) = &made {
+                gateway.log.note(Event::ReservationRefused {
+                    request: request.to_owned(),
+                    error: err.to_string(),
+                });
+            }
+            made?;
+        }
+        let renewing = renew(Arc::clone(gateway), reservation.parts.clone());
+        reservation.renewing = Some(tokio::spawn(renewing));
+        Ok(reservation)
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(renewing) = &self.renewing {
+            renewing.abort();
+        }
+        // Without a runtime the process is ending, and the memory lapses by itself.
+        if let Ok(runtime) = Handle::try_current() {
+            for part in self.parts.drain(..) {
+                runtime.spawn(release(Arc::clone(&self.gateway), part));
+            }
+        }
+    }
+}
+
+async fn reserve(gateway: &Gateway, part: &Part) -> Result<(), OrderError> {
+    let orders = &gateway.orders;
+    orders
+        .reserve(part.engine, &part.name, part.tokens, HOLD)
+        .await
+}
+
+async fn renew(gateway: Arc<Gateway>, parts: Vec<Part>) {
+    loop {
+        sleep(RENEW_INTERVAL).await;
+        for renewed in join_all(parts.iter().map(|part| reserve(&gateway, part))).await {
+            if let Err(err) = renewed {
+                log::warn!("reservation: not renewed: {err}");
+            }
+        }
+    }
+}
+
+async fn release(gateway: Arc<Gateway>, part: Part) {
+    for _ in 0..RELEASES_MAX {
+        match gateway.orders.release(part.engine, &part.name).await {
+            Ok(()) => return,
+            // The engine does not know it: it has lapsed or was never made.
+            Err(OrderError::Refused(_)) => return,
+            Err(OrderError::NoAnswer(why)) => {
+                log::warn!("reservation: not released: {why}");
+                sleep(RELEASE_PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use log::warn;
-use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::timeout;
@@ -13,9 +13,11 @@
 use crate::exchange::Exchange;
 use crate::exchange::NewsDesk;
 use crate::gateway::Catalog;
+use crate::gateway::DrainPhase;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::GatewayError;
+use crate::gateway::Listeners;
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::server::serve_callers;
 use crate::gateway::sync;
@@ -23,81 +25,95 @@
 /// Taking this host off the list is a courtesy: others find out by its silence.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// What a gateway is put together from.
-pub struct Parts {
-    /// The shared state.
-    pub gateway: Arc<Gateway>,
-    /// The platform's lists.
-    pub catalog: Arc<dyn Catalog>,
-    /// Reads the settings again and says what came of it.
-    pub reload: Box<dyn Fn() -> String + Send>,
-}
+/// Reads the settings again and says what came of it.
+pub type Reload = Box<dyn Fn() -> String + Send>;
 
-/// Runs a host until it was asked to stop and has finished its requests, or its time is up.
-pub async fn run(parts: Parts) -> Result<(), GatewayError> {
-    let Parts {
-        gateway,
-        catalog,
+/// Runs a host until SIGTERM has been followed by the end of its requests, or its time is up. SIGHUP
+/// reads the settings again.
+pub async fn run(
+    gateway: Arc<Gateway>,
+    catalog: Arc<dyn Catalog>,
+    reload: Reload,
+) -> Result<(), GatewayError> {
+    let terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signal)?;
+    let hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
+    let listeners = Listeners::bind(&gateway.conf).await?;
+    tokio::spawn(obey_signals(
+        Arc::clone(&gateway),
+        terminate,
+        hangup,
         reload,
-    } = parts;
-    let conf = gateway.conf.clone();
-    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signal)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
-    let ready = bind("readiness", conf.ready_addr).await?;
-    let metrics = bind("metrics", conf.metrics_addr).await?;
-    let callers = bind("callers", conf.callers_addr).await?;
+    ));
+    serve(Arc::clone(&gateway), catalog, listeners).await?;
+    gateway.log.close();
+    Ok(())
+}
+
+/// Serves callers until [`Gateway::begin_stop`] has been followed by the end of all requests, or the
+/// time to stop is up.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    catalog: Arc<dyn Catalog>,
+    listeners: Listeners,
+) -> Result<(), GatewayError> {
     let desk: Arc<dyn NewsDesk> = Arc::<Gateway>::clone(&gateway);
-    let exchange = Exchange::bind(conf.exchange_addr, desk).await?;
+    let exchange_addr = listeners.exchange.local_addr();
+    let exchange_addr = exchange_addr.map_err(|err| GatewayError::Bind("exchange", err))?;
     gateway.log.note(Event::Started {
-        domain: conf.domain.to_string(),
-        callers_addr: conf.callers_addr.to_string(),
+        domain: gateway.conf.domain.to_string(),
+        callers_addr: gateway.conf.callers_addr.to_string(),
     });
-    tokio::spawn(exchange.run());
-    tokio::spawn(sync::keep_routes(
+    let pages = Arc::new(GatewayPages(Arc::clone(&gateway)));
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn(Exchange::new(listeners.exchange, desk).run());
+    tasks.spawn(sync::keep_routes(
         Arc::clone(&gateway),
         Arc::clone(&catalog),
     ));
-    tokio::spawn(sync::keep_upstreams(
+    tasks.spawn(sync::keep_upstreams(
         Arc::clone(&gateway),
         Arc::clone(&catalog),
     ));
-    tokio::spawn(sync::keep_hosts(Arc::clone(&gateway), Arc::clone(&catalog)));
-    tokio::spawn(serve_pages(
-        Arc::new(GatewayPages(Arc::clone(&gateway))),
-        ready,
+    tasks.spawn(sync::keep_hosts(
+        Arc::clone(&gateway),
+        Arc::clone(&catalog),
+        exchange_addr,
     ));
-    tokio::spawn(serve_pages(
-        Arc::new(GatewayPages(Arc::clone(&gateway))),
-        metrics,
+    tasks.spawn(serve_pages(
+        Arc::<GatewayPages>::clone(&pages),
+        listeners.ready,
     ));
-    let serving = serve_callers(Arc::clone(&gateway), callers);
-    tokio::pin!(serving);
+    tasks.spawn(serve_pages(pages, listeners.metrics));
+    tasks.spawn(withdraw(Arc::clone(&gateway), catalog));
+    serve_callers(Arc::clone(&gateway), listeners.callers).await;
+    let cut = gateway.in_flight();
+    gateway.log.note(Event::Stopped { cut });
+    Ok(())
+}
+
+async fn obey_signals(
+    gateway: Arc<Gateway>,
+    mut terminate: Signal,
+    mut hangup: Signal,
+    reload: Reload,
+) {
     loop {
         tokio::select! {
-            () = &mut serving => break,
-            _ = terminate.recv() => {
-                gateway.begin_stop();
-                tokio::spawn(withdraw(Arc::clone(&gateway), Arc::clone(&catalog)));
-            }
+            _ = terminate.recv() => gateway.begin_stop(),
             _ = hangup.recv() => {
                 let outcome = reload();
                 gateway.log.note(Event::Reloaded { outcome });
             }
         }
+        if gateway.phase() == DrainPhase::Over {
+            return;
+        }
     }
-    let cut = gateway.in_flight();
-    gateway.log.note(Event::Stopped { cut });
-    gateway.log.close();
-    Ok(())
-}
-
-async fn bind(what: &'static str, addr: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|err| GatewayError::Bind(what, err))
 }
 
+/// Takes this host off the list when it begins to stop.
 async fn withdraw(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    gateway.stop_begun().await;
     let host = gateway.conf.host.clone();
     match timeout(WITHDRAW_TIMEOUT, catalog.withdraw(host)).await {
         Ok(Ok(())) => {}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -17,17 +17,27 @@
 use crate::decide::HealthBook;
 use crate::decide::LoadLedger;
 use crate::decide::PoisonList;
+use crate::decide::ReadWork;
 use crate::decide::RetryWindow;
 use crate::gateway::Beliefs;
 use crate::gateway::Call;
 use crate::gateway::DecisionLog;
 use crate::gateway::Dialect;
 use crate::gateway::DrainPhase;
+use crate::gateway::EngineOrders;
 use crate::gateway::Event;
 use crate::gateway::GatewayConf;
 use crate::gateway::Meters;
 use crate::units::ServiceId;
 
+/// Crashes after which a request is refused. Callers here have no key that tells their requests
+/// apart, so requests with the same content that ran beside one another when an upstream died count
+/// as one: two deaths can be chance, three in a row without an answer are not.
+const CRASHES_MAX: usize = 3;
+/// How long such a request is refused after its last crash. Short, for a request that was marked by
+/// chance is served again then; one that does crash its upstream is marked again at once.
+const POISON_KEPT_FOR: Duration = Duration::from_secs(30);
+
 /// The shared state of one host, in parts under their own locks. No lock is held across a wait.
 pub struct Gateway {
     /// The settings.
@@ -36,6 +46,8 @@
     pub clock: Arc<dyn Clock>,
     /// The headers of the platform.
     pub dialect: Arc<dyn Dialect>,
+    /// Orders to engines.
+    pub orders: Arc<dyn EngineOrders>,
     /// What is taken to be true.
     pub beliefs: Beliefs,
     /// The decision log.
@@ -45,6 +57,7 @@
     ledger: Mutex<LoadLedger>,
     health: Mutex<HealthBook>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
+    read_work: Mutex<ReadWork>,
     poison: Mutex<PoisonList>,
     stop_asked: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
@@ -63,6 +76,7 @@
         conf: GatewayConf,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
+        orders: Arc<dyn EngineOrders>,
         log: DecisionLog,
         meters: Meters,
     ) -> Self {
@@ -70,13 +84,15 @@
             conf,
             clock,
             dialect,
+            orders,
             beliefs: Beliefs::default(),
             log,
             meters,
             ledger: Mutex::default(),
             health: Mutex::default(),
             retries: Mutex::default(),
-            poison: Mutex::default(),
+            read_work: Mutex::default(),
+            poison: Mutex::new(PoisonList::with_bounds(CRASHES_MAX, POISON_KEPT_FOR)),
             stop_asked: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             load_changed: Notify::new(),
@@ -96,6 +112,13 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The prompts that all hosts sent to engines lately.
+    pub fn read_work(&self) -> MutexGuard<'_, ReadWork> {
+        self.read_work
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Requests that crash upstreams.
     pub fn poison(&self) -> MutexGuard<'_, PoisonList> {
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -4,6 +4,7 @@
 //! nothing, since its connection may have gone silent, while each answered read renews the lease on
 //! the keys.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -158,11 +159,15 @@
 }
 
 /// Puts this host on the list and reads the others, for as long as the process runs.
-pub(crate) async fn keep_hosts(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+pub(crate) async fn keep_hosts(
+    gateway: Arc<Gateway>,
+    catalog: Arc<dyn Catalog>,
+    exchange_addr: SocketAddr,
+) {
     let own = ListedHost {
         host: gateway.conf.host.clone(),
         domain: gateway.conf.domain.clone(),
-        exchange_addr: gateway.conf.exchange_addr,
+        exchange_addr,
     };
     let mut watchman = Watchman::new(&gateway, "hosts");
     let mut is_announced = false;
--- a/src/gateway/tracker.rs
+++ b/src/gateway/tracker.rs
@@ -24,6 +24,8 @@
     customer: Option<CustomerId>,
     kind: Option<CallKind>,
     arrived: Instant,
+    first_event: Option<Duration>,
+    longest_pause: Duration,
     generation: Generation,
     is_over: bool,
     _in_flight: InFlight,
@@ -39,6 +41,8 @@
             customer: None,
             kind: None,
             arrived,
+            first_event: None,
+            longest_pause: Duration::ZERO,
             generation: generation.unwrap_or_default(),
             is_over: false,
             _in_flight: gateway.enter(),
@@ -58,18 +62,18 @@
     }
 
     /// Takes in that the first event of its answer, or all of it, goes to the caller.
-    pub(crate) fn on_first_event(&self, now: Instant) {
+    pub(crate) fn on_first_event(&mut self, now: Instant) {
+        let took = now.saturating_duration_since(self.arrived);
+        self.first_event = Some(took);
         if let Some(kind) = self.kind {
-            let took = now.saturating_duration_since(self.arrived);
             let meters = &self.gateway.meters;
             meters.first_event(self.customer.as_ref(), kind, took);
         }
     }
 
-    /// Takes in the longest pause of its answer.
-    pub(crate) fn on_pauses(&self, longest: Duration) {
-        let meters = &self.gateway.meters;
-        meters.longest_pause(self.customer.as_ref(), longest);
+    /// Takes in a pause between two events of its answer.
+    pub(crate) fn on_pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(pause);
     }
 
     /// Takes in the end.
@@ -82,6 +86,10 @@
         self.gateway
             .meters
             .ended(self.customer.as_ref(), kind, outcome);
+        if self.kind.is_some_and(CallKind::is_stream) && self.first_event.is_some() {
+            let meters = &self.gateway.meters;
+            meters.longest_pause(self.customer.as_ref(), self.longest_pause);
+        }
         let now = self.gateway.clock.now();
         self.gateway.log.note(Event::Ended {
             request: std::mem::take(&mut self.request),
@@ -94,6 +102,8 @@
             outcome: outcome.to_owned(),
             status,
             elapsed_ms: millis(now.saturating_duration_since(self.arrived)),
+            first_event_ms: self.first_event.map(millis),
+            longest_pause_ms: millis(self.longest_pause),
             generation: self.generation.0,
         });
     }
--- /dev/null
+++ b/tests/decide_engines.rs
@@ -0,0 +1,353 @@
+//! Which engines read a prompt: loads of long prompts among short ones, without a network.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::EngineModel;
+use banyanarch::decide::ReadWork;
+use banyanarch::decide::RefuseReason;
+use banyanarch::decide::UpstreamLoad;
+use banyanarch::decide::engines::EngineAsk;
+use banyanarch::decide::engines::EngineChoice;
+use banyanarch::decide::engines::EnginePlan;
+use banyanarch::decide::engines::EngineView;
+use banyanarch::decide::engines::PromptClass;
+use banyanarch::decide::engines::border;
+use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::Tokens;
+use yare::parameterized;
+
+/// Engines that read 256 tokens a ms and write a token step in 0.925 ms, 46 steps a pass.
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        memory_tokens: Tokens(450_000),
+        stride: 46,
+        step_ms: 0.925,
+        step_per_writer_ms: 0.00483,
+        step_per_kilotoken_ms: 0.00254,
+        read_tokens_per_ms: 256.0,
+        read_per_megapair_ms: 0.0917,
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn engines(count: usize) -> Vec<EngineView> {
+    let engine = |index: usize| EngineView {
+        id: format!("e{index:02}").parse().unwrap(),
+        load: UpstreamLoad::default(),
+    };
+    (0..count).map(engine).collect()
+}
+
+fn ask(prompt: u64) -> EngineAsk {
+    EngineAsk {
+        prompt: Tokens(prompt),
+        output: Tokens(1_600),
+        objective_left: ms(if prompt > 100_000 { 3_000 } else { 300 }),
+        time_left: ms(10_000),
+        read_time_max: Duration::MAX,
+    }
+}
+
+fn plan(choice: EngineChoice) -> EnginePlan {
+    match choice {
+        EngineChoice::Send(plan) => plan,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+fn index(id: &banyanarch::units::UpstreamId) -> usize {
+    id.as_str()[1..].parse().unwrap()
+}
+
+#[parameterized(
+    short = { 5_000, 20 },
+    medium = { 45_000, 268 },
+    long = { 210_000, 2_842 },
+)]
+fn reading_takes_what_the_published_model_says(prompt: u64, expected_ms: u128) {
+    assert_eq!(model().read_time(Tokens(prompt)).as_millis(), expected_ms);
+}
+
+#[test]
+fn writers_hardly_lengthen_a_pass() {
+    let alone = model().pass_time(1, Tokens(5_000));
+    let full = model().pass_time(16, Tokens(80_000));
+    assert!(alone >= ms(43) && full <= ms(60), "{alone:?} {full:?}");
+}
+
+/// Puts short answers on an engine.
+fn write_short(engine: &mut EngineView, count: u32) {
+    engine.load.in_flight = count;
+    engine.load.short_in_flight = count;
+    engine.load.strictest_pause = Some(ms(200));
+    engine.load.held_tokens = Tokens(u64::from(count) * 6_500);
+}
+
+/// A caller at the counter waits for a clause while an archive is read. One engine reads all of it,
+/// and every answer that it was writing stands still for three seconds.
+#[test]
+fn a_long_prompt_is_read_by_many_engines_in_equal_parts() {
+    let plan = plan(choose_engines(&model(), &engines(23), &ask(210_000)));
+    assert_eq!(plan.helpers.len(), 16);
+    assert!(plan.part_time <= ms(170), "{:?}", plan.part_time);
+    let mut readers = plan.helpers.clone();
+    readers.push(plan.leader);
+    readers.sort();
+    readers.dedup();
+    assert_eq!(readers.len(), 17, "no engine reads two parts");
+}
+
+#[test]
+fn short_prompts_stay_on_the_first_engines_and_long_ones_off_them() {
+    let mut engines = engines(23);
+    for engine in &mut engines[..4] {
+        write_short(engine, 6);
+    }
+    let short = plan(choose_engines(&model(), &engines, &ask(5_000)));
+    assert!(index(&short.leader) < 4, "{short:?}");
+    assert!(short.helpers.is_empty());
+    let long = plan(choose_engines(&model(), &engines, &ask(210_000)));
+    let readers = long.helpers.iter().chain([&long.leader]);
+    assert!(readers.clone().all(|id| index(id) >= 4), "{long:?}");
+}
+
+/// The load turns from archives to clauses within a second. Without a border that moves, the short
+/// prompts queue on the engines that were enough for them before, and the others idle.
+#[test]
+fn the_border_follows_the_number_of_short_answers() {
+    let mut engines = engines(23);
+    let reach = |engines: &[EngineView]| {
+        let long = plan(choose_engines(&model(), engines, &ask(210_000)));
+        let readers = long.helpers.iter().chain([&long.leader]);
+        readers.map(index).min().unwrap()
+    };
+    let at_rest = reach(&engines);
+    for engine in &mut engines[..12] {
+        write_short(engine, 14);
+    }
+    let under_load = reach(&engines);
+    assert!(at_rest < 3 && under_load > 12, "{at_rest} {under_load}");
+    for engine in &mut engines {
+        write_short(engine, 16);
+        engine.load.in_flight = 12;
+    }
+    let kept = border::short_border(&model(), &engines);
+    assert!(kept < 23, "long prompts keep some engines");
+}
+
+#[test]
+fn a_short_prompt_spills_over_to_idle_engines_of_long_ones() {
+    let mut engines = engines(8);
+    for engine in &mut engines[..6] {
+        write_short(engine, 16);
+    }
+    engines[6].load.read_backlog = ms(200);
+    let plan = plan(choose_engines(&model(), &engines, &ask(5_000)));
+    assert_eq!(index(&plan.leader), 7);
+}
+
+#[test]
+fn when_all_places_are_taken_a_request_waits_only_while_it_is_on_time() {
+    let mut engines = engines(4);
+    for engine in &mut engines {
+        write_short(engine, 16);
+    }
+    let waits = choose_engines(&model(), &engines, &ask(5_000));
+    assert!(matches!(waits, EngineChoice::Wait(_)), "{waits:?}");
+    let late = EngineAsk {
+        objective_left: Duration::ZERO,
+        ..ask(5_000)
+    };
+    let refused = choose_engines(&model(), &engines, &late);
+    assert!(
+        matches!(
+            refused,
+            EngineChoice::Refuse {
+                reason: RefuseReason::QueueFull,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+}
+
+/// Ten archives arrive together. Each is split over all engines at once, the engines have them all
+/// to read, and a summary that comes a second later, which is more pressed for time, waits for all.
+#[test]
+fn a_long_prompt_waits_at_its_host_while_it_has_time() {
+    let mut engines = engines(23);
+    for engine in &mut engines {
+        engine.load.read_backlog = ms(600);
+    }
+    let choice = choose_engines(&model(), &engines, &ask(210_000));
+    assert!(matches!(choice, EngineChoice::Wait(_)), "{choice:?}");
+    let pressed = EngineAsk {
+        objective_left: ms(1_000),
+        ..ask(210_000)
+    };
+    let choice = choose_engines(&model(), &engines, &pressed);
+    assert!(matches!(choice, EngineChoice::Send(_)), "{choice:?}");
+}
+
+#[test]
+fn what_cannot_be_done_in_time_is_refused_at_once() {
+    let hopeless = EngineAsk {
+        time_left: ms(600),
+        ..ask(210_000)
+    };
+    let refused = choose_engines(&model(), &engines(23), &hopeless);
+    assert!(
+        matches!(
+            refused,
+            EngineChoice::Refuse {
+                reason: RefuseReason::Deadline,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+}
+
+/// Clauses are being written on all engines when an archive comes. Split over all of them, its parts
+/// stretch the pauses of every clause beyond what the callers accept, for the sake of one audit.
+#[test]
+fn no_part_goes_where_it_would_stretch_pauses_too_far() {
+    let mut engines = engines(23);
+    for engine in &mut engines[..18] {
+        write_short(engine, 6);
+    }
+    let plan = plan(choose_engines(&model(), &engines, &ask(210_000)));
+    let readers: Vec<usize> = plan
+        .helpers
+        .iter()
+        .chain([&plan.leader])
+        .map(index)
+        .collect();
+    assert!(readers.iter().all(|reader| *reader >= 18), "{readers:?}");
+    assert_eq!(readers.len(), 5, "{readers:?}");
+}
+
+/// A summary of 45,000 tokens is read among clauses in parts that fit into their pauses, so it does
+/// not wait behind the archives.
+#[test]
+fn a_medium_prompt_is_read_and_answered_among_short_ones() {
+    let mut engines = engines(23);
+    for engine in &mut engines[..6] {
+        write_short(engine, 8);
+    }
+    for engine in &mut engines[7..] {
+        engine.load.read_backlog = ms(2_000);
+    }
+    let medium = EngineAsk {
+        objective_left: ms(1_500),
+        ..ask(45_000)
+    };
+    let plan = plan(choose_engines(&model(), &engines, &medium));
+    let readers: Vec<usize> = plan
+        .helpers
+        .iter()
+        .chain([&plan.leader])
+        .map(index)
+        .collect();
+    assert!(readers.iter().all(|reader| *reader < 7), "{readers:?}");
+    assert!(plan.part_time <= ms(70), "{:?}", plan.part_time);
+}
+
+/// A prompt of 900,000 tokens needs twice the memory of an engine. Refused as too large it never
+/// runs anywhere, on a fleet with the memory of twenty.
+#[test]
+fn a_prompt_of_several_engines_memory_reserves_it() {
+    let plan = plan(choose_engines(&model(), &engines(23), &ask(900_000)));
+    let reserved: u64 = plan.reserves.iter().map(|reserve| reserve.tokens.0).sum();
+    assert!(reserved + 450_000 > 900_000, "{reserved}");
+    assert!(plan.reserves.len() <= 2, "no more engines than it needs");
+    for reserve in &plan.reserves {
+        assert!(plan.helpers.contains(&reserve.helper));
+        assert!(reserve.tokens.0 <= 450_000);
+    }
+}
+
+#[test]
+fn a_prompt_beyond_all_memory_is_refused() {
+    let refused = choose_engines(&model(), &engines(2), &ask(1_000_000));
+    assert!(
+        matches!(
+            refused,
+            EngineChoice::Refuse {
+                reason: RefuseReason::TooLarge,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+}
+
+/// Archives of all lengths come at twice what the engines can read. The few longest take the time of
+/// all others together, and nobody is on time.
+#[test]
+fn under_load_the_prompts_that_cost_most_are_turned_away_first() {
+    let now = Instant::now();
+    let mut work = ReadWork::default();
+    assert!(work.read_time_max(23, now) >= model().read_time(Tokens(1_000_000)));
+    for _ in 0..14 {
+        work.on_sent(model().read_time(Tokens(210_000)), now);
+    }
+    let most = work.read_time_max(23, now);
+    assert!(most > model().read_time(Tokens(210_000)), "{most:?}");
+    assert!(most < model().read_time(Tokens(600_000)), "{most:?}");
+    let costly = EngineAsk {
+        read_time_max: most,
+        ..ask(600_000)
+    };
+    let refused = choose_engines(&model(), &engines(23), &costly);
+    assert!(
+        matches!(
+            refused,
+            EngineChoice::Refuse {
+                reason: RefuseReason::Cost,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+    let later = work.read_time_max(23, now + Duration::from_secs(9));
+    assert!(later >= model().read_time(Tokens(900_000)), "{later:?}");
+}
+
+#[test]
+fn the_work_of_other_hosts_counts_while_they_are_heard() {
+    let now = Instant::now();
+    let mut work = ReadWork::default();
+    work.hear("peer".parse().unwrap(), Duration::from_secs(60), now);
+    assert!(work.read_time_max(23, now) < Duration::from_secs(10));
+    assert!(work.read_time_max(23, now + ms(1_000)) > Duration::from_secs(50));
+}
+
+#[test]
+fn without_engines_a_request_is_refused() {
+    let refused = choose_engines(&model(), &[], &ask(5_000));
+    assert!(
+        matches!(
+            refused,
+            EngineChoice::Refuse {
+                reason: RefuseReason::NoUpstream,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+}
+
+#[parameterized(
+    short = { 20_000, PromptClass::Short },
+    medium = { 45_000, PromptClass::Medium },
+    long = { 210_000, PromptClass::Long },
+)]
+fn the_class_follows_from_time_to_read_and_memory(prompt: u64, expected: PromptClass) {
+    assert_eq!(ask(prompt).class(&model()), expected);
+}
--- /dev/null
+++ b/tests/decide_gateway.rs
@@ -0,0 +1,199 @@
+//! The smaller decisions of the gateway: whom to leave alone, who may retry, which instance.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::HealthBook;
+use banyanarch::decide::InstanceView;
+use banyanarch::decide::LoadLedger;
+use banyanarch::decide::LoadShare;
+use banyanarch::decide::RetryBound;
+use banyanarch::decide::RetryWindow;
+use banyanarch::decide::UpstreamFault;
+use banyanarch::decide::UpstreamLoad;
+use banyanarch::decide::choose_instance;
+use banyanarch::units::FailureDomainId;
+use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
+use indexmap::IndexMap;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn upstream(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+fn domain(name: &str) -> FailureDomainId {
+    name.parse().unwrap()
+}
+
+fn share(is_short: bool) -> LoadShare {
+    LoadShare {
+        takes_place: true,
+        is_short,
+        pause: Some(ms(500)),
+        read_time: ms(100),
+        held_tokens: Tokens(5_000),
+    }
+}
+
+/// Callers of a dead engine lose a quarter of a second each. It died without a word, stays on the
+/// list for three heartbeats, and every request tries it first since it looks idle.
+#[test]
+fn an_upstream_that_does_not_connect_is_left_alone_longer_each_time() {
+    let (mut health, now) = (HealthBook::default(), Instant::now());
+    let (dead, here) = (upstream("dead"), domain("here"));
+    health.on_fault(&dead, &here, UpstreamFault::ConnectRefused, now);
+    assert!(!health.is_usable(&dead, &here, now + ms(499)));
+    assert!(health.is_usable(&dead, &here, now + ms(501)));
+    let later = now + ms(501);
+    health.on_fault(&dead, &here, UpstreamFault::ConnectRefused, later);
+    assert!(!health.is_usable(&dead, &here, later + ms(999)));
+    health.on_answer(&dead, &here);
+    assert!(health.is_usable(&dead, &here, later));
+}
+
+/// A failure domain is cut off. Each request tries one engine there after the other, a quarter of a
+/// second each, until its time is up, although the engines of the own domain are idle.
+#[test]
+fn a_domain_that_is_cut_off_is_left_alone_as_a_whole() {
+    let (mut health, now) = (HealthBook::default(), Instant::now());
+    let there = domain("there");
+    let untried = upstream("c");
+    health.on_fault(&upstream("a"), &there, UpstreamFault::ConnectTimeout, now);
+    assert!(
+        health.is_usable(&untried, &there, now),
+        "one alone may have died"
+    );
+    health.on_fault(&upstream("b"), &there, UpstreamFault::ConnectTimeout, now);
+    assert!(!health.is_usable(&untried, &there, now + ms(500)));
+    assert!(health.is_usable(&untried, &domain("here"), now));
+    assert!(
+        health.is_usable(&untried, &there, now + ms(700)),
+        "it is tried again"
+    );
+    health.on_answer(&upstream("a"), &there);
+    assert!(health.is_usable(&untried, &there, now));
+}
+
+/// A service fails every call that comes near it, its health answers are good, and it looks the
+/// least busy because failing is quick.
+#[test]
+fn an_instance_that_fails_many_calls_comes_last() {
+    let (mut health, now) = (HealthBook::default(), Instant::now());
+    let (grey, here) = (upstream("grey"), domain("here"));
+    for _ in 0..5 {
+        health.on_fault(&grey, &here, UpstreamFault::Failed, now);
+    }
+    assert!(health.is_failing(&grey));
+    assert!(
+        health.is_usable(&grey, &here, now),
+        "where it is all there is"
+    );
+    let view = |id: &UpstreamId, in_flight| InstanceView {
+        id: id.clone(),
+        in_flight,
+        is_near: true,
+        is_failing: health.is_failing(id),
+    };
+    let sound = upstream("sound");
+    let views = [view(&grey, 0), view(&sound, 5)];
+    assert_eq!(choose_instance(&views, 1), Some(&sound));
+}
+
+#[test]
+fn an_instance_of_the_own_domain_comes_first_while_it_is_not_busier() {
+    let view = |name: &str, in_flight, is_near| InstanceView {
+        id: upstream(name),
+        in_flight,
+        is_near,
+        is_failing: false,
+    };
+    let near = [view("near", 1, true), view("far", 0, false)];
+    assert_eq!(choose_instance(&near, 0), Some(&upstream("near")));
+    let busy = [view("near", 3, true), view("far", 0, false)];
+    assert_eq!(choose_instance(&busy, 0), Some(&upstream("far")));
+    assert_eq!(choose_instance(&[], 0), None);
+}
+
+const BOUND: RetryBound = RetryBound {
+    per_request: 0.2,
+    allowance: 100.0,
+    window: Duration::from_secs(10),
+};
+
+/// All upstreams of a service fail and seven hosts send again at once, cut off from each other, each
+/// with the whole allowance: the service gets seven times the load it was promised.
+#[test]
+fn the_retries_of_all_hosts_together_stay_within_the_bound() {
+    let now = Instant::now();
+    let retries: usize = (0..7)
+        .map(|_| {
+            let mut window = RetryWindow::default();
+            for _ in 0..50 {
+                window.on_request(&BOUND, now);
+            }
+            (0..500)
+                .filter(|_| window.try_retry(&BOUND, 7, now))
+                .count()
+        })
+        .sum();
+    assert!(retries <= 100 + 70, "{retries} retries for 350 requests");
+    assert!(retries >= 90, "the budget is there to be used: {retries}");
+}
+
+#[test]
+fn a_retry_is_given_back_when_its_window_has_passed() {
+    let now = Instant::now();
+    let mut window = RetryWindow::default();
+    while window.try_retry(&BOUND, 7, now) {}
+    assert!(!window.try_retry(&BOUND, 7, now + ms(9_999)));
+    assert!(window.try_retry(&BOUND, 7, now + ms(10_001)));
+}
+
+#[test]
+fn work_of_all_hosts_adds_up_until_it_ends() {
+    let now = Instant::now();
+    let mut ledger = LoadLedger::default();
+    let engine = upstream("e");
+    ledger.start(&engine, &share(true), now);
+    let peer = UpstreamLoad {
+        in_flight: 3,
+        short_in_flight: 1,
+        strictest_pause: Some(ms(200)),
+        read_backlog: ms(50),
+        held_tokens: Tokens(100),
+    };
+    let loads = IndexMap::from([(engine.clone(), peer)]);
+    ledger.hear("peer".parse().unwrap(), loads, now);
+    let load = ledger.load(&engine, now);
+    assert_eq!((load.in_flight, load.short_in_flight), (4, 2));
+    // The own part begins with the engine's next pass.
+    assert_eq!(load.read_backlog, ms(175));
+    assert_eq!(load.strictest_pause, Some(ms(200)));
+    assert_eq!(load.held_tokens, Tokens(5_100));
+    assert_eq!(ledger.load(&engine, now + ms(60)).read_backlog, ms(65));
+    ledger.end(&engine, &share(true), now + ms(200));
+    let after = ledger.load(&engine, now + ms(200));
+    assert_eq!((after.in_flight, after.read_backlog), (3, Duration::ZERO));
+}
+
+/// A host dies with twenty answers on an engine. Its connections broke and the engine dropped the
+/// work, but the others go on counting it, and the engine idles.
+#[test]
+fn the_work_of_a_host_that_has_fallen_silent_is_forgotten() {
+    let now = Instant::now();
+    let mut ledger = LoadLedger::default();
+    let engine = upstream("e");
+    let peer = UpstreamLoad {
+        in_flight: 20,
+        ..UpstreamLoad::default()
+    };
+    let loads = IndexMap::from([(engine.clone(), peer)]);
+    ledger.hear("peer".parse().unwrap(), loads, now);
+    assert_eq!(ledger.load(&engine, now + ms(900)).in_flight, 20);
+    assert_eq!(ledger.load(&engine, now + ms(1_000)).in_flight, 0);
+    assert_eq!(ledger.peers_heard(now + ms(1_000)), 0);
+}
--- /dev/null
+++ b/tests/gateway_world/dialect.rs
@@ -0,0 +1,75 @@
+//! Headers of the tests' own.
+
+use std::time::Duration;
+
+use banyanarch::gateway::AnswerHead;
+use banyanarch::gateway::BadHead;
+use banyanarch::gateway::CallHead;
+use banyanarch::gateway::Dialect;
+use banyanarch::gateway::SendHead;
+use banyanarch::units::Tokens;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+
+pub struct TestDialect;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> u64 {
+    let text = text(headers, name).unwrap_or_default();
+    text.parse().unwrap_or(0)
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    headers.insert(name, HeaderValue::try_from(value).unwrap());
+}
+
+impl Dialect for TestDialect {
+    fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, BadHead> {
+        let deadline = text(headers, "test-deadline-ms").and_then(|ms| ms.parse().ok());
+        Ok(CallHead {
+            request: text(headers, "test-request").unwrap_or_default(),
+            deadline: deadline.map(Duration::from_millis),
+            key: text(headers, "test-key"),
+            prompt: Tokens(number(headers, "test-prompt")),
+            output: Tokens(1_000),
+            last_event: text(headers, "test-after"),
+        })
+    }
+
+    fn send_headers(&self, caller: &HeaderMap, head: &SendHead<'_>) -> HeaderMap {
+        let mut headers = caller.clone();
+        headers.remove("test-key");
+        headers.remove("content-length");
+        set(&mut headers, "test-upstream", head.upstream.as_str());
+        let left_ms = head.time_left.as_millis().to_string();
+        set(&mut headers, "test-left-ms", &left_ms);
+        if let Some(customer) = head.customer {
+            set(&mut headers, "test-customer", customer.as_str());
+        }
+        if let Some(event) = head.last_event {
+            set(&mut headers, "test-after", event);
+        }
+        if !head.helpers.is_empty() {
+            let count = head.helpers.len().to_string();
+            set(&mut headers, "test-helpers", &count);
+        }
+        headers
+    }
+
+    fn read_answer(&self, request: &str, _: StatusCode, headers: &HeaderMap) -> AnswerHead {
+        AnswerHead {
+            is_signed: headers.contains_key("test-signature"),
+            did_not_run: headers.contains_key("test-not-run"),
+            is_for_request: text(headers, "test-request").unwrap_or_default() == request,
+            at_fault: None,
+        }
+    }
+
+    fn mark_own(&self, request: &str, headers: &mut HeaderMap) {
+        set(headers, "test-request", request);
+    }
+}
--- /dev/null
+++ b/tests/gateway_world/orders.rs
@@ -0,0 +1,71 @@
+//! Engines' memory that can be set aside, and is counted.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use banyanarch::gateway::EngineOrders;
+use banyanarch::gateway::OrderError;
+use banyanarch::units::Tokens;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use indexmap::IndexMap;
+
+#[derive(Default)]
+pub struct FakeOrders {
+    reserved: Mutex<IndexMap<(SocketAddr, String), u64>>,
+    made: Mutex<usize>,
+    refuses_from: Mutex<Option<usize>>,
+}
+
+impl FakeOrders {
+    /// Tokens that are set aside now.
+    pub fn reserved_tokens(&self) -> u64 {
+        self.reserved.lock().unwrap().values().sum()
+    }
+
+    /// How many reservations were ever made.
+    pub fn made(&self) -> usize {
+        *self.made.lock().unwrap()
+    }
+
+    /// Refuses every reservation after this many.
+    pub fn refuse_from(&self, made: usize) {
+        *self.refuses_from.lock().unwrap() = Some(made);
+    }
+}
+
+impl EngineOrders for FakeOrders {
+    fn reserve<'a>(
+        &'a self,
+        engine: SocketAddr,
+        name: &'a str,
+        tokens: Tokens,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<(), OrderError>> {
+        let mut made = self.made.lock().unwrap();
+        let is_refused = self
+            .refuses_from
+            .lock()
+            .unwrap()
+            .is_some_and(|max| *made >= max);
+        if is_refused {
+            let refused = OrderError::Refused("no memory".to_owned());
+            return async { Err(refused) }.boxed();
+        }
+        *made += 1;
+        let key = (engine, name.to_owned());
+        self.reserved.lock().unwrap().insert(key, tokens.0);
+        async { Ok(()) }.boxed()
+    }
+
+    fn release<'a>(
+        &'a self,
+        engine: SocketAddr,
+        name: &'a str,
+    ) -> BoxFuture<'a, Result<(), OrderError>> {
+        let key = (engine, name.to_owned());
+        self.reserved.lock().unwrap().swap_remove(&key);
+        async { Ok(()) }.boxed()
+    }
+}
