A stopping host turns late requests away in place of cutting their answers

The host took requests for 3.2 s and then left new connections in its backlog, to be reset at its end.

Ruled out: a longer grace, which is the platform's; cutting sooner, which is the fault itself.

Change: requests are taken for 2.6 s after SIGTERM; what comes later, on kept and new connections, is answered as not run with a time to come back.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -4,8 +4,9 @@
 use std::time::Instant;
 
 /// How long a stopping host goes on taking requests on kept and new connections: the balancer asks
-/// once a second and takes a host out after two answers, and what is on its way then still comes.
-const STILL_TAKING: Duration = Duration::from_millis(3_200);
+/// once a second and takes a host out after two answers, and what is on its way then still comes. A
+/// long answer to a request that was taken later would be cut off by the end of the process.
+const STILL_TAKING: Duration = Duration::from_millis(2_600);
 /// What is left of the grace for the process itself to end before it is killed.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
@@ -16,7 +17,7 @@
     Serving,
     /// It tells the balancer that it leaves, and closes each connection after its next answer.
     Leaving,
-    /// It closes idle connections and waits for the requests that run.
+    /// It closes idle connections, turns away what still comes, and waits for the requests that run.
     Finishing,
     /// Its time is up: it ends with whatever still runs.
     Over,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -81,6 +81,9 @@
     tracker.on_head(&said.request);
     let request = said.request.clone();
     let refused = |refusal| (request.clone(), refusal);
+    if gateway.phase() >= DrainPhase::Finishing {
+        return Err(refused(Refusal::Stopping));
+    }
     let routes = gateway.beliefs.routes();
     let routes = routes.ok_or_else(|| refused(Refusal::NoManifest))?;
     let mut call = route_call(gateway, &routes, head, said, arrived).map_err(refused)?;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -20,6 +20,8 @@
 pub enum Refusal {
     /// This host has not read a manifest yet.
     NoManifest,
+    /// This host stops.
+    Stopping,
     /// What this host knows is too old to serve requests with keys, or to reject others.
     StaleKnowledge,
     /// The head can't be understood.
@@ -57,6 +59,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::NoManifest
+            | Self::Stopping
             | Self::StaleKnowledge
             | Self::Overload { .. }
             | Self::TimeUpNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -69,6 +72,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::NoManifest => "no_manifest",
+            Self::Stopping => "stopping",
             Self::StaleKnowledge => "stale_knowledge",
             Self::BadHead(_) => "bad_head",
             Self::NoRoute => "no_route",
@@ -85,7 +89,7 @@
     /// When the caller should come back, where that helps.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoManifest | Self::StaleKnowledge => Some(RETRY_AFTER_HOST),
+            Self::NoManifest | Self::Stopping | Self::StaleKnowledge => Some(RETRY_AFTER_HOST),
             Self::Overload { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::gateway::DrainPhase;
 use banyanarch::routing::CustomerKeys;
 use bytes::Bytes;
 use gateway_world::TestHost;
@@ -306,17 +307,44 @@
 /// the caller's connection breaks.
 #[tokio::test]
 async fn a_stopping_host_finishes_what_runs_and_closes_after_each_answer() {
-    let (host, _, _) = one("app", Act::Answer(200, "ok")).await;
-    let slow = Upstream::start([Act::EventsThenHang(1)]).await;
-    drop(slow);
+    let (host, _, _) = one("app", Act::AnswerAfter(Duration::from_secs(4), "late")).await;
+    let callers = host.callers;
+    let running = tokio::spawn(async move {
+        let limit = Duration::from_secs(20);
+        banyanarch::http::one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
+    });
+    until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_stop();
     assert_eq!(host.readiness().await, 503);
-    let res = host.call(request("/safe/1")).await;
-    assert_eq!(status(&res), 200, "what still comes is served");
-    assert_eq!(res.headers().get("connection").unwrap(), "close");
+    let rejected = host.call(request("/none/1")).await;
+    assert_eq!(status(&rejected), 404, "what still comes is served");
+    assert_eq!(rejected.headers().get("connection").unwrap(), "close");
+    let res = running.await.unwrap().unwrap();
+    assert_eq!(res.body().as_ref(), b"late");
     host.serving.await.unwrap();
 }
 
+/// A caller whose request came to a stopping host late gets half of a long answer: the process was
+/// killed before it could finish. The balancer went on sending connections to the host since too few
+/// others were in rotation.
+#[tokio::test]
+async fn a_host_that_has_no_time_left_turns_new_calls_away_as_not_run() {
+    let (host, upstream, _) = one("app", Act::AnswerAfter(Duration::from_secs(5), "late")).await;
+    let callers = host.callers;
+    let running = tokio::spawn(async move {
+        let limit = Duration::from_secs(20);
+        banyanarch::http::one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
+    });
+    until(|| host.gateway.in_flight() == 1).await;
+    host.gateway.begin_stop();
+    until(|| host.gateway.phase() == DrainPhase::Finishing).await;
+    let res = host.call(request("/once/1")).await;
+    assert_eq!(status(&res), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    assert_eq!(status(&running.await.unwrap().unwrap()), 200);
+    assert_eq!(upstream.arrivals().len(), 1);
+}
+
 /// One request crashes each engine that runs it, and its caller sends it again and again, at any
 /// host. It takes down one engine after another with all that runs there.
 #[tokio::test]
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -16,6 +16,8 @@
 pub enum Act {
     /// Answer with this status and body, signed.
     Answer(u16, &'static str),
+    /// The same with status 200, after a while.
+    AnswerAfter(Duration, &'static str),
     /// Answer without a signature.
     Unsigned(u16, &'static str),
     /// Answer another request than the one that was sent.
@@ -129,6 +131,10 @@
         };
         let text = match &act {
             Act::Answer(status, body) => whole(*status, &signed, body),
+            Act::AnswerAfter(after, body) => {
+                tokio::time::sleep(*after).await;
+                whole(200, &signed, body)
+            }
             Act::Unsigned(status, body) => {
                 whole(*status, &format!("test-request: {request}\r\n"), body)
             }
