Long answers on few engines that help nobody; their memory is set aside first

An engine reads the parts it helps with before its own prompts, so a leader that also helped put its own prompt off for as long as others came; and hosts that chose the same leader in the same moment overfilled its memory, so the later prompt waited inside.

Change: the last eighth of the engines for long prompts write the answers and help nobody; a long prompt's memory is spread over three engines and reserved before it is sent; patience for a first event of two and a half objectives.

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -1,8 +1,9 @@
 //! Engines for a prompt that several read together.
 //!
-//! Of the engines for long prompts the first few write the answers and the others only read. An
-//! engine that only reads has no answer whose pauses it could stretch, and it works in single steps
-//! instead of passes; so what waits there delays nobody but the prompts themselves.
+//! Of the engines for long prompts the last few write the answers and the others only help. An
+//! engine that only helps has no answer whose pauses it could stretch. And an engine reads the parts
+//! that it helps with before its own prompts: one that both led and helped would put its own prompt
+//! off for as long as others come, while all parts of that prompt elsewhere have long been read.
 
 use std::time::Duration;
 
@@ -20,8 +21,15 @@
 /// The aim for one engine's part of a prompt. Two such parts in one pass with writers stay within a
 /// pause of 200 ms.
 const PART_TIME: Duration = Duration::from_millis(60);
-/// Engines that may read one prompt: the first and at most 16 helpers, as engines allow.
-const READERS_MAX: usize = 17;
+/// Engines that write the answers to long prompts, as a part of those for long prompts. They read
+/// one part of each prompt, as every helper does, and their own only.
+const LEADER_PART: f64 = 0.12;
+/// Engines that keep a long prompt. If its leader kept all of it, the few leaders would be out of
+/// memory with two prompts each; every further engine is one more whose end ends the answer, and
+/// three orders.
+const KEEPERS: u64 = 3;
+/// Engines that may be named as helpers of one prompt, the first with its own reservation included.
+const HELPERS_MAX: usize = 16;
 /// Reading that waits at engines when another prompt is sent there. What waits at hosts instead can
 /// still be overtaken by a prompt that is more pressed for time.
 const BACKLOG_MAX: Duration = Duration::from_millis(300);
@@ -57,25 +65,37 @@
         (short_side, []) => (short_side, engines),
         sides => sides,
     };
+    let (helpers, long_leaders) = split_long_side(long_side);
     // Parts of a medium prompt are small enough to be read among short answers, and there they do
     // not wait behind long ones.
     let sides = match ask.class(model) {
-        PromptClass::Long => [(long_side, long_side), (engines, engines)],
+        PromptClass::Long => [(long_leaders, helpers), (long_side, long_side)],
         _ => [(short_side, engines), (engines, engines)],
     };
     let group = sides
         .into_iter()
         .find_map(|(leaders, readers)| group(model, leaders, readers, ask));
-    let Some(group) = group else {
-        return refuse_or_wait(model, engines, ask);
-    };
-    decide(model, group, ask)
+    match group {
+        Some(group) => decide(model, group, ask),
+        None => refuse_or_wait(model, engines, ask),
+    }
+}
+
+/// The engines that only help to read long prompts, and those that write the answers. The latter
+/// stand last, farthest from the border: there short answers are still being written when the
+/// border has moved down.
+fn split_long_side(long_side: &[EngineView]) -> (&[EngineView], &[EngineView]) {
+    if long_side.len() < 2 {
+        return (long_side, long_side);
+    }
+    let leaders = ceil(long_side.len() as f64 * LEADER_PART).max(1);
+    long_side.split_at(long_side.len() - leaders.min(long_side.len() - 1))
 }
 
 /// How many of `available` engines are to read a prompt together.
 pub(super) fn parts_wanted(read_time: Duration, available: usize) -> usize {
     let wanted = ceil(read_time.as_secs_f64() / PART_TIME.as_secs_f64());
-    wanted.clamp(1, available.clamp(1, READERS_MAX))
+    wanted.clamp(1, available.clamp(1, HELPERS_MAX))
 }
 
 /// Sends the prompt now, keeps it back for more pressed ones, or turns it away.
@@ -110,7 +130,7 @@
     ask: &EngineAsk,
 ) -> Option<Group<'a>> {
     let read_time = model.read_time(ask.prompt);
-    let most = parts_wanted(read_time, readers.len());
+    let most = parts_wanted(read_time, readers.len() + 1);
     let gentle = (1..=most)
         .filter_map(|parts| group_of(model, leaders, readers, ask, parts))
         .filter(|group| group.is_gentle)
@@ -130,10 +150,10 @@
     let leader = leader(model, leaders, part_time, ask)?;
     let mut others: Vec<&EngineView> = readers.iter().filter(|e| e.id != leader.id).collect();
     let reserves = reserves(model, leader, &others, ask)?;
-    if reserves.len() >= parts || others.len() + 1 < parts {
+    if reserves.len() > parts || others.len() + 1 < parts {
         return None;
     }
-    let is_reserved = |engine: &EngineView| reserves.iter().any(|r| r.helper == engine.id);
+    let is_reserved = |engine: &EngineView| reserves.iter().any(|r| r.engine == engine.id);
     others.sort_by_key(|engine| {
         let is_gentle = part_time <= engine.room(model);
         (!is_reserved(engine), !is_gentle, engine.load.read_backlog)
@@ -153,9 +173,9 @@
     })
 }
 
-/// The engine that writes the answer: of those with a place and the memory, the first that can read
-/// its part without stretching pauses; so answers to long prompts gather on few engines. Where none
-/// has the memory, the one with the most.
+/// The engine that writes the answer: of those with a place and the memory for its share, the first
+/// that can read its part without stretching pauses; so answers to long prompts gather on few
+/// engines. Where none has the memory, the one with the most.
 fn leader<'a>(
     model: &EngineModel,
     engines: &'a [EngineView],
@@ -163,44 +183,66 @@
     ask: &EngineAsk,
 ) -> Option<&'a EngineView> {
     let placed = || engines.iter().filter(|engine| engine.has_place(model));
-    let fitting = || placed().filter(|engine| engine.free_tokens(model) >= ask.needed());
     let is_gentle = |engine: &&EngineView| part_time <= engine.room(model);
-    let gentle = match ask.class(model) {
-        PromptClass::Long => fitting().find(is_gentle),
-        _ => fitting()
-            .filter(is_gentle)
-            .min_by_key(|engine| (engine.load.read_backlog, engine.load.in_flight)),
-    };
-    gentle
+    if ask.class(model) == PromptClass::Long {
+        let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
+        let fitting = || placed().filter(|engine| engine.free_tokens(model) >= share);
+        let is_free = |engine: &&EngineView| engine.load.read_backlog <= BACKLOG_MAX;
+        return fitting()
+            .find(|engine| is_gentle(engine) && is_free(engine))
+            .or_else(|| fitting().find(is_gentle))
+            .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
+            .or_else(|| placed().min_by_key(|engine| engine.load.held_tokens));
+    }
+    let fitting = || placed().filter(|engine| engine.free_tokens(model) >= ask.needed());
+    fitting()
+        .filter(is_gentle)
+        .min_by_key(|engine| (engine.load.read_backlog, engine.load.in_flight))
         .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
-        .or_else(|| {
-            let is_long = ask.class(model) == PromptClass::Long;
-            placed()
-                .filter(|_| is_long)
-                .min_by_key(|engine| engine.load.held_tokens)
-        })
 }
 
-/// The memory of other engines that is needed beside the leader's; none if there is not enough.
-/// The fewest engines keep it, for each of them is one more whose end ends the answer.
+/// The memory that is set aside for a long prompt: the leader's, and of helpers what the leader has
+/// is to have no room for; none if there is not enough.
+///
+/// The engine itself is the judge of its memory: two hosts that choose it in the same moment would
+/// otherwise send it more than it holds, and the later prompt would wait inside for seconds with its
+/// parts read everywhere else. Medium prompts are small against the memory and need none of this.
 fn reserves(
     model: &EngineModel,
     leader: &EngineView,
     others: &[&EngineView],
     ask: &EngineAsk,
 ) -> Option<Vec<Reserve>> {
-    let mut missing = ask.needed().saturating_sub(leader.free_tokens(model));
-    let mut by_room: Vec<&&EngineView> = others.iter().collect();
+    if ask.class(model) != PromptClass::Long {
+        return Some(Vec::new());
+    }
+    let mut by_room: Vec<&EngineView> = others.to_vec();
     by_room.sort_by_key(|engine| engine.load.held_tokens);
+    let spread = Tokens(ask.needed().0.div_ceil(KEEPERS));
+    keep(model, leader, &by_room, ask.needed(), spread)
+        .or_else(|| keep(model, leader, &by_room, ask.needed(), ask.needed()))
+}
+
+/// Sets aside at most `each` on every engine, the leader first.
+fn keep(
+    model: &EngineModel,
+    leader: &EngineView,
+    others: &[&EngineView],
+    needed: Tokens,
+    each: Tokens,
+) -> Option<Vec<Reserve>> {
+    let mut missing = needed;
     let mut reserves = Vec::new();
-    for engine in by_room.into_iter().take(READERS_MAX - 1) {
-        let tokens = Tokens(missing.0.min(engine.free_tokens(model).0));
+    let engines = [leader].into_iter().chain(others.iter().copied());
+    for engine in engines.take(HELPERS_MAX) {
+        let free = engine.free_tokens(model);
+        let tokens = missing.min(free).min(each);
         if tokens == Tokens::ZERO {
             break;
         }
         missing = missing.saturating_sub(tokens);
         reserves.push(Reserve {
-            helper: engine.id.clone(),
+            engine: engine.id.clone(),
             tokens,
         });
     }
@@ -209,7 +251,7 @@
 
 /// No engine has a place, or all of them together have not the memory now.
 fn refuse_or_wait(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
-    let count = u64::try_from(engines.len().min(READERS_MAX)).unwrap_or(1);
+    let count = u64::try_from(engines.len().min(HELPERS_MAX)).unwrap_or(1);
     if ask.needed().0 > count * model.memory_tokens.0 {
         return EngineChoice::refuse_soon(RefuseReason::TooLarge);
     }
--- a/src/decide/engines/plan.rs
+++ b/src/decide/engines/plan.rs
@@ -13,11 +13,11 @@
 /// The shortest time after which a caller is asked to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 
-/// Memory that an engine sets aside for a part of a prompt.
+/// Memory that an engine sets aside for a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reserve {
-    /// The engine, one of the helpers.
-    pub helper: UpstreamId,
+    /// The engine: the leader or one of the helpers.
+    pub engine: UpstreamId,
     /// How much.
     pub tokens: Tokens,
 }
@@ -29,7 +29,7 @@
     pub leader: UpstreamId,
     /// The engines that read the other parts.
     pub helpers: Vec<UpstreamId>,
-    /// Memory of helpers that keeps what the leader has no room for.
+    /// Memory that is set aside before the prompt is sent, first the leader's.
     pub reserves: Vec<Reserve>,
     /// Engine time of one part.
     pub part_time: Duration,
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -19,7 +19,6 @@
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::Listed;
-use crate::gateway::OrderError;
 use crate::gateway::Refusal;
 use crate::gateway::SendHead;
 use crate::gateway::load_guard::LoadGuard;
@@ -45,11 +44,13 @@
 /// The shortest time after which a repeatable call without an answer is sent elsewhere. Ten times
 /// what calls to plain services take.
 const ANSWER_PATIENCE_MIN: Duration = Duration::from_millis(600);
-/// What a stream's first event may take beyond twice its forecast before another engine gets it;
+/// What a stream's first event may take beyond three times its forecast before another engine gets it;
 /// less than the two seconds after which callers give up.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 /// How many times its objective a stream's first event may take at least.
-const LATE_PATIENCE: f64 = 1.5;
+const LATE_PATIENCE: f64 = 2.5;
+/// After memory was refused; several intervals of hosts' news.
+const RESERVE_PAUSE: Duration = Duration::from_millis(40);
 /// When a caller may come again with a request that crashes upstreams: not while its other sends
 /// are still remembered by anybody.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
@@ -160,7 +161,11 @@
                     retry_after: NO_UPSTREAM_RETRY_AFTER,
                 }));
             }
-            if let Some(delivery) = self.send_once(*placement, last_event).await {
+            let Some(reservation) = self.reserve(&placement).await else {
+                continue;
+            };
+            let sent = self.send_once(*placement, reservation, last_event).await;
+            if let Some(delivery) = sent {
                 return delivery;
             }
         }
@@ -170,11 +175,12 @@
     async fn send_once(
         &mut self,
         placement: Placement,
+        reservation: Option<Reservation>,
         last_event: Option<&str>,
     ) -> Option<Delivery> {
         let upstream = placement.upstream.clone();
         self.tried.push(upstream.id.clone());
-        match self.send(placement, last_event).await {
+        match self.send(placement, reservation, last_event).await {
             SendEnd::Answered(answered) => {
                 self.arrivals += 1;
                 self.runs += 1;
@@ -230,24 +236,20 @@
         }
     }
 
-    async fn send(&self, placement: Placement, last_event: Option<&str>) -> SendEnd {
+    async fn send(
+        &self,
+        placement: Placement,
+        reservation: Option<Reservation>,
+        last_event: Option<&str>,
+    ) -> SendEnd {
         let now = self.gateway.clock.now();
         let limit = self.patience(&placement, now);
         self.log_sent(&placement, now);
         let load = LoadGuard::new(&self.gateway, placement.shares);
         let upstream = placement.upstream;
-        let mut helpers: Vec<HelperAddr> = placement.reserves.iter().map(Part::helper).collect();
+        let reserved = reservation.iter().flat_map(Reservation::parts);
+        let mut helpers: Vec<HelperAddr> = reserved.map(Part::helper).collect();
         helpers.extend(placement.helpers);
-        let reservation = match self.reserve(placement.reserves).await {
-            Ok(reservation) => reservation,
-            Err(err) => {
-                return SendEnd::NotRun {
-                    fault: UpstreamFault::TurnedAway,
-                    arrived: false,
-                    why: format!("no memory for a prompt of several engines: {err}"),
-                };
-            }
-        };
         let head = SendHead {
             upstream: &upstream.id,
             time_left: self.call.time_left(now),
@@ -301,14 +303,21 @@
         }))
     }
 
-    async fn reserve(&self, parts: Vec<Part>) -> Result<Option<Reservation>, OrderError> {
-        if parts.is_empty() {
-            return Ok(None);
+    /// Sets aside the memory that a placement asks for. Without it nothing is sent: another host was
+    /// quicker, and what it sent is known here in a moment.
+    async fn reserve(&self, placement: &Placement) -> Option<Option<Reservation>> {
+        if placement.reserves.is_empty() {
+            return Some(None);
         }
         let request = &self.call.head.request;
-        Reservation::make(&self.gateway, request, parts)
-            .await
-            .map(Some)
+        let parts = placement.reserves.clone();
+        match Reservation::make(&self.gateway, request, parts).await {
+            Ok(reservation) => Some(Some(reservation)),
+            Err(_) => {
+                tokio::time::sleep(RESERVE_PAUSE).await;
+                None
+            }
+        }
     }
 
     fn request(&self, head: &SendHead<'_>) -> Request<Full<Bytes>> {
@@ -415,7 +424,8 @@
         self.gateway.log.note(Event::Sent {
             request: self.call.head.request.clone(),
             upstream: placement.upstream.id.to_string(),
-            helpers: placement.helpers.len() + placement.reserves.len(),
+            helpers: placement.helpers.len(),
+            reserves: placement.reserves.len(),
             earlier_sends: self.runs + self.unrun,
             forecast_ms: millis(placement.forecast),
             elapsed_ms: millis(now.saturating_duration_since(self.call.arrived)),
@@ -430,7 +440,7 @@
 /// other hosts send in the same moment.
 pub(crate) fn first_event_patience(call: &Call, forecast: Duration) -> Duration {
     let late = call.route.objective.mul_f64(LATE_PATIENCE);
-    late.max(forecast * 2 + FIRST_EVENT_PATIENCE)
+    late.max(forecast * 3 + FIRST_EVENT_PATIENCE)
 }
 
 fn lost_or_not_run(err: &OneShotError) -> SendEnd {
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -86,8 +86,10 @@
         request: String,
         /// The upstream.
         upstream: String,
-        /// How many engines read parts of the prompt beside it.
+        /// How many engines read parts of the prompt beside it and keep nothing.
         helpers: usize,
+        /// How many engines have memory set aside for the prompt.
+        reserves: usize,
         /// How often it was sent before.
         earlier_sends: u32,
         /// When the first event is expected, in ms from now; 0 for plain services.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -31,7 +31,7 @@
     pub(crate) upstream: Listed,
     /// Engines that read a part and keep nothing.
     pub(crate) helpers: Vec<HelperAddr>,
-    /// Engines that read a part and keep some of the prompt.
+    /// Memory that engines set aside before the send, the first engine's own first.
     pub(crate) reserves: Vec<Part>,
     /// What the send adds to whose load.
     pub(crate) shares: Vec<(UpstreamId, LoadShare)>,
@@ -162,22 +162,25 @@
     let Some(upstream) = find(usable, &plan.leader) else {
         return no_upstream();
     };
-    let reserved: u64 = plan.reserves.iter().map(|reserve| reserve.tokens.0).sum();
+    let reserved = |id: &UpstreamId| plan.reserves.iter().find(|reserve| reserve.engine == *id);
     let leader_share = LoadShare {
         takes_place: true,
         is_short: ask.class(model) == PromptClass::Short,
         pause: call.route.pause_objective,
         read_time: plan.part_time,
-        held_tokens: ask.needed().saturating_sub(Tokens(reserved)),
+        held_tokens: reserved(&plan.leader).map_or(ask.needed(), |reserve| reserve.tokens),
     };
     let mut shares = vec![(upstream.id.clone(), leader_share)];
     let mut helpers = Vec::new();
     let mut reserves = Vec::new();
+    if let Some(reserve) = reserved(&plan.leader) {
+        reserves.push(Part::new(upstream.addr, reserve.tokens));
+    }
     for id in &plan.helpers {
         let Some(helper) = find(usable, id) else {
             continue;
         };
-        let reserve = plan.reserves.iter().find(|reserve| reserve.helper == *id);
+        let reserve = reserved(id);
         shares.push((
             id.clone(),
             LoadShare {
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -92,6 +92,13 @@
     }
 }
 
+impl Reservation {
+    /// What is set aside where.
+    pub(crate) fn parts(&self) -> &[Part] {
+        &self.parts
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         if let Some(renewing) = &self.renewing {
