A prompt of several engines' memory may use all engines where few are left

Cause: the test memory_that_was_set_aside_is_given_back_when_the_caller_leaves failed with two engines: of the two, one was for short prompts, and the other alone has not the memory.

Change: where the engines for long prompts have not the memory, all may be used.

Conclusion: the test passes, as do the others of gateway and decide_engines.

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -69,8 +69,12 @@
     // Parts of a medium prompt are small enough to be read among short answers, and there they do
     // not wait behind long ones.
     let sides = match ask.class(model) {
-        PromptClass::Long => [(long_leaders, helpers), (long_side, long_side)],
-        _ => [(short_side, engines), (engines, engines)],
+        PromptClass::Long => vec![
+            (long_leaders, helpers),
+            (long_side, long_side),
+            (engines, engines),
+        ],
+        _ => vec![(short_side, engines), (engines, engines)],
     };
     let group = sides
         .into_iter()
