About equal engines are told apart by a draw

News between 61 hosts is up to 150 ms old, all of them saw the same engine as the best and took it: 308 first events late, 212 pauses.

Ruled out: processor time (the same without it); too few engines (no more than half of the places were taken).

--- a/src/decide/engines/ask.rs
+++ b/src/decide/engines/ask.rs
@@ -36,6 +36,10 @@
     pub time_left: Duration,
     /// Engine time that its prompt may take, by [`crate::decide::ReadWork`].
     pub read_time_max: Duration,
+    /// Drawn for this choice, even over all `u32`. Engines that are about equally good are told
+    /// apart by it: hosts know of each other's work a little late, and if all of them took the very
+    /// best engine, that one would get what all have.
+    pub draw: u32,
 }
 
 impl EngineAsk {
@@ -50,6 +54,13 @@
         }
     }
 
+    /// A number that orders engines of the same rank, different for each choice.
+    pub(super) fn shuffle(&self, engine: usize) -> u32 {
+        let index = u32::try_from(engine).unwrap_or(u32::MAX);
+        // Multiplication by an odd number permutes all u32, so equal ranks fall apart evenly.
+        (index ^ self.draw).wrapping_mul(0x9E37_79B1)
+    }
+
     /// The memory that it takes from its first to its last token.
     pub fn needed(&self) -> Tokens {
         self.prompt + self.output
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -33,6 +33,8 @@
 /// Reading that waits at engines when another prompt is sent there. What waits at hosts instead can
 /// still be overtaken by a prompt that is more pressed for time.
 const BACKLOG_MAX: Duration = Duration::from_millis(300);
+/// Backlogs that differ by less than this count as equal.
+const EQUAL_WITHIN: Duration = Duration::from_millis(20);
 /// The part of its remaining time to the first event that a prompt has to keep beyond its forecast
 /// in order to wait; with less it is sent whatever waits at the engines.
 const SLACK_PART: f64 = 0.35;
@@ -152,16 +154,21 @@
 ) -> Option<Group<'a>> {
     let part_time = model.read_time(ask.prompt) / u32::try_from(parts).unwrap_or(1);
     let leader = leader(model, leaders, part_time, ask)?;
-    let mut others: Vec<&EngineView> = readers.iter().filter(|e| e.id != leader.id).collect();
+    let mut others: Vec<(usize, &EngineView)> = readers.iter().enumerate().collect();
+    others.sort_by_cached_key(|(index, engine)| {
+        let is_gentle = part_time <= engine.room(model);
+        let backlog = engine.load.read_backlog.as_millis() / EQUAL_WITHIN.as_millis();
+        (!is_gentle, backlog, ask.shuffle(*index))
+    });
+    let others = others.into_iter().map(|(_, engine)| engine);
+    let mut others: Vec<&EngineView> = others.filter(|e| e.id != leader.id).collect();
     let reserves = reserves(model, leader, &others, ask)?;
     if reserves.len() > parts || others.len() + 1 < parts {
         return None;
     }
     let is_reserved = |engine: &EngineView| reserves.iter().any(|r| r.engine == engine.id);
-    others.sort_by_key(|engine| {
-        let is_gentle = part_time <= engine.room(model);
-        (!is_reserved(engine), !is_gentle, engine.load.read_backlog)
-    });
+    // Stable: beside those that keep memory, the order from before.
+    others.sort_by_key(|engine| !is_reserved(engine));
     others.truncate(parts - 1);
     let all = || others.iter().copied().chain([leader]);
     let forecasts = all().map(|engine| engine.first_event(model, part_time));
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -11,6 +11,10 @@
 use crate::decide::engines::long::parts_wanted;
 use crate::units::UpstreamId;
 
+/// First events that differ by less than this count as equal: as much as reading one or two other
+/// short prompts takes, which other hosts may have sent there already.
+const EQUAL_WITHIN: Duration = Duration::from_millis(25);
+
 /// The engine on which the first event comes first, of those for short prompts; another one if none
 /// of these has it in time and without stretching the pauses there.
 pub(super) fn choose(
@@ -49,12 +53,21 @@
     part_time: Duration,
     ask: &EngineAsk,
 ) -> Option<&'a EngineView> {
-    let able =
-        |engine: &&EngineView| engine.has_place(model) && engine.free_tokens(model) >= ask.needed();
-    engines.iter().filter(able).min_by_key(|engine| {
+    let able = engines
+        .iter()
+        .filter(|engine| engine.has_place(model) && engine.free_tokens(model) >= ask.needed());
+    let rank = |engine: &EngineView| {
         let stretches = part_time > engine.room(model);
         (stretches, engine.first_event(model, part_time))
-    })
+    };
+    let able: Vec<&EngineView> = able.collect();
+    let (stretches, soonest) = able.iter().map(|engine| rank(engine)).min()?;
+    let about_equal = able.iter().enumerate().filter(|(_, engine)| {
+        let (own_stretches, first_event) = rank(engine);
+        own_stretches == stretches && first_event <= soonest + EQUAL_WITHIN
+    });
+    let chosen = about_equal.min_by_key(|(index, _)| ask.shuffle(*index));
+    chosen.map(|(_, engine)| *engine)
 }
 
 /// All places are taken: a request that is still on time waits for one; one that is not, or that
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -132,6 +132,7 @@
         objective_left: call.objective_left(now),
         time_left: call.time_left(now),
         read_time_max: gateway.read_work().read_time_max(views.len(), now),
+        draw: rand::random(),
     };
     match choose_engines(model, &views, &ask) {
         EngineChoice::Send(plan) => {
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -50,6 +50,7 @@
         objective_left: ms(if prompt > 100_000 { 3_000 } else { 300 }),
         time_left: ms(10_000),
         read_time_max: Duration::MAX,
+        draw: 7,
     }
 }
 
@@ -397,3 +398,27 @@
 fn the_class_follows_from_time_to_read_and_memory(prompt: u64, expected: PromptClass) {
     assert_eq!(ask(prompt).class(&model()), expected);
 }
+
+/// Sixty hosts, each a little late in what it knows, get a burst of clauses. All see the same engine
+/// as the least busy by a few milliseconds, and all take it.
+#[test]
+fn hosts_that_see_the_same_spread_over_engines_that_are_about_equal() {
+    let mut engines = engines(23);
+    for (index, engine) in engines.iter_mut().enumerate() {
+        write_short(engine, 6);
+        engine.load.read_backlog = Duration::from_micros(100 * index as u64);
+    }
+    let chosen = (0..60_u32).map(|host| {
+        let ask = EngineAsk {
+            draw: host.wrapping_mul(0x85EB_CA6B),
+            ..ask(5_000)
+        };
+        index(&plan(choose_engines(&model(), &engines, &ask)).leader)
+    });
+    let mut counts = [0_u32; 23];
+    for leader in chosen {
+        counts[leader] += 1;
+    }
+    let most = counts.iter().max().unwrap();
+    assert!(*most <= 15, "{counts:?}");
+}
