One host of a failure domain reads the platform for the others

Ruled out: watches. One that hears nothing proves nothing, and the lease on keys needs proofs.

Change: the first host of a domain by name reads; the others ask it over one framed connection and get version and age, so a proof errs to the safe side whatever the answer's way took. A change is told in the news between hosts and asked for at once. A host without a fresh answer reads for itself. A host that is cut off from the platform lives on its neighbours' reads; a manifest that can't be decoded renews no lease.

--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -17,6 +17,9 @@
 /// with its connections. Four of the longest intervals at which hosts send.
 const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 
+/// A host that was heard within this time is alive and can be asked: two of the longest intervals.
+const PEER_HEARD_WITHIN: Duration = Duration::from_millis(550);
+
 /// An engine begins to read with its next pass, on average after half of one.
 const READ_START_DELAY: Duration = Duration::from_millis(25);
 
@@ -187,6 +190,12 @@
         loads.filter(|(_, load)| *load != UpstreamLoad::default())
     }
 
+    /// Whether another host was heard within the last few of the intervals at which hosts send.
+    pub fn is_heard(&self, host: &HostId, now: Instant) -> bool {
+        let peer = self.peers.get(host);
+        peer.is_some_and(|peer| now.saturating_duration_since(peer.heard_at) < PEER_HEARD_WITHIN)
+    }
+
     /// The other hosts that were heard lately.
     pub fn peers_heard(&self, now: Instant) -> usize {
         let is_heard =
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -19,6 +19,12 @@
     /// Engine time of the longer prompts that the sender sent lately, in ms.
     #[prost(uint32, tag = "6")]
     pub read_work_ms: u32,
+    /// The version of the manifest that the sender has read last; 0 if none.
+    #[prost(uint64, tag = "7")]
+    pub routes_version: u64,
+    /// The version of the upstreams that it has read last; 0 if none.
+    #[prost(fixed64, tag = "8")]
+    pub upstreams_version: u64,
     /// Requests that crashed upstreams lately.
     #[prost(message, repeated, tag = "5")]
     pub poisons: Vec<PoisonNews>,
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -49,8 +49,8 @@
     Changed {
         /// Its version in the platform.
         version: ObjectVersion,
-        /// What it says.
-        routes: Box<RouteTable>,
+        /// Its text, for [`Catalog::decode_routes`].
+        text: String,
     },
 }
 
@@ -88,6 +88,9 @@
         known: Option<ObjectVersion>,
     ) -> BoxFuture<'_, Result<RoutesRead, CatalogError>>;
 
+    /// Reads the text of a manifest.
+    fn decode_routes(&self, text: &str) -> Result<RouteTable, CatalogError>;
+
     /// Reads all upstreams.
     fn upstreams(&self) -> BoxFuture<'_, Result<Vec<Listed>, CatalogError>>;
 
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -19,17 +19,23 @@
     pub metrics: TcpListener,
     /// For news of other hosts.
     pub exchange: UdpSocket,
+    /// For other hosts that ask what this one has read; the same port as for news.
+    pub share: TcpListener,
 }
 
 impl Listeners {
     /// Binds them all.
     pub async fn bind(conf: &GatewayConf) -> Result<Self, GatewayError> {
-        let exchange = UdpSocket::bind(conf.exchange_addr).await;
+        let share = listen("reads of other hosts", conf.exchange_addr).await?;
+        let exchange_addr = share.local_addr();
+        let exchange_addr = exchange_addr.map_err(|err| GatewayError::Bind("news", err))?;
+        let exchange = UdpSocket::bind(exchange_addr).await;
         Ok(Self {
+            share,
             ready: listen("readiness", conf.ready_addr).await?,
             metrics: listen("metrics", conf.metrics_addr).await?,
             callers: listen("callers", conf.callers_addr).await?,
-            exchange: exchange.map_err(|err| GatewayError::Bind("exchange", err))?,
+            exchange: exchange.map_err(|err| GatewayError::Bind("news", err))?,
         })
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod reservation;
 mod run;
 mod server;
+mod share;
 mod shared;
 mod sync;
 mod tracker;
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -35,7 +35,10 @@
         let mut poisons = self.poison().all(now);
         let surplus = poisons.len().saturating_sub(POISONS_MAX);
         let poisons = poisons.split_off(surplus);
+        let (routes_version, upstreams_version) = self.held.versions();
         HostNews {
+            routes_version,
+            upstreams_version,
             host: self.conf.host.to_string(),
             incarnation: self.incarnation,
             sequence: self.news_sent.fetch_add(1, Ordering::Relaxed),
@@ -57,6 +60,7 @@
         for poison in news.poisons.iter().filter_map(read_poison) {
             self.poison().merge(&poison, now);
         }
+        self.hear_versions(&host, &news);
         let read_work = Duration::from_millis(news.read_work_ms.into());
         self.read_work().hear(host.clone(), read_work, now);
         let loads: IndexMap<UpstreamId, UpstreamLoad> =
@@ -75,6 +79,23 @@
     }
 }
 
+impl Gateway {
+    /// Wakes the tasks that read if the host that reads for this one has something new.
+    fn hear_versions(&self, host: &HostId, news: &HostNews) {
+        let (routes, upstreams) = self.held.versions();
+        let has_news = news.routes_version > routes || news.upstreams_version != upstreams;
+        if !has_news || !self.is_read_by(host) {
+            return;
+        }
+        if news.routes_version > routes {
+            self.routes_news.notify_one();
+        }
+        if news.upstreams_version != upstreams {
+            self.upstreams_news.notify_one();
+        }
+    }
+}
+
 fn load_news(id: &UpstreamId, load: &UpstreamLoad) -> LoadNews {
     LoadNews {
         upstream: id.to_string(),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use crate::gateway::Listeners;
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::server::serve_callers;
+use crate::gateway::share::serve_reads;
 use crate::gateway::sync;
 
 /// Taking this host off the list is a courtesy: others find out by its silence.
@@ -66,6 +67,7 @@
     let pages = Arc::new(GatewayPages(Arc::clone(&gateway)));
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(Exchange::new(listeners.exchange, desk).run());
+    tasks.spawn(serve_reads(Arc::clone(&gateway), listeners.share));
     tasks.spawn(sync::keep_routes(
         Arc::clone(&gateway),
         Arc::clone(&catalog),
--- /dev/null
+++ b/src/gateway/share/message.rs
@@ -0,0 +1,97 @@
+//! The messages between hosts that read and hosts that ask. Field numbers are never used again.
+
+use std::net::SocketAddr;
+
+use crate::gateway::Listed;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum List {
+    /// The manifest.
+    Routes = 0,
+    /// The upstreams.
+    Upstreams = 1,
+}
+
+/// A question.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(crate) struct Ask {
+    /// Which list.
+    #[prost(enumeration = "List", tag = "1")]
+    pub(crate) list: i32,
+    /// The version that the asking host has; 0 if none.
+    #[prost(uint64, tag = "2")]
+    pub(crate) known_version: u64,
+}
+
+/// The answer.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(crate) struct Answer {
+    /// The version that the answering host has; 0 if none.
+    #[prost(uint64, tag = "1")]
+    pub(crate) version: u64,
+    /// How long ago this version was certainly the newest, in ms.
+    #[prost(uint64, tag = "2")]
+    pub(crate) age_ms: u64,
+    /// The manifest's text, if it was asked for and has another version.
+    #[prost(string, tag = "3")]
+    pub(crate) routes: String,
+    /// The upstreams, if they were asked for and have another version.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) upstreams: Vec<UpstreamEntry>,
+}
+
+/// An upstream.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(crate) struct UpstreamEntry {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub(crate) service: String,
+    /// Its address.
+    #[prost(string, tag = "3")]
+    pub(crate) addr: String,
+    /// Its failure domain.
+    #[prost(string, tag = "4")]
+    pub(crate) domain: String,
+    /// Requests that it works on at once.
+    #[prost(uint32, tag = "5")]
+    pub(crate) slots: u32,
+    /// Whether it leaves.
+    #[prost(bool, tag = "6")]
+    pub(crate) is_leaving: bool,
+}
+
+impl From<&Listed> for UpstreamEntry {
+    fn from(listed: &Listed) -> Self {
+        Self {
+            id: listed.id.to_string(),
+            service: listed.service.to_string(),
+            addr: listed.addr.to_string(),
+            domain: listed.domain.to_string(),
+            slots: listed.slots,
+            is_leaving: listed.is_leaving,
+        }
+    }
+}
+
+impl UpstreamEntry {
+    /// The upstream; none if a field is not what it should be.
+    pub(crate) fn listed(&self) -> Option<Listed> {
+        Some(Listed {
+            id: self.id.parse().ok()?,
+            service: self.service.parse().ok()?,
+            addr: self.addr.parse::<SocketAddr>().ok()?,
+            domain: self.domain.parse().ok()?,
+            slots: self.slots,
+            is_leaving: self.is_leaving,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/share/mod.rs
@@ -0,0 +1,15 @@
+//! One host of a failure domain reads the platform for the others.
+//!
+//! Load it answers: each call to the platform costs, its rates grow more slowly than the fleet, and
+//! what 60 hosts read is the same. So the first host of a domain by name reads, and the others ask
+//! it. A host that gets no fresh answer reads for itself, so a reader that has died, stands still or
+//! is cut off costs one failed question.
+
+mod held;
+mod message;
+mod reader;
+mod server;
+
+pub(crate) use held::Held;
+pub(crate) use reader::Reader;
+pub(crate) use server::serve_reads;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What all requests of a host share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -27,7 +28,10 @@
 use crate::gateway::EngineOrders;
 use crate::gateway::Event;
 use crate::gateway::GatewayConf;
+use crate::gateway::ListedHost;
 use crate::gateway::Meters;
+use crate::gateway::share::Held;
+use crate::units::HostId;
 use crate::units::ServiceId;
 
 /// Crashes after which a request is refused. Callers here have no key that tells their requests
@@ -67,6 +71,12 @@
     pub(crate) place_freed: Notify,
     /// Drawn at the start; tells this life of the host from earlier ones.
     pub(crate) incarnation: u64,
+    /// What was read last, for other hosts that ask.
+    pub(crate) held: Held,
+    /// Notified when the host that reads for this one has another manifest.
+    pub(crate) routes_news: Notify,
+    /// Notified when it has other upstreams.
+    pub(crate) upstreams_news: Notify,
     pub(crate) news_sent: AtomicU64,
 }
 
@@ -98,6 +108,9 @@
             load_changed: Notify::new(),
             place_freed: Notify::new(),
             incarnation: rand::random(),
+            held: Held::default(),
+            routes_news: Notify::new(),
+            upstreams_news: Notify::new(),
             news_sent: AtomicU64::new(0),
         }
     }
@@ -165,6 +178,31 @@
         self.beliefs.freshness().age(self.clock.since_boot())
     }
 
+    /// The host that reads the platform for this failure domain, by the address for questions; none
+    /// if it is this one: of those that were heard lately, the first by name.
+    pub(crate) fn reading_host(&self) -> Option<SocketAddr> {
+        let reader = self.reader_of_domain()?;
+        Some(reader.exchange_addr)
+    }
+
+    /// Whether a host reads for this one.
+    pub(crate) fn is_read_by(&self, host: &HostId) -> bool {
+        let reader = self.reader_of_domain();
+        reader.is_some_and(|reader| reader.host == *host)
+    }
+
+    fn reader_of_domain(&self) -> Option<ListedHost> {
+        let now = self.clock.now();
+        let hosts = self.beliefs.hosts();
+        let ledger = self.ledger();
+        let is_able = |listed: &&ListedHost| {
+            listed.host == self.conf.host || ledger.is_heard(&listed.host, now)
+        };
+        let near = hosts.iter().filter(|h| h.domain == self.conf.domain);
+        let first = near.filter(is_able).min_by(|a, b| a.host.cmp(&b.host))?;
+        (first.host != self.conf.host).then(|| first.clone())
+    }
+
     /// Whether the balancer may send connections here.
     pub fn is_ready(&self) -> bool {
         let now = self.clock.since_boot();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use indexmap::IndexSet;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::gateway::Catalog;
@@ -17,15 +18,14 @@
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::ListedHost;
-use crate::gateway::RoutesRead;
 use crate::gateway::courier::millis;
+use crate::gateway::share::Reader;
 use crate::routing::RouteTable;
-use crate::units::ObjectVersion;
 use crate::units::UpstreamId;
 
 /// Between two reads of the manifest. A change has to be in force within 2 s of its acceptance: this
 /// leaves room for one failed read.
-const ROUTES_INTERVAL: Duration = Duration::from_millis(700);
+const ROUTES_INTERVAL: Duration = Duration::from_millis(600);
 /// Between two reads of the upstreams. One that leaves must get no new request 2 s after it said so.
 const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
 /// Between two reads of the hosts, which change seldom; news of one that is missing is lost until
@@ -76,28 +76,38 @@
 
 /// Reads the manifest for as long as the process runs.
 pub(crate) async fn keep_routes(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
-    let mut known: Option<ObjectVersion> = None;
+    let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut watchman = Watchman::new(&gateway, "manifest");
+    // A manifest that can't be decoded is not in force, so reading it again renews no lease.
+    let mut is_understood = true;
     loop {
         let asked_at = gateway.clock.now();
-        // Before the question: what the answer shows is true at some moment after it.
-        let asked_since_boot = gateway.clock.since_boot();
-        let read = catalog.routes(known).await;
+        let read = reader.routes().await;
+        let read = read.and_then(|read| {
+            if let Some(text) = &read.changed {
+                is_understood = false;
+                put_in_force(&gateway, catalog.decode_routes(text)?);
+                is_understood = true;
+            }
+            Ok(read)
+        });
         watchman.on_result(asked_at, &read);
         let is_ok = read.is_ok();
-        if let Ok(read) = read {
-            if let RoutesRead::Changed { version, routes } = read {
-                known = Some(version);
-                put_in_force(&gateway, *routes);
-            }
-            gateway.beliefs.prove_fresh(asked_since_boot);
+        if let Ok(read) = read
+            && is_understood
+        {
+            gateway.beliefs.prove_fresh(read.proved_at);
         }
-        sleep(if is_ok {
-            ROUTES_INTERVAL
-        } else {
-            FAILED_INTERVAL
-        })
-        .await;
+        pause(is_ok, ROUTES_INTERVAL, &gateway.routes_news).await;
+    }
+}
+
+/// Waits until the next read; not as long after a failed one, or if there is news.
+async fn pause(is_ok: bool, interval: Duration, news: &Notify) {
+    let interval = if is_ok { interval } else { FAILED_INTERVAL };
+    tokio::select! {
+        () = sleep(interval) => {}
+        () = news.notified(), if is_ok => {}
     }
 }
 
@@ -108,33 +118,32 @@
         keys: routes.keys.len(),
     };
     if gateway.beliefs.set_routes(routes) {
+        gateway.load_changed.notify_one();
         gateway.log.note(event);
     }
 }
 
 /// Reads the upstreams for as long as the process runs.
 pub(crate) async fn keep_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    let mut reader = Reader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
     let mut watchman = Watchman::new(&gateway, "upstreams");
     loop {
         let asked_at = gateway.clock.now();
-        let read = catalog.upstreams().await;
+        let read = reader.upstreams().await;
         watchman.on_result(asked_at, &read);
-        let is_ok = read.is_ok();
-        if let Ok(listed) = read {
+        if let Ok(true) = read
+            && let Some(listed) = gateway.held.upstreams()
+        {
+            gateway.load_changed.notify_one();
             let staying = listed.iter().filter(|upstream| !upstream.is_leaving);
             let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
-            let usable = gateway.beliefs.set_upstreams(listed);
+            let usable = gateway.beliefs.set_upstreams(listed.to_vec());
             gateway.health().keep(|id| staying.contains(id));
             note_changes(&gateway, &known, &staying, usable);
             known = staying;
         }
-        sleep(if is_ok {
-            UPSTREAMS_INTERVAL
-        } else {
-            FAILED_INTERVAL
-        })
-        .await;
+        pause(read.is_ok(), UPSTREAMS_INTERVAL, &gateway.upstreams_news).await;
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -23,6 +23,7 @@
 pub use codec::EnvelopeCodec;
 pub use codec::FRAME_OVERHEAD;
 pub use codec::FRAME_SIZE_MAX;
+pub(crate) use codec::framing;
 pub use codec::wire_len;
 pub use error::PeerError;
 pub use frame_error::FrameError;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -469,3 +469,51 @@
         .filter(|line| line["event"] == "upstream_fault");
     assert_eq!(faults.count(), 2);
 }
+
+/// Two hosts of one failure domain; `a-first` reads the platform for `b-second`, each by a way of its
+/// own.
+async fn reader_and_follower() -> (TestHost, Arc<FakeCatalog>, TestHost, Arc<FakeCatalog>) {
+    let first_way = FakeCatalog::new(table(1));
+    let upstream = Upstream::start([Act::Answer(200, "ok")]).await;
+    first_way.list("a", "app", upstream.addr);
+    let second_way = first_way.another_way();
+    let first = TestHost::start("a-first", &first_way).await;
+    let mut conf = conf("b-second");
+    conf.key_lease = Some(Duration::from_millis(2_000));
+    let second = TestHost::start_with(conf, &second_way).await;
+    let is_heard = || {
+        let now = second.gateway.clock.now();
+        second.gateway.ledger().peers_heard(now) == 1
+    };
+    until(is_heard).await;
+    (first, first_way, second, second_way)
+}
+
+/// A host can't reach the platform, though its neighbours can. It turns every caller away after some
+/// seconds, although what it needs to know is one hop away.
+#[tokio::test]
+async fn a_host_that_is_cut_off_from_the_platform_lives_on_what_its_neighbour_reads() {
+    let (_first, first_way, second, second_way) = reader_and_follower().await;
+    second_way.set_away(true);
+    let reads = first_way.reads();
+    // Longer than its lease: the other host reads every 600 ms.
+    until(|| first_way.reads() >= reads + 6).await;
+    assert!(second.gateway.is_ready());
+    assert_eq!(status(&second.call(request("/safe/1")).await), 200);
+    first_way.publish(table(2));
+    until(|| second.gateway.beliefs.routes().unwrap().generation.0 == 2).await;
+    first_way.set_away(true);
+    until(|| !second.gateway.is_ready()).await;
+}
+
+#[tokio::test]
+async fn one_host_reads_for_its_failure_domain_until_it_is_gone() {
+    let (first, first_way, _second, second_way) = reader_and_follower().await;
+    let before = (first_way.reads(), second_way.reads());
+    until(|| first_way.reads() >= before.0 + 4).await;
+    let by_itself = second_way.reads() - before.1;
+    assert!(by_itself <= 1, "{by_itself} reads of its own");
+    first.serving.abort();
+    let alone = second_way.reads();
+    until(|| second_way.reads() >= alone + 3).await;
+}
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::CatalogError;
@@ -17,16 +20,19 @@
 
 #[derive(Default)]
 struct State {
-    routes: Option<RouteTable>,
-    version: u64,
+    /// All manifests that were ever published; the text of one is its place here.
+    routes: Vec<RouteTable>,
     upstreams: Vec<Listed>,
     hosts: Vec<ListedHost>,
-    is_away: bool,
-    reads: usize,
 }
 
+/// The platform as one host, or all of them, reach it.
 #[derive(Default)]
-pub struct FakeCatalog(Mutex<State>);
+pub struct FakeCatalog {
+    state: Arc<Mutex<State>>,
+    is_away: AtomicBool,
+    reads: AtomicUsize,
+}
 
 impl FakeCatalog {
     pub fn new(routes: RouteTable) -> Arc<Self> {
@@ -35,19 +41,26 @@
         Arc::new(catalog)
     }
 
+    /// The same platform by another way, which can be cut on its own.
+    pub fn another_way(&self) -> Arc<Self> {
+        Arc::new(Self {
+            state: Arc::clone(&self.state),
+            ..Self::default()
+        })
+    }
+
     pub fn publish(&self, routes: RouteTable) {
-        let mut state = self.0.lock().unwrap();
-        state.version += 1;
-        state.routes = Some(routes);
+        let mut state = self.state.lock().unwrap();
+        state.routes.push(routes);
     }
 
     pub fn has_routes(&self) -> bool {
-        self.0.lock().unwrap().routes.is_some()
+        !self.state.lock().unwrap().routes.is_empty()
     }
 
     /// Lists an upstream of a service; in id order by `id`.
     pub fn list(&self, id: &str, service: &str, addr: SocketAddr) {
-        self.0.lock().unwrap().upstreams.push(Listed {
+        self.state.lock().unwrap().upstreams.push(Listed {
             id: id.parse().unwrap(),
             service: service.parse().unwrap(),
             addr,
@@ -59,28 +72,28 @@
 
     /// An upstream says that it leaves.
     pub fn leave(&self, id: &str) {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         let entry = state.upstreams.iter_mut().find(|u| u.id.as_str() == id);
         entry.unwrap().is_leaving = true;
     }
 
     /// The platform can or can't be reached.
     pub fn set_away(&self, is_away: bool) {
-        self.0.lock().unwrap().is_away = is_away;
+        self.is_away.store(is_away, Ordering::Relaxed);
     }
 
     /// How often the manifest was asked for.
     pub fn reads(&self) -> usize {
-        self.0.lock().unwrap().reads
+        self.reads.load(Ordering::Relaxed)
     }
 
     pub fn hosts_now(&self) -> Vec<ListedHost> {
-        self.0.lock().unwrap().hosts.clone()
+        self.state.lock().unwrap().hosts.clone()
     }
 
     fn answer<T>(&self, read: impl FnOnce(&mut State) -> T) -> Result<T, CatalogError> {
-        let mut state = self.0.lock().unwrap();
-        if state.is_away {
+        let mut state = self.state.lock().unwrap();
+        if self.is_away.load(Ordering::Relaxed) {
             return Err(CatalogError::NoAnswer("away".to_owned()));
         }
         Ok(read(&mut state))
@@ -93,22 +106,27 @@
         known: Option<ObjectVersion>,
     ) -> BoxFuture<'_, Result<RoutesRead, CatalogError>> {
         let read = self.answer(|state| {
-            state.reads += 1;
-            let version = ObjectVersion(state.version);
-            let routes = state.routes.clone().map(Box::new);
-            (version, routes)
+            self.reads.fetch_add(1, Ordering::Relaxed);
+            state.routes.len()
         });
         async move {
-            let (version, routes) = read?;
-            let routes = routes.ok_or(CatalogError::Absent)?;
+            let count = read?;
+            let place = count.checked_sub(1).ok_or(CatalogError::Absent)?;
+            let version = ObjectVersion(count as u64);
             if known == Some(version) {
                 return Ok(RoutesRead::Unchanged);
             }
-            Ok(RoutesRead::Changed { version, routes })
+            let text = place.to_string();
+            Ok(RoutesRead::Changed { version, text })
         }
         .boxed()
     }
 
+    fn decode_routes(&self, text: &str) -> Result<RouteTable, CatalogError> {
+        let place: usize = text.parse().unwrap();
+        Ok(self.state.lock().unwrap().routes[place].clone())
+    }
+
     fn upstreams(&self) -> BoxFuture<'_, Result<Vec<Listed>, CatalogError>> {
         let read = self.answer(|state| state.upstreams.clone());
         async move { read }.boxed()
