Explain a request from logs, with its cause and what its host believed

Cause: a caller's complaint names an id; until now a running host had to be asked, which keeps the latest requests only.

Drops of lines are counted on the metrics page.

Ruled out: text put together where a line is noted; events are typed in one place and read back as the same type.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -1,11 +1,14 @@
 //! The lines of the decision log.
 
+use std::borrow::Cow;
+
+use serde::Deserialize;
 use serde::Serialize;
 
 /// One decision that touches a request, or one change of what the host takes to be true. Each is
 /// written as a line of JSON.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event {
     /// The host has started.
@@ -51,14 +54,14 @@
     /// A dependency can't be reached.
     DependencyLost {
         /// Which one.
-        dependency: &'static str,
+        dependency: Cow<'static, str>,
         /// How it shows.
         error: String,
     },
     /// A dependency can be reached again.
     DependencyRegained {
         /// Which one.
-        dependency: &'static str,
+        dependency: Cow<'static, str>,
         /// How long it was away, in ms.
         away_ms: u64,
     },
@@ -110,7 +113,7 @@
         /// Whose it is; empty if nobody's.
         customer: String,
         /// What kind of request.
-        kind: &'static str,
+        kind: Cow<'static, str>,
         /// What came of it, as one word.
         outcome: String,
         /// The status that the caller got.
@@ -127,6 +130,17 @@
 }
 
 impl Event {
+    /// The request that the line is about.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::UpstreamFault { request, .. }
+            | Self::ReservationRefused { request, .. }
+            | Self::Sent { request, .. }
+            | Self::Ended { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+
     /// Whether the line is kept before others when there are too many: those of failures and of the
     /// host itself are, those of requests that went well are not.
     pub fn is_kept_first(&self) -> bool {
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -17,10 +17,21 @@
             "/readyz" if gateway.is_ready() => Some(Page::text(StatusCode::OK, "ready\n")),
             "/readyz" => Some(Page::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
             "/metrics" => Some(match gateway.meters.render() {
-                Ok(text) => Page::text(StatusCode::OK, text),
+                Ok(text) => Page::text(StatusCode::OK, text + &counts(gateway)),
                 Err(err) => Page::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n")),
             }),
             _ => None,
         }
     }
 }
+
+/// What is counted elsewhere, in the same text format.
+fn counts(gateway: &Gateway) -> String {
+    format!(
+        "# TYPE banyanarch_gateway_in_flight gauge\nbanyanarch_gateway_in_flight {}\n\
+         # TYPE banyanarch_gateway_log_lines_dropped_total counter\n\
+         banyanarch_gateway_log_lines_dropped_total {}\n",
+        gateway.in_flight(),
+        gateway.log.dropped_total()
+    )
+}
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -58,14 +58,14 @@
             (Ok(_), Some(lost_at)) => {
                 self.lost_at = None;
                 self.gateway.log.note(Event::DependencyRegained {
-                    dependency: self.dependency,
+                    dependency: self.dependency.into(),
                     away_ms: millis(now.saturating_duration_since(lost_at)),
                 });
             }
             (Err(err), None) => {
                 self.lost_at = Some(now);
                 self.gateway.log.note(Event::DependencyLost {
-                    dependency: self.dependency,
+                    dependency: self.dependency.into(),
                     error: err.to_string(),
                 });
             }
--- a/src/gateway/tracker.rs
+++ b/src/gateway/tracker.rs
@@ -98,7 +98,7 @@
                 .customer
                 .as_ref()
                 .map_or_else(String::new, ToString::to_string),
-            kind,
+            kind: kind.into(),
             outcome: outcome.to_owned(),
             status,
             elapsed_ms: millis(now.saturating_duration_since(self.arrived)),
--- /dev/null
+++ b/tests/cmd_explain.rs
@@ -0,0 +1,106 @@
+//! `banyanarch explain --logs`, over logs of real hosts.
+
+mod gateway_world;
+mod workdir;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gateway_world::TestHost;
+use gateway_world::catalog::FakeCatalog;
+use gateway_world::conf;
+use gateway_world::request_of;
+use gateway_world::table;
+use gateway_world::until;
+use gateway_world::upstream::Act;
+use gateway_world::upstream::Upstream;
+use http_body_util::Full;
+use hyper::Request;
+use workdir::WorkDir;
+
+fn named(request: &str, key: &str, path: &str) -> Request<Full<Bytes>> {
+    let mut req = request_of(key, path);
+    req.headers_mut()
+        .insert("test-request", request.parse().unwrap());
+    req
+}
+
+/// Three callers complain: one was turned away, one got no answer to a call that must not repeat,
+/// and one was refused by a host that could not reach the platform. Returns that host's log.
+async fn three_failures() -> String {
+    let catalog = FakeCatalog::new(table(1));
+    let full = Upstream::start([Act::TurnAway]).await;
+    let lost = Upstream::start([Act::Break]).await;
+    catalog.list("full", "app", full.addr);
+    let mut conf = conf("host-1");
+    conf.key_lease = Some(Duration::from_millis(1_500));
+    let host = TestHost::start_with(conf, &catalog).await;
+    host.call(named("r-full", "key-1", "/once/1")).await;
+    catalog.leave("full");
+    catalog.list("lost", "app", lost.addr);
+    let is_listed = || host.gateway.beliefs.is_listed(&"lost".parse().unwrap());
+    until(is_listed).await;
+    host.call(named("r-lost", "key-1", "/once/1")).await;
+    catalog.set_away(true);
+    until(|| !host.gateway.is_ready()).await;
+    host.call(named("r-stale", "key-1", "/once/1")).await;
+    until(|| host.log.text().contains("r-stale")).await;
+    host.log.text()
+}
+
+fn log_of_failures(dir: &WorkDir) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let log = runtime.block_on(three_failures());
+    // As a process manager writes it, with what the process itself says in between.
+    let lines = log.lines().map(|line| format!("host-1: {line}\n"));
+    let text: String = lines.collect();
+    dir.file("host-1.log", &format!("host-1: starting\n{text}"));
+}
+
+#[test]
+fn each_failed_request_is_listed_with_its_cause() {
+    let dir = WorkDir::new();
+    log_of_failures(&dir);
+    let ran = dir.run(&["explain", "--failed", "--logs", "host-1.log"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let line = |request: &str| {
+        let line = ran.stdout.lines().find(|line| line.starts_with(request));
+        line.unwrap_or_default().to_owned()
+    };
+    assert!(line("r-full").contains("503 no_upstream"), "{ran:?}");
+    assert!(line("r-full").contains("not run: no upstream took it"));
+    assert!(line("r-lost").contains("502 unknown"), "{ran:?}");
+    assert!(line("r-lost").contains("may have run"));
+    assert!(line("r-stale").contains("503 stale_knowledge"), "{ran:?}");
+    assert_eq!(ran.stdout.lines().count(), 3, "{ran:?}");
+}
+
+#[test]
+fn the_story_of_a_request_says_what_was_decided_from_which_knowledge() {
+    let dir = WorkDir::new();
+    log_of_failures(&dir);
+    let story = |request: &str| dir.run(&["explain", request, "--logs", "host-1.log"]);
+    let lost = story("r-lost");
+    assert_eq!(lost.code, 0, "{lost:?}");
+    let places: Vec<usize> = [
+        "manifest 1 in force",
+        "sent to lost",
+        "upstream lost: broken",
+        "unknown, status 502",
+    ]
+    .into_iter()
+    .map(|part| {
+        lost.stdout
+            .find(part)
+            .unwrap_or_else(|| panic!("{part}: {lost:?}"))
+    })
+    .collect();
+    assert!(places.is_sorted(), "{lost:?}");
+    let stale = story("r-stale");
+    assert!(
+        stale.stdout.contains("manifest lost, not regained"),
+        "{stale:?}"
+    );
+    let unknown = story("r-none");
+    assert_eq!(unknown.code, 1, "{unknown:?}");
+}
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -61,9 +61,12 @@
 pub struct LogLines(Arc<Mutex<Vec<u8>>>);
 
 impl LogLines {
+    pub fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+
     pub fn lines(&self) -> Vec<serde_json::Value> {
-        let bytes = self.0.lock().unwrap().clone();
-        let text = String::from_utf8(bytes).unwrap();
+        let text = self.text();
         let line = |line: &str| serde_json::from_str(line).expect("each line is JSON");
         text.lines().map(line).collect()
     }
