--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) struct Ran {
     pub(crate) code: i32,
     pub(crate) stdout: String,
+    #[allow(dead_code, reason = "not every test file reads it")]
     pub(crate) stderr: String,
 }
 
