Memory of a long prompt is not renewed while its leader does not answer

The leader had lost its power, its connection stayed open, and the host went on renewing the memory on the other engines.

Ruled out: shorter holds alone: a hold has to outlive two lost renewals.

Change: the leader's own part is renewed first, the others only if it answers. A stopping host ends 0.8 s before it is killed, since the last log lines take up to half a second.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -7,8 +7,9 @@
 /// once a second and takes a host out after two answers, and what is on its way then still comes. A
 /// long answer to a request that was taken later would be cut off by the end of the process.
 const STILL_TAKING: Duration = Duration::from_millis(2_600);
-/// What is left of the grace for the process itself to end before it is killed.
-const END_MARGIN: Duration = Duration::from_millis(400);
+/// What is left of the grace for the process itself to end before it is killed: the last lines of the
+/// log are gathered and written, which takes up to half a second on a busy host.
+const END_MARGIN: Duration = Duration::from_millis(800);
 
 /// What a host does with its connections; later phases are greater.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -120,10 +120,20 @@
         .await
 }
 
+/// Renews all parts, the leader's first and the others only if it answers. A leader that lost its
+/// power leaves its connections open, and this host goes on waiting for it: if the others' parts were
+/// renewed meanwhile, their memory would stay set aside for a request that is long over.
 async fn renew(gateway: Arc<Gateway>, parts: Vec<Part>) {
+    let Some((leader, others)) = parts.split_first() else {
+        return;
+    };
     loop {
         sleep(RENEW_INTERVAL).await;
-        for renewed in join_all(parts.iter().map(|part| reserve(&gateway, part))).await {
+        if let Err(err) = reserve(&gateway, leader).await {
+            log::warn!("reservation: the leader does not renew: {err}");
+            continue;
+        }
+        for renewed in join_all(others.iter().map(|part| reserve(&gateway, part))).await {
             if let Err(err) = renewed {
                 log::warn!("reservation: not renewed: {err}");
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use banyanarch::gateway::DrainPhase;
+use banyanarch::http::one_shot;
+use banyanarch::routing::CallKind;
 use banyanarch::routing::CustomerKeys;
+use banyanarch::routing::RouteTable;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -22,6 +25,7 @@
 use hyper::Request;
 use hyper::Response;
 use indexmap::IndexMap;
+use tokio::task::JoinHandle;
 use yare::parameterized;
 
 /// A host before two upstreams of one service, `a` and `b`.
@@ -311,7 +315,7 @@
     let callers = host.callers;
     let running = tokio::spawn(async move {
         let limit = Duration::from_secs(20);
-        banyanarch::http::one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
+        one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
     });
     until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_stop();
@@ -333,7 +337,7 @@
     let callers = host.callers;
     let running = tokio::spawn(async move {
         let limit = Duration::from_secs(20);
-        banyanarch::http::one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
+        one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
     });
     until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_stop();
@@ -396,7 +400,7 @@
     let calls = first.callers;
     let hanging = tokio::spawn(async move {
         let req: Request<Full<Bytes>> = request("/model/1");
-        let _ = banyanarch::http::one_shot::call(calls, req, 1 << 20, Duration::from_secs(5)).await;
+        let _ = one_shot::call(calls, req, 1 << 20, Duration::from_secs(5)).await;
     });
     let seen = || {
         let now = second.gateway.clock.now();
@@ -409,26 +413,21 @@
     until(|| seen() == 0).await;
 }
 
-/// Memory of an engine is lost for good. It was set aside for a prompt whose caller left, and nobody
-/// gave it back.
-#[tokio::test]
-async fn memory_that_was_set_aside_is_given_back_when_the_caller_leaves() {
+/// A host before two engines, `a` and `b`, to which a caller has sent a prompt that needs the memory
+/// of both.
+async fn reserving() -> (TestHost, [Upstream; 2], JoinHandle<()>) {
     let catalog = FakeCatalog::new(table(1));
-    let engines = [
-        Upstream::start([Act::EventsThenHang(1)]).await,
-        Upstream::start([Act::EventsThenHang(1)]).await,
-    ];
+    let hanging = || Upstream::start([Act::EventsThenHang(1)]);
+    let engines = [hanging().await, hanging().await];
     catalog.list("a", "llm", engines[0].addr);
     catalog.list("b", "llm", engines[1].addr);
     let mut routes = table(2);
-    let mut route = gateway_world::route(
-        "long",
-        banyanarch::routing::CallKind::Stream { is_resumable: true },
-        "llm",
-    );
+    let resumable = CallKind::Stream { is_resumable: true };
+    let mut route = gateway_world::route("long", resumable, "llm");
     route.objective = Duration::from_secs(30);
     route.timeout = Duration::from_secs(60);
-    let mut long = banyanarch::routing::RouteTable::new(routes.generation, vec![route]);
+    route.pause_objective = Some(Duration::from_secs(12));
+    let mut long = RouteTable::new(routes.generation, vec![route]);
     long.services = std::mem::take(&mut routes.services);
     long.keys = std::mem::take(&mut routes.keys);
     catalog.publish(long);
@@ -439,16 +438,48 @@
         .insert("test-prompt", "600000".parse().unwrap());
     let callers = host.callers;
     let asking = tokio::spawn(async move {
-        let _ =
-            banyanarch::http::one_shot::call(callers, req, 1 << 20, Duration::from_secs(60)).await;
+        let limit = Duration::from_secs(60);
+        let _ = one_shot::call(callers, req, 1 << 20, limit).await;
     });
     until(|| host.orders.reserved_tokens() > 0).await;
     until(|| engines.iter().any(|engine| !engine.arrivals().is_empty())).await;
+    (host, engines, asking)
+}
+
+/// Memory of an engine is lost for good. It was set aside for a prompt whose caller left, and nobody
+/// gave it back.
+#[tokio::test]
+async fn memory_that_was_set_aside_is_given_back_when_the_caller_leaves() {
+    let (host, _, asking) = reserving().await;
     asking.abort();
     until(|| host.orders.reserved_tokens() == 0).await;
     assert!(host.orders.made() > 0);
 }
 
+/// Engines run out of memory that nobody uses. The engine that led a long prompt lost its power and
+/// its connection stayed open, so the host went on renewing what the other engines had set aside.
+#[tokio::test]
+async fn memory_is_not_renewed_while_the_leader_does_not_answer() {
+    let (host, [a, b], _asking) = reserving().await;
+    let (leader, other) = if a.arrivals().is_empty() {
+        (b, a)
+    } else {
+        (a, b)
+    };
+    until(|| host.orders.asked(other.addr) >= 2).await;
+    host.orders.silence(leader.addr);
+    let (led, kept) = (
+        host.orders.asked(leader.addr),
+        host.orders.asked(other.addr),
+    );
+    until(|| host.orders.asked(leader.addr) >= led + 3).await;
+    let renewed = host.orders.asked(other.addr) - kept;
+    assert!(
+        renewed <= 1,
+        "renewed {renewed} times, at most the one under way"
+    );
+}
+
 #[tokio::test]
 async fn every_line_of_the_decision_log_is_json_and_tells_how_a_request_ended() {
     let (host, _, _) = two("app", Act::TurnAway, Act::TurnAway).await;
--- a/tests/gateway_world/orders.rs
+++ b/tests/gateway_world/orders.rs
@@ -16,6 +16,8 @@
     reserved: Mutex<IndexMap<(SocketAddr, String), u64>>,
     made: Mutex<usize>,
     refuses_from: Mutex<Option<usize>>,
+    silent: Mutex<Option<SocketAddr>>,
+    asked: Mutex<IndexMap<SocketAddr, usize>>,
 }
 
 impl FakeOrders {
@@ -29,6 +31,17 @@
         *self.made.lock().unwrap()
     }
 
+    /// An engine answers no more orders.
+    pub fn silence(&self, engine: SocketAddr) {
+        *self.silent.lock().unwrap() = Some(engine);
+    }
+
+    /// How often an engine was asked to set memory aside or to renew it.
+    pub fn asked(&self, engine: SocketAddr) -> usize {
+        let asked = self.asked.lock().unwrap();
+        asked.get(&engine).copied().unwrap_or(0)
+    }
+
     /// Refuses every reservation after this many.
     pub fn refuse_from(&self, made: usize) {
         *self.refuses_from.lock().unwrap() = Some(made);
@@ -43,6 +56,10 @@
         tokens: Tokens,
         _: Duration,
     ) -> BoxFuture<'a, Result<(), OrderError>> {
+        *self.asked.lock().unwrap().entry(engine).or_default() += 1;
+        if *self.silent.lock().unwrap() == Some(engine) {
+            return async { Err(OrderError::NoAnswer("dark".to_owned())) }.boxed();
+        }
         let mut made = self.made.lock().unwrap();
         let is_refused = self
             .refuses_from
