Hosts tell only the crashes they have seen; a reader without fresh lists is passed over

Ruled out: fewer messages; without the crashes they are small.

Change: a crash is told for a second, by the host that saw it; a host that had nothing fresh, this one included, is passed over for 3 s and the next by name is asked; the list of hosts is read at its usual interval after a failed read.

--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -359,7 +359,7 @@
             let mark = self.call.poison_mark();
             let news = self.gateway.poison().on_crash(&[mark], attempt, now);
             if !news.is_empty() {
-                self.gateway.load_changed.notify_one();
+                self.gateway.tell_crashes(news);
             }
         }
     }
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -22,7 +22,7 @@
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
-/// Marks in one message; the others come with later ones. 64 are 4 KB.
+/// Marks in one message, the latest. 64 are 4 KB.
 const POISONS_MAX: usize = 64;
 
 impl NewsDesk for Gateway {
@@ -32,7 +32,7 @@
         let loads = ledger.own(now).map(|(id, load)| load_news(id, &load));
         let loads = loads.collect();
         drop(ledger);
-        let mut poisons = self.poison().all(now);
+        let mut poisons = self.crashes_to_tell();
         let surplus = poisons.len().saturating_sub(POISONS_MAX);
         let poisons = poisons.split_off(surplus);
         let (routes_version, upstreams_version) = self.held.versions();
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -32,6 +32,9 @@
 /// is no worse off than without the other. Two intervals of a reader.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(1_200);
 
+/// Hosts that are asked before this one reads for itself.
+const READERS_TRIED_MAX: usize = 2;
+
 /// What came of one read.
 pub(crate) struct Read<T> {
     /// What was read; none if it is what is known already.
@@ -79,7 +82,8 @@
         // Before the question: what the answer shows is true at some moment after it.
         let asked_at = self.gateway.clock.since_boot();
         let known = (known != 0).then_some(ObjectVersion(known));
-        let changed = match self.catalog.routes(known).await? {
+        let read = self.catalog.routes(known).await;
+        let changed = match self.seen(read)? {
             RoutesRead::Unchanged => {
                 self.gateway.held.renew_routes(asked_at);
                 None
@@ -112,14 +116,39 @@
             return Ok(self.gateway.held.put_upstreams(&listed, proved_at));
         }
         let asked_at = self.gateway.clock.since_boot();
-        let listed = self.catalog.upstreams().await?;
+        let read = self.catalog.upstreams().await;
+        let listed = self.seen(read)?;
         Ok(self.gateway.held.put_upstreams(&listed, asked_at))
     }
 
+    /// Takes in whether this host itself reaches the platform.
+    fn seen<T>(&self, read: Result<T, CatalogError>) -> Result<T, CatalogError> {
+        if read.is_err() {
+            self.gateway.on_unfit_reader(&self.gateway.conf.host);
+        }
+        read
+    }
+
     /// Asks the host that reads for this failure domain; none if that is this host, or if it has no
     /// fresh answer.
     async fn ask_other(&mut self, list: List, known_version: u64) -> Option<(Answer, Duration)> {
-        let addr = self.gateway.reading_host()?;
+        for _ in 0..READERS_TRIED_MAX {
+            let reader = self.gateway.reading_host()?;
+            let read = self.ask(reader.exchange_addr, list, known_version).await;
+            if read.is_some() {
+                return read;
+            }
+            self.gateway.on_unfit_reader(&reader.host);
+        }
+        None
+    }
+
+    async fn ask(
+        &mut self,
+        addr: SocketAddr,
+        list: List,
+        known_version: u64,
+    ) -> Option<(Answer, Duration)> {
         let asked_at = self.gateway.clock.since_boot();
         let ask = Ask {
             list: list.into(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,6 +1,6 @@
 //! What all requests of a host share.
 
-use std::net::SocketAddr;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::decide::HealthBook;
 use crate::decide::LoadLedger;
+use crate::decide::Poison;
 use crate::decide::PoisonList;
 use crate::decide::ReadWork;
 use crate::decide::RetryWindow;
@@ -42,6 +43,14 @@
 /// chance is served again then; one that does crash its upstream is marked again at once.
 const POISON_KEPT_FOR: Duration = Duration::from_secs(30);
 
+/// How long a crash is told to the other hosts: four or more messages, of which three may be lost.
+/// Each host tells only what it has seen itself; told on by all, a day of lost answers made a
+/// gigabyte of news.
+const CRASH_TOLD_FOR: Duration = Duration::from_secs(1);
+/// How long a host that had nothing fresh from the platform is passed over. Longer than a read, so
+/// that a domain does not ask it again and again while it is cut off.
+const READER_UNFIT_FOR: Duration = Duration::from_secs(3);
+
 /// The shared state of one host, in parts under their own locks. No lock is held across a wait.
 pub struct Gateway {
     /// The settings.
@@ -78,6 +87,8 @@
     /// Notified when it has other upstreams.
     pub(crate) upstreams_news: Notify,
     pub(crate) news_sent: AtomicU64,
+    unfit_readers: Mutex<IndexMap<HostId, Instant>>,
+    crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
 
 impl Gateway {
@@ -112,6 +123,8 @@
             routes_news: Notify::new(),
             upstreams_news: Notify::new(),
             news_sent: AtomicU64::new(0),
+            unfit_readers: Mutex::default(),
+            crashes: Mutex::default(),
         }
     }
 
@@ -137,6 +150,23 @@
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in crashes that this host has seen, to be told to the others.
+    pub(crate) fn tell_crashes(&self, crashes: Vec<Poison>) {
+        let now = self.clock.now();
+        let mut told = self.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        told.extend(crashes.into_iter().map(|poison| (now, poison)));
+        drop(told);
+        self.load_changed.notify_one();
+    }
+
+    /// The crashes that this host has seen lately.
+    pub(crate) fn crashes_to_tell(&self) -> Vec<Poison> {
+        let now = self.clock.now();
+        let mut told = self.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        told.retain(|(at, _)| now.saturating_duration_since(*at) < CRASH_TOLD_FOR);
+        told.iter().map(|(_, poison)| poison.clone()).collect()
+    }
+
     /// Takes in that a caller's request goes to a service.
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.clock.now();
@@ -178,11 +208,10 @@
         self.beliefs.freshness().age(self.clock.since_boot())
     }
 
-    /// The host that reads the platform for this failure domain, by the address for questions; none
-    /// if it is this one: of those that were heard lately, the first by name.
-    pub(crate) fn reading_host(&self) -> Option<SocketAddr> {
-        let reader = self.reader_of_domain()?;
-        Some(reader.exchange_addr)
+    /// The host that reads the platform for this failure domain; none if it is this one: of those that
+    /// were heard lately and had something fresh, the first by name.
+    pub(crate) fn reading_host(&self) -> Option<ListedHost> {
+        self.reader_of_domain()
     }
 
     /// Whether a host reads for this one.
@@ -191,12 +220,32 @@
         reader.is_some_and(|reader| reader.host == *host)
     }
 
+    /// Takes in that a host, maybe this one, had nothing fresh from the platform.
+    pub(crate) fn on_unfit_reader(&self, host: &HostId) {
+        let now = self.clock.now();
+        let mut unfit = self.unfit_readers();
+        unfit.retain(|_, since| now.saturating_duration_since(*since) < READER_UNFIT_FOR);
+        unfit.insert(host.clone(), now);
+    }
+
+    fn unfit_readers(&self) -> MutexGuard<'_, IndexMap<HostId, Instant>> {
+        self.unfit_readers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn reader_of_domain(&self) -> Option<ListedHost> {
         let now = self.clock.now();
         let hosts = self.beliefs.hosts();
+        let unfit = self.unfit_readers();
+        let is_unfit = |host: &HostId| {
+            let since = unfit.get(host);
+            since.is_some_and(|at| now.saturating_duration_since(*at) < READER_UNFIT_FOR)
+        };
         let ledger = self.ledger();
         let is_able = |listed: &&ListedHost| {
-            listed.host == self.conf.host || ledger.is_heard(&listed.host, now)
+            let is_here = listed.host == self.conf.host;
+            (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
         };
         let near = hosts.iter().filter(|h| h.domain == self.conf.domain);
         let first = near.filter(is_able).min_by(|a, b| a.host.cmp(&b.host))?;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -189,7 +189,6 @@
         }
         let read = catalog.hosts().await;
         watchman.on_result(asked_at, &read);
-        let is_ok = read.is_ok() && is_announced;
         if let Ok(mut hosts) = read {
             if !hosts.iter().any(|listed| listed.host == own.host) {
                 // The list may be seconds old.
@@ -198,11 +197,12 @@
             gateway.beliefs.set_hosts(hosts);
         }
         gateway.ledger().forget_silent(gateway.clock.now());
-        sleep(if is_ok {
+        // Until it is on the list nobody sends news here.
+        let interval = if is_announced {
             HOSTS_INTERVAL
         } else {
             FAILED_INTERVAL
-        })
-        .await;
+        };
+        sleep(interval).await;
     }
 }
