A host cut off from the platform asks a host of another domain; the object service's module renamed

Change: hosts of the own domain come first, those of others after them. src/platform, the border to the object service of the product's own interface, is src/objects now: platform/ is the adapter.

Ruled out for the rename: the adapter, whose name the users gave.

Tests: a host lives on what a neighbour reads, of its own domain or of another.

--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -16,7 +16,7 @@
 use banyanarch::control::claims::ClaimState;
 use banyanarch::control::claims::ClaimStore;
 use banyanarch::control::claims::ClaimVerdict;
-use banyanarch::platform::Platform;
+use banyanarch::objects::Platform;
 use banyanarch::units::AttemptId;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -7,7 +7,7 @@
 use crate::cmd::Exit;
 use crate::http::HttpError;
 use crate::manifest::ManifestErrors;
-use crate::platform::PlatformError;
+use crate::objects::PlatformError;
 use crate::settings::SettingsErrors;
 use crate::yaml::FileErrors;
 
--- a/src/cmd/publication.rs
+++ b/src/cmd/publication.rs
@@ -14,11 +14,11 @@
 use crate::manifest::CURRENT;
 use crate::manifest::Manifest;
 use crate::manifest::PublishedManifest;
-use crate::platform::Expected;
-use crate::platform::Kind;
-use crate::platform::ObjectKey;
-use crate::platform::Platform;
-use crate::platform::PlatformError;
+use crate::objects::Expected;
+use crate::objects::Kind;
+use crate::objects::ObjectKey;
+use crate::objects::Platform;
+use crate::objects::PlatformError;
 use crate::units::Generation;
 use crate::units::ObjectVersion;
 
--- a/src/cmd/remote.rs
+++ b/src/cmd/remote.rs
@@ -8,11 +8,11 @@
 use crate::http::HttpClient;
 use crate::manifest::CURRENT;
 use crate::manifest::PublishedManifest;
-use crate::platform::HttpPlatform;
-use crate::platform::Kind;
-use crate::platform::ObjectKey;
-use crate::platform::Platform;
-use crate::platform::PlatformError;
+use crate::objects::HttpPlatform;
+use crate::objects::Kind;
+use crate::objects::ObjectKey;
+use crate::objects::Platform;
+use crate::objects::PlatformError;
 use crate::units::ObjectVersion;
 
 /// Long enough for a platform that is slow; an operator waits for it.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -15,9 +15,9 @@
 use crate::cmd::remote::block_on;
 use crate::cmd::remote::published;
 use crate::cmd::show;
-use crate::platform::Kind;
-use crate::platform::Object;
-use crate::platform::Platform;
+use crate::objects::Kind;
+use crate::objects::Object;
+use crate::objects::Platform;
 
 pub(crate) const USAGE: &str = "
 Shows how the fleet is: as one host sees it, or from the reports in the platform. A host answers
--- a/src/control/claims/relay.rs
+++ b/src/control/claims/relay.rs
@@ -4,14 +4,14 @@
 //! tells the same kinds of failure apart; a peer that was asked and gives no answer leaves the
 //! effect of a write unknown.
 
+use crate::objects::Expected;
+use crate::objects::Kind;
+use crate::objects::Object;
+use crate::objects::ObjectKey;
+use crate::objects::PlatformError;
 use crate::peer::PeerError;
 use crate::peer::message::PlatformCall;
 use crate::peer::message::PlatformReply;
-use crate::platform::Expected;
-use crate::platform::Kind;
-use crate::platform::Object;
-use crate::platform::ObjectKey;
-use crate::platform::PlatformError;
 use crate::units::ObjectVersion;
 
 const DONE: u32 = 0;
--- a/src/control/claims/shard.rs
+++ b/src/control/claims/shard.rs
@@ -15,9 +15,9 @@
 use crate::control::claims::ClaimVerdict;
 use crate::control::claims::ShardValue;
 use crate::control::claims::shard_value::entry_bytes;
-use crate::platform::Expected;
-use crate::platform::Object;
-use crate::platform::PlatformError;
+use crate::objects::Expected;
+use crate::objects::Object;
+use crate::objects::PlatformError;
 use crate::units::AttemptId;
 use crate::units::ObjectVersion;
 
--- a/src/control/claims/shard_value.rs
+++ b/src/control/claims/shard_value.rs
@@ -6,7 +6,7 @@
 
 use crate::control::claims::Claim;
 use crate::control::claims::ClaimKey;
-use crate::platform::PlatformError;
+use crate::objects::PlatformError;
 
 /// What an entry takes beside its names: three ids of 32 digits, the state, field names, quotes.
 const ENTRY_BYTES: usize = 140;
--- a/src/control/claims/store.rs
+++ b/src/control/claims/store.rs
@@ -21,9 +21,9 @@
 use crate::control::claims::ClaimState;
 use crate::control::claims::ClaimVerdict;
 use crate::control::claims::ShardAction;
-use crate::platform::Kind;
-use crate::platform::ObjectKey;
-use crate::platform::Platform;
+use crate::objects::Kind;
+use crate::objects::ObjectKey;
+use crate::objects::Platform;
 use crate::units::AttemptId;
 
 /// All claims of this host. Needs a tokio runtime with time; each shard that has something to do is
--- a/src/control/orders/lease.rs
+++ b/src/control/orders/lease.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::platform::Expected;
-use crate::platform::Object;
-use crate::platform::PlatformError;
+use crate::objects::Expected;
+use crate::objects::Object;
+use crate::objects::PlatformError;
 use crate::units::FencingNumber;
 use crate::units::HostId;
 use crate::units::Incarnation;
--- a/src/control/status/reporter.rs
+++ b/src/control/status/reporter.rs
@@ -6,9 +6,9 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use crate::platform::Expected;
-use crate::platform::Object;
-use crate::platform::PlatformError;
+use crate::objects::Expected;
+use crate::objects::Object;
+use crate::objects::PlatformError;
 use crate::units::ObjectVersion;
 
 /// The least time between two writes. At 400 hosts whose reports all change all the time, this is
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -53,6 +53,8 @@
 use crate::fleet::RelayPlatformParts;
 use crate::fleet::UpstreamRegistry;
 use crate::http::HttpClient;
+use crate::objects::HttpPlatform;
+use crate::objects::Platform;
 use crate::observe::Bounds;
 use crate::observe::Explanations;
 use crate::observe::Metrics;
@@ -61,8 +63,6 @@
 use crate::peer::PeerServer;
 use crate::peer::SeededAddrs;
 use crate::peer::Traffic;
-use crate::platform::HttpPlatform;
-use crate::platform::Platform;
 use crate::settings::Settings;
 use crate::units::Incarnation;
 
--- a/src/daemon/loops.rs
+++ b/src/daemon/loops.rs
@@ -12,8 +12,8 @@
 use crate::daemon::machine_list;
 use crate::daemon::status_loop;
 use crate::fleet::NewsSink;
-use crate::platform::Kind;
-use crate::platform::PlatformError;
+use crate::objects::Kind;
+use crate::objects::PlatformError;
 use crate::units::ObjectVersion;
 
 /// The membership expects a tick each 100 ms and takes a longer gap for a pause of the process.
--- a/src/daemon/manifest_loop.rs
+++ b/src/daemon/manifest_loop.rs
@@ -14,9 +14,9 @@
 use crate::daemon::host::Host;
 use crate::manifest::Manifest;
 use crate::manifest::PublishedManifest;
-use crate::platform::Kind;
-use crate::platform::ObjectList;
-use crate::platform::PlatformError;
+use crate::objects::Kind;
+use crate::objects::ObjectList;
+use crate::objects::PlatformError;
 use crate::units::ObjectVersion;
 
 /// A watch is asked again at this interval even if nothing changed, so that a connection that is
--- a/src/daemon/status_loop.rs
+++ b/src/daemon/status_loop.rs
@@ -14,10 +14,10 @@
 use crate::control::status::StatusParts;
 use crate::control::status::StatusReport;
 use crate::daemon::host::Host;
-use crate::platform::Expected;
-use crate::platform::Kind;
-use crate::platform::ObjectKey;
-use crate::platform::PlatformError;
+use crate::objects::Expected;
+use crate::objects::Kind;
+use crate::objects::ObjectKey;
+use crate::objects::PlatformError;
 use crate::units::ObjectVersion;
 
 /// A report of 400 hosts takes about a millisecond to make; the reporter writes it once in 30 s at most.
--- a/src/fleet/peer_desk.rs
+++ b/src/fleet/peer_desk.rs
@@ -17,13 +17,13 @@
 use crate::fleet::HomeGranter;
 use crate::fleet::ManifestDesk;
 use crate::fleet::MembershipDesk;
+use crate::objects::Platform;
 use crate::peer::Message;
 use crate::peer::PeerHandler;
 use crate::peer::message::Announce;
 use crate::peer::message::GrantReply;
 use crate::peer::message::GrantRequest;
 use crate::peer::message::PlatformCall;
-use crate::platform::Platform;
 use crate::units::HostId;
 use crate::units::PoolId;
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -247,8 +247,9 @@
             let is_here = listed.host == self.conf.host;
             (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
         };
-        let near = hosts.iter().filter(|h| h.domain == self.conf.domain);
-        let first = near.filter(is_able).min_by(|a, b| a.host.cmp(&b.host))?;
+        // A domain whose own hosts all have nothing fresh asks one of another.
+        let rank = |listed: &&ListedHost| (listed.domain != self.conf.domain, listed.host.clone());
+        let first = hosts.iter().filter(is_able).min_by_key(rank)?;
         (first.host != self.conf.host).then(|| first.clone())
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! banyanarch: a serving layer for language-model prompts of very unlike lengths.
 //!
 //! The decisions and controllers ([`decide`], [`control`]) are plain state machines without I/O.
-//! The platform, upstreams, other hosts and the clock stand behind traits ([`platform`],
+//! The platform, upstreams, other hosts and the clock stand behind traits ([`objects`],
 //! [`upstream`], [`peer`], [`clock`]). docs/DESIGN.md tells why.
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
@@ -18,9 +18,9 @@
 pub mod gateway;
 pub mod http;
 pub mod manifest;
+pub mod objects;
 pub mod observe;
 pub mod peer;
-pub mod platform;
 pub mod routing;
 pub mod settings;
 pub mod units;
--- a/src/platform/http/wire.rs
+++ b/src/objects/http/wire.rs
@@ -3,10 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::platform::Kind;
-use crate::platform::Object;
-use crate::platform::ObjectKey;
-use crate::platform::ObjectList;
+use crate::objects::Kind;
+use crate::objects::Object;
+use crate::objects::ObjectKey;
+use crate::objects::ObjectList;
 use crate::units::ObjectVersion;
 
 #[derive(Debug)]
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use banyanarch::http::HttpClient;
-use banyanarch::platform::Expected;
-use banyanarch::platform::HttpPlatform;
-use banyanarch::platform::Kind;
-use banyanarch::platform::ObjectKey;
-use banyanarch::platform::Platform;
-use banyanarch::platform::PlatformError;
+use banyanarch::objects::Expected;
+use banyanarch::objects::HttpPlatform;
+use banyanarch::objects::Kind;
+use banyanarch::objects::ObjectKey;
+use banyanarch::objects::Platform;
+use banyanarch::objects::PlatformError;
 use banyanarch::units::ObjectVersion;
 use serde_json::json;
 use standin::platform::Outage;
--- a/tests/fakes/object.rs
+++ b/tests/fakes/object.rs
@@ -1,11 +1,11 @@
 //! One object of a platform whose calls can go wrong.
 
 use banyanarch::control::claims::ShardValue;
-use banyanarch::platform::Expected;
-use banyanarch::platform::Kind;
-use banyanarch::platform::Object;
-use banyanarch::platform::ObjectKey;
-use banyanarch::platform::PlatformError;
+use banyanarch::objects::Expected;
+use banyanarch::objects::Kind;
+use banyanarch::objects::Object;
+use banyanarch::objects::ObjectKey;
+use banyanarch::objects::PlatformError;
 use banyanarch::units::ObjectVersion;
 
 /// How a call goes.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -501,15 +501,18 @@
     assert_eq!(faults.count(), 2);
 }
 
-/// Two hosts of one failure domain; `a-first` reads the platform for `b-second`, each by a way of its
-/// own.
-async fn reader_and_follower() -> (TestHost, Arc<FakeCatalog>, TestHost, Arc<FakeCatalog>) {
+/// Two hosts, each with a way of its own to the platform; `a-first` stands in the domain `here` and
+/// reads for `b-second` if that does as well.
+async fn reader_and_follower(
+    second_domain: &str,
+) -> (TestHost, Arc<FakeCatalog>, TestHost, Arc<FakeCatalog>) {
     let first_way = FakeCatalog::new(table(1));
     let upstream = Upstream::start([Act::Answer(200, "ok")]).await;
     first_way.list("a", "app", upstream.addr);
     let second_way = first_way.another_way();
     let first = TestHost::start("a-first", &first_way).await;
     let mut conf = conf("b-second");
+    conf.domain = second_domain.parse().unwrap();
     conf.key_lease = Some(Duration::from_millis(2_000));
     let second = TestHost::start_with(conf, &second_way).await;
     let is_heard = || {
@@ -522,9 +525,17 @@
 
 /// A host can't reach the platform, though its neighbours can. It turns every caller away after some
 /// seconds, although what it needs to know is one hop away.
-#[tokio::test]
-async fn a_host_that_is_cut_off_from_the_platform_lives_on_what_its_neighbour_reads() {
-    let (_first, first_way, second, second_way) = reader_and_follower().await;
+#[parameterized(
+    of_its_domain = { "here" },
+    of_another_domain = { "there" },
+)]
+fn a_host_that_is_cut_off_from_the_platform_lives_on_what_a_neighbour_reads(domain: &str) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(lives_on_what_a_neighbour_reads(domain));
+}
+
+async fn lives_on_what_a_neighbour_reads(domain: &str) {
+    let (_first, first_way, second, second_way) = reader_and_follower(domain).await;
     second_way.set_away(true);
     let reads = first_way.reads();
     // Longer than its lease: the other host reads every 600 ms.
@@ -539,7 +550,7 @@
 
 #[tokio::test]
 async fn one_host_reads_for_its_failure_domain_until_it_is_gone() {
-    let (first, first_way, _second, second_way) = reader_and_follower().await;
+    let (first, first_way, _second, second_way) = reader_and_follower("here").await;
     let before = (first_way.reads(), second_way.reads());
     until(|| first_way.reads() >= before.0 + 4).await;
     let by_itself = second_way.reads() - before.1;
