--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -85,7 +85,7 @@
 /// An operator who looks a metric up, or a setting, finds it on the operators' page.
 #[test]
 fn the_operators_page_names_all_metrics_and_settings() {
-    let page = include_str!("../docs/OPERATING.md");
+    let page = include_str!("../docs/OPERATIONS.md");
     let metrics = metrics();
     let films = customer("sabarmati-films");
     metrics.first_token(&films, LengthClass::Short, Duration::ZERO);
