Short answers spread over more engines; of two drawn ones the one with fewer answers

Ruled out: news between hosts (the same with more of it); one draw alone.

Change: 0.7 of the slots filled before the next engine is opened, in place of 0.75; a tenth of the engines kept for long prompts at least, in place of 0.17; of two engines drawn among about equal ones the one with fewer answers.

--- a/src/decide/engines/border.rs
+++ b/src/decide/engines/border.rs
@@ -5,9 +5,9 @@
 
 /// Short answers on an engine before the next engine is opened to short prompts, as a part of its
 /// slots. What is left takes up a burst until the border has moved.
-const SHORT_FILL_PART: f64 = 0.75;
+const SHORT_FILL_PART: f64 = 0.7;
 /// Engines kept for long prompts, as a part of all.
-const LONG_PART_MIN: f64 = 0.17;
+const LONG_PART_MIN: f64 = 0.1;
 
 /// How many engines, from the front, are for short prompts now. It follows the number of answers to
 /// short prompts that are being written, so it moves within the time of one answer, both ways.
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -15,6 +15,10 @@
 /// short prompts takes, which other hosts may have sent there already.
 const EQUAL_WITHIN: Duration = Duration::from_millis(25);
 
+/// Of this many drawn engines the one with the fewest answers is taken. One alone fills some engines
+/// beyond their slots while others have room; the very best of all would be taken by all hosts.
+const COMPARED: usize = 2;
+
 /// The engine on which the first event comes first, of those for short prompts; another one if none
 /// of these has it in time and without stretching the pauses there.
 pub(super) fn choose(
@@ -66,8 +70,10 @@
         let (own_stretches, first_event) = rank(engine);
         own_stretches == stretches && first_event <= soonest + EQUAL_WITHIN
     });
-    let chosen = about_equal.min_by_key(|(index, _)| ask.shuffle(*index));
-    chosen.map(|(_, engine)| *engine)
+    let mut drawn: Vec<(usize, &&EngineView)> = about_equal.collect();
+    drawn.sort_by_key(|(index, _)| ask.shuffle(*index));
+    let compared = drawn.iter().take(COMPARED).map(|(_, engine)| **engine);
+    compared.min_by_key(|engine| engine.load.in_flight)
 }
 
 /// All places are taken: a request that is still on time waits for one; one that is not, or that
