One send of a call in a file of its own; tests of hosts that work together apart

Change: src/gateway/send.rs takes over the send, its patience and what came of it; tests/gateway_hosts.rs the tests with several hosts or engines' memory.

Conclusion: behaviour is the same.

--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -34,10 +34,10 @@
 use crate::gateway::DrainPhase;
 use crate::gateway::Gateway;
 use crate::gateway::Refusal;
-use crate::gateway::courier::Answered;
 use crate::gateway::courier::Courier;
 use crate::gateway::courier::Delivery;
 use crate::gateway::relay::Relay;
+use crate::gateway::send::Answered;
 use crate::gateway::tracker::Tracker;
 use crate::routing::RouteTable;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod reservation;
 mod run;
+mod send;
 mod server;
 mod share;
 mod shared;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,10 +10,10 @@
 use crate::decide::UpstreamFault;
 use crate::gateway::CutOff;
 use crate::gateway::EventSplitter;
-use crate::gateway::courier::Answered;
 use crate::gateway::courier::Courier;
 use crate::gateway::courier::Delivery;
-use crate::gateway::courier::first_event_patience;
+use crate::gateway::send::Answered;
+use crate::gateway::send::first_event_patience;
 use crate::gateway::tracker::Tracker;
 
 /// How many times the longest pause that is on time a stream may stay silent before another engine
