Hosts of a large fleet hear each other often enough to count as alive

Cause: the interval between messages grew by 2.5 ms a host without a bound: at 300 hosts 0.75 s, past the 0.55 s within which a host counts as able to read for others, at 400 hosts as long as its work is believed.

Ruled out: a shorter interval for all, which is bytes between failure domains.

Change: 0.5 s at most; a host counts as able for 0.7 s. Fleets of up to 200 hosts send as before.

Tests: news as datagrams, stray and too long ones, and two hosts of which one has 400 peers.

--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -14,11 +14,12 @@
 use crate::units::UpstreamId;
 
 /// A host that was not heard for this long has died or is cut off, and its work at upstreams ends
-/// with its connections. Four of the longest intervals at which hosts send.
+/// with its connections. Four of the usual intervals at which hosts send, two of the longest.
 const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 
-/// A host that was heard within this time is alive and can be asked: two of the longest intervals.
-const PEER_HEARD_WITHIN: Duration = Duration::from_millis(550);
+/// A host that was heard within this time is alive and can be asked: two of the usual intervals, one
+/// of the longest with what a message may be late.
+const PEER_HEARD_WITHIN: Duration = Duration::from_millis(700);
 
 /// An engine begins to read with its next pass, on average after half of one.
 const READ_START_DELAY: Duration = Duration::from_millis(25);
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -21,11 +21,14 @@
 /// upstream; the engines' passes, which take longer, even that out.
 const INTERVAL_MIN: Duration = Duration::from_millis(10);
 /// What each further host adds to the interval, so that a host of a large fleet receives at most
-/// 400 messages a second, a hundredth of a core at 25 microseconds each.
+/// 400 messages a second, some hundredths of a core.
 const INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
 /// A message is due this often even if nothing has changed; silence tells the others that a host is
 /// gone.
-const INTERVAL_MAX: Duration = Duration::from_millis(250);
+const INTERVAL_IDLE: Duration = Duration::from_millis(250);
+/// The longest interval of a large fleet. Beyond it the others would take a host for gone that only
+/// waits for its turn; from 200 hosts on the messages grow with the fleet again.
+const INTERVAL_MAX: Duration = Duration::from_millis(500);
 
 /// What is told and heard.
 pub trait NewsDesk: Send + Sync {
@@ -68,7 +71,7 @@
             let interval = if self.has_changed {
                 interval(desk.peers().len())
             } else {
-                INTERVAL_MAX
+                INTERVAL_IDLE
             };
             tokio::select! {
                 () = sleep_until(self.told_at + interval) => self.tell().await,
@@ -96,5 +99,7 @@
 
 fn interval(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    INTERVAL_MIN.max(INTERVAL_PER_HOST.saturating_mul(peers))
+    INTERVAL_PER_HOST
+        .saturating_mul(peers)
+        .clamp(INTERVAL_MIN, INTERVAL_MAX)
 }
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,139 @@
+//! The news between hosts: datagrams, and how often they are sent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use banyanarch::exchange::Exchange;
+use banyanarch::exchange::HostNews;
+use banyanarch::exchange::LoadNews;
+use banyanarch::exchange::NewsCodec;
+use banyanarch::exchange::NewsDesk;
+use bytes::BytesMut;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+
+struct Desk {
+    name: &'static str,
+    peers: Mutex<Vec<SocketAddr>>,
+    heard: Mutex<Vec<HostNews>>,
+    changed: Notify,
+}
+
+impl Desk {
+    fn new(name: &'static str) -> Arc<Self> {
+        Arc::new(Self {
+            name,
+            peers: Mutex::default(),
+            heard: Mutex::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    fn heard(&self) -> usize {
+        self.heard.lock().unwrap().len()
+    }
+}
+
+impl NewsDesk for Desk {
+    fn news(&self) -> HostNews {
+        HostNews {
+            host: self.name.to_owned(),
+            ..HostNews::default()
+        }
+    }
+
+    fn hear(&self, news: HostNews) {
+        self.heard.lock().unwrap().push(news);
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        self.peers.lock().unwrap().clone()
+    }
+
+    fn changed(&self) -> &Notify {
+        &self.changed
+    }
+}
+
+async fn until(mut is_true: impl FnMut() -> bool) {
+    let waiting = async {
+        while !is_true() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), waiting).await;
+    waited.expect("it becomes true");
+}
+
+#[test]
+fn a_message_is_one_datagram() {
+    let news = HostNews {
+        host: "edge-1".to_owned(),
+        loads: vec![LoadNews {
+            upstream: "i-7".to_owned(),
+            in_flight: 3,
+            ..LoadNews::default()
+        }],
+        ..HostNews::default()
+    };
+    let mut bytes = BytesMut::new();
+    NewsCodec.encode(&news, &mut bytes).unwrap();
+    assert_eq!(NewsCodec.decode(&mut bytes).unwrap(), Some(news));
+    assert!(bytes.is_empty());
+}
+
+/// A stray datagram arrives at the port. Its bytes are kept and taken for the beginning of the next
+/// message, and a host is never understood again.
+#[test]
+fn a_datagram_that_is_no_message_leaves_nothing_behind() {
+    let mut bytes = BytesMut::from(&b"\xff\xff\xff not a message"[..]);
+    assert!(NewsCodec.decode(&mut bytes).is_err());
+    assert!(bytes.is_empty());
+}
+
+#[test]
+fn news_that_fits_no_datagram_is_refused() {
+    let news = HostNews {
+        host: "x".repeat(70_000),
+        ..HostNews::default()
+    };
+    let mut bytes = BytesMut::new();
+    assert!(NewsCodec.encode(&news, &mut bytes).is_err());
+}
+
+/// A fleet of 400 hosts: what each may send is spread so far that the others take it for dead, forget
+/// its work, and all choose the same engines.
+#[tokio::test]
+async fn hosts_hear_each_other_again_and_again_also_in_a_large_fleet() {
+    let sockets = [
+        UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+        UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+    ];
+    let addrs: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
+    let (first, second) = (Desk::new("first"), Desk::new("second"));
+    // Most of the fleet is a port that nobody reads.
+    let nobody = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut many = vec![nobody.local_addr().unwrap(); 400];
+    many[0] = addrs[1];
+    *first.peers.lock().unwrap() = many;
+    *second.peers.lock().unwrap() = vec![addrs[0]];
+    let [one, two] = sockets;
+    tokio::spawn(Exchange::new(one, first.clone()).run());
+    tokio::spawn(Exchange::new(two, second.clone()).run());
+    until(|| second.heard() >= 1 && first.heard() >= 1).await;
+    let before = second.heard();
+    first.changed.notify_one();
+    until(|| second.heard() >= before + 3).await;
+    assert!(
+        second
+            .heard
+            .lock()
+            .unwrap()
+            .iter()
+            .all(|news| news.host == "first")
+    );
+}
