One copy of whole milliseconds, connection headers and metric set-up; dead parts of the gateway gone

Cause: the reading of the whole change found the same function three times (whole milliseconds), twice (headers that belong to one connection; the exporter and histograms in seconds), and parts that nothing reads: a notice of freed places, a count of the ledger's changes, the result of two writes, a wrapper around the choice of a reader.

Change: units::whole_millis, http::remove_connection_headers and observe::instruments serve all their callers; the time for which a silent host's work is believed stands once; what nothing read is removed.

Ruled out: a shared stand-in server for tests of the two packages, which would make one depend on the other's tests.

--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -15,7 +15,7 @@
 
 /// A host that was not heard for this long has died or is cut off, and its work at upstreams ends
 /// with its connections. Four of the usual intervals at which hosts send, two of the longest.
-const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
+pub(super) const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 
 /// A host that was heard within this time is alive and can be asked: two of the usual intervals, one
 /// of the longest with what a message may be late.
@@ -100,13 +100,11 @@
 pub struct LoadLedger {
     own: IndexMap<UpstreamId, OwnLoad>,
     peers: IndexMap<HostId, PeerLoads>,
-    changes: u64,
 }
 
 impl LoadLedger {
     /// Takes in that a request was sent to an upstream.
     pub fn start(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
-        self.changes += 1;
         let own = self.own.entry(upstream.clone()).or_insert(OwnLoad {
             in_flight: 0,
             short_in_flight: 0,
@@ -127,7 +125,6 @@
 
     /// Takes in that it has ended there.
     pub fn end(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
-        self.changes += 1;
         let Some(own) = self.own.get_mut(upstream) else {
             return;
         };
@@ -203,9 +200,4 @@
             |peer: &&PeerLoads| now.saturating_duration_since(peer.heard_at) < PEER_KEPT_FOR;
         self.peers.values().filter(is_heard).count()
     }
-
-    /// Grows with each change of this host's own work.
-    pub fn changes(&self) -> u64 {
-        self.changes
-    }
 }
--- a/src/decide/read_work.rs
+++ b/src/decide/read_work.rs
@@ -10,12 +10,11 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::load_ledger::PEER_KEPT_FOR;
 use crate::units::HostId;
 
 /// How far back prompts count; about the objective of the longest ones.
 const MEMORY: Duration = Duration::from_secs(3);
-/// A host that was not heard for this long has died.
-const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 /// The part of the engines' time up to which prompts of any length get in.
 const FREE_PART: f64 = 0.25;
 /// The part at which only prompts that take [`READ_TIME_BUSY`] get in.
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -21,6 +21,7 @@
 use crate::gateway::send::Sending;
 use crate::units::AttemptId;
 use crate::units::UpstreamId;
+use crate::units::whole_millis;
 
 /// Sends of one call that did not run, beside those that may have. Each costs a way there and back.
 const UNRUN_SENDS_MAX: u32 = 5;
@@ -29,6 +30,7 @@
 /// When a caller may come again with a request that crashes upstreams: not while its other sends
 /// are still remembered by anybody.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// What came of bringing a call to upstreams.
 pub(crate) enum Delivery {
     /// An upstream answered; maybe with a failure, which goes to the caller as it is.
@@ -247,7 +249,7 @@
             request: self.call.head.request.clone(),
             upstream: upstream.id.to_string(),
             fault: format!("{}: {why}", fault.name()),
-            elapsed_ms: millis(now.saturating_duration_since(self.call.arrived)),
+            elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived)),
         });
     }
 
@@ -292,14 +294,10 @@
             helpers: placement.helpers.len(),
             reserves: placement.reserves.len(),
             earlier_sends: self.runs + self.unrun,
-            forecast_ms: millis(placement.forecast),
-            elapsed_ms: millis(now.saturating_duration_since(self.call.arrived)),
+            forecast_ms: whole_millis(placement.forecast),
+            elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived)),
             prompt_tokens: self.call.head.prompt.0,
-            manifest_age_ms: self.gateway.manifest_age().map_or(0, millis),
+            manifest_age_ms: self.gateway.manifest_age().map_or(0, whole_millis),
         });
     }
 }
-
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::gateway::Event;
 use crate::units::HostId;
+use crate::units::whole_millis;
 
 /// Lines that wait to be written, about 300 bytes each. A second of a host under its heaviest load.
 const WAITING_MAX: usize = 2_048;
@@ -87,7 +88,7 @@
     /// Notes an event. If too many wait, it is dropped and counted.
     pub fn note(&self, event: Event) {
         let wall = self.clock.wall().duration_since(UNIX_EPOCH);
-        let wall_ms = millis(wall.unwrap_or_default());
+        let wall_ms = whole_millis(wall.unwrap_or_default());
         let mut waiting = self.shared.lock();
         let places = if event.is_kept_first() {
             WAITING_MAX
@@ -192,7 +193,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -9,20 +9,14 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
-use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::header::PROXY_AUTHENTICATE;
-use hyper::header::TE;
-use hyper::header::TRAILER;
-use hyper::header::TRANSFER_ENCODING;
-use hyper::header::UPGRADE;
 use hyper::http::request;
 use hyper::http::uri::Authority;
 use tokio::time::timeout_at;
@@ -39,6 +33,7 @@
 use crate::gateway::relay::Relay;
 use crate::gateway::send::Answered;
 use crate::gateway::tracker::Tracker;
+use crate::http::remove_connection_headers;
 use crate::routing::RouteTable;
 
 /// The largest answer that is read whole before it goes to the caller, which allows another
@@ -194,6 +189,7 @@
 ) -> Response<AnswerBody> {
     let mut headers = std::mem::take(&mut answered.head.headers);
     remove_connection_headers(&mut headers);
+    headers.remove(PROXY_AUTHENTICATE);
     // An engine that goes on with the stream may write it in another length.
     headers.remove(CONTENT_LENGTH);
     let status = answered.head.status;
@@ -227,6 +223,7 @@
             courier.on_served();
             let mut headers = head.headers;
             remove_connection_headers(&mut headers);
+            headers.remove(PROXY_AUTHENTICATE);
             let mut res = Response::new(AnswerBody::whole(body.to_bytes()));
             *res.status_mut() = head.status;
             *res.headers_mut() = headers;
@@ -253,29 +250,3 @@
     tracker.finish(refusal.name(), res.status().as_u16());
     res
 }
-
-/// Removes what concerns only the connection that an answer came on.
-fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let keep_alive = HeaderName::from_static("keep-alive");
-    for name in [
-        CONNECTION,
-        keep_alive,
-        PROXY_AUTHENTICATE,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-}
--- a/src/gateway/load_guard.rs
+++ b/src/gateway/load_guard.rs
@@ -38,6 +38,5 @@
         }
         drop(ledger);
         self.gateway.load_changed.notify_one();
-        self.gateway.place_freed.notify_one();
     }
 }
--- a/src/gateway/meters.rs
+++ b/src/gateway/meters.rs
@@ -5,13 +5,14 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
 use crate::observe::ObserveError;
+use crate::observe::instruments::exporter;
+use crate::observe::instruments::seconds;
 use crate::routing::CallKind;
 use crate::units::CustomerId;
 
@@ -41,12 +42,7 @@
     /// Sets up all metrics in a registry of their own.
     pub fn new() -> Result<Self, ObserveError> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("banyanarch")
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()?;
+        let exporter = exporter(&registry)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("banyanarch");
         Ok(Self {
@@ -115,8 +111,3 @@
     let name = customer.map_or("none", CustomerId::as_str);
     KeyValue::new("customer", name.to_owned())
 }
-
-fn seconds(meter: &Meter, name: &'static str, bounds: &[f64]) -> Histogram<f64> {
-    let histogram = meter.f64_histogram(name).with_unit("s");
-    histogram.with_boundaries(bounds.to_vec()).build()
-}
--- a/src/gateway/share/held.rs
+++ b/src/gateway/share/held.rs
@@ -13,6 +13,7 @@
 use crate::gateway::share::message::Ask;
 use crate::gateway::share::message::List;
 use crate::gateway::share::message::UpstreamEntry;
+use crate::units::whole_millis;
 
 /// One list with the moment, since boot, at which it was certainly the newest.
 #[derive(Clone, Debug)]
@@ -33,16 +34,13 @@
 pub(crate) struct Held(Mutex<Lists>);
 
 impl Held {
-    /// Takes in a manifest. Returns whether it is another version than before.
-    pub(crate) fn put_routes(&self, version: u64, text: String, proved_at: Duration) -> bool {
-        let mut lists = self.lock();
-        let is_new = lists.routes.as_ref().is_none_or(|r| r.version != version);
-        lists.routes = Some(Proved {
+    /// Takes in a manifest.
+    pub(crate) fn put_routes(&self, version: u64, text: String, proved_at: Duration) {
+        self.lock().routes = Some(Proved {
             version,
             value: Arc::new(text),
             proved_at,
         });
-        is_new
     }
 
     /// Takes in that the manifest was still the newest later than was known.
@@ -124,7 +122,7 @@
 fn prove<T>(answer: &mut Answer, proved: &Proved<T>, now: Duration) {
     let age = now.saturating_sub(proved.proved_at);
     answer.version = proved.version;
-    answer.age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    answer.age_ms = whole_millis(age);
 }
 
 /// The same for the same upstreams on every host.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -76,8 +76,6 @@
     in_flight: AtomicU64,
     /// Notified when this host's work at upstreams changes.
     pub(crate) load_changed: Notify,
-    /// Notified when work at an upstream ends, for requests that wait for a place.
-    pub(crate) place_freed: Notify,
     /// Drawn at the start; tells this life of the host from earlier ones.
     pub(crate) incarnation: u64,
     /// What was read last, for other hosts that ask.
@@ -117,7 +115,6 @@
             stop_asked: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             load_changed: Notify::new(),
-            place_freed: Notify::new(),
             incarnation: rand::random(),
             held: Held::default(),
             routes_news: Notify::new(),
@@ -211,12 +208,27 @@
     /// The host that reads the platform for this failure domain; none if it is this one: of those that
     /// were heard lately and had something fresh, the first by name.
     pub(crate) fn reading_host(&self) -> Option<ListedHost> {
-        self.reader_of_domain()
+        let now = self.clock.now();
+        let hosts = self.beliefs.hosts();
+        let unfit = self.unfit_readers();
+        let is_unfit = |host: &HostId| {
+            let since = unfit.get(host);
+            since.is_some_and(|at| now.saturating_duration_since(*at) < READER_UNFIT_FOR)
+        };
+        let ledger = self.ledger();
+        let is_able = |listed: &&ListedHost| {
+            let is_here = listed.host == self.conf.host;
+            (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
+        };
+        // A domain whose own hosts all have nothing fresh asks one of another.
+        let rank = |listed: &&ListedHost| (listed.domain != self.conf.domain, listed.host.clone());
+        let first = hosts.iter().filter(is_able).min_by_key(rank)?;
+        (first.host != self.conf.host).then(|| first.clone())
     }
 
     /// Whether a host reads for this one.
     pub(crate) fn is_read_by(&self, host: &HostId) -> bool {
-        let reader = self.reader_of_domain();
+        let reader = self.reading_host();
         reader.is_some_and(|reader| reader.host == *host)
     }
 
@@ -234,25 +246,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn reader_of_domain(&self) -> Option<ListedHost> {
-        let now = self.clock.now();
-        let hosts = self.beliefs.hosts();
-        let unfit = self.unfit_readers();
-        let is_unfit = |host: &HostId| {
-            let since = unfit.get(host);
-            since.is_some_and(|at| now.saturating_duration_since(*at) < READER_UNFIT_FOR)
-        };
-        let ledger = self.ledger();
-        let is_able = |listed: &&ListedHost| {
-            let is_here = listed.host == self.conf.host;
-            (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
-        };
-        // A domain whose own hosts all have nothing fresh asks one of another.
-        let rank = |listed: &&ListedHost| (listed.domain != self.conf.domain, listed.host.clone());
-        let first = hosts.iter().filter(is_able).min_by_key(rank)?;
-        (first.host != self.conf.host).then(|| first.clone())
-    }
-
     /// Whether the balancer may send connections here.
     pub fn is_ready(&self) -> bool {
         let now = self.clock.since_boot();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -18,10 +18,10 @@
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::ListedHost;
-use crate::gateway::courier::millis;
 use crate::gateway::share::Reader;
 use crate::routing::RouteTable;
 use crate::units::UpstreamId;
+use crate::units::whole_millis;
 
 /// Between two reads of the manifest. A change has to be in force within 2 s of its acceptance: this
 /// leaves room for one failed read.
@@ -59,7 +59,7 @@
                 self.lost_at = None;
                 self.gateway.log.note(Event::DependencyRegained {
                     dependency: self.dependency.into(),
-                    away_ms: millis(now.saturating_duration_since(lost_at)),
+                    away_ms: whole_millis(now.saturating_duration_since(lost_at)),
                 });
             }
             (Err(err), None) => {
--- a/src/gateway/tracker.rs
+++ b/src/gateway/tracker.rs
@@ -7,11 +7,11 @@
 use crate::gateway::Call;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
-use crate::gateway::courier::millis;
 use crate::gateway::shared::InFlight;
 use crate::routing::CallKind;
 use crate::units::CustomerId;
 use crate::units::Generation;
+use crate::units::whole_millis;
 
 /// The status in the log of a request whose caller left before its answer.
 const STATUS_CALLER_GONE: u16 = 499;
@@ -101,9 +101,9 @@
             kind: kind.into(),
             outcome: outcome.to_owned(),
             status,
-            elapsed_ms: millis(now.saturating_duration_since(self.arrived)),
-            first_event_ms: self.first_event.map(millis),
-            longest_pause_ms: millis(self.longest_pause),
+            elapsed_ms: whole_millis(now.saturating_duration_since(self.arrived)),
+            first_event_ms: self.first_event.map(whole_millis),
+            longest_pause_ms: whole_millis(self.longest_pause),
             generation: self.generation.0,
         });
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod connection_headers;
 mod error;
 pub mod one_shot;
 mod sse;
@@ -9,6 +10,7 @@
 pub use body::ChunksBody;
 pub use body::PooledBody;
 pub use client::HttpClient;
+pub use connection_headers::remove_connection_headers;
 pub use error::HttpError;
 pub use sse::SseEvent;
 pub use sse::SseParser;
--- a/src/observe/explanations.rs
+++ b/src/observe/explanations.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 use std::time::Instant;
 use std::time::UNIX_EPOCH;
 
@@ -17,6 +16,7 @@
 use crate::observe::Step;
 use crate::observe::StepKind;
 use crate::units::RequestId;
+use crate::units::whole_millis;
 
 /// Enough that a dozen threads seldom meet at one lock.
 const SHARD_COUNT: usize = 16;
@@ -89,7 +89,7 @@
         let now = self.clock.now();
         let wall = self.clock.wall().duration_since(UNIX_EPOCH);
         let mut step = Step {
-            wall_ms: millis(wall.unwrap_or_default()),
+            wall_ms: whole_millis(wall.unwrap_or_default()),
             elapsed_ms: 0,
             what,
             place: clip(place, self.bounds.text_bytes).to_owned(),
@@ -102,7 +102,7 @@
             .entries
             .entry(request)
             .or_insert_with(|| Entry::new(now));
-        step.elapsed_ms = millis(now.saturating_duration_since(entry.started));
+        step.elapsed_ms = whole_millis(now.saturating_duration_since(entry.started));
         entry.push(step, self.bounds.steps);
         let after_bytes = entry.bytes;
         shard.bytes = shard.bytes + after_bytes - before_bytes;
@@ -197,10 +197,6 @@
     clip(&text, len_max).to_owned().into()
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn lock(shard: &Mutex<Shard>) -> MutexGuard<'_, Shard> {
     shard.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -14,7 +14,6 @@
 use opentelemetry::StringValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::UpDownCounter;
 use opentelemetry_sdk::metrics::Instrument;
@@ -31,6 +30,8 @@
 use crate::observe::ObserveError;
 use crate::observe::board_totals::BoardTotals;
 use crate::observe::gauges;
+use crate::observe::instruments::exporter;
+use crate::observe::instruments::seconds;
 use crate::units::CustomerId;
 
 /// 670 customers in 4 classes and 3 outcomes are 8,040 series of one metric.
@@ -70,12 +71,7 @@
     /// Sets up all metrics in a registry of their own.
     pub fn new() -> Result<Self, ObserveError> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("banyanarch")
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()?;
+        let exporter = exporter(&registry)?;
         let provider = SdkMeterProvider::builder()
             .with_reader(exporter)
             .with_view(series_bound)
@@ -197,11 +193,6 @@
     }
 }
 
-fn seconds(meter: &Meter, name: &'static str, bounds: &[f64]) -> Histogram<f64> {
-    let histogram = meter.f64_histogram(name).with_unit("s");
-    histogram.with_boundaries(bounds.to_vec()).build()
-}
-
 /// Without it the library's own bound of 2,000 would put most of 670 customers into one series.
 fn series_bound(_: &Instrument) -> Option<Stream> {
     Stream::builder()
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -5,6 +5,7 @@
 mod explanations;
 mod gauges;
 mod host_counts;
+pub(crate) mod instruments;
 pub mod logs;
 mod metrics;
 mod step;
--- /dev/null
+++ b/src/units/millis.rs
@@ -0,0 +1,8 @@
+//! Times as whole milliseconds, for logs and messages.
+
+use std::time::Duration;
+
+/// The whole milliseconds of a time; the largest number for one that is longer.
+pub fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
