--- a/src/decide/engines/ask.rs
+++ b/src/decide/engines/ask.rs
@@ -34,8 +34,6 @@
     pub objective_left: Duration,
     /// What is left of the time in which the whole answer has to be there.
     pub time_left: Duration,
-    /// Engine time that its prompt may take, by [`crate::decide::ReadWork`].
-    pub read_time_max: Duration,
     /// Drawn for this choice, even over all `u32`. Engines that are about equally good are told
     /// apart by it: hosts know of each other's work a little late, and if all of them took the very
     /// best engine, that one would get what all have.
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -35,13 +35,17 @@
 const BACKLOG_MAX: Duration = Duration::from_millis(300);
 /// Backlogs that differ by less than this count as equal.
 const EQUAL_WITHIN: Duration = Duration::from_millis(20);
-/// The part of its remaining time to the first event that a prompt has to keep beyond its forecast
-/// in order to wait; with less it is sent whatever waits at the engines.
-const SLACK_PART: f64 = 0.35;
-
-/// When a prompt that costs too much now is asked for again, as a part of what is left of its time:
-/// late enough that the load may have turned, early enough to be served.
-const COME_BACK_PART: f64 = 0.3;
+/// What stretching the pauses of one answer counts as in the choice of engines, in time to the first
+/// event of the prompt. Only compares groups: none that stretches a pause is sent to, but a prompt
+/// waits for a quick group with few answers in its way sooner than it takes a slow one.
+const STRETCH_COST: Duration = Duration::from_millis(50);
+/// The part of the time in which a prompt may wait that has to be left beyond its forecast for it to
+/// wait on. Forecasts fall short by up to a tenth of a second per second of backlog; of prompts that
+/// were sent with none left a quarter came late, each by some hundred ms, and kept engines from others.
+const SLACK_PART: f64 = 0.25;
+/// The part of the time left to its first event in which a prompt that can't wait any longer has to be
+/// read for it to be sent behind others; the forecast of one that goes to engines now is nearly exact.
+const IN_TIME_PART: f64 = 0.9;
 
 /// Engines that would read a prompt together.
 struct Group<'a> {
@@ -53,8 +57,8 @@
     forecast: Duration,
     /// What waits at the busiest of them.
     backlog: Duration,
-    /// Whether nobody's pauses are stretched too far.
-    is_gentle: bool,
+    /// Answers whose pauses are stretched too far by it.
+    stretched: u32,
 }
 
 pub(super) fn choose(
@@ -78,11 +82,12 @@
         ],
         _ => vec![(short_side, engines), (engines, engines)],
     };
-    let group = sides
+    let groups = sides
         .into_iter()
-        .find_map(|(leaders, readers)| group(model, leaders, readers, ask));
-    match group {
-        Some(group) => decide(model, group, ask),
+        .map(|(leaders, readers)| groups(model, leaders, readers, ask))
+        .find(|groups| !groups.is_empty());
+    match groups {
+        Some(groups) => decide(model, &groups, ask),
         None => refuse_or_wait(model, engines, ask),
     }
 }
@@ -105,43 +110,45 @@
 }
 
 /// Sends the prompt now, keeps it back for more pressed ones, or turns it away.
-fn decide(model: &EngineModel, group: Group<'_>, ask: &EngineAsk) -> EngineChoice {
-    if group.forecast + least_write_time(model, ask) > ask.time_left {
-        return EngineChoice::refuse(RefuseReason::Deadline, group.backlog);
+fn decide(model: &EngineModel, groups: &[Group<'_>], ask: &EngineAsk) -> EngineChoice {
+    let cost = |group: &&Group<'_>| group.forecast + STRETCH_COST * group.stretched;
+    let Some(best) = groups.iter().min_by_key(cost) else {
+        return EngineChoice::wait(Duration::MAX);
+    };
+    if best.forecast + least_write_time(model, ask) > ask.time_left {
+        return EngineChoice::refuse(RefuseReason::Deadline, best.backlog);
     }
-    if model.read_time(ask.prompt) > ask.read_time_max {
-        return EngineChoice::refuse(RefuseReason::Cost, ask.time_left.mul_f64(COME_BACK_PART));
+    if best.stretched == 0 && best.backlog <= BACKLOG_MAX {
+        return EngineChoice::Send(plan(best));
     }
-    let is_free = group.is_gentle && group.backlog <= BACKLOG_MAX;
-    let slack = ask.objective_left.saturating_sub(group.forecast);
-    let may_wait = slack > ask.objective_left.mul_f64(SLACK_PART);
-    let is_late = group.forecast > ask.objective_left;
-    match (is_free, may_wait, is_late) {
-        (true, _, _) | (false, false, false) => EngineChoice::Send(plan(group)),
-        (false, true, _) => EngineChoice::wait(group.backlog.saturating_sub(BACKLOG_MAX)),
-        // Late, and in the way of prompts that could be on time.
-        (false, false, true) => EngineChoice::refuse(RefuseReason::QueueFull, group.backlog),
+    let waits_for = best.backlog.saturating_sub(BACKLOG_MAX);
+    let time_to_wait = ask.objective_left.saturating_sub(best.part_time);
+    let slack = ask.objective_left.saturating_sub(best.forecast);
+    if slack > time_to_wait.mul_f64(SLACK_PART) {
+        return EngineChoice::wait(waits_for);
     }
+    if best.stretched == 0 && best.forecast <= ask.objective_left.mul_f64(IN_TIME_PART) {
+        return EngineChoice::Send(plan(best));
+    }
+    EngineChoice::refuse(RefuseReason::QueueFull, waits_for)
 }
 
-/// The engines that read a prompt with a leader of `leaders`; none if none has a place and memory.
+/// Groups of one engine up to as many as help, with a leader of `leaders`; none if none has a place
+/// and memory.
 ///
 /// The more engines share a prompt, the sooner it is read; but an engine counts only if its part
 /// stretches nobody's pauses there. A part of an archive on an engine with a dozen short answers
 /// would make all of these late for the sake of one.
-fn group<'a>(
+fn groups<'a>(
     model: &EngineModel,
     leaders: &'a [EngineView],
     readers: &'a [EngineView],
     ask: &EngineAsk,
-) -> Option<Group<'a>> {
+) -> Vec<Group<'a>> {
     let read_time = model.read_time(ask.prompt);
     let most = parts_wanted(read_time, readers.len() + 1);
-    let gentle = (1..=most)
-        .filter_map(|parts| group_of(model, leaders, readers, ask, parts))
-        .filter(|group| group.is_gentle)
-        .min_by_key(|group| group.forecast);
-    gentle.or_else(|| group_of(model, leaders, readers, ask, most))
+    let groups = (1..=most).filter_map(|parts| group_of(model, leaders, readers, ask, parts));
+    groups.collect()
 }
 
 /// A group of this many engines: the gentlest ones, then those with the least left to read.
@@ -156,9 +163,11 @@
     let leader = leader(model, leaders, part_time, ask)?;
     let mut others: Vec<(usize, &EngineView)> = readers.iter().enumerate().collect();
     others.sort_by_cached_key(|(index, engine)| {
-        let is_gentle = part_time <= engine.room(model);
-        let backlog = engine.load.read_backlog.as_millis() / EQUAL_WITHIN.as_millis();
-        (!is_gentle, backlog, ask.shuffle(*index))
+        let cost = engine.load.read_backlog + STRETCH_COST * stretched(model, engine, part_time);
+        (
+            cost.as_millis() / EQUAL_WITHIN.as_millis(),
+            ask.shuffle(*index),
+        )
     });
     let others = others.into_iter().map(|(_, engine)| engine);
     let mut others: Vec<&EngineView> = others.filter(|e| e.id != leader.id).collect();
@@ -178,12 +187,23 @@
         part_time,
         forecast: forecasts.max().unwrap_or_default(),
         backlog: backlogs.max().unwrap_or_default(),
-        is_gentle: all().all(|engine| part_time <= engine.room(model)),
+        stretched: all()
+            .map(|engine| stretched(model, engine, part_time))
+            .sum(),
         helpers: others,
         reserves,
     })
 }
 
+/// Answers on an engine whose pauses a part would stretch too far.
+fn stretched(model: &EngineModel, engine: &EngineView, part_time: Duration) -> u32 {
+    if part_time <= engine.room(model) {
+        0
+    } else {
+        engine.load.in_flight
+    }
+}
+
 /// The engine that writes the answer: of those with a place and the memory for its share, the first
 /// that can read its part without stretching pauses; so answers to long prompts gather on few
 /// engines. Where none has the memory, the one with the most.
@@ -274,11 +294,11 @@
     EngineChoice::wait(Duration::MAX)
 }
 
-fn plan(group: Group<'_>) -> EnginePlan {
+fn plan(group: &Group<'_>) -> EnginePlan {
     EnginePlan {
         leader: group.leader.id.clone(),
         helpers: group.helpers.iter().map(|e| e.id.clone()).collect(),
-        reserves: group.reserves,
+        reserves: group.reserves.clone(),
         part_time: group.part_time,
         forecast: group.forecast,
     }
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -9,6 +9,8 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::read_queue::ReadQueue;
+use crate::decide::read_queue::ReadSent;
 use crate::units::HostId;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
@@ -21,10 +23,11 @@
 /// of the longest with what a message may be late.
 const PEER_HEARD_WITHIN: Duration = Duration::from_millis(700);
 
-/// An engine begins to read with its next pass, on average after half of one.
-const READ_START_DELAY: Duration = Duration::from_millis(25);
+/// How long a host goes on telling what it has sent to an upstream to be read in, when it has nothing
+/// else there. Longer than several messages take, so that a lost one is made up for.
+const SENT_TOLD_FOR: Duration = Duration::from_secs(1);
 
-/// Work at one upstream.
+/// Work of all hosts at one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamLoad {
     /// Requests that were sent there and have not ended.
@@ -40,18 +43,32 @@
 }
 
 impl UpstreamLoad {
-    fn add(&mut self, other: &Self) {
+    fn add(&mut self, other: &HostLoad) {
         self.in_flight += other.in_flight;
         self.short_in_flight += other.short_in_flight;
         self.strictest_pause = match (self.strictest_pause, other.strictest_pause) {
             (Some(own), Some(other)) => Some(own.min(other)),
             (own, other) => own.or(other),
         };
-        self.read_backlog += other.read_backlog;
         self.held_tokens += other.held_tokens;
     }
 }
 
+/// Work of one host at one upstream, as it is told to the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostLoad {
+    /// Requests that were sent there and have not ended.
+    pub in_flight: u32,
+    /// Those of them whose prompt is short.
+    pub short_in_flight: u32,
+    /// The shortest pause that the caller of one of them accepts between two events.
+    pub strictest_pause: Option<Duration>,
+    /// Memory that these requests take, in tokens.
+    pub held_tokens: Tokens,
+    /// What was sent there to be read in.
+    pub read: ReadSent,
+}
+
 /// What one request adds to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadShare {
@@ -73,26 +90,60 @@
     short_in_flight: u32,
     /// How many requests accept which pause.
     pauses: IndexMap<Duration, u32>,
-    reads_until: Instant,
     held_tokens: Tokens,
+    read_total: Duration,
+    /// When the last of it will have been read.
+    read_until: Instant,
+    sent_at: Instant,
 }
 
 impl OwnLoad {
-    fn seen_at(&self, now: Instant) -> UpstreamLoad {
-        UpstreamLoad {
+    fn new(now: Instant) -> Self {
+        Self {
+            in_flight: 0,
+            short_in_flight: 0,
+            pauses: IndexMap::new(),
+            held_tokens: Tokens::ZERO,
+            read_total: Duration::ZERO,
+            read_until: now,
+            sent_at: now,
+        }
+    }
+
+    fn seen_at(&self, now: Instant) -> HostLoad {
+        HostLoad {
             in_flight: self.in_flight,
             short_in_flight: self.short_in_flight,
             strictest_pause: self.pauses.keys().min().copied(),
-            read_backlog: self.reads_until.saturating_duration_since(now),
             held_tokens: self.held_tokens,
+            read: ReadSent {
+                total: self.read_total,
+                remaining: self.read_until.saturating_duration_since(now),
+            },
         }
     }
+
+    fn is_told(&self, now: Instant) -> bool {
+        self.in_flight > 0
+            || self.held_tokens > Tokens::ZERO
+            || now.saturating_duration_since(self.sent_at) < SENT_TOLD_FOR
+    }
 }
 
 #[derive(Clone, Debug)]
 struct PeerLoads {
+    /// Drawn at that host's start.
+    incarnation: u64,
     heard_at: Instant,
-    by_upstream: IndexMap<UpstreamId, UpstreamLoad>,
+    by_upstream: IndexMap<UpstreamId, HostLoad>,
+    /// What it has said last of its reading totals, also at upstreams that it no longer names.
+    read_totals: IndexMap<UpstreamId, Duration>,
+}
+
+impl PeerLoads {
+    fn is_heard(&self, within: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) < within
+    }
 }
 
 /// The work of this host and of the others, by upstream.
@@ -100,31 +151,29 @@
 pub struct LoadLedger {
     own: IndexMap<UpstreamId, OwnLoad>,
     peers: IndexMap<HostId, PeerLoads>,
+    queue: ReadQueue,
 }
 
 impl LoadLedger {
     /// Takes in that a request was sent to an upstream.
     pub fn start(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
-        let own = self.own.entry(upstream.clone()).or_insert(OwnLoad {
-            in_flight: 0,
-            short_in_flight: 0,
-            pauses: IndexMap::new(),
-            reads_until: now,
-            held_tokens: Tokens::ZERO,
-        });
+        let new = || OwnLoad::new(now);
+        let own = self.own.entry(upstream.clone()).or_insert_with(new);
         own.in_flight += u32::from(share.takes_place);
         own.short_in_flight += u32::from(share.takes_place && share.is_short);
         if let Some(pause) = share.pause.filter(|_| share.takes_place) {
             *own.pauses.entry(pause).or_default() += 1;
         }
         if !share.read_time.is_zero() {
-            own.reads_until = own.reads_until.max(now + READ_START_DELAY) + share.read_time;
+            own.read_total += share.read_time;
+            own.read_until = self.queue.on_sent(upstream, share.read_time, now);
+            own.sent_at = now;
         }
         own.held_tokens += share.held_tokens;
     }
 
     /// Takes in that it has ended there.
-    pub fn end(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
+    pub fn end(&mut self, upstream: &UpstreamId, share: &LoadShare) {
         let Some(own) = self.own.get_mut(upstream) else {
             return;
         };
@@ -142,16 +191,31 @@
             }
         }
         own.held_tokens = own.held_tokens.saturating_sub(share.held_tokens);
-        if own.in_flight == 0 && own.held_tokens == Tokens::ZERO && own.reads_until <= now {
-            self.own.swap_remove(upstream);
-        }
     }
 
     /// Takes in what another host says of its own work, which replaces what it said before.
-    pub fn hear(&mut self, host: HostId, loads: IndexMap<UpstreamId, UpstreamLoad>, now: Instant) {
+    /// `incarnation` is drawn at each start of that host.
+    pub fn hear(
+        &mut self,
+        host: HostId,
+        incarnation: u64,
+        loads: IndexMap<UpstreamId, HostLoad>,
+        now: Instant,
+    ) {
+        let known = self
+            .peers
+            .swap_remove(&host)
+            .filter(|known| known.incarnation == incarnation && known.is_heard(PEER_KEPT_FOR, now));
+        let mut read_totals = known.map(|known| known.read_totals).unwrap_or_default();
+        for (upstream, load) in &loads {
+            let known = read_totals.insert(upstream.clone(), load.read.total);
+            self.queue.hear(upstream, known, load.read, now);
+        }
         let loads = PeerLoads {
+            incarnation,
             heard_at: now,
             by_upstream: loads,
+            read_totals,
         };
         self.peers.insert(host, loads);
     }
@@ -159,45 +223,52 @@
     /// Forgets hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
         self.peers
-            .retain(|_, peer| now.saturating_duration_since(peer.heard_at) < PEER_KEPT_FOR);
+            .retain(|_, peer| peer.is_heard(PEER_KEPT_FOR, now));
+    }
+
+    /// Forgets upstreams that are off the list and have no work left.
+    pub fn keep(&mut self, is_listed: impl Fn(&UpstreamId) -> bool, now: Instant) {
+        self.queue.forget_done(now);
+        self.own.retain(|id, own| own.is_told(now) || is_listed(id));
+        for peer in self.peers.values_mut() {
+            peer.read_totals.retain(|id, _| is_listed(id));
+        }
     }
 
     /// The work of all hosts at one upstream.
     pub fn load(&self, upstream: &UpstreamId, now: Instant) -> UpstreamLoad {
-        let mut load = self
-            .own
-            .get(upstream)
-            .map_or_else(UpstreamLoad::default, |own| own.seen_at(now));
+        let mut load = UpstreamLoad {
+            read_backlog: self.queue.backlog(upstream, now),
+            ..UpstreamLoad::default()
+        };
+        if let Some(own) = self.own.get(upstream) {
+            load.add(&own.seen_at(now));
+        }
         for peer in self.peers.values() {
-            let age = now.saturating_duration_since(peer.heard_at);
-            if age >= PEER_KEPT_FOR {
-                continue;
-            }
-            if let Some(said) = peer.by_upstream.get(upstream) {
-                let mut said = *said;
-                said.read_backlog = said.read_backlog.saturating_sub(age);
-                load.add(&said);
+            if let Some(said) = peer.by_upstream.get(upstream)
+                && peer.is_heard(PEER_KEPT_FOR, now)
+            {
+                load.add(said);
             }
         }
         load
     }
 
     /// This host's own work, to be told to the others.
-    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, UpstreamLoad)> {
-        let loads = self.own.iter().map(move |(id, own)| (id, own.seen_at(now)));
-        loads.filter(|(_, load)| *load != UpstreamLoad::default())
+    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, HostLoad)> {
+        let told = self.own.iter().filter(move |(_, own)| own.is_told(now));
+        told.map(move |(id, own)| (id, own.seen_at(now)))
     }
 
     /// Whether another host was heard within the last few of the intervals at which hosts send.
     pub fn is_heard(&self, host: &HostId, now: Instant) -> bool {
         let peer = self.peers.get(host);
-        peer.is_some_and(|peer| now.saturating_duration_since(peer.heard_at) < PEER_HEARD_WITHIN)
+        peer.is_some_and(|peer| peer.is_heard(PEER_HEARD_WITHIN, now))
     }
 
     /// The other hosts that were heard lately.
     pub fn peers_heard(&self, now: Instant) -> usize {
-        let is_heard =
-            |peer: &&PeerLoads| now.saturating_duration_since(peer.heard_at) < PEER_KEPT_FOR;
+        let is_heard = |peer: &&PeerLoads| peer.is_heard(PEER_KEPT_FOR, now);
         self.peers.values().filter(is_heard).count()
     }
 }
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -181,8 +181,6 @@
     RetryBudget,
     /// The platform can't be reached, which a request that is not repeatable needs.
     NoClaim,
-    /// Reading it would take engines' time that serves many others.
-    Cost,
 }
 
 impl RefuseReason {
@@ -198,7 +196,6 @@
             Self::Poison => "poison",
             Self::RetryBudget => "retry_budget",
             Self::NoClaim => "no_claim",
-            Self::Cost => "cost",
         }
     }
 
@@ -214,7 +211,6 @@
             Self::Poison,
             Self::RetryBudget,
             Self::NoClaim,
-            Self::Cost,
         ];
         all.into_iter().find(|reason| reason.name() == name)
     }
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -1,13 +1,13 @@
 //! The messages. Field numbers are never used again.
 
-/// All that one host tells the others.
+/// All that one host tells the others. Tag 6 was used before.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct HostNews {
     /// The name of the sender.
     #[prost(string, tag = "1")]
     pub host: String,
-    /// Drawn at the sender's start.
+    /// Drawn at the sender's start; totals begin anew with it.
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// Grows with each message of an incarnation.
@@ -16,9 +16,6 @@
     /// The sender's work at upstreams; those without any are left out.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<LoadNews>,
-    /// Engine time of the longer prompts that the sender sent lately, in ms.
-    #[prost(uint32, tag = "6")]
-    pub read_work_ms: u32,
     /// The version of the manifest that the sender has read last; 0 if none.
     #[prost(uint64, tag = "7")]
     pub routes_version: u64,
@@ -43,9 +40,12 @@
     /// Those of them with a short prompt.
     #[prost(uint32, tag = "3")]
     pub short_in_flight: u32,
-    /// Time until it has read in what was sent, in ms.
+    /// Time until it has read in what the sender sent there, as far as that knows, in ms.
     #[prost(uint32, tag = "4")]
-    pub read_backlog_ms: u32,
+    pub read_remaining_ms: u32,
+    /// Reading time of all that the sender has sent there since its start, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub read_total_us: u64,
     /// The shortest pause that a caller of one of them accepts between two events, in ms; 0 if none
     /// says.
     #[prost(uint32, tag = "6")]
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -20,6 +20,10 @@
 /// The shortest time between two messages. Two hosts that decide within it can choose the same
 /// upstream; the engines' passes, which take longer, even that out.
 const INTERVAL_MIN: Duration = Duration::from_millis(10);
+/// Messages with urgent changes that may follow each other at the shortest interval, while the host's
+/// messages on the whole stay as rare as the size of the fleet asks. A host of a fleet of 70 gets a few
+/// requests a second, so most of them can be told at once.
+const URGENT_BURST: u32 = 3;
 /// What each further host adds to the interval, so that a host of a large fleet receives at most
 /// 400 messages a second, some hundredths of a core.
 const INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
@@ -43,6 +47,9 @@
 
     /// Notified at each change of what [`NewsDesk::news`] would say.
     fn changed(&self) -> &Notify;
+
+    /// Notified at a change that can't wait for this host's turn.
+    fn urgent(&self) -> &Notify;
 }
 
 /// The task that exchanges news over one socket.
@@ -50,7 +57,20 @@
     desk: Arc<dyn NewsDesk>,
     framed: UdpFramed<NewsCodec>,
     told_at: Instant,
-    has_changed: bool,
+    /// When the next message would be due if all had come at even intervals.
+    even_at: Instant,
+    need: Need,
+}
+
+/// What the next message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// To show that this host is alive.
+    SignOfLife,
+    /// To tell a change when it is this host's turn.
+    Change,
+    /// To tell a change at once.
+    UrgentChange,
 }
 
 impl Exchange {
@@ -60,7 +80,8 @@
             desk,
             framed: UdpFramed::new(socket, NewsCodec),
             told_at: Instant::now(),
-            has_changed: true,
+            even_at: Instant::now(),
+            need: Need::Change,
         }
     }
 
@@ -68,14 +89,14 @@
     pub async fn run(mut self) {
         let desk = Arc::clone(&self.desk);
         loop {
-            let interval = if self.has_changed {
-                interval(desk.peers().len())
-            } else {
-                INTERVAL_IDLE
-            };
             tokio::select! {
-                () = sleep_until(self.told_at + interval) => self.tell().await,
-                () = desk.changed().notified(), if !self.has_changed => self.has_changed = true,
+                () = sleep_until(self.tells_at()) => self.tell().await,
+                () = desk.changed().notified(), if self.need < Need::Change => {
+                    self.need = Need::Change;
+                }
+                () = desk.urgent().notified(), if self.need < Need::UrgentChange => {
+                    self.need = Need::UrgentChange;
+                }
                 heard = self.framed.next() => match heard {
                     Some(Ok((news, _))) => desk.hear(news),
                     Some(Err(err)) => warn!("exchange: {err}"),
@@ -85,9 +106,26 @@
         }
     }
 
+    fn tells_at(&self) -> Instant {
+        match self.need {
+            Need::SignOfLife => self.told_at + INTERVAL_IDLE,
+            Need::Change => self.told_at + self.interval(),
+            Need::UrgentChange => {
+                let burst = self.interval() * URGENT_BURST;
+                let earliest = self.even_at.checked_sub(burst).unwrap_or(self.told_at);
+                earliest.max(self.told_at + INTERVAL_MIN)
+            }
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        interval(self.desk.peers().len())
+    }
+
     async fn tell(&mut self) {
         self.told_at = Instant::now();
-        self.has_changed = false;
+        self.even_at = self.even_at.max(self.told_at) + self.interval();
+        self.need = Need::SignOfLife;
         let news = self.desk.news();
         for peer in self.desk.peers() {
             if let Err(err) = self.framed.send((&news, peer)).await {
--- a/src/gateway/load_guard.rs
+++ b/src/gateway/load_guard.rs
@@ -21,7 +21,13 @@
             ledger.start(upstream, share, now);
         }
         drop(ledger);
-        gateway.load_changed.notify_one();
+        // Hosts that do not know of each other's prompts choose the same engines, and all of these
+        // come later than forecast by the time of the others.
+        if shares.iter().any(|(_, share)| !share.read_time.is_zero()) {
+            gateway.load_urgent.notify_one();
+        } else {
+            gateway.load_changed.notify_one();
+        }
         Self {
             gateway: Arc::clone(gateway),
             shares,
@@ -31,10 +37,9 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        let now = self.gateway.clock.now();
         let mut ledger = self.gateway.ledger();
         for (upstream, share) in &self.shares {
-            ledger.end(upstream, share, now);
+            ledger.end(upstream, share);
         }
         drop(ledger);
         self.gateway.load_changed.notify_one();
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -8,9 +8,10 @@
 use log::warn;
 use tokio::sync::Notify;
 
+use crate::decide::HostLoad;
 use crate::decide::Poison;
 use crate::decide::PoisonMark;
-use crate::decide::UpstreamLoad;
+use crate::decide::ReadSent;
 use crate::exchange::HostNews;
 use crate::exchange::LoadNews;
 use crate::exchange::NewsDesk;
@@ -43,7 +44,6 @@
             incarnation: self.incarnation,
             sequence: self.news_sent.fetch_add(1, Ordering::Relaxed),
             loads,
-            read_work_ms: millis(self.read_work().own(now)),
             poisons: poisons.iter().map(poison_news).collect(),
         }
     }
@@ -61,11 +61,9 @@
             self.poison().merge(&poison, now);
         }
         self.hear_versions(&host, &news);
-        let read_work = Duration::from_millis(news.read_work_ms.into());
-        self.read_work().hear(host.clone(), read_work, now);
-        let loads: IndexMap<UpstreamId, UpstreamLoad> =
+        let loads: IndexMap<UpstreamId, HostLoad> =
             news.loads.iter().filter_map(read_load).collect();
-        self.ledger().hear(host, loads, now);
+        self.ledger().hear(host, news.incarnation, loads, now);
     }
 
     fn peers(&self) -> Vec<SocketAddr> {
@@ -77,6 +75,10 @@
     fn changed(&self) -> &Notify {
         &self.load_changed
     }
+
+    fn urgent(&self) -> &Notify {
+        &self.load_urgent
+    }
 }
 
 impl Gateway {
@@ -96,24 +98,28 @@
     }
 }
 
-fn load_news(id: &UpstreamId, load: &UpstreamLoad) -> LoadNews {
+fn load_news(id: &UpstreamId, load: &HostLoad) -> LoadNews {
     LoadNews {
         upstream: id.to_string(),
         in_flight: load.in_flight,
         short_in_flight: load.short_in_flight,
-        read_backlog_ms: millis(load.read_backlog),
+        read_remaining_ms: millis(load.read.remaining),
+        read_total_us: whole_micros(load.read.total),
         strictest_pause_ms: load.strictest_pause.map_or(0, millis),
         held_tokens: load.held_tokens.0,
     }
 }
 
-fn read_load(news: &LoadNews) -> Option<(UpstreamId, UpstreamLoad)> {
-    let load = UpstreamLoad {
+fn read_load(news: &LoadNews) -> Option<(UpstreamId, HostLoad)> {
+    let load = HostLoad {
         in_flight: news.in_flight,
         short_in_flight: news.short_in_flight,
         strictest_pause: (news.strictest_pause_ms > 0)
             .then(|| Duration::from_millis(news.strictest_pause_ms.into())),
-        read_backlog: Duration::from_millis(news.read_backlog_ms.into()),
+        read: ReadSent {
+            total: Duration::from_micros(news.read_total_us),
+            remaining: Duration::from_millis(news.read_remaining_ms.into()),
+        },
         held_tokens: Tokens(news.held_tokens),
     };
     Some((news.upstream.parse().ok()?, load))
@@ -123,6 +129,10 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn whole_micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn poison_news(poison: &Poison) -> PoisonNews {
     let (PoisonMark::Content(hash) | PoisonMark::Key(hash)) = poison.mark;
     PoisonNews {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -131,17 +131,10 @@
         output: call.head.output,
         objective_left: call.objective_left(now),
         time_left: call.time_left(now),
-        read_time_max: gateway.read_work().read_time_max(views.len(), now),
         draw: rand::random(),
     };
     match choose_engines(model, &views, &ask) {
-        EngineChoice::Send(plan) => {
-            if ask.class(model) != PromptClass::Short {
-                let read_time = model.read_time(ask.prompt);
-                gateway.read_work().on_sent(read_time, now);
-            }
-            place(call, model, &ask, &plan, usable)
-        }
+        EngineChoice::Send(plan) => place(call, model, &ask, &plan, usable),
         EngineChoice::Wait(wait) => Choice::Wait(wait),
         EngineChoice::Refuse {
             reason,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,7 +19,6 @@
 use crate::decide::LoadLedger;
 use crate::decide::Poison;
 use crate::decide::PoisonList;
-use crate::decide::ReadWork;
 use crate::decide::RetryWindow;
 use crate::gateway::Beliefs;
 use crate::gateway::Call;
@@ -70,12 +69,13 @@
     ledger: Mutex<LoadLedger>,
     health: Mutex<HealthBook>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
-    read_work: Mutex<ReadWork>,
     poison: Mutex<PoisonList>,
     stop_asked: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
     /// Notified when this host's work at upstreams changes.
     pub(crate) load_changed: Notify,
+    /// Notified when the others have to hear of it at once.
+    pub(crate) load_urgent: Notify,
     /// Drawn at the start; tells this life of the host from earlier ones.
     pub(crate) incarnation: u64,
     /// What was read last, for other hosts that ask.
@@ -110,11 +110,11 @@
             ledger: Mutex::default(),
             health: Mutex::default(),
             retries: Mutex::default(),
-            read_work: Mutex::default(),
             poison: Mutex::new(PoisonList::with_bounds(CRASHES_MAX, POISON_KEPT_FOR)),
             stop_asked: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             load_changed: Notify::new(),
+            load_urgent: Notify::new(),
             incarnation: rand::random(),
             held: Held::default(),
             routes_news: Notify::new(),
@@ -135,13 +135,6 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The prompts that all hosts sent to engines lately.
-    pub fn read_work(&self) -> MutexGuard<'_, ReadWork> {
-        self.read_work
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Requests that crash upstreams.
     pub fn poison(&self) -> MutexGuard<'_, PoisonList> {
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -140,6 +140,8 @@
             let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
             let usable = gateway.beliefs.set_upstreams(listed.to_vec());
             gateway.health().keep(|id| staying.contains(id));
+            let now = gateway.clock.now();
+            gateway.ledger().keep(|id| staying.contains(id), now);
             note_changes(&gateway, &known, &staying, usable);
             known = staying;
         }
--- /dev/null
+++ b/tests/decide_engine_load.rs
@@ -0,0 +1,103 @@
+//! Loads of many requests on engines by the published speed model, on a fixed seed.
+
+mod engine_world;
+
+use std::time::Duration;
+
+use engine_world::Ended;
+use engine_world::Load;
+use engine_world::Phase;
+use engine_world::Site;
+use engine_world::Tally;
+use engine_world::World;
+
+const SHORT: usize = 0;
+const MEDIUM: usize = 1;
+const LONG: usize = 2;
+
+/// Archives for some seconds, clauses for as long, archives again.
+fn by_turns(for_s: f64) -> Vec<Phase> {
+    let phase = |factors| Phase { for_s, factors };
+    vec![
+        phase([0.35, 1.3, 2.7]),
+        phase([2.4, 0.5, 0.05]),
+        phase([0.35, 1.3, 2.7]),
+    ]
+}
+
+fn play(site: &Site, phases: &[Phase], seed: u64) -> Tally {
+    let load = Load::draw(site, phases, seed);
+    let tally = World::play(site.clone(), load, seed);
+    println!("{tally}");
+    tally
+}
+
+/// Audits come late or are turned away while half of the engines' time is unused, on seven hosts and
+/// on seventy. The load turns between archives and clauses; hosts that hear late of each other's
+/// prompts send them to the same engines, and forecasts fall short by seconds.
+#[test]
+fn archives_and_clauses_by_turns_are_served_on_a_small_site() {
+    let tally = play(&Site::small(), &by_turns(9.0), 1);
+    assert!(tally.earned_all() > 0.88, "{tally}");
+    assert!(tally.earned(SHORT) > 0.92, "{tally}");
+    assert!(tally.earned(MEDIUM) > 0.95, "{tally}");
+    assert!(tally.earned(LONG) > 0.80, "{tally}");
+}
+
+#[test]
+fn archives_and_clauses_by_turns_are_served_on_a_large_site() {
+    let tally = play(&Site::large(), &by_turns(5.0), 1);
+    assert!(tally.earned_all() > 0.85, "{tally}");
+    assert!(tally.earned(LONG) > 0.80, "{tally}");
+    assert!(tally.error_ms(LONG, 0.95) < 1_000.0, "{tally}");
+}
+
+/// Studios whose catalogues are the longest get no audit at all: whenever engines are short of time
+/// the few longest prompts are the first to be turned away, and they cost most.
+#[test]
+fn no_length_is_turned_away_for_the_others_under_load() {
+    let phases = [Phase {
+        for_s: 12.0,
+        factors: [0.35, 1.3, 2.7],
+    }];
+    let tally = play(&Site::large(), &phases, 3);
+    let (largest_tenth, next_fifth, all) = tally.served_by_size(LONG);
+    assert!(all > 0.85, "{tally}");
+    assert!(largest_tenth > all / 2.0, "{tally}");
+    assert!(next_fifth > all * 0.7, "{tally}");
+}
+
+/// Twice as many archives as engines can read in. Let in without a bound all of them are late; those
+/// that are let in have to be on time, and the others hear it at once.
+#[test]
+fn beyond_what_engines_can_read_those_that_are_let_in_are_on_time() {
+    let phases = [Phase {
+        for_s: 8.0,
+        factors: [0.35, 1.3, 5.4],
+    }];
+    let tally = play(&Site::small(), &phases, 4);
+    let (on_time, late) = (
+        tally.part(LONG, Ended::OnTime),
+        tally.part(LONG, Ended::Late),
+    );
+    assert!(on_time > 0.35, "{tally}");
+    assert!(late < on_time / 2.0, "{tally}");
+    assert!(tally.earned(SHORT) > 0.8, "{tally}");
+}
+
+/// Clauses alone, at nearly all the places that engines have.
+#[test]
+fn clauses_alone_are_on_time() {
+    let phases = [Phase {
+        for_s: 6.0,
+        factors: [2.4, 0.5, 0.0],
+    }];
+    let mut site = Site::large();
+    site.classes[LONG].per_s = 0.001;
+    let tally = play(&site, &phases, 5);
+    assert!(tally.earned(SHORT) > 0.93, "{tally}");
+    // Hosts that tell of short prompts only in their turn choose the same engines.
+    site.urgent_interval = Duration::from_millis(170);
+    let slower = play(&site, &phases, 5);
+    assert!(slower.earned(SHORT) < tally.earned(SHORT), "{slower}");
+}
--- /dev/null
+++ b/tests/engine_world/engine.rs
@@ -0,0 +1,138 @@
+//! One engine: passes of token steps in which waiting prompts are read.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use banyanarch::decide::EngineModel;
+
+/// Prompt tokens that one token step reads at most.
+const CHUNK_TOKENS: f64 = 2_048.0;
+
+/// A part of a prompt that waits to be read.
+#[derive(Clone, Debug)]
+struct Part {
+    request: usize,
+    left_ms: f64,
+    left_tokens: f64,
+}
+
+/// An answer that is being written.
+#[derive(Clone, Debug)]
+struct Writer {
+    request: usize,
+    events_left: u32,
+    context_tokens: f64,
+    is_new: bool,
+}
+
+/// What a pass has brought.
+#[derive(Debug, Default)]
+pub struct PassEnd {
+    /// Requests whose part here has been read.
+    pub read: Vec<usize>,
+    /// Requests of whose answer an event was written, and whether it was the last.
+    pub written: Vec<(usize, bool)>,
+}
+
+/// An engine.
+#[derive(Debug, Default)]
+pub struct Engine {
+    helped: VecDeque<Part>,
+    own: VecDeque<Part>,
+    writers: Vec<Writer>,
+    /// Requests that have all parts read and wait for a place.
+    ready: VecDeque<Writer>,
+    pass: Option<PassEnd>,
+    pub reserved_tokens: u64,
+}
+
+impl Engine {
+    /// A part of a prompt arrives; `is_own` where this engine writes the answer.
+    pub fn push_part(&mut self, request: usize, read_ms: f64, tokens: f64, is_own: bool) {
+        let part = Part {
+            request,
+            left_ms: read_ms,
+            left_tokens: tokens,
+        };
+        if is_own {
+            self.own.push_back(part);
+        } else {
+            self.helped.push_back(part);
+        }
+    }
+
+    /// All parts of a prompt have been read: its answer is written here from the next pass on.
+    pub fn push_writer(&mut self, request: usize, events: u32, context_tokens: f64) {
+        self.ready.push_back(Writer {
+            request,
+            events_left: events.max(1),
+            context_tokens,
+            is_new: true,
+        });
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.pass.is_none()
+    }
+
+    /// Begins a pass if there is work. Returns how long it takes.
+    pub fn begin(&mut self, model: &EngineModel) -> Option<Duration> {
+        while self.writers.len() < model.slots as usize
+            && let Some(writer) = self.ready.pop_front()
+        {
+            self.writers.push(writer);
+        }
+        let is_reading = !self.helped.is_empty() || !self.own.is_empty();
+        if self.writers.is_empty() && !is_reading {
+            return None;
+        }
+        // The first token of the only answers here does not wait for a whole pass.
+        let all_new = self.writers.iter().all(|writer| writer.is_new);
+        let steps = if all_new { 1 } else { model.stride };
+        let context: f64 = self.writers.iter().map(|w| w.context_tokens).sum();
+        let step_ms = model.step_ms
+            + self.writers.len() as f64 * model.step_per_writer_ms
+            + context / 1e3 * model.step_per_kilotoken_ms;
+        let mut end = PassEnd::default();
+        let read_ms = self.read(f64::from(steps) * CHUNK_TOKENS, &mut end);
+        for writer in &mut self.writers {
+            writer.is_new = false;
+            writer.events_left -= 1;
+            end.written.push((writer.request, writer.events_left == 0));
+        }
+        self.writers.retain(|writer| writer.events_left > 0);
+        self.pass = Some(end);
+        let took_ms = f64::from(steps) * step_ms + read_ms;
+        Some(Duration::from_secs_f64(took_ms / 1e3))
+    }
+
+    /// Ends the pass under way.
+    pub fn end(&mut self) -> PassEnd {
+        self.pass.take().unwrap_or_default()
+    }
+
+    fn read(&mut self, mut tokens_left: f64, end: &mut PassEnd) -> f64 {
+        let mut took_ms = 0.0;
+        while tokens_left > 0.5 {
+            let queue = if self.helped.is_empty() {
+                &mut self.own
+            } else {
+                &mut self.helped
+            };
+            let Some(part) = queue.front_mut() else {
+                break;
+            };
+            let tokens = part.left_tokens.min(tokens_left);
+            let ms = part.left_ms * (tokens / part.left_tokens.max(1e-9)).min(1.0);
+            part.left_tokens -= tokens;
+            part.left_ms -= ms;
+            tokens_left -= tokens;
+            took_ms += ms;
+            if part.left_tokens <= 0.5 {
+                end.read.push(part.request);
+                queue.pop_front();
+            }
+        }
+        took_ms
+    }
+}
--- /dev/null
+++ b/tests/engine_world/host.rs
@@ -0,0 +1,71 @@
+//! A host: what it knows of all work, and how it chooses.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::EngineModel;
+use banyanarch::decide::HostLoad;
+use banyanarch::decide::LoadLedger;
+use banyanarch::decide::engines::EngineAsk;
+use banyanarch::decide::engines::EngineChoice;
+use banyanarch::decide::engines::EngineView;
+use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::HostId;
+use banyanarch::units::UpstreamId;
+use indexmap::IndexMap;
+
+/// What one host tells the others.
+#[derive(Clone, Debug)]
+pub struct News {
+    pub host: HostId,
+    pub loads: IndexMap<UpstreamId, HostLoad>,
+}
+
+pub struct Host {
+    pub id: HostId,
+    pub ledger: LoadLedger,
+    pub tells_at: Option<Duration>,
+    pub told_at: Option<Duration>,
+    /// When the host would tell next if its messages were evenly spread.
+    pub even_at: Duration,
+}
+
+impl Host {
+    pub fn new(index: usize) -> Self {
+        Self {
+            id: format!("host-{index:02}").parse().unwrap(),
+            ledger: LoadLedger::default(),
+            tells_at: None,
+            told_at: None,
+            even_at: Duration::ZERO,
+        }
+    }
+
+    pub fn news(&self, now: Instant) -> News {
+        let loads = self.ledger.own(now).map(|(id, load)| (id.clone(), load));
+        News {
+            host: self.id.clone(),
+            loads: loads.collect(),
+        }
+    }
+
+    pub fn hear(&mut self, news: &News, now: Instant) {
+        self.ledger
+            .hear(news.host.clone(), 1, news.loads.clone(), now);
+    }
+
+    pub fn choose(
+        &self,
+        model: &EngineModel,
+        engines: &[UpstreamId],
+        ask: &EngineAsk,
+        now: Instant,
+    ) -> EngineChoice {
+        let view = |id: &UpstreamId| EngineView {
+            id: id.clone(),
+            load: self.ledger.load(id, now),
+        };
+        let views: Vec<EngineView> = engines.iter().map(view).collect();
+        choose_engines(model, &views, ask)
+    }
+}
--- /dev/null
+++ b/tests/engine_world/mod.rs
@@ -0,0 +1,17 @@
+//! Engines by the published speed model, and hosts that choose among them by what they know of each
+//! other, under a clock moved by hand. Loads are drawn from a fixed seed, so a run repeats exactly.
+
+#![allow(dead_code, unreachable_pub)]
+
+mod engine;
+mod host;
+mod load;
+mod tally;
+mod world;
+
+pub use load::Load;
+pub use load::Phase;
+pub use load::Site;
+pub use tally::Ended;
+pub use tally::Tally;
+pub use world::World;
--- /dev/null
+++ b/tests/engine_world/world.rs
@@ -0,0 +1,400 @@
+//! Plays a load: callers, hosts, engines and the news between hosts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::LoadShare;
+use banyanarch::decide::engines::EngineAsk;
+use banyanarch::decide::engines::EngineChoice;
+use banyanarch::decide::engines::EnginePlan;
+use banyanarch::decide::engines::PromptClass;
+use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::engine::Engine;
+use super::host::Host;
+use super::host::News;
+use super::load::Load;
+use super::load::Site;
+use super::tally::Ended;
+use super::tally::Outcome;
+use super::tally::Tally;
+
+/// One way from a host to an engine or another host, connecting included.
+const WAY: Duration = Duration::from_millis(2);
+/// From a caller to a host and back.
+const CALLER_WAY: Duration = Duration::from_millis(7);
+/// After memory was refused.
+const RESERVE_PAUSE: Duration = Duration::from_millis(40);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Decide(usize),
+    Place(usize),
+    Start(usize),
+    PassEnds(usize),
+    Tell(usize),
+    Hear(usize),
+}
+
+/// A request on its way.
+struct Run {
+    host: usize,
+    /// When it reached the host that has it now.
+    arrived: Duration,
+    plan: Option<EnginePlan>,
+    shares: Vec<(UpstreamId, LoadShare)>,
+    sent_at: Duration,
+    parts_left: usize,
+    first_event: Option<Duration>,
+    last_event: Duration,
+    longest_pause: Duration,
+    refusals: u32,
+    outcome: Option<Ended>,
+}
+
+/// A deployment under a load.
+pub struct World {
+    site: Site,
+    load: Load,
+    base: Instant,
+    now: Duration,
+    rng: StdRng,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    count: u64,
+    hosts: Vec<Host>,
+    engines: Vec<Engine>,
+    ids: Vec<UpstreamId>,
+    runs: Vec<Run>,
+    news: Vec<News>,
+}
+
+impl World {
+    /// Plays a load to its end.
+    pub fn play(site: Site, load: Load, seed: u64) -> Tally {
+        let mut world = Self::new(site, load, seed);
+        for index in 0..world.load.requests.len() {
+            let arrives = world.load.requests[index].arrives;
+            world.push(arrives, Event::Arrive(index));
+        }
+        while let Some(Reverse((at, _, event))) = world.events.pop() {
+            world.now = at;
+            world.on(event);
+        }
+        world.tally()
+    }
+
+    fn new(site: Site, load: Load, seed: u64) -> Self {
+        let ids = (0..site.engines).map(|index| format!("e{index:03}").parse().unwrap());
+        let run = |_: &_| Run {
+            host: 0,
+            arrived: Duration::ZERO,
+            plan: None,
+            shares: Vec::new(),
+            sent_at: Duration::ZERO,
+            parts_left: 0,
+            first_event: None,
+            last_event: Duration::ZERO,
+            longest_pause: Duration::ZERO,
+            refusals: 0,
+            outcome: None,
+        };
+        Self {
+            ids: ids.collect(),
+            runs: load.requests.iter().map(run).collect(),
+            hosts: (0..site.hosts).map(Host::new).collect(),
+            engines: (0..site.engines).map(|_| Engine::default()).collect(),
+            base: Instant::now(),
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            count: 0,
+            news: Vec::new(),
+            site,
+            load,
+        }
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count, event)));
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => {
+                self.runs[request].host = self.rng.random_range(0..self.hosts.len());
+                self.runs[request].arrived = self.now;
+                self.decide(request);
+            }
+            Event::Decide(request) => self.decide(request),
+            Event::Place(request) => self.place(request),
+            Event::Start(request) => self.start(request),
+            Event::PassEnds(engine) => self.pass_ends(engine),
+            Event::Tell(host) => self.tell(host),
+            Event::Hear(news) => self.hear(news),
+        }
+    }
+
+    fn decide(&mut self, request: usize) {
+        let asked = &self.load.requests[request];
+        let class = &self.site.classes[asked.class];
+        let run = &self.runs[request];
+        let waited = self.now - run.arrived;
+        let since_first = self.now - asked.arrives;
+        let time_left = class.timeout.saturating_sub(since_first);
+        if time_left.is_zero() {
+            self.runs[request].outcome = Some(Ended::Refused);
+            return;
+        }
+        let ask = EngineAsk {
+            prompt: asked.prompt,
+            output: asked.output_max,
+            objective_left: class.objective.saturating_sub(waited),
+            time_left,
+            draw: self.rng.random(),
+        };
+        let now = self.instant();
+        let choice = self.hosts[run.host].choose(&self.site.model, &self.ids, &ask, now);
+        match choice {
+            EngineChoice::Send(plan) => {
+                let pause = class.pause;
+                self.runs[request].shares = shares(&plan, &ask, &self.site.model, pause);
+                let has_reserves = !plan.reserves.is_empty();
+                self.runs[request].plan = Some(plan);
+                self.runs[request].sent_at = self.now;
+                let delay = if has_reserves { WAY } else { Duration::ZERO };
+                self.push(self.now + delay, Event::Place(request));
+            }
+            EngineChoice::Wait(wait) => {
+                let wait = wait.mul_f64(self.rng.random_range(0.5..1.5));
+                self.push(self.now + wait.min(time_left), Event::Decide(request));
+            }
+            EngineChoice::Refuse { retry_after, .. } => {
+                self.runs[request].refusals += 1;
+                let comes_back = self.runs[request].refusals == 1;
+                if comes_back && retry_after < time_left {
+                    let after = retry_after.min(time_left / 3);
+                    self.push(self.now + after, Event::Arrive(request));
+                } else {
+                    self.runs[request].outcome = Some(Ended::Refused);
+                }
+            }
+        }
+    }
+
+    /// Sets memory aside and puts the work on the books.
+    fn place(&mut self, request: usize) {
+        let plan = self.runs[request].plan.clone().unwrap();
+        let limit = self.site.model.memory_tokens.0;
+        let is_full = plan.reserves.iter().any(|reserve| {
+            let engine = &self.engines[self.index(&reserve.engine)];
+            engine.reserved_tokens + reserve.tokens.0 > limit
+        });
+        if is_full {
+            self.push(self.now + RESERVE_PAUSE, Event::Decide(request));
+            return;
+        }
+        for reserve in &plan.reserves {
+            let index = self.index(&reserve.engine);
+            self.engines[index].reserved_tokens += reserve.tokens.0;
+        }
+        let now = self.instant();
+        let host = self.runs[request].host;
+        for (engine, share) in &self.runs[request].shares {
+            self.hosts[host].ledger.start(engine, share, now);
+        }
+        self.changed(host, true);
+        self.push(self.now + WAY, Event::Start(request));
+    }
+
+    fn start(&mut self, request: usize) {
+        let plan = self.runs[request].plan.clone().unwrap();
+        let tokens = self.load.requests[request].prompt.as_f64();
+        let count = plan.helpers.len() + 1;
+        self.runs[request].parts_left = count;
+        let read_ms = plan.part_time.as_secs_f64() * 1e3;
+        let engines = [&plan.leader].into_iter().chain(&plan.helpers);
+        let engines: Vec<usize> = engines.map(|id| self.index(id)).collect();
+        for (place, engine) in engines.into_iter().enumerate() {
+            let part_tokens = tokens / count as f64;
+            self.engines[engine].push_part(request, read_ms, part_tokens, place == 0);
+            self.wake(engine);
+        }
+    }
+
+    fn wake(&mut self, engine: usize) {
+        if self.engines[engine].is_idle()
+            && let Some(took) = self.engines[engine].begin(&self.site.model)
+        {
+            self.push(self.now + took, Event::PassEnds(engine));
+        }
+    }
+
+    fn pass_ends(&mut self, engine: usize) {
+        let end = self.engines[engine].end();
+        for (request, is_last) in end.written {
+            self.on_event(request, is_last);
+        }
+        for request in end.read {
+            self.runs[request].parts_left -= 1;
+            if self.runs[request].parts_left == 0 {
+                let leader = self.runs[request].plan.as_ref().unwrap().leader.clone();
+                let leader = self.index(&leader);
+                let asked = &self.load.requests[request];
+                let (events, context) = (asked.events, asked.prompt.as_f64());
+                let parts = self.parts(request);
+                if parts > 1.0 {
+                    self.engines[leader].push_writer(request, events, context / parts);
+                    self.wake(leader);
+                    continue;
+                }
+                // The pass that has read the whole prompt also writes the first event.
+                self.on_event(request, events <= 1);
+                if events > 1 {
+                    self.engines[leader].push_writer(request, events - 1, context);
+                }
+            }
+        }
+        self.wake(engine);
+    }
+
+    fn parts(&self, request: usize) -> f64 {
+        let plan = self.runs[request].plan.as_ref().unwrap();
+        (plan.helpers.len() + 1) as f64
+    }
+
+    fn on_event(&mut self, request: usize, is_last: bool) {
+        let now = self.now;
+        let run = &mut self.runs[request];
+        if run.first_event.is_none() {
+            run.first_event = Some(now);
+        } else {
+            run.longest_pause = run.longest_pause.max(now - run.last_event);
+        }
+        run.last_event = now;
+        if !is_last {
+            return;
+        }
+        let asked = &self.load.requests[request];
+        let class = &self.site.classes[asked.class];
+        let first = run.first_event.unwrap_or(now) + CALLER_WAY - asked.arrives;
+        let is_on_time = first <= class.objective && run.longest_pause <= class.pause;
+        run.outcome = Some(if is_on_time {
+            Ended::OnTime
+        } else {
+            Ended::Late
+        });
+        let host = run.host;
+        for (engine, share) in std::mem::take(&mut self.runs[request].shares) {
+            self.hosts[host].ledger.end(&engine, &share);
+        }
+        let plan = self.runs[request].plan.clone().unwrap();
+        for reserve in &plan.reserves {
+            let index = self.index(&reserve.engine);
+            self.engines[index].reserved_tokens -= reserve.tokens.0;
+        }
+        self.changed(host, false);
+    }
+
+    /// A host tells the others when it is its turn, or sooner.
+    fn changed(&mut self, host: usize, is_urgent: bool) {
+        let (interval, burst) = (self.site.news_interval, self.site.urgent_burst);
+        let told_at = self.hosts[host].told_at;
+        let due = if is_urgent {
+            let due = told_at.map_or(self.now, |at| at + self.site.urgent_interval);
+            due.max(self.hosts[host].even_at.saturating_sub(interval * burst))
+        } else {
+            told_at.map_or(self.now, |at| at + interval)
+        };
+        let due = due.max(self.now);
+        if self.hosts[host].tells_at.is_none_or(|at| due < at) {
+            self.hosts[host].tells_at = Some(due);
+            self.push(due, Event::Tell(host));
+        }
+    }
+
+    fn tell(&mut self, host: usize) {
+        if self.hosts[host].tells_at != Some(self.now) {
+            return;
+        }
+        let now = self.instant();
+        self.hosts[host].tells_at = None;
+        let even_at = self.hosts[host].even_at.max(self.now);
+        self.hosts[host].even_at = even_at + self.site.news_interval;
+        self.hosts[host].told_at = Some(self.now);
+        let news = self.hosts[host].news(now);
+        self.news.push(news);
+        self.push(self.now + WAY, Event::Hear(self.news.len() - 1));
+    }
+
+    fn hear(&mut self, news: usize) {
+        let now = self.instant();
+        let news = self.news[news].clone();
+        for host in &mut self.hosts {
+            if host.id != news.host {
+                host.hear(&news, now);
+            }
+        }
+    }
+
+    fn index(&self, id: &UpstreamId) -> usize {
+        id.as_str()[1..].parse().unwrap()
+    }
+
+    fn tally(self) -> Tally {
+        let runs = self.runs.iter().zip(&self.load.requests);
+        let outcomes = runs.map(|(run, asked)| Outcome {
+            class: asked.class,
+            ended: run.outcome.unwrap_or(Ended::Refused),
+            worth: asked.worth,
+            prompt_tokens: asked.prompt.as_f64(),
+            first_event: run.first_event.map(|at| at.saturating_sub(run.sent_at)),
+            forecast: run.plan.as_ref().map_or(Duration::ZERO, |p| p.forecast),
+            refusals: run.refusals,
+            arrived: asked.arrives,
+            took: run.first_event.map(|at| at + CALLER_WAY - asked.arrives),
+            longest_pause: run.longest_pause,
+        });
+        Tally {
+            outcomes: outcomes.collect(),
+            classes: self.site.classes.to_vec(),
+        }
+    }
+}
+
+fn shares(
+    plan: &EnginePlan,
+    ask: &EngineAsk,
+    model: &banyanarch::decide::EngineModel,
+    pause: Duration,
+) -> Vec<(UpstreamId, LoadShare)> {
+    let reserved = |id: &UpstreamId| plan.reserves.iter().find(|r| r.engine == *id);
+    let leader = LoadShare {
+        takes_place: true,
+        is_short: ask.class(model) == PromptClass::Short,
+        pause: Some(pause),
+        read_time: plan.part_time,
+        held_tokens: reserved(&plan.leader).map_or(ask.needed(), |r| r.tokens),
+    };
+    let helper = |id: &UpstreamId| LoadShare {
+        takes_place: false,
+        held_tokens: reserved(id).map_or(Tokens::ZERO, |r| r.tokens),
+        ..leader
+    };
+    let helpers = plan.helpers.iter().map(|id| (id.clone(), helper(id)));
+    [(plan.leader.clone(), leader)]
+        .into_iter()
+        .chain(helpers)
+        .collect()
+}
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -21,6 +21,7 @@
     peers: Mutex<Vec<SocketAddr>>,
     heard: Mutex<Vec<HostNews>>,
     changed: Notify,
+    urgent: Notify,
 }
 
 impl Desk {
@@ -30,6 +31,7 @@
             peers: Mutex::default(),
             heard: Mutex::default(),
             changed: Notify::new(),
+            urgent: Notify::new(),
         })
     }
 
@@ -57,6 +59,10 @@
     fn changed(&self) -> &Notify {
         &self.changed
     }
+
+    fn urgent(&self) -> &Notify {
+        &self.urgent
+    }
 }
 
 async fn until(mut is_true: impl FnMut() -> bool) {
