A fault soak: real daemons under random faults from outside, promises checked at callers and upstreams

Nothing of the project's own put the real programs under faults that overlap.

The crate soak starts banyanarch-node as processes of their own on loopback, each behind proxies to its callers, to every other host (TCP and datagrams), to the store and from each failure domain to each upstream. Faults are drawn from a seed and overlap: processes killed, all at once too, stopped, paused and hung up by signals; links delayed, silenced, cut one way or reset, of one host or a whole domain; a store that is slow, busy, unavailable, silent, loses answers or writes late; upstreams that crash, go dark, turn away, lose, cut, cross or fail answers, or leave; routes that move, keys that are taken back. Callers keep their connections. Twelve promises are checked from what callers and upstreams saw; made-up histories show that each check finds its fault. The platform's names that stand-ins write stay in platform/, behind a feature that the daemon does not have.

--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,21 @@
+//! A randomized soak: real daemons as processes of their own on loopback, between stand-ins, under
+//! faults that come from outside of them. It checks from what callers and upstreams see whether the
+//! promises are kept. The faults of a run follow from its seed.
+
+pub mod call;
+mod caller;
+pub mod checks;
+pub mod faults;
+pub mod history;
+mod host;
+pub mod link;
+mod run;
+mod site;
+pub mod store;
+pub mod upstream;
+
+pub use run::Plan;
+pub use run::Verdict;
+pub use run::draw_faults;
+pub use run::run;
+pub use site::Size;
