An answer that broke off goes on at busy engines as long as its caller stays

A stream that broke off goes on at another engine by the same choice as a new one.

For a call that has run, the time left is at least what its caller stays: twice the objective, 1.5 s at least. The test fails without it (the body ends early).

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -136,9 +136,9 @@
 /// Groups of one engine up to as many as help, with a leader of `leaders`; none if none has a place
 /// and memory.
 ///
-/// The more engines share a prompt, the sooner it is read; but an engine counts only if its part
-/// stretches nobody's pauses there. A part of an archive on an engine with a dozen short answers
-/// would make all of these late for the sake of one.
+/// The more engines share a prompt, the sooner it is read, and the more answers may have their pauses
+/// stretched: a part of an archive on an engine with a dozen clauses makes all of these late for the
+/// sake of one.
 fn groups<'a>(
     model: &EngineModel,
     leaders: &'a [EngineView],
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,10 @@
 use crate::units::CustomerId;
 use crate::units::ServiceId;
 
+/// Callers stay for at least two seconds without an event; half a second of it is for finding out that
+/// the stream broke off.
+const PATIENCE_MIN: Duration = Duration::from_millis(1_500);
+
 /// A request that may be sent to upstreams.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -52,6 +56,14 @@
         (self.arrived + self.route.objective).saturating_duration_since(now)
     }
 
+    /// How long the caller of a stream that broke off stays for its next event.
+    ///
+    /// Failure it guards against: an engine dies under load, its answers are late by then, and as late
+    /// ones they are turned away where they could go on. Callers stay longer than this.
+    pub fn patience(&self) -> Duration {
+        (self.route.objective * 2).max(PATIENCE_MIN)
+    }
+
     /// What it is recognised by when a caller sends it again.
     pub fn poison_mark(&self) -> PoisonMark {
         let customer = self.customer.as_ref().map_or("", CustomerId::as_str);
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -14,6 +14,7 @@
 use crate::gateway::placement::Choice;
 use crate::gateway::placement::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::placement::Placement;
+use crate::gateway::placement::Sends;
 use crate::gateway::placement::choose;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::send::Answered;
@@ -90,7 +91,11 @@
                     retry_after: POISON_RETRY_AFTER,
                 }));
             }
-            let placement = match choose(&self.gateway, &self.call, &self.tried, now) {
+            let sends = Sends {
+                tried: &self.tried,
+                has_run: self.runs > 0,
+            };
+            let placement = match choose(&self.gateway, &self.call, &sends, now) {
                 Choice::Send(placement) => placement,
                 Choice::Wait(wait) => {
                     // Spread, so that requests that wait on several hosts for the same engines do
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -45,18 +45,31 @@
     Refuse(Refusal),
 }
 
-/// Chooses among the upstreams of a call's service; `tried` are those that it was sent to.
-pub(crate) fn choose(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> Choice {
+/// What has become of a call so far.
+pub(crate) struct Sends<'a> {
+    /// The upstreams that it was sent to.
+    pub(crate) tried: &'a [UpstreamId],
+    /// Whether one of them may have run it.
+    pub(crate) has_run: bool,
+}
+
+/// Chooses among the upstreams of a call's service.
+pub(crate) fn choose(gateway: &Gateway, call: &Call, sends: &Sends<'_>, now: Instant) -> Choice {
     let (Some(routes), Some(by_service)) = (gateway.beliefs.routes(), gateway.beliefs.upstreams())
     else {
         return Choice::Refuse(Refusal::NoManifest);
     };
     let listed = by_service.get(&call.service);
-    let usable = usable(gateway, listed.map_or(&[], Vec::as_slice), tried, now);
+    let usable = usable(gateway, listed.map_or(&[], Vec::as_slice), sends.tried, now);
     let service = routes.services.get(&call.service);
     match service.and_then(|service| service.engine.as_ref()) {
         Some(model) if call.route.kind.is_stream() => {
-            among_engines(gateway, call, model, &usable, now)
+            let objective_left = if sends.has_run {
+                call.objective_left(now).max(call.patience())
+            } else {
+                call.objective_left(now)
+            };
+            among_engines(gateway, call, model, &usable, objective_left)
         }
         _ => among_instances(gateway, &usable, now),
     }
@@ -117,8 +130,9 @@
     call: &Call,
     model: &EngineModel,
     usable: &[&Listed],
-    now: Instant,
+    objective_left: Duration,
 ) -> Choice {
+    let now = gateway.clock.now();
     let ledger = gateway.ledger();
     let views = usable.iter().map(|upstream| EngineView {
         id: upstream.id.clone(),
@@ -129,7 +143,7 @@
     let ask = EngineAsk {
         prompt: call.head.prompt,
         output: call.head.output,
-        objective_left: call.objective_left(now),
+        objective_left,
         time_left: call.time_left(now),
         draw: rand::random(),
     };
--- a/tests/gateway_hosts.rs
+++ b/tests/gateway_hosts.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::decide::HostLoad;
+use banyanarch::decide::ReadSent;
 use banyanarch::http::one_shot;
 use banyanarch::routing::CallKind;
 use banyanarch::routing::RouteTable;
+use banyanarch::units::UpstreamId;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -18,9 +21,11 @@
 use gateway_world::until;
 use gateway_world::upstream::Act;
 use gateway_world::upstream::Upstream;
+use gateway_world::upstream::event;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use indexmap::IndexMap;
 use tokio::task::JoinHandle;
 use yare::parameterized;
 
@@ -237,3 +242,41 @@
     way.publish(table(2));
     until(|| host.gateway.beliefs.routes().unwrap().generation.0 == 2).await;
 }
+
+/// An engine falls silent in the middle of an answer, which is late by then. The only other one has a
+/// second to read first. The answer is turned away there as late, and its caller gets half of it.
+#[tokio::test]
+async fn an_answer_that_broke_off_goes_on_at_a_busy_engine() {
+    let catalog = FakeCatalog::new(table(1));
+    let silent = Upstream::start([Act::EventsThenHang(2)]).await;
+    let busy = Upstream::start([Act::Events(5)]).await;
+    catalog.list("a", "llm", silent.addr);
+    let host = TestHost::start("host", &catalog).await;
+    let mut req = request("/model/1");
+    req.headers_mut().insert("test-prompt", 45_000.into());
+    let answer = host.call(req);
+    tokio::pin!(answer);
+    tokio::select! {
+        _ = &mut answer => panic!("the first engine hangs"),
+        () = until(|| silent.arrivals().len() == 1) => {}
+    }
+    catalog.list("b", "llm", busy.addr);
+    let engine: UpstreamId = "b".parse().unwrap();
+    let load = HostLoad {
+        read: ReadSent {
+            total: Duration::from_millis(2_900),
+            remaining: Duration::from_millis(2_900),
+        },
+        ..HostLoad::default()
+    };
+    let loads = IndexMap::from([(engine, load)]);
+    let now = host.gateway.clock.now();
+    host.gateway
+        .ledger()
+        .hear("peer".parse().unwrap(), 1, loads, now);
+    let res = answer.await;
+    assert_eq!(status(&res), 200);
+    let whole: String = (1..=5).map(event).collect();
+    assert_eq!(String::from_utf8_lossy(res.body()), whole);
+    assert_eq!(busy.arrivals().len(), 1);
+}
