--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -11,6 +11,8 @@
 use soak::Size;
 use soak::checks::Promises;
 use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
 const USAGE: &str = "
 Runs real daemons on loopback under random faults and checks the promises from outside.
@@ -143,7 +145,15 @@
         .worker_threads(2)
         .enable_all()
         .build()?;
-    let verdict = runtime.block_on(soak::run(plan, node, dir))?;
+    let verdict = runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            verdict = soak::run(plan, node, dir) => verdict,
+            // Dropped, the deployment ends its processes; the default would leave them behind.
+            _ = terminate.recv() => Err(io::Error::other("terminated")),
+            _ = tokio::signal::ctrl_c() => Err(io::Error::other("interrupted")),
+        }
+    })?;
     for broken in verdict.broken.iter().take(PRINTED_MAX) {
         println!("BROKEN {}: {}", broken.promise, broken.story);
     }
