--- a/soak/src/call.rs
+++ b/soak/src/call.rs
@@ -77,10 +77,8 @@
 
     /// How many upstreams may run it.
     pub fn runs_max(self) -> u32 {
-        match self {
-            Self::Once => 1,
-            _ => 2,
-        }
+        // Also those that may run once only may be offered twice, as long as the first did not run them.
+        2
     }
 
     fn call_kind(self) -> CallKind {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -22,6 +22,10 @@
 /// How much more time an upstream may be given than is left.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
+/// A request that is cut off sooner than this without having run may have crossed the close of its
+/// connection, or met a process that was gone: proxies accept also then.
+const CROSSING_TIME: Duration = Duration::from_millis(200);
+
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -232,7 +236,10 @@
     }
 
     fn is_not_cut_by_stop(&self) -> bool {
-        if !matches!(self.attempt.answer, Answer::Cut(_)) {
+        // A request that crosses the close of its connection was never read.
+        let took = self.attempt.ended_at.saturating_sub(self.attempt.sent_at);
+        let was_read = !self.runs.is_empty() || took > CROSSING_TIME;
+        if !matches!(self.attempt.answer, Answer::Cut(_)) || !was_read {
             return true;
         }
         let from = self.attempt.sent_at.saturating_sub(SETTLED_AFTER);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -125,6 +125,31 @@
     }
 }
 
+impl Fault {
+    /// The same, for `factor` times as long.
+    pub fn stretched(mut self, factor: f64) -> Self {
+        match &mut self {
+            Self::KillHost(_, time)
+            | Self::KillAllHosts(time)
+            | Self::PauseHost(_, time)
+            | Self::Store(_, time)
+            | Self::StoreLink(_, _, time)
+            | Self::CallerLink(_, _, time)
+            | Self::PeerLinks(_, _, time)
+            | Self::UpstreamLinks(_, _, _, time)
+            | Self::CutDomain(_, _, time)
+            | Self::Upstream(_, _, time)
+            | Self::KillUpstream(_, time) => *time = time.mul_f64(factor),
+            Self::StopHost(_)
+            | Self::HangUpHost(_)
+            | Self::LeaveUpstream(_)
+            | Self::MoveRoute
+            | Self::RevokeKey(_) => {}
+        }
+        self
+    }
+}
+
 /// Brings faults about one after the other, without waiting for the end of each, and waits for the
 /// ends of all.
 pub(crate) async fn play(site: &Arc<Site>, faults: Vec<(Duration, Fault)>) {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -25,6 +25,7 @@
     --seed N        The first seed. Drawn if not given.
     --seeds N       How many seeds, one after the other. [default: 1]
     --minutes M     How long faults come, for each seed. [default: 0.5]
+    --stretch X     Faults last X times as long as drawn. [default: 1]
     --hosts N       Hosts. [default: 6]
     --engines N     Engines. [default: 12]
     --instances N   Instances of each plain service. [default: 3]
@@ -75,6 +76,7 @@
     let seed = args.opt_value_from_str("--seed").map_err(said)?;
     let seeds = args.opt_value_from_str("--seeds").map_err(said)?;
     let minutes: Option<f64> = args.opt_value_from_str("--minutes").map_err(said)?;
+    let stretch = args.opt_value_from_str("--stretch").map_err(said)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(said)?;
     let engines = args.opt_value_from_str("--engines").map_err(said)?;
     let instances = args.opt_value_from_str("--instances").map_err(said)?;
@@ -97,6 +99,7 @@
         plan: Plan {
             seed: 0,
             faults_for: faults_for.map_err(|err| format!("--minutes: {err}"))?,
+            stretch: stretch.unwrap_or(1.0),
             size: Size {
                 hosts: hosts.unwrap_or(6),
                 engines: engines.unwrap_or(12),
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -45,6 +45,8 @@
     pub seed: u64,
     /// How long new faults come.
     pub faults_for: Duration,
+    /// How many times as long as drawn faults last.
+    pub stretch: f64,
     /// How large the deployment is.
     pub size: Size,
     /// What is checked.
@@ -76,7 +78,8 @@
         if at > plan.faults_for {
             return faults;
         }
-        faults.push((gap, Fault::draw(&mut rng, plan.size.hosts)));
+        let fault = Fault::draw(&mut rng, plan.size.hosts);
+        faults.push((gap, fault.stretched(plan.stretch)));
     }
 }
 
