A call that may run once is not sent again where its route allows more upstreams: its test

Cause: a daemon that let such calls be repeated passed all tests, since the tests' route for them allowed one upstream, and the soak's few faults of plain services did not meet one. The test fails on that daemon and passes on this one.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,13 +7,17 @@
 
 use banyanarch::gateway::DrainPhase;
 use banyanarch::http::one_shot;
+use banyanarch::routing::CallKind;
 use banyanarch::routing::CustomerKeys;
+use banyanarch::routing::RouteTable;
+use banyanarch::units::Generation;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
 use gateway_world::request;
 use gateway_world::request_of;
+use gateway_world::route;
 use gateway_world::table;
 use gateway_world::until;
 use gateway_world::upstream::Act;
@@ -117,6 +121,27 @@
     assert!(!res.headers().contains_key("test-signature"));
 }
 
+/// A licence grant's route allows two upstreams, since the first may turn it away. The first one runs it
+/// and breaks off; sent again, the grant is issued twice.
+#[tokio::test]
+async fn a_call_that_may_run_once_is_not_sent_again_where_its_route_allows_more() {
+    let mut routes = RouteTable::new(
+        Generation(1),
+        vec![route("once", CallKind::AtMostOnce, "app")],
+    );
+    routes.keys = table(1).keys;
+    let catalog = FakeCatalog::new(routes);
+    let (a, b) = (
+        Upstream::start([Act::Break]).await,
+        Upstream::start([Act::Break]).await,
+    );
+    catalog.list("a", "app", a.addr);
+    catalog.list("b", "app", b.addr);
+    let host = TestHost::start("host", &catalog).await;
+    assert_eq!(status(&host.call(request("/once/1")).await), 502);
+    assert_eq!(a.arrivals().len() + b.arrivals().len(), 1);
+}
+
 /// A caller was turned away and asks why. The log has the status and nothing of what the host knew when
 /// it decided: how many upstreams, whose work, how old a manifest.
 #[tokio::test]
