--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -258,31 +258,23 @@
             .changes
             .iter()
             .filter_map(|(at, change)| match change {
-                Change::Moved(service) => Some((*at, service)),
+                Change::Moved(service) => Some((*at, service.as_str())),
                 _ => None,
             });
-        let moves: Vec<(At, &String)> = moves.collect();
-        self.runs.iter().all(|run| {
-            // The services that it may be at: the last in force, and those accepted since.
-            let is_over = |index: usize| {
-                let next = moves.get(index + 1);
-                next.is_some_and(|(at, _)| self.attempt.sent_at > *at + IN_FORCE_AFTER)
-            };
-            let first = (
-                call::MOVING[0].to_owned(),
-                !moves.is_empty() && self.attempt.sent_at > moves[0].0 + IN_FORCE_AFTER,
-            );
-            let mut allowed = Vec::new();
-            if !first.1 {
-                allowed.push(first.0.as_str());
-            }
-            for (index, (_, service)) in moves.iter().enumerate() {
-                if !is_over(index) {
-                    allowed.push(service.as_str());
-                }
-            }
-            allowed.contains(&run.service.as_str())
-        }) || !self.is_host_calm()
+        // The services that it may be at: the last in force, and those accepted since.
+        let moves: Vec<(At, &str)> = [(At::ZERO, call::MOVING[0])]
+            .into_iter()
+            .chain(moves)
+            .collect();
+        let is_over = |index: usize| {
+            let next = moves.get(index + 1);
+            next.is_some_and(|(at, _)| self.attempt.sent_at > *at + IN_FORCE_AFTER)
+        };
+        let is_allowed = |run: &Run| {
+            let mut all = moves.iter().enumerate();
+            all.any(|(index, (_, service))| *service == run.service && !is_over(index))
+        };
+        self.runs.iter().all(is_allowed) || !self.is_host_calm()
     }
 
     fn is_nothing_sent_to_leaving(&self) -> bool {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -135,8 +135,6 @@
     pub changes: Vec<(At, Change)>,
     /// Faults that have ended.
     pub troubles: Vec<Trouble>,
-    /// How often memory was set aside.
-    pub reservations: u64,
     /// Upstreams that ended, and when.
     pub upstream_ends: IndexMap<String, At>,
 }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -248,9 +248,7 @@
         match order {
             EngineOrder::Reserve { id, hold_ms, .. } => {
                 let until = now + Duration::from_millis(hold_ms);
-                if reserved.insert(id, until).is_none() {
-                    self.history.seen().reservations += 1;
-                }
+                reserved.insert(id, until);
             }
             EngineOrder::Release { id } => {
                 reserved.shift_remove(&id);
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -82,12 +82,11 @@
         ],
         _ => vec![(short_side, engines), (engines, engines)],
     };
-    let groups = sides
+    let group = sides
         .into_iter()
-        .map(|(leaders, readers)| groups(model, leaders, readers, ask))
-        .find(|groups| !groups.is_empty());
-    match groups {
-        Some(groups) => decide(model, &groups, ask),
+        .find_map(|(leaders, readers)| group(model, leaders, readers, ask));
+    match group {
+        Some(group) => decide(model, group, ask),
         None => refuse_or_wait(model, engines, ask),
     }
 }
@@ -110,11 +109,7 @@
 }
 
 /// Sends the prompt now, keeps it back for more pressed ones, or turns it away.
-fn decide(model: &EngineModel, groups: &[Group<'_>], ask: &EngineAsk) -> EngineChoice {
-    let cost = |group: &&Group<'_>| group.forecast + STRETCH_COST * group.stretched;
-    let Some(best) = groups.iter().min_by_key(cost) else {
-        return EngineChoice::wait(Duration::MAX);
-    };
+fn decide(model: &EngineModel, best: Group<'_>, ask: &EngineAsk) -> EngineChoice {
     if best.forecast + least_write_time(model, ask) > ask.time_left {
         return EngineChoice::refuse(RefuseReason::Deadline, best.backlog);
     }
@@ -133,22 +128,23 @@
     EngineChoice::refuse(RefuseReason::QueueFull, waits_for)
 }
 
-/// Groups of one engine up to as many as help, with a leader of `leaders`; none if none has a place
-/// and memory.
+/// The best group of one engine up to as many as help, with a leader of `leaders`; none if none has a
+/// place and memory.
 ///
 /// The more engines share a prompt, the sooner it is read, and the more answers may have their pauses
 /// stretched: a part of an archive on an engine with a dozen clauses makes all of these late for the
 /// sake of one.
-fn groups<'a>(
+fn group<'a>(
     model: &EngineModel,
     leaders: &'a [EngineView],
     readers: &'a [EngineView],
     ask: &EngineAsk,
-) -> Vec<Group<'a>> {
+) -> Option<Group<'a>> {
     let read_time = model.read_time(ask.prompt);
     let most = parts_wanted(read_time, readers.len() + 1);
-    let groups = (1..=most).filter_map(|parts| group_of(model, leaders, readers, ask, parts));
-    groups.collect()
+    (1..=most)
+        .filter_map(|parts| group_of(model, leaders, readers, ask, parts))
+        .min_by_key(|group| group.forecast + STRETCH_COST * group.stretched)
 }
 
 /// A group of this many engines: the gentlest ones, then those with the least left to read.
@@ -294,11 +290,11 @@
     EngineChoice::wait(Duration::MAX)
 }
 
-fn plan(group: &Group<'_>) -> EnginePlan {
+fn plan(group: Group<'_>) -> EnginePlan {
     EnginePlan {
         leader: group.leader.id.clone(),
         helpers: group.helpers.iter().map(|e| e.id.clone()).collect(),
-        reserves: group.reserves.clone(),
+        reserves: group.reserves,
         part_time: group.part_time,
         forecast: group.forecast,
     }
--- a/src/decide/engines/plan.rs
+++ b/src/decide/engines/plan.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
+use crate::decide::EngineModel;
+use crate::decide::LoadShare;
 use crate::decide::RefuseReason;
+use crate::decide::engines::EngineAsk;
+use crate::decide::engines::PromptClass;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
@@ -37,6 +41,44 @@
     pub forecast: Duration,
 }
 
+impl EnginePlan {
+    /// The memory that an engine sets aside.
+    pub fn reserve(&self, engine: &UpstreamId) -> Option<&Reserve> {
+        self.reserves
+            .iter()
+            .find(|reserve| reserve.engine == *engine)
+    }
+
+    /// What the request adds to each engine's load, first the leader's. Its caller accepts `pause`
+    /// between two events.
+    pub fn shares(
+        &self,
+        model: &EngineModel,
+        ask: &EngineAsk,
+        pause: Option<Duration>,
+    ) -> Vec<(UpstreamId, LoadShare)> {
+        let held = |engine| self.reserve(engine).map(|reserve| reserve.tokens);
+        let leader = LoadShare {
+            takes_place: true,
+            is_short: ask.class(model) == PromptClass::Short,
+            pause,
+            read_time: self.part_time,
+            held_tokens: held(&self.leader).unwrap_or_else(|| ask.needed()),
+        };
+        let helpers = self.helpers.iter().map(|id| {
+            let share = LoadShare {
+                takes_place: false,
+                held_tokens: held(id).unwrap_or(Tokens::ZERO),
+                ..leader
+            };
+            (id.clone(), share)
+        });
+        let mut shares = vec![(self.leader.clone(), leader)];
+        shares.extend(helpers);
+        shares
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EngineChoice {
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -17,7 +17,7 @@
 
 /// A host that was not heard for this long has died or is cut off, and its work at upstreams ends
 /// with its connections. Four of the usual intervals at which hosts send, two of the longest.
-pub(super) const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
+const PEER_KEPT_FOR: Duration = Duration::from_secs(1);
 
 /// A host that was heard within this time is alive and can be asked: two of the usual intervals, one
 /// of the longest with what a message may be late.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -12,7 +12,6 @@
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineView;
-use crate::decide::engines::PromptClass;
 use crate::decide::engines::choose_engines;
 use crate::gateway::Call;
 use crate::gateway::Gateway;
@@ -69,7 +68,7 @@
             } else {
                 call.objective_left(now)
             };
-            among_engines(gateway, call, model, &usable, objective_left)
+            among_engines(gateway, call, model, &usable, objective_left, now)
         }
         _ => among_instances(gateway, &usable, now),
     }
@@ -131,8 +130,8 @@
     model: &EngineModel,
     usable: &[&Listed],
     objective_left: Duration,
+    now: Instant,
 ) -> Choice {
-    let now = gateway.clock.now();
     let ledger = gateway.ledger();
     let views = usable.iter().map(|upstream| EngineView {
         id: upstream.id.clone(),
@@ -170,34 +169,16 @@
     let Some(upstream) = find(usable, &plan.leader) else {
         return no_upstream();
     };
-    let reserved = |id: &UpstreamId| plan.reserves.iter().find(|reserve| reserve.engine == *id);
-    let leader_share = LoadShare {
-        takes_place: true,
-        is_short: ask.class(model) == PromptClass::Short,
-        pause: call.route.pause_objective,
-        read_time: plan.part_time,
-        held_tokens: reserved(&plan.leader).map_or(ask.needed(), |reserve| reserve.tokens),
-    };
-    let mut shares = vec![(upstream.id.clone(), leader_share)];
     let mut helpers = Vec::new();
     let mut reserves = Vec::new();
-    if let Some(reserve) = reserved(&plan.leader) {
+    if let Some(reserve) = plan.reserve(&plan.leader) {
         reserves.push(Part::new(upstream.addr, reserve.tokens));
     }
     for id in &plan.helpers {
         let Some(helper) = find(usable, id) else {
             continue;
         };
-        let reserve = reserved(id);
-        shares.push((
-            id.clone(),
-            LoadShare {
-                takes_place: false,
-                held_tokens: reserve.map_or(Tokens::ZERO, |reserve| reserve.tokens),
-                ..leader_share
-            },
-        ));
-        match reserve {
+        match plan.reserve(id) {
             Some(reserve) => reserves.push(Part::new(helper.addr, reserve.tokens)),
             None => helpers.push(HelperAddr {
                 addr: helper.addr,
@@ -209,7 +190,7 @@
         upstream: upstream.clone(),
         helpers,
         reserves,
-        shares,
+        shares: plan.shares(model, ask, call.route.pause_objective),
         forecast: plan.forecast,
     }))
 }
--- a/tests/engine_world/tally.rs
+++ b/tests/engine_world/tally.rs
@@ -22,11 +22,6 @@
     pub prompt_tokens: f64,
     pub first_event: Option<Duration>,
     pub forecast: Duration,
-    pub refusals: u32,
-    pub arrived: Duration,
-    /// From the caller's first attempt to the first event.
-    pub took: Option<Duration>,
-    pub longest_pause: Duration,
 }
 
 /// All of a run.
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -9,8 +9,6 @@
 use banyanarch::decide::engines::EngineAsk;
 use banyanarch::decide::engines::EngineChoice;
 use banyanarch::decide::engines::EnginePlan;
-use banyanarch::decide::engines::PromptClass;
-use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
 use rand::Rng;
 use rand::SeedableRng;
@@ -169,7 +167,7 @@
         match choice {
             EngineChoice::Send(plan) => {
                 let pause = class.pause;
-                self.runs[request].shares = shares(&plan, &ask, &self.site.model, pause);
+                self.runs[request].shares = plan.shares(&self.site.model, &ask, Some(pause));
                 let has_reserves = !plan.reserves.is_empty();
                 self.runs[request].plan = Some(plan);
                 self.runs[request].sent_at = self.now;
@@ -361,10 +359,6 @@
             prompt_tokens: asked.prompt.as_f64(),
             first_event: run.first_event.map(|at| at.saturating_sub(run.sent_at)),
             forecast: run.plan.as_ref().map_or(Duration::ZERO, |p| p.forecast),
-            refusals: run.refusals,
-            arrived: asked.arrives,
-            took: run.first_event.map(|at| at + CALLER_WAY - asked.arrives),
-            longest_pause: run.longest_pause,
         });
         Tally {
             outcomes: outcomes.collect(),
@@ -372,29 +366,3 @@
         }
     }
 }
-
-fn shares(
-    plan: &EnginePlan,
-    ask: &EngineAsk,
-    model: &banyanarch::decide::EngineModel,
-    pause: Duration,
-) -> Vec<(UpstreamId, LoadShare)> {
-    let reserved = |id: &UpstreamId| plan.reserves.iter().find(|r| r.engine == *id);
-    let leader = LoadShare {
-        takes_place: true,
-        is_short: ask.class(model) == PromptClass::Short,
-        pause: Some(pause),
-        read_time: plan.part_time,
-        held_tokens: reserved(&plan.leader).map_or(ask.needed(), |r| r.tokens),
-    };
-    let helper = |id: &UpstreamId| LoadShare {
-        takes_place: false,
-        held_tokens: reserved(id).map_or(Tokens::ZERO, |r| r.tokens),
-        ..leader
-    };
-    let helpers = plan.helpers.iter().map(|id| (id.clone(), helper(id)));
-    [(plan.leader.clone(), leader)]
-        .into_iter()
-        .chain(helpers)
-        .collect()
-}
