--- a/src/decide/health_book.rs
+++ b/src/decide/health_book.rs
@@ -88,6 +88,8 @@
     /// When this host itself could not reach it.
     failed_at: Option<Instant>,
     answered_at: Option<Instant>,
+    /// When it was last out of reach or broke a connection off; kept when it is reached again.
+    lost_at: Option<Instant>,
     failed_part: f64,
 }
 
@@ -100,6 +102,7 @@
             is_unreachable: false,
             failed_at: None,
             answered_at: None,
+            lost_at: None,
             failed_part: 0.0,
         }
     }
@@ -178,6 +181,9 @@
             UpstreamFault::Failed => Duration::ZERO,
         };
         record.pause(pause, now);
+        if fault.is_unreachable() || fault == UpstreamFault::Broken {
+            record.lost_at = Some(now);
+        }
         if fault.is_unreachable() {
             record.is_unreachable = true;
             record.failed_at = Some(now);
@@ -221,9 +227,15 @@
             return;
         }
         record.is_unreachable = true;
+        record.lost_at = Some(now);
         record.pause(PAUSE_BASE, now);
     }
 
+    /// When an upstream was last out of reach, or broke a connection off, as far as this host knows.
+    pub fn lost_at(&self, upstream: &UpstreamId) -> Option<Instant> {
+        self.upstreams.get(upstream)?.lost_at
+    }
+
     /// Takes in that a host of this failure domain takes another domain for cut off.
     pub fn hear_cut_off(&mut self, domain: &FailureDomainId, now: Instant) {
         let way = self.ways.entry(domain.clone()).or_default();
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -11,12 +11,15 @@
 use crate::units::ObjectVersion;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
+use crate::units::UpstreamName;
 
 /// An upstream on the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
     /// Its id, new with each start.
     pub id: UpstreamId,
+    /// What it calls itself; an upstream that started again may have the name of its last life.
+    pub name: UpstreamName,
     /// The service that it runs.
     pub service: ServiceId,
     /// Its address, which may have belonged to another upstream before.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -9,7 +9,7 @@
 
 use crate::units::CustomerId;
 use crate::units::Tokens;
-use crate::units::UpstreamId;
+use crate::units::UpstreamName;
 
 /// What a caller's head says beyond method, path and host.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct SendHead<'a> {
     /// The upstream that is meant: another one at its address has to refuse.
-    pub upstream: &'a UpstreamId,
+    pub upstream: &'a UpstreamName,
     /// What is left of the caller's time.
     pub time_left: Duration,
     /// Whose request it is.
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -50,6 +50,9 @@
         joined: Vec<String>,
         /// Those that left it or are leaving.
         left: Vec<String>,
+        /// Those of them that have started again under the same name.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        restarted: Vec<String>,
     },
     /// A dependency can't be reached.
     DependencyLost {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod freshness;
 mod handler;
 mod listeners;
+mod lives;
 mod load_guard;
 mod meters;
 mod news;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
 use crate::gateway::courier::Courier;
 use crate::gateway::courier::Delivery;
 use crate::gateway::send::Answered;
+use crate::gateway::send::STARTED_AGAIN;
 use crate::gateway::send::first_event_patience;
 use crate::gateway::tracker::Tracker;
 
@@ -99,7 +100,13 @@
             return Next::Broken(UpstreamFault::Broken, "no engine".to_owned());
         };
         let limit = silence_left.map_or(time_left, |left| left.min(time_left));
-        match timeout(limit, answered.body.frame()).await {
+        let gateway = &self.courier.gateway;
+        let lost = gateway.lives.lost(&answered.upstream.id, answered.sent_at);
+        let next = tokio::select! {
+            next = timeout(limit, answered.body.frame()) => next,
+            () = lost => return Next::Broken(UpstreamFault::Broken, STARTED_AGAIN.to_owned()),
+        };
+        match next {
             Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(err))) => Next::Broken(UpstreamFault::Broken, err.to_string()),
             Ok(None) => Next::End,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -42,6 +42,9 @@
 /// How many times its objective a stream's first event may take at least.
 const LATE_PATIENCE: f64 = 2.5;
 
+/// Why a call is lost whose upstream has another life by now.
+pub(crate) const STARTED_AGAIN: &str = "the upstream has started again";
+
 /// An upstream's answer, its body still to be read.
 pub(crate) struct Answered {
     pub(crate) head: response::Parts,
@@ -100,7 +103,7 @@
         let mut helpers: Vec<HelperAddr> = reserved.map(Part::helper).collect();
         helpers.extend(placement.helpers);
         let head = SendHead {
-            upstream: &upstream.id,
+            upstream: &upstream.name,
             time_left: self.call.time_left(now),
             customer: self.call.customer.as_ref(),
             helpers: &helpers,
@@ -108,7 +111,16 @@
         };
         let req = self.request(&head);
         let sending = one_shot::send(upstream.addr, req, CONNECT_TIMEOUT.min(limit));
-        let res = match timeout(limit, sending).await {
+        let sent = tokio::select! {
+            sent = timeout(limit, sending) => sent,
+            () = self.gateway.lives.lost(&upstream.id, now) => {
+                return SendEnd::Lost {
+                    fault: UpstreamFault::Broken,
+                    why: STARTED_AGAIN.to_owned(),
+                };
+            }
+        };
+        let res = match sent {
             Ok(Ok(res)) => res,
             Ok(Err(err)) => return lost_or_not_run(&err),
             Err(_) => {
--- a/src/gateway/share/message.rs
+++ b/src/gateway/share/message.rs
@@ -67,6 +67,9 @@
     /// Whether it leaves.
     #[prost(bool, tag = "6")]
     pub(crate) is_leaving: bool,
+    /// What it calls itself.
+    #[prost(string, tag = "7")]
+    pub(crate) name: String,
 }
 
 impl From<&Listed> for UpstreamEntry {
@@ -78,6 +81,7 @@
             domain: listed.domain.to_string(),
             slots: listed.slots,
             is_leaving: listed.is_leaving,
+            name: listed.name.to_string(),
         }
     }
 }
@@ -92,6 +96,7 @@
             domain: self.domain.parse().ok()?,
             slots: self.slots,
             is_leaving: self.is_leaving,
+            name: self.name.parse().ok()?,
         })
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -30,6 +30,7 @@
 use crate::gateway::GatewayConf;
 use crate::gateway::ListedHost;
 use crate::gateway::Meters;
+use crate::gateway::lives::Lives;
 use crate::gateway::share::Held;
 use crate::units::HostId;
 use crate::units::ServiceId;
@@ -82,6 +83,8 @@
     pub(crate) incarnation: u64,
     /// What was read last, for other hosts that ask.
     pub(crate) held: Held,
+    /// Lives of upstreams that are over.
+    pub(crate) lives: Lives,
     /// Notified when the host that reads for this one has another manifest.
     pub(crate) routes_news: Notify,
     /// Notified when it has other upstreams.
@@ -120,6 +123,7 @@
             health_changed: Notify::new(),
             incarnation: rand::random(),
             held: Held::default(),
+            lives: Lives::default(),
             routes_news: Notify::new(),
             upstreams_news: Notify::new(),
             news_sent: AtomicU64::new(0),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -158,11 +158,14 @@
             gateway.load_changed.notify_one();
             let staying = listed.iter().filter(|upstream| !upstream.is_leaving);
             let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
+            let health = gateway.health();
+            let restarted = gateway.lives.take_in(&listed, |id| health.lost_at(id));
+            drop(health);
             let usable = gateway.beliefs.set_upstreams(listed.to_vec());
             gateway.health().keep(|id| staying.contains(id));
             let now = gateway.clock.now();
             gateway.ledger().keep(|id| staying.contains(id), now);
-            note_changes(&gateway, &known, &staying, usable);
+            note_changes(&gateway, &known, &staying, &restarted, usable);
             known = staying;
         }
         let interval = watchman.interval(UPSTREAMS_INTERVAL);
@@ -174,6 +177,7 @@
     gateway: &Gateway,
     before: &IndexSet<UpstreamId>,
     after: &IndexSet<UpstreamId>,
+    restarted: &[UpstreamId],
     usable: usize,
 ) {
     let names = |ids: indexmap::set::Difference<'_, UpstreamId, _>| {
@@ -186,6 +190,7 @@
             usable,
             joined,
             left,
+            restarted: restarted.iter().map(ToString::to_string).collect(),
         });
     }
 }
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -29,6 +29,7 @@
 pub use names::ServiceId;
 pub use names::TargetId;
 pub use names::UpstreamId;
+pub use names::UpstreamName;
 pub use random_ids::AttemptId;
 pub use random_ids::ContentHash;
 pub use random_ids::GrantId;
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -18,8 +18,14 @@
     "a customer name"
 );
 name_newtype!(
-    /// One back end: a model engine or one instance of a plain service.
+    /// One life of a back end, from its start to its end: a model engine or one instance of a plain
+    /// service. All that hosts know of an upstream they know of this life alone.
     UpstreamId,
+    "an upstream id"
+);
+name_newtype!(
+    /// What an upstream calls itself; it may start again under the same name.
+    UpstreamName,
     "an upstream name"
 );
 name_newtype!(
@@ -70,6 +76,17 @@
     }
 }
 
+impl UpstreamId {
+    /// The id of one life of an upstream. `started` tells it from other lives under the same name;
+    /// without it all of them are taken for one.
+    pub fn of_life(name: &UpstreamName, started: Option<u64>) -> Self {
+        match started {
+            Some(started) => Self(format!("{name}@{started}").into()),
+            None => Self(name.0.clone()),
+        }
+    }
+}
+
 impl CustomerId {
     /// The customer that stands for all that the manifest does not name.
     pub fn fallback() -> Self {
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -15,6 +15,7 @@
 use banyanarch::routing::RouteTable;
 use banyanarch::units::HostId;
 use banyanarch::units::ObjectVersion;
+use banyanarch::units::UpstreamId;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
@@ -62,6 +63,7 @@
     pub fn list(&self, id: &str, service: &str, addr: SocketAddr) {
         self.state.lock().unwrap().upstreams.push(Listed {
             id: id.parse().unwrap(),
+            name: id.parse().unwrap(),
             service: service.parse().unwrap(),
             addr,
             domain: "here".parse().unwrap(),
@@ -70,6 +72,15 @@
         });
     }
 
+    /// An upstream starts again under its name.
+    pub fn restart(&self, name: &str, started: u64) -> UpstreamId {
+        let mut state = self.state.lock().unwrap();
+        let entry = state.upstreams.iter_mut().find(|u| u.name.as_str() == name);
+        let entry = entry.unwrap();
+        entry.id = UpstreamId::of_life(&entry.name, Some(started));
+        entry.id.clone()
+    }
+
     /// An upstream says that it leaves.
     pub fn leave(&self, id: &str) {
         let mut state = self.state.lock().unwrap();
