--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -96,6 +96,19 @@
         }
     }
 
+    /// Eight hosts before 18 engines.
+    pub fn middle() -> Self {
+        let mut site = Self::small();
+        site.hosts = 8;
+        site.engines = 18;
+        site.classes = [
+            Class::short(39.5),
+            Class::medium(2.87),
+            Class::long(1.19, 210_000.0, 3.0, 22.0),
+        ];
+        site
+    }
+
     /// Seven hosts before 23 engines.
     pub fn small() -> Self {
         let mut site = Self::large();
--- a/tests/engine_world/tally.rs
+++ b/tests/engine_world/tally.rs
@@ -18,6 +18,8 @@
 pub struct Outcome {
     pub class: usize,
     pub ended: Ended,
+    /// How often its caller was turned away.
+    pub refusals: u32,
     pub worth: f64,
     pub prompt_tokens: f64,
     pub first_event: Option<Duration>,
@@ -41,6 +43,14 @@
         earned(self.outcomes.iter())
     }
 
+    /// The worth of requests that came back after a refusal and were not served, of all worth.
+    pub fn refused_again(&self) -> f64 {
+        let again = |o: &&Outcome| o.refusals > 0 && o.ended == Ended::Refused;
+        let lost: f64 = self.outcomes.iter().filter(again).map(|o| o.worth).sum();
+        let owed: f64 = self.outcomes.iter().map(|o| o.worth).sum();
+        lost / owed.max(1e-9)
+    }
+
     pub fn part(&self, class: usize, ended: Ended) -> f64 {
         let of = self.outcomes.iter().filter(|o| o.class == class);
         let count = of.clone().filter(|o| o.ended == ended).count();
@@ -104,7 +114,8 @@
         let (tenth, fifth, all) = self.served_by_size(2);
         write!(
             f,
-            " | long served {all:.2}, largest {tenth:.2}, next {fifth:.2}"
+            " | long served {all:.2}, largest {tenth:.2}, next {fifth:.2} | refused again {:.3}",
+            self.refused_again(),
         )
     }
 }
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -355,6 +355,7 @@
         let outcomes = runs.map(|(run, asked)| Outcome {
             class: asked.class,
             ended: run.outcome.unwrap_or(Ended::Refused),
+            refusals: run.refusals,
             worth: asked.worth,
             prompt_tokens: asked.prompt.as_f64(),
             first_event: run.first_event.map(|at| at.saturating_sub(run.sent_at)),
