A host reads through a neighbour of the former version

Cause: entries between hosts gained a field, and one without it was dropped: while hosts are replaced one by one, a newer one that reads through an older neighbour had no upstreams. Seen when reading the change. The field of old holds the name as before, the new one the id of the life; without it the name is the id, so older hosts go on, too. The test fails on the code before (20 s without the upstream) and passes now.

--- a/src/gateway/share/message.rs
+++ b/src/gateway/share/message.rs
@@ -49,9 +49,9 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub(crate) struct UpstreamEntry {
-    /// Its id.
+    /// What it calls itself.
     #[prost(string, tag = "1")]
-    pub(crate) id: String,
+    pub(crate) name: String,
     /// Its service.
     #[prost(string, tag = "2")]
     pub(crate) service: String,
@@ -67,21 +67,21 @@
     /// Whether it leaves.
     #[prost(bool, tag = "6")]
     pub(crate) is_leaving: bool,
-    /// What it calls itself.
+    /// The id of its life; empty from a host that knows upstreams by their names alone.
     #[prost(string, tag = "7")]
-    pub(crate) name: String,
+    pub(crate) id: String,
 }
 
 impl From<&Listed> for UpstreamEntry {
     fn from(listed: &Listed) -> Self {
         Self {
-            id: listed.id.to_string(),
+            name: listed.name.to_string(),
             service: listed.service.to_string(),
             addr: listed.addr.to_string(),
             domain: listed.domain.to_string(),
             slots: listed.slots,
             is_leaving: listed.is_leaving,
-            name: listed.name.to_string(),
+            id: listed.id.to_string(),
         }
     }
 }
@@ -89,8 +89,13 @@
 impl UpstreamEntry {
     /// The upstream; none if a field is not what it should be.
     pub(crate) fn listed(&self) -> Option<Listed> {
+        let id = if self.id.is_empty() {
+            &self.name
+        } else {
+            &self.id
+        };
         Some(Listed {
-            id: self.id.parse().ok()?,
+            id: id.parse().ok()?,
             service: self.service.parse().ok()?,
             addr: self.addr.parse::<SocketAddr>().ok()?,
             domain: self.domain.parse().ok()?,
--- /dev/null
+++ b/tests/gateway_versions.rs
@@ -0,0 +1,131 @@
+//! Hosts of neighbouring versions that run side by side while they are replaced.
+
+mod gateway_world;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use banyanarch::gateway::Catalog;
+use banyanarch::gateway::Gateway;
+use banyanarch::gateway::ListedHost;
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use gateway_world::TestHost;
+use gateway_world::catalog::FakeCatalog;
+use gateway_world::request;
+use gateway_world::table;
+use gateway_world::until;
+use gateway_world::upstream::Act;
+use gateway_world::upstream::Upstream;
+use indexmap::IndexMap;
+use prost::Message;
+use tokio::net::TcpListener;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+const UPSTREAMS: i32 = 1;
+
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct Ask {
+    #[prost(int32, tag = "1")]
+    list: i32,
+    #[prost(uint64, tag = "2")]
+    known_version: u64,
+}
+
+/// An entry as hosts wrote it that knew upstreams by their names alone.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct FormerEntry {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    addr: String,
+    #[prost(string, tag = "4")]
+    domain: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct Answer {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(message, repeated, tag = "4")]
+    upstreams: Vec<FormerEntry>,
+}
+
+/// Answers as a host of the former version that has read one upstream.
+async fn serve_reads(listener: TcpListener, upstream: SocketAddr) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
+            while let Some(Ok(frame)) = framed.next().await {
+                let ask = Ask::decode(frame).unwrap();
+                let answer = answer(&ask, upstream).encode_to_vec();
+                framed.send(Bytes::from(answer)).await.unwrap();
+            }
+        });
+    }
+}
+
+fn answer(ask: &Ask, upstream: SocketAddr) -> Answer {
+    if ask.list != UPSTREAMS {
+        return Answer {
+            version: ask.known_version,
+            upstreams: Vec::new(),
+        };
+    }
+    let entry = FormerEntry {
+        id: "b".to_owned(),
+        service: "app".to_owned(),
+        addr: upstream.to_string(),
+        domain: "here".to_owned(),
+        slots: 6,
+    };
+    Answer {
+        version: 7,
+        upstreams: vec![entry],
+    }
+}
+
+async fn tell_that_it_lives(gateway: Arc<Gateway>) {
+    loop {
+        let now = gateway.clock.now();
+        let host = "a-former".parse().unwrap();
+        gateway.ledger().hear(host, 1, IndexMap::new(), now);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Hosts are replaced one by one by a newer version. The newer ones that read through an older neighbour
+/// have no upstream left, since its entries lack a field that the older version does not know.
+#[tokio::test]
+async fn a_host_reads_through_a_neighbour_of_the_former_version() {
+    let catalog = FakeCatalog::new(table(1));
+    let (own, read) = (
+        Upstream::start([Act::Answer(200, "own")]).await,
+        Upstream::start([Act::Answer(200, "read")]).await,
+    );
+    catalog.list("a", "app", own.addr);
+    let host = TestHost::start("b-newer", &catalog).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let former = ListedHost {
+        host: "a-former".parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr: listener.local_addr().unwrap(),
+    };
+    tokio::spawn(serve_reads(listener, read.addr));
+    tokio::spawn(tell_that_it_lives(Arc::clone(&host.gateway)));
+    catalog.announce(former).await.unwrap();
+    until(|| host.gateway.beliefs.is_listed(&"b".parse().unwrap())).await;
+    let res = host.call(request("/safe/1")).await;
+    assert_eq!(res.body().as_ref(), b"read");
+    assert_eq!(read.arrivals()[0].header("test-upstream"), Some("b"));
+}
