--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -6,34 +6,27 @@
 #[path = "../../tests/engine_world/mod.rs"]
 mod engine_world;
 
+use std::panic::resume_unwind;
+
 use engine_world::Ended;
+use engine_world::LONG;
 use engine_world::Load;
+use engine_world::MEDIUM;
 use engine_world::Phase;
+use engine_world::SHORT;
 use engine_world::Site;
 use engine_world::Tally;
 use engine_world::World;
 use pico_args::Arguments;
 
-const SHORT: usize = 0;
-const MEDIUM: usize = 1;
-const LONG: usize = 2;
 const SEEDS_DEFAULT: u64 = 8;
 /// Times the usual rate of long prompts in their stretches: below, near and beyond what engines can read.
 const LONG_RATES: [f64; 3] = [2.2, 2.8, 4.0];
 /// What a caller loses who comes back and is not served, as a part of the worth of its answer.
 const REFUSED_AGAIN_COST: f64 = 0.3;
 
-fn by_turns(for_s: f64, long: f64) -> Vec<Phase> {
-    let phase = |factors| Phase { for_s, factors };
-    vec![
-        phase([0.35, 1.3, long]),
-        phase([2.4, 0.5, 0.05]),
-        phase([0.35, 1.3, long]),
-    ]
-}
-
 fn play(site: &Site, long: f64, seed: u64) -> Tally {
-    let load = Load::draw(site, &by_turns(9.5, long), seed);
+    let load = Load::draw(site, &Phase::by_turns(9.5, long), seed);
     World::play(site.clone(), load, seed)
 }
 
@@ -43,7 +36,7 @@
         let plays: Vec<_> = plays.collect();
         plays
             .into_iter()
-            .filter_map(|play| play.join().ok())
+            .map(|play| play.join().unwrap_or_else(|panic| resume_unwind(panic)))
             .collect()
     })
 }
--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -74,7 +74,6 @@
 
     /// When the first event of a request is expected that comes now and is read in `part_time`.
     pub fn first_event(&self, model: &EngineModel, part_time: Duration) -> Duration {
-        let passes = self.pass_time(model).mul_f64(PASSES_TO_FIRST_EVENT);
-        self.load.read_backlog + part_time + passes
+        self.load.read_backlog + self.helped(model, part_time)
     }
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -71,14 +71,13 @@
     let service = routes.services.get(&call.service);
     match service.and_then(|service| service.engine.as_ref()) {
         Some(model) if call.route.kind.is_stream() => {
-            let ask = engine_ask(gateway, call, sends, now);
-            among_engines(gateway, call, model, &usable, &ask, now)
+            among_engines(gateway, call, model, &usable, sends, now)
         }
         _ => among_instances(gateway, &usable, now),
     }
 }
 
-fn engine_ask(gateway: &Gateway, call: &Call, sends: &Sends<'_>, now: Instant) -> EngineAsk {
+fn engine_ask(call: &Call, sends: &Sends<'_>, peers_heard: usize, now: Instant) -> EngineAsk {
     // The caller of a stream that broke off stays for its next event, however late it is.
     let least = if sends.has_run {
         call.patience()
@@ -91,7 +90,7 @@
         objective_left: call.objective_left(now).max(least),
         patience_left: call.patience_left(now).max(least),
         time_left: call.time_left(now),
-        news_age: news_interval(gateway.ledger().peers_heard(now)),
+        news_age: news_interval(peers_heard),
         draw: rand::random(),
     }
 }
@@ -152,7 +151,7 @@
     call: &Call,
     model: &EngineModel,
     usable: &[&Listed],
-    ask: &EngineAsk,
+    sends: &Sends<'_>,
     now: Instant,
 ) -> Choice {
     let ledger = gateway.ledger();
@@ -161,9 +160,10 @@
         load: ledger.load(&upstream.id, now),
     });
     let views: Vec<EngineView> = views.collect();
+    let ask = engine_ask(call, sends, ledger.peers_heard(now), now);
     drop(ledger);
-    match choose_engines(model, &views, ask) {
-        EngineChoice::Send(plan) => place(call, model, ask, &plan, usable, now),
+    match choose_engines(model, &views, &ask) {
+        EngineChoice::Send(plan) => place(call, model, &ask, &plan, usable, now),
         EngineChoice::Wait(wait) => Choice::Wait(wait),
         EngineChoice::Refuse {
             reason,
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -12,6 +12,13 @@
 const CALLERS_STAY_OBJECTIVES: u32 = 4;
 const CALLERS_STAY_PAUSES: u32 = 8;
 
+/// How long the caller of a stream stays without an event, by what is on time on its route.
+pub fn callers_patience(objective: Duration, pause_objective: Option<Duration>) -> Duration {
+    let by_objective = objective * CALLERS_STAY_OBJECTIVES;
+    let by_pause = pause_objective.unwrap_or_default() * CALLERS_STAY_PAUSES;
+    by_objective.max(by_pause).max(CALLERS_STAY_MIN)
+}
+
 /// A service that a route leads to, with its share of the calls.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -49,13 +56,6 @@
 }
 
 impl Route {
-    /// How long the caller of a stream stays without an event.
-    pub fn callers_patience(&self) -> Duration {
-        let by_objective = self.objective * CALLERS_STAY_OBJECTIVES;
-        let by_pause = self.pause_objective.unwrap_or_default() * CALLERS_STAY_PAUSES;
-        by_objective.max(by_pause).max(CALLERS_STAY_MIN)
-    }
-
     /// Chooses a target by weight; `draw` is even over all `u32`.
     pub fn target(&self, draw: u32) -> Option<&ServiceId> {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -5,25 +5,17 @@
 use std::time::Duration;
 
 use engine_world::Ended;
+use engine_world::LONG;
 use engine_world::Load;
+use engine_world::MEDIUM;
 use engine_world::Phase;
+use engine_world::SHORT;
 use engine_world::Site;
 use engine_world::Tally;
 use engine_world::World;
 
-const SHORT: usize = 0;
-const MEDIUM: usize = 1;
-const LONG: usize = 2;
-
-/// Archives for some seconds, clauses for as long, archives again.
-fn by_turns(for_s: f64) -> Vec<Phase> {
-    let phase = |factors| Phase { for_s, factors };
-    vec![
-        phase([0.35, 1.3, 2.7]),
-        phase([2.4, 0.5, 0.05]),
-        phase([0.35, 1.3, 2.7]),
-    ]
-}
+/// Times the usual rate of archives in their stretches.
+const ARCHIVES: f64 = 2.7;
 
 fn play(site: &Site, phases: &[Phase], seed: u64) -> Tally {
     let load = Load::draw(site, phases, seed);
@@ -37,7 +29,7 @@
 /// prompts send them to the same engines, and forecasts fall short by seconds.
 #[test]
 fn archives_and_clauses_by_turns_are_served_on_a_small_site() {
-    let tally = play(&Site::small(), &by_turns(9.0), 1);
+    let tally = play(&Site::small(), &Phase::by_turns(9.0, ARCHIVES), 1);
     assert!(tally.earned_all() > 0.88, "{tally}");
     assert!(tally.earned(SHORT) > 0.92, "{tally}");
     assert!(tally.earned(MEDIUM) > 0.95, "{tally}");
@@ -46,7 +38,7 @@
 
 #[test]
 fn archives_and_clauses_by_turns_are_served_on_a_large_site() {
-    let tally = play(&Site::large(), &by_turns(5.0), 1);
+    let tally = play(&Site::large(), &Phase::by_turns(5.0, ARCHIVES), 1);
     assert!(tally.earned_all() > 0.90, "{tally}");
     assert!(tally.earned(LONG) > 0.88, "{tally}");
     assert!(tally.error_ms(LONG, 0.5) < 400.0, "{tally}");
@@ -59,7 +51,7 @@
 fn archives_that_come_after_clauses_are_served_as_well() {
     let mut sums = (0.0, 0.0, 0.0);
     for seed in 1..=6 {
-        let tally = play(&Site::middle(), &by_turns(9.5), seed);
+        let tally = play(&Site::middle(), &Phase::by_turns(9.5, ARCHIVES), seed);
         let (largest_tenth, _, _) = tally.served_by_size(LONG);
         sums.0 += tally.earned_all() / 6.0;
         sums.1 += tally.earned(LONG) / 6.0;
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -41,6 +41,14 @@
     (0..count).map(engine).collect()
 }
 
+/// All engines have this much to read; the first of it is due in `due`.
+fn set_reading(engines: &mut [EngineView], backlog: Duration, due: Option<Duration>) {
+    for engine in engines {
+        engine.load.read_backlog = backlog;
+        engine.load.read_due = due;
+    }
+}
+
 fn ask(prompt: u64) -> EngineAsk {
     EngineAsk {
         prompt: Tokens(prompt),
@@ -182,10 +190,7 @@
 #[test]
 fn a_long_prompt_waits_at_its_host_while_it_would_make_others_late() {
     let mut engines = engines(23);
-    for engine in &mut engines {
-        engine.load.read_backlog = ms(600);
-        engine.load.read_due = Some(ms(750));
-    }
+    set_reading(&mut engines, ms(600), Some(ms(750)));
     let choice = choose_engines(&model(), &engines, &ask(210_000));
     assert!(matches!(choice, EngineChoice::Wait(_)), "{choice:?}");
     let pressed = EngineAsk {
@@ -195,9 +200,7 @@
     let choice = choose_engines(&model(), &engines, &pressed);
     assert!(matches!(choice, EngineChoice::Send(_)), "{choice:?}");
     // Nothing there comes late by it.
-    for engine in &mut engines {
-        engine.load.read_due = Some(ms(2_000));
-    }
+    set_reading(&mut engines, ms(600), Some(ms(2_000)));
     let choice = choose_engines(&model(), &engines, &ask(210_000));
     assert!(matches!(choice, EngineChoice::Send(_)), "{choice:?}");
 }
@@ -207,9 +210,7 @@
 #[test]
 fn a_long_prompt_that_will_be_late_waits_behind_others_while_its_caller_stays() {
     let mut engines = engines(23);
-    for engine in &mut engines {
-        engine.load.read_backlog = ms(2_900);
-    }
+    set_reading(&mut engines, ms(2_900), None);
     let choice = choose_engines(&model(), &engines, &ask(210_000));
     assert!(matches!(choice, EngineChoice::Wait(_)), "{choice:?}");
     let late = EngineAsk {
@@ -217,16 +218,10 @@
         patience_left: ms(5_000),
         ..ask(210_000)
     };
-    for engine in &mut engines {
-        engine.load.read_backlog = ms(100);
-        engine.load.read_due = Some(ms(200));
-    }
+    set_reading(&mut engines, ms(100), Some(ms(200)));
     let choice = choose_engines(&model(), &engines, &late);
     assert!(matches!(choice, EngineChoice::Wait(_)), "{choice:?}");
-    for engine in &mut engines {
-        engine.load.read_backlog = Duration::ZERO;
-        engine.load.read_due = None;
-    }
+    set_reading(&mut engines, Duration::ZERO, None);
     let choice = choose_engines(&model(), &engines, &late);
     assert!(matches!(choice, EngineChoice::Send(_)), "{choice:?}");
 }
@@ -236,9 +231,7 @@
 #[test]
 fn a_long_prompt_that_would_come_after_its_caller_has_left_is_told_so_at_once() {
     let mut engines = engines(23);
-    for engine in &mut engines {
-        engine.load.read_backlog = ms(11_900);
-    }
+    set_reading(&mut engines, ms(11_900), None);
     let choice = choose_engines(&model(), &engines, &ask(210_000));
     let EngineChoice::Refuse {
         reason,
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -32,6 +32,23 @@
     pub factors: [f64; 3],
 }
 
+/// The places of the classes in a site and in a phase's factors.
+pub const SHORT: usize = 0;
+pub const MEDIUM: usize = 1;
+pub const LONG: usize = 2;
+
+impl Phase {
+    /// Long prompts for some seconds, `long` times their rate, short ones for as long, and long ones again.
+    pub fn by_turns(for_s: f64, long: f64) -> Vec<Self> {
+        let phase = |factors| Self { for_s, factors };
+        vec![
+            phase([0.35, 1.3, long]),
+            phase([2.4, 0.5, 0.05]),
+            phase([0.35, 1.3, long]),
+        ]
+    }
+}
+
 /// Hosts and engines of one deployment.
 #[derive(Clone, Debug)]
 pub struct Site {
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -9,8 +9,11 @@
 mod tally;
 mod world;
 
+pub use load::LONG;
 pub use load::Load;
+pub use load::MEDIUM;
 pub use load::Phase;
+pub use load::SHORT;
 pub use load::Site;
 pub use tally::Ended;
 pub use tally::Tally;
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -9,6 +9,7 @@
 use banyanarch::decide::engines::EngineAsk;
 use banyanarch::decide::engines::EngineChoice;
 use banyanarch::decide::engines::EnginePlan;
+use banyanarch::routing::callers_patience;
 use banyanarch::units::UpstreamId;
 use rand::Rng;
 use rand::SeedableRng;
@@ -160,8 +161,7 @@
             prompt: asked.prompt,
             output: asked.output_max,
             objective_left: class.objective.saturating_sub(waited),
-            patience_left: (class.objective * 4)
-                .max(Duration::from_secs(2))
+            patience_left: callers_patience(class.objective, Some(class.pause))
                 .saturating_sub(waited),
             time_left,
             news_age: self.site.news_interval,
