Signs of life no longer put off a host's first urgent news

Cause: each message, also one that only shows that a host lives, moved the turn of the next change on by the fleet's interval. Signs of life go out every 250 ms; beyond a hundred hosts the interval is longer than that, so the turn ran ahead of the clock for as long as a host was idle, and its first urgent change waited for it. The others forgot a host that had just got work (read in the logs of a fleet of 195: hosts heard fell from 194 to 3 within five seconds).

Ruled out: processor time (0.032 of 0.12 core at most), lost datagrams.

Change: the pace of messages is a type of its own, with the time passed in; only changes move the turn, and an urgent change never waits longer than another one.

Tests: tests/exchange_pace.rs; two of its cases failed with signs of life counted (470 and 250 ms in place of 10).

--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod error;
 mod message;
+mod pace;
 mod task;
 
 pub use codec::NewsCodec;
@@ -14,6 +15,8 @@
 pub use message::HostNews;
 pub use message::LoadNews;
 pub use message::PoisonNews;
+pub use pace::Need;
+pub use pace::Pace;
+pub use pace::news_interval;
 pub use task::Exchange;
 pub use task::NewsDesk;
-pub use task::news_interval;
--- /dev/null
+++ b/src/exchange/pace.rs
@@ -0,0 +1,100 @@
+//! When a host's next message is due.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// The shortest time between two messages. Two hosts that decide within it can choose the same
+/// upstream; the engines' passes, which take longer, even that out.
+const INTERVAL_MIN: Duration = Duration::from_millis(10);
+/// Messages with urgent changes that may follow each other at the shortest interval, while the host's
+/// messages on the whole stay as rare as the size of the fleet asks. A host of a fleet of 70 gets a few
+/// requests a second, so most of them can be told at once.
+const URGENT_BURST: u32 = 3;
+/// What each further host adds to the interval, so that a host of a large fleet receives at most
+/// 400 messages a second, some hundredths of a core.
+const INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
+/// A message is due this often even if nothing has changed; silence tells the others that a host is
+/// gone.
+const INTERVAL_IDLE: Duration = Duration::from_millis(250);
+/// The longest interval of a large fleet. Beyond it the others would take a host for gone that only
+/// waits for its turn; from 200 hosts on the messages grow with the fleet again.
+const INTERVAL_MAX: Duration = Duration::from_millis(500);
+
+/// What the next message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Need {
+    /// To show that this host is alive.
+    SignOfLife,
+    /// To tell a change when it is this host's turn.
+    Change,
+    /// To tell a change at once.
+    UrgentChange,
+}
+
+/// The pace of one host's messages.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    told_at: Instant,
+    /// When the next change would be due if all had come at even intervals.
+    even_at: Instant,
+    need: Need,
+}
+
+impl Pace {
+    /// The pace of a host that starts now; its first message is due after one interval.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            told_at: now,
+            even_at: now,
+            need: Need::Change,
+        }
+    }
+
+    /// What the next message is for.
+    pub fn need(&self) -> Need {
+        self.need
+    }
+
+    /// Takes in that there is something to tell.
+    pub fn on_need(&mut self, need: Need) {
+        self.need = self.need.max(need);
+    }
+
+    /// When the next message is due that goes to `peers` other hosts.
+    pub fn due_at(&self, peers: usize) -> Instant {
+        let interval = news_interval(peers);
+        match self.need {
+            Need::SignOfLife => self.told_at + INTERVAL_IDLE,
+            Need::Change => self.told_at + interval,
+            Need::UrgentChange => self
+                .even_at
+                .checked_sub(interval * URGENT_BURST)
+                .unwrap_or(self.told_at)
+                .max(self.told_at + INTERVAL_MIN)
+                // No urgent change waits longer than another one, also right after the fleet has shrunk.
+                .min(self.told_at + interval),
+        }
+    }
+
+    /// Takes in that a message has gone to `peers` other hosts.
+    ///
+    /// Failure it guards against: signs of life that counted as changes put `even_at` ever further
+    /// ahead of the clock where the interval is longer than theirs, in fleets of more than a hundred
+    /// hosts. After an idle quarter of a minute the first urgent change waited for seven seconds, and
+    /// nothing else was sent meanwhile, so the others took the host for dead as soon as it had work.
+    pub fn on_told(&mut self, peers: usize, now: Instant) {
+        if self.need > Need::SignOfLife {
+            self.even_at = self.even_at.max(now) + news_interval(peers);
+        }
+        self.told_at = now;
+        self.need = Need::SignOfLife;
+    }
+}
+
+/// The time between two messages of a host that has something to tell `peers` other hosts.
+pub fn news_interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    INTERVAL_PER_HOST
+        .saturating_mul(peers)
+        .clamp(INTERVAL_MIN, INTERVAL_MAX)
+}
--- /dev/null
+++ b/tests/exchange_pace.rs
@@ -0,0 +1,87 @@
+//! When a host's news are due: after an idle time, in a burst, in fleets of all sizes.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::exchange::Need;
+use banyanarch::exchange::Pace;
+use banyanarch::exchange::news_interval;
+use yare::parameterized;
+
+/// A host that is not heard for this long is taken for dead, and its work is forgotten.
+const TAKEN_FOR_DEAD_AFTER: Duration = Duration::from_secs(1);
+
+/// Lets a host that has nothing to tell show that it lives until `end`.
+fn idle(pace: &mut Pace, peers: usize, end: Instant) -> Instant {
+    let mut now = pace.due_at(peers);
+    while now < end {
+        pace.on_told(peers, now);
+        now = pace.due_at(peers);
+    }
+    end
+}
+
+/// Hosts of a large fleet wait for their first requests, then all get some. Each falls silent for
+/// seconds at that very moment, nobody counts its work, and all choose the same engines. The signs of
+/// life of the idle time had been counted as changes, and the first urgent one waited for its turn
+/// behind them.
+#[parameterized(
+    pair = { 1 },
+    eight = { 7 },
+    hundred = { 99 },
+    large = { 194 },
+    target = { 399 },
+)]
+fn a_host_that_was_idle_tells_its_first_work_at_once(peers: usize) {
+    let start = Instant::now();
+    let mut pace = Pace::new(start);
+    let now = idle(&mut pace, peers, start + Duration::from_secs(60));
+    pace.on_need(Need::UrgentChange);
+    let waits = pace.due_at(peers).saturating_duration_since(now);
+    assert!(waits <= Duration::from_millis(10), "waits for {waits:?}");
+}
+
+/// Requests come without a pause: urgent changes are told as they come while the burst lasts, then at
+/// the fleet's interval, and the host is never silent for so long that the others forget its work.
+#[parameterized(
+    eight = { 7 },
+    seventy = { 69 },
+    large = { 194 },
+    target = { 399 },
+)]
+fn a_busy_host_keeps_to_the_pace_and_is_never_taken_for_dead(peers: usize) {
+    let start = Instant::now();
+    let end = start + Duration::from_secs(60);
+    let mut pace = Pace::new(start);
+    let mut now = start;
+    let mut told = 0_u32;
+    while now < end {
+        pace.on_need(Need::UrgentChange);
+        let due_at = pace.due_at(peers);
+        assert!(due_at.saturating_duration_since(now) < TAKEN_FOR_DEAD_AFTER);
+        now = due_at;
+        pace.on_told(peers, now);
+        told += 1;
+    }
+    let interval = news_interval(peers);
+    let even = (end - start).as_secs_f64() / interval.as_secs_f64();
+    let most = even + 5.0;
+    assert!(f64::from(told) <= most, "{told} of at most {most}");
+}
+
+/// Most of a fleet is gone from the list right after a burst. The few that are left are told the next
+/// urgent change at the pace of a small fleet.
+#[test]
+fn a_fleet_that_shrank_is_told_at_its_own_pace() {
+    let start = Instant::now();
+    let mut pace = Pace::new(start);
+    let mut now = start;
+    for _ in 0..4 {
+        pace.on_need(Need::UrgentChange);
+        now = pace.due_at(399).max(now);
+        pace.on_told(399, now);
+    }
+    pace.on_need(Need::UrgentChange);
+    let waits = pace.due_at(7).saturating_duration_since(now);
+    assert!(waits <= news_interval(7), "waits for {waits:?}");
+}
