The load ledger keeps sums of what other hosts say

Cause: a choice among engines looked each engine's name up in what each other host had said: 38,000 look-ups among 195 engines before 195 hosts, again at each choice of a waiting call.

Change: the ledger adds up per upstream what is heard, by differences; a host that speaks of changes only and one that speaks for several are told apart by LoadSource and Extent. Types of the ledger stand in files of their own.

--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -9,10 +9,16 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::HostLoad;
+use crate::decide::LoadShare;
+use crate::decide::LoadSource;
+use crate::decide::UpstreamLoad;
+use crate::decide::own_load::OwnLoad;
+use crate::decide::peer_loads::PeerLoad;
+use crate::decide::peer_loads::PeerLoads;
+use crate::decide::peer_sum::PeerSum;
 use crate::decide::read_queue::ReadQueue;
-use crate::decide::read_queue::ReadSent;
 use crate::units::HostId;
-use crate::units::Tokens;
 use crate::units::UpstreamId;
 
 /// A host that was not heard for this long has died or is cut off, and its work at upstreams ends
@@ -23,273 +29,190 @@
 /// of the longest with what a message may be late.
 const PEER_HEARD_WITHIN: Duration = Duration::from_millis(700);
 
-/// How long a host goes on telling what it has sent to an upstream to be read in, when it has nothing
-/// else there. Longer than several messages take, so that a lost one is made up for.
-const SENT_TOLD_FOR: Duration = Duration::from_secs(1);
-
-/// Work of all hosts at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct UpstreamLoad {
-    /// Requests that were sent there and have not ended.
-    pub in_flight: u32,
-    /// Those of them whose prompt is short.
-    pub short_in_flight: u32,
-    /// The shortest pause that the caller of one of them accepts between two events.
-    pub strictest_pause: Option<Duration>,
-    /// Time until it has read in what was sent there.
-    pub read_backlog: Duration,
-    /// Memory that these requests take, in tokens.
-    pub held_tokens: Tokens,
-    /// Time until the first of the prompts being read there has to have its first event to be on time.
-    pub read_due: Option<Duration>,
-}
-
-impl UpstreamLoad {
-    fn add(&mut self, other: &HostLoad) {
-        self.in_flight += other.in_flight;
-        self.short_in_flight += other.short_in_flight;
-        self.strictest_pause = earlier(self.strictest_pause, other.strictest_pause);
-        self.held_tokens += other.held_tokens;
-        self.read_due = earlier(self.read_due, other.read_due);
-    }
-}
-
-/// The shorter of two times, either of which may not be there.
-fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
-    match (one, other) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (one, other) => one.or(other),
-    }
-}
-
-/// Work of one host at one upstream, as it is told to the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HostLoad {
-    /// Requests that were sent there and have not ended.
-    pub in_flight: u32,
-    /// Those of them whose prompt is short.
-    pub short_in_flight: u32,
-    /// The shortest pause that the caller of one of them accepts between two events.
-    pub strictest_pause: Option<Duration>,
-    /// Memory that these requests take, in tokens.
-    pub held_tokens: Tokens,
-    /// What was sent there to be read in.
-    pub read: ReadSent,
-    /// Time until the first of the prompts being read there has to have its first event to be on time.
-    pub read_due: Option<Duration>,
-}
-
-/// What one request adds to one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadShare {
-    /// Whether it takes a place there; an engine that only reads a part gives no place.
-    pub takes_place: bool,
-    /// Whether its prompt is short.
-    pub is_short: bool,
-    /// The longest pause that its caller accepts between two events.
-    pub pause: Option<Duration>,
-    /// Time that reading its prompt takes there.
-    pub read_time: Duration,
-    /// Memory that it takes there.
-    pub held_tokens: Tokens,
-    /// When its first event has to be there to be on time; none if nothing there is put behind others
-    /// for its sake.
-    pub read_due: Option<Instant>,
-}
-
-#[derive(Clone, Debug)]
-struct OwnLoad {
-    in_flight: u32,
-    short_in_flight: u32,
-    /// How many requests accept which pause.
-    pauses: IndexMap<Duration, u32>,
-    held_tokens: Tokens,
-    read_total: Duration,
-    /// When the last of it will have been read.
-    read_until: Instant,
-    sent_at: Instant,
-    /// When the prompts that are being read there are due.
-    dues: Vec<Instant>,
-}
-
-impl OwnLoad {
-    fn new(now: Instant) -> Self {
-        Self {
-            in_flight: 0,
-            short_in_flight: 0,
-            pauses: IndexMap::new(),
-            held_tokens: Tokens::ZERO,
-            read_total: Duration::ZERO,
-            read_until: now,
-            sent_at: now,
-            dues: Vec::new(),
-        }
-    }
-
-    fn seen_at(&self, now: Instant) -> HostLoad {
-        HostLoad {
-            in_flight: self.in_flight,
-            short_in_flight: self.short_in_flight,
-            strictest_pause: self.pauses.keys().min().copied(),
-            held_tokens: self.held_tokens,
-            read: ReadSent {
-                total: self.read_total,
-                remaining: self.read_until.saturating_duration_since(now),
-            },
-            read_due: self.next_due(now),
-        }
-    }
-
-    /// Time until the next one that can still be on time is due.
-    fn next_due(&self, now: Instant) -> Option<Duration> {
-        let open = self.dues.iter().filter(|due| **due > now);
-        open.min().map(|due| due.saturating_duration_since(now))
-    }
-
-    fn is_told(&self, now: Instant) -> bool {
-        self.in_flight > 0
-            || self.held_tokens > Tokens::ZERO
-            || now.saturating_duration_since(self.sent_at) < SENT_TOLD_FOR
-    }
-}
-
-#[derive(Clone, Debug)]
-struct PeerLoads {
-    /// Drawn at that host's start.
-    incarnation: u64,
-    heard_at: Instant,
-    by_upstream: IndexMap<UpstreamId, HostLoad>,
-    /// What it has said last of its reading totals, also at upstreams that it no longer names.
-    read_totals: IndexMap<UpstreamId, Duration>,
-}
-
-impl PeerLoads {
-    fn is_heard(&self, within: Duration, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard_at) < within
-    }
-}
-
 /// The work of this host and of the others, by upstream.
 #[derive(Debug, Default)]
 pub struct LoadLedger {
     own: IndexMap<UpstreamId, OwnLoad>,
-    peers: IndexMap<HostId, PeerLoads>,
+    peers: IndexMap<LoadSource, PeerLoads>,
+    /// What the peers have said, added up.
+    sums: IndexMap<UpstreamId, PeerSum>,
+    /// No peer falls silent before this.
+    next_silent_at: Option<Instant>,
     queue: ReadQueue,
 }
 
+/// Whether what is heard is all that its source has to say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// It is: upstreams that it does not name have no work of it.
+    Whole,
+    /// It names only what has changed.
+    Changes,
+}
+
 impl LoadLedger {
     /// Takes in that a request was sent to an upstream.
     pub fn start(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
+        let reads = !share.read_time.is_zero();
+        let read_until = reads.then(|| self.queue.on_sent(upstream, share.read_time, now));
         let new = || OwnLoad::new(now);
         let own = self.own.entry(upstream.clone()).or_insert_with(new);
-        own.in_flight += u32::from(share.takes_place);
-        own.short_in_flight += u32::from(share.takes_place && share.is_short);
-        if let Some(pause) = share.pause.filter(|_| share.takes_place) {
-            *own.pauses.entry(pause).or_default() += 1;
-        }
-        if !share.read_time.is_zero() {
-            own.read_total += share.read_time;
-            own.read_until = self.queue.on_sent(upstream, share.read_time, now);
-            own.sent_at = now;
-            own.dues.extend(share.read_due);
-        }
-        own.held_tokens += share.held_tokens;
+        own.start(share, read_until, now);
     }
 
     /// Takes in that its prompt has been read there.
     pub fn read_done(&mut self, upstream: &UpstreamId, share: &LoadShare) {
-        let Some(own) = self.own.get_mut(upstream) else {
-            return;
-        };
-        let place = own.dues.iter().position(|due| Some(*due) == share.read_due);
-        if let Some(place) = place {
-            own.dues.swap_remove(place);
+        if let Some(own) = self.own.get_mut(upstream) {
+            own.read_done(share);
         }
     }
 
     /// Takes in that it has ended there.
     pub fn end(&mut self, upstream: &UpstreamId, share: &LoadShare) {
-        self.read_done(upstream, share);
-        let Some(own) = self.own.get_mut(upstream) else {
-            return;
-        };
-        let place = u32::from(share.takes_place);
-        own.in_flight = own.in_flight.saturating_sub(place);
-        own.short_in_flight = own
-            .short_in_flight
-            .saturating_sub(place * u32::from(share.is_short));
-        if let Some(pause) = share.pause.filter(|_| share.takes_place)
-            && let Some(count) = own.pauses.get_mut(&pause)
-        {
-            *count -= 1;
-            if *count == 0 {
-                own.pauses.swap_remove(&pause);
-            }
+        if let Some(own) = self.own.get_mut(upstream) {
+            own.end(share);
         }
-        own.held_tokens = own.held_tokens.saturating_sub(share.held_tokens);
     }
 
-    /// Takes in what another host says of its own work, which replaces what it said before.
+    /// Takes in what another host says of all its work, which replaces what it said before.
     /// `incarnation` is drawn at each start of that host.
     pub fn hear(
         &mut self,
         host: HostId,
         incarnation: u64,
-        loads: IndexMap<UpstreamId, HostLoad>,
+        loads: impl IntoIterator<Item = (UpstreamId, HostLoad)>,
         now: Instant,
     ) {
-        let known = self
-            .peers
-            .swap_remove(&host)
-            .filter(|known| known.incarnation == incarnation && known.is_heard(PEER_KEPT_FOR, now));
-        let mut read_totals = known.map(|known| known.read_totals).unwrap_or_default();
-        for (upstream, load) in &loads {
-            let known = read_totals.insert(upstream.clone(), load.read.total);
-            self.queue.hear(upstream, known, load.read, now);
-        }
-        let loads = PeerLoads {
+        self.hear_part(
+            LoadSource::Host(host),
             incarnation,
-            heard_at: now,
-            by_upstream: loads,
-            read_totals,
-        };
-        self.peers.insert(host, loads);
+            Extent::Whole,
+            loads,
+            now,
+        );
+    }
+
+    /// Takes in what a source says, which replaces what it said before of the same upstreams, or of all.
+    pub fn hear_part(
+        &mut self,
+        source: LoadSource,
+        incarnation: u64,
+        extent: Extent,
+        loads: impl IntoIterator<Item = (UpstreamId, HostLoad)>,
+        now: Instant,
+    ) {
+        self.forget_silent(now);
+        let silent_at = now + PEER_KEPT_FOR;
+        self.next_silent_at = Some(
+            self.next_silent_at
+                .map_or(silent_at, |at| at.min(silent_at)),
+        );
+        let Self {
+            peers, sums, queue, ..
+        } = self;
+        let new = || PeerLoads::new(incarnation, now);
+        let peer = peers.entry(source).or_insert_with(new);
+        if peer.incarnation != incarnation {
+            take_away(sums, peer);
+            *peer = PeerLoads::new(incarnation, now);
+        }
+        peer.heard_at = now;
+        peer.messages += 1;
+        for (upstream, load) in loads {
+            let known = peer.by_upstream.get(&upstream);
+            queue.hear(
+                &upstream,
+                known.and_then(|known| known.read_total),
+                load.read,
+                now,
+            );
+            let sum = match sums.get_mut(&upstream) {
+                Some(sum) => sum,
+                None => sums.entry(upstream.clone()).or_default(),
+            };
+            if let Some(PeerLoad {
+                load: Some(load),
+                heard_at,
+                ..
+            }) = known
+            {
+                sum.remove(load, *heard_at);
+            }
+            sum.add(&load, now);
+            let said = PeerLoad {
+                load: Some(load),
+                heard_at: now,
+                message: peer.messages,
+                read_total: Some(load.read.total),
+            };
+            peer.by_upstream.insert(upstream, said);
+        }
+        if extent == Extent::Whole {
+            end_unnamed(sums, peer);
+        }
     }
 
     /// Forgets hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, peer| peer.is_heard(PEER_KEPT_FOR, now));
+        if self.next_silent_at.is_none_or(|at| now < at) {
+            return;
+        }
+        let Self { peers, sums, .. } = self;
+        peers.retain(|_, peer| {
+            let is_kept = peer.is_heard(PEER_KEPT_FOR, now);
+            if !is_kept {
+                take_away(sums, peer);
+            }
+            is_kept
+        });
+        let first = self.peers.values().map(|peer| peer.heard_at).min();
+        self.next_silent_at = first.map(|heard_at| heard_at + PEER_KEPT_FOR);
     }
 
     /// Forgets upstreams that are off the list and have no work left.
     pub fn keep(&mut self, is_listed: impl Fn(&UpstreamId) -> bool, now: Instant) {
         self.queue.forget_done(now);
         self.own.retain(|id, own| own.is_told(now) || is_listed(id));
+        self.sums
+            .retain(|id, sum| is_listed(id) || *sum != PeerSum::default());
         for peer in self.peers.values_mut() {
-            peer.read_totals.retain(|id, _| is_listed(id));
+            peer.by_upstream.retain(|id, said| {
+                let is_listed = is_listed(id);
+                if !is_listed {
+                    said.read_total = None;
+                }
+                is_listed || said.load.is_some()
+            });
         }
     }
 
     /// The work of all hosts at one upstream.
     pub fn load(&self, upstream: &UpstreamId, now: Instant) -> UpstreamLoad {
-        let mut load = UpstreamLoad {
-            read_backlog: self.queue.backlog(upstream, now),
-            ..UpstreamLoad::default()
-        };
+        let mut load = self.load_of_peers(upstream, now);
+        load.read_backlog = self.queue.backlog(upstream, now);
         if let Some(own) = self.own.get(upstream) {
             load.add(&own.seen_at(now));
         }
-        for peer in self.peers.values() {
-            if let Some(said) = peer.by_upstream.get(upstream)
-                && peer.is_heard(PEER_KEPT_FOR, now)
-            {
-                let age = now.saturating_duration_since(peer.heard_at);
-                let read_due = said.read_due.map(|due| due.saturating_sub(age));
-                load.add(&HostLoad { read_due, ..*said });
+        load
+    }
+
+    fn load_of_peers(&self, upstream: &UpstreamId, now: Instant) -> UpstreamLoad {
+        if self.next_silent_at.is_none_or(|at| now < at) {
+            let sum = self.sums.get(upstream);
+            return sum.map_or_else(UpstreamLoad::default, |sum| sum.seen_at(now));
+        }
+        // Some have fallen silent and were not forgotten yet.
+        let mut sum = PeerSum::default();
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(PEER_KEPT_FOR, now));
+        for said in heard.filter_map(|peer| peer.by_upstream.get(upstream)) {
+            if let Some(load) = &said.load {
+                sum.add(load, said.heard_at);
             }
         }
-        load
+        sum.seen_at(now)
     }
 
     /// This host's own work, to be told to the others.
@@ -300,13 +223,39 @@
 
     /// Whether another host was heard within the last few of the intervals at which hosts send.
     pub fn is_heard(&self, host: &HostId, now: Instant) -> bool {
-        let peer = self.peers.get(host);
-        peer.is_some_and(|peer| peer.is_heard(PEER_HEARD_WITHIN, now))
+        let is_heard = |source| {
+            let peer = self.peers.get(&source);
+            peer.is_some_and(|peer| peer.is_heard(PEER_HEARD_WITHIN, now))
+        };
+        is_heard(LoadSource::Host(host.clone())) || is_heard(LoadSource::Collector(host.clone()))
     }
 
-    /// The other hosts that were heard lately.
+    /// The other hosts, or those that speak for them, that were heard lately.
     pub fn peers_heard(&self, now: Instant) -> usize {
         let is_heard = |peer: &&PeerLoads| peer.is_heard(PEER_KEPT_FOR, now);
         self.peers.values().filter(is_heard).count()
     }
 }
+
+/// Takes all that a source has said out of the sums.
+fn take_away(sums: &mut IndexMap<UpstreamId, PeerSum>, peer: &PeerLoads) {
+    for (upstream, load, heard_at) in peer.loads() {
+        if let Some(sum) = sums.get_mut(upstream) {
+            sum.remove(load, heard_at);
+        }
+    }
+}
+
+/// Ends the work at upstreams that the last message of a source did not name.
+fn end_unnamed(sums: &mut IndexMap<UpstreamId, PeerSum>, peer: &mut PeerLoads) {
+    for (upstream, said) in &mut peer.by_upstream {
+        if said.message == peer.messages {
+            continue;
+        }
+        if let Some(load) = said.load.take()
+            && let Some(sum) = sums.get_mut(upstream)
+        {
+            sum.remove(&load, said.heard_at);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/load_source.rs
@@ -0,0 +1,13 @@
+//! Who speaks of work at upstreams.
+
+use crate::units::HostId;
+
+/// Who speaks of work at upstreams. A host that collects for its failure domain has two voices: its
+/// own in its domain, and the one for all hosts that it collects from in the others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LoadSource {
+    /// A host, of its own work.
+    Host(HostId),
+    /// A host, of the work of all from which it collects, its own included.
+    Collector(HostId),
+}
--- /dev/null
+++ b/src/decide/upstream_load.rs
@@ -0,0 +1,42 @@
+//! Work of all hosts at one upstream.
+
+use std::time::Duration;
+
+use crate::decide::HostLoad;
+use crate::units::Tokens;
+
+/// Work of all hosts at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Requests that were sent there and have not ended.
+    pub in_flight: u32,
+    /// Those of them whose prompt is short.
+    pub short_in_flight: u32,
+    /// The shortest pause that the caller of one of them accepts between two events.
+    pub strictest_pause: Option<Duration>,
+    /// Time until it has read in what was sent there.
+    pub read_backlog: Duration,
+    /// Memory that these requests take, in tokens.
+    pub held_tokens: Tokens,
+    /// Time until the first of the prompts being read there has to have its first event to be on time.
+    pub read_due: Option<Duration>,
+}
+
+impl UpstreamLoad {
+    /// Adds the work of one host.
+    pub(crate) fn add(&mut self, other: &HostLoad) {
+        self.in_flight += other.in_flight;
+        self.short_in_flight += other.short_in_flight;
+        self.strictest_pause = earlier(self.strictest_pause, other.strictest_pause);
+        self.held_tokens += other.held_tokens;
+        self.read_due = earlier(self.read_due, other.read_due);
+    }
+}
+
+/// The shorter of two times, either of which may not be there.
+fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use indexmap::IndexMap;
 use log::warn;
 use tokio::sync::Notify;
 
@@ -69,8 +68,7 @@
         }
         self.hear_versions(&host, &news);
         self.hear_unreachable(&host, &news, now);
-        let loads: IndexMap<UpstreamId, HostLoad> =
-            news.loads.iter().filter_map(read_load).collect();
+        let loads = news.loads.iter().filter_map(read_load);
         self.ledger().hear(host, news.incarnation, loads, now);
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -154,7 +154,8 @@
     sends: &Sends<'_>,
     now: Instant,
 ) -> Choice {
-    let ledger = gateway.ledger();
+    let mut ledger = gateway.ledger();
+    ledger.forget_silent(now);
     let views = usable.iter().map(|upstream| EngineView {
         id: upstream.id.clone(),
         load: ledger.load(&upstream.id, now),
