--- /dev/null
+++ b/benches/placement.rs
@@ -0,0 +1,119 @@
+//! What one host pays, in processor time, to choose an engine and to take in another host's news, by
+//! the size of the fleet.
+//!
+//! `cargo bench --locked --bench placement` prints a line a size: microseconds to read the loads of
+//! all engines, to read and choose, and to take one message in.
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::EngineModel;
+use banyanarch::decide::HostLoad;
+use banyanarch::decide::LoadLedger;
+use banyanarch::decide::ReadSent;
+use banyanarch::decide::engines::EngineAsk;
+use banyanarch::decide::engines::EngineView;
+use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
+use indexmap::IndexMap;
+
+/// Fleets from the smallest of the users' to their target.
+const SIZES: [usize; 4] = [8, 70, 195, 400];
+/// Upstreams where one host has work at a time.
+const NAMED: usize = 12;
+/// Repetitions of each measurement.
+const ROUNDS: u32 = 200;
+
+fn main() {
+    println!("hosts  read_us  choose_us  hear_us");
+    for size in SIZES {
+        let (read, choose, hear) = measure(size);
+        println!("{size:>5}  {read:>7.1}  {choose:>9.1}  {hear:>7.1}");
+    }
+}
+
+fn measure(size: usize) -> (f64, f64, f64) {
+    let ids: Vec<UpstreamId> = (0..size)
+        .map(|index| format!("engine-{index:04}@1764720000000").parse().unwrap())
+        .collect();
+    let now = Instant::now();
+    let mut ledger = LoadLedger::default();
+    for host in 0..size {
+        hear(&mut ledger, host, &ids, now);
+    }
+    let model = model();
+    let ask = ask();
+    let views = |ledger: &LoadLedger| -> Vec<EngineView> {
+        let view = |id: &UpstreamId| EngineView {
+            id: id.clone(),
+            load: ledger.load(id, now),
+        };
+        ids.iter().map(view).collect()
+    };
+    let read = time_us(|| {
+        black_box(views(&ledger));
+    });
+    let choose = time_us(|| {
+        black_box(choose_engines(&model, &views(&ledger), &ask));
+    });
+    let mut host = 0;
+    let hear = time_us(|| {
+        host = (host + 1) % size;
+        hear(&mut ledger, host, &ids, now);
+    });
+    (read, choose, hear)
+}
+
+fn time_us(mut work: impl FnMut()) -> f64 {
+    let begun = Instant::now();
+    for _ in 0..ROUNDS {
+        work();
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn hear(ledger: &mut LoadLedger, host: usize, ids: &[UpstreamId], now: Instant) {
+    let loads: IndexMap<UpstreamId, HostLoad> = (0..NAMED.min(ids.len()))
+        .map(|step| (ids[(host * 7 + step * 3) % ids.len()].clone(), load()))
+        .collect();
+    let host = format!("host-{host:03}").parse().unwrap();
+    ledger.hear(host, 1, loads, now);
+}
+
+fn load() -> HostLoad {
+    HostLoad {
+        in_flight: 1,
+        short_in_flight: 1,
+        strictest_pause: Some(Duration::from_millis(250)),
+        held_tokens: Tokens(6_700),
+        read: ReadSent::default(),
+        read_due: None,
+    }
+}
+
+fn ask() -> EngineAsk {
+    EngineAsk {
+        prompt: Tokens(5_000),
+        output: Tokens(1_800),
+        objective_left: Duration::from_millis(300),
+        patience_left: Duration::from_millis(1_500),
+        time_left: Duration::from_secs(10),
+        news_age: Duration::from_millis(100),
+        draw: 0x5EED,
+    }
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 10,
+        memory_tokens: Tokens(450_000),
+        stride: 73,
+        step_ms: 0.925,
+        step_per_writer_ms: 0.004_83,
+        step_per_kilotoken_ms: 0.002_54,
+        read_tokens_per_ms: 256.0,
+        read_per_megapair_ms: 0.091_7,
+    }
+}
