--- a/src/exchange/codec.rs
+++ b/src/exchange/codec.rs
@@ -1,5 +1,6 @@
 //! One message a datagram.
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use prost::Message as _;
 use tokio_util::codec::Decoder;
@@ -29,15 +30,15 @@
     }
 }
 
-impl Encoder<&HostNews> for NewsCodec {
+/// Writes a message that is encoded already.
+impl Encoder<Bytes> for NewsCodec {
     type Error = ExchangeError;
 
-    fn encode(&mut self, news: &HostNews, dst: &mut BytesMut) -> Result<(), ExchangeError> {
-        let len = news.encoded_len();
-        if len > DATAGRAM_LEN_MAX {
-            return Err(ExchangeError::TooLong(len));
+    fn encode(&mut self, message: Bytes, dst: &mut BytesMut) -> Result<(), ExchangeError> {
+        if message.len() > DATAGRAM_LEN_MAX {
+            return Err(ExchangeError::TooLong(message.len()));
         }
-        dst.extend_from_slice(&news.encode_to_vec());
+        dst.extend_from_slice(&message);
         Ok(())
     }
 }
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -1,6 +1,8 @@
 //! The messages. Field numbers are never used again.
 
-/// All that one host tells the others. Tag 6 was used before.
+use crate::exchange::Voice;
+
+/// What one host tells, of itself or for others. Tag 6 was used before.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct HostNews {
@@ -13,13 +15,13 @@
     /// Grows with each message of an incarnation.
     #[prost(uint64, tag = "3")]
     pub sequence: u64,
-    /// The sender's work at upstreams; those without any are left out.
+    /// The work at upstreams; those without any are left out.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<LoadNews>,
-    /// The version of the manifest that the sender has read last; 0 if none.
+    /// The version of the manifest that the sender has read last; 0 if none, or if it does not say.
     #[prost(uint64, tag = "7")]
     pub routes_version: u64,
-    /// The version of the upstreams that it has read last; 0 if none.
+    /// The version of the upstreams that it has read last; 0 if none, or if it does not say.
     #[prost(fixed64, tag = "8")]
     pub upstreams_version: u64,
     /// Upstreams that the sender could not reach lately.
@@ -31,15 +33,28 @@
     /// Requests that crashed upstreams lately.
     #[prost(message, repeated, tag = "5")]
     pub poisons: Vec<PoisonNews>,
+    /// For whom it speaks. A host of a former version knows of its own voice only, and is sent nothing
+    /// else.
+    #[prost(enumeration = "Voice", tag = "11")]
+    pub voice: i32,
+    /// Whether `loads` names only what has changed since the last message.
+    #[prost(bool, tag = "12")]
+    pub is_partial: bool,
+    /// What a collector passes on.
+    #[prost(message, repeated, tag = "13")]
+    pub relayed: Vec<HostNews>,
 }
 
-/// The sender's work at one upstream.
+/// The work at one upstream.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct LoadNews {
-    /// The upstream.
+    /// The upstream; empty where its hash is given.
     #[prost(string, tag = "1")]
     pub upstream: String,
+    /// The hash of the upstream's id, a third of its bytes; 0 where its id is given.
+    #[prost(fixed64, tag = "9")]
+    pub upstream_hash: u64,
     /// Requests that have not ended.
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
@@ -66,7 +81,7 @@
 }
 
 /// A request that crashed upstreams.
-#[derive(Clone, PartialEq)]
+#[derive(Clone, PartialEq, Eq, Hash)]
 #[derive(prost::Message)]
 pub struct PoisonNews {
     /// The hash it is recognised by, 16 bytes.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -1,22 +1,40 @@
 //! What hosts tell each other all the time: their work at upstreams and requests that crash
 //! upstreams.
 //!
-//! Each host sends its whole state in one datagram to every other host, so a lost datagram costs
-//! one interval and there is nothing to repair. Nothing that must hold rests on it.
+//! Each host sends its whole state in one datagram, to every other host in a small fleet and to the
+//! collector of its failure domain in a larger one ([`Fleet`]). Collectors pass changes on, and all of
+//! it every few seconds, so a lost datagram costs a little time and there is nothing to ask for again.
+//! Nothing that must hold rests on it.
 
 mod codec;
+mod collectors;
 mod error;
+mod fleet;
+mod gathered;
+mod listed_host;
+mod load_at;
 mod message;
+mod news_route;
 mod pace;
+mod place;
+mod speaker;
 mod task;
+mod upstream_hash;
+mod voice;
 
 pub use codec::NewsCodec;
 pub use error::ExchangeError;
+pub use fleet::Fleet;
+pub use fleet::Outgoing;
+pub use listed_host::ListedHost;
 pub use message::HostNews;
 pub use message::LoadNews;
 pub use message::PoisonNews;
+pub use news_route::NewsRoute;
 pub use pace::Need;
 pub use pace::Pace;
 pub use pace::news_interval;
 pub use task::Exchange;
 pub use task::NewsDesk;
+pub use upstream_hash::UpstreamHash;
+pub use voice::Voice;
--- a/src/exchange/pace.rs
+++ b/src/exchange/pace.rs
@@ -60,9 +60,8 @@
         self.need = self.need.max(need);
     }
 
-    /// When the next message is due that goes to `peers` other hosts.
-    pub fn due_at(&self, peers: usize) -> Instant {
-        let interval = news_interval(peers);
+    /// When the next message is due, where changes are told at this interval.
+    pub fn due_at(&self, interval: Duration) -> Instant {
         match self.need {
             Need::SignOfLife => self.told_at + INTERVAL_IDLE,
             Need::Change => self.told_at + interval,
@@ -76,22 +75,22 @@
         }
     }
 
-    /// Takes in that a message has gone to `peers` other hosts.
+    /// Takes in that a message has gone out.
     ///
     /// Failure it guards against: signs of life that counted as changes put `even_at` ever further
     /// ahead of the clock where the interval is longer than theirs, in fleets of more than a hundred
     /// hosts. After an idle quarter of a minute the first urgent change waited for seven seconds, and
     /// nothing else was sent meanwhile, so the others took the host for dead as soon as it had work.
-    pub fn on_told(&mut self, peers: usize, now: Instant) {
+    pub fn on_told(&mut self, interval: Duration, now: Instant) {
         if self.need > Need::SignOfLife {
-            self.even_at = self.even_at.max(now) + news_interval(peers);
+            self.even_at = self.even_at.max(now) + interval;
         }
         self.told_at = now;
         self.need = Need::SignOfLife;
     }
 }
 
-/// The time between two messages of a host that has something to tell `peers` other hosts.
+/// The time between two messages of a host that tells `peers` other hosts itself.
 pub fn news_interval(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
     INTERVAL_PER_HOST
--- /dev/null
+++ b/src/exchange/speaker.rs
@@ -0,0 +1,165 @@
+//! What a collector knows of one host, or of the hosts of another collector, and has passed on.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::exchange::HostNews;
+use crate::exchange::LoadNews;
+use crate::exchange::PoisonNews;
+use crate::exchange::UpstreamHash;
+use crate::exchange::load_at::LoadAt;
+
+/// All that is known of a speaker is passed on this often, changes alone in between: a lost message
+/// leaves something wrong for this long at most. Twice as often would double the bytes between hosts
+/// of a fleet of 195 at its usual load.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+/// What a host could not reach, and the requests that crashed upstreams, are passed on this often while
+/// it says the same; each is told for longer, so one message may be lost.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The work at upstreams by their short names.
+pub(crate) type Loads = IndexMap<UpstreamHash, LoadAt>;
+
+/// One that speaks, with what it said and what of it was passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct Speaker {
+    /// What it said last, without the work.
+    head: HostNews,
+    loads: Loads,
+    heard_at: Instant,
+    /// Whether it has said something since the last part.
+    is_new: bool,
+    told: Loads,
+    whole_at: Option<Instant>,
+    reach_at: Option<Instant>,
+    poisons_told: Vec<(Instant, PoisonNews)>,
+}
+
+impl Speaker {
+    /// One that has not spoken yet.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            head: HostNews::default(),
+            loads: Loads::new(),
+            heard_at: now,
+            is_new: false,
+            told: Loads::new(),
+            whole_at: None,
+            reach_at: None,
+            poisons_told: Vec::new(),
+        }
+    }
+
+    /// When it spoke last.
+    pub(crate) fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
+    /// Its work.
+    pub(crate) fn loads(&self) -> &Loads {
+        &self.loads
+    }
+
+    /// Takes in what it says.
+    pub(crate) fn hear(&mut self, mut news: HostNews, now: Instant) {
+        let loads = std::mem::take(&mut news.loads);
+        if news.incarnation != self.head.incarnation {
+            self.tell_all_again();
+            self.loads.clear();
+        }
+        if !news.is_partial {
+            self.loads.clear();
+        }
+        for load in &loads {
+            self.loads.insert(hash_of(load), LoadAt::heard(load, now));
+        }
+        // What was not passed on yet is kept.
+        let mut poisons = std::mem::take(&mut self.head.poisons);
+        poisons.retain(|poison| !news.poisons.contains(poison));
+        news.poisons.extend(poisons);
+        self.head = news;
+        self.heard_at = now;
+        self.is_new = true;
+    }
+
+    /// Replaces its work, of which changes alone are passed on.
+    pub(crate) fn set(&mut self, head: HostNews, loads: Loads, now: Instant) {
+        self.head = head;
+        self.loads = loads;
+        self.heard_at = now;
+        self.is_new = true;
+    }
+
+    /// Makes the next part name all that is known, for hosts that have heard nothing yet.
+    pub(crate) fn tell_all_again(&mut self) {
+        self.told.clear();
+        self.whole_at = None;
+        self.reach_at = None;
+        self.is_new = true;
+    }
+
+    /// What is to be passed on now; none if it has said nothing since the last part.
+    pub(crate) fn part(&mut self, now: Instant) -> Option<HostNews> {
+        if !std::mem::take(&mut self.is_new) {
+            return None;
+        }
+        let is_due = |at: Option<Instant>, interval: Duration| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+        };
+        let is_whole = is_due(self.whole_at, WHOLE_INTERVAL);
+        let mut news = HostNews {
+            poisons: self.poisons_to_tell(now),
+            is_partial: !is_whole,
+            ..self.head.clone()
+        };
+        news.loads = if is_whole {
+            self.whole_at = Some(now);
+            let all = self.loads.iter();
+            all.map(|(upstream, load)| load.news(*upstream, now))
+                .collect()
+        } else {
+            self.changes(now)
+        };
+        self.told.clone_from(&self.loads);
+        if is_due(self.reach_at, REPEAT_INTERVAL) {
+            self.reach_at = Some(now);
+        } else {
+            news.unreachable.clear();
+            news.cut_off.clear();
+        }
+        Some(news)
+    }
+
+    fn poisons_to_tell(&mut self, now: Instant) -> Vec<PoisonNews> {
+        self.poisons_told
+            .retain(|(at, _)| now.saturating_duration_since(*at) < REPEAT_INTERVAL);
+        let mut poisons = std::mem::take(&mut self.head.poisons);
+        poisons.retain(|poison| !self.poisons_told.iter().any(|(_, told)| told == poison));
+        let told = poisons.iter().map(|poison| (now, poison.clone()));
+        self.poisons_told.extend(told);
+        poisons
+    }
+
+    fn changes(&self, now: Instant) -> Vec<LoadNews> {
+        let is_news = |upstream: &UpstreamHash, load: &LoadAt| {
+            let told = self.told.get(upstream);
+            told.is_none_or(|told| load.is_news_to(told))
+        };
+        let changed = self.loads.iter().filter(|(id, load)| is_news(id, load));
+        let changed = changed.map(|(upstream, load)| load.news(*upstream, now));
+        let is_over = |upstream: &UpstreamHash| !self.loads.contains_key(upstream);
+        let ended = self.told.iter().filter(|(upstream, _)| is_over(upstream));
+        let ended = ended.map(|(upstream, load)| load.ended(*upstream));
+        changed.chain(ended).collect()
+    }
+}
+
+fn hash_of(load: &LoadNews) -> UpstreamHash {
+    if load.upstream_hash == 0 {
+        UpstreamHash::of(&load.upstream)
+    } else {
+        UpstreamHash(load.upstream_hash)
+    }
+}
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -3,31 +3,47 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use log::debug;
 use log::warn;
+use prost::Message as _;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio_util::udp::UdpFramed;
 
+use crate::exchange::Fleet;
 use crate::exchange::HostNews;
+use crate::exchange::ListedHost;
 use crate::exchange::Need;
 use crate::exchange::NewsCodec;
-use crate::exchange::Pace;
+use crate::exchange::NewsRoute;
+use crate::exchange::Outgoing;
+use crate::units::FailureDomainId;
+use crate::units::HostId;
 
 /// What is told and heard.
 pub trait NewsDesk: Send + Sync {
+    /// This host.
+    fn host(&self) -> HostId;
+
+    /// Its failure domain.
+    fn domain(&self) -> FailureDomainId;
+
     /// What to tell the other hosts now.
     fn news(&self) -> HostNews;
 
     /// Takes in what another host tells.
     fn hear(&self, news: HostNews);
 
-    /// The other hosts' addresses.
-    fn peers(&self) -> Vec<SocketAddr>;
+    /// All hosts, this one included.
+    fn hosts(&self) -> Arc<Vec<ListedHost>>;
+
+    /// Takes in by which way news come from now on.
+    fn on_route(&self, route: NewsRoute);
 
     /// Notified at each change of what [`NewsDesk::news`] would say.
     fn changed(&self) -> &Notify;
@@ -40,16 +56,19 @@
 pub struct Exchange {
     desk: Arc<dyn NewsDesk>,
     framed: UdpFramed<NewsCodec>,
-    pace: Pace,
+    fleet: Fleet,
+    route: NewsRoute,
 }
 
 impl Exchange {
     /// Exchanges news over a socket.
     pub fn new(socket: UdpSocket, desk: Arc<dyn NewsDesk>) -> Self {
+        let fleet = Fleet::new(desk.host(), desk.domain(), now());
         Self {
             desk,
             framed: UdpFramed::new(socket, NewsCodec),
-            pace: Pace::new(Instant::now().into_std()),
+            fleet,
+            route: NewsRoute::default(),
         }
     }
 
@@ -57,16 +76,14 @@
     pub async fn run(mut self) {
         let desk = Arc::clone(&self.desk);
         loop {
+            self.fleet.set_hosts(&desk.hosts(), now());
+            let due_at = Instant::from_std(self.fleet.due_at(now()));
             tokio::select! {
-                () = sleep_until(self.tells_at()) => self.tell().await,
-                () = desk.changed().notified(), if self.pace.need() < Need::Change => {
-                    self.pace.on_need(Need::Change);
-                }
-                () = desk.urgent().notified(), if self.pace.need() < Need::UrgentChange => {
-                    self.pace.on_need(Need::UrgentChange);
-                }
+                () = sleep_until(due_at) => self.speak().await,
+                () = desk.changed().notified() => self.fleet.on_need(Need::Change),
+                () = desk.urgent().notified() => self.fleet.on_need(Need::UrgentChange),
                 heard = self.framed.next() => match heard {
-                    Some(Ok((news, _))) => desk.hear(news),
+                    Some(Ok((news, from))) => self.hear(news, from).await,
                     Some(Err(err)) => warn!("exchange: {err}"),
                     None => return,
                 },
@@ -74,19 +91,40 @@
         }
     }
 
-    fn tells_at(&self) -> Instant {
-        let due_at = self.pace.due_at(self.desk.peers().len());
-        Instant::from_std(due_at)
+    async fn speak(&mut self) {
+        let desk = Arc::clone(&self.desk);
+        let messages = self.fleet.speak(|| desk.news(), now());
+        for outgoing in messages {
+            self.send(outgoing).await;
+        }
+        let route = self.fleet.route(now());
+        if route != self.route {
+            self.route = route.clone();
+            self.desk.on_route(route);
+        }
+    }
+
+    async fn hear(&mut self, news: HostNews, from: SocketAddr) {
+        let (heard, on) = self.fleet.hear(news, from, now());
+        for news in heard {
+            self.desk.hear(news);
+        }
+        if let Some(outgoing) = on {
+            self.send(outgoing).await;
+        }
     }
 
-    async fn tell(&mut self) {
-        let peers = self.desk.peers();
-        self.pace.on_told(peers.len(), Instant::now().into_std());
-        let news = self.desk.news();
-        for peer in peers {
-            if let Err(err) = self.framed.send((&news, peer)).await {
-                debug!("exchange: {peer}: {err}");
+    async fn send(&mut self, outgoing: Outgoing) {
+        // Encoded once for all receivers.
+        let message = Bytes::from(outgoing.news.encode_to_vec());
+        for to in outgoing.to {
+            if let Err(err) = self.framed.send((message.clone(), to)).await {
+                debug!("exchange: {to}: {err}");
             }
         }
     }
 }
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -10,9 +10,10 @@
 
 use indexmap::IndexMap;
 
+use crate::exchange::ListedHost;
+use crate::exchange::UpstreamHash;
 use crate::gateway::Freshness;
 use crate::gateway::Listed;
-use crate::gateway::ListedHost;
 use crate::routing::RouteTable;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
@@ -26,6 +27,8 @@
     routes: RwLock<Option<Arc<RouteTable>>>,
     freshness: Mutex<Freshness>,
     upstreams: RwLock<Option<Arc<UpstreamsByService>>>,
+    /// The upstreams by the short names that hosts use among themselves.
+    upstream_names: RwLock<Arc<IndexMap<UpstreamHash, UpstreamId>>>,
     hosts: RwLock<Arc<Vec<ListedHost>>>,
 }
 
@@ -82,6 +85,12 @@
             upstreams.sort_by(|a, b| a.id.cmp(&b.id));
         }
         let count = by_service.values().map(Vec::len).sum();
+        let ids = by_service.values().flatten().map(|upstream| &upstream.id);
+        let names = ids.map(|id| (UpstreamHash::from(id), id.clone())).collect();
+        *self
+            .upstream_names
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(names);
         let mut current = self
             .upstreams
             .write()
@@ -90,6 +99,12 @@
         count
     }
 
+    /// The upstreams that may be sent to, by their short names.
+    pub fn upstream_names(&self) -> Arc<IndexMap<UpstreamHash, UpstreamId>> {
+        let names = self.upstream_names.read();
+        Arc::clone(&names.unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Whether an upstream is listed.
     pub fn is_listed(&self, id: &UpstreamId) -> bool {
         let upstreams = self.upstreams();
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::BoxFuture;
 
+use crate::exchange::ListedHost;
 use crate::routing::RouteTable;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
@@ -32,17 +33,6 @@
     pub is_leaving: bool,
 }
 
-/// A host of this system on the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedHost {
-    /// Its name.
-    pub host: HostId,
-    /// Its failure domain.
-    pub domain: FailureDomainId,
-    /// Where it exchanges news with other hosts.
-    pub exchange_addr: SocketAddr,
-}
-
 /// The manifest, if it is another one than the caller has.
 #[derive(Clone, Debug)]
 pub enum RoutesRead {
--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -6,6 +6,7 @@
 use crate::decide::RetryBound;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
+use crate::units::Millicores;
 
 /// One host's settings, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +26,8 @@
     /// How long a key may go on being used after it was taken back; none where keys are never
     /// taken back.
     pub key_lease: Option<Duration>,
+    /// What this host may use of its processors; of the hosts of a domain the strongest collects news.
+    pub processors: Millicores,
     /// The bound on retries of all hosts.
     pub retry_bound: RetryBound,
     /// How long after the request to stop the process is killed.
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -54,6 +54,13 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         restarted: Vec<String>,
     },
+    /// News of other hosts come by another way.
+    NewsRoute {
+        /// The host that passes them on; none if hosts tell each other, or if it is this one.
+        collector: Option<String>,
+        /// How old they are at most when nothing is lost, in ms.
+        age_ms: u64,
+    },
     /// A dependency can't be reached.
     DependencyLost {
         /// Which one.
@@ -124,7 +131,7 @@
         retry_after_ms: u64,
         /// Upstreams of its service that were on the list.
         upstreams: usize,
-        /// Other hosts whose work was known.
+        /// Other hosts, or collectors that speak for theirs, whose work was known.
         hosts_heard: usize,
         /// How old the manifest is, in ms.
         manifest_age_ms: u64,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,7 +46,6 @@
 pub use catalog::Catalog;
 pub use catalog::CatalogError;
 pub use catalog::Listed;
-pub use catalog::ListedHost;
 pub use catalog::RoutesRead;
 pub use conf::GatewayConf;
 pub use decision_log::DecisionLog;
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -1,32 +1,50 @@
 //! What a gateway tells the other hosts and hears from them.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexMap;
 use log::warn;
 use tokio::sync::Notify;
 
+use crate::decide::Extent;
 use crate::decide::HostLoad;
+use crate::decide::LoadSource;
 use crate::decide::Poison;
 use crate::decide::PoisonMark;
 use crate::decide::ReadSent;
 use crate::exchange::HostNews;
+use crate::exchange::ListedHost;
 use crate::exchange::LoadNews;
 use crate::exchange::NewsDesk;
+use crate::exchange::NewsRoute;
 use crate::exchange::PoisonNews;
+use crate::exchange::UpstreamHash;
+use crate::exchange::Voice;
+use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::units::AttemptId;
 use crate::units::ContentHash;
+use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
+use crate::units::whole_millis;
 
 /// Marks in one message, the latest. 64 are 4 KB.
 const POISONS_MAX: usize = 64;
 
 impl NewsDesk for Gateway {
+    fn host(&self) -> HostId {
+        self.conf.host.clone()
+    }
+
+    fn domain(&self) -> FailureDomainId {
+        self.conf.domain.clone()
+    }
+
     fn news(&self) -> HostNews {
         let now = self.clock.now();
         let ledger = self.ledger();
@@ -51,6 +69,7 @@
             sequence: self.news_sent.fetch_add(1, Ordering::Relaxed),
             loads,
             poisons: poisons.iter().map(poison_news).collect(),
+            ..HostNews::default()
         }
     }
 
@@ -68,14 +87,32 @@
         }
         self.hear_versions(&host, &news);
         self.hear_unreachable(&host, &news, now);
-        let loads = news.loads.iter().filter_map(read_load);
-        self.ledger().hear(host, news.incarnation, loads, now);
+        let source = match news.voice() {
+            Voice::Collected => LoadSource::Collector(host),
+            Voice::Own | Voice::Member | Voice::Relay => LoadSource::Host(host),
+        };
+        let extent = if news.is_partial {
+            Extent::Changes
+        } else {
+            Extent::Whole
+        };
+        let names = self.beliefs.upstream_names();
+        let loads = news.loads.iter();
+        let loads = loads.filter_map(|load| Some((upstream_of(load, &names)?, read_load(load))));
+        let mut ledger = self.ledger();
+        ledger.hear_part(source, news.incarnation, extent, loads, now);
     }
 
-    fn peers(&self) -> Vec<SocketAddr> {
-        let hosts = self.beliefs.hosts();
-        let others = hosts.iter().filter(|host| host.host != self.conf.host);
-        others.map(|host| host.exchange_addr).collect()
+    fn hosts(&self) -> Arc<Vec<ListedHost>> {
+        self.beliefs.hosts()
+    }
+
+    fn on_route(&self, route: NewsRoute) {
+        self.log.note(Event::NewsRoute {
+            collector: route.collector.as_ref().map(ToString::to_string),
+            age_ms: whole_millis(route.age),
+        });
+        self.set_news_route(route);
     }
 
     fn changed(&self) -> &Notify {
@@ -117,14 +154,15 @@
     /// Wakes the tasks that read if the host that reads for this one has something new.
     fn hear_versions(&self, host: &HostId, news: &HostNews) {
         let (routes, upstreams) = self.held.versions();
-        let has_news = news.routes_version > routes || news.upstreams_version != upstreams;
+        let has_upstreams = news.upstreams_version != 0 && news.upstreams_version != upstreams;
+        let has_news = news.routes_version > routes || has_upstreams;
         if !has_news || !self.is_read_by(host) {
             return;
         }
         if news.routes_version > routes {
             self.routes_news.notify_one();
         }
-        if news.upstreams_version != upstreams {
+        if has_upstreams {
             self.upstreams_news.notify_one();
         }
     }
@@ -140,11 +178,21 @@
         strictest_pause_ms: load.strictest_pause.map_or(0, millis),
         held_tokens: load.held_tokens.0,
         read_due_ms: load.read_due.map_or(0, millis),
+        ..LoadNews::default()
+    }
+}
+
+/// The upstream that is spoken of; none if this host has not heard of it yet, and then does not choose
+/// it either.
+fn upstream_of(news: &LoadNews, names: &IndexMap<UpstreamHash, UpstreamId>) -> Option<UpstreamId> {
+    match news.upstream_hash {
+        0 => news.upstream.parse().ok(),
+        hash => names.get(&UpstreamHash(hash)).cloned(),
     }
 }
 
-fn read_load(news: &LoadNews) -> Option<(UpstreamId, HostLoad)> {
-    let load = HostLoad {
+fn read_load(news: &LoadNews) -> HostLoad {
+    HostLoad {
         in_flight: news.in_flight,
         short_in_flight: news.short_in_flight,
         strictest_pause: (news.strictest_pause_ms > 0)
@@ -155,8 +203,7 @@
         },
         held_tokens: Tokens(news.held_tokens),
         read_due: (news.read_due_ms > 0).then(|| Duration::from_millis(news.read_due_ms.into())),
-    };
-    Some((news.upstream.parse().ok()?, load))
+    }
 }
 
 fn millis(time: Duration) -> u32 {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,7 +13,6 @@
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::choose_engines;
-use crate::exchange::news_interval;
 use crate::gateway::Call;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
@@ -77,7 +76,7 @@
     }
 }
 
-fn engine_ask(call: &Call, sends: &Sends<'_>, peers_heard: usize, now: Instant) -> EngineAsk {
+fn engine_ask(call: &Call, sends: &Sends<'_>, news_age: Duration, now: Instant) -> EngineAsk {
     // The caller of a stream that broke off stays for its next event, however late it is.
     let least = if sends.has_run {
         call.patience()
@@ -90,7 +89,7 @@
         objective_left: call.objective_left(now).max(least),
         patience_left: call.patience_left(now).max(least),
         time_left: call.time_left(now),
-        news_age: news_interval(peers_heard),
+        news_age,
         draw: rand::random(),
     }
 }
@@ -161,7 +160,7 @@
         load: ledger.load(&upstream.id, now),
     });
     let views: Vec<EngineView> = views.collect();
-    let ask = engine_ask(call, sends, ledger.peers_heard(now), now);
+    let ask = engine_ask(call, sends, gateway.news_route().age, now);
     drop(ledger);
     match choose_engines(model, &views, &ask) {
         EngineChoice::Send(plan) => place(call, model, &ask, &plan, usable, now),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,6 +20,8 @@
 use crate::decide::Poison;
 use crate::decide::PoisonList;
 use crate::decide::RetryWindow;
+use crate::exchange::ListedHost;
+use crate::exchange::NewsRoute;
 use crate::gateway::Beliefs;
 use crate::gateway::Call;
 use crate::gateway::DecisionLog;
@@ -28,7 +30,6 @@
 use crate::gateway::EngineOrders;
 use crate::gateway::Event;
 use crate::gateway::GatewayConf;
-use crate::gateway::ListedHost;
 use crate::gateway::Meters;
 use crate::gateway::lives::Lives;
 use crate::gateway::share::Held;
@@ -90,6 +91,7 @@
     /// Notified when it has other upstreams.
     pub(crate) upstreams_news: Notify,
     pub(crate) news_sent: AtomicU64,
+    news_route: Mutex<NewsRoute>,
     unfit_readers: Mutex<IndexMap<HostId, Instant>>,
     crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
@@ -127,6 +129,7 @@
             routes_news: Notify::new(),
             upstreams_news: Notify::new(),
             news_sent: AtomicU64::new(0),
+            news_route: Mutex::default(),
             unfit_readers: Mutex::default(),
             crashes: Mutex::default(),
         }
@@ -142,6 +145,20 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// By which way news of other hosts come.
+    pub(crate) fn news_route(&self) -> NewsRoute {
+        let route = self.news_route.lock();
+        route.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_news_route(&self, route: NewsRoute) {
+        let mut current = self
+            .news_route
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = route;
+    }
+
     /// Requests that crash upstreams.
     pub fn poison(&self) -> MutexGuard<'_, PoisonList> {
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
@@ -206,7 +223,7 @@
     }
 
     /// The host that reads the platform for this failure domain; none if it is this one: of those that
-    /// were heard lately and had something fresh, the first by name.
+    /// were heard lately and had something fresh, the one that collects news, else the first by name.
     pub(crate) fn reading_host(&self) -> Option<ListedHost> {
         let now = self.clock.now();
         let hosts = self.beliefs.hosts();
@@ -220,8 +237,13 @@
             let is_here = listed.host == self.conf.host;
             (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
         };
+        let collector = self.news_route().collector;
         // A domain whose own hosts all have nothing fresh asks one of another.
-        let rank = |listed: &&ListedHost| (listed.domain != self.conf.domain, listed.host.clone());
+        let rank = |listed: &&ListedHost| {
+            let is_far = listed.domain != self.conf.domain;
+            let collects = collector.as_ref() == Some(&listed.host);
+            (is_far, !collects, listed.host.clone())
+        };
         let first = hosts.iter().filter(is_able).min_by_key(rank)?;
         (first.host != self.conf.host).then(|| first.clone())
     }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,11 +13,11 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
-use crate::gateway::ListedHost;
 use crate::gateway::share::Reader;
 use crate::routing::RouteTable;
 use crate::units::UpstreamId;
@@ -205,6 +205,7 @@
         host: gateway.conf.host.clone(),
         domain: gateway.conf.domain.clone(),
         exchange_addr,
+        processors: Some(gateway.conf.processors),
     };
     let mut watchman = Watchman::new(&gateway, "hosts");
     let mut is_announced = false;
--- /dev/null
+++ b/src/units/millicores.rs
@@ -0,0 +1,23 @@
+//! Shares of processors.
+
+use crate::units::macros::number_newtype;
+
+number_newtype!(
+    /// Thousandths of a processor core that a process may use.
+    Millicores,
+    u32,
+    "a share of processors"
+);
+
+impl Millicores {
+    /// So many cores, rounded to thousandths; none if that is no share of a processor.
+    pub fn from_cores(cores: f64) -> Option<Self> {
+        let thousandths = (cores * 1e3).round();
+        if !(1.0..=f64::from(u32::MAX)).contains(&thousandths) {
+            return None;
+        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let thousandths = thousandths as u32;
+        Some(Self(thousandths))
+    }
+}
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -7,10 +7,16 @@
 
 use banyanarch::exchange::Exchange;
 use banyanarch::exchange::HostNews;
+use banyanarch::exchange::ListedHost;
 use banyanarch::exchange::LoadNews;
 use banyanarch::exchange::NewsCodec;
 use banyanarch::exchange::NewsDesk;
+use banyanarch::exchange::NewsRoute;
+use banyanarch::units::FailureDomainId;
+use banyanarch::units::HostId;
+use bytes::Bytes;
 use bytes::BytesMut;
+use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::codec::Decoder;
@@ -18,7 +24,7 @@
 
 struct Desk {
     name: &'static str,
-    peers: Mutex<Vec<SocketAddr>>,
+    hosts: Mutex<Arc<Vec<ListedHost>>>,
     heard: Mutex<Vec<HostNews>>,
     changed: Notify,
     urgent: Notify,
@@ -28,7 +34,7 @@
     fn new(name: &'static str) -> Arc<Self> {
         Arc::new(Self {
             name,
-            peers: Mutex::default(),
+            hosts: Mutex::default(),
             heard: Mutex::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
@@ -52,10 +58,20 @@
         self.heard.lock().unwrap().push(news);
     }
 
-    fn peers(&self) -> Vec<SocketAddr> {
-        self.peers.lock().unwrap().clone()
+    fn host(&self) -> HostId {
+        self.name.parse().unwrap()
     }
 
+    fn domain(&self) -> FailureDomainId {
+        "here".parse().unwrap()
+    }
+
+    fn hosts(&self) -> Arc<Vec<ListedHost>> {
+        self.hosts.lock().unwrap().clone()
+    }
+
+    fn on_route(&self, _route: NewsRoute) {}
+
     fn changed(&self) -> &Notify {
         &self.changed
     }
@@ -65,6 +81,20 @@
     }
 }
 
+/// A host that each other one tells itself.
+fn former(name: &str, addr: SocketAddr) -> ListedHost {
+    ListedHost {
+        host: name.parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr: addr,
+        processors: None,
+    }
+}
+
+fn encoded(news: &HostNews) -> Bytes {
+    Bytes::from(news.encode_to_vec())
+}
+
 async fn until(mut is_true: impl FnMut() -> bool) {
     let waiting = async {
         while !is_true() {
@@ -87,7 +117,7 @@
         ..HostNews::default()
     };
     let mut bytes = BytesMut::new();
-    NewsCodec.encode(&news, &mut bytes).unwrap();
+    NewsCodec.encode(encoded(&news), &mut bytes).unwrap();
     assert_eq!(NewsCodec.decode(&mut bytes).unwrap(), Some(news));
     assert!(bytes.is_empty());
 }
@@ -108,7 +138,7 @@
         ..HostNews::default()
     };
     let mut bytes = BytesMut::new();
-    assert!(NewsCodec.encode(&news, &mut bytes).is_err());
+    assert!(NewsCodec.encode(encoded(&news), &mut bytes).is_err());
 }
 
 /// A fleet of 400 hosts: what each may send is spread so far that the others take it for dead, forget
@@ -125,8 +155,10 @@
     let nobody = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let mut many = vec![nobody.local_addr().unwrap(); 400];
     many[0] = addrs[1];
-    *first.peers.lock().unwrap() = many;
-    *second.peers.lock().unwrap() = vec![addrs[0]];
+    let many = many.into_iter().enumerate();
+    let many = many.map(|(index, addr)| former(&format!("other-{index}"), addr));
+    *first.hosts.lock().unwrap() = Arc::new(many.collect());
+    *second.hosts.lock().unwrap() = Arc::new(vec![former("first", addrs[0])]);
     let [one, two] = sockets;
     tokio::spawn(Exchange::new(one, first.clone()).run());
     tokio::spawn(Exchange::new(two, second.clone()).run());
--- /dev/null
+++ b/tests/exchange_fleet.rs
@@ -0,0 +1,230 @@
+//! News in fleets of all sizes: how old they are, what they cost, and what becomes of them when
+//! collectors die, stand still, are cut off or are two.
+
+mod news_world;
+
+use std::time::Duration;
+
+use news_world::CHANGES_PER_S;
+use news_world::World;
+use news_world::is_strong;
+use yare::parameterized;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A fleet at its usual load, some seconds after its start.
+fn at_work(hosts: usize, domains: usize, seed: u64) -> World {
+    let mut world = World::new(hosts, domains, 0, seed);
+    world.run_for(ms(3_000));
+    world.set_changes(CHANGES_PER_S);
+    world.run_for(ms(2_000));
+    world
+}
+
+/// All changes stop; what each host believes is looked at when the last news must have come.
+fn settle(world: &mut World, within: Duration) {
+    world.set_changes(0.0);
+    world.run_for(within);
+}
+
+/// Hosts choose engines by what they have heard half a second ago, do not know of a hundred prompts
+/// that others have placed since, and all fill the same engines. Each host told each other one, and
+/// could be told by each only twice a second.
+#[parameterized(
+    small = { 8, 3, 1 },
+    just_direct = { 16, 3, 2 },
+    just_collected = { 17, 3, 3 },
+    seventy = { 69, 3, 4 },
+    large = { 195, 5, 5 },
+    target = { 400, 6, 6 },
+    one_domain = { 40, 1, 7 },
+)]
+fn news_are_young_and_few_at_every_size(hosts: usize, domains: usize, seed: u64) {
+    let mut world = at_work(hosts, domains, seed);
+    world.tally = news_world::Tally::new(hosts);
+    for probe in 0..20 {
+        world.probe(probe * 7 % hosts);
+        world.run_for(ms(250));
+    }
+    let (median, p99) = (world.tally.age(0.5), world.tally.age(0.99));
+    let received = world.tally.received_median() / 5;
+    let most = world.tally.received_most() / 5;
+    let sent = world.tally.sent_bytes_most() / 5;
+    let far = world.tally.far_bytes / 5;
+    println!(
+        "{hosts} hosts: age {median:?} {p99:?}, received a second {received} to {most}, \
+         bytes a second sent by one {sent}, between domains {far}"
+    );
+    assert_eq!(world.waiting(), 0);
+    assert!(median <= ms(60), "{median:?}");
+    assert!(p99 <= ms(250), "{p99:?}");
+    assert!(received <= 120, "{received} messages a second");
+}
+
+/// What a host believes of the others' work is neither less nor more than it is, once all news have
+/// come, also where they come by several ways.
+#[parameterized(
+    small = { 8, 3, 1 },
+    seventy = { 69, 3, 2 },
+    large = { 195, 5, 3 },
+    alone_in_its_domain = { 20, 20, 4 },
+)]
+fn nothing_is_counted_twice(hosts: usize, domains: usize, seed: u64) {
+    let mut world = at_work(hosts, domains, seed);
+    settle(&mut world, ms(3_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// A collector loses its power at full load. Its domain and the others hear nothing of each other
+/// until another host collects, which takes less than the others would take to forget it.
+#[parameterized(
+    seventy = { 69, 3, 1 },
+    large = { 195, 5, 2 },
+)]
+fn another_host_collects_when_the_collector_dies(hosts: usize, domains: usize, seed: u64) {
+    let mut world = at_work(hosts, domains, seed);
+    let witness = 0;
+    let collector = world.collector_of(witness);
+    assert_ne!(collector, witness);
+    world.kill(collector);
+    world.run_for(ms(10));
+    world.probe(witness);
+    let took = world.run_until(ms(5_000), |world| world.waiting() == 0);
+    println!("{hosts} hosts: news flow again after {took:?}");
+    assert!(took <= ms(1_000), "{took:?}");
+    settle(&mut world, ms(4_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// A collector stands still for some seconds and wakes with all that was sent to it meanwhile. It
+/// passes on what is long over, as if it were new.
+#[test]
+fn a_collector_that_stood_still_misleads_nobody_for_long() {
+    let mut world = at_work(69, 3, 3);
+    let collector = world.collector_of(0);
+    world.pause(collector);
+    world.run_for(ms(3_000));
+    world.wake(collector);
+    settle(&mut world, ms(6_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// All strong hosts die at once, and half of the others with them.
+#[test]
+fn half_of_the_hosts_lose_their_power_at_once() {
+    let mut world = at_work(195, 5, 4);
+    for index in 0..195 {
+        if is_strong(index) || index % 2 == 0 {
+            world.kill(index);
+        }
+    }
+    world.run_for(ms(10));
+    world.probe(1);
+    let took = world.run_until(ms(10_000), |world| world.waiting() == 0);
+    println!("news flow again after {took:?}");
+    assert!(took <= ms(1_500), "{took:?}");
+    settle(&mut world, ms(6_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// A failure domain is cut off from the others and comes back: each side must take the other's
+/// collector for dead, and must find it again.
+#[parameterized(
+    two_hosts_a_domain = { 20, 10, 1 },
+    seventy = { 69, 3, 2 },
+    large = { 195, 5, 3 },
+)]
+fn domains_find_each_other_again_after_a_cut(hosts: usize, domains: usize, seed: u64) {
+    let mut world = at_work(hosts, domains, seed);
+    world.set_cut("domain-1", true);
+    world.run_for(ms(8_000));
+    world.set_cut("domain-1", false);
+    world.run_for(ms(10));
+    world.probe(1);
+    let took = world.run_until(ms(20_000), |world| world.waiting() == 0);
+    println!("{hosts} hosts: news flow again after {took:?}");
+    assert!(took <= ms(4_000), "{took:?}");
+    settle(&mut world, ms(4_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// A stronger host than the collector starts again. It takes itself for the collector, since it knows
+/// of no other, and its domain falls into two halves that hear nothing of each other.
+#[parameterized(
+    one_domain = { 40, 1, 1 },
+    seventy = { 69, 3, 2 },
+)]
+fn two_collectors_of_a_domain_become_one(hosts: usize, domains: usize, seed: u64) {
+    let mut world = at_work(hosts, domains, seed);
+    let first = world.collector_of(0);
+    world.kill(first);
+    world.run_for(ms(3_000));
+    let second = world.collector_of(0);
+    assert_ne!(second, first);
+    world.restart(first);
+    world.run_for(ms(5_000));
+    assert_eq!(world.collector_of(first), world.collector_of(second));
+    settle(&mut world, ms(4_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// All hosts start again within half a second, at load.
+#[test]
+fn all_hosts_start_at_once() {
+    let mut world = at_work(195, 5, 5);
+    for index in 0..195 {
+        world.kill(index);
+    }
+    world.run_for(ms(200));
+    for index in 0..195 {
+        world.restart(index);
+    }
+    world.run_for(ms(1_500));
+    world.probe(9);
+    let took = world.run_until(ms(10_000), |world| world.waiting() == 0);
+    println!("known to all after {took:?}");
+    assert!(took <= ms(1_000), "{took:?}");
+    settle(&mut world, ms(4_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// Links lose a tenth of all messages: news come late, nothing is wrong for longer than it takes to
+/// tell everything again, and collectors are not left for it.
+#[test]
+fn lost_messages_are_made_up_for() {
+    let mut world = at_work(69, 3, 6);
+    world.loss = 0.1;
+    world.run_for(ms(5_000));
+    for probe in 0..10 {
+        world.probe(probe * 7 % 69);
+        world.run_for(ms(250));
+    }
+    let took = world.run_until(ms(5_000), |world| world.waiting() == 0);
+    assert!(took < ms(5_000), "{} wait", world.waiting());
+    world.loss = 0.0;
+    settle(&mut world, ms(4_000));
+    assert_eq!(world.wrong(), 0);
+}
+
+/// Hosts are replaced by a newer version while others still run the former one, which tells each host
+/// itself and understands no collector.
+#[test]
+fn hosts_of_the_former_version_are_told_by_each() {
+    let mut world = World::new(69, 3, 20, 7);
+    world.run_for(ms(3_000));
+    world.set_changes(CHANGES_PER_S);
+    world.run_for(ms(3_000));
+    let former = world
+        .nodes
+        .iter()
+        .position(|node| node.listed.processors.is_none());
+    let former = former.unwrap();
+    for index in 0..former {
+        world.probe(index);
+        world.run_for(ms(20));
+    }
+    let took = world.run_until(ms(5_000), |world| world.waiting() == 0);
+    assert!(took <= ms(1_000), "{} wait", world.waiting());
+}
--- a/tests/exchange_pace.rs
+++ b/tests/exchange_pace.rs
@@ -13,10 +13,10 @@
 
 /// Lets a host that has nothing to tell show that it lives until `end`.
 fn idle(pace: &mut Pace, peers: usize, end: Instant) -> Instant {
-    let mut now = pace.due_at(peers);
+    let mut now = pace.due_at(news_interval(peers));
     while now < end {
-        pace.on_told(peers, now);
-        now = pace.due_at(peers);
+        pace.on_told(news_interval(peers), now);
+        now = pace.due_at(news_interval(peers));
     }
     end
 }
@@ -37,7 +37,9 @@
     let mut pace = Pace::new(start);
     let now = idle(&mut pace, peers, start + Duration::from_secs(60));
     pace.on_need(Need::UrgentChange);
-    let waits = pace.due_at(peers).saturating_duration_since(now);
+    let waits = pace
+        .due_at(news_interval(peers))
+        .saturating_duration_since(now);
     assert!(waits <= Duration::from_millis(10), "waits for {waits:?}");
 }
 
@@ -57,10 +59,10 @@
     let mut told = 0_u32;
     while now < end {
         pace.on_need(Need::UrgentChange);
-        let due_at = pace.due_at(peers);
+        let due_at = pace.due_at(news_interval(peers));
         assert!(due_at.saturating_duration_since(now) < TAKEN_FOR_DEAD_AFTER);
         now = due_at;
-        pace.on_told(peers, now);
+        pace.on_told(news_interval(peers), now);
         told += 1;
     }
     let interval = news_interval(peers);
@@ -78,10 +80,10 @@
     let mut now = start;
     for _ in 0..4 {
         pace.on_need(Need::UrgentChange);
-        now = pace.due_at(399).max(now);
-        pace.on_told(399, now);
+        now = pace.due_at(news_interval(399)).max(now);
+        pace.on_told(news_interval(399), now);
     }
     pace.on_need(Need::UrgentChange);
-    let waits = pace.due_at(7).saturating_duration_since(now);
+    let waits = pace.due_at(news_interval(7)).saturating_duration_since(now);
     assert!(waits <= news_interval(7), "waits for {waits:?}");
 }
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::Gateway;
-use banyanarch::gateway::ListedHost;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -120,6 +120,7 @@
         host: "a-former".parse().unwrap(),
         domain: "here".parse().unwrap(),
         exchange_addr: listener.local_addr().unwrap(),
+        processors: None,
     };
     tokio::spawn(serve_reads(listener, read.addr));
     tokio::spawn(tell_that_it_lives(Arc::clone(&host.gateway)));
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -7,10 +7,10 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::CatalogError;
 use banyanarch::gateway::Listed;
-use banyanarch::gateway::ListedHost;
 use banyanarch::gateway::RoutesRead;
 use banyanarch::routing::RouteTable;
 use banyanarch::units::HostId;
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -30,6 +30,7 @@
 use banyanarch::routing::Service;
 use banyanarch::routing::Target;
 use banyanarch::units::Generation;
+use banyanarch::units::Millicores;
 use banyanarch::units::Priority;
 use banyanarch::units::Tokens;
 use bytes::Bytes;
@@ -96,6 +97,7 @@
         exchange_addr: local(),
         metrics_addr: local(),
         key_lease: Some(Duration::from_secs(5)),
+        processors: Millicores(1_000),
         retry_bound: RetryBound {
             per_request: 0.2,
             allowance: 100.0,
--- /dev/null
+++ b/tests/news_world/mod.rs
@@ -0,0 +1,408 @@
+//! A fleet that exchanges news under a clock moved by hand: hosts, the ways between them, and what
+//! each believes of the others' work.
+
+#![allow(dead_code, unreachable_pub)]
+
+mod node;
+mod tally;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::HostLoad;
+use banyanarch::exchange::HostNews;
+use banyanarch::exchange::ListedHost;
+use banyanarch::exchange::Need;
+use banyanarch::exchange::Outgoing;
+use banyanarch::exchange::UpstreamHash;
+use banyanarch::units::Millicores;
+use banyanarch::units::UpstreamId;
+use indexmap::IndexMap;
+use prost::Message;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+pub use node::Node;
+pub use tally::Tally;
+
+/// One way between two hosts.
+const WAY: Duration = Duration::from_millis(1);
+/// Changes of its work that a host of the users' largest fleet makes a second.
+pub const CHANGES_PER_S: f64 = 3.6;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Wake(usize),
+    Deliver {
+        from: usize,
+        to: usize,
+        life: u64,
+        news: Arc<HostNews>,
+    },
+    Change(usize),
+}
+
+/// A fleet and its clock.
+pub struct World {
+    pub nodes: Vec<Node>,
+    pub tally: Tally,
+    /// The part of all messages that are lost.
+    pub loss: f64,
+    base: Instant,
+    now: Duration,
+    rng: StdRng,
+    events: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    slots: Vec<Option<Event>>,
+    changes_per_s: f64,
+    upstreams: Vec<UpstreamId>,
+    names: IndexMap<UpstreamHash, UpstreamId>,
+    probes: Vec<Probe>,
+}
+
+/// One change, and who knows of it.
+struct Probe {
+    upstream: UpstreamId,
+    host: usize,
+    at: Duration,
+    waits: Vec<usize>,
+}
+
+impl World {
+    /// Hosts spread over failure domains; each seventh is strong. `former` of them are of a version that
+    /// knows of no collectors.
+    pub fn new(hosts: usize, domains: usize, former: usize, seed: u64) -> Self {
+        let base = Instant::now();
+        let mut world = Self {
+            nodes: Vec::new(),
+            tally: Tally::new(hosts),
+            loss: 0.0,
+            base,
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            slots: Vec::new(),
+            changes_per_s: 0.0,
+            upstreams: (0..hosts)
+                .map(|i| upstream(&format!("engine-{i}")))
+                .collect(),
+            names: IndexMap::new(),
+            probes: Vec::new(),
+        };
+        for id in world.upstreams.clone() {
+            world.names.insert(UpstreamHash::from(&id), id);
+        }
+        for index in 0..hosts {
+            let is_former = index >= hosts - former;
+            let strength = if is_strong(index) { 500 } else { 120 };
+            let listed = ListedHost {
+                host: format!("host-{index:03}").parse().unwrap(),
+                domain: format!("domain-{}", index % domains).parse().unwrap(),
+                exchange_addr: addr(index),
+                processors: (!is_former).then_some(Millicores(strength)),
+            };
+            world.nodes.push(Node::new(listed, base));
+        }
+        world.list_all();
+        for index in 0..hosts {
+            // Hosts start within half a second.
+            let at = Duration::from_millis(world.rng.random_range(0..500));
+            world.push(at, Event::Wake(index));
+        }
+        world
+    }
+
+    /// All hosts read the list, as it is now.
+    pub fn list_all(&mut self) {
+        let all: Vec<ListedHost> = self.nodes.iter().map(|node| node.listed.clone()).collect();
+        let all = Arc::new(all);
+        for node in &mut self.nodes {
+            node.hosts = Arc::clone(&all);
+        }
+    }
+
+    /// Lets each host change its work this often.
+    pub fn set_changes(&mut self, per_s: f64) {
+        let was_idle = self.changes_per_s == 0.0;
+        self.changes_per_s = per_s;
+        if was_idle && per_s > 0.0 {
+            for index in 0..self.nodes.len() {
+                let at = self.now + self.gap();
+                self.push(at, Event::Change(index));
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, _, _))) = self.events.peek()
+            && *at <= end
+        {
+            let Some(Reverse((at, _, slot))) = self.events.pop() else {
+                return;
+            };
+            self.now = at;
+            if let Some(event) = self.slots[slot].take() {
+                self.on(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something is true; how long that took, at most `most`.
+    pub fn run_until(
+        &mut self,
+        most: Duration,
+        mut is_true: impl FnMut(&mut Self) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while !is_true(self) && self.now - start < most {
+            self.run_for(Duration::from_millis(10));
+        }
+        self.now - start
+    }
+
+    /// A host loses its power.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].is_up = false;
+    }
+
+    /// It starts again and knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let now = self.instant();
+        self.nodes[index].restart(now);
+        self.push(self.now, Event::Wake(index));
+    }
+
+    /// It stands still, and hears what has come meanwhile when it wakes.
+    pub fn pause(&mut self, index: usize) {
+        self.nodes[index].is_paused = true;
+    }
+
+    pub fn wake(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.is_paused = false;
+        let missed = std::mem::take(&mut node.missed);
+        for (from, news) in missed {
+            self.deliver(from, index, &news);
+        }
+        self.push(self.now, Event::Wake(index));
+    }
+
+    /// Cuts a failure domain off from the others, or ends that.
+    pub fn set_cut(&mut self, domain: &str, is_cut: bool) {
+        for node in &mut self.nodes {
+            if node.listed.domain.as_str() == domain {
+                node.is_cut = is_cut;
+            }
+        }
+    }
+
+    /// The host that most hosts of the domain of `index` tell, or that host itself.
+    pub fn collector_of(&self, index: usize) -> usize {
+        let now = self.instant();
+        let route = self.nodes[index].fleet.route(now);
+        let Some(collector) = route.collector else {
+            return index;
+        };
+        let is_it = |node: &Node| node.listed.host == collector;
+        self.nodes.iter().position(is_it).unwrap()
+    }
+
+    /// One host has one more request at an upstream that nobody else uses, and all others are watched
+    /// for when they know.
+    pub fn probe(&mut self, host: usize) {
+        let name = format!("probe-{}", self.probes.len());
+        let upstream = upstream(&name);
+        self.names
+            .insert(UpstreamHash::from(&upstream), upstream.clone());
+        self.nodes[host].start(&upstream, 1);
+        let is_live = |index: &usize| *index != host && self.nodes[*index].is_up;
+        let waits = (0..self.nodes.len()).filter(is_live).collect();
+        self.probes.push(Probe {
+            upstream,
+            host,
+            at: self.now,
+            waits,
+        });
+        self.changed(host);
+    }
+
+    /// Hosts that have not heard of some probe yet.
+    pub fn waiting(&self) -> usize {
+        self.probes.iter().map(|probe| probe.waits.len()).sum()
+    }
+
+    /// What each live host is wrong about: upstreams where it takes the work of the others for another
+    /// than it is.
+    pub fn wrong(&mut self) -> usize {
+        let now = self.instant();
+        let mut wrong = 0;
+        for index in 0..self.nodes.len() {
+            if !self.nodes[index].is_up {
+                continue;
+            }
+            for upstream in &self.upstreams {
+                let others = self.nodes.iter().enumerate();
+                let others = others.filter(|(other, node)| *other != index && node.is_up);
+                let truth: u32 = others.map(|(_, node)| node.in_flight(upstream)).sum();
+                let ledger = &mut self.nodes[index].ledger;
+                wrong += usize::from(ledger.load(upstream, now).in_flight != truth);
+            }
+        }
+        wrong
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Wake(index) => self.on_wake(index),
+            Event::Deliver {
+                from,
+                to,
+                life,
+                news,
+            } => {
+                if self.nodes[to].life == life && self.nodes[to].is_up {
+                    self.deliver(from, to, &news);
+                }
+            }
+            Event::Change(index) => self.on_change(index),
+        }
+    }
+
+    fn on_wake(&mut self, index: usize) {
+        let now = self.instant();
+        let node = &mut self.nodes[index];
+        if !node.is_up || node.is_paused {
+            return;
+        }
+        node.wakes_at = None;
+        node.fleet.set_hosts(&node.hosts, now);
+        if node.fleet.due_at(now) <= now {
+            let sent = node.speak(now);
+            self.send(index, sent);
+        }
+        self.schedule(index);
+    }
+
+    fn on_change(&mut self, index: usize) {
+        if self.changes_per_s == 0.0 {
+            return;
+        }
+        if self.nodes[index].is_up {
+            let engine = self.rng.random_range(0..self.upstreams.len());
+            let upstream = self.upstreams[engine].clone();
+            let requests = self.rng.random_range(0..3);
+            self.nodes[index].start(&upstream, requests);
+            self.changed(index);
+        }
+        let at = self.now + self.gap();
+        self.push(at, Event::Change(index));
+    }
+
+    fn changed(&mut self, index: usize) {
+        self.nodes[index].fleet.on_need(Need::UrgentChange);
+        self.schedule(index);
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, news: &Arc<HostNews>) {
+        if self.nodes[to].is_paused {
+            self.nodes[to].missed.push((from, Arc::clone(news)));
+            return;
+        }
+        self.tally.on_received(to);
+        let now = self.instant();
+        let on = self.nodes[to].hear(HostNews::clone(news), addr(from), &self.names, now);
+        self.send(to, on.into_iter().collect());
+        let known = self.now;
+        for probe in &mut self.probes {
+            if !probe.waits.contains(&to) {
+                continue;
+            }
+            if self.nodes[to].ledger.load(&probe.upstream, now).in_flight > 0 {
+                probe.waits.retain(|waits| *waits != to);
+                self.tally.ages.push(known - probe.at);
+            }
+        }
+        self.schedule(to);
+    }
+
+    fn send(&mut self, from: usize, outgoing: Vec<Outgoing>) {
+        for outgoing in outgoing {
+            let bytes = outgoing.news.encoded_len();
+            assert!(bytes < 65_000, "{bytes} bytes fit no datagram");
+            let news = Arc::new(outgoing.news);
+            for to in outgoing.to {
+                let to = usize::from(to.port()) - 1;
+                let is_far = self.nodes[from].listed.domain != self.nodes[to].listed.domain;
+                if is_far {
+                    self.tally.far_bytes += bytes;
+                }
+                self.tally.sent_bytes[from] += bytes;
+                let is_cut = is_far && (self.nodes[from].is_cut || self.nodes[to].is_cut);
+                if is_cut || self.rng.random::<f64>() < self.loss {
+                    continue;
+                }
+                let event = Event::Deliver {
+                    from,
+                    to,
+                    life: self.nodes[to].life,
+                    news: Arc::clone(&news),
+                };
+                self.push(self.now + WAY, event);
+            }
+        }
+    }
+
+    fn schedule(&mut self, index: usize) {
+        let now = self.instant();
+        let due_at = self.nodes[index].fleet.due_at(now);
+        let at = due_at.saturating_duration_since(self.base).max(self.now);
+        if self.nodes[index].wakes_at.is_none_or(|wakes| at < wakes) {
+            self.nodes[index].wakes_at = Some(at);
+            self.push(at, Event::Wake(index));
+        }
+    }
+
+    fn gap(&mut self) -> Duration {
+        let draw: f64 = self.rng.random();
+        Duration::from_secs_f64(-(1.0 - draw).ln() / self.changes_per_s)
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        let slot = self.slots.len();
+        self.slots.push(Some(event));
+        self.events.push(Reverse((at, slot as u64, slot)));
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+}
+
+/// Whether a host has more processors than most.
+pub fn is_strong(index: usize) -> bool {
+    index % 7 == 3
+}
+
+/// Host `index` is found here.
+fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(index + 1).unwrap()))
+}
+
+fn upstream(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+/// So many requests at one upstream.
+pub fn requests(in_flight: u32) -> HostLoad {
+    HostLoad {
+        in_flight,
+        ..HostLoad::default()
+    }
+}
--- /dev/null
+++ b/tests/news_world/tally.rs
@@ -0,0 +1,51 @@
+//! What a run of a fleet cost, and how old its news were.
+
+use std::time::Duration;
+
+pub struct Tally {
+    /// From a change to each other host's knowledge of it.
+    pub ages: Vec<Duration>,
+    pub received: Vec<usize>,
+    pub sent_bytes: Vec<usize>,
+    /// Bytes between failure domains, without the headers of datagrams.
+    pub far_bytes: usize,
+}
+
+impl Tally {
+    pub fn new(hosts: usize) -> Self {
+        Self {
+            ages: Vec::new(),
+            received: vec![0; hosts],
+            sent_bytes: vec![0; hosts],
+            far_bytes: 0,
+        }
+    }
+
+    pub fn on_received(&mut self, host: usize) {
+        self.received[host] += 1;
+    }
+
+    /// The age that this part of all news did not exceed.
+    pub fn age(&mut self, part: f64) -> Duration {
+        self.ages.sort_unstable();
+        let last = self.ages.len() - 1;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let place = (last as f64 * part) as usize;
+        self.ages[place]
+    }
+
+    /// The median of what hosts received.
+    pub fn received_median(&self) -> usize {
+        let mut received = self.received.clone();
+        received.sort_unstable();
+        received[received.len() / 2]
+    }
+
+    pub fn received_most(&self) -> usize {
+        self.received.iter().copied().max().unwrap_or(0)
+    }
+
+    pub fn sent_bytes_most(&self) -> usize {
+        self.sent_bytes.iter().copied().max().unwrap_or(0)
+    }
+}
