Few long prompts go to far engines at once; starting hosts ask before they read

Cause, second: a host that starts read both lists itself until it had heard a neighbour, some seven calls each.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -103,6 +103,7 @@
         time_left: Duration::from_secs(10),
         news_age: Duration::from_millis(100),
         far_news_age: Duration::from_millis(100),
+        is_far: false,
         draw: 0x5EED,
     }
 }
--- a/src/decide/engines/ask.rs
+++ b/src/decide/engines/ask.rs
@@ -30,6 +30,8 @@
     pub prompt: Tokens,
     /// The longest answer.
     pub output: Tokens,
+    /// Whether hosts that hear of each other late choose among these engines.
+    pub is_far: bool,
     /// What is left of the time in which the first event is on time.
     pub objective_left: Duration,
     /// How long its caller still stays without a first event.
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -248,8 +248,13 @@
         let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
         let fitting = || placed().filter(|engine| engine.free_tokens(model) >= share);
         let is_free = |engine: &&EngineView| engine.load.read_backlog <= BACKLOG_MAX;
-        return fitting()
-            .find(|engine| is_gentle(engine) && is_free(engine))
+        let is_good = |engine: &&EngineView| is_gentle(engine) && is_free(engine);
+        let first = if ask.is_far {
+            drawn(fitting().filter(is_good), ask)
+        } else {
+            fitting().find(is_good)
+        };
+        return first
             .or_else(|| fitting().find(is_gentle))
             .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
             .or_else(|| placed().min_by_key(|engine| engine.load.held_tokens));
@@ -261,6 +266,17 @@
         .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
 }
 
+/// One of several engines. Hosts that hear of each other late and all take the first one reserve its
+/// memory over and over, and all but one are refused.
+fn drawn<'a>(
+    engines: impl Iterator<Item = &'a EngineView>,
+    ask: &EngineAsk,
+) -> Option<&'a EngineView> {
+    let drawn = engines.enumerate();
+    let drawn = drawn.min_by_key(|(index, _)| ask.shuffle(*index));
+    drawn.map(|(_, engine)| engine)
+}
+
 /// The memory that is set aside for a long prompt: the leader's, and of helpers what the leader has
 /// is to have no room for; none if there is not enough.
 ///
--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -20,19 +20,27 @@
 /// three short prompts takes, which hosts of other domains may have sent there unseen.
 const FAR_GAIN: Duration = Duration::from_millis(60);
 
+/// A prompt that waits for near engines goes to others at one choice in so many. Where all that wait go
+/// to the same far engines at once, one in three came late of a load that turns between long and short
+/// prompts; where none does, a domain with half of all callers leaves a quarter of them late.
+const FAR_TRIES: u32 = 12;
+
 /// Chooses among near engines and among all of them, and takes the better one.
 pub(super) fn choose(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
+    let near: Vec<EngineView> = engines.iter().filter(|e| e.is_near).cloned().collect();
     let far_ask = EngineAsk {
         news_age: ask.far_news_age,
+        is_far: ask.news_age < ask.far_news_age,
         ..ask.clone()
     };
-    let any = choose_among(model, engines, &far_ask);
-    let near: Vec<EngineView> = engines.iter().filter(|e| e.is_near).cloned().collect();
-    let has_fresh_news = ask.news_age < ask.far_news_age;
-    if !has_fresh_news || near.len() < NEAR_MIN || near.len() == engines.len() {
-        return any;
+    if !far_ask.is_far || near.len() < NEAR_MIN || near.len() == engines.len() {
+        return choose_among(model, engines, &far_ask);
+    }
+    let near = choose_among(model, &near, ask);
+    if matches!(near, EngineChoice::Wait(_)) && !ask.draw.is_multiple_of(FAR_TRIES) {
+        return near;
     }
-    match (choose_among(model, &near, ask), any) {
+    match (near, choose_among(model, engines, &far_ask)) {
         (EngineChoice::Send(near), EngineChoice::Send(any)) => {
             EngineChoice::Send(better(model, engines, near, any))
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -92,6 +92,7 @@
         time_left: call.time_left(now),
         news_age: route.near_age,
         far_news_age: route.far_age,
+        is_far: false,
         draw: rand::random(),
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -52,6 +52,10 @@
 /// that a domain does not ask it again and again while it is cut off.
 const READER_UNFIT_FOR: Duration = Duration::from_secs(3);
 
+/// How long a host that has just started takes all others on the list for alive: longer than it takes
+/// until they know of it and tell it so.
+const STARTS_FOR: Duration = Duration::from_secs(3);
+
 /// The shared state of one host, in parts under their own locks. No lock is held across a wait.
 pub struct Gateway {
     /// The settings.
@@ -72,6 +76,7 @@
     health: Mutex<HealthBook>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     poison: Mutex<PoisonList>,
+    started_at: Instant,
     stop_asked: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
     /// Notified when this host's work at upstreams changes.
@@ -92,6 +97,8 @@
     pub(crate) upstreams_news: Notify,
     pub(crate) news_sent: AtomicU64,
     news_route: Mutex<NewsRoute>,
+    /// Whether the list of hosts has been read.
+    pub(crate) hosts_read: watch::Sender<bool>,
     unfit_readers: Mutex<IndexMap<HostId, Instant>>,
     crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
@@ -107,6 +114,8 @@
         meters: Meters,
     ) -> Self {
         Self {
+            started_at: clock.now(),
+            hosts_read: watch::Sender::new(false),
             conf,
             clock,
             dialect,
@@ -233,9 +242,11 @@
             since.is_some_and(|at| now.saturating_duration_since(*at) < READER_UNFIT_FOR)
         };
         let ledger = self.ledger();
+        let has_just_started = now.saturating_duration_since(self.started_at) < STARTS_FOR;
         let is_able = |listed: &&ListedHost| {
             let is_here = listed.host == self.conf.host;
-            (is_here || ledger.is_heard(&listed.host, now)) && !is_unfit(&listed.host)
+            let lives = has_just_started || ledger.is_heard(&listed.host, now);
+            (is_here || lives) && !is_unfit(&listed.host)
         };
         let collector = self.news_route().collector;
         // A domain whose own hosts all have nothing fresh asks one of another.
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -59,6 +59,7 @@
         time_left: ms(15_000),
         news_age: Duration::ZERO,
         far_news_age: Duration::ZERO,
+        is_far: false,
         draw: 7,
     }
 }
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -170,6 +170,7 @@
             time_left,
             news_age: self.site.news_interval,
             far_news_age: self.site.far_news_age,
+            is_far: false,
             draw: self.rng.random(),
         };
         let choice = self.hosts[run.host].choose(&self.site, &self.ids, &ask, now);
