Starting hosts read at once again; near news name upstreams by hashes

Change: the first read is the host's own, as before; only later ones, in the first three seconds, are asked of hosts on the list. News to neighbours name upstreams by hashes, which spares each receiver a copy of each name.

--- a/src/exchange/fleet.rs
+++ b/src/exchange/fleet.rs
@@ -23,6 +23,7 @@
 use crate::exchange::Need;
 use crate::exchange::NewsRoute;
 use crate::exchange::Pace;
+use crate::exchange::UpstreamHash;
 use crate::exchange::Voice;
 use crate::exchange::collectors::Collectors;
 use crate::exchange::gathered::Gathered;
@@ -179,10 +180,7 @@
         let interval = news_interval(self.told.len());
         if self.pace.due_at(interval) <= now {
             self.pace.on_told(interval, now);
-            outgoing.push(Outgoing {
-                to: self.told.clone(),
-                news: own(),
-            });
+            outgoing.extend(self.tell(own()));
         }
         if self.collects() && self.relay_due_at() <= now {
             self.relayed_at = now;
@@ -335,6 +333,25 @@
         partners.collect()
     }
 
+    /// What this host says of itself, to all that it tells.
+    fn tell(&self, own: HostNews) -> Vec<Outgoing> {
+        if !self.is_large() {
+            let to = self.told.clone();
+            return vec![Outgoing { to, news: own }];
+        }
+        let is_former = |addr: &&SocketAddr| !self.neighbours.contains(addr);
+        let former: Vec<SocketAddr> = self.told.iter().filter(is_former).copied().collect();
+        let short = Outgoing {
+            to: self.neighbours.clone(),
+            news: with_short_names(own.clone()),
+        };
+        let long = (!former.is_empty()).then_some(Outgoing {
+            to: former,
+            news: own,
+        });
+        [short].into_iter().chain(long).collect()
+    }
+
     fn relay_due_at(&self) -> Instant {
         let interval = if self.has_gathered {
             self.relay_interval
@@ -357,6 +374,15 @@
     }
 }
 
+/// Names upstreams by their hashes, which a receiver looks up where it would copy the names.
+fn with_short_names(mut news: HostNews) -> HostNews {
+    for load in &mut news.loads {
+        load.upstream_hash = UpstreamHash::of(&load.upstream).0;
+        load.upstream.clear();
+    }
+    news
+}
+
 /// Splits what a collector passes on into messages of a bounded size.
 fn split(mut relay: HostNews) -> Vec<HostNews> {
     let relayed = std::mem::take(&mut relay.relayed);
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -186,10 +186,12 @@
 /// The upstream that is spoken of; none if this host has not heard of it yet, and then does not choose
 /// it either.
 fn upstream_of(news: &LoadNews, names: &IndexMap<UpstreamHash, UpstreamId>) -> Option<UpstreamId> {
-    match news.upstream_hash {
-        0 => news.upstream.parse().ok(),
-        hash => names.get(&UpstreamHash(hash)).cloned(),
+    if news.upstream_hash != 0 {
+        return names.get(&UpstreamHash(news.upstream_hash)).cloned();
     }
+    // A name that is known need not be made anew.
+    let known = names.get(&UpstreamHash::of(&news.upstream));
+    known.cloned().or_else(|| news.upstream.parse().ok())
 }
 
 fn read_load(news: &LoadNews) -> HostLoad {
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -10,7 +10,6 @@
 use log::debug;
 use prost::Message as _;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -35,10 +34,6 @@
 
 /// Hosts that are asked before this one reads for itself.
 const READERS_TRIED_MAX: usize = 2;
-/// Questions of a host that has just started to one that has nothing yet either, and the pause between
-/// them. Where all hosts start at once they would else all read for themselves, some seven calls each.
-const START_TRIES_MAX: u32 = 3;
-const START_PAUSE: Duration = Duration::from_millis(100);
 
 /// What came of one read.
 pub(crate) struct Read<T> {
@@ -48,18 +43,6 @@
     pub(crate) proved_at: Duration,
 }
 
-/// What came of asking another host.
-enum Asked {
-    /// It answered; the list was certainly the newest at this time since boot.
-    Answered(Answer, Duration),
-    /// It has read nothing yet.
-    HasNothing,
-    /// What it has was read too long ago.
-    IsStale,
-    /// It did not answer in time.
-    Silent,
-}
-
 /// Reads the lists for one host.
 pub(crate) struct Reader {
     gateway: Arc<Gateway>,
@@ -149,25 +132,26 @@
     /// Asks the host that reads for this failure domain; none if that is this host, or if it has no
     /// fresh answer.
     async fn ask_other(&mut self, list: List, known_version: u64) -> Option<(Answer, Duration)> {
-        let mut tries_left = START_TRIES_MAX;
+        // A host with nothing yet asks only those that it has heard: a dead one costs it time in which it
+        // can't serve.
+        let trusts_list = known_version != 0;
         for _ in 0..READERS_TRIED_MAX {
-            let reader = self.gateway.reading_host()?;
-            loop {
-                match self.ask(reader.exchange_addr, list, known_version).await {
-                    Asked::Answered(answer, proved_at) => return Some((answer, proved_at)),
-                    Asked::HasNothing if known_version == 0 && tries_left > 0 => {
-                        tries_left -= 1;
-                        sleep(START_PAUSE).await;
-                    }
-                    Asked::HasNothing | Asked::IsStale | Asked::Silent => break,
-                }
+            let reader = self.gateway.reading_host(trusts_list)?;
+            let read = self.ask(reader.exchange_addr, list, known_version).await;
+            if read.is_some() {
+                return read;
             }
             self.gateway.on_unfit_reader(&reader.host);
         }
         None
     }
 
-    async fn ask(&mut self, addr: SocketAddr, list: List, known_version: u64) -> Asked {
+    async fn ask(
+        &mut self,
+        addr: SocketAddr,
+        list: List,
+        known_version: u64,
+    ) -> Option<(Answer, Duration)> {
         let asked_at = self.gateway.clock.since_boot();
         let ask = Ask {
             list: list.into(),
@@ -177,17 +161,14 @@
         let Ok(Some(answer)) = asked else {
             debug!("share: {addr} does not answer, reads for itself");
             self.link = None;
-            return Asked::Silent;
+            return None;
         };
         let age = Duration::from_millis(answer.age_ms);
-        if answer.version == 0 {
-            return Asked::HasNothing;
-        }
-        if age > ANSWER_AGE_MAX {
-            return Asked::IsStale;
+        if answer.version == 0 || age > ANSWER_AGE_MAX {
+            return None;
         }
         // The age was taken after the question was asked here, so this errs to the safe side.
-        Asked::Answered(answer, asked_at.saturating_sub(age))
+        Some((answer, asked_at.saturating_sub(age)))
     }
 
     async fn exchange(&mut self, addr: SocketAddr, ask: &Ask) -> Option<Answer> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -52,8 +52,9 @@
 /// that a domain does not ask it again and again while it is cut off.
 const READER_UNFIT_FOR: Duration = Duration::from_secs(3);
 
-/// How long a host that has just started takes all others on the list for alive: longer than it takes
-/// until they know of it and tell it so.
+/// How long a host that has just started may ask all others on the list: until they know of it and it
+/// hears them. Where all hosts start at once they would else all read for themselves, some seven calls
+/// each.
 const STARTS_FOR: Duration = Duration::from_secs(3);
 
 /// The shared state of one host, in parts under their own locks. No lock is held across a wait.
@@ -97,8 +98,6 @@
     pub(crate) upstreams_news: Notify,
     pub(crate) news_sent: AtomicU64,
     news_route: Mutex<NewsRoute>,
-    /// Whether the list of hosts has been read.
-    pub(crate) hosts_read: watch::Sender<bool>,
     unfit_readers: Mutex<IndexMap<HostId, Instant>>,
     crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
@@ -115,7 +114,6 @@
     ) -> Self {
         Self {
             started_at: clock.now(),
-            hosts_read: watch::Sender::new(false),
             conf,
             clock,
             dialect,
@@ -233,7 +231,8 @@
 
     /// The host that reads the platform for this failure domain; none if it is this one: of those that
     /// were heard lately and had something fresh, the one that collects news, else the first by name.
-    pub(crate) fn reading_host(&self) -> Option<ListedHost> {
+    /// `trusts_list` says whether right after the start those count as well that were not heard yet.
+    pub(crate) fn reading_host(&self, trusts_list: bool) -> Option<ListedHost> {
         let now = self.clock.now();
         let hosts = self.beliefs.hosts();
         let unfit = self.unfit_readers();
@@ -245,7 +244,7 @@
         let has_just_started = now.saturating_duration_since(self.started_at) < STARTS_FOR;
         let is_able = |listed: &&ListedHost| {
             let is_here = listed.host == self.conf.host;
-            let lives = has_just_started || ledger.is_heard(&listed.host, now);
+            let lives = (trusts_list && has_just_started) || ledger.is_heard(&listed.host, now);
             (is_here || lives) && !is_unfit(&listed.host)
         };
         let collector = self.news_route().collector;
@@ -261,7 +260,7 @@
 
     /// Whether a host reads for this one.
     pub(crate) fn is_read_by(&self, host: &HostId) -> bool {
-        let reader = self.reading_host();
+        let reader = self.reading_host(true);
         reader.is_some_and(|reader| reader.host == *host)
     }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -12,7 +12,6 @@
 use indexmap::IndexSet;
 use tokio::sync::Notify;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
@@ -32,9 +31,6 @@
 /// Between two reads of the hosts, which change seldom; news of one that is missing is lost until
 /// then.
 const HOSTS_INTERVAL: Duration = Duration::from_millis(2_000);
-/// How long a starting host waits for the list of hosts: two calls of 4 ms, or one when the platform is
-/// slow.
-const HOSTS_WAIT_MAX: Duration = Duration::from_millis(300);
 /// After a failed read; shorter than the interval, since what is known grows old. It doubles with each
 /// further failure: a fleet of 69 hosts that asked four times a second made 6,800 calls to a platform
 /// that turned them away for eight seconds.
@@ -98,16 +94,8 @@
     }
 }
 
-/// Waits at the start for the list of hosts, one of which may have read what this one needs.
-async fn wait_for_hosts(gateway: &Gateway) {
-    let mut hosts_read = gateway.hosts_read.subscribe();
-    // Without the list this host reads for itself.
-    let _ = timeout(HOSTS_WAIT_MAX, hosts_read.wait_for(|is_read| *is_read)).await;
-}
-
 /// Reads the manifest for as long as the process runs.
 pub(crate) async fn keep_routes(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
-    wait_for_hosts(&gateway).await;
     let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut watchman = Watchman::new(&gateway, "manifest");
     // A manifest that can't be decoded is not in force, so reading it again renews no lease.
@@ -157,7 +145,6 @@
 
 /// Reads the upstreams for as long as the process runs.
 pub(crate) async fn keep_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
-    wait_for_hosts(&gateway).await;
     let mut reader = Reader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
     let mut watchman = Watchman::new(&gateway, "upstreams");
@@ -237,7 +224,6 @@
                 hosts.push(own.clone());
             }
             gateway.beliefs.set_hosts(hosts);
-            gateway.hosts_read.send_replace(true);
         }
         gateway.ledger().forget_silent(gateway.clock.now());
         // Until it is on the list nobody sends news here.
