--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -44,6 +44,16 @@
     assert!(tally.error_ms(LONG, 0.5) < 400.0, "{tally}");
 }
 
+/// Half of the clauses come late in a large fleet while engines have room: hosts of other domains hear
+/// of each other 50 ms late, and all choose the same engines.
+#[test]
+fn archives_and_clauses_by_turns_are_served_where_domains_hear_of_each_other_late() {
+    let tally = play(&Site::in_domains(), &Phase::by_turns(4.0, ARCHIVES), 1);
+    assert!(tally.earned_all() > 0.90, "{tally}");
+    assert!(tally.earned(SHORT) > 0.92, "{tally}");
+    assert!(tally.earned(LONG) > 0.88, "{tally}");
+}
+
 /// Archives come late or are turned away for ten seconds after clauses, and hardly before them: the
 /// answers to clauses were spread over all engines, and each archive that was sent put off those that
 /// engines were reading already. The longest were turned away twice.
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -153,6 +153,19 @@
         site
     }
 
+    /// Sixty-nine hosts in three failure domains before sixty engines.
+    pub fn in_domains() -> Self {
+        let mut site = Self::largest();
+        site.hosts = 69;
+        site.engines = 60;
+        site.domains = 3;
+        site.news_interval = Duration::from_millis(57);
+        for class in &mut site.classes {
+            class.per_s *= 60.0 / 195.0;
+        }
+        site
+    }
+
     /// A hundred and ninety-five hosts in five failure domains before as many engines, each with few
     /// places. News from other domains come by way of collectors.
     pub fn largest() -> Self {
--- /dev/null
+++ b/tests/gateway_news.rs
@@ -0,0 +1,94 @@
+//! What a gateway makes of news by way of collectors, and whom it asks when it starts.
+
+mod gateway_world;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use banyanarch::exchange::HostNews;
+use banyanarch::exchange::ListedHost;
+use banyanarch::exchange::LoadNews;
+use banyanarch::exchange::NewsDesk;
+use banyanarch::exchange::UpstreamHash;
+use banyanarch::exchange::Voice;
+use banyanarch::gateway::Catalog;
+use banyanarch::units::Millicores;
+use gateway_world::TestHost;
+use gateway_world::catalog::FakeCatalog;
+use gateway_world::table;
+use gateway_world::until;
+use gateway_world::upstream::Act;
+use gateway_world::upstream::Upstream;
+use tokio::net::TcpListener;
+
+fn load(hash: u64, in_flight: u32) -> LoadNews {
+    LoadNews {
+        upstream_hash: hash,
+        in_flight,
+        ..LoadNews::default()
+    }
+}
+
+fn domain_news(loads: Vec<LoadNews>, is_partial: bool) -> HostNews {
+    HostNews {
+        host: "far-collector".to_owned(),
+        incarnation: 7,
+        voice: Voice::Domain.into(),
+        is_partial,
+        loads,
+        ..HostNews::default()
+    }
+}
+
+/// A collector tells the work of its whole domain, then changes of it, and names upstreams by their
+/// hashes, one of which this host has not read yet.
+#[tokio::test]
+async fn work_of_another_domain_is_heard_through_its_collector() {
+    let catalog = FakeCatalog::new(table(1));
+    let engine = Upstream::start([Act::Answer(200, "a")]).await;
+    catalog.list("a", "llm", engine.addr);
+    catalog.list("b", "llm", engine.addr);
+    let host = TestHost::start("host", &catalog).await;
+    let hash = |id: &str| UpstreamHash::of(id).0;
+    let all = vec![load(hash("a"), 3), load(hash("b"), 2), load(hash("new"), 9)];
+    host.gateway.hear(domain_news(all, false));
+    host.gateway
+        .hear(domain_news(vec![load(hash("a"), 5)], true));
+    let in_flight = |id: &str| {
+        let ledger = host.gateway.ledger();
+        ledger.load(&id.parse().unwrap(), Instant::now()).in_flight
+    };
+    assert_eq!((in_flight("a"), in_flight("b")), (5, 2));
+    host.gateway
+        .hear(domain_news(vec![load(hash("b"), 1)], false));
+    assert_eq!((in_flight("a"), in_flight("b")), (0, 1));
+}
+
+/// All hosts lose their power and start again. Each finds the others on the list, asks them before it
+/// reads for itself, and waits for those that are dead: 674 calls were turned away in place of 186.
+#[tokio::test]
+async fn a_starting_host_reads_before_it_asks_others() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstream = Upstream::start([Act::Answer(200, "a")]).await;
+    catalog.list("a", "app", upstream.addr);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent = ListedHost {
+        host: "a-silent".parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr: listener.local_addr().unwrap(),
+        processors: Some(Millicores(1_000)),
+    };
+    catalog.announce(silent).await.unwrap();
+    let reads_when_asked = Arc::new(Mutex::new(None));
+    let (asked, seen) = (Arc::clone(&reads_when_asked), Arc::clone(&catalog));
+    tokio::spawn(async move {
+        let _link = listener.accept().await.unwrap();
+        *asked.lock().unwrap() = Some(seen.reads());
+        std::future::pending::<()>().await;
+    });
+    let _host = TestHost::start("host", &catalog).await;
+    until(|| reads_when_asked.lock().unwrap().is_some()).await;
+    let reads = reads_when_asked.lock().unwrap().unwrap();
+    assert!(reads >= 1, "asked before it had read");
+}
