The longest prompts go wherever engines are idle

Cause: a prompt of 580,000 tokens and more is read in parts of a second, which stretch the pauses of any answer, so it needs sixteen engines that write none. It waited for them in its own domain, looked farther at one choice in twelve, and there only behind the border of an order in which short answers of other domains stand anywhere: after eight to ten seconds it was turned away at its deadline.

Change: prompts whose smallest part takes over 500 ms look at all engines, and far engines are taken by what they have to do, whatever their place.

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -21,6 +21,9 @@
 /// The aim for one engine's part of a prompt. Two such parts in one pass with writers stay within a
 /// pause of 200 ms.
 const PART_TIME: Duration = Duration::from_millis(60);
+/// The longest part that is read beside answers: callers of long prompts accept pauses of 600 ms to a
+/// second, and a pass without reading takes 70 ms.
+const PART_BESIDE_ANSWERS_MAX: Duration = Duration::from_millis(500);
 /// Engines that write the answers to long prompts, as a part of those for long prompts. They read
 /// one part of each prompt, as every helper does, and their own only.
 const LEADER_PART: f64 = 0.12;
@@ -84,6 +87,8 @@
     // Parts of a medium prompt are small enough to be read among short answers, and there they do
     // not wait behind long ones.
     let sides = match ask.class(model) {
+        // Each domain has a border of its own, so short answers stand anywhere among far engines.
+        PromptClass::Long if ask.is_far => vec![(engines, engines)],
         PromptClass::Long => vec![
             (long_leaders, helpers),
             (long_side, long_side),
@@ -111,6 +116,14 @@
     long_side.split_at(long_side.len() - leaders.min(long_side.len() - 1))
 }
 
+/// Whether a prompt is so long that even its smallest parts stretch the pauses of any answer, so that
+/// only engines that write none can read it.
+pub(super) fn needs_idle_engines(model: &EngineModel, ask: &EngineAsk) -> bool {
+    let read_time = model.read_time(ask.prompt);
+    let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
+    read_time / parts > PART_BESIDE_ANSWERS_MAX
+}
+
 /// How many of `available` engines are to read a prompt together.
 pub(super) fn parts_wanted(read_time: Duration, available: usize) -> usize {
     let wanted = ceil(read_time.as_secs_f64() / PART_TIME.as_secs_f64());
--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -13,6 +13,7 @@
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::choose_among;
+use crate::decide::engines::long::needs_idle_engines;
 
 /// Engines of a domain that are enough to choose among: a long prompt is read by up to sixteen.
 const NEAR_MIN: usize = 12;
@@ -37,7 +38,10 @@
         return choose_among(model, engines, &far_ask);
     }
     let near = choose_among(model, &near, ask);
-    if matches!(near, EngineChoice::Wait(_)) && !ask.draw.is_multiple_of(FAR_TRIES) {
+    // The longest prompts are few, and a domain seldom has as many idle engines as one needs: waiting
+    // for these, two thirds of the longest tenth were turned away at their deadline.
+    let looks_far = needs_idle_engines(model, ask) || ask.draw.is_multiple_of(FAR_TRIES);
+    if matches!(near, EngineChoice::Wait(_)) && !looks_far {
         return near;
     }
     match (near, choose_among(model, engines, &far_ask)) {
--- a/tests/decide_engines_near.rs
+++ b/tests/decide_engines_near.rs
@@ -10,6 +10,7 @@
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::choose_engines;
 use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
 use indexmap::IndexSet;
 
 /// Engines in all, and failure domains.
@@ -113,6 +114,32 @@
     assert!(leaders.len() >= 4, "all go to {leaders:?}");
 }
 
+/// The longest prompts need sixteen engines that write no answers. Their domain never has as many free
+/// at load; they wait for their deadline and are turned away while others have them.
+#[test]
+fn the_longest_prompts_go_wherever_engines_are_idle() {
+    let mut engines = engines();
+    for engine in engines.iter_mut().filter(|engine| engine.is_near) {
+        engine.load.in_flight = 1;
+        engine.load.strictest_pause = Some(ms(250));
+    }
+    // Short answers of the other domains stand anywhere in the order of engines.
+    for engine in engines.iter_mut().step_by(2) {
+        engine.load.in_flight = 1;
+        engine.load.strictest_pause = Some(ms(250));
+    }
+    for draw in 1..12 {
+        let plan = sent(choose_engines(&model(), &engines, &ask(700_000, draw)));
+        let plan = plan.expect("sent to idle engines");
+        let used = plan.helpers.iter().chain([&plan.leader]);
+        let is_idle = |id: &UpstreamId| {
+            let engine = engines.iter().find(|engine| engine.id == *id);
+            engine.is_some_and(|engine| engine.load.in_flight == 0)
+        };
+        assert!(used.into_iter().all(is_idle), "{plan:?}");
+    }
+}
+
 /// In a small fleet all hosts hear of each other at once, and a long prompt needs engines of all
 /// domains.
 #[test]
