--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::Extent;
 use crate::decide::HostLoad;
 use crate::decide::LoadShare;
 use crate::decide::LoadSource;
@@ -41,15 +42,6 @@
     queue: ReadQueue,
 }
 
-/// Whether what is heard is all that its source has to say.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Extent {
-    /// It is: upstreams that it does not name have no work of it.
-    Whole,
-    /// It names only what has changed.
-    Changes,
-}
-
 impl LoadLedger {
     /// Takes in that a request was sent to an upstream.
     pub fn start(&mut self, upstream: &UpstreamId, share: &LoadShare, now: Instant) {
--- a/src/exchange/collectors.rs
+++ b/src/exchange/collectors.rs
@@ -15,7 +15,7 @@
 
 /// A collector that is silent for this long is left: four of its messages when it has nothing to pass
 /// on, ten when it has. News from other domains stop for that long when one dies.
-pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(400);
+const SILENT_AFTER: Duration = Duration::from_millis(400);
 /// How long one that was left is not chosen again, unless it is heard.
 const UNFIT_FOR: Duration = Duration::from_secs(3);
 /// A host that was heard within this time lives: four of its messages when it has nothing to tell.
--- a/src/exchange/fleet.rs
+++ b/src/exchange/fleet.rs
@@ -22,6 +22,7 @@
 use crate::exchange::ListedHost;
 use crate::exchange::Need;
 use crate::exchange::NewsRoute;
+use crate::exchange::Outgoing;
 use crate::exchange::Pace;
 use crate::exchange::UpstreamHash;
 use crate::exchange::Voice;
@@ -54,15 +55,6 @@
 /// millisecond.
 const LOADS_MAX: usize = 400;
 
-/// A message and where it goes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Outgoing {
-    /// The receivers.
-    pub to: Vec<SocketAddr>,
-    /// The message.
-    pub news: HostNews,
-}
-
 /// One host's place in the exchange.
 #[derive(Debug)]
 pub struct Fleet {
--- a/src/exchange/gathered.rs
+++ b/src/exchange/gathered.rs
@@ -10,6 +10,7 @@
 use crate::exchange::Voice;
 use crate::exchange::speaker::Loads;
 use crate::exchange::speaker::Speaker;
+use crate::exchange::turn::Turn;
 use crate::units::HostId;
 
 /// One that has said nothing for this long has died, or is cut off. As long as hosts remember a silent
@@ -27,15 +28,6 @@
     sum: Speaker,
 }
 
-/// What a collector sends in one turn.
-#[derive(Debug, Default)]
-pub(crate) struct Turn {
-    /// To the hosts of its domain.
-    pub(crate) relay: HostNews,
-    /// To the other collectors.
-    pub(crate) domain: Option<HostNews>,
-}
-
 impl Gathered {
     /// Nothing gathered.
     pub(crate) fn new(now: Instant) -> Self {
--- /dev/null
+++ b/src/exchange/turn.rs
@@ -0,0 +1,12 @@
+//! What a collector sends in one turn.
+
+use crate::exchange::HostNews;
+
+/// What a collector sends in one turn.
+#[derive(Debug, Default)]
+pub(crate) struct Turn {
+    /// To the hosts of its domain.
+    pub(crate) relay: HostNews,
+    /// To the other collectors.
+    pub(crate) domain: Option<HostNews>,
+}
