One notion of a large fleet, one naming of upstreams in news, Speakers apart

Found in reading the whole change: the size of a large fleet stood in sync.rs and in exchange/fleet.rs; the hash of a load's upstream was told from its name in two places; the lesser of two that may be missing was written twice; unreachable upstreams of a Speaker could never be passed on, since news of a domain carry none; engines were copied at each choice also in small fleets; domains were sorted and former hosts looked for at each message.

No behaviour changed, no test changed but the fixture's naming.

--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -28,13 +28,16 @@
 
 /// Chooses among near engines and among all of them, and takes the better one.
 pub(super) fn choose(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
-    let near: Vec<EngineView> = engines.iter().filter(|e| e.is_near).cloned().collect();
     let far_ask = EngineAsk {
         news_age: ask.far_news_age,
         is_far: ask.news_age < ask.far_news_age,
         ..ask.clone()
     };
-    if !far_ask.is_far || near.len() < NEAR_MIN || near.len() == engines.len() {
+    if !far_ask.is_far {
+        return choose_among(model, engines, &far_ask);
+    }
+    let near: Vec<EngineView> = engines.iter().filter(|e| e.is_near).cloned().collect();
+    if near.len() < NEAR_MIN || near.len() == engines.len() {
         return choose_among(model, engines, &far_ask);
     }
     let near = choose_among(model, &near, ask);
--- a/src/decide/upstream_load.rs
+++ b/src/decide/upstream_load.rs
@@ -27,16 +27,10 @@
     pub(crate) fn add(&mut self, other: &HostLoad) {
         self.in_flight += other.in_flight;
         self.short_in_flight += other.short_in_flight;
-        self.strictest_pause = earlier(self.strictest_pause, other.strictest_pause);
+        let pauses = [self.strictest_pause, other.strictest_pause];
+        self.strictest_pause = pauses.into_iter().flatten().min();
         self.held_tokens += other.held_tokens;
-        self.read_due = earlier(self.read_due, other.read_due);
-    }
-}
-
-/// The shorter of two times, either of which may not be there.
-fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
-    match (one, other) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (one, other) => one.or(other),
+        let dues = [self.read_due, other.read_due];
+        self.read_due = dues.into_iter().flatten().min();
     }
 }
--- a/src/exchange/fleet.rs
+++ b/src/exchange/fleet.rs
@@ -29,6 +29,7 @@
 use crate::exchange::collectors::Collectors;
 use crate::exchange::gathered::Gathered;
 use crate::exchange::news_interval;
+use crate::exchange::speakers::Speakers;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 
@@ -49,8 +50,6 @@
 /// A host that has just started listens for this long before it collects: two messages of each
 /// neighbour that has nothing to tell.
 const LISTENS_FOR: Duration = Duration::from_millis(600);
-/// A collector that has been silent for this long no longer speaks for its domain to this host.
-const SPEAKER_KEPT_FOR: Duration = Duration::from_millis(300);
 /// Work in one message of a collector. 400 entries are 12 KB, which a receiver takes in within a
 /// millisecond.
 const LOADS_MAX: usize = 400;
@@ -64,8 +63,11 @@
     hosts: Arc<Vec<ListedHost>>,
     /// The domain of each host that may collect.
     domains: IndexMap<HostId, FailureDomainId>,
+    other_domains: Vec<FailureDomainId>,
     /// Those that this host tells of its own work.
     told: Vec<SocketAddr>,
+    /// Those of them that are of a former version.
+    former: Vec<SocketAddr>,
     /// The other hosts of its domain that understand what a collector passes on.
     neighbours: Vec<SocketAddr>,
     collectors: Collectors,
@@ -74,8 +76,7 @@
     collector: Option<ListedHost>,
     /// The other collectors that this one tells.
     partners: Vec<ListedHost>,
-    /// The collector that speaks for each other domain.
-    speakers: IndexMap<FailureDomainId, (HostId, Instant)>,
+    speakers: Speakers,
     pace: Pace,
     relay_interval: Duration,
     relayed_at: Instant,
@@ -93,13 +94,15 @@
             started_at: now,
             hosts: Arc::default(),
             domains: IndexMap::new(),
+            other_domains: Vec::new(),
             told: Vec::new(),
+            former: Vec::new(),
             neighbours: Vec::new(),
             collectors: Collectors::default(),
             gathered: Gathered::new(now),
             collector: None,
             partners: Vec::new(),
-            speakers: IndexMap::new(),
+            speakers: Speakers::default(),
             pace: Pace::new(now),
             relay_interval: RELAY_INTERVAL + Duration::from_millis(spread),
             relayed_at: now,
@@ -116,15 +119,25 @@
         let able = hosts.iter().filter(|listed| listed.can_relay());
         let domains = able.map(|listed| (listed.host.clone(), listed.domain.clone()));
         self.domains = domains.collect();
+        let other_domains = self
+            .domains
+            .values()
+            .filter(|domain| **domain != self.domain);
+        self.other_domains = other_domains.cloned().collect();
+        self.other_domains.sort_unstable();
+        self.other_domains.dedup();
         let others = hosts.iter().filter(|listed| listed.host != self.host);
         let is_near = |listed: &&ListedHost| listed.domain == self.domain;
         let tells_all = !self.is_large();
         let is_told = |listed: &&ListedHost| tells_all || is_near(listed) || !listed.can_relay();
         let addr = |listed: &ListedHost| listed.exchange_addr;
         let told = others.clone().filter(is_told).map(addr).collect();
+        let former = others.clone().filter(|listed| !listed.can_relay());
+        let former = former.map(addr).collect();
         let near = others.filter(is_near).filter(|listed| listed.can_relay());
         self.neighbours = near.map(addr).collect();
         self.told = told;
+        self.former = former;
         self.choose(now);
     }
 
@@ -224,9 +237,7 @@
             self.gathered.hear_other(host, news.clone(), now);
         }
         // What is taken back is not passed on: the hosts of this domain take it back by themselves.
-        let speakers = &self.speakers;
-        let speaks = |host: &HostId| speakers.values().any(|(speaker, _)| speaker == host);
-        self.gathered.keep_others(speaks);
+        self.gathered.keep_others(|host| self.speakers.speaks(host));
         (heard, None)
     }
 
@@ -248,35 +259,14 @@
         heard
     }
 
-    /// What a collector says for its domain, if it is the one that this host listens to.
-    ///
-    /// Failure it guards against: two hosts of a domain collect for a moment, each speaks for all of
-    /// it, and its work counts twice. It holds because one of them is listened to until it is silent,
-    /// and what it said is taken back when the other one is.
+    /// What a collector of another domain says, if it is the one that this host listens to.
     fn accept(&mut self, speaker: &HostId, news: HostNews, now: Instant) -> Vec<HostNews> {
-        let Some(domain) = self.domains.get(speaker).cloned() else {
-            return Vec::new();
-        };
-        if domain == self.domain {
-            return Vec::new();
-        }
-        let known = self.speakers.get(&domain).cloned();
-        let mut heard = Vec::new();
-        if let Some((known, heard_at)) = known
-            && known != *speaker
-        {
-            if now.saturating_duration_since(heard_at) < SPEAKER_KEPT_FOR {
-                return Vec::new();
+        match self.domains.get(speaker) {
+            Some(domain) if *domain != self.domain => {
+                self.speakers.accept(domain.clone(), speaker, news, now)
             }
-            heard.push(HostNews {
-                host: known.to_string(),
-                voice: Voice::Domain.into(),
-                ..HostNews::default()
-            });
+            _ => Vec::new(),
         }
-        self.speakers.insert(domain, (speaker.clone(), now));
-        heard.push(news);
-        heard
     }
 
     /// Whether this host collects.
@@ -285,7 +275,7 @@
     }
 
     fn is_large(&self) -> bool {
-        self.hosts.len() > DIRECT_HOSTS_MAX
+        is_large_fleet(self.hosts.len())
     }
 
     fn choose(&mut self, now: Instant) {
@@ -315,11 +305,9 @@
 
     /// The other collectors, or hosts that know them.
     fn other_collectors(&self, now: Instant) -> Vec<ListedHost> {
-        let mut domains: Vec<&FailureDomainId> = self.domains.values().collect();
-        domains.sort_unstable();
-        domains.dedup();
-        let others = domains.into_iter().filter(|domain| **domain != self.domain);
-        let partners = others.flat_map(|domain| self.collectors.partners(&self.hosts, domain, now));
+        let domains = self.other_domains.iter();
+        let partners =
+            domains.flat_map(|domain| self.collectors.partners(&self.hosts, domain, now));
         partners.collect()
     }
 
@@ -329,14 +317,12 @@
             let to = self.told.clone();
             return vec![Outgoing { to, news: own }];
         }
-        let is_former = |addr: &&SocketAddr| !self.neighbours.contains(addr);
-        let former: Vec<SocketAddr> = self.told.iter().filter(is_former).copied().collect();
         let short = Outgoing {
             to: self.neighbours.clone(),
             news: with_short_names(own.clone()),
         };
-        let long = (!former.is_empty()).then_some(Outgoing {
-            to: former,
+        let long = (!self.former.is_empty()).then(|| Outgoing {
+            to: self.former.clone(),
             news: own,
         });
         [short].into_iter().chain(long).collect()
@@ -379,6 +365,11 @@
     Some(Outgoing { to, news })
 }
 
+/// Whether so many hosts are too many for each to tell every other one.
+pub fn is_large_fleet(hosts: usize) -> bool {
+    hosts > DIRECT_HOSTS_MAX
+}
+
 /// Names upstreams by their hashes, which a receiver looks up where it would copy the names.
 fn with_short_names(mut news: HostNews) -> HostNews {
     for load in &mut news.loads {
--- a/src/exchange/load_at.rs
+++ b/src/exchange/load_at.rs
@@ -73,8 +73,10 @@
         self.held_tokens += other.held_tokens;
         self.read_total_us += other.read_total_us;
         self.read_until = self.read_until.max(other.read_until);
-        self.strictest_pause_ms = least(self.strictest_pause_ms, other.strictest_pause_ms);
-        self.read_due = least(self.read_due, other.read_due);
+        let pauses = [self.strictest_pause_ms, other.strictest_pause_ms];
+        self.strictest_pause_ms = pauses.into_iter().flatten().min();
+        let dues = [self.read_due, other.read_due];
+        self.read_due = dues.into_iter().flatten().min();
     }
 
     /// Whether it has to be told again, where `self` was told last. What only passes with time is known.
@@ -101,10 +103,3 @@
         (one, other) => one.is_none() && other.is_none(),
     }
 }
-
-fn least<T: Ord>(one: Option<T>, other: Option<T>) -> Option<T> {
-    match (one, other) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (one, other) => one.or(other),
-    }
-}
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -1,5 +1,6 @@
 //! The messages. Field numbers are never used again.
 
+use crate::exchange::UpstreamHash;
 use crate::exchange::Voice;
 
 /// What one host tells, of itself or for others. Tag 6 was used before.
@@ -83,6 +84,17 @@
     pub read_due_ms: u32,
 }
 
+impl LoadNews {
+    /// The hash of the upstream's id, by whichever of the two it is named.
+    pub fn hash(&self) -> UpstreamHash {
+        if self.upstream_hash == 0 {
+            UpstreamHash::of(&self.upstream)
+        } else {
+            UpstreamHash(self.upstream_hash)
+        }
+    }
+}
+
 /// A request that crashed upstreams.
 #[derive(Clone, PartialEq, Eq, Hash)]
 #[derive(prost::Message)]
--- a/src/exchange/speaker.rs
+++ b/src/exchange/speaker.rs
@@ -15,8 +15,8 @@
 /// leaves something wrong for this long at most. Twice as often would double the bytes between hosts
 /// of a fleet of 195 at its usual load.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
-/// What a host could not reach, and the requests that crashed upstreams, are passed on this often while
-/// it says the same; each is told for longer, so one message may be lost.
+/// A request that crashed upstreams is passed on this often while it is told; that is four times as long,
+/// so one message may be lost.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The work at upstreams by their short names.
@@ -33,7 +33,6 @@
     is_new: bool,
     told: Loads,
     whole_at: Option<Instant>,
-    reach_at: Option<Instant>,
     poisons_told: Vec<(Instant, PoisonNews)>,
 }
 
@@ -47,7 +46,6 @@
             is_new: false,
             told: Loads::new(),
             whole_at: None,
-            reach_at: None,
             poisons_told: Vec::new(),
         }
     }
@@ -73,7 +71,7 @@
             self.loads.clear();
         }
         for load in &loads {
-            self.loads.insert(hash_of(load), LoadAt::heard(load, now));
+            self.loads.insert(load.hash(), LoadAt::heard(load, now));
         }
         // What was not passed on yet is kept.
         let mut poisons = std::mem::take(&mut self.head.poisons);
@@ -96,7 +94,6 @@
     pub(crate) fn tell_all_again(&mut self) {
         self.told.clear();
         self.whole_at = None;
-        self.reach_at = None;
         self.is_new = true;
     }
 
@@ -105,10 +102,8 @@
         if !std::mem::take(&mut self.is_new) {
             return None;
         }
-        let is_due = |at: Option<Instant>, interval: Duration| {
-            at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
-        };
-        let is_whole = is_due(self.whole_at, WHOLE_INTERVAL);
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= WHOLE_INTERVAL;
+        let is_whole = self.whole_at.is_none_or(is_due);
         let mut news = HostNews {
             poisons: self.poisons_to_tell(now),
             is_partial: !is_whole,
@@ -123,12 +118,6 @@
             self.changes(now)
         };
         self.told.clone_from(&self.loads);
-        if is_due(self.reach_at, REPEAT_INTERVAL) {
-            self.reach_at = Some(now);
-        } else {
-            news.unreachable.clear();
-            news.cut_off.clear();
-        }
         Some(news)
     }
 
@@ -156,11 +145,3 @@
         changed.chain(ended).collect()
     }
 }
-
-fn hash_of(load: &LoadNews) -> UpstreamHash {
-    if load.upstream_hash == 0 {
-        UpstreamHash::of(&load.upstream)
-    } else {
-        UpstreamHash(load.upstream_hash)
-    }
-}
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -189,11 +189,8 @@
 /// The upstream that is spoken of; none if this host has not heard of it yet, and then does not choose
 /// it either.
 fn upstream_of(news: &LoadNews, names: &IndexMap<UpstreamHash, UpstreamId>) -> Option<UpstreamId> {
-    if news.upstream_hash != 0 {
-        return names.get(&UpstreamHash(news.upstream_hash)).cloned();
-    }
     // A name that is known need not be made anew.
-    let known = names.get(&UpstreamHash::of(&news.upstream));
+    let known = names.get(&news.hash());
     known.cloned().or_else(|| news.upstream.parse().ok())
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::exchange::ListedHost;
+use crate::exchange::is_large_fleet;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
 use crate::gateway::Event;
@@ -34,8 +35,6 @@
 /// The same in a large fleet, where each of its hosts reads the whole list: with 195 hosts a third of
 /// all calls to the platform.
 const HOSTS_INTERVAL_LARGE: Duration = Duration::from_millis(6_000);
-/// The hosts of a large fleet.
-const LARGE_FLEET: usize = 32;
 /// Between two reads for the sake of hosts that were heard and are not on the list.
 const STRANGERS_INTERVAL: Duration = Duration::from_millis(500);
 /// After a failed read; shorter than the interval, since what is known grows old. It doubles with each
@@ -234,10 +233,12 @@
         }
         gateway.ledger().forget_silent(gateway.clock.now());
         // Until it is on the list nobody sends news here.
-        let answered = match gateway.beliefs.hosts().len() {
-            _ if !is_announced => FAILED_INTERVAL,
-            0..=LARGE_FLEET => HOSTS_INTERVAL,
-            _ => HOSTS_INTERVAL_LARGE,
+        let answered = if !is_announced {
+            FAILED_INTERVAL
+        } else if is_large_fleet(gateway.beliefs.hosts().len()) {
+            HOSTS_INTERVAL_LARGE
+        } else {
+            HOSTS_INTERVAL
         };
         let interval = watchman.interval(answered);
         let soonest = interval.min(STRANGERS_INTERVAL);
--- a/tests/news_world/node.rs
+++ b/tests/news_world/node.rs
@@ -109,10 +109,7 @@
             } else {
                 Extent::Whole
             };
-            let id = |load: &LoadNews| match load.upstream_hash {
-                0 => load.upstream.parse().unwrap(),
-                hash => names[&UpstreamHash(hash)].clone(),
-            };
+            let id = |load: &LoadNews| names[&load.hash()].clone();
             let loads = news.loads.iter();
             let loads = loads.map(|load| (id(load), requests(load.in_flight)));
             self.ledger
