A host remembers which one it asked for the platform's lists

Cause: each message of another host whose lists differ asked whether that host reads for this one, and that chose among all hosts: two looks into the ledger and a copied name for each of 300, at each message.

Change: the choice is made where a question is asked; its result is remembered and compared with the sender of a message. The hosts that could read are a type of their own beside what is shared.

The test of it: gateway_hosts, gateway_news, gateway_restarts passed.

--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -160,7 +160,7 @@
         let (routes, upstreams) = self.held.versions();
         let has_upstreams = news.upstreams_version != 0 && news.upstreams_version != upstreams;
         let has_news = news.routes_version > routes || has_upstreams;
-        if !has_news || !self.is_read_by(host) {
+        if !has_news || !self.readers.is_asked(host) {
             return;
         }
         if news.routes_version > routes {
--- a/src/gateway/share/mod.rs
+++ b/src/gateway/share/mod.rs
@@ -8,8 +8,10 @@
 mod held;
 mod message;
 mod reader;
+mod readers;
 mod server;
 
 pub(crate) use held::Held;
 pub(crate) use reader::Reader;
+pub(crate) use readers::Readers;
 pub(crate) use server::serve_reads;
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -124,7 +124,9 @@
     /// Takes in whether this host itself reaches the platform.
     fn seen<T>(&self, read: Result<T, CatalogError>) -> Result<T, CatalogError> {
         if read.is_err() {
-            self.gateway.on_unfit_reader(&self.gateway.conf.host);
+            let now = self.gateway.clock.now();
+            let host = &self.gateway.conf.host;
+            self.gateway.readers.on_unfit(host, now);
         }
         read
     }
@@ -136,12 +138,13 @@
         // can't serve.
         let trusts_list = known_version != 0;
         for _ in 0..READERS_TRIED_MAX {
-            let reader = self.gateway.reading_host(trusts_list)?;
+            let reader = self.gateway.readers.choose(&self.gateway, trusts_list)?;
             let read = self.ask(reader.exchange_addr, list, known_version).await;
             if read.is_some() {
                 return read;
             }
-            self.gateway.on_unfit_reader(&reader.host);
+            let now = self.gateway.clock.now();
+            self.gateway.readers.on_unfit(&reader.host, now);
         }
         None
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,7 +20,6 @@
 use crate::decide::Poison;
 use crate::decide::PoisonList;
 use crate::decide::RetryWindow;
-use crate::exchange::ListedHost;
 use crate::exchange::NewsRoute;
 use crate::gateway::Beliefs;
 use crate::gateway::Call;
@@ -33,7 +32,7 @@
 use crate::gateway::Meters;
 use crate::gateway::lives::Lives;
 use crate::gateway::share::Held;
-use crate::units::HostId;
+use crate::gateway::share::Readers;
 use crate::units::ServiceId;
 
 /// Crashes after which a request is refused. Callers here have no key that tells their requests
@@ -48,15 +47,6 @@
 /// Each host tells only what it has seen itself; told on by all, a day of lost answers made a
 /// gigabyte of news.
 const CRASH_TOLD_FOR: Duration = Duration::from_secs(1);
-/// How long a host that had nothing fresh from the platform is passed over. Longer than a read, so
-/// that a domain does not ask it again and again while it is cut off.
-const READER_UNFIT_FOR: Duration = Duration::from_secs(3);
-
-/// How long a host that has just started may ask all others on the list: until they know of it and it
-/// hears them. Where all hosts start at once they would else all read for themselves, some seven calls
-/// each.
-const STARTS_FOR: Duration = Duration::from_secs(3);
-
 /// The shared state of one host, in parts under their own locks. No lock is held across a wait.
 pub struct Gateway {
     /// The settings.
@@ -77,7 +67,7 @@
     health: Mutex<HealthBook>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     poison: Mutex<PoisonList>,
-    started_at: Instant,
+    pub(crate) started_at: Instant,
     stop_asked: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
     /// Notified when this host's work at upstreams changes.
@@ -100,7 +90,8 @@
     pub(crate) hosts_news: Notify,
     pub(crate) news_sent: AtomicU64,
     news_route: Mutex<NewsRoute>,
-    unfit_readers: Mutex<IndexMap<HostId, Instant>>,
+    /// Which host reads the platform for this one.
+    pub(crate) readers: Readers,
     crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
 
@@ -140,7 +131,7 @@
             hosts_news: Notify::new(),
             news_sent: AtomicU64::new(0),
             news_route: Mutex::default(),
-            unfit_readers: Mutex::default(),
+            readers: Readers::default(),
             crashes: Mutex::default(),
         }
     }
@@ -232,55 +223,6 @@
         self.beliefs.freshness().age(self.clock.since_boot())
     }
 
-    /// The host that reads the platform for this failure domain; none if it is this one: of those that
-    /// were heard lately and had something fresh, the one that collects news, else the first by name.
-    /// `trusts_list` says whether right after the start those count as well that were not heard yet.
-    pub(crate) fn reading_host(&self, trusts_list: bool) -> Option<ListedHost> {
-        let now = self.clock.now();
-        let hosts = self.beliefs.hosts();
-        let unfit = self.unfit_readers();
-        let is_unfit = |host: &HostId| {
-            let since = unfit.get(host);
-            since.is_some_and(|at| now.saturating_duration_since(*at) < READER_UNFIT_FOR)
-        };
-        let ledger = self.ledger();
-        let has_just_started = now.saturating_duration_since(self.started_at) < STARTS_FOR;
-        let is_able = |listed: &&ListedHost| {
-            let is_here = listed.host == self.conf.host;
-            let lives = (trusts_list && has_just_started) || ledger.is_heard(&listed.host, now);
-            (is_here || lives) && !is_unfit(&listed.host)
-        };
-        let collector = self.news_route().collector;
-        // A domain whose own hosts all have nothing fresh asks one of another.
-        let rank = |listed: &&ListedHost| {
-            let is_far = listed.domain != self.conf.domain;
-            let collects = collector.as_ref() == Some(&listed.host);
-            (is_far, !collects, listed.host.clone())
-        };
-        let first = hosts.iter().filter(is_able).min_by_key(rank)?;
-        (first.host != self.conf.host).then(|| first.clone())
-    }
-
-    /// Whether a host reads for this one.
-    pub(crate) fn is_read_by(&self, host: &HostId) -> bool {
-        let reader = self.reading_host(true);
-        reader.is_some_and(|reader| reader.host == *host)
-    }
-
-    /// Takes in that a host, maybe this one, had nothing fresh from the platform.
-    pub(crate) fn on_unfit_reader(&self, host: &HostId) {
-        let now = self.clock.now();
-        let mut unfit = self.unfit_readers();
-        unfit.retain(|_, since| now.saturating_duration_since(*since) < READER_UNFIT_FOR);
-        unfit.insert(host.clone(), now);
-    }
-
-    fn unfit_readers(&self) -> MutexGuard<'_, IndexMap<HostId, Instant>> {
-        self.unfit_readers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Whether the balancer may send connections here.
     pub fn is_ready(&self) -> bool {
         let now = self.clock.since_boot();
