Lists are read and told by what has changed; hosts read the list of hosts through each other

Cause: each read took the whole manifest and all upstreams from the platform, and each change went whole to each host of a failure domain.

Change: a host that reads watches: the platform answers after 600 ms, or at once when something has changed, with that alone. After a change and after a failure it asks at once, since only an answer without a change shows that there are no more. Hosts tell each other what has changed since the version that the other has, long answers in frames, so a host waits while an answer goes on. The list of hosts comes through the host that reads as well. Answers may be 2 s old in place of 1.2, as a slow platform needs.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 
@@ -33,6 +34,33 @@
     pub is_leaving: bool,
 }
 
+/// A change of the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamChange {
+    /// It is new, or listed in another way.
+    Listed(Listed),
+    /// It is off the list, or its entry names no upstream any more.
+    Gone(UpstreamName),
+}
+
+/// Where a read goes on: it waits for changes after one that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// The platform's last change that is known.
+    pub since: ObjectVersion,
+    /// How long the platform is to wait for one; it answers as soon as there is one.
+    pub wait: Duration,
+}
+
+/// What was read.
+#[derive(Clone, Debug)]
+pub struct CatalogRead<T> {
+    /// The content.
+    pub value: T,
+    /// The platform's last change that is in it, where the next read can go on; none if it can't.
+    pub as_of: Option<ObjectVersion>,
+}
+
 /// The manifest, if it is another one than the caller has.
 #[derive(Clone, Debug)]
 pub enum RoutesRead {
@@ -47,6 +75,15 @@
     },
 }
 
+/// The upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamsRead {
+    /// All of them.
+    Whole(Vec<Listed>),
+    /// What has changed since the read before, in order.
+    Changes(Vec<UpstreamChange>),
+}
+
 /// Why a read or a write of the catalog gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CatalogError {
@@ -58,6 +95,8 @@
     NoAnswer(String),
     /// The answer can't be understood: the object, and what is wrong with which field.
     Malformed(String),
+    /// The platform no longer knows what has changed since.
+    Forgotten,
 }
 
 impl fmt::Display for CatalogError {
@@ -67,6 +106,7 @@
             Self::TurnedAway(why) => write!(f, "turned away: {why}"),
             Self::NoAnswer(why) => write!(f, "no answer: {why}"),
             Self::Malformed(what) => write!(f, "malformed: {what}"),
+            Self::Forgotten => f.write_str("the changes since are forgotten"),
         }
     }
 }
@@ -75,17 +115,23 @@
 
 /// The platform's lists. Every answer shows what is true at some moment after the call began.
 pub trait Catalog: Send + Sync {
-    /// Reads the manifest.
+    /// Reads the manifest, of which the version `known` is at hand. Answers to a watch that name changes
+    /// may not name all of them.
     fn routes(
         &self,
         known: Option<ObjectVersion>,
-    ) -> BoxFuture<'_, Result<RoutesRead, CatalogError>>;
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<RoutesRead>, CatalogError>>;
 
     /// Reads the text of a manifest.
     fn decode_routes(&self, text: &str) -> Result<RouteTable, CatalogError>;
 
-    /// Reads all upstreams.
-    fn upstreams(&self) -> BoxFuture<'_, Result<Vec<Listed>, CatalogError>>;
+    /// Reads all upstreams, or with a watch what has changed among them. An answer that names changes
+    /// may not name all of them.
+    fn upstreams(
+        &self,
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<UpstreamsRead>, CatalogError>>;
 
     /// Reads all hosts; the answer may be seconds old.
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>>;
--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -67,10 +67,9 @@
             .mul_f64(rand::random_range(0.75..1.25))
     }
 
-    /// Waits until the next read, where answered ones are this far apart, and says whom it asks.
-    pub(super) async fn next_read(&self, answered: Duration, news: &Notify) -> Way {
+    /// Waits until the next read, which is due at `due_at` if this one was answered, and says whom it asks.
+    pub(super) async fn next_read(&self, due_at: Instant, news: &Notify) -> Way {
         let Some(due_at) = self.platform_due_at else {
-            let due_at = self.gateway.clock.now() + answered;
             tokio::select! {
                 () = sleep_until(due_at.into()) => {}
                 () = news.notified() => {}
--- a/src/gateway/share/held.rs
+++ b/src/gateway/share/held.rs
@@ -6,16 +6,21 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use log::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::exchange::ListedHost;
 use crate::gateway::Listed;
+use crate::gateway::UpstreamChange;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
+use crate::gateway::share::message::HostEntry;
 use crate::gateway::share::message::List;
 use crate::gateway::share::message::UpstreamEntry;
+use crate::gateway::share::upstream_list::UpstreamList;
 use crate::units::whole_millis;
 
-/// One list with the moment, since boot, at which it was certainly the newest.
+/// A list with the moment, since boot, at which it was certainly the newest.
 #[derive(Clone, Debug)]
 struct Proved<T> {
     version: u64,
@@ -26,7 +31,12 @@
 #[derive(Debug, Default)]
 struct Lists {
     routes: Option<Proved<String>>,
-    upstreams: Option<Proved<Vec<Listed>>>,
+    upstreams: UpstreamList,
+    /// The number by which the host that read them names them; 0 if they are to be told whole. A host of a
+    /// former version counts in another way.
+    upstreams_version: u64,
+    upstreams_proved_at: Option<Duration>,
+    hosts: Option<Proved<Vec<ListedHost>>>,
 }
 
 /// The lists as they were read last.
@@ -34,12 +44,14 @@
 pub(crate) struct Held(Mutex<Lists>);
 
 impl Held {
-    /// Takes in a manifest.
+    /// Takes in a newer manifest. What was certain of the one before it is certain of this one.
     pub(crate) fn put_routes(&self, version: u64, text: String, proved_at: Duration) {
-        self.lock().routes = Some(Proved {
+        let mut lists = self.lock();
+        let before = lists.routes.as_ref().map(|routes| routes.proved_at);
+        lists.routes = Some(Proved {
             version,
             value: Arc::new(text),
-            proved_at,
+            proved_at: before.map_or(proved_at, |before| before.max(proved_at)),
         });
     }
 
@@ -50,83 +62,137 @@
         }
     }
 
-    /// Takes in upstreams. Returns whether they are others than before.
+    /// Takes in all upstreams. Returns whether they are others than before.
     pub(crate) fn put_upstreams(&self, listed: &[Listed], proved_at: Duration) -> bool {
-        let version = version_of(listed);
         let mut lists = self.lock();
-        let is_new = lists
-            .upstreams
-            .as_ref()
-            .is_none_or(|u| u.version != version);
-        lists.upstreams = Some(Proved {
-            version,
-            value: Arc::new(listed.to_vec()),
-            proved_at,
-        });
+        lists.upstreams_proved_at = Some(proved_at);
+        let is_new = lists.upstreams.replace(listed);
+        lists.upstreams_version = lists.upstreams.version();
+        is_new
+    }
+
+    /// Takes in what has changed among the upstreams. Returns whether they are others than before.
+    pub(crate) fn change_upstreams(&self, changes: Vec<UpstreamChange>) -> bool {
+        let mut lists = self.lock();
+        let is_new = lists.upstreams.apply(changes);
+        lists.upstreams_version = lists.upstreams.version();
+        is_new
+    }
+
+    /// Takes in what another host answered to a question for upstreams. Returns whether they are others
+    /// than before.
+    pub(crate) fn hear_upstreams(&self, answer: &Answer, proved_at: Duration) -> bool {
+        let listed = answer.upstreams.iter().filter_map(UpstreamEntry::listed);
+        let mut lists = self.lock();
+        let is_new = if answer.is_partial {
+            let gone = answer.gone.iter().filter_map(|name| name.parse().ok());
+            let gone = gone.map(UpstreamChange::Gone);
+            let is_new = lists
+                .upstreams
+                .apply(gone.chain(listed.map(UpstreamChange::Listed)));
+            if lists.upstreams.version() != answer.version {
+                warn!("share: changes of the upstreams do not fit, asks for all of them");
+                lists.upstreams_version = 0;
+                return is_new;
+            }
+            is_new
+        } else {
+            lists.upstreams.replace(&listed.collect::<Vec<Listed>>())
+        };
+        lists.upstreams_version = answer.version;
+        lists.upstreams_proved_at = Some(proved_at);
         is_new
     }
 
     /// Takes in that the upstreams were still the newest later than was known.
     pub(crate) fn renew_upstreams(&self, proved_at: Duration) {
-        if let Some(upstreams) = &mut self.lock().upstreams {
-            upstreams.proved_at = upstreams.proved_at.max(proved_at);
+        let mut lists = self.lock();
+        lists.upstreams_proved_at = lists.upstreams_proved_at.max(Some(proved_at));
+    }
+
+    /// Takes in the hosts.
+    pub(crate) fn put_hosts(&self, hosts: &[ListedHost], proved_at: Duration) {
+        self.lock().hosts = Some(Proved {
+            version: version_of(hosts),
+            value: Arc::new(hosts.to_vec()),
+            proved_at,
+        });
+    }
+
+    /// Takes in that the hosts were the same later than was known.
+    pub(crate) fn renew_hosts(&self, proved_at: Duration) {
+        if let Some(hosts) = &mut self.lock().hosts {
+            hosts.proved_at = hosts.proved_at.max(proved_at);
         }
     }
 
     /// The versions of manifest and upstreams; 0 for what was not read yet.
     pub(crate) fn versions(&self) -> (u64, u64) {
         let lists = self.lock();
-        (
-            lists.routes.as_ref().map_or(0, |routes| routes.version),
-            lists.upstreams.as_ref().map_or(0, |u| u.version),
-        )
+        let routes = lists.routes.as_ref().map_or(0, |routes| routes.version);
+        (routes, lists.upstreams_version)
     }
 
-    /// The upstreams as they were read last.
+    /// The version of the hosts; 0 if they were not read yet.
+    pub(crate) fn hosts_version(&self) -> u64 {
+        let lists = self.lock();
+        lists.hosts.as_ref().map_or(0, |hosts| hosts.version)
+    }
+
+    /// The upstreams as they were read last; none before the first read.
     pub(crate) fn upstreams(&self) -> Option<Arc<Vec<Listed>>> {
         let lists = self.lock();
-        lists.upstreams.as_ref().map(|u| Arc::clone(&u.value))
+        lists.upstreams_proved_at?;
+        Some(Arc::clone(lists.upstreams.listed()))
     }
 
     /// When, since boot, the upstreams were certainly the newest.
     pub(crate) fn upstreams_proved_at(&self) -> Option<Duration> {
-        self.lock().upstreams.as_ref().map(|u| u.proved_at)
+        self.lock().upstreams_proved_at
     }
 
-    /// When, since boot, both lists were certainly the newest; none before both were read.
+    /// When, since boot, manifest and upstreams were certainly the newest; none before both were read.
     pub(crate) fn proved_at(&self) -> Option<Duration> {
         let lists = self.lock();
         let routes = lists.routes.as_ref()?.proved_at;
-        let upstreams = lists.upstreams.as_ref()?.proved_at;
-        Some(routes.min(upstreams))
+        Some(routes.min(lists.upstreams_proved_at?))
     }
 
     /// Answers another host at `now`, since boot.
     pub(crate) fn answer(&self, ask: &Ask, now: Duration) -> Answer {
         let lists = self.lock();
-        let mut answer = Answer::default();
+        let age_ms = |proved_at: Duration| whole_millis(now.saturating_sub(proved_at));
         match List::try_from(ask.list) {
-            Ok(List::Routes) => {
-                if let Some(routes) = &lists.routes {
-                    prove(&mut answer, routes, now);
-                    if routes.version != ask.known_version {
-                        answer.routes.clone_from(&routes.value);
-                    }
+            Ok(List::Routes) => lists.routes.as_ref().map(|routes| {
+                let is_news = routes.version != ask.known_version;
+                Answer {
+                    version: routes.version,
+                    age_ms: age_ms(routes.proved_at),
+                    routes: is_news
+                        .then(|| routes.value.to_string())
+                        .unwrap_or_default(),
+                    ..Answer::default()
                 }
-            }
-            Ok(List::Upstreams) => {
-                if let Some(upstreams) = &lists.upstreams {
-                    prove(&mut answer, upstreams, now);
-                    if upstreams.version != ask.known_version {
-                        let entries = upstreams.value.iter().map(UpstreamEntry::from);
-                        answer.upstreams = entries.collect();
-                    }
+            }),
+            Ok(List::Upstreams) => lists.upstreams_proved_at.map(|proved_at| Answer {
+                version: lists.upstreams_version,
+                age_ms: age_ms(proved_at),
+                ..upstreams_for(&lists, ask)
+            }),
+            Ok(List::Hosts) => lists.hosts.as_ref().map(|hosts| {
+                let is_news = hosts.version != ask.known_version;
+                let entries = hosts.value.iter().map(HostEntry::from);
+                Answer {
+                    version: hosts.version,
+                    age_ms: age_ms(hosts.proved_at),
+                    hosts: is_news.then(|| entries.collect()).unwrap_or_default(),
+                    ..Answer::default()
                 }
-            }
+            }),
             // A newer host asks for a list that this one does not know.
-            Err(_) => {}
+            Err(_) => None,
         }
-        answer
+        .unwrap_or_default()
     }
 
     fn lock(&self) -> MutexGuard<'_, Lists> {
@@ -134,18 +200,34 @@
     }
 }
 
-fn prove<T>(answer: &mut Answer, proved: &Proved<T>, now: Duration) {
-    let age = now.saturating_sub(proved.proved_at);
-    answer.version = proved.version;
-    answer.age_ms = whole_millis(age);
+/// What an asking host is missing of the upstreams.
+fn upstreams_for(lists: &Lists, ask: &Ask) -> Answer {
+    if lists.upstreams_version == ask.known_version {
+        return Answer::default();
+    }
+    let list = &lists.upstreams;
+    let changes = list.since(ask.known_version);
+    let Some(changes) = changes.filter(|_| ask.takes_parts) else {
+        return Answer {
+            upstreams: list.listed().iter().map(UpstreamEntry::from).collect(),
+            ..Answer::default()
+        };
+    };
+    let mut answer = Answer {
+        is_partial: true,
+        ..Answer::default()
+    };
+    for change in changes {
+        match change {
+            UpstreamChange::Listed(listed) => answer.upstreams.push((&listed).into()),
+            UpstreamChange::Gone(name) => answer.gone.push(name.to_string()),
+        }
+    }
+    answer
 }
 
-/// The same for the same upstreams on every host.
-fn version_of(listed: &[Listed]) -> u64 {
-    let mut text = String::new();
-    for upstream in listed {
-        text.push_str(&format!("{upstream:?};"));
-    }
+/// The same for the same hosts in the same order.
+fn version_of(hosts: &[ListedHost]) -> u64 {
     // 0 stands for none.
-    xxh3_64(text.as_bytes()).max(1)
+    xxh3_64(format!("{hosts:?}").as_bytes()).max(1)
 }
--- a/src/gateway/share/message.rs
+++ b/src/gateway/share/message.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use crate::exchange::ListedHost;
 use crate::gateway::Listed;
+use crate::units::Millicores;
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +15,8 @@
     Routes = 0,
     /// The upstreams.
     Upstreams = 1,
+    /// The hosts of this system.
+    Hosts = 2,
 }
 
 /// A question.
@@ -25,6 +29,9 @@
     /// The version that the asking host has; 0 if none.
     #[prost(uint64, tag = "2")]
     pub(crate) known_version: u64,
+    /// Whether the asking host understands changes of a list and answers in several frames.
+    #[prost(bool, tag = "3")]
+    pub(crate) takes_parts: bool,
 }
 
 /// The answer.
@@ -43,6 +50,59 @@
     /// The upstreams, if they were asked for and have another version.
     #[prost(message, repeated, tag = "4")]
     pub(crate) upstreams: Vec<UpstreamEntry>,
+    /// Whether `upstreams` and `gone` are what has changed since the known version.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_partial: bool,
+    /// The names of upstreams that have left the list.
+    #[prost(string, repeated, tag = "6")]
+    pub(crate) gone: Vec<String>,
+    /// The hosts, if they were asked for and have another version.
+    #[prost(message, repeated, tag = "7")]
+    pub(crate) hosts: Vec<HostEntry>,
+    /// The whole answer follows in so many frames; 0 if this is all of it.
+    #[prost(uint32, tag = "8")]
+    pub(crate) frames: u32,
+}
+
+/// A host.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(crate) struct HostEntry {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    /// Its failure domain.
+    #[prost(string, tag = "2")]
+    pub(crate) domain: String,
+    /// Where it exchanges news.
+    #[prost(string, tag = "3")]
+    pub(crate) exchange_addr: String,
+    /// Thousandths of a core that it may use; 0 if it is of a former version, which does not say.
+    #[prost(uint32, tag = "4")]
+    pub(crate) millicores: u32,
+}
+
+impl From<&ListedHost> for HostEntry {
+    fn from(listed: &ListedHost) -> Self {
+        Self {
+            name: listed.host.to_string(),
+            domain: listed.domain.to_string(),
+            exchange_addr: listed.exchange_addr.to_string(),
+            millicores: listed.processors.map_or(0, |share| share.0),
+        }
+    }
+}
+
+impl HostEntry {
+    /// The host; none if a field is not what it should be.
+    pub(crate) fn listed(&self) -> Option<ListedHost> {
+        Some(ListedHost {
+            host: self.name.parse().ok()?,
+            domain: self.domain.parse().ok()?,
+            exchange_addr: self.exchange_addr.parse().ok()?,
+            processors: (self.millicores > 0).then_some(Millicores(self.millicores)),
+        })
+    }
 }
 
 /// An upstream.
--- a/src/gateway/share/mod.rs
+++ b/src/gateway/share/mod.rs
@@ -7,11 +7,14 @@
 
 mod held;
 mod message;
+mod place;
 mod reader;
 mod readers;
 mod server;
+mod upstream_list;
 
 pub(crate) use held::Held;
+pub(crate) use place::WATCH_WAIT;
 pub(crate) use reader::ANSWER_AGE_MAX;
 pub(crate) use reader::ReadError;
 pub(crate) use reader::Reader;
--- /dev/null
+++ b/src/gateway/share/place.rs
@@ -0,0 +1,42 @@
+//! Where a host's own reads of the platform go on.
+
+use std::time::Duration;
+
+use crate::gateway::Watch;
+use crate::units::ObjectVersion;
+
+/// How long the platform waits for a change before it answers. As long as the interval of reads without
+/// waiting, so it costs no more calls and what is known grows no older; a change is known at once.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(600);
+
+/// Where a host's own reads of one list go on; nowhere before the first one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Place {
+    as_of: Option<ObjectVersion>,
+    is_hurried: bool,
+}
+
+impl Place {
+    /// What the next read waits for; none if it is to read all.
+    pub(crate) fn watch(&self) -> Option<Watch> {
+        let wait = if self.is_hurried {
+            Duration::ZERO
+        } else {
+            WATCH_WAIT
+        };
+        let since = self.as_of?;
+        Some(Watch { since, wait })
+    }
+
+    /// Takes in an answer that goes up to this change.
+    pub(crate) fn go_on(&mut self, as_of: Option<ObjectVersion>) {
+        self.as_of = as_of;
+        self.is_hurried = false;
+    }
+
+    /// Whether the next answer is to come at once: after a change, since more may have changed, and after a
+    /// failure, since a call that waits takes as long to fail.
+    pub(crate) fn set_hurried(&mut self, is_hurried: bool) {
+        self.is_hurried = is_hurried;
+    }
+}
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use log::debug;
@@ -14,24 +15,31 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
+use crate::gateway::CatalogRead;
 use crate::gateway::Gateway;
 use crate::gateway::RoutesRead;
+use crate::gateway::UpstreamsRead;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
+use crate::gateway::share::message::HostEntry;
 use crate::gateway::share::message::List;
-use crate::gateway::share::message::UpstreamEntry;
+use crate::gateway::share::place::Place;
 use crate::gateway::share::server::MESSAGE_SIZE_MAX;
 use crate::peer::framing;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
 
-/// A question inside a failure domain takes a millisecond or two, also to a busy host some ten.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// For each frame of an answer. A question inside a failure domain takes a millisecond or two, also to a
+/// busy host some ten.
+const FRAME_TIMEOUT: Duration = Duration::from_millis(200);
 /// An answer about lists that were read longer ago is not used: this host then reads for itself and
-/// is no worse off than without the other. Two intervals of a reader.
-pub(crate) const ANSWER_AGE_MAX: Duration = Duration::from_millis(1_200);
+/// is no worse off than without the other. Two watches, and two answers of a slow platform.
+pub(crate) const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_000);
+/// The same of the list of hosts, which is read less often and may be seconds old anyway.
+const HOSTS_AGE_MAX: Duration = Duration::from_secs(6);
 
 /// Hosts that are asked before this one reads for itself.
 const READERS_TRIED_MAX: usize = 2;
@@ -42,6 +50,8 @@
     pub(crate) changed: Option<T>,
     /// When, since boot, it was certainly the newest.
     pub(crate) proved_at: Duration,
+    /// Whether newer content may follow at once.
+    pub(crate) goes_on: bool,
 }
 
 /// Whom a read asks.
@@ -80,11 +90,14 @@
     Nobody,
 }
 
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
 /// Reads the lists for one host.
 pub(crate) struct Reader {
     gateway: Arc<Gateway>,
     catalog: Arc<dyn Catalog>,
-    link: Option<(SocketAddr, Framed<TcpStream, LengthDelimitedCodec>)>,
+    place: Place,
+    link: Option<(SocketAddr, Link)>,
 }
 
 impl Reader {
@@ -92,6 +105,7 @@
         Self {
             gateway,
             catalog,
+            place: Place::default(),
             link: None,
         }
     }
@@ -105,80 +119,150 @@
         };
         let held = &self.gateway.held;
         // An older version from a host that is a little behind proves the newer one as well.
-        if answer.version <= known {
+        let changed = if answer.version <= known {
             held.renew_routes(proved_at);
-            return Ok(Read {
-                changed: None,
-                proved_at,
-            });
-        }
-        let text = answer.routes;
-        held.put_routes(answer.version, text.clone(), proved_at);
+            None
+        } else {
+            held.put_routes(answer.version, answer.routes.clone(), proved_at);
+            Some(answer.routes)
+        };
         Ok(Read {
-            changed: Some(text),
+            changed,
             proved_at,
+            goes_on: false,
         })
     }
 
-    async fn routes_of_platform(&self, known: u64) -> Result<Read<String>, ReadError> {
+    async fn routes_of_platform(&mut self, known: u64) -> Result<Read<String>, ReadError> {
         // Before the question: what the answer shows is true at some moment after it.
-        let proved_at = self.gateway.clock.since_boot();
-        let known = (known != 0).then_some(ObjectVersion(known));
-        let read = self.catalog.routes(known).await;
+        let asked_at = self.gateway.clock.since_boot();
+        let object = (known != 0).then_some(ObjectVersion(known));
+        let watch = self.place.watch();
+        let mut read = self.catalog.routes(object, watch).await;
+        if matches!(read, Err(CatalogError::Forgotten)) {
+            self.place = Place::default();
+            read = self.catalog.routes(object, None).await;
+        }
+        let read = self.take(read)?;
         let held = &self.gateway.held;
-        let changed = match self.seen(read)? {
-            RoutesRead::Unchanged => {
-                held.renew_routes(proved_at);
-                None
-            }
-            RoutesRead::Changed { version, text } => {
-                held.put_routes(version.0, text.clone(), proved_at);
-                Some(text)
-            }
+        let RoutesRead::Changed { version, text } = read else {
+            held.renew_routes(asked_at);
+            return Ok(Read {
+                changed: None,
+                proved_at: asked_at,
+                goes_on: false,
+            });
         };
-        Ok(Read { changed, proved_at })
+        let goes_on = watch.is_some();
+        self.place.set_hurried(goes_on);
+        // Only an answer without a change shows that there is no newer one.
+        let proved_at = if goes_on { Duration::ZERO } else { asked_at };
+        let is_news = version.0 > known;
+        if is_news {
+            held.put_routes(version.0, text.clone(), proved_at);
+        }
+        Ok(Read {
+            changed: is_news.then_some(text),
+            proved_at,
+            goes_on,
+        })
     }
 
-    /// Reads the upstreams into what is held. Returns whether they have changed.
-    pub(crate) async fn upstreams(&mut self, way: Way) -> Result<bool, ReadError> {
+    /// Reads the upstreams into what is held.
+    pub(crate) async fn upstreams(&mut self, way: Way) -> Result<Read<()>, ReadError> {
         let (_, known) = self.gateway.held.versions();
         let asked = self.ask_others(way, List::Upstreams, known).await?;
         let Some((answer, proved_at)) = asked else {
             return self.upstreams_of_platform().await;
         };
         let held = &self.gateway.held;
-        if answer.version == known {
+        let has_changed = if answer.version == known {
             held.renew_upstreams(proved_at);
-            return Ok(false);
-        }
-        // What this host has read itself may be newer: an upstream that it knows to leave must not come
-        // back.
-        if held.upstreams_proved_at() >= Some(proved_at) {
-            return Ok(false);
+            false
+        } else {
+            // What this host has read itself may be newer: an upstream that it knows to leave must not
+            // come back.
+            let is_newer = held.upstreams_proved_at() < Some(proved_at);
+            is_newer && held.hear_upstreams(&answer, proved_at)
+        };
+        Ok(Read {
+            changed: has_changed.then_some(()),
+            proved_at,
+            goes_on: false,
+        })
+    }
+
+    async fn upstreams_of_platform(&mut self) -> Result<Read<()>, ReadError> {
+        let proved_at = self.gateway.clock.since_boot();
+        let mut read = self.catalog.upstreams(self.place.watch()).await;
+        if matches!(read, Err(CatalogError::Forgotten)) {
+            self.place = Place::default();
+            read = self.catalog.upstreams(None).await;
         }
-        let listed = answer.upstreams.iter().filter_map(UpstreamEntry::listed);
-        let listed: Vec<_> = listed.collect();
-        Ok(held.put_upstreams(&listed, proved_at))
+        let read = self.take(read)?;
+        let held = &self.gateway.held;
+        let mut goes_on = false;
+        let has_changed = match read {
+            UpstreamsRead::Whole(listed) => held.put_upstreams(&listed, proved_at),
+            UpstreamsRead::Changes(changes) if changes.is_empty() => {
+                held.renew_upstreams(proved_at);
+                false
+            }
+            // Only an answer without a change shows that there are no more.
+            UpstreamsRead::Changes(changes) => {
+                goes_on = true;
+                held.change_upstreams(changes)
+            }
+        };
+        self.place.set_hurried(goes_on);
+        Ok(Read {
+            changed: has_changed.then_some(()),
+            proved_at,
+            goes_on,
+        })
     }
 
-    async fn upstreams_of_platform(&self) -> Result<bool, ReadError> {
-        let asked_at = self.gateway.clock.since_boot();
-        let read = self.catalog.upstreams().await;
-        let listed = self.seen(read)?;
-        Ok(self.gateway.held.put_upstreams(&listed, asked_at))
+    /// Reads the hosts. Returns them if they are others than are held.
+    pub(crate) async fn hosts(&mut self, way: Way) -> Result<Option<Vec<ListedHost>>, ReadError> {
+        let known = self.gateway.held.hosts_version();
+        let asked = self.ask_others(way, List::Hosts, known).await?;
+        let held = &self.gateway.held;
+        let Some((answer, proved_at)) = asked else {
+            let asked_at = self.gateway.clock.since_boot();
+            let hosts = self.catalog.hosts().await?;
+            held.put_hosts(&hosts, asked_at);
+            return Ok((held.hosts_version() != known).then_some(hosts));
+        };
+        if answer.version == known {
+            held.renew_hosts(proved_at);
+            return Ok(None);
+        }
+        let hosts = answer.hosts.iter().filter_map(HostEntry::listed);
+        let hosts: Vec<ListedHost> = hosts.collect();
+        held.put_hosts(&hosts, proved_at);
+        Ok(Some(hosts))
     }
 
-    /// Takes in whether this host itself reaches the platform.
-    fn seen<T>(&self, read: Result<T, CatalogError>) -> Result<T, CatalogError> {
+    /// Takes in where the next read goes on, and whether this host itself reaches the platform.
+    fn take<T>(&mut self, read: Result<CatalogRead<T>, CatalogError>) -> Result<T, CatalogError> {
         let own = &self.gateway.conf.host;
-        match &read {
-            Ok(_) => {
+        match read {
+            Ok(read) => {
                 let now = self.gateway.clock.now();
                 self.gateway.readers.on_reached(own, now);
+                self.place.go_on(read.as_of);
+                Ok(read.value)
+            }
+            Err(err) => {
+                self.on_unfit(own);
+                self.place.set_hurried(true);
+                if matches!(err, CatalogError::Malformed(_)) {
+                    // The same changes would be as hard to read the next time.
+                    self.place = Place::default();
+                }
+                Err(err)
             }
-            Err(_) => self.on_unfit(own),
         }
-        read
     }
 
     fn on_unfit(&self, host: &HostId) {
@@ -197,7 +281,11 @@
             return Ok(None);
         }
         match self.ask_readers(list, known_version).await {
-            Asked::Fresh(answer, proved_at) => Ok(Some((answer, proved_at))),
+            Asked::Fresh(answer, proved_at) => {
+                // What this host's own reads would go on with is older than this.
+                self.place = Place::default();
+                Ok(Some((answer, proved_at)))
+            }
             Asked::Stale => Err(ReadError::OthersStale),
             Asked::Nobody if way == Way::Others => Err(ReadError::OthersStale),
             Asked::Nobody => Ok(None),
@@ -219,7 +307,10 @@
             if matches!(asked, Asked::Fresh(..)) {
                 return asked;
             }
-            self.on_unfit(&reader.host);
+            // One that has no list of hosts may be of a former version, and have fresh lists of the rest.
+            if list != List::Hosts {
+                self.on_unfit(&reader.host);
+            }
         }
         asked
     }
@@ -229,15 +320,19 @@
         let ask = Ask {
             list: list.into(),
             known_version,
+            takes_parts: true,
         };
-        let asked = timeout(ASK_TIMEOUT, self.exchange(addr, &ask)).await;
-        let Ok(Some(answer)) = asked else {
+        let Some(answer) = self.exchange(addr, &ask).await else {
             debug!("share: {addr} does not answer");
             self.link = None;
             return Asked::Nobody;
         };
         let age = Duration::from_millis(answer.age_ms);
-        if answer.version == 0 || age > ANSWER_AGE_MAX {
+        let age_max = match list {
+            List::Routes | List::Upstreams => ANSWER_AGE_MAX,
+            List::Hosts => HOSTS_AGE_MAX,
+        };
+        if answer.version == 0 || age > age_max {
             return Asked::Stale;
         }
         // The age was taken after the question was asked here, so this errs to the safe side.
@@ -246,13 +341,26 @@
 
     async fn exchange(&mut self, addr: SocketAddr, ask: &Ask) -> Option<Answer> {
         if self.link.as_ref().is_none_or(|(linked, _)| *linked != addr) {
-            let stream = TcpStream::connect(addr).await.ok()?;
+            let connected = timeout(FRAME_TIMEOUT, TcpStream::connect(addr)).await;
+            let stream = connected.ok()?.ok()?;
             stream.set_nodelay(true).ok()?;
             self.link = Some((addr, Framed::new(stream, framing(MESSAGE_SIZE_MAX))));
         }
         let (_, framed) = self.link.as_mut()?;
-        framed.send(Bytes::from(ask.encode_to_vec())).await.ok()?;
-        let frame = framed.next().await?.ok()?;
-        Answer::decode(frame).ok()
+        let asked = timeout(FRAME_TIMEOUT, framed.send(Bytes::from(ask.encode_to_vec()))).await;
+        asked.ok()?.ok()?;
+        let head = Answer::decode(next_frame(framed).await?).ok()?;
+        if head.frames == 0 {
+            return Some(head);
+        }
+        let mut whole = BytesMut::new();
+        for _ in 0..head.frames {
+            whole.extend_from_slice(&next_frame(framed).await?);
+        }
+        Answer::decode(whole).ok()
     }
 }
+
+async fn next_frame(framed: &mut Link) -> Option<BytesMut> {
+    timeout(FRAME_TIMEOUT, framed.next()).await.ok()??.ok()
+}
--- a/src/gateway/share/server.rs
+++ b/src/gateway/share/server.rs
@@ -1,5 +1,6 @@
 //! Answers the hosts that ask.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +14,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::gateway::Gateway;
+use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
 use crate::peer::framing;
 
@@ -22,9 +25,13 @@
 pub(super) const MESSAGE_SIZE_MAX: usize = 8 << 20;
 /// A host that has not asked for this long has left without a word.
 const IDLE_MAX: Duration = Duration::from_secs(30);
+/// The longest frame: a hundred hosts that get one each at a time over 200 Mbit/s wait 65 ms for the next.
+const FRAME_LEN: usize = 16 << 10;
 /// The pause after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
 /// Answers for as long as the process runs.
 pub(crate) async fn serve_reads(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
@@ -51,10 +58,37 @@
             }
         };
         let answer = gateway.held.answer(&ask, gateway.clock.since_boot());
-        let answer = Bytes::from(answer.encode_to_vec());
-        if let Err(err) = framed.send(answer).await {
+        let sent = if ask.takes_parts {
+            send_in_frames(&mut framed, &answer).await
+        } else {
+            framed.send(Bytes::from(answer.encode_to_vec())).await
+        };
+        if let Err(err) = sent {
             debug!("share: a host left before its answer: {err}");
             return;
         }
     }
 }
+
+/// Sends an answer, a long one in several frames after one that says how many.
+///
+/// Failure it guards against: a manifest of half a megabyte goes to all hosts of a failure domain over one
+/// link, which takes longer than a host waits for an answer; each of them reads the platform then, again
+/// and again, and its own link is full of manifests. With frames a host waits as long as the answer goes on.
+async fn send_in_frames(framed: &mut Link, answer: &Answer) -> Result<(), io::Error> {
+    let bytes = Bytes::from(answer.encode_to_vec());
+    if bytes.len() <= FRAME_LEN {
+        return framed.send(bytes).await;
+    }
+    let frames = bytes.chunks(FRAME_LEN).len();
+    let head = Answer {
+        frames: u32::try_from(frames).unwrap_or(u32::MAX),
+        ..Answer::default()
+    };
+    framed.send(Bytes::from(head.encode_to_vec())).await?;
+    for at in (0..bytes.len()).step_by(FRAME_LEN) {
+        let end = bytes.len().min(at + FRAME_LEN);
+        framed.send(bytes.slice(at..end)).await?;
+    }
+    Ok(())
+}
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,39 +1,36 @@
 //! Keeps what a host believes in step with the platform.
 //!
-//! The lists are read again and again rather than watched: a watch that hears nothing proves
-//! nothing, since its connection may have gone silent, while each answered read renews the lease on
-//! the keys.
+//! The lists are read again and again: the platform waits a while for a change and then answers, whether
+//! there was one or not. A long watch that hears nothing would prove nothing, since its connection may have
+//! gone silent, while each answered read renews the lease on the keys.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use indexmap::IndexSet;
 use tokio::time::sleep;
 
 use crate::exchange::ListedHost;
-use crate::exchange::is_large_fleet;
 use crate::gateway::Catalog;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::dependency::Dependency;
 use crate::gateway::dependency::FAILED_INTERVAL;
 use crate::gateway::share::Reader;
+use crate::gateway::share::WATCH_WAIT;
 use crate::gateway::share::Way;
 use crate::routing::RouteTable;
 use crate::units::UpstreamId;
 
-/// Between two reads of the manifest. A change has to be in force within 2 s of its acceptance: this
-/// leaves room for one failed read.
-const ROUTES_INTERVAL: Duration = Duration::from_millis(600);
-/// Between two reads of the upstreams. One that leaves must get no new request 2 s after it said so.
-const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
+/// Between the beginnings of two reads of the manifest or of the upstreams, if the platform or another
+/// host answers at once: as long as the platform waits for a change. A change has to be in force, and an
+/// upstream that leaves to be left alone, within 2 s: this leaves room for one failed read.
+const READ_INTERVAL: Duration = WATCH_WAIT;
 /// Between two reads of the hosts, which change seldom; news of one that is missing is lost until
 /// then, or until it is heard.
 const HOSTS_INTERVAL: Duration = Duration::from_millis(2_000);
-/// The same in a large fleet, where each of its hosts reads the whole list: with 195 hosts a third of
-/// all calls to the platform.
-const HOSTS_INTERVAL_LARGE: Duration = Duration::from_millis(6_000);
 /// Between two reads for the sake of hosts that were heard and are not on the list.
 const STRANGERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Reads the manifest for as long as the process runs.
@@ -55,13 +52,24 @@
             Ok(read)
         });
         dependency.on_read(asked_at, &read);
+        let goes_on = read.as_ref().is_ok_and(|read| read.goes_on);
         if let Ok(read) = read
             && is_understood
         {
             gateway.beliefs.prove_fresh(read.proved_at);
         }
+        let due_at = next_at(asked_at, goes_on);
         let news = &gateway.routes_news;
-        way = dependency.next_read(ROUTES_INTERVAL, news).await;
+        way = dependency.next_read(due_at, news).await;
+    }
+}
+
+/// When the next read is due after one that was answered.
+fn next_at(asked_at: Instant, goes_on: bool) -> Instant {
+    if goes_on {
+        asked_at
+    } else {
+        asked_at + READ_INTERVAL
     }
 }
 
@@ -87,7 +95,8 @@
         let asked_at = gateway.clock.now();
         let read = reader.upstreams(way).await;
         dependency.on_read(asked_at, &read);
-        if let Ok(true) = read
+        let goes_on = read.as_ref().is_ok_and(|read| read.goes_on);
+        if read.is_ok_and(|read| read.changed.is_some())
             && let Some(listed) = gateway.held.upstreams()
         {
             gateway.load_changed.notify_one();
@@ -103,8 +112,9 @@
             note_changes(&gateway, &known, &staying, &restarted, usable);
             known = staying;
         }
+        let due_at = next_at(asked_at, goes_on);
         let news = &gateway.upstreams_news;
-        way = dependency.next_read(UPSTREAMS_INTERVAL, news).await;
+        way = dependency.next_read(due_at, news).await;
     }
 }
 
@@ -143,6 +153,8 @@
         processors: Some(gateway.conf.processors),
     };
     let mut dependency = Dependency::new(&gateway, "hosts");
+    let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
+    let mut way = Way::Any;
     let mut is_announced = false;
     loop {
         let asked_at = gateway.clock.now();
@@ -151,9 +163,15 @@
             is_announced = announced.is_ok();
             dependency.on_call(asked_at, &announced);
         }
-        let read = catalog.hosts().await;
-        dependency.on_call(asked_at, &read);
-        if let Ok(mut hosts) = read {
+        let read = reader.hosts(way).await;
+        dependency.on_read(asked_at, &read);
+        // Whether another host has the list, the platform is to be asked next time.
+        way = if read.is_ok() {
+            Way::Any
+        } else {
+            Way::Platform
+        };
+        if let Ok(Some(mut hosts)) = read {
             if !hosts.iter().any(|listed| listed.host == own.host) {
                 // The list may be seconds old.
                 hosts.push(own.clone());
@@ -162,12 +180,10 @@
         }
         gateway.ledger().forget_silent(gateway.clock.now());
         // Until it is on the list nobody sends news here.
-        let answered = if !is_announced {
-            FAILED_INTERVAL
-        } else if is_large_fleet(gateway.beliefs.hosts().len()) {
-            HOSTS_INTERVAL_LARGE
-        } else {
+        let answered = if is_announced {
             HOSTS_INTERVAL
+        } else {
+            FAILED_INTERVAL
         };
         let interval = dependency.interval(answered);
         let soonest = interval.min(STRANGERS_INTERVAL);
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -6,12 +6,18 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::CatalogError;
+use banyanarch::gateway::CatalogRead;
 use banyanarch::gateway::Listed;
 use banyanarch::gateway::RoutesRead;
+use banyanarch::gateway::UpstreamChange;
+use banyanarch::gateway::UpstreamsRead;
+use banyanarch::gateway::Watch;
 use banyanarch::routing::RouteTable;
 use banyanarch::units::HostId;
 use banyanarch::units::ObjectVersion;
@@ -24,15 +30,36 @@
     /// All manifests that were ever published; the text of one is its place here.
     routes: Vec<RouteTable>,
     upstreams: Vec<Listed>,
+    /// All changes of the upstreams; the place of one, and one, is its version.
+    changes: Vec<UpstreamChange>,
+    /// Changes that are forgotten, from the first one on.
+    forgotten: usize,
     hosts: Vec<ListedHost>,
 }
 
+impl State {
+    fn change(&mut self, listed: Listed) {
+        self.upstreams.retain(|known| known.name != listed.name);
+        self.upstreams.push(listed.clone());
+        self.changes.push(UpstreamChange::Listed(listed));
+    }
+
+    fn changes_since(&self, since: ObjectVersion) -> Result<Vec<UpstreamChange>, CatalogError> {
+        let since = usize::try_from(since.0).unwrap();
+        if since < self.forgotten {
+            return Err(CatalogError::Forgotten);
+        }
+        Ok(self.changes[since..].to_vec())
+    }
+}
+
 /// The platform as one host, or all of them, reach it.
 #[derive(Default)]
 pub struct FakeCatalog {
     state: Arc<Mutex<State>>,
     is_away: AtomicBool,
     reads: AtomicUsize,
+    whole_reads: AtomicUsize,
 }
 
 impl FakeCatalog {
@@ -61,7 +88,7 @@
 
     /// Lists an upstream of a service; in id order by `id`.
     pub fn list(&self, id: &str, service: &str, addr: SocketAddr) {
-        self.state.lock().unwrap().upstreams.push(Listed {
+        self.state.lock().unwrap().change(Listed {
             id: id.parse().unwrap(),
             name: id.parse().unwrap(),
             service: service.parse().unwrap(),
@@ -75,17 +102,35 @@
     /// An upstream starts again under its name.
     pub fn restart(&self, name: &str, started: u64) -> UpstreamId {
         let mut state = self.state.lock().unwrap();
-        let entry = state.upstreams.iter_mut().find(|u| u.name.as_str() == name);
-        let entry = entry.unwrap();
+        let entry = state.upstreams.iter().find(|u| u.name.as_str() == name);
+        let mut entry = entry.unwrap().clone();
         entry.id = UpstreamId::of_life(&entry.name, Some(started));
-        entry.id.clone()
+        let id = entry.id.clone();
+        state.change(entry);
+        id
     }
 
     /// An upstream says that it leaves.
     pub fn leave(&self, id: &str) {
         let mut state = self.state.lock().unwrap();
-        let entry = state.upstreams.iter_mut().find(|u| u.id.as_str() == id);
-        entry.unwrap().is_leaving = true;
+        let entry = state.upstreams.iter().find(|u| u.id.as_str() == id);
+        let mut entry = entry.unwrap().clone();
+        entry.is_leaving = true;
+        state.change(entry);
+    }
+
+    /// An upstream's entry is taken off the list.
+    pub fn take_off(&self, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.upstreams.retain(|known| known.name.as_str() != name);
+        let name = name.parse().unwrap();
+        state.changes.push(UpstreamChange::Gone(name));
+    }
+
+    /// The platform forgets what has changed among the upstreams so far.
+    pub fn forget_changes(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.forgotten = state.changes.len();
     }
 
     /// The platform can or can't be reached.
@@ -98,6 +143,11 @@
         self.reads.load(Ordering::Relaxed)
     }
 
+    /// How often all upstreams were asked for.
+    pub fn whole_reads(&self) -> usize {
+        self.whole_reads.load(Ordering::Relaxed)
+    }
+
     pub fn hosts_now(&self) -> Vec<ListedHost> {
         self.state.lock().unwrap().hosts.clone()
     }
@@ -109,26 +159,65 @@
         }
         Ok(read(&mut state))
     }
+
+    /// Waits as long as a watch says, or until there is a change; `version` says which one is the last.
+    async fn wait(
+        &self,
+        watch: Option<Watch>,
+        version: impl Fn(&State) -> usize,
+    ) -> Result<ObjectVersion, CatalogError> {
+        let last = || self.answer(|state| ObjectVersion(version(state) as u64));
+        let Some(watch) = watch else {
+            return last();
+        };
+        let until = Instant::now() + watch.wait;
+        while Instant::now() < until && last()? <= watch.since {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        last()
+    }
+
+    async fn read_upstreams(
+        &self,
+        watch: Option<Watch>,
+    ) -> Result<CatalogRead<UpstreamsRead>, CatalogError> {
+        let as_of = Some(self.wait(watch, |state| state.changes.len()).await?);
+        let Some(watch) = watch else {
+            self.whole_reads.fetch_add(1, Ordering::Relaxed);
+            let value = self.answer(|state| UpstreamsRead::Whole(state.upstreams.clone()))?;
+            return Ok(CatalogRead { value, as_of });
+        };
+        let changes = self.answer(|state| state.changes_since(watch.since))??;
+        let value = UpstreamsRead::Changes(changes);
+        Ok(CatalogRead { value, as_of })
+    }
+
+    async fn read_routes(
+        &self,
+        known: Option<ObjectVersion>,
+        watch: Option<Watch>,
+    ) -> Result<CatalogRead<RoutesRead>, CatalogError> {
+        let version = self.wait(watch, |state| state.routes.len()).await?;
+        let place = version.0.checked_sub(1).ok_or(CatalogError::Absent)?;
+        let value = if known == Some(version) {
+            RoutesRead::Unchanged
+        } else {
+            let text = place.to_string();
+            RoutesRead::Changed { version, text }
+        };
+        let as_of = Some(version);
+        Ok(CatalogRead { value, as_of })
+    }
 }
 
 impl Catalog for FakeCatalog {
     fn routes(
         &self,
         known: Option<ObjectVersion>,
-    ) -> BoxFuture<'_, Result<RoutesRead, CatalogError>> {
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<RoutesRead>, CatalogError>> {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let read = self.answer(|state| state.routes.len());
-        async move {
-            let count = read?;
-            let place = count.checked_sub(1).ok_or(CatalogError::Absent)?;
-            let version = ObjectVersion(count as u64);
-            if known == Some(version) {
-                return Ok(RoutesRead::Unchanged);
-            }
-            let text = place.to_string();
-            Ok(RoutesRead::Changed { version, text })
-        }
-        .boxed()
+        self.read_routes(known, watch).boxed()
     }
 
     fn decode_routes(&self, text: &str) -> Result<RouteTable, CatalogError> {
@@ -136,9 +225,11 @@
         Ok(self.state.lock().unwrap().routes[place].clone())
     }
 
-    fn upstreams(&self) -> BoxFuture<'_, Result<Vec<Listed>, CatalogError>> {
-        let read = self.answer(|state| state.upstreams.clone());
-        async move { read }.boxed()
+    fn upstreams(
+        &self,
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<UpstreamsRead>, CatalogError>> {
+        self.read_upstreams(watch).boxed()
     }
 
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>> {
