--- a/src/gateway/share/place.rs
+++ b/src/gateway/share/place.rs
@@ -14,20 +14,30 @@
 pub(crate) struct Place {
     as_of: Option<ObjectVersion>,
     is_hurried: bool,
+    /// What the last answer took beyond the time for which it waited.
+    delay: Duration,
 }
 
 impl Place {
     /// What the next read waits for; none if it is to read all.
+    ///
+    /// Load it answers: a platform that takes a third of a second for an answer. With its whole wait on top
+    /// what a host tells the others is too old for them, and all of them ask the platform as well.
     pub(crate) fn watch(&self) -> Option<Watch> {
         let wait = if self.is_hurried {
             Duration::ZERO
         } else {
-            WATCH_WAIT
+            WATCH_WAIT.saturating_sub(self.delay)
         };
         let since = self.as_of?;
         Some(Watch { since, wait })
     }
 
+    /// Takes in how long an answer took that was to wait for `wait`.
+    pub(crate) fn on_answered(&mut self, wait: Duration, took: Duration) {
+        self.delay = took.saturating_sub(wait);
+    }
+
     /// Takes in an answer that goes up to this change.
     pub(crate) fn go_on(&mut self, as_of: Option<ObjectVersion>) {
         self.as_of = as_of;
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -22,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::RoutesRead;
 use crate::gateway::UpstreamsRead;
+use crate::gateway::Watch;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
 use crate::gateway::share::message::HostEntry;
@@ -38,8 +39,9 @@
 /// An answer about lists that were read longer ago is not used: this host then reads for itself and
 /// is no worse off than without the other. Two watches, and two answers of a slow platform.
 pub(crate) const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_000);
-/// The same of the list of hosts, which is read less often and may be seconds old anyway.
-const HOSTS_AGE_MAX: Duration = Duration::from_secs(6);
+/// The same of the list of hosts, which changes seldom; longer than the platform is mostly away, so that
+/// not all hosts of a fleet ask it for their list when it is back.
+const HOSTS_AGE_MAX: Duration = Duration::from_secs(15);
 
 /// Hosts that are asked before this one reads for itself.
 const READERS_TRIED_MAX: usize = 2;
@@ -139,6 +141,7 @@
         let object = (known != 0).then_some(ObjectVersion(known));
         let watch = self.place.watch();
         let mut read = self.catalog.routes(object, watch).await;
+        self.time(watch, asked_at);
         if matches!(read, Err(CatalogError::Forgotten)) {
             self.place = Place::default();
             read = self.catalog.routes(object, None).await;
@@ -194,7 +197,9 @@
 
     async fn upstreams_of_platform(&mut self) -> Result<Read<()>, ReadError> {
         let proved_at = self.gateway.clock.since_boot();
-        let mut read = self.catalog.upstreams(self.place.watch()).await;
+        let watch = self.place.watch();
+        let mut read = self.catalog.upstreams(watch).await;
+        self.time(watch, proved_at);
         if matches!(read, Err(CatalogError::Forgotten)) {
             self.place = Place::default();
             read = self.catalog.upstreams(None).await;
@@ -243,6 +248,13 @@
         Ok(Some(hosts))
     }
 
+    /// Takes in how long the platform took.
+    fn time(&mut self, watch: Option<Watch>, asked_at: Duration) {
+        let took = self.gateway.clock.since_boot().saturating_sub(asked_at);
+        let wait = watch.map_or(Duration::ZERO, |watch| watch.wait);
+        self.place.on_answered(wait, took);
+    }
+
     /// Takes in where the next read goes on, and whether this host itself reaches the platform.
     fn take<T>(&mut self, read: Result<CatalogRead<T>, CatalogError>) -> Result<T, CatalogError> {
         let own = &self.gateway.conf.host;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::dependency::Dependency;
 use crate::gateway::dependency::FAILED_INTERVAL;
+use crate::gateway::share::ReadError;
 use crate::gateway::share::Reader;
 use crate::gateway::share::WATCH_WAIT;
 use crate::gateway::share::Way;
@@ -165,11 +166,9 @@
         }
         let read = reader.hosts(way).await;
         dependency.on_read(asked_at, &read);
-        // Whether another host has the list, the platform is to be asked next time.
-        way = if read.is_ok() {
-            Way::Any
-        } else {
-            Way::Platform
+        way = match read {
+            Err(ReadError::OthersStale) => Way::Platform,
+            _ => Way::Any,
         };
         if let Ok(Some(mut hosts)) = read {
             if !hosts.iter().any(|listed| listed.host == own.host) {
@@ -179,13 +178,7 @@
             gateway.beliefs.set_hosts(hosts);
         }
         gateway.ledger().forget_silent(gateway.clock.now());
-        // Until it is on the list nobody sends news here.
-        let answered = if is_announced {
-            HOSTS_INTERVAL
-        } else {
-            FAILED_INTERVAL
-        };
-        let interval = dependency.interval(answered);
+        let interval = hosts_interval(&gateway, is_announced, &dependency);
         let soonest = interval.min(STRANGERS_INTERVAL);
         sleep(soonest).await;
         tokio::select! {
@@ -194,3 +187,20 @@
         }
     }
 }
+
+/// The time until the next read of the hosts.
+fn hosts_interval(gateway: &Gateway, is_announced: bool, dependency: &Dependency) -> Duration {
+    let now = gateway.clock.now();
+    if !is_announced {
+        // Until it is on the list nobody sends news here.
+        dependency.interval(FAILED_INTERVAL)
+    } else if gateway.ledger().peers_heard(now) == 0 {
+        // Where all hosts start together the first read shows few of them, and one that knows no other
+        // reads everything from the platform itself.
+        dependency
+            .interval(STRANGERS_INTERVAL)
+            .max(STRANGERS_INTERVAL)
+    } else {
+        dependency.interval(HOSTS_INTERVAL).max(HOSTS_INTERVAL)
+    }
+}
