A host that had nothing fresh is asked as soon as it has; tries of a domain are spread evenly

And between 34.5 and 36.0 two hosts alone tried: all had failed in the same moment and waited 0.75 to 1.25 times the interval of the whole domain.

Change: what a host says of its lists later than it was found stale counts; one that does not answer stays unfit. Tries that are made together are drawn over twice their interval.

--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -58,13 +58,18 @@
         let Some(doublings) = self.failures.checked_sub(1) else {
             return answered;
         };
-        let alone = FAILED_INTERVAL.saturating_mul(1 << doublings.min(8));
+        let alone = FAILED_INTERVAL
+            .saturating_mul(1 << doublings.min(8))
+            .min(FAILED_INTERVAL_MAX);
         let together = FAILED_INTERVAL.saturating_mul(self.gateway.readers.trying(&self.gateway));
-        // Spread, so that hosts which lost the platform together do not ask it together.
-        alone
-            .min(FAILED_INTERVAL_MAX)
-            .max(together)
-            .mul_f64(rand::random_range(0.75..1.25))
+        // Hosts that lost the platform together must not ask it together.
+        if together <= alone {
+            alone.mul_f64(rand::random_range(0.75..1.25))
+        } else {
+            together
+                .mul_f64(rand::random_range(0.0..2.0))
+                .max(FAILED_INTERVAL)
+        }
     }
 
     /// Waits until the next read, which is due at `due_at` if this one was answered, and says whom it asks.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -171,8 +171,9 @@
             return;
         };
         let at = self.clock.since_boot();
-        let proved_at = at.saturating_sub(Duration::from_millis(age_ms.into()));
-        let can_be_asked = self.readers.on_told(host, proved_at, now);
+        let age = Duration::from_millis(age_ms.into());
+        let proved_at = at.saturating_sub(age);
+        let can_be_asked = self.readers.on_told(host, proved_at, age, now);
         let is_stale = |proved_at: Duration| at.saturating_sub(proved_at) > ANSWER_AGE_MAX;
         if can_be_asked && !is_stale(proved_at) && self.held.proved_at().is_none_or(is_stale) {
             self.routes_news.notify_one();
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -28,6 +28,7 @@
 use crate::gateway::share::message::HostEntry;
 use crate::gateway::share::message::List;
 use crate::gateway::share::place::Place;
+use crate::gateway::share::readers::Unfit;
 use crate::gateway::share::server::MESSAGE_SIZE_MAX;
 use crate::peer::framing;
 use crate::units::HostId;
@@ -266,7 +267,7 @@
                 Ok(read.value)
             }
             Err(err) => {
-                self.on_unfit(own);
+                self.on_unfit(own, Unfit::Stale);
                 self.place.set_hurried(true);
                 if matches!(err, CatalogError::Malformed(_)) {
                     // The same changes would be as hard to read the next time.
@@ -277,9 +278,9 @@
         }
     }
 
-    fn on_unfit(&self, host: &HostId) {
+    fn on_unfit(&self, host: &HostId, why: Unfit) {
         let now = self.gateway.clock.now();
-        self.gateway.readers.on_unfit(host, now);
+        self.gateway.readers.on_unfit(host, why, now);
     }
 
     /// What another host has of a list; none if the platform is to be asked.
@@ -316,12 +317,13 @@
                 return Asked::Nobody;
             };
             asked = self.ask(reader.exchange_addr, list, known_version).await;
-            if matches!(asked, Asked::Fresh(..)) {
-                return asked;
-            }
-            // One that has no list of hosts may be of a former version, and have fresh lists of the rest.
-            if list != List::Hosts {
-                self.on_unfit(&reader.host);
+            match asked {
+                Asked::Fresh(..) => return asked,
+                // One that has no list of hosts may be of a former version, and have fresh lists of the
+                // rest.
+                Asked::Stale if list == List::Hosts => {}
+                Asked::Stale => self.on_unfit(&reader.host, Unfit::Stale),
+                Asked::Nobody => self.on_unfit(&reader.host, Unfit::Silent),
             }
         }
         asked
--- a/src/gateway/share/readers.rs
+++ b/src/gateway/share/readers.rs
@@ -18,8 +18,8 @@
 use crate::gateway::share::ANSWER_AGE_MAX;
 use crate::units::HostId;
 
-/// How long a host that had nothing fresh from the platform is passed over. Longer than a read, so
-/// that a domain does not ask it again and again while it is cut off.
+/// How long a host that did not answer, or had nothing fresh, is passed over. Longer than a read, so that
+/// a domain does not ask it again and again while it is cut off.
 const UNFIT_FOR: Duration = Duration::from_secs(3);
 /// How long a host that has just started may ask all others on the list: until they know of it and it
 /// hears them. Where all hosts start at once they would else all read for themselves, some seven calls
@@ -29,10 +29,19 @@
 /// has lists of up to 1.2 s, and its word may be half a second old.
 const FRESH_FOR: Duration = Duration::from_secs(2);
 
+/// Why a host is not to be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unfit {
+    /// It did not answer.
+    Silent,
+    /// It had nothing fresh.
+    Stale,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    /// Hosts that had nothing fresh, and since when.
-    unfit: IndexMap<HostId, Instant>,
+    /// Hosts that are not to be asked, and since when.
+    unfit: IndexMap<HostId, (Unfit, Instant)>,
     /// The host that was asked last; none while this host reads for itself.
     asked: Option<HostId>,
     /// When, since boot, the lists of each host were the newest by its own word.
@@ -43,8 +52,8 @@
 
 impl State {
     fn is_fit(&self, host: &HostId, now: Instant) -> bool {
-        let since = self.unfit.get(host);
-        since.is_none_or(|since| !is_unfit(*since, now))
+        let unfit = self.unfit.get(host);
+        unfit.is_none_or(|(_, since)| !is_unfit(*since, now))
     }
 
     /// Whether its lists are fresh by its own word; none if it has not said. `at` is since boot.
@@ -59,11 +68,11 @@
 pub(crate) struct Readers(Mutex<State>);
 
 impl Readers {
-    /// Takes in that a host, maybe this one, had nothing fresh from the platform.
-    pub(crate) fn on_unfit(&self, host: &HostId, now: Instant) {
+    /// Takes in that a host, maybe this one, is not to be asked for a while.
+    pub(crate) fn on_unfit(&self, host: &HostId, why: Unfit, now: Instant) {
         let mut state = self.lock();
-        state.unfit.retain(|_, since| is_unfit(*since, now));
-        state.unfit.insert(host.clone(), now);
+        state.unfit.retain(|_, (_, since)| is_unfit(*since, now));
+        state.unfit.insert(host.clone(), (why, now));
     }
 
     /// Takes in that this host itself reached the platform.
@@ -79,9 +88,20 @@
     }
 
     /// Takes in when, since boot, a host's lists were the newest by its own word. Returns whether it can
-    /// be asked.
-    pub(crate) fn on_told(&self, host: &HostId, proved_at: Duration, now: Instant) -> bool {
+    /// be asked. One that had nothing fresh before can be as soon as it has.
+    pub(crate) fn on_told(
+        &self,
+        host: &HostId,
+        proved_at: Duration,
+        age: Duration,
+        now: Instant,
+    ) -> bool {
         let mut state = self.lock();
+        if let Some((Unfit::Stale, since)) = state.unfit.get(host)
+            && now.saturating_duration_since(*since) > age
+        {
+            state.unfit.swap_remove(host);
+        }
         match state.told.get_mut(host) {
             Some(known) => *known = proved_at,
             None => {
