Engines are asked how slow they are, and choices reckon with it

Cause: a fifth of the engines at a third of their speed got as much as the others: their answers pause for too long, and prompts that several engines read wait for the slowest.

Change: the strongest host of a failure domain asks its engines that have work each 1.2 s and tells the others of those that are slow; an engine's part, pass and backlog are stretched by it in each choice.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -15,6 +15,7 @@
 use banyanarch::decide::engines::EngineAsk;
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
 use indexmap::IndexMap;
@@ -50,6 +51,7 @@
             id: id.clone(),
             load: ledger.load(id, now),
             is_near: true,
+            slowdown: Slowdown::NONE,
         };
         ids.iter().map(view).collect()
     };
--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -1,13 +1,18 @@
 //! Plays loads on engines by the published speed model and prints what callers got: long prompts and
 //! short ones by turns, on sites of three sizes, as means over seeds.
 //!
-//! `cargo run --release --example engine_loads -- [--seeds N] [--site middle|small|large]`
+//! `cargo run --release --example engine_loads -- [--seeds N] [--site NAME] [--slow known|unknown]`
+//!
+//! Sites are middle, small, large, shifted and domains. With `--slow` a fifth of the engines takes three and a
+//! half times as long from the third to the twelfth second.
 
 #[path = "../../tests/engine_world/mod.rs"]
 mod engine_world;
 
 use std::panic::resume_unwind;
+use std::time::Duration;
 
+use banyanarch::units::Slowdown;
 use engine_world::Ended;
 use engine_world::LONG;
 use engine_world::Load;
@@ -15,6 +20,7 @@
 use engine_world::Phase;
 use engine_world::SHORT;
 use engine_world::Site;
+use engine_world::SlowStretch;
 use engine_world::Tally;
 use engine_world::World;
 use pico_args::Arguments;
@@ -46,7 +52,8 @@
         |of: &dyn Fn(&Tally) -> f64| tallies.iter().map(of).sum::<f64>() / tallies.len() as f64;
     println!(
         "{name} x{long}: earned {:.3} less refused again {:.3} | short {:.3} medium {:.3} long {:.3} \
-         (largest tenth {:.2} fifth {:.2} rest {:.2} late {:.2}) largest tenth served {:.2}",
+         (largest tenth {:.2} fifth {:.2} rest {:.2} late {:.2}) largest tenth served {:.2} forecast error \
+         medium {:.0} {:.0} long {:.0} {:.0} ms (median, 90th percentile)",
         mean(&Tally::earned_all),
         mean(&|tally| tally.earned_all() - REFUSED_AGAIN_COST * tally.refused_again()),
         mean(&|tally| tally.earned(SHORT)),
@@ -57,19 +64,39 @@
         mean(&|tally| tally.earned_by_size(LONG).2),
         mean(&|tally| tally.part(LONG, Ended::Late)),
         mean(&|tally| tally.served_by_size(LONG).0),
+        mean(&|tally| tally.error_ms(MEDIUM, 0.5)),
+        mean(&|tally| tally.error_ms(MEDIUM, 0.9)),
+        mean(&|tally| tally.error_ms(LONG, 0.5)),
+        mean(&|tally| tally.error_ms(LONG, 0.9)),
     );
 }
 
+fn slow_stretch(is_known: bool) -> SlowStretch {
+    let known_after = if is_known { 0.8 } else { 1e6 };
+    SlowStretch {
+        from: Duration::from_secs(3),
+        until: Duration::from_secs(12),
+        one_in: 5,
+        slowdown: Slowdown::new(3.5),
+        known_after: Duration::from_secs_f64(known_after),
+    }
+}
+
 fn main() -> Result<(), pico_args::Error> {
     let mut args = Arguments::from_env();
     let seeds = args.opt_value_from_str("--seeds")?.unwrap_or(SEEDS_DEFAULT);
     let only: Option<String> = args.opt_value_from_str("--site")?;
+    let slow: Option<String> = args.opt_value_from_str("--slow")?;
+    let slow = slow.map(|slow| slow_stretch(slow == "known"));
     let sites = [
         ("middle", Site::middle()),
         ("small", Site::small()),
         ("large", Site::large()),
+        ("shifted", Site::shifted()),
+        ("domains", Site::in_domains()),
     ];
-    for (name, site) in sites {
+    for (name, mut site) in sites {
+        site.slow = slow;
         if only.as_ref().is_some_and(|only| only != name) {
             continue;
         }
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -200,7 +200,7 @@
     let mut others: Vec<(usize, &EngineView)> = readers.iter().enumerate().collect();
     others.sort_by_cached_key(|(index, engine)| {
         let makes_late = u32::from(engine.makes_late(model, part_time));
-        let cost = engine.load.read_backlog
+        let cost = engine.backlog()
             + STRETCH_COST * stretched(model, engine, part_time)
             + LATENESS_COST * makes_late;
         (
@@ -221,7 +221,7 @@
     let all = || others.iter().copied().chain([leader]);
     let helped = others.iter().map(|engine| engine.helped(model, part_time));
     let forecasts = helped.chain([leader.first_event(model, part_time)]);
-    let backlogs = all().map(|engine| engine.load.read_backlog);
+    let backlogs = all().map(|engine| engine.backlog());
     Some(Group {
         leader,
         part_time,
@@ -240,7 +240,7 @@
 
 /// Answers on an engine whose pauses a part would stretch too far.
 fn stretched(model: &EngineModel, engine: &EngineView, part_time: Duration) -> u32 {
-    if part_time <= engine.room(model) {
+    if engine.has_room(model, part_time) {
         0
     } else {
         engine.load.in_flight
@@ -257,11 +257,11 @@
     ask: &EngineAsk,
 ) -> Option<&'a EngineView> {
     let placed = || engines.iter().filter(|engine| engine.has_place(model));
-    let is_gentle = |engine: &&EngineView| part_time <= engine.room(model);
+    let is_gentle = |engine: &&EngineView| engine.has_room(model, part_time);
     if ask.class(model) == PromptClass::Long {
         let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
         let fitting = || placed().filter(|engine| engine.free_tokens(model) >= share);
-        let is_free = |engine: &&EngineView| engine.load.read_backlog <= BACKLOG_MAX;
+        let is_free = |engine: &&EngineView| engine.backlog() <= BACKLOG_MAX;
         let is_good = |engine: &&EngineView| is_gentle(engine) && is_free(engine);
         let first = if ask.is_far {
             drawn(fitting().filter(is_good), ask)
@@ -270,14 +270,14 @@
         };
         return first
             .or_else(|| fitting().find(is_gentle))
-            .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
+            .or_else(|| fitting().min_by_key(|engine| engine.backlog()))
             .or_else(|| placed().min_by_key(|engine| engine.load.held_tokens));
     }
     let fitting = || placed().filter(|engine| engine.free_tokens(model) >= ask.needed());
     fitting()
         .filter(is_gentle)
-        .min_by_key(|engine| (engine.load.read_backlog, engine.load.in_flight))
-        .or_else(|| fitting().min_by_key(|engine| engine.load.read_backlog))
+        .min_by_key(|engine| (engine.backlog(), engine.load.in_flight))
+        .or_else(|| fitting().min_by_key(|engine| engine.backlog()))
 }
 
 /// One of several engines. Hosts that hear of each other late and all take the first one reserve its
--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -68,7 +68,7 @@
 ) -> EnginePlan {
     let stretches = |plan: &EnginePlan| {
         let leader = engines.iter().find(|engine| engine.id == plan.leader);
-        leader.is_some_and(|leader| plan.part_time > leader.room(model))
+        leader.is_some_and(|leader| !leader.has_room(model, plan.part_time))
     };
     let is_sooner = any.forecast + FAR_GAIN < near.forecast;
     if is_sooner || (stretches(&near) && !stretches(&any)) {
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -41,7 +41,7 @@
     let part_time = model.read_time(ask.prompt) / u32::try_from(parts).unwrap_or(1);
     let is_good = |engine: &EngineView| {
         engine.first_event(model, part_time) <= ask.objective_left
-            && part_time <= engine.room(model)
+            && engine.has_room(model, part_time)
     };
     let best_near = best(model, short_side, part_time, ask);
     let leader = match best_near {
@@ -70,7 +70,7 @@
         .iter()
         .filter(|engine| engine.has_place(model) && engine.free_tokens(model) >= ask.needed());
     let rank = |engine: &EngineView| {
-        let stretches = part_time > engine.room(model);
+        let stretches = !engine.has_room(model, part_time);
         (stretches, engine.first_event(model, part_time))
     };
     let able: Vec<&EngineView> = able.collect();
@@ -127,7 +127,7 @@
 /// The engines with the least left to read, without `leader`.
 fn least_busy(engines: &[EngineView], leader: &UpstreamId, count: usize) -> Vec<UpstreamId> {
     let mut others: Vec<&EngineView> = engines.iter().filter(|e| e.id != *leader).collect();
-    others.sort_by_key(|engine| (engine.load.read_backlog, engine.load.in_flight));
+    others.sort_by_key(|engine| (engine.backlog(), engine.load.in_flight));
     others
         .into_iter()
         .take(count)
--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::EngineModel;
 use crate::decide::UpstreamLoad;
+use crate::units::Slowdown;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
@@ -25,6 +26,8 @@
     pub load: UpstreamLoad,
     /// Whether it is in the failure domain of the host that chooses.
     pub is_near: bool,
+    /// How much slower than its model it works.
+    pub slowdown: Slowdown,
 }
 
 impl EngineView {
@@ -43,7 +46,18 @@
 
     /// How long a pass takes when nothing is read in.
     pub fn pass_time(&self, model: &EngineModel) -> Duration {
-        model.pass_time(self.load.in_flight + 1, self.load.held_tokens)
+        let pass_time = model.pass_time(self.load.in_flight + 1, self.load.held_tokens);
+        self.slowdown.stretch(pass_time)
+    }
+
+    /// Time until it has read in what waits there.
+    pub fn backlog(&self) -> Duration {
+        self.slowdown.stretch(self.load.read_backlog)
+    }
+
+    /// Whether a part fits beside the answers that are being written there.
+    pub fn has_room(&self, model: &EngineModel, part_time: Duration) -> bool {
+        self.slowdown.stretch(part_time) <= self.room(model)
     }
 
     /// How much can be read in beside what waits without stretching the pauses of the answers that
@@ -59,23 +73,24 @@
         pause
             .mul_f64(PAUSE_PART)
             .saturating_sub(self.pass_time(model))
-            .saturating_sub(self.load.read_backlog)
+            .saturating_sub(self.backlog())
     }
 
     /// When a part is read that comes now and that this engine helps with: engines read such parts ahead
     /// of all that waits there.
     pub fn helped(&self, model: &EngineModel, part_time: Duration) -> Duration {
-        part_time + self.pass_time(model).mul_f64(PASSES_TO_FIRST_EVENT)
+        let read_time = self.slowdown.stretch(part_time);
+        read_time + self.pass_time(model).mul_f64(PASSES_TO_FIRST_EVENT)
     }
 
     /// Whether a prompt that is being read here would come late by a part that is read before it.
     pub fn makes_late(&self, model: &EngineModel, part_time: Duration) -> bool {
-        let ready = self.load.read_backlog + part_time + self.pass_time(model);
+        let ready = self.backlog() + self.slowdown.stretch(part_time) + self.pass_time(model);
         self.load.read_due.is_some_and(|due| ready > due)
     }
 
     /// When the first event of a request is expected that comes now and is read in `part_time`.
     pub fn first_event(&self, model: &EngineModel, part_time: Duration) -> Duration {
-        self.load.read_backlog + self.helped(model, part_time)
+        self.backlog() + self.helped(model, part_time)
     }
 }
--- a/src/decide/upstream_load.rs
+++ b/src/decide/upstream_load.rs
@@ -23,6 +23,11 @@
 }
 
 impl UpstreamLoad {
+    /// Whether there is any.
+    pub fn has_work(&self) -> bool {
+        self.in_flight > 0 || self.held_tokens > Tokens::ZERO || !self.read_backlog.is_zero()
+    }
+
     /// Adds the work of one host.
     pub(crate) fn add(&mut self, other: &HostLoad) {
         self.in_flight += other.in_flight;
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -51,6 +51,9 @@
     /// 0 if it does not say, or has not read them yet.
     #[prost(uint32, tag = "15")]
     pub proof_age_plus_one_ms: u32,
+    /// Engines that the sender has asked and that are slow; those that it speaks of no more are sound.
+    #[prost(message, repeated, tag = "16")]
+    pub slow: Vec<SlowNews>,
 }
 
 /// The work at one upstream.
@@ -99,6 +102,18 @@
     }
 }
 
+/// An engine that is slow.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct SlowNews {
+    /// The hash of the engine's id.
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// How long it takes, in hundredths of what its model says.
+    #[prost(uint32, tag = "2")]
+    pub slowdown_percent: u32,
+}
+
 /// A request that crashed upstreams.
 #[derive(Clone, PartialEq, Eq, Hash)]
 #[derive(prost::Message)]
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -32,6 +32,7 @@
 pub use message::HostNews;
 pub use message::LoadNews;
 pub use message::PoisonNews;
+pub use message::SlowNews;
 pub use news_route::NewsRoute;
 pub use outgoing::Outgoing;
 pub use pace::Need;
--- a/src/gateway/engine_orders.rs
+++ b/src/gateway/engine_orders.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::BoxFuture;
 
+use crate::units::Slowdown;
 use crate::units::Tokens;
 
 /// Why an engine did not carry out an order.
@@ -28,7 +29,14 @@
 
 impl std::error::Error for OrderError {}
 
-/// Orders about engines' memory.
+/// What an engine says of itself, some hundred ms late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineReport {
+    /// How much slower than its model it works.
+    pub slowdown: Slowdown,
+}
+
+/// Orders about engines' memory, and questions to engines.
 pub trait EngineOrders: Send + Sync {
     /// Sets memory aside under a name for `hold` from the order's arrival on, or renews it. The
     /// memory is free at once or the order is refused.
@@ -40,6 +48,9 @@
         hold: Duration,
     ) -> BoxFuture<'a, Result<(), OrderError>>;
 
+    /// Asks an engine how it does.
+    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, OrderError>>;
+
     /// Gives it back.
     fn release<'a>(
         &'a self,
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -78,6 +78,13 @@
         /// How long it was away, in ms.
         away_ms: u64,
     },
+    /// An engine has become slow or sound, by its own word to this host.
+    UpstreamSpeed {
+        /// The engine.
+        upstream: String,
+        /// How many times as long as its model says it takes.
+        slowdown: f64,
+    },
     /// An upstream failed a request or could not be reached.
     UpstreamFault {
         /// The request.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -21,6 +21,7 @@
 use crate::exchange::NewsDesk;
 use crate::exchange::NewsRoute;
 use crate::exchange::PoisonNews;
+use crate::exchange::SlowNews;
 use crate::exchange::UpstreamHash;
 use crate::exchange::Voice;
 use crate::gateway::Event;
@@ -30,6 +31,7 @@
 use crate::units::ContentHash;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
+use crate::units::Slowdown;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
@@ -62,6 +64,7 @@
         drop(health);
         HostNews {
             proof_age_plus_one_ms: self.proof_age_plus_one_ms(),
+            slow: self.slowdowns.own(now).iter().map(slow_news).collect(),
             unreachable,
             cut_off,
             routes_version,
@@ -105,6 +108,11 @@
         let names = self.beliefs.upstream_names();
         let loads = news.loads.iter();
         let loads = loads.filter_map(|load| Some((upstream_of(load, &names)?, read_load(load))));
+        for slow in &news.slow {
+            if let Some(engine) = names.get(&UpstreamHash(slow.upstream_hash)) {
+                self.slowdowns.hear(engine, read_slowdown(slow), now);
+            }
+        }
         let mut ledger = self.ledger();
         ledger.hear_part(source, news.incarnation, extent, loads, now);
     }
@@ -235,6 +243,18 @@
     }
 }
 
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn slow_news((engine, slowdown): &(UpstreamId, Slowdown)) -> SlowNews {
+    SlowNews {
+        upstream_hash: UpstreamHash::from(engine).0,
+        slowdown_percent: (slowdown.factor() * 100.0) as u32,
+    }
+}
+
+fn read_slowdown(news: &SlowNews) -> Slowdown {
+    Slowdown::new(f64::from(news.slowdown_percent) / 100.0)
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -162,6 +162,7 @@
         id: upstream.id.clone(),
         load: ledger.load(&upstream.id, now),
         is_near: upstream.domain == gateway.conf.domain,
+        slowdown: gateway.slowdowns.of(&upstream.id, now),
     });
     let views: Vec<EngineView> = views.collect();
     let ask = engine_ask(call, sends, &gateway.news_route(), now);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::GatewayError;
 use crate::gateway::Listeners;
+use crate::gateway::engine_reports::keep_reports;
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::probe::try_unreachable;
 use crate::gateway::server::serve_callers;
@@ -83,6 +84,7 @@
         exchange_addr,
     ));
     tasks.spawn(try_unreachable(Arc::clone(&gateway)));
+    tasks.spawn(keep_reports(Arc::clone(&gateway)));
     tasks.spawn(serve_pages(
         Arc::<GatewayPages>::clone(&pages),
         listeners.ready,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -33,6 +33,7 @@
 use crate::gateway::lives::Lives;
 use crate::gateway::share::Held;
 use crate::gateway::share::Readers;
+use crate::gateway::slowdowns::Slowdowns;
 use crate::units::ServiceId;
 
 /// Crashes after which a request is refused. Callers here have no key that tells their requests
@@ -92,6 +93,8 @@
     news_route: Mutex<NewsRoute>,
     /// Which host reads the platform for this one.
     pub(crate) readers: Readers,
+    /// Which engines are slow.
+    pub(crate) slowdowns: Slowdowns,
     crashes: Mutex<VecDeque<(Instant, Poison)>>,
 }
 
@@ -132,6 +135,7 @@
             news_sent: AtomicU64::new(0),
             news_route: Mutex::default(),
             readers: Readers::default(),
+            slowdowns: Slowdowns::default(),
             crashes: Mutex::default(),
         }
     }
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -12,6 +12,7 @@
 mod names;
 mod random_ids;
 mod rates;
+mod slowdown;
 mod tokens;
 
 pub use byte_size::ByteSize;
@@ -38,4 +39,5 @@
 pub use random_ids::RequestId;
 pub use rates::RequestsPerSecond;
 pub use rates::TokensPerSecond;
+pub use slowdown::Slowdown;
 pub use tokens::Tokens;
--- /dev/null
+++ b/src/units/slowdown.rs
@@ -0,0 +1,64 @@
+//! How much slower than its model something works.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::units::ParseUnitError;
+
+/// How many times as long as its model says an engine takes; 1 for one that works at full speed.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Slowdown(f64);
+
+impl Slowdown {
+    /// At full speed.
+    pub const NONE: Self = Self(1.0);
+
+    /// A factor. Faster than the model is not believed: it would draw all work to one engine.
+    pub fn new(factor: f64) -> Self {
+        Self(if factor.is_finite() {
+            factor.max(1.0)
+        } else {
+            1.0
+        })
+    }
+
+    /// The factor, at least 1.
+    pub fn factor(self) -> f64 {
+        self.0
+    }
+
+    /// How long it takes for what the model says takes `time`.
+    pub fn stretch(self, time: Duration) -> Duration {
+        if self == Self::NONE {
+            return time;
+        }
+        Duration::try_from_secs_f64(time.as_secs_f64() * self.0).unwrap_or(Duration::MAX)
+    }
+}
+
+impl Default for Slowdown {
+    fn default() -> Self {
+        Self::NONE
+    }
+}
+
+impl fmt::Display for Slowdown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}x", self.0)
+    }
+}
+
+impl FromStr for Slowdown {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text
+            .strip_suffix('x')
+            .and_then(|number| number.parse().ok());
+        match number {
+            Some(number) if f64::is_finite(number) && number >= 1.0 => Ok(Self(number)),
+            _ => Err(ParseUnitError::new("a factor like 3.5x", text)),
+        }
+    }
+}
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use banyanarch::units::Slowdown;
 use engine_world::Ended;
 use engine_world::LONG;
 use engine_world::Load;
@@ -11,6 +12,7 @@
 use engine_world::Phase;
 use engine_world::SHORT;
 use engine_world::Site;
+use engine_world::SlowStretch;
 use engine_world::Tally;
 use engine_world::World;
 
@@ -122,3 +124,34 @@
     let slower = play(&site, &phases, 5);
     assert!(slower.earned(SHORT) < tally.earned(SHORT), "{slower}");
 }
+
+fn with_slow_engines(known_after: Duration) -> Site {
+    let mut site = Site::shifted();
+    site.slow = Some(SlowStretch {
+        from: Duration::from_secs(1),
+        until: Duration::from_secs(7),
+        one_in: 5,
+        slowdown: Slowdown::new(3.5),
+        known_after,
+    });
+    site
+}
+
+/// A fifth of the engines works at less than a third of its speed for some seconds. They get as much as the
+/// others: answers there pause for too long, and prompts that several engines read wait for them.
+#[test]
+fn slow_engines_get_what_they_can_do() {
+    let phases = [Phase {
+        for_s: 8.0,
+        factors: [1.0, 1.0, 1.0],
+    }];
+    let (mut asked, mut unasked) = (0.0, 0.0);
+    for seed in 1..=3 {
+        let known = with_slow_engines(Duration::from_millis(800));
+        asked += play(&known, &phases, seed).earned_all() / 3.0;
+        let never = with_slow_engines(Duration::from_secs(1_000));
+        unasked += play(&never, &phases, seed).earned_all() / 3.0;
+    }
+    assert!(asked > unasked + 0.03, "{asked}, {unasked} if not asked");
+    assert!(asked > 0.90, "{asked}");
+}
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -12,6 +12,7 @@
 use banyanarch::decide::engines::PromptClass;
 use banyanarch::decide::engines::border;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use yare::parameterized;
 
@@ -38,6 +39,7 @@
         id: format!("e{index:02}").parse().unwrap(),
         load: UpstreamLoad::default(),
         is_near: true,
+        slowdown: Slowdown::NONE,
     };
     (0..count).map(engine).collect()
 }
--- a/tests/decide_engines_near.rs
+++ b/tests/decide_engines_near.rs
@@ -9,6 +9,7 @@
 use banyanarch::decide::engines::EnginePlan;
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
 use indexmap::IndexSet;
@@ -41,6 +42,7 @@
         id: format!("e{index:03}").parse().unwrap(),
         load: UpstreamLoad::default(),
         is_near: index % DOMAINS == OWN,
+        slowdown: Slowdown::NONE,
     };
     (0..ENGINES).map(engine).collect()
 }
--- a/tests/engine_world/engine.rs
+++ b/tests/engine_world/engine.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use banyanarch::decide::EngineModel;
+use banyanarch::units::Slowdown;
 
 /// Prompt tokens that one token step reads at most.
 const CHUNK_TOKENS: f64 = 2_048.0;
@@ -77,7 +78,7 @@
     }
 
     /// Begins a pass if there is work. Returns how long it takes.
-    pub fn begin(&mut self, model: &EngineModel) -> Option<Duration> {
+    pub fn begin(&mut self, model: &EngineModel, slowdown: Slowdown) -> Option<Duration> {
         while self.writers.len() < model.slots as usize
             && let Some(writer) = self.ready.pop_front()
         {
@@ -104,7 +105,7 @@
         self.writers.retain(|writer| writer.events_left > 0);
         self.pass = Some(end);
         let took_ms = f64::from(steps) * step_ms + read_ms;
-        Some(Duration::from_secs_f64(took_ms / 1e3))
+        Some(slowdown.stretch(Duration::from_secs_f64(took_ms / 1e3)))
     }
 
     /// Ends the pass under way.
--- a/tests/engine_world/host.rs
+++ b/tests/engine_world/host.rs
@@ -64,12 +64,14 @@
         site: &Site,
         engines: &[UpstreamId],
         ask: &EngineAsk,
+        at: Duration,
         now: Instant,
     ) -> EngineChoice {
         let view = |(index, id): (usize, &UpstreamId)| EngineView {
             id: id.clone(),
             load: self.ledger.load(id, now),
             is_near: index % site.domains == self.domain,
+            slowdown: site.known_slowdown(index, at),
         };
         let views: Vec<EngineView> = engines.iter().enumerate().map(view).collect();
         choose_engines(&site.model, &views, ask)
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use banyanarch::decide::EngineModel;
+use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use rand::Rng;
 use rand::SeedableRng;
@@ -49,6 +50,18 @@
     }
 }
 
+/// A stretch in which some engines work slower.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStretch {
+    pub from: Duration,
+    pub until: Duration,
+    /// One engine in so many.
+    pub one_in: usize,
+    pub slowdown: Slowdown,
+    /// When hosts know of it; never if they don't ask.
+    pub known_after: Duration,
+}
+
 /// Hosts and engines of one deployment.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -68,6 +81,7 @@
     pub urgent_interval: Duration,
     /// Such messages that may follow each other before they have to be as rare as the others.
     pub urgent_burst: u32,
+    pub slow: Option<SlowStretch>,
 }
 
 /// One request of a load.
@@ -119,6 +133,53 @@
             far_news_age: Duration::from_millis(170),
             urgent_interval: Duration::from_millis(10),
             urgent_burst: 3,
+            slow: None,
+        }
+    }
+
+    /// Seventy-nine hosts in three failure domains before 45 engines with less memory, of callers that
+    /// accept longer pauses.
+    pub fn shifted() -> Self {
+        let mut site = Self::largest();
+        site.hosts = 79;
+        site.engines = 45;
+        site.domains = 3;
+        site.model = EngineModel {
+            slots: 12,
+            memory_tokens: Tokens(267_750),
+            stride: 57,
+            step_ms: 0.85,
+            step_per_writer_ms: 0.00425,
+            step_per_kilotoken_ms: 0.00285,
+            read_tokens_per_ms: 177.0,
+            read_per_megapair_ms: 0.184,
+        };
+        site.news_interval = Duration::from_millis(65);
+        for (class, per_s) in site.classes.iter_mut().zip([54.4, 5.98, 1.47]) {
+            class.per_s = per_s;
+            class.events_mean /= 0.73;
+        }
+        site.classes[LONG].prompt_mean = 220_000.0;
+        site.classes[LONG].prompt_max = 700_000.0;
+        site
+    }
+
+    /// How slow an engine is at a time.
+    pub fn slowdown(&self, engine: usize, at: Duration) -> Slowdown {
+        match self.slow {
+            Some(slow) if engine % slow.one_in == 0 && (slow.from..slow.until).contains(&at) => {
+                slow.slowdown
+            }
+            _ => Slowdown::NONE,
+        }
+    }
+
+    /// How slow hosts take an engine for at a time.
+    pub fn known_slowdown(&self, engine: usize, at: Duration) -> Slowdown {
+        let known_after = self.slow.map_or(Duration::ZERO, |slow| slow.known_after);
+        match at.checked_sub(known_after) {
+            Some(seen_at) => self.slowdown(engine, seen_at),
+            None => Slowdown::NONE,
         }
     }
 
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -15,6 +15,7 @@
 pub use load::Phase;
 pub use load::SHORT;
 pub use load::Site;
+pub use load::SlowStretch;
 pub use tally::Ended;
 pub use tally::Tally;
 pub use world::World;
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -173,7 +173,7 @@
             is_far: false,
             draw: self.rng.random(),
         };
-        let choice = self.hosts[run.host].choose(&self.site, &self.ids, &ask, now);
+        let choice = self.hosts[run.host].choose(&self.site, &self.ids, &ask, self.now, now);
         match choice {
             EngineChoice::Send(plan) => {
                 let pause = class.pause;
@@ -242,8 +242,9 @@
     }
 
     fn wake(&mut self, engine: usize) {
+        let slowdown = self.site.slowdown(engine, self.now);
         if self.engines[engine].is_idle()
-            && let Some(took) = self.engines[engine].begin(&self.site.model)
+            && let Some(took) = self.engines[engine].begin(&self.site.model, slowdown)
         {
             self.push(self.now + took, Event::PassEnds(engine));
         }
--- a/tests/gateway_hosts.rs
+++ b/tests/gateway_hosts.rs
@@ -11,6 +11,7 @@
 use banyanarch::http::one_shot;
 use banyanarch::routing::CallKind;
 use banyanarch::routing::RouteTable;
+use banyanarch::units::Slowdown;
 use banyanarch::units::UpstreamId;
 use bytes::Bytes;
 use gateway_world::TestHost;
@@ -97,6 +98,40 @@
     until(|| seen() == 0).await;
 }
 
+/// An engine turns slow and says so when it is asked. Each host finds it out by late answers of its own
+/// callers, if at all, and goes on filling it: it stands first among the engines.
+#[tokio::test]
+async fn hosts_leave_an_engine_alone_that_says_it_is_slow() {
+    let catalog = FakeCatalog::new(table(1));
+    let slow = Upstream::start([Act::EventsThenHang(1)]).await;
+    let sound = Upstream::start([Act::Events(1)]).await;
+    catalog.list("a", "llm", slow.addr);
+    catalog.list("b", "llm", sound.addr);
+    let asking = TestHost::start("a-first", &catalog).await;
+    let told = TestHost::start("b-second", &catalog).await;
+    until(|| told.gateway.ledger().peers_heard(told.gateway.clock.now()) == 1).await;
+    let calls = asking.callers;
+    let hanging = tokio::spawn(async move {
+        let req = request("/model/1");
+        let _ = one_shot::call(calls, req, 1 << 20, Duration::from_secs(20)).await;
+    });
+    until(|| slow.arrivals().len() == 1).await;
+    asking.orders.slow_down(slow.addr, Slowdown::new(8.0));
+    until(|| asking.log.text().contains("upstream_speed")).await;
+    while sound.arrivals().is_empty() {
+        let req = request("/model/1");
+        let call = one_shot::call(told.callers, req, 1 << 20, Duration::from_millis(100));
+        let _ = call.await;
+    }
+    let before = slow.arrivals().len();
+    for _ in 0..3 {
+        assert_eq!(status(&told.call(request("/model/1")).await), 200);
+    }
+    assert_eq!(slow.arrivals().len(), before, "sent to the slow engine");
+    assert_eq!(told.orders.reports(), 0, "one host of a domain asks");
+    hanging.abort();
+}
+
 /// A host before two engines, `a` and `b`, to which a caller has sent a prompt that needs the memory
 /// of both.
 async fn reserving() -> (TestHost, [Upstream; 2], JoinHandle<()>) {
--- a/tests/gateway_world/orders.rs
+++ b/tests/gateway_world/orders.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use banyanarch::gateway::EngineOrders;
+use banyanarch::gateway::EngineReport;
 use banyanarch::gateway::OrderError;
+use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -18,6 +20,8 @@
     refuses_from: Mutex<Option<usize>>,
     silent: Mutex<Option<SocketAddr>>,
     asked: Mutex<IndexMap<SocketAddr, usize>>,
+    slowdowns: Mutex<IndexMap<SocketAddr, Slowdown>>,
+    reports: Mutex<usize>,
 }
 
 impl FakeOrders {
@@ -42,6 +46,16 @@
         asked.get(&engine).copied().unwrap_or(0)
     }
 
+    /// An engine says that it works this much slower than its model.
+    pub fn slow_down(&self, engine: SocketAddr, slowdown: Slowdown) {
+        self.slowdowns.lock().unwrap().insert(engine, slowdown);
+    }
+
+    /// How often engines were asked how they do.
+    pub fn reports(&self) -> usize {
+        *self.reports.lock().unwrap()
+    }
+
     /// Refuses every reservation after this many.
     pub fn refuse_from(&self, made: usize) {
         *self.refuses_from.lock().unwrap() = Some(made);
@@ -76,6 +90,13 @@
         async { Ok(()) }.boxed()
     }
 
+    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, OrderError>> {
+        *self.reports.lock().unwrap() += 1;
+        let known = self.slowdowns.lock().unwrap().get(&engine).copied();
+        let slowdown = known.unwrap_or(Slowdown::NONE);
+        async move { Ok(EngineReport { slowdown }) }.boxed()
+    }
+
     fn release<'a>(
         &'a self,
         engine: SocketAddr,
