Hosts that have just left the list are told on

A host that restarts is off the list until the one that reads has read it again and the others have asked that one; meanwhile nobody tells it anything.

Test: a_host_that_has_just_left_the_list_is_told_on.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod shared;
 mod slowdowns;
 mod sync;
+mod told_hosts;
 mod tracker;
 
 pub use answer_body::AnswerBody;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -22,6 +22,7 @@
 use crate::gateway::share::Reader;
 use crate::gateway::share::WATCH_WAIT;
 use crate::gateway::share::Way;
+use crate::gateway::told_hosts::ToldHosts;
 use crate::routing::RouteTable;
 use crate::units::UpstreamId;
 
@@ -156,6 +157,7 @@
     let mut dependency = Dependency::new(&gateway, "hosts");
     let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut way = Way::Any;
+    let mut told = ToldHosts::new(own.clone());
     let mut is_announced = false;
     loop {
         let asked_at = gateway.clock.now();
@@ -170,11 +172,11 @@
             Err(ReadError::OthersStale) => Way::Platform,
             _ => Way::Any,
         };
-        if let Ok(Some(mut hosts)) = read {
-            if !hosts.iter().any(|listed| listed.host == own.host) {
-                // The list may be seconds old.
-                hosts.push(own.clone());
-            }
+        if let Ok(Some(hosts)) = read {
+            told.set_listed(hosts, gateway.clock.now());
+        }
+        let hosts = told.hosts(gateway.clock.now());
+        if *gateway.beliefs.hosts() != hosts {
             gateway.beliefs.set_hosts(hosts);
         }
         gateway.ledger().forget_silent(gateway.clock.now());
--- a/tests/gateway_reads.rs
+++ b/tests/gateway_reads.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use banyanarch::gateway::Catalog;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -102,3 +103,22 @@
     let _third = TestHost::start("c-third", &catalog.another_way()).await;
     until(|| second.gateway.beliefs.hosts().len() == 3).await;
 }
+
+/// Hosts restart in turn. Each is off the list for a moment, is told nothing until all others have read that
+/// it is back, and sends its prompts to engines that they have filled meanwhile.
+#[tokio::test]
+async fn a_host_that_has_just_left_the_list_is_told_on() {
+    let catalog = catalog_of(["a", "b", "c"]);
+    let [(first, _), (second, _)] = two_hosts(&catalog).await;
+    let names = || {
+        let hosts = first.gateway.beliefs.hosts();
+        let names = hosts.iter().map(|listed| listed.host.to_string());
+        names.collect::<Vec<String>>()
+    };
+    until(|| names().contains(&"b-second".to_owned())).await;
+    let gone = second.gateway.conf.host.clone();
+    catalog.withdraw(gone).await.unwrap();
+    let _third = TestHost::start("c-third", &catalog.another_way()).await;
+    until(|| names().contains(&"c-third".to_owned())).await;
+    assert!(names().contains(&"b-second".to_owned()), "{:?}", names());
+}
