--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -27,6 +27,7 @@
     banyanarch explain REQUEST_ID --host ADDR [--host ADDR]... [--json]
     banyanarch explain REQUEST_ID --logs FILE [--logs FILE]...
     banyanarch explain --failed --logs FILE [--logs FILE]...
+    banyanarch explain --summary --logs FILE [--logs FILE]...
 
 Options:
     --host ADDR    IP:PORT of the status port of a host; give several to merge what they know.
@@ -34,6 +35,8 @@
     --logs FILE    Logs of one or several hosts in any order; - is standard input. What stands on a
                    line before its JSON is passed over.
     --failed       A line for each request that did not end well, with its cause.
+    --summary      Where answers were lost: waits, forecasts and first events by the length of the prompt,
+                   and how requests ended, by time.
 
 Exit codes: 0 done, 1 no host or log knows the request, 2 bad command line, 3 no host was reached.
 ";
@@ -47,6 +50,7 @@
 /// What is asked of logs.
 enum OfLogs {
     Failed,
+    Summary,
     Request(String),
 }
 
@@ -90,6 +94,8 @@
 fn run_logs(mut args: Arguments, paths: &[PathBuf], out: &mut dyn Write) -> Result<Exit, CmdError> {
     let wanted = if args.contains("--failed") {
         OfLogs::Failed
+    } else if args.contains("--summary") {
+        OfLogs::Summary
     } else {
         OfLogs::Request(args.free_from_str()?)
     };
@@ -104,6 +110,10 @@
             write!(out, "{}", logs.failed())?;
             true
         }
+        OfLogs::Summary => {
+            write!(out, "{}", logs.summary())?;
+            true
+        }
         OfLogs::Request(request) => {
             let story = logs.story(&request);
             write!(out, "{story}")?;
--- a/src/cmd/logs.rs
+++ b/src/cmd/logs.rs
@@ -6,6 +6,7 @@
 
 use crate::cmd::log_causes::cause;
 use crate::cmd::log_story::Story;
+use crate::cmd::log_summary::Summary;
 use crate::gateway::Event;
 
 /// One line of a log.
@@ -46,6 +47,11 @@
         Story::new(request, &self.lines)
     }
 
+    /// Where answers were lost.
+    pub(crate) fn summary(&self) -> Summary {
+        Summary::of(&self.lines)
+    }
+
     /// The requests that did not end well.
     pub(crate) fn failed(&self) -> Failed<'_> {
         Failed(&self.lines)
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod host_page;
 mod log_causes;
 mod log_story;
+mod log_summary;
 mod logs;
 mod manifest_changes;
 mod publication;
--- a/src/exchange/news_route.rs
+++ b/src/exchange/news_route.rs
@@ -4,6 +4,9 @@
 
 use crate::units::HostId;
 
+/// Ages that differ by less than this factor are told apart by nobody who reads a log.
+const AGE_FACTOR: f64 = 1.5;
+
 /// By which way news of other hosts come to a host.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NewsRoute {
@@ -15,3 +18,17 @@
     /// The same of hosts of other domains.
     pub far_age: Duration,
 }
+
+impl NewsRoute {
+    /// Whether news come by another collector, or are older or younger by a factor that matters. The fleet
+    /// grows and shrinks by a host at a time, and each moves the ages by a few ms.
+    pub fn is_another_way_than(&self, other: &Self) -> bool {
+        let is_other_age = |one: Duration, other: Duration| {
+            let (less, more) = (one.min(other), one.max(other));
+            more > less.mul_f64(AGE_FACTOR)
+        };
+        self.collector != other.collector
+            || is_other_age(self.near_age, other.near_age)
+            || is_other_age(self.far_age, other.far_age)
+    }
+}
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -122,11 +122,14 @@
     }
 
     fn on_route(&self, route: NewsRoute) {
-        self.log.note(Event::NewsRoute {
-            collector: route.collector.as_ref().map(ToString::to_string),
-            near_age_ms: whole_millis(route.near_age),
-            far_age_ms: whole_millis(route.far_age),
-        });
+        if route.is_another_way_than(&self.logged_route()) {
+            self.log.note(Event::NewsRoute {
+                collector: route.collector.as_ref().map(ToString::to_string),
+                near_age_ms: whole_millis(route.near_age),
+                far_age_ms: whole_millis(route.far_age),
+            });
+            self.set_logged_route(route.clone());
+        }
         self.set_news_route(route);
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -91,6 +91,7 @@
     pub(crate) hosts_news: Notify,
     pub(crate) news_sent: AtomicU64,
     news_route: Mutex<NewsRoute>,
+    logged_route: Mutex<NewsRoute>,
     /// Which host reads the platform for this one.
     pub(crate) readers: Readers,
     /// Which engines are slow.
@@ -134,6 +135,7 @@
             hosts_news: Notify::new(),
             news_sent: AtomicU64::new(0),
             news_route: Mutex::default(),
+            logged_route: Mutex::default(),
             readers: Readers::default(),
             slowdowns: Slowdowns::default(),
             crashes: Mutex::default(),
@@ -156,6 +158,17 @@
         route.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The way that the decision log has told last.
+    pub(crate) fn logged_route(&self) -> NewsRoute {
+        let route = self.logged_route.lock();
+        route.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_logged_route(&self, route: NewsRoute) {
+        let logged = self.logged_route.lock();
+        *logged.unwrap_or_else(PoisonError::into_inner) = route;
+    }
+
     pub(crate) fn set_news_route(&self, route: NewsRoute) {
         let mut current = self
             .news_route
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -104,3 +104,50 @@
     let unknown = story("r-none");
     assert_eq!(unknown.code, 1, "{unknown:?}");
 }
+
+/// After a bad day somebody asks where its answers were lost: prompts of one length that came later than
+/// forecast, or one stretch of time, and why.
+#[test]
+fn a_summary_shows_late_first_events_by_length_and_ends_by_time() {
+    let dir = WorkDir::new();
+    let sent = |request: &str, at: u64, tokens: u64, waited: u64, forecast: u64| {
+        format!(
+            r#"{{"wall_ms":{at},"host":"h","event":"sent","request":"{request}","upstream":"e","helpers":["f"],"reserves":2,"earlier_sends":0,"forecast_ms":{forecast},"elapsed_ms":{waited},"prompt_tokens":{tokens},"manifest_age_ms":700}}"#
+        )
+    };
+    let ended = |request: &str, at: u64, outcome: &str, first: &str| {
+        format!(
+            r#"{{"wall_ms":{at},"host":"h","event":"ended","request":"{request}","route":"r","customer":"c","kind":"stream","outcome":"{outcome}","status":200,"elapsed_ms":9000,"first_event_ms":{first},"longest_pause_ms":60,"generation":1}}"#
+        )
+    };
+    let lines = [
+        sent("long", 1_000, 200_000, 300, 900),
+        ended("long", 1_500, "served", "2400"),
+        sent("short", 5_200, 4_000, 0, 200),
+        ended("short", 5_400, "served", "150"),
+        ended("turned-away", 5_900, "deadline", "null"),
+    ];
+    dir.file("host.log", &lines.join("\n"));
+    let ran = dir.run(&["explain", "--summary", "--logs", "host.log"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let words = |start: &str| {
+        let line = ran
+            .stdout
+            .lines()
+            .find(|line| line.trim().starts_with(start));
+        let words = line.unwrap_or_default().split_whitespace();
+        words.map(str::to_owned).collect::<Vec<String>>().join(" ")
+    };
+    assert_eq!(
+        words("under 250000"),
+        "under 250000 1 300 300 900 900 2400 2400 1200 1200 2.0 2"
+    );
+    assert_eq!(
+        words("under 10000"),
+        "under 10000 1 0 0 200 200 150 150 -50 -50 2.0 2"
+    );
+    assert_eq!(words("second"), "second served deadline others");
+    assert_eq!(words("0 "), "0 1 0 0");
+    assert_eq!(words("4 "), "4 1 1 0");
+    assert!(ran.stdout.contains("700 700 700"), "{ran:?}");
+}
