The border of short prompts follows the strictest pause; short parts go where there is room

Cause: 120 ms of reading was what fits beside a pause of 200 ms. And the engines that help with a short prompt were taken by their backlog alone, also those that are slow or whose answers would pause for too long.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -103,6 +103,7 @@
         objective_left: Duration::from_millis(300),
         patience_left: Duration::from_millis(1_500),
         time_left: Duration::from_secs(10),
+        strictest_pause: Some(Duration::from_millis(200)),
         news_age: Duration::from_millis(100),
         far_news_age: Duration::from_millis(100),
         is_far: false,
--- a/src/decide/engines/ask.rs
+++ b/src/decide/engines/ask.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use crate::decide::EngineModel;
+use crate::decide::engines::view::PAUSE_PART;
 use crate::units::Tokens;
 
-/// A prompt that one engine reads in less than this is short: an answer beside it, which may pause
-/// for 200 ms, stays on time. A pass without reading takes 45 to 60 ms.
-const SHORT_READ_TIME_MAX: Duration = Duration::from_millis(120);
+/// A prompt that one engine reads in less than this is short where no caller says what pause it accepts.
+const SHORT_READ_TIME_DEFAULT: Duration = Duration::from_millis(120);
 /// A prompt that takes more than this part of an engine's memory is long: its answer is written
 /// among those that read long prompts, since few of them fit beside short ones.
 const LONG_MEMORY_PART: f64 = 0.25;
@@ -38,6 +38,8 @@
     pub patience_left: Duration,
     /// What is left of the time in which the whole answer has to be there.
     pub time_left: Duration,
+    /// The shortest pause between two events that any caller of the service accepts; none if none says.
+    pub strictest_pause: Option<Duration>,
     /// How old the news may be of what other hosts of this host's failure domain have sent.
     pub news_age: Duration,
     /// The same of hosts of other domains.
@@ -51,7 +53,7 @@
 impl EngineAsk {
     /// The class of the prompt on engines of this model.
     pub fn class(&self, model: &EngineModel) -> PromptClass {
-        if model.read_time(self.prompt) <= SHORT_READ_TIME_MAX {
+        if model.read_time(self.prompt) <= self.short_read_time(model) {
             PromptClass::Short
         } else if self.prompt.as_f64() <= model.memory_tokens.as_f64() * LONG_MEMORY_PART {
             PromptClass::Medium
@@ -60,6 +62,16 @@
         }
     }
 
+    /// The longest reading of a short prompt: read beside a full engine's answers, it leaves the strictest
+    /// of their pauses within what its caller accepts.
+    fn short_read_time(&self, model: &EngineModel) -> Duration {
+        let full_pass = model.pass_time(model.slots, Tokens::ZERO);
+        self.strictest_pause
+            .map_or(SHORT_READ_TIME_DEFAULT, |pause| {
+                pause.mul_f64(PAUSE_PART).saturating_sub(full_pass)
+            })
+    }
+
     /// A number that orders engines of the same rank, different for each choice.
     pub(super) fn shuffle(&self, engine: usize) -> u32 {
         let index = u32::try_from(engine).unwrap_or(u32::MAX);
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -53,7 +53,7 @@
     };
     EngineChoice::Send(EnginePlan {
         leader: leader.id.clone(),
-        helpers: least_busy(short_side, &leader.id, parts - 1),
+        helpers: helpers(model, short_side, &leader.id, part_time, parts - 1),
         reserves: Vec::new(),
         part_time,
         forecast: leader.first_event(model, part_time),
@@ -124,10 +124,20 @@
     EngineChoice::wait(next_place)
 }
 
-/// The engines with the least left to read, without `leader`.
-fn least_busy(engines: &[EngineView], leader: &UpstreamId, count: usize) -> Vec<UpstreamId> {
+/// The engines that read a part soonest, without `leader`; those last whose answers would pause too long.
+fn helpers(
+    model: &EngineModel,
+    engines: &[EngineView],
+    leader: &UpstreamId,
+    part_time: Duration,
+    count: usize,
+) -> Vec<UpstreamId> {
     let mut others: Vec<&EngineView> = engines.iter().filter(|e| e.id != *leader).collect();
-    others.sort_by_key(|engine| (engine.backlog(), engine.load.in_flight));
+    others.sort_by_cached_key(|engine| {
+        let stretches = !engine.has_room(model, part_time);
+        let read_in = engine.backlog() + engine.slowdown.stretch(part_time);
+        (stretches, read_in, engine.load.in_flight)
+    });
     others
         .into_iter()
         .take(count)
--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -12,7 +12,7 @@
 const MEMORY_PART: f64 = 0.97;
 /// The part of an accepted pause that is planned with; the rest is for what other hosts send in the
 /// same moment.
-const PAUSE_PART: f64 = 0.9;
+pub(super) const PAUSE_PART: f64 = 0.9;
 /// Passes from a request's arrival to its first event, beside its own reading: half of the pass that
 /// is under way, the one that it is read in, and the one that writes the tokens of the event.
 const PASSES_TO_FIRST_EVENT: f64 = 2.5;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -77,7 +77,13 @@
     }
 }
 
-fn engine_ask(call: &Call, sends: &Sends<'_>, route: &NewsRoute, now: Instant) -> EngineAsk {
+fn engine_ask(
+    call: &Call,
+    sends: &Sends<'_>,
+    route: &NewsRoute,
+    strictest_pause: Option<Duration>,
+    now: Instant,
+) -> EngineAsk {
     // The caller of a stream that broke off stays for its next event, however late it is.
     let least = if sends.has_run {
         call.patience()
@@ -90,6 +96,7 @@
         objective_left: call.objective_left(now).max(least),
         patience_left: call.patience_left(now).max(least),
         time_left: call.time_left(now),
+        strictest_pause,
         news_age: route.near_age,
         far_news_age: route.far_age,
         is_far: false,
@@ -165,7 +172,11 @@
         slowdown: gateway.slowdowns.of(&upstream.id, now),
     });
     let views: Vec<EngineView> = views.collect();
-    let ask = engine_ask(call, sends, &gateway.news_route(), now);
+    let pause = gateway
+        .beliefs
+        .routes()
+        .and_then(|routes| routes.strictest_pause(&call.service));
+    let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
     drop(ledger);
     match choose_engines(model, &views, &ask) {
         EngineChoice::Send(plan) => place(call, model, &ask, &plan, usable, now),
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,6 +1,7 @@
 //! All routes, services and keys of one manifest.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -24,12 +25,15 @@
     pub limits: CallerLimits,
     /// The routes of a host name, the longest prefix first.
     by_hostname: IndexMap<String, Vec<Arc<Route>>>,
+    /// The shortest pause between two events that callers of a service accept.
+    strictest_pauses: IndexMap<ServiceId, Duration>,
 }
 
 impl RouteTable {
     /// A table of these routes.
     pub fn new(generation: Generation, routes: Vec<Route>) -> Self {
         let mut by_hostname: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
+        let strictest_pauses = strictest_pauses(&routes);
         for route in routes {
             by_hostname
                 .entry(route.hostname.to_ascii_lowercase())
@@ -42,10 +46,16 @@
         Self {
             generation,
             by_hostname,
+            strictest_pauses,
             ..Self::default()
         }
     }
 
+    /// The shortest pause between two events that callers of a service accept; none if no route says.
+    pub fn strictest_pause(&self, service: &ServiceId) -> Option<Duration> {
+        self.strictest_pauses.get(service).copied()
+    }
+
     /// The route of a call: of those of the host, the one with the longest prefix of the path.
     /// `authority` may carry a port.
     pub fn route(&self, authority: &str, path: &str) -> Option<&Arc<Route>> {
@@ -66,3 +76,17 @@
         self.by_hostname.values().map(Vec::len).sum()
     }
 }
+
+fn strictest_pauses(routes: &[Route]) -> IndexMap<ServiceId, Duration> {
+    let mut strictest = IndexMap::new();
+    for route in routes {
+        let Some(pause) = route.pause_objective else {
+            continue;
+        };
+        for target in &route.targets {
+            let known = strictest.entry(target.service.clone()).or_insert(pause);
+            *known = pause.min(*known);
+        }
+    }
+    strictest
+}
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -59,6 +59,7 @@
         objective_left: ms(if prompt > 100_000 { 3_000 } else { 300 }),
         patience_left: ms(if prompt > 100_000 { 12_000 } else { 2_000 }),
         time_left: ms(15_000),
+        strictest_pause: Some(Duration::from_millis(200)),
         news_age: Duration::ZERO,
         far_news_age: Duration::ZERO,
         is_far: false,
--- a/tests/decide_engines_near.rs
+++ b/tests/decide_engines_near.rs
@@ -54,6 +54,7 @@
         objective_left: ms(if prompt > 100_000 { 4_000 } else { 300 }),
         patience_left: ms(12_000),
         time_left: ms(15_000),
+        strictest_pause: Some(Duration::from_millis(200)),
         news_age: ms(97),
         far_news_age: ms(100),
         is_far: false,
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -168,6 +168,7 @@
             patience_left: callers_patience(class.objective, Some(class.pause))
                 .saturating_sub(waited),
             time_left,
+            strictest_pause: self.site.classes.iter().map(|class| class.pause).min(),
             news_age: self.site.news_interval,
             far_news_age: self.site.far_news_age,
             is_far: false,
