--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -221,7 +221,7 @@
     let all = || others.iter().copied().chain([leader]);
     let helped = others.iter().map(|engine| engine.helped(model, part_time));
     let forecasts = helped.chain([leader.first_event(model, part_time)]);
-    let backlogs = all().map(|engine| engine.backlog());
+    let backlogs = all().map(EngineView::backlog);
     Some(Group {
         leader,
         part_time,
--- a/src/gateway/share/held.rs
+++ b/src/gateway/share/held.rs
@@ -164,15 +164,15 @@
         let age_ms = |proved_at: Duration| whole_millis(now.saturating_sub(proved_at));
         match List::try_from(ask.list) {
             Ok(List::Routes) => lists.routes.as_ref().map(|routes| {
-                let is_news = routes.version != ask.known_version;
-                Answer {
+                let mut answer = Answer {
                     version: routes.version,
                     age_ms: age_ms(routes.proved_at),
-                    routes: is_news
-                        .then(|| routes.value.to_string())
-                        .unwrap_or_default(),
                     ..Answer::default()
+                };
+                if routes.version != ask.known_version {
+                    answer.routes = routes.value.to_string();
                 }
+                answer
             }),
             Ok(List::Upstreams) => lists.upstreams_proved_at.map(|proved_at| Answer {
                 version: lists.upstreams_version,
@@ -180,14 +180,15 @@
                 ..upstreams_for(&lists, ask)
             }),
             Ok(List::Hosts) => lists.hosts.as_ref().map(|hosts| {
-                let is_news = hosts.version != ask.known_version;
-                let entries = hosts.value.iter().map(HostEntry::from);
-                Answer {
+                let mut answer = Answer {
                     version: hosts.version,
                     age_ms: age_ms(hosts.proved_at),
-                    hosts: is_news.then(|| entries.collect()).unwrap_or_default(),
                     ..Answer::default()
+                };
+                if hosts.version != ask.known_version {
+                    answer.hosts = hosts.value.iter().map(HostEntry::from).collect();
                 }
+                answer
             }),
             // A newer host asks for a list that this one does not know.
             Err(_) => None,
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -167,7 +167,9 @@
     /// How slow an engine is at a time.
     pub fn slowdown(&self, engine: usize, at: Duration) -> Slowdown {
         match self.slow {
-            Some(slow) if engine % slow.one_in == 0 && (slow.from..slow.until).contains(&at) => {
+            Some(slow)
+                if engine.is_multiple_of(slow.one_in) && (slow.from..slow.until).contains(&at) =>
+            {
                 slow.slowdown
             }
             _ => Slowdown::NONE,
