Long lists may take as long as they go on arriving

Each host reads 900 KB over the one link of the store, 270 MB in all, more than two seconds of it, while a call was cut off after 0.7 s as a whole and made again.

--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -106,17 +107,34 @@
     len_max: usize,
     limit: Duration,
 ) -> Result<Response<Bytes>, OneShotError> {
-    let whole = async {
-        let (head, body) = send(addr, req, limit).await?.into_parts();
-        let body = Limited::new(body, len_max).collect().await;
-        let body = body.map_err(|err| OneShotError::Broken(err.to_string()))?;
-        Ok(Response::from_parts(head, body.to_bytes()))
-    };
+    let whole = call_while_it_goes_on(addr, req, len_max, limit);
     timeout(limit, whole)
         .await
         .map_err(|_| OneShotError::Timeout)?
 }
 
+/// Sends a request and reads the whole answer, at most `len_max` bytes. Its head has to come within
+/// `silence_max`, and each further part of it within as long after the one before.
+pub async fn call_while_it_goes_on(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    len_max: usize,
+    silence_max: Duration,
+) -> Result<Response<Bytes>, OneShotError> {
+    let sent = timeout(silence_max, send(addr, req, silence_max)).await;
+    let (head, body) = sent.map_err(|_| OneShotError::Timeout)??.into_parts();
+    let mut body = Limited::new(body, len_max);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(silence_max, body.frame()).await;
+        match frame.map_err(|_| OneShotError::Timeout)? {
+            None => return Ok(Response::from_parts(head, bytes.freeze())),
+            Some(Err(err)) => return Err(OneShotError::Broken(err.to_string())),
+            Some(Ok(frame)) => bytes.extend(frame.into_data().ok()),
+        }
+    }
+}
+
 fn drive(conn: &mut Option<Pin<Box<Conn>>>, cx: &mut Context<'_>) {
     let is_done = conn
         .as_mut()
