The soak's upstreams answer the question how slow they are

Traced: the soak's upstreams took GET /report, which one host of a domain asks of engines with work since engines are asked how slow they are, for a request and ran it. The published protocol knows the question; the stand-in did not.

--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -172,6 +172,9 @@
         if let Some(order) = EngineOrder::read(&body) {
             return Ok(self.obey(order));
         }
+        if stand_in::asks_for_report(&head.method, head.uri.path()) {
+            return Ok(whole(StatusCode::OK, stand_in::report_json().to_string()));
+        }
         let arrived = ArrivedHead::read(&head.headers);
         let request = arrived.request.clone();
         let is_other = arrived.upstream.as_ref().is_some_and(|id| *id != self.id);
