Reads of the lists: a client of its own, usual names

The connection to the host that is asked moves out of the reader (share/client.rs); Place is Cursor, Way is Source, the taking in of a list of upstreams is a function. No behaviour changes.

--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::share::ReadError;
-use crate::gateway::share::Way;
+use crate::gateway::share::Source;
 use crate::units::whole_millis;
 
 /// After a failed call, for each host that tries together with this one; shorter than the interval of
@@ -73,26 +73,26 @@
     }
 
     /// Waits until the next read, which is due at `due_at` if this one was answered, and says whom it asks.
-    pub(super) async fn next_read(&self, due_at: Instant, news: &Notify) -> Way {
+    pub(super) async fn next_read(&self, due_at: Instant, news: &Notify) -> Source {
         let Some(due_at) = self.platform_due_at else {
             tokio::select! {
                 () = sleep_until(due_at.into()) => {}
                 () = news.notified() => {}
             }
-            return Way::Any;
+            return Source::Any;
         };
         tokio::select! {
-            () = sleep_until(due_at.into()) => Way::Platform,
-            () = news.notified() => self.way_after_news(),
+            () = sleep_until(due_at.into()) => Source::Platform,
+            () = news.notified() => self.source_after_news(),
         }
     }
 
     /// Either another read of this host was answered, or another host has something fresh.
-    fn way_after_news(&self) -> Way {
+    fn source_after_news(&self) -> Source {
         if self.gateway.readers.reached_at() > self.failed_at {
-            Way::Platform
+            Source::Platform
         } else {
-            Way::Others
+            Source::Others
         }
     }
 
--- a/src/gateway/share/place.rs
+++ b/src/gateway/share/cursor.rs
@@ -1,4 +1,4 @@
-//! Where a host's own reads of the platform go on.
+//! Where a host's own reads of one list of the platform go on.
 
 use std::time::Duration;
 
@@ -11,14 +11,14 @@
 
 /// Where a host's own reads of one list go on; nowhere before the first one.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Place {
+pub(crate) struct Cursor {
     as_of: Option<ObjectVersion>,
     is_hurried: bool,
     /// What the last answer took beyond the time for which it waited.
     delay: Duration,
 }
 
-impl Place {
+impl Cursor {
     /// What the next read waits for; none if it is to read all.
     ///
     /// Load it answers: a platform that takes a third of a second for an answer. With its whole wait on top
--- a/src/gateway/share/mod.rs
+++ b/src/gateway/share/mod.rs
@@ -5,19 +5,20 @@
 //! it. A host that gets no fresh answer reads for itself, so a reader that has died, stands still or
 //! is cut off costs one failed question.
 
+mod client;
+mod cursor;
 mod held;
 mod message;
-mod place;
 mod reader;
 mod readers;
 mod server;
 mod upstream_list;
 
+pub(crate) use cursor::WATCH_WAIT;
 pub(crate) use held::Held;
-pub(crate) use place::WATCH_WAIT;
 pub(crate) use reader::ANSWER_AGE_MAX;
 pub(crate) use reader::ReadError;
 pub(crate) use reader::Reader;
-pub(crate) use reader::Way;
+pub(crate) use reader::Source;
 pub(crate) use readers::Readers;
 pub(crate) use server::serve_reads;
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -4,17 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
-use log::debug;
-use prost::Message as _;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
-
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
@@ -23,20 +12,16 @@
 use crate::gateway::RoutesRead;
 use crate::gateway::UpstreamsRead;
 use crate::gateway::Watch;
+use crate::gateway::share::client::ShareClient;
+use crate::gateway::share::cursor::Cursor;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
 use crate::gateway::share::message::HostEntry;
 use crate::gateway::share::message::List;
-use crate::gateway::share::place::Place;
 use crate::gateway::share::readers::Unfit;
-use crate::gateway::share::server::MESSAGE_SIZE_MAX;
-use crate::peer::framing;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
 
-/// For each frame of an answer. A question inside a failure domain takes a millisecond or two, also to a
-/// busy host some ten.
-const FRAME_TIMEOUT: Duration = Duration::from_millis(200);
 /// An answer about lists that were read longer ago is not used: this host then reads for itself and
 /// is no worse off than without the other. Two watches, and two answers of a slow platform.
 pub(crate) const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_000);
@@ -59,7 +44,7 @@
 
 /// Whom a read asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Way {
+pub(crate) enum Source {
     /// The host that reads for this failure domain; the platform if that is this host or if none answers.
     Any,
     /// Other hosts alone: this host is not due to ask the platform.
@@ -93,14 +78,12 @@
     Nobody,
 }
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// Reads the lists for one host.
 pub(crate) struct Reader {
     gateway: Arc<Gateway>,
     catalog: Arc<dyn Catalog>,
-    place: Place,
-    link: Option<(SocketAddr, Link)>,
+    cursor: Cursor,
+    client: ShareClient,
 }
 
 impl Reader {
@@ -108,15 +91,15 @@
         Self {
             gateway,
             catalog,
-            place: Place::default(),
-            link: None,
+            cursor: Cursor::default(),
+            client: ShareClient::default(),
         }
     }
 
     /// Reads the manifest. Returns its text if it is another version than is held.
-    pub(crate) async fn routes(&mut self, way: Way) -> Result<Read<String>, ReadError> {
+    pub(crate) async fn routes(&mut self, source: Source) -> Result<Read<String>, ReadError> {
         let (known, _) = self.gateway.held.versions();
-        let asked = self.ask_others(way, List::Routes, known).await?;
+        let asked = self.ask_others(source, List::Routes, known).await?;
         let Some((answer, proved_at)) = asked else {
             return self.routes_of_platform(known).await;
         };
@@ -140,11 +123,11 @@
         // Before the question: what the answer shows is true at some moment after it.
         let asked_at = self.gateway.clock.since_boot();
         let object = (known != 0).then_some(ObjectVersion(known));
-        let watch = self.place.watch();
+        let watch = self.cursor.watch();
         let mut read = self.catalog.routes(object, watch).await;
         self.time(watch, asked_at);
         if matches!(read, Err(CatalogError::Forgotten)) {
-            self.place = Place::default();
+            self.cursor = Cursor::default();
             read = self.catalog.routes(object, None).await;
         }
         let read = self.take(read)?;
@@ -158,7 +141,7 @@
             });
         };
         let goes_on = watch.is_some();
-        self.place.set_hurried(goes_on);
+        self.cursor.set_hurried(goes_on);
         // Only an answer without a change shows that there is no newer one.
         let proved_at = if goes_on { Duration::ZERO } else { asked_at };
         let is_news = version.0 > known;
@@ -173,9 +156,9 @@
     }
 
     /// Reads the upstreams into what is held.
-    pub(crate) async fn upstreams(&mut self, way: Way) -> Result<Read<()>, ReadError> {
+    pub(crate) async fn upstreams(&mut self, source: Source) -> Result<Read<()>, ReadError> {
         let (_, known) = self.gateway.held.versions();
-        let asked = self.ask_others(way, List::Upstreams, known).await?;
+        let asked = self.ask_others(source, List::Upstreams, known).await?;
         let Some((answer, proved_at)) = asked else {
             return self.upstreams_of_platform().await;
         };
@@ -198,11 +181,11 @@
 
     async fn upstreams_of_platform(&mut self) -> Result<Read<()>, ReadError> {
         let proved_at = self.gateway.clock.since_boot();
-        let watch = self.place.watch();
+        let watch = self.cursor.watch();
         let mut read = self.catalog.upstreams(watch).await;
         self.time(watch, proved_at);
         if matches!(read, Err(CatalogError::Forgotten)) {
-            self.place = Place::default();
+            self.cursor = Cursor::default();
             read = self.catalog.upstreams(None).await;
         }
         let read = self.take(read)?;
@@ -220,7 +203,7 @@
                 held.change_upstreams(changes)
             }
         };
-        self.place.set_hurried(goes_on);
+        self.cursor.set_hurried(goes_on);
         Ok(Read {
             changed: has_changed.then_some(()),
             proved_at,
@@ -229,9 +212,12 @@
     }
 
     /// Reads the hosts. Returns them if they are others than are held.
-    pub(crate) async fn hosts(&mut self, way: Way) -> Result<Option<Vec<ListedHost>>, ReadError> {
+    pub(crate) async fn hosts(
+        &mut self,
+        source: Source,
+    ) -> Result<Option<Vec<ListedHost>>, ReadError> {
         let known = self.gateway.held.hosts_version();
-        let asked = self.ask_others(way, List::Hosts, known).await?;
+        let asked = self.ask_others(source, List::Hosts, known).await?;
         let held = &self.gateway.held;
         let Some((answer, proved_at)) = asked else {
             let asked_at = self.gateway.clock.since_boot();
@@ -253,7 +239,7 @@
     fn time(&mut self, watch: Option<Watch>, asked_at: Duration) {
         let took = self.gateway.clock.since_boot().saturating_sub(asked_at);
         let wait = watch.map_or(Duration::ZERO, |watch| watch.wait);
-        self.place.on_answered(wait, took);
+        self.cursor.on_answered(wait, took);
     }
 
     /// Takes in where the next read goes on, and whether this host itself reaches the platform.
@@ -263,15 +249,15 @@
             Ok(read) => {
                 let now = self.gateway.clock.now();
                 self.gateway.readers.on_reached(own, now);
-                self.place.go_on(read.as_of);
+                self.cursor.go_on(read.as_of);
                 Ok(read.value)
             }
             Err(err) => {
                 self.on_unfit(own, Unfit::Stale);
-                self.place.set_hurried(true);
+                self.cursor.set_hurried(true);
                 if matches!(err, CatalogError::Malformed(_)) {
                     // The same changes would be as hard to read the next time.
-                    self.place = Place::default();
+                    self.cursor = Cursor::default();
                 }
                 Err(err)
             }
@@ -286,21 +272,21 @@
     /// What another host has of a list; none if the platform is to be asked.
     async fn ask_others(
         &mut self,
-        way: Way,
+        source: Source,
         list: List,
         known_version: u64,
     ) -> Result<Option<(Answer, Duration)>, ReadError> {
-        if way == Way::Platform {
+        if source == Source::Platform {
             return Ok(None);
         }
         match self.ask_readers(list, known_version).await {
             Asked::Fresh(answer, proved_at) => {
                 // What this host's own reads would go on with is older than this.
-                self.place = Place::default();
+                self.cursor = Cursor::default();
                 Ok(Some((answer, proved_at)))
             }
             Asked::Stale => Err(ReadError::OthersStale),
-            Asked::Nobody if way == Way::Others => Err(ReadError::OthersStale),
+            Asked::Nobody if source == Source::Others => Err(ReadError::OthersStale),
             Asked::Nobody => Ok(None),
         }
     }
@@ -336,9 +322,7 @@
             known_version,
             takes_parts: true,
         };
-        let Some(answer) = self.exchange(addr, &ask).await else {
-            debug!("share: {addr} does not answer");
-            self.link = None;
+        let Some(answer) = self.client.ask(addr, &ask).await else {
             return Asked::Nobody;
         };
         let age = Duration::from_millis(answer.age_ms);
@@ -352,29 +336,4 @@
         // The age was taken after the question was asked here, so this errs to the safe side.
         Asked::Fresh(answer, asked_at.saturating_sub(age))
     }
-
-    async fn exchange(&mut self, addr: SocketAddr, ask: &Ask) -> Option<Answer> {
-        if self.link.as_ref().is_none_or(|(linked, _)| *linked != addr) {
-            let connected = timeout(FRAME_TIMEOUT, TcpStream::connect(addr)).await;
-            let stream = connected.ok()?.ok()?;
-            stream.set_nodelay(true).ok()?;
-            self.link = Some((addr, Framed::new(stream, framing(MESSAGE_SIZE_MAX))));
-        }
-        let (_, framed) = self.link.as_mut()?;
-        let asked = timeout(FRAME_TIMEOUT, framed.send(Bytes::from(ask.encode_to_vec()))).await;
-        asked.ok()?.ok()?;
-        let head = Answer::decode(next_frame(framed).await?).ok()?;
-        if head.frames == 0 {
-            return Some(head);
-        }
-        let mut whole = BytesMut::new();
-        for _ in 0..head.frames {
-            whole.extend_from_slice(&next_frame(framed).await?);
-        }
-        Answer::decode(whole).ok()
-    }
-}
-
-async fn next_frame(framed: &mut Link) -> Option<BytesMut> {
-    timeout(FRAME_TIMEOUT, framed.next()).await.ok()??.ok()
 }
--- a/src/gateway/share/server.rs
+++ b/src/gateway/share/server.rs
@@ -14,9 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::gateway::Gateway;
+use crate::gateway::share::client::Link;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
 use crate::peer::framing;
@@ -30,8 +30,6 @@
 /// The pause after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// Answers for as long as the process runs.
 pub(crate) async fn serve_reads(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
--- a/src/gateway/share/upstream_list.rs
+++ b/src/gateway/share/upstream_list.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::Listed;
@@ -56,8 +57,8 @@
 
     /// Takes in a whole list. Returns whether it is another one.
     pub(crate) fn replace(&mut self, listed: &[Listed]) -> bool {
-        let names: IndexMap<&UpstreamName, ()> = listed.iter().map(|u| (&u.name, ())).collect();
-        let gone = self.known.keys().filter(|name| !names.contains_key(name));
+        let names: IndexSet<&UpstreamName> = listed.iter().map(|u| &u.name).collect();
+        let gone = self.known.keys().filter(|name| !names.contains(name));
         let gone: Vec<UpstreamName> = gone.cloned().collect();
         let listed = listed.iter().cloned().map(UpstreamChange::Listed);
         self.apply(listed.chain(gone.into_iter().map(UpstreamChange::Gone)))
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -16,12 +16,13 @@
 use crate::gateway::Catalog;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
+use crate::gateway::Listed;
 use crate::gateway::dependency::Dependency;
 use crate::gateway::dependency::FAILED_INTERVAL;
 use crate::gateway::share::ReadError;
 use crate::gateway::share::Reader;
+use crate::gateway::share::Source;
 use crate::gateway::share::WATCH_WAIT;
-use crate::gateway::share::Way;
 use crate::gateway::told_hosts::ToldHosts;
 use crate::routing::RouteTable;
 use crate::units::UpstreamId;
@@ -35,16 +36,17 @@
 const HOSTS_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Between two reads for the sake of hosts that were heard and are not on the list.
 const STRANGERS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Reads the manifest for as long as the process runs.
 pub(crate) async fn keep_routes(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut dependency = Dependency::new(&gateway, "manifest");
     // A manifest that can't be decoded is not in force, so reading it again renews no lease.
     let mut is_understood = true;
-    let mut way = Way::Any;
+    let mut source = Source::Any;
     loop {
         let asked_at = gateway.clock.now();
-        let read = reader.routes(way).await;
+        let read = reader.routes(source).await;
         let read = read.and_then(|read| {
             if let Some(text) = &read.changed {
                 is_understood = false;
@@ -62,7 +64,7 @@
         }
         let due_at = next_at(asked_at, goes_on);
         let news = &gateway.routes_news;
-        way = dependency.next_read(due_at, news).await;
+        source = dependency.next_read(due_at, news).await;
     }
 }
 
@@ -92,34 +94,44 @@
     let mut reader = Reader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
     let mut dependency = Dependency::new(&gateway, "upstreams");
-    let mut way = Way::Any;
+    let mut source = Source::Any;
     loop {
         let asked_at = gateway.clock.now();
-        let read = reader.upstreams(way).await;
+        let read = reader.upstreams(source).await;
         dependency.on_read(asked_at, &read);
         let goes_on = read.as_ref().is_ok_and(|read| read.goes_on);
         if read.is_ok_and(|read| read.changed.is_some())
             && let Some(listed) = gateway.held.upstreams()
         {
-            gateway.load_changed.notify_one();
-            let staying = listed.iter().filter(|upstream| !upstream.is_leaving);
-            let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
-            let health = gateway.health();
-            let restarted = gateway.lives.take_in(&listed, |id| health.lost_at(id));
-            drop(health);
-            let usable = gateway.beliefs.set_upstreams(listed.to_vec());
-            gateway.health().keep(|id| staying.contains(id));
-            let now = gateway.clock.now();
-            gateway.ledger().keep(|id| staying.contains(id), now);
-            note_changes(&gateway, &known, &staying, &restarted, usable);
-            known = staying;
+            known = take_in_upstreams(&gateway, &listed, &known);
         }
         let due_at = next_at(asked_at, goes_on);
         let news = &gateway.upstreams_news;
-        way = dependency.next_read(due_at, news).await;
+        source = dependency.next_read(due_at, news).await;
     }
 }
 
+/// Takes in a list of upstreams, of which those in `known` were not leaving before. Returns those that are
+/// not now.
+fn take_in_upstreams(
+    gateway: &Gateway,
+    listed: &[Listed],
+    known: &IndexSet<UpstreamId>,
+) -> IndexSet<UpstreamId> {
+    gateway.load_changed.notify_one();
+    let staying = listed.iter().filter(|upstream| !upstream.is_leaving);
+    let staying: IndexSet<UpstreamId> = staying.map(|u| u.id.clone()).collect();
+    let health = gateway.health();
+    let restarted = gateway.lives.take_in(listed, |id| health.lost_at(id));
+    drop(health);
+    let usable = gateway.beliefs.set_upstreams(listed.to_vec());
+    gateway.health().keep(|id| staying.contains(id));
+    let now = gateway.clock.now();
+    gateway.ledger().keep(|id| staying.contains(id), now);
+    note_changes(gateway, known, &staying, &restarted, usable);
+    staying
+}
+
 fn note_changes(
     gateway: &Gateway,
     before: &IndexSet<UpstreamId>,
@@ -156,7 +168,7 @@
     };
     let mut dependency = Dependency::new(&gateway, "hosts");
     let mut reader = Reader::new(Arc::clone(&gateway), Arc::clone(&catalog));
-    let mut way = Way::Any;
+    let mut source = Source::Any;
     let mut told = ToldHosts::new(own.clone());
     let mut is_announced = false;
     loop {
@@ -166,11 +178,11 @@
             is_announced = announced.is_ok();
             dependency.on_call(asked_at, &announced);
         }
-        let read = reader.hosts(way).await;
+        let read = reader.hosts(source).await;
         dependency.on_read(asked_at, &read);
-        way = match read {
-            Err(ReadError::OthersStale) => Way::Platform,
-            _ => Way::Any,
+        source = match read {
+            Err(ReadError::OthersStale) => Source::Platform,
+            _ => Source::Any,
         };
         if let Ok(Some(hosts)) = read {
             told.set_listed(hosts, gateway.clock.now());
