--- a/src/cmd/log_summary.rs
+++ b/src/cmd/log_summary.rs
@@ -1,5 +1,6 @@
 //! Where answers were lost, by what hosts wrote into their decision logs.
 
+use std::cmp::Reverse;
 use std::fmt;
 
 use indexmap::IndexMap;
@@ -127,7 +128,7 @@
     fn frequent(&self) -> Vec<&String> {
         let mut outcomes: Vec<(&String, usize)> =
             self.outcomes.iter().map(|(k, v)| (k, *v)).collect();
-        outcomes.sort_by_key(|(name, count)| (std::cmp::Reverse(*count), *name));
+        outcomes.sort_by_key(|(name, count)| (Reverse(*count), *name));
         outcomes
             .into_iter()
             .take(OUTCOMES_MAX)
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -5,9 +5,9 @@
 //! read wait for the slowest of them. One host of each failure domain asks its engines and tells the
 //! others, so a choice reckons with what each engine can do.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::debug;
 use tokio::time::sleep;
@@ -31,7 +31,7 @@
 pub(crate) async fn keep_reports(gateway: Arc<Gateway>) {
     loop {
         let begun_at = gateway.clock.now();
-        if asks(&gateway) {
+        if is_asking_host(&gateway) {
             let engines = busy_engines(&gateway);
             let count = u32::try_from(engines.len()).unwrap_or(u32::MAX).max(1);
             let spacing = (INTERVAL / count).max(SPACING_MIN);
@@ -45,7 +45,7 @@
 }
 
 /// Whether this host is the one of its domain that asks: the strongest of those that live.
-fn asks(gateway: &Gateway) -> bool {
+fn is_asking_host(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
     let hosts = gateway.beliefs.hosts();
     let ledger = gateway.ledger();
@@ -54,7 +54,7 @@
         listed.domain == gateway.conf.domain
             && (listed.host == *own || ledger.is_heard(&listed.host, now))
     };
-    let rank = |listed: &&ListedHost| (std::cmp::Reverse(listed.processors), listed.host.clone());
+    let rank = |listed: &&ListedHost| (Reverse(listed.processors), listed.host.clone());
     let strongest = hosts.iter().filter(lives).min_by_key(rank);
     strongest.is_some_and(|strongest| strongest.host == *own)
 }
@@ -85,7 +85,7 @@
             return;
         }
     };
-    let now: Instant = gateway.clock.now();
+    let now = gateway.clock.now();
     if gateway
         .slowdowns
         .on_report(&engine.id, report.slowdown, now)
