A floor for short prompts where pauses are shorter than a pass; a bound on announced frames

Reading the diff: on a deployment whose full engines take longer for a pass than a caller's pause no prompt would be short, and all would wait for engines as long ones do. And a broken host could announce frames without end.

Test: how_long_a_short_prompt_may_be_follows_the_strictest_pause (its case shorter_than_a_pass fails without the floor).

--- a/src/decide/engines/ask.rs
+++ b/src/decide/engines/ask.rs
@@ -8,6 +8,9 @@
 
 /// A prompt that one engine reads in less than this is short where no caller says what pause it accepts.
 const SHORT_READ_TIME_DEFAULT: Duration = Duration::from_millis(120);
+/// The least that is taken for it. Where a full engine's pass alone is longer than a caller's pause no prompt
+/// would be short, and all of them would wait for engines as long ones do.
+const SHORT_READ_TIME_MIN: Duration = Duration::from_millis(60);
 /// A prompt that takes more than this part of an engine's memory is long: its answer is written
 /// among those that read long prompts, since few of them fit beside short ones.
 const LONG_MEMORY_PART: f64 = 0.25;
@@ -68,7 +71,8 @@
         let full_pass = model.pass_time(model.slots, Tokens::ZERO);
         self.strictest_pause
             .map_or(SHORT_READ_TIME_DEFAULT, |pause| {
-                pause.mul_f64(PAUSE_PART).saturating_sub(full_pass)
+                let left = pause.mul_f64(PAUSE_PART).saturating_sub(full_pass);
+                left.max(SHORT_READ_TIME_MIN)
             })
     }
 
--- a/src/gateway/share/client.rs
+++ b/src/gateway/share/client.rs
@@ -8,6 +8,7 @@
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use log::debug;
+use log::warn;
 use prost::Message as _;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -23,6 +24,10 @@
 /// busy host some ten.
 const FRAME_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Frames of one answer: eight times those of a manifest of a megabyte. A host that announces more is broken,
+/// and would be listened to without end.
+const FRAMES_MAX: u32 = 512;
+
 /// A connection on which hosts ask each other for lists.
 pub(super) type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -57,6 +62,10 @@
         if head.frames == 0 {
             return Some(head);
         }
+        if head.frames > FRAMES_MAX {
+            warn!("share: {addr} announces {} frames", head.frames);
+            return None;
+        }
         let mut whole = BytesMut::new();
         for _ in 0..head.frames {
             whole.extend_from_slice(&next_frame(link).await?);
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -455,3 +455,24 @@
     let busy = engines.iter().filter(|e| e.load.in_flight > 0).count();
     assert!(busy <= 3, "{busy}");
 }
+
+/// Callers accept shorter pauses than a full engine's pass takes. No prompt is short any more, and the
+/// shortest wait for engines that they don't need.
+#[parameterized(
+    pause_of_the_callers = { Some(200), 20_000, PromptClass::Short },
+    longer_pause = { Some(400), 40_000, PromptClass::Short },
+    longer_than_fits = { Some(200), 40_000, PromptClass::Medium },
+    shorter_than_a_pass = { Some(40), 5_000, PromptClass::Short },
+    nobody_says = { None, 20_000, PromptClass::Short },
+)]
+fn how_long_a_short_prompt_may_be_follows_the_strictest_pause(
+    pause_ms: Option<u64>,
+    prompt: u64,
+    class: PromptClass,
+) {
+    let ask = EngineAsk {
+        strictest_pause: pause_ms.map(Duration::from_millis),
+        ..ask(prompt)
+    };
+    assert_eq!(ask.class(&model()), class);
+}
