--- a/src/gateway/share/client.rs
+++ b/src/gateway/share/client.rs
@@ -13,11 +13,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
-use crate::gateway::share::server::MESSAGE_SIZE_MAX;
+use crate::gateway::share::message::Link;
+use crate::gateway::share::message::MESSAGE_SIZE_MAX;
 use crate::peer::framing;
 
 /// For each frame of an answer. A question inside a failure domain takes a millisecond or two, also to a
@@ -28,9 +28,6 @@
 /// and would be listened to without end.
 const FRAMES_MAX: u32 = 512;
 
-/// A connection on which hosts ask each other for lists.
-pub(super) type Link = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// Asks one host at a time.
 #[derive(Default)]
 pub(super) struct ShareClient {
--- a/src/gateway/share/message.rs
+++ b/src/gateway/share/message.rs
@@ -2,10 +2,20 @@
 
 use std::net::SocketAddr;
 
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
 use crate::exchange::ListedHost;
 use crate::gateway::Listed;
 use crate::units::Millicores;
 
+/// The largest message: a manifest has at most about a megabyte.
+pub(super) const MESSAGE_SIZE_MAX: usize = 8 << 20;
+
+/// A connection on which hosts ask each other for lists.
+pub(super) type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
 /// What is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(prost::Enumeration)]
--- a/src/gateway/share/server.rs
+++ b/src/gateway/share/server.rs
@@ -16,13 +16,12 @@
 use tokio_util::codec::Framed;
 
 use crate::gateway::Gateway;
-use crate::gateway::share::client::Link;
 use crate::gateway::share::message::Answer;
 use crate::gateway::share::message::Ask;
+use crate::gateway::share::message::Link;
+use crate::gateway::share::message::MESSAGE_SIZE_MAX;
 use crate::peer::framing;
 
-/// The largest message: a manifest has at most about a megabyte.
-pub(super) const MESSAGE_SIZE_MAX: usize = 8 << 20;
 /// A host that has not asked for this long has left without a word.
 const IDLE_MAX: Duration = Duration::from_secs(30);
 /// The longest frame: a hundred hosts that get one each at a time over 200 Mbit/s wait 65 ms for the next.
--- a/src/gateway/slowdowns.rs
+++ b/src/gateway/slowdowns.rs
@@ -26,6 +26,20 @@
     is_own: bool,
 }
 
+impl Known {
+    fn new(slowdown: Slowdown, is_own: bool, at: Instant) -> Self {
+        Self {
+            slowdown,
+            at,
+            is_own,
+        }
+    }
+
+    fn is_told(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < TOLD_FOR
+    }
+}
+
 /// The engines that are slow, by this host's own questions and by other hosts' word.
 #[derive(Debug, Default)]
 pub(crate) struct Slowdowns(Mutex<IndexMap<UpstreamId, Known>>);
@@ -38,15 +52,7 @@
         if slowdown.factor() <= SOUND_MAX {
             return known.swap_remove(engine).is_some();
         }
-        let is_own = true;
-        known.insert(
-            engine.clone(),
-            Known {
-                slowdown,
-                at: now,
-                is_own,
-            },
-        );
+        known.insert(engine.clone(), Known::new(slowdown, true, now));
         before.is_none_or(|before| {
             let ratio = slowdown.factor() / before.factor();
             ratio.max(1.0 / ratio) >= NEWS_FACTOR
@@ -58,32 +64,24 @@
         let mut known = self.lock();
         if known
             .get(engine)
-            .is_some_and(|known| known.is_own && is_told(known, now))
+            .is_some_and(|known| known.is_own && known.is_told(now))
         {
             return;
         }
-        let is_own = false;
-        known.insert(
-            engine.clone(),
-            Known {
-                slowdown,
-                at: now,
-                is_own,
-            },
-        );
+        known.insert(engine.clone(), Known::new(slowdown, false, now));
     }
 
     /// How slow an engine is.
     pub(crate) fn of(&self, engine: &UpstreamId, now: Instant) -> Slowdown {
         let known = self.lock();
-        let known = known.get(engine).filter(|known| is_told(known, now));
+        let known = known.get(engine).filter(|known| known.is_told(now));
         known.map_or(Slowdown::NONE, |known| known.slowdown)
     }
 
     /// The slow engines that this host has asked itself, to be told to the others.
     pub(crate) fn own(&self, now: Instant) -> Vec<(UpstreamId, Slowdown)> {
         let mut known = self.lock();
-        known.retain(|_, known| is_told(known, now));
+        known.retain(|_, known| known.is_told(now));
         let own = known.iter().filter(|(_, known)| known.is_own);
         own.map(|(id, known)| (id.clone(), known.slowdown))
             .collect()
@@ -93,7 +91,3 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn is_told(known: &Known, now: Instant) -> bool {
-    now.saturating_duration_since(known.at) < TOLD_FOR
-}
