Read once more: one rule each for strongest and fresh, one look at slow engines a choice

What the diff had twice or in the wrong place: the strongest host of a domain was picked by the same rule in the exchange and where engines are asked (exchange::strongest now); whether lists are fresh stood twice (Held::is_fresh); three answers made the same head (held.rs). A choice locked the known slow engines once an engine and read the manifest a second time; now it takes what is slow once and hands the pause in.

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -37,10 +37,10 @@
 /// only bounds what is put off at once.
 const BACKLOG_MAX: Duration = Duration::from_secs(1);
 /// The same for prompts that will be late anyway: they go behind all that can still be on time. Less than a
-/// pass; with 150 ms 0.877 of the worth is earned on 18 engines by turns, with this 0.883.
+/// pass.
 const LATE_BACKLOG_MAX: Duration = Duration::from_millis(10);
 /// What making a prompt late that is being read there counts as in the order of helpers, in reading
-/// that waits there: as much as a middling part. 200 and 1,000 ms earn the same, none 0.003 less.
+/// that waits there: as much as a middling part.
 const LATENESS_COST: Duration = Duration::from_millis(200);
 /// Backlogs that differ by less than this count as equal.
 const EQUAL_WITHIN: Duration = Duration::from_millis(20);
--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -3,7 +3,7 @@
 //! Load it answers: 195 hosts that choose among the same 195 engines by news from other domains that
 //! are 40 ms old all fill the same ones, and half of the short answers come late. News of neighbours
 //! are a few ms old, so hosts choose among the engines of their own domain, and take another one where
-//! that is clearly better. Earned on 195 engines by turns, by the model of engines: 0.63 to 0.85.
+//! that is clearly better.
 
 use std::time::Duration;
 
@@ -43,8 +43,7 @@
     let near = choose_among(model, &near, ask);
     // The longest prompts are few, and a domain seldom has as many idle engines as one needs: waiting
     // for these, two thirds of the longest tenth were turned away at their deadline. While they can
-    // still be on time they wait: sent anywhere at once, they cost other long prompts 0.03 of what they
-    // earn on 69 hosts.
+    // still be on time they wait: sent anywhere at once, they take the engines of other long prompts.
     let looks_far = needs_idle_engines(model, ask) || ask.draw.is_multiple_of(FAR_TRIES);
     if matches!(near, EngineChoice::Wait(_)) && !looks_far {
         return near;
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -25,7 +25,7 @@
 ///
 /// Load it answers: clauses, and then archives within a second. Answers to clauses that are spread over
 /// all engines keep archives from each of them for as long as the longest answer takes; filled from the
-/// front, the last engines are free. Earned of long prompts on 18 engines in turns: 0.78 to 0.82.
+/// front, the last engines are free.
 const FILL_PART: f64 = 0.9;
 
 /// The engine on which the first event comes first, of those for short prompts; another one if none
--- a/src/exchange/collectors.rs
+++ b/src/exchange/collectors.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 
 use crate::exchange::ListedHost;
+use crate::exchange::strongest;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 
@@ -98,9 +99,7 @@
             let is_heard = is_within(self.seen.get(host), LIVES_FOR, now);
             host == own || (is_heard && !self.is_unfit(host, now))
         };
-        neighbours
-            .filter(lives)
-            .min_by_key(|listed| (Reverse(listed.processors), &listed.host))
+        strongest(neighbours.filter(lives))
     }
 
     /// The hosts of another domain that this one tells as a collector: those that spoke lately, else a
--- a/src/exchange/listed_host.rs
+++ b/src/exchange/listed_host.rs
@@ -1,5 +1,6 @@
 //! A host on the platform's list.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use crate::units::FailureDomainId;
@@ -26,3 +27,9 @@
         self.processors.is_some()
     }
 }
+
+/// The strongest of several hosts, of equals the first by name: it does what one host of a failure domain
+/// does for all.
+pub fn strongest<'a>(hosts: impl Iterator<Item = &'a ListedHost>) -> Option<&'a ListedHost> {
+    hosts.min_by_key(|listed| (Reverse(listed.processors), &listed.host))
+}
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -29,6 +29,7 @@
 pub use fleet::Fleet;
 pub use fleet::is_large_fleet;
 pub use listed_host::ListedHost;
+pub use listed_host::strongest;
 pub use message::HostNews;
 pub use message::LoadNews;
 pub use message::PoisonNews;
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -5,7 +5,6 @@
 //! read wait for the slowest of them. One host of each failure domain asks its engines and tells the
 //! others, so a choice reckons with what each engine can do.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use tokio::time::sleep_until;
 
 use crate::exchange::ListedHost;
+use crate::exchange::strongest;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::Listed;
@@ -54,9 +54,7 @@
         listed.domain == gateway.conf.domain
             && (listed.host == *own || ledger.is_heard(&listed.host, now))
     };
-    let rank = |listed: &&ListedHost| (Reverse(listed.processors), listed.host.clone());
-    let strongest = hosts.iter().filter(lives).min_by_key(rank);
-    strongest.is_some_and(|strongest| strongest.host == *own)
+    strongest(hosts.iter().filter(lives)).is_some_and(|asking| asking.host == *own)
 }
 
 /// The engines of this failure domain that have work, as far as this host knows.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -26,7 +26,7 @@
 use crate::exchange::Voice;
 use crate::gateway::Event;
 use crate::gateway::Gateway;
-use crate::gateway::share::ANSWER_AGE_MAX;
+use crate::gateway::share::is_fresh;
 use crate::units::AttemptId;
 use crate::units::ContentHash;
 use crate::units::FailureDomainId;
@@ -185,8 +185,7 @@
         let age = Duration::from_millis(age_ms.into());
         let proved_at = at.saturating_sub(age);
         let can_be_asked = self.readers.on_told(host, proved_at, age, now);
-        let is_stale = |proved_at: Duration| at.saturating_sub(proved_at) > ANSWER_AGE_MAX;
-        if can_be_asked && !is_stale(proved_at) && self.held.proved_at().is_none_or(is_stale) {
+        if can_be_asked && is_fresh(proved_at, at) && !self.held.is_fresh(at) {
             self.routes_news.notify_one();
             self.upstreams_news.notify_one();
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -71,7 +71,9 @@
     let service = routes.services.get(&call.service);
     match service.and_then(|service| service.engine.as_ref()) {
         Some(model) if call.route.kind.is_stream() => {
-            among_engines(gateway, call, model, &usable, sends, now)
+            let pause = routes.strictest_pause(&call.service);
+            let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
+            among_engines(gateway, call, model, &usable, &ask, now)
         }
         _ => among_instances(gateway, &usable, now),
     }
@@ -160,26 +162,22 @@
     call: &Call,
     model: &EngineModel,
     usable: &[&Listed],
-    sends: &Sends<'_>,
+    ask: &EngineAsk,
     now: Instant,
 ) -> Choice {
+    let slowdowns = gateway.slowdowns.known(now);
     let mut ledger = gateway.ledger();
     ledger.forget_silent(now);
     let views = usable.iter().map(|upstream| EngineView {
         id: upstream.id.clone(),
         load: ledger.load(&upstream.id, now),
         is_near: upstream.domain == gateway.conf.domain,
-        slowdown: gateway.slowdowns.of(&upstream.id, now),
+        slowdown: slowdowns.get(&upstream.id).copied().unwrap_or_default(),
     });
     let views: Vec<EngineView> = views.collect();
-    let pause = gateway
-        .beliefs
-        .routes()
-        .and_then(|routes| routes.strictest_pause(&call.service));
-    let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
     drop(ledger);
-    match choose_engines(model, &views, &ask) {
-        EngineChoice::Send(plan) => place(call, model, &ask, &plan, usable, now),
+    match choose_engines(model, &views, ask) {
+        EngineChoice::Send(plan) => place(call, model, ask, &plan, usable, now),
         EngineChoice::Wait(wait) => Choice::Wait(wait),
         EngineChoice::Refuse {
             reason,
--- a/src/gateway/share/held.rs
+++ b/src/gateway/share/held.rs
@@ -17,6 +17,7 @@
 use crate::gateway::share::message::HostEntry;
 use crate::gateway::share::message::List;
 use crate::gateway::share::message::UpstreamEntry;
+use crate::gateway::share::reader::ANSWER_AGE_MAX;
 use crate::gateway::share::upstream_list::UpstreamList;
 use crate::units::whole_millis;
 
@@ -28,6 +29,13 @@
     proved_at: Duration,
 }
 
+impl<T> Proved<T> {
+    /// The version and the age of the list, for an answer at `now`, since boot.
+    fn head(&self, now: Duration) -> Answer {
+        head(self.version, self.proved_at, now)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Lists {
     routes: Option<Proved<String>>,
@@ -158,33 +166,29 @@
         Some(routes.min(lists.upstreams_proved_at?))
     }
 
+    /// Whether both lists are fresh enough at `now`, since boot, for other hosts to use them.
+    pub(crate) fn is_fresh(&self, now: Duration) -> bool {
+        self.proved_at()
+            .is_some_and(|proved_at| is_fresh(proved_at, now))
+    }
+
     /// Answers another host at `now`, since boot.
     pub(crate) fn answer(&self, ask: &Ask, now: Duration) -> Answer {
         let lists = self.lock();
-        let age_ms = |proved_at: Duration| whole_millis(now.saturating_sub(proved_at));
         match List::try_from(ask.list) {
             Ok(List::Routes) => lists.routes.as_ref().map(|routes| {
-                let mut answer = Answer {
-                    version: routes.version,
-                    age_ms: age_ms(routes.proved_at),
-                    ..Answer::default()
-                };
+                let mut answer = routes.head(now);
                 if routes.version != ask.known_version {
                     answer.routes = routes.value.to_string();
                 }
                 answer
             }),
-            Ok(List::Upstreams) => lists.upstreams_proved_at.map(|proved_at| Answer {
-                version: lists.upstreams_version,
-                age_ms: age_ms(proved_at),
-                ..upstreams_for(&lists, ask)
+            Ok(List::Upstreams) => lists.upstreams_proved_at.map(|proved_at| {
+                let head = head(lists.upstreams_version, proved_at, now);
+                upstreams_for(&lists, ask, head)
             }),
             Ok(List::Hosts) => lists.hosts.as_ref().map(|hosts| {
-                let mut answer = Answer {
-                    version: hosts.version,
-                    age_ms: age_ms(hosts.proved_at),
-                    ..Answer::default()
-                };
+                let mut answer = hosts.head(now);
                 if hosts.version != ask.known_version {
                     answer.hosts = hosts.value.iter().map(HostEntry::from).collect();
                 }
@@ -201,22 +205,36 @@
     }
 }
 
-/// What an asking host is missing of the upstreams.
-fn upstreams_for(lists: &Lists, ask: &Ask) -> Answer {
+/// Whether a list that was the newest at `proved_at` is fresh enough at `now`, both since boot.
+pub(crate) fn is_fresh(proved_at: Duration, now: Duration) -> bool {
+    now.saturating_sub(proved_at) <= ANSWER_AGE_MAX
+}
+
+/// An answer with nothing but the version and the age of a list.
+fn head(version: u64, proved_at: Duration, now: Duration) -> Answer {
+    Answer {
+        version,
+        age_ms: whole_millis(now.saturating_sub(proved_at)),
+        ..Answer::default()
+    }
+}
+
+/// What an asking host is missing of the upstreams, added to `head`.
+fn upstreams_for(lists: &Lists, ask: &Ask, head: Answer) -> Answer {
     if lists.upstreams_version == ask.known_version {
-        return Answer::default();
+        return head;
     }
     let list = &lists.upstreams;
     let changes = list.since(ask.known_version);
     let Some(changes) = changes.filter(|_| ask.takes_parts) else {
         return Answer {
             upstreams: list.listed().iter().map(UpstreamEntry::from).collect(),
-            ..Answer::default()
+            ..head
         };
     };
     let mut answer = Answer {
         is_partial: true,
-        ..Answer::default()
+        ..head
     };
     for change in changes {
         match change {
--- a/src/gateway/share/mod.rs
+++ b/src/gateway/share/mod.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use cursor::WATCH_WAIT;
 pub(crate) use held::Held;
-pub(crate) use reader::ANSWER_AGE_MAX;
+pub(crate) use held::is_fresh;
 pub(crate) use reader::ReadError;
 pub(crate) use reader::Reader;
 pub(crate) use reader::Source;
--- a/src/gateway/share/reader.rs
+++ b/src/gateway/share/reader.rs
@@ -24,7 +24,7 @@
 
 /// An answer about lists that were read longer ago is not used: this host then reads for itself and
 /// is no worse off than without the other. Two watches, and two answers of a slow platform.
-pub(crate) const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_000);
+pub(super) const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_000);
 /// The same of the list of hosts, which changes seldom; longer than the platform is mostly away, so that
 /// not all hosts of a fleet ask it for their list when it is back.
 const HOSTS_AGE_MAX: Duration = Duration::from_secs(15);
--- a/src/gateway/share/readers.rs
+++ b/src/gateway/share/readers.rs
@@ -15,7 +15,6 @@
 
 use crate::exchange::ListedHost;
 use crate::gateway::Gateway;
-use crate::gateway::share::ANSWER_AGE_MAX;
 use crate::units::HostId;
 
 /// How long a host that did not answer, or had nothing fresh, is passed over. Longer than a read, so that
@@ -154,8 +153,7 @@
             let is_stale = state.is_fresh(&listed.host, at) == Some(false);
             (is_here || (lives && !is_stale)) && state.is_fit(&listed.host, now)
         };
-        let is_stale = |proved_at| at.saturating_sub(proved_at) > ANSWER_AGE_MAX;
-        let has_nothing = gateway.held.proved_at().is_none_or(is_stale);
+        let has_nothing = !gateway.held.is_fresh(at);
         // A domain whose own hosts all have nothing fresh asks one of another, and a host that has nothing
         // itself those first that said that they have something.
         let rank = |listed: &&ListedHost| {
--- a/src/gateway/slowdowns.rs
+++ b/src/gateway/slowdowns.rs
@@ -71,11 +71,12 @@
         known.insert(engine.clone(), Known::new(slowdown, false, now));
     }
 
-    /// How slow an engine is.
-    pub(crate) fn of(&self, engine: &UpstreamId, now: Instant) -> Slowdown {
+    /// The engines that are slow, mostly none. Taken once for a choice among thousands of engines.
+    pub(crate) fn known(&self, now: Instant) -> IndexMap<UpstreamId, Slowdown> {
         let known = self.lock();
-        let known = known.get(engine).filter(|known| known.is_told(now));
-        known.map_or(Slowdown::NONE, |known| known.slowdown)
+        let told = known.iter().filter(|(_, known)| known.is_told(now));
+        told.map(|(id, known)| (id.clone(), known.slowdown))
+            .collect()
     }
 
     /// The slow engines that this host has asked itself, to be told to the others.
