--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -1,9 +1,10 @@
 //! Plays loads on engines by the published speed model and prints what callers got: long prompts and
 //! short ones by turns, on sites of three sizes, as means over seeds.
 //!
-//! `cargo run --release --example engine_loads -- [--seeds N] [--site NAME] [--slow known|unknown]`
+//! `cargo run --release --example engine_loads -- [--seeds N] [--site NAME] [--long X] [--engines N] [--slow known|unknown]`
 //!
-//! Sites are middle, small, large, shifted and domains. With `--slow` a fifth of the engines takes three and a
+//! Sites are middle, small, large, shifted, domains and largest; `--long` plays one rate of long prompts alone, and
+//! `--engines` as many engines in place of the site's. With `--slow` a fifth of the engines takes three and a
 //! half times as long from the third to the twelfth second.
 
 #[path = "../../tests/engine_world/mod.rs"]
@@ -88,19 +89,24 @@
     let only: Option<String> = args.opt_value_from_str("--site")?;
     let slow: Option<String> = args.opt_value_from_str("--slow")?;
     let slow = slow.map(|slow| slow_stretch(slow == "known"));
+    let long: Option<f64> = args.opt_value_from_str("--long")?;
+    let engines: Option<usize> = args.opt_value_from_str("--engines")?;
+    let rates = long.map_or_else(|| LONG_RATES.to_vec(), |long| vec![long]);
     let sites = [
         ("middle", Site::middle()),
         ("small", Site::small()),
         ("large", Site::large()),
         ("shifted", Site::shifted()),
         ("domains", Site::in_domains()),
+        ("largest", Site::largest()),
     ];
     for (name, mut site) in sites {
         site.slow = slow;
+        site.engines = engines.unwrap_or(site.engines);
         if only.as_ref().is_some_and(|only| only != name) {
             continue;
         }
-        for long in LONG_RATES {
+        for &long in &rates {
             print_means(name, long, &play_all(&site, long, seeds));
         }
     }
--- a/src/cmd/log_story.rs
+++ b/src/cmd/log_story.rs
@@ -127,17 +127,44 @@
                 prompt_tokens,
                 elapsed_ms,
                 objective_left_ms,
+                time_left_ms,
+                choices,
+                near,
+                all,
                 retry_after_ms,
                 upstreams,
                 hosts_heard,
                 manifest_age_ms,
                 ..
+            } => {
+                write!(
+                    f,
+                    "turned away ({reason}), {elapsed_ms} ms after its arrival with \
+                     {objective_left_ms} ms left to be on time and {time_left_ms} ms in all, after \
+                     {choices} choices; {prompt_tokens} prompt tokens, \
+                     {upstreams} upstreams listed, work of {hosts_heard} other hosts known, to come \
+                     back after {retry_after_ms} ms; manifest proved {manifest_age_ms} ms ago"
+                )?;
+                let seen = [("near", near), ("all", all)];
+                for (name, seen) in seen.into_iter().filter_map(|(n, s)| Some((n, s.as_ref()?))) {
+                    write!(f, "\n                     {name}: {seen}")?;
+                }
+                Ok(())
+            }
+            Event::Waiting {
+                prompt_tokens,
+                elapsed_ms,
+                objective_left_ms,
+                time_left_ms,
+                choices,
+                near,
+                all,
+                ..
             } => write!(
                 f,
-                "turned away ({reason}), {elapsed_ms} ms after its arrival with \
-                 {objective_left_ms} ms left to be on time; {prompt_tokens} prompt tokens, \
-                 {upstreams} upstreams listed, work of {hosts_heard} other hosts known, to come \
-                 back after {retry_after_ms} ms; manifest proved {manifest_age_ms} ms ago"
+                "waits, {elapsed_ms} ms after its arrival with {objective_left_ms} ms left to be on time and \
+                 {time_left_ms} ms in all, after {choices} choices; {prompt_tokens} prompt tokens\n\
+                 \x20                    near: {near}\n                     all: {all}"
             ),
             Event::Ended {
                 outcome,
--- a/src/cmd/log_summary.rs
+++ b/src/cmd/log_summary.rs
@@ -9,9 +9,11 @@
 use crate::gateway::Event;
 
 /// The longest prompts of the rows, in tokens; the last row has no end.
-const LENGTHS: [u64; 6] = [10_000, 25_000, 50_000, 100_000, 250_000, 500_000];
+const LENGTHS: [u64; 7] = [10_000, 25_000, 50_000, 100_000, 250_000, 500_000, 750_000];
 /// The length of a stretch of time, in ms.
 const STRETCH_MS: u64 = 2_000;
+/// What is turned away within this time was not kept waiting, in ms.
+const AT_ONCE_MS: u64 = 100;
 /// Columns of outcomes, the most frequent ones; the others are counted together.
 const OUTCOMES_MAX: usize = 5;
 
@@ -35,6 +37,17 @@
     error_ms: Vec<i64>,
     engines: usize,
     reserves: usize,
+    /// Requests that hosts turned away, by reason.
+    refused: IndexMap<String, Refusals>,
+}
+
+/// Requests that were turned away for one reason.
+#[derive(Default)]
+struct Refusals {
+    count: usize,
+    /// Of these, turned away within [`AT_ONCE_MS`] of their arrival.
+    at_once: usize,
+    waited_ms: Vec<i64>,
 }
 
 /// What became of the requests of several hosts.
@@ -93,12 +106,30 @@
                         summary.take_in(&send, *first_event_ms);
                     }
                 }
+                Event::Refused {
+                    reason,
+                    prompt_tokens,
+                    elapsed_ms,
+                    ..
+                } if *prompt_tokens > 0 => {
+                    let refused = &mut summary.row(*prompt_tokens).refused;
+                    let refusals = refused.entry(reason.to_string()).or_default();
+                    refusals.count += 1;
+                    refusals.at_once += usize::from(*elapsed_ms < AT_ONCE_MS);
+                    refusals.waited_ms.push(signed(*elapsed_ms));
+                }
                 _ => {}
             }
         }
         summary
     }
 
+    /// The row of prompts of this length.
+    fn row(&mut self, prompt_tokens: u64) -> &mut Row {
+        let place = LENGTHS.iter().position(|max| prompt_tokens < *max);
+        &mut self.rows[place.unwrap_or(LENGTHS.len())]
+    }
+
     fn count(&mut self, wall_ms: u64, outcome: &str) {
         let since_ms = wall_ms.saturating_sub(self.begins_ms);
         let stretch = since_ms / STRETCH_MS * STRETCH_MS;
@@ -113,8 +144,7 @@
         if send.prompt_tokens == 0 {
             return;
         }
-        let place = LENGTHS.iter().position(|max| send.prompt_tokens < *max);
-        let row = &mut self.rows[place.unwrap_or(LENGTHS.len())];
+        let row = self.row(send.prompt_tokens);
         let since_send_ms = signed(first_event_ms) - signed(send.waited_ms);
         row.waited_ms.push(signed(send.waited_ms));
         row.forecast_ms.push(signed(send.forecast_ms));
@@ -154,9 +184,7 @@
             "reserves"
         )?;
         for (place, row) in self.rows.iter().enumerate() {
-            let name = LENGTHS
-                .get(place)
-                .map_or_else(|| "beyond".to_owned(), |max| format!("under {max}"));
+            let name = row_name(place);
             let sends = row.waited_ms.len();
             writeln!(
                 f,
@@ -179,6 +207,28 @@
         )
     }
 
+    fn write_refusals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "\nTurned away by length of the prompt:")?;
+        writeln!(
+            f,
+            "{:>12} {:>18} {:>7} {:>13} {:>15}",
+            "tokens", "reason", "count", "under 100 ms", "waited"
+        )?;
+        for (place, row) in self.rows.iter().enumerate() {
+            for (reason, refusals) in &row.refused {
+                writeln!(
+                    f,
+                    "{:>12} {reason:>18} {:>7} {:>13} {:>15}",
+                    row_name(place),
+                    refusals.count,
+                    refusals.at_once,
+                    spread(&refusals.waited_ms),
+                )?;
+            }
+        }
+        Ok(())
+    }
+
     fn write_stretches(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let names = self.frequent();
         write!(f, "\nEnds in stretches of two seconds:\n{:>8}", "second")?;
@@ -202,10 +252,16 @@
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.write_lengths(f)?;
+        self.write_refusals(f)?;
         self.write_stretches(f)
     }
 }
 
+fn row_name(place: usize) -> String {
+    let max = LENGTHS.get(place);
+    max.map_or_else(|| "beyond".to_owned(), |max| format!("under {max}"))
+}
+
 fn signed(ms: u64) -> i64 {
     i64::try_from(ms).unwrap_or(i64::MAX)
 }
--- a/src/decide/engines/mod.rs
+++ b/src/decide/engines/mod.rs
@@ -8,17 +8,23 @@
 
 mod ask;
 pub mod border;
+mod group;
+mod leader;
 mod long;
 mod near;
 mod plan;
+mod reserve;
 mod short;
+mod survey;
 mod view;
 
 pub use ask::EngineAsk;
 pub use ask::PromptClass;
 pub use plan::EngineChoice;
 pub use plan::EnginePlan;
-pub use plan::Reserve;
+pub use reserve::Reserve;
+pub use survey::BestGroup;
+pub use survey::Survey;
 pub use view::EngineView;
 
 use crate::decide::EngineModel;
@@ -37,6 +43,15 @@
     near::choose(model, engines, ask)
 }
 
+/// What a choice would be made from now: the engines of the host's own failure domain, and all of them.
+pub fn survey_engines(
+    model: &EngineModel,
+    engines: &[EngineView],
+    ask: &EngineAsk,
+) -> (Survey, Survey) {
+    near::survey(model, engines, ask)
+}
+
 fn choose_among(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
     let border = border::short_border(model, engines);
     match ask.class(model) {
--- a/src/decide/engines/near.rs
+++ b/src/decide/engines/near.rs
@@ -12,6 +12,7 @@
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineView;
+use crate::decide::engines::Survey;
 use crate::decide::engines::choose_among;
 use crate::decide::engines::long::needs_idle_engines;
 
@@ -28,15 +29,11 @@
 
 /// Chooses among near engines and among all of them, and takes the better one.
 pub(super) fn choose(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
-    let far_ask = EngineAsk {
-        news_age: ask.far_news_age,
-        is_far: ask.news_age < ask.far_news_age,
-        ..ask.clone()
-    };
+    let far_ask = far(ask);
     if !far_ask.is_far {
         return choose_among(model, engines, &far_ask);
     }
-    let near: Vec<EngineView> = engines.iter().filter(|e| e.is_near).cloned().collect();
+    let near = near_engines(engines);
     if near.len() < NEAR_MIN || near.len() == engines.len() {
         return choose_among(model, engines, &far_ask);
     }
@@ -59,6 +56,29 @@
     }
 }
 
+/// Counts the engines of the host's own failure domain, and all of them.
+pub(super) fn survey(
+    model: &EngineModel,
+    engines: &[EngineView],
+    ask: &EngineAsk,
+) -> (Survey, Survey) {
+    let near = Survey::of(model, &near_engines(engines), ask);
+    (near, Survey::of(model, engines, &far(ask)))
+}
+
+fn near_engines(engines: &[EngineView]) -> Vec<EngineView> {
+    engines.iter().filter(|e| e.is_near).cloned().collect()
+}
+
+/// The same request to engines of any domain.
+fn far(ask: &EngineAsk) -> EngineAsk {
+    EngineAsk {
+        news_age: ask.far_news_age,
+        is_far: ask.news_age < ask.far_news_age,
+        ..ask.clone()
+    }
+}
+
 fn better(
     model: &EngineModel,
     engines: &[EngineView],
--- a/src/decide/engines/plan.rs
+++ b/src/decide/engines/plan.rs
@@ -8,6 +8,7 @@
 use crate::decide::RefuseReason;
 use crate::decide::engines::EngineAsk;
 use crate::decide::engines::PromptClass;
+use crate::decide::engines::Reserve;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
@@ -18,15 +19,6 @@
 /// The shortest time after which a caller is asked to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 
-/// Memory that an engine sets aside for a prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reserve {
-    /// The engine: the leader or one of the helpers.
-    pub engine: UpstreamId,
-    /// How much.
-    pub tokens: Tokens,
-}
-
 /// Engines for one request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EnginePlan {
--- /dev/null
+++ b/src/decide/engines/survey.rs
@@ -0,0 +1,73 @@
+//! What a choice of engines is made from, as counts for logs.
+
+use std::time::Duration;
+
+use crate::decide::EngineModel;
+use crate::decide::engines::EngineAsk;
+use crate::decide::engines::EngineView;
+use crate::decide::engines::border::short_border;
+use crate::decide::engines::long::HELPERS_MAX;
+use crate::decide::engines::long::best_group;
+use crate::decide::engines::reserve::KEEPERS;
+use crate::units::Tokens;
+
+/// The engines that a choice is made among, counted by what each could do for one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Survey {
+    /// All of them.
+    pub engines: usize,
+    /// Those before the border between short and long prompts.
+    pub short_side: usize,
+    /// Those with a place for one more answer.
+    pub with_place: usize,
+    /// Those with memory for one share of the prompt and its answer.
+    pub with_memory: usize,
+    /// Those that can read a smallest part without stretching the pauses of an answer too far.
+    pub with_room: usize,
+    /// Those with room that have nothing left to read.
+    pub idle: usize,
+    /// The best group that can be formed now; none if no group has the places and the memory.
+    pub best: Option<BestGroup>,
+}
+
+/// The group of engines that a choice would take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BestGroup {
+    /// How many engines read a part.
+    pub engines: usize,
+    /// When the first event is expected, from now.
+    pub forecast: Duration,
+    /// Engine time of one part.
+    pub part_time: Duration,
+    /// What is left to read at the busiest of them.
+    pub backlog: Duration,
+    /// Answers whose pauses would be stretched too far.
+    pub stretched: u32,
+    /// Whether another prompt that is being read would come late by it.
+    pub makes_late: bool,
+}
+
+impl Survey {
+    /// Counts the engines.
+    pub fn of(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> Self {
+        let border = short_border(model, engines);
+        let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
+        let part_time = model.read_time(ask.prompt) / parts;
+        let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
+        let has_room = |engine: &EngineView| engine.has_room(model, part_time);
+        let is_idle = |engine: &EngineView| has_room(engine) && engine.backlog().is_zero();
+        let count = |is_counted: &dyn Fn(&EngineView) -> bool| {
+            engines.iter().filter(|engine| is_counted(engine)).count()
+        };
+        let best = best_group(model, engines, border, ask);
+        Self {
+            engines: engines.len(),
+            short_side: border,
+            with_place: count(&|engine| engine.has_place(model)),
+            with_memory: count(&|engine| engine.free_tokens(model) >= share),
+            with_room: count(&has_room),
+            idle: count(&is_idle),
+            best: best.map(|group| group.summary()),
+        }
+    }
+}
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -16,6 +16,7 @@
 use crate::gateway::placement::Placement;
 use crate::gateway::placement::Sends;
 use crate::gateway::placement::choose;
+use crate::gateway::placement::survey;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::send::Answered;
 use crate::gateway::send::SendEnd;
@@ -28,6 +29,8 @@
 const UNRUN_SENDS_MAX: u32 = 5;
 /// After memory was refused; several intervals of hosts' news.
 const RESERVE_PAUSE: Duration = Duration::from_millis(40);
+/// A prompt that waits for this long is logged with the engines that it waits for.
+const LONG_WAIT: Duration = Duration::from_secs(1);
 /// When a caller may come again with a request that crashes upstreams: not while its other sends
 /// are still remembered by anybody.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
@@ -51,6 +54,10 @@
     unrun: u32,
     /// Sends that may have run.
     runs: u32,
+    /// How often upstreams were chosen.
+    choices: u32,
+    /// Whether its waiting was logged.
+    is_wait_logged: bool,
 }
 
 impl Courier {
@@ -62,6 +69,8 @@
             arrivals: 0,
             unrun: 0,
             runs: 0,
+            choices: 0,
+            is_wait_logged: false,
         }
     }
 
@@ -91,13 +100,11 @@
                     retry_after: POISON_RETRY_AFTER,
                 }));
             }
-            let sends = Sends {
-                tried: &self.tried,
-                has_run: self.runs > 0,
-            };
-            let placement = match choose(&self.gateway, &self.call, &sends, now) {
+            self.choices += 1;
+            let placement = match choose(&self.gateway, &self.call, &self.sends(), now) {
                 Choice::Send(placement) => placement,
                 Choice::Wait(wait) => {
+                    self.log_long_wait(now);
                     // Spread, so that requests that wait on several hosts for the same engines do
                     // not all choose them in the same moment.
                     let wait = wait.mul_f64(rand::random_range(0.5..1.5));
@@ -290,17 +297,51 @@
         refusal
     }
 
+    fn sends(&self) -> Sends<'_> {
+        Sends {
+            tried: &self.tried,
+            has_run: self.runs > 0,
+        }
+    }
+
+    /// Logs once what a prompt that has waited for [`LONG_WAIT`] waits for.
+    fn log_long_wait(&mut self, now: Instant) {
+        let waited = now.saturating_duration_since(self.call.arrived);
+        if self.is_wait_logged || waited < LONG_WAIT {
+            return;
+        }
+        self.is_wait_logged = true;
+        let Some((near, all)) = survey(&self.gateway, &self.call, &self.sends(), now) else {
+            return;
+        };
+        self.gateway.log.note(Event::Waiting {
+            request: self.call.head.request.clone(),
+            prompt_tokens: self.call.head.prompt.0,
+            elapsed_ms: whole_millis(waited),
+            objective_left_ms: whole_millis(self.call.objective_left(now)),
+            time_left_ms: whole_millis(self.call.time_left(now)),
+            choices: self.choices,
+            near: Box::new(near),
+            all: Box::new(all),
+        });
+    }
+
     fn log_refused(&self, reason: RefuseReason, retry_after: Duration) {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         let by_service = gateway.beliefs.upstreams();
         let listed = by_service.and_then(|all| all.get(&self.call.service).map(Vec::len));
+        let (near, all) = survey(gateway, &self.call, &self.sends(), now).unzip();
         gateway.log.note(Event::Refused {
             request: self.call.head.request.clone(),
             reason: reason.name().into(),
             prompt_tokens: self.call.head.prompt.0,
             elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived)),
             objective_left_ms: whole_millis(self.call.objective_left(now)),
+            time_left_ms: whole_millis(self.call.time_left(now)),
+            choices: self.choices,
+            near: near.map(Box::new),
+            all: all.map(Box::new),
             retry_after_ms: whole_millis(retry_after),
             upstreams: listed.unwrap_or(0),
             hosts_heard: gateway.ledger().peers_heard(now),
--- /dev/null
+++ b/src/gateway/engines_seen.rs
@@ -0,0 +1,109 @@
+//! What a choice of engines was made from, as the decision log tells it.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::decide::engines::BestGroup;
+use crate::decide::engines::Survey;
+use crate::units::whole_millis;
+
+/// Engines of a service as one host saw them, counted by what they could do for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct EnginesSeen {
+    /// Those that may get work.
+    pub engines: usize,
+    /// Those kept for short prompts.
+    pub short_side: usize,
+    /// Those with a place for one more answer.
+    pub with_place: usize,
+    /// Those with memory for one share of the prompt.
+    pub with_memory: usize,
+    /// Those that can read a smallest part without stretching a pause too far.
+    pub with_room: usize,
+    /// Those with room that have nothing left to read.
+    pub idle: usize,
+    /// The best group that could be formed; none if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub best: Option<GroupSeen>,
+}
+
+/// Engines that could read a prompt together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct GroupSeen {
+    /// How many.
+    pub engines: usize,
+    /// When the first event was expected, in ms from then.
+    pub forecast_ms: u64,
+    /// Engine time of one part, in ms.
+    pub part_ms: u64,
+    /// What was left to read at the busiest of them, in ms.
+    pub backlog_ms: u64,
+    /// Answers whose pauses would have been stretched too far.
+    pub stretched: u32,
+    /// Whether another prompt would have come late by it.
+    pub makes_late: bool,
+}
+
+impl From<Survey> for EnginesSeen {
+    fn from(survey: Survey) -> Self {
+        Self {
+            engines: survey.engines,
+            short_side: survey.short_side,
+            with_place: survey.with_place,
+            with_memory: survey.with_memory,
+            with_room: survey.with_room,
+            idle: survey.idle,
+            best: survey.best.map(GroupSeen::from),
+        }
+    }
+}
+
+impl From<BestGroup> for GroupSeen {
+    fn from(best: BestGroup) -> Self {
+        Self {
+            engines: best.engines,
+            forecast_ms: whole_millis(best.forecast),
+            part_ms: whole_millis(best.part_time),
+            backlog_ms: whole_millis(best.backlog),
+            stretched: best.stretched,
+            makes_late: best.makes_late,
+        }
+    }
+}
+
+impl fmt::Display for EnginesSeen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} engines, {} of them for short prompts, {} with a place, {} with memory, {} with room, {} idle",
+            self.engines,
+            self.short_side,
+            self.with_place,
+            self.with_memory,
+            self.with_room,
+            self.idle
+        )?;
+        match &self.best {
+            Some(best) => write!(f, "; best group: {best}"),
+            None => write!(f, "; no group has the places and the memory"),
+        }
+    }
+}
+
+impl fmt::Display for GroupSeen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} engines with parts of {} ms, first event in {} ms, backlog {} ms, {} pauses stretched",
+            self.engines, self.part_ms, self.forecast_ms, self.backlog_ms, self.stretched
+        )?;
+        if self.makes_late {
+            write!(f, ", makes another prompt late")?;
+        }
+        Ok(())
+    }
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::EnginesSeen;
+
 /// One decision that touches a request, or one change of what the host takes to be true. Each is
 /// written as a line of JSON.
 #[derive(Clone, Debug, PartialEq)]
@@ -125,6 +127,25 @@
         /// How old the manifest is, in ms.
         manifest_age_ms: u64,
     },
+    /// A prompt for several engines has waited for a second; one line a request.
+    Waiting {
+        /// The request.
+        request: String,
+        /// The prompt.
+        prompt_tokens: u64,
+        /// Since the request arrived, in ms.
+        elapsed_ms: u64,
+        /// What is left of the time in which its answer is on time, in ms.
+        objective_left_ms: u64,
+        /// What is left of its time, in ms.
+        time_left_ms: u64,
+        /// How often engines were chosen for it.
+        choices: u32,
+        /// The engines of this host's failure domain.
+        near: Box<EnginesSeen>,
+        /// All engines of the service.
+        all: Box<EnginesSeen>,
+    },
     /// A request was turned away by what this host knew then.
     Refused {
         /// The request.
@@ -137,6 +158,18 @@
         elapsed_ms: u64,
         /// What was left of the time in which its answer is on time, in ms.
         objective_left_ms: u64,
+        /// What was left of its time, in ms.
+        #[serde(default)]
+        time_left_ms: u64,
+        /// How often engines or instances were chosen for it.
+        #[serde(default)]
+        choices: u32,
+        /// For a prompt of several engines, those of this host's failure domain.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        near: Option<Box<EnginesSeen>>,
+        /// The same of all engines of the service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        all: Option<Box<EnginesSeen>>,
         /// When the caller was asked to come back, in ms.
         retry_after_ms: u64,
         /// Upstreams of its service that were on the list.
@@ -178,6 +211,7 @@
             Self::UpstreamFault { request, .. }
             | Self::ReservationRefused { request, .. }
             | Self::Sent { request, .. }
+            | Self::Waiting { request, .. }
             | Self::Refused { request, .. }
             | Self::Ended { request, .. } => Some(request),
             _ => None,
@@ -188,7 +222,7 @@
     /// host itself are, those of requests that went well are not.
     pub fn is_kept_first(&self) -> bool {
         match self {
-            Self::Sent { .. } => false,
+            Self::Sent { .. } | Self::Waiting { .. } => false,
             Self::Ended { status, .. } => *status >= 400,
             _ => true,
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -12,9 +12,12 @@
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineView;
+use crate::decide::engines::PromptClass;
 use crate::decide::engines::choose_engines;
+use crate::decide::engines::survey_engines;
 use crate::exchange::NewsRoute;
 use crate::gateway::Call;
+use crate::gateway::EnginesSeen;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::Listed;
@@ -79,6 +82,28 @@
     }
 }
 
+/// The engines that [`choose`] has for a prompt of several: those of this host's failure domain, and all.
+/// None for other calls.
+pub(crate) fn survey(
+    gateway: &Gateway,
+    call: &Call,
+    sends: &Sends<'_>,
+    now: Instant,
+) -> Option<(EnginesSeen, EnginesSeen)> {
+    let routes = gateway.beliefs.routes()?;
+    let model = routes.services.get(&call.service)?.engine.as_ref()?;
+    let by_service = gateway.beliefs.upstreams()?;
+    let listed = by_service.get(&call.service)?;
+    let pause = routes.strictest_pause(&call.service);
+    let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
+    if !call.route.kind.is_stream() || ask.class(model) == PromptClass::Short {
+        return None;
+    }
+    let views = views(gateway, &usable(gateway, listed, sends.tried, now), now);
+    let (near, all) = survey_engines(model, &views, &ask);
+    Some((near.into(), all.into()))
+}
+
 fn engine_ask(
     call: &Call,
     sends: &Sends<'_>,
@@ -165,18 +190,7 @@
     ask: &EngineAsk,
     now: Instant,
 ) -> Choice {
-    let slowdowns = gateway.slowdowns.known(now);
-    let mut ledger = gateway.ledger();
-    ledger.forget_silent(now);
-    let views = usable.iter().map(|upstream| EngineView {
-        id: upstream.id.clone(),
-        load: ledger.load(&upstream.id, now),
-        is_near: upstream.domain == gateway.conf.domain,
-        slowdown: slowdowns.get(&upstream.id).copied().unwrap_or_default(),
-    });
-    let views: Vec<EngineView> = views.collect();
-    drop(ledger);
-    match choose_engines(model, &views, ask) {
+    match choose_engines(model, &views(gateway, usable, now), ask) {
         EngineChoice::Send(plan) => place(call, model, ask, &plan, usable, now),
         EngineChoice::Wait(wait) => Choice::Wait(wait),
         EngineChoice::Refuse {
@@ -189,6 +203,20 @@
     }
 }
 
+/// The engines as this host sees them now.
+fn views(gateway: &Gateway, usable: &[&Listed], now: Instant) -> Vec<EngineView> {
+    let slowdowns = gateway.slowdowns.known(now);
+    let mut ledger = gateway.ledger();
+    ledger.forget_silent(now);
+    let views = usable.iter().map(|upstream| EngineView {
+        id: upstream.id.clone(),
+        load: ledger.load(&upstream.id, now),
+        is_near: upstream.domain == gateway.conf.domain,
+        slowdown: slowdowns.get(&upstream.id).copied().unwrap_or_default(),
+    });
+    views.collect()
+}
+
 fn place(
     call: &Call,
     model: &EngineModel,
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -120,12 +120,19 @@
             r#"{{"wall_ms":{at},"host":"h","event":"ended","request":"{request}","route":"r","customer":"c","kind":"stream","outcome":"{outcome}","status":200,"elapsed_ms":9000,"first_event_ms":{first},"longest_pause_ms":60,"generation":1}}"#
         )
     };
+    let refused = |request: &str, at: u64, waited: u64| {
+        format!(
+            r#"{{"wall_ms":{at},"host":"h","event":"refused","request":"{request}","reason":"deadline","prompt_tokens":600000,"elapsed_ms":{waited},"objective_left_ms":0,"retry_after_ms":500,"upstreams":9,"hosts_heard":3,"manifest_age_ms":700}}"#
+        )
+    };
     let lines = [
         sent("long", 1_000, 200_000, 300, 900),
         ended("long", 1_500, "served", "2400"),
         sent("short", 5_200, 4_000, 0, 200),
         ended("short", 5_400, "served", "150"),
         ended("turned-away", 5_900, "deadline", "null"),
+        refused("turned-away", 5_900, 40),
+        refused("waited", 5_900, 8_000),
     ];
     dir.file("host.log", &lines.join("\n"));
     let ran = dir.run(&["explain", "--summary", "--logs", "host.log"]);
@@ -146,6 +153,13 @@
         words("under 10000"),
         "under 10000 1 0 0 200 200 150 150 -50 -50 2.0 2"
     );
+    assert!(
+        ran.stdout.lines().any(|line| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            words == ["under", "750000", "deadline", "2", "1", "8000", "8000"]
+        }),
+        "{ran:?}"
+    );
     assert_eq!(words("second"), "second served deadline others");
     assert_eq!(words("0 "), "0 1 0 0");
     assert_eq!(words("4 "), "4 1 1 0");
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -12,6 +12,7 @@
 use banyanarch::decide::engines::PromptClass;
 use banyanarch::decide::engines::border;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::decide::engines::survey_engines;
 use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use yare::parameterized;
@@ -476,3 +477,23 @@
     };
     assert_eq!(ask.class(&model()), class);
 }
+
+/// A refusal that does not say what its host saw can't be told from a wrong one.
+#[test]
+fn a_survey_counts_what_engines_could_do_for_a_prompt() {
+    let mut engines = engines(20);
+    write_short(&mut engines[0], 16);
+    set_reading(&mut engines[1..5], ms(400), None);
+    engines[5].load.held_tokens = Tokens(440_000);
+    for engine in &mut engines[6..] {
+        engine.is_near = false;
+    }
+    let (near, all) = survey_engines(&model(), &engines, &ask(600_000));
+    assert_eq!((near.engines, all.engines), (6, 20));
+    assert_eq!((near.with_place, all.with_place), (5, 19));
+    assert_eq!((near.with_memory, all.with_memory), (5, 19));
+    assert_eq!((near.with_room, all.with_room), (5, 19));
+    assert_eq!((near.idle, all.idle), (1, 15));
+    assert_eq!(all.best.map(|best| best.engines), Some(15));
+    assert_eq!(all.best.map(|best| best.stretched), Some(0));
+}
