Count the prompts that an engine helps to read: it takes as many as it has slots

Cause: an engine helps as many others as it has slots and turns the next prompt away (PROTOCOL). Hosts counted the answers that are written at an engine, not the prompts that it helps with. Class: a limit of the other side that is not on the books.

Ruled out: memory (the reservations had been made) and engines that leave (none did).

Change: LoadShare says how long an engine helps, hosts tell the number (LoadNews, field 10; a host of a former version tells none), and an engine with as many as its slots is named by nobody. The engine world of the tests turns such prompts away.

Tests: an_engine_that_helps_as_many_as_it_has_slots_is_named_no_more fails without the change in can_help, an_engine_counts_as_helping_until_it_is_done.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -89,6 +89,7 @@
     HostLoad {
         in_flight: 1,
         short_in_flight: 1,
+        helping: 0,
         strictest_pause: Some(Duration::from_millis(250)),
         held_tokens: Tokens(6_700),
         read: ReadSent::default(),
--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -53,7 +53,8 @@
         |of: &dyn Fn(&Tally) -> f64| tallies.iter().map(of).sum::<f64>() / tallies.len() as f64;
     println!(
         "{name} x{long}: earned {:.3} less refused again {:.3} | short {:.3} medium {:.3} long {:.3} \
-         (largest tenth {:.2} fifth {:.2} rest {:.2} late {:.2}) largest tenth served {:.2} forecast error \
+         (largest tenth {:.2} fifth {:.2} rest {:.2} late {:.2}) largest tenth served {:.2} of all {:.2} \
+         turned away {:.0} forecast error \
          medium {:.0} {:.0} long {:.0} {:.0} ms (median, 90th percentile)",
         mean(&Tally::earned_all),
         mean(&|tally| tally.earned_all() - REFUSED_AGAIN_COST * tally.refused_again()),
@@ -65,6 +66,8 @@
         mean(&|tally| tally.earned_by_size(LONG).2),
         mean(&|tally| tally.part(LONG, Ended::Late)),
         mean(&|tally| tally.served_by_size(LONG).0),
+        mean(&|tally| tally.served_by_size(LONG).2),
+        mean(&|tally| f64::from(tally.turned_away())),
         mean(&|tally| tally.error_ms(MEDIUM, 0.5)),
         mean(&|tally| tally.error_ms(MEDIUM, 0.9)),
         mean(&|tally| tally.error_ms(LONG, 0.5)),
--- a/src/decide/engines/group.rs
+++ b/src/decide/engines/group.rs
@@ -92,7 +92,9 @@
         )
     });
     let others = others.into_iter().map(|(_, engine)| engine);
-    let mut others: Vec<&EngineView> = others.filter(|e| e.id != leader.id).collect();
+    let mut others: Vec<&EngineView> = others
+        .filter(|engine| engine.id != leader.id && engine.can_help(model))
+        .collect();
     let reserves = reserves(model, leader, &others, ask)?;
     if reserves.len() > parts || others.len() + 1 < parts {
         return None;
--- a/src/decide/engines/plan.rs
+++ b/src/decide/engines/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::decide::EngineModel;
+use crate::decide::HelpsUntil;
 use crate::decide::LoadShare;
 use crate::decide::RefuseReason;
 use crate::decide::engines::EngineAsk;
@@ -58,12 +59,17 @@
             pause,
             read_time: self.part_time,
             held_tokens: held(&self.leader).unwrap_or_else(|| ask.needed()),
+            helps: None,
             read_due: (ask.class(model) != PromptClass::Short).then(|| now + ask.objective_left),
         };
         let helpers = self.helpers.iter().map(|id| {
             let share = LoadShare {
                 takes_place: false,
                 held_tokens: held(id).unwrap_or(Tokens::ZERO),
+                helps: Some(match held(id) {
+                    Some(_) => HelpsUntil::Ended,
+                    None => HelpsUntil::Read,
+                }),
                 ..leader
             };
             (id.clone(), share)
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -51,9 +51,12 @@
     let Some(leader) = leader else {
         return wait_for_place(model, engines, ask);
     };
+    let helpers = helpers(model, short_side, &leader.id, part_time, parts - 1);
+    let parts = u32::try_from(helpers.len() + 1).unwrap_or(1);
+    let part_time = model.read_time(ask.prompt) / parts;
     EngineChoice::Send(EnginePlan {
         leader: leader.id.clone(),
-        helpers: helpers(model, short_side, &leader.id, part_time, parts - 1),
+        helpers,
         reserves: Vec::new(),
         part_time,
         forecast: leader.first_event(model, part_time),
@@ -132,7 +135,10 @@
     part_time: Duration,
     count: usize,
 ) -> Vec<UpstreamId> {
-    let mut others: Vec<&EngineView> = engines.iter().filter(|e| e.id != *leader).collect();
+    let mut others: Vec<&EngineView> = engines
+        .iter()
+        .filter(|engine| engine.id != *leader && engine.can_help(model))
+        .collect();
     others.sort_by_cached_key(|engine| {
         let stretches = !engine.has_room(model, part_time);
         let read_in = engine.backlog() + engine.slowdown.stretch(part_time);
--- a/src/decide/engines/survey.rs
+++ b/src/decide/engines/survey.rs
@@ -20,6 +20,8 @@
     pub short_side: usize,
     /// Those with a place for one more answer.
     pub with_place: usize,
+    /// Those that may be named as a helper of one more prompt.
+    pub can_help: usize,
     /// Those with memory for one share of the prompt and its answer.
     pub with_memory: usize,
     /// Those that can read a smallest part without stretching the pauses of an answer too far.
@@ -64,6 +66,7 @@
             engines: engines.len(),
             short_side: border,
             with_place: count(&|engine| engine.has_place(model)),
+            can_help: count(&|engine| engine.can_help(model)),
             with_memory: count(&|engine| engine.free_tokens(model) >= share),
             with_room: count(&has_room),
             idle: count(&is_idle),
--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -36,6 +36,12 @@
         self.load.in_flight < model.slots
     }
 
+    /// Whether it may be named as a helper of one more prompt: an engine helps as many others as it has slots
+    /// and turns the next prompt away.
+    pub fn can_help(&self, model: &EngineModel) -> bool {
+        self.load.helping < model.slots
+    }
+
     /// Memory that nothing has been promised.
     pub fn free_tokens(&self, model: &EngineModel) -> Tokens {
         let usable = model.memory_tokens.as_f64() * MEMORY_PART;
--- a/src/decide/host_load.rs
+++ b/src/decide/host_load.rs
@@ -12,6 +12,8 @@
     pub in_flight: u32,
     /// Those of them whose prompt is short.
     pub short_in_flight: u32,
+    /// Prompts of other engines that it helps to read or keeps a part of.
+    pub helping: u32,
     /// The shortest pause that the caller of one of them accepts between two events.
     pub strictest_pause: Option<Duration>,
     /// Memory that these requests take, in tokens.
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -52,8 +52,8 @@
         own.start(share, read_until, now);
     }
 
-    /// Takes in that its prompt has been read there.
-    pub fn read_done(&mut self, upstream: &UpstreamId, share: &LoadShare) {
+    /// Takes in that its prompt has been read there, and takes out of the share what has ended with it.
+    pub fn read_done(&mut self, upstream: &UpstreamId, share: &mut LoadShare) {
         if let Some(own) = self.own.get_mut(upstream) {
             own.read_done(share);
         }
--- a/src/decide/load_share.rs
+++ b/src/decide/load_share.rs
@@ -5,6 +5,15 @@
 
 use crate::units::Tokens;
 
+/// How long an engine that reads a part of another engine's prompt counts as helping it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HelpsUntil {
+    /// Until the whole prompt is read.
+    Read,
+    /// Until the answer has ended: it keeps a part of the prompt.
+    Ended,
+}
+
 /// What one request adds to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadShare {
@@ -18,6 +27,8 @@
     pub read_time: Duration,
     /// Memory that it takes there.
     pub held_tokens: Tokens,
+    /// How long it helps another engine there; none if it is sent there itself.
+    pub helps: Option<HelpsUntil>,
     /// When its first event has to be there to be on time; none if nothing there is put behind others
     /// for its sake.
     pub read_due: Option<Instant>,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -93,6 +93,7 @@
 pub use lane_split::SplitInput;
 pub use ledger::UpstreamLedger;
 pub use load_ledger::LoadLedger;
+pub use load_share::HelpsUntil;
 pub use load_share::LoadShare;
 pub use load_source::LoadSource;
 pub use peak::Peak;
--- a/src/decide/own_load.rs
+++ b/src/decide/own_load.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::HelpsUntil;
 use crate::decide::HostLoad;
 use crate::decide::LoadShare;
 use crate::decide::ReadSent;
@@ -19,6 +20,7 @@
 pub(crate) struct OwnLoad {
     in_flight: u32,
     short_in_flight: u32,
+    helping: u32,
     /// How many requests accept which pause.
     pauses: IndexMap<Duration, u32>,
     held_tokens: Tokens,
@@ -36,6 +38,7 @@
         Self {
             in_flight: 0,
             short_in_flight: 0,
+            helping: 0,
             pauses: IndexMap::new(),
             held_tokens: Tokens::ZERO,
             read_total: Duration::ZERO,
@@ -49,6 +52,7 @@
     pub(crate) fn start(&mut self, share: &LoadShare, read_until: Option<Instant>, now: Instant) {
         self.in_flight += u32::from(share.takes_place);
         self.short_in_flight += u32::from(share.takes_place && share.is_short);
+        self.helping += u32::from(share.helps.is_some());
         if let Some(pause) = share.pause.filter(|_| share.takes_place) {
             *self.pauses.entry(pause).or_default() += 1;
         }
@@ -61,12 +65,17 @@
         self.held_tokens += share.held_tokens;
     }
 
-    /// Takes in that its prompt has been read.
-    pub(crate) fn read_done(&mut self, share: &LoadShare) {
-        let place = self
-            .dues
-            .iter()
-            .position(|due| Some(*due) == share.read_due);
+    /// Takes in that its prompt has been read, and takes out of the share what has ended with it.
+    pub(crate) fn read_done(&mut self, share: &mut LoadShare) {
+        self.forget_due(share.read_due.take());
+        if share.helps == Some(HelpsUntil::Read) {
+            share.helps = None;
+            self.helping = self.helping.saturating_sub(1);
+        }
+    }
+
+    fn forget_due(&mut self, due: Option<Instant>) {
+        let place = self.dues.iter().position(|known| Some(*known) == due);
         if let Some(place) = place {
             self.dues.swap_remove(place);
         }
@@ -74,7 +83,10 @@
 
     /// Takes in that it has ended.
     pub(crate) fn end(&mut self, share: &LoadShare) {
-        self.read_done(share);
+        self.forget_due(share.read_due);
+        self.helping = self
+            .helping
+            .saturating_sub(u32::from(share.helps.is_some()));
         let place = u32::from(share.takes_place);
         self.in_flight = self.in_flight.saturating_sub(place);
         self.short_in_flight = self
@@ -96,6 +108,7 @@
         HostLoad {
             in_flight: self.in_flight,
             short_in_flight: self.short_in_flight,
+            helping: self.helping,
             strictest_pause: self.pauses.keys().min().copied(),
             held_tokens: self.held_tokens,
             read: ReadSent {
@@ -115,6 +128,7 @@
     /// Whether there is something to tell.
     pub(crate) fn is_told(&self, now: Instant) -> bool {
         self.in_flight > 0
+            || self.helping > 0
             || self.held_tokens > Tokens::ZERO
             || now.saturating_duration_since(self.sent_at) < SENT_TOLD_FOR
     }
--- a/src/decide/peer_sum.rs
+++ b/src/decide/peer_sum.rs
@@ -16,6 +16,7 @@
 pub(crate) struct PeerSum {
     in_flight: u32,
     short_in_flight: u32,
+    helping: u32,
     held_tokens: Tokens,
     /// How many hosts have which strictest pause.
     pauses: Vec<(Duration, u32)>,
@@ -28,6 +29,7 @@
     pub(crate) fn add(&mut self, load: &HostLoad, heard_at: Instant) {
         self.in_flight += load.in_flight;
         self.short_in_flight += load.short_in_flight;
+        self.helping += load.helping;
         self.held_tokens += load.held_tokens;
         if let Some(pause) = load.strictest_pause {
             match self.pauses.iter_mut().find(|(known, _)| *known == pause) {
@@ -42,6 +44,7 @@
     pub(crate) fn remove(&mut self, load: &HostLoad, heard_at: Instant) {
         self.in_flight = self.in_flight.saturating_sub(load.in_flight);
         self.short_in_flight = self.short_in_flight.saturating_sub(load.short_in_flight);
+        self.helping = self.helping.saturating_sub(load.helping);
         self.held_tokens = self.held_tokens.saturating_sub(load.held_tokens);
         if let Some(pause) = load.strictest_pause
             && let Some(at) = self.pauses.iter().position(|(known, _)| *known == pause)
@@ -65,6 +68,7 @@
         UpstreamLoad {
             in_flight: self.in_flight,
             short_in_flight: self.short_in_flight,
+            helping: self.helping,
             strictest_pause: self.pauses.iter().map(|(pause, _)| *pause).min(),
             read_backlog: Duration::ZERO,
             held_tokens: self.held_tokens,
--- a/src/decide/upstream_load.rs
+++ b/src/decide/upstream_load.rs
@@ -12,6 +12,8 @@
     pub in_flight: u32,
     /// Those of them whose prompt is short.
     pub short_in_flight: u32,
+    /// Prompts of other engines that it helps to read or keeps a part of.
+    pub helping: u32,
     /// The shortest pause that the caller of one of them accepts between two events.
     pub strictest_pause: Option<Duration>,
     /// Time until it has read in what was sent there.
@@ -25,13 +27,17 @@
 impl UpstreamLoad {
     /// Whether there is any.
     pub fn has_work(&self) -> bool {
-        self.in_flight > 0 || self.held_tokens > Tokens::ZERO || !self.read_backlog.is_zero()
+        self.in_flight > 0
+            || self.helping > 0
+            || self.held_tokens > Tokens::ZERO
+            || !self.read_backlog.is_zero()
     }
 
     /// Adds the work of one host.
     pub(crate) fn add(&mut self, other: &HostLoad) {
         self.in_flight += other.in_flight;
         self.short_in_flight += other.short_in_flight;
+        self.helping += other.helping;
         let pauses = [self.strictest_pause, other.strictest_pause];
         self.strictest_pause = pauses.into_iter().flatten().min();
         self.held_tokens += other.held_tokens;
--- a/src/exchange/load_at.rs
+++ b/src/exchange/load_at.rs
@@ -17,6 +17,7 @@
     short_in_flight: u32,
     strictest_pause_ms: Option<u32>,
     held_tokens: u64,
+    helping: u32,
     read_total_us: u64,
     read_until: Instant,
     read_due: Option<Instant>,
@@ -31,6 +32,7 @@
             short_in_flight: news.short_in_flight,
             strictest_pause_ms: (news.strictest_pause_ms > 0).then_some(news.strictest_pause_ms),
             held_tokens: news.held_tokens,
+            helping: news.helping,
             read_total_us: news.read_total_us,
             read_until: after(news.read_remaining_ms),
             read_due: (news.read_due_ms > 0).then(|| after(news.read_due_ms)),
@@ -52,6 +54,7 @@
             read_total_us: self.read_total_us,
             strictest_pause_ms: self.strictest_pause_ms.unwrap_or(0),
             held_tokens: self.held_tokens,
+            helping: self.helping,
             // What is overdue stays so until its host says otherwise; 0 would say that nothing is due.
             read_due_ms: self.read_due.map_or(0, |at| until(at).max(1)),
         }
@@ -71,6 +74,7 @@
         self.in_flight += other.in_flight;
         self.short_in_flight += other.short_in_flight;
         self.held_tokens += other.held_tokens;
+        self.helping += other.helping;
         self.read_total_us += other.read_total_us;
         self.read_until = self.read_until.max(other.read_until);
         let pauses = [self.strictest_pause_ms, other.strictest_pause_ms];
@@ -87,6 +91,7 @@
                 load.short_in_flight,
                 load.strictest_pause_ms,
                 load.held_tokens,
+                load.helping,
                 load.read_total_us,
             )
         };
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -89,6 +89,9 @@
     /// event to be on time, in ms; 0 if none is.
     #[prost(uint32, tag = "8")]
     pub read_due_ms: u32,
+    /// Prompts of other engines that it helps to read or keeps a part of; 0 if the sender does not say.
+    #[prost(uint32, tag = "10")]
+    pub helping: u32,
 }
 
 impl LoadNews {
--- a/src/gateway/engines_seen.rs
+++ b/src/gateway/engines_seen.rs
@@ -19,6 +19,9 @@
     pub short_side: usize,
     /// Those with a place for one more answer.
     pub with_place: usize,
+    /// Those that may be named as a helper of one more prompt.
+    #[serde(default)]
+    pub can_help: usize,
     /// Those with memory for one share of the prompt.
     pub with_memory: usize,
     /// Those that can read a smallest part without stretching a pause too far.
@@ -54,6 +57,7 @@
             engines: survey.engines,
             short_side: survey.short_side,
             with_place: survey.with_place,
+            can_help: survey.can_help,
             with_memory: survey.with_memory,
             with_room: survey.with_room,
             idle: survey.idle,
@@ -79,10 +83,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} engines, {} of them for short prompts, {} with a place, {} with memory, {} with room, {} idle",
+            "{} engines, {} of them for short prompts, {} with a place, {} that may help, {} with memory, {} with room, {} idle",
             self.engines,
             self.short_side,
             self.with_place,
+            self.can_help,
             self.with_memory,
             self.with_room,
             self.idle
--- a/src/gateway/load_guard.rs
+++ b/src/gateway/load_guard.rs
@@ -11,6 +11,7 @@
 pub(crate) struct LoadGuard {
     gateway: Arc<Gateway>,
     shares: Vec<(UpstreamId, LoadShare)>,
+    is_read: bool,
 }
 
 impl LoadGuard {
@@ -31,15 +32,20 @@
         Self {
             gateway: Arc::clone(gateway),
             shares,
+            is_read: false,
         }
     }
 }
 
 impl LoadGuard {
     /// Takes in that the prompt has been read.
-    pub(crate) fn read_done(&self) {
+    pub(crate) fn read_done(&mut self) {
+        if self.is_read {
+            return;
+        }
+        self.is_read = true;
         let mut ledger = self.gateway.ledger();
-        for (upstream, share) in &self.shares {
+        for (upstream, share) in &mut self.shares {
             ledger.read_done(upstream, share);
         }
     }
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -217,6 +217,7 @@
         read_total_us: whole_micros(load.read.total),
         strictest_pause_ms: load.strictest_pause.map_or(0, millis),
         held_tokens: load.held_tokens.0,
+        helping: load.helping,
         read_due_ms: load.read_due.map_or(0, millis),
         ..LoadNews::default()
     }
@@ -241,6 +242,7 @@
             remaining: Duration::from_millis(news.read_remaining_ms.into()),
         },
         held_tokens: Tokens(news.held_tokens),
+        helping: news.helping,
         read_due: (news.read_due_ms > 0).then(|| Duration::from_millis(news.read_due_ms.into())),
     }
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -171,6 +171,7 @@
         pause: None,
         read_time: Duration::ZERO,
         held_tokens: Tokens::ZERO,
+        helps: None,
         read_due: None,
     };
     Choice::Send(Box::new(Placement {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -143,9 +143,9 @@
                 .on_pause(now.saturating_duration_since(self.last_piece_at));
         } else {
             self.tracker.on_first_event(now);
-            if let Some(answered) = &self.current {
-                answered.load.read_done();
-            }
+        }
+        if let Some(answered) = &mut self.current {
+            answered.load.read_done();
         }
         self.has_event = true;
         self.last_piece_at = now;
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -15,6 +15,7 @@
 use banyanarch::decide::engines::survey_engines;
 use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
+use banyanarch::units::UpstreamId;
 use yare::parameterized;
 
 /// Engines that read 256 tokens a ms and write a token step in 0.925 ms, 46 steps a pass.
@@ -497,3 +498,23 @@
     assert_eq!(all.best.map(|best| best.engines), Some(15));
     assert_eq!(all.best.map(|best| best.stretched), Some(0));
 }
+
+/// A prompt is turned away after it was sent, and costs a retry: one of its helpers reads parts for as many
+/// others as it has slots, which hosts did not count.
+#[parameterized(
+    medium = { 45_000 },
+    long = { 300_000 },
+)]
+fn an_engine_that_helps_as_many_as_it_has_slots_is_named_no_more(prompt: u64) {
+    let mut engines = engines(23);
+    for engine in &mut engines[..10] {
+        engine.load.helping = model().slots;
+    }
+    let plan = plan(choose_engines(&model(), &engines, &ask(prompt)));
+    let full: Vec<&UpstreamId> = engines[..10].iter().map(|engine| &engine.id).collect();
+    assert!(plan.helpers.len() >= 3, "{plan:?}");
+    assert!(
+        !plan.helpers.iter().any(|id| full.contains(&id)),
+        "{plan:?}"
+    );
+}
--- a/tests/decide_gateway.rs
+++ b/tests/decide_gateway.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use banyanarch::decide::HealthBook;
+use banyanarch::decide::HelpsUntil;
 use banyanarch::decide::HostLoad;
 use banyanarch::decide::InstanceView;
 use banyanarch::decide::LoadLedger;
@@ -17,6 +18,7 @@
 use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
 use indexmap::IndexMap;
+use yare::parameterized;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -37,6 +39,7 @@
         pause: Some(ms(500)),
         read_time: ms(100),
         held_tokens: Tokens(5_000),
+        helps: None,
         read_due: None,
     }
 }
@@ -295,6 +298,7 @@
     let peer = HostLoad {
         in_flight: 3,
         short_in_flight: 1,
+        helping: 0,
         strictest_pause: Some(ms(200)),
         held_tokens: Tokens(100),
         read: sent(50, 50),
@@ -353,9 +357,38 @@
     assert_eq!(read_due(&ledger, 100), Some(ms(300)), "the news grow old");
     let nothing = HostLoad::default();
     hear(&mut ledger, &engine, 1, nothing, now + ms(100));
-    ledger.read_done(&engine, &due_in(700));
+    ledger.read_done(&engine, &mut due_in(700));
     assert_eq!(read_due(&ledger, 100), Some(ms(800)));
     assert_eq!(read_due(&ledger, 900), None, "it is late already");
     ledger.end(&engine, &due_in(900));
     assert_eq!(read_due(&ledger, 100), None);
 }
+
+/// Engines turn prompts away that hosts send: they help as many others as they have slots, and hosts
+/// know only of the answers that are written there.
+#[parameterized(
+    reads_a_part = { HelpsUntil::Read, 0 },
+    keeps_a_part = { HelpsUntil::Ended, 1 },
+)]
+fn an_engine_counts_as_helping_until_it_is_done(until: HelpsUntil, after_reading: u32) {
+    let now = Instant::now();
+    let mut ledger = LoadLedger::default();
+    let engine = upstream("e");
+    let mut share = LoadShare {
+        takes_place: false,
+        helps: Some(until),
+        ..share(false)
+    };
+    ledger.start(&engine, &share, now);
+    let peer = HostLoad {
+        helping: 2,
+        ..HostLoad::default()
+    };
+    hear(&mut ledger, &engine, 1, peer, now);
+    assert_eq!(ledger.load(&engine, now).helping, 3);
+    ledger.read_done(&engine, &mut share);
+    ledger.read_done(&engine, &mut share);
+    assert_eq!(ledger.load(&engine, now).helping, 2 + after_reading);
+    ledger.end(&engine, &share);
+    assert_eq!(ledger.load(&engine, now).helping, 2);
+}
--- a/tests/decide_ledger.rs
+++ b/tests/decide_ledger.rs
@@ -88,6 +88,7 @@
         in_flight,
         short_in_flight: rng.random_range(0..=in_flight),
         strictest_pause: (pause > 0).then(|| Duration::from_millis(200 * pause)),
+        helping: rng.random_range(0..4),
         held_tokens: Tokens(rng.random_range(0..100_000)),
         read: ReadSent::default(),
         read_due: (due > 1_500).then(|| Duration::from_millis(due)),
@@ -131,6 +132,7 @@
         let sum = ledger.load(&upstream(asked), asked_at);
         let in_flight: u32 = heard.iter().map(|(load, _)| load.in_flight).sum();
         let short: u32 = heard.iter().map(|(load, _)| load.short_in_flight).sum();
+        let helping: u32 = heard.iter().map(|(load, _)| load.helping).sum();
         let held: u64 = heard.iter().map(|(load, _)| load.held_tokens.0).sum();
         let pause = heard
             .iter()
@@ -142,6 +144,7 @@
         });
         assert_eq!(sum.in_flight, in_flight);
         assert_eq!(sum.short_in_flight, short);
+        assert_eq!(sum.helping, helping);
         assert_eq!(sum.held_tokens, Tokens(held));
         assert_eq!(sum.strictest_pause, pause);
         assert_eq!(sum.read_due, due.min());
--- a/tests/engine_world/engine.rs
+++ b/tests/engine_world/engine.rs
@@ -45,6 +45,8 @@
     ready: VecDeque<Writer>,
     pass: Option<PassEnd>,
     pub reserved_tokens: u64,
+    /// Prompts of other engines that this one helps to read or keeps a part of.
+    pub helping: u32,
 }
 
 impl Engine {
--- a/tests/engine_world/tally.rs
+++ b/tests/engine_world/tally.rs
@@ -20,6 +20,8 @@
     pub ended: Ended,
     /// How often its caller was turned away.
     pub refusals: u32,
+    /// Sends that an engine turned away because of a helper without room.
+    pub turned_away: u32,
     pub worth: f64,
     pub prompt_tokens: f64,
     pub first_event: Option<Duration>,
@@ -84,6 +86,11 @@
         )
     }
 
+    /// Sends that engines turned away because of a helper without room.
+    pub fn turned_away(&self) -> u32 {
+        self.outcomes.iter().map(|o| o.turned_away).sum()
+    }
+
     /// A quantile of the time from the last send's forecast to the first event, in ms; negative
     /// where it came before.
     pub fn error_ms(&self, class: usize, quantile: f64) -> f64 {
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -31,6 +31,10 @@
 /// After memory was refused.
 const RESERVE_PAUSE: Duration = Duration::from_millis(40);
 
+/// Sends of one prompt that engines may turn away: a host pays each out of its part of the retries.
+const TURNED_AWAY_MAX: u32 = 2;
+const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
@@ -56,6 +60,10 @@
     last_event: Duration,
     longest_pause: Duration,
     refusals: u32,
+    turned_away: u32,
+    /// Engines that help until the prompt is read, and those that keep a part of it until the end.
+    helpers_until_read: Vec<usize>,
+    helpers_until_end: Vec<usize>,
     outcome: Option<Ended>,
 }
 
@@ -103,6 +111,9 @@
             last_event: Duration::ZERO,
             longest_pause: Duration::ZERO,
             refusals: 0,
+            turned_away: 0,
+            helpers_until_read: Vec::new(),
+            helpers_until_end: Vec::new(),
             outcome: None,
         };
         Self {
@@ -189,16 +200,7 @@
                 let wait = wait.mul_f64(self.rng.random_range(0.5..1.5));
                 self.push(self.now + wait.min(time_left), Event::Decide(request));
             }
-            EngineChoice::Refuse { retry_after, .. } => {
-                self.runs[request].refusals += 1;
-                let comes_back = self.runs[request].refusals == 1;
-                if comes_back && retry_after < time_left {
-                    let after = retry_after.min(time_left / 3);
-                    self.push(self.now + after, Event::Arrive(request));
-                } else {
-                    self.runs[request].outcome = Some(Ended::Refused);
-                }
-            }
+            EngineChoice::Refuse { retry_after, .. } => self.refuse(request, retry_after),
         }
     }
 
@@ -229,6 +231,10 @@
 
     fn start(&mut self, request: usize) {
         let plan = self.runs[request].plan.clone().unwrap();
+        if !self.take_helpers(request, &plan) {
+            self.turn_away(request, &plan);
+            return;
+        }
         let tokens = self.load.requests[request].prompt.as_f64();
         let count = plan.helpers.len() + 1;
         self.runs[request].parts_left = count;
@@ -242,6 +248,26 @@
         }
     }
 
+    /// Counts the prompt at its helpers; false if one of them has no room for it.
+    fn take_helpers(&mut self, request: usize, plan: &EnginePlan) -> bool {
+        let helpers: Vec<usize> = plan.helpers.iter().map(|id| self.index(id)).collect();
+        let slots = self.site.model.slots;
+        let is_full = |helper: &usize| self.engines[*helper].helping >= slots;
+        if helpers.iter().any(is_full) {
+            return false;
+        }
+        for (engine, id) in helpers.into_iter().zip(&plan.helpers) {
+            self.engines[engine].helping += 1;
+            let run = &mut self.runs[request];
+            if plan.reserve(id).is_some() {
+                run.helpers_until_end.push(engine);
+            } else {
+                run.helpers_until_read.push(engine);
+            }
+        }
+        true
+    }
+
     fn wake(&mut self, engine: usize) {
         let slowdown = self.site.slowdown(engine, self.now);
         if self.engines[engine].is_idle()
@@ -289,9 +315,12 @@
         let run = &mut self.runs[request];
         if run.first_event.is_none() {
             run.first_event = Some(now);
-            for (engine, share) in &run.shares {
+            for (engine, share) in &mut run.shares {
                 self.hosts[run.host].ledger.read_done(engine, share);
             }
+            for engine in std::mem::take(&mut run.helpers_until_read) {
+                self.engines[engine].helping -= 1;
+            }
         } else {
             run.longest_pause = run.longest_pause.max(now - run.last_event);
         }
@@ -313,11 +342,50 @@
             self.hosts[host].ledger.end(&engine, &share);
         }
         let plan = self.runs[request].plan.clone().unwrap();
+        self.give_back(&plan);
+        for engine in std::mem::take(&mut self.runs[request].helpers_until_end) {
+            self.engines[engine].helping -= 1;
+        }
+        self.changed(host, false);
+    }
+
+    /// Ends what engines have set aside.
+    fn give_back(&mut self, plan: &EnginePlan) {
         for reserve in &plan.reserves {
             let index = self.index(&reserve.engine);
             self.engines[index].reserved_tokens -= reserve.tokens.0;
         }
+    }
+
+    /// An engine turns a prompt away, since a helper helps as many others as it has slots.
+    fn turn_away(&mut self, request: usize, plan: &EnginePlan) {
+        self.give_back(plan);
+        let host = self.runs[request].host;
+        for (engine, share) in std::mem::take(&mut self.runs[request].shares) {
+            self.hosts[host].ledger.end(&engine, &share);
+        }
         self.changed(host, false);
+        self.runs[request].turned_away += 1;
+        if self.runs[request].turned_away > TURNED_AWAY_MAX {
+            self.refuse(request, NO_ENGINE_RETRY_AFTER);
+        } else {
+            self.push(self.now + WAY, Event::Decide(request));
+        }
+    }
+
+    /// The caller comes back once.
+    fn refuse(&mut self, request: usize, retry_after: Duration) {
+        let asked = &self.load.requests[request];
+        let class = &self.site.classes[asked.class];
+        let time_left = class.timeout.saturating_sub(self.now - asked.arrives);
+        self.runs[request].refusals += 1;
+        let comes_back = self.runs[request].refusals == 1;
+        if comes_back && retry_after < time_left {
+            let after = retry_after.min(time_left / 3);
+            self.push(self.now + after, Event::Arrive(request));
+        } else {
+            self.runs[request].outcome = Some(Ended::Refused);
+        }
     }
 
     /// A host tells the others when it is its turn, or sooner.
@@ -386,6 +454,7 @@
             class: asked.class,
             ended: run.outcome.unwrap_or(Ended::Refused),
             refusals: run.refusals,
+            turned_away: run.turned_away,
             worth: asked.worth,
             prompt_tokens: asked.prompt.as_f64(),
             first_event: run.first_event.map(|at| at.saturating_sub(run.sent_at)),
