--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -13,6 +13,9 @@
 /// The part of an accepted pause that is planned with; the rest is for what other hosts send in the
 /// same moment.
 pub(super) const PAUSE_PART: f64 = 0.9;
+/// Prompts that an engine could still help when hosts take it for full: as many as other hosts may send there in the
+/// same moment, and half of its slots at most.
+const HELPING_KEPT_FREE: u32 = 5;
 /// Passes from a request's arrival to its first event, beside its own reading: half of the pass that
 /// is under way, the one that it is read in, and the one that writes the tokens of the event.
 const PASSES_TO_FIRST_EVENT: f64 = 2.5;
@@ -39,7 +42,8 @@
     /// Whether it may be named as a helper of one more prompt: an engine helps as many others as it has slots
     /// and turns the next prompt away.
     pub fn can_help(&self, model: &EngineModel) -> bool {
-        self.load.helping < model.slots
+        let kept_free = HELPING_KEPT_FREE.min(model.slots / 2);
+        self.load.helping + kept_free < model.slots
     }
 
     /// Memory that nothing has been promised.
