An engine that refuses memory is not asked for as much again at once

Cause: engines keep what a dead host had set aside for up to 3.4 s. Survivors forget that host after a second, hosts that start know nothing of it, and a refusal taught its host nothing: 40 ms later it chose the same engines. Class: a failure that is retried without being learnt from. Engines of a domain that is cut off are the same case: their orders time out.

Change: the ledger believes a refusal for a second, and engines count as having less than was refused. reservation.rs returns the refused parts, all of them.

Tests: an_engine_that_has_refused_memory_is_not_asked_for_as_much_at_once, memory_that_an_engine_has_just_refused_is_taken_elsewhere.

--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -46,12 +46,15 @@
         self.load.helping + kept_free < model.slots
     }
 
-    /// Memory that nothing has been promised.
+    /// Memory that nothing has been promised, and less than the engine has refused a moment ago: what dead hosts
+    /// had set aside there is on nobody's books.
     pub fn free_tokens(&self, model: &EngineModel) -> Tokens {
         let usable = model.memory_tokens.as_f64() * MEMORY_PART;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let usable = Tokens(usable as u64);
-        usable.saturating_sub(self.load.held_tokens)
+        let free = usable.saturating_sub(self.load.held_tokens);
+        let refused = self.load.refused_tokens;
+        refused.map_or(free, |refused| free.min(refused.saturating_sub(Tokens(1))))
     }
 
     /// How long a pass takes when nothing is read in.
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -20,6 +20,7 @@
 use crate::decide::peer_sum::PeerSum;
 use crate::decide::read_queue::ReadQueue;
 use crate::units::HostId;
+use crate::units::Tokens;
 use crate::units::UpstreamId;
 
 /// A host that was not heard for this long has died or is cut off, and its work at upstreams ends
@@ -30,6 +31,10 @@
 /// of the longest with what a message may be late.
 const PEER_HEARD_WITHIN: Duration = Duration::from_millis(700);
 
+/// How long an engine's refusal to set memory aside is believed. What a dead host had set aside lapses after a few
+/// seconds, and answers end meanwhile.
+const REFUSAL_BELIEVED_FOR: Duration = Duration::from_secs(1);
+
 /// The work of this host and of the others, by upstream.
 #[derive(Debug, Default)]
 pub struct LoadLedger {
@@ -40,6 +45,8 @@
     /// No peer falls silent before this.
     next_silent_at: Option<Instant>,
     queue: ReadQueue,
+    /// Engines that have refused to set memory aside: how much, and until when that is believed.
+    refused: IndexMap<UpstreamId, (Tokens, Instant)>,
 }
 
 impl LoadLedger {
@@ -144,6 +151,15 @@
         }
     }
 
+    /// Takes in that an engine has refused to set this much memory aside, or did not answer.
+    pub fn memory_refused(&mut self, upstream: &UpstreamId, tokens: Tokens, now: Instant) {
+        let until = now + REFUSAL_BELIEVED_FOR;
+        let known = self.refused.get(upstream);
+        let least = known.filter(|(_, until)| *until > now);
+        let tokens = least.map_or(tokens, |(least, _)| tokens.min(*least));
+        self.refused.insert(upstream.clone(), (tokens, until));
+    }
+
     /// Forgets hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
         if self.next_silent_at.is_none_or(|at| now < at) {
@@ -164,6 +180,7 @@
     /// Forgets upstreams that are off the list and have no work left.
     pub fn keep(&mut self, is_listed: impl Fn(&UpstreamId) -> bool, now: Instant) {
         self.queue.forget_done(now);
+        self.refused.retain(|_, (_, until)| *until > now);
         self.own.retain(|id, own| own.is_told(now) || is_listed(id));
         self.sums
             .retain(|id, sum| is_listed(id) || *sum != PeerSum::default());
@@ -182,6 +199,10 @@
     pub fn load(&self, upstream: &UpstreamId, now: Instant) -> UpstreamLoad {
         let mut load = self.load_of_peers(upstream, now);
         load.read_backlog = self.queue.backlog(upstream, now);
+        let refused = self.refused.get(upstream);
+        load.refused_tokens = refused
+            .filter(|(_, until)| *until > now)
+            .map(|(tokens, _)| *tokens);
         if let Some(own) = self.own.get(upstream) {
             load.add(&own.seen_at(now));
         }
--- a/src/decide/peer_sum.rs
+++ b/src/decide/peer_sum.rs
@@ -72,6 +72,7 @@
             strictest_pause: self.pauses.iter().map(|(pause, _)| *pause).min(),
             read_backlog: Duration::ZERO,
             held_tokens: self.held_tokens,
+            refused_tokens: None,
             read_due: due.map(|due| due.saturating_duration_since(now)),
         }
     }
--- a/src/decide/upstream_load.rs
+++ b/src/decide/upstream_load.rs
@@ -20,6 +20,8 @@
     pub read_backlog: Duration,
     /// Memory that these requests take, in tokens.
     pub held_tokens: Tokens,
+    /// Memory that the engine has refused to set aside a moment ago, in tokens.
+    pub refused_tokens: Option<Tokens>,
     /// Time until the first of the prompts being read there has to have its first event to be on time.
     pub read_due: Option<Duration>,
 }
--- a/src/gateway/courier.rs
+++ b/src/gateway/courier.rs
@@ -17,6 +17,7 @@
 use crate::gateway::placement::Sends;
 use crate::gateway::placement::choose;
 use crate::gateway::placement::survey;
+use crate::gateway::reservation::Part;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::send::Answered;
 use crate::gateway::send::SendEnd;
@@ -207,8 +208,8 @@
         }
     }
 
-    /// Sets aside the memory that a placement asks for. Without it nothing is sent: another host was
-    /// quicker, and what it sent is known here in a moment.
+    /// Sets aside the memory that a placement asks for. Without it nothing is sent, and the engines that refused
+    /// are not asked for as much again at once.
     async fn reserve(&self, placement: &Placement) -> Option<Option<Reservation>> {
         if placement.reserves.is_empty() {
             return Some(None);
@@ -217,13 +218,22 @@
         let parts = placement.reserves.clone();
         match Reservation::make(&self.gateway, request, parts).await {
             Ok(reservation) => Some(Some(reservation)),
-            Err(_) => {
+            Err(refused) => {
+                self.on_memory_refused(&refused);
                 tokio::time::sleep(RESERVE_PAUSE).await;
                 None
             }
         }
     }
 
+    fn on_memory_refused(&self, refused: &[Part]) {
+        let now = self.gateway.clock.now();
+        let mut ledger = self.gateway.ledger();
+        for part in refused {
+            ledger.memory_refused(&part.id, part.tokens, now);
+        }
+    }
+
     fn is_poison(&self, now: Instant) -> bool {
         let poison = self.gateway.poison();
         // The hash of a body costs a tenth of a millisecond, so it is made only if there is a list.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -232,14 +232,14 @@
     let mut helpers = Vec::new();
     let mut reserves = Vec::new();
     if let Some(reserve) = plan.reserve(&plan.leader) {
-        reserves.push(Part::new(upstream.addr, reserve.tokens));
+        reserves.push(Part::new(upstream, reserve.tokens));
     }
     for id in &plan.helpers {
         let Some(helper) = find(usable, id) else {
             continue;
         };
         match plan.reserve(id) {
-            Some(reserve) => reserves.push(Part::new(helper.addr, reserve.tokens)),
+            Some(reserve) => reserves.push(Part::new(helper, reserve.tokens)),
             None => helpers.push(HelperAddr {
                 addr: helper.addr,
                 reservation: None,
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -16,8 +16,10 @@
 use crate::gateway::Event;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
+use crate::gateway::Listed;
 use crate::gateway::OrderError;
 use crate::units::Tokens;
+use crate::units::UpstreamId;
 
 /// How long an engine keeps memory after the last order. Engines' memory must not stay unused for
 /// 4 s after a request's end.
@@ -32,16 +34,18 @@
 /// One engine's part.
 #[derive(Clone, Debug)]
 pub(crate) struct Part {
+    pub(crate) id: UpstreamId,
     pub(crate) engine: SocketAddr,
     pub(crate) name: String,
     pub(crate) tokens: Tokens,
 }
 
 impl Part {
-    pub(crate) fn new(engine: SocketAddr, tokens: Tokens) -> Self {
+    pub(crate) fn new(engine: &Listed, tokens: Tokens) -> Self {
         let name = format!("b{:016x}", rand::random::<u64>());
         Self {
-            engine,
+            id: engine.id.clone(),
+            engine: engine.addr,
             name,
             tokens,
         }
@@ -63,12 +67,12 @@
 }
 
 impl Reservation {
-    /// Sets all parts aside or none.
+    /// Sets all parts aside or none; then it returns those that were refused.
     pub(crate) async fn make(
         gateway: &Arc<Gateway>,
         request: &str,
         parts: Vec<Part>,
-    ) -> Result<Self, OrderError> {
+    ) -> Result<Self, Vec<Part>> {
         // From here on a drop gives back whatever was set aside, also where an order's answer was
         // lost or this future is dropped in the middle.
         let mut reservation = Self {
@@ -77,14 +81,19 @@
             renewing: None,
         };
         let orders = reservation.parts.iter().map(|part| reserve(gateway, part));
-        for made in join_all(orders).await {
-            if let Err(err) = &made {
+        let made = join_all(orders).await;
+        let mut refused = Vec::new();
+        for (part, made) in reservation.parts.iter().zip(made) {
+            if let Err(err) = made {
                 gateway.log.note(Event::ReservationRefused {
                     request: request.to_owned(),
                     error: err.to_string(),
                 });
+                refused.push(part.clone());
             }
-            made?;
+        }
+        if !refused.is_empty() {
+            return Err(refused);
         }
         let renewing = renew(Arc::clone(gateway), reservation.parts.clone());
         reservation.renewing = Some(tokio::spawn(renewing));
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -10,6 +10,7 @@
 use banyanarch::decide::engines::EnginePlan;
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::PromptClass;
+use banyanarch::decide::engines::Reserve;
 use banyanarch::decide::engines::border;
 use banyanarch::decide::engines::choose_engines;
 use banyanarch::decide::engines::survey_engines;
@@ -518,3 +519,17 @@
         "{plan:?}"
     );
 }
+
+#[test]
+fn memory_that_an_engine_has_just_refused_is_taken_elsewhere() {
+    let mut engines = engines(23);
+    for engine in &mut engines[..20] {
+        engine.load.refused_tokens = Some(Tokens(50_000));
+    }
+    let plan = plan(choose_engines(&model(), &engines, &ask(300_000)));
+    let keeps_too_much = |reserve: &Reserve| {
+        let is_refused = index(&reserve.engine) < 20;
+        is_refused && reserve.tokens >= Tokens(50_000)
+    };
+    assert!(!plan.reserves.iter().any(keeps_too_much), "{plan:?}");
+}
--- a/tests/decide_gateway.rs
+++ b/tests/decide_gateway.rs
@@ -392,3 +392,20 @@
     ledger.end(&engine, &share);
     assert_eq!(ledger.load(&engine, now).helping, 2);
 }
+
+/// Hundreds of orders to set memory aside are refused after many hosts have lost power at once: what they had set
+/// aside is on nobody's books until it lapses, and each prompt is offered to the same engines again.
+#[test]
+fn an_engine_that_has_refused_memory_is_not_asked_for_as_much_at_once() {
+    let now = Instant::now();
+    let mut ledger = LoadLedger::default();
+    let engine = upstream("e");
+    let refused = |ledger: &LoadLedger, at| ledger.load(&engine, now + ms(at)).refused_tokens;
+    assert_eq!(refused(&ledger, 0), None);
+    ledger.memory_refused(&engine, Tokens(100_000), now);
+    ledger.memory_refused(&engine, Tokens(200_000), now + ms(500));
+    assert_eq!(refused(&ledger, 600), Some(Tokens(100_000)));
+    assert_eq!(refused(&ledger, 1_500), None);
+    ledger.memory_refused(&engine, Tokens(300_000), now + ms(2_000));
+    assert_eq!(refused(&ledger, 2_100), Some(Tokens(300_000)));
+}
