A deadline is judged by what engines could do, not by the group of this moment

Cause: decide refused with deadline when the best group that could be formed at that moment was too slow. After short prompts a domain has few engines for long ones, and a group of four needs twelve seconds for what sixteen read in three. refuse_or_wait had the bound that holds whatever becomes free and was asked only where no group existed at all. Besides, the least time to write counted the context of the whole prompt, where each engine of the group has a part of it. Class: admission by a forecast that is no bound.

Test: a_deadline_is_judged_by_what_engines_could_do_and_not_by_this_moment (time_for_it fails before).

--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -17,6 +17,7 @@
 use crate::decide::engines::border::ceil;
 use crate::decide::engines::group::Group;
 use crate::decide::engines::group::group;
+use crate::units::Tokens;
 
 /// The aim for one engine's part of a prompt. Two such parts in one pass with writers stay within a
 /// pause of 200 ms.
@@ -50,7 +51,7 @@
     ask: &EngineAsk,
 ) -> EngineChoice {
     match best_group(model, engines, border, ask) {
-        Some(group) => decide(model, group, ask),
+        Some(group) => decide(model, engines, group, ask),
         None => refuse_or_wait(model, engines, ask),
     }
 }
@@ -112,9 +113,15 @@
 }
 
 /// Sends the prompt now, keeps it back for more pressed ones, or turns it away.
-fn decide(model: &EngineModel, best: Group<'_>, ask: &EngineAsk) -> EngineChoice {
-    if best.forecast + least_write_time(model, ask) > ask.time_left {
-        return EngineChoice::refuse(RefuseReason::Deadline, best.backlog);
+fn decide(
+    model: &EngineModel,
+    engines: &[EngineView],
+    best: Group<'_>,
+    ask: &EngineAsk,
+) -> EngineChoice {
+    let parts = best.helpers.len() + 1;
+    if best.forecast + least_write_time(model, ask, parts) > ask.time_left {
+        return refuse_or_wait(model, engines, ask);
     }
     if best.stretched == 0 && best.backlog <= BACKLOG_MAX && !best.makes_late {
         return EngineChoice::Send(plan(best));
@@ -148,15 +155,16 @@
     EngineChoice::wait(best.backlog.saturating_sub(LATE_BACKLOG_MAX))
 }
 
-/// No engine has a place, or all of them together have not the memory now.
+/// No group can serve the prompt now. It waits while as many engines as may read it together could serve it in
+/// time if they were idle, and is turned away where not even these can.
 fn refuse_or_wait(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> EngineChoice {
-    let count = u64::try_from(engines.len().min(HELPERS_MAX)).unwrap_or(1);
-    if ask.needed().0 > count * model.memory_tokens.0 {
+    let count = engines.len().clamp(1, HELPERS_MAX);
+    let parts = u32::try_from(count).unwrap_or(1);
+    if ask.needed().0 > u64::from(parts) * model.memory_tokens.0 {
         return EngineChoice::refuse_soon(RefuseReason::TooLarge);
     }
-    let parts = u32::try_from(count).unwrap_or(1);
     let read_time = model.read_time(ask.prompt) / parts;
-    if read_time + least_write_time(model, ask) > ask.time_left {
+    if read_time + least_write_time(model, ask, count) > ask.time_left {
         return EngineChoice::refuse_soon(RefuseReason::Deadline);
     }
     EngineChoice::wait(Duration::MAX)
@@ -172,7 +180,9 @@
     }
 }
 
-/// Time that half of the longest answer takes; most answers are shorter than the longest.
-fn least_write_time(model: &EngineModel, ask: &EngineAsk) -> Duration {
-    model.write_time(ask.output, 1, ask.prompt) / 2
+/// Time that half of the longest answer takes; most answers are shorter than the longest. A step takes as long as
+/// the context of one part of the prompt does.
+fn least_write_time(model: &EngineModel, ask: &EngineAsk, parts: usize) -> Duration {
+    let parts = u64::try_from(parts).unwrap_or(u64::MAX).max(1);
+    model.write_time(ask.output, 1, Tokens(ask.prompt.0.div_ceil(parts))) / 2
 }
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -533,3 +533,31 @@
     };
     assert!(!plan.reserves.iter().any(keeps_too_much), "{plan:?}");
 }
+
+fn late(prompt: u64, time_left: Duration) -> EngineAsk {
+    EngineAsk {
+        objective_left: Duration::ZERO,
+        time_left,
+        ..ask(prompt)
+    }
+}
+
+/// A prompt that idle engines would read in three seconds is refused as soon as it arrives, ten seconds before
+/// its deadline: all but a few engines had short answers at that moment.
+#[parameterized(
+    time_for_it = { 9_000, true },
+    not_even_idle_engines_have_the_time = { 3_500, false },
+)]
+fn a_deadline_is_judged_by_what_engines_could_do_and_not_by_this_moment(left_ms: u64, waits: bool) {
+    let mut engines = engines(40);
+    for engine in &mut engines[..36] {
+        write_short(engine, 9);
+    }
+    let choice = choose_engines(&model(), &engines, &late(1_000_000, ms(left_ms)));
+    let is_expected = match choice {
+        EngineChoice::Wait(_) => waits,
+        EngineChoice::Refuse { reason, .. } => !waits && reason == RefuseReason::Deadline,
+        EngineChoice::Send(_) => false,
+    };
+    assert!(is_expected, "{choice:?}");
+}
