Long prompts that need idle engines are given a group that is idle where there is one

Prompts of 500,000 tokens and more waited beside up to 49 idle engines and were refused at their deadline.

Cause: a part of such a prompt takes more than 0.8 s, so no engine that writes an answer may read it, and a late prompt is sent only where every engine of its group has less than 10 ms to read. But the group was chosen by other rules than it was judged by: the leader was any of the few that write long answers, or drawn among those with a second to read; keepers were those with the most free memory; and an idle engine where another prompt is overdue counted as dearer (200 ms) than one with an answer or two (50 ms each). One engine of sixteen was enough for the group to wait, choice after choice. And the first side of the engines on which any group existed hid the others. Class: a choice by one criterion that is judged by another.

Parts count as too long for answers from 0.8 s, which is what is left of a second's pause beside a pass.

Tried and not kept: such prompts go to idle engines of any domain before they are late.

--- a/src/decide/engines/group.rs
+++ b/src/decide/engines/group.rs
@@ -8,6 +8,8 @@
 use crate::decide::engines::EngineView;
 use crate::decide::engines::Reserve;
 use crate::decide::engines::leader::leader;
+use crate::decide::engines::long::is_free;
+use crate::decide::engines::long::needs_idle_engines;
 use crate::decide::engines::long::parts_wanted;
 use crate::decide::engines::reserve::reserves;
 
@@ -38,6 +40,16 @@
 }
 
 impl Group<'_> {
+    /// Whether it stretches no pause and has at most this much left to read.
+    pub(super) fn is_idle(&self, backlog_max: Duration) -> bool {
+        self.stretched == 0 && self.backlog <= backlog_max
+    }
+
+    /// What it is compared by: the time to its first event, and what it does to others.
+    pub(super) fn cost(&self) -> Duration {
+        self.forecast + STRETCH_COST * self.stretched
+    }
+
     /// Its figures.
     pub(super) fn summary(&self) -> BestGroup {
         BestGroup {
@@ -67,7 +79,7 @@
     let most = parts_wanted(read_time, readers.len() + 1);
     (1..=most)
         .filter_map(|parts| group_of(model, leaders, readers, ask, parts))
-        .min_by_key(|group| group.forecast + STRETCH_COST * group.stretched)
+        .min_by_key(Group::cost)
 }
 
 /// A group of this many engines: the gentlest ones, then those with the least left to read.
@@ -81,12 +93,16 @@
     let part_time = model.read_time(ask.prompt) / u32::try_from(parts).unwrap_or(1);
     let leader = leader(model, leaders, part_time, ask)?;
     let mut others: Vec<(usize, &EngineView)> = readers.iter().enumerate().collect();
+    let needs_idle = needs_idle_engines(model, ask);
     others.sort_by_cached_key(|(index, engine)| {
+        // A prompt that needs idle engines is sent to them alone: one that is not spoils the group.
+        let spoils = needs_idle && !is_free(model, engine, part_time, ask);
         let makes_late = u32::from(engine.makes_late(model, part_time));
         let cost = engine.backlog()
             + STRETCH_COST * stretched(model, engine, part_time)
             + LATENESS_COST * makes_late;
         (
+            spoils,
             cost.as_millis() / EQUAL_WITHIN.as_millis(),
             ask.shuffle(*index),
         )
@@ -95,7 +111,7 @@
     let mut others: Vec<&EngineView> = others
         .filter(|engine| engine.id != leader.id && engine.can_help(model))
         .collect();
-    let reserves = reserves(model, leader, &others, ask)?;
+    let reserves = reserves(model, leader, &others, part_time, ask)?;
     if reserves.len() > parts || others.len() + 1 < parts {
         return None;
     }
--- a/src/decide/engines/leader.rs
+++ b/src/decide/engines/leader.rs
@@ -6,7 +6,7 @@
 use crate::decide::engines::EngineAsk;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
-use crate::decide::engines::long::BACKLOG_MAX;
+use crate::decide::engines::long::is_free;
 use crate::decide::engines::reserve::KEEPERS;
 use crate::units::Tokens;
 
@@ -24,12 +24,11 @@
     if ask.class(model) == PromptClass::Long {
         let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
         let fitting = || placed().filter(|engine| engine.free_tokens(model) >= share);
-        let is_free = |engine: &&EngineView| engine.backlog() <= BACKLOG_MAX;
-        let is_good = |engine: &&EngineView| is_gentle(engine) && is_free(engine);
+        let is_free = |engine: &&EngineView| is_free(model, engine, part_time, ask);
         let first = if ask.is_far {
-            drawn(fitting().filter(is_good), ask)
+            drawn(fitting().filter(is_free), ask)
         } else {
-            fitting().find(is_good)
+            fitting().find(is_free)
         };
         return first
             .or_else(|| fitting().find(is_gentle))
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -22,8 +22,9 @@
 /// The aim for one engine's part of a prompt. Two such parts in one pass with writers stay within a
 /// pause of 200 ms.
 const PART_TIME: Duration = Duration::from_millis(60);
-/// The longest part that is read beside answers: no caller accepts a longer pause.
-const PART_BESIDE_ANSWERS_MAX: Duration = Duration::from_secs(1);
+/// The longest part that is read beside answers: callers accept pauses of a second at most, and a pass and
+/// other hosts' work need their share of it.
+const PART_BESIDE_ANSWERS_MAX: Duration = Duration::from_millis(800);
 /// Engines that write the answers to long prompts, as a part of those for long prompts. They read
 /// one part of each prompt, as every helper does, and their own only.
 const LEADER_PART: f64 = 0.12;
@@ -32,7 +33,7 @@
 /// Reading that waits at engines when another prompt is sent there. What waits at hosts instead can
 /// still be overtaken by a prompt that is more pressed for time. Engines read a new part first, so this
 /// only bounds what is put off at once.
-pub(super) const BACKLOG_MAX: Duration = Duration::from_secs(1);
+const BACKLOG_MAX: Duration = Duration::from_secs(1);
 /// The same for prompts that will be late anyway: they go behind all that can still be on time. Less than a
 /// pass.
 const LATE_BACKLOG_MAX: Duration = Duration::from_millis(10);
@@ -56,7 +57,9 @@
     }
 }
 
-/// The best group of the first of the sides on which there is one.
+/// The best group of the first side on which there is one. A prompt that needs idle engines goes on to the other
+/// sides until a group is idle: the engines that write the answers to long prompts are few, and each of them
+/// mostly writes one.
 pub(super) fn best_group<'a>(
     model: &EngineModel,
     engines: &'a [EngineView],
@@ -82,9 +85,20 @@
         ],
         _ => vec![(short_side, engines), (engines, engines)],
     };
-    sides
-        .into_iter()
-        .find_map(|(leaders, readers)| group(model, leaders, readers, ask))
+    let needs_idle = needs_idle_engines(model, ask);
+    let mut best: Option<Group<'a>> = None;
+    for (leaders, readers) in sides {
+        let Some(group) = group(model, leaders, readers, ask) else {
+            continue;
+        };
+        if !needs_idle || group.is_idle(LATE_BACKLOG_MAX) {
+            return Some(group);
+        }
+        if best.as_ref().is_none_or(|best| group.cost() < best.cost()) {
+            best = Some(group);
+        }
+    }
+    best
 }
 
 /// The engines that only help to read long prompts, and those that write the answers. The latter
@@ -98,12 +112,33 @@
     long_side.split_at(long_side.len() - leaders.min(long_side.len() - 1))
 }
 
-/// Whether a prompt is late and so long that even its smallest parts stretch the pauses of any answer:
-/// only engines that write none can read it, wherever they are.
+/// Whether a prompt is so long that even its smallest parts stretch the pauses of any answer: only engines that
+/// write none can read it, wherever they are.
 pub(super) fn needs_idle_engines(model: &EngineModel, ask: &EngineAsk) -> bool {
-    let read_time = model.read_time(ask.prompt);
     let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
-    ask.objective_left.is_zero() && read_time / parts > PART_BESIDE_ANSWERS_MAX
+    let part_time = model.read_time(ask.prompt) / parts;
+    ask.objective_left.is_zero() && part_time > PART_BESIDE_ANSWERS_MAX
+}
+
+/// What an engine may have left to read when a prompt with parts of this length is sent there.
+fn backlog_max(model: &EngineModel, ask: &EngineAsk, part_time: Duration) -> Duration {
+    let is_late = ask.objective_left.mul_f64(IN_TIME_PART) < part_time;
+    if is_late || needs_idle_engines(model, ask) {
+        LATE_BACKLOG_MAX
+    } else {
+        BACKLOG_MAX
+    }
+}
+
+/// Whether a part of this length can be sent to an engine now: it stretches no pause there, and little is left to
+/// read. A group is judged by the same rule, so its engines are chosen by it.
+pub(super) fn is_free(
+    model: &EngineModel,
+    engine: &EngineView,
+    part_time: Duration,
+    ask: &EngineAsk,
+) -> bool {
+    engine.has_room(model, part_time) && engine.backlog() <= backlog_max(model, ask, part_time)
 }
 
 /// How many of `available` engines are to read a prompt together.
@@ -123,7 +158,10 @@
     if best.forecast + least_write_time(model, ask, parts) > ask.time_left {
         return refuse_or_wait(model, engines, ask);
     }
-    if best.stretched == 0 && best.backlog <= BACKLOG_MAX && !best.makes_late {
+    if needs_idle_engines(model, ask) {
+        return decide_late(best, ask);
+    }
+    if best.is_idle(BACKLOG_MAX) && !best.makes_late {
         return EngineChoice::Send(plan(best));
     }
     let waits_for = best.backlog.saturating_sub(BACKLOG_MAX);
@@ -149,7 +187,7 @@
     if best.forecast > ask.patience_left {
         return EngineChoice::refuse(RefuseReason::QueueFull, best.backlog);
     }
-    if best.stretched == 0 && best.backlog <= LATE_BACKLOG_MAX {
+    if best.is_idle(LATE_BACKLOG_MAX) {
         return EngineChoice::Send(plan(best));
     }
     EngineChoice::wait(best.backlog.saturating_sub(LATE_BACKLOG_MAX))
--- a/src/decide/engines/reserve.rs
+++ b/src/decide/engines/reserve.rs
@@ -1,10 +1,13 @@
 //! Memory that engines set aside for a long prompt.
 
+use std::time::Duration;
+
 use crate::decide::EngineModel;
 use crate::decide::engines::EngineAsk;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
 use crate::decide::engines::long::HELPERS_MAX;
+use crate::decide::engines::long::is_free;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
@@ -32,13 +35,17 @@
     model: &EngineModel,
     leader: &EngineView,
     others: &[&EngineView],
+    part_time: Duration,
     ask: &EngineAsk,
 ) -> Option<Vec<Reserve>> {
     if ask.class(model) != PromptClass::Long {
         return Some(Vec::new());
     }
     let mut by_room: Vec<&EngineView> = others.to_vec();
-    by_room.sort_by_key(|engine| engine.load.held_tokens);
+    by_room.sort_by_key(|engine| {
+        let is_free = is_free(model, engine, part_time, ask);
+        (!is_free, engine.load.held_tokens)
+    });
     let spread = Tokens(ask.needed().0.div_ceil(KEEPERS));
     keep(model, leader, &by_room, ask.needed(), spread)
         .or_else(|| keep(model, leader, &by_room, ask.needed(), ask.needed()))
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -15,6 +15,7 @@
 use engine_world::SlowStretch;
 use engine_world::Tally;
 use engine_world::World;
+use yare::parameterized;
 
 /// Times the usual rate of archives in their stretches.
 const ARCHIVES: f64 = 2.7;
@@ -90,6 +91,20 @@
     assert!(next_fifth > all * 0.7, "{tally}");
 }
 
+/// Studios with the longest catalogues wait until their deadline, and others of their kind are served: a prompt
+/// of half a million tokens and more needs sixteen engines that write nothing, and the group that it was judged by
+/// had one that did while enough others were idle.
+#[parameterized(
+    large = { Site::large() },
+    shifted = { Site::shifted() },
+)]
+fn the_longest_are_served_while_long_and_short_prompts_take_turns(site: Site) {
+    let tally = play(&site, &Phase::by_turns(9.5, 2.9), 1);
+    let (largest_tenth, _, all) = tally.served_by_size(LONG);
+    assert!(all > 0.95, "{tally}");
+    assert!(largest_tenth > 0.85, "{tally}");
+}
+
 /// Twice as many archives as engines can read in. Let in without a bound all of them are late; those
 /// that are let in have to be on time, and the others hear it at once.
 #[test]
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -520,18 +520,15 @@
     );
 }
 
-#[test]
-fn memory_that_an_engine_has_just_refused_is_taken_elsewhere() {
-    let mut engines = engines(23);
-    for engine in &mut engines[..20] {
-        engine.load.refused_tokens = Some(Tokens(50_000));
+/// Forty engines of which the first 20 are idle; the others write answers, those for long answers too.
+fn half_idle() -> Vec<EngineView> {
+    let mut engines = engines(40);
+    for engine in &mut engines[20..] {
+        write_short(engine, 1);
+        engine.load.short_in_flight = 0;
+        engine.load.strictest_pause = Some(ms(1_000));
     }
-    let plan = plan(choose_engines(&model(), &engines, &ask(300_000)));
-    let keeps_too_much = |reserve: &Reserve| {
-        let is_refused = index(&reserve.engine) < 20;
-        is_refused && reserve.tokens >= Tokens(50_000)
-    };
-    assert!(!plan.reserves.iter().any(keeps_too_much), "{plan:?}");
+    engines
 }
 
 fn late(prompt: u64, time_left: Duration) -> EngineAsk {
@@ -542,6 +539,41 @@
     }
 }
 
+/// The longest prompts wait until their deadline beside sixteen idle engines: their answer was to be written
+/// by one of the few engines that write long answers, and each of these writes one.
+#[test]
+fn a_late_prompt_of_the_longest_is_led_by_an_idle_engine_where_no_other_can() {
+    let plan = plan(choose_engines(
+        &model(),
+        &half_idle(),
+        &late(800_000, ms(9_000)),
+    ));
+    assert_eq!(plan.helpers.len(), 15);
+    assert!(index(&plan.leader) < 20, "{plan:?}");
+}
+
+/// The longest prompts wait until their deadline beside sixteen idle engines: those with the most memory free
+/// were to keep it, and one of them has something left to read.
+#[test]
+fn a_late_prompt_is_kept_by_engines_with_nothing_left_to_read() {
+    let mut engines = engines(40);
+    for engine in &mut engines[..20] {
+        engine.load.held_tokens = Tokens(50_000);
+    }
+    set_reading(&mut engines[20..], ms(300), None);
+    let plan = plan(choose_engines(
+        &model(),
+        &engines,
+        &late(800_000, ms(9_000)),
+    ));
+    assert!(
+        plan.reserves
+            .iter()
+            .all(|reserve| index(&reserve.engine) < 20),
+        "{plan:?}"
+    );
+}
+
 /// A prompt that idle engines would read in three seconds is refused as soon as it arrives, ten seconds before
 /// its deadline: all but a few engines had short answers at that moment.
 #[parameterized(
@@ -561,3 +593,31 @@
     };
     assert!(is_expected, "{choice:?}");
 }
+
+/// The longest prompts wait until their deadline beside sixteen idle engines: where another prompt is overdue,
+/// an idle engine came after one that writes an answer, which no long part may be sent to.
+#[test]
+fn a_late_prompt_takes_idle_engines_before_those_that_write() {
+    let mut engines = half_idle();
+    set_reading(&mut engines[..20], Duration::ZERO, Some(Duration::ZERO));
+    let plan = plan(choose_engines(
+        &model(),
+        &engines,
+        &late(800_000, ms(9_000)),
+    ));
+    assert!(plan.helpers.iter().all(|id| index(id) < 20), "{plan:?}");
+}
+
+#[test]
+fn memory_that_an_engine_has_just_refused_is_taken_elsewhere() {
+    let mut engines = engines(23);
+    for engine in &mut engines[..20] {
+        engine.load.refused_tokens = Some(Tokens(50_000));
+    }
+    let plan = plan(choose_engines(&model(), &engines, &ask(300_000)));
+    let keeps_too_much = |reserve: &Reserve| {
+        let is_refused = index(&reserve.engine) < 20;
+        is_refused && reserve.tokens >= Tokens(50_000)
+    };
+    assert!(!plan.reserves.iter().any(keeps_too_much), "{plan:?}");
+}
