--- a/src/decide/engines/group.rs
+++ b/src/decide/engines/group.rs
@@ -95,14 +95,14 @@
     let mut others: Vec<(usize, &EngineView)> = readers.iter().enumerate().collect();
     let needs_idle = needs_idle_engines(model, ask);
     others.sort_by_cached_key(|(index, engine)| {
-        // A prompt that needs idle engines is sent to them alone: one that is not spoils the group.
-        let spoils = needs_idle && !is_free(model, engine, part_time, ask);
+        // A prompt that needs idle engines is sent to them alone, so the others come last.
+        let is_last = needs_idle && !is_free(model, engine, part_time, ask);
         let makes_late = u32::from(engine.makes_late(model, part_time));
         let cost = engine.backlog()
             + STRETCH_COST * stretched(model, engine, part_time)
             + LATENESS_COST * makes_late;
         (
-            spoils,
+            is_last,
             cost.as_millis() / EQUAL_WITHIN.as_millis(),
             ask.shuffle(*index),
         )
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -112,8 +112,8 @@
     long_side.split_at(long_side.len() - leaders.min(long_side.len() - 1))
 }
 
-/// Whether a prompt is so long that even its smallest parts stretch the pauses of any answer: only engines that
-/// write none can read it, wherever they are.
+/// Whether a prompt is late and so long that even its smallest parts stretch the pauses of any answer: only
+/// engines that write none can read it, wherever they are.
 pub(super) fn needs_idle_engines(model: &EngineModel, ask: &EngineAsk) -> bool {
     let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
     let part_time = model.read_time(ask.prompt) / parts;
@@ -121,9 +121,9 @@
 }
 
 /// What an engine may have left to read when a prompt with parts of this length is sent there.
-fn backlog_max(model: &EngineModel, ask: &EngineAsk, part_time: Duration) -> Duration {
+fn backlog_max(ask: &EngineAsk, part_time: Duration) -> Duration {
     let is_late = ask.objective_left.mul_f64(IN_TIME_PART) < part_time;
-    if is_late || needs_idle_engines(model, ask) {
+    if is_late {
         LATE_BACKLOG_MAX
     } else {
         BACKLOG_MAX
@@ -138,7 +138,7 @@
     part_time: Duration,
     ask: &EngineAsk,
 ) -> bool {
-    engine.has_room(model, part_time) && engine.backlog() <= backlog_max(model, ask, part_time)
+    engine.has_room(model, part_time) && engine.backlog() <= backlog_max(ask, part_time)
 }
 
 /// How many of `available` engines are to read a prompt together.
