Read once more: one piece each for the smallest part, a keeper's share, a call's engines and the end of work

What the change had twice: the time of a smallest part (long.rs, survey.rs), the share that a keeper sets aside (leader.rs, reserve.rs, survey.rs), how a call's engines and request are read for a choice and for a survey (placement.rs), how long a refusal of memory is believed (load_ledger.rs), the lines of what a host saw (log_story.rs), the end of a request's work in the engine world. The summary's counts of refusals follow from their waits, so they are not kept beside them.

--- a/src/cmd/log_story.rs
+++ b/src/cmd/log_story.rs
@@ -4,6 +4,7 @@
 
 use crate::cmd::log_causes::cause;
 use crate::cmd::logs::Line;
+use crate::gateway::EnginesSeen;
 use crate::gateway::Event;
 
 /// What the logs know of one request, in order.
@@ -82,6 +83,14 @@
     }
 }
 
+/// What a host saw of some of the engines, on a line of its own.
+fn write_seen(f: &mut fmt::Formatter<'_>, name: &str, seen: Option<&EnginesSeen>) -> fmt::Result {
+    match seen {
+        Some(seen) => write!(f, "\n                     {name}: {seen}"),
+        None => Ok(()),
+    }
+}
+
 /// An event as a sentence.
 struct Told<'a>(&'a Event);
 
@@ -145,11 +154,8 @@
                      {upstreams} upstreams listed, work of {hosts_heard} other hosts known, to come \
                      back after {retry_after_ms} ms; manifest proved {manifest_age_ms} ms ago"
                 )?;
-                let seen = [("near", near), ("all", all)];
-                for (name, seen) in seen.into_iter().filter_map(|(n, s)| Some((n, s.as_ref()?))) {
-                    write!(f, "\n                     {name}: {seen}")?;
-                }
-                Ok(())
+                write_seen(f, "near", near.as_deref())?;
+                write_seen(f, "all", all.as_deref())
             }
             Event::Waiting {
                 prompt_tokens,
@@ -160,12 +166,16 @@
                 near,
                 all,
                 ..
-            } => write!(
-                f,
-                "waits, {elapsed_ms} ms after its arrival with {objective_left_ms} ms left to be on time and \
-                 {time_left_ms} ms in all, after {choices} choices; {prompt_tokens} prompt tokens\n\
-                 \x20                    near: {near}\n                     all: {all}"
-            ),
+            } => {
+                write!(
+                    f,
+                    "waits, {elapsed_ms} ms after its arrival with {objective_left_ms} ms left to be \
+                     on time and {time_left_ms} ms in all, after {choices} choices; \
+                     {prompt_tokens} prompt tokens"
+                )?;
+                write_seen(f, "near", Some(near))?;
+                write_seen(f, "all", Some(all))
+            }
             Event::Ended {
                 outcome,
                 status,
--- a/src/cmd/log_summary.rs
+++ b/src/cmd/log_summary.rs
@@ -13,7 +13,7 @@
 /// The length of a stretch of time, in ms.
 const STRETCH_MS: u64 = 2_000;
 /// What is turned away within this time was not kept waiting, in ms.
-const AT_ONCE_MS: u64 = 100;
+const AT_ONCE_MS: i64 = 100;
 /// Columns of outcomes, the most frequent ones; the others are counted together.
 const OUTCOMES_MAX: usize = 5;
 
@@ -37,17 +37,8 @@
     error_ms: Vec<i64>,
     engines: usize,
     reserves: usize,
-    /// Requests that hosts turned away, by reason.
-    refused: IndexMap<String, Refusals>,
-}
-
-/// Requests that were turned away for one reason.
-#[derive(Default)]
-struct Refusals {
-    count: usize,
-    /// Of these, turned away within [`AT_ONCE_MS`] of their arrival.
-    at_once: usize,
-    waited_ms: Vec<i64>,
+    /// How long requests that hosts turned away had waited, by reason.
+    refused_after_ms: IndexMap<String, Vec<i64>>,
 }
 
 /// What became of the requests of several hosts.
@@ -112,11 +103,9 @@
                     elapsed_ms,
                     ..
                 } if *prompt_tokens > 0 => {
-                    let refused = &mut summary.row(*prompt_tokens).refused;
-                    let refusals = refused.entry(reason.to_string()).or_default();
-                    refusals.count += 1;
-                    refusals.at_once += usize::from(*elapsed_ms < AT_ONCE_MS);
-                    refusals.waited_ms.push(signed(*elapsed_ms));
+                    let refused = &mut summary.row(*prompt_tokens).refused_after_ms;
+                    let waited_ms = refused.entry(reason.to_string()).or_default();
+                    waited_ms.push(signed(*elapsed_ms));
                 }
                 _ => {}
             }
@@ -215,14 +204,15 @@
             "tokens", "reason", "count", "under 100 ms", "waited"
         )?;
         for (place, row) in self.rows.iter().enumerate() {
-            for (reason, refusals) in &row.refused {
+            for (reason, waited_ms) in &row.refused_after_ms {
+                let at_once = waited_ms.iter().filter(|ms| **ms < AT_ONCE_MS);
                 writeln!(
                     f,
                     "{:>12} {reason:>18} {:>7} {:>13} {:>15}",
                     row_name(place),
-                    refusals.count,
-                    refusals.at_once,
-                    spread(&refusals.waited_ms),
+                    waited_ms.len(),
+                    at_once.count(),
+                    spread(waited_ms),
                 )?;
             }
         }
--- a/src/decide/engines/leader.rs
+++ b/src/decide/engines/leader.rs
@@ -7,8 +7,7 @@
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
 use crate::decide::engines::long::is_free;
-use crate::decide::engines::reserve::KEEPERS;
-use crate::units::Tokens;
+use crate::decide::engines::reserve::share_kept;
 
 /// The engine that writes the answer: of those with a place and the memory for its share, the first
 /// that can read its part without stretching pauses; so answers to long prompts gather on few
@@ -22,7 +21,7 @@
     let placed = || engines.iter().filter(|engine| engine.has_place(model));
     let is_gentle = |engine: &&EngineView| engine.has_room(model, part_time);
     if ask.class(model) == PromptClass::Long {
-        let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
+        let share = share_kept(ask);
         let fitting = || placed().filter(|engine| engine.free_tokens(model) >= share);
         let is_free = |engine: &&EngineView| is_free(model, engine, part_time, ask);
         let first = if ask.is_far {
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -71,13 +71,12 @@
         sides => sides,
     };
     let (helpers, long_leaders) = split_long_side(long_side);
+    let needs_idle = needs_idle_engines(model, ask);
     // Parts of a medium prompt are small enough to be read among short answers, and there they do
     // not wait behind long ones.
     let sides = match ask.class(model) {
         // Each domain has a border of its own, so short answers stand anywhere among far engines.
-        PromptClass::Long if ask.is_far && needs_idle_engines(model, ask) => {
-            vec![(engines, engines)]
-        }
+        PromptClass::Long if ask.is_far && needs_idle => vec![(engines, engines)],
         PromptClass::Long => vec![
             (long_leaders, helpers),
             (long_side, long_side),
@@ -85,7 +84,6 @@
         ],
         _ => vec![(short_side, engines), (engines, engines)],
     };
-    let needs_idle = needs_idle_engines(model, ask);
     let mut best: Option<Group<'a>> = None;
     for (leaders, readers) in sides {
         let Some(group) = group(model, leaders, readers, ask) else {
@@ -115,9 +113,13 @@
 /// Whether a prompt is late and so long that even its smallest parts stretch the pauses of any answer: only
 /// engines that write none can read it, wherever they are.
 pub(super) fn needs_idle_engines(model: &EngineModel, ask: &EngineAsk) -> bool {
+    ask.objective_left.is_zero() && smallest_part(model, ask) > PART_BESIDE_ANSWERS_MAX
+}
+
+/// Engine time of one part where as many engines as may read the prompt together do.
+pub(super) fn smallest_part(model: &EngineModel, ask: &EngineAsk) -> Duration {
     let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
-    let part_time = model.read_time(ask.prompt) / parts;
-    ask.objective_left.is_zero() && part_time > PART_BESIDE_ANSWERS_MAX
+    model.read_time(ask.prompt) / parts
 }
 
 /// What an engine may have left to read when a prompt with parts of this length is sent there.
--- a/src/decide/engines/reserve.rs
+++ b/src/decide/engines/reserve.rs
@@ -14,7 +14,7 @@
 /// Engines that keep a long prompt. If its leader kept all of it, the few leaders would be out of
 /// memory with two prompts each; every further engine is one more whose end ends the answer, and
 /// three orders.
-pub(super) const KEEPERS: u64 = 3;
+const KEEPERS: u64 = 3;
 
 /// Memory that an engine sets aside for a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,11 +46,15 @@
         let is_free = is_free(model, engine, part_time, ask);
         (!is_free, engine.load.held_tokens)
     });
-    let spread = Tokens(ask.needed().0.div_ceil(KEEPERS));
-    keep(model, leader, &by_room, ask.needed(), spread)
+    keep(model, leader, &by_room, ask.needed(), share_kept(ask))
         .or_else(|| keep(model, leader, &by_room, ask.needed(), ask.needed()))
 }
 
+/// What each keeper sets aside of a long prompt and its answer where all have the memory.
+pub(super) fn share_kept(ask: &EngineAsk) -> Tokens {
+    Tokens(ask.needed().0.div_ceil(KEEPERS))
+}
+
 /// Sets aside at most `each` on every engine, the leader first.
 fn keep(
     model: &EngineModel,
--- a/src/decide/engines/survey.rs
+++ b/src/decide/engines/survey.rs
@@ -6,10 +6,9 @@
 use crate::decide::engines::EngineAsk;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::border::short_border;
-use crate::decide::engines::long::HELPERS_MAX;
 use crate::decide::engines::long::best_group;
-use crate::decide::engines::reserve::KEEPERS;
-use crate::units::Tokens;
+use crate::decide::engines::long::smallest_part;
+use crate::decide::engines::reserve::share_kept;
 
 /// The engines that a choice is made among, counted by what each could do for one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,9 +52,8 @@
     /// Counts the engines.
     pub fn of(model: &EngineModel, engines: &[EngineView], ask: &EngineAsk) -> Self {
         let border = short_border(model, engines);
-        let parts = u32::try_from(HELPERS_MAX).unwrap_or(u32::MAX);
-        let part_time = model.read_time(ask.prompt) / parts;
-        let share = Tokens(ask.needed().0.div_ceil(KEEPERS));
+        let part_time = smallest_part(model, ask);
+        let share = share_kept(ask);
         let has_room = |engine: &EngineView| engine.has_room(model, part_time);
         let is_idle = |engine: &EngineView| has_room(engine) && engine.backlog().is_zero();
         let count = |is_counted: &dyn Fn(&EngineView) -> bool| {
--- a/src/decide/load_ledger.rs
+++ b/src/decide/load_ledger.rs
@@ -154,12 +154,16 @@
     /// Takes in that an engine has refused to set this much memory aside, or did not answer.
     pub fn memory_refused(&mut self, upstream: &UpstreamId, tokens: Tokens, now: Instant) {
         let until = now + REFUSAL_BELIEVED_FOR;
-        let known = self.refused.get(upstream);
-        let least = known.filter(|(_, until)| *until > now);
-        let tokens = least.map_or(tokens, |(least, _)| tokens.min(*least));
+        let least = self.refused_tokens(upstream, now);
+        let tokens = least.map_or(tokens, |least| tokens.min(least));
         self.refused.insert(upstream.clone(), (tokens, until));
     }
 
+    fn refused_tokens(&self, upstream: &UpstreamId, now: Instant) -> Option<Tokens> {
+        let (tokens, until) = self.refused.get(upstream)?;
+        (*until > now).then_some(*tokens)
+    }
+
     /// Forgets hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
         if self.next_silent_at.is_none_or(|at| now < at) {
@@ -199,10 +203,7 @@
     pub fn load(&self, upstream: &UpstreamId, now: Instant) -> UpstreamLoad {
         let mut load = self.load_of_peers(upstream, now);
         load.read_backlog = self.queue.backlog(upstream, now);
-        let refused = self.refused.get(upstream);
-        load.refused_tokens = refused
-            .filter(|(_, until)| *until > now)
-            .map(|(tokens, _)| *tokens);
+        load.refused_tokens = self.refused_tokens(upstream, now);
         if let Some(own) = self.own.get(upstream) {
             load.add(&own.seen_at(now));
         }
--- a/src/gateway/load_guard.rs
+++ b/src/gateway/load_guard.rs
@@ -11,6 +11,7 @@
 pub(crate) struct LoadGuard {
     gateway: Arc<Gateway>,
     shares: Vec<(UpstreamId, LoadShare)>,
+    /// Spares the ledger's lock at each event after the first.
     is_read: bool,
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -15,7 +15,6 @@
 use crate::decide::engines::PromptClass;
 use crate::decide::engines::choose_engines;
 use crate::decide::engines::survey_engines;
-use crate::exchange::NewsRoute;
 use crate::gateway::Call;
 use crate::gateway::EnginesSeen;
 use crate::gateway::Gateway;
@@ -23,6 +22,7 @@
 use crate::gateway::Listed;
 use crate::gateway::Refusal;
 use crate::gateway::reservation::Part;
+use crate::routing::RouteTable;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
 
@@ -71,14 +71,12 @@
     };
     let listed = by_service.get(&call.service);
     let usable = usable(gateway, listed.map_or(&[], Vec::as_slice), sends.tried, now);
-    let service = routes.services.get(&call.service);
-    match service.and_then(|service| service.engine.as_ref()) {
-        Some(model) if call.route.kind.is_stream() => {
-            let pause = routes.strictest_pause(&call.service);
-            let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
+    match engine_model(&routes, call) {
+        Some(model) => {
+            let ask = engine_ask(gateway, &routes, call, sends, now);
             among_engines(gateway, call, model, &usable, &ask, now)
         }
-        _ => among_instances(gateway, &usable, now),
+        None => among_instances(gateway, &usable, now),
     }
 }
 
@@ -91,12 +89,11 @@
     now: Instant,
 ) -> Option<(EnginesSeen, EnginesSeen)> {
     let routes = gateway.beliefs.routes()?;
-    let model = routes.services.get(&call.service)?.engine.as_ref()?;
+    let model = engine_model(&routes, call)?;
     let by_service = gateway.beliefs.upstreams()?;
     let listed = by_service.get(&call.service)?;
-    let pause = routes.strictest_pause(&call.service);
-    let ask = engine_ask(call, sends, &gateway.news_route(), pause, now);
-    if !call.route.kind.is_stream() || ask.class(model) == PromptClass::Short {
+    let ask = engine_ask(gateway, &routes, call, sends, now);
+    if ask.class(model) == PromptClass::Short {
         return None;
     }
     let views = views(gateway, &usable(gateway, listed, sends.tried, now), now);
@@ -104,13 +101,21 @@
     Some((near.into(), all.into()))
 }
 
+/// The engines of a call's service; none if it is no stream, or its service has none.
+fn engine_model<'a>(routes: &'a RouteTable, call: &Call) -> Option<&'a EngineModel> {
+    let service = routes.services.get(&call.service)?;
+    let model = service.engine.as_ref()?;
+    call.route.kind.is_stream().then_some(model)
+}
+
 fn engine_ask(
+    gateway: &Gateway,
+    routes: &RouteTable,
     call: &Call,
     sends: &Sends<'_>,
-    route: &NewsRoute,
-    strictest_pause: Option<Duration>,
     now: Instant,
 ) -> EngineAsk {
+    let news = gateway.news_route();
     // The caller of a stream that broke off stays for its next event, however late it is.
     let least = if sends.has_run {
         call.patience()
@@ -123,9 +128,9 @@
         objective_left: call.objective_left(now).max(least),
         patience_left: call.patience_left(now).max(least),
         time_left: call.time_left(now),
-        strictest_pause,
-        news_age: route.near_age,
-        far_news_age: route.far_age,
+        strictest_pause: routes.strictest_pause(&call.service),
+        news_age: news.near_age,
+        far_news_age: news.far_age,
         is_far: false,
         draw: rand::random(),
     }
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -232,7 +232,7 @@
     fn start(&mut self, request: usize) {
         let plan = self.runs[request].plan.clone().unwrap();
         if !self.take_helpers(request, &plan) {
-            self.turn_away(request, &plan);
+            self.turn_away(request);
             return;
         }
         let tokens = self.load.requests[request].prompt.as_f64();
@@ -337,34 +337,29 @@
         } else {
             Ended::Late
         });
-        let host = run.host;
+        self.end_work(request);
+    }
+
+    /// Takes a request's work off its host's books and off its engines.
+    fn end_work(&mut self, request: usize) {
+        let host = self.runs[request].host;
         for (engine, share) in std::mem::take(&mut self.runs[request].shares) {
             self.hosts[host].ledger.end(&engine, &share);
         }
         let plan = self.runs[request].plan.clone().unwrap();
-        self.give_back(&plan);
-        for engine in std::mem::take(&mut self.runs[request].helpers_until_end) {
-            self.engines[engine].helping -= 1;
-        }
-        self.changed(host, false);
-    }
-
-    /// Ends what engines have set aside.
-    fn give_back(&mut self, plan: &EnginePlan) {
         for reserve in &plan.reserves {
             let index = self.index(&reserve.engine);
             self.engines[index].reserved_tokens -= reserve.tokens.0;
         }
+        for engine in std::mem::take(&mut self.runs[request].helpers_until_end) {
+            self.engines[engine].helping -= 1;
+        }
+        self.changed(host, false);
     }
 
     /// An engine turns a prompt away, since a helper helps as many others as it has slots.
-    fn turn_away(&mut self, request: usize, plan: &EnginePlan) {
-        self.give_back(plan);
-        let host = self.runs[request].host;
-        for (engine, share) in std::mem::take(&mut self.runs[request].shares) {
-            self.hosts[host].ledger.end(&engine, &share);
-        }
-        self.changed(host, false);
+    fn turn_away(&mut self, request: usize) {
+        self.end_work(request);
         self.runs[request].turned_away += 1;
         if self.runs[request].turned_away > TURNED_AWAY_MAX {
             self.refuse(request, NO_ENGINE_RETRY_AFTER);
