Gateway: what upstreams state about themselves is decoded and logged

Now all answers of upstreams, to requests, orders and requests for reports, are decoded in one place into UpstreamNotices: the limit, whether the upstream leaves, and the backoff that it wants with a 503.

The choice of upstreams is unchanged.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 //! the shipped one is compared with. docs/DECISIONS.md gives the measured figures.
 
 mod admission;
+mod availability_tracker;
 pub mod baseline;
 mod concurrency;
 mod config;
@@ -59,6 +60,7 @@
 pub mod shipped;
 mod speed;
 mod tuning;
+mod upstream_availability;
 mod upstream_load;
 mod warm_up;
 mod work;
@@ -66,6 +68,8 @@
 
 pub use admission::Admission;
 pub use admission::Forecast;
+pub use availability_tracker::AvailabilityTracker;
+pub use availability_tracker::BACKOFF_MAX;
 pub use concurrency::ConcurrencyLimit;
 pub use config::CustomerShare;
 pub use config::PolicyConfig;
@@ -145,6 +149,7 @@
 pub use service_upstream::ServiceUpstream;
 pub use speed::SpeedEstimate;
 pub use tuning::Tuning;
+pub use upstream_availability::UpstreamAvailability;
 pub use upstream_load::UpstreamLoad;
 pub use warm_up::WarmUp;
 pub use work::LengthClass;
--- /dev/null
+++ b/src/gateway/availability.rs
@@ -0,0 +1,81 @@
+//! Records what upstreams state about themselves in their responses.
+
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use crate::decide::AvailabilityTracker;
+use crate::gateway::DecisionEvent;
+use crate::gateway::Gateway;
+use crate::gateway::Stated;
+use crate::gateway::UpstreamNotices;
+use crate::units::UpstreamId;
+use crate::units::whole_millis;
+
+impl Gateway {
+    /// Locks what is known of whether upstreams accept requests.
+    pub(crate) fn availability(&self) -> MutexGuard<'_, AvailabilityTracker> {
+        let availability = self.availability.lock();
+        availability.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records what an upstream states about itself in a response to this host. Changes are logged.
+    pub(crate) fn on_notices(&self, upstream: &UpstreamId, notices: &UpstreamNotices) {
+        self.on_response_limit(upstream, &notices.limit);
+        match &notices.leaving {
+            Stated::Absent => {}
+            Stated::Value(()) => self.on_leaving_response(upstream),
+            Stated::Malformed(value) => self.on_malformed_notice(upstream, "leaving", value),
+        }
+        match &notices.backoff {
+            Stated::Absent => {}
+            Stated::Value(requested) => self.on_backoff(upstream, *requested),
+            Stated::Malformed(value) => self.on_malformed_notice(upstream, "backoff", value),
+        }
+    }
+
+    /// Records that an upstream states in a response that it is leaving.
+    fn on_leaving_response(&self, upstream: &UpstreamId) {
+        self.metrics.record_notice("leaving");
+        let is_new = self.availability().on_leaving(upstream, self.clock.now());
+        if is_new {
+            self.log.record(DecisionEvent::UpstreamLeaving {
+                upstream: upstream.to_string(),
+                told_by: None,
+            });
+        }
+    }
+
+    /// Records that an upstream wants no requests for a time.
+    fn on_backoff(&self, upstream: &UpstreamId, requested: Duration) {
+        self.metrics.record_notice("backoff");
+        let now = self.clock.now();
+        let extended = self.availability().on_backoff(upstream, requested, now);
+        if let Some(granted) = extended {
+            self.log.record(DecisionEvent::UpstreamBackoff {
+                upstream: upstream.to_string(),
+                requested_ms: whole_millis(requested),
+                backoff_ms: whole_millis(granted),
+            });
+        }
+    }
+
+    /// Counts a notice whose value is malformed, and logs it unless one of the same kind and
+    /// upstream was logged recently.
+    pub(crate) fn on_malformed_notice(
+        &self,
+        upstream: &UpstreamId,
+        notice: &'static str,
+        value: &str,
+    ) {
+        self.metrics.record_malformed_notice(notice);
+        let key = (upstream.clone(), notice);
+        if self.malformed_notices.should_log(key, self.clock.now()) {
+            self.log.record(DecisionEvent::NoticeMalformed {
+                upstream: upstream.to_string(),
+                notice: notice.into(),
+                value: value.to_owned(),
+            });
+        }
+    }
+}
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -122,11 +122,37 @@
         /// The time since the upstream advertised the limit, in ms.
         age_ms: u64,
     },
-    /// An upstream advertises a limit that is not a rate. The known limit stays. Logged at most
-    /// once in ten seconds per upstream.
-    LimitMalformed {
+    /// An upstream is leaving, as it states in a response. Logged once per incarnation.
+    UpstreamLeaving {
         /// The id of the upstream.
         upstream: String,
+        /// The host that reported it; none if a response to this host did.
+        told_by: Option<String>,
+    },
+    /// An upstream that has refused a request wants no requests from this host for a time that ends
+    /// later than any it wanted before.
+    UpstreamBackoff {
+        /// The id of the upstream.
+        upstream: String,
+        /// The requested time, in ms.
+        requested_ms: u64,
+        /// The time that this host grants, in ms.
+        backoff_ms: u64,
+    },
+    /// A response contains a header that this system does not know. Logged once per name.
+    UnknownHeader {
+        /// The id of the upstream.
+        upstream: String,
+        /// The name of the header.
+        header: String,
+    },
+    /// An upstream states something about itself with a malformed value, which changes nothing.
+    /// Logged at most once in ten seconds per upstream and kind of notice.
+    NoticeMalformed {
+        /// The id of the upstream.
+        upstream: String,
+        /// The kind of notice: `limit`, `leaving` or `backoff`.
+        notice: Cow<'static, str>,
         /// The malformed value.
         value: String,
     },
--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::BoxFuture;
 
+use crate::gateway::EngineAnswer;
 use crate::units::Slowdown;
 use crate::units::Tokens;
 
@@ -46,15 +47,11 @@
         name: &'a str,
         tokens: Tokens,
         hold: Duration,
-    ) -> BoxFuture<'a, Result<(), EngineClientError>>;
+    ) -> BoxFuture<'a, EngineAnswer<()>>;
 
     /// Requests a report from the engine at this address.
-    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, EngineClientError>>;
+    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>>;
 
     /// Releases the reservation with this name.
-    fn release<'a>(
-        &'a self,
-        engine: SocketAddr,
-        name: &'a str,
-    ) -> BoxFuture<'a, Result<(), EngineClientError>>;
+    fn release<'a>(&'a self, engine: SocketAddr, name: &'a str) -> BoxFuture<'a, EngineAnswer<()>>;
 }
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -83,7 +83,9 @@
 /// Requests a report from one engine and records it. A change of the engine's speed is logged and
 /// broadcast at once; an engine that does not respond keeps its last report until that expires.
 async fn poll_engine(gateway: Arc<Gateway>, engine: ListedUpstream) {
-    let report = match gateway.engine_client.report(engine.addr).await {
+    let answer = gateway.engine_client.report(engine.addr).await;
+    gateway.on_notices(&engine.id, &answer.notices);
+    let report = match answer.result {
         Ok(report) => report,
         Err(err) => {
             // Not recorded as a fault: whether the engine can be reached is detected when requests
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -6,8 +6,9 @@
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
 
-use crate::gateway::AdvertisedLimit;
+use crate::gateway::UpstreamNotices;
 use crate::units::CustomerId;
 use crate::units::Tokens;
 use crate::units::UpstreamName;
@@ -68,8 +69,8 @@
     pub is_for_request: bool,
     /// The upstream that the refusal is about, if this is not the one the call was sent to.
     pub at_fault: Option<SocketAddr>,
-    /// The limit on requests per second that the upstream advertises in this response.
-    pub limit: AdvertisedLimit,
+    /// What the upstream states about itself.
+    pub notices: UpstreamNotices,
 }
 
 /// A header of a caller that cannot be parsed.
@@ -98,6 +99,10 @@
         headers: &HeaderMap,
     ) -> ResponseHead;
 
+    /// Whether the name of a header in an upstream's response is known to this system, be it that
+    /// the header is read, or that it is left to the caller.
+    fn is_known_response_header(&self, name: &HeaderName) -> bool;
+
     /// Adds the caller's request id to a response that this host generated itself.
     fn mark_local_response(&self, request: &str, headers: &mut HeaderMap);
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -38,6 +38,9 @@
     pause: Histogram<f64>,
     catalog: Histogram<f64>,
     store_returns: Counter<u64>,
+    notices: Counter<u64>,
+    malformed_notices: Counter<u64>,
+    unknown_headers: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -55,6 +58,9 @@
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
             store_returns: meter.u64_counter("gateway_store_returns").build(),
+            notices: meter.u64_counter("gateway_upstream_notices").build(),
+            malformed_notices: meter.u64_counter("gateway_malformed_notices").build(),
+            unknown_headers: meter.u64_counter("gateway_unknown_headers").build(),
             catalog: seconds_histogram(&meter, "gateway_catalog_call", &CATALOG_BOUNDS),
             _provider: provider,
         })
@@ -84,6 +90,25 @@
         self.faults.add(1, &[KeyValue::new("fault", fault)]);
     }
 
+    /// Records a response in which an upstream states something about itself. `notice` is the kind
+    /// of the statement.
+    pub fn record_notice(&self, notice: &'static str) {
+        self.notices.add(1, &[KeyValue::new("notice", notice)]);
+    }
+
+    /// Records a notice whose value is malformed.
+    pub fn record_malformed_notice(&self, notice: &'static str) {
+        self.malformed_notices
+            .add(1, &[KeyValue::new("notice", notice)]);
+    }
+
+    /// Records a header in a response that this system does not know. The caller bounds the number
+    /// of names.
+    pub fn record_unknown_header(&self, header: &str) {
+        let header = KeyValue::new("header", header.to_owned());
+        self.unknown_headers.add(1, &[header]);
+    }
+
     /// Records the time from the arrival of a request to its response, or to the first event of a
     /// stream.
     pub fn record_first_event(
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -25,9 +25,6 @@
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
 
-/// The time between two log lines about malformed limits of one upstream.
-const MALFORMED_LOG_INTERVAL: Duration = Duration::from_secs(10);
-
 /// The transit time of a broadcast, in addition to the interval between broadcasts.
 const BROADCAST_LATENCY: Duration = Duration::from_millis(10);
 
@@ -35,8 +32,6 @@
 #[derive(Debug)]
 pub(crate) struct RateLimits {
     tracker: Mutex<RateLimitTracker>,
-    /// When a malformed limit of an upstream was last logged.
-    malformed_logged_at: Mutex<IndexMap<UpstreamId, Instant>>,
     /// The number of calls of each service that wait for a limit to allow one more request.
     waiting: Mutex<IndexMap<ServiceId, u32>>,
 }
@@ -46,7 +41,6 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             tracker: Mutex::new(RateLimitTracker::new(now)),
-            malformed_logged_at: Mutex::default(),
             waiting: Mutex::default(),
         }
     }
@@ -99,27 +93,6 @@
     /// Drops the state of upstreams that are off the list.
     pub(crate) fn retain(&self, is_listed: impl Fn(&UpstreamId) -> bool) {
         self.tracker().retain(&is_listed);
-        self.malformed_logged()
-            .retain(|upstream, _| is_listed(upstream));
-    }
-
-    /// Whether a malformed limit of the upstream is to be logged now. If so, the next ones are not
-    /// for [`MALFORMED_LOG_INTERVAL`].
-    fn should_log_malformed(&self, upstream: &UpstreamId, now: Instant) -> bool {
-        let mut logged = self.malformed_logged();
-        let is_due = logged
-            .get(upstream)
-            .is_none_or(|at| now.saturating_duration_since(*at) >= MALFORMED_LOG_INTERVAL);
-        if is_due {
-            logged.insert(upstream.clone(), now);
-        }
-        is_due
-    }
-
-    /// Locks the times at which malformed limits were last logged.
-    fn malformed_logged(&self) -> MutexGuard<'_, IndexMap<UpstreamId, Instant>> {
-        let logged = self.malformed_logged_at.lock();
-        logged.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -132,7 +105,7 @@
             AdvertisedLimit::Unlimited => None,
             AdvertisedLimit::Limited(limit) => Some(*limit),
             AdvertisedLimit::Malformed(value) => {
-                self.on_malformed_limit(upstream, value);
+                self.on_malformed_notice(upstream, "limit", value);
                 return;
             }
         };
@@ -207,16 +180,4 @@
         let route = self.update_route();
         route.local_age_max.max(route.remote_age_max) + BROADCAST_LATENCY
     }
-
-    /// Counts a malformed limit, and logs it unless one of the upstream was logged recently.
-    fn on_malformed_limit(&self, upstream: &UpstreamId, value: &str) {
-        let now = self.clock.now();
-        self.metrics.record_fault("malformed_limit");
-        if self.rate_limits.should_log_malformed(upstream, now) {
-            self.log.record(DecisionEvent::LimitMalformed {
-                upstream: upstream.to_string(),
-                value: value.to_owned(),
-            });
-        }
-    }
 }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -140,14 +140,16 @@
     reservation: &EngineReservation,
 ) -> Result<(), EngineClientError> {
     let engine_client = &gateway.engine_client;
-    engine_client
+    let answer = engine_client
         .reserve(
             reservation.engine,
             &reservation.name,
             reservation.tokens,
             RESERVATION_TTL,
         )
-        .await
+        .await;
+    gateway.on_notices(&reservation.id, &answer.notices);
+    answer.result
 }
 
 /// Renews reservations until the task is aborted: first the leader's, and the others only if the
@@ -182,11 +184,12 @@
 /// [`RELEASE_ATTEMPTS_MAX`] times in total.
 async fn release(gateway: Arc<Gateway>, reservation: EngineReservation) {
     for _ in 0..RELEASE_ATTEMPTS_MAX {
-        match gateway
-            .engine_client
+        let engine_client = &gateway.engine_client;
+        let answer = engine_client
             .release(reservation.engine, &reservation.name)
-            .await
-        {
+            .await;
+        gateway.on_notices(&reservation.id, &answer.notices);
+        match answer.result {
             Ok(()) => return,
             // The engine does not know the reservation, which has expired or was never made.
             Err(EngineClientError::Refused(_)) => return,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -95,7 +95,7 @@
 
 impl PendingSend<'_> {
     /// Sends the call and waits for the head of the response. The load of the call is counted from
-    /// here on, and a limit that the response advertises is recorded. On any failure the load and
+    /// here on, and what the upstream states about itself is recorded. On any failure the load and
     /// the reservations are released.
     pub(crate) async fn send(
         &self,
@@ -143,7 +143,8 @@
         let response =
             header_codec.read_response_head(&self.call.head.request, head.status, &head.headers);
         self.gateway
-            .on_response_limit(&upstream.id, &response.limit);
+            .count_unknown_headers(&upstream.id, &head.headers);
+        self.gateway.on_notices(&upstream.id, &response.notices);
         if response.did_not_run {
             return SendOutcome::NotRun {
                 fault: UpstreamFault::RequestRefused,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::decide::AvailabilityTracker;
 use crate::decide::HealthTracker;
 use crate::decide::LoadLedger;
 use crate::decide::PoisonList;
@@ -32,10 +33,13 @@
 use crate::gateway::ShutdownPhase;
 use crate::gateway::catalog_sharing::CatalogCache;
 use crate::gateway::catalog_sharing::ReaderSelector;
+use crate::gateway::log_limiter::LogLimiter;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
+use crate::gateway::unknown_headers::UnknownHeaders;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::units::ServiceId;
+use crate::units::UpstreamId;
 
 /// The number of crashes after which a request is refused. Callers of the gateway send no key that
 /// distinguishes their requests, so requests with the same content that ran concurrently when an
@@ -108,6 +112,12 @@
     pub(crate) slowdowns: Slowdowns,
     /// The rate limits of upstreams.
     pub(crate) rate_limits: RateLimits,
+    /// What upstreams have stated about whether they accept requests.
+    pub(crate) availability: Mutex<AvailabilityTracker>,
+    /// Limits the log lines about malformed notices, by upstream and kind of notice.
+    pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
+    /// The unknown headers in responses of upstreams.
+    pub(crate) unknown_headers: UnknownHeaders,
     /// The crashes that this host has detected recently, with the time of each.
     crashes: Mutex<VecDeque<(Instant, PoisonReport)>>,
 }
@@ -156,6 +166,9 @@
             reader_selector: ReaderSelector::default(),
             slowdowns: Slowdowns::default(),
             rate_limits: RateLimits::new(started_at),
+            availability: Mutex::default(),
+            malformed_notices: LogLimiter::default(),
+            unknown_headers: UnknownHeaders::default(),
             crashes: Mutex::default(),
         }
     }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -176,6 +176,9 @@
         .ledger()
         .retain_listed(|id| staying.contains(id), now);
     gateway.rate_limits.retain(|id| staying.contains(id));
+    gateway
+        .malformed_notices
+        .retain(|(id, _)| staying.contains(id));
     log_upstream_changes(gateway, before, &staying, &restarted, usable);
     staying
 }
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -68,7 +68,8 @@
     serve_request(&host).await;
     let malformed = || {
         let text = host.log.text();
-        text.matches("limit_malformed").count()
+        text.matches(r#""event":"notice_malformed","upstream":"a","notice":"limit""#)
+            .count()
     };
     wait_until(|| malformed() == 1 && limit_lines(&host).len() == 1).await;
     host.gateway.begin_shutdown();
--- a/tests/gateway_world/engine_client.rs
+++ b/tests/gateway_world/engine_client.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use banyanarch::gateway::EngineAnswer;
 use banyanarch::gateway::EngineClient;
 use banyanarch::gateway::EngineClientError;
 use banyanarch::gateway::EngineReport;
@@ -69,7 +70,7 @@
         name: &'a str,
         tokens: Tokens,
         _: Duration,
-    ) -> BoxFuture<'a, Result<(), EngineClientError>> {
+    ) -> BoxFuture<'a, EngineAnswer<()>> {
         *self
             .reserve_requests
             .lock()
@@ -77,7 +78,8 @@
             .entry(engine)
             .or_default() += 1;
         if *self.silent.lock().unwrap() == Some(engine) {
-            return async { Err(EngineClientError::NoAnswer("silent".to_owned())) }.boxed();
+            let silent = EngineClientError::NoAnswer("silent".to_owned());
+            return async { Err(silent).into() }.boxed();
         }
         let mut made = self.reservations_made.lock().unwrap();
         let is_refused = self
@@ -87,28 +89,24 @@
             .is_some_and(|max| *made >= max);
         if is_refused {
             let refused = EngineClientError::Refused("no memory".to_owned());
-            return async { Err(refused) }.boxed();
+            return async { Err(refused).into() }.boxed();
         }
         *made += 1;
         let key = (engine, name.to_owned());
         self.reserved.lock().unwrap().insert(key, tokens.0);
-        async { Ok(()) }.boxed()
+        async { Ok(()).into() }.boxed()
     }
 
-    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, Result<EngineReport, EngineClientError>> {
+    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>> {
         *self.report_requests.lock().unwrap() += 1;
         let known = self.slowdowns.lock().unwrap().get(&engine).copied();
         let slowdown = known.unwrap_or(Slowdown::NONE);
-        async move { Ok(EngineReport { slowdown }) }.boxed()
+        async move { Ok(EngineReport { slowdown }).into() }.boxed()
     }
 
-    fn release<'a>(
-        &'a self,
-        engine: SocketAddr,
-        name: &'a str,
-    ) -> BoxFuture<'a, Result<(), EngineClientError>> {
+    fn release<'a>(&'a self, engine: SocketAddr, name: &'a str) -> BoxFuture<'a, EngineAnswer<()>> {
         let key = (engine, name.to_owned());
         self.reserved.lock().unwrap().swap_remove(&key);
-        async { Ok(()) }.boxed()
+        async { Ok(()).into() }.boxed()
     }
 }
--- a/tests/gateway_world/header_codec.rs
+++ b/tests/gateway_world/header_codec.rs
@@ -8,10 +8,13 @@
 use banyanarch::gateway::InvalidHeader;
 use banyanarch::gateway::RequestHead;
 use banyanarch::gateway::ResponseHead;
+use banyanarch::gateway::Stated;
+use banyanarch::gateway::UpstreamNotices;
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::Tokens;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
 pub struct TestHeaderCodec;
@@ -39,6 +42,24 @@
     }
 }
 
+fn leaving(headers: &HeaderMap) -> Stated<()> {
+    match text(headers, "test-leaving").as_deref() {
+        None => Stated::Absent,
+        Some("1") => Stated::Value(()),
+        Some(other) => Stated::Malformed(other.to_owned()),
+    }
+}
+
+fn backoff(headers: &HeaderMap) -> Stated<Duration> {
+    let Some(text) = text(headers, "test-backoff-ms") else {
+        return Stated::Absent;
+    };
+    match text.parse() {
+        Ok(ms) => Stated::Value(Duration::from_millis(ms)),
+        Err(_) => Stated::Malformed(text),
+    }
+}
+
 impl HeaderCodec for TestHeaderCodec {
     fn read_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, InvalidHeader> {
         let deadline = text(headers, "test-deadline-ms").and_then(|ms| ms.parse().ok());
@@ -75,7 +96,7 @@
     fn read_response_head(
         &self,
         request: &str,
-        _: StatusCode,
+        status: StatusCode,
         headers: &HeaderMap,
     ) -> ResponseHead {
         ResponseHead {
@@ -83,10 +104,23 @@
             did_not_run: headers.contains_key("test-not-run"),
             is_for_request: text(headers, "test-request").unwrap_or_default() == request,
             at_fault: None,
-            limit: limit(headers),
+            notices: UpstreamNotices {
+                limit: limit(headers),
+                leaving: leaving(headers),
+                backoff: if status == StatusCode::SERVICE_UNAVAILABLE {
+                    backoff(headers)
+                } else {
+                    Stated::Absent
+                },
+            },
         }
     }
 
+    fn is_known_response_header(&self, name: &HeaderName) -> bool {
+        let name = name.as_str();
+        name.starts_with("test-") || name.starts_with("content-")
+    }
+
     fn mark_local_response(&self, request: &str, headers: &mut HeaderMap) {
         set(headers, "test-request", request);
     }
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -62,6 +62,8 @@
     early_disconnects: usize,
     /// The limit that responses advertise.
     limit: Option<&'static str>,
+    /// Further header lines of all responses, each with its line end.
+    header_lines: &'static str,
 }
 
 /// A scripted upstream on a port of its own. The last step of the script is repeated.
@@ -106,6 +108,11 @@
         self.state.lock().unwrap().limit = limit;
     }
 
+    /// Adds these header lines, each with its line end, to all responses from now on.
+    pub fn set_header_lines(&self, lines: &'static str) {
+        self.state.lock().unwrap().header_lines = lines;
+    }
+
     async fn serve(&self, mut stream: TcpStream) {
         let Some(arrival) = read_request(&mut stream).await else {
             return;
@@ -124,9 +131,12 @@
 
     async fn run(&self, stream: &mut TcpStream, arrival: &Arrival, step: ScriptStep) {
         let request = arrival.header("test-request").unwrap_or_default();
-        let limit = self.state.lock().unwrap().limit;
+        let (limit, lines) = {
+            let state = self.state.lock().unwrap();
+            (state.limit, state.header_lines)
+        };
         let limit = limit.map_or_else(String::new, |limit| format!("test-limit: {limit}\r\n"));
-        let signed = format!("test-request: {request}\r\ntest-signature: s\r\n{limit}");
+        let signed = format!("test-request: {request}\r\ntest-signature: s\r\n{limit}{lines}");
         let after: u32 = arrival
             .header("test-after")
             .and_then(|after| after.parse().ok())
@@ -151,7 +161,7 @@
             ScriptStep::RespondToOther => {
                 full(200, "test-request: other\r\ntest-signature: s\r\n", "other")
             }
-            ScriptStep::Refuse => full(503, "test-not-run: 1\r\n", ""),
+            ScriptStep::Refuse => full(503, &format!("test-not-run: 1\r\n{lines}"), ""),
             ScriptStep::Truncate => {
                 format!("HTTP/1.1 200 OK\r\n{signed}content-length: 100\r\n\r\nincomplete")
             }
