--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -2,6 +2,9 @@
 
 mod gateway_world;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::request;
@@ -10,6 +13,7 @@
 use gateway_world::upstream::ScriptedUpstream;
 use gateway_world::wait_until;
 use serde_json::Value;
+use tokio::time::sleep;
 
 /// A host and the only upstream, `a`, of the service that it calls.
 async fn host_with_one_upstream(step: ScriptStep) -> (ScriptedUpstream, TestHost) {
@@ -105,3 +109,83 @@
     };
     assert!(metrics.lines().any(counted), "{metrics}");
 }
+
+/// A host and two upstreams, `a` and `b`, of the service that it calls; `a` follows `step`.
+async fn host_with_two_upstreams(step: ScriptStep) -> (ScriptedUpstream, TestHost) {
+    let catalog = FakeCatalog::new(table(1));
+    let a = ScriptedUpstream::start([step]).await;
+    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
+    catalog.list("a", "app", a.addr);
+    catalog.list("b", "app", b.addr);
+    let host = TestHost::start("host", &catalog).await;
+    (a, host)
+}
+
+/// Sends requests until the log has a line of this kind.
+async fn call_until_logged(host: &TestHost, event: &str) {
+    while events(host, event).is_empty() {
+        call(host).await;
+    }
+}
+
+/// Number of requests that would be spread over two upstreams.
+const CALLS: usize = 20;
+
+/// Guards against requests to an upstream that says in its responses that it is leaving, while the
+/// platform still lists it.
+#[tokio::test]
+async fn an_upstream_that_says_that_it_leaves_gets_no_more_requests() {
+    let (a, host) = host_with_two_upstreams(ScriptStep::Respond(200, "a")).await;
+    a.set_header_lines("test-leaving: 1\r\n");
+    call_until_logged(&host, "upstream_leaving").await;
+    let before = a.arrivals().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(&host).await, 200);
+    }
+    assert_eq!(a.arrivals().len(), before);
+}
+
+/// The backoff that the upstreams below want.
+const BACKOFF: Duration = Duration::from_millis(1_500);
+const BACKOFF_LINE: &str = "test-backoff-ms: 1500\r\n";
+
+/// Guards against requests to an upstream that has refused one and wants no more for a time. After
+/// that time it gets requests again.
+#[tokio::test]
+async fn an_upstream_that_wants_no_requests_gets_none_for_that_time() {
+    let (a, host) = host_with_two_upstreams(ScriptStep::Refuse).await;
+    a.set_header_lines(BACKOFF_LINE);
+    call_until_logged(&host, "upstream_backoff").await;
+    let before = a.arrivals().len();
+    let since = Instant::now();
+    while since.elapsed() < BACKOFF * 3 / 4 {
+        assert_eq!(call(&host).await, 200);
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(a.arrivals().len(), before);
+    while a.arrivals().len() == before {
+        call(&host).await;
+    }
+}
+
+/// When all upstreams of a service want no requests, a call must not wait for its deadline, and
+/// must be told when the first of them accepts requests again.
+#[tokio::test]
+async fn a_call_is_refused_at_once_while_all_upstreams_want_no_requests() {
+    let (a, host) = host_with_one_upstream(ScriptStep::Refuse).await;
+    a.set_header_lines(BACKOFF_LINE);
+    call_until_logged(&host, "upstream_backoff").await;
+    let res = host.call(request("/safe/1")).await;
+    assert_eq!(res.status(), 503);
+    let retry_after: f64 = res.headers()["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((0.3..=1.5).contains(&retry_after), "{retry_after}");
+    assert_eq!(a.arrivals().len(), 1);
+    flush_log(&host).await;
+    let refused = events(&host, "refused");
+    assert_eq!(refused.last().unwrap()["reason"], "upstream_backoff");
+    assert!(refused.last().unwrap()["elapsed_ms"].as_u64() < Some(300));
+}
