Gateway: an upstream that says in an answer that it leaves gets no more requests

Callers' requests still reached an instance up to 4.8 s after it had said in its answers that it was leaving, while the store was away; calls that reach it late can be cut off when it ends.

Cause: that an upstream leaves was known from the store's list alone.

Change: one tracker holds what an upstream has said of itself, whether by the list or by an answer to a request, an order or a request for a report, for one incarnation; LeavingUpstreams, which knew lists only, is gone. A choice leaves such upstreams out, also where none other is left; a plan that waited for its reservations is looked at once more before the send, and dropped (a_plan_is_dropped_if_an_engine_says_in_the_meantime_that_it_leaves, red without that look). Nothing takes it back but the end of the incarnation: no list (an_older_list_does_not_take_back_that_an_upstream_leaves), no answer without the header. Hosts tell each other in a new field of their updates, which hosts of the version before skip, for two seconds after they learn of it; collectors pass it on as they learn it themselves. sent lines say how many upstreams were left out and how old the latest news of it was.

--- a/src/decide/availability_tracker.rs
+++ b/src/decide/availability_tracker.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Whether the upstream is leaving.
+    pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
+        let record = self.0.get(upstream);
+        record.is_some_and(|record| record.leaving_since.is_some())
+    }
+
     /// How long ago this host learned the statement that keeps the upstream from getting requests
     /// at `now`; none if it is available.
     pub fn age(&self, upstream: &UpstreamId, now: Instant) -> Option<Duration> {
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -64,6 +64,10 @@
     /// limits of upstreams that are not included are unchanged.
     #[prost(message, repeated, tag = "17")]
     pub limits: Vec<RateLimitEntry>,
+    /// The hashes of the ids of upstreams of which the sender has learned recently that they are
+    /// leaving.
+    #[prost(fixed64, repeated, tag = "18")]
+    pub leaving_upstreams: Vec<u64>,
 }
 
 /// The load at one upstream.
--- a/src/gateway/availability.rs
+++ b/src/gateway/availability.rs
@@ -4,11 +4,16 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::decide::AvailabilityTracker;
+use crate::decide::UpstreamAvailability;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
+use crate::gateway::ListedUpstream;
 use crate::gateway::Stated;
 use crate::gateway::UpstreamNotices;
+use crate::units::HostId;
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
 
@@ -19,6 +24,39 @@
         availability.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether all these upstreams accept requests now. Checked right before a send, since an
+    /// upstream may have stated otherwise since it was chosen.
+    pub(crate) fn accept_requests<'a>(
+        &self,
+        mut upstreams: impl Iterator<Item = &'a UpstreamId>,
+    ) -> bool {
+        let now = self.clock.now();
+        let availability = self.availability();
+        upstreams.all(|upstream| {
+            availability.availability(upstream, now) != UpstreamAvailability::Leaving
+        })
+    }
+
+    /// Records which upstreams of the platform's list are leaving, and marks those as leaving that
+    /// have stated it, since the list may be older than the statement.
+    pub(crate) fn mark_leaving(&self, listed: &mut [ListedUpstream]) {
+        let now = self.clock.now();
+        let mut availability = self.availability();
+        for upstream in &mut *listed {
+            if upstream.is_leaving {
+                availability.on_leaving(&upstream.id, now);
+            }
+            upstream.is_leaving |= availability.is_leaving(&upstream.id);
+        }
+        let ids: IndexSet<&UpstreamId> = listed.iter().map(|upstream| &upstream.id).collect();
+        availability.on_list(|id| ids.contains(id), now);
+    }
+
+    /// Records the report of another host that an upstream is leaving.
+    pub(crate) fn on_leaving_report(&self, host: &HostId, upstream: &UpstreamId) {
+        self.record_leaving(upstream, Some(host));
+    }
+
     /// Records what an upstream states about itself in a response to this host. Changes are logged.
     pub(crate) fn on_notices(&self, upstream: &UpstreamId, notices: &UpstreamNotices) {
         self.on_response_limit(upstream, &notices.limit);
@@ -37,12 +75,18 @@
     /// Records that an upstream states in a response that it is leaving.
     fn on_leaving_response(&self, upstream: &UpstreamId) {
         self.metrics.record_notice("leaving");
+        self.record_leaving(upstream, None);
+    }
+
+    /// Records that an upstream is leaving. If that is new, it is logged and broadcast.
+    fn record_leaving(&self, upstream: &UpstreamId, told_by: Option<&HostId>) {
         let is_new = self.availability().on_leaving(upstream, self.clock.now());
         if is_new {
             self.log.record(DecisionEvent::UpstreamLeaving {
                 upstream: upstream.to_string(),
-                told_by: None,
+                told_by: told_by.map(ToString::to_string),
             });
+            self.broadcast_now.notify_one();
         }
     }
 
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -139,6 +139,9 @@
             let Some(reservation) = self.reserve(&placement).await else {
                 continue;
             };
+            if !self.gateway.accept_requests(placement.upstream_ids()) {
+                continue;
+            }
             let sent = self.send_once(*placement, reservation, last_event).await;
             if let Some(outcome) = sent {
                 return outcome;
@@ -439,6 +442,7 @@
             prompt_tokens: self.call.head.prompt.0,
             manifest_age_ms: self.gateway.manifest_age().map_or(0, whole_millis),
             limit: placement.limit,
+            excluded: placement.excluded,
         });
     }
 }
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::gateway::EngineCountsRecord;
+use crate::gateway::ExcludedRecord;
 use crate::gateway::RateLimitRecord;
 
 /// A decision about a request, or a change in the state of the host. Each event is written as one
@@ -199,6 +200,9 @@
         /// advertises no limit.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         limit: Option<RateLimitRecord>,
+        /// The upstreams of the service that accepted no requests; none if all did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        excluded: Option<ExcludedRecord>,
     },
     /// A prompt for several engines has waited for one second. Logged once per request.
     Waiting {
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -87,6 +87,11 @@
                 .reports(now)
                 .map(limit_entry)
                 .collect(),
+            leaving_upstreams: self
+                .availability()
+                .recently_leaving(now)
+                .map(|upstream| UpstreamHash::from(upstream).0)
+                .collect(),
             unreachable_upstreams,
             unreachable_domains,
             routes_version,
@@ -101,7 +106,7 @@
     }
 
     /// Applies an update of another host: its load, and its reports on requests that crash
-    /// upstreams, slow engines, rate limits and unreachable upstreams. Wakes the tasks that read
+    /// upstreams, slow engines, rate limits, and unreachable and leaving upstreams. Wakes the tasks that read
     /// the platform if the sender is not a known host or has newer lists.
     fn on_update(&self, update: HostUpdate) {
         let now = self.clock.now();
@@ -140,6 +145,11 @@
                     .on_peer_report(engine, decode_slowdown(slow), now);
             }
         }
+        for leaving in &update.leaving_upstreams {
+            if let Some(upstream) = by_hash.get(&UpstreamHash(*leaving)) {
+                self.on_leaving_report(source.host(), upstream);
+            }
+        }
         for limit in &update.limits {
             if let Some(upstream) = by_hash.get(&limit.upstream()) {
                 self.on_limit_report(&source, upstream, &decode_limit(limit), now);
--- /dev/null
+++ b/src/gateway/excluded_record.rs
@@ -0,0 +1,14 @@
+//! Upstreams that accept no requests, as recorded in the decision log.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The listed upstreams of a service that accept no requests, according to their own statements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct ExcludedRecord {
+    /// The number of upstreams that are leaving.
+    pub leaving: usize,
+    /// The time since this host learned of the latest of these statements, in ms.
+    pub latest_age_ms: u64,
+}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -18,10 +18,12 @@
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::EngineCountsRecord;
+use crate::gateway::ExcludedRecord;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::ListedUpstream;
 use crate::gateway::RateLimitRecord;
+use crate::gateway::candidates::Candidates;
 use crate::gateway::limit_states::LimitStates;
 use crate::gateway::reservation::EngineReservation;
 use crate::routing::RouteTable;
@@ -37,7 +39,7 @@
 const LIMIT_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
 /// The upstreams of one send, with the memory reservations to make before it, the loads to count
-/// for it, its forecast, and the record of the limit that the upstream advertises.
+/// for it, its forecast, and the records of what upstreams had stated about themselves.
 pub(crate) struct SendPlan {
     /// The upstream that responds. For a prompt on several engines this is the leader.
     pub(crate) upstream: ListedUpstream,
@@ -51,9 +53,16 @@
     pub(crate) forecast: Duration,
     /// The limit that the upstream advertises, if any.
     pub(crate) limit: Option<RateLimitRecord>,
+    /// The upstreams that accepted no requests when this one was chosen, if any.
+    pub(crate) excluded: Option<ExcludedRecord>,
 }
 
 impl SendPlan {
+    /// All upstreams of the send, the one that responds first.
+    pub(crate) fn upstream_ids(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.loads.iter().map(|(id, _)| id)
+    }
+
     /// The engines that prefill parts of the prompt beside the leader, which generates the
     /// response.
     pub(crate) fn helper_ids(&self) -> impl Iterator<Item = &UpstreamId> {
@@ -98,7 +107,8 @@
         return PlacementDecision::Refuse(CallRefusal::NoManifest);
     };
     let listed = by_service.get(&call.service);
-    let usable = usable_upstreams(gateway, listed.map_or(&[], Vec::as_slice), sends.tried, now);
+    let listed = listed.map_or(&[][..], Vec::as_slice);
+    let Candidates { usable, excluded } = Candidates::select(gateway, listed, sends.tried, now);
     let model = engine_model(&routes, call);
     let mut limits = LimitStates::of(gateway, &usable, now);
     loop {
@@ -118,6 +128,7 @@
         };
         if limits.admits(&plan.upstream.id) {
             plan.limit = limits.record(&plan.upstream.id);
+            plan.excluded = excluded;
             return PlacementDecision::Send(plan);
         }
     }
@@ -169,7 +180,7 @@
     if request.class(model) == PromptClass::Short {
         return None;
     }
-    let usable = usable_upstreams(gateway, listed, sends.tried, now);
+    let usable = Candidates::select(gateway, listed, sends.tried, now).usable;
     let limits = LimitStates::of(gateway, &usable, now);
     let views = engine_views(gateway, &usable, &limits, now);
     let (near, all) = count_engines(model, &views, &request);
@@ -212,24 +223,6 @@
     }
 }
 
-/// The upstreams that may receive a call: the untried ones that are healthy, or all untried ones if
-/// none is healthy.
-fn usable_upstreams<'a>(
-    gateway: &Gateway,
-    listed: &'a [ListedUpstream],
-    tried: &[UpstreamId],
-    now: Instant,
-) -> Vec<&'a ListedUpstream> {
-    let untried: Vec<&ListedUpstream> = listed.iter().filter(|u| !tried.contains(&u.id)).collect();
-    let health = gateway.health();
-    let healthy: Vec<&ListedUpstream> = untried
-        .iter()
-        .copied()
-        .filter(|upstream| health.is_usable(&upstream.id, &upstream.domain, now))
-        .collect();
-    if healthy.is_empty() { untried } else { healthy }
-}
-
 /// Chooses an instance of a plain service.
 fn decide_among_instances(
     gateway: &Gateway,
@@ -271,6 +264,7 @@
         loads: vec![(upstream.id.clone(), load)],
         forecast: Duration::ZERO,
         limit: None,
+        excluded: None,
     }))
 }
 
@@ -354,6 +348,7 @@
         loads: plan.request_loads(model, request, call.route.pause_objective, now),
         forecast: plan.forecast,
         limit: None,
+        excluded: None,
     }))
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -26,7 +26,6 @@
 use crate::gateway::catalog_sharing::WATCH_WAIT;
 use crate::gateway::dependency::Dependency;
 use crate::gateway::dependency::RETRY_INTERVAL;
-use crate::gateway::leaving_upstreams::LeavingUpstreams;
 use crate::routing::RouteTable;
 use crate::units::ObjectVersion;
 use crate::units::StoreEra;
@@ -134,7 +133,6 @@
 pub(crate) async fn sync_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
-    let mut leaving = LeavingUpstreams::default();
     let mut dependency = Dependency::new(&gateway, "upstreams");
     let mut source = ReadSource::Any;
     loop {
@@ -145,7 +143,8 @@
         if read.is_ok_and(|read| read.changed.is_some())
             && let Some(listed) = gateway.catalog_cache.upstreams()
         {
-            let listed = leaving.mark(listed.to_vec(), gateway.clock.now());
+            let mut listed = listed.to_vec();
+            gateway.mark_leaving(&mut listed);
             known = apply_upstreams(&gateway, listed, &known);
         }
         let due_at = next_read_at(requested_at, has_more);
--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -5,8 +5,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::gateway::Stated;
+use banyanarch::gateway::UpstreamNotices;
+use banyanarch::http::one_shot;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
+use gateway_world::long_prompt_table;
+use gateway_world::long_request;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -145,6 +150,82 @@
     assert_eq!(a.arrivals().len(), before);
 }
 
+/// Guards against a leaving upstream that gets requests again because an older list, or the same
+/// one read again, still calls it ready.
+#[tokio::test]
+async fn an_older_list_does_not_take_back_that_an_upstream_leaves() {
+    let catalog = FakeCatalog::new(table(1));
+    let a = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
+    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
+    catalog.list("a", "app", a.addr);
+    let host = TestHost::start("host", &catalog).await;
+    a.set_header_lines("test-leaving: 1\r\n");
+    call(&host).await;
+    catalog.list("a", "app", a.addr);
+    catalog.list("b", "app", b.addr);
+    wait_until(|| host.gateway.platform_view.is_usable(&"b".parse().unwrap())).await;
+    let before = a.arrivals().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(&host).await, 200);
+    }
+    assert_eq!(a.arrivals().len(), before);
+}
+
+/// Guards against an upstream that leaves and is known as such on one host only, while the platform
+/// can't tell the others.
+#[tokio::test]
+async fn hosts_tell_each_other_which_upstreams_leave() {
+    let catalog = FakeCatalog::new(table(1));
+    let a = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
+    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
+    catalog.list("a", "app", a.addr);
+    catalog.list("b", "app", b.addr);
+    let first = TestHost::start("first", &catalog).await;
+    let second = TestHost::start("second", &catalog).await;
+    first.wait_for_hosts(2).await;
+    second.wait_for_hosts(2).await;
+    catalog.set_unreachable(true);
+    a.set_header_lines("test-leaving: 1\r\n");
+    call_until_logged(&first, "upstream_leaving").await;
+    wait_until(|| !events(&second, "upstream_leaving").is_empty()).await;
+    assert_eq!(events(&second, "upstream_leaving")[0]["told_by"], "first");
+    let before = a.arrivals().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(&second).await, 200);
+    }
+    assert_eq!(a.arrivals().len(), before);
+}
+
+/// Guards against a prompt that is sent to an engine which has said, while its memory was being
+/// reserved, that it is leaving.
+#[tokio::test]
+async fn a_plan_is_dropped_if_an_engine_says_in_the_meantime_that_it_leaves() {
+    let catalog = FakeCatalog::new(long_prompt_table(1));
+    let mut engines = Vec::new();
+    for name in ["a", "b"] {
+        let engine = ScriptedUpstream::start([ScriptStep::Events(3)]).await;
+        catalog.list(name, "llm", engine.addr);
+        engines.push(engine);
+    }
+    let host = TestHost::start("host", &catalog).await;
+    let leaving = UpstreamNotices {
+        leaving: Stated::Value(()),
+        ..UpstreamNotices::default()
+    };
+    host.engine_client.set_notices(engines[0].addr, leaving);
+    let callers = host.callers;
+    let pending = tokio::spawn(async move {
+        let limit = Duration::from_secs(60);
+        let _ = one_shot::call(callers, long_request(), 1 << 20, limit).await;
+    });
+    wait_until(|| !events(&host, "upstream_leaving").is_empty()).await;
+    wait_until(|| host.engine_client.reserved_tokens() == 0).await;
+    pending.abort();
+    for engine in engines {
+        assert!(engine.arrivals().is_empty(), "{:?}", engine.arrivals());
+    }
+}
+
 /// The backoff that the upstreams below want.
 const BACKOFF: Duration = Duration::from_millis(1_500);
 const BACKOFF_LINE: &str = "test-backoff-ms: 1500\r\n";
--- a/tests/gateway_world/engine_client.rs
+++ b/tests/gateway_world/engine_client.rs
@@ -8,6 +8,7 @@
 use banyanarch::gateway::EngineClient;
 use banyanarch::gateway::EngineClientError;
 use banyanarch::gateway::EngineReport;
+use banyanarch::gateway::UpstreamNotices;
 use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use futures_util::FutureExt;
@@ -23,6 +24,7 @@
     reserve_requests: Mutex<IndexMap<SocketAddr, usize>>,
     slowdowns: Mutex<IndexMap<SocketAddr, Slowdown>>,
     report_requests: Mutex<usize>,
+    notices: Mutex<IndexMap<SocketAddr, UpstreamNotices>>,
 }
 
 impl FakeEngineClient {
@@ -52,6 +54,11 @@
         self.slowdowns.lock().unwrap().insert(engine, slowdown);
     }
 
+    /// Makes an engine state this about itself in its responses to reservations.
+    pub fn set_notices(&self, engine: SocketAddr, notices: UpstreamNotices) {
+        self.notices.lock().unwrap().insert(engine, notices);
+    }
+
     /// How often engines were requested for reports.
     pub fn report_requests(&self) -> usize {
         *self.report_requests.lock().unwrap()
@@ -94,7 +101,12 @@
         *made += 1;
         let key = (engine, name.to_owned());
         self.reserved.lock().unwrap().insert(key, tokens.0);
-        async { Ok(()).into() }.boxed()
+        let notices = self.notices.lock().unwrap().get(&engine).cloned();
+        let answer = EngineAnswer {
+            notices: notices.unwrap_or_default(),
+            result: Ok(()),
+        };
+        async { answer }.boxed()
     }
 
     fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>> {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -264,3 +264,26 @@
         .body(Full::from("question"))
         .unwrap()
 }
+
+/// A table with the route `long` only, to engines whose callers wait long enough for a prompt that
+/// needs the memory of two.
+pub fn long_prompt_table(generation: u64) -> RouteTable {
+    let mut routes = table(generation);
+    let resumable = CallKind::Stream { is_resumable: true };
+    let mut route = route("long", resumable, "llm");
+    route.objective = Duration::from_secs(30);
+    route.timeout = Duration::from_secs(60);
+    route.pause_objective = Some(Duration::from_secs(12));
+    let mut long = RouteTable::new(routes.generation, vec![route]);
+    long.services = std::mem::take(&mut routes.services);
+    long.keys = std::mem::take(&mut routes.keys);
+    long
+}
+
+/// A request on the route `long` whose prompt needs the memory of two engines.
+pub fn long_request() -> Request<Full<Bytes>> {
+    let mut req = request("/long/1");
+    let prompt = "600000".parse().unwrap();
+    req.headers_mut().insert("test-prompt", prompt);
+    req
+}
