Gateway: an upstream that wants no requests for a time gets none

Engines that had refused a request and asked for three seconds without any got five or more from each host.

Cause: the Retry-After of a 503 was read by nobody. The only bound was the health tracker's own pause of 150 ms after a refusal, and an engine that refuses at once has the least load of all, so it was chosen again and again: 90 sends within three seconds of a refusal, the soonest after 172 ms.

Evidence: an_upstream_that_wants_no_requests_gets_none_for_that_time and a_call_is_refused_at_once_while_all_upstreams_want_no_requests, red before (3 and 258 requests, none wanted).

Change: a choice leaves out upstreams that want no requests, as it does those that leave, and so do the last look before a send and the poll for reports. It is no pause of the health tracker: no answer ends it, no shorter one shortens it, and it does not yield when nothing else is left. Then a call waits if the first upstream is back while the call can still be on time, and is refused at once otherwise, with that time as its Retry-After. It binds the host that was asked, so hosts do not tell each other. Renewals and releases of memory that a running prompt holds still go to the engine: without them it would cut off what it has accepted, or keep memory for nobody.

--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -193,6 +193,8 @@
     NoClaim,
     /// All upstreams of the service have announced a rate limit, and it is exhausted.
     RateLimited,
+    /// All upstreams of the service want no requests for a time.
+    UpstreamBackoff,
 }
 
 impl RefuseReason {
@@ -209,6 +211,7 @@
             Self::RetryBudget => "retry_budget",
             Self::NoClaim => "no_claim",
             Self::RateLimited => "rate_limited",
+            Self::UpstreamBackoff => "upstream_backoff",
         }
     }
 
@@ -225,6 +228,7 @@
             Self::RetryBudget,
             Self::NoClaim,
             Self::RateLimited,
+            Self::UpstreamBackoff,
         ];
         all.into_iter().find(|reason| reason.name() == name)
     }
--- a/src/gateway/availability.rs
+++ b/src/gateway/availability.rs
@@ -33,7 +33,7 @@
         let now = self.clock.now();
         let availability = self.availability();
         upstreams.all(|upstream| {
-            availability.availability(upstream, now) != UpstreamAvailability::Leaving
+            availability.availability(upstream, now) == UpstreamAvailability::Available
         })
     }
 
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::gateway::placement::SendHistory;
 use crate::gateway::placement::SendPlan;
 use crate::gateway::placement::decide_placement;
+use crate::gateway::placement::excluded_upstreams;
 use crate::gateway::placement::survey_candidates;
 use crate::gateway::reservation::EngineReservation;
 use crate::gateway::reservation::ReservationGuard;
@@ -408,6 +409,7 @@
             choices: self.choices,
             near: near.map(Box::new),
             all: all.map(Box::new),
+            excluded: excluded_upstreams(gateway, &self.call, now),
             retry_after_ms: whole_millis(retry_after),
             upstreams: listed.unwrap_or(0),
             hosts_heard: gateway.ledger().live_peer_count(now),
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -1,8 +1,8 @@
 //! The upstreams of a service that may receive a call now.
 
+use std::time::Duration;
 use std::time::Instant;
 
-use crate::decide::AvailabilityTracker;
 use crate::decide::UpstreamAvailability;
 use crate::gateway::ExcludedRecord;
 use crate::gateway::Gateway;
@@ -17,6 +17,39 @@
     pub(crate) usable: Vec<&'a ListedUpstream>,
     /// The upstreams that accept no requests; none if all do.
     pub(crate) excluded: Option<ExcludedRecord>,
+    /// The upstreams that the call has to wait for; none if it can be sent now, or if no upstream
+    /// will accept requests again.
+    pub(crate) backoff: Option<ServiceBackoff>,
+}
+
+/// When the upstreams of a service accept requests again, if none that a call could be sent to
+/// does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ServiceBackoff {
+    /// Time until the first upstream accepts requests again.
+    pub(crate) ends_in: Duration,
+    /// Whether an upstream that the call was already sent to accepts requests.
+    pub(crate) has_tried: bool,
+    /// Time until the first upstream that the call was not sent to accepts requests; none if it was
+    /// sent to all.
+    pub(crate) untried_ends_in: Option<Duration>,
+}
+
+/// An upstream of the list with its availability.
+struct Candidate<'a> {
+    upstream: &'a ListedUpstream,
+    availability: UpstreamAvailability,
+    is_tried: bool,
+}
+
+impl Candidate<'_> {
+    /// Time until the backoff of the upstream ends; none if it is not backing off.
+    fn backoff_left(&self) -> Option<Duration> {
+        match self.availability {
+            UpstreamAvailability::BackingOff(left) => Some(left),
+            UpstreamAvailability::Available | UpstreamAvailability::Leaving => None,
+        }
+    }
 }
 
 impl<'a> Candidates<'a> {
@@ -29,24 +62,41 @@
         now: Instant,
     ) -> Self {
         let availability = gateway.availability();
-        let is_available = |upstream: &&ListedUpstream| {
-            availability.availability(&upstream.id, now) != UpstreamAvailability::Leaving
-        };
-        let available: Vec<&ListedUpstream> = listed.iter().filter(is_available).collect();
-        let excluded = (available.len() < listed.len())
-            .then(|| excluded_record(&availability, listed, now))
-            .flatten();
+        let candidates = listed.iter().map(|upstream| Candidate {
+            upstream,
+            availability: availability.availability(&upstream.id, now),
+            is_tried: tried.contains(&upstream.id),
+        });
+        let candidates: Vec<Candidate<'a>> = candidates.collect();
         drop(availability);
-        let untried = available
-            .into_iter()
-            .filter(|upstream| !tried.contains(&upstream.id));
+        let sendable = candidates.iter().filter(|candidate| {
+            candidate.availability == UpstreamAvailability::Available && !candidate.is_tried
+        });
+        let sendable: Vec<&ListedUpstream> = sendable.map(|c| c.upstream).collect();
         Self {
-            usable: prefer_healthy(gateway, untried.collect(), now),
-            excluded,
+            backoff: sendable
+                .is_empty()
+                .then(|| service_backoff(&candidates))
+                .flatten(),
+            usable: prefer_healthy(gateway, sendable, now),
+            excluded: excluded_record(gateway, &candidates, now),
         }
     }
 }
 
+/// When the upstreams accept requests again; none if no upstream is backing off.
+fn service_backoff(candidates: &[Candidate<'_>]) -> Option<ServiceBackoff> {
+    let backing_off = || candidates.iter().filter_map(Candidate::backoff_left);
+    let untried = candidates.iter().filter(|candidate| !candidate.is_tried);
+    Some(ServiceBackoff {
+        ends_in: backing_off().min()?,
+        has_tried: candidates
+            .iter()
+            .any(|candidate| candidate.availability == UpstreamAvailability::Available),
+        untried_ends_in: untried.filter_map(Candidate::backoff_left).min(),
+    })
+}
+
 /// The healthy ones of these upstreams, or all if none is healthy.
 fn prefer_healthy<'a>(
     gateway: &Gateway,
@@ -64,25 +114,27 @@
     }
 }
 
-/// The upstreams of a list that accept no requests; none if all do.
+/// The upstreams that accept no requests; none if all do.
 fn excluded_record(
-    availability: &AvailabilityTracker,
-    listed: &[ListedUpstream],
+    gateway: &Gateway,
+    candidates: &[Candidate<'_>],
     now: Instant,
 ) -> Option<ExcludedRecord> {
-    let mut leaving = 0;
-    for upstream in listed {
-        match availability.availability(&upstream.id, now) {
-            UpstreamAvailability::Available | UpstreamAvailability::BackingOff(_) => {}
-            UpstreamAvailability::Leaving => leaving += 1,
-        }
+    let excluded = candidates
+        .iter()
+        .filter(|candidate| candidate.availability != UpstreamAvailability::Available);
+    let excluded: Vec<&Candidate<'_>> = excluded.collect();
+    if excluded.is_empty() {
+        return None;
     }
-    let ages = listed
+    let availability = gateway.availability();
+    let ages = excluded
         .iter()
-        .filter_map(|upstream| availability.age(&upstream.id, now));
-    let age = ages.min().filter(|_| leaving > 0);
-    age.map(|age| ExcludedRecord {
-        leaving,
-        latest_age_ms: whole_millis(age),
+        .filter_map(|candidate| availability.age(&candidate.upstream.id, now));
+    let backing_off = excluded.iter().filter_map(|c| c.backoff_left()).count();
+    Some(ExcludedRecord {
+        leaving: excluded.len() - backing_off,
+        backing_off,
+        latest_age_ms: whole_millis(ages.min().unwrap_or_default()),
     })
 }
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -123,7 +123,8 @@
         /// The time since the upstream advertised the limit, in ms.
         age_ms: u64,
     },
-    /// An upstream is leaving, as it states in a response. Logged once per incarnation.
+    /// An upstream is leaving, according to a response or to another host. Logged once per
+    /// incarnation; what the platform's list says is in [`DecisionEvent::UpstreamsChanged`].
     UpstreamLeaving {
         /// The id of the upstream.
         upstream: String,
@@ -248,6 +249,9 @@
         /// For a prompt that several engines can share, all engines of the service.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         all: Option<Box<EngineCountsRecord>>,
+        /// The upstreams of the service that accepted no requests; none if all did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        excluded: Option<ExcludedRecord>,
         /// The time after which the caller was asked to retry, in ms.
         retry_after_ms: u64,
         /// The number of listed upstreams of the service.
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -60,8 +60,8 @@
     strongest_host(hosts.iter().filter(is_alive)).is_some_and(|polling| polling.host == *own)
 }
 
-/// The engines of this failure domain that have work, as far as this host knows; empty before the
-/// first reads of the platform.
+/// The engines of this failure domain that have work, as far as this host knows, and accept
+/// requests; empty before the first reads of the platform.
 fn busy_engines(gateway: &Gateway) -> Vec<ListedUpstream> {
     let (Some(routes), Some(by_service)) = (
         gateway.platform_view.routes(),
@@ -77,7 +77,10 @@
     let ledger = gateway.ledger();
     let is_busy = |listed: &&ListedUpstream| ledger.load(&listed.id, now).has_work();
     let busy = listed.flatten().filter(is_in_domain).filter(is_busy);
-    busy.cloned().collect()
+    let busy: Vec<ListedUpstream> = busy.cloned().collect();
+    drop(ledger);
+    let accepts = |engine: &ListedUpstream| gateway.accept_requests(std::iter::once(&engine.id));
+    busy.into_iter().filter(accepts).collect()
 }
 
 /// Requests a report from one engine and records it. A change of the engine's speed is logged and
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -24,6 +24,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::RateLimitRecord;
 use crate::gateway::candidates::Candidates;
+use crate::gateway::candidates::ServiceBackoff;
 use crate::gateway::limit_states::LimitStates;
 use crate::gateway::reservation::EngineReservation;
 use crate::routing::RouteTable;
@@ -108,7 +109,14 @@
     };
     let listed = by_service.get(&call.service);
     let listed = listed.map_or(&[][..], Vec::as_slice);
-    let Candidates { usable, excluded } = Candidates::select(gateway, listed, sends.tried, now);
+    let Candidates {
+        usable,
+        excluded,
+        backoff,
+    } = Candidates::select(gateway, listed, sends.tried, now);
+    if let Some(backoff) = backoff {
+        return wait_for_backoff(call, sends, &backoff, now);
+    }
     let model = engine_model(&routes, call);
     let mut limits = LimitStates::of(gateway, &usable, now);
     loop {
@@ -144,11 +152,7 @@
     limits: &LimitStates,
     now: Instant,
 ) -> PlacementDecision {
-    let patience = if sends.may_have_run {
-        call.time_left(now)
-    } else {
-        call.objective_left(now).min(call.time_left(now))
-    };
+    let patience = patience(call, sends, now);
     let wait = if sends.waits_for_limit {
         opens_in
     } else {
@@ -164,6 +168,49 @@
     })
 }
 
+/// Handles a call while all upstreams that it could be sent to want no requests. The call waits if
+/// one of them accepts requests again while the call can still be on time.
+fn wait_for_backoff(
+    call: &Call,
+    sends: &SendHistory<'_>,
+    backoff: &ServiceBackoff,
+    now: Instant,
+) -> PlacementDecision {
+    let patience = patience(call, sends, now);
+    if let Some(wait) = backoff.untried_ends_in.filter(|wait| *wait <= patience) {
+        return PlacementDecision::Wait(wait);
+    }
+    PlacementDecision::Refuse(CallRefusal::Overload {
+        reason: RefuseReason::UpstreamBackoff,
+        retry_after: if backoff.has_tried {
+            backoff.ends_in.min(NO_UPSTREAM_RETRY_AFTER)
+        } else {
+            backoff.ends_in
+        },
+    })
+}
+
+/// How long a call may wait for upstreams: while it can still be on time, or if an upstream may
+/// have run it, until its deadline.
+fn patience(call: &Call, sends: &SendHistory<'_>, now: Instant) -> Duration {
+    if sends.may_have_run {
+        call.time_left(now)
+    } else {
+        call.objective_left(now).min(call.time_left(now))
+    }
+}
+
+/// The upstreams of the call's service that accept no requests; none if all do.
+pub(crate) fn excluded_upstreams(
+    gateway: &Gateway,
+    call: &Call,
+    now: Instant,
+) -> Option<ExcludedRecord> {
+    let by_service = gateway.platform_view.upstreams()?;
+    let listed = by_service.get(&call.service)?;
+    Candidates::select(gateway, listed, &[], now).excluded
+}
+
 /// The candidates of [`decide_placement`] for a prompt that several engines can share: the engines
 /// in the failure domain of this host, and all engines. None for other calls.
 pub(crate) fn survey_candidates(
--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -8,6 +8,7 @@
 use banyanarch::gateway::Stated;
 use banyanarch::gateway::UpstreamNotices;
 use banyanarch::http::one_shot;
+use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::long_prompt_table;
@@ -17,6 +18,8 @@
 use gateway_world::upstream::ScriptStep;
 use gateway_world::upstream::ScriptedUpstream;
 use gateway_world::wait_until;
+use http_body_util::Full;
+use hyper::Request;
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -270,3 +273,87 @@
     assert_eq!(refused.last().unwrap()["reason"], "upstream_backoff");
     assert!(refused.last().unwrap()["elapsed_ms"].as_u64() < Some(300));
 }
+
+/// Guards against a backoff that ends because a request that was sent before it is answered.
+#[tokio::test]
+async fn an_answer_does_not_end_a_backoff() {
+    let catalog = FakeCatalog::new(table(1));
+    let delay = Duration::from_millis(300);
+    let script = [ScriptStep::RespondAfter(delay, "a"), ScriptStep::Refuse];
+    let a = ScriptedUpstream::start(script).await;
+    catalog.list("a", "app", a.addr);
+    let host = TestHost::start("host", &catalog).await;
+    a.set_header_lines("test-backoff-ms: 60000\r\n");
+    let refused_meanwhile = async {
+        wait_until(|| !a.arrivals().is_empty()).await;
+        call(&host).await
+    };
+    let statuses = tokio::join!(call(&host), refused_meanwhile);
+    assert_eq!(statuses, (200, 503));
+    assert_eq!(call(&host).await, 503);
+    assert_eq!(a.arrivals().len(), 2);
+}
+
+/// A call that can still be on time after the backoff of the only upstream must be served.
+#[tokio::test]
+async fn a_call_waits_for_a_backoff_that_ends_in_time() {
+    let catalog = FakeCatalog::new(table(1));
+    let script = [ScriptStep::Refuse, ScriptStep::Respond(200, "a")];
+    let a = ScriptedUpstream::start(script).await;
+    catalog.list("a", "app", a.addr);
+    let host = TestHost::start("host", &catalog).await;
+    a.set_header_lines("test-backoff-ms: 150\r\n");
+    assert_eq!(call(&host).await, 503);
+    assert_eq!(call(&host).await, 200);
+    assert_eq!(a.arrivals().len(), 2);
+}
+
+/// Guards against requests for reports to an engine that wants no requests.
+#[tokio::test]
+async fn an_engine_that_wants_no_requests_is_not_polled() {
+    let catalog = FakeCatalog::new(long_prompt_table(1));
+    let mut engines = Vec::new();
+    for name in ["a", "b"] {
+        let script = [ScriptStep::EventsThenHang(1), ScriptStep::Refuse];
+        let engine = ScriptedUpstream::start(script).await;
+        catalog.list(name, "llm", engine.addr);
+        engines.push(engine);
+    }
+    let host = TestHost::start("host", &catalog).await;
+    let callers = host.callers;
+    let start_prompt = || {
+        tokio::spawn(async move {
+            let limit = Duration::from_secs(60);
+            let _ = one_shot::call(callers, short_request(), 1 << 20, limit).await;
+        })
+    };
+    let mut prompts = Vec::new();
+    while engines.iter().any(|engine| engine.arrivals().is_empty()) {
+        prompts.push(start_prompt());
+        sleep(Duration::from_millis(20)).await;
+    }
+    let polls = |engine: usize| host.engine_client.report_requests_of(engines[engine].addr);
+    wait_until(|| polls(0) > 0 && polls(1) > 0).await;
+    engines[0].set_header_lines("test-backoff-ms: 60000\r\n");
+    while events(&host, "upstream_backoff").is_empty() {
+        prompts.push(start_prompt());
+        sleep(Duration::from_millis(20)).await;
+    }
+    let (of_a, of_b) = (polls(0), polls(1));
+    wait_until(|| polls(1) >= of_b + 3).await;
+    assert!(
+        polls(0) <= of_a + 1,
+        "one more poll may have been under way"
+    );
+    for prompt in prompts {
+        prompt.abort();
+    }
+}
+
+/// A request with a short prompt on the route of long ones.
+fn short_request() -> Request<Full<Bytes>> {
+    let mut req = request("/long/1");
+    let prompt = "5000".parse().unwrap();
+    req.headers_mut().insert("test-prompt", prompt);
+    req
+}
--- a/tests/gateway_world/engine_client.rs
+++ b/tests/gateway_world/engine_client.rs
@@ -23,7 +23,7 @@
     silent: Mutex<Option<SocketAddr>>,
     reserve_requests: Mutex<IndexMap<SocketAddr, usize>>,
     slowdowns: Mutex<IndexMap<SocketAddr, Slowdown>>,
-    report_requests: Mutex<usize>,
+    report_requests: Mutex<IndexMap<SocketAddr, usize>>,
     notices: Mutex<IndexMap<SocketAddr, UpstreamNotices>>,
 }
 
@@ -61,7 +61,13 @@
 
     /// How often engines were requested for reports.
     pub fn report_requests(&self) -> usize {
-        *self.report_requests.lock().unwrap()
+        self.report_requests.lock().unwrap().values().sum()
+    }
+
+    /// How often an engine was requested for a report.
+    pub fn report_requests_of(&self, engine: SocketAddr) -> usize {
+        let requests = self.report_requests.lock().unwrap();
+        requests.get(&engine).copied().unwrap_or(0)
     }
 
     /// Refuses every reservation once this many have been made.
@@ -110,7 +116,12 @@
     }
 
     fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>> {
-        *self.report_requests.lock().unwrap() += 1;
+        *self
+            .report_requests
+            .lock()
+            .unwrap()
+            .entry(engine)
+            .or_default() += 1;
         let known = self.slowdowns.lock().unwrap().get(&engine).copied();
         let slowdown = known.unwrap_or(Slowdown::NONE);
         async move { Ok(EngineReport { slowdown }).into() }.boxed()
