Soak: upstreams say in answers that they leave, or that they want no requests

No stand-in of the project said either, alone or together with other faults, so no run could show what hosts make of it. Now upstreams leave with the store told 1 to 7 s later, and refuse all requests for a while with a backoff of 0.7 to 4 s, from random generators of their own: the other faults of a seed stay what they were. Kills and pauses of processes are told from faults of links, since only those excuse a host that sends to an upstream that leaves.

Two new checks, with the promised bounds of 2 s after the answer, and of two requests between half a second after a refusal and the end of its time. Both are tested on constructed observations.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -13,6 +13,7 @@
 use crate::history::Timestamp;
 use crate::history::UpstreamRun;
 use crate::limit_checks;
+use crate::notice_checks;
 
 /// Time after the end of a fault until its effects are gone and hosts have current data from the
 /// platform again.
@@ -86,6 +87,7 @@
     if guarantees == GuaranteeSet::All {
         violations.extend(check_recovery(observations, served_from));
         violations.extend(limit_checks::check(observations));
+        violations.extend(notice_checks::check(observations));
     }
     violations
 }
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,5 @@
-//! Draws the faults of a seed. Rate limits and restores of the store have random generators of
-//! their own, so that they do not change which other faults a seed draws.
+//! Draws the faults of a seed. Rate limits, notices of upstreams and restores of the store have
+//! random generators of their own, so that they do not change which other faults a seed draws.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -16,7 +16,10 @@
 /// XORed with the seed of the run for the draws of restores of the store.
 const RESTORES_SEED_MASK: u64 = 0x5704_E7A0;
 
-/// Draws the faults of a seed other than rate limits and restores of the store, each with the pause
+/// XORed with the seed of the run for the draws of notices of upstreams.
+const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
+
+/// Draws the faults of a seed other than rate limits, notices and restores of the store, each with the pause
 /// before it.
 pub fn draw_faults(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(conf.seed);
@@ -36,6 +39,21 @@
     })
 }
 
+/// Draws the upstreams that say in their responses that they leave or want no requests, each with
+/// the pause before it.
+pub(crate) fn draw_notices(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let rng = StdRng::seed_from_u64(conf.seed ^ NOTICES_SEED_MASK);
+    draw(conf, rng, 1_000..6_000, |rng| {
+        let upstream = rng.random_range(0..1_000);
+        if rng.random_ratio(1, 3) {
+            Fault::LeaveUpstreamUnlisted(upstream, draw_duration(rng, 1_000..7_000))
+        } else {
+            let backoff = draw_duration(rng, 700..4_000);
+            Fault::BackOffUpstream(upstream, backoff, draw_duration(rng, 500..9_000))
+        }
+    })
+}
+
 /// Draws the restores of the store from snapshots, each with the pause before it.
 pub(crate) fn draw_restores(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let rng = StdRng::seed_from_u64(conf.seed ^ RESTORES_SEED_MASK);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -72,6 +72,11 @@
     KillUpstream(usize, Duration),
     /// An upstream gets a replacement, announces that it leaves, and ends later.
     LeaveUpstream(usize),
+    /// The same, but for this time only the responses of the upstream say that it leaves.
+    LeaveUpstreamUnlisted(usize, Duration),
+    /// For the second time, an upstream refuses all requests and wants no more from the host for
+    /// the first time.
+    BackOffUpstream(usize, Duration, Duration),
     /// The moving route is moved to the other plain service.
     MoveRoute,
     /// The oldest key of a customer is revoked and a new one is issued.
@@ -156,6 +161,8 @@
             | Self::DomainLinks(_, _, time)
             | Self::Upstream(_, _, time)
             | Self::LimitUpstream(_, _, time)
+            | Self::LeaveUpstreamUnlisted(_, time)
+            | Self::BackOffUpstream(_, _, time)
             | Self::KillUpstream(_, time) => *time = time.mul_f64(factor),
             Self::RestoreStore(times) => {
                 for time in times {
@@ -195,7 +202,7 @@
             lock(&deployment.hosts[host]).signal(Signal::SIGKILL);
             sleep(down).await;
             restart_host(deployment, host).await;
-            FaultScope::Hosts(vec![host])
+            FaultScope::Processes(vec![host])
         }
         Fault::KillAllHosts(down) => {
             for host in &deployment.hosts {
@@ -205,7 +212,7 @@
             for host in 0..deployment.hosts.len() {
                 restart_host(deployment, host).await;
             }
-            FaultScope::Hosts((0..deployment.hosts.len()).collect())
+            FaultScope::Processes((0..deployment.hosts.len()).collect())
         }
         Fault::StopHost(host) => {
             lock(&deployment.hosts[host]).signal(Signal::SIGTERM);
@@ -221,7 +228,7 @@
             lock(&deployment.hosts[host]).signal(Signal::SIGSTOP);
             sleep(time).await;
             lock(&deployment.hosts[host]).signal(Signal::SIGCONT);
-            FaultScope::Hosts(vec![host])
+            FaultScope::Processes(vec![host])
         }
         Fault::ReloadHostSettings(host) => {
             lock(&deployment.hosts[host]).signal(Signal::SIGHUP);
@@ -320,11 +327,19 @@
         }
         Fault::LeaveUpstream(index) => {
             let upstream = upstream_at(deployment, index);
-            start_replacement(deployment, &upstream).await;
-            deployment.register_upstream(&upstream, true);
-            deployment.record_change(StoreChange::UpstreamLeaving(upstream.id.clone()));
-            sleep(LEAVING_TIME).await;
-            deployment.end_upstream(&upstream);
+            leave(deployment, &upstream, Duration::ZERO).await;
+            FaultScope::Upstream
+        }
+        Fault::LeaveUpstreamUnlisted(index, unlisted_for) => {
+            let upstream = upstream_at(deployment, index);
+            leave(deployment, &upstream, unlisted_for).await;
+            FaultScope::Upstream
+        }
+        Fault::BackOffUpstream(index, backoff, time) => {
+            let upstream = upstream_at(deployment, index);
+            upstream.set_backoff(Some(backoff));
+            sleep(time).await;
+            upstream.set_backoff(None);
             FaultScope::Upstream
         }
         Fault::MoveRoute => {
@@ -350,6 +365,18 @@
     deployment.record_fault(&printed_fault, from, scope);
 }
 
+/// Starts the replacement of an upstream, which says from then on in its responses that it leaves,
+/// after `unlisted_for` in the store as well, and ends later.
+async fn leave(deployment: &Deployment, upstream: &UpstreamStandIn, unlisted_for: Duration) {
+    start_replacement(deployment, upstream).await;
+    upstream.start_leaving();
+    sleep(unlisted_for).await;
+    deployment.register_upstream(upstream, true);
+    deployment.record_change(StoreChange::UpstreamLeaving(upstream.id.clone()));
+    sleep(LEAVING_TIME).await;
+    deployment.end_upstream(upstream);
+}
+
 /// Sets links to a mode for some time and opens them again. Where faults overlap on a link, the end
 /// of any of them opens the link.
 async fn set_link_mode_for(links: &[LinkProxy], mode: LinkMode, time: Duration) {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -74,6 +74,19 @@
     pub has_key: bool,
     /// The limit that the response advertises, in requests per second; none if it advertises none.
     pub advertised_limit_per_s: Option<f64>,
+    /// Whether the response says that the upstream leaves.
+    pub says_leaving: bool,
+}
+
+/// A request that an upstream refused.
+#[derive(Clone, Debug)]
+pub struct UpstreamRefusal {
+    /// The id of the upstream.
+    pub upstream: String,
+    /// When the request arrived.
+    pub arrived_at: Timestamp,
+    /// For how long the upstream wants no requests from the host; none if it does not say.
+    pub backoff: Option<Duration>,
 }
 
 /// A change that the operator or an upstream made in the store.
@@ -87,12 +100,14 @@
     UpstreamLeaving(String),
 }
 
-/// What a fault affects: hosts or any of their links, one planned stop of a host, the store, or an
-/// upstream.
+/// What a fault affects: processes of hosts, hosts or any of their links, one planned stop of a
+/// host, the store, or an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FaultScope {
     /// These hosts, or their links to callers, to each other, to the store or to upstreams.
     Hosts(Vec<usize>),
+    /// The processes of these hosts, which are killed or paused.
+    Processes(Vec<usize>),
     /// A host that is stopped as planned, by SIGTERM.
     PlannedStop(usize),
     /// The store.
@@ -118,11 +133,20 @@
         self.from <= to && self.to >= from
     }
 
+    /// Whether the fault ends or pauses the process of a host.
+    fn disturbs_process(&self, host: usize) -> bool {
+        match &self.scope {
+            FaultScope::Processes(hosts) => hosts.contains(&host),
+            FaultScope::PlannedStop(stopped) => *stopped == host,
+            FaultScope::Hosts(_) | FaultScope::Store | FaultScope::Upstream => false,
+        }
+    }
+
     /// Whether the fault affects what a host knows or does. A fault of the store affects every
     /// host, and a fault of an upstream affects none.
     pub fn affects(&self, host: usize) -> bool {
         match &self.scope {
-            FaultScope::Hosts(hosts) => hosts.contains(&host),
+            FaultScope::Hosts(hosts) | FaultScope::Processes(hosts) => hosts.contains(&host),
             FaultScope::PlannedStop(stopped) => *stopped == host,
             FaultScope::Store => true,
             FaultScope::Upstream => false,
@@ -150,6 +174,8 @@
     pub attempts: IndexMap<String, CallerAttempt>,
     /// Runs at upstreams, by request id.
     pub runs: IndexMap<String, Vec<UpstreamRun>>,
+    /// Refusals by upstreams, by request id.
+    pub refusals: IndexMap<String, Vec<UpstreamRefusal>>,
     /// Changes, each with the time at which the store accepted the change.
     pub changes: Vec<(Timestamp, StoreChange)>,
     /// Faults that have ended.
@@ -161,6 +187,18 @@
 }
 
 impl Observations {
+    /// Whether the process of a host was ended or paused within an interval.
+    pub(crate) fn is_process_disturbed(&self, host: usize, from: Timestamp, to: Timestamp) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| fault.disturbs_process(host) && fault.overlaps(from, to))
+    }
+
+    /// Whether a fault affected the process or the links of a host within an interval.
+    pub(crate) fn is_host_disturbed(&self, host: usize, from: Timestamp, to: Timestamp) -> bool {
+        let mut faults = self.faults_affecting(host, from, to);
+        faults.any(|fault| fault.scope != FaultScope::Store)
+    }
+
     /// Returns the faults that affected a host and overlap an interval. A fault of the store
     /// affects every host, and a fault of an upstream affects none.
     pub fn faults_affecting(
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod host_process;
 mod limit_checks;
 pub mod link_proxy;
+mod notice_checks;
 mod run;
 pub mod store;
 pub mod upstream;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -24,6 +24,7 @@
 use crate::deployment::lock;
 use crate::fault_draws::draw_faults;
 use crate::fault_draws::draw_limits;
+use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_restores;
 use crate::faults;
 use crate::history::CallerAttempt;
@@ -85,11 +86,13 @@
     sleep(STARTUP_TIME).await;
     let drawn = draw_faults(conf);
     let limits = draw_limits(conf);
+    let notices = draw_notices(conf);
     let restores = draw_restores(conf);
-    let faults = drawn.len() + limits.len() + restores.len();
+    let faults = drawn.len() + limits.len() + notices.len() + restores.len();
     tokio::join!(
         faults::inject_all(&deployment, drawn),
         faults::inject_all(&deployment, limits),
+        faults::inject_all(&deployment, notices),
         faults::inject_all(&deployment, restores)
     );
     sleep(RECOVERY_TIME).await;
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use banyanarch_platform::stand_in;
@@ -34,6 +36,7 @@
 use crate::call;
 use crate::history::History;
 use crate::history::Timestamp;
+use crate::history::UpstreamRefusal;
 use crate::history::UpstreamRun;
 
 /// How an upstream handles requests.
@@ -68,8 +71,8 @@
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
-/// A handle to a stand-in for one upstream, from its start to its end. Clones share the mode, the
-/// advertised limit and the reservations.
+/// A handle to a stand-in for one upstream, from its start to its end. Clones share the mode, what
+/// the responses state, and the reservations.
 #[derive(Clone)]
 pub(crate) struct UpstreamStandIn {
     pub(crate) id: String,
@@ -89,6 +92,10 @@
     mode: watch::Sender<UpstreamMode>,
     /// The limit that responses advertise, in requests per second; none if they advertise none.
     advertised_limit_per_s: Mutex<Option<f64>>,
+    /// Whether responses say that the upstream leaves.
+    is_leaving: AtomicBool,
+    /// The backoff that refusals want; none if requests are not refused.
+    backoff: Mutex<Option<Duration>>,
     /// When each reservation expires, by name.
     reservation_ends: Mutex<IndexMap<String, Timestamp>>,
 }
@@ -112,6 +119,8 @@
             history,
             mode: watch::Sender::new(UpstreamMode::Healthy),
             advertised_limit_per_s: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            backoff: Mutex::default(),
             reservation_ends: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&shared).accept_connections(listener));
@@ -143,6 +152,17 @@
         }
     }
 
+    /// Says in all responses from now on that the upstream leaves.
+    pub(crate) fn start_leaving(&self) {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Refuses all requests and reservations from now on and wants no more from the host for
+    /// `backoff`, or accepts them again if that is none.
+    pub(crate) fn set_backoff(&self, backoff: Option<Duration>) {
+        *self.shared.backoff() = backoff;
+    }
+
     /// Discards expired memory reservations and returns the number of the others.
     pub(crate) fn reservation_count(&self) -> usize {
         let now = self.shared.started_at.elapsed();
@@ -182,11 +202,25 @@
         }
     }
 
+    /// Responds to a request, and states in the response whether the upstream leaves.
+    async fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let mut res = Arc::clone(&self).respond(req, is_leaving).await?;
+        if is_leaving {
+            stand_in::mark_leaving(res.headers_mut());
+        }
+        Ok(res)
+    }
+
     /// Responds to an order to reserve or release memory, to a request for the load report or to a
     /// forwarded call.
-    async fn handle(
+    async fn respond(
         self: Arc<Self>,
         req: Request<Incoming>,
+        says_leaving: bool,
     ) -> Result<Response<Body>, std::io::Error> {
         let mut mode = self.mode.subscribe();
         let current = mode
@@ -212,17 +246,20 @@
         let request = forwarded.request.clone();
         let is_for_other = forwarded.upstream.as_ref().is_some_and(|id| *id != self.id);
         let lacks_reservation = !self.holds_reservation(&forwarded);
-        if is_for_other || lacks_reservation || mode == UpstreamMode::RejectsRequests {
-            let status = if is_for_other {
-                StatusCode::MISDIRECTED_REQUEST
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            };
-            let mut res = full_response(status, String::new());
+        let backoff = *self.backoff();
+        let is_refused = mode == UpstreamMode::RejectsRequests || backoff.is_some();
+        if is_for_other {
+            let mut res = full_response(StatusCode::MISDIRECTED_REQUEST, String::new());
+            stand_in::mark_not_executed(res.headers_mut(), &request);
+            return Ok(res);
+        }
+        if lacks_reservation || is_refused {
+            self.record_refusal(&request, backoff);
+            let mut res = refusal(backoff);
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         }
-        self.record(&head, &body, &forwarded);
+        self.record(&head, &body, &forwarded, says_leaving);
         let delay = if let UpstreamMode::Slow(delay) = mode {
             delay
         } else {
@@ -274,7 +311,13 @@
     }
 
     /// Records a run of a request and whether the request arrived unchanged.
-    fn record(&self, head: &hyper::http::request::Parts, body: &Bytes, forwarded: &ForwardedHead) {
+    fn record(
+        &self,
+        head: &hyper::http::request::Parts,
+        body: &Bytes,
+        forwarded: &ForwardedHead,
+        says_leaving: bool,
+    ) {
         let path = head.uri.path();
         let expected_body = call::request_body(&forwarded.request);
         let is_path_unchanged = call::CallClass::ALL
@@ -291,6 +334,7 @@
                 && body == expected_body.as_bytes(),
             has_key: forwarded.has_key,
             advertised_limit_per_s: *self.advertised_limit(),
+            says_leaving,
         };
         let mut observations = self.history.lock();
         observations
@@ -300,6 +344,21 @@
             .push(run);
     }
 
+    /// Records that a request was refused.
+    fn record_refusal(&self, request: &str, backoff: Option<Duration>) {
+        let refusal = UpstreamRefusal {
+            upstream: self.id.clone(),
+            arrived_at: self.started_at.elapsed(),
+            backoff,
+        };
+        let mut observations = self.history.lock();
+        observations
+            .refusals
+            .entry(request.to_owned())
+            .or_default()
+            .push(refusal);
+    }
+
     /// Executes an order to reserve or release memory and discards expired reservations.
     fn execute_order(&self, order: EngineOrder) -> Response<Body> {
         let now = self.started_at.elapsed();
@@ -307,6 +366,10 @@
         reservation_ends.retain(|_, until| *until > now);
         match order {
             EngineOrder::Reserve { id, hold_ms, .. } => {
+                let backoff = *self.backoff();
+                if backoff.is_some() && !reservation_ends.contains_key(&id) {
+                    return refusal(backoff);
+                }
                 let until = now + Duration::from_millis(hold_ms);
                 reservation_ends.insert(id, until);
             }
@@ -368,6 +431,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn backoff(&self) -> std::sync::MutexGuard<'_, Option<Duration>> {
+        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn reservation_ends(&self) -> std::sync::MutexGuard<'_, IndexMap<String, Timestamp>> {
         self.reservation_ends
             .lock()
@@ -389,6 +456,15 @@
     }
 }
 
+/// Returns a refusal, with the time for which the upstream wants no requests, if any.
+fn refusal(backoff: Option<Duration>) -> Response<Body> {
+    let mut res = full_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
+    if let Some(backoff) = backoff {
+        stand_in::set_backoff(res.headers_mut(), backoff);
+    }
+    res
+}
+
 /// Returns a response with a complete body.
 fn full_response(status: StatusCode, text: String) -> Response<Body> {
     let body = http_body_util::Full::new(Bytes::from(text));
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -17,6 +17,7 @@
 use soak::history::LimitPeriod;
 use soak::history::Observations;
 use soak::history::StoreChange;
+use soak::history::UpstreamRefusal;
 use soak::history::UpstreamRun;
 use yare::parameterized;
 
@@ -106,6 +107,7 @@
         is_unchanged: true,
         has_key: false,
         advertised_limit_per_s: None,
+        says_leaving: false,
     }
 }
 
@@ -320,3 +322,82 @@
     };
     assert!(is_limit_violated(60, Some(store)));
 }
+
+const NOTICE_GUARANTEES: [&str; 2] = [
+    "an upstream that says that it leaves gets no new requests",
+    "an upstream gets no requests while it wants none",
+];
+
+/// Checks requests to one upstream, one each 100 ms from 10 s on, the first of which was refused
+/// with a backoff of 3 s or was answered by an upstream that leaves. Returns whether a guarantee
+/// about this was violated.
+fn is_notice_violated(
+    requests: u64,
+    backoff: Option<Duration>,
+    host_fault: Option<FaultRecord>,
+) -> bool {
+    let mut observations = Observations::default();
+    for index in 0..requests {
+        let request = format!("00010000{index:02x}");
+        let (mut caller, _) = served(CallClass::Idempotent);
+        caller.sent_at = at(10_000 + index * 100);
+        caller.ended_at = caller.sent_at + at(50);
+        if index == 0 && backoff.is_some() {
+            let refusal = UpstreamRefusal {
+                upstream: "u001".to_owned(),
+                arrived_at: at(10_000),
+                backoff,
+            };
+            observations.refusals.insert(request.clone(), vec![refusal]);
+        } else {
+            let run = UpstreamRun {
+                says_leaving: backoff.is_none(),
+                ..run_at(10_000 + index * 100)
+            };
+            observations.runs.insert(request.clone(), vec![run]);
+        }
+        observations.attempts.insert(request, caller);
+    }
+    observations.faults.extend(host_fault);
+    let violations = check(&observations, GuaranteeSet::All, at(10_000));
+    let mut guarantees = violations.iter().map(|violation| violation.guarantee);
+    guarantees.any(|guarantee| NOTICE_GUARANTEES.contains(&guarantee))
+}
+
+fn fault(scope: FaultScope) -> Option<FaultRecord> {
+    Some(FaultRecord {
+        from: at(10_200),
+        to: at(10_300),
+        scope,
+    })
+}
+
+/// Guards against a check that never finds a request to an upstream that leaves, or that counts
+/// those of hosts that were restarted. A cut or a lost store is no excuse.
+#[test]
+fn requests_to_an_upstream_that_leaves_are_found() {
+    assert!(
+        !is_notice_violated(20, None, None),
+        "within the reaction time"
+    );
+    assert!(is_notice_violated(24, None, None));
+    let (cut, store) = (FaultScope::Hosts(vec![0]), FaultScope::Store);
+    assert!(is_notice_violated(24, None, fault(cut)));
+    assert!(is_notice_violated(24, None, fault(store)));
+    let (paused, stopped) = (FaultScope::Processes(vec![0]), FaultScope::PlannedStop(0));
+    assert!(!is_notice_violated(24, None, fault(paused)));
+    assert!(!is_notice_violated(24, None, fault(stopped)));
+}
+
+/// Guards against a check that never finds a request to an upstream that wants none, or that counts
+/// those of hosts that were disturbed.
+#[test]
+fn requests_to_an_upstream_that_wants_none_are_found() {
+    let backoff = Some(at(3_000));
+    assert!(!is_notice_violated(8, backoff, None), "two are allowed");
+    assert!(is_notice_violated(9, backoff, None));
+    assert!(is_notice_violated(9, backoff, fault(FaultScope::Store)));
+    let (cut, paused) = (FaultScope::Hosts(vec![0]), FaultScope::Processes(vec![0]));
+    assert!(!is_notice_violated(9, backoff, fault(cut)));
+    assert!(!is_notice_violated(9, backoff, fault(paused)));
+}
