--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -36,8 +36,8 @@
 use crate::gateway::log_limiter::LogLimiter;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
-use crate::gateway::unknown_headers::UnknownHeaders;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
+use crate::observe::SeenNames;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
 
@@ -117,7 +117,7 @@
     /// Limits the log lines about malformed notices, by upstream and kind of notice.
     pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
     /// The unknown headers in responses of upstreams.
-    pub(crate) unknown_headers: UnknownHeaders,
+    pub(crate) unknown_headers: SeenNames,
     /// The crashes that this host has detected recently, with the time of each.
     crashes: Mutex<VecDeque<(Instant, PoisonReport)>>,
 }
@@ -168,7 +168,7 @@
             rate_limits: RateLimits::new(started_at),
             availability: Mutex::default(),
             malformed_notices: LogLimiter::default(),
-            unknown_headers: UnknownHeaders::default(),
+            unknown_headers: SeenNames::default(),
             crashes: Mutex::default(),
         }
     }
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::exchange::HostUpdate;
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::Gateway;
@@ -138,3 +139,28 @@
     assert_eq!(res.body().as_ref(), b"received");
     assert_eq!(received.arrivals()[0].header("test-upstream"), Some("b"));
 }
+
+/// An update in the format of the previous version, which knows nothing of leaving upstreams.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct PreviousHostUpdate {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+}
+
+/// Guards against a host of the previous version that can't read the updates of this one.
+#[test]
+fn the_previous_version_reads_updates_that_name_leaving_upstreams() {
+    let update = HostUpdate {
+        host: "first".to_owned(),
+        sequence: 7,
+        leaving_upstreams: vec![1, 2],
+        ..HostUpdate::default()
+    };
+    let read = PreviousHostUpdate::decode(update.encode_to_vec().as_slice()).unwrap();
+    assert_eq!((read.host.as_str(), read.sequence), ("first", 7));
+    let previous = HostUpdate::decode(read.encode_to_vec().as_slice()).unwrap();
+    assert!(previous.leaving_upstreams.is_empty());
+}
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -20,6 +20,8 @@
 use banyanarch::observe::Explanations;
 use banyanarch::observe::HostCounts;
 use banyanarch::observe::Metrics;
+use banyanarch::observe::SeenNames;
+use banyanarch::observe::Sighting;
 use banyanarch::observe::StepKind;
 use banyanarch::observe::logs;
 use banyanarch::settings::LogFormat;
@@ -316,3 +318,18 @@
     assert_eq!(line["kvs"]["request"], RequestId(9).to_string());
     assert!(!stderr.contains("not shown"));
 }
+
+/// Guards against memory and metrics that grow with the names that other systems choose.
+#[test]
+fn a_bounded_number_of_names_is_remembered() {
+    let names = SeenNames::default();
+    assert_eq!(names.record("a"), Sighting::First);
+    assert_eq!(names.record("a"), Sighting::Repeated);
+    let others = (0..100).map(|index| names.record(&format!("b{index}")));
+    let remembered = others
+        .filter(|sighting| *sighting == Sighting::First)
+        .count();
+    assert_eq!(remembered, 31);
+    assert_eq!(names.record("c"), Sighting::Unrecorded);
+    assert_eq!(names.record("a"), Sighting::Repeated);
+}
