Model: engines that refuse in turn and ask for a pause

tests/engine_world lets one engine in five refuse all requests, in turn for 8 s each, and ask for 3 s without any; hosts obey it or, as before, know only their own pause of 150 ms.

--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -3,12 +3,14 @@
 //!
 //! ```text
 //! cargo run --release --example engine_loads -- [--seeds N] [--site NAME] [--long X]
-//!     [--engines N] [--slow known|unknown]
+//!     [--engines N] [--slow known|unknown] [--refusals obeyed|ignored]
 //! ```
 //!
 //! Sites are middle, small, large, shifted, domains and largest. `--long` simulates only this rate
 //! of long prompts, and `--engines` replaces the number of engines of the site. With `--slow`, one
-//! engine in five takes three and a half times as long from the third to the twelfth second.
+//! engine in five takes three and a half times as long from the third to the twelfth second. With
+//! `--refusals`, one engine in five refuses all requests and asks for 3 s without any, in turn for 8
+//! s each, for the whole run.
 
 #[path = "../../tests/engine_world/mod.rs"]
 mod engine_world;
@@ -21,6 +23,7 @@
 use engine_world::Load;
 use engine_world::MEDIUM;
 use engine_world::Phase;
+use engine_world::RefusalPeriod;
 use engine_world::RequestResult;
 use engine_world::RunResults;
 use engine_world::SHORT;
@@ -98,6 +101,18 @@
     }
 }
 
+/// Returns the period of refusing engines.
+fn refusal_period(is_obeyed: bool) -> RefusalPeriod {
+    RefusalPeriod {
+        from: Duration::ZERO,
+        until: Duration::MAX,
+        one_in: 5,
+        turn: Duration::from_secs(8),
+        backoff: Duration::from_secs(3),
+        is_obeyed,
+    }
+}
+
 /// Simulates each selected site with each rate of long prompts, and prints the mean results of
 /// callers.
 fn main() -> Result<(), pico_args::Error> {
@@ -106,6 +121,8 @@
     let only: Option<String> = args.opt_value_from_str("--site")?;
     let slow: Option<String> = args.opt_value_from_str("--slow")?;
     let slow = slow.map(|slow| slow_period(slow == "known"));
+    let refusals: Option<String> = args.opt_value_from_str("--refusals")?;
+    let refusals = refusals.map(|refusals| refusal_period(refusals == "obeyed"));
     let long: Option<f64> = args.opt_value_from_str("--long")?;
     let engines: Option<usize> = args.opt_value_from_str("--engines")?;
     let rates = long.map_or_else(|| LONG_RATES.to_vec(), |long| vec![long]);
@@ -119,6 +136,7 @@
     ];
     for (name, mut site) in sites {
         site.slow = slow;
+        site.refusals = refusals;
         site.engines = engines.unwrap_or(site.engines);
         if only.as_ref().is_some_and(|only| only != name) {
             continue;
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -9,6 +9,7 @@
 use engine_world::Load;
 use engine_world::MEDIUM;
 use engine_world::Phase;
+use engine_world::RefusalPeriod;
 use engine_world::RequestResult;
 use engine_world::RunResults;
 use engine_world::SHORT;
@@ -190,3 +191,41 @@
     );
     assert!(informed > 0.90, "{informed}");
 }
+
+fn with_refusing_engines(is_obeyed: bool) -> Site {
+    let mut site = Site::middle();
+    site.refusals = Some(RefusalPeriod {
+        from: Duration::ZERO,
+        until: Duration::MAX,
+        one_in: 5,
+        turn: Duration::from_secs(8),
+        backoff: Duration::from_secs(3),
+        is_obeyed,
+    });
+    site
+}
+
+/// A fifth of the engines refuses all requests in turn and asks for 3 s without any. If hosts go on
+/// sending there, each of these prompts loses time, and refusals use up the retries.
+#[test]
+fn engines_that_want_no_requests_are_spared_at_no_cost_to_callers() {
+    let phases = [Phase {
+        for_s: 20.0,
+        factors: [1.0, 1.0, 1.0],
+    }];
+    let (mut obeying, mut ignoring) = (0.0, 0.0);
+    let (mut refusals, mut refusals_ignoring) = (0, 0);
+    for seed in 1..=3 {
+        let obeyed = run(&with_refusing_engines(true), &phases, seed);
+        obeying += obeyed.earned_in_total() / 3.0;
+        refusals += obeyed.rejected_sends();
+        let ignored = run(&with_refusing_engines(false), &phases, seed);
+        ignoring += ignored.earned_in_total() / 3.0;
+        refusals_ignoring += ignored.rejected_sends();
+    }
+    assert!(
+        refusals * 2 < refusals_ignoring,
+        "{refusals}, {refusals_ignoring} ignoring"
+    );
+    assert!(obeying > ignoring, "{obeying}, {ignoring} ignoring");
+}
--- a/tests/engine_world/host.rs
+++ b/tests/engine_world/host.rs
@@ -3,13 +3,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::AvailabilityTracker;
+use banyanarch::decide::HealthTracker;
 use banyanarch::decide::HostLoad;
 use banyanarch::decide::LimitState;
 use banyanarch::decide::LoadLedger;
+use banyanarch::decide::UpstreamAvailability;
+use banyanarch::decide::UpstreamFault;
 use banyanarch::decide::engines::EngineChoice;
 use banyanarch::decide::engines::EngineRequest;
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::FailureDomainId;
 use banyanarch::units::HostId;
 use banyanarch::units::UpstreamId;
 use indexmap::IndexMap;
@@ -29,6 +34,9 @@
     pub id: HostId,
     pub domain: usize,
     pub ledger: LoadLedger,
+    health: HealthTracker,
+    availability: AvailabilityTracker,
+    engine_domain: FailureDomainId,
     pub next_report_at: Option<Duration>,
     pub last_report_at: Option<Duration>,
     /// When the next report would be sent if reports were evenly spaced.
@@ -41,6 +49,9 @@
             id: format!("host-{index:02}").parse().unwrap(),
             domain,
             ledger: LoadLedger::default(),
+            health: HealthTracker::default(),
+            availability: AvailabilityTracker::default(),
+            engine_domain: "engines".parse().unwrap(),
             next_report_at: None,
             last_report_at: None,
             next_even_report_at: Duration::ZERO,
@@ -64,6 +75,23 @@
             .record_host_loads(report.host.clone(), 1, report.loads.clone(), now);
     }
 
+    /// Records that an engine has refused a request and asks for this backoff; none if it is
+    /// ignored.
+    pub fn on_refusal(&mut self, engine: &UpstreamId, backoff: Option<Duration>, now: Instant) {
+        let fault = UpstreamFault::RequestRefused;
+        self.health
+            .on_fault(engine, &self.engine_domain, fault, now);
+        if let Some(backoff) = backoff {
+            self.availability.on_backoff(engine, backoff, now);
+        }
+    }
+
+    /// Whether the host may send to an engine.
+    fn is_usable(&self, engine: &UpstreamId, now: Instant) -> bool {
+        self.health.is_usable(engine, &self.engine_domain, now)
+            && self.availability.availability(engine, now) == UpstreamAvailability::Available
+    }
+
     pub fn choose(
         &self,
         site: &Site,
@@ -79,7 +107,11 @@
             slowdown: site.known_slowdown(index, at),
             limit: LimitState::Unlimited,
         };
-        let views: Vec<EngineView> = engines.iter().enumerate().map(view).collect();
+        let usable = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, id)| self.is_usable(id, now));
+        let views: Vec<EngineView> = usable.map(view).collect();
         choose_engines(&site.model, &views, engine_request)
     }
 }
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -9,6 +9,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::refusals::RefusalPeriod;
+
 /// The properties of one class of requests. Lengths have a log-normal distribution with the given
 /// mean and spread (standard deviation relative to the mean).
 #[derive(Clone, Debug)]
@@ -89,6 +91,7 @@
     /// Number of urgent reports that a host may send ahead of its even interval.
     pub urgent_burst: u32,
     pub slow: Option<SlowPeriod>,
+    pub refusals: Option<RefusalPeriod>,
 }
 
 /// One request of a load.
@@ -141,6 +144,7 @@
             urgent_interval: Duration::from_millis(10),
             urgent_burst: 3,
             slow: None,
+            refusals: None,
         }
     }
 
@@ -171,6 +175,12 @@
         site
     }
 
+    /// Whether an engine refuses all requests at a time.
+    pub fn refuses(&self, engine: usize, at: Duration) -> bool {
+        self.refusals
+            .is_some_and(|period| period.refuses(engine, at))
+    }
+
     /// The slowdown of an engine at a time.
     pub fn slowdown(&self, engine: usize, at: Duration) -> Slowdown {
         match self.slow {
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -9,6 +9,7 @@
 mod event_queue;
 mod host;
 mod load;
+mod refusals;
 mod run_results;
 mod world;
 
@@ -19,6 +20,7 @@
 pub use load::SHORT;
 pub use load::Site;
 pub use load::SlowPeriod;
+pub use refusals::RefusalPeriod;
 pub use run_results::RequestResult;
 pub use run_results::RunResults;
 pub use world::World;
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -249,6 +249,12 @@
     /// Gives the parts of a prompt to its engines, unless a helper rejects its part.
     fn start(&mut self, request: usize) {
         let plan = self.states[request].plan.clone().unwrap();
+        let leader = self.index(&plan.leader);
+        if self.site.refuses(leader, self.now) {
+            self.on_refusal(request, &plan.leader);
+            self.reject_send(request);
+            return;
+        }
         if !self.claim_helpers(request, &plan) {
             self.reject_send(request);
             return;
@@ -266,6 +272,14 @@
         }
     }
 
+    /// Lets the host of a request know that the leader of its plan has refused it.
+    fn on_refusal(&mut self, request: usize, leader: &UpstreamId) {
+        let period = self.site.refusals.filter(|period| period.is_obeyed);
+        let now = self.instant();
+        let host = self.states[request].host;
+        self.hosts[host].on_refusal(leader, period.map(|period| period.backoff), now);
+    }
+
     /// Claims a helper slot at each helper of the plan. Returns false if one of them has none free.
     fn claim_helpers(&mut self, request: usize, plan: &EnginePlan) -> bool {
         let helpers: Vec<usize> = plan.helpers.iter().map(|id| self.index(id)).collect();
