--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -357,3 +357,26 @@
     req.headers_mut().insert("test-prompt", prompt);
     req
 }
+
+/// Guards against a backoff that is taken for that of another upstream, which the refusal names as
+/// its cause.
+#[tokio::test]
+async fn a_backoff_is_that_of_the_upstream_that_answers() {
+    let catalog = FakeCatalog::new(table(1));
+    let a = ScriptedUpstream::start([ScriptStep::Refuse]).await;
+    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
+    catalog.list("a", "app", a.addr);
+    catalog.list("b", "app", b.addr);
+    let host = TestHost::start("host", &catalog).await;
+    let lines = format!("test-backoff-ms: 60000\r\ntest-at-fault: {}\r\n", b.addr);
+    a.set_header_lines(&lines);
+    call_until_logged(&host, "upstream_backoff").await;
+    let named = |line: &Value| line["upstream"] == "b" && line["event"] == "upstream_fault";
+    wait_until(|| host.log.lines().iter().any(named)).await;
+    let before = a.arrivals().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(&host).await, 200);
+    }
+    assert_eq!(a.arrivals().len(), before);
+    assert_eq!(events(&host, "upstream_backoff").len(), 1);
+}
--- a/tests/gateway_world/header_codec.rs
+++ b/tests/gateway_world/header_codec.rs
@@ -103,7 +103,7 @@
             is_signed: headers.contains_key("test-signature"),
             did_not_run: headers.contains_key("test-not-run"),
             is_for_request: text(headers, "test-request").unwrap_or_default() == request,
-            at_fault: None,
+            at_fault: text(headers, "test-at-fault").and_then(|addr| addr.parse().ok()),
             notices: UpstreamNotices {
                 limit: limit(headers),
                 leaving: leaving(headers),
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -63,7 +63,7 @@
     /// The limit that responses advertise.
     limit: Option<&'static str>,
     /// Further header lines of all responses, each with its line end.
-    header_lines: &'static str,
+    header_lines: String,
 }
 
 /// A scripted upstream on a port of its own. The last step of the script is repeated.
@@ -109,8 +109,8 @@
     }
 
     /// Adds these header lines, each with its line end, to all responses from now on.
-    pub fn set_header_lines(&self, lines: &'static str) {
-        self.state.lock().unwrap().header_lines = lines;
+    pub fn set_header_lines(&self, lines: &str) {
+        lines.clone_into(&mut self.state.lock().unwrap().header_lines);
     }
 
     async fn serve(&self, mut stream: TcpStream) {
@@ -133,7 +133,7 @@
         let request = arrival.header("test-request").unwrap_or_default();
         let (limit, lines) = {
             let state = self.state.lock().unwrap();
-            (state.limit, state.header_lines)
+            (state.limit, state.header_lines.clone())
         };
         let limit = limit.map_or_else(String::new, |limit| format!("test-limit: {limit}\r\n"));
         let signed = format!("test-request: {request}\r\ntest-signature: s\r\n{limit}{lines}");
