--- a/src/decide/availability_tracker.rs
+++ b/src/decide/availability_tracker.rs
@@ -11,8 +11,8 @@
 use crate::decide::UpstreamAvailability;
 use crate::units::UpstreamId;
 
-/// The longest backoff that an upstream can request. A longer one would take capacity out for the
-/// rest of the day because of a single wrong value.
+/// The longest backoff that an upstream can request. Without a bound, a single wrong value would
+/// take an upstream out until it restarts.
 pub const BACKOFF_MAX: Duration = Duration::from_secs(600);
 /// How long an upstream that has left the list is remembered as leaving. A store that was restored
 /// from an older copy lists it again for a shorter time.
@@ -64,7 +64,8 @@
     }
 
     /// Records that an upstream wants no requests for `requested`, of which at most [`BACKOFF_MAX`]
-    /// counts. Returns the backoff if it ends later than a previous one, which otherwise stays.
+    /// counts. Returns the backoff if it is not zero and ends later than a previous one, which
+    /// otherwise stays.
     pub fn on_backoff(
         &mut self,
         upstream: &UpstreamId,
@@ -72,6 +73,9 @@
         now: Instant,
     ) -> Option<Duration> {
         let granted = requested.min(BACKOFF_MAX);
+        if granted.is_zero() {
+            return None;
+        }
         let ends_at = now + granted;
         let record = self.0.entry(upstream.clone()).or_default();
         if record.backoff.is_some_and(|known| known.ends_at >= ends_at) {
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -29,7 +29,7 @@
     /// Time until the first upstream accepts requests again.
     pub(crate) ends_in: Duration,
     /// Whether an upstream that the call was already sent to accepts requests.
-    pub(crate) has_tried: bool,
+    pub(crate) has_tried_available: bool,
     /// Time until the first upstream that the call was not sent to accepts requests; none if it was
     /// sent to all.
     pub(crate) untried_ends_in: Option<Duration>,
@@ -90,7 +90,7 @@
     let untried = candidates.iter().filter(|candidate| !candidate.is_tried);
     Some(ServiceBackoff {
         ends_in: backing_off().min()?,
-        has_tried: candidates
+        has_tried_available: candidates
             .iter()
             .any(|candidate| candidate.availability == UpstreamAvailability::Available),
         untried_ends_in: untried.filter_map(Candidate::backoff_left).min(),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -182,7 +182,7 @@
     }
     PlacementDecision::Refuse(CallRefusal::Overload {
         reason: RefuseReason::UpstreamBackoff,
-        retry_after: if backoff.has_tried {
+        retry_after: if backoff.has_tried_available {
             backoff.ends_in.min(NO_UPSTREAM_RETRY_AFTER)
         } else {
             backoff.ends_in
--- a/src/gateway/stated.rs
+++ b/src/gateway/stated.rs
@@ -11,3 +11,14 @@
     /// The header is not valid. Contains the start of its text.
     Malformed(String),
 }
+
+impl<T> Stated<T> {
+    /// Converts the value, if there is one.
+    pub fn and_then<U>(self, convert: impl FnOnce(T) -> Stated<U>) -> Stated<U> {
+        match self {
+            Self::Absent => Stated::Absent,
+            Self::Value(value) => convert(value),
+            Self::Malformed(text) => Stated::Malformed(text),
+        }
+    }
+}
--- a/tests/decide_availability.rs
+++ b/tests/decide_availability.rs
@@ -42,6 +42,15 @@
     assert_eq!(availability, UpstreamAvailability::Available);
 }
 
+/// Guards against a backoff of no time that is recorded and logged at each refusal.
+#[test]
+fn a_backoff_of_zero_is_none() {
+    let (a, start) = (upstream("a"), Instant::now());
+    let mut tracker = AvailabilityTracker::default();
+    assert_eq!(tracker.on_backoff(&a, Duration::ZERO, start), None);
+    assert_eq!(tracker.age(&a, start), None);
+}
+
 /// Guards against a leaving upstream that gets requests again because a list names it again, or
 /// because its backoff ends.
 #[test]
