Entry: a reply that is dropped midway does not end like a complete one

What callers could see: a part of a plain service's answer, with a body in chunks, that looks like the whole, where the caller read nothing for 30 s or the task that sends the reply panicked.

Cause: the body ended as complete when its sender was dropped, and only one of the ways out sent the mark that breaks the connection. A marker for the exception is forgotten on each way that nobody thought of.

Change: the complete end is said (BodyChunk::End); whatever else ends the sender truncates the body. The gateway's own path pulls its chunks from the upstream without a sender and needs no change.

--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -69,8 +69,9 @@
 
 /// The body of a reply, which hyper reads frame by frame.
 ///
-/// A body in chunks ends as a complete one when its sender is dropped. Only [`BodyChunk::Abort`]
-/// makes it end with an error.
+/// A body in chunks ends as a complete one only with [`BodyChunk::End`]. If its sender is dropped
+/// before, it ends with an error, which makes the server break the connection, so that the caller
+/// does not mistake a part of a reply for the whole.
 #[derive(Debug)]
 pub enum ReplyBody {
     /// The whole body in one buffer; none once it has been sent.
@@ -79,14 +80,13 @@
     Chunks(mpsc::Receiver<BodyChunk>),
 }
 
-/// A chunk of a body, or the marker that makes the server break the connection, so that the caller
-/// does not mistake a part of a reply for the whole.
+/// A chunk of a body, or its end.
 #[derive(Debug)]
 pub enum BodyChunk {
     /// Bytes of the body.
     Data(Bytes),
-    /// The reply ends here and is incomplete.
-    Abort,
+    /// The body ends here and is complete.
+    End,
 }
 
 /// The body error for an incomplete reply. The server breaks the connection when it receives this
@@ -112,9 +112,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks(chunks) => chunks.poll_recv(cx).map(|chunk| match chunk? {
-                BodyChunk::Data(bytes) => Some(Ok(Frame::data(bytes))),
-                BodyChunk::Abort => Some(Err(TruncatedBody)),
+            Self::Chunks(chunks) => chunks.poll_recv(cx).map(|chunk| match chunk {
+                Some(BodyChunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(BodyChunk::End) => None,
+                None => Some(Err(TruncatedBody)),
             }),
         }
     }
@@ -226,17 +227,13 @@
     /// stream gets its last event with the finish reason and the token counts.
     pub async fn complete(&mut self, finish_reason: &str, usage: Usage) -> Result<(), CallerGone> {
         match self.format {
-            ReplyFormat::PassThrough => {
-                self.chunks = None;
-                Ok(())
-            }
+            ReplyFormat::PassThrough => self.end_chunks().await,
             ReplyFormat::Stream(kind) => {
                 self.open_stream()?;
                 let last = self.stream_event(kind, "", Some((finish_reason, usage)));
                 self.send(last).await?;
                 self.send(Bytes::from_static(b"data: [DONE]\n\n")).await?;
-                self.chunks = None;
-                Ok(())
+                self.end_chunks().await
             }
             ReplyFormat::Json(kind) => {
                 let body = self.json_body(kind, finish_reason, usage);
@@ -265,8 +262,7 @@
         }
         if let ReplyFormat::Stream(_) = self.format {
             self.send(Bytes::from(format!("data: {body}\n\n"))).await?;
-        } else {
-            self.send_chunk(BodyChunk::Abort).await?;
+            return self.end_chunks().await;
         }
         self.chunks = None;
         Ok(())
@@ -314,6 +310,13 @@
         self.send_chunk(BodyChunk::Data(bytes)).await
     }
 
+    /// Ends a body in chunks as a complete one.
+    async fn end_chunks(&mut self) -> Result<(), CallerGone> {
+        self.send_chunk(BodyChunk::End).await?;
+        self.chunks = None;
+        Ok(())
+    }
+
     async fn send_chunk(&self, chunk: BodyChunk) -> Result<(), CallerGone> {
         let chunks = self.chunks.as_ref().ok_or(CallerGone)?;
         let sent = tokio::time::timeout(CALLER_STALL_TIMEOUT, chunks.send(chunk)).await;
