Soak: a broken connection arrives as one at the other end of a link

What the soak could not show: how hosts take a connection that breaks. An upstream that crashed was silent for them until their own timeout, and a link that resets ended its open connections like a regular close.

Cause: the proxy waited until both directions had failed, and the one from a caller that waits for its answer never does. On a reset it dropped halves of the streams, which shut the connection down before the reset.

Evidence: a_connection_that_one_end_breaks_is_reset_at_the_other and a_reset_link_resets_its_connections, both red on the code before.

Now the first direction that fails resets both ends.

--- a/soak/src/link_proxy.rs
+++ b/soak/src/link_proxy.rs
@@ -1,17 +1,21 @@
 //! A loopback proxy in front of one address, which can delay, stall or reset the traffic.
 
+use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::time::Duration;
 
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::sockopt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::ReadHalf;
+use tokio::io::WriteHalf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
 /// How a proxy treats the traffic.
@@ -27,16 +31,16 @@
     /// Bytes to the target and new connections stall; bytes from the target are forwarded.
     /// Datagrams are dropped.
     StalledToTarget,
-    /// Existing connections are closed and new ones are reset. Datagrams are dropped.
+    /// Existing and new connections are reset. Datagrams are dropped.
     Reset,
 }
 
 /// A handle to a proxy for TCP connections and for UDP datagrams to the target, on one address.
 /// Clones share the mode. Dropping the handle does not stop the proxy.
 #[derive(Clone, Debug)]
-pub(crate) struct LinkProxy {
+pub struct LinkProxy {
     /// The address on which the proxy listens.
-    pub(crate) addr: SocketAddr,
+    pub addr: SocketAddr,
     mode: Arc<watch::Sender<LinkMode>>,
 }
 
@@ -50,7 +54,7 @@
 impl LinkProxy {
     /// Starts a proxy for TCP connections and UDP datagrams on a port of `ip` that is free for
     /// both.
-    pub(crate) async fn start(ip: IpAddr, target: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start(ip: IpAddr, target: SocketAddr) -> io::Result<Self> {
         let mut failed_attempts = 0;
         let (listener, socket) = loop {
             let listener = TcpListener::bind((ip, 0)).await?;
@@ -68,8 +72,8 @@
     }
 
     /// Changes how the proxy treats existing and new connections and datagrams. Connections
-    /// that [`LinkMode::Reset`] closed stay closed.
-    pub(crate) fn set_mode(&self, mode: LinkMode) {
+    /// that [`LinkMode::Reset`] has reset stay closed.
+    pub fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
 }
@@ -82,11 +86,11 @@
     }
 }
 
-/// Connects to the target and forwards bytes until both directions have ended or the mode becomes
-/// [`LinkMode::Reset`].
+/// Connects to the target and forwards bytes until both directions have ended. Resets both ends if
+/// one of them breaks the connection or the mode becomes [`LinkMode::Reset`].
 async fn proxy_connection(client: TcpStream, target: SocketAddr, mut mode: ModeReceiver) {
     if *mode.borrow() == LinkMode::Reset {
-        return reset_on_drop(&client);
+        return reset_when_closed(&client);
     }
     // While the link is stalled, the target must not receive new connections.
     let is_open = |mode: &LinkMode| !matches!(mode, LinkMode::Stalled | LinkMode::StalledToTarget);
@@ -94,52 +98,40 @@
         return;
     }
     let Ok(target_stream) = TcpStream::connect(target).await else {
-        return reset_on_drop(&client);
+        return reset_when_closed(&client);
     };
     let (_, _) = (client.set_nodelay(true), target_stream.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = target_stream.into_split();
+    // The streams are dropped with the futures that forward, before they could be reset.
+    let cloned = [&client, &target_stream].map(|stream| stream.as_fd().try_clone_to_owned());
+    let [Ok(client_fd), Ok(target_fd)] = cloned else {
+        return;
+    };
+    // Unlike the halves of `into_split`, these do not shut the connection down when dropped.
+    let (client_read, client_write) = tokio::io::split(client);
+    let (target_read, target_write) = tokio::io::split(target_stream);
     let to_target = copy_bytes(client_read, target_write, mode.clone(), true);
     let from_target = copy_bytes(target_read, client_write, mode.clone(), false);
-    let halves_at_end = tokio::select! {
-        _ = mode.wait_for(|mode| *mode == LinkMode::Reset) => None,
-        halves = async { tokio::join!(to_target, from_target) } => Some(halves),
+    let is_broken = tokio::select! {
+        _ = mode.wait_for(|mode| *mode == LinkMode::Reset) => true,
+        ended = async { tokio::try_join!(to_target, from_target) } => ended.is_err(),
     };
-    if let Some((
-        (Some(client_read), Some(target_write)),
-        (Some(target_read), Some(client_write)),
-    )) = halves_at_end
-    {
-        // One end broke the connection, so the other end must see a reset.
-        for stream in [
-            client_read.reunite(client_write),
-            target_read.reunite(target_write),
-        ]
-        .into_iter()
-        .flatten()
-        {
-            reset_on_drop(&stream);
-        }
+    if is_broken {
+        reset_when_closed(&client_fd);
+        reset_when_closed(&target_fd);
     }
 }
 
-/// The read half and the write half of a direction that broke; none if the direction ended
-/// regularly.
-type BrokenHalves = (Option<OwnedReadHalf>, Option<OwnedWriteHalf>);
-
-/// Forwards bytes in one direction up to the end of the stream, and then the end itself. Returns
-/// both halves if one of them failed.
+/// Forwards bytes in one direction up to the end of the stream, and then the end itself. Fails if
+/// one of the connections breaks.
 async fn copy_bytes(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
     mut mode: ModeReceiver,
     is_to_target: bool,
-) -> BrokenHalves {
+) -> io::Result<()> {
     let mut buffer = vec![0_u8; BUFFER_BYTES];
     loop {
-        let Ok(count) = from.read(&mut buffer).await else {
-            return (Some(from), Some(to));
-        };
+        let count = from.read(&mut buffer).await?;
         let is_passing = |mode: &LinkMode| match mode {
             LinkMode::Stalled => false,
             LinkMode::StalledToTarget => !is_to_target,
@@ -147,18 +139,17 @@
         };
         let current = match mode.wait_for(is_passing).await {
             Ok(current) => *current,
-            Err(_) => return (None, None),
+            Err(_) => return Ok(()),
         };
         if let LinkMode::Delayed(delay) = current {
             tokio::time::sleep(delay).await;
         }
         if count == 0 {
+            // Fails if the other end has closed the connection already.
             let _ = to.shutdown().await;
-            return (None, None);
-        }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return (Some(from), Some(to));
+            return Ok(());
         }
+        to.write_all(&buffer[..count]).await?;
     }
 }
 
@@ -181,8 +172,13 @@
     }
 }
 
-/// Makes the stream send a TCP reset when it is dropped, by a linger time of zero.
-#[allow(deprecated)]
-fn reset_on_drop(stream: &TcpStream) {
-    let _ = stream.set_linger(Some(Duration::ZERO));
+/// Makes a connection send a TCP reset when it is closed, by a linger time of zero.
+fn reset_when_closed(stream: &impl AsFd) {
+    let linger = nix::libc::linger {
+        l_onoff: 1,
+        l_linger: 0,
+    };
+    if let Err(err) = setsockopt(stream, sockopt::Linger, &linger) {
+        println!("soak: cannot set the linger time of a connection: {err}");
+    }
 }
--- /dev/null
+++ b/soak/tests/link_proxy.rs
@@ -0,0 +1,67 @@
+//! Tests of the proxies that stand for links between machines.
+
+use std::io::ErrorKind;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use soak::link_proxy::LinkMode;
+use soak::link_proxy::LinkProxy;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+/// How long a test waits for the end of a connection before it fails.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A proxy with an open connection: the proxy, and the streams of the client and of the target,
+/// each of which has received a byte from the other.
+async fn open_connection() -> (LinkProxy, TcpStream, TcpStream) {
+    let listener = TcpListener::bind((LOOPBACK, 0)).await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let proxy = LinkProxy::start(LOOPBACK, target).await.unwrap();
+    let mut client = TcpStream::connect(proxy.addr).await.unwrap();
+    let (mut target, _) = listener.accept().await.unwrap();
+    client.write_all(b"a").await.unwrap();
+    target.write_all(b"b").await.unwrap();
+    assert_eq!(target.read_u8().await.unwrap(), b'a');
+    assert_eq!(client.read_u8().await.unwrap(), b'b');
+    (proxy, client, target)
+}
+
+/// Reads from a connection up to its end, and returns how it ended.
+async fn end_of(mut stream: TcpStream) -> Result<usize, ErrorKind> {
+    let mut rest = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut rest)).await;
+    read.expect("the connection ends").map_err(|err| err.kind())
+}
+
+/// Guards against a link whose resets look like a regular end of its connections.
+#[tokio::test]
+async fn a_reset_link_resets_its_connections() {
+    let (proxy, client, target) = open_connection().await;
+    proxy.set_mode(LinkMode::Reset);
+    assert_eq!(end_of(client).await, Err(ErrorKind::ConnectionReset));
+    assert_eq!(end_of(target).await, Err(ErrorKind::ConnectionReset));
+}
+
+/// Guards against a crashed target that the client takes for a silent one.
+#[tokio::test]
+async fn a_connection_that_one_end_breaks_is_reset_at_the_other() {
+    let (_proxy, client, target) = open_connection().await;
+    #[allow(deprecated)]
+    target.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(target);
+    assert_eq!(end_of(client).await, Err(ErrorKind::ConnectionReset));
+}
+
+/// A regular end must stay one, with all that was sent before it.
+#[tokio::test]
+async fn a_regular_end_is_forwarded() {
+    let (_proxy, client, mut target) = open_connection().await;
+    target.write_all(b"rest").await.unwrap();
+    drop(target);
+    assert_eq!(end_of(client).await, Ok(4));
+}
