--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -62,7 +62,7 @@
     pub upstream: String,
     /// The service of the upstream.
     pub service: String,
-    /// When the run started.
+    /// When the request arrived; an unresponsive upstream runs it later.
     pub arrived_at: Timestamp,
     /// The remaining time that the upstream was given.
     pub deadline: Option<Duration>,
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -74,14 +75,26 @@
 /// A handle to a stand-in for one upstream, from its start to its end. Clones share the mode, what
 /// the responses state, and the reservations.
 #[derive(Clone)]
-pub(crate) struct UpstreamStandIn {
-    pub(crate) id: String,
-    pub(crate) service: &'static str,
-    pub(crate) domain: usize,
-    pub(crate) addr: SocketAddr,
+pub struct UpstreamStandIn {
+    /// The id.
+    pub id: String,
+    /// The service.
+    pub service: &'static str,
+    /// The index of the failure domain.
+    pub domain: usize,
+    /// The address.
+    pub addr: SocketAddr,
     shared: Arc<UpstreamShared>,
 }
 
+/// The arrival of a request, which an unresponsive upstream handles later.
+#[derive(Clone, Copy)]
+struct Arrival {
+    at: Timestamp,
+    /// Whether the response says that the upstream leaves.
+    says_leaving: bool,
+}
+
 /// The state of an upstream that its connections share.
 struct UpstreamShared {
     id: String,
@@ -92,6 +105,8 @@
     mode: watch::Sender<UpstreamMode>,
     /// The limit that responses advertise, in requests per second; none if they advertise none.
     advertised_limit_per_s: Mutex<Option<f64>>,
+    /// Number of requests that have arrived.
+    arrivals: AtomicUsize,
     /// Whether responses say that the upstream leaves.
     is_leaving: AtomicBool,
     /// The backoff that refusals want; none if requests are not refused.
@@ -102,7 +117,7 @@
 
 impl UpstreamStandIn {
     /// Starts a healthy upstream on a free port of `ip`. Its runs are recorded in `history`.
-    pub(crate) async fn start(
+    pub async fn start(
         id: String,
         service: &'static str,
         domain: usize,
@@ -119,6 +134,7 @@
             history,
             mode: watch::Sender::new(UpstreamMode::Healthy),
             advertised_limit_per_s: Mutex::default(),
+            arrivals: AtomicUsize::new(0),
             is_leaving: AtomicBool::new(false),
             backoff: Mutex::default(),
             reservation_ends: Mutex::default(),
@@ -135,7 +151,7 @@
 
     /// Changes how requests are handled. After [`UpstreamMode::Down`] the upstream accepts no
     /// connections again.
-    pub(crate) fn set_mode(&self, mode: UpstreamMode) {
+    pub fn set_mode(&self, mode: UpstreamMode) {
         self.shared.mode.send_replace(mode);
     }
 
@@ -163,6 +179,11 @@
         *self.shared.backoff() = backoff;
     }
 
+    /// Number of requests that have arrived, handled or not.
+    pub fn arrivals(&self) -> usize {
+        self.shared.arrivals.load(Ordering::Relaxed)
+    }
+
     /// Discards expired memory reservations and returns the number of the others.
     pub(crate) fn reservation_count(&self) -> usize {
         let now = self.shared.started_at.elapsed();
@@ -207,8 +228,13 @@
         self: Arc<Self>,
         req: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
-        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-        let mut res = Arc::clone(&self).respond(req, is_leaving).await?;
+        let arrival = Arrival {
+            at: self.started_at.elapsed(),
+            says_leaving: self.is_leaving.load(Ordering::Relaxed),
+        };
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        let is_leaving = arrival.says_leaving;
+        let mut res = Arc::clone(&self).respond(req, arrival).await?;
         if is_leaving {
             stand_in::mark_leaving(res.headers_mut());
         }
@@ -220,7 +246,7 @@
     async fn respond(
         self: Arc<Self>,
         req: Request<Incoming>,
-        says_leaving: bool,
+        arrival: Arrival,
     ) -> Result<Response<Body>, std::io::Error> {
         let mut mode = self.mode.subscribe();
         let current = mode
@@ -254,12 +280,12 @@
             return Ok(res);
         }
         if lacks_reservation || is_refused {
-            self.record_refusal(&request, backoff);
+            self.record_refusal(&request, backoff, arrival);
             let mut res = refusal(backoff);
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         }
-        self.record(&head, &body, &forwarded, says_leaving);
+        self.record(&head, &body, &forwarded, arrival);
         let delay = if let UpstreamMode::Slow(delay) = mode {
             delay
         } else {
@@ -316,7 +342,7 @@
         head: &hyper::http::request::Parts,
         body: &Bytes,
         forwarded: &ForwardedHead,
-        says_leaving: bool,
+        arrival: Arrival,
     ) {
         let path = head.uri.path();
         let expected_body = call::request_body(&forwarded.request);
@@ -326,7 +352,7 @@
         let run = UpstreamRun {
             upstream: self.id.clone(),
             service: self.service.to_owned(),
-            arrived_at: self.started_at.elapsed(),
+            arrived_at: arrival.at,
             deadline: forwarded.deadline,
             customer: forwarded.customer.clone(),
             is_unchanged: is_path_unchanged
@@ -334,7 +360,7 @@
                 && body == expected_body.as_bytes(),
             has_key: forwarded.has_key,
             advertised_limit_per_s: *self.advertised_limit(),
-            says_leaving,
+            says_leaving: arrival.says_leaving,
         };
         let mut observations = self.history.lock();
         observations
@@ -345,10 +371,10 @@
     }
 
     /// Records that a request was refused.
-    fn record_refusal(&self, request: &str, backoff: Option<Duration>) {
+    fn record_refusal(&self, request: &str, backoff: Option<Duration>, arrival: Arrival) {
         let refusal = UpstreamRefusal {
             upstream: self.id.clone(),
-            arrived_at: self.started_at.elapsed(),
+            arrived_at: arrival.at,
             backoff,
         };
         let mut observations = self.history.lock();
