Explain: upstreams that were left out of a choice, and refusals because of them

From a request's id an operator could not see that the upstreams of its service were leaving or had asked for a time without requests: the story left the field out, and the reasons rate_limited and upstream_backoff were not known to the tool. a_refusal_because_of_backoffs_names_them covers both texts of the latter.

--- a/src/cmd/outcome_descriptions.rs
+++ b/src/cmd/outcome_descriptions.rs
@@ -19,6 +19,8 @@
         "too_large" => "not run: its prompt needs more memory than all engines have",
         "no_upstream" => "not run: no upstream accepted it",
         "retry_budget" => "not run by the last upstream, and the retry budget was used up",
+        "rate_limited" => "not run: the rate limits of all upstreams were used up",
+        "upstream_backoff" => "not run: all upstreams had asked for a time without requests",
         "poison" => "not run: it had crashed upstreams before",
         "time_up_not_run" => "not run: its deadline passed while it waited",
         "time_up" => "may have run: its deadline passed before the answer was complete",
--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -6,6 +6,7 @@
 use crate::cmd::outcome_descriptions::describe_outcome;
 use crate::gateway::DecisionEvent;
 use crate::gateway::EngineCountsRecord;
+use crate::gateway::ExcludedRecord;
 
 /// The events of one request in order of time, after the state of the host at the first of them.
 /// Displayed as text, with times in ms before or after the first event.
@@ -103,6 +104,14 @@
     }
 }
 
+/// Writes the upstreams that accepted no requests, if any, on a line of their own.
+fn write_excluded(f: &mut fmt::Formatter<'_>, excluded: Option<&ExcludedRecord>) -> fmt::Result {
+    match excluded {
+        Some(excluded) => write!(f, "\n                     without {excluded}"),
+        None => Ok(()),
+    }
+}
+
 /// Displays an event as text, which has several lines for some events.
 struct EventText<'a>(&'a DecisionEvent);
 
@@ -137,16 +146,20 @@
                 elapsed_ms,
                 prompt_tokens,
                 manifest_age_ms,
+                excluded,
                 ..
-            } => write!(
-                f,
-                "sent to {upstream}, {elapsed_ms} ms after its arrival, {earlier_sends} earlier \
+            } => {
+                write!(
+                    f,
+                    "sent to {upstream}, {elapsed_ms} ms after its arrival, {earlier_sends} earlier \
                  sends; {prompt_tokens} prompt tokens, {} helpers [{}], memory reserved on \
                  {reserves} engines, first event expected in {forecast_ms} ms; manifest confirmed \
                  {manifest_age_ms} ms ago",
-                helpers.len(),
-                helpers.join(" ")
-            ),
+                    helpers.len(),
+                    helpers.join(" ")
+                )?;
+                write_excluded(f, excluded.as_ref())
+            }
             DecisionEvent::Refused {
                 reason,
                 prompt_tokens,
@@ -160,6 +173,7 @@
                 upstreams,
                 hosts_heard,
                 manifest_age_ms,
+                excluded,
                 ..
             } => {
                 write!(
@@ -171,7 +185,8 @@
                      after {retry_after_ms} ms; manifest confirmed {manifest_age_ms} ms ago"
                 )?;
                 write_engine_counts(f, "near", near.as_deref())?;
-                write_engine_counts(f, "all", all.as_deref())
+                write_engine_counts(f, "all", all.as_deref())?;
+                write_excluded(f, excluded.as_ref())
             }
             DecisionEvent::Waiting {
                 prompt_tokens,
--- a/src/gateway/excluded_record.rs
+++ b/src/gateway/excluded_record.rs
@@ -1,5 +1,7 @@
 //! Upstreams that accept no requests, as recorded in the decision log.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,3 +17,13 @@
     /// The time since this host learned of the latest of these statements, in ms.
     pub latest_age_ms: u64,
 }
+
+impl fmt::Display for ExcludedRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} upstreams leaving and {} backing off, the latest known for {} ms",
+            self.leaving, self.backing_off, self.latest_age_ms
+        )
+    }
+}
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -175,3 +175,38 @@
     assert_eq!(words("4 "), "4 1 1 0");
     assert!(output.stdout.contains("700 700 700"), "{output:?}");
 }
+
+/// Guards against a refusal that can't be told from one for lack of capacity: all upstreams had asked
+/// for a time without requests.
+#[test]
+fn a_refusal_because_of_backoffs_names_them() {
+    let dir = WorkDir::new();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let log = runtime.block_on(async {
+        let catalog = FakeCatalog::new(table(1));
+        let upstream = ScriptedUpstream::start([ScriptStep::Refuse]).await;
+        upstream.set_header_lines("test-backoff-ms: 60000\r\n");
+        catalog.list("a", "app", upstream.addr);
+        let host = TestHost::start_with(conf("host-1"), &catalog).await;
+        for request in ["r-first", "r-second"] {
+            host.call(request_with_id(request, "key-1", "/once/1"))
+                .await;
+        }
+        wait_until(|| host.log.text().matches(r#""event":"ended""#).count() == 2).await;
+        host.log.text()
+    });
+    dir.write_file("host-1.log", &log);
+    let output = dir.run(&["explain", "r-second", "--logs", "host-1.log"]);
+    assert!(
+        output
+            .stdout
+            .contains("without 0 upstreams leaving and 1 backing off"),
+        "{output:?}"
+    );
+    assert!(
+        output
+            .stdout
+            .contains("all upstreams had asked for a time without requests"),
+        "{output:?}"
+    );
+}
