--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -19,8 +19,8 @@
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
-/// Draws the faults of a seed other than rate limits, notices and restores of the store, each with the pause
-/// before it.
+/// Draws the faults of a seed other than rate limits, notices and restores of the store, each with
+/// the pause before it.
 pub fn draw_faults(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(conf.seed);
     let gap_ms: u64 = rng.random_range(300..1_500);
--- a/soak/tests/upstream.rs
+++ b/soak/tests/upstream.rs
@@ -15,8 +15,8 @@
 use soak::upstream::UpstreamStandIn;
 use tokio::time::Instant;
 
-/// Guards against a check of deadlines that blames a host for the time in which the upstream did not
-/// respond: a request arrives before an unresponsive upstream handles it.
+/// Guards against a check of deadlines that blames a host for the time in which the upstream did
+/// not respond: a request arrives before an unresponsive upstream handles it.
 #[tokio::test]
 async fn a_request_to_an_unresponsive_upstream_arrives_before_it_is_handled() {
     let started_at = Instant::now();
--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -151,10 +151,10 @@
             } => {
                 write!(
                     f,
-                    "sent to {upstream}, {elapsed_ms} ms after its arrival, {earlier_sends} earlier \
-                 sends; {prompt_tokens} prompt tokens, {} helpers [{}], memory reserved on \
-                 {reserves} engines, first event expected in {forecast_ms} ms; manifest confirmed \
-                 {manifest_age_ms} ms ago",
+                    "sent to {upstream}, {elapsed_ms} ms after its arrival, {earlier_sends} \
+                     earlier sends; {prompt_tokens} prompt tokens, {} helpers [{}], memory \
+                     reserved on {reserves} engines, first event expected in {forecast_ms} ms; \
+                     manifest confirmed {manifest_age_ms} ms ago",
                     helpers.len(),
                     helpers.join(" ")
                 )?;
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -106,8 +106,8 @@
     }
 
     /// Applies an update of another host: its load, and its reports on requests that crash
-    /// upstreams, slow engines, rate limits, and unreachable and leaving upstreams. Wakes the tasks that read
-    /// the platform if the sender is not a known host or has newer lists.
+    /// upstreams, slow engines, rate limits, and unreachable and leaving upstreams. Wakes the tasks
+    /// that read the platform if the sender is not a known host or has newer lists.
     fn on_update(&self, update: HostUpdate) {
         let now = self.clock.now();
         let Ok(host) = update.host.parse::<HostId>() else {
