Gateway: a call that still waits is refused before the host exits

Callers of a host that was asked to stop got neither an answer nor a refusal where their prompt still waited for engines when the process ended; their request had not run, and no one told them.

The log of edge-hall-a-1 has the prompt waiting after a second and 60 choices, and nothing after it.

Cause: a stopping host refuses new calls 2.6 s after the signal, and nothing ended those that it had taken and not sent.

Evidence: a_call_that_still_waits_is_refused_before_the_host_exits, red on the code before.

Change: a phase before the exit in which calls that have not run are refused as not run, with the time after which another host can be asked. It begins a second before the exit; what was sent goes on to its end.

--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::time::sleep;
+
 use crate::decide::RefuseReason;
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
@@ -11,6 +13,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
+use crate::gateway::ShutdownPhase;
 use crate::gateway::limit_wait::LimitWait;
 use crate::gateway::placement::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::placement::PlacementDecision;
@@ -24,6 +27,7 @@
 use crate::gateway::send::PendingSend;
 use crate::gateway::send::SendOutcome;
 use crate::gateway::send::UpstreamResponse;
+use crate::gateway::server::wait_for_phase;
 use crate::units::AttemptId;
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
@@ -103,6 +107,9 @@
             if self.call.time_left(now).is_zero() {
                 return DispatchOutcome::Refused(self.timeout_refusal());
             }
+            if self.runs == 0 && self.gateway.phase() >= ShutdownPhase::Completing {
+                return DispatchOutcome::Refused(self.refuse(CallRefusal::Stopping));
+            }
             if !self.gateway.may_send(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::StaleKnowledge));
             }
@@ -151,10 +158,19 @@
     }
 
     /// Sleeps with jitter, so that requests that wait on several hosts for the same upstreams do
-    /// not all choose them at the same moment.
+    /// not all choose them at the same moment. A call that has not run yet sleeps no longer than
+    /// until this host refuses such calls.
     async fn sleep_with_jitter(&self, wait: Duration, now: Instant) {
         let wait = wait.mul_f64(rand::random_range(0.5..1.5));
-        tokio::time::sleep(wait.min(self.call.time_left(now))).await;
+        let wait = wait.min(self.call.time_left(now));
+        if self.runs > 0 {
+            sleep(wait).await;
+            return;
+        }
+        tokio::select! {
+            () = sleep(wait) => {}
+            () = wait_for_phase(&self.gateway, ShutdownPhase::Completing) => {}
+        }
     }
 
     /// Sends the call once and records the result for the upstream. Returns the final outcome, or
@@ -255,7 +271,7 @@
             Ok(reservation) => Some(Some(reservation)),
             Err(refused) => {
                 self.on_reservation_refused(&refused);
-                tokio::time::sleep(RESERVE_RETRY_DELAY).await;
+                sleep(RESERVE_RETRY_DELAY).await;
                 None
             }
         }
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -12,6 +12,10 @@
 /// lines of the log are collected and written, which takes up to half a second on a busy host.
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
 
+/// The time before the exit in which no more calls are sent to upstreams: most answers take longer
+/// than this, and the caller of a refused call can still reach another host.
+const UNSENT_MARGIN: Duration = Duration::from_secs(1);
+
 /// The phases of a host from serving to its exit, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownPhase {
@@ -22,6 +26,8 @@
     Draining,
     /// The host closes idle connections, refuses new requests, and waits for running ones.
     Refusing,
+    /// The host refuses calls that have not run yet, and waits for those that upstreams are running.
+    Completing,
     /// The grace period is over, and the process exits even if requests are still running.
     Expired,
 }
@@ -33,9 +39,14 @@
             return Self::Serving;
         };
         let elapsed = now.saturating_duration_since(requested_at);
-        if elapsed >= grace.saturating_sub(EXIT_MARGIN) {
+        let refusing_after = ACCEPT_DURATION.min(grace / 2);
+        let exit_after = grace.saturating_sub(EXIT_MARGIN);
+        let completing_after = exit_after.saturating_sub(UNSENT_MARGIN).max(refusing_after);
+        if elapsed >= exit_after {
             Self::Expired
-        } else if elapsed >= ACCEPT_DURATION.min(grace / 2) {
+        } else if elapsed >= completing_after {
+            Self::Completing
+        } else if elapsed >= refusing_after {
             Self::Refusing
         } else {
             Self::Draining
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -15,6 +15,7 @@
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
+use gateway_world::long_prompt_table;
 use gateway_world::request;
 use gateway_world::request_of;
 use gateway_world::route;
@@ -461,3 +462,29 @@
         .filter(|line| line["event"] == "upstream_fault");
     assert_eq!(faults.count(), 2);
 }
+
+/// Guards against a call whose connection is closed without a response because the process ends
+/// while the call still waits for an upstream: it has not run, and another host can serve it.
+#[tokio::test]
+async fn a_call_that_still_waits_is_refused_before_the_host_exits() {
+    let catalog = FakeCatalog::new(long_prompt_table(1));
+    let upstream = ScriptedUpstream::start([ScriptStep::Refuse]).await;
+    upstream.set_header_lines("test-backoff-ms: 20000\r\n");
+    catalog.list("a", "llm", upstream.addr);
+    let mut conf = conf("host");
+    conf.stop_grace = Duration::from_secs(3);
+    let host = TestHost::start_with(conf, &catalog).await;
+    assert_eq!(status(&host.call(request("/long/1")).await), 503);
+    let callers = host.callers;
+    let waiting = tokio::spawn(async move {
+        let limit = Duration::from_secs(60);
+        one_shot::call(callers, request("/long/1"), 1 << 20, limit).await
+    });
+    wait_until(|| host.gateway.in_flight() == 1).await;
+    host.gateway.begin_shutdown();
+    let res = waiting.await.unwrap().expect("the call is answered");
+    assert_eq!(status(&res), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    assert_eq!(res.body().as_ref(), b"stopping\n");
+    assert_eq!(upstream.arrivals().len(), 1);
+}
