Tests: wait until a host has recorded the end of a request

The host is a process of its own that sends the last bytes first and records the end after, and the test asked once.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -16,6 +16,7 @@
 use site::expected_answer;
 use site::get;
 use site::outcome;
+use site::wait_until;
 
 #[tokio::test]
 async fn a_caller_gets_the_whole_answer_to_its_own_request() {
@@ -67,10 +68,17 @@
         .to_str()
         .unwrap()
         .to_owned();
-    let page = get(host.status_addr, &format!("/explain/{id}"))
-        .await
-        .unwrap();
-    let page = String::from_utf8(page.body().to_vec()).unwrap();
+    // The caller has the whole answer before the host records its end.
+    let path = format!("/explain/{id}");
+    let page = async || {
+        let page = get(host.status_addr, &path).await.unwrap();
+        String::from_utf8(page.body().to_vec()).unwrap()
+    };
+    wait_until("the end of the request to be recorded", async || {
+        page().await.contains("ended")
+    })
+    .await;
+    let page = page().await;
     for step in ["received", "granted", "dispatched", "ended"] {
         assert!(page.contains(step), "step {step} is missing in {page}");
     }
