--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -23,7 +23,7 @@
 use engine_world::Load;
 use engine_world::MEDIUM;
 use engine_world::Phase;
-use engine_world::RefusalPeriod;
+use engine_world::Refusals;
 use engine_world::RequestResult;
 use engine_world::RunResults;
 use engine_world::SHORT;
@@ -101,18 +101,6 @@
     }
 }
 
-/// Returns the period of refusing engines.
-fn refusal_period(is_obeyed: bool) -> RefusalPeriod {
-    RefusalPeriod {
-        from: Duration::ZERO,
-        until: Duration::MAX,
-        one_in: 5,
-        turn: Duration::from_secs(8),
-        backoff: Duration::from_secs(3),
-        is_obeyed,
-    }
-}
-
 /// Simulates each selected site with each rate of long prompts, and prints the mean results of
 /// callers.
 fn main() -> Result<(), pico_args::Error> {
@@ -122,7 +110,9 @@
     let slow: Option<String> = args.opt_value_from_str("--slow")?;
     let slow = slow.map(|slow| slow_period(slow == "known"));
     let refusals: Option<String> = args.opt_value_from_str("--refusals")?;
-    let refusals = refusals.map(|refusals| refusal_period(refusals == "obeyed"));
+    let refusals = refusals.map(|refusals| Refusals {
+        is_obeyed: refusals == "obeyed",
+    });
     let long: Option<f64> = args.opt_value_from_str("--long")?;
     let engines: Option<usize> = args.opt_value_from_str("--engines")?;
     let rates = long.map_or_else(|| LONG_RATES.to_vec(), |long| vec![long]);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 pub mod store;
 pub mod upstream;
+mod upstream_body;
 
 pub use deployment::DeploymentSize;
 pub use fault_draws::draw_faults;
--- a/soak/src/limit_checks.rs
+++ b/soak/src/limit_checks.rs
@@ -4,7 +4,6 @@
 
 use crate::checks::SETTLING_TIME;
 use crate::checks::Violation;
-use crate::history::FaultScope;
 use crate::history::LimitPeriod;
 use crate::history::Observations;
 use crate::history::Timestamp;
@@ -97,7 +96,5 @@
     from: Timestamp,
     to: Timestamp,
 ) -> bool {
-    let from = from.saturating_sub(SETTLING_TIME);
-    let mut faults = observations.faults_affecting(host, from, to);
-    faults.all(|fault| fault.scope == FaultScope::Store)
+    !observations.is_host_disturbed(host, from.saturating_sub(SETTLING_TIME), to)
 }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -1,7 +1,6 @@
 //! Stand-ins for upstreams: plain services and engines that respond correctly, or fail in the ways
 //! that real upstreams do.
 
-use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,7 +17,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -39,6 +37,11 @@
 use crate::history::Timestamp;
 use crate::history::UpstreamRefusal;
 use crate::history::UpstreamRun;
+use crate::upstream_body::Body;
+use crate::upstream_body::FrameStream;
+use crate::upstream_body::full_response;
+use crate::upstream_body::refusal;
+use crate::upstream_body::truncated_response;
 
 /// How an upstream handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -70,8 +73,6 @@
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
-type Body = UnsyncBoxBody<Bytes, std::io::Error>;
-
 /// A handle to a stand-in for one upstream, from its start to its end. Clones share the mode, what
 /// the responses state, and the reservations.
 #[derive(Clone)]
@@ -467,49 +468,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Adapts a channel of frames to a stream.
-struct FrameStream(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
-
-impl futures_util::Stream for FrameStream {
-    type Item = Result<Frame<Bytes>, std::io::Error>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
-    }
-}
-
-/// Returns a refusal, with the time for which the upstream wants no requests, if any.
-fn refusal(backoff: Option<Duration>) -> Response<Body> {
-    let mut res = full_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
-    if let Some(backoff) = backoff {
-        stand_in::set_backoff(res.headers_mut(), backoff);
-    }
-    res
-}
-
-/// Returns a response with a complete body.
-fn full_response(status: StatusCode, text: String) -> Response<Body> {
-    let body = http_body_util::Full::new(Bytes::from(text));
-    let body = body
-        .map_err(|never: Infallible| match never {})
-        .boxed_unsync();
-    let mut res = Response::new(body);
-    *res.status_mut() = status;
-    res
-}
-
-/// Returns a response whose body ends with an error after half of its content length.
-fn truncated_response(text: &str) -> Response<Body> {
-    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
-    let (sender, receiver) = mpsc::channel(2);
-    let _ = sender.try_send(Ok(Frame::data(half)));
-    let _ = sender.try_send(Err(std::io::Error::other("truncated")));
-    let mut res = Response::new(StreamBody::new(FrameStream(receiver)).boxed_unsync());
-    let len = hyper::header::HeaderValue::from(text.len());
-    res.headers_mut().insert(hyper::header::CONTENT_LENGTH, len);
-    res
-}
--- a/src/decide/availability_tracker.rs
+++ b/src/decide/availability_tracker.rs
@@ -88,7 +88,7 @@
         Some(granted)
     }
 
-    /// Whether the upstream accepts requests of this host at `now`.
+    /// Whether the upstream accepts requests of this host at `now`, and if not, why.
     pub fn availability(&self, upstream: &UpstreamId, now: Instant) -> UpstreamAvailability {
         let Some(record) = self.0.get(upstream) else {
             return UpstreamAvailability::Available;
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether the upstream accepts requests of this host at `now`.
+    pub fn is_available(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.availability(upstream, now) == UpstreamAvailability::Available
+    }
+
     /// Whether the upstream is leaving.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         let record = self.0.get(upstream);
--- a/src/gateway/availability.rs
+++ b/src/gateway/availability.rs
@@ -7,7 +7,6 @@
 use indexmap::IndexSet;
 
 use crate::decide::AvailabilityTracker;
-use crate::decide::UpstreamAvailability;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
@@ -32,9 +31,7 @@
     ) -> bool {
         let now = self.clock.now();
         let availability = self.availability();
-        upstreams.all(|upstream| {
-            availability.availability(upstream, now) == UpstreamAvailability::Available
-        })
+        upstreams.all(|upstream| availability.is_available(upstream, now))
     }
 
     /// Records which upstreams of the platform's list are leaving, and marks those as leaving that
@@ -52,17 +49,15 @@
         availability.on_list(|id| ids.contains(id), now);
     }
 
-    /// Records the report of another host that an upstream is leaving.
-    pub(crate) fn on_leaving_report(&self, host: &HostId, upstream: &UpstreamId) {
-        self.record_leaving(upstream, Some(host));
-    }
-
     /// Records what an upstream states about itself in a response to this host. Changes are logged.
     pub(crate) fn on_notices(&self, upstream: &UpstreamId, notices: &UpstreamNotices) {
         self.on_response_limit(upstream, &notices.limit);
         match &notices.leaving {
             Stated::Absent => {}
-            Stated::Value(()) => self.on_leaving_response(upstream),
+            Stated::Value(()) => {
+                self.metrics.record_notice("leaving");
+                self.on_leaving(upstream, None);
+            }
             Stated::Malformed(value) => self.on_malformed_notice(upstream, "leaving", value),
         }
         match &notices.backoff {
@@ -72,14 +67,9 @@
         }
     }
 
-    /// Records that an upstream states in a response that it is leaving.
-    fn on_leaving_response(&self, upstream: &UpstreamId) {
-        self.metrics.record_notice("leaving");
-        self.record_leaving(upstream, None);
-    }
-
-    /// Records that an upstream is leaving. If that is new, it is logged and broadcast.
-    fn record_leaving(&self, upstream: &UpstreamId, told_by: Option<&HostId>) {
+    /// Records that an upstream is leaving, as another host reports or, if `told_by` is none, a
+    /// response to this host. If that is new, it is logged and broadcast.
+    pub(crate) fn on_leaving(&self, upstream: &UpstreamId, told_by: Option<&HostId>) {
         let is_new = self.availability().on_leaving(upstream, self.clock.now());
         if is_new {
             self.log.record(DecisionEvent::UpstreamLeaving {
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::AvailabilityTracker;
 use crate::decide::UpstreamAvailability;
 use crate::gateway::ExcludedRecord;
 use crate::gateway::Gateway;
@@ -68,6 +69,7 @@
             is_tried: tried.contains(&upstream.id),
         });
         let candidates: Vec<Candidate<'a>> = candidates.collect();
+        let excluded = excluded_record(&availability, &candidates, now);
         drop(availability);
         let sendable = candidates.iter().filter(|candidate| {
             candidate.availability == UpstreamAvailability::Available && !candidate.is_tried
@@ -79,7 +81,7 @@
                 .then(|| service_backoff(&candidates))
                 .flatten(),
             usable: prefer_healthy(gateway, sendable, now),
-            excluded: excluded_record(gateway, &candidates, now),
+            excluded,
         }
     }
 }
@@ -116,7 +118,7 @@
 
 /// The upstreams that accept no requests; none if all do.
 fn excluded_record(
-    gateway: &Gateway,
+    availability: &AvailabilityTracker,
     candidates: &[Candidate<'_>],
     now: Instant,
 ) -> Option<ExcludedRecord> {
@@ -127,7 +129,6 @@
     if excluded.is_empty() {
         return None;
     }
-    let availability = gateway.availability();
     let ages = excluded
         .iter()
         .filter_map(|candidate| availability.age(&candidate.upstream.id, now));
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -77,10 +77,9 @@
     let ledger = gateway.ledger();
     let is_busy = |listed: &&ListedUpstream| ledger.load(&listed.id, now).has_work();
     let busy = listed.flatten().filter(is_in_domain).filter(is_busy);
-    let busy: Vec<ListedUpstream> = busy.cloned().collect();
-    drop(ledger);
-    let accepts = |engine: &ListedUpstream| gateway.accept_requests(std::iter::once(&engine.id));
-    busy.into_iter().filter(accepts).collect()
+    let availability = gateway.availability();
+    let available = busy.filter(|listed| availability.is_available(&listed.id, now));
+    available.cloned().collect()
 }
 
 /// Requests a report from one engine and records it. A change of the engine's speed is logged and
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -147,7 +147,7 @@
         }
         for leaving in &update.leaving_upstreams {
             if let Some(upstream) = by_hash.get(&UpstreamHash(*leaving)) {
-                self.on_leaving_report(source.host(), upstream);
+                self.on_leaving(upstream, Some(source.host()));
             }
         }
         for limit in &update.limits {
--- a/src/gateway/excluded_record.rs
+++ b/src/gateway/excluded_record.rs
@@ -12,7 +12,6 @@
     /// The number of upstreams that are leaving.
     pub leaving: usize,
     /// The number of upstreams that want no requests from this host for now.
-    #[serde(default)]
     pub backing_off: usize,
     /// The time since this host learned of the latest of these statements, in ms.
     pub latest_age_ms: u64,
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -9,7 +9,7 @@
 use engine_world::Load;
 use engine_world::MEDIUM;
 use engine_world::Phase;
-use engine_world::RefusalPeriod;
+use engine_world::Refusals;
 use engine_world::RequestResult;
 use engine_world::RunResults;
 use engine_world::SHORT;
@@ -194,14 +194,7 @@
 
 fn with_refusing_engines(is_obeyed: bool) -> Site {
     let mut site = Site::middle();
-    site.refusals = Some(RefusalPeriod {
-        from: Duration::ZERO,
-        until: Duration::MAX,
-        one_in: 5,
-        turn: Duration::from_secs(8),
-        backoff: Duration::from_secs(3),
-        is_obeyed,
-    });
+    site.refusals = Some(Refusals { is_obeyed });
     site
 }
 
--- a/tests/engine_world/host.rs
+++ b/tests/engine_world/host.rs
@@ -8,7 +8,6 @@
 use banyanarch::decide::HostLoad;
 use banyanarch::decide::LimitState;
 use banyanarch::decide::LoadLedger;
-use banyanarch::decide::UpstreamAvailability;
 use banyanarch::decide::UpstreamFault;
 use banyanarch::decide::engines::EngineChoice;
 use banyanarch::decide::engines::EngineRequest;
@@ -89,7 +88,7 @@
     /// Whether the host may send to an engine.
     fn is_usable(&self, engine: &UpstreamId, now: Instant) -> bool {
         self.health.is_usable(engine, &self.engine_domain, now)
-            && self.availability.availability(engine, now) == UpstreamAvailability::Available
+            && self.availability.is_available(engine, now)
     }
 
     pub fn choose(
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::refusals::RefusalPeriod;
+use super::refusals::Refusals;
 
 /// The properties of one class of requests. Lengths have a log-normal distribution with the given
 /// mean and spread (standard deviation relative to the mean).
@@ -91,7 +91,7 @@
     /// Number of urgent reports that a host may send ahead of its even interval.
     pub urgent_burst: u32,
     pub slow: Option<SlowPeriod>,
-    pub refusals: Option<RefusalPeriod>,
+    pub refusals: Option<Refusals>,
 }
 
 /// One request of a load.
@@ -177,8 +177,7 @@
 
     /// Whether an engine refuses all requests at a time.
     pub fn refuses(&self, engine: usize, at: Duration) -> bool {
-        self.refusals
-            .is_some_and(|period| period.refuses(engine, at))
+        self.refusals.is_some() && Refusals::refuses(engine, at)
     }
 
     /// The slowdown of an engine at a time.
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -20,7 +20,7 @@
 pub use load::SHORT;
 pub use load::Site;
 pub use load::SlowPeriod;
-pub use refusals::RefusalPeriod;
+pub use refusals::Refusals;
 pub use run_results::RequestResult;
 pub use run_results::RunResults;
 pub use world::World;
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -19,6 +19,7 @@
 use super::host::LoadReport;
 use super::load::Load;
 use super::load::Site;
+use super::refusals::Refusals;
 use super::run_results::Outcome;
 use super::run_results::RequestResult;
 use super::run_results::RunResults;
@@ -274,10 +275,13 @@
 
     /// Lets the host of a request know that the leader of its plan has refused it.
     fn on_refusal(&mut self, request: usize, leader: &UpstreamId) {
-        let period = self.site.refusals.filter(|period| period.is_obeyed);
+        let is_obeyed = self
+            .site
+            .refusals
+            .is_some_and(|refusals| refusals.is_obeyed);
         let now = self.instant();
         let host = self.states[request].host;
-        self.hosts[host].on_refusal(leader, period.map(|period| period.backoff), now);
+        self.hosts[host].on_refusal(leader, is_obeyed.then_some(Refusals::BACKOFF), now);
     }
 
     /// Claims a helper slot at each helper of the plan. Returns false if one of them has none free.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use banyanarch::gateway::ShutdownPhase;
-use banyanarch::http::one_shot;
 use banyanarch::routing::CallKind;
 use banyanarch::routing::CustomerKeys;
 use banyanarch::routing::RouteTable;
@@ -397,11 +396,7 @@
         ScriptStep::RespondAfter(Duration::from_secs(4), "late"),
     )
     .await;
-    let callers = host.callers;
-    let running = tokio::spawn(async move {
-        let limit = Duration::from_secs(20);
-        one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
-    });
+    let running = host.spawn_call(request("/once/1"));
     wait_until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_shutdown();
     assert_eq!(host.readiness().await, 503);
@@ -427,11 +422,7 @@
         ScriptStep::RespondAfter(Duration::from_secs(5), "late"),
     )
     .await;
-    let callers = host.callers;
-    let running = tokio::spawn(async move {
-        let limit = Duration::from_secs(20);
-        one_shot::call(callers, request("/once/1"), 1 << 20, limit).await
-    });
+    let running = host.spawn_call(request("/once/1"));
     wait_until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_shutdown();
     wait_until(|| host.gateway.phase() == ShutdownPhase::Refusing).await;
@@ -475,11 +466,7 @@
     conf.stop_grace = Duration::from_secs(3);
     let host = TestHost::start_with(conf, &catalog).await;
     assert_eq!(status(&host.call(request("/long/1")).await), 503);
-    let callers = host.callers;
-    let waiting = tokio::spawn(async move {
-        let limit = Duration::from_secs(60);
-        one_shot::call(callers, request("/long/1"), 1 << 20, limit).await
-    });
+    let waiting = host.spawn_call(request("/long/1"));
     wait_until(|| host.gateway.in_flight() == 1).await;
     host.gateway.begin_shutdown();
     let res = waiting.await.unwrap().expect("the call is answered");
--- a/tests/gateway_hosts.rs
+++ b/tests/gateway_hosts.rs
@@ -12,6 +12,7 @@
 use banyanarch::units::Slowdown;
 use banyanarch::units::UpstreamId;
 use bytes::Bytes;
+use gateway_world::PendingCall;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -27,7 +28,6 @@
 use hyper::Request;
 use hyper::Response;
 use indexmap::IndexMap;
-use tokio::task::JoinHandle;
 use yare::parameterized;
 
 fn status(res: &Response<Bytes>) -> u16 {
@@ -152,7 +152,7 @@
 
 /// A host with two engines, `a` and `b`, to which a caller has sent a prompt that needs the memory
 /// of both.
-async fn host_with_reservations() -> (TestHost, [ScriptedUpstream; 2], JoinHandle<()>) {
+async fn host_with_reservations() -> (TestHost, [ScriptedUpstream; 2], PendingCall) {
     let catalog = FakeCatalog::new(table(1));
     let hanging = || ScriptedUpstream::start([ScriptStep::EventsThenHang(1)]);
     let engines = [hanging().await, hanging().await];
@@ -161,12 +161,7 @@
     catalog.publish(long_prompt_table(2));
     let host = TestHost::start("host", &catalog).await;
     wait_until(|| host.gateway.platform_view.routes().unwrap().generation.0 == 2).await;
-    let req = long_request();
-    let callers = host.callers;
-    let pending = tokio::spawn(async move {
-        let limit = Duration::from_secs(60);
-        let _ = one_shot::call(callers, req, 1 << 20, limit).await;
-    });
+    let pending = host.spawn_call(long_request());
     wait_until(|| host.engine_client.reserved_tokens() > 0).await;
     wait_until(|| engines.iter().any(|engine| !engine.arrivals().is_empty())).await;
     (host, engines, pending)
--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -2,12 +2,12 @@
 
 mod gateway_world;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use banyanarch::gateway::Stated;
 use banyanarch::gateway::UpstreamNotices;
-use banyanarch::http::one_shot;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -118,13 +118,21 @@
     assert!(metrics.lines().any(counted), "{metrics}");
 }
 
-/// A host and two upstreams, `a` and `b`, of the service that it calls; `a` follows `step`.
-async fn host_with_two_upstreams(step: ScriptStep) -> (ScriptedUpstream, TestHost) {
+/// A catalog with two upstreams, `a` and `b`, of the service that hosts call; `a` follows `step`.
+async fn catalog_with_two_upstreams(
+    step: ScriptStep,
+) -> (Arc<FakeCatalog>, ScriptedUpstream, ScriptedUpstream) {
     let catalog = FakeCatalog::new(table(1));
     let a = ScriptedUpstream::start([step]).await;
     let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
     catalog.list("a", "app", a.addr);
     catalog.list("b", "app", b.addr);
+    (catalog, a, b)
+}
+
+/// A host and the upstream `a` of two; `a` follows `step`.
+async fn host_with_two_upstreams(step: ScriptStep) -> (ScriptedUpstream, TestHost) {
+    let (catalog, a, _) = catalog_with_two_upstreams(step).await;
     let host = TestHost::start("host", &catalog).await;
     (a, host)
 }
@@ -139,6 +147,15 @@
 /// Number of requests that would be spread over two upstreams.
 const CALLS: usize = 20;
 
+/// Checks that requests to a host are served without one of the upstreams.
+async fn assert_gets_no_requests(upstream: &ScriptedUpstream, host: &TestHost) {
+    let before = upstream.arrivals().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(host).await, 200);
+    }
+    assert_eq!(upstream.arrivals().len(), before);
+}
+
 /// Guards against requests to an upstream that says in its responses that it is leaving, while the
 /// platform still lists it.
 #[tokio::test]
@@ -146,11 +163,7 @@
     let (a, host) = host_with_two_upstreams(ScriptStep::Respond(200, "a")).await;
     a.set_header_lines("test-leaving: 1\r\n");
     call_until_logged(&host, "upstream_leaving").await;
-    let before = a.arrivals().len();
-    for _ in 0..CALLS {
-        assert_eq!(call(&host).await, 200);
-    }
-    assert_eq!(a.arrivals().len(), before);
+    assert_gets_no_requests(&a, &host).await;
 }
 
 /// Guards against a leaving upstream that gets requests again because an older list, or the same
@@ -167,22 +180,14 @@
     catalog.list("a", "app", a.addr);
     catalog.list("b", "app", b.addr);
     wait_until(|| host.gateway.platform_view.is_usable(&"b".parse().unwrap())).await;
-    let before = a.arrivals().len();
-    for _ in 0..CALLS {
-        assert_eq!(call(&host).await, 200);
-    }
-    assert_eq!(a.arrivals().len(), before);
+    assert_gets_no_requests(&a, &host).await;
 }
 
 /// Guards against an upstream that leaves and is known as such on one host only, while the platform
 /// can't tell the others.
 #[tokio::test]
 async fn hosts_tell_each_other_which_upstreams_leave() {
-    let catalog = FakeCatalog::new(table(1));
-    let a = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
-    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
-    catalog.list("a", "app", a.addr);
-    catalog.list("b", "app", b.addr);
+    let (catalog, a, _) = catalog_with_two_upstreams(ScriptStep::Respond(200, "a")).await;
     let first = TestHost::start("first", &catalog).await;
     let second = TestHost::start("second", &catalog).await;
     first.wait_for_hosts(2).await;
@@ -192,11 +197,7 @@
     call_until_logged(&first, "upstream_leaving").await;
     wait_until(|| !events(&second, "upstream_leaving").is_empty()).await;
     assert_eq!(events(&second, "upstream_leaving")[0]["told_by"], "first");
-    let before = a.arrivals().len();
-    for _ in 0..CALLS {
-        assert_eq!(call(&second).await, 200);
-    }
-    assert_eq!(a.arrivals().len(), before);
+    assert_gets_no_requests(&a, &second).await;
 }
 
 /// Guards against a prompt that is sent to an engine which has said, while its memory was being
@@ -216,11 +217,7 @@
         ..UpstreamNotices::default()
     };
     host.engine_client.set_notices(engines[0].addr, leaving);
-    let callers = host.callers;
-    let pending = tokio::spawn(async move {
-        let limit = Duration::from_secs(60);
-        let _ = one_shot::call(callers, long_request(), 1 << 20, limit).await;
-    });
+    let pending = host.spawn_call(long_request());
     wait_until(|| !events(&host, "upstream_leaving").is_empty()).await;
     wait_until(|| host.engine_client.reserved_tokens() == 0).await;
     pending.abort();
@@ -320,23 +317,16 @@
         engines.push(engine);
     }
     let host = TestHost::start("host", &catalog).await;
-    let callers = host.callers;
-    let start_prompt = || {
-        tokio::spawn(async move {
-            let limit = Duration::from_secs(60);
-            let _ = one_shot::call(callers, short_request(), 1 << 20, limit).await;
-        })
-    };
     let mut prompts = Vec::new();
     while engines.iter().any(|engine| engine.arrivals().is_empty()) {
-        prompts.push(start_prompt());
+        prompts.push(host.spawn_call(short_request()));
         sleep(Duration::from_millis(20)).await;
     }
     let polls = |engine: usize| host.engine_client.report_requests_of(engines[engine].addr);
     wait_until(|| polls(0) > 0 && polls(1) > 0).await;
     engines[0].set_header_lines("test-backoff-ms: 60000\r\n");
     while events(&host, "upstream_backoff").is_empty() {
-        prompts.push(start_prompt());
+        prompts.push(host.spawn_call(short_request()));
         sleep(Duration::from_millis(20)).await;
     }
     let (of_a, of_b) = (polls(0), polls(1));
@@ -362,21 +352,13 @@
 /// its cause.
 #[tokio::test]
 async fn a_backoff_is_that_of_the_upstream_that_answers() {
-    let catalog = FakeCatalog::new(table(1));
-    let a = ScriptedUpstream::start([ScriptStep::Refuse]).await;
-    let b = ScriptedUpstream::start([ScriptStep::Respond(200, "b")]).await;
-    catalog.list("a", "app", a.addr);
-    catalog.list("b", "app", b.addr);
+    let (catalog, a, b) = catalog_with_two_upstreams(ScriptStep::Refuse).await;
     let host = TestHost::start("host", &catalog).await;
     let lines = format!("test-backoff-ms: 60000\r\ntest-at-fault: {}\r\n", b.addr);
     a.set_header_lines(&lines);
     call_until_logged(&host, "upstream_backoff").await;
     let named = |line: &Value| line["upstream"] == "b" && line["event"] == "upstream_fault";
     wait_until(|| host.log.lines().iter().any(named)).await;
-    let before = a.arrivals().len();
-    for _ in 0..CALLS {
-        assert_eq!(call(&host).await, 200);
-    }
-    assert_eq!(a.arrivals().len(), before);
+    assert_gets_no_requests(&a, &host).await;
     assert_eq!(events(&host, "upstream_backoff").len(), 1);
 }
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -47,6 +47,12 @@
 /// How long a test waits for a condition before it fails.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The timeout of a request in the background, which a test may leave pending.
+const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A request that was sent in the background.
+pub type PendingCall = JoinHandle<Result<Response<Bytes>, one_shot::OneShotError>>;
+
 /// A gateway under test.
 pub struct TestHost {
     pub gateway: Arc<Gateway>,
@@ -168,6 +174,12 @@
         one_shot::call(self.callers, req, 1 << 20, TIMEOUT).await
     }
 
+    /// Sends a request in the background.
+    pub fn spawn_call(&self, req: Request<Full<Bytes>>) -> PendingCall {
+        let callers = self.callers;
+        tokio::spawn(async move { one_shot::call(callers, req, 1 << 20, BACKGROUND_TIMEOUT).await })
+    }
+
     /// The status of the readiness page.
     pub async fn readiness(&self) -> u16 {
         let req = Request::get("/readyz").header("host", "ready");
