Gateway: nothing is sent to upstreams of an evacuated failure domain

Operators empty a zone by an entry `evacuations/ZONE` in the store.

Cause: of the kinds of objects in the store only the manifest, upstreams and hosts were read.

Change: hosts of deployments with the bound read the evacuations as they read the other lists: one host of a domain by a watch, the others from it. Whether an upstream accepts requests is still one question with one record (AvailabilityTracker), which has a third reason now; it is asked in each choice, in polls for reports, and right before a send. It holds for upstreams that are listed later, while the store is away, and for a host that starts, which serves only once it knows the evacuations. Where nothing else is left, the call is refused at once as `evacuated`.

The store's answer is the confirmation on this platform, so the system has nothing of its own to confirm.

--- a/src/decide/availability_tracker.rs
+++ b/src/decide/availability_tracker.rs
@@ -1,4 +1,5 @@
-//! The upstreams that have stated that they are leaving, or that they want no requests for a time.
+//! The upstreams that have stated that they are leaving, or that they want no requests for a time,
+//! and those whose failure domain operators have evacuated.
 //!
 //! Unlike the pauses of the health tracker, which this host chooses itself, these bind it: they end
 //! neither when the upstream responds nor when no other upstream is left.
@@ -14,7 +15,7 @@
 /// The longest backoff that an upstream can request. Without a bound, a single wrong value would
 /// take an upstream out until it restarts.
 pub const BACKOFF_MAX: Duration = Duration::from_secs(600);
-/// How long an upstream that has left the list is remembered as leaving. A store that was restored
+/// How long an upstream that has left the list is remembered as leaving or evacuated. A store that was restored
 /// from an older copy lists it again for a shorter time.
 const RETENTION: Duration = Duration::from_secs(60);
 /// How long a host broadcasts that an upstream is leaving, in several messages of which some may be
@@ -28,11 +29,14 @@
     ends_at: Instant,
 }
 
-/// What one incarnation of an upstream has stated.
+/// What is known of one incarnation of an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct AvailabilityRecord {
     /// When this host learned that the upstream is leaving; none if it is not.
     leaving_since: Option<Instant>,
+    /// Since when this host has known that the failure domain of the upstream is evacuated; none if
+    /// it is not.
+    evacuated_since: Option<Instant>,
     /// The backoff that ends last.
     backoff: Option<Backoff>,
     /// When the upstream was first missing from the list; none while it is listed.
@@ -45,11 +49,13 @@
         let is_within = |since: Instant| now.saturating_duration_since(since) < RETENTION;
         let is_remembered = self.unlisted_since.is_none_or(is_within);
         let is_backing_off = self.backoff.is_some_and(|backoff| backoff.ends_at > now);
-        is_remembered && (self.leaving_since.is_some() || is_backing_off)
+        let is_excluded = self.leaving_since.is_some() || self.evacuated_since.is_some();
+        is_remembered && (is_excluded || is_backing_off)
     }
 }
 
-/// The statements of upstreams about whether they accept requests, as this host knows them.
+/// What upstreams state, and operators decide, about whether they accept requests, as this host
+/// knows it.
 #[derive(Debug, Default)]
 pub struct AvailabilityTracker(IndexMap<UpstreamId, AvailabilityRecord>);
 
@@ -88,6 +94,24 @@
         Some(granted)
     }
 
+    /// Records whether the failure domain of an upstream is evacuated. Returns whether that has
+    /// changed.
+    pub fn set_evacuated(
+        &mut self,
+        upstream: &UpstreamId,
+        is_evacuated: bool,
+        now: Instant,
+    ) -> bool {
+        if !is_evacuated {
+            let record = self.0.get_mut(upstream);
+            return record.is_some_and(|record| record.evacuated_since.take().is_some());
+        }
+        let record = self.0.entry(upstream.clone()).or_default();
+        let is_new = record.evacuated_since.is_none();
+        record.evacuated_since.get_or_insert(now);
+        is_new
+    }
+
     /// Whether the upstream accepts requests of this host at `now`, and if not, why.
     pub fn availability(&self, upstream: &UpstreamId, now: Instant) -> UpstreamAvailability {
         let Some(record) = self.0.get(upstream) else {
@@ -96,6 +120,9 @@
         if record.leaving_since.is_some() {
             return UpstreamAvailability::Leaving;
         }
+        if record.evacuated_since.is_some() {
+            return UpstreamAvailability::Evacuated;
+        }
         match record.backoff {
             Some(backoff) if backoff.ends_at > now => {
                 UpstreamAvailability::BackingOff(backoff.ends_at - now)
@@ -115,13 +142,14 @@
         record.is_some_and(|record| record.leaving_since.is_some())
     }
 
-    /// How long ago this host learned the statement that keeps the upstream from getting requests
+    /// How long ago this host learned what keeps the upstream from getting requests
     /// at `now`; none if it is available.
     pub fn age(&self, upstream: &UpstreamId, now: Instant) -> Option<Duration> {
         let record = self.0.get(upstream)?;
         let backoff = record.backoff.filter(|backoff| backoff.ends_at > now);
         let since = record
             .leaving_since
+            .or(record.evacuated_since)
             .or(backoff.map(|backoff| backoff.requested_at))?;
         Some(now.saturating_duration_since(since))
     }
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -195,6 +195,9 @@
     RateLimited,
     /// All upstreams of the service want no requests for a time.
     UpstreamBackoff,
+    /// Operators have evacuated the failure domains of all upstreams of the service that could
+    /// serve the request.
+    Evacuated,
 }
 
 impl RefuseReason {
@@ -212,6 +215,7 @@
             Self::NoClaim => "no_claim",
             Self::RateLimited => "rate_limited",
             Self::UpstreamBackoff => "upstream_backoff",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -229,6 +233,7 @@
             Self::NoClaim,
             Self::RateLimited,
             Self::UpstreamBackoff,
+            Self::Evacuated,
         ];
         all.into_iter().find(|reason| reason.name() == name)
     }
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -48,7 +48,9 @@
     fn backoff_left(&self) -> Option<Duration> {
         match self.availability {
             UpstreamAvailability::BackingOff(left) => Some(left),
-            UpstreamAvailability::Available | UpstreamAvailability::Leaving => None,
+            UpstreamAvailability::Available
+            | UpstreamAvailability::Evacuated
+            | UpstreamAvailability::Leaving => None,
         }
     }
 }
@@ -132,10 +134,13 @@
     let ages = excluded
         .iter()
         .filter_map(|candidate| availability.age(&candidate.upstream.id, now));
+    let is_evacuated = |c: &&&Candidate<'_>| c.availability == UpstreamAvailability::Evacuated;
+    let evacuated = excluded.iter().filter(is_evacuated).count();
     let backing_off = excluded.iter().filter_map(|c| c.backoff_left()).count();
     Some(ExcludedRecord {
-        leaving: excluded.len() - backing_off,
+        leaving: excluded.len() - backing_off - evacuated,
         backing_off,
+        evacuated,
         latest_age_ms: whole_millis(ages.min().unwrap_or_default()),
     })
 }
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use indexmap::IndexSet;
 
 use crate::exchange::ListedHost;
 use crate::routing::RouteTable;
@@ -88,6 +89,15 @@
     Delta(Vec<UpstreamChange>),
 }
 
+/// The result of a read of the evacuations.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationsRead {
+    /// There was no change after [`Watch::since`].
+    Unchanged,
+    /// The evacuated failure domains.
+    Snapshot(IndexSet<FailureDomainId>),
+}
+
 /// Why a read or a write of the catalog failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CatalogError {
@@ -140,6 +150,13 @@
         watch: Option<Watch>,
     ) -> BoxFuture<'_, Result<CatalogRead<UpstreamsRead>, CatalogError>>;
 
+    /// Reads which failure domains operators have evacuated. With a watch, the platform responds
+    /// when that changes or the wait ends.
+    fn evacuations(
+        &self,
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<EvacuationsRead>, CatalogError>>;
+
     /// Reads all hosts; the response may be seconds old.
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>>;
 
--- a/src/gateway/catalog_sharing/catalog_cache.rs
+++ b/src/gateway/catalog_sharing/catalog_cache.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use log::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,6 +20,7 @@
 use crate::gateway::catalog_sharing::message::UpstreamEntry;
 use crate::gateway::catalog_sharing::reader::RESPONSE_AGE_MAX;
 use crate::gateway::catalog_sharing::upstream_list::UpstreamList;
+use crate::units::FailureDomainId;
 use crate::units::ObjectVersion;
 use crate::units::whole_millis;
 
@@ -48,6 +50,7 @@
     upstreams_version: u64,
     upstreams_confirmed_at: Option<Duration>,
     hosts: Option<Confirmed<Vec<ListedHost>>>,
+    evacuations: Option<Confirmed<IndexSet<FailureDomainId>>>,
 }
 
 /// The cached lists, which this host uses itself and sends to its peers.
@@ -149,6 +152,50 @@
         }
     }
 
+    /// Replaces the evacuated failure domains by those that were current at this time since boot.
+    /// Returns whether they have changed.
+    pub(crate) fn set_evacuations(
+        &self,
+        domains: IndexSet<FailureDomainId>,
+        confirmed_at: Duration,
+    ) -> bool {
+        let mut lists = self.lock();
+        let version = evacuations_version_of(&domains);
+        let before = lists.evacuations.as_ref().map(|known| known.version);
+        lists.evacuations = Some(Confirmed {
+            version,
+            value: Arc::new(domains),
+            confirmed_at,
+        });
+        before != Some(version)
+    }
+
+    /// Records that the evacuations were still current at this time since boot.
+    pub(crate) fn confirm_evacuations(&self, confirmed_at: Duration) {
+        if let Some(evacuations) = &mut self.lock().evacuations {
+            evacuations.confirmed_at = evacuations.confirmed_at.max(confirmed_at);
+        }
+    }
+
+    /// The version of the evacuations; 0 if they were not read yet.
+    pub(crate) fn evacuations_version(&self) -> u64 {
+        let lists = self.lock();
+        lists.evacuations.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// The evacuated failure domains; none before the first read.
+    pub(crate) fn evacuations(&self) -> Option<Arc<IndexSet<FailureDomainId>>> {
+        let lists = self.lock();
+        let known = lists.evacuations.as_ref()?;
+        Some(Arc::clone(&known.value))
+    }
+
+    /// When the evacuations were last confirmed to be current, since boot.
+    pub(crate) fn evacuations_confirmed_at(&self) -> Option<Duration> {
+        let lists = self.lock();
+        lists.evacuations.as_ref().map(|known| known.confirmed_at)
+    }
+
     /// The versions of the manifest and the upstreams; 0 for a list that was not read yet.
     pub(crate) fn versions(&self) -> (u64, u64) {
         let lists = self.lock();
@@ -216,6 +263,14 @@
                 }
                 response
             }),
+            Ok(ListKind::Evacuations) => lists.evacuations.as_ref().map(|evacuations| {
+                let mut response = evacuations.header(now);
+                if evacuations.version != request.known_version {
+                    let domains = evacuations.value.iter();
+                    response.evacuated_domains = domains.map(ToString::to_string).collect();
+                }
+                response
+            }),
             // A host of a newer version requests a list that this version does not have.
             Err(_) => None,
         }
@@ -267,6 +322,14 @@
     response
 }
 
+/// A version that is the same for the same failure domains in any order.
+fn evacuations_version_of(domains: &IndexSet<FailureDomainId>) -> u64 {
+    let mut names: Vec<&str> = domains.iter().map(FailureDomainId::as_str).collect();
+    names.sort_unstable();
+    // Version 0 means that there is none.
+    xxh3_64(format!("{names:?}").as_bytes()).max(1)
+}
+
 /// A version that is the same for the same hosts in the same order.
 fn hosts_version_of(hosts: &[ListedHost]) -> u64 {
     // Version 0 means that there is none.
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -29,6 +29,15 @@
     Upstreams = 1,
     /// The hosts of this deployment.
     Hosts = 2,
+    /// The evacuated failure domains.
+    Evacuations = 3,
+}
+
+impl ListKind {
+    /// Whether a host of an earlier version may lack this list.
+    pub(crate) fn may_be_unknown(self) -> bool {
+        matches!(self, Self::Hosts | Self::Evacuations)
+    }
 }
 
 /// A request for one list.
@@ -76,6 +85,9 @@
     /// whole response.
     #[prost(uint32, tag = "8")]
     pub(crate) frame_count: u32,
+    /// The evacuated failure domains, if they were requested and their version differs.
+    #[prost(string, repeated, tag = "9")]
+    pub(crate) evacuated_domains: Vec<String>,
 }
 
 /// A [`ListedHost`] in a response.
--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
 use crate::gateway::CatalogRead;
+use crate::gateway::EvacuationsRead;
 use crate::gateway::Gateway;
 use crate::gateway::RoutesRead;
 use crate::gateway::UpstreamsRead;
@@ -20,6 +23,7 @@
 use crate::gateway::catalog_sharing::message::ReadRequest;
 use crate::gateway::catalog_sharing::message::ReadResponse;
 use crate::gateway::catalog_sharing::reader_selector::Unavailable;
+use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
 
@@ -233,6 +237,59 @@
         })
     }
 
+    /// Reads the evacuations into the cache. `changed` says whether they differ from those before.
+    pub(crate) async fn evacuations(
+        &mut self,
+        source: ReadSource,
+    ) -> Result<ReadOutcome<()>, ReadError> {
+        let known = self.gateway.catalog_cache.evacuations_version();
+        let fetched = self
+            .request_from_peers(source, ListKind::Evacuations, known)
+            .await?;
+        let Some((response, confirmed_at)) = fetched else {
+            return self.evacuations_from_platform().await;
+        };
+        let cache = &self.gateway.catalog_cache;
+        let has_changed = if response.version == known {
+            cache.confirm_evacuations(confirmed_at);
+            false
+        } else {
+            // What this host has read itself may be newer.
+            let is_newer = cache.evacuations_confirmed_at() < Some(confirmed_at);
+            is_newer && cache.set_evacuations(decode_domains(&response), confirmed_at)
+        };
+        Ok(ReadOutcome {
+            changed: has_changed.then_some(()),
+            confirmed_at,
+            has_more: false,
+        })
+    }
+
+    async fn evacuations_from_platform(&mut self) -> Result<ReadOutcome<()>, ReadError> {
+        let confirmed_at = self.gateway.clock.since_boot();
+        let watch = self.cursor.watch();
+        let mut read = self.catalog.evacuations(watch).await;
+        self.record_duration(watch, confirmed_at);
+        if matches!(read, Err(CatalogError::HistoryExpired)) {
+            self.cursor = Cursor::default();
+            read = self.catalog.evacuations(None).await;
+        }
+        let read = self.record_read(read)?;
+        let cache = &self.gateway.catalog_cache;
+        let has_changed = match read {
+            EvacuationsRead::Unchanged => {
+                cache.confirm_evacuations(confirmed_at);
+                false
+            }
+            EvacuationsRead::Snapshot(domains) => cache.set_evacuations(domains, confirmed_at),
+        };
+        Ok(ReadOutcome {
+            changed: has_changed.then_some(()),
+            confirmed_at,
+            has_more: false,
+        })
+    }
+
     /// Reads the hosts. Returns them if they differ from the cached ones.
     pub(crate) async fn hosts(
         &mut self,
@@ -346,9 +403,9 @@
                 .await;
             match result {
                 PeerResult::Fresh(..) => return result,
-                // A host without a list of hosts may run the previous version and have fresh
-                // manifests and upstreams.
-                PeerResult::Stale if list == ListKind::Hosts => {}
+                // A host without this list may run the previous version and have fresh manifests
+                // and upstreams.
+                PeerResult::Stale if list.may_be_unknown() => {}
                 PeerResult::Stale => self.mark_unavailable(&reader.host, Unavailable::Stale),
                 PeerResult::NoResponse => {
                     self.mark_unavailable(&reader.host, Unavailable::NoResponse);
@@ -376,7 +433,7 @@
         };
         let age = Duration::from_millis(response.age_ms);
         let age_max = match list {
-            ListKind::Routes | ListKind::Upstreams => RESPONSE_AGE_MAX,
+            ListKind::Routes | ListKind::Upstreams | ListKind::Evacuations => RESPONSE_AGE_MAX,
             ListKind::Hosts => HOSTS_AGE_MAX,
         };
         if response.version == 0 || age > age_max {
@@ -386,3 +443,9 @@
         PeerResult::Fresh(response, requested_at.saturating_sub(age))
     }
 }
+
+/// The failure domains in a response, without those whose names are malformed.
+fn decode_domains(response: &ReadResponse) -> IndexSet<FailureDomainId> {
+    let names = response.evacuated_domains.iter();
+    names.filter_map(|name| name.parse().ok()).collect()
+}
--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -28,6 +28,9 @@
     /// How long a key may still be accepted after it was revoked; none where keys are never
     /// revoked.
     pub key_lease: Option<Duration>,
+    /// Whether operators of this deployment can evacuate failure domains. If so, a host serves only
+    /// once it knows which ones are evacuated.
+    pub has_evacuations: bool,
     /// The processor capacity that this host may use. Among the hosts of a failure domain the one
     /// with the largest capacity collects updates.
     pub processors: Millicores,
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -58,6 +58,15 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         restarted: Vec<String>,
     },
+    /// Operators have evacuated failure domains, or have ended evacuations.
+    EvacuationsChanged {
+        /// The failure domains that are evacuated now.
+        evacuated: Vec<String>,
+        /// Those among them in which no upstream is listed.
+        without_upstreams: Vec<String>,
+        /// The number of listed upstreams in evacuated failure domains.
+        upstreams: usize,
+    },
     /// The route by which updates of other hosts arrive has changed.
     #[serde(rename = "news_route")]
     UpdateRouteChanged {
--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -150,6 +150,7 @@
     fn on_recovery(&self) {
         self.gateway.routes_changed.notify_one();
         self.gateway.upstreams_changed.notify_one();
+        self.gateway.evacuations_changed.notify_one();
         self.gateway.broadcast_now.notify_one();
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -39,6 +39,10 @@
 /// the limit may have been lifted by then.
 const LIMIT_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
+/// The time after which a caller should retry when all upstreams that are left are evacuated. An
+/// evacuation lasts for seconds at least.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// The upstreams of one send, with the memory reservations to make before it, the loads to count
 /// for it, its forecast, and the records of what upstreams had stated about themselves.
 pub(crate) struct SendPlan {
@@ -107,6 +111,9 @@
     ) else {
         return PlacementDecision::Refuse(CallRefusal::NoManifest);
     };
+    if !gateway.knows_evacuations() {
+        return PlacementDecision::Refuse(CallRefusal::NoManifest);
+    }
     let listed = by_service.get(&call.service);
     let listed = listed.map_or(&[][..], Vec::as_slice);
     let Candidates {
@@ -117,6 +124,9 @@
     if let Some(backoff) = backoff {
         return wait_for_backoff(call, sends, &backoff, now);
     }
+    if usable.is_empty() && excluded.is_some_and(|excluded| excluded.evacuated > 0) {
+        return refuse(RefuseReason::Evacuated, EVACUATED_RETRY_AFTER);
+    }
     let model = engine_model(&routes, call);
     let mut limits = LimitStates::of(gateway, &usable, now);
     loop {
@@ -162,10 +172,7 @@
     if wait <= patience {
         return PlacementDecision::WaitForLimit(opens_in);
     }
-    PlacementDecision::Refuse(CallRefusal::Overload {
-        reason: RefuseReason::RateLimited,
-        retry_after: wait.min(LIMIT_RETRY_AFTER_MAX),
-    })
+    refuse(RefuseReason::RateLimited, wait.min(LIMIT_RETRY_AFTER_MAX))
 }
 
 /// Handles a call while all upstreams that it could be sent to want no requests. The call waits if
@@ -330,10 +337,7 @@
         EngineChoice::Refuse {
             reason,
             retry_after,
-        } => PlacementDecision::Refuse(CallRefusal::Overload {
-            reason,
-            retry_after,
-        }),
+        } => refuse(reason, retry_after),
     }
 }
 
@@ -405,8 +409,13 @@
 
 /// The refusal of a call that no upstream is left for.
 fn no_upstream() -> PlacementDecision {
+    refuse(RefuseReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER)
+}
+
+/// The refusal of a call for this reason.
+fn refuse(reason: RefuseReason, retry_after: Duration) -> PlacementDecision {
     PlacementDecision::Refuse(CallRefusal::Overload {
-        reason: RefuseReason::NoUpstream,
-        retry_after: NO_UPSTREAM_RETRY_AFTER,
+        reason,
+        retry_after,
     })
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -79,6 +79,12 @@
         Arc::clone(&gateway),
         Arc::clone(&catalog),
     ));
+    if gateway.conf.has_evacuations {
+        tasks.spawn(sync::sync_evacuations(
+            Arc::clone(&gateway),
+            Arc::clone(&catalog),
+        ));
+    }
     tasks.spawn(sync::sync_hosts(
         Arc::clone(&gateway),
         Arc::clone(&catalog),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -99,6 +99,8 @@
     /// Notified when the host that reads the platform for this one has a different list of
     /// upstreams.
     pub(crate) upstreams_changed: Notify,
+    /// Notified when the evacuations are to be read again before the next interval.
+    pub(crate) evacuations_changed: Notify,
     /// Notified when an update arrives from a host that is not on the list.
     pub(crate) hosts_changed: Notify,
     /// The number of updates that this host has sent, from which an update takes its sequence
@@ -159,6 +161,7 @@
             incarnations: UpstreamIncarnations::default(),
             routes_changed: Notify::new(),
             upstreams_changed: Notify::new(),
+            evacuations_changed: Notify::new(),
             hosts_changed: Notify::new(),
             updates_sent: AtomicU64::new(0),
             update_route: Mutex::default(),
@@ -283,6 +286,7 @@
         self.phase() == ShutdownPhase::Serving
             && self.platform_view.routes().is_some()
             && self.platform_view.upstreams().is_some()
+            && self.knows_evacuations()
             && self
                 .platform_view
                 .freshness()
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -126,6 +126,7 @@
         revision: current.revision(),
     });
     gateway.upstreams_changed.notify_one();
+    gateway.evacuations_changed.notify_one();
     gateway.hosts_changed.notify_one();
 }
 
@@ -153,6 +154,24 @@
     }
 }
 
+/// Reads the evacuations and applies their changes for as long as the process runs.
+pub(crate) async fn sync_evacuations(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
+    let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
+    let mut dependency = Dependency::new(&gateway, "evacuations");
+    let mut source = ReadSource::Any;
+    loop {
+        let requested_at = gateway.clock.now();
+        let read = reader.evacuations(source).await;
+        dependency.on_read(requested_at, &read);
+        if read.is_ok_and(|read| read.changed.is_some()) {
+            gateway.apply_evacuations();
+        }
+        let due_at = next_read_at(requested_at, false);
+        let wakeup = &gateway.evacuations_changed;
+        source = dependency.wait_for_next_read(due_at, wakeup).await;
+    }
+}
+
 /// Applies a list of upstreams: replaces the usable ones, drops the state of all others, and logs
 /// which ones joined and left. `before` and the result are the upstreams that are not leaving.
 fn apply_upstreams(
@@ -168,6 +187,7 @@
         .incarnations
         .update(&listed, |id| health.lost_at(id));
     drop(health);
+    gateway.mark_evacuated(&listed);
     let usable = gateway.platform_view.set_upstreams(listed);
     gateway.health().retain(|id| staying.contains(id));
     let now = gateway.clock.now();
--- a/tests/decide_availability.rs
+++ b/tests/decide_availability.rs
@@ -113,3 +113,24 @@
     tracker.on_leaving(&a, start + seconds(1));
     assert_eq!(tracker.recently_leaving(start + seconds(2)).count(), 0);
 }
+
+/// Guards against an evacuated upstream that gets requests because its backoff ends, and against one
+/// that gets none after its evacuation has ended.
+#[test]
+fn an_evacuated_upstream_is_available_again_when_the_evacuation_ends() {
+    let (a, start) = (upstream("a"), Instant::now());
+    let mut tracker = AvailabilityTracker::default();
+    tracker.on_backoff(&a, seconds(1), start);
+    assert!(tracker.set_evacuated(&a, true, start));
+    assert!(!tracker.set_evacuated(&a, true, start + seconds(1)));
+    let at = start + seconds(2);
+    assert_eq!(
+        tracker.availability(&a, at),
+        UpstreamAvailability::Evacuated
+    );
+    assert_eq!(tracker.age(&a, at), Some(seconds(2)));
+    tracker.on_list(|_| true, at);
+    assert!(!tracker.is_available(&a, at));
+    assert!(tracker.set_evacuated(&a, false, at));
+    assert!(tracker.is_available(&a, at));
+}
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -13,18 +13,21 @@
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::CatalogError;
 use banyanarch::gateway::CatalogRead;
+use banyanarch::gateway::EvacuationsRead;
 use banyanarch::gateway::ListedUpstream;
 use banyanarch::gateway::RoutesRead;
 use banyanarch::gateway::UpstreamChange;
 use banyanarch::gateway::UpstreamsRead;
 use banyanarch::gateway::Watch;
 use banyanarch::routing::RouteTable;
+use banyanarch::units::FailureDomainId;
 use banyanarch::units::HostId;
 use banyanarch::units::ObjectVersion;
 use banyanarch::units::StoreEra;
 use banyanarch::units::UpstreamId;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use indexmap::IndexSet;
 
 /// The state of the platform that all links read.
 #[derive(Clone, Default)]
@@ -41,6 +44,9 @@
     /// The number of changes, from the first one, that are no longer available.
     forgotten: usize,
     hosts: Vec<ListedHost>,
+    evacuated: IndexSet<FailureDomainId>,
+    /// The number of changes of the evacuations.
+    evacuation_changes: usize,
 }
 
 impl PlatformState {
@@ -67,6 +73,7 @@
 pub struct FakeCatalog {
     state: Arc<Mutex<PlatformState>>,
     is_unreachable: AtomicBool,
+    are_evacuations_unreadable: AtomicBool,
     reads: AtomicUsize,
     whole_reads: AtomicUsize,
 }
@@ -99,17 +106,43 @@
 
     /// Lists an upstream of a service; in id order by `id`.
     pub fn list(&self, id: &str, service: &str, addr: SocketAddr) {
+        self.list_in("here", id, service, addr);
+    }
+
+    /// Lists an upstream of a service in a failure domain.
+    pub fn list_in(&self, domain: &str, id: &str, service: &str, addr: SocketAddr) {
         self.state.lock().unwrap().change(ListedUpstream {
             id: id.parse().unwrap(),
             name: id.parse().unwrap(),
             service: service.parse().unwrap(),
             addr,
-            domain: "here".parse().unwrap(),
+            domain: domain.parse().unwrap(),
             slots: 16,
             is_leaving: false,
         });
     }
 
+    /// Evacuates a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.evacuated.insert(domain.parse().unwrap());
+        state.evacuation_changes += 1;
+    }
+
+    /// Ends the evacuation of a failure domain.
+    pub fn end_evacuation(&self, domain: &str) {
+        let mut state = self.state.lock().unwrap();
+        let domain: FailureDomainId = domain.parse().unwrap();
+        state.evacuated.swap_remove(&domain);
+        state.evacuation_changes += 1;
+    }
+
+    /// Makes reads of the evacuations fail or succeed.
+    pub fn set_evacuations_unreadable(&self, are_unreadable: bool) {
+        self.are_evacuations_unreadable
+            .store(are_unreadable, Ordering::Relaxed);
+    }
+
     /// Restarts an upstream under the same name and returns its new id.
     pub fn restart(&self, name: &str, started: u64) -> UpstreamId {
         let mut state = self.state.lock().unwrap();
@@ -226,6 +259,22 @@
         Ok(CatalogRead { value, as_of })
     }
 
+    async fn read_evacuations(
+        &self,
+        watch: Option<Watch>,
+    ) -> Result<CatalogRead<EvacuationsRead>, CatalogError> {
+        if self.are_evacuations_unreadable.load(Ordering::Relaxed) {
+            return Err(CatalogError::NoAnswer("evacuations".to_owned()));
+        }
+        let as_of = Some(self.wait(watch, |state| state.evacuation_changes).await?);
+        let value = if watch.is_some_and(|watch| Some(watch.since) == as_of) {
+            EvacuationsRead::Unchanged
+        } else {
+            self.respond(|state| EvacuationsRead::Snapshot(state.evacuated.clone()))?
+        };
+        Ok(CatalogRead { value, as_of })
+    }
+
     async fn read_routes(
         &self,
         known: Option<ObjectVersion>,
@@ -268,6 +317,13 @@
         self.read_upstreams(watch).boxed()
     }
 
+    fn evacuations(
+        &self,
+        watch: Option<Watch>,
+    ) -> BoxFuture<'_, Result<CatalogRead<EvacuationsRead>, CatalogError>> {
+        self.read_evacuations(watch).boxed()
+    }
+
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>> {
         let read = self.respond(|state| state.hosts.clone());
         async move { read }.boxed()
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -104,6 +104,7 @@
         exchange_addr: local(),
         metrics_addr: local(),
         key_lease: Some(Duration::from_secs(5)),
+        has_evacuations: true,
         processors: Millicores(1_000),
         retry_bound: RetryBound {
             per_request: 0.2,
@@ -121,6 +122,15 @@
 
     /// Starts a host and waits until it has read the manifest and the upstreams, if there are any.
     pub async fn start_with(conf: GatewayConf, catalog: &Arc<FakeCatalog>) -> Self {
+        let host = Self::start_without_waiting(conf, catalog).await;
+        if catalog.has_routes() {
+            wait_until(|| host.gateway.is_ready()).await;
+        }
+        host
+    }
+
+    /// Starts a host without waiting until it is ready.
+    pub async fn start_without_waiting(conf: GatewayConf, catalog: &Arc<FakeCatalog>) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let engine_client = Arc::new(FakeEngineClient::default());
         let log = LogLines::default();
@@ -138,23 +148,18 @@
         let callers = listeners.callers.local_addr().unwrap();
         let ready = listeners.ready.local_addr().unwrap();
         let catalog = Arc::<FakeCatalog>::clone(catalog);
-        let has_routes = catalog.has_routes();
         let serving_gateway = Arc::clone(&gateway);
         let serving = tokio::spawn(async move {
             serve(serving_gateway, catalog, listeners).await.unwrap();
         });
-        let host = Self {
+        Self {
             gateway,
             callers,
             ready,
             engine_client,
             log,
             serving,
-        };
-        if has_routes {
-            wait_until(|| host.gateway.is_ready()).await;
         }
-        host
     }
 
     /// Waits until the list of hosts has `count` entries.
