Rate limits: cold upstreams get no more than the manifest allows

An upstream that has just started accepts few requests a second and crashes well above that; the platform says for how long (`cold-left-ms`) and how many (`cold-per-s`). Nobody read either: a cold upstream, idle and so the first choice of all hosts, got as many requests as they had.

Change: one tracker of limits with two sources. A limit is that which an upstream advertises, or that of cold upstreams of its service while it is cold; the lowest binds. What hosts tell each other of their sends is the same; a report may now carry no statement of the upstream. Upstreams that come back from an evacuation count as cold until the list says otherwise.

The model of hosts under ten times the rate of a cold upstream showed a hole: six hosts sent more than 44 in a second at 26 a second, since each took all that was left before it heard of the others. A host now takes its even share, less what the others may not know yet. Limits that upstreams advertise are kept as before and used as far or further.

--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -41,13 +41,18 @@
     }
 }
 
-/// What one host knows about an upstream that has named a limit.
+/// What one host knows about an upstream that has a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimitView {
     /// The rate limit.
     pub limit: RequestsPerSecond,
+    /// Whether the limit is that of cold upstreams.
+    pub is_cold: bool,
     /// The requests sent to the upstream by this host and all hosts that it hears.
     pub sent: RecentSends,
+    /// Requests that this host has sent within [`Self::update_age_max`], of which other hosts may not
+    /// know yet.
+    pub own_unreported: u32,
     /// How long the limit has allowed another request, as far as this host knows; none if the limit
     /// allows no request now.
     pub open_for: Option<Duration>,
@@ -77,18 +82,20 @@
     /// Whether this host sends another request. `draw` is uniformly distributed over 0 to 1.
     ///
     /// When a limit allows another request, each of two hundred hosts could send one before it
-    /// hears of the others. The probability therefore starts at a level at which one host in all is
-    /// expected to send. It doubles for each maximum report age for which the limit has allowed
-    /// another request. However many requests wait, only about one more is sent before the report
-    /// of the first arrives.
+    /// hears of the others, and when it allows many, each of six hosts could send them all. A host
+    /// therefore starts with its even share of what the limit allows, less what it has sent and the
+    /// others may not know, as the expected number of its requests. The share doubles for each
+    /// maximum report age for which the limit has allowed another request. However many requests
+    /// wait, only about one more is sent before the report of the first arrives.
     pub fn admits(&self, draw: f64) -> bool {
         let Some(open_for) = self.open_for else {
             return false;
         };
         let doublings =
             open_for.as_secs_f64() / self.update_age_max.as_secs_f64().max(f64::EPSILON);
-        let even_probability = self.remaining() / self.hosts.heard.max(1) as f64;
-        draw < even_probability * doublings.exp2()
+        let unreported = f64::from(self.own_unreported);
+        let even_share = (self.remaining() + unreported) / self.hosts.heard.max(1) as f64;
+        draw < even_share * doublings.exp2() - unreported
     }
 
     /// One host's even share of the limit, in requests per second.
--- a/src/decide/rate_limit_tracker.rs
+++ b/src/decide/rate_limit_tracker.rs
@@ -1,5 +1,5 @@
-//! Tracks the rate limits that upstreams name for all hosts together, and the requests sent to
-//! those upstreams.
+//! Tracks the rate limits of upstreams for all hosts together, and the requests sent to those
+//! upstreams. An upstream advertises a limit itself, or has the limit of cold upstreams for a time.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -23,26 +23,75 @@
 /// The report of one host, or of all hosts of a failure domain, about the limit of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitReport {
-    /// The limit; none if it has ended.
+    /// The advertised limit; none if it has ended, or if the hosts know none.
     pub limit: Option<RequestsPerSecond>,
-    /// Time since the upstream stated the limit.
-    pub age: Duration,
+    /// Time since the upstream stated the limit or its end; none if the hosts know no statement.
+    pub age: Option<Duration>,
     /// The requests that the reporting hosts have sent to the upstream.
     pub sent: RecentSends,
 }
 
-/// The known limit of one upstream.
+/// What an upstream has stated about its limit.
 #[derive(Clone, Copy, Debug)]
-struct KnownLimit {
+struct LimitStatement {
     /// The limit; none if it has ended.
     limit: Option<RequestsPerSecond>,
     stated_at: Instant,
     /// Whether this host received the limit from the upstream itself.
     is_first_hand: bool,
-    /// Since when the limit has allowed another request; none if it allows no request now.
+}
+
+impl LimitStatement {
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.stated_at)
+    }
+
+    /// Whether this host reports the statement to other hosts.
+    fn is_reported(&self, now: Instant) -> bool {
+        self.is_first_hand && (self.limit.is_some() || self.age(now) < END_REPORT_TIME)
+    }
+}
+
+/// The time for which an upstream is cold.
+#[derive(Clone, Copy, Debug)]
+struct ColdPeriod {
+    /// The remaining time on the list from which the end was last computed. A list that is applied
+    /// again with the same value must not extend the period.
+    listed: Duration,
+    ends_at: Instant,
+    /// The limit of cold upstreams of the service; none if they have none.
+    limit: Option<RequestsPerSecond>,
+}
+
+/// The known limits of one upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownLimit {
+    /// The latest statement of the upstream; none if none is known.
+    advertised: Option<LimitStatement>,
+    /// None if the upstream is not cold.
+    cold: Option<ColdPeriod>,
+    /// Since when the limits have allowed another request; none if they allow no request now.
     open_since: Option<Instant>,
 }
 
+impl KnownLimit {
+    fn advertised_limit(&self) -> Option<RequestsPerSecond> {
+        self.advertised.and_then(|statement| statement.limit)
+    }
+
+    fn cold_limit(&self, now: Instant) -> Option<RequestsPerSecond> {
+        let cold = self.cold.filter(|cold| cold.ends_at > now)?;
+        cold.limit
+    }
+
+    /// The lowest limit in force at `now`.
+    fn limit(&self, now: Instant) -> Option<RequestsPerSecond> {
+        let limits = [self.advertised_limit(), self.cold_limit(now)];
+        let limits = limits.into_iter().flatten();
+        limits.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+}
+
 /// The sends to one upstream that one source has reported.
 #[derive(Clone, Copy, Debug)]
 struct ReportedSends {
@@ -126,8 +175,10 @@
         let sources = self.reported.entry(upstream.clone()).or_default();
         sources.retain(|_, reported| reported.is_recent(now));
         sources.insert(source, reported);
-        let stated_at = now.checked_sub(report.age).unwrap_or(now);
-        let is_change = self.record_limit(upstream, report.limit, stated_at, false);
+        let is_change = report.age.is_some_and(|age| {
+            let stated_at = now.checked_sub(age).unwrap_or(now);
+            self.record_limit(upstream, report.limit, stated_at, false)
+        });
         // Updates `open_since` even while no request waits for this upstream.
         self.view(upstream, now);
         is_change
@@ -142,31 +193,67 @@
         stated_at: Instant,
         is_first_hand: bool,
     ) -> bool {
-        let Some(known) = self.limits.get_mut(upstream) else {
-            if limit.is_some() {
-                let known = KnownLimit {
+        let statement = LimitStatement {
+            limit,
+            stated_at,
+            is_first_hand,
+        };
+        let known = self.limits.get(upstream);
+        let before = known.and_then(|known| known.advertised);
+        let is_superseded = before.is_some_and(|before| stated_at < before.stated_at);
+        if is_superseded || (before.is_none() && limit.is_none()) {
+            return false;
+        }
+        self.limits.entry(upstream.clone()).or_default().advertised = Some(statement);
+        before.and_then(|before| before.limit) != limit
+    }
+
+    /// Records for how long the list says that an upstream remains cold, and the limit of cold
+    /// upstreams of its service. A value that the list had before changes only the limit.
+    pub fn set_cold(
+        &mut self,
+        upstream: &UpstreamId,
+        listed: Duration,
+        limit: Option<RequestsPerSecond>,
+        now: Instant,
+    ) {
+        let known = self.limits.get_mut(upstream);
+        let cold = known.and_then(|known| known.cold.as_mut());
+        match cold {
+            Some(cold) if cold.listed == listed => cold.limit = limit,
+            None if listed.is_zero() => {}
+            _ => {
+                let cold = ColdPeriod {
+                    listed,
+                    ends_at: now + listed,
                     limit,
-                    stated_at,
-                    is_first_hand,
-                    open_since: None,
                 };
-                self.limits.insert(upstream.clone(), known);
+                self.limits.entry(upstream.clone()).or_default().cold = Some(cold);
             }
-            return limit.is_some();
-        };
-        if stated_at < known.stated_at {
-            return false;
         }
-        let is_change = known.limit != limit;
-        known.limit = limit;
-        known.stated_at = stated_at;
-        known.is_first_hand = is_first_hand;
-        is_change
     }
 
-    /// The limit of an upstream; none if the upstream has not named one or the limit has ended.
-    pub fn limit(&self, upstream: &UpstreamId) -> Option<RequestsPerSecond> {
-        self.limits.get(upstream).and_then(|known| known.limit)
+    /// Assumes that an upstream is cold for this time from `now` on, until the list says otherwise.
+    pub fn assume_cold(
+        &mut self,
+        upstream: &UpstreamId,
+        time: Duration,
+        limit: Option<RequestsPerSecond>,
+        now: Instant,
+    ) {
+        let known = self.limits.entry(upstream.clone()).or_default();
+        let listed = known.cold.map_or(Duration::ZERO, |cold| cold.listed);
+        let ends_at = known.cold.map_or(now, |cold| cold.ends_at).max(now + time);
+        known.cold = Some(ColdPeriod {
+            listed,
+            ends_at,
+            limit,
+        });
+    }
+
+    /// The limit of an upstream at `now`; none if it has none.
+    pub fn limit(&self, upstream: &UpstreamId, now: Instant) -> Option<RequestsPerSecond> {
+        self.limits.get(upstream).and_then(|known| known.limit(now))
     }
 
     /// Sets which hosts share the limits, and the maximum age of their reports.
@@ -175,14 +262,17 @@
         self.update_age_max = update_age_max;
     }
 
-    /// The state of an upstream that has named a limit; none for other upstreams. Each call also
+    /// The state of an upstream that has a limit at `now`; none for other upstreams. Each call also
     /// records whether the limit allows another request at `now`, from which
     /// [`RateLimitView::open_for`] is computed.
     pub fn view(&mut self, upstream: &UpstreamId, now: Instant) -> Option<RateLimitView> {
-        let limit = self.limit(upstream)?;
+        let known = self.limits.get(upstream)?;
+        let limit = known.limit(now)?;
         let mut view = RateLimitView {
             limit,
+            is_cold: known.cold_limit(now) == Some(limit),
             sent: self.recent_sends(upstream, now),
+            own_unreported: self.own_sent_within(upstream, self.update_age_max, now),
             open_for: None,
             hosts: self.hosts,
             uptime: now.saturating_duration_since(self.started_at),
@@ -204,15 +294,13 @@
     /// the upstream has recently stated to this host.
     pub fn reports(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, LimitReport)> {
         self.limits.iter().filter_map(move |(upstream, known)| {
-            let age = now.saturating_duration_since(known.stated_at);
+            let statement = known.advertised;
             let has_sent = self.own_sent_within(upstream, END_REPORT_TIME, now) > 0;
-            let is_reported = match known.limit {
-                Some(_) => known.is_first_hand || has_sent,
-                None => known.is_first_hand && age < END_REPORT_TIME,
-            };
+            let is_reported = statement.is_some_and(|statement| statement.is_reported(now))
+                || (known.limit(now).is_some() && has_sent);
             let report = LimitReport {
-                limit: known.limit,
-                age,
+                limit: known.advertised_limit(),
+                age: statement.map(|statement| statement.age(now)),
                 sent: self.own_recent_sends(upstream, now),
             };
             is_reported.then_some((upstream, report))
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -146,7 +146,7 @@
     /// has ended.
     #[prost(double, optional, tag = "2")]
     pub limit_per_s: Option<f64>,
-    /// Time since the upstream stated the limit, in ms.
+    /// Time since the upstream stated the limit, in ms; `u32::MAX` if the sender knows no statement.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
     /// The requests that the sender, or its failure domain, has sent to the upstream within the
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -33,6 +33,9 @@
     pub domain: FailureDomainId,
     /// Number of requests that the upstream processes concurrently.
     pub slots: u32,
+    /// How long the upstream remained cold when the list was written; zero if it is not cold. While
+    /// cold, it accepts only the [rate](crate::routing::ColdStart) of its service.
+    pub cold_left: Duration,
     /// Whether the upstream is leaving. It is still listed, but gets no new requests.
     pub is_leaving: bool,
 }
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -3,6 +3,7 @@
 //! Field numbers are never reused.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
@@ -11,6 +12,7 @@
 use crate::exchange::ListedHost;
 use crate::gateway::ListedUpstream;
 use crate::units::Millicores;
+use crate::units::whole_millis_u32;
 
 /// Largest message in bytes. A manifest has at most about 1 MB.
 pub(super) const MESSAGE_SIZE_MAX: usize = 8 << 20;
@@ -154,6 +156,9 @@
     /// Whether the upstream is leaving.
     #[prost(bool, tag = "6")]
     pub(crate) is_leaving: bool,
+    /// How long the upstream remained cold when the list was written, in ms.
+    #[prost(uint32, tag = "8")]
+    pub(crate) cold_left_ms: u32,
     /// The id of the upstream's incarnation; empty from a host that identifies upstreams by name
     /// alone.
     #[prost(string, tag = "7")]
@@ -169,6 +174,7 @@
             domain: listed.domain.to_string(),
             slots: listed.slots,
             is_leaving: listed.is_leaving,
+            cold_left_ms: whole_millis_u32(listed.cold_left),
             id: listed.id.to_string(),
         }
     }
@@ -189,6 +195,7 @@
             domain: self.domain.parse().ok()?,
             slots: self.slots,
             is_leaving: self.is_leaving,
+            cold_left: Duration::from_millis(self.cold_left_ms.into()),
             name: self.name.parse().ok()?,
         })
     }
--- a/src/gateway/catalog_sharing/upstream_list.rs
+++ b/src/gateway/catalog_sharing/upstream_list.rs
@@ -10,6 +10,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::UpstreamChange;
 use crate::units::UpstreamName;
+use crate::units::whole_millis;
 
 /// Number of versions since which the changes can be reported. Requesting hosts are only a few
 /// versions behind, also while all upstreams of a service are replaced one after the other.
@@ -158,9 +159,14 @@
         addr,
         domain,
         slots,
+        cold_left,
         is_leaving,
     } = listed;
-    let text = format!("{id} {name} {service} {addr} {domain} {slots} {is_leaving}");
+    let mut text = format!("{id} {name} {service} {addr} {domain} {slots} {is_leaving}");
+    // Left out of the text otherwise, so that hosts of the former version compute the same hash.
+    if !cold_left.is_zero() {
+        text.push_str(&format!(" {}", whole_millis(*cold_left)));
+    }
     xxh3_64(text.as_bytes())
 }
 
--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -1,5 +1,7 @@
 //! Evacuations: failure domains whose upstreams get no requests until operators end the evacuation.
 
+use std::sync::Arc;
+
 use indexmap::IndexSet;
 
 use crate::gateway::DecisionEvent;
@@ -13,11 +15,16 @@
         !self.conf.has_evacuations || self.catalog_cache.evacuations_version() != 0
     }
 
-    /// Applies the evacuations that were read last to all listed upstreams, and logs them.
-    pub(crate) fn apply_evacuations(&self) {
+    /// Applies the evacuations that were read last to all listed upstreams, and logs them. `before`
+    /// are the failure domains that were evacuated before; those that are now are returned.
+    pub(crate) fn apply_evacuations(
+        &self,
+        before: &IndexSet<FailureDomainId>,
+    ) -> Arc<IndexSet<FailureDomainId>> {
         let listed = self.catalog_cache.upstreams().unwrap_or_default();
-        let upstreams = self.mark_evacuated(&listed);
         let evacuated = self.catalog_cache.evacuations().unwrap_or_default();
+        self.assume_cold(&before.difference(&evacuated).cloned().collect());
+        let upstreams = self.mark_evacuated(&listed);
         let domains: IndexSet<&FailureDomainId> =
             listed.iter().map(|upstream| &upstream.domain).collect();
         let without_upstreams = evacuated.iter().filter(|domain| !domains.contains(domain));
@@ -26,6 +33,7 @@
             without_upstreams: without_upstreams.map(ToString::to_string).collect(),
             upstreams,
         });
+        evacuated
     }
 
     /// Records which of the listed upstreams are in evacuated failure domains. Returns their number.
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -42,6 +42,10 @@
 use crate::units::whole_millis;
 use crate::units::whole_millis_u32;
 
+/// The age of the limit of an upstream of which the sender knows no statement. The entry contains
+/// only what was sent to the upstream.
+const AGE_MS_UNKNOWN: u32 = u32::MAX;
+
 /// Largest number of poison reports in one update; the latest are sent. 64 reports take 4 KB.
 const POISON_REPORTS_MAX: usize = 64;
 
@@ -327,7 +331,7 @@
     RateLimitEntry {
         upstream_hash: UpstreamHash::from(upstream).0,
         limit_per_s: report.limit.map(|limit| limit.0),
-        age_ms: whole_millis_u32(report.age),
+        age_ms: report.age.map_or(AGE_MS_UNKNOWN, whole_millis_u32),
         sent_in_window: report.sent.in_window,
         sent_in_burst_window: report.sent.in_burst_window,
     }
@@ -336,7 +340,7 @@
 fn decode_limit(entry: &RateLimitEntry) -> LimitReport {
     LimitReport {
         limit: entry.limit_per_s.map(RequestsPerSecond),
-        age: Duration::from_millis(entry.age_ms.into()),
+        age: (entry.age_ms != AGE_MS_UNKNOWN).then(|| Duration::from_millis(entry.age_ms.into())),
         sent: RecentSends {
             in_window: entry.sent_in_window,
             in_burst_window: entry.sent_in_burst_window,
--- a/src/gateway/limit_states.rs
+++ b/src/gateway/limit_states.rs
@@ -28,7 +28,7 @@
 impl LimitStates {
     /// The states of the rate limits of `upstreams` at `now`.
     pub(crate) fn of(gateway: &Gateway, upstreams: &[&ListedUpstream], now: Instant) -> Self {
-        if !gateway.rate_limits.has_any_limit(upstreams) {
+        if !gateway.rate_limits.has_any_limit(upstreams, now) {
             return Self::default();
         }
         let coverage = gateway.hosts_heard(now);
--- a/src/gateway/rate_limit_record.rs
+++ b/src/gateway/rate_limit_record.rs
@@ -11,6 +11,9 @@
 pub struct RateLimitRecord {
     /// The requests a second that the upstream accepts from all hosts together.
     pub per_s: f64,
+    /// Whether the limit holds because the upstream is cold.
+    #[serde(default)]
+    pub is_cold: bool,
     /// Requests that all hosts had sent to the upstream in the four seconds before, as far as this
     /// host knew.
     pub sent_in_window: u32,
@@ -24,6 +27,7 @@
     fn from(view: &RateLimitView) -> Self {
         Self {
             per_s: view.limit.0,
+            is_cold: view.is_cold,
             sent_in_window: view.sent.in_window,
             hosts_listed: view.hosts.listed,
             hosts_heard: view.hosts.heard,
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -18,6 +18,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
+use crate::routing::ColdStart;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::RequestsPerSecond;
@@ -62,10 +63,12 @@
         }
     }
 
-    /// Whether any of these upstreams has a limit.
-    pub(crate) fn has_any_limit(&self, upstreams: &[&ListedUpstream]) -> bool {
+    /// Whether any of these upstreams has a limit at `now`.
+    pub(crate) fn has_any_limit(&self, upstreams: &[&ListedUpstream], now: Instant) -> bool {
         let tracker = self.tracker();
-        upstreams.iter().any(|u| tracker.limit(&u.id).is_some())
+        upstreams
+            .iter()
+            .any(|u| tracker.limit(&u.id, now).is_some())
     }
 
     /// The number of calls of a service that wait on this host for a limit.
@@ -131,7 +134,44 @@
         let is_change = tracker.on_report(source.clone(), upstream, report, now);
         drop(tracker);
         if is_change {
-            self.on_limit_change(upstream, report.limit, Some(source.host()), report.age);
+            let age = report.age.unwrap_or_default();
+            self.on_limit_change(upstream, report.limit, Some(source.host()), age);
+        }
+    }
+
+    /// Applies the limits of cold upstreams: for how long the list says that each upstream remains
+    /// cold, and what the manifest allows meanwhile.
+    pub(crate) fn apply_cold_limits(&self) {
+        let (Some(listed), Some(routes)) =
+            (self.catalog_cache.upstreams(), self.platform_view.routes())
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut tracker = self.rate_limits.tracker();
+        for upstream in listed.iter() {
+            let service = routes.services.get(&upstream.service);
+            let limit = service.and_then(|service| service.cold.rate);
+            tracker.set_cold(&upstream.id, upstream.cold_left, limit, now);
+        }
+    }
+
+    /// Assumes that the upstreams of these failure domains, whose evacuation has ended, are as cold
+    /// as after a start: they may have started meanwhile, and the list may lag.
+    pub(crate) fn assume_cold(&self, domains: &IndexSet<FailureDomainId>) {
+        let (Some(listed), Some(routes)) =
+            (self.catalog_cache.upstreams(), self.platform_view.routes())
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut tracker = self.rate_limits.tracker();
+        let returning = listed.iter().filter(|u| domains.contains(&u.domain));
+        for upstream in returning {
+            if let Some(service) = routes.services.get(&upstream.service) {
+                let ColdStart { time, rate } = service.cold;
+                tracker.assume_cold(&upstream.id, time, rate, now);
+            }
         }
     }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -96,6 +96,7 @@
     };
     match gateway.platform_view.set_routes(routes) {
         RoutesUpdate::Applied => {
+            gateway.apply_cold_limits();
             gateway.load_changed.notify_one();
             gateway.log.record(event);
             true
@@ -158,13 +159,14 @@
 pub(crate) async fn sync_evacuations(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
     let mut dependency = Dependency::new(&gateway, "evacuations");
+    let mut evacuated = Arc::default();
     let mut source = ReadSource::Any;
     loop {
         let requested_at = gateway.clock.now();
         let read = reader.evacuations(source).await;
         dependency.on_read(requested_at, &read);
         if read.is_ok_and(|read| read.changed.is_some()) {
-            gateway.apply_evacuations();
+            evacuated = gateway.apply_evacuations(&evacuated);
         }
         let due_at = next_read_at(requested_at, false);
         let wakeup = &gateway.evacuations_changed;
@@ -188,6 +190,7 @@
         .update(&listed, |id| health.lost_at(id));
     drop(health);
     gateway.mark_evacuated(&listed);
+    gateway.apply_cold_limits();
     let usable = gateway.platform_view.set_upstreams(listed);
     gateway.health().retain(|id| staying.contains(id));
     let now = gateway.clock.now();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,5 +14,6 @@
 pub use route::Route;
 pub use route::RouteTarget;
 pub use route::stream_caller_timeout;
+pub use service::ColdStart;
 pub use service::Service;
 pub use table::RouteTable;
--- a/tests/decide_rate_limits.rs
+++ b/tests/decide_rate_limits.rs
@@ -138,7 +138,7 @@
 fn report(limit_per_s: Option<f64>, age_ms: u64, in_window: u32) -> LimitReport {
     LimitReport {
         limit: limit_per_s.map(RequestsPerSecond),
-        age: ms(age_ms),
+        age: Some(ms(age_ms)),
         sent: RecentSends {
             in_window,
             in_burst_window: 0,
@@ -157,10 +157,10 @@
     assert!(tracker.on_answer(&engine, None, at(500)));
     let old = report(Some(2.0), 400, 3);
     assert!(!tracker.on_report(host("a"), &engine, &old, at(800)));
-    assert_eq!(tracker.limit(&engine), None);
+    assert_eq!(tracker.limit(&engine, now), None);
     let new = report(Some(3.0), 100, 3);
     assert!(tracker.on_report(host("a"), &engine, &new, at(900)));
-    assert_eq!(tracker.limit(&engine), Some(RequestsPerSecond(3.0)));
+    assert_eq!(tracker.limit(&engine, now), Some(RequestsPerSecond(3.0)));
 }
 
 /// A host that knows a limit only from reports must not keep reporting it, which would keep the
@@ -221,3 +221,91 @@
     count.add(now + ms(60_000));
     assert_eq!(count.within(ms(4_000), now + ms(60_000)), 1);
 }
+
+/// The maximum number of requests within a second that a cold upstream is guaranteed.
+fn allowed_while_cold(rate_per_s: f64) -> f64 {
+    1.5 * rate_per_s + 5.0
+}
+
+/// Guards against cold upstreams that crash because all hosts send to them at once, in a burst of
+/// ten times what they accept.
+#[parameterized(
+    one_host = { 1, 26.0, 1 },
+    six = { 6, 26.0, 1 },
+    six_low = { 6, 4.0, 1 },
+    six_partitioned = { 6, 26.0, 3 },
+    seventy_nine = { 79, 26.0, 1 },
+    large = { 195, 26.0, 1 },
+    large_low = { 195, 4.0, 1 },
+    large_partitioned = { 195, 26.0, 5 },
+)]
+fn a_cold_upstream_gets_no_more_than_it_accepts(hosts: usize, rate_per_s: f64, domains: usize) {
+    for seed in 1..=2 {
+        let mut burst = site(hosts, rate_per_s);
+        burst.request_rate = rate_per_s * 10.0;
+        let mut world = World::new(burst, seed);
+        world.limit_starts_at(ms(60_000));
+        world.make_cold(ms(8_000));
+        world.partition(domains);
+        world.run_for(ms(7_500));
+        let max = world.max_in_window(Duration::ZERO, ms(1_000));
+        let used = world.used_fraction();
+        println!("{hosts} hosts, {rate_per_s}/s, seed {seed}: max {max}, used {used:.2}");
+        assert!(f64::from(max) <= allowed_while_cold(rate_per_s), "{max}");
+        assert!(used > 0.2, "{used}");
+    }
+}
+
+/// Guards against a limit that lasts because the list is applied again while it says the same, and
+/// against an advertised limit that a cold one hides or ends.
+#[test]
+fn a_cold_upstream_is_limited_until_its_time_is_over() {
+    let (now, engine) = (Instant::now(), upstream());
+    let mut tracker = RateLimitTracker::new(now);
+    let rate = |per_s| Some(RequestsPerSecond(per_s));
+    tracker.set_cold(&engine, ms(3_000), rate(10.0), now);
+    tracker.set_cold(&engine, ms(3_000), rate(10.0), now + ms(2_000));
+    assert_eq!(tracker.limit(&engine, now + ms(2_900)), rate(10.0));
+    assert!(tracker.view(&engine, now).unwrap().is_cold);
+    assert_eq!(tracker.limit(&engine, now + ms(3_000)), None);
+    tracker.on_answer(&engine, rate(4.0), now);
+    assert_eq!(tracker.limit(&engine, now), rate(4.0));
+    assert!(!tracker.view(&engine, now).unwrap().is_cold);
+    tracker.on_answer(&engine, None, now);
+    assert_eq!(tracker.limit(&engine, now), rate(10.0));
+    tracker.set_cold(&engine, Duration::ZERO, rate(10.0), now + ms(100));
+    assert_eq!(tracker.limit(&engine, now + ms(100)), None);
+}
+
+/// Guards against a full load on upstreams that come back cold before the list says so.
+#[test]
+fn an_upstream_is_assumed_cold_until_the_list_says_otherwise() {
+    let (now, engine) = (Instant::now(), upstream());
+    let mut tracker = RateLimitTracker::new(now);
+    let rate = Some(RequestsPerSecond(10.0));
+    tracker.assume_cold(&engine, ms(3_000), rate, now);
+    tracker.set_cold(&engine, Duration::ZERO, rate, now + ms(500));
+    assert_eq!(tracker.limit(&engine, now + ms(2_900)), rate);
+    tracker.set_cold(&engine, ms(9_000), rate, now + ms(1_000));
+    assert_eq!(tracker.limit(&engine, now + ms(9_900)), rate);
+    assert_eq!(tracker.limit(&engine, now + ms(10_000)), None);
+}
+
+/// Guards against a report of sends to a cold upstream that ends the limit it has advertised.
+#[test]
+fn a_report_without_a_statement_changes_no_limit() {
+    let (now, engine) = (Instant::now(), upstream());
+    let mut sender = RateLimitTracker::new(now);
+    sender.set_cold(&engine, ms(3_000), Some(RequestsPerSecond(10.0)), now);
+    sender.on_sent(&engine, now);
+    let reports: Vec<LimitReport> = sender.reports(now).map(|(_, report)| report).collect();
+    assert_eq!((reports.len(), reports[0].age), (1, None));
+    let mut receiver = RateLimitTracker::new(now);
+    receiver.on_answer(&engine, Some(RequestsPerSecond(4.0)), now);
+    assert!(!receiver.on_report(host("a"), &engine, &reports[0], now));
+    let view = receiver.view(&engine, now).unwrap();
+    assert_eq!(
+        (view.limit, view.sent.in_window),
+        (RequestsPerSecond(4.0), 1)
+    );
+}
--- a/tests/gateway_evacuations.rs
+++ b/tests/gateway_evacuations.rs
@@ -1,9 +1,14 @@
-//! Failure domains that operators evacuate.
+//! Failure domains that operators evacuate, and upstreams that are cold.
 
 mod gateway_world;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use banyanarch::routing::ColdStart;
+use banyanarch::routing::RouteTable;
+use banyanarch::routing::Service;
+use banyanarch::units::RequestsPerSecond;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -12,6 +17,7 @@
 use gateway_world::upstream::ScriptStep;
 use gateway_world::upstream::ScriptedUpstream;
 use gateway_world::wait_until;
+use tokio::time::sleep;
 
 /// A platform with one upstream of the same service in each of the failure domains `here`, which is
 /// that of the hosts, and `there`.
@@ -140,3 +146,58 @@
     world.catalog.set_evacuations_unreadable(false);
     wait_until(|| host.gateway.is_ready()).await;
 }
+
+/// A manifest by which a cold upstream of the service `app` accepts one request in four seconds.
+fn table_with_cold_limit() -> RouteTable {
+    let mut routes = table(1);
+    let name = "app".parse().unwrap();
+    let service = Service {
+        name,
+        engine: None,
+        cold: ColdStart {
+            time: Duration::from_secs(60),
+            rate: Some(RequestsPerSecond(0.25)),
+        },
+    };
+    routes.services.insert(service.name.clone(), service);
+    routes
+}
+
+/// Guards against cold upstreams that crash because they get as many requests as others.
+#[tokio::test]
+async fn a_cold_upstream_gets_no_more_than_the_manifest_allows() {
+    let catalog = FakeCatalog::new(table_with_cold_limit());
+    let upstream = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
+    catalog.list_cold("a", "app", upstream.addr, Duration::from_secs(60));
+    let host = TestHost::start("host", &catalog).await;
+    // A host that has just started is assumed to have used its share of the limit before.
+    while call(&host).await.0 == 503 {
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(call(&host).await, (503, "rate_limited\n".to_owned()));
+    assert_eq!(upstream.arrivals().len(), 1);
+    catalog.list("a", "app", upstream.addr);
+    let mut served = 1;
+    while served < 3 {
+        served += usize::from(call(&host).await.0 == 200);
+    }
+}
+
+/// Guards against a full load on upstreams that were restarted while their failure domain was
+/// evacuated, before the list says that they are cold.
+#[tokio::test]
+async fn upstreams_are_assumed_cold_after_an_evacuation() {
+    let catalog = FakeCatalog::new(table_with_cold_limit());
+    let upstream = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
+    catalog.list("a", "app", upstream.addr);
+    let host = TestHost::start("host", &catalog).await;
+    for _ in 0..5 {
+        assert_eq!(call(&host).await.0, 200);
+    }
+    catalog.evacuate("here");
+    wait_for_changes(&host, 2).await;
+    catalog.end_evacuation("here");
+    wait_for_changes(&host, 3).await;
+    assert_eq!(call(&host).await, (503, "rate_limited\n".to_owned()));
+    assert_eq!(upstream.arrivals().len(), 5);
+}
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -111,15 +111,17 @@
 
     /// Lists an upstream of a service in a failure domain.
     pub fn list_in(&self, domain: &str, id: &str, service: &str, addr: SocketAddr) {
-        self.state.lock().unwrap().change(ListedUpstream {
-            id: id.parse().unwrap(),
-            name: id.parse().unwrap(),
-            service: service.parse().unwrap(),
-            addr,
-            domain: domain.parse().unwrap(),
-            slots: 16,
-            is_leaving: false,
-        });
+        let entry = listed_upstream(domain, id, service, addr);
+        self.state.lock().unwrap().change(entry);
+    }
+
+    /// Lists an upstream of a service that is cold for this time.
+    pub fn list_cold(&self, id: &str, service: &str, addr: SocketAddr, cold_left: Duration) {
+        let entry = ListedUpstream {
+            cold_left,
+            ..listed_upstream("here", id, service, addr)
+        };
+        self.state.lock().unwrap().change(entry);
     }
 
     /// Evacuates a failure domain.
@@ -295,6 +297,19 @@
     }
 }
 
+fn listed_upstream(domain: &str, id: &str, service: &str, addr: SocketAddr) -> ListedUpstream {
+    ListedUpstream {
+        id: id.parse().unwrap(),
+        name: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        addr,
+        domain: domain.parse().unwrap(),
+        slots: 16,
+        cold_left: Duration::ZERO,
+        is_leaving: false,
+    }
+}
+
 impl Catalog for FakeCatalog {
     fn routes(
         &self,
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -24,6 +24,7 @@
 use banyanarch::gateway::serve;
 use banyanarch::http::one_shot;
 use banyanarch::routing::CallKind;
+use banyanarch::routing::ColdStart;
 use banyanarch::routing::CustomerKeys;
 use banyanarch::routing::Route;
 use banyanarch::routing::RouteTable;
@@ -246,6 +247,7 @@
     let engines = Service {
         name: "llm".parse().unwrap(),
         engine: Some(engine_model()),
+        cold: ColdStart::default(),
     };
     table.services.insert(engines.name.clone(), engines);
     let keys = [("key-1", "acme"), ("key-2", "globex")];
--- a/tests/limit_world/mod.rs
+++ b/tests/limit_world/mod.rs
@@ -106,6 +106,14 @@
         self.limit_start = WARM_UP + after;
     }
 
+    /// Makes the upstream cold for this time, as all hosts read on the list.
+    pub fn make_cold(&mut self, time: Duration) {
+        let (now, limit) = (self.instant(), Some(self.site.limit));
+        for host in &mut self.hosts {
+            host.tracker.set_cold(&self.upstream, time, limit, now);
+        }
+    }
+
     pub fn set_request_rate(&mut self, per_s: f64) {
         self.site.request_rate = per_s;
     }
