Routing: calls are served only in regions that their route and customer allow

A route and a customer may name the regions in which their calls run. Nobody read that: on a deployment with several regions, calls ran anywhere.

A call that no listed upstream may serve is refused at once as `outside_regions`.

--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -198,6 +198,8 @@
     /// Operators have evacuated the failure domains of all upstreams of the service that could
     /// serve the request.
     Evacuated,
+    /// No upstream of the service is in a region that may serve the request.
+    OutsideRegions,
 }
 
 impl RefuseReason {
@@ -216,6 +218,7 @@
             Self::RateLimited => "rate_limited",
             Self::UpstreamBackoff => "upstream_backoff",
             Self::Evacuated => "evacuated",
+            Self::OutsideRegions => "outside_regions",
         }
     }
 
@@ -234,6 +237,7 @@
             Self::RateLimited,
             Self::UpstreamBackoff,
             Self::Evacuated,
+            Self::OutsideRegions,
         ];
         all.into_iter().find(|reason| reason.name() == name)
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,10 +11,12 @@
 
 use crate::decide::RequestFingerprint;
 use crate::gateway::RequestHead;
+use crate::routing::AllowedRegions;
 use crate::routing::Route;
 use crate::routing::stream_caller_timeout;
 use crate::units::ContentHash;
 use crate::units::CustomerId;
+use crate::units::RegionId;
 use crate::units::ServiceId;
 
 /// The minimum patience of a caller whose stream was interrupted. Callers wait for at least two
@@ -44,6 +46,8 @@
     pub service: ServiceId,
     /// The customer; none on a route that needs no key.
     pub customer: Option<CustomerId>,
+    /// The regions that the customer allows.
+    pub customer_regions: AllowedRegions,
     /// When the request arrived.
     pub arrived_at: Instant,
     /// When the caller must have the final response.
@@ -51,6 +55,11 @@
 }
 
 impl Call {
+    /// Whether upstreams of a region may serve the call; none if their region is unknown.
+    pub fn may_run_in(&self, region: Option<&RegionId>) -> bool {
+        self.route.allowed_regions.allows(region) && self.customer_regions.allows(region)
+    }
+
     /// The time left until the deadline; zero after it.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -5,6 +5,7 @@
 
 use crate::decide::AvailabilityTracker;
 use crate::decide::UpstreamAvailability;
+use crate::gateway::Call;
 use crate::gateway::ExcludedRecord;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
@@ -16,6 +17,8 @@
     /// The upstreams that the call may be sent to: the untried ones that accept requests and are
     /// healthy, or all that accept requests if none of these is healthy.
     pub(crate) usable: Vec<&'a ListedUpstream>,
+    /// Whether upstreams are listed, and none of them in a region that the call allows.
+    pub(crate) is_outside_regions: bool,
     /// The upstreams that accept no requests; none if all do.
     pub(crate) excluded: Option<ExcludedRecord>,
     /// The upstreams that the call has to wait for; none if it can be sent now, or if no upstream
@@ -56,21 +59,27 @@
 }
 
 impl<'a> Candidates<'a> {
-    /// Selects among the listed upstreams of a service. `tried` are those that the call was sent
-    /// to.
+    /// Selects among the listed upstreams of the call's service in the regions that the call
+    /// allows. `tried` are those that the call was sent to.
     pub(crate) fn select(
         gateway: &Gateway,
+        call: &Call,
         listed: &'a [ListedUpstream],
         tried: &[UpstreamId],
         now: Instant,
     ) -> Self {
         let availability = gateway.availability();
-        let candidates = listed.iter().map(|upstream| Candidate {
+        let regions = &gateway.conf.regions;
+        let allowed = listed
+            .iter()
+            .filter(|upstream| call.may_run_in(regions.get(&upstream.domain)));
+        let candidates = allowed.map(|upstream| Candidate {
             upstream,
             availability: availability.availability(&upstream.id, now),
             is_tried: tried.contains(&upstream.id),
         });
         let candidates: Vec<Candidate<'a>> = candidates.collect();
+        let is_outside_regions = candidates.is_empty() && !listed.is_empty();
         let excluded = excluded_record(&availability, &candidates, now);
         drop(availability);
         let sendable = candidates.iter().filter(|candidate| {
@@ -84,6 +93,7 @@
                 .flatten(),
             usable: prefer_healthy(gateway, sendable, now),
             excluded,
+            is_outside_regions,
         }
     }
 }
--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::decide::RetryBound;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::Millicores;
+use crate::units::RegionId;
 
 /// The validated configuration of one host: its names, addresses and processors, how long revoked
 /// keys may still be accepted, the bound on retries of all hosts together, and the grace period of
@@ -17,6 +20,8 @@
     pub host: HostId,
     /// The failure domain of this host.
     pub domain: FailureDomainId,
+    /// The region of each failure domain.
+    pub regions: IndexMap<FailureDomainId, RegionId>,
     /// The address for callers.
     pub callers_addr: SocketAddr,
     /// The address of the readiness page for the balancer.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -34,6 +34,7 @@
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::stream_relay::StreamRelay;
 use crate::http::remove_connection_headers;
+use crate::routing::AllowedRegions;
 use crate::routing::RouteTable;
 
 /// The maximum size of a response that is buffered before it is sent to the caller. Buffering
@@ -148,10 +149,16 @@
     let timeout = request_head
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let customer_regions = customer
+        .as_ref()
+        .map_or_else(AllowedRegions::default, |customer| {
+            routes.keys.allowed_regions(customer)
+        });
     Ok(Call {
         service: service.clone(),
         route: Arc::clone(route),
         customer,
+        customer_regions,
         arrived_at,
         deadline: arrived_at + timeout,
         method: head.method,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -39,9 +39,9 @@
 /// the limit may have been lifted by then.
 const LIMIT_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
-/// The time after which a caller should retry when all upstreams that are left are evacuated. An
-/// evacuation lasts for seconds at least.
-const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// The time after which a caller should retry when all upstreams that are left are evacuated or
+/// outside the allowed regions. Operators change that, which takes seconds at least.
+const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The upstreams of one send, with the memory reservations to make before it, the loads to count
 /// for it, its forecast, and the records of what upstreams had stated about themselves.
@@ -120,12 +120,16 @@
         usable,
         excluded,
         backoff,
-    } = Candidates::select(gateway, listed, sends.tried, now);
+        is_outside_regions,
+    } = Candidates::select(gateway, call, listed, sends.tried, now);
+    if is_outside_regions {
+        return refuse(RefuseReason::OutsideRegions, OPERATOR_RETRY_AFTER);
+    }
     if let Some(backoff) = backoff {
         return wait_for_backoff(call, sends, &backoff, now);
     }
     if usable.is_empty() && excluded.is_some_and(|excluded| excluded.evacuated > 0) {
-        return refuse(RefuseReason::Evacuated, EVACUATED_RETRY_AFTER);
+        return refuse(RefuseReason::Evacuated, OPERATOR_RETRY_AFTER);
     }
     let model = engine_model(&routes, call);
     let mut limits = LimitStates::of(gateway, &usable, now);
@@ -215,7 +219,7 @@
 ) -> Option<ExcludedRecord> {
     let by_service = gateway.platform_view.upstreams()?;
     let listed = by_service.get(&call.service)?;
-    Candidates::select(gateway, listed, &[], now).excluded
+    Candidates::select(gateway, call, listed, &[], now).excluded
 }
 
 /// The candidates of [`decide_placement`] for a prompt that several engines can share: the engines
@@ -234,7 +238,7 @@
     if request.class(model) == PromptClass::Short {
         return None;
     }
-    let usable = Candidates::select(gateway, listed, sends.tried, now).usable;
+    let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
     let limits = LimitStates::of(gateway, &usable, now);
     let views = engine_views(gateway, &usable, &limits, now);
     let (near, all) = count_engines(model, &views, &request);
--- a/src/routing/keys.rs
+++ b/src/routing/keys.rs
@@ -1,7 +1,8 @@
-//! The API keys of customers.
+//! The API keys of customers, and the regions that customers allow.
 
 use indexmap::IndexMap;
 
+use crate::routing::AllowedRegions;
 use crate::units::CustomerId;
 
 /// The keys in force. If the manifest names no customers, calls need no key.
@@ -9,6 +10,7 @@
 pub struct CustomerKeys {
     by_key: IndexMap<String, CustomerId>,
     is_required: bool,
+    allowed_regions: IndexMap<CustomerId, AllowedRegions>,
 }
 
 impl CustomerKeys {
@@ -17,9 +19,21 @@
         Self {
             by_key,
             is_required: true,
+            allowed_regions: IndexMap::new(),
         }
     }
 
+    /// Sets the regions whose upstreams may serve the calls of a customer.
+    pub fn set_allowed_regions(&mut self, customer: CustomerId, regions: AllowedRegions) {
+        self.allowed_regions.insert(customer, regions);
+    }
+
+    /// The regions whose upstreams may serve the calls of a customer.
+    pub fn allowed_regions(&self, customer: &CustomerId) -> AllowedRegions {
+        let regions = self.allowed_regions.get(customer);
+        regions.cloned().unwrap_or_default()
+    }
+
     /// Whether calls need a key.
     pub fn is_required(&self) -> bool {
         self.is_required
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routes by host name and path, the services behind them, and customers by API key. All of this
 //! comes from the manifest and is replaced as a whole by the next manifest.
 
+mod allowed_regions;
 mod call_kind;
 mod keys;
 mod limits;
@@ -8,6 +9,7 @@
 mod service;
 mod table;
 
+pub use allowed_regions::AllowedRegions;
 pub use call_kind::CallKind;
 pub use keys::CustomerKeys;
 pub use limits::CallerLimits;
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::routing::AllowedRegions;
 use crate::routing::CallKind;
 use crate::units::Priority;
 use crate::units::ServiceId;
@@ -59,6 +60,8 @@
     pub runs_max: u32,
     /// Whether calls need no key.
     pub is_public: bool,
+    /// The regions whose upstreams may serve calls.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -31,6 +31,7 @@
 pub use names::HostId;
 pub use names::IdempotencyKey;
 pub use names::PoolId;
+pub use names::RegionId;
 pub use names::ServiceId;
 pub use names::TargetId;
 pub use names::UpstreamId;
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -12,6 +12,11 @@
     FailureDomainId,
     "a failure domain name"
 );
+name_newtype!(
+    /// The name of a region: one or more failure domains under the same law or on the same site.
+    RegionId,
+    "a region name"
+);
 name_newtype!(
     /// The name of the customer that a request is served for.
     CustomerId,
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -23,6 +23,7 @@
 use banyanarch::gateway::GatewayMetrics;
 use banyanarch::gateway::serve;
 use banyanarch::http::one_shot;
+use banyanarch::routing::AllowedRegions;
 use banyanarch::routing::CallKind;
 use banyanarch::routing::ColdStart;
 use banyanarch::routing::CustomerKeys;
@@ -100,6 +101,9 @@
     GatewayConf {
         host: name.parse().unwrap(),
         domain: "here".parse().unwrap(),
+        regions: [("here", "east"), ("there", "west")]
+            .map(|(domain, region)| (domain.parse().unwrap(), region.parse().unwrap()))
+            .into(),
         callers_addr: local(),
         ready_addr: local(),
         exchange_addr: local(),
@@ -224,6 +228,7 @@
         }],
         runs_max: 2,
         is_public: false,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use banyanarch::routing::AllowedRegions;
 use banyanarch::routing::CallKind;
 use banyanarch::routing::Route;
 use banyanarch::routing::RouteTable;
@@ -27,6 +28,7 @@
         targets: targets.iter().map(target).collect(),
         runs_max: 2,
         is_public: false,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
