Soak: failure domains are evacuated, also two at once and while the store is away

Draws evacuations with a generator of their own, so that other faults of a seed stay as they are. The check is made from what upstreams see: no request starts in an evacuated domain once the change has had its time, until the evacuation ends, unless a fault affected the host. A store that is restored from an older copy gets the evacuations in force again, as the manifest.

The stand-in of the store returns the object with a conflict and replaces an object only at the revision that is named, as the platform does.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -149,6 +149,10 @@
                 "a leaving upstream gets no new requests",
                 self.is_leaving_upstream_avoided(),
             ),
+            (
+                "an evacuated failure domain gets no new requests",
+                self.is_evacuated_domain_avoided(),
+            ),
         ];
         self.violations(&checks)
     }
@@ -318,6 +322,26 @@
         self.runs.iter().all(is_allowed) || !self.is_host_undisturbed()
     }
 
+    /// Whether no run started in a failure domain after its evacuation had propagated and before
+    /// that ended, unless a fault affected the host.
+    fn is_evacuated_domain_avoided(&self) -> bool {
+        self.runs.iter().all(|run| {
+            let earlier = self.observations.changes.iter();
+            let earlier = earlier.filter(|(at, _)| *at <= run.arrived_at);
+            let evacuated_at = earlier.fold(None, |since, (at, change)| match change {
+                StoreChange::DomainEvacuated(domain) if *domain == run.domain => {
+                    since.or(Some(*at))
+                }
+                StoreChange::EvacuationEnded(domain) if *domain == run.domain => None,
+                _ => since,
+            });
+            evacuated_at.is_none_or(|evacuated_at| {
+                run.arrived_at <= evacuated_at + CHANGE_PROPAGATION_TIME
+                    || !self.is_host_undisturbed_since(evacuated_at)
+            })
+        })
+    }
+
     /// Whether no run started at a leaving upstream after the announcement had propagated, unless a
     /// fault affected the host.
     fn is_leaving_upstream_avoided(&self) -> bool {
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,5 @@
-//! Draws the faults of a seed. Rate limits, notices of upstreams and restores of the store have
-//! random generators of their own, so that they do not change which other faults a seed draws.
+//! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations and restores of the
+//! store have random generators of their own, so that they do not change which other faults a seed draws.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::deployment::DOMAINS;
 use crate::faults::Fault;
 use crate::run::SoakConf;
 
@@ -16,6 +17,8 @@
 /// XORed with the seed of the run for the draws of restores of the store.
 const RESTORES_SEED_MASK: u64 = 0x5704_E7A0;
 
+/// XORed with the seed of the run for the draws of evacuations.
+const EVACUATIONS_SEED_MASK: u64 = 0x00E7_ACED;
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
@@ -54,6 +57,15 @@
     })
 }
 
+/// Draws the evacuations of failure domains, each with the pause before it.
+pub(crate) fn draw_evacuations(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let rng = StdRng::seed_from_u64(conf.seed ^ EVACUATIONS_SEED_MASK);
+    draw(conf, rng, 1_000..8_000, |rng| {
+        let domain = rng.random_range(0..DOMAINS);
+        Fault::EvacuateDomain(domain, draw_duration(rng, 1_000..9_000))
+    })
+}
+
 /// Draws the restores of the store from snapshots, each with the pause before it.
 pub(crate) fn draw_restores(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let rng = StdRng::seed_from_u64(conf.seed ^ RESTORES_SEED_MASK);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch_platform::stand_in;
 use nix::sys::signal::Signal;
 use rand::Rng;
 use rand::rngs::StdRng;
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -77,6 +79,8 @@
     /// For the second time, an upstream refuses all requests and wants no more from the host for
     /// the first time.
     BackOffUpstream(usize, Duration, Duration),
+    /// A failure domain is evacuated for this time.
+    EvacuateDomain(usize, Duration),
     /// The moving route is moved to the other plain service.
     MoveRoute,
     /// The oldest key of a customer is revoked and a new one is issued.
@@ -163,6 +167,7 @@
             | Self::LimitUpstream(_, _, time)
             | Self::LeaveUpstreamUnlisted(_, time)
             | Self::BackOffUpstream(_, _, time)
+            | Self::EvacuateDomain(_, time)
             | Self::KillUpstream(_, time) => *time = time.mul_f64(factor),
             Self::RestoreStore(times) => {
                 for time in times {
@@ -191,8 +196,8 @@
     while running.join_next().await.is_some() {}
 }
 
-/// Injects one fault, waits for its end, undoes it and records it. Route moves and key revocations
-/// last no time and are recorded as store changes instead. A rate limit is also recorded as a limit
+/// Injects one fault, waits for its end, undoes it and records it. Route moves, key
+/// revocations and evacuations are recorded as store changes instead. A rate limit is also recorded as a limit
 /// period.
 async fn inject(deployment: &Arc<Deployment>, fault: Fault) {
     let from = deployment.now();
@@ -342,6 +347,16 @@
             upstream.set_backoff(None);
             FaultScope::Upstream
         }
+        Fault::EvacuateDomain(domain, time) => {
+            let name = format!("domain-{domain}");
+            let kind = stand_in::EVACUATIONS_KIND;
+            deployment.store.put(kind, &name, Value::Null);
+            deployment.record_change(StoreChange::DomainEvacuated(domain));
+            sleep(time).await;
+            deployment.record_change(StoreChange::EvacuationEnded(domain));
+            deployment.store.remove(kind, &name);
+            return;
+        }
         Fault::MoveRoute => {
             deployment.publish_manifest(|manifest_inputs| {
                 manifest_inputs.moving_to = 1 - manifest_inputs.moving_to;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -60,6 +60,8 @@
 pub struct UpstreamRun {
     /// The id of the upstream.
     pub upstream: String,
+    /// The index of the failure domain of the upstream.
+    pub domain: usize,
     /// The service of the upstream.
     pub service: String,
     /// When the request arrived; an unresponsive upstream runs it later.
@@ -98,6 +100,10 @@
     RouteMoved(String),
     /// This upstream announced that it leaves.
     UpstreamLeaving(String),
+    /// The failure domain with this index was evacuated.
+    DomainEvacuated(usize),
+    /// The evacuation of the failure domain with this index ended.
+    EvacuationEnded(usize),
 }
 
 /// What a fault affects: processes of hosts, hosts or any of their links, one planned stop of a
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -22,6 +22,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSize;
 use crate::deployment::lock;
+use crate::fault_draws::draw_evacuations;
 use crate::fault_draws::draw_faults;
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
@@ -88,12 +89,15 @@
     let limits = draw_limits(conf);
     let notices = draw_notices(conf);
     let restores = draw_restores(conf);
-    let faults = drawn.len() + limits.len() + notices.len() + restores.len();
+    let evacuations = draw_evacuations(conf);
+    let drawn_lists = [&drawn, &limits, &notices, &restores, &evacuations];
+    let faults = drawn_lists.iter().map(|list| list.len()).sum();
     tokio::join!(
         faults::inject_all(&deployment, drawn),
         faults::inject_all(&deployment, limits),
         faults::inject_all(&deployment, notices),
-        faults::inject_all(&deployment, restores)
+        faults::inject_all(&deployment, restores),
+        faults::inject_all(&deployment, evacuations)
     );
     sleep(RECOVERY_TIME).await;
     let served_from = deployment.now();
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Restores an older snapshot and starts the next era. The latest manifest is written again at
-    /// once, as the operator would do.
+    /// Restores an older snapshot and starts the next era. The latest manifest and the evacuations in
+    /// force are written again at once, as the operator would do.
     pub(crate) fn restore(&self, snapshot: StoreSnapshot) {
         let mut data = self.lock();
         let mut lost = std::mem::replace(&mut data.objects_by_kind, snapshot.objects_by_kind);
@@ -107,6 +107,10 @@
         if let Some((_, spec)) = manifest {
             data.put(kind, name, spec);
         }
+        let evacuations = lost.swap_remove(stand_in::EVACUATIONS_KIND);
+        let kind = stand_in::EVACUATIONS_KIND.to_owned();
+        data.objects_by_kind
+            .insert(kind, evacuations.unwrap_or_default());
         let saved = data.objects_by_kind.get(stand_in::UPSTREAMS_KIND);
         let saved_names = saved.into_iter().flat_map(|saved| saved.keys());
         data.pending_registrations = saved_names.map(|name| (name.clone(), None)).collect();
@@ -245,9 +249,12 @@
             stand_in::rewrite_addresses(&mut spec, rewrite);
             stand_in::object_json(name, revision, &spec)
         };
-        let exists = |kind: &str, name: &str| {
-            let objects = self.objects_by_kind.get(kind);
-            objects.is_some_and(|objects| objects.contains_key(name))
+        let stored = |kind: &str, name: &str| self.objects_by_kind.get(kind)?.get(name);
+        let revision_of =
+            |kind: &str, name: &str| stored(kind, name).map(|(revision, _)| *revision);
+        let existing = |kind: &str, name: &str| {
+            let (revision, spec) = stored(kind, name)?;
+            Some(object(name, *revision, spec))
         };
         match call {
             StoreCall::List(kind) => {
@@ -257,20 +264,23 @@
                 let entries: Vec<Value> = entries.collect();
                 (StatusCode::OK, stand_in::list_json(&entries, self.revision))
             }
-            StoreCall::Get(kind, name) => {
-                match self
-                    .objects_by_kind
-                    .get(kind)
-                    .and_then(|objects| objects.get(name))
-                {
-                    Some((revision, spec)) => (StatusCode::OK, object(name, *revision, spec)),
-                    None => (StatusCode::NOT_FOUND, Value::Null),
-                }
+            StoreCall::Get(kind, name) => match existing(kind, name) {
+                Some(object) => (StatusCode::OK, object),
+                None => (StatusCode::NOT_FOUND, Value::Null),
+            },
+            StoreCall::Create(kind, name, _) if existing(kind, name).is_some() => (
+                StatusCode::CONFLICT,
+                existing(kind, name).unwrap_or_default(),
+            ),
+            StoreCall::Replace(kind, name, _, Some(revision))
+                if revision_of(kind, name) != Some(*revision) =>
+            {
+                (
+                    StatusCode::CONFLICT,
+                    existing(kind, name).unwrap_or_default(),
+                )
             }
-            StoreCall::Create(kind, name, _) if exists(kind, name) => {
-                (StatusCode::CONFLICT, Value::Null)
-            }
-            StoreCall::Create(kind, name, spec) | StoreCall::Replace(kind, name, spec) => {
+            StoreCall::Create(kind, name, spec) | StoreCall::Replace(kind, name, spec, _) => {
                 self.put(kind, name, spec.clone());
                 (StatusCode::OK, Value::Null)
             }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -99,6 +99,8 @@
 /// The state of an upstream that its connections share.
 struct UpstreamShared {
     id: String,
+    /// The index of the failure domain.
+    domain: usize,
     service: &'static str,
     /// When the run of the soak test started, from which timestamps count.
     started_at: Instant,
@@ -130,6 +132,7 @@
         let addr = listener.local_addr()?;
         let shared = Arc::new(UpstreamShared {
             id: id.clone(),
+            domain,
             service,
             started_at,
             history,
@@ -352,6 +355,7 @@
             .any(|class| path == format!("/{}/x", class.route_name()));
         let run = UpstreamRun {
             upstream: self.id.clone(),
+            domain: self.domain,
             service: self.service.to_owned(),
             arrived_at: arrival.at,
             deadline: forwarded.deadline,
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -100,6 +100,7 @@
 fn run_at(arrived_ms: u64) -> UpstreamRun {
     UpstreamRun {
         upstream: "u001".to_owned(),
+        domain: 0,
         service: call::PLAIN_SERVICES[0].to_owned(),
         arrived_at: at(arrived_ms),
         deadline: Some(at(2_900)),
@@ -214,6 +215,7 @@
     key = { CallClass::Idempotent, StoreChange::KeyRevoked("key-1-0".to_owned()), 4_000, "revoked keys stop working" },
     route = { CallClass::Moving, StoreChange::RouteMoved(call::PLAIN_SERVICES[1].to_owned()), 6_000, "a manifest change takes effect in time" },
     upstream = { CallClass::Idempotent, StoreChange::UpstreamLeaving("u001".to_owned()), 6_000, "a leaving upstream gets no new requests" },
+    domain = { CallClass::Idempotent, StoreChange::DomainEvacuated(0), 6_000, "an evacuated failure domain gets no new requests" },
 )]
 fn a_change_that_is_in_force_late_is_found(
     class: CallClass,
@@ -401,3 +403,21 @@
     assert!(!is_notice_violated(9, backoff, fault(cut)));
     assert!(!is_notice_violated(9, backoff, fault(paused)));
 }
+
+/// Guards against a check of evacuations that overlooks where one ended, or one of two that overlap.
+#[parameterized(
+    ended = { vec![(2_000, StoreChange::DomainEvacuated(0)), (7_000, StoreChange::EvacuationEnded(0))], true },
+    other_domain = { vec![(2_000, StoreChange::DomainEvacuated(1))], true },
+    evacuated_again = { vec![
+        (1_000, StoreChange::DomainEvacuated(0)),
+        (2_000, StoreChange::EvacuationEnded(0)),
+        (3_000, StoreChange::DomainEvacuated(0)),
+        (4_000, StoreChange::DomainEvacuated(0)),
+    ], false },
+)]
+fn an_evacuation_is_checked_until_it_ends(changes: Vec<(u64, StoreChange)>, is_kept: bool) {
+    let (attempt, runs) = served(CallClass::Idempotent);
+    let changes = changes.into_iter().map(|(ms, change)| (at(ms), change));
+    let violations = violated_guarantees(attempt, runs, changes.collect());
+    assert_eq!(violations.is_empty(), is_kept, "{violations:?}");
+}
