Start: one host of a failure domain reads the store for all that start

On the whole fleet 985 hosts start within 0.3 s, and each read the manifest, all upstreams and all hosts itself.

Cause: who reads for whom follows from the list of hosts and from updates of others, and a host that starts has neither; retries are shared only by hosts that have told the age of their lists.

Change: an entry for each failure domain in the store names the host from which others get the lists when they start. It is claimed, or replaced if that host is gone or has no lists, under a condition, strong hosts first. That the store has no manifest yet is told in the same way.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -8,6 +8,7 @@
 use futures_util::future::BoxFuture;
 use indexmap::IndexSet;
 
+use crate::decide::ReaderEntry;
 use crate::exchange::ListedHost;
 use crate::routing::RouteTable;
 use crate::units::FailureDomainId;
@@ -92,6 +93,17 @@
     Delta(Vec<UpstreamChange>),
 }
 
+/// A claim of a host to read the platform for hosts of its failure domain that start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReaderClaim {
+    /// The name of the host.
+    pub host: HostId,
+    /// The address at which other hosts request lists from it.
+    pub addr: SocketAddr,
+    /// The version of the entry that is replaced; none if there was no entry.
+    pub replaces: Option<ObjectVersion>,
+}
+
 /// The result of a read of the evacuations.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EvacuationsRead {
@@ -163,6 +175,21 @@
     /// Reads all hosts; the response may be seconds old.
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>>;
 
+    /// Reads the entry of a failure domain that names the host which reads for starting hosts; none
+    /// if there is none. The response may be seconds old.
+    fn starting_reader(
+        &self,
+        domain: FailureDomainId,
+    ) -> BoxFuture<'_, Result<Option<ReaderEntry>, CatalogError>>;
+
+    /// Writes a host into the entry of a failure domain if the entry still has the version that the
+    /// claim replaces. Returns the entry in force, that of another host if this one came too late.
+    fn claim_starting_reader(
+        &self,
+        domain: FailureDomainId,
+        claim: ReaderClaim,
+    ) -> BoxFuture<'_, Result<ReaderEntry, CatalogError>>;
+
     /// Adds a host to the list. An entry with the same name is replaced.
     fn register_host(&self, host: ListedHost) -> BoxFuture<'_, Result<(), CatalogError>>;
 
--- a/src/gateway/catalog_sharing/catalog_cache.rs
+++ b/src/gateway/catalog_sharing/catalog_cache.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Default)]
 struct Lists {
     routes: Option<Confirmed<String>>,
+    /// When the platform was last found to have no manifest, since boot.
+    routes_absent_at: Option<Duration>,
     upstreams: UpstreamList,
     /// The version that the host from which the list was read gave it; 0 if the next response must
     /// be the full list. It differs from the version of `upstreams` if that host runs the previous
@@ -70,6 +72,11 @@
         });
     }
 
+    /// Records that the platform had no manifest at this time since boot.
+    pub(crate) fn set_routes_absent(&self, at: Duration) {
+        self.lock().routes_absent_at = Some(at);
+    }
+
     /// Records that the manifest was still the newest at this time since boot.
     pub(crate) fn confirm_routes(&self, confirmed_at: Duration) {
         if let Some(routes) = &mut self.lock().routes {
@@ -245,6 +252,12 @@
     pub(crate) fn respond(&self, request: &ReadRequest, now: Duration) -> ReadResponse {
         let lists = self.lock();
         match ListKind::try_from(request.list) {
+            Ok(ListKind::Routes) if lists.routes.is_none() => {
+                lists.routes_absent_at.map(|absent_at| ReadResponse {
+                    is_absent: true,
+                    ..header(0, absent_at, now)
+                })
+            }
             Ok(ListKind::Routes) => lists.routes.as_ref().map(|routes| {
                 let mut response = routes.header(now);
                 if routes.version != request.known_version {
--- a/src/gateway/catalog_sharing/client.rs
+++ b/src/gateway/catalog_sharing/client.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
+use crate::gateway::catalog_sharing::message::ListKind;
 use crate::gateway::catalog_sharing::message::MESSAGE_SIZE_MAX;
 use crate::gateway::catalog_sharing::message::PeerConnection;
 use crate::gateway::catalog_sharing::message::ReadRequest;
@@ -92,6 +93,17 @@
     }
 }
 
+/// Whether a host responds to a request for a list, whatever it has.
+pub(crate) async fn is_responding(addr: SocketAddr) -> bool {
+    let request = ReadRequest {
+        list: ListKind::Evacuations.into(),
+        known_version: 0,
+        accepts_deltas: true,
+    };
+    let response = ReadClient::default().request(addr, &request).await;
+    response.is_some()
+}
+
 /// The next frame; none if it does not arrive within [`FRAME_TIMEOUT`] or the connection has ended.
 async fn next_frame(connection: &mut PeerConnection) -> Option<BytesMut> {
     timeout(FRAME_TIMEOUT, connection.next()).await.ok()??.ok()
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -90,6 +90,9 @@
     /// The evacuated failure domains, if they were requested and their version differs.
     #[prost(string, repeated, tag = "9")]
     pub(crate) evacuated_domains: Vec<String>,
+    /// Whether the platform had no such list when the responding host last read it, `age_ms` ago.
+    #[prost(bool, tag = "10")]
+    pub(crate) is_absent: bool,
 }
 
 /// A [`ListedHost`] in a response.
--- a/src/gateway/catalog_sharing/mod.rs
+++ b/src/gateway/catalog_sharing/mod.rs
@@ -18,6 +18,7 @@
 
 pub(crate) use catalog_cache::CatalogCache;
 pub(crate) use catalog_cache::is_fresh;
+pub(crate) use client::is_responding;
 pub(crate) use cursor::WATCH_WAIT;
 pub(crate) use reader::CatalogReader;
 pub(crate) use reader::ReadError;
--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -68,6 +68,8 @@
     Catalog(CatalogError),
     /// No other host has a fresh list; the platform was not called.
     PeersStale,
+    /// Another host has found that the platform has no such list; it was not called.
+    Absent,
 }
 
 impl From<CatalogError> for ReadError {
@@ -83,6 +85,8 @@
     Fresh(ReadResponse, Duration),
     /// The hosts that responded have no fresh list.
     Stale,
+    /// A host that reads the platform has found that it has no such list.
+    Absent,
     /// There is no host to request the list from, or none responds.
     NoResponse,
 }
@@ -147,6 +151,9 @@
             self.cursor = Cursor::default();
             read = self.catalog.routes(object, None).await;
         }
+        if matches!(read, Err(CatalogError::NotFound)) {
+            self.gateway.catalog_cache.set_routes_absent(requested_at);
+        }
         let read = self.record_read(read)?;
         let cache = &self.gateway.catalog_cache;
         let RoutesRead::Changed { version, text } = read else {
@@ -376,6 +383,7 @@
                 Ok(Some((response, confirmed_at)))
             }
             PeerResult::Stale => Err(ReadError::PeersStale),
+            PeerResult::Absent => Err(ReadError::Absent),
             PeerResult::NoResponse if source == ReadSource::Peers => Err(ReadError::PeersStale),
             PeerResult::NoResponse => Ok(None),
         }
@@ -402,7 +410,9 @@
                 .request(reader.exchange_addr, list, known_version)
                 .await;
             match result {
-                PeerResult::Fresh(..) => return result,
+                PeerResult::Fresh(..) | PeerResult::Absent => return result,
+                // The reader may have just started too.
+                PeerResult::Stale if self.gateway.awaits_starting_reader() => return result,
                 // A host without this list may run the previous version and have fresh manifests
                 // and upstreams.
                 PeerResult::Stale if list.may_be_unknown() => {}
@@ -436,6 +446,9 @@
             ListKind::Routes | ListKind::Upstreams | ListKind::Evacuations => RESPONSE_AGE_MAX,
             ListKind::Hosts => HOSTS_AGE_MAX,
         };
+        if response.is_absent && age <= age_max {
+            return PeerResult::Absent;
+        }
         if response.version == 0 || age > age_max {
             return PeerResult::Stale;
         }
--- a/src/gateway/catalog_sharing/reader_selector.rs
+++ b/src/gateway/catalog_sharing/reader_selector.rs
@@ -149,7 +149,7 @@
     ///
     /// Candidates are this host and the hosts from which updates arrived recently and whose lists
     /// are not known to be stale, unless they are excluded for now. Hosts of this failure domain
-    /// are preferred, then the collector of updates, then the first by name. `includes_unheard`
+    /// are preferred, then the starting reader, then the collector of updates, then the first by name. `includes_unheard`
     /// says whether hosts from which no update has arrived yet are also candidates right after the
     /// start.
     pub(crate) fn select(&self, gateway: &Gateway, includes_unheard: bool) -> Option<ListedHost> {
@@ -160,11 +160,19 @@
         let mut state = self.lock();
         let at = gateway.clock.since_boot();
         let ledger = gateway.ledger();
+        let starting_reader = gateway.starting_reader(now);
+        let is_starting_reader = |listed: &ListedHost| {
+            let reader = starting_reader.as_ref();
+            reader.is_some_and(|reader| reader.host == listed.host)
+        };
+        let is_unlisted = |reader: &&ListedHost| !gateway.platform_view.is_known_host(&reader.host);
+        let unlisted_reader = starting_reader.as_ref().filter(is_unlisted);
         let has_just_started = now.saturating_duration_since(gateway.started_at) < STARTUP_PERIOD;
         let is_candidate = |listed: &&ListedHost| {
             let is_own = listed.host == conf.host;
-            let is_alive =
-                (includes_unheard && has_just_started) || ledger.is_host_live(&listed.host, now);
+            let is_alive = (includes_unheard && has_just_started)
+                || is_starting_reader(listed)
+                || ledger.is_host_live(&listed.host, now);
             let is_stale = state.is_fresh(&listed.host, at) == Some(false);
             (is_own || (is_alive && !is_stale)) && state.is_available(&listed.host, now)
         };
@@ -173,16 +181,20 @@
         // host has no fresh lists itself, hosts that have reported fresh ones are preferred.
         let rank = |listed: &&ListedHost| {
             let is_other_domain = listed.domain != conf.domain;
-            let has_not_reported = lacks_fresh_lists && !state.reported.contains_key(&listed.host);
+            let has_not_reported = lacks_fresh_lists
+                && !is_starting_reader(listed)
+                && !state.reported.contains_key(&listed.host);
             let is_collector = collector.as_ref() == Some(&listed.host);
             (
                 is_other_domain,
                 has_not_reported,
+                !is_starting_reader(listed),
                 !is_collector,
                 listed.host.clone(),
             )
         };
-        let first = hosts.iter().filter(is_candidate).min_by_key(rank);
+        let listed = hosts.iter().chain(unlisted_reader);
+        let first = listed.filter(is_candidate).min_by_key(rank);
         let other = first.filter(|first| first.host != conf.host).cloned();
         state.selected = other.as_ref().map(|other| other.host.clone());
         other
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -58,6 +58,18 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         restarted: Vec<String>,
     },
+    /// This host has found out from which host it gets the platform's lists after its start.
+    StartingReaderFound {
+        /// The host.
+        reader: String,
+        /// Whether it is this host, which reads the platform.
+        is_own: bool,
+    },
+    /// A call to the platform for the entry of the starting reader has failed.
+    StartingReaderFailed {
+        /// The error.
+        error: String,
+    },
     /// Operators have evacuated failure domains, or have ended evacuations.
     EvacuationsChanged {
         /// The failure domains that are evacuated now.
--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use tokio::sync::Notify;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 use crate::gateway::CatalogError;
@@ -83,6 +84,10 @@
     /// read. The read is due at `due_at` if the last one succeeded, otherwise when the platform may
     /// be called again.
     pub(super) async fn wait_for_next_read(&self, due_at: Instant, wakeup: &Notify) -> ReadSource {
+        if self.gateway.awaits_starting_reader() {
+            sleep(RETRY_INTERVAL).await;
+            return ReadSource::Any;
+        }
         let Some(due_at) = self.platform_due_at else {
             tokio::select! {
                 () = sleep_until(due_at.into()) => {}
@@ -112,6 +117,8 @@
         match result {
             Ok(_) => self.on_success(requested_at),
             Err(ReadError::Catalog(err)) => self.on_failure(requested_at, err),
+            Err(ReadError::PeersStale) if self.gateway.awaits_starting_reader() => {}
+            Err(ReadError::Absent) => self.on_absent(requested_at),
             Err(ReadError::PeersStale) => {
                 let now = self.gateway.clock.now();
                 let hosts = self.gateway.platform_view.hosts().len();
@@ -131,6 +138,13 @@
         }
     }
 
+    /// Records that another host has found that the platform has no such list. The platform need
+    /// not be called to find this out again.
+    fn on_absent(&mut self, requested_at: Instant) {
+        self.on_failure(requested_at, &CatalogError::NotFound);
+        self.platform_due_at = None;
+    }
+
     fn on_success(&mut self, requested_at: Instant) {
         let now = self.gateway.clock.now();
         let took = now.saturating_duration_since(requested_at);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::probe::probe_unreachable;
 use crate::gateway::server::serve_callers;
+use crate::gateway::starting_reader::find_starting_reader;
 use crate::gateway::sync;
 
 /// The timeout for removing this host from the platform's list. The removal is optional: other
@@ -71,6 +72,11 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(Exchange::new(listeners.exchange, exchange_handler).run());
     tasks.spawn(serve_reads(Arc::clone(&gateway), listeners.catalog_sharing));
+    tasks.spawn(find_starting_reader(
+        Arc::clone(&gateway),
+        Arc::clone(&catalog),
+        exchange_addr,
+    ));
     tasks.spawn(sync::sync_routes(
         Arc::clone(&gateway),
         Arc::clone(&catalog),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -36,6 +36,7 @@
 use crate::gateway::log_limiter::LogLimiter;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
+use crate::gateway::starting_reader::FoundReader;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::observe::SeenNames;
 use crate::units::ServiceId;
@@ -99,6 +100,9 @@
     /// Notified when the host that reads the platform for this one has a different list of
     /// upstreams.
     pub(crate) upstreams_changed: Notify,
+    /// The host from which this one gets the platform's lists after its start; none until it is
+    /// found.
+    pub(crate) found_reader: watch::Sender<Option<FoundReader>>,
     /// Notified when the evacuations are to be read again before the next interval.
     pub(crate) evacuations_changed: Notify,
     /// Notified when an update arrives from a host that is not on the list.
@@ -161,6 +165,7 @@
             incarnations: UpstreamIncarnations::default(),
             routes_changed: Notify::new(),
             upstreams_changed: Notify::new(),
+            found_reader: watch::Sender::new(None),
             evacuations_changed: Notify::new(),
             hosts_changed: Notify::new(),
             updates_sent: AtomicU64::new(0),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -51,6 +51,7 @@
     // than the one in force is not put in force, and reading it again renews no lease.
     let mut is_in_force = true;
     let mut source = ReadSource::Any;
+    gateway.starting_reader_found().await;
     loop {
         let requested_at = gateway.clock.now();
         let before = gateway.catalog_cache.routes_version();
@@ -137,6 +138,7 @@
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
     let mut dependency = Dependency::new(&gateway, "upstreams");
     let mut source = ReadSource::Any;
+    gateway.starting_reader_found().await;
     loop {
         let requested_at = gateway.clock.now();
         let read = reader.upstreams(source).await;
@@ -161,6 +163,7 @@
     let mut dependency = Dependency::new(&gateway, "evacuations");
     let mut evacuated = Arc::default();
     let mut source = ReadSource::Any;
+    gateway.starting_reader_found().await;
     loop {
         let requested_at = gateway.clock.now();
         let read = reader.evacuations(source).await;
@@ -243,6 +246,7 @@
     let mut dependency = Dependency::new(&gateway, "hosts");
     let mut reader = CatalogReader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut source = ReadSource::Any;
+    gateway.starting_reader_found().await;
     let mut broadcast_hosts = BroadcastHosts::new(own.clone());
     let mut is_registered = false;
     let mut registered_in = StoreEra::default();
@@ -260,7 +264,7 @@
         let read = reader.hosts(source).await;
         dependency.on_read(requested_at, &read);
         source = match read {
-            Err(ReadError::PeersStale) => ReadSource::Platform,
+            Err(ReadError::PeersStale) if !gateway.awaits_starting_reader() => ReadSource::Platform,
             _ => ReadSource::Any,
         };
         if let Ok(Some(hosts)) = read {
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::ReaderEntry;
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::CatalogError;
 use banyanarch::gateway::CatalogRead;
 use banyanarch::gateway::EvacuationsRead;
 use banyanarch::gateway::ListedUpstream;
+use banyanarch::gateway::ReaderClaim;
 use banyanarch::gateway::RoutesRead;
 use banyanarch::gateway::UpstreamChange;
 use banyanarch::gateway::UpstreamsRead;
@@ -27,6 +29,7 @@
 use banyanarch::units::UpstreamId;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 /// The state of the platform that all links read.
@@ -44,6 +47,7 @@
     /// The number of changes, from the first one, that are no longer available.
     forgotten: usize,
     hosts: Vec<ListedHost>,
+    readers: IndexMap<FailureDomainId, ReaderEntry>,
     evacuated: IndexSet<FailureDomainId>,
     /// The number of changes of the evacuations.
     evacuation_changes: usize,
@@ -344,6 +348,36 @@
         async move { read }.boxed()
     }
 
+    fn starting_reader(
+        &self,
+        domain: FailureDomainId,
+    ) -> BoxFuture<'_, Result<Option<ReaderEntry>, CatalogError>> {
+        let read = self.respond(|state| state.readers.get(&domain).cloned());
+        async move { read }.boxed()
+    }
+
+    fn claim_starting_reader(
+        &self,
+        domain: FailureDomainId,
+        claim: ReaderClaim,
+    ) -> BoxFuture<'_, Result<ReaderEntry, CatalogError>> {
+        let claimed = self.respond(|state| {
+            let known = state.readers.get(&domain);
+            if known.map(|known| known.version) != claim.replaces {
+                return known.cloned().expect("an entry is never removed");
+            }
+            let version = known.map_or(1, |known| known.version.0 + 1);
+            let entry = ReaderEntry {
+                host: claim.host,
+                addr: claim.addr,
+                version: ObjectVersion(version),
+            };
+            state.readers.insert(domain, entry.clone());
+            entry
+        });
+        async move { claimed }.boxed()
+    }
+
     fn register_host(&self, host: ListedHost) -> BoxFuture<'_, Result<(), CatalogError>> {
         let done = self.respond(|state| state.hosts.push(host));
         async move { done }.boxed()
