--- a/src/cmd/outcome_descriptions.rs
+++ b/src/cmd/outcome_descriptions.rs
@@ -21,6 +21,8 @@
         "retry_budget" => "not run by the last upstream, and the retry budget was used up",
         "rate_limited" => "not run: the rate limits of all upstreams were used up",
         "upstream_backoff" => "not run: all upstreams had asked for a time without requests",
+        "evacuated" => "not run: the failure domains of all upstreams were evacuated",
+        "outside_regions" => "not run: no upstream was in a region that may serve it",
         "poison" => "not run: it had crashed upstreams before",
         "time_up_not_run" => "not run: its deadline passed while it waited",
         "time_up" => "may have run: its deadline passed before the answer was complete",
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -176,6 +176,34 @@
     assert!(output.stdout.contains("700 700 700"), "{output:?}");
 }
 
+/// Guards against a refusal that can't be told from one for lack of capacity: operators had evacuated
+/// the failure domain of all upstreams.
+#[test]
+fn a_refusal_because_of_an_evacuation_says_so() {
+    let dir = WorkDir::new();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let log = runtime.block_on(async {
+        let catalog = FakeCatalog::new(table(1));
+        let upstream = ScriptedUpstream::start([ScriptStep::Respond(200, "a")]).await;
+        catalog.list("a", "app", upstream.addr);
+        catalog.evacuate("here");
+        let host = TestHost::start_with(conf("host-1"), &catalog).await;
+        host.call(request_with_id("r-first", "key-1", "/once/1"))
+            .await;
+        wait_until(|| host.log.text().contains(r#""event":"ended""#)).await;
+        host.log.text()
+    });
+    dir.write_file("host-1.log", &log);
+    let output = dir.run(&["explain", "r-first", "--logs", "host-1.log"]);
+    let expected = [
+        "without 0 upstreams leaving, 1 evacuated and 0 backing off",
+        "not run: the failure domains of all upstreams were evacuated",
+    ];
+    for text in expected {
+        assert!(output.stdout.contains(text), "{output:?}");
+    }
+}
+
 /// Guards against a refusal that can't be told from one for lack of capacity: all upstreams had asked
 /// for a time without requests.
 #[test]
@@ -200,7 +228,7 @@
     assert!(
         output
             .stdout
-            .contains("without 0 upstreams leaving and 1 backing off"),
+            .contains("without 0 upstreams leaving, 0 evacuated and 1 backing off"),
         "{output:?}"
     );
     assert!(
