--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,6 @@
 //! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations and restores of the
-//! store have random generators of their own, so that they do not change which other faults a seed draws.
+//! store have random generators of their own, so that they do not change which other faults a seed
+//! draws.
 
 use std::ops::Range;
 use std::time::Duration;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -196,8 +196,8 @@
     while running.join_next().await.is_some() {}
 }
 
-/// Injects one fault, waits for its end, undoes it and records it. Route moves, key
-/// revocations and evacuations are recorded as store changes instead. A rate limit is also recorded as a limit
+/// Injects one fault, waits for its end, undoes it and records it. Route moves, key revocations and
+/// evacuations are recorded as store changes instead. A rate limit is also recorded as a limit
 /// period.
 async fn inject(deployment: &Arc<Deployment>, fault: Fault) {
     let from = deployment.now();
--- a/src/decide/availability_tracker.rs
+++ b/src/decide/availability_tracker.rs
@@ -15,8 +15,8 @@
 /// The longest backoff that an upstream can request. Without a bound, a single wrong value would
 /// take an upstream out until it restarts.
 pub const BACKOFF_MAX: Duration = Duration::from_secs(600);
-/// How long an upstream that has left the list is remembered as leaving or evacuated. A store that was restored
-/// from an older copy lists it again for a shorter time.
+/// How long an upstream that has left the list is remembered as leaving or evacuated. A store that
+/// was restored from an older copy lists it again for a shorter time.
 const RETENTION: Duration = Duration::from_secs(60);
 /// How long a host broadcasts that an upstream is leaving, in several messages of which some may be
 /// lost.
