Gateway: log and count each check of the retry budget

Each check is one line now (retry_checked), and gateway_retries counts them. gateway_sends counted a retry that was charged when the answer failed as a first send; it counts by earlier sends now.

--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -160,6 +160,25 @@
                 )?;
                 write_excluded(f, excluded.as_ref())
             }
+            DecisionEvent::RetryChecked {
+                service,
+                is_allowed,
+                requests,
+                retries,
+                hosts,
+                budget,
+                uptime_ms,
+                ..
+            } => write!(
+                f,
+                "retry {}: {retries} of {budget:.1} used for {requests} requests to {service}, \
+                 {hosts} hosts share the allowance; host up for {uptime_ms} ms",
+                if *is_allowed {
+                    "allowed"
+                } else {
+                    "not allowed"
+                }
+            ),
             DecisionEvent::Refused {
                 reason,
                 prompt_tokens,
--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::RetryCheck;
+
 /// The fraction of the budget that is used. A restarted host has lost the record of its retries,
 /// and one more host may be running than this host knows of. The unused third covers both in fleets
 /// of three or more hosts.
@@ -39,19 +41,25 @@
         self.requests.push_back(now);
     }
 
-    /// Returns whether a retry is allowed now, and counts the retry if so. `hosts` is the number of
+    /// Checks whether a retry is allowed now, and counts the retry if so. `hosts` is the number of
     /// hosts that share the allowance.
-    pub fn try_retry(&mut self, bound: &RetryBound, hosts: usize, now: Instant) -> bool {
+    pub fn try_retry(&mut self, bound: &RetryBound, hosts: usize, now: Instant) -> RetryCheck {
         drop_expired(&mut self.requests, bound.window, now);
         drop_expired(&mut self.retries, bound.window, now);
-        let hosts = hosts.max(1) as f64;
         let earned = bound.per_request * self.requests.len() as f64;
-        let budget = (bound.allowance / hosts + earned) * BUDGET_FRACTION;
-        let is_allowed = ((self.retries.len() + 1) as f64) <= budget;
+        let budget = (bound.allowance / hosts.max(1) as f64 + earned) * BUDGET_FRACTION;
+        let retries = self.retries.len();
+        let is_allowed = ((retries + 1) as f64) <= budget;
         if is_allowed {
             self.retries.push_back(now);
         }
-        is_allowed
+        RetryCheck {
+            is_allowed,
+            requests: self.requests.len(),
+            retries,
+            hosts,
+            budget,
+        }
     }
 }
 
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -138,7 +138,7 @@
                 }
             };
             self.limit_wait = None;
-            if self.arrivals > 0 && !self.gateway.try_retry(&self.call.service) {
+            if self.arrivals > 0 && !self.gateway.try_retry(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::Overload {
                     reason: RefuseReason::RetryBudget,
                     retry_after: NO_UPSTREAM_RETRY_AFTER,
@@ -206,7 +206,7 @@
                 let is_retried = failed
                     && self.may_run_again()
                     && self.has_time_for_retry()
-                    && self.gateway.try_retry(&self.call.service);
+                    && self.gateway.try_retry(&self.call);
                 if is_retried {
                     // The retry budget was charged here and must not be charged again by the next
                     // send.
@@ -448,13 +448,14 @@
     }
 
     fn log_send(&self, placement: &SendPlan, now: Instant) {
-        self.gateway.metrics.record_send(self.arrivals > 0);
+        let earlier_sends = self.runs + self.not_run;
+        self.gateway.metrics.record_send(earlier_sends > 0);
         self.gateway.log.record(DecisionEvent::Sent {
             request: self.call.head.request.clone(),
             upstream: placement.upstream.id.to_string(),
             helpers: placement.helper_ids().map(ToString::to_string).collect(),
             reserves: placement.reservations.len(),
-            earlier_sends: self.runs + self.not_run,
+            earlier_sends,
             forecast_ms: whole_millis(placement.forecast),
             elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived_at)),
             prompt_tokens: self.call.head.prompt.0,
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -226,6 +226,26 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         excluded: Option<ExcludedRecord>,
     },
+    /// The retry budget has allowed or refused a retry, with the numbers that the decision was based
+    /// on.
+    RetryChecked {
+        /// The id of the request.
+        request: String,
+        /// The service of the request.
+        service: String,
+        /// Whether the retry is allowed.
+        is_allowed: bool,
+        /// The requests of this host to the service in the window.
+        requests: usize,
+        /// The retries of this host to the service in the window, without this one.
+        retries: usize,
+        /// The number of hosts that share the allowance, as far as this host knows.
+        hosts: usize,
+        /// The number of retries that this host may make in the window.
+        budget: f64,
+        /// The time since the start of this host, in ms.
+        uptime_ms: u64,
+    },
     /// A prompt for several engines has waited for one second. Logged once per request.
     Waiting {
         /// The id of the request.
@@ -315,6 +335,7 @@
             Self::UpstreamFault { request, .. }
             | Self::ReservationRefused { request, .. }
             | Self::Sent { request, .. }
+            | Self::RetryChecked { request, .. }
             | Self::Waiting { request, .. }
             | Self::Refused { request, .. }
             | Self::Ended { request, .. } => Some(request),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     sends: Counter<u64>,
+    retries: Counter<u64>,
     faults: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
@@ -54,6 +55,7 @@
             registry,
             requests: meter.u64_counter("gateway_requests").build(),
             sends: meter.u64_counter("gateway_sends").build(),
+            retries: meter.u64_counter("gateway_retries").build(),
             faults: meter.u64_counter("gateway_upstream_faults").build(),
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
@@ -85,6 +87,11 @@
         self.sends.add(1, &[KeyValue::new("retry", is_retry)]);
     }
 
+    /// Records whether the retry budget has allowed a retry.
+    pub fn record_retry(&self, is_allowed: bool) {
+        self.retries.add(1, &[KeyValue::new("allowed", is_allowed)]);
+    }
+
     /// Records a fault of an upstream. `fault` is its name.
     pub fn record_fault(&self, fault: &'static str) {
         self.faults.add(1, &[KeyValue::new("fault", fault)]);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -41,6 +41,7 @@
 use crate::observe::SeenNames;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
+use crate::units::whole_millis;
 
 /// The number of crashes after which a request is refused. Callers of the gateway send no key that
 /// distinguishes their requests, so requests with the same content that ran concurrently when an
@@ -249,14 +250,27 @@
         window.on_request(&self.conf.retry_bound, now);
     }
 
-    /// Takes one retry for a service from this host's share of the budget. Returns whether the
-    /// retry is allowed.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
+    /// Takes one retry of a call from this host's share of the budget of its service, and logs the
+    /// decision. Returns whether the retry is allowed.
+    pub(crate) fn try_retry(&self, call: &Call) -> bool {
         let now = self.clock.now();
         let hosts = self.platform_view.hosts().len();
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = retries.entry(service.clone()).or_default();
-        window.try_retry(&self.conf.retry_bound, hosts, now)
+        let window = retries.entry(call.service.clone()).or_default();
+        let check = window.try_retry(&self.conf.retry_bound, hosts, now);
+        drop(retries);
+        self.metrics.record_retry(check.is_allowed);
+        self.log.record(DecisionEvent::RetryChecked {
+            request: call.head.request.clone(),
+            service: call.service.to_string(),
+            is_allowed: check.is_allowed,
+            requests: check.requests,
+            retries: check.retries,
+            hosts: check.hosts,
+            budget: check.budget,
+            uptime_ms: whole_millis(now.saturating_duration_since(self.started_at)),
+        });
+        check.is_allowed
     }
 
     /// Whether a call may be sent now: it has no customer, or its key is still valid, and the view
--- a/tests/decide_gateway.rs
+++ b/tests/decide_gateway.rs
@@ -210,7 +210,7 @@
                 window.on_request(&BOUND, now);
             }
             (0..500)
-                .filter(|_| window.try_retry(&BOUND, 7, now))
+                .filter(|_| window.try_retry(&BOUND, 7, now).is_allowed)
                 .count()
         })
         .sum();
@@ -222,9 +222,9 @@
 fn a_retry_is_available_again_when_its_window_has_passed() {
     let now = Instant::now();
     let mut window = RetryWindow::default();
-    while window.try_retry(&BOUND, 7, now) {}
-    assert!(!window.try_retry(&BOUND, 7, now + ms(9_999)));
-    assert!(window.try_retry(&BOUND, 7, now + ms(10_001)));
+    while window.try_retry(&BOUND, 7, now).is_allowed {}
+    assert!(!window.try_retry(&BOUND, 7, now + ms(9_999)).is_allowed);
+    assert!(window.try_retry(&BOUND, 7, now + ms(10_001)).is_allowed);
 }
 
 fn sent(total_ms: u64, remaining_ms: u64) -> PrefillSent {
