--- a/tests/gateway_retries.rs
+++ b/tests/gateway_retries.rs
@@ -2,8 +2,11 @@
 
 mod gateway_world;
 
+use banyanarch::decide::RetryBound;
+use banyanarch::gateway::GatewayConf;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
+use gateway_world::conf;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -19,6 +22,70 @@
     upstreams
 }
 
+/// The number of requests that the upstreams have received.
+fn arrivals(upstreams: &[ScriptedUpstream]) -> usize {
+    upstreams.iter().map(|u| u.arrivals().len()).sum()
+}
+
+/// A host for which a window allows 20 retries and 0.2 per request.
+fn conf_with_small_allowance(name: &str) -> GatewayConf {
+    let conf = conf(name);
+    let retry_bound = RetryBound {
+        allowance: 20.0,
+        ..conf.retry_bound
+    };
+    GatewayConf {
+        retry_bound,
+        ..conf
+    }
+}
+
+/// Asserts that the upstreams have received no more retries than the bound of
+/// [`conf_with_small_allowance`] allows for this number of requests.
+fn assert_within_bound(upstreams: &[ScriptedUpstream], requests: u32) {
+    let retries = arrivals(upstreams) - requests as usize;
+    let allowed = 20.0 + 0.2 * f64::from(requests);
+    assert!(
+        retries as f64 <= allowed,
+        "{retries} retries for {requests} requests, {allowed} allowed"
+    );
+}
+
+/// Failure: a host that restarts several times while upstreams fail uses its share of the retries
+/// again after each start.
+#[tokio::test]
+async fn restarts_of_a_host_do_not_renew_its_share_of_retries() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstreams = list_failing_upstreams(&catalog).await;
+    for _ in 0..4 {
+        let conf = conf_with_small_allowance("host");
+        let host = TestHost::start_with(conf, &catalog).await;
+        host.wait_for_hosts(1).await;
+        for _ in 0..14 {
+            host.call(request("/safe/1")).await;
+        }
+        host.serving.abort();
+    }
+    assert_within_bound(&upstreams, 4 * 14);
+}
+
+/// Failure: hosts that cannot read the list of hosts, such as after a restart while the store is
+/// unavailable, each use the retries of all hosts.
+#[tokio::test]
+async fn hosts_without_a_list_of_hosts_do_not_each_use_the_whole_allowance() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstreams = list_failing_upstreams(&catalog).await;
+    catalog.set_hosts_unavailable();
+    for name in ["one", "two", "three", "four"] {
+        let conf = conf_with_small_allowance(name);
+        let host = TestHost::start_with(conf, &catalog).await;
+        for _ in 0..14 {
+            host.call(request("/safe/1")).await;
+        }
+    }
+    assert_within_bound(&upstreams, 4 * 14);
+}
+
 #[tokio::test]
 async fn a_retry_is_logged_with_the_numbers_of_its_check() {
     let catalog = FakeCatalog::new(table(1));
@@ -26,8 +93,7 @@
     let host = TestHost::start("host", &catalog).await;
     host.wait_for_hosts(1).await;
     host.call(request("/safe/1")).await;
-    let arrivals: usize = upstreams.iter().map(|u| u.arrivals().len()).sum();
-    assert_eq!(arrivals, 2);
+    assert_eq!(arrivals(&upstreams), 2);
     wait_until(|| host.log.text().contains("retry_checked")).await;
     let lines = host.log.lines();
     let check = lines
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -78,6 +78,7 @@
     state: Arc<Mutex<PlatformState>>,
     is_unreachable: AtomicBool,
     are_evacuations_unreadable: AtomicBool,
+    are_hosts_unavailable: AtomicBool,
     reads: AtomicUsize,
     whole_reads: AtomicUsize,
 }
@@ -149,6 +150,22 @@
             .store(are_unreadable, Ordering::Relaxed);
     }
 
+    /// Makes reads and changes of the list of hosts fail.
+    pub fn set_hosts_unavailable(&self) {
+        self.are_hosts_unavailable.store(true, Ordering::Relaxed);
+    }
+
+    /// Accesses the list of hosts.
+    fn respond_on_hosts<T>(
+        &self,
+        access: impl FnOnce(&mut Vec<ListedHost>) -> T,
+    ) -> Result<T, CatalogError> {
+        if self.are_hosts_unavailable.load(Ordering::Relaxed) {
+            return Err(CatalogError::NoAnswer("hosts".to_owned()));
+        }
+        self.respond(|state| access(&mut state.hosts))
+    }
+
     /// Restarts an upstream under the same name and returns its new id.
     pub fn restart(&self, name: &str, started: u64) -> UpstreamId {
         let mut state = self.state.lock().unwrap();
@@ -344,7 +361,7 @@
     }
 
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, CatalogError>> {
-        let read = self.respond(|state| state.hosts.clone());
+        let read = self.respond_on_hosts(|hosts| hosts.clone());
         async move { read }.boxed()
     }
 
@@ -379,12 +396,12 @@
     }
 
     fn register_host(&self, host: ListedHost) -> BoxFuture<'_, Result<(), CatalogError>> {
-        let done = self.respond(|state| state.hosts.push(host));
+        let done = self.respond_on_hosts(|hosts| hosts.push(host));
         async move { done }.boxed()
     }
 
     fn deregister_host(&self, host: HostId) -> BoxFuture<'_, Result<(), CatalogError>> {
-        let done = self.respond(|state| state.hosts.retain(|listed| listed.host != host));
+        let done = self.respond_on_hosts(|hosts| hosts.retain(|listed| listed.host != host));
         async move { done }.boxed()
     }
 }
