Retries: a restarted host does not get its share of the allowance again

Cause: the record of a host's retries ends with its process, and the next process had the whole share at once. The unused third of the budget covered one restart of every host in a window, not two.

Change: the share grows in proportion to the uptime and is whole after one window. The processes of one host that start within a window run for at most one window together, so together they get at most one share, however many they are; the one before them may have used another. Hosts use half of the allowance, so both fit.

--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -3,7 +3,10 @@
 //! Load condition: upstreams fail, every host retries, and the remaining upstreams of the service
 //! receive several times their load. The bound holds for all hosts together, also while they cannot
 //! communicate: each host has a fixed share of the allowance and earns the rest through its own
-//! requests.
+//! requests. It holds however often hosts restart, although a process does not know the retries of
+//! the one before it: the share grows in proportion to the uptime, to the whole share after one
+//! window. The processes of one host that start within a window together get at most one share, and
+//! the process that was running before may have used another one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -11,10 +14,11 @@
 
 use crate::decide::RetryCheck;
 
-/// The fraction of the budget that is used. A restarted host has lost the record of its retries,
-/// and one more host may be running than this host knows of. The unused third covers both in fleets
-/// of three or more hosts.
-const BUDGET_FRACTION: f64 = 0.65;
+/// The fraction of the allowance that hosts use in steady state. Restarts may use the other half.
+const ALLOWANCE_FRACTION: f64 = 0.5;
+/// The fraction of the earned retries that hosts use. The windows of two hosts begin at different
+/// times, so together they may contain more requests than any single window.
+const EARNED_FRACTION: f64 = 0.8;
 
 /// The bound on retries for all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,13 +32,23 @@
 }
 
 /// The requests and retries of one host for one service within the window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryWindow {
+    started_at: Instant,
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
 }
 
 impl RetryWindow {
+    /// The record of a process that started at this time and has sent nothing.
+    pub fn new(started_at: Instant) -> Self {
+        Self {
+            started_at,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+        }
+    }
+
     /// Records a caller's request, which earns a fraction of a retry.
     pub fn on_request(&mut self, bound: &RetryBound, now: Instant) {
         drop_expired(&mut self.requests, bound.window, now);
@@ -46,8 +60,9 @@
     pub fn try_retry(&mut self, bound: &RetryBound, hosts: usize, now: Instant) -> RetryCheck {
         drop_expired(&mut self.requests, bound.window, now);
         drop_expired(&mut self.retries, bound.window, now);
-        let earned = bound.per_request * self.requests.len() as f64;
-        let budget = (bound.allowance / hosts.max(1) as f64 + earned) * BUDGET_FRACTION;
+        let share = bound.allowance / hosts.max(1) as f64 * ALLOWANCE_FRACTION;
+        let earned = bound.per_request * self.requests.len() as f64 * EARNED_FRACTION;
+        let budget = share * self.uptime_fraction(bound.window, now) + earned;
         let retries = self.retries.len();
         let is_allowed = ((retries + 1) as f64) <= budget;
         if is_allowed {
@@ -61,6 +76,15 @@
             budget,
         }
     }
+
+    /// The uptime as a fraction of the window, at most 1.
+    fn uptime_fraction(&self, window: Duration, now: Instant) -> f64 {
+        let uptime = now.saturating_duration_since(self.started_at);
+        if uptime >= window {
+            return 1.0;
+        }
+        uptime.as_secs_f64() / window.as_secs_f64()
+    }
 }
 
 /// Drops the times that are more than `window` before `now`.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -246,7 +246,9 @@
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.clock.now();
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = retries.entry(service.clone()).or_default();
+        let window = retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryWindow::new(self.started_at));
         window.on_request(&self.conf.retry_bound, now);
     }
 
@@ -256,7 +258,9 @@
         let now = self.clock.now();
         let hosts = self.platform_view.hosts().len();
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = retries.entry(call.service.clone()).or_default();
+        let window = retries
+            .entry(call.service.clone())
+            .or_insert_with(|| RetryWindow::new(self.started_at));
         let check = window.try_retry(&self.conf.retry_bound, hosts, now);
         drop(retries);
         self.metrics.record_retry(check.is_allowed);
