Retries: a host that does not know how many hosts there are uses no share of the allowance

Callers and upstreams saw: as before, more repeated arrivals than allowed, where hosts start while the store does not answer.

Cause: the divisor of the allowance was the length of the list to which updates are sent. Before the platform's list is read it contains this host alone or nothing, so each such host took the allowance of all.

A host that has no list keeps the whole allowance for as long as the store is away, also beyond the first window.

Change: without a list only earned retries are allowed. A host that has left the list is counted until its retries have left the window.

--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -169,16 +169,19 @@
                 budget,
                 uptime_ms,
                 ..
-            } => write!(
-                f,
-                "retry {}: {retries} of {budget:.1} used for {requests} requests to {service}, \
-                 {hosts} hosts share the allowance; host up for {uptime_ms} ms",
-                if *is_allowed {
+            } => {
+                let verdict = if *is_allowed {
                     "allowed"
                 } else {
                     "not allowed"
-                }
-            ),
+                };
+                let hosts = hosts.map_or("unknown".to_owned(), |hosts| hosts.to_string());
+                write!(
+                    f,
+                    "retry {verdict}: {retries} of {budget:.1} used for {requests} requests to \
+                     {service}; hosts that share the allowance: {hosts}; host up for {uptime_ms} ms"
+                )
+            }
             DecisionEvent::Refused {
                 reason,
                 prompt_tokens,
--- a/src/decide/retry_check.rs
+++ b/src/decide/retry_check.rs
@@ -9,8 +9,8 @@
     pub requests: usize,
     /// The retries of this host to the service in the window, without this one.
     pub retries: usize,
-    /// The number of hosts that share the allowance, as far as this host knows.
-    pub hosts: usize,
+    /// The number of hosts that share the allowance; none if this host does not know it.
+    pub hosts: Option<usize>,
     /// The number of retries that this host may make in the window.
     pub budget: f64,
 }
--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -56,11 +56,17 @@
     }
 
     /// Checks whether a retry is allowed now, and counts the retry if so. `hosts` is the number of
-    /// hosts that share the allowance.
-    pub fn try_retry(&mut self, bound: &RetryBound, hosts: usize, now: Instant) -> RetryCheck {
+    /// hosts that share the allowance. If it is not known, only earned retries are allowed.
+    pub fn try_retry(
+        &mut self,
+        bound: &RetryBound,
+        hosts: Option<usize>,
+        now: Instant,
+    ) -> RetryCheck {
         drop_expired(&mut self.requests, bound.window, now);
         drop_expired(&mut self.retries, bound.window, now);
-        let share = bound.allowance / hosts.max(1) as f64 * ALLOWANCE_FRACTION;
+        let even_share = hosts.map_or(0.0, |hosts| bound.allowance / hosts.max(1) as f64);
+        let share = even_share * ALLOWANCE_FRACTION;
         let earned = bound.per_request * self.requests.len() as f64 * EARNED_FRACTION;
         let budget = share * self.uptime_fraction(bound.window, now) + earned;
         let retries = self.retries.len();
--- a/src/gateway/broadcast_hosts.rs
+++ b/src/gateway/broadcast_hosts.rs
@@ -8,9 +8,9 @@
 use crate::exchange::ListedHost;
 use crate::units::HostId;
 
-/// How long a host that has left the list still gets broadcasts. A restart takes less time, and the
-/// list lags by less.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(10);
+/// How long at least a host that has left the list still gets broadcasts. A restart takes less time,
+/// and the list lags by less.
+const DEPARTED_RETENTION_MIN: Duration = Duration::from_secs(10);
 
 /// The hosts on the platform's list, this one, and those that left the list recently.
 ///
@@ -20,16 +20,20 @@
 #[derive(Debug)]
 pub(crate) struct BroadcastHosts {
     own: ListedHost,
+    /// How long hosts that have left the list are kept.
+    departed_retention: Duration,
     listed: Vec<ListedHost>,
     /// Hosts that left the list, and when.
     departed: IndexMap<HostId, (ListedHost, Instant)>,
 }
 
 impl BroadcastHosts {
-    /// Starts with this host alone.
-    pub(crate) fn new(own: ListedHost) -> Self {
+    /// Starts with this host alone. A host that has left the list is kept for `retry_window` at
+    /// least: until then the retries that it has sent count.
+    pub(crate) fn new(own: ListedHost, retry_window: Duration) -> Self {
         Self {
             own,
+            departed_retention: retry_window.max(DEPARTED_RETENTION_MIN),
             listed: Vec::new(),
             departed: IndexMap::new(),
         }
@@ -43,9 +47,15 @@
         }
     }
 
+    /// Whether the platform's list has been read and has entries.
+    pub(crate) fn has_list(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
     /// All hosts that get broadcasts, this host included.
     pub(crate) fn hosts(&mut self, now: Instant) -> Vec<ListedHost> {
-        let is_retained = |at: Instant| now.saturating_duration_since(at) < DEPARTED_RETENTION;
+        let retention = self.departed_retention;
+        let is_retained = |at: Instant| now.saturating_duration_since(at) < retention;
         self.departed.retain(|_, (_, at)| is_retained(*at));
         let mut hosts: IndexMap<&HostId, &ListedHost> = IndexMap::new();
         let departed = self.departed.values().map(|(host, _)| host);
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -239,8 +239,8 @@
         requests: usize,
         /// The retries of this host to the service in the window, without this one.
         retries: usize,
-        /// The number of hosts that share the allowance, as far as this host knows.
-        hosts: usize,
+        /// The number of hosts that share the allowance; none if this host does not know it.
+        hosts: Option<usize>,
         /// The number of retries that this host may make in the window.
         budget: f64,
         /// The time since the start of this host, in ms.
--- a/src/gateway/platform_view.rs
+++ b/src/gateway/platform_view.rs
@@ -34,6 +34,7 @@
     upstreams_by_hash: RwLock<Arc<IndexMap<UpstreamHash, UpstreamId>>>,
     hosts: RwLock<Arc<Vec<ListedHost>>>,
     host_names: RwLock<IndexSet<HostId>>,
+    sharing_hosts: Mutex<Option<usize>>,
 }
 
 impl PlatformView {
@@ -141,6 +142,23 @@
         *self.hosts.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(hosts);
     }
 
+    /// The number of hosts among which a bound for all hosts is divided; none while the platform's
+    /// list has not been read. Unlike [`PlatformView::hosts`], which may contain this host alone, it
+    /// is never lower than the number of hosts on the list.
+    pub fn sharing_hosts(&self) -> Option<usize> {
+        let count = self.sharing_hosts.lock();
+        *count.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the number of hosts among which a bound for all hosts is divided.
+    pub fn set_sharing_hosts(&self, count: Option<usize>) {
+        let mut current = self
+            .sharing_hosts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = count;
+    }
+
     fn lock_freshness(&self) -> MutexGuard<'_, Freshness> {
         self.freshness
             .lock()
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -256,7 +256,7 @@
     /// decision. Returns whether the retry is allowed.
     pub(crate) fn try_retry(&self, call: &Call) -> bool {
         let now = self.clock.now();
-        let hosts = self.platform_view.hosts().len();
+        let hosts = self.platform_view.sharing_hosts();
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
         let window = retries
             .entry(call.service.clone())
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -247,7 +247,7 @@
     let mut reader = CatalogReader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
-    let mut broadcast_hosts = BroadcastHosts::new(own.clone());
+    let mut broadcast_hosts = BroadcastHosts::new(own.clone(), gateway.conf.retry_bound.window);
     let mut is_registered = false;
     let mut registered_in = StoreEra::default();
     loop {
@@ -271,6 +271,8 @@
             broadcast_hosts.set_listed(hosts, gateway.clock.now());
         }
         let hosts = broadcast_hosts.hosts(gateway.clock.now());
+        let sharing_hosts = broadcast_hosts.has_list().then_some(hosts.len());
+        gateway.platform_view.set_sharing_hosts(sharing_hosts);
         if *gateway.platform_view.hosts() != hosts {
             gateway.platform_view.set_hosts(hosts);
         }
--- a/tests/decide_retry_window.rs
+++ b/tests/decide_retry_window.rs
@@ -38,7 +38,7 @@
                 window.on_request(&BOUND, now);
             }
             (0..500)
-                .filter(|_| window.try_retry(&BOUND, 7, now).is_allowed)
+                .filter(|_| window.try_retry(&BOUND, Some(7), now).is_allowed)
                 .count()
         })
         .sum();
@@ -50,9 +50,17 @@
 fn a_retry_is_available_again_when_its_window_has_passed() {
     let now = Instant::now();
     let mut window = steady_window(now);
-    while window.try_retry(&BOUND, 7, now).is_allowed {}
-    assert!(!window.try_retry(&BOUND, 7, now + ms(9_999)).is_allowed);
-    assert!(window.try_retry(&BOUND, 7, now + ms(10_001)).is_allowed);
+    while window.try_retry(&BOUND, Some(7), now).is_allowed {}
+    assert!(
+        !window
+            .try_retry(&BOUND, Some(7), now + ms(9_999))
+            .is_allowed
+    );
+    assert!(
+        window
+            .try_retry(&BOUND, Some(7), now + ms(10_001))
+            .is_allowed
+    );
 }
 
 #[test]
@@ -60,13 +68,30 @@
     let now = Instant::now();
     let budget_after = |uptime| {
         let mut window = RetryWindow::new(now);
-        window.try_retry(&BOUND, 1, now + uptime).budget
+        window.try_retry(&BOUND, Some(1), now + uptime).budget
     };
     assert!(budget_after(ms(0)) < 1.0);
     assert!((budget_after(ms(5_000)) * 2.0 - budget_after(ms(10_000))).abs() < 1e-9);
     assert!((budget_after(ms(60_000)) - budget_after(ms(10_000))).abs() < 1e-9);
 }
 
+/// Failure: a host that does not know how many hosts there are uses the allowance of all hosts.
+#[test]
+fn without_a_number_of_hosts_only_earned_retries_are_allowed() {
+    let now = Instant::now();
+    let mut window = steady_window(now);
+    assert!(!window.try_retry(&BOUND, None, now).is_allowed);
+    for _ in 0..50 {
+        window.on_request(&BOUND, now);
+    }
+    let allowed = (0..500).filter(|_| window.try_retry(&BOUND, None, now).is_allowed);
+    let allowed = allowed.count();
+    assert!(
+        (1..=10).contains(&allowed),
+        "{allowed} retries for 50 requests"
+    );
+}
+
 /// What happens to the processes of a model of hosts.
 #[derive(Clone, Copy, Debug)]
 enum Restarts {
@@ -145,7 +170,7 @@
                     window.on_request(&BOUND, now);
                     requests.push(elapsed);
                 }
-                while window.try_retry(&BOUND, hosts, now).is_allowed {
+                while window.try_retry(&BOUND, Some(hosts), now).is_allowed {
                     retries.push(elapsed);
                 }
             }
--- a/tests/gateway_retries.rs
+++ b/tests/gateway_retries.rs
@@ -86,6 +86,26 @@
     assert_within_bound(&upstreams, 4 * 14);
 }
 
+/// Failure: a host that has not read the list of hosts takes itself for the only one, and uses the
+/// allowance of all hosts also when it has been running for longer than the window.
+#[tokio::test]
+async fn a_host_without_a_list_of_hosts_sends_no_retry_that_it_has_not_earned() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstreams = list_failing_upstreams(&catalog).await;
+    catalog.set_hosts_unavailable();
+    let host = TestHost::start_with(conf("host"), &catalog).await;
+    host.call(request("/safe/1")).await;
+    assert_eq!(arrivals(&upstreams), 1);
+    wait_until(|| host.log.text().contains("retry_checked")).await;
+    let lines = host.log.lines();
+    let check = lines
+        .iter()
+        .find(|line| line["event"] == "retry_checked")
+        .unwrap();
+    assert_eq!(check["is_allowed"], false);
+    assert!(check["hosts"].is_null());
+}
+
 #[tokio::test]
 async fn a_retry_is_logged_with_the_numbers_of_its_check() {
     let catalog = FakeCatalog::new(table(1));
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -150,6 +150,12 @@
             .store(are_unreadable, Ordering::Relaxed);
     }
 
+    /// Whether the list of hosts can be read.
+    pub fn has_hosts(&self) -> bool {
+        let is_unreachable = self.is_unreachable.load(Ordering::Relaxed);
+        !is_unreachable && !self.are_hosts_unavailable.load(Ordering::Relaxed)
+    }
+
     /// Makes reads and changes of the list of hosts fail.
     pub fn set_hosts_unavailable(&self) {
         self.are_hosts_unavailable.store(true, Ordering::Relaxed);
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -126,12 +126,16 @@
         Self::start_with(conf(name), catalog).await
     }
 
-    /// Starts a host and waits until it has read the manifest and the upstreams, if there are any.
+    /// Starts a host and waits until it has read the lists of the platform, except those that are not
+    /// there or cannot be read.
     pub async fn start_with(conf: GatewayConf, catalog: &Arc<FakeCatalog>) -> Self {
         let host = Self::start_without_waiting(conf, catalog).await;
         if catalog.has_routes() {
             wait_until(|| host.gateway.is_ready()).await;
         }
+        if catalog.has_hosts() {
+            host.wait_for_host_list().await;
+        }
         host
     }
 
@@ -168,6 +172,12 @@
         }
     }
 
+    /// Waits until the host has read the list of hosts, from which on it uses its share of bounds for
+    /// all hosts.
+    pub async fn wait_for_host_list(&self) {
+        wait_until(|| self.gateway.platform_view.sharing_hosts().is_some()).await;
+    }
+
     /// Waits until the list of hosts has `count` entries.
     pub async fn wait_for_hosts(&self, count: usize) {
         wait_until(|| self.gateway.platform_view.hosts().len() == count).await;
