Rate limits: a host that does not know how many hosts there are sends one request per window

The new test sees a thousand requests in five windows of a limit of 50/s without the change, five with it. The divisors of slots and of the collectors choose no shares: they were read and are not concerned.

--- a/src/decide/host_coverage.rs
+++ b/src/decide/host_coverage.rs
@@ -4,17 +4,25 @@
 /// this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostCoverage {
-    /// All hosts on the list.
+    /// All hosts on the list; 0 if the list is not known.
     pub listed: usize,
     /// Hosts whose load is known here, from their own reports or from a collector's.
     pub heard: usize,
 }
 
 impl HostCoverage {
-    /// The fraction of the listed hosts whose load is known. At least this host itself counts, so
-    /// the result is never 0.
+    /// The coverage of a host that does not know the list.
+    pub const UNKNOWN: Self = Self {
+        listed: 0,
+        heard: 0,
+    };
+
+    /// The fraction of the listed hosts whose load is known. At least this host itself counts; the
+    /// result is 0 only if the list is not known.
     pub fn heard_fraction(self) -> f64 {
-        let listed = self.listed.max(1);
-        self.heard.clamp(1, listed) as f64 / listed as f64
+        if self.listed == 0 {
+            return 0.0;
+        }
+        self.heard.clamp(1, self.listed) as f64 / self.listed as f64
     }
 }
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -199,6 +199,9 @@
     /// How many of the listed hosts are heard by this one, directly or through the collector of
     /// their failure domain.
     pub(crate) fn hosts_heard(&self, now: Instant) -> HostCoverage {
+        if self.platform_view.sharing_hosts().is_none() {
+            return HostCoverage::UNKNOWN;
+        }
         let hosts = self.platform_view.hosts();
         let ledger = self.ledger();
         let has_collector = |listed: &&ListedHost| ledger.is_collector_live(&listed.host, now);
--- a/tests/decide_rate_limits.rs
+++ b/tests/decide_rate_limits.rs
@@ -204,6 +204,25 @@
     assert_eq!(sent(&mut tracker, now + ms(4_500)), 0);
 }
 
+/// Failure: a host that has not read the list of hosts takes itself for the only one, and uses the
+/// whole limit.
+#[test]
+fn without_a_list_of_hosts_an_upstream_gets_one_request_per_window() {
+    let (start, engine) = (Instant::now(), upstream());
+    let mut tracker = RateLimitTracker::new(start);
+    tracker.set_hosts(HostCoverage::UNKNOWN, ms(20));
+    tracker.on_answer(&engine, Some(RequestsPerSecond(50.0)), start);
+    let mut sent = 0;
+    for step in 0..2_000 {
+        let now = start + ms(10_000 + step * 10);
+        if tracker.view(&engine, now).unwrap().is_open() {
+            tracker.on_sent(&engine, now);
+            sent += 1;
+        }
+    }
+    assert!((4..=6).contains(&sent), "{sent} requests in five windows");
+}
+
 /// A counter that loses requests within its window lets too many be sent; one that keeps them for
 /// too long blocks all sends.
 #[test]
