Soak: outages of all upstreams with restarts of all hosts, and a check of the retry bound

The soak named no retries: nothing there could see that services get more of them than all hosts together may send. It counts at the upstreams, in every window, and excuses no fault. Outages are drawn by a generator of their own, so the other faults of a seed stay.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -14,6 +14,7 @@
 use crate::history::UpstreamRun;
 use crate::limit_checks;
 use crate::notice_checks;
+use crate::retry_checks;
 
 /// Time after the end of a fault until its effects are gone and hosts have current data from the
 /// platform again.
@@ -88,6 +89,7 @@
         violations.extend(check_recovery(observations, served_from));
         violations.extend(limit_checks::check(observations));
         violations.extend(notice_checks::check(observations));
+        violations.extend(retry_checks::check(observations));
     }
     violations
 }
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,6 +1,6 @@
-//! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations and restores of the
-//! store have random generators of their own, so that they do not change which other faults a seed
-//! draws.
+//! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store
+//! and outages have random generators of their own, so that they do not change which other faults a
+//! seed draws.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 use crate::deployment::DOMAINS;
 use crate::faults::Fault;
 use crate::run::SoakConf;
+use crate::store::StoreMode;
+use crate::upstream::UpstreamMode;
 
 /// XORed with the seed of the run for the draws of rate limits.
 const LIMITS_SEED_MASK: u64 = 0x11A7_7ED0;
@@ -20,6 +22,8 @@
 
 /// XORed with the seed of the run for the draws of evacuations.
 const EVACUATIONS_SEED_MASK: u64 = 0x00E7_ACED;
+/// XORed with the seed of the run for the draws of outages.
+const OUTAGES_SEED_MASK: u64 = 0x0007_A6E5;
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
@@ -76,6 +80,37 @@
     })
 }
 
+/// Draws the outages, each with the pause before it: all upstreams fail requests, half of the times
+/// while all hosts are killed again and again and the store is unavailable for a moment.
+pub(crate) fn draw_outages(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ OUTAGES_SEED_MASK);
+    let outages = draw(conf, rng.clone(), 6_000..20_000, |rng| {
+        let mode = match rng.random_range(0..3) {
+            0 => UpstreamMode::RejectsRequests,
+            1 => UpstreamMode::TruncatesResponses,
+            _ => UpstreamMode::RespondsWithError,
+        };
+        Fault::AllUpstreams(mode, draw_duration(rng, 3_000..10_000))
+    });
+    let mut faults = Vec::new();
+    for outage in outages {
+        faults.push(outage);
+        if rng.random_ratio(1, 2) {
+            continue;
+        }
+        for _ in 0..3 {
+            let down = draw_duration(&mut rng, 50..300);
+            let unavailable = draw_duration(&mut rng, 300..1_500);
+            faults.push((
+                draw_duration(&mut rng, 800..2_000),
+                Fault::KillAllHosts(down),
+            ));
+            faults.push((down, Fault::Store(StoreMode::Unavailable, unavailable)));
+        }
+    }
+    faults
+}
+
 /// Draws pauses and faults until the time for faults is used up.
 fn draw(
     conf: &SoakConf,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -68,6 +68,8 @@
     DomainLinks(usize, LinkMode, Duration),
     /// An upstream is in this mode for this time.
     Upstream(usize, UpstreamMode, Duration),
+    /// All upstreams are in this mode for this time.
+    AllUpstreams(UpstreamMode, Duration),
     /// An upstream advertises this limit, in requests per second, for this time.
     LimitUpstream(usize, f64, Duration),
     /// An upstream crashes, and a replacement is started after this time.
@@ -164,6 +166,7 @@
             | Self::UpstreamLinks(_, _, _, time)
             | Self::DomainLinks(_, _, time)
             | Self::Upstream(_, _, time)
+            | Self::AllUpstreams(_, time)
             | Self::LimitUpstream(_, _, time)
             | Self::LeaveUpstreamUnlisted(_, time)
             | Self::BackOffUpstream(_, _, time)
@@ -302,6 +305,17 @@
             upstream.set_mode(UpstreamMode::Healthy);
             FaultScope::Upstream
         }
+        Fault::AllUpstreams(mode, time) => {
+            let upstreams = lock(&deployment.upstreams).clone();
+            for upstream in &upstreams {
+                upstream.set_mode(mode);
+            }
+            sleep(time).await;
+            for upstream in &upstreams {
+                upstream.set_mode(UpstreamMode::Healthy);
+            }
+            FaultScope::Upstream
+        }
         Fault::LimitUpstream(index, per_s, time) => {
             let upstream = upstream_at(deployment, index);
             upstream.start_advertising_limit(per_s);
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -85,6 +85,8 @@
 pub struct UpstreamRefusal {
     /// The id of the upstream.
     pub upstream: String,
+    /// The service of the upstream.
+    pub service: String,
     /// When the request arrived.
     pub arrived_at: Timestamp,
     /// For how long the upstream wants no requests from the host; none if it does not say.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,6 +26,7 @@
 use crate::fault_draws::draw_faults;
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
+use crate::fault_draws::draw_outages;
 use crate::fault_draws::draw_restores;
 use crate::faults;
 use crate::history::CallerAttempt;
@@ -90,14 +91,16 @@
     let notices = draw_notices(conf);
     let restores = draw_restores(conf);
     let evacuations = draw_evacuations(conf);
-    let drawn_lists = [&drawn, &limits, &notices, &restores, &evacuations];
+    let outages = draw_outages(conf);
+    let drawn_lists = [&drawn, &limits, &notices, &restores, &evacuations, &outages];
     let faults = drawn_lists.iter().map(|list| list.len()).sum();
     tokio::join!(
         faults::inject_all(&deployment, drawn),
         faults::inject_all(&deployment, limits),
         faults::inject_all(&deployment, notices),
         faults::inject_all(&deployment, restores),
-        faults::inject_all(&deployment, evacuations)
+        faults::inject_all(&deployment, evacuations),
+        faults::inject_all(&deployment, outages)
     );
     sleep(RECOVERY_TIME).await;
     let served_from = deployment.now();
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -379,6 +379,7 @@
     fn record_refusal(&self, request: &str, backoff: Option<Duration>, arrival: Arrival) {
         let refusal = UpstreamRefusal {
             upstream: self.id.clone(),
+            service: self.service.to_owned(),
             arrived_at: arrival.at,
             backoff,
         };
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -347,6 +347,7 @@
         if index == 0 && backoff.is_some() {
             let refusal = UpstreamRefusal {
                 upstream: "u001".to_owned(),
+                service: "app-a".to_owned(),
                 arrived_at: at(10_000),
                 backoff,
             };
@@ -404,6 +405,27 @@
     assert!(!is_notice_violated(9, backoff, fault(paused)));
 }
 
+/// Guards against a check that never finds too many retries, or that counts first arrivals.
+#[parameterized(
+    allowed = { 100, 2, true },
+    too_many = { 140, 2, false },
+    many_first_arrivals = { 500, 1, true },
+)]
+fn too_many_retries_are_found(requests: u64, arrivals: usize, is_kept: bool) {
+    let mut observations = Observations::default();
+    for index in 0..requests {
+        let request = format!("00020000{index:02x}");
+        let (attempt, _) = served(CallClass::Idempotent);
+        let runs = vec![run_at(10_000 + index * 20); arrivals];
+        observations.runs.insert(request.clone(), runs);
+        observations.attempts.insert(request, attempt);
+    }
+    let violations = check(&observations, GuaranteeSet::All, at(10_000));
+    let mut guarantees = violations.iter().map(|violation| violation.guarantee);
+    let is_found = guarantees.any(|guarantee| guarantee.contains("no more retries"));
+    assert_eq!(is_found, !is_kept, "{violations:?}");
+}
+
 /// Guards against a check of evacuations that overlooks where one ended, or one of two that overlap.
 #[parameterized(
     ended = { vec![(2_000, StoreChange::DomainEvacuated(0)), (7_000, StoreChange::EvacuationEnded(0))], true },
