--- a/src/decide/health_tracker.rs
+++ b/src/decide/health_tracker.rs
@@ -240,20 +240,22 @@
     }
 
     /// Records the report of a host of the same failure domain that an upstream is unreachable. The
-    /// report is ignored if the upstream has responded to this host recently.
+    /// report is ignored if the upstream has responded to this host recently. Returns whether the
+    /// upstream counts as unreachable because of this report.
     pub fn on_unreachable_report(
         &mut self,
         upstream: &UpstreamId,
         domain: &FailureDomainId,
         now: Instant,
-    ) {
+    ) -> bool {
         let record = self.record(upstream, domain);
         if is_within(record.responded_at, RESPONSE_VALID_FOR, now) || record.is_unreachable {
-            return;
+            return false;
         }
         record.is_unreachable = true;
         record.lost_at = Some(now);
         record.pause(PAUSE_BASE, now);
+        true
     }
 
     /// When the upstream was last unreachable or broke a connection, as far as this host knows;
@@ -263,16 +265,18 @@
     }
 
     /// Records the report of a host of the same failure domain that another domain is unreachable.
-    /// The report is ignored if the domain has responded to this host recently.
-    pub fn on_unreachable_domain_report(&mut self, domain: &FailureDomainId, now: Instant) {
+    /// The report is ignored if the domain has responded to this host recently. Returns whether the
+    /// domain counts as unreachable because of this report.
+    pub fn on_unreachable_domain_report(&mut self, domain: &FailureDomainId, now: Instant) -> bool {
         let domain_record = self.domains.entry(domain.clone()).or_default();
         if is_within(domain_record.responded_at, RESPONSE_VALID_FOR, now)
             || domain_record.is_unreachable()
         {
-            return;
+            return false;
         }
         domain_record.timeouts = DOMAIN_TIMEOUT_THRESHOLD;
         domain_record.last_timeout_at = Some(now);
+        true
     }
 
     /// The upstreams that this host itself recently failed to connect to, for reports to other
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -179,6 +179,16 @@
         /// The malformed value.
         value: String,
     },
+    /// Another host of the failure domain has reported upstreams or failure domains as unreachable,
+    /// and this host avoids them because of this report.
+    UnreachableReported {
+        /// The host that reported them.
+        told_by: String,
+        /// The number of upstreams.
+        upstreams: usize,
+        /// The number of failure domains.
+        domains: usize,
+    },
     /// An upstream failed a request or was unreachable.
     UpstreamFault {
         /// The id of the request.
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -30,6 +30,7 @@
 use crate::exchange::UpstreamHash;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
+use crate::gateway::ListedUpstream;
 use crate::gateway::catalog_sharing::is_fresh;
 use crate::units::AttemptId;
 use crate::units::ContentHash;
@@ -205,23 +206,27 @@
             return;
         };
         let mut health = self.health();
-        for domain in update
-            .unreachable_domains
-            .iter()
-            .filter_map(|name| name.parse().ok())
-        {
-            health.on_unreachable_domain_report(&domain, now);
-        }
-        for listed in by_service.values().flatten() {
-            if update
-                .unreachable_upstreams
-                .iter()
-                .any(|id| id == listed.id.as_str())
-            {
-                health.on_unreachable_report(&listed.id, &listed.domain, now);
-            }
-        }
+        let domains = update.unreachable_domains.iter();
+        let domains = domains.filter_map(|name| name.parse().ok());
+        let domains = domains
+            .filter(|domain| health.on_unreachable_domain_report(domain, now))
+            .count();
+        let is_reported = |listed: &&ListedUpstream| {
+            let mut reported = update.unreachable_upstreams.iter();
+            reported.any(|id| id == listed.id.as_str())
+        };
+        let upstreams = by_service.values().flatten().filter(is_reported);
+        let upstreams = upstreams
+            .filter(|listed| health.on_unreachable_report(&listed.id, &listed.domain, now))
+            .count();
         drop(health);
+        if domains > 0 || upstreams > 0 {
+            self.log.record(DecisionEvent::UnreachableReported {
+                told_by: host.to_string(),
+                upstreams,
+                domains,
+            });
+        }
         self.health_changed.notify_one();
     }
 
