--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -81,6 +81,8 @@
     are_hosts_unavailable: AtomicBool,
     reads: AtomicUsize,
     whole_reads: AtomicUsize,
+    /// The addresses that this link reports for upstreams, by id, in place of the listed ones.
+    addrs: Mutex<IndexMap<String, SocketAddr>>,
 }
 
 impl FakeCatalog {
@@ -238,6 +240,18 @@
         self.whole_reads.load(Ordering::Relaxed)
     }
 
+    /// Makes hosts that read over this link connect to an upstream at another address.
+    pub fn replace_addr(&self, id: &str, addr: SocketAddr) {
+        self.addrs.lock().unwrap().insert(id.to_owned(), addr);
+    }
+
+    fn with_replaced_addr(&self, mut listed: ListedUpstream) -> ListedUpstream {
+        if let Some(addr) = self.addrs.lock().unwrap().get(listed.id.as_str()) {
+            listed.addr = *addr;
+        }
+        listed
+    }
+
     pub fn listed_hosts(&self) -> Vec<ListedHost> {
         self.state.lock().unwrap().hosts.clone()
     }
@@ -280,11 +294,19 @@
         let as_of = Some(self.wait(watch, |state| state.changes.len()).await?);
         let Some(watch) = watch else {
             self.whole_reads.fetch_add(1, Ordering::Relaxed);
-            let value = self.respond(|state| UpstreamsRead::Snapshot(state.upstreams.clone()))?;
+            let upstreams = self.respond(|state| state.upstreams.clone())?.into_iter();
+            let upstreams = upstreams.map(|listed| self.with_replaced_addr(listed));
+            let value = UpstreamsRead::Snapshot(upstreams.collect());
             return Ok(CatalogRead { value, as_of });
         };
         let changes = self.respond(|state| state.changes_since(watch.since))??;
-        let value = UpstreamsRead::Delta(changes);
+        let changes = changes.into_iter().map(|change| match change {
+            UpstreamChange::Upserted(listed) => {
+                UpstreamChange::Upserted(self.with_replaced_addr(listed))
+            }
+            UpstreamChange::Removed(name) => UpstreamChange::Removed(name),
+        });
+        let value = UpstreamsRead::Delta(changes.collect());
         Ok(CatalogRead { value, as_of })
     }
 
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine_client;
 pub mod header_codec;
 pub mod upstream;
+pub mod upstream_link;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
