Gateway: calls to upstreams that a host does not reach itself go through another host

Each call was refused with 503 some 25 ms after its arrival.

Cause: a host connected to upstreams itself or not at all. A failed connection was taken for a fault of the upstream, also by the other hosts of the domain, which took it over as a report.

Change: when a direct connection fails, the host asks another one to connect to the upstream and passes bytes through it. Only if that fails too is it a fault of the upstream. At the second such failure in a row the direct path counts as lost: calls then go through other hosts at once, and probes find out when the path is back. The host that passes on bytes decides nothing: sends, retries, limits, reservations and what may have run stay with the host that the caller reached. A host that has lost paths says so when it is asked, and reports no upstream as unreachable.

--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -160,6 +160,15 @@
                 )?;
                 write_excluded(f, excluded.as_ref())
             }
+            DecisionEvent::Tunneled {
+                upstream,
+                via,
+                elapsed_ms,
+                ..
+            } => write!(
+                f,
+                "connected to {upstream} through {via}, {elapsed_ms} ms after its arrival"
+            ),
             DecisionEvent::RetryChecked {
                 service,
                 is_allowed,
--- a/src/decide/health_tracker.rs
+++ b/src/decide/health_tracker.rs
@@ -354,6 +354,19 @@
         !is_suspended && !is_domain_unreachable
     }
 
+    /// Whether connections to the upstream are expected to succeed at `now`.
+    pub fn is_reachable(
+        &self,
+        upstream: &UpstreamId,
+        domain: &FailureDomainId,
+        now: Instant,
+    ) -> bool {
+        let record = self.upstreams.get(upstream);
+        let is_unreachable = record.is_some_and(|r| r.is_unreachable && r.is_paused(now));
+        let domain_record = self.domains.get(domain);
+        !is_unreachable && !domain_record.is_some_and(DomainRecord::is_unreachable)
+    }
+
     /// Whether the upstream's failure rate is so high that other upstreams are preferred.
     pub fn is_failing(&self, upstream: &UpstreamId) -> bool {
         let record = self.upstreams.get(upstream);
--- /dev/null
+++ b/src/decide/path_tracker.rs
@@ -0,0 +1,146 @@
+//! Which upstreams this host does not reach itself although other hosts do, and which hosts to ask
+//! for a tunnel.
+//!
+//! Load condition: some hosts, such as most of a failure domain, lose their connections to upstreams
+//! while all other connections work. A failed connection alone does not tell whether the upstream is
+//! down or the path to it is cut; a connection through another host does.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::units::HostId;
+use crate::units::UpstreamId;
+
+/// Failed direct connections, each followed by one through another host, after which the direct path
+/// counts as lost. A single failure may be a lost packet.
+const FAILURES_MIN: u32 = 2;
+/// The interval between two probes while all direct paths remain lost.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between two rounds of probes after one has succeeded.
+const HEALING_PROBE_INTERVAL: Duration = Duration::from_millis(20);
+/// The number of paths that are probed at once after a probe has succeeded.
+const HEALING_PROBES_MAX: usize = 8;
+/// How long a host that could not provide a tunnel is not asked for one.
+const HOST_PAUSE: Duration = Duration::from_secs(1);
+
+/// The direct path to one upstream, after a connection failed.
+#[derive(Clone, Copy, Debug, Default)]
+struct PathRecord {
+    /// Failed direct connections since the last one that was established.
+    failures: u32,
+    probed_at: Option<Instant>,
+}
+
+impl PathRecord {
+    fn is_lost(&self) -> bool {
+        self.failures >= FAILURES_MIN
+    }
+}
+
+/// The direct paths from this host to upstreams, and the hosts that could not provide a tunnel.
+#[derive(Debug, Default)]
+pub struct PathTracker {
+    /// The paths on which the last connection failed.
+    paths: IndexMap<UpstreamId, PathRecord>,
+    /// Until when hosts are not asked for a tunnel.
+    paused_hosts: IndexMap<HostId, Instant>,
+    /// When the next lost path is probed; none if no path is lost.
+    next_probe_at: Option<Instant>,
+    /// Whether the last probe succeeded.
+    is_healing: bool,
+}
+
+impl PathTracker {
+    /// Whether the direct path to an upstream is lost.
+    pub fn is_lost(&self, upstream: &UpstreamId) -> bool {
+        self.paths.get(upstream).is_some_and(PathRecord::is_lost)
+    }
+
+    /// Whether any direct path is lost. Then a failed direct connection of this host says nothing
+    /// about the upstream.
+    pub fn has_lost(&self) -> bool {
+        self.next_probe_at.is_some()
+    }
+
+    /// Records that a direct connection to an upstream failed, and that one through another host was
+    /// established. Returns whether the direct path counts as lost from now on.
+    pub fn on_bypassed(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
+        let path = self.paths.entry(upstream.clone()).or_default();
+        let was_lost = path.is_lost();
+        path.failures = path.failures.saturating_add(1);
+        let is_lost = path.is_lost();
+        if is_lost {
+            self.next_probe_at.get_or_insert(now + PROBE_INTERVAL);
+        }
+        is_lost && !was_lost
+    }
+
+    /// Records that a direct connection to an upstream was established. Returns whether the path was
+    /// lost before.
+    pub fn on_connected(&mut self, upstream: &UpstreamId) -> bool {
+        let was_lost = self.is_lost(upstream);
+        self.paths.swap_remove(upstream);
+        self.is_healing |= was_lost;
+        self.clear_probes_if_none_lost();
+        was_lost
+    }
+
+    /// Records that a probe of a lost path failed.
+    pub fn on_probe_failed(&mut self) {
+        self.is_healing = false;
+    }
+
+    /// Returns the lost paths to probe now, those probed least recently first: one, or several after
+    /// a probe has succeeded.
+    pub fn take_due_probes(&mut self, now: Instant) -> Vec<UpstreamId> {
+        if self.next_probe_at.is_none_or(|at| at > now) {
+            return Vec::new();
+        }
+        let (interval, count) = if self.is_healing {
+            (HEALING_PROBE_INTERVAL, HEALING_PROBES_MAX)
+        } else {
+            (PROBE_INTERVAL, 1)
+        };
+        self.next_probe_at = Some(now + interval);
+        let lost = self.paths.iter_mut().filter(|(_, path)| path.is_lost());
+        let mut lost: Vec<(&UpstreamId, &mut PathRecord)> = lost.collect();
+        lost.sort_by_key(|(_, path)| path.probed_at);
+        let due = lost.into_iter().take(count).map(|(id, path)| {
+            path.probed_at = Some(now);
+            id.clone()
+        });
+        due.collect()
+    }
+
+    /// When the next probe is due; none if no path is lost.
+    pub fn next_probe_at(&self) -> Option<Instant> {
+        self.next_probe_at
+    }
+
+    /// Records that a host could not provide a tunnel.
+    pub fn on_host_failed(&mut self, host: &HostId, now: Instant) {
+        self.paused_hosts.retain(|_, until| *until > now);
+        self.paused_hosts.insert(host.clone(), now + HOST_PAUSE);
+    }
+
+    /// Whether a host may be asked for a tunnel.
+    pub fn may_ask(&self, host: &HostId, now: Instant) -> bool {
+        let until = self.paused_hosts.get(host);
+        until.is_none_or(|until| *until <= now)
+    }
+
+    /// Drops the paths to upstreams that are off the list.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
+        self.paths.retain(|id, _| is_listed(id));
+        self.clear_probes_if_none_lost();
+    }
+
+    fn clear_probes_if_none_lost(&mut self) {
+        if !self.paths.values().any(PathRecord::is_lost) {
+            self.next_probe_at = None;
+            self.is_healing = false;
+        }
+    }
+}
--- a/src/gateway/catalog_sharing/client.rs
+++ b/src/gateway/catalog_sharing/client.rs
@@ -99,6 +99,7 @@
         list: ListKind::Evacuations.into(),
         known_version: 0,
         accepts_deltas: true,
+        ..ReadRequest::default()
     };
     let response = ReadClient::default().request(addr, &request).await;
     response.is_some()
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -11,14 +11,20 @@
 
 use crate::exchange::ListedHost;
 use crate::gateway::ListedUpstream;
+use crate::gateway::tunnel::TunnelOutcome;
 use crate::units::Millicores;
+use crate::units::UpstreamId;
 use crate::units::whole_millis_u32;
 
 /// Largest message in bytes. A manifest has at most about 1 MB.
-pub(super) const MESSAGE_SIZE_MAX: usize = 8 << 20;
+pub(crate) const MESSAGE_SIZE_MAX: usize = 8 << 20;
+
+/// The number of a list that no host has, in requests for a tunnel. A host of an earlier version,
+/// which does not know tunnels, answers such a request with an empty response.
+const NO_LIST: i32 = -1;
 
 /// A connection on which hosts request lists from each other.
-pub(super) type PeerConnection = Framed<TcpStream, LengthDelimitedCodec>;
+pub(crate) type PeerConnection = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// The list that a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +48,7 @@
     }
 }
 
-/// A request for one list.
+/// A request for one list, or for a tunnel.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub(crate) struct ReadRequest {
@@ -55,6 +61,20 @@
     /// Whether the requesting host understands deltas and responses in several frames.
     #[prost(bool, tag = "3")]
     pub(crate) accepts_deltas: bool,
+    /// The id of the upstream to which a tunnel is requested in place of a list; empty if none is.
+    #[prost(string, tag = "4")]
+    pub(crate) tunnel_to: String,
+}
+
+impl ReadRequest {
+    /// A request for a tunnel to an upstream.
+    pub(crate) fn for_tunnel(upstream: &UpstreamId) -> Self {
+        Self {
+            list: NO_LIST,
+            tunnel_to: upstream.to_string(),
+            ..Self::default()
+        }
+    }
 }
 
 /// The response to a [`ReadRequest`]. It may contain only the upstreams that changed since the
@@ -93,6 +113,9 @@
     /// Whether the platform had no such list when the responding host last read it, `age_ms` ago.
     #[prost(bool, tag = "10")]
     pub(crate) is_absent: bool,
+    /// The answer to a request for a tunnel.
+    #[prost(enumeration = "TunnelOutcome", tag = "11")]
+    pub(crate) tunnel: i32,
 }
 
 /// A [`ListedHost`] in a response.
--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -437,6 +437,7 @@
             list: list.into(),
             known_version,
             accepts_deltas: true,
+            ..ReadRequest::default()
         };
         let Some(response) = self.client.request(addr, &request).await else {
             return PeerResult::NoResponse;
--- a/src/gateway/catalog_sharing/server.rs
+++ b/src/gateway/catalog_sharing/server.rs
@@ -20,6 +20,7 @@
 use crate::gateway::catalog_sharing::message::PeerConnection;
 use crate::gateway::catalog_sharing::message::ReadRequest;
 use crate::gateway::catalog_sharing::message::ReadResponse;
+use crate::gateway::tunnel::serve_tunnel;
 use crate::peer::framing;
 
 /// Time without a request after which a connection is closed, since the host at its other end has
@@ -59,6 +60,10 @@
                 return;
             }
         };
+        if !request.tunnel_to.is_empty() {
+            serve_tunnel(gateway, framed, &request.tunnel_to).await;
+            return;
+        }
         let response = gateway
             .catalog_cache
             .respond(&request, gateway.clock.since_boot());
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -179,6 +179,32 @@
         /// The malformed value.
         value: String,
     },
+    /// This host no longer reaches an upstream itself, while another host does, and connects through
+    /// other hosts from now on.
+    PathLost {
+        /// The id of the upstream.
+        upstream: String,
+        /// The host that has reached the upstream.
+        reached_by: Option<String>,
+        /// The error of the direct connection.
+        error: String,
+    },
+    /// This host reaches an upstream itself again.
+    PathRegained {
+        /// The id of the upstream.
+        upstream: String,
+    },
+    /// A request is sent through another host.
+    Tunneled {
+        /// The id of the request.
+        request: String,
+        /// The id of the upstream.
+        upstream: String,
+        /// The other host.
+        via: String,
+        /// The time since the request arrived, in ms.
+        elapsed_ms: u64,
+    },
     /// Another host of the failure domain has reported upstreams or failure domains as unreachable,
     /// and this host avoids them because of this report.
     UnreachableReported {
@@ -346,6 +372,7 @@
             | Self::ReservationRefused { request, .. }
             | Self::Sent { request, .. }
             | Self::RetryChecked { request, .. }
+            | Self::Tunneled { request, .. }
             | Self::Waiting { request, .. }
             | Self::Refused { request, .. }
             | Self::Ended { request, .. } => Some(request),
@@ -357,7 +384,7 @@
     /// failures and of the host itself may, events of successful requests may not.
     pub fn has_priority(&self) -> bool {
         match self {
-            Self::Sent { .. } | Self::Waiting { .. } => false,
+            Self::Sent { .. } | Self::Tunneled { .. } | Self::Waiting { .. } => false,
             Self::Ended { status, .. } => *status >= 400,
             _ => true,
         }
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -73,16 +73,7 @@
         let surplus = poisons.len().saturating_sub(POISON_REPORTS_MAX);
         let poisons = poisons.split_off(surplus);
         let (routes_version, upstreams_version) = self.catalog_cache.versions();
-        let health = self.health();
-        let unreachable_upstreams = health
-            .unreachable_upstreams(now)
-            .map(ToString::to_string)
-            .collect();
-        let unreachable_domains = health
-            .unreachable_domains(now)
-            .map(ToString::to_string)
-            .collect();
-        drop(health);
+        let (unreachable_upstreams, unreachable_domains) = self.unreachable_reports(now);
         HostUpdate {
             confirmed_age_plus_one_ms: self.list_age_plus_one_ms(),
             slowdowns: self.slowdowns.own(now).iter().map(slowdown_entry).collect(),
@@ -190,6 +181,18 @@
 }
 
 impl Gateway {
+    /// The upstreams and failure domains that this host reports as unreachable; none while it has lost
+    /// direct paths, since its failures then say nothing about the upstreams.
+    fn unreachable_reports(&self, now: Instant) -> (Vec<String>, Vec<String>) {
+        if self.paths().has_lost() {
+            return Default::default();
+        }
+        let health = self.health();
+        let upstreams = health.unreachable_upstreams(now).map(ToString::to_string);
+        let domains = health.unreachable_domains(now).map(ToString::to_string);
+        (upstreams.collect(), domains.collect())
+    }
+
     /// Applies a peer's reports of unreachable upstreams and failure domains. Only reports of hosts
     /// of this failure domain count, since a host of another one reaches upstreams by other network
     /// paths.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,7 @@
     pause: Histogram<f64>,
     catalog: Histogram<f64>,
     store_returns: Counter<u64>,
+    tunnels: Counter<u64>,
     notices: Counter<u64>,
     malformed_notices: Counter<u64>,
     unknown_headers: Counter<u64>,
@@ -59,6 +60,7 @@
             faults: meter.u64_counter("gateway_upstream_faults").build(),
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
+            tunnels: meter.u64_counter("gateway_tunnels").build(),
             store_returns: meter.u64_counter("gateway_store_returns").build(),
             notices: meter.u64_counter("gateway_upstream_notices").build(),
             malformed_notices: meter.u64_counter("gateway_malformed_notices").build(),
@@ -137,6 +139,16 @@
             .record(took.as_secs_f64(), &[customer_label(customer)]);
     }
 
+    /// Records a tunnel that this host has requested from another host, or has provided to one.
+    /// `role` is `requested` or `provided`.
+    pub fn record_tunnel(&self, role: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("role", role),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.tunnels.add(1, &labels);
+    }
+
     /// Records that the store of the platform was restored from an older copy.
     pub fn record_store_return(&self) {
         self.store_returns.add(1, &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,7 +56,9 @@
 mod stated;
 mod stream_relay;
 mod sync;
+mod tunnel;
 mod unknown_headers;
+mod upstream_connection;
 mod upstream_incarnations;
 mod upstream_notices;
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -1,27 +1,37 @@
-//! Probes upstreams that could not be reached. A probe opens a connection, so that no request of a
-//! caller has to find out whether the upstream can be reached again.
+//! Probes upstreams that could not be reached, and direct paths that are lost. A probe opens a
+//! connection, so that no request of a caller has to find out whether the upstream can be reached
+//! again.
 
 use std::sync::Arc;
 
-use tokio::net::TcpStream;
 use tokio::time::sleep_until;
-use tokio::time::timeout;
 
 use crate::decide::UpstreamFault;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 use crate::gateway::send::CONNECT_TIMEOUT;
-use crate::units::UpstreamId;
+use crate::http::one_shot;
+use crate::http::one_shot::OneShotError;
 
 /// Probes unreachable upstreams, each when its probe is due, for as long as the process runs.
 /// Sleeps while all upstreams can be reached.
 pub(crate) async fn probe_unreachable(gateway: Arc<Gateway>) {
     loop {
         let due = gateway.health().take_due_probes(gateway.clock.now());
-        for upstream in due.iter().filter_map(|id| find_listed(&gateway, id)) {
+        for upstream in due.iter().filter_map(|id| gateway.find_listed(id)) {
             tokio::spawn(probe_upstream(Arc::clone(&gateway), upstream));
         }
-        let next = gateway.health().next_probe_at();
+        let due = gateway.paths().take_due_probes(gateway.clock.now());
+        for upstream in due.iter().filter_map(|id| gateway.find_listed(id)) {
+            tokio::spawn(probe_path(Arc::clone(&gateway), upstream));
+        }
+        let next_path = gateway.paths().next_probe_at();
+        let next = gateway
+            .health()
+            .next_probe_at()
+            .into_iter()
+            .chain(next_path)
+            .min();
         let wait_until_due = async {
             match next {
                 Some(at) => sleep_until(at.into()).await,
@@ -35,27 +45,33 @@
     }
 }
 
-/// Connects to an upstream and records whether that succeeded.
+/// Connects to an upstream, through another host if necessary, and records whether that succeeded.
 async fn probe_upstream(gateway: Arc<Gateway>, upstream: ListedUpstream) {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.addr)).await;
+    let connected = gateway
+        .connect(&upstream.id, upstream.addr, CONNECT_TIMEOUT)
+        .await;
     let now = gateway.clock.now();
     let mut health = gateway.health();
     let fault = match connected {
-        Ok(Ok(_)) => {
+        Ok(_) => {
             health.on_connected(&upstream.id, now);
             return;
         }
-        Ok(Err(_)) => UpstreamFault::ConnectRefused,
-        Err(_) => UpstreamFault::ConnectTimeout,
+        Err(OneShotError::ConnectTimeout) => UpstreamFault::ConnectTimeout,
+        Err(_) => UpstreamFault::ConnectRefused,
     };
     health.on_fault(&upstream.id, &upstream.domain, fault, now);
     drop(health);
     gateway.health_changed.notify_one();
 }
 
-/// The upstream with this id; none if it is no longer listed or is leaving.
-fn find_listed(gateway: &Gateway, id: &UpstreamId) -> Option<ListedUpstream> {
-    let by_service = gateway.platform_view.upstreams()?;
-    let mut all = by_service.values().flatten();
-    all.find(|upstream| upstream.id == *id).cloned()
+/// Connects directly to an upstream whose direct path is lost, and records whether that succeeded.
+async fn probe_path(gateway: Arc<Gateway>, upstream: ListedUpstream) {
+    match one_shot::connect(upstream.addr, CONNECT_TIMEOUT).await {
+        Ok(_) => {
+            gateway.on_path_connected(&upstream.id);
+            gateway.health_changed.notify_one();
+        }
+        Err(_) => gateway.paths().on_probe_failed(),
+    }
 }
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -202,6 +202,15 @@
         if self.platform_view.sharing_hosts().is_none() {
             return HostCoverage::UNKNOWN;
         }
+        HostCoverage {
+            listed: self.platform_view.hosts().len(),
+            heard: self.heard_hosts(now).len(),
+        }
+    }
+
+    /// The listed hosts that are heard by this one, directly or through the collector of their
+    /// failure domain, and this host.
+    pub(crate) fn heard_hosts(&self, now: Instant) -> Vec<ListedHost> {
         let hosts = self.platform_view.hosts();
         let ledger = self.ledger();
         let has_collector = |listed: &&ListedHost| ledger.is_collector_live(&listed.host, now);
@@ -215,10 +224,7 @@
                 || collected_domains.contains(&listed.domain)
                 || ledger.is_host_live(&listed.host, now)
         };
-        HostCoverage {
-            listed: hosts.len(),
-            heard: hosts.iter().filter(is_heard).count(),
-        }
+        hosts.iter().filter(is_heard).cloned().collect()
     }
 
     /// The time until this host's sends are known to the other hosts.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::probe::probe_unreachable;
 use crate::gateway::server::serve_callers;
+use crate::gateway::server::wait_for_phase;
 use crate::gateway::starting_reader::find_starting_reader;
 use crate::gateway::sync;
 
@@ -105,6 +106,10 @@
     tasks.spawn(serve_pages(pages, listeners.metrics));
     tasks.spawn(withdraw(Arc::clone(&gateway), catalog));
     serve_callers(Arc::clone(&gateway), listeners.callers).await;
+    tokio::select! {
+        () = gateway.tunnels.wait_until_none() => {}
+        () = wait_for_phase(&gateway, ShutdownPhase::Expired) => {}
+    }
     let cut = gateway.in_flight();
     gateway.log.record(DecisionEvent::Stopped { cut });
     Ok(())
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
@@ -15,6 +16,7 @@
 
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
+use crate::gateway::DecisionEvent;
 use crate::gateway::ForwardHead;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
@@ -27,6 +29,7 @@
 use crate::http::one_shot::OneShotError;
 use crate::http::one_shot::OneShotResponseBody;
 use crate::routing::CallKind;
+use crate::units::whole_millis;
 
 /// The timeout for connections to upstreams. The transit time inside a site is at most 3 ms, and an
 /// upstream accepts a connection within a millisecond. If a connection takes this long, the
@@ -118,7 +121,7 @@
             last_event: self.last_event,
         };
         let req = self.request(&head);
-        let send = one_shot::send(upstream.addr, req, CONNECT_TIMEOUT.min(timeout_after));
+        let send = self.send_request(&upstream, req, CONNECT_TIMEOUT.min(timeout_after));
         let sent = tokio::select! {
             sent = timeout(timeout_after, send) => sent,
             () = self.gateway.incarnations.wait_until_lost(&upstream.id, now) => {
@@ -174,6 +177,30 @@
         }))
     }
 
+    /// Connects to the upstream and sends the request.
+    async fn send_request(
+        &self,
+        upstream: &ListedUpstream,
+        req: Request<Full<Bytes>>,
+        connect_timeout: Duration,
+    ) -> Result<Response<OneShotResponseBody>, OneShotError> {
+        let gateway = self.gateway;
+        let connection = gateway
+            .connect(&upstream.id, upstream.addr, connect_timeout)
+            .await?;
+        if let Some(via) = connection.via {
+            let elapsed = gateway.clock.now();
+            let elapsed = elapsed.saturating_duration_since(self.call.arrived_at);
+            gateway.log.record(DecisionEvent::Tunneled {
+                request: self.call.head.request.clone(),
+                upstream: upstream.id.to_string(),
+                via: via.to_string(),
+                elapsed_ms: whole_millis(elapsed),
+            });
+        }
+        one_shot::send_on(connection.stream, req).await
+    }
+
     /// Builds the HTTP request for the upstream.
     fn request(&self, head: &ForwardHead<'_>) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.call.body.clone()));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use crate::decide::AvailabilityTracker;
 use crate::decide::HealthTracker;
 use crate::decide::LoadLedger;
+use crate::decide::PathTracker;
 use crate::decide::PoisonList;
 use crate::decide::PoisonReport;
 use crate::decide::RetryWindow;
@@ -29,6 +30,7 @@
 use crate::gateway::GatewayConf;
 use crate::gateway::GatewayMetrics;
 use crate::gateway::HeaderCodec;
+use crate::gateway::ListedUpstream;
 use crate::gateway::PlatformView;
 use crate::gateway::ShutdownPhase;
 use crate::gateway::catalog_sharing::CatalogCache;
@@ -37,6 +39,7 @@
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
 use crate::gateway::starting_reader::FoundReader;
+use crate::gateway::tunnel::TunnelCounter;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::observe::SeenNames;
 use crate::units::ServiceId;
@@ -77,6 +80,7 @@
     pub metrics: GatewayMetrics,
     ledger: Mutex<LoadLedger>,
     health: Mutex<HealthTracker>,
+    paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     poison: Mutex<PoisonList>,
     pub(crate) started_at: Instant,
@@ -121,6 +125,8 @@
     pub(crate) rate_limits: RateLimits,
     /// What upstreams have stated about whether they accept requests.
     pub(crate) availability: Mutex<AvailabilityTracker>,
+    /// The tunnels that this host provides to others.
+    pub(crate) tunnels: TunnelCounter,
     /// Limits the log lines about malformed notices, by upstream and kind of notice.
     pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
     /// The unknown headers in responses of upstreams.
@@ -151,6 +157,8 @@
             metrics,
             ledger: Mutex::default(),
             health: Mutex::default(),
+            paths: Mutex::default(),
+            tunnels: TunnelCounter::default(),
             retries: Mutex::default(),
             poison: Mutex::new(PoisonList::with_bounds(
                 POISON_CRASHES_MAX,
@@ -192,6 +200,18 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the direct paths to upstreams.
+    pub fn paths(&self) -> MutexGuard<'_, PathTracker> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The upstream with this id; none if it is not listed or is leaving.
+    pub(crate) fn find_listed(&self, id: &UpstreamId) -> Option<ListedUpstream> {
+        let by_service = self.platform_view.upstreams()?;
+        let mut all = by_service.values().flatten();
+        all.find(|upstream| upstream.id == *id).cloned()
+    }
+
     /// The route by which updates of other hosts arrive.
     pub(crate) fn update_route(&self) -> UpdateRoute {
         let route = self.update_route.lock();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -196,6 +196,7 @@
     gateway.apply_cold_limits();
     let usable = gateway.platform_view.set_upstreams(listed);
     gateway.health().retain(|id| staying.contains(id));
+    gateway.paths().retain(|id| staying.contains(id));
     let now = gateway.clock.now();
     gateway
         .ledger()
--- /dev/null
+++ b/src/gateway/tunnel/mod.rs
@@ -0,0 +1,17 @@
+//! Connections to upstreams through another host.
+//!
+//! A host that does not reach an upstream itself asks another host to connect to it, and then uses
+//! the connection to that host as if it were one to the upstream. Only bytes are passed on: the
+//! first host alone chooses the upstream, limits retries, and knows whether the request may have
+//! run. A tunnel never leads through a second host, since it ends with a direct connection.
+
+mod client;
+mod outcome;
+mod server;
+mod tunnel_counter;
+
+pub(crate) use client::open_tunnel;
+pub(crate) use outcome::TunnelOutcome;
+pub(crate) use server::serve_tunnel;
+pub(crate) use tunnel_counter::TunnelCounter;
+pub(crate) use tunnel_counter::TunnelGuard;
--- /dev/null
+++ b/src/gateway/upstream_connection.rs
@@ -0,0 +1,152 @@
+//! Connections to upstreams, directly or through another host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::seq::IndexedRandom;
+use tokio::net::TcpStream;
+
+use crate::exchange::ListedHost;
+use crate::gateway::DecisionEvent;
+use crate::gateway::Gateway;
+use crate::gateway::tunnel::TunnelOutcome;
+use crate::gateway::tunnel::open_tunnel;
+use crate::http::one_shot;
+use crate::http::one_shot::OneShotError;
+use crate::units::HostId;
+use crate::units::UpstreamId;
+
+/// The number of hosts that are asked for a tunnel. Most of those in a failure domain may have lost
+/// the same paths.
+const HOSTS_ASKED_MAX: usize = 4;
+/// The number of hosts that must fail to connect to an upstream before it counts as unreachable. The
+/// first may have lost its path too, without knowing it yet.
+const UNREACHABLE_MIN: usize = 2;
+
+/// A connection to an upstream.
+pub(crate) struct UpstreamConnection {
+    pub(crate) stream: TcpStream,
+    /// The host that provides the tunnel; none for a direct connection.
+    pub(crate) via: Option<HostId>,
+}
+
+impl Gateway {
+    /// Connects to an upstream: directly unless that path is lost, otherwise through another host.
+    /// An error is that of the direct connection, and means that other hosts do not reach the
+    /// upstream either, as far as this one can find out.
+    pub(crate) async fn connect(
+        &self,
+        upstream: &UpstreamId,
+        addr: SocketAddr,
+        direct_timeout: Duration,
+    ) -> Result<UpstreamConnection, OneShotError> {
+        if self.paths().is_lost(upstream)
+            && let Some(connection) = self.connect_through_host(upstream).await
+        {
+            return Ok(connection);
+        }
+        let err = match one_shot::connect(addr, direct_timeout).await {
+            Ok(stream) => {
+                self.on_path_connected(upstream);
+                return Ok(UpstreamConnection { stream, via: None });
+            }
+            Err(err) => err,
+        };
+        if self.paths().is_lost(upstream) {
+            return Err(err);
+        }
+        match self.connect_through_host(upstream).await {
+            Some(connection) => {
+                self.on_path_bypassed(upstream, &connection, &err);
+                Ok(connection)
+            }
+            None => Err(err),
+        }
+    }
+
+    /// Connects to an upstream through one of the hosts that may reach it; none if no host does.
+    async fn connect_through_host(&self, upstream: &UpstreamId) -> Option<UpstreamConnection> {
+        let mut asked: Vec<HostId> = Vec::new();
+        let mut unreachable: Vec<HostId> = Vec::new();
+        while asked.len() < HOSTS_ASKED_MAX && unreachable.len() < UNREACHABLE_MIN {
+            let host = self.choose_tunnel_host(&asked, self.clock.now())?;
+            let opened = open_tunnel(host.exchange_addr, upstream).await;
+            let now = self.clock.now();
+            match opened {
+                Ok(stream) => {
+                    self.metrics
+                        .record_tunnel("requested", TunnelOutcome::Connected.name());
+                    for failed in &unreachable {
+                        self.paths().on_host_failed(failed, now);
+                    }
+                    return Some(UpstreamConnection {
+                        stream,
+                        via: Some(host.host),
+                    });
+                }
+                Err(err) => {
+                    self.metrics.record_tunnel("requested", err.name());
+                    if err.is_upstream_unreachable() {
+                        unreachable.push(host.host.clone());
+                    } else {
+                        self.paths().on_host_failed(&host.host, now);
+                    }
+                    asked.push(host.host);
+                }
+            }
+        }
+        None
+    }
+
+    /// Chooses a host to ask for a tunnel: one of this failure domain if there is any, at random and
+    /// the stronger the more often. `asked` are left out.
+    fn choose_tunnel_host(&self, asked: &[HostId], now: Instant) -> Option<ListedHost> {
+        let heard = self.heard_hosts(now);
+        let paths = self.paths();
+        let may_ask = |listed: &&ListedHost| {
+            listed.host != self.conf.host
+                && !asked.contains(&listed.host)
+                && paths.may_ask(&listed.host, now)
+        };
+        let hosts: Vec<&ListedHost> = heard.iter().filter(may_ask).collect();
+        let near = hosts
+            .iter()
+            .filter(|listed| listed.domain == self.conf.domain);
+        let near: Vec<&ListedHost> = near.copied().collect();
+        let choices = if near.is_empty() { hosts } else { near };
+        let weight = |listed: &&ListedHost| {
+            listed
+                .processors
+                .map_or(1, |processors| processors.0.max(1))
+        };
+        let chosen = choices.choose_weighted(&mut rand::rng(), weight).ok()?;
+        Some((*chosen).clone())
+    }
+
+    /// Records that a direct connection was established.
+    pub(crate) fn on_path_connected(&self, upstream: &UpstreamId) {
+        if self.paths().on_connected(upstream) {
+            self.log.record(DecisionEvent::PathRegained {
+                upstream: upstream.to_string(),
+            });
+        }
+    }
+
+    /// Records that a direct connection failed, and another host connected.
+    fn on_path_bypassed(
+        &self,
+        upstream: &UpstreamId,
+        connection: &UpstreamConnection,
+        err: &OneShotError,
+    ) {
+        if self.paths().on_bypassed(upstream, self.clock.now()) {
+            self.log.record(DecisionEvent::PathLost {
+                upstream: upstream.to_string(),
+                reached_by: connection.via.as_ref().map(ToString::to_string),
+                error: err.to_string(),
+            });
+            self.health_changed.notify_one();
+        }
+    }
+}
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -72,18 +72,36 @@
 
 impl std::error::Error for OneShotError {}
 
-/// Sends a request on a new connection and returns the head of the response, with the body still to
-/// be read. `connect_timeout` limits connecting alone; the wait for the head has no timeout.
-pub async fn send(
+/// Opens a connection that the kernel closes if the other end no longer acknowledges data.
+pub async fn connect(
     addr: SocketAddr,
-    req: Request<Full<Bytes>>,
     connect_timeout: Duration,
-) -> Result<Response<OneShotResponseBody>, OneShotError> {
+) -> Result<TcpStream, OneShotError> {
     let connected = timeout(connect_timeout, TcpStream::connect(addr)).await;
     let stream = connected
         .map_err(|_| OneShotError::ConnectTimeout)?
         .map_err(OneShotError::ConnectFailed)?;
     set_socket_options(&stream).map_err(OneShotError::ConnectFailed)?;
+    Ok(stream)
+}
+
+/// Sends a request on a new connection and returns the head of the response, with the body still to
+/// be read. `connect_timeout` limits connecting alone; the wait for the head has no timeout.
+pub async fn send(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+    connect_timeout: Duration,
+) -> Result<Response<OneShotResponseBody>, OneShotError> {
+    let stream = connect(addr, connect_timeout).await?;
+    send_on(stream, req).await
+}
+
+/// Sends a request on a connection that is used for nothing else, and returns the head of the
+/// response, with the body still to be read. The wait for the head has no timeout.
+pub async fn send_on(
+    stream: TcpStream,
+    req: Request<Full<Bytes>>,
+) -> Result<Response<OneShotResponseBody>, OneShotError> {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, conn) = handshake.map_err(|err| OneShotError::NotSent(err.to_string()))?;
     let mut conn = Some(Box::pin(conn));
--- a/tests/gateway_tunnels.rs
+++ b/tests/gateway_tunnels.rs
@@ -3,8 +3,11 @@
 mod gateway_world;
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::exchange::ListedHost;
+use banyanarch::gateway::Catalog;
 use banyanarch::gateway::GatewayConf;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -16,6 +19,10 @@
 use gateway_world::upstream_link::Cut;
 use gateway_world::upstream_link::UpstreamLink;
 use gateway_world::wait_until;
+use indexmap::IndexMap;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use yare::parameterized;
 
 /// A configuration in another failure domain than [`conf`], so that neither host reads the lists of
@@ -83,3 +90,158 @@
     }
     assert_eq!(world.upstream.arrivals().len(), 3);
 }
+
+/// The number of requests that a host has sent through another one.
+fn tunneled(host: &TestHost) -> usize {
+    let lines = host.log.lines();
+    lines
+        .iter()
+        .filter(|line| line["event"] == "tunneled")
+        .count()
+}
+
+/// Whether a host has logged an event of this name.
+fn has_event(host: &TestHost, name: &str) -> bool {
+    host.log.lines().iter().any(|line| line["event"] == name)
+}
+
+/// Failure: hosts beside a cut host take over that the upstream is unreachable.
+#[tokio::test]
+async fn a_host_that_provides_tunnels_goes_on_using_the_upstream() {
+    let world = World::start([ScriptStep::Respond(200, "ok")], Cut::Refused).await;
+    for _ in 0..3 {
+        world.cut.call(request("/safe/1")).await;
+        assert_eq!(world.near.call(request("/safe/1")).await.status(), 200);
+    }
+    for host in [&world.near, &world.cut] {
+        let health = host.gateway.health();
+        let (id, domain) = ("a".parse().unwrap(), "here".parse().unwrap());
+        assert!(health.is_usable(&id, &domain, Instant::now()));
+        assert_eq!(health.unreachable_upstreams(Instant::now()).count(), 0);
+    }
+    assert_eq!(tunneled(&world.near), 0);
+}
+
+/// Failure: a response that breaks off behind a tunnel looks complete.
+#[tokio::test]
+async fn a_response_that_breaks_off_behind_a_tunnel_is_not_complete() {
+    let script = [ScriptStep::Truncate, ScriptStep::EventsThenBreak(3)];
+    let world = World::start(script, Cut::Refused).await;
+    assert_eq!(world.cut.call(request("/safe/1")).await.status(), 502);
+    let stream = world.cut.try_call(request("/stream/1")).await;
+    assert!(stream.is_err(), "{stream:?}");
+    wait_until(|| tunneled(&world.cut) == 2).await;
+}
+
+/// Failure: a call that must not be repeated runs twice, or is reported as not run, because its
+/// connection breaks behind a tunnel.
+#[tokio::test]
+async fn a_call_that_may_have_run_behind_a_tunnel_is_not_repeated() {
+    let world = World::start([ScriptStep::Break], Cut::Refused).await;
+    assert_eq!(world.cut.call(request("/once/1")).await.status(), 502);
+    assert_eq!(world.upstream.arrivals().len(), 1);
+}
+
+/// Failure: an upstream goes on working for a caller that has left.
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_call_behind_a_tunnel() {
+    let world = World::start([ScriptStep::Hang], Cut::Refused).await;
+    let call = world.cut.spawn_call(request("/once/1"));
+    wait_until(|| world.upstream.arrivals().len() == 1).await;
+    call.abort();
+    wait_until(|| world.upstream.early_disconnects() == 1).await;
+}
+
+/// Failure: a host goes on sending through others when it reaches the upstream again.
+#[tokio::test]
+async fn a_host_connects_directly_again_when_the_path_is_back() {
+    let world = World::start([ScriptStep::Respond(200, "ok")], Cut::Refused).await;
+    for _ in 0..3 {
+        world.cut.call(request("/safe/1")).await;
+    }
+    wait_until(|| has_event(&world.cut, "path_lost")).await;
+    world.link.open(world.upstream.addr).await;
+    wait_until(|| has_event(&world.cut, "path_regained")).await;
+    let before = tunneled(&world.cut);
+    assert_eq!(world.cut.call(request("/safe/1")).await.status(), 200);
+    assert_eq!(tunneled(&world.cut), before);
+}
+
+/// Failure: a host gives up because the first host that it asks has lost its path too.
+#[tokio::test]
+async fn a_host_that_has_lost_its_path_too_is_passed_over() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstream = ScriptedUpstream::start([ScriptStep::Respond(200, "ok")]).await;
+    catalog.list("a", "app", upstream.addr);
+    let near = TestHost::start("near", &catalog).await;
+    let link = UpstreamLink::cut(Cut::Refused).await;
+    let cut = start_cut_host("cut", &catalog, &link).await;
+    let other = start_cut_host("other", &catalog, &link).await;
+    hear_each_other(&[&near, &cut, &other]).await;
+    for _ in 0..3 {
+        assert_eq!(cut.call(request("/safe/1")).await.status(), 200);
+        assert_eq!(other.call(request("/safe/1")).await.status(), 200);
+    }
+}
+
+/// Failure: a call to an upstream that no host reaches waits, or is passed from host to host.
+#[tokio::test]
+async fn a_call_to_an_upstream_that_no_host_reaches_is_refused() {
+    let catalog = FakeCatalog::new(table(1));
+    let link = UpstreamLink::cut(Cut::Refused).await;
+    catalog.list("a", "app", link.addr);
+    let near = TestHost::start("near", &catalog).await;
+    let cut = start_cut_host("cut", &catalog, &link).await;
+    hear_each_other(&[&near, &cut]).await;
+    for host in [&near, &cut] {
+        assert_eq!(host.call(request("/once/1")).await.status(), 503);
+        assert_eq!(tunneled(host), 0);
+    }
+}
+
+/// Failure: a host that stops breaks the calls of other hosts that it passes on.
+#[tokio::test]
+async fn a_host_that_stops_serves_its_tunnels_to_their_end() {
+    let script = [ScriptStep::RespondAfter(Duration::from_millis(600), "ok")];
+    let world = World::start(script, Cut::Refused).await;
+    let call = world.cut.spawn_call(request("/once/1"));
+    wait_until(|| world.upstream.arrivals().len() == 1).await;
+    world.near.gateway.begin_shutdown();
+    assert_eq!(call.await.unwrap().unwrap().status(), 200);
+    assert_eq!(world.cut.call(request("/once/1")).await.status(), 503);
+    world.near.serving.await.unwrap();
+}
+
+/// Failure: a host of an earlier version takes the request for a tunnel for one of a list, and the
+/// answer for bytes of the upstream.
+#[tokio::test]
+async fn a_host_of_an_earlier_version_is_passed_over() {
+    let catalog = FakeCatalog::new(table(1));
+    let link = UpstreamLink::cut(Cut::Refused).await;
+    catalog.list("a", "app", link.addr);
+    let earlier = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listed = ListedHost {
+        host: "earlier".parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr: earlier.local_addr().unwrap(),
+        processors: None,
+    };
+    catalog.register_host(listed.clone()).await.unwrap();
+    let asked = tokio::spawn(async move {
+        let (mut stream, _) = earlier.accept().await.unwrap();
+        let mut request = [0_u8; 256];
+        assert!(stream.read(&mut request).await.unwrap() > 0);
+        // A frame without content is an empty response.
+        stream.write_all(&[0; 4]).await.unwrap();
+        // Nothing more may be sent on this connection.
+        assert_eq!(stream.read(&mut request).await.unwrap(), 0);
+    });
+    let cut = start_cut_host("cut", &catalog, &link).await;
+    cut.wait_for_hosts(2).await;
+    let now = Instant::now();
+    cut.gateway
+        .ledger()
+        .record_host_loads(listed.host, 1, IndexMap::new(), now);
+    assert_eq!(cut.call(request("/once/1")).await.status(), 503);
+    asked.await.unwrap();
+}
--- a/tests/gateway_world/upstream_link.rs
+++ b/tests/gateway_world/upstream_link.rs
@@ -32,7 +32,7 @@
     pub async fn cut(cut: Cut) -> Self {
         // Each link has an IP address of its own, so that nothing else is bound to its port.
         static LINKS: AtomicU8 = AtomicU8::new(1);
-        let [high, low] = (std::process::id() as u16).to_be_bytes();
+        let [.., high, low] = std::process::id().to_be_bytes();
         let number = LINKS.fetch_add(1, Ordering::Relaxed);
         let ip = IpAddr::V4(Ipv4Addr::new(127, high | 1, low, number));
         let socket = TcpSocket::new_v4().unwrap();
