Engines: orders and reports use the connections of the host, also through another one

Found beside the calls: a host that reaches no engine itself could send calls through another host, but not reserve the memory that long prompts need, so these were refused there; and the host that asks the engines of its domain for their speed learnt nothing for all of it.

--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -1,12 +1,12 @@
 //! The interface through which a gateway sends orders and report requests to engines.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 
 use crate::gateway::EngineAnswer;
+use crate::gateway::EngineEndpoint;
 use crate::units::Slowdown;
 use crate::units::Tokens;
 
@@ -43,15 +43,22 @@
     /// the reservation of that name. An engine whose memory is not free refuses the order at once.
     fn reserve<'a>(
         &'a self,
-        engine: SocketAddr,
+        engine: EngineEndpoint<'a>,
         name: &'a str,
         tokens: Tokens,
         hold: Duration,
     ) -> BoxFuture<'a, EngineAnswer<()>>;
 
-    /// Requests a report from the engine at this address.
-    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>>;
+    /// Requests a report from an engine.
+    fn report<'a>(
+        &'a self,
+        engine: EngineEndpoint<'a>,
+    ) -> BoxFuture<'a, EngineAnswer<EngineReport>>;
 
     /// Releases the reservation with this name.
-    fn release<'a>(&'a self, engine: SocketAddr, name: &'a str) -> BoxFuture<'a, EngineAnswer<()>>;
+    fn release<'a>(
+        &'a self,
+        engine: EngineEndpoint<'a>,
+        name: &'a str,
+    ) -> BoxFuture<'a, EngineAnswer<()>>;
 }
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -16,6 +16,7 @@
 use crate::exchange::ListedHost;
 use crate::exchange::strongest_host;
 use crate::gateway::DecisionEvent;
+use crate::gateway::EngineEndpoint;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 
@@ -85,7 +86,12 @@
 /// Requests a report from one engine and records it. A change of the engine's speed is logged and
 /// broadcast at once; an engine that does not respond keeps its last report until that expires.
 async fn poll_engine(gateway: Arc<Gateway>, engine: ListedUpstream) {
-    let answer = gateway.engine_client.report(engine.addr).await;
+    let endpoint = EngineEndpoint {
+        id: &engine.id,
+        addr: engine.addr,
+        connector: &*gateway,
+    };
+    let answer = gateway.engine_client.report(endpoint).await;
     gateway.on_notices(&engine.id, &answer.notices);
     let report = match answer.result {
         Ok(report) => report,
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -48,7 +48,7 @@
 /// Connects to an upstream, through another host if necessary, and records whether that succeeded.
 async fn probe_upstream(gateway: Arc<Gateway>, upstream: ListedUpstream) {
     let connected = gateway
-        .connect(&upstream.id, upstream.addr, CONNECT_TIMEOUT)
+        .connect_upstream(&upstream.id, upstream.addr, CONNECT_TIMEOUT)
         .await;
     let now = gateway.clock.now();
     let mut health = gateway.health();
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::DecisionEvent;
 use crate::gateway::EngineClientError;
+use crate::gateway::EngineEndpoint;
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::ListedUpstream;
@@ -56,6 +57,15 @@
         }
     }
 
+    /// The engine, to which `gateway` connects.
+    fn endpoint<'a>(&'a self, gateway: &'a Gateway) -> EngineEndpoint<'a> {
+        EngineEndpoint {
+            id: &self.id,
+            addr: self.engine,
+            connector: gateway,
+        }
+    }
+
     /// The address of the engine and the name of the reservation, for the head of the call.
     pub(crate) fn helper_addr(&self) -> HelperAddr {
         HelperAddr {
@@ -142,7 +152,7 @@
     let engine_client = &gateway.engine_client;
     let answer = engine_client
         .reserve(
-            reservation.engine,
+            reservation.endpoint(gateway),
             &reservation.name,
             reservation.tokens,
             RESERVATION_TTL,
@@ -186,7 +196,7 @@
     for _ in 0..RELEASE_ATTEMPTS_MAX {
         let engine_client = &gateway.engine_client;
         let answer = engine_client
-            .release(reservation.engine, &reservation.name)
+            .release(reservation.endpoint(&gateway), &reservation.name)
             .await;
         gateway.on_notices(&reservation.id, &answer.notices);
         match answer.result {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -186,7 +186,7 @@
     ) -> Result<Response<OneShotResponseBody>, OneShotError> {
         let gateway = self.gateway;
         let connection = gateway
-            .connect(&upstream.id, upstream.addr, connect_timeout)
+            .connect_upstream(&upstream.id, upstream.addr, connect_timeout)
             .await?;
         if let Some(via) = connection.via {
             let elapsed = gateway.clock.now();
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 
 use crate::exchange::ListedHost;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
+use crate::gateway::UpstreamConnector;
+use crate::gateway::send::CONNECT_TIMEOUT;
 use crate::gateway::tunnel::TunnelOutcome;
 use crate::gateway::tunnel::open_tunnel;
 use crate::http::one_shot;
@@ -31,11 +35,27 @@
     pub(crate) via: Option<HostId>,
 }
 
+impl UpstreamConnector for Gateway {
+    fn connect<'a>(
+        &'a self,
+        upstream: &'a UpstreamId,
+        addr: SocketAddr,
+    ) -> BoxFuture<'a, Result<TcpStream, OneShotError>> {
+        async move {
+            let connection = self
+                .connect_upstream(upstream, addr, CONNECT_TIMEOUT)
+                .await?;
+            Ok(connection.stream)
+        }
+        .boxed()
+    }
+}
+
 impl Gateway {
     /// Connects to an upstream: directly unless that path is lost, otherwise through another host.
     /// An error is that of the direct connection, and means that other hosts do not reach the
     /// upstream either, as far as this one can find out.
-    pub(crate) async fn connect(
+    pub(crate) async fn connect_upstream(
         &self,
         upstream: &UpstreamId,
         addr: SocketAddr,
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -144,7 +144,19 @@
     len_max: usize,
     idle_timeout: Duration,
 ) -> Result<Response<Bytes>, OneShotError> {
-    let sent = timeout(idle_timeout, send(addr, req, idle_timeout)).await;
+    let stream = connect(addr, idle_timeout).await?;
+    call_on(stream, req, len_max, idle_timeout).await
+}
+
+/// Sends a request on a connection that is used for nothing else, and reads the complete response,
+/// with the limits of [`call_with_idle_timeout`].
+pub async fn call_on(
+    stream: TcpStream,
+    req: Request<Full<Bytes>>,
+    len_max: usize,
+    idle_timeout: Duration,
+) -> Result<Response<Bytes>, OneShotError> {
+    let sent = timeout(idle_timeout, send_on(stream, req)).await;
     let (head, body) = sent.map_err(|_| OneShotError::Timeout)??.into_parts();
     let mut body = Limited::new(body, len_max);
     let mut bytes = BytesMut::new();
--- a/tests/gateway_world/engine_client.rs
+++ b/tests/gateway_world/engine_client.rs
@@ -7,6 +7,7 @@
 use banyanarch::gateway::EngineAnswer;
 use banyanarch::gateway::EngineClient;
 use banyanarch::gateway::EngineClientError;
+use banyanarch::gateway::EngineEndpoint;
 use banyanarch::gateway::EngineReport;
 use banyanarch::gateway::UpstreamNotices;
 use banyanarch::units::Slowdown;
@@ -79,11 +80,12 @@
 impl EngineClient for FakeEngineClient {
     fn reserve<'a>(
         &'a self,
-        engine: SocketAddr,
+        engine: EngineEndpoint<'a>,
         name: &'a str,
         tokens: Tokens,
         _: Duration,
     ) -> BoxFuture<'a, EngineAnswer<()>> {
+        let engine = engine.addr;
         *self
             .reserve_requests
             .lock()
@@ -115,7 +117,11 @@
         async { answer }.boxed()
     }
 
-    fn report(&self, engine: SocketAddr) -> BoxFuture<'_, EngineAnswer<EngineReport>> {
+    fn report<'a>(
+        &'a self,
+        engine: EngineEndpoint<'a>,
+    ) -> BoxFuture<'a, EngineAnswer<EngineReport>> {
+        let engine = engine.addr;
         *self
             .report_requests
             .lock()
@@ -127,8 +133,12 @@
         async move { Ok(EngineReport { slowdown }).into() }.boxed()
     }
 
-    fn release<'a>(&'a self, engine: SocketAddr, name: &'a str) -> BoxFuture<'a, EngineAnswer<()>> {
-        let key = (engine, name.to_owned());
+    fn release<'a>(
+        &'a self,
+        engine: EngineEndpoint<'a>,
+        name: &'a str,
+    ) -> BoxFuture<'a, EngineAnswer<()>> {
+        let key = (engine.addr, name.to_owned());
         self.reserved.lock().unwrap().swap_remove(&key);
         async { Ok(()).into() }.boxed()
     }
