--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -202,16 +202,20 @@
         if self.platform_view.sharing_hosts().is_none() {
             return HostCoverage::UNKNOWN;
         }
+        let hosts = self.platform_view.hosts();
         HostCoverage {
-            listed: self.platform_view.hosts().len(),
-            heard: self.heard_hosts(now).len(),
+            listed: hosts.len(),
+            heard: self.heard_hosts(&hosts, now).count(),
         }
     }
 
-    /// The listed hosts that are heard by this one, directly or through the collector of their
+    /// Those of the hosts that are heard by this one, directly or through the collector of their
     /// failure domain, and this host.
-    pub(crate) fn heard_hosts(&self, now: Instant) -> Vec<ListedHost> {
-        let hosts = self.platform_view.hosts();
+    pub(crate) fn heard_hosts<'a>(
+        &'a self,
+        hosts: &'a [ListedHost],
+        now: Instant,
+    ) -> impl Iterator<Item = &'a ListedHost> {
         let ledger = self.ledger();
         let has_collector = |listed: &&ListedHost| ledger.is_collector_live(&listed.host, now);
         let collected_domains = hosts
@@ -219,12 +223,11 @@
             .filter(has_collector)
             .map(|listed| &listed.domain);
         let collected_domains: IndexSet<&FailureDomainId> = collected_domains.collect();
-        let is_heard = |listed: &&ListedHost| {
+        hosts.iter().filter(move |listed| {
             listed.host == self.conf.host
                 || collected_domains.contains(&listed.domain)
                 || ledger.is_host_live(&listed.host, now)
-        };
-        hosts.iter().filter(is_heard).cloned().collect()
+        })
     }
 
     /// The time until this host's sends are known to the other hosts.
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -122,14 +122,15 @@
     /// Chooses a host to ask for a tunnel: one of this failure domain if there is any, at random and
     /// the stronger the more often. `asked` are left out.
     fn choose_tunnel_host(&self, asked: &[HostId], now: Instant) -> Option<ListedHost> {
-        let heard = self.heard_hosts(now);
+        let listed = self.platform_view.hosts();
+        let heard: Vec<&ListedHost> = self.heard_hosts(&listed, now).collect();
         let paths = self.paths();
-        let may_ask = |listed: &&ListedHost| {
+        let may_ask = |listed: &&&ListedHost| {
             listed.host != self.conf.host
                 && !asked.contains(&listed.host)
                 && paths.may_ask(&listed.host, now)
         };
-        let hosts: Vec<&ListedHost> = heard.iter().filter(may_ask).collect();
+        let hosts: Vec<&ListedHost> = heard.iter().filter(may_ask).copied().collect();
         let near = hosts
             .iter()
             .filter(|listed| listed.domain == self.conf.domain);
