Tunnels: other hosts are asked beside a direct connection that takes long

A direct connection that hangs cost a call 150 ms before another host was asked, and a call to an upstream that is silent for all waited for two other hosts' attempts as well, up to 450 ms, before it went on to another upstream.

Change: other hosts are asked after 60 ms, beside the direct connection, and for 60 ms at most after that has failed. A path that was bypassed is probed at once, so that it is known as lost, or as sound, before many calls meet it.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -14,6 +14,7 @@
 use crate::history::UpstreamRun;
 use crate::limit_checks;
 use crate::notice_checks;
+use crate::path_checks;
 use crate::retry_checks;
 
 /// Time after the end of a fault until its effects are gone and hosts have current data from the
@@ -90,6 +91,7 @@
         violations.extend(limit_checks::check(observations));
         violations.extend(notice_checks::check(observations));
         violations.extend(retry_checks::check(observations));
+        violations.extend(path_checks::check(observations));
     }
     violations
 }
@@ -274,7 +276,21 @@
             run.deadline
                 .is_some_and(|remaining| run.arrived_at + remaining <= ends_at)
         };
-        self.runs.iter().all(is_valid) || !self.is_host_undisturbed()
+        self.runs.iter().all(is_valid) || !self.is_host_undisturbed() || self.is_path_cut()
+    }
+
+    /// Whether a link from the host to upstreams was cut during the attempt or shortly before it. A
+    /// request may have been held up on it.
+    fn is_path_cut(&self) -> bool {
+        let from = self.attempt.sent_at.saturating_sub(SETTLING_TIME);
+        let mut cuts = self.observations.faults.iter();
+        cuts.any(|fault| {
+            let is_at_host = match &fault.scope {
+                FaultScope::UpstreamPaths(hosts) => hosts.contains(&self.attempt.host),
+                _ => false,
+            };
+            is_at_host && fault.overlaps(from, self.attempt.ended_at)
+        })
     }
 
     /// Whether the connection did not break, unless a fault other than a planned stop of the host
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,5 @@
-//! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store
-//! and outages have random generators of their own, so that they do not change which other faults a
+//! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store,
+//! outages and cuts between hosts and upstreams have random generators of their own, so that they do not change which other faults a
 //! seed draws.
 
 use std::ops::Range;
@@ -11,6 +11,7 @@
 
 use crate::deployment::DOMAINS;
 use crate::faults::Fault;
+use crate::link_proxy::LinkMode;
 use crate::run::SoakConf;
 use crate::store::StoreMode;
 use crate::upstream::UpstreamMode;
@@ -22,6 +23,8 @@
 
 /// XORed with the seed of the run for the draws of evacuations.
 const EVACUATIONS_SEED_MASK: u64 = 0x00E7_ACED;
+/// XORed with the seed of the run for the draws of cuts between hosts and all upstreams.
+const PATH_CUTS_SEED_MASK: u64 = 0x00C0_7A11;
 /// XORed with the seed of the run for the draws of outages.
 const OUTAGES_SEED_MASK: u64 = 0x0007_A6E5;
 /// XORed with the seed of the run for the draws of notices of upstreams.
@@ -111,6 +114,30 @@
     faults
 }
 
+/// Draws the cuts between hosts and all upstreams, each with the pause before it: of some hosts, or
+/// of all hosts of a failure domain and some others, but never of all hosts.
+pub(crate) fn draw_path_cuts(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let rng = StdRng::seed_from_u64(conf.seed ^ PATH_CUTS_SEED_MASK);
+    let hosts = conf.size.hosts;
+    draw(conf, rng, 3_000..14_000, |rng| {
+        let domain = rng.random_range(0..DOMAINS);
+        let is_domain_cut = rng.random_ratio(1, 2);
+        let uncut = rng.random_range(0..hosts);
+        let cut = (0..hosts).filter(|host| {
+            let is_drawn = rng.random_ratio(1, 4);
+            let is_cut = is_drawn || (is_domain_cut && host % DOMAINS == domain);
+            is_cut && *host != uncut
+        });
+        let cut: Vec<usize> = cut.collect();
+        let mode = match rng.random_range(0..3) {
+            0 => LinkMode::Refuses,
+            1 => LinkMode::RefusesNew,
+            _ => LinkMode::Hangs,
+        };
+        Fault::UpstreamPaths(cut, mode, draw_duration(rng, 4_000..10_000))
+    })
+}
+
 /// Draws pauses and faults until the time for faults is used up.
 fn draw(
     conf: &SoakConf,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -30,6 +30,9 @@
 /// How long the entry of a killed upstream stays in the store after its replacement has started,
 /// the time of three heartbeats.
 const KILLED_ENTRY_LIFETIME: Duration = Duration::from_millis(2_500);
+/// Interval at which a cut of all upstreams is applied to links that are new or were opened by the
+/// end of another fault.
+const PATH_CUT_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a leaving upstream continues to serve.
 const LEAVING_TIME: Duration = Duration::from_millis(3_500);
 
@@ -63,6 +66,9 @@
     /// The links from the first failure domain to the upstreams of the second are in this mode for
     /// this time.
     UpstreamLinks(usize, usize, LinkMode, Duration),
+    /// The links from these hosts to all upstreams are in this mode for this time, also those to
+    /// upstreams that start meanwhile.
+    UpstreamPaths(Vec<usize>, LinkMode, Duration),
     /// The links between a failure domain and the other domains and from its hosts to the store are
     /// in this mode for this time.
     DomainLinks(usize, LinkMode, Duration),
@@ -164,6 +170,7 @@
             | Self::CallerLink(_, _, time)
             | Self::PeerLinks(_, _, time)
             | Self::UpstreamLinks(_, _, _, time)
+            | Self::UpstreamPaths(_, _, time)
             | Self::DomainLinks(_, _, time)
             | Self::Upstream(_, _, time)
             | Self::AllUpstreams(_, time)
@@ -278,10 +285,25 @@
             FaultScope::Hosts((0..deployment.hosts.len()).collect())
         }
         Fault::UpstreamLinks(domain, other, mode, time) => {
-            let links = upstream_links(deployment, |from, of| from == domain && of == other);
+            let links = upstream_links(deployment, |host, of| {
+                host % DOMAINS == domain && of == other
+            });
             set_link_mode_for(&links, mode, time).await;
             FaultScope::Hosts((0..deployment.hosts.len()).collect())
         }
+        Fault::UpstreamPaths(hosts, mode, time) => {
+            let end = deployment.now() + time;
+            while deployment.now() < end {
+                for link in upstream_links(deployment, |host, _| hosts.contains(&host)) {
+                    link.set_mode(mode);
+                }
+                sleep(PATH_CUT_INTERVAL).await;
+            }
+            for link in upstream_links(deployment, |host, _| hosts.contains(&host)) {
+                link.set_mode(LinkMode::Open);
+            }
+            FaultScope::UpstreamPaths(hosts)
+        }
         Fault::DomainLinks(domain, mode, time) => {
             let is_in = |host: usize| host % DOMAINS == domain;
             let crosses = |(from, to): &(usize, usize)| is_in(*from) != is_in(*to);
@@ -290,8 +312,8 @@
                 .iter()
                 .filter(|(ends, _)| crosses(ends));
             let mut links: Vec<LinkProxy> = peers.map(|(_, link)| link.clone()).collect();
-            links.extend(upstream_links(deployment, |from, of| {
-                (from == domain) != (of == domain)
+            links.extend(upstream_links(deployment, |host, of| {
+                is_in(host) != (of == domain)
             }));
             let own = (0..deployment.hosts.len()).filter(|host| is_in(*host));
             links.extend(own.map(|host| deployment.store_links[host].clone()));
@@ -418,8 +440,8 @@
     }
 }
 
-/// Returns the links to current upstreams that `is_selected` accepts, given the failure domain of
-/// the hosts and that of the upstream.
+/// Returns the links to current upstreams that `is_selected` accepts, given the index of the host
+/// and the failure domain of the upstream.
 fn upstream_links(
     deployment: &Deployment,
     is_selected: impl Fn(usize, usize) -> bool,
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -118,6 +118,9 @@
     Processes(Vec<usize>),
     /// A host that is stopped as planned, by SIGTERM.
     PlannedStop(usize),
+    /// The links from these hosts to all upstreams. Unlike other faults of links this is no excuse,
+    /// since the hosts reach upstreams through others.
+    UpstreamPaths(Vec<usize>),
     /// The store.
     Store,
     /// An upstream.
@@ -146,7 +149,10 @@
         match &self.scope {
             FaultScope::Processes(hosts) => hosts.contains(&host),
             FaultScope::PlannedStop(stopped) => *stopped == host,
-            FaultScope::Hosts(_) | FaultScope::Store | FaultScope::Upstream => false,
+            FaultScope::Hosts(_)
+            | FaultScope::UpstreamPaths(_)
+            | FaultScope::Store
+            | FaultScope::Upstream => false,
         }
     }
 
@@ -157,7 +163,7 @@
             FaultScope::Hosts(hosts) | FaultScope::Processes(hosts) => hosts.contains(&host),
             FaultScope::PlannedStop(stopped) => *stopped == host,
             FaultScope::Store => true,
-            FaultScope::Upstream => false,
+            FaultScope::UpstreamPaths(_) | FaultScope::Upstream => false,
         }
     }
 }
@@ -201,6 +207,12 @@
         faults.any(|fault| fault.disturbs_process(host) && fault.overlaps(from, to))
     }
 
+    /// The number of hosts that callers have called, counted from index 0.
+    pub(crate) fn host_count(&self) -> usize {
+        let hosts = self.attempts.values().map(|attempt| attempt.host + 1);
+        hosts.max().unwrap_or(0)
+    }
+
     /// Whether a fault affected the process or the links of a host within an interval.
     pub(crate) fn is_host_disturbed(&self, host: usize, from: Timestamp, to: Timestamp) -> bool {
         let mut faults = self.faults_affecting(host, from, to);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod limit_checks;
 pub mod link_proxy;
 mod notice_checks;
+mod path_checks;
 mod retry_checks;
 mod run;
 pub mod store;
--- a/soak/src/link_proxy.rs
+++ b/soak/src/link_proxy.rs
@@ -14,9 +14,11 @@
 use tokio::io::ReadHalf;
 use tokio::io::WriteHalf;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// How a proxy treats the traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,8 +35,27 @@
     StalledToTarget,
     /// Existing and new connections are reset. Datagrams are dropped.
     Reset,
+    /// New connections are refused. Existing ones are forwarded. Datagrams are dropped.
+    RefusesNew,
+    /// Existing connections are reset, and new ones are refused. Datagrams are dropped.
+    Refuses,
+    /// New connections are neither accepted nor refused, and bytes of existing ones stall. Datagrams
+    /// are dropped.
+    Hangs,
 }
 
+impl LinkMode {
+    /// Whether existing connections are reset.
+    fn resets(self) -> bool {
+        matches!(self, Self::Reset | Self::Refuses)
+    }
+}
+
+/// Number of connections that fill the queue of a listener that accepts none.
+const QUEUED_CONNECTIONS: usize = 4;
+/// How long one of these connections may take. Those beyond the queue are never established.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// A handle to a proxy for TCP connections and for UDP datagrams to the target, on one address.
 /// Clones share the mode. Dropping the handle does not stop the proxy.
 #[derive(Clone, Debug)]
@@ -74,26 +95,88 @@
     /// Changes how the proxy treats existing and new connections and datagrams. Connections
     /// that [`LinkMode::Reset`] has reset stay closed.
     pub fn set_mode(&self, mode: LinkMode) {
-        self.mode.send_replace(mode);
+        self.mode.send_if_modified(|current| {
+            let is_change = *current != mode;
+            *current = mode;
+            is_change
+        });
     }
 }
 
 /// Accepts connections and forwards each to the target in a task of its own, which also follows
 /// later changes of the mode. Ends for good at the first failed accept.
-async fn accept_connections(listener: TcpListener, target: SocketAddr, mode: ModeReceiver) {
-    while let Ok((client, _)) = listener.accept().await {
-        tokio::spawn(proxy_connection(client, target, mode.clone()));
+async fn accept_connections(listener: TcpListener, target: SocketAddr, mut mode: ModeReceiver) {
+    let Ok(addr) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    loop {
+        let current = *mode.borrow_and_update();
+        if matches!(
+            current,
+            LinkMode::RefusesNew | LinkMode::Refuses | LinkMode::Hangs
+        ) {
+            listener = None;
+            let _queue = if current == LinkMode::Hangs {
+                fill_queue(addr).await
+            } else {
+                None
+            };
+            if mode.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let listening = match listener.take() {
+            Some(listening) => listening,
+            None => match TcpListener::bind(addr).await {
+                Ok(listening) => listening,
+                Err(err) => return println!("soak: cannot listen on {addr} again: {err}"),
+            },
+        };
+        tokio::select! {
+            accepted = listening.accept() => match accepted {
+                Ok((client, _)) => {
+                    tokio::spawn(proxy_connection(client, target, mode.clone()));
+                }
+                Err(_) => return,
+            },
+            changed = mode.changed() => if changed.is_err() {
+                return;
+            },
+        }
+        listener = Some(listening);
     }
 }
 
+/// Listens on an address with a full queue, so that further connections hang until the returned
+/// sockets are dropped.
+async fn fill_queue(addr: SocketAddr) -> Option<(TcpListener, Vec<TcpStream>)> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(addr).ok()?;
+    let listener = socket.listen(1).ok()?;
+    let mut queued = Vec::new();
+    for _ in 0..QUEUED_CONNECTIONS {
+        let connected = timeout(QUEUE_TIMEOUT, TcpStream::connect(addr)).await;
+        queued.extend(connected.ok().and_then(Result::ok));
+    }
+    Some((listener, queued))
+}
+
 /// Connects to the target and forwards bytes until both directions have ended. Resets both ends if
 /// one of them breaks the connection or the mode becomes [`LinkMode::Reset`].
 async fn proxy_connection(client: TcpStream, target: SocketAddr, mut mode: ModeReceiver) {
-    if *mode.borrow() == LinkMode::Reset {
+    if mode.borrow().resets() {
         return reset_when_closed(&client);
     }
     // While the link is stalled, the target must not receive new connections.
-    let is_open = |mode: &LinkMode| !matches!(mode, LinkMode::Stalled | LinkMode::StalledToTarget);
+    let is_open = |mode: &LinkMode| {
+        !matches!(
+            mode,
+            LinkMode::Stalled | LinkMode::StalledToTarget | LinkMode::Hangs
+        )
+    };
     if mode.wait_for(is_open).await.is_err() {
         return;
     }
@@ -112,7 +195,7 @@
     let to_target = copy_bytes(client_read, target_write, mode.clone(), true);
     let from_target = copy_bytes(target_read, client_write, mode.clone(), false);
     let is_broken = tokio::select! {
-        _ = mode.wait_for(|mode| *mode == LinkMode::Reset) => true,
+        _ = mode.wait_for(|mode| mode.resets()) => true,
         ended = async { tokio::try_join!(to_target, from_target) } => ended.is_err(),
     };
     if is_broken {
@@ -133,7 +216,7 @@
     loop {
         let count = from.read(&mut buffer).await?;
         let is_passing = |mode: &LinkMode| match mode {
-            LinkMode::Stalled => false,
+            LinkMode::Stalled | LinkMode::Hangs => false,
             LinkMode::StalledToTarget => !is_to_target,
             _ => true,
         };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,6 +27,7 @@
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_outages;
+use crate::fault_draws::draw_path_cuts;
 use crate::fault_draws::draw_restores;
 use crate::faults;
 use crate::history::CallerAttempt;
@@ -92,7 +93,16 @@
     let restores = draw_restores(conf);
     let evacuations = draw_evacuations(conf);
     let outages = draw_outages(conf);
-    let drawn_lists = [&drawn, &limits, &notices, &restores, &evacuations, &outages];
+    let path_cuts = draw_path_cuts(conf);
+    let drawn_lists = [
+        &drawn,
+        &limits,
+        &notices,
+        &restores,
+        &evacuations,
+        &outages,
+        &path_cuts,
+    ];
     let faults = drawn_lists.iter().map(|list| list.len()).sum();
     tokio::join!(
         faults::inject_all(&deployment, drawn),
@@ -100,7 +110,8 @@
         faults::inject_all(&deployment, notices),
         faults::inject_all(&deployment, restores),
         faults::inject_all(&deployment, evacuations),
-        faults::inject_all(&deployment, outages)
+        faults::inject_all(&deployment, outages),
+        faults::inject_all(&deployment, path_cuts)
     );
     sleep(RECOVERY_TIME).await;
     let served_from = deployment.now();
--- a/soak/tests/link_proxy.rs
+++ b/soak/tests/link_proxy.rs
@@ -65,3 +65,56 @@
     drop(target);
     assert_eq!(end_of(client).await, Ok(4));
 }
+
+/// A proxy on an address that nothing else uses, and its target.
+async fn proxy_on_own_ip(last_byte: u8) -> (LinkProxy, TcpListener) {
+    let listener = TcpListener::bind((LOOPBACK, 0)).await.unwrap();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 77, last_byte));
+    let proxy = LinkProxy::start(ip, listener.local_addr().unwrap()).await;
+    (proxy.unwrap(), listener)
+}
+
+/// Waits until a new connection to the proxy has this result: whether it is established, or none if
+/// it hangs.
+async fn wait_for_connect(proxy: &LinkProxy, expected: Option<bool>) {
+    let waiting = async {
+        loop {
+            let connect = TcpStream::connect(proxy.addr);
+            let connected = tokio::time::timeout(Duration::from_millis(200), connect).await;
+            if connected.ok().map(|connected| connected.is_ok()) == expected {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(TIMEOUT, waiting).await;
+    waited.expect("new connections behave as expected");
+}
+
+/// Guards against a cut that a host takes for a working connection, because the proxy accepts it.
+#[tokio::test]
+async fn a_link_refuses_new_connections_and_is_open_again() {
+    let (proxy, _target) = proxy_on_own_ip(1).await;
+    proxy.set_mode(LinkMode::Refuses);
+    wait_for_connect(&proxy, Some(false)).await;
+    proxy.set_mode(LinkMode::Open);
+    wait_for_connect(&proxy, Some(true)).await;
+}
+
+#[tokio::test]
+async fn new_connections_hang_and_are_open_again() {
+    let (proxy, _target) = proxy_on_own_ip(2).await;
+    proxy.set_mode(LinkMode::Hangs);
+    wait_for_connect(&proxy, None).await;
+    proxy.set_mode(LinkMode::Open);
+    wait_for_connect(&proxy, Some(true)).await;
+}
+
+#[tokio::test]
+async fn existing_connections_live_on_while_new_ones_are_refused() {
+    let (proxy, mut client, mut target) = open_connection().await;
+    proxy.set_mode(LinkMode::RefusesNew);
+    wait_for_connect(&proxy, Some(false)).await;
+    client.write_all(b"c").await.unwrap();
+    assert_eq!(target.read_u8().await.unwrap(), b'c');
+}
--- a/src/decide/path_tracker.rs
+++ b/src/decide/path_tracker.rs
@@ -13,19 +13,20 @@
 use crate::units::HostId;
 use crate::units::UpstreamId;
 
-/// Failed direct connections, each followed by one through another host, after which the direct path
-/// counts as lost. A single failure may be a lost packet.
+/// Failed direct connections in a row, after which the direct path counts as lost. A single failure
+/// may be a lost packet.
 const FAILURES_MIN: u32 = 2;
-/// The interval between two probes while all direct paths remain lost.
+/// The interval between two probes while paths remain lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The interval between two rounds of probes after one has succeeded.
-const HEALING_PROBE_INTERVAL: Duration = Duration::from_millis(20);
-/// The number of paths that are probed at once after a probe has succeeded.
-const HEALING_PROBES_MAX: usize = 8;
+/// The interval between two rounds of probes while several paths are probed at once.
+const MANY_PROBES_INTERVAL: Duration = Duration::from_millis(20);
+/// The number of paths that are probed at once if they were not probed before, or after a probe has
+/// succeeded.
+const PROBES_MAX: usize = 8;
 /// How long a host that could not provide a tunnel is not asked for one.
 const HOST_PAUSE: Duration = Duration::from_secs(1);
 
-/// The direct path to one upstream, after a connection failed.
+/// The direct path to one upstream, after a connection failed that another host established.
 #[derive(Clone, Copy, Debug, Default)]
 struct PathRecord {
     /// Failed direct connections since the last one that was established.
@@ -42,11 +43,11 @@
 /// The direct paths from this host to upstreams, and the hosts that could not provide a tunnel.
 #[derive(Debug, Default)]
 pub struct PathTracker {
-    /// The paths on which the last connection failed.
+    /// The paths that are lost, or may be.
     paths: IndexMap<UpstreamId, PathRecord>,
     /// Until when hosts are not asked for a tunnel.
     paused_hosts: IndexMap<HostId, Instant>,
-    /// When the next lost path is probed; none if no path is lost.
+    /// When the next path is probed; none if there is none to probe.
     next_probe_at: Option<Instant>,
     /// Whether the last probe succeeded.
     is_healing: bool,
@@ -61,60 +62,69 @@
     /// Whether any direct path is lost. Then a failed direct connection of this host says nothing
     /// about the upstream.
     pub fn has_lost(&self) -> bool {
-        self.next_probe_at.is_some()
+        self.paths.values().any(PathRecord::is_lost)
     }
 
-    /// Records that a direct connection to an upstream failed, and that one through another host was
-    /// established. Returns whether the direct path counts as lost from now on.
+    /// Records that a direct connection to an upstream was not established, while one through
+    /// another host was. The path is probed at once if this is the first time. Returns whether the
+    /// path counts as lost from now on.
     pub fn on_bypassed(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
-        let path = self.paths.entry(upstream.clone()).or_default();
+        if !self.paths.contains_key(upstream) {
+            self.next_probe_at = Some(now);
+        }
+        self.paths.entry(upstream.clone()).or_default();
+        self.on_failed(upstream)
+    }
+
+    /// Records that a probe of a path failed. Returns whether the path counts as lost from now on.
+    pub fn on_probe_failed(&mut self, upstream: &UpstreamId) -> bool {
+        self.is_healing = false;
+        self.on_failed(upstream)
+    }
+
+    fn on_failed(&mut self, upstream: &UpstreamId) -> bool {
+        let Some(path) = self.paths.get_mut(upstream) else {
+            return false;
+        };
         let was_lost = path.is_lost();
         path.failures = path.failures.saturating_add(1);
-        let is_lost = path.is_lost();
-        if is_lost {
-            self.next_probe_at.get_or_insert(now + PROBE_INTERVAL);
-        }
-        is_lost && !was_lost
+        path.is_lost() && !was_lost
     }
 
     /// Records that a direct connection to an upstream was established. Returns whether the path was
     /// lost before.
     pub fn on_connected(&mut self, upstream: &UpstreamId) -> bool {
-        let was_lost = self.is_lost(upstream);
-        self.paths.swap_remove(upstream);
+        let path = self.paths.swap_remove(upstream);
+        let was_lost = path.is_some_and(|path| path.is_lost());
         self.is_healing |= was_lost;
-        self.clear_probes_if_none_lost();
+        self.clear_probes_if_none();
         was_lost
     }
 
-    /// Records that a probe of a lost path failed.
-    pub fn on_probe_failed(&mut self) {
-        self.is_healing = false;
-    }
-
-    /// Returns the lost paths to probe now, those probed least recently first: one, or several after
-    /// a probe has succeeded.
+    /// Returns the paths to probe now, those probed least recently first: one, or several that were
+    /// not probed before or after a probe has succeeded.
     pub fn take_due_probes(&mut self, now: Instant) -> Vec<UpstreamId> {
         if self.next_probe_at.is_none_or(|at| at > now) {
             return Vec::new();
         }
-        let (interval, count) = if self.is_healing {
-            (HEALING_PROBE_INTERVAL, HEALING_PROBES_MAX)
+        let is_new = |path: &PathRecord| path.probed_at.is_none();
+        let new_count = self.paths.values().filter(|path| is_new(path)).count();
+        let (interval, count) = if self.is_healing || new_count > PROBES_MAX {
+            (MANY_PROBES_INTERVAL, PROBES_MAX)
         } else {
-            (PROBE_INTERVAL, 1)
+            (PROBE_INTERVAL, new_count.max(1))
         };
         self.next_probe_at = Some(now + interval);
-        let lost = self.paths.iter_mut().filter(|(_, path)| path.is_lost());
-        let mut lost: Vec<(&UpstreamId, &mut PathRecord)> = lost.collect();
-        lost.sort_by_key(|(_, path)| path.probed_at);
-        let due = lost.into_iter().take(count).map(|(id, path)| {
+        let mut paths: Vec<(&UpstreamId, &mut PathRecord)> = self.paths.iter_mut().collect();
+        paths.sort_by_key(|(_, path)| path.probed_at);
+        let due = paths.into_iter().take(count).map(|(id, path)| {
             path.probed_at = Some(now);
             id.clone()
         });
         due.collect()
     }
 
-    /// When the next probe is due; none if no path is lost.
+    /// When the next probe is due; none if there is no path to probe.
     pub fn next_probe_at(&self) -> Option<Instant> {
         self.next_probe_at
     }
@@ -134,11 +144,11 @@
     /// Drops the paths to upstreams that are off the list.
     pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
         self.paths.retain(|id, _| is_listed(id));
-        self.clear_probes_if_none_lost();
+        self.clear_probes_if_none();
     }
 
-    fn clear_probes_if_none_lost(&mut self) {
-        if !self.paths.values().any(PathRecord::is_lost) {
+    fn clear_probes_if_none(&mut self) {
+        if self.paths.is_empty() {
             self.next_probe_at = None;
             self.is_healing = false;
         }
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -184,10 +184,9 @@
     PathLost {
         /// The id of the upstream.
         upstream: String,
-        /// The host that has reached the upstream.
+        /// The host that has reached the upstream; none if a probe of the direct path has failed
+        /// since then.
         reached_by: Option<String>,
-        /// The error of the direct connection.
-        error: String,
     },
     /// This host reaches an upstream itself again.
     PathRegained {
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams, directly or through another host.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,6 +9,7 @@
 use futures_util::future::BoxFuture;
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::exchange::ListedHost;
 use crate::gateway::DecisionEvent;
@@ -28,6 +30,13 @@
 /// first may have lost its path too, without knowing it yet.
 const UNREACHABLE_MIN: usize = 2;
 
+/// The time after which other hosts are asked while a direct connection is still being established.
+/// A sound upstream inside a site accepts within a few milliseconds.
+const TUNNEL_DELAY: Duration = Duration::from_millis(60);
+/// How long the answers of other hosts are awaited after a direct connection has failed. For an
+/// upstream that is down the call goes on to another one after this time.
+const TUNNEL_GRACE: Duration = Duration::from_millis(60);
+
 /// A connection to an upstream.
 pub(crate) struct UpstreamConnection {
     pub(crate) stream: TcpStream,
@@ -35,6 +44,12 @@
     pub(crate) via: Option<HostId>,
 }
 
+impl UpstreamConnection {
+    fn direct(stream: TcpStream) -> Self {
+        Self { stream, via: None }
+    }
+}
+
 impl UpstreamConnector for Gateway {
     fn connect<'a>(
         &'a self,
@@ -54,35 +69,61 @@
 impl Gateway {
     /// Connects to an upstream: directly unless that path is lost, otherwise through another host.
     /// An error is that of the direct connection, and means that other hosts do not reach the
-    /// upstream either, as far as this one can find out.
+    /// upstream either, as far as this one can find out in time.
     pub(crate) async fn connect_upstream(
         &self,
         upstream: &UpstreamId,
         addr: SocketAddr,
         direct_timeout: Duration,
     ) -> Result<UpstreamConnection, OneShotError> {
-        if self.paths().is_lost(upstream)
-            && let Some(connection) = self.connect_through_host(upstream).await
-        {
+        let is_lost = self.paths().is_lost(upstream);
+        if is_lost && let Some(connection) = self.connect_through_host(upstream).await {
             return Ok(connection);
         }
-        let err = match one_shot::connect(addr, direct_timeout).await {
-            Ok(stream) => {
-                self.on_path_connected(upstream);
-                return Ok(UpstreamConnection { stream, via: None });
-            }
-            Err(err) => err,
+        let direct = one_shot::connect(addr, direct_timeout);
+        let connected = if is_lost {
+            direct.await.map(UpstreamConnection::direct)
+        } else {
+            self.connect_by_either(upstream, direct).await
         };
-        if self.paths().is_lost(upstream) {
-            return Err(err);
+        match &connected {
+            Ok(connection) if connection.via.is_none() => self.on_path_connected(upstream),
+            Ok(connection) => self.on_path_bypassed(upstream, connection),
+            Err(_) => {}
         }
-        match self.connect_through_host(upstream).await {
-            Some(connection) => {
-                self.on_path_bypassed(upstream, &connection, &err);
-                Ok(connection)
-            }
-            None => Err(err),
+        connected
+    }
+
+    /// Waits for a direct connection, and asks other hosts when it fails or takes long. Returns the
+    /// first connection that is established.
+    async fn connect_by_either(
+        &self,
+        upstream: &UpstreamId,
+        direct: impl Future<Output = Result<TcpStream, OneShotError>>,
+    ) -> Result<UpstreamConnection, OneShotError> {
+        let mut direct = pin!(direct);
+        let early = timeout(TUNNEL_DELAY, direct.as_mut()).await;
+        if let Ok(Ok(stream)) = early {
+            return Ok(UpstreamConnection::direct(stream));
         }
+        let mut tunnel = pin!(self.connect_through_host(upstream));
+        let err = match early {
+            Ok(Err(err)) => err,
+            _ => tokio::select! {
+                connected = direct.as_mut() => match connected {
+                    Ok(stream) => return Ok(UpstreamConnection::direct(stream)),
+                    Err(err) => err,
+                },
+                tunneled = tunnel.as_mut() => {
+                    return match tunneled {
+                        Some(connection) => Ok(connection),
+                        None => direct.await.map(UpstreamConnection::direct),
+                    };
+                }
+            },
+        };
+        let tunneled = timeout(TUNNEL_GRACE, tunnel).await;
+        tunneled.ok().flatten().ok_or(err)
     }
 
     /// Connects to an upstream through one of the hosts that may reach it; none if no host does.
@@ -154,20 +195,25 @@
         }
     }
 
-    /// Records that a direct connection failed, and another host connected.
-    fn on_path_bypassed(
-        &self,
-        upstream: &UpstreamId,
-        connection: &UpstreamConnection,
-        err: &OneShotError,
-    ) {
+    /// Records that another host connected, and a direct connection failed or took long.
+    fn on_path_bypassed(&self, upstream: &UpstreamId, connection: &UpstreamConnection) {
         if self.paths().on_bypassed(upstream, self.clock.now()) {
-            self.log.record(DecisionEvent::PathLost {
-                upstream: upstream.to_string(),
-                reached_by: connection.via.as_ref().map(ToString::to_string),
-                error: err.to_string(),
-            });
-            self.health_changed.notify_one();
+            self.log_path_lost(upstream, connection.via.as_ref());
         }
+        self.health_changed.notify_one();
+    }
+
+    /// Records that a probe of a direct path failed.
+    pub(crate) fn on_path_probe_failed(&self, upstream: &UpstreamId) {
+        if self.paths().on_probe_failed(upstream) {
+            self.log_path_lost(upstream, None);
+        }
+    }
+
+    fn log_path_lost(&self, upstream: &UpstreamId, reached_by: Option<&HostId>) {
+        self.log.record(DecisionEvent::PathLost {
+            upstream: upstream.to_string(),
+            reached_by: reached_by.map(ToString::to_string),
+        });
     }
 }
