Tunnels: the connection from the asking host has the options of one to an upstream

Without them small events of a stream wait for acknowledgements on the way back, and a tunnel whose asking host has lost power stays until its upstream ends.

--- a/src/gateway/tunnel/server.rs
+++ b/src/gateway/tunnel/server.rs
@@ -46,7 +46,7 @@
         tunnel: outcome.into(),
         ..ReadResponse::default()
     };
-    if let Err(err) = framed.send(Bytes::from(response.encode_to_vec())).await {
+    if let Err(err) = answer(&mut framed, &response).await {
         debug!("tunnel: cannot answer: {err}");
         return;
     }
@@ -55,6 +55,13 @@
     }
 }
 
+/// Sends the answer on a connection that from now on is closed if the other host no longer
+/// acknowledges data.
+async fn answer(framed: &mut PeerConnection, response: &ReadResponse) -> io::Result<()> {
+    one_shot::set_socket_options(framed.get_ref())?;
+    framed.send(Bytes::from(response.encode_to_vec())).await
+}
+
 /// Connects to an upstream, unless this host knows that it must not or cannot.
 async fn open(gateway: &Gateway, upstream: &str) -> Result<TunnelEnd, TunnelOutcome> {
     let id = upstream.parse::<UpstreamId>();
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -183,7 +183,7 @@
 
 /// Disables Nagle's algorithm, and lets the kernel close a connection whose peer no longer
 /// acknowledges data.
-fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     setsockopt(stream, sockopt::TcpUserTimeout, &UNACKNOWLEDGED_MAX_MS)?;
     setsockopt(stream, sockopt::KeepAlive, &true)?;
