--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -70,7 +70,8 @@
     pub(crate) store_links: Vec<LinkProxy>,
     /// Link proxies from each host to each other host, by the indexes of both.
     pub(crate) peer_links: IndexMap<(usize, usize), LinkProxy>,
-    /// Link proxies from each host, by index, to each upstream that was ever started.
+    /// Link proxies from each failure domain to each upstream that was ever started. Hosts of a
+    /// domain get lists from each other, so they use the same addresses.
     pub(crate) upstream_links: Mutex<IndexMap<(usize, String), LinkProxy>>,
     pub(crate) upstreams: Mutex<Vec<UpstreamStandIn>>,
     pub(crate) manifest_inputs: Mutex<ManifestInputs>,
@@ -206,10 +207,12 @@
             history,
         )
         .await?;
-        for host in 0..self.hosts.len() {
+        for from in 0..DOMAINS {
             let link = LinkProxy::start(loopback_ip(247), upstream.addr).await?;
-            lock(&self.address_maps[host]).insert(upstream.addr, link.addr);
-            lock(&self.upstream_links).insert((host, id.clone()), link);
+            for host in (0..self.hosts.len()).filter(|host| host % DOMAINS == from) {
+                lock(&self.address_maps[host]).insert(upstream.addr, link.addr);
+            }
+            lock(&self.upstream_links).insert((from, id.clone()), link);
         }
         self.register_upstream(&upstream, false);
         lock(&self.upstreams).push(upstream);
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -114,21 +114,15 @@
     faults
 }
 
-/// Draws the cuts between hosts and all upstreams, each with the pause before it: of some hosts, or
-/// of all hosts of a failure domain and some others, but never of all hosts.
+/// Draws the cuts between all hosts of one or two failure domains and all upstreams, each with the
+/// pause before it.
 pub(crate) fn draw_path_cuts(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let rng = StdRng::seed_from_u64(conf.seed ^ PATH_CUTS_SEED_MASK);
-    let hosts = conf.size.hosts;
     draw(conf, rng, 3_000..14_000, |rng| {
-        let domain = rng.random_range(0..DOMAINS);
-        let is_domain_cut = rng.random_ratio(1, 2);
-        let uncut = rng.random_range(0..hosts);
-        let cut = (0..hosts).filter(|host| {
-            let is_drawn = rng.random_ratio(1, 4);
-            let is_cut = is_drawn || (is_domain_cut && host % DOMAINS == domain);
-            is_cut && *host != uncut
-        });
-        let cut: Vec<usize> = cut.collect();
+        let uncut = rng.random_range(0..DOMAINS);
+        let is_one_cut = rng.random_ratio(1, 2);
+        let cut = (1..DOMAINS).map(|step| (uncut + step) % DOMAINS);
+        let cut = cut.take(if is_one_cut { 1 } else { DOMAINS }).collect();
         let mode = match rng.random_range(0..3) {
             0 => LinkMode::Refuses,
             1 => LinkMode::RefusesNew,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -66,8 +66,8 @@
     /// The links from the first failure domain to the upstreams of the second are in this mode for
     /// this time.
     UpstreamLinks(usize, usize, LinkMode, Duration),
-    /// The links from these hosts to all upstreams are in this mode for this time, also those to
-    /// upstreams that start meanwhile.
+    /// The links from all hosts of these failure domains to all upstreams are in this mode for this
+    /// time, also those to upstreams that start meanwhile.
     UpstreamPaths(Vec<usize>, LinkMode, Duration),
     /// The links between a failure domain and the other domains and from its hosts to the store are
     /// in this mode for this time.
@@ -285,24 +285,25 @@
             FaultScope::Hosts((0..deployment.hosts.len()).collect())
         }
         Fault::UpstreamLinks(domain, other, mode, time) => {
-            let links = upstream_links(deployment, |host, of| {
-                host % DOMAINS == domain && of == other
-            });
+            let links = upstream_links(deployment, |from, of| from == domain && of == other);
             set_link_mode_for(&links, mode, time).await;
             FaultScope::Hosts((0..deployment.hosts.len()).collect())
         }
-        Fault::UpstreamPaths(hosts, mode, time) => {
+        Fault::UpstreamPaths(domains, mode, time) => {
+            let links = || upstream_links(deployment, |from, _| domains.contains(&from));
             let end = deployment.now() + time;
             while deployment.now() < end {
-                for link in upstream_links(deployment, |host, _| hosts.contains(&host)) {
+                for link in links() {
                     link.set_mode(mode);
                 }
                 sleep(PATH_CUT_INTERVAL).await;
             }
-            for link in upstream_links(deployment, |host, _| hosts.contains(&host)) {
+            for link in links() {
                 link.set_mode(LinkMode::Open);
             }
-            FaultScope::UpstreamPaths(hosts)
+            let hosts = 0..deployment.hosts.len();
+            let is_cut = |host: &usize| domains.contains(&(host % DOMAINS));
+            FaultScope::UpstreamPaths(hosts.filter(is_cut).collect())
         }
         Fault::DomainLinks(domain, mode, time) => {
             let is_in = |host: usize| host % DOMAINS == domain;
@@ -312,8 +313,8 @@
                 .iter()
                 .filter(|(ends, _)| crosses(ends));
             let mut links: Vec<LinkProxy> = peers.map(|(_, link)| link.clone()).collect();
-            links.extend(upstream_links(deployment, |host, of| {
-                is_in(host) != (of == domain)
+            links.extend(upstream_links(deployment, |from, of| {
+                (from == domain) != (of == domain)
             }));
             let own = (0..deployment.hosts.len()).filter(|host| is_in(*host));
             links.extend(own.map(|host| deployment.store_links[host].clone()));
@@ -440,8 +441,8 @@
     }
 }
 
-/// Returns the links to current upstreams that `is_selected` accepts, given the index of the host
-/// and the failure domain of the upstream.
+/// Returns the links to current upstreams that `is_selected` accepts, given the failure domain of
+/// the hosts and that of the upstream.
 fn upstream_links(
     deployment: &Deployment,
     is_selected: impl Fn(usize, usize) -> bool,
