--- a/src/decide/path_tracker.rs
+++ b/src/decide/path_tracker.rs
@@ -70,9 +70,10 @@
     /// path counts as lost from now on.
     pub fn on_bypassed(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
         if !self.paths.contains_key(upstream) {
+            let path = PathRecord::default();
+            self.paths.insert(upstream.clone(), path);
             self.next_probe_at = Some(now);
         }
-        self.paths.entry(upstream.clone()).or_default();
         self.on_failed(upstream)
     }
 
@@ -82,6 +83,7 @@
         self.on_failed(upstream)
     }
 
+    /// Counts a failed direct connection. Returns whether the path counts as lost from now on.
     fn on_failed(&mut self, upstream: &UpstreamId) -> bool {
         let Some(path) = self.paths.get_mut(upstream) else {
             return false;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -189,8 +189,8 @@
             .connect_upstream(&upstream.id, upstream.addr, connect_timeout)
             .await?;
         if let Some(via) = connection.via {
-            let elapsed = gateway.clock.now();
-            let elapsed = elapsed.saturating_duration_since(self.call.arrived_at);
+            let now = gateway.clock.now();
+            let elapsed = now.saturating_duration_since(self.call.arrived_at);
             gateway.log.record(DecisionEvent::Tunneled {
                 request: self.call.head.request.clone(),
                 upstream: upstream.id.to_string(),
--- a/src/gateway/tunnel/mod.rs
+++ b/src/gateway/tunnel/mod.rs
@@ -10,6 +10,7 @@
 mod server;
 mod tunnel_counter;
 
+pub(crate) use client::TunnelError;
 pub(crate) use client::open_tunnel;
 pub(crate) use outcome::TunnelOutcome;
 pub(crate) use server::serve_tunnel;
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::UpstreamConnector;
 use crate::gateway::send::CONNECT_TIMEOUT;
+use crate::gateway::tunnel::TunnelError;
 use crate::gateway::tunnel::TunnelOutcome;
 use crate::gateway::tunnel::open_tunnel;
 use crate::http::one_shot;
@@ -29,7 +30,6 @@
 /// The number of hosts that must fail to connect to an upstream before it counts as unreachable. The
 /// first may have lost its path too, without knowing it yet.
 const UNREACHABLE_MIN: usize = 2;
-
 /// The time after which other hosts are asked while a direct connection is still being established.
 /// A sound upstream inside a site accepts within a few milliseconds.
 const TUNNEL_DELAY: Duration = Duration::from_millis(60);
@@ -132,34 +132,45 @@
         let mut unreachable: Vec<HostId> = Vec::new();
         while asked.len() < HOSTS_ASKED_MAX && unreachable.len() < UNREACHABLE_MIN {
             let host = self.choose_tunnel_host(&asked, self.clock.now())?;
-            let opened = open_tunnel(host.exchange_addr, upstream).await;
-            let now = self.clock.now();
-            match opened {
-                Ok(stream) => {
-                    self.metrics
-                        .record_tunnel("requested", TunnelOutcome::Connected.name());
-                    for failed in &unreachable {
-                        self.paths().on_host_failed(failed, now);
-                    }
-                    return Some(UpstreamConnection {
-                        stream,
-                        via: Some(host.host),
-                    });
-                }
-                Err(err) => {
-                    self.metrics.record_tunnel("requested", err.name());
-                    if err.is_upstream_unreachable() {
-                        unreachable.push(host.host.clone());
-                    } else {
-                        self.paths().on_host_failed(&host.host, now);
-                    }
-                    asked.push(host.host);
+            match self.request_tunnel(&host, upstream).await {
+                Ok(connection) => {
+                    // These hosts have lost their paths too.
+                    self.pause_tunnel_hosts(&unreachable);
+                    return Some(connection);
                 }
+                Err(err) if err.is_upstream_unreachable() => unreachable.push(host.host.clone()),
+                Err(_) => self.pause_tunnel_hosts(std::slice::from_ref(&host.host)),
             }
+            asked.push(host.host);
         }
         None
     }
 
+    /// Asks a host for a tunnel, and counts its answer.
+    async fn request_tunnel(
+        &self,
+        host: &ListedHost,
+        upstream: &UpstreamId,
+    ) -> Result<UpstreamConnection, TunnelError> {
+        let opened = open_tunnel(host.exchange_addr, upstream).await;
+        let outcome = opened.as_ref().err().map(TunnelError::name);
+        let outcome = outcome.unwrap_or(TunnelOutcome::Connected.name());
+        self.metrics.record_tunnel("requested", outcome);
+        Ok(UpstreamConnection {
+            stream: opened?,
+            via: Some(host.host.clone()),
+        })
+    }
+
+    /// Leaves hosts that could not provide a tunnel out for a while.
+    fn pause_tunnel_hosts(&self, hosts: &[HostId]) {
+        let now = self.clock.now();
+        let mut paths = self.paths();
+        for host in hosts {
+            paths.on_host_failed(host, now);
+        }
+    }
+
     /// Chooses a host to ask for a tunnel: one of this failure domain if there is any, at random and
     /// the stronger the more often. `asked` are left out.
     fn choose_tunnel_host(&self, asked: &[HostId], now: Instant) -> Option<ListedHost> {
@@ -172,16 +183,10 @@
                 && paths.may_ask(&listed.host, now)
         };
         let hosts: Vec<&ListedHost> = heard.iter().filter(may_ask).copied().collect();
-        let near = hosts
-            .iter()
-            .filter(|listed| listed.domain == self.conf.domain);
-        let near: Vec<&ListedHost> = near.copied().collect();
+        let is_near = |listed: &&&ListedHost| listed.domain == self.conf.domain;
+        let near: Vec<&ListedHost> = hosts.iter().filter(is_near).copied().collect();
         let choices = if near.is_empty() { hosts } else { near };
-        let weight = |listed: &&ListedHost| {
-            listed
-                .processors
-                .map_or(1, |processors| processors.0.max(1))
-        };
+        let weight = |listed: &&ListedHost| listed.processors.map_or(1, |cpu| cpu.0.max(1));
         let chosen = choices.choose_weighted(&mut rand::rng(), weight).ok()?;
         Some((*chosen).clone())
     }
