--- a/src/decide/path_tracker.rs
+++ b/src/decide/path_tracker.rs
@@ -3,7 +3,7 @@
 //!
 //! Load condition: some hosts, such as most of a failure domain, lose their connections to upstreams
 //! while all other connections work. A failed connection alone does not tell whether the upstream is
-//! down or the path to it is cut; a connection through another host does.
+//! down or only unreachable from this host; a connection through another host does.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -50,7 +50,7 @@
     /// When the next path is probed; none if there is none to probe.
     next_probe_at: Option<Instant>,
     /// Whether the last probe succeeded.
-    is_healing: bool,
+    is_regaining: bool,
 }
 
 impl PathTracker {
@@ -79,7 +79,7 @@
 
     /// Records that a probe of a path failed. Returns whether the path counts as lost from now on.
     pub fn on_probe_failed(&mut self, upstream: &UpstreamId) -> bool {
-        self.is_healing = false;
+        self.is_regaining = false;
         self.on_failed(upstream)
     }
 
@@ -98,7 +98,7 @@
     pub fn on_connected(&mut self, upstream: &UpstreamId) -> bool {
         let path = self.paths.swap_remove(upstream);
         let was_lost = path.is_some_and(|path| path.is_lost());
-        self.is_healing |= was_lost;
+        self.is_regaining |= was_lost;
         self.clear_probes_if_none();
         was_lost
     }
@@ -111,7 +111,7 @@
         }
         let is_new = |path: &PathRecord| path.probed_at.is_none();
         let new_count = self.paths.values().filter(|path| is_new(path)).count();
-        let (interval, count) = if self.is_healing || new_count > PROBES_MAX {
+        let (interval, count) = if self.is_regaining || new_count > PROBES_MAX {
             (MANY_PROBES_INTERVAL, PROBES_MAX)
         } else {
             (PROBE_INTERVAL, new_count.max(1))
@@ -152,7 +152,7 @@
     fn clear_probes_if_none(&mut self) {
         if self.paths.is_empty() {
             self.next_probe_at = None;
-            self.is_healing = false;
+            self.is_regaining = false;
         }
     }
 }
