Soak: hosts that are cut are not compared during an outage of all upstreams

The trace: all upstreams rejected all requests from 13.154 to 20.407 s, and the comparison begins at 13.3 s, when the last restart of all hosts is three seconds ago; no host served anybody. Such attempts are left out; the bounds stay, and a made-up history with such an outage is a case of the check's own test.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -337,7 +337,7 @@
             for upstream in &upstreams {
                 upstream.set_mode(UpstreamMode::Healthy);
             }
-            FaultScope::Upstream
+            FaultScope::AllUpstreams
         }
         Fault::LimitUpstream(index, per_s, time) => {
             let upstream = upstream_at(deployment, index);
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -125,6 +125,8 @@
     Store,
     /// An upstream.
     Upstream,
+    /// All upstreams.
+    AllUpstreams,
 }
 
 /// A fault from its start to its end.
@@ -152,7 +154,8 @@
             FaultScope::Hosts(_)
             | FaultScope::UpstreamPaths(_)
             | FaultScope::Store
-            | FaultScope::Upstream => false,
+            | FaultScope::Upstream
+            | FaultScope::AllUpstreams => false,
         }
     }
 
@@ -163,7 +166,7 @@
             FaultScope::Hosts(hosts) | FaultScope::Processes(hosts) => hosts.contains(&host),
             FaultScope::PlannedStop(stopped) => *stopped == host,
             FaultScope::Store => true,
-            FaultScope::UpstreamPaths(_) | FaultScope::Upstream => false,
+            FaultScope::UpstreamPaths(_) | FaultScope::Upstream | FaultScope::AllUpstreams => false,
         }
     }
 }
@@ -207,6 +210,13 @@
         faults.any(|fault| fault.disturbs_process(host) && fault.overlaps(from, to))
     }
 
+    /// Whether all upstreams failed within an interval.
+    pub(crate) fn is_outage(&self, from: Timestamp, to: Timestamp) -> bool {
+        let outages = self.faults.iter();
+        let mut outages = outages.filter(|fault| fault.scope == FaultScope::AllUpstreams);
+        outages.any(|fault| fault.overlaps(from, to))
+    }
+
     /// The number of hosts that callers have called, counted from index 0.
     pub(crate) fn host_count(&self) -> usize {
         let hosts = self.attempts.values().map(|attempt| attempt.host + 1);
--- a/soak/src/path_checks.rs
+++ b/soak/src/path_checks.rs
@@ -88,6 +88,10 @@
         return false;
     }
     let from = attempt.sent_at.saturating_sub(SETTLING_TIME);
+    // During an outage no host serves its callers.
+    if observations.is_outage(from, attempt.ended_at) {
+        return false;
+    }
     let is_undisturbed =
         |host: usize| !observations.is_host_disturbed(host, from, attempt.ended_at);
     let all_hosts = 0..host_count;
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -436,6 +436,7 @@
 #[parameterized(
     served_alike = { 40, None, true },
     not_served = { 10, None, false },
+    outage_of_all_upstreams = { 10, fault_from_to(FaultScope::AllUpstreams, 12_000, 17_000), true },
     paused_as_well = { 10, fault_from_to(FaultScope::Processes(vec![0]), 12_000, 13_000), true },
     other_cut_meanwhile = { 10, fault_from_to(FaultScope::UpstreamPaths(vec![1]), 10_000, 12_000), true },
 )]
