--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -65,7 +65,8 @@
     gateway.health_changed.notify_one();
 }
 
-/// Connects directly to an upstream whose direct path is lost or may be, and records whether that succeeded.
+/// Connects directly to an upstream whose direct path is lost or may be, and records whether that
+/// succeeded.
 async fn probe_path(gateway: Arc<Gateway>, upstream: ListedUpstream) {
     match one_shot::connect(upstream.addr, CONNECT_TIMEOUT).await {
         Ok(_) => {
