HTTP: connecting and the head of a response share one timeout again

call_with_idle_timeout promises the head within idle_timeout. When connecting became a function of its own, each of the two got the whole time, so a call to a store that is slow to accept could wait twice as long before it was repeated. The whole of connecting and the head is limited once more; reading the body, which calls on a given connection need too, is one function.

--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -144,8 +144,9 @@
     len_max: usize,
     idle_timeout: Duration,
 ) -> Result<Response<Bytes>, OneShotError> {
-    let stream = connect(addr, idle_timeout).await?;
-    call_on(stream, req, len_max, idle_timeout).await
+    let sent = timeout(idle_timeout, send(addr, req, idle_timeout)).await;
+    let res = sent.map_err(|_| OneShotError::Timeout)??;
+    read_response(res, len_max, idle_timeout).await
 }
 
 /// Sends a request on a connection that is used for nothing else, and reads the complete response,
@@ -157,7 +158,18 @@
     idle_timeout: Duration,
 ) -> Result<Response<Bytes>, OneShotError> {
     let sent = timeout(idle_timeout, send_on(stream, req)).await;
-    let (head, body) = sent.map_err(|_| OneShotError::Timeout)??.into_parts();
+    let res = sent.map_err(|_| OneShotError::Timeout)??;
+    read_response(res, len_max, idle_timeout).await
+}
+
+/// Reads the body of a response, of at most `len_max` bytes. Each frame has to arrive within
+/// `idle_timeout` of the previous one.
+async fn read_response(
+    res: Response<OneShotResponseBody>,
+    len_max: usize,
+    idle_timeout: Duration,
+) -> Result<Response<Bytes>, OneShotError> {
+    let (head, body) = res.into_parts();
     let mut body = Limited::new(body, len_max);
     let mut bytes = BytesMut::new();
     loop {
