--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,6 +1,6 @@
 //! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store,
-//! outages and cuts between hosts and upstreams have random generators of their own, so that they do not change which other faults a
-//! seed draws.
+//! outages and cuts between hosts and upstreams have random generators of their own, so that they do
+//! not change which other faults a seed draws.
 
 use std::ops::Range;
 use std::time::Duration;
--- a/src/decide/health_tracker.rs
+++ b/src/decide/health_tracker.rs
@@ -333,10 +333,10 @@
     /// When the next probe is due; none if all upstreams are reachable.
     pub fn next_probe_at(&self) -> Option<Instant> {
         let domains = self.domains.values().filter_map(DomainRecord::probe_at);
-        let upstreams = self.upstreams.values().filter(|record| {
-            let domain_record = self.domains.get(&record.domain);
-            record.is_unreachable && !domain_record.is_some_and(DomainRecord::is_unreachable)
-        });
+        let upstreams = self
+            .upstreams
+            .values()
+            .filter(|record| record.is_unreachable && !self.is_domain_unreachable(&record.domain));
         domains
             .chain(upstreams.filter_map(|record| record.paused_until))
             .min()
@@ -347,11 +347,12 @@
     pub fn is_usable(&self, upstream: &UpstreamId, domain: &FailureDomainId, now: Instant) -> bool {
         let record = self.upstreams.get(upstream);
         let is_suspended = record.is_some_and(|r| r.is_unreachable || r.is_paused(now));
-        let is_domain_unreachable = self
-            .domains
-            .get(domain)
-            .is_some_and(DomainRecord::is_unreachable);
-        !is_suspended && !is_domain_unreachable
+        !is_suspended && !self.is_domain_unreachable(domain)
+    }
+
+    fn is_domain_unreachable(&self, domain: &FailureDomainId) -> bool {
+        let domain_record = self.domains.get(domain);
+        domain_record.is_some_and(DomainRecord::is_unreachable)
     }
 
     /// Whether connections to the upstream are expected to succeed at `now`.
@@ -363,8 +364,7 @@
     ) -> bool {
         let record = self.upstreams.get(upstream);
         let is_unreachable = record.is_some_and(|r| r.is_unreachable && r.is_paused(now));
-        let domain_record = self.domains.get(domain);
-        !is_unreachable && !domain_record.is_some_and(DomainRecord::is_unreachable)
+        !is_unreachable && !self.is_domain_unreachable(domain)
     }
 
     /// Whether the upstream's failure rate is so high that other upstreams are preferred.
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -177,15 +177,15 @@
         let listed = self.platform_view.hosts();
         let heard: Vec<&ListedHost> = self.heard_hosts(&listed, now).collect();
         let paths = self.paths();
-        let may_ask = |listed: &&&ListedHost| {
-            listed.host != self.conf.host
-                && !asked.contains(&listed.host)
-                && paths.may_ask(&listed.host, now)
-        };
-        let hosts: Vec<&ListedHost> = heard.iter().filter(may_ask).copied().collect();
-        let is_near = |listed: &&&ListedHost| listed.domain == self.conf.domain;
-        let near: Vec<&ListedHost> = hosts.iter().filter(is_near).copied().collect();
-        let choices = if near.is_empty() { hosts } else { near };
+        let (near, far): (Vec<&ListedHost>, Vec<&ListedHost>) = heard
+            .into_iter()
+            .filter(|listed| {
+                listed.host != self.conf.host
+                    && !asked.contains(&listed.host)
+                    && paths.may_ask(&listed.host, now)
+            })
+            .partition(|listed| listed.domain == self.conf.domain);
+        let choices = if near.is_empty() { far } else { near };
         let weight = |listed: &&ListedHost| listed.processors.map_or(1, |cpu| cpu.0.max(1));
         let chosen = choices.choose_weighted(&mut rand::rng(), weight).ok()?;
         Some((*chosen).clone())
--- a/tests/gateway_retries.rs
+++ b/tests/gateway_retries.rs
@@ -51,6 +51,13 @@
     );
 }
 
+/// Waits for the first check of the retry budget in the log of a host.
+async fn logged_check(host: &TestHost) -> serde_json::Value {
+    wait_until(|| host.log.text().contains("retry_checked")).await;
+    let mut lines = host.log.lines().into_iter();
+    lines.find(|line| line["event"] == "retry_checked").unwrap()
+}
+
 /// Failure: a host that restarts several times while upstreams fail uses its share of the retries
 /// again after each start.
 #[tokio::test]
@@ -96,12 +103,7 @@
     let host = TestHost::start_with(conf("host"), &catalog).await;
     host.call(request("/safe/1")).await;
     assert_eq!(arrivals(&upstreams), 1);
-    wait_until(|| host.log.text().contains("retry_checked")).await;
-    let lines = host.log.lines();
-    let check = lines
-        .iter()
-        .find(|line| line["event"] == "retry_checked")
-        .unwrap();
+    let check = logged_check(&host).await;
     assert_eq!(check["is_allowed"], false);
     assert!(check["hosts"].is_null());
 }
@@ -114,12 +116,7 @@
     host.wait_for_hosts(1).await;
     host.call(request("/safe/1")).await;
     assert_eq!(arrivals(&upstreams), 2);
-    wait_until(|| host.log.text().contains("retry_checked")).await;
-    let lines = host.log.lines();
-    let check = lines
-        .iter()
-        .find(|line| line["event"] == "retry_checked")
-        .unwrap();
+    let check = logged_check(&host).await;
     assert_eq!(check["request"], "r-1");
     assert_eq!(check["service"], "app");
     assert_eq!(check["is_allowed"], true);
