Queue: the fair queue orders entries of any kind

The queue of the older path orders by priority, customer share and deadline what the path of the users' platform will need to order as well. It now knows its entries by a trait, so both paths use one queue. No change of behaviour.

--- a/src/decide/priority_level.rs
+++ b/src/decide/priority_level.rs
@@ -10,21 +10,21 @@
 
 use indexmap::IndexMap;
 
-use crate::decide::QueuedRequest;
+use crate::decide::QueueEntry;
 use crate::units::CustomerId;
 
-/// The advance of virtual time for one token of an account with weight 1. The factor keeps the
+/// The advance of virtual time for one unit of cost of an account with weight 1. The factor keeps the
 /// order when virtual time is rounded to whole numbers.
-const VIRTUAL_TIME_PER_TOKEN: f64 = 1_000.0;
+const VIRTUAL_TIME_PER_COST: f64 = 1_000.0;
 
 /// The key of a queued request: its account, its deadline, and a sequence number that breaks ties.
 pub(crate) type QueueKey = (CustomerId, Instant, u64);
 
-/// The queued requests of one priority, in start-time fair queueing over accounts. Costs are in
-/// tokens.
-#[derive(Debug, Default)]
-pub(crate) struct PriorityLevel {
-    accounts: IndexMap<CustomerId, Account>,
+/// The queued requests of one priority, in start-time fair queueing over accounts. All costs are in
+/// the unit of the entries.
+#[derive(Debug)]
+pub(crate) struct PriorityLevel<T> {
+    accounts: IndexMap<CustomerId, Account<T>>,
     /// The accounts that have queued requests, by virtual start time.
     ready: BTreeSet<(u64, CustomerId)>,
     /// The greatest virtual start time of any request that has been served.
@@ -37,25 +37,37 @@
 
 /// The queued requests of one account. An account without requests keeps its virtual start time.
 #[derive(Debug)]
-struct Account {
-    by_deadline: BTreeMap<(Instant, u64), QueuedRequest>,
+struct Account<T> {
+    by_deadline: BTreeMap<(Instant, u64), T>,
     /// The virtual time at which the next request of the account starts.
     virtual_start: u64,
     share: u32,
     cost: f64,
 }
 
-impl PriorityLevel {
+impl<T> Default for PriorityLevel<T> {
+    fn default() -> Self {
+        Self {
+            accounts: IndexMap::new(),
+            ready: BTreeSet::new(),
+            virtual_now: 0,
+            cost: 0.0,
+            ready_shares: 0,
+        }
+    }
+}
+
+impl<T: QueueEntry> PriorityLevel<T> {
     /// Adds a request and returns its key. An account that had no requests starts no earlier than
     /// the current virtual time, so that it gets no credit for the time in which it sent none.
-    pub(crate) fn push(&mut self, waiting: QueuedRequest, seq: u64) -> QueueKey {
-        let id = waiting.account.clone();
-        let key = (id.clone(), waiting.work.deadline, seq);
+    pub(crate) fn push(&mut self, waiting: T, seq: u64) -> QueueKey {
+        let id = waiting.account().clone();
+        let key = (id.clone(), waiting.deadline(), seq);
         let virtual_now = self.virtual_now;
         let account = self.accounts.entry(id.clone()).or_insert_with(|| Account {
             by_deadline: BTreeMap::new(),
             virtual_start: virtual_now,
-            share: waiting.share.max(1),
+            share: waiting.share().max(1),
             cost: 0.0,
         });
         if account.by_deadline.is_empty() {
@@ -71,7 +83,7 @@
 
     /// Up to `limit` requests in the order in which they should be dispatched: the first of each
     /// account by virtual time, then the second of each, and so on.
-    pub(crate) fn heads(&self, limit: usize) -> Vec<&QueuedRequest> {
+    pub(crate) fn heads(&self, limit: usize) -> Vec<&T> {
         let mut heads = Vec::with_capacity(limit);
         let accounts = || {
             self.ready
@@ -90,13 +102,13 @@
     }
 
     /// The queued request with this key; `None` if there is none.
-    pub(crate) fn get(&self, key: &QueueKey) -> Option<&QueuedRequest> {
+    pub(crate) fn get(&self, key: &QueueKey) -> Option<&T> {
         let account = self.accounts.get(&key.0)?;
         account.by_deadline.get(&(key.1, key.2))
     }
 
     /// Removes a request, and charges its cost to its account if the request is served.
-    pub(crate) fn remove(&mut self, key: &QueueKey, is_served: bool) -> Option<QueuedRequest> {
+    pub(crate) fn remove(&mut self, key: &QueueKey, is_served: bool) -> Option<T> {
         let account = self.accounts.get_mut(&key.0)?;
         let waiting = account.by_deadline.remove(&(key.1, key.2))?;
         self.ready.remove(&(account.virtual_start, key.0.clone()));
@@ -117,7 +129,7 @@
         Some(waiting)
     }
 
-    /// The cost of all queued requests, in tokens.
+    /// The cost of all queued requests.
     pub(crate) fn cost(&self) -> f64 {
         self.cost
     }
@@ -149,5 +161,5 @@
     reason = "far below 2^64 and never negative"
 )]
 fn virtual_cost(cost: f64, share: u32) -> u64 {
-    (cost * VIRTUAL_TIME_PER_TOKEN / f64::from(share)) as u64
+    (cost * VIRTUAL_TIME_PER_COST / f64::from(share)) as u64
 }
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -10,6 +10,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::QueueEntry;
 use crate::decide::QueuedRequest;
 use crate::decide::priority_level::PriorityLevel;
 use crate::decide::priority_level::QueueKey;
@@ -21,10 +22,10 @@
 /// enough for a long request of low priority to end, too little for the first priority to notice.
 const LOWER_PRIORITY_FRACTION: f64 = 0.1;
 
-/// A queue of requests of all priorities, fair between customers. Costs are in tokens.
-#[derive(Debug, Default)]
-pub struct FairQueue {
-    levels: BTreeMap<Priority, PriorityLevel>,
+/// A queue of requests of all priorities, fair between customers. Costs are in any one unit.
+#[derive(Debug)]
+pub struct FairQueue<T = QueuedRequest> {
+    levels: BTreeMap<Priority, PriorityLevel<T>>,
     keys: IndexMap<RequestId, (Priority, QueueKey)>,
     /// The queued requests by deadline, each with the sequence number of its key.
     expiry: BTreeSet<(Instant, u64, RequestId)>,
@@ -34,29 +35,41 @@
     lower_credit: f64,
 }
 
-impl FairQueue {
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            levels: BTreeMap::new(),
+            keys: IndexMap::new(),
+            expiry: BTreeSet::new(),
+            next_seq: 0,
+            lower_credit: 0.0,
+        }
+    }
+}
+
+impl<T: QueueEntry> FairQueue<T> {
     /// Creates an empty queue.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Adds a request. A request that is already queued stays unchanged.
-    pub fn push(&mut self, waiting: QueuedRequest) {
-        let request = waiting.work.request;
+    pub fn push(&mut self, waiting: T) {
+        let request = waiting.request();
         if self.keys.contains_key(&request) {
             return;
         }
         let seq = self.next_seq;
         self.next_seq += 1;
-        let priority = waiting.work.priority;
-        self.expiry.insert((waiting.work.deadline, seq, request));
+        let priority = waiting.priority();
+        self.expiry.insert((waiting.deadline(), seq, request));
         let key = self.levels.entry(priority).or_default().push(waiting, seq);
         self.keys.insert(request, (priority, key));
     }
 
     /// Up to `limit` requests in the order in which they should be dispatched. The requests stay in
     /// the queue.
-    pub fn heads(&self, limit: usize) -> Vec<&QueuedRequest> {
+    pub fn heads(&self, limit: usize) -> Vec<&T> {
         let mut heads = Vec::with_capacity(limit);
         let credited = self.credited_priority();
         if let Some(first) = credited.and_then(|priority| self.levels.get(&priority)) {
@@ -74,7 +87,7 @@
     }
 
     /// The queued request with this id; `None` if it is not in the queue.
-    pub fn get(&self, request: &RequestId) -> Option<&QueuedRequest> {
+    pub fn get(&self, request: &RequestId) -> Option<&T> {
         let (priority, key) = self.keys.get(request)?;
         self.levels.get(priority)?.get(key)
     }
@@ -83,9 +96,9 @@
     /// highest priority also adds to the credit of lower priorities, or clears the credit if no
     /// lower priority has requests. A request of a lower priority uses the credit. `None` if the
     /// request is not in the queue.
-    pub fn take(&mut self, request: &RequestId) -> Option<QueuedRequest> {
+    pub fn take(&mut self, request: &RequestId) -> Option<T> {
         let waiting = self.remove_from_level(request, true)?;
-        let priority = waiting.work.priority;
+        let priority = waiting.priority();
         if self.first_priority().is_some_and(|first| first < priority) {
             self.lower_credit = (self.lower_credit - waiting.cost()).max(0.0);
         } else if self.next_lower_priority(priority).is_some() {
@@ -98,12 +111,12 @@
 
     /// Removes a request that is not served, and charges nothing. `None` if the request is not in
     /// the queue.
-    pub fn remove(&mut self, request: &RequestId) -> Option<QueuedRequest> {
+    pub fn remove(&mut self, request: &RequestId) -> Option<T> {
         self.remove_from_level(request, false)
     }
 
     /// Removes and returns the requests whose deadline has passed, and charges nothing.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<QueuedRequest> {
+    pub fn take_expired(&mut self, now: Instant) -> Vec<T> {
         let mut expired = Vec::new();
         while let Some((deadline, _, request)) = self.expiry.first().copied() {
             if deadline > now {
@@ -147,7 +160,7 @@
         self.keys.is_empty()
     }
 
-    fn remove_from_level(&mut self, request: &RequestId, is_served: bool) -> Option<QueuedRequest> {
+    fn remove_from_level(&mut self, request: &RequestId, is_served: bool) -> Option<T> {
         let (priority, key) = self.keys.swap_remove(request)?;
         self.expiry.remove(&(key.1, key.2, *request));
         self.levels.get_mut(&priority)?.remove(&key, is_served)
--- a/src/decide/queued_request.rs
+++ b/src/decide/queued_request.rs
@@ -2,8 +2,11 @@
 
 use std::time::Instant;
 
+use crate::decide::QueueEntry;
 use crate::decide::Work;
 use crate::units::CustomerId;
+use crate::units::Priority;
+use crate::units::RequestId;
 use crate::units::Tokens;
 
 /// A request in a queue, with the estimates that decisions need.
@@ -25,11 +28,6 @@
 }
 
 impl QueuedRequest {
-    /// The cost charged to the account: the tokens that an engine processes for the request.
-    pub fn cost(&self) -> f64 {
-        (self.prompt_tokens + self.output_tokens).as_f64().max(1.0)
-    }
-
     /// The engine memory to hold for the request. The answer may be as long as the caller allowed.
     pub fn memory_tokens(&self) -> Tokens {
         self.prompt_tokens + self.work.output_tokens
@@ -40,3 +38,30 @@
         !self.work.avoid.is_empty()
     }
 }
+
+impl QueueEntry for QueuedRequest {
+    fn request(&self) -> RequestId {
+        self.work.request
+    }
+
+    fn priority(&self) -> Priority {
+        self.work.priority
+    }
+
+    fn account(&self) -> &CustomerId {
+        &self.account
+    }
+
+    fn share(&self) -> u32 {
+        self.share
+    }
+
+    fn deadline(&self) -> Instant {
+        self.work.deadline
+    }
+
+    /// The tokens that an engine processes for the request.
+    fn cost(&self) -> f64 {
+        (self.prompt_tokens + self.output_tokens).as_f64().max(1.0)
+    }
+}
--- a/src/decide/shipped/lane_queue.rs
+++ b/src/decide/shipped/lane_queue.rs
@@ -5,6 +5,7 @@
 
 use crate::decide::DrainRate;
 use crate::decide::FairQueue;
+use crate::decide::QueueEntry;
 use crate::decide::QueuedRequest;
 use crate::decide::placement::duration_from_secs;
 use crate::units::RequestId;
--- a/src/decide/shipped/services.rs
+++ b/src/decide/shipped/services.rs
@@ -19,6 +19,7 @@
 use crate::decide::Policy;
 use crate::decide::PolicyConfig;
 use crate::decide::PoolLoad;
+use crate::decide::QueueEntry;
 use crate::decide::QueuedRequest;
 use crate::decide::RefuseReason;
 use crate::decide::ServiceUpstream;
