Waiting calls: one ordered queue for each lane of a service, and a check for room on arrival

Cause: each waiting call slept and tried again by itself, so luck decided who got the next place, calls that had just come overtook those that waited, and nothing told a customer above its share from the others. A short prompt waited until it was late and was refused then.

Change: calls that wait on a host join the queue of their lane (short, medium and long prompts, plain calls): resumed streams first, then calls in time before late ones, customers within their share before others, the more urgent first, and customers take turns. The first ones are tried when a send of this host ends or their own time is over; whoever wakes passes the turn on. The number and the size of waiting calls are bounded. A call that has just come is let in by the occupancy of the service and the standing of its customer: the last places are kept for customers within their share. A short prompt waits for a slot for a quarter of its objective.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -109,6 +109,7 @@
         objective_left: Duration::from_millis(300),
         patience_left: Duration::from_millis(1_500),
         time_left: Duration::from_secs(10),
+        slot_wait_left: Duration::from_millis(75),
         strictest_pause: Some(Duration::from_millis(200)),
         local_load_age_max: Duration::from_millis(100),
         remote_load_age_max: Duration::from_millis(100),
--- /dev/null
+++ b/src/decide/call_queue.rs
@@ -0,0 +1,104 @@
+//! The queue of the calls of one lane that wait on a host.
+//!
+//! Load condition: more calls arrive than upstreams have places. If each call tried again on its
+//! own, luck would decide which one gets the next place, and calls that have just come would take
+//! places from those that have waited.
+
+use crate::decide::CallLane;
+use crate::decide::FairQueue;
+use crate::decide::QueueEntry;
+use crate::decide::WaitRank;
+use crate::decide::WaitingCall;
+use crate::units::ByteSize;
+use crate::units::Priority;
+use crate::units::RequestId;
+
+/// The most calls of a lane that wait on a host. Further calls are refused at once.
+pub const WAITING_CALLS_MAX: usize = 512;
+/// The most memory of the calls of a lane that wait on a host. Further calls are refused at once.
+pub const WAITING_SIZE_MAX: ByteSize = ByteSize(16 << 20);
+
+/// The calls of one lane that wait on a host for places at one service.
+#[derive(Debug)]
+pub struct CallQueue {
+    lane: CallLane,
+    queue: FairQueue<WaitingCall>,
+    size: ByteSize,
+}
+
+impl CallQueue {
+    /// Creates an empty queue.
+    pub fn new(lane: CallLane) -> Self {
+        Self {
+            lane,
+            queue: FairQueue::new(),
+            size: ByteSize(0),
+        }
+    }
+
+    /// Adds a call. Returns false, and adds nothing, if the queue has no room for it.
+    pub fn push(&mut self, call: WaitingCall) -> bool {
+        let size = ByteSize(self.size.0.saturating_add(call.size.0));
+        if self.queue.len() >= WAITING_CALLS_MAX || size > WAITING_SIZE_MAX {
+            return false;
+        }
+        self.size = size;
+        self.queue.push(call);
+        true
+    }
+
+    /// Removes a call that has got a place, and charges its cost to its customer.
+    pub fn take(&mut self, id: &RequestId) {
+        let taken = self.queue.take(id);
+        self.subtract(taken.as_ref());
+    }
+
+    /// Removes a call that gets no place.
+    pub fn remove(&mut self, id: &RequestId) {
+        let removed = self.queue.remove(id);
+        self.subtract(removed.as_ref());
+    }
+
+    /// Moves a call to another rank.
+    pub fn set_rank(&mut self, id: &RequestId, rank: WaitRank) {
+        if self.queue.get(id).is_none_or(|call| call.rank == rank) {
+            return;
+        }
+        if let Some(call) = self.queue.remove(id) {
+            self.queue.push(WaitingCall { rank, ..call });
+        }
+    }
+
+    /// The calls that may be tried now, in their order.
+    pub fn heads(&self) -> Vec<RequestId> {
+        let heads = self.queue.heads(self.lane.tried_at_a_time());
+        heads.into_iter().map(QueueEntry::request).collect()
+    }
+
+    /// Whether a call of this rank that has just come must wait behind others.
+    pub fn is_behind_others(&self, rank: WaitRank) -> bool {
+        if !self.lane.has_equal_needs() {
+            return false;
+        }
+        let first = self.queue.heads(1);
+        first
+            .first()
+            .is_some_and(|call| call.priority() <= Priority::from(rank))
+    }
+
+    /// The number of waiting calls.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    fn subtract(&mut self, call: Option<&WaitingCall>) {
+        if let Some(call) = call {
+            self.size = ByteSize(self.size.0.saturating_sub(call.size.0));
+        }
+    }
+}
--- a/src/decide/engines/engine_request.rs
+++ b/src/decide/engines/engine_request.rs
@@ -48,6 +48,8 @@
     pub patience_left: Duration,
     /// Remaining time until the deadline of the whole answer.
     pub time_left: Duration,
+    /// How long a short prompt may still wait for a slot; zero once it is to be refused.
+    pub slot_wait_left: Duration,
     /// The shortest pause between two events that any caller of the service accepts; none if no
     /// caller states one.
     pub strictest_pause: Option<Duration>,
@@ -113,6 +115,11 @@
         f64::from(short_in_flight) * self.local_load_age_max.as_secs_f64() / answer_time
     }
 
+    /// Time to write half of the longest answer on a full engine, since most answers are shorter.
+    pub fn answer_time(&self, model: &EngineModel) -> Duration {
+        model.write_time(self.output, model.slots, self.prompt) / 2
+    }
+
     /// Memory for the prompt and the longest answer, in tokens.
     pub fn memory_needed(&self) -> Tokens {
         self.prompt + self.output
--- a/src/decide/engines/short.rs
+++ b/src/decide/engines/short.rs
@@ -132,21 +132,21 @@
 }
 
 /// Decides on a request for which no engine has a slot and memory free. The request waits about as
-/// long as a slot takes to become free. It is refused, with a time to retry after, if its first
-/// event is already late or the time left is too short for its answer.
+/// long as a slot takes to become free. It is refused, with a time to retry after, if it has waited
+/// for its part of the objective or the time left is too short for its answer.
 fn wait_or_refuse(
     model: &EngineModel,
     engines: &[EngineView],
     request: &EngineRequest,
 ) -> EngineChoice {
-    let write_time = model.write_time(request.output, model.slots, request.prompt);
+    let answer_time = request.answer_time(model);
     let slots = u32::try_from(engines.len())
         .unwrap_or(u32::MAX)
         .saturating_mul(model.slots);
-    let next_free_slot = write_time / slots.max(1);
-    let has_time = request.time_left > write_time / 2;
-    if request.objective_left.is_zero() || !has_time {
-        return EngineChoice::refuse(RefuseReason::QueueFull, write_time / 2);
+    let next_free_slot = answer_time / slots.max(1);
+    let wait_left = request.slot_wait_left.min(request.objective_left);
+    if wait_left.is_zero() || request.time_left <= answer_time {
+        return EngineChoice::refuse(RefuseReason::QueueFull, answer_time);
     }
     EngineChoice::wait(next_free_slot)
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,6 +23,9 @@
 /// seconds without an event; half a second of this is left for detecting the interruption.
 const STREAM_PATIENCE_MIN: Duration = Duration::from_millis(1_500);
 
+/// The fraction of its objective for which a call waits for a slot before it is refused.
+const SLOT_WAIT_FRACTION: f64 = 0.25;
+
 /// The part of the patience of a caller that is reserved for transit times and forecast errors.
 const TRANSIT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -76,6 +79,17 @@
         (self.arrived_at + self.route.objective).saturating_duration_since(now)
     }
 
+    /// When a call that waits for a slot is refused. A caller that is told early can still be
+    /// served elsewhere or later.
+    pub fn slot_wait_until(&self) -> Instant {
+        self.arrived_at + self.route.objective.mul_f64(SLOT_WAIT_FRACTION)
+    }
+
+    /// How long the call may still wait for a slot; zero after [`Call::slot_wait_until`].
+    pub fn slot_wait_left(&self, now: Instant) -> Duration {
+        self.slot_wait_until().saturating_duration_since(now)
+    }
+
     /// A lower bound on how long the caller of an interrupted stream waits for the next event.
     ///
     /// Failure guarded against: an engine dies under load. Its streams are late by then, and
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -7,7 +7,10 @@
 use tokio::time::sleep;
 
 use crate::decide::RefuseReason;
+use crate::decide::ShareStanding;
 use crate::decide::UpstreamFault;
+use crate::decide::WaitRank;
+use crate::decide::WaitingCall;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::DecisionEvent;
@@ -19,6 +22,8 @@
 use crate::gateway::placement::PlacementDecision;
 use crate::gateway::placement::SendHistory;
 use crate::gateway::placement::SendPlan;
+use crate::gateway::placement::call_lane;
+use crate::gateway::placement::check_admission;
 use crate::gateway::placement::decide_placement;
 use crate::gateway::placement::excluded_upstreams;
 use crate::gateway::placement::survey_candidates;
@@ -28,7 +33,12 @@
 use crate::gateway::send::SendOutcome;
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::server::wait_for_phase;
+use crate::gateway::waiting_calls::LaneKey;
+use crate::gateway::waiting_calls::WaitingPlace;
 use crate::units::AttemptId;
+use crate::units::ByteSize;
+use crate::units::CustomerId;
+use crate::units::RequestId;
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
 
@@ -38,6 +48,8 @@
 /// Delay after an engine refused a reservation. It spans several broadcasts of the other hosts, so
 /// the next choice is made with newer loads.
 const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Time after which a call that has to wait behind others is tried again if nothing wakes it.
+const QUEUED_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Waiting time after which a prompt is logged with the engines that it waits for.
 const LONG_WAIT: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry a request that crashes upstreams: until then some hosts may
@@ -52,6 +64,17 @@
     Refused(CallRefusal),
 }
 
+/// The memory of a waiting call besides its body.
+const CALL_OVERHEAD: ByteSize = ByteSize(4 << 10);
+
+/// The result of waiting for a turn.
+enum WaitOutcome {
+    /// The call is to be tried.
+    Tried,
+    /// Too many calls wait already.
+    LaneFull,
+}
+
 /// Dispatches one call and keeps track of its sends: which upstreams were tried, and how many sends
 /// have run.
 pub(crate) struct CallDispatcher {
@@ -68,6 +91,10 @@
     runs: u32,
     /// Number of times that the upstreams were compared to choose one.
     choices: u32,
+    /// Whether the call was let in by a choice.
+    is_admitted: bool,
+    /// The place of the call among the waiting ones, while it waits.
+    place: Option<WaitingPlace>,
     /// Whether the waiting of the call was logged.
     is_wait_logged: bool,
     /// Counts the call among those that wait for the rate limits of the upstreams, while it does.
@@ -84,6 +111,8 @@
             not_run: 0,
             runs: 0,
             choices: 0,
+            is_admitted: false,
+            place: None,
             is_wait_logged: false,
             limit_wait: None,
         }
@@ -100,7 +129,7 @@
     }
 
     /// Sends the call until an upstream answers, or refuses it when no further send is allowed.
-    /// Waits while no upstream has capacity. A resumed stream continues after `last_event`.
+    /// Waits in the order of the waiting calls while no upstream has capacity. A resumed stream continues after `last_event`.
     pub(crate) async fn dispatch(&mut self, last_event: Option<&str>) -> DispatchOutcome {
         loop {
             let now = self.gateway.clock.now();
@@ -119,15 +148,32 @@
                     retry_after: POISON_RETRY_AFTER,
                 }));
             }
+            if self.must_wait_behind_others(now) {
+                if let Some(refusal) = self.check_admission(now) {
+                    return DispatchOutcome::Refused(self.refuse(refusal));
+                }
+                match self.wait_for_turn(QUEUED_RETRY_DELAY, now).await {
+                    WaitOutcome::Tried => {}
+                    WaitOutcome::LaneFull => return DispatchOutcome::Refused(self.refuse_full()),
+                }
+                continue;
+            }
             self.choices += 1;
             let placement = match decide_placement(&self.gateway, &self.call, &self.sends(), now) {
                 PlacementDecision::Send(placement) => placement,
                 PlacementDecision::Wait(wait) => {
+                    self.is_admitted = true;
                     self.log_long_wait(now);
-                    self.sleep_with_jitter(wait, now).await;
+                    match self.wait_for_turn(wait, now).await {
+                        WaitOutcome::Tried => {}
+                        WaitOutcome::LaneFull => {
+                            return DispatchOutcome::Refused(self.refuse_full());
+                        }
+                    }
                     continue;
                 }
                 PlacementDecision::WaitForLimit(wait) => {
+                    self.is_admitted = true;
                     let new = || LimitWait::new(&self.gateway, &self.call.service);
                     self.limit_wait.get_or_insert_with(new);
                     self.sleep_with_jitter(wait, now).await;
@@ -137,7 +183,11 @@
                     return DispatchOutcome::Refused(self.refuse(refusal));
                 }
             };
+            self.is_admitted = true;
             self.limit_wait = None;
+            if let Some(place) = self.place.take() {
+                place.leave_for_send();
+            }
             if self.arrivals > 0 && !self.gateway.try_retry(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::Overload {
                     reason: RefuseReason::RetryBudget,
@@ -157,6 +207,101 @@
         }
     }
 
+    /// Whether the call has just come and others that wait for the same places come first.
+    fn must_wait_behind_others(&self, now: Instant) -> bool {
+        if self.place.is_some() || self.limit_wait.is_some() {
+            return false;
+        }
+        let rank = self.rank(now);
+        self.gateway
+            .waiting
+            .is_behind_others(&self.lane_key(now), rank)
+    }
+
+    /// The refusal of a call that is not let in; none if it is.
+    fn check_admission(&mut self, now: Instant) -> Option<CallRefusal> {
+        let refusal = check_admission(&self.gateway, &self.call, &self.sends(), now);
+        self.is_admitted = refusal.is_none();
+        refusal
+    }
+
+    /// Waits for the turn of the call among those that wait for the same kind of place. `retry_in`
+    /// is the time after which it is tried again if nothing wakes it; it is jittered, so that calls
+    /// that wait on several hosts for the same upstreams do not all choose them at the same moment.
+    /// A call that has not run yet waits no longer than until this host refuses such calls.
+    async fn wait_for_turn(&mut self, retry_in: Duration, now: Instant) -> WaitOutcome {
+        if self.place.is_none() {
+            let call = self.waiting_call(now);
+            self.place = WaitingPlace::join(&self.gateway, self.lane_key(now), call);
+        }
+        let Some(place) = &self.place else {
+            return WaitOutcome::LaneFull;
+        };
+        let retry_in = retry_in.mul_f64(rand::random_range(0.5..1.5));
+        let turn = place.turn(self.rank(now), retry_in, self.turn_until(now));
+        if self.runs > 0 {
+            turn.await;
+            return WaitOutcome::Tried;
+        }
+        tokio::select! {
+            () = turn => {}
+            () = wait_for_phase(&self.gateway, ShutdownPhase::Completing) => {}
+        }
+        WaitOutcome::Tried
+    }
+
+    /// When the call is to be tried even if others come first, because it may have to be refused.
+    fn turn_until(&self, now: Instant) -> Instant {
+        let slot_wait_until = self.call.slot_wait_until();
+        if now < slot_wait_until && self.runs == 0 {
+            slot_wait_until
+        } else {
+            self.call.deadline
+        }
+    }
+
+    /// The call as its lane orders it.
+    fn waiting_call(&self, now: Instant) -> WaitingCall {
+        let call = &self.call;
+        let body = u64::try_from(call.body.len()).unwrap_or(u64::MAX);
+        WaitingCall {
+            id: RequestId(rand::random()),
+            rank: self.rank(now),
+            account: call.customer.clone().unwrap_or_else(CustomerId::none),
+            due_at: call.arrived_at + call.route.objective,
+            engine_time: self.gateway.engine_time(call),
+            size: ByteSize(body.saturating_add(CALL_OVERHEAD.0)),
+        }
+    }
+
+    fn rank(&self, now: Instant) -> WaitRank {
+        if self.runs > 0 {
+            return WaitRank::RESUMED;
+        }
+        let is_late = self.call.objective_left(now).is_zero();
+        WaitRank::new(self.call.route.priority, self.standing(now), is_late)
+    }
+
+    fn lane_key(&self, now: Instant) -> LaneKey {
+        LaneKey {
+            service: self.call.service.clone(),
+            lane: call_lane(&self.gateway, &self.call, now),
+        }
+    }
+
+    /// What the customer of the call wants of the service compared with its share.
+    fn standing(&self, now: Instant) -> ShareStanding {
+        self.gateway.share_standing(&self.call, now)
+    }
+
+    /// The refusal of a call whose lane has no room for it.
+    fn refuse_full(&self) -> CallRefusal {
+        self.refuse(CallRefusal::Overload {
+            reason: RefuseReason::QueueFull,
+            retry_after: NO_UPSTREAM_RETRY_AFTER,
+        })
+    }
+
     /// Sleeps with jitter, so that requests that wait on several hosts for the same upstreams do
     /// not all choose them at the same moment. A call that has not run yet sleeps no longer than
     /// until this host refuses such calls.
@@ -378,10 +523,13 @@
 
     /// The sends so far, as the choice of an upstream needs them.
     fn sends(&self) -> SendHistory<'_> {
+        let now = self.gateway.clock.now();
         SendHistory {
             tried: &self.tried,
             may_have_run: self.runs > 0,
             waits_for_limit: self.limit_wait.is_some(),
+            is_admitted: self.is_admitted,
+            standing: self.standing(now),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -63,6 +63,7 @@
 mod upstream_connector;
 mod upstream_incarnations;
 mod upstream_notices;
+mod waiting_calls;
 
 pub use advertised_limit::AdvertisedLimit;
 pub use call::Call;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -3,10 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::CallLane;
 use crate::decide::EngineModel;
 use crate::decide::InstanceView;
 use crate::decide::RefuseReason;
 use crate::decide::RequestLoad;
+use crate::decide::RoomCheck;
+use crate::decide::RoomRequest;
+use crate::decide::ShareStanding;
+use crate::decide::check_room;
 use crate::decide::choose_instance;
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
@@ -15,6 +20,7 @@
 use crate::decide::engines::PromptClass;
 use crate::decide::engines::choose_engines;
 use crate::decide::engines::count_engines;
+use crate::decide::engines::occupancy;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::EngineCountsRecord;
@@ -39,6 +45,9 @@
 /// the limit may have been lifted by then.
 const LIMIT_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
+/// The longest time after which a caller should retry whose customer is above its share.
+const SHARE_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
+
 /// The time after which a caller should retry when all upstreams that are left are evacuated or
 /// outside the allowed regions. Operators change that, which takes seconds at least.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -87,7 +96,7 @@
     Refuse(CallRefusal),
 }
 
-/// The previous sends of a call.
+/// The previous sends and choices of a call.
 pub(crate) struct SendHistory<'a> {
     /// The upstreams that the call was sent to.
     pub(crate) tried: &'a [UpstreamId],
@@ -95,6 +104,10 @@
     pub(crate) may_have_run: bool,
     /// Whether the call is already waiting for the limit of an upstream.
     pub(crate) waits_for_limit: bool,
+    /// Whether the call was let in by an earlier choice.
+    pub(crate) is_admitted: bool,
+    /// What the customer of the call wants compared with its share.
+    pub(crate) standing: ShareStanding,
 }
 
 /// Decides whether a call is sent now, and to which upstreams of its service, or waits, or is
@@ -141,6 +154,11 @@
             Some(model) => {
                 let request = engine_request(gateway, &routes, call, sends, now);
                 let views = engine_views(gateway, &usable, &limits, now);
+                if let Some(refusal) =
+                    check_engine_room(&routes, call, sends, model, &views, &request)
+                {
+                    return refusal;
+                }
                 decide_among_engines(call, model, &usable, &views, &request, now)
             }
             None => decide_among_instances(gateway, &usable, &limits, now),
@@ -156,6 +174,79 @@
     }
 }
 
+/// Checks whether a call that has just come is let in while the engines run short. Returns the
+/// refusal of one that is not.
+fn check_engine_room(
+    routes: &RouteTable,
+    call: &Call,
+    sends: &SendHistory<'_>,
+    model: &EngineModel,
+    views: &[EngineView],
+    request: &EngineRequest,
+) -> Option<PlacementDecision> {
+    if sends.is_admitted || sends.may_have_run || !routes.keys.is_required() {
+        return None;
+    }
+    let most_urgent = routes.most_urgent(&call.service);
+    let room = RoomRequest {
+        standing: sends.standing,
+        priority_steps: call.route.priority.0.saturating_sub(most_urgent.0),
+        occupancy: occupancy(model, views, request),
+    };
+    let retry_after = request.answer_time(model);
+    match check_room(&room, rand::random()) {
+        RoomCheck::Admit => None,
+        RoomCheck::AboveShare => {
+            let retry_after = retry_after
+                .mul_f64(sends.standing.ratio)
+                .min(SHARE_RETRY_AFTER_MAX);
+            Some(refuse(RefuseReason::CustomerLimit, retry_after))
+        }
+        RoomCheck::Full => Some(refuse(RefuseReason::QueueFull, retry_after)),
+    }
+}
+
+/// Checks whether a call is let in that has to wait behind others. Returns the refusal of one that
+/// is not.
+pub(crate) fn check_admission(
+    gateway: &Gateway,
+    call: &Call,
+    sends: &SendHistory<'_>,
+    now: Instant,
+) -> Option<CallRefusal> {
+    let routes = gateway.platform_view.routes()?;
+    let model = engine_model(&routes, call)?;
+    let by_service = gateway.platform_view.upstreams()?;
+    let listed = by_service.get(&call.service)?;
+    let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
+    let limits = LimitStates::of(gateway, &usable, now);
+    let views = engine_views(gateway, &usable, &limits, now);
+    let request = engine_request(gateway, &routes, call, sends, now);
+    match check_engine_room(&routes, call, sends, model, &views, &request) {
+        Some(PlacementDecision::Refuse(refusal)) => Some(refusal),
+        _ => None,
+    }
+}
+
+/// The lane in which a call waits.
+pub(crate) fn call_lane(gateway: &Gateway, call: &Call, now: Instant) -> CallLane {
+    let Some(routes) = gateway.platform_view.routes() else {
+        return CallLane::Plain;
+    };
+    let Some(model) = engine_model(&routes, call) else {
+        return CallLane::Plain;
+    };
+    let sends = SendHistory {
+        tried: &[],
+        may_have_run: false,
+        waits_for_limit: false,
+        is_admitted: true,
+        standing: ShareStanding::within(),
+    };
+    let request = engine_request(gateway, &routes, call, &sends, now);
+    CallLane::of_prompt(model, &request)
+}
+
 /// Handles a call while the limits of all upstreams are used up. The call waits if it can still be
 /// on time after the calls that are waiting already.
 fn wait_for_limit(
@@ -273,6 +364,7 @@
         objective_left: call.objective_left(now).max(patience_min),
         patience_left: call.patience_left(now).max(patience_min),
         time_left: call.time_left(now),
+        slot_wait_left: slot_wait_left(routes, call, sends, now),
         strictest_pause: routes.strictest_pause(&call.service),
         local_load_age_max: route.local_age_max,
         remote_load_age_max: route.remote_age_max,
@@ -281,6 +373,23 @@
     }
 }
 
+/// How long a call may still wait for a slot. Without customers in the manifest nobody's share has
+/// to be kept free, and calls wait while they can be on time.
+fn slot_wait_left(
+    routes: &RouteTable,
+    call: &Call,
+    sends: &SendHistory<'_>,
+    now: Instant,
+) -> Duration {
+    if sends.may_have_run {
+        call.time_left(now)
+    } else if routes.keys.is_required() {
+        call.slot_wait_left(now)
+    } else {
+        call.objective_left(now)
+    }
+}
+
 /// Chooses an instance of a plain service.
 fn decide_among_instances(
     gateway: &Gateway,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use crate::decide::PoisonList;
 use crate::decide::PoisonReport;
 use crate::decide::RetryWindow;
+use crate::decide::ShareStanding;
 use crate::exchange::UpdateRoute;
 use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
@@ -41,6 +42,7 @@
 use crate::gateway::starting_reader::FoundReader;
 use crate::gateway::tunnel::TunnelCounter;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
+use crate::gateway::waiting_calls::WaitingCalls;
 use crate::observe::SeenNames;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
@@ -125,6 +127,8 @@
     pub(crate) rate_limits: RateLimits,
     /// What upstreams have stated about whether they accept requests.
     pub(crate) availability: Mutex<AvailabilityTracker>,
+    /// The calls that wait for places at upstreams.
+    pub(crate) waiting: WaitingCalls,
     /// The tunnels that this host provides to others.
     pub(crate) tunnels: TunnelCounter,
     /// Limits the log lines about malformed notices, by upstream and kind of notice.
@@ -184,6 +188,7 @@
             slowdowns: Slowdowns::default(),
             rate_limits: RateLimits::new(started_at),
             availability: Mutex::default(),
+            waiting: WaitingCalls::default(),
             malformed_notices: LogLimiter::default(),
             unknown_headers: SeenNames::default(),
             crashes: Mutex::default(),
@@ -305,6 +310,16 @@
         check.is_allowed
     }
 
+    /// What the customer of a call wants of the service compared with its share.
+    pub(crate) fn share_standing(&self, _call: &Call, _now: Instant) -> ShareStanding {
+        ShareStanding::within()
+    }
+
+    /// The time of an engine that a call takes.
+    pub(crate) fn engine_time(&self, _call: &Call) -> Duration {
+        Duration::from_millis(1)
+    }
+
     /// Whether a call may be sent now: it has no customer, or its key is still valid, and the view
     /// of the keys on this host is recent enough. Checked right before each send, since a call may
     /// have waited.
--- /dev/null
+++ b/src/gateway/waiting_calls.rs
@@ -0,0 +1,171 @@
+//! The calls that wait on this host for places at upstreams.
+//!
+//! Each call decides about its own placement when it is its turn. A turn comes when the load that
+//! this host knows of has changed, or when the time is over after which the call wanted to be tried
+//! again. Whoever is woken passes the turn on to the calls ahead of it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::decide::CallLane;
+use crate::decide::CallQueue;
+use crate::decide::WaitRank;
+use crate::decide::WaitingCall;
+use crate::gateway::Gateway;
+use crate::units::RequestId;
+use crate::units::ServiceId;
+
+/// The calls of a service that wait for the same kind of place.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct LaneKey {
+    pub(crate) service: ServiceId,
+    pub(crate) lane: CallLane,
+}
+
+/// The waiting calls of one lane, and how to wake each of them.
+#[derive(Debug)]
+struct LaneCalls {
+    queue: CallQueue,
+    wakeups: IndexMap<RequestId, Arc<Notify>>,
+}
+
+impl LaneCalls {
+    fn new(lane: CallLane) -> Self {
+        Self {
+            queue: CallQueue::new(lane),
+            wakeups: IndexMap::new(),
+        }
+    }
+
+    /// Wakes the calls that may be tried now.
+    fn wake_heads(&self) {
+        for id in self.queue.heads() {
+            if let Some(wakeup) = self.wakeups.get(&id) {
+                wakeup.notify_one();
+            }
+        }
+    }
+}
+
+/// All waiting calls of a host, by lane.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingCalls(Mutex<IndexMap<LaneKey, LaneCalls>>);
+
+impl WaitingCalls {
+    /// Whether a call of this rank that has just come must wait behind others.
+    pub(crate) fn is_behind_others(&self, key: &LaneKey, rank: WaitRank) -> bool {
+        let lanes = self.lock();
+        let calls = lanes.get(key);
+        calls.is_some_and(|calls| calls.queue.is_behind_others(rank))
+    }
+
+    /// Wakes the first calls of all lanes, because the load at upstreams has changed.
+    pub(crate) fn wake_heads(&self) {
+        for calls in self.lock().values() {
+            calls.wake_heads();
+        }
+    }
+
+    /// The number of waiting calls of each service and lane in which calls have waited.
+    pub(crate) fn counts(&self) -> Vec<(LaneKey, usize)> {
+        let lanes = self.lock();
+        let counts = lanes
+            .iter()
+            .map(|(key, calls)| (key.clone(), calls.queue.len()));
+        counts.collect()
+    }
+
+    /// Adds a call. Returns false if its lane is full.
+    fn push(&self, key: &LaneKey, call: WaitingCall, wakeup: &Arc<Notify>) -> bool {
+        let id = call.id;
+        let mut lanes = self.lock();
+        let calls = lanes.entry(key.clone());
+        let calls = calls.or_insert_with(|| LaneCalls::new(key.lane));
+        if !calls.queue.push(call) {
+            return false;
+        }
+        calls.wakeups.insert(id, Arc::clone(wakeup));
+        true
+    }
+
+    /// Calls `access` with the locked calls of a lane; returns none if no call ever waited there.
+    fn with_lane<T>(&self, key: &LaneKey, access: impl FnOnce(&mut LaneCalls) -> T) -> Option<T> {
+        self.lock().get_mut(key).map(access)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<LaneKey, LaneCalls>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The place of a call among the waiting ones, which it leaves when this is dropped.
+pub(crate) struct WaitingPlace {
+    gateway: Arc<Gateway>,
+    key: LaneKey,
+    id: RequestId,
+    wakeup: Arc<Notify>,
+}
+
+impl WaitingPlace {
+    /// Adds a call to a lane; none if the lane is full.
+    pub(crate) fn join(gateway: &Arc<Gateway>, key: LaneKey, call: WaitingCall) -> Option<Self> {
+        let id = call.id;
+        let wakeup = Arc::new(Notify::new());
+        gateway.waiting.push(&key, call, &wakeup).then(|| Self {
+            gateway: Arc::clone(gateway),
+            key,
+            id,
+            wakeup,
+        })
+    }
+
+    /// Waits for the turn of this call: until it is woken, or `retry_in` is over, and no call that
+    /// comes first has yet to be tried. Returns at `until` at the latest.
+    pub(crate) async fn turn(&self, rank: WaitRank, retry_in: Duration, until: Instant) {
+        let calls = &self.gateway.waiting;
+        calls.with_lane(&self.key, |calls| calls.queue.set_rank(&self.id, rank));
+        loop {
+            let left = until.saturating_duration_since(self.gateway.clock.now());
+            tokio::select! {
+                () = self.wakeup.notified() => {}
+                () = sleep(retry_in.min(left)) => {}
+            }
+            let is_over = self.gateway.clock.now() >= until;
+            let is_next = calls.with_lane(&self.key, |calls| {
+                let is_next = calls.queue.heads().contains(&self.id);
+                if !is_next {
+                    calls.wake_heads();
+                }
+                is_next
+            });
+            if is_over || is_next.unwrap_or(true) {
+                return;
+            }
+        }
+    }
+
+    /// Leaves the waiting calls because the call has got a place, whose cost its customer is
+    /// charged.
+    pub(crate) fn leave_for_send(self) {
+        let calls = &self.gateway.waiting;
+        calls.with_lane(&self.key, |calls| calls.queue.take(&self.id));
+    }
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        self.gateway.waiting.with_lane(&self.key, |calls| {
+            calls.queue.remove(&self.id);
+            calls.wakeups.swap_remove(&self.id);
+            calls.wake_heads();
+        });
+    }
+}
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -10,6 +10,7 @@
 use crate::routing::Route;
 use crate::routing::Service;
 use crate::units::Generation;
+use crate::units::Priority;
 use crate::units::ServiceId;
 
 /// The routes of a manifest, indexed by host name and path prefix, with the services, API keys and
@@ -28,6 +29,8 @@
     by_hostname: IndexMap<String, Vec<Arc<Route>>>,
     /// The strictest limit on the pause between two events among the routes to each service.
     strictest_pauses: IndexMap<ServiceId, Duration>,
+    /// The most urgent priority among the routes to each service.
+    most_urgent: IndexMap<ServiceId, Priority>,
 }
 
 impl RouteTable {
@@ -36,6 +39,7 @@
     pub fn new(generation: Generation, routes: Vec<Route>) -> Self {
         let mut by_hostname: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
         let strictest_pauses = strictest_pauses(&routes);
+        let most_urgent = most_urgent(&routes);
         for route in routes {
             by_hostname
                 .entry(route.hostname.to_ascii_lowercase())
@@ -49,6 +53,7 @@
             generation,
             by_hostname,
             strictest_pauses,
+            most_urgent,
             ..Self::default()
         }
     }
@@ -59,6 +64,11 @@
         self.strictest_pauses.get(service).copied()
     }
 
+    /// The most urgent priority among the routes to a service; 0 if none leads there.
+    pub fn most_urgent(&self, service: &ServiceId) -> Priority {
+        self.most_urgent.get(service).copied().unwrap_or_default()
+    }
+
     /// The route of a call: among the routes of the host name, the one with the longest matching
     /// path prefix; none if no route matches. `authority` may include a port.
     pub fn route(&self, authority: &str, path: &str) -> Option<&Arc<Route>> {
@@ -93,3 +103,16 @@
     }
     strictest
 }
+
+fn most_urgent(routes: &[Route]) -> IndexMap<ServiceId, Priority> {
+    let mut most_urgent = IndexMap::new();
+    for route in routes {
+        for target in &route.targets {
+            let known = most_urgent
+                .entry(target.service.clone())
+                .or_insert(route.priority);
+            *known = route.priority.min(*known);
+        }
+    }
+    most_urgent
+}
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -56,6 +56,14 @@
     "an idempotency key of 1 to 128 characters out of A-Z a-z 0-9 . _ : @ / -"
 );
 
+impl CustomerId {
+    /// The account of requests that belong to no customer. No customer can have its name, which
+    /// contains characters that names do not.
+    pub fn none() -> Self {
+        Self("(none)".into())
+    }
+}
+
 impl PoolId {
     /// The name of the pool that holds shard `shard` of a target's upstreams in a failure domain.
     pub fn new(domain: &FailureDomainId, target: &TargetId, shard: u32) -> Self {
--- a/tests/decide_engines.rs
+++ b/tests/decide_engines.rs
@@ -64,6 +64,7 @@
         objective_left: ms(if prompt > 100_000 { 3_000 } else { 300 }),
         patience_left: ms(if prompt > 100_000 { 12_000 } else { 2_000 }),
         time_left: ms(15_000),
+        slot_wait_left: ms(3_000),
         strictest_pause: Some(Duration::from_millis(200)),
         local_load_age_max: Duration::ZERO,
         remote_load_age_max: Duration::ZERO,
--- a/tests/decide_engines_near.rs
+++ b/tests/decide_engines_near.rs
@@ -57,6 +57,7 @@
         objective_left: ms(if prompt > 100_000 { 4_000 } else { 300 }),
         patience_left: ms(12_000),
         time_left: ms(15_000),
+        slot_wait_left: ms(3_000),
         strictest_pause: Some(Duration::from_millis(200)),
         local_load_age_max: ms(97),
         remote_load_age_max: ms(100),
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -190,6 +190,7 @@
             patience_left: stream_caller_timeout(class.objective, Some(class.pause))
                 .saturating_sub(waited),
             time_left,
+            slot_wait_left: (class.objective / 4).saturating_sub(waited),
             strictest_pause: self.site.classes.iter().map(|class| class.pause).min(),
             local_load_age_max: self.site.report_interval,
             remote_load_age_max: self.site.remote_load_age_max,
