Evacuations: a list that is lost alone is regained from another host

Cause, read from the code and shown by the test, which waits in vain on the former code: a host reports the age of its manifest and upstreams, not of its evacuations, and is woken only if these two are stale. A failed call puts the host's next one up to twice the shared retry interval away. The one wakeup that the evacuations got, when the other lists were regained, asked a host that did not have them again either, and was the last.

Change: an update tells the age of the sender's evacuations (tag 20). An update of a host with fresh evacuations wakes the read of a host whose own are stale, however far its next call is, at most ten times a second. The host that is asked is chosen by the age of the list in question, and one that answers without a fresh list is left out until its next update. Only hosts that lack this list share its retries. A host that could call the store again asks another host first if that reports the list fresh, so there are fewer calls to the store, not more.

Hosts of the former build report no age and are asked as before.

--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -68,6 +68,10 @@
     /// leaving.
     #[prost(fixed64, repeated, tag = "18")]
     pub leaving_upstreams: Vec<u64>,
+    /// One more than the time since the sender's evacuations were last confirmed to be current, in
+    /// ms; 0 if the sender does not report it or has not read them.
+    #[prost(uint32, tag = "20")]
+    pub evacuations_age_plus_one_ms: u32,
 }
 
 /// The load at one upstream.
--- a/src/gateway/catalog_sharing/catalog_cache.rs
+++ b/src/gateway/catalog_sharing/catalog_cache.rs
@@ -241,11 +241,14 @@
         Some(routes.min(lists.upstreams_confirmed_at?))
     }
 
-    /// Whether the manifest and the upstreams are fresh enough at `now`, since boot, for other
-    /// hosts to use them.
-    pub(crate) fn is_fresh(&self, now: Duration) -> bool {
-        self.confirmed_at()
-            .is_some_and(|confirmed_at| is_fresh(confirmed_at, now))
+    /// Whether a list is fresh enough at `now`, since boot, for other hosts to use it. The manifest
+    /// and the upstreams are fresh only together, and the hosts as long as these are.
+    pub(crate) fn is_fresh(&self, list: ListKind, now: Duration) -> bool {
+        let confirmed_at = match list {
+            ListKind::Evacuations => self.evacuations_confirmed_at(),
+            ListKind::Routes | ListKind::Upstreams | ListKind::Hosts => self.confirmed_at(),
+        };
+        confirmed_at.is_some_and(|confirmed_at| is_fresh(confirmed_at, now))
     }
 
     /// Responds to a request of another host at `now`, since boot.
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -42,6 +42,16 @@
 }
 
 impl ListKind {
+    /// The list's name in the decision log and in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Routes => "manifest",
+            Self::Upstreams => "upstreams",
+            Self::Hosts => "hosts",
+            Self::Evacuations => "evacuations",
+        }
+    }
+
     /// Whether a host of an earlier version may lack this list.
     pub(crate) fn may_be_unknown(self) -> bool {
         matches!(self, Self::Hosts | Self::Evacuations)
--- a/src/gateway/catalog_sharing/mod.rs
+++ b/src/gateway/catalog_sharing/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) use catalog_cache::is_fresh;
 pub(crate) use client::is_responding;
 pub(crate) use cursor::WATCH_WAIT;
+pub(crate) use message::ListKind;
 pub(crate) use message::MESSAGE_SIZE_MAX;
 pub(crate) use message::PeerConnection;
 pub(crate) use message::ReadRequest;
--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -398,10 +398,10 @@
         let includes_unheard = known_version != 0;
         let mut result = PeerResult::NoResponse;
         for _ in 0..READERS_TRIED_MAX {
-            let Some(reader) = self
-                .gateway
-                .reader_selector
-                .select(&self.gateway, includes_unheard)
+            let Some(reader) =
+                self.gateway
+                    .reader_selector
+                    .select(&self.gateway, list, includes_unheard)
             else {
                 // The other hosts have no fresh list, so this host reads the platform.
                 return PeerResult::NoResponse;
@@ -413,6 +413,10 @@
                 PeerResult::Fresh(..) | PeerResult::Absent => return result,
                 // The reader may have just started too.
                 PeerResult::Stale if self.gateway.awaits_starting_reader() => return result,
+                PeerResult::Stale if list == ListKind::Evacuations => {
+                    let selector = &self.gateway.reader_selector;
+                    selector.on_stale_evacuations(&reader.host);
+                }
                 // A host without this list may run the previous version and have fresh manifests
                 // and upstreams.
                 PeerResult::Stale if list.may_be_unknown() => {}
--- a/src/gateway/catalog_sharing/reader_selector.rs
+++ b/src/gateway/catalog_sharing/reader_selector.rs
@@ -16,6 +16,7 @@
 
 use crate::exchange::ListedHost;
 use crate::gateway::Gateway;
+use crate::gateway::catalog_sharing::message::ListKind;
 use crate::units::HostId;
 
 /// How long a host that did not respond, or had no fresh list, is not selected. This is longer than
@@ -40,30 +41,64 @@
     Stale,
 }
 
+/// The times since boot at which the lists of a host were current, as reported by that host.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportedLists {
+    /// The older of its manifest and its upstreams; none if it has not reported them.
+    lists: Option<Duration>,
+    /// Its evacuations; none if it does not report them.
+    evacuations: Option<Duration>,
+}
+
 /// What is known of the hosts that can be selected.
 #[derive(Debug, Default)]
 struct SelectorState {
     /// Hosts that are not selected, with the reason and the time since which they are not.
     unavailable: IndexMap<HostId, (Unavailable, Instant)>,
-    /// The host that was selected last; none while this host reads the platform itself.
+    /// The host that was selected last for lists other than the evacuations; none while this host
+    /// reads the platform itself.
     selected: Option<HostId>,
-    /// The time since boot at which the lists of each host were current, as reported by that host.
-    reported: IndexMap<HostId, Duration>,
+    /// The reports of each host on its lists.
+    reported: IndexMap<HostId, ReportedLists>,
     /// When this host itself last reached the platform.
     platform_reached_at: Option<Instant>,
 }
 
 impl SelectorState {
-    fn is_available(&self, host: &HostId, now: Instant) -> bool {
-        let unavailable = self.unavailable.get(host);
-        unavailable.is_none_or(|(_, since)| !is_unavailable(*since, now))
+    /// Whether a host is not excluded from the selection for a list. A host is not excluded because
+    /// its other lists were stale if it has since reported that this one is fresh. `at` is since
+    /// boot.
+    fn is_available(&self, host: &HostId, list: ListKind, now: Instant, at: Duration) -> bool {
+        let Some((why, since)) = self.unavailable.get(host) else {
+            return true;
+        };
+        let has_this_list =
+            list == ListKind::Evacuations && self.is_fresh(host, list, at) == Some(true);
+        !is_unavailable(*since, now) || (*why == Unavailable::Stale && has_this_list)
+    }
+
+    /// The report of a host, which is empty if there was none.
+    fn report_of(&mut self, host: &HostId) -> &mut ReportedLists {
+        if !self.reported.contains_key(host) {
+            self.reported.insert(host.clone(), ReportedLists::default());
+        }
+        &mut self.reported[host]
     }
 
-    /// Whether the lists of a host are fresh according to its report; none if it has not reported.
+    /// Whether a list of a host is fresh according to its report; none if it has not reported that
+    /// list. The evacuations of a host that does not report them are as stale as its other lists.
     /// `at` is since boot.
-    fn is_fresh(&self, host: &HostId, at: Duration) -> Option<bool> {
-        let confirmed_at = self.reported.get(host)?;
-        Some(at.saturating_sub(*confirmed_at) <= REPORTED_AGE_MAX)
+    fn is_fresh(&self, host: &HostId, list: ListKind, at: Duration) -> Option<bool> {
+        let reported = self.reported.get(host)?;
+        let is_fresh = |confirmed_at: Duration| at.saturating_sub(confirmed_at) <= REPORTED_AGE_MAX;
+        let lists = reported.lists.map(is_fresh);
+        match list {
+            ListKind::Routes | ListKind::Upstreams | ListKind::Hosts => lists,
+            ListKind::Evacuations => reported
+                .evacuations
+                .map(is_fresh)
+                .or(lists.filter(|is_fresh| !is_fresh)),
+        }
     }
 }
 
@@ -110,18 +145,34 @@
         {
             state.unavailable.swap_remove(host);
         }
-        match state.reported.get_mut(host) {
-            Some(known) => *known = confirmed_at,
-            None => {
-                state.reported.insert(host.clone(), confirmed_at);
-            }
-        }
-        state.is_available(host, now)
+        state.report_of(host).lists = Some(confirmed_at);
+        let at = confirmed_at + age;
+        state.is_available(host, ListKind::Routes, now, at)
     }
 
-    /// Number of hosts of this failure domain, this one included, that are alive and have no fresh
-    /// lists: those that share the retries of calls to the platform.
-    pub(crate) fn retrying_hosts(&self, gateway: &Gateway) -> u32 {
+    /// Records the time since boot at which a host's evacuations were current according to its
+    /// report, or that it does not report them. Returns whether they can be requested from it. `at`
+    /// is the time of the report since boot.
+    pub(crate) fn on_evacuations_report(
+        &self,
+        host: &HostId,
+        confirmed_at: Option<Duration>,
+        now: Instant,
+        at: Duration,
+    ) -> bool {
+        let mut state = self.lock();
+        state.report_of(host).evacuations = confirmed_at;
+        state.is_available(host, ListKind::Evacuations, now, at)
+    }
+
+    /// Records that a host has responded without fresh evacuations, until its next report.
+    pub(crate) fn on_stale_evacuations(&self, host: &HostId) {
+        self.lock().report_of(host).evacuations = Some(Duration::ZERO);
+    }
+
+    /// Number of hosts of this failure domain, this one included, that are alive and do not have
+    /// this list fresh: those that share the retries of calls to the platform.
+    pub(crate) fn retrying_hosts(&self, gateway: &Gateway, list: ListKind) -> u32 {
         let now = gateway.clock.now();
         let at = gateway.clock.since_boot();
         let hosts = gateway.platform_view.hosts();
@@ -130,7 +181,7 @@
         let is_retrying = |listed: &&ListedHost| {
             listed.domain == gateway.conf.domain
                 && ledger.is_host_live(&listed.host, now)
-                && state.is_fresh(&listed.host, at) == Some(false)
+                && state.is_fresh(&listed.host, list, at) == Some(false)
         };
         let others = hosts.iter().filter(is_retrying).count();
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
@@ -144,15 +195,21 @@
         self.lock().selected.as_ref() == Some(host)
     }
 
-    /// Selects the host that reads the platform for this one, and records it for
-    /// [`ReaderSelector::is_selected`]. Returns none if this host is to read the platform itself.
+    /// Selects the host that reads a list of the platform for this one. Unless the list is that of
+    /// the evacuations, it is recorded for [`ReaderSelector::is_selected`]. Returns none if this
+    /// host is to read the platform itself.
     ///
     /// Candidates are this host, the starting reader, and the hosts from which updates arrived
-    /// recently and whose lists are not known to be stale, unless they are excluded for now. Hosts
+    /// recently and whose list is not known to be stale, unless they are excluded for now. Hosts
     /// of this failure domain are preferred, then the starting reader, then the collector of
     /// updates, then the first by name. `includes_unheard` says whether hosts from which no update
     /// has arrived yet are also candidates right after the start.
-    pub(crate) fn select(&self, gateway: &Gateway, includes_unheard: bool) -> Option<ListedHost> {
+    pub(crate) fn select(
+        &self,
+        gateway: &Gateway,
+        list: ListKind,
+        includes_unheard: bool,
+    ) -> Option<ListedHost> {
         let now = gateway.clock.now();
         let hosts = gateway.platform_view.hosts();
         let collector = gateway.update_route().collector;
@@ -173,17 +230,18 @@
             let is_alive = (includes_unheard && has_just_started)
                 || is_starting_reader(listed)
                 || ledger.is_host_live(&listed.host, now);
-            let is_stale = state.is_fresh(&listed.host, at) == Some(false);
-            (is_own || (is_alive && !is_stale)) && state.is_available(&listed.host, now)
+            let is_stale = state.is_fresh(&listed.host, list, at) == Some(false);
+            let is_available = state.is_available(&listed.host, list, now, at);
+            (is_own || (is_alive && !is_stale)) && is_available
         };
-        let lacks_fresh_lists = !gateway.catalog_cache.is_fresh(at);
+        let lacks_fresh_list = !gateway.catalog_cache.is_fresh(list, at);
         // If no host of this domain has fresh lists, a host of another domain is selected. If this
-        // host has no fresh lists itself, hosts that have reported fresh ones are preferred.
+        // host has no fresh list itself, hosts that have reported a fresh one are preferred.
         let rank = |listed: &&ListedHost| {
             let is_other_domain = listed.domain != conf.domain;
-            let has_not_reported = lacks_fresh_lists
+            let has_not_reported = lacks_fresh_list
                 && !is_starting_reader(listed)
-                && !state.reported.contains_key(&listed.host);
+                && state.is_fresh(&listed.host, list, at).is_none();
             let is_collector = collector.as_ref() == Some(&listed.host);
             (
                 is_other_domain,
@@ -196,10 +254,21 @@
         let listed = hosts.iter().chain(unlisted_reader);
         let first = listed.filter(is_candidate).min_by_key(rank);
         let other = first.filter(|first| first.host != conf.host).cloned();
-        state.selected = other.as_ref().map(|other| other.host.clone());
+        if list != ListKind::Evacuations {
+            state.selected = other.as_ref().map(|other| other.host.clone());
+        }
         other
     }
 
+    /// Whether the host from which this one would request a list reports that it has a fresh one.
+    pub(crate) fn has_fresh_peer(&self, gateway: &Gateway, list: ListKind) -> bool {
+        let Some(reader) = self.select(gateway, list, false) else {
+            return false;
+        };
+        let at = gateway.clock.since_boot();
+        self.lock().is_fresh(&reader.host, list, at) == Some(true)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SelectorState> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -31,6 +31,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
+use crate::gateway::catalog_sharing::ListKind;
 use crate::gateway::catalog_sharing::is_fresh;
 use crate::units::AttemptId;
 use crate::units::ContentHash;
@@ -75,7 +76,9 @@
         let (routes_version, upstreams_version) = self.catalog_cache.versions();
         let (unreachable_upstreams, unreachable_domains) = self.unreachable_reports(now);
         HostUpdate {
-            confirmed_age_plus_one_ms: self.list_age_plus_one_ms(),
+            confirmed_age_plus_one_ms: self.age_plus_one_ms(self.catalog_cache.confirmed_at()),
+            evacuations_age_plus_one_ms: self
+                .age_plus_one_ms(self.catalog_cache.evacuations_confirmed_at()),
             slowdowns: self.slowdowns.own(now).iter().map(slowdown_entry).collect(),
             limits: self
                 .rate_limits
@@ -121,6 +124,7 @@
         }
         self.apply_versions(&host, &update);
         self.apply_list_age(&host, &update, now);
+        self.apply_evacuations_age(&host, &update, now);
         self.apply_unreachable(&host, &update, now);
         let source = match update.scope() {
             MessageScope::Domain => LoadSource::Collector(host),
@@ -233,14 +237,11 @@
         self.health_changed.notify_one();
     }
 
-    /// The age in ms, plus one, of the older of this host's manifest and upstreams; 0 if one of
-    /// them was not read yet.
-    fn list_age_plus_one_ms(&self) -> u32 {
+    /// The age in ms, plus one, of lists that were confirmed at this time since boot; 0 if there
+    /// are none.
+    fn age_plus_one_ms(&self, confirmed_at: Option<Duration>) -> u32 {
         let now = self.clock.since_boot();
-        let age = self
-            .catalog_cache
-            .confirmed_at()
-            .map(|at| now.saturating_sub(at));
+        let age = confirmed_at.map(|at| now.saturating_sub(at));
         age.map_or(0, |age| whole_millis_u32(age).saturating_add(1))
     }
 
@@ -256,12 +257,29 @@
         let can_be_asked = self
             .reader_selector
             .on_age_report(host, confirmed_at, age, now);
-        if can_be_asked && is_fresh(confirmed_at, at) && !self.catalog_cache.is_fresh(at) {
+        let is_stale = !self.catalog_cache.is_fresh(ListKind::Routes, at);
+        if can_be_asked && is_fresh(confirmed_at, at) && is_stale {
             self.routes_changed.notify_one();
             self.upstreams_changed.notify_one();
         }
     }
 
+    /// Records the age that a host reports of its evacuations. If these are fresh and this host's
+    /// own are stale, the task that reads them is woken to read from that host.
+    fn apply_evacuations_age(&self, host: &HostId, update: &HostUpdate, now: Instant) {
+        let at = self.clock.since_boot();
+        let age_ms = update.evacuations_age_plus_one_ms.checked_sub(1);
+        let confirmed_at =
+            age_ms.map(|age_ms| at.saturating_sub(Duration::from_millis(age_ms.into())));
+        let can_be_asked = self
+            .reader_selector
+            .on_evacuations_report(host, confirmed_at, now, at);
+        let is_fresh = confirmed_at.is_some_and(|confirmed_at| is_fresh(confirmed_at, at));
+        if can_be_asked && is_fresh && !self.catalog_cache.is_fresh(ListKind::Evacuations, at) {
+            self.evacuations_changed.notify_one();
+        }
+    }
+
     /// Wakes the tasks that read the platform if the host that was selected to read for this one
     /// has a newer manifest or another list of upstreams.
     fn apply_versions(&self, host: &HostId, update: &HostUpdate) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -21,6 +21,7 @@
 use crate::gateway::RoutesUpdate;
 use crate::gateway::broadcast_hosts::BroadcastHosts;
 use crate::gateway::catalog_sharing::CatalogReader;
+use crate::gateway::catalog_sharing::ListKind;
 use crate::gateway::catalog_sharing::ReadError;
 use crate::gateway::catalog_sharing::ReadSource;
 use crate::gateway::catalog_sharing::WATCH_WAIT;
@@ -46,7 +47,7 @@
 /// process runs.
 pub(crate) async fn sync_routes(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), Arc::clone(&catalog));
-    let mut dependency = Dependency::new(&gateway, "manifest");
+    let mut dependency = Dependency::new(&gateway, ListKind::Routes);
     // Whether the manifest that was read last is in force. One that can't be decoded or is older
     // than the one in force is not put in force, and reading it again renews no lease.
     let mut is_in_force = true;
@@ -136,7 +137,7 @@
 pub(crate) async fn sync_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
-    let mut dependency = Dependency::new(&gateway, "upstreams");
+    let mut dependency = Dependency::new(&gateway, ListKind::Upstreams);
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
     loop {
@@ -160,7 +161,7 @@
 /// Reads the evacuations and applies their changes for as long as the process runs.
 pub(crate) async fn sync_evacuations(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
-    let mut dependency = Dependency::new(&gateway, "evacuations");
+    let mut dependency = Dependency::new(&gateway, ListKind::Evacuations);
     let mut evacuated = Arc::default();
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
@@ -244,7 +245,7 @@
         exchange_addr,
         processors: Some(gateway.conf.processors),
     };
-    let mut dependency = Dependency::new(&gateway, "hosts");
+    let mut dependency = Dependency::new(&gateway, ListKind::Hosts);
     let mut reader = CatalogReader::new(Arc::clone(&gateway), Arc::clone(&catalog));
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
--- a/tests/gateway_evacuations.rs
+++ b/tests/gateway_evacuations.rs
@@ -2,13 +2,24 @@
 
 mod gateway_world;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use banyanarch::exchange::ExchangeHandler;
+use banyanarch::exchange::HostUpdate;
+use banyanarch::exchange::ListedHost;
+use banyanarch::gateway::Catalog;
 use banyanarch::routing::ColdStart;
 use banyanarch::routing::RouteTable;
 use banyanarch::routing::Service;
 use banyanarch::units::RequestsPerSecond;
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -17,7 +28,16 @@
 use gateway_world::upstream::ScriptStep;
 use gateway_world::upstream::ScriptedUpstream;
 use gateway_world::wait_until;
+use prost::Message;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// The number of the list of evacuations in a [`ReadRequest`].
+const EVACUATIONS: i32 = 3;
+/// The name of a host that the test plays.
+const OTHER: &str = "a-other";
 
 /// A platform with one upstream of the same service in each of the failure domains `here`, which is
 /// that of the hosts, and `there`.
@@ -126,6 +146,154 @@
     assert!(world.here.arrivals().is_empty());
 }
 
+/// The hosts `a-first`, which reads the platform, and `b-second`, which reads through it, each with
+/// its own link to the platform.
+async fn two_hosts(world: &World) -> [(TestHost, Arc<FakeCatalog>); 2] {
+    let mut hosts = Vec::new();
+    for name in ["a-first", "b-second"] {
+        let link = world.catalog.separate_link();
+        hosts.push((TestHost::start(name, &link).await, link));
+    }
+    for (host, _) in &hosts {
+        host.wait_for_hosts(2).await;
+    }
+    hosts.try_into().ok().unwrap()
+}
+
+/// Waits until a host has logged that it can no longer read the evacuations.
+async fn wait_for_loss(host: &TestHost) {
+    let is_loss = |line: &serde_json::Value| {
+        line["event"] == "dependency_lost" && line["dependency"] == "evacuations"
+    };
+    wait_until(|| host.log.lines().iter().any(is_loss)).await;
+}
+
+/// Guards against a host that lacks the evacuations for as long as it cannot read them itself,
+/// although another host has them again, because its other lists were never lost.
+#[tokio::test]
+async fn evacuations_that_are_lost_alone_are_regained_from_another_host() {
+    let world = World::start().await;
+    let [(first, first_link), (second, second_link)] = two_hosts(&world).await;
+    for link in [&first_link, &second_link] {
+        link.set_evacuations_unreadable(true);
+    }
+    wait_for_loss(&first).await;
+    wait_for_loss(&second).await;
+    first_link.set_evacuations_unreadable(false);
+    world.catalog.evacuate("here");
+    wait_for_changes(&first, 2).await;
+    wait_for_changes(&second, 2).await;
+    assert_eq!(call(&second).await.1, "there");
+    // From then on the second host reads through the first one again.
+    let (read_before, called_before) = (
+        first_link.evacuation_reads(),
+        second_link.evacuation_reads(),
+    );
+    wait_until(|| first_link.evacuation_reads() >= read_before + 3).await;
+    assert_eq!(second_link.evacuation_reads(), called_before);
+}
+
+/// A request of a host for a list of another one.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct ReadRequest {
+    #[prost(int32, tag = "1")]
+    list: i32,
+    #[prost(uint64, tag = "2")]
+    known_version: u64,
+}
+
+/// The response of a host to a request for evacuations, none of which it knows.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct ReadResponse {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(uint64, tag = "12")]
+    as_of: u64,
+}
+
+/// Responds as the host [`OTHER`] to requests for evacuations, and counts them. That host has the
+/// same versions of the other lists as the one that requests them.
+async fn serve_evacuations(
+    listener: TcpListener,
+    response: ReadResponse,
+    requests: Arc<AtomicUsize>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (response, requests) = (response.clone(), Arc::clone(&requests));
+        tokio::spawn(async move {
+            let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
+            while let Some(Ok(frame)) = framed.next().await {
+                let request = ReadRequest::decode(frame).unwrap();
+                let is_evacuations = request.list == EVACUATIONS;
+                let unchanged = ReadResponse {
+                    version: request.known_version,
+                    ..ReadResponse::default()
+                };
+                let response = if is_evacuations {
+                    &response
+                } else {
+                    &unchanged
+                };
+                let bytes = Bytes::from(response.encode_to_vec());
+                framed.send(bytes).await.unwrap();
+                requests.fetch_add(usize::from(is_evacuations), Ordering::Relaxed);
+            }
+        });
+    }
+}
+
+/// Lists the host [`OTHER`], and delivers its updates for as long as the test runs.
+async fn list_other(world: &World, host: &TestHost, exchange_addr: SocketAddr) {
+    let other = ListedHost {
+        host: OTHER.parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr,
+        processors: None,
+    };
+    world.catalog.register_host(other).await.unwrap();
+    let gateway = Arc::clone(&host.gateway);
+    tokio::spawn(async move {
+        loop {
+            gateway.on_update(HostUpdate {
+                host: OTHER.to_owned(),
+                confirmed_age_plus_one_ms: 1,
+                evacuations_age_plus_one_ms: 1,
+                ..HostUpdate::default()
+            });
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+    host.wait_for_hosts(2).await;
+}
+
+/// Guards against requests to other hosts without end while one of them reports evacuations that it
+/// does not have.
+#[tokio::test]
+async fn a_host_that_has_no_fresh_evacuations_is_asked_at_a_bounded_rate() {
+    let world = World::start().await;
+    let host = TestHost::start("b-host", &world.catalog).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let exchange_addr = listener.local_addr().unwrap();
+    let response = ReadResponse {
+        version: 7,
+        age_ms: 60_000,
+        as_of: 0,
+    };
+    let requests = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_evacuations(listener, response, Arc::clone(&requests)));
+    list_other(&world, &host, exchange_addr).await;
+    world.catalog.set_evacuations_unreadable(true);
+    wait_until(|| requests.load(Ordering::Relaxed) >= 1).await;
+    let since = Instant::now();
+    wait_until(|| requests.load(Ordering::Relaxed) >= 21).await;
+    // Each read asks at most two hosts, and reads are a tenth of a second apart.
+    assert!(since.elapsed() >= Duration::from_millis(900));
+}
+
 /// Guards against a restarted host that serves before it knows the evacuations again.
 #[tokio::test]
 async fn a_host_that_does_not_know_the_evacuations_is_not_ready() {
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -80,6 +80,7 @@
     are_evacuations_unreadable: AtomicBool,
     are_hosts_unavailable: AtomicBool,
     reads: AtomicUsize,
+    evacuation_reads: AtomicUsize,
     whole_reads: AtomicUsize,
     /// The addresses that this link reports for upstreams, by id, in place of the listed ones.
     addrs: Mutex<IndexMap<String, SocketAddr>>,
@@ -235,6 +236,11 @@
         self.reads.load(Ordering::Relaxed)
     }
 
+    /// How often the evacuations were requested.
+    pub fn evacuation_reads(&self) -> usize {
+        self.evacuation_reads.load(Ordering::Relaxed)
+    }
+
     /// How often the complete list of upstreams was requested.
     pub fn whole_reads(&self) -> usize {
         self.whole_reads.load(Ordering::Relaxed)
@@ -385,6 +391,7 @@
         &self,
         watch: Option<Watch>,
     ) -> BoxFuture<'_, Result<CatalogRead<EvacuationsRead>, CatalogError>> {
+        self.evacuation_reads.fetch_add(1, Ordering::Relaxed);
         self.read_evacuations(watch).boxed()
     }
 
