Evacuations: the earlier list of another host no longer undoes one

What callers would see: requests to an evacuated failure domain from a host that knew of the evacuation, until its next read 0.6 s later.

Cause: a list counted as newer if it was requested later. The content of a read is from any moment between its request and its response, a watch waits up to 0.6 s for a change, so of two reads that overlap the one that was requested later may have the earlier content.

Change: a host keeps the last change of the store that its evacuations include and tells it in its responses (as_of, tag 12). Of two lists that differ the one with the later change holds, eras of the store included; with the same change, or none told, the later confirmed one, as before. A list with an earlier change confirms nothing.

--- a/src/gateway/catalog_sharing/catalog_cache.rs
+++ b/src/gateway/catalog_sharing/catalog_cache.rs
@@ -53,6 +53,54 @@
     upstreams_confirmed_at: Option<Duration>,
     hosts: Option<Confirmed<Vec<ListedHost>>>,
     evacuations: Option<Confirmed<IndexSet<FailureDomainId>>>,
+    /// The last change of the platform that `evacuations` include; none if it is not known.
+    evacuations_as_of: Option<ObjectVersion>,
+}
+
+impl Lists {
+    fn evacuations_version(&self) -> u64 {
+        self.evacuations.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// Whether evacuations that the platform listed after `as_of`, and that were current at
+    /// `confirmed_at`, are later than the known ones.
+    ///
+    /// A read confirms its content for the moment at which it was requested, and the content may be
+    /// from any moment until the response. So of two reads that overlap, the one that was requested
+    /// later may have the earlier content, and only the platform's own order decides.
+    fn are_later_evacuations(&self, as_of: Option<ObjectVersion>, confirmed_at: Duration) -> bool {
+        let Some(known) = &self.evacuations else {
+            return true;
+        };
+        match (self.evacuations_as_of, as_of) {
+            (Some(known), Some(as_of)) if known != as_of => known < as_of,
+            _ => known.confirmed_at < confirmed_at,
+        }
+    }
+
+    fn set_evacuations(
+        &mut self,
+        domains: IndexSet<FailureDomainId>,
+        as_of: Option<ObjectVersion>,
+        confirmed_at: Duration,
+    ) -> bool {
+        let before = self.evacuations_version();
+        let version = evacuations_version_of(&domains);
+        self.evacuations = Some(Confirmed {
+            version,
+            value: Arc::new(domains),
+            confirmed_at,
+        });
+        self.evacuations_as_of = as_of;
+        before != version
+    }
+
+    fn confirm_evacuations(&mut self, as_of: Option<ObjectVersion>, confirmed_at: Duration) {
+        if let Some(evacuations) = &mut self.evacuations {
+            evacuations.confirmed_at = evacuations.confirmed_at.max(confirmed_at);
+            self.evacuations_as_of = self.evacuations_as_of.max(as_of);
+        }
+    }
 }
 
 /// The cached lists, which this host uses itself and sends to its peers.
@@ -159,35 +207,46 @@
         }
     }
 
-    /// Replaces the evacuated failure domains by those that were current at this time since boot.
-    /// Returns whether they have changed.
+    /// Replaces the evacuated failure domains by those that the platform listed after `as_of`, and
+    /// that were current at this time since boot. Returns whether they have changed.
     pub(crate) fn set_evacuations(
         &self,
         domains: IndexSet<FailureDomainId>,
+        as_of: Option<ObjectVersion>,
         confirmed_at: Duration,
     ) -> bool {
-        let mut lists = self.lock();
-        let version = evacuations_version_of(&domains);
-        let before = lists.evacuations.as_ref().map(|known| known.version);
-        lists.evacuations = Some(Confirmed {
-            version,
-            value: Arc::new(domains),
-            confirmed_at,
-        });
-        before != Some(version)
+        self.lock().set_evacuations(domains, as_of, confirmed_at)
     }
 
-    /// Records that the evacuations were still current at this time since boot.
-    pub(crate) fn confirm_evacuations(&self, confirmed_at: Duration) {
-        if let Some(evacuations) = &mut self.lock().evacuations {
-            evacuations.confirmed_at = evacuations.confirmed_at.max(confirmed_at);
+    /// Applies the response of another host to a request for evacuations, unless this host knows
+    /// later ones. Returns whether they have changed.
+    pub(crate) fn apply_evacuations(
+        &self,
+        response: &ReadResponse,
+        confirmed_at: Duration,
+    ) -> bool {
+        let as_of = (response.as_of != 0).then_some(ObjectVersion(response.as_of));
+        let mut lists = self.lock();
+        if lists.evacuations_version() == response.version {
+            lists.confirm_evacuations(as_of, confirmed_at);
+            return false;
         }
+        if !lists.are_later_evacuations(as_of, confirmed_at) {
+            return false;
+        }
+        let names = response.evacuated_domains.iter();
+        let domains = names.filter_map(|name| name.parse().ok()).collect();
+        lists.set_evacuations(domains, as_of, confirmed_at)
+    }
+
+    /// Records that the evacuations after `as_of` were still current at this time since boot.
+    pub(crate) fn confirm_evacuations(&self, as_of: Option<ObjectVersion>, confirmed_at: Duration) {
+        self.lock().confirm_evacuations(as_of, confirmed_at);
     }
 
     /// The version of the evacuations; 0 if they were not read yet.
     pub(crate) fn evacuations_version(&self) -> u64 {
-        let lists = self.lock();
-        lists.evacuations.as_ref().map_or(0, |known| known.version)
+        self.lock().evacuations_version()
     }
 
     /// The evacuated failure domains; none before the first read.
@@ -281,6 +340,7 @@
             }),
             Ok(ListKind::Evacuations) => lists.evacuations.as_ref().map(|evacuations| {
                 let mut response = evacuations.header(now);
+                response.as_of = lists.evacuations_as_of.map_or(0, |as_of| as_of.0);
                 if evacuations.version != request.known_version {
                     let domains = evacuations.value.iter();
                     response.evacuated_domains = domains.map(ToString::to_string).collect();
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -126,6 +126,10 @@
     /// The answer to a request for a tunnel.
     #[prost(enumeration = "TunnelOutcome", tag = "11")]
     pub(crate) tunnel: i32,
+    /// The last change of the platform that the evacuations include; 0 if they were not requested
+    /// or the responding host does not know it.
+    #[prost(uint64, tag = "12")]
+    pub(crate) as_of: u64,
 }
 
 /// A [`ListedHost`] in a response.
--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
@@ -23,7 +21,6 @@
 use crate::gateway::catalog_sharing::message::ReadRequest;
 use crate::gateway::catalog_sharing::message::ReadResponse;
 use crate::gateway::catalog_sharing::reader_selector::Unavailable;
-use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
 
@@ -257,14 +254,7 @@
             return self.evacuations_from_platform().await;
         };
         let cache = &self.gateway.catalog_cache;
-        let has_changed = if response.version == known {
-            cache.confirm_evacuations(confirmed_at);
-            false
-        } else {
-            // What this host has read itself may be newer.
-            let is_newer = cache.evacuations_confirmed_at() < Some(confirmed_at);
-            is_newer && cache.set_evacuations(decode_domains(&response), confirmed_at)
-        };
+        let has_changed = cache.apply_evacuations(&response, confirmed_at);
         Ok(ReadOutcome {
             changed: has_changed.then_some(()),
             confirmed_at,
@@ -281,14 +271,17 @@
             self.cursor = Cursor::default();
             read = self.catalog.evacuations(None).await;
         }
+        let as_of = read.as_ref().ok().and_then(|read| read.as_of);
         let read = self.record_read(read)?;
         let cache = &self.gateway.catalog_cache;
         let has_changed = match read {
             EvacuationsRead::Unchanged => {
-                cache.confirm_evacuations(confirmed_at);
+                cache.confirm_evacuations(as_of, confirmed_at);
                 false
             }
-            EvacuationsRead::Snapshot(domains) => cache.set_evacuations(domains, confirmed_at),
+            EvacuationsRead::Snapshot(domains) => {
+                cache.set_evacuations(domains, as_of, confirmed_at)
+            }
         };
         Ok(ReadOutcome {
             changed: has_changed.then_some(()),
@@ -461,9 +454,3 @@
         PeerResult::Fresh(response, requested_at.saturating_sub(age))
     }
 }
-
-/// The failure domains in a response, without those whose names are malformed.
-fn decode_domains(response: &ReadResponse) -> IndexSet<FailureDomainId> {
-    let names = response.evacuated_domains.iter();
-    names.filter_map(|name| name.parse().ok()).collect()
-}
--- a/tests/gateway_evacuations.rs
+++ b/tests/gateway_evacuations.rs
@@ -16,7 +16,9 @@
 use banyanarch::routing::ColdStart;
 use banyanarch::routing::RouteTable;
 use banyanarch::routing::Service;
+use banyanarch::units::ObjectVersion;
 use banyanarch::units::RequestsPerSecond;
+use banyanarch::units::StoreEra;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -294,6 +296,32 @@
     assert!(since.elapsed() >= Duration::from_millis(900));
 }
 
+/// Guards against an evacuation that a host forgets because another host has read the list before
+/// the evacuation, although it has requested it later.
+#[tokio::test]
+async fn an_evacuation_is_not_undone_by_the_earlier_list_of_another_host() {
+    let world = World::start().await;
+    world.catalog.evacuate("there");
+    world.catalog.end_evacuation("there");
+    let host = TestHost::start("b-host", &world.catalog).await;
+    world.catalog.evacuate("here");
+    wait_for_changes(&host, 2).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let exchange_addr = listener.local_addr().unwrap();
+    let response = ReadResponse {
+        version: 7,
+        age_ms: 0,
+        as_of: ObjectVersion::in_era(StoreEra(0), 2).0,
+    };
+    let requests = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_evacuations(listener, response, Arc::clone(&requests)));
+    list_other(&world, &host, exchange_addr).await;
+    world.catalog.set_evacuations_unreadable(true);
+    wait_until(|| requests.load(Ordering::Relaxed) >= 2).await;
+    assert_eq!(call(&host).await.1, "there");
+    assert_eq!(host.log.text().matches("evacuations_changed").count(), 2);
+}
+
 /// Guards against a restarted host that serves before it knows the evacuations again.
 #[tokio::test]
 async fn a_host_that_does_not_know_the_evacuations_is_not_ready() {
