--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -42,6 +42,16 @@
 }
 
 impl ListKind {
+    /// The list's name in the decision log and in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Routes => "manifest",
+            Self::Upstreams => "upstreams",
+            Self::Hosts => "hosts",
+            Self::Evacuations => "evacuations",
+        }
+    }
+
     /// Whether a host of an earlier version may lack this list.
     pub(crate) fn may_be_unknown(self) -> bool {
         matches!(self, Self::Hosts | Self::Evacuations)
@@ -116,6 +126,10 @@
     /// The answer to a request for a tunnel.
     #[prost(enumeration = "TunnelOutcome", tag = "11")]
     pub(crate) tunnel: i32,
+    /// The last change of the platform that the evacuations include; 0 if they were not requested
+    /// or the responding host does not know it.
+    #[prost(uint64, tag = "12")]
+    pub(crate) as_of: u64,
 }
 
 /// A [`ListedHost`] in a response.
