Manifest: priorities of customers are decoded and go before those of routes

The manifest's priorities of customers were ignored, and a priority of a route that is out of range failed the whole manifest without naming the route. Call::priority is the customer's if one is listed, else the route's. Nothing decides by it yet.

Route::priority is none where the manifest lists none.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use crate::routing::stream_caller_timeout;
 use crate::units::ContentHash;
 use crate::units::CustomerId;
+use crate::units::Priority;
 use crate::units::RegionId;
 use crate::units::ServiceId;
 
@@ -48,6 +49,11 @@
     pub customer: Option<CustomerId>,
     /// The regions that the customer allows.
     pub customer_regions: AllowedRegions,
+    /// The priority: the customer's if the manifest lists one, else the route's, else 0, which is
+    /// served first.
+    pub priority: Priority,
+    /// Whether the manifest lists a priority for the customer or the route.
+    pub has_listed_priority: bool,
     /// When the request arrived.
     pub arrived_at: Instant,
     /// When the caller must have the final response.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -154,11 +154,17 @@
         .map_or_else(AllowedRegions::default, |customer| {
             routes.keys.allowed_regions(customer)
         });
+    let customer_priority = customer
+        .as_ref()
+        .and_then(|customer| routes.keys.priority(customer));
+    let listed_priority = customer_priority.or(route.priority);
     Ok(Call {
         service: service.clone(),
         route: Arc::clone(route),
         customer,
         customer_regions,
+        priority: listed_priority.unwrap_or_default(),
+        has_listed_priority: listed_priority.is_some(),
         arrived_at,
         deadline: arrived_at + timeout,
         method: head.method,
--- a/src/routing/keys.rs
+++ b/src/routing/keys.rs
@@ -1,9 +1,10 @@
-//! The API keys of customers, and the regions that customers allow.
+//! The API keys of customers, the regions that customers allow, and their priorities.
 
 use indexmap::IndexMap;
 
 use crate::routing::AllowedRegions;
 use crate::units::CustomerId;
+use crate::units::Priority;
 
 /// The keys in force. If the manifest names no customers, calls need no key.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -11,6 +12,7 @@
     by_key: IndexMap<String, CustomerId>,
     is_required: bool,
     allowed_regions: IndexMap<CustomerId, AllowedRegions>,
+    priorities: IndexMap<CustomerId, Priority>,
 }
 
 impl CustomerKeys {
@@ -20,6 +22,7 @@
             by_key,
             is_required: true,
             allowed_regions: IndexMap::new(),
+            priorities: IndexMap::new(),
         }
     }
 
@@ -34,6 +37,16 @@
         regions.cloned().unwrap_or_default()
     }
 
+    /// Sets the priority of the calls of a customer.
+    pub fn set_priority(&mut self, customer: CustomerId, priority: Priority) {
+        self.priorities.insert(customer, priority);
+    }
+
+    /// The priority of the calls of a customer; none if the manifest lists none.
+    pub fn priority(&self, customer: &CustomerId) -> Option<Priority> {
+        self.priorities.get(customer).copied()
+    }
+
     /// Whether calls need a key.
     pub fn is_required(&self) -> bool {
         self.is_required
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -52,8 +52,9 @@
     /// The longest pause between two events of a stream that is still on time; none if pauses are
     /// not limited.
     pub pause_objective: Option<Duration>,
-    /// The priority; 0 is served first.
-    pub priority: Priority,
+    /// The priority of calls whose customer has none; 0 is served first. None if the manifest lists
+    /// none.
+    pub priority: Option<Priority>,
     /// The services that the route leads to, with their shares.
     pub targets: Vec<RouteTarget>,
     /// The maximum number of upstreams that may run one call.
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -233,7 +233,7 @@
         timeout: Duration::from_secs(10),
         objective: Duration::from_millis(300),
         pause_objective: None,
-        priority: Priority(1),
+        priority: Some(Priority(1)),
         targets: vec![RouteTarget {
             service: service.parse().unwrap(),
             weight: 1,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -24,7 +24,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
         pause_objective: None,
-        priority: Priority(1),
+        priority: Some(Priority(1)),
         targets: targets.iter().map(target).collect(),
         runs_max: 2,
         is_public: false,
