Engines are told the priority of a call

An engine admits calls that state no priority in the middle of all, so the manifest's order ended at the host. ForwardHead.priority is the listed priority of a stream to a service with engines, resumed streams included; the platform's codec alone writes the header. Calls to plain services, and calls for which the manifest lists no priority, are sent as before.

The only place that decides is priority_at_engine in gateway/send.rs.

--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::UpstreamNotices;
 use crate::units::CustomerId;
+use crate::units::Priority;
 use crate::units::Tokens;
 use crate::units::UpstreamName;
 
@@ -40,6 +41,8 @@
     pub time_left: Duration,
     /// The customer of the request; none on public routes.
     pub customer: Option<&'a CustomerId>,
+    /// The priority at an engine; none if the upstream is no engine or the manifest lists none.
+    pub priority: Option<Priority>,
     /// The engines that prefill parts of the prompt.
     pub helpers: &'a [HelperAddr],
     /// The id of the last event that the caller has received, if the stream is to be resumed after
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -29,6 +29,7 @@
 use crate::http::one_shot::OneShotError;
 use crate::http::one_shot::OneShotResponseBody;
 use crate::routing::CallKind;
+use crate::units::Priority;
 use crate::units::whole_millis;
 
 /// The timeout for connections to upstreams. The transit time inside a site is at most 3 ms, and an
@@ -117,6 +118,7 @@
             upstream: &upstream.name,
             time_left: self.call.time_left(now),
             customer: self.call.customer.as_ref(),
+            priority: priority_at_engine(self.gateway, self.call),
             helpers: &helpers,
             last_event: self.last_event,
         };
@@ -239,6 +241,17 @@
     late_after.max(forecast * 3 + FIRST_EVENT_MARGIN)
 }
 
+/// The priority that the engine is told; none if the manifest lists none for the customer or the
+/// route, or if the call is no stream of a service with engines.
+fn priority_at_engine(gateway: &Gateway, call: &Call) -> Option<Priority> {
+    if !call.has_listed_priority || !call.route.kind.is_stream() {
+        return None;
+    }
+    let routes = gateway.platform_view.routes()?;
+    let service = routes.services.get(&call.service)?;
+    service.engine.is_some().then_some(call.priority)
+}
+
 /// The outcome of a send that failed with this error. If no connection was made or the request was
 /// not written, the upstream did not run the call; otherwise it may have.
 fn outcome_of_error(err: &OneShotError) -> SendOutcome {
--- a/tests/gateway_world/header_codec.rs
+++ b/tests/gateway_world/header_codec.rs
@@ -83,6 +83,9 @@
         if let Some(customer) = head.customer {
             set(&mut headers, "test-customer", customer.as_str());
         }
+        if let Some(priority) = head.priority {
+            set(&mut headers, "test-priority", &priority.to_string());
+        }
         if let Some(event) = head.last_event {
             set(&mut headers, "test-after", event);
         }
