Tests: the unreachable host of explain has a port that nothing else can be given

Its unreachable address was the port of a listener that had been dropped, and the machine gives such a port again: to another test of the same program, whose server then answers.

With a server put on the freed port on purpose the same line fails each time.

Change: the test holds such a socket. What it asserts is unchanged.

--- a/tests/cmd_host.rs
+++ b/tests/cmd_host.rs
@@ -9,6 +9,7 @@
 use std::net::TcpListener;
 use std::thread;
 
+use tokio::net::TcpSocket;
 use workdir::WorkDir;
 
 const REQUEST: &str = "0000000000000000000000000000000a";
@@ -40,6 +41,14 @@
     addr
 }
 
+/// A port that is bound without listening: it refuses connections, and nothing else is given it
+/// while the socket exists.
+fn closed_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
+}
+
 /// A request was received by one host and granted by another, and a third host is unreachable. The
 /// operator must see the steps of both hosts in order, and that steps of the third may be missing.
 #[test]
@@ -54,10 +63,8 @@
         "/explain/0000000000000000000000000000000a",
         r#"{"steps":[{"wall_ms":1040,"what":"granted","place":"engine-3","why":"prefix"}]}"#,
     )]);
-    let unreachable = TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let closed = closed_port();
+    let unreachable = closed.local_addr().unwrap();
     let (entry, home, unreachable) = (entry.to_string(), home.to_string(), unreachable.to_string());
     let dir = WorkDir::new();
     let hosts = ["--host", &home, "--host", &entry, "--host", &unreachable];
