Tests: a restarted peer listens on an IP address of its own

Between the end of the first server and the start of the second another test could be given the port, and the test would wait forever to bind it.

--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -103,7 +103,11 @@
 }
 
 async fn start_server(ids: &[&str]) -> TestServer {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    start_server_on(Ipv4Addr::LOCALHOST, ids).await
+}
+
+async fn start_server_on(ip: Ipv4Addr, ids: &[&str]) -> TestServer {
+    let listener = TcpListener::bind((ip, 0)).await.unwrap();
     let addr = listener.local_addr().unwrap();
     let release = CancellationToken::new();
     let stop = CancellationToken::new();
@@ -335,7 +339,8 @@
 /// A host is replaced by a host with the same name at the same address.
 #[tokio::test]
 async fn a_restarted_peer_is_reconnected() {
-    let first = start_server(&["a"]).await;
+    // No other test is given the port of an address on an IP address of its own.
+    let first = start_server_on(Ipv4Addr::new(127, 0, 0, 2), &["a"]).await;
     let pool = client_pool(first.addr, &["a"]);
     request_echo(&pool, "server", "x").await.unwrap();
     first.stop.cancel();
