Soak, standin: free ports of a host are different and not given to others

A port was released before the next one was chosen, so a host could get the same one twice; the hosts of the stand-in fleet listened on 127.0.0.1, where any other process could be given a port before they bound it. The soak holds all ports of a host until they are chosen, and the stand-in uses an IP address by its process id, as the soak does.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -94,9 +94,17 @@
     IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, last))
 }
 
-/// Returns an address of `ip` with a port that is free at the moment.
-async fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0)).await?.local_addr()
+/// Returns addresses of `ip` with different ports that are free at the moment.
+async fn free_addrs<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
+    let mut addrs = [SocketAddr::new(ip, 0); N];
+    // A port that was released could be given again for the next address.
+    let mut listeners = Vec::with_capacity(N);
+    for addr in &mut addrs {
+        let listener = TcpListener::bind(*addr).await?;
+        *addr = listener.local_addr()?;
+        listeners.push(listener);
+    }
+    Ok(addrs)
 }
 
 impl Deployment {
@@ -117,13 +125,14 @@
             let addresses = Arc::new(Mutex::new(AddressMap::default()));
             let store_addr = store.serve(links_ip, Arc::clone(&addresses)).await?;
             let store_link = LinkProxy::start(links_ip, store_addr).await?;
+            let [callers_addr, ready_addr, internal_addr] = free_addrs(own_ip).await?;
             let conf = NodeConf {
                 name: format!("host-{index}"),
                 domain: format!("domain-{}", index % DOMAINS),
                 ip: own_ip,
-                callers_addr: free_port(own_ip).await?,
-                ready_addr: free_port(own_ip).await?,
-                internal_port: free_port(own_ip).await?.port(),
+                callers_addr,
+                ready_addr,
+                internal_port: internal_addr.port(),
                 store_addr: store_link.addr,
                 revocation_delay: REVOCATION_DELAY,
                 stop_grace: STOP_GRACE,
--- a/standin/src/fleet/host.rs
+++ b/standin/src/fleet/host.rs
@@ -1,6 +1,7 @@
 //! Entry hosts as child processes.
 
 use std::fs;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::time::Duration;
@@ -154,9 +155,12 @@
     written.map_err(|e| FleetError(format!("{name}: {e}")))
 }
 
-/// Returns loopback addresses with ports that are free at the moment.
+/// Returns loopback addresses with ports that are free at the moment. Their IP address comes from
+/// the process id, so that no other process is given a port before the host binds it.
 fn free_addrs(count: usize) -> Result<Vec<SocketAddr>, FleetError> {
-    let bind = |_| TcpListener::bind(("127.0.0.1", 0));
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high.max(1), low, 1);
+    let bind = |_| TcpListener::bind((ip, 0));
     let listeners: Result<Vec<TcpListener>, _> = (0..count).map(bind).collect();
     let addrs: Result<Vec<SocketAddr>, _> =
         listeners?.iter().map(TcpListener::local_addr).collect();
