--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -5,6 +5,7 @@
 
 mod byte_size;
 mod counters;
+mod customer_hash;
 mod error;
 mod macros;
 mod millicores;
@@ -12,6 +13,7 @@
 mod names;
 mod random_ids;
 mod rates;
+mod service_hash;
 mod slowdown;
 mod tokens;
 
@@ -22,6 +24,7 @@
 pub use counters::ObjectVersion;
 pub use counters::Priority;
 pub use counters::StoreEra;
+pub use customer_hash::CustomerHash;
 pub use error::ParseUnitError;
 pub use millicores::Millicores;
 pub use millis::whole_millis;
@@ -42,5 +45,6 @@
 pub use random_ids::RequestId;
 pub use rates::RequestsPerSecond;
 pub use rates::TokensPerSecond;
+pub use service_hash::ServiceHash;
 pub use slowdown::Slowdown;
 pub use tokens::Tokens;
