--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -279,7 +279,7 @@
             return WaitRank::RESUMED;
         }
         let is_late = self.call.objective_left(now).is_zero();
-        WaitRank::new(self.call.route.priority, self.standing(now), is_late)
+        WaitRank::new(self.call.priority, self.standing(now), is_late)
     }
 
     fn lane_key(&self, now: Instant) -> LaneKey {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -190,7 +190,7 @@
     let most_urgent = routes.most_urgent(&call.service);
     let room = RoomRequest {
         standing: sends.standing,
-        priority_steps: call.route.priority.0.saturating_sub(most_urgent.0),
+        priority_steps: call.priority.0.saturating_sub(most_urgent.0),
         occupancy: occupancy(model, views, request),
     };
     let retry_after = request.answer_time(model);
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -108,10 +108,11 @@
     let mut most_urgent = IndexMap::new();
     for route in routes {
         for target in &route.targets {
+            let priority = route.priority.unwrap_or_default();
             let known = most_urgent
                 .entry(target.service.clone())
-                .or_insert(route.priority);
-            *known = route.priority.min(*known);
+                .or_insert(priority);
+            *known = priority.min(*known);
         }
     }
     most_urgent
