--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use banyanarch::units::Slowdown;
+use engine_world::Flood;
 use engine_world::LONG;
 use engine_world::Load;
 use engine_world::MEDIUM;
+use engine_world::Outcome;
 use engine_world::Phase;
 use engine_world::Refusals;
 use engine_world::RequestResult;
@@ -222,3 +224,32 @@
     );
     assert!(obeying > ignoring, "{obeying}, {ignoring} ignoring");
 }
+
+/// One customer sends 60 times its usual for ten seconds while two fifths of the engines are gone.
+/// It took the places of all others, who were served a third of the time and late.
+#[test]
+fn customers_at_their_usual_load_are_served_while_one_floods() {
+    let mut site = Site::shifted();
+    site.engines = 32;
+    let phases = [Phase {
+        for_s: 16.0,
+        factors: [1.0, 1.0, 1.0],
+    }];
+    let (from, until) = (Duration::from_secs(5), Duration::from_secs(15));
+    let flood = Flood {
+        customer: 1,
+        from,
+        until,
+        factor: 60.0,
+    };
+    let load = Load::draw(&site, &phases, 1).with_flood(&site, &flood, 1);
+    let results = World::run(site, load, 1);
+    let is_other = |outcome: &Outcome| outcome.customer != flood.customer;
+    let (served, on_time) = results.served_between(from, until, is_other);
+    let (flood_served, flood_on_time) = results.served_between(from, until, |o| !is_other(o));
+    println!(
+        "others {served:.3} {on_time:.3}, flood {flood_served:.3} {flood_on_time:.3}\n{results}"
+    );
+    assert!(served > 0.95, "{served} {results}");
+    assert!(on_time > 0.8, "{on_time} {results}");
+}
--- a/tests/engine_world/host.rs
+++ b/tests/engine_world/host.rs
@@ -4,15 +4,17 @@
 use std::time::Instant;
 
 use banyanarch::decide::AvailabilityTracker;
+use banyanarch::decide::CallLane;
+use banyanarch::decide::CallQueue;
+use banyanarch::decide::CustomerShares;
+use banyanarch::decide::CustomerUse;
 use banyanarch::decide::HealthTracker;
 use banyanarch::decide::HostLoad;
 use banyanarch::decide::LimitState;
 use banyanarch::decide::LoadLedger;
+use banyanarch::decide::LoadSource;
 use banyanarch::decide::UpstreamFault;
-use banyanarch::decide::engines::EngineChoice;
-use banyanarch::decide::engines::EngineRequest;
 use banyanarch::decide::engines::EngineView;
-use banyanarch::decide::engines::choose_engines;
 use banyanarch::units::FailureDomainId;
 use banyanarch::units::HostId;
 use banyanarch::units::UpstreamId;
@@ -26,6 +28,7 @@
     pub host: HostId,
     pub domain: usize,
     pub loads: IndexMap<UpstreamId, HostLoad>,
+    pub uses: Vec<CustomerUse>,
 }
 
 /// A simulated host.
@@ -33,6 +36,9 @@
     pub id: HostId,
     pub domain: usize,
     pub ledger: LoadLedger,
+    pub shares: CustomerShares,
+    /// The waiting requests of each lane.
+    pub queues: IndexMap<CallLane, CallQueue>,
     health: HealthTracker,
     availability: AvailabilityTracker,
     engine_domain: FailureDomainId,
@@ -48,6 +54,8 @@
             id: format!("host-{index:02}").parse().unwrap(),
             domain,
             ledger: LoadLedger::default(),
+            shares: CustomerShares::default(),
+            queues: IndexMap::new(),
             health: HealthTracker::default(),
             availability: AvailabilityTracker::default(),
             engine_domain: "engines".parse().unwrap(),
@@ -57,7 +65,14 @@
         }
     }
 
-    pub fn report(&self, now: Instant) -> LoadReport {
+    /// The queue of a lane.
+    pub fn queue(&mut self, lane: CallLane) -> &mut CallQueue {
+        let new = || CallQueue::new(lane);
+        self.queues.entry(lane).or_insert_with(new)
+    }
+
+    pub fn report(&mut self, now: Instant) -> LoadReport {
+        let uses = self.shares.own_use(now);
         let loads = self
             .ledger
             .own_loads(now)
@@ -66,12 +81,16 @@
             host: self.id.clone(),
             domain: self.domain,
             loads: loads.collect(),
+            uses,
         }
     }
 
     pub fn receive_report(&mut self, report: &LoadReport, now: Instant) {
         self.ledger
             .record_host_loads(report.host.clone(), 1, report.loads.clone(), now);
+        let source = LoadSource::Host(report.host.clone());
+        self.shares
+            .record_use(&source, 1, report.uses.iter().copied(), now);
     }
 
     /// Records that an engine has refused a request and asks for this backoff; none if it is
@@ -91,14 +110,14 @@
             && self.availability.is_available(engine, now)
     }
 
-    pub fn choose(
+    /// The engines that the host may send to, as it knows them.
+    pub fn views(
         &self,
         site: &Site,
         engines: &[UpstreamId],
-        engine_request: &EngineRequest,
         at: Duration,
         now: Instant,
-    ) -> EngineChoice {
+    ) -> Vec<EngineView> {
         let view = |(index, id): (usize, &UpstreamId)| EngineView {
             id: id.clone(),
             load: self.ledger.load(id, now),
@@ -110,7 +129,6 @@
             .iter()
             .enumerate()
             .filter(|(_, id)| self.is_usable(id, now));
-        let views: Vec<EngineView> = usable.map(view).collect();
-        choose_engines(&site.model, &views, engine_request)
+        usable.map(view).collect()
     }
 }
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -92,12 +92,15 @@
     pub urgent_burst: u32,
     pub slow: Option<SlowPeriod>,
     pub refusals: Option<Refusals>,
+    /// Number of customers. The first one sends most.
+    pub customers: usize,
 }
 
 /// One request of a load.
 #[derive(Clone, Debug)]
 pub struct Request {
     pub class: usize,
+    pub customer: usize,
     pub arrives: Duration,
     pub prompt: Tokens,
     pub output_max: Tokens,
@@ -105,6 +108,16 @@
     pub worth: f64,
 }
 
+/// A period in which one customer sends many times its usual.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    pub customer: usize,
+    pub from: Duration,
+    pub until: Duration,
+    /// The rate of the customer, as a multiple of its usual rate.
+    pub factor: f64,
+}
+
 /// All requests of a run, in order of arrival.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -145,6 +158,7 @@
             urgent_burst: 3,
             slow: None,
             refusals: None,
+            customers: 24,
         }
     }
 
@@ -338,9 +352,58 @@
             }
             from_s += phase.for_s;
         }
+        let mut customer_rng = StdRng::seed_from_u64(seed ^ CUSTOMERS_SEED_MASK);
+        for request in &mut requests {
+            request.customer = draw_customer(site, &mut customer_rng);
+        }
         requests.sort_by_key(|request| request.arrives);
         Self { requests }
     }
+
+    /// Adds the requests of a customer that sends more than usual, in the usual mix of classes.
+    pub fn with_flood(mut self, site: &Site, flood: &Flood, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ FLOOD_SEED_MASK);
+        let fraction = customer_weight(flood.customer) / customer_weights(site);
+        for class in 0..site.classes.len() {
+            let rate = site.classes[class].per_s * fraction * (flood.factor - 1.0);
+            let mut at_s = flood.from.as_secs_f64() + gap_s(&mut rng, rate);
+            while at_s < flood.until.as_secs_f64() {
+                let customer = flood.customer;
+                self.requests.push(Request {
+                    customer,
+                    ..request(site, class, at_s, &mut rng)
+                });
+                at_s += gap_s(&mut rng, rate);
+            }
+        }
+        self.requests.sort_by_key(|request| request.arrives);
+        self
+    }
+}
+
+/// XORed with the seed of a load for the draws of customers, so that they do not change the others.
+const CUSTOMERS_SEED_MASK: u64 = 0x00C0_57E5;
+/// XORed with the seed of a load for the draws of a flood.
+const FLOOD_SEED_MASK: u64 = 0x000F_100D;
+
+/// What a customer sends relative to the others.
+fn customer_weight(customer: usize) -> f64 {
+    1.0 / (customer as f64 + 2.0)
+}
+
+fn customer_weights(site: &Site) -> f64 {
+    (0..site.customers).map(customer_weight).sum()
+}
+
+fn draw_customer(site: &Site, rng: &mut StdRng) -> usize {
+    let mut left = rng.random::<f64>() * customer_weights(site);
+    for customer in 0..site.customers {
+        left -= customer_weight(customer);
+        if left <= 0.0 {
+            return customer;
+        }
+    }
+    0
 }
 
 /// Time in seconds until the next arrival at a rate per second.
@@ -365,6 +428,7 @@
     let weight = (0.3 + 0.7 * prompt / spec.prompt_mean).min(4.0);
     Request {
         class,
+        customer: 0,
         arrives: secs(at_s),
         prompt: Tokens(prompt as u64),
         output_max: Tokens((events_max as u64) * u64::from(site.model.stride)),
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -13,6 +13,7 @@
 mod run_results;
 mod world;
 
+pub use load::Flood;
 pub use load::LONG;
 pub use load::Load;
 pub use load::MEDIUM;
@@ -21,6 +22,7 @@
 pub use load::Site;
 pub use load::SlowPeriod;
 pub use refusals::Refusals;
+pub use run_results::Outcome;
 pub use run_results::RequestResult;
 pub use run_results::RunResults;
 pub use world::World;
--- a/tests/engine_world/run_results.rs
+++ b/tests/engine_world/run_results.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Outcome {
     pub class: usize,
+    pub customer: usize,
+    pub arrives: Duration,
     pub result: RequestResult,
     /// Number of times that the request was refused.
     pub refusals: u32,
@@ -60,6 +62,28 @@
         lost / possible.max(1e-9)
     }
 
+    /// The fractions of requests that were served at all and on time, of those that arrived in a
+    /// period and for which `is_counted` is true.
+    pub fn served_between(
+        &self,
+        from: Duration,
+        until: Duration,
+        is_counted: impl Fn(&Outcome) -> bool,
+    ) -> (f64, f64) {
+        let period = from..until;
+        let counted = self.outcomes.iter();
+        let counted = counted.filter(|o| period.contains(&o.arrives) && is_counted(o));
+        let counted: Vec<&Outcome> = counted.collect();
+        let count = |is_included: &dyn Fn(RequestResult) -> bool| {
+            let included = counted.iter().filter(|o| is_included(o.result)).count();
+            included as f64 / counted.len().max(1) as f64
+        };
+        (
+            count(&|result| result != RequestResult::Refused),
+            count(&|result| result == RequestResult::OnTime),
+        )
+    }
+
     /// The fraction of the requests of a class that ended like this.
     pub fn fraction(&self, class: usize, result: RequestResult) -> f64 {
         let outcomes = self.outcomes.iter().filter(|o| o.class == class);
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -3,11 +3,26 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::CallLane;
 use banyanarch::decide::RequestLoad;
+use banyanarch::decide::RoomCheck;
+use banyanarch::decide::RoomRequest;
+use banyanarch::decide::ShareStanding;
+use banyanarch::decide::WaitRank;
+use banyanarch::decide::WaitingCall;
+use banyanarch::decide::check_room;
 use banyanarch::decide::engines::EngineChoice;
 use banyanarch::decide::engines::EnginePlan;
 use banyanarch::decide::engines::EngineRequest;
+use banyanarch::decide::engines::EngineView;
+use banyanarch::decide::engines::choose_engines;
+use banyanarch::decide::engines::occupancy;
 use banyanarch::routing::stream_caller_timeout;
+use banyanarch::units::ByteSize;
+use banyanarch::units::CustomerId;
+use banyanarch::units::Priority;
+use banyanarch::units::RequestId;
+use banyanarch::units::ServiceId;
 use banyanarch::units::UpstreamId;
 use rand::Rng;
 use rand::SeedableRng;
@@ -30,6 +45,8 @@
 const CALLER_ROUND_TRIP: Duration = Duration::from_millis(7);
 /// Delay before a choice is repeated after a refused reservation.
 const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Delay after which a request that waits behind others is tried again.
+const QUEUED_RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The most sends of one prompt that engines may reject. Each counts against the retry budget of
 /// the host.
@@ -63,6 +80,14 @@
     host: usize,
     /// When the request reached its current host.
     arrived: Duration,
+    /// Whether the request is at a host that has not sent or refused it.
+    is_pending: bool,
+    /// Whether its host has let the request in.
+    is_admitted: bool,
+    /// The lane in whose queue the request is, if any.
+    queued_in: Option<CallLane>,
+    /// When the request is to be tried again, unless it is woken before.
+    retry_at: Duration,
     plan: Option<EnginePlan>,
     request_loads: Vec<(UpstreamId, RequestLoad)>,
     sent_at: Duration,
@@ -90,6 +115,8 @@
     hosts: Vec<Host>,
     engines: Vec<Engine>,
     ids: Vec<UpstreamId>,
+    service: ServiceId,
+    customers: Vec<CustomerId>,
     states: Vec<RequestState>,
     reports: Vec<LoadReport>,
 }
@@ -114,6 +141,10 @@
         let state = |_: &_| RequestState {
             host: 0,
             arrived: Duration::ZERO,
+            is_pending: false,
+            is_admitted: false,
+            queued_in: None,
+            retry_at: Duration::ZERO,
             plan: None,
             request_loads: Vec::new(),
             sent_at: Duration::ZERO,
@@ -129,6 +160,10 @@
         };
         Self {
             ids: ids.collect(),
+            service: "engines".parse().unwrap(),
+            customers: (0..site.customers)
+                .map(|index| format!("customer-{index}").parse().unwrap())
+                .collect(),
             states: load.requests.iter().map(state).collect(),
             hosts: (0..site.hosts)
                 .map(|i| Host::new(i, i % site.domains))
@@ -156,11 +191,16 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(request) => {
-                self.states[request].host = self.rng.random_range(0..self.hosts.len());
-                self.states[request].arrived = self.now;
+                let host = self.rng.random_range(0..self.hosts.len());
+                let state = &mut self.states[request];
+                state.host = host;
+                state.arrived = self.now;
+                state.is_pending = true;
+                state.is_admitted = false;
+                self.count_arrival(request);
                 self.decide(request);
             }
-            Event::Decide(request) => self.decide(request),
+            Event::Decide(request) => self.take_turn(request),
             Event::MemoryReservation(request) => self.reserve(request),
             Event::Start(request) => self.start(request),
             Event::PassEnds(engine) => self.finish_pass(engine),
@@ -170,20 +210,110 @@
         }
     }
 
-    /// Lets the host of a request choose engines, and acts on the choice.
-    fn decide(&mut self, request: usize) {
+    /// Counts a request as wanted by its customer.
+    fn count_arrival(&mut self, request: usize) {
         let spec = &self.load.requests[request];
-        let class = &self.site.classes[spec.class];
+        let cost = self.site.model.engine_time(spec.prompt, spec.output_max);
+        let (host, now) = (self.states[request].host, self.instant());
+        let customer = &self.customers[spec.customer];
+        self.hosts[host]
+            .shares
+            .on_arrival(&self.service, customer, cost, now);
+    }
+
+    /// Tries a request that is due or was woken, unless others come first.
+    fn take_turn(&mut self, request: usize) {
         let state = &self.states[request];
-        let waited = self.now - state.arrived;
-        let since_first = self.now - spec.arrives;
-        let time_left = class.timeout.saturating_sub(since_first);
-        if time_left.is_zero() {
-            self.states[request].outcome = Some(RequestResult::Refused);
+        if !state.is_pending {
             return;
         }
-        let now = self.instant();
-        let engine_request = EngineRequest {
+        let Some(lane) = state.queued_in else {
+            return self.decide(request);
+        };
+        let (host, is_due) = (state.host, self.now >= state.retry_at);
+        let heads = self.hosts[host].queue(lane).heads();
+        if heads.contains(&id_of(request)) {
+            return self.decide(request);
+        }
+        if is_due {
+            let class = &self.site.classes[self.load.requests[request].class];
+            if self.now - self.states[request].arrived >= class.objective / 4
+                && lane.has_equal_needs()
+            {
+                return self.decide(request);
+            }
+            self.wake(&heads);
+            self.retry_after(request, QUEUED_RETRY_DELAY);
+        }
+    }
+
+    /// Schedules the next try of a request.
+    fn retry_after(&mut self, request: usize, delay: Duration) {
+        self.states[request].retry_at = self.now + delay;
+        self.push(self.now + delay, Event::Decide(request));
+    }
+
+    /// Lets these requests try now.
+    fn wake(&mut self, ids: &[RequestId]) {
+        for id in ids {
+            self.push(self.now, Event::Decide(usize::try_from(id.0).unwrap()));
+        }
+    }
+
+    /// Lets the first waiting requests of a host try now.
+    fn wake_heads(&mut self, host: usize) {
+        let queues = self.hosts[host].queues.values();
+        let heads: Vec<RequestId> = queues.flat_map(|queue| queue.heads()).collect();
+        self.wake(&heads);
+    }
+
+    /// Adds a request to the queue of its lane, or moves it there to its current rank. Returns false
+    /// if the queue is full.
+    fn enqueue(&mut self, request: usize, lane: CallLane, rank: WaitRank) -> bool {
+        let spec = &self.load.requests[request];
+        let call = WaitingCall {
+            id: id_of(request),
+            rank,
+            account: self.customers[spec.customer].clone(),
+            due_at: self.started_at
+                + self.states[request].arrived
+                + self.site.classes[spec.class].objective,
+            engine_time: self.site.model.engine_time(spec.prompt, spec.output_max),
+            size: ByteSize(1_000),
+        };
+        let host = self.states[request].host;
+        let queue = self.hosts[host].queue(lane);
+        if self.states[request].queued_in.is_some() {
+            queue.set_rank(&call.id, rank);
+            return true;
+        }
+        let is_queued = queue.push(call);
+        self.states[request].queued_in = is_queued.then_some(lane);
+        is_queued
+    }
+
+    /// Ends the waiting of a request at its host.
+    fn leave_queue(&mut self, request: usize, is_sent: bool) {
+        self.states[request].is_pending = false;
+        let Some(lane) = self.states[request].queued_in.take() else {
+            return;
+        };
+        let host = self.states[request].host;
+        let queue = self.hosts[host].queue(lane);
+        if is_sent {
+            queue.take(&id_of(request));
+        } else {
+            queue.remove(&id_of(request));
+        }
+        let heads = queue.heads();
+        self.wake(&heads);
+    }
+
+    fn engine_request(&mut self, request: usize, time_left: Duration) -> EngineRequest {
+        let spec = &self.load.requests[request];
+        let class = &self.site.classes[spec.class];
+        let waited = self.now - self.states[request].arrived;
+        EngineRequest {
             prompt: spec.prompt,
             output: spec.output_max,
             objective_left: class.objective.saturating_sub(waited),
@@ -196,12 +326,46 @@
             remote_load_age_max: self.site.remote_load_age_max,
             spans_domains: false,
             shuffle_seed: self.rng.random(),
-        };
-        let choice =
-            self.hosts[state.host].choose(&self.site, &self.ids, &engine_request, self.now, now);
-        match choice {
+        }
+    }
+
+    /// Lets the host of a request choose engines, and acts on the choice.
+    fn decide(&mut self, request: usize) {
+        let spec = &self.load.requests[request];
+        let class = &self.site.classes[spec.class];
+        let since_first = self.now - spec.arrives;
+        let time_left = class.timeout.saturating_sub(since_first);
+        if time_left.is_zero() {
+            self.leave_queue(request, false);
+            self.states[request].outcome = Some(RequestResult::Refused);
+            return;
+        }
+        let (pause, now) = (class.pause, self.instant());
+        let customer = self.customers[spec.customer].clone();
+        let host = self.states[request].host;
+        let standing = self.hosts[host]
+            .shares
+            .standing(&self.service, &customer, now);
+        let engine_request = self.engine_request(request, time_left);
+        let views = self.hosts[host].views(&self.site, &self.ids, self.now, now);
+        if !self.states[request].is_admitted {
+            if self.is_refused_for_room(&engine_request, &views, standing) {
+                let retry_after = engine_request.answer_time(&self.site.model);
+                return self.refuse(request, retry_after);
+            }
+            self.states[request].is_admitted = true;
+        }
+        let lane = CallLane::of_prompt(&self.site.model, &engine_request);
+        let is_late = engine_request.objective_left.is_zero();
+        let rank = WaitRank::new(Priority(0), standing, is_late);
+        let is_new = self.states[request].queued_in.is_none();
+        if is_new && self.hosts[host].queue(lane).is_behind_others(rank) {
+            self.enqueue(request, lane, rank);
+            return self.retry_after(request, QUEUED_RETRY_DELAY);
+        }
+        match choose_engines(&self.site.model, &views, &engine_request) {
             EngineChoice::Send(plan) => {
-                let pause = class.pause;
+                self.leave_queue(request, true);
                 self.states[request].request_loads =
                     plan.request_loads(&self.site.model, &engine_request, Some(pause), now);
                 let has_reservations = !plan.reservations.is_empty();
@@ -215,13 +379,31 @@
                 self.push(self.now + delay, Event::MemoryReservation(request));
             }
             EngineChoice::Wait(wait) => {
+                if !self.enqueue(request, lane, rank) {
+                    return self.refuse(request, wait);
+                }
                 let wait = wait.mul_f64(self.rng.random_range(0.5..1.5));
-                self.push(self.now + wait.min(time_left), Event::Decide(request));
+                self.retry_after(request, wait.min(time_left));
             }
             EngineChoice::Refuse { retry_after, .. } => self.refuse(request, retry_after),
         }
     }
 
+    /// Whether a request that has just come is refused because the engines run short.
+    fn is_refused_for_room(
+        &mut self,
+        engine_request: &EngineRequest,
+        views: &[EngineView],
+        standing: ShareStanding,
+    ) -> bool {
+        let room = RoomRequest {
+            standing,
+            priority_steps: 0,
+            occupancy: occupancy(&self.site.model, views, engine_request),
+        };
+        check_room(&room, self.rng.random()) != RoomCheck::Admit
+    }
+
     /// Reserves memory at the engines and adds the request to its host's load ledger. If an engine
     /// lacks the memory, the host chooses again later.
     fn reserve(&mut self, request: usize) {
@@ -232,8 +414,8 @@
             engine.reserved_tokens + reservation.tokens.0 > limit
         });
         if is_full {
-            self.push(self.now + RESERVE_RETRY_DELAY, Event::Decide(request));
-            return;
+            self.states[request].is_pending = true;
+            return self.retry_after(request, RESERVE_RETRY_DELAY);
         }
         for reservation in &plan.reservations {
             let index = self.index(&reservation.engine);
@@ -395,6 +577,7 @@
             self.engines[engine].helping -= 1;
         }
         self.schedule_report(host, false);
+        self.wake_heads(host);
     }
 
     /// Handles a send that is rejected because a helper already helps with as many prompts as it
@@ -405,12 +588,14 @@
         if self.states[request].rejected_sends > REJECTED_SENDS_MAX {
             self.refuse(request, NO_ENGINE_RETRY_AFTER);
         } else {
-            self.push(self.now + NETWORK_DELAY, Event::Decide(request));
+            self.states[request].is_pending = true;
+            self.retry_after(request, NETWORK_DELAY);
         }
     }
 
     /// Refuses a request. The caller retries once.
     fn refuse(&mut self, request: usize, retry_after: Duration) {
+        self.leave_queue(request, false);
         let spec = &self.load.requests[request];
         let class = &self.site.classes[spec.class];
         let time_left = class.timeout.saturating_sub(self.now - spec.arrives);
@@ -501,6 +686,8 @@
         let states = self.states.iter().zip(&self.load.requests);
         let outcomes = states.map(|(state, spec)| Outcome {
             class: spec.class,
+            customer: spec.customer,
+            arrives: spec.arrives,
             result: state.outcome.unwrap_or(RequestResult::Refused),
             refusals: state.refusals,
             rejected_sends: state.rejected_sends,
@@ -515,3 +702,8 @@
         }
     }
 }
+
+/// The id of a request in the queues of its host.
+fn id_of(request: usize) -> RequestId {
+    RequestId(request.try_into().unwrap())
+}
