Metrics: what customers want, use and wait for at a service

Operators saw requests by customer and outcome, but not who takes the engines' time. CustomerMetrics has the time of upstreams wanted and used by customer and service, the ratio to the customer's share, and a histogram of waits by customer and kind of call. Calls without a customer of the manifest count as none, so callers can't create series.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::gateway::CustomerMetrics;
+use crate::gateway::customer_metrics::customer_label;
 use crate::observe::ObserveError;
 use crate::observe::instruments::prometheus_exporter;
 use crate::observe::instruments::seconds_histogram;
@@ -28,6 +30,8 @@
 
 /// The counters and histograms, with one series per customer and kind of call.
 pub struct GatewayMetrics {
+    /// How customers share the upstreams.
+    pub customers: CustomerMetrics,
     registry: Registry,
     // The instruments stop recording when their provider is dropped.
     _provider: SdkMeterProvider,
@@ -53,6 +57,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("banyanarch");
         Ok(Self {
+            customers: CustomerMetrics::new(&meter),
             registry,
             requests: meter.u64_counter("gateway_requests").build(),
             sends: meter.u64_counter("gateway_sends").build(),
@@ -165,9 +170,3 @@
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
 }
-
-/// The label with the name of the customer, or "none".
-fn customer_label(customer: Option<&CustomerId>) -> KeyValue {
-    let name = customer.map_or("none", CustomerId::as_str);
-    KeyValue::new("customer", name.to_owned())
-}
