Decision log: waits and refusals name the customer, its priority and its share

A refused line did not say whose request it was, so a refusal for a customer's own load could not be told from one for a full fleet. Waiting and Refused get customer, priority and share_ratio, left out where there is none; lines of earlier versions still decode, and Waiting no longer needs the counts of engines, so that calls to plain services can be logged too. explain says that the customer was at 3.1 times its share, and its summary has a table of refusals by customer. The share ratio is none at all call sites until shares are decided.

--- a/src/cmd/log_summary.rs
+++ b/src/cmd/log_summary.rs
@@ -52,11 +52,22 @@
     refused_after_ms: IndexMap<String, Vec<i64>>,
 }
 
-/// Statistics over the requests of several hosts. Displayed as three tables: first events and
-/// refusals by prompt length, and outcomes by time.
+/// The refusals of the requests of one customer for one reason.
+#[derive(Default)]
+struct CustomerRefusals {
+    /// The times from the arrival of a request to its refusal.
+    waited_ms: Vec<i64>,
+    /// The ratios of the customer's standing to its share, where the log has them.
+    share_ratios: Vec<f64>,
+}
+
+/// Statistics over the requests of several hosts. Displayed as tables: first events and refusals by
+/// prompt length, refusals by customer if the log names customers, and outcomes by time.
 pub(crate) struct LogSummary {
     /// One row for each range of prompt lengths, the shortest first.
     rows: Vec<PromptLengthRow>,
+    /// The refusals by the name of the customer and the reason.
+    refused_by_customer: IndexMap<(String, String), CustomerRefusals>,
     /// The ages of the manifest at the last sends of requests that got a first event.
     manifest_ages_ms: Vec<i64>,
     /// The number of requests by outcome, for each interval by its start in ms since `start_ms`.
@@ -75,6 +86,7 @@
                 .iter()
                 .map(|_| PromptLengthRow::default())
                 .collect(),
+            refused_by_customer: IndexMap::new(),
             manifest_ages_ms: Vec::new(),
             intervals: IndexMap::new(),
             outcomes: IndexMap::new(),
@@ -120,11 +132,21 @@
                     reason,
                     prompt_tokens,
                     elapsed_ms,
+                    customer,
+                    share_ratio,
                     ..
-                } if *prompt_tokens > 0 => {
-                    let refused_after_ms = &mut summary.row_mut(*prompt_tokens).refused_after_ms;
-                    let waited_ms = refused_after_ms.entry(reason.to_string()).or_default();
-                    waited_ms.push(to_signed_ms(*elapsed_ms));
+                } => {
+                    let waited_ms = to_signed_ms(*elapsed_ms);
+                    if let Some(customer) = customer {
+                        summary.count_refusal(customer, reason, waited_ms, *share_ratio);
+                    }
+                    // Requests to plain services have no prompt.
+                    if *prompt_tokens > 0 {
+                        let row = summary.row_mut(*prompt_tokens);
+                        let refused_after_ms = &mut row.refused_after_ms;
+                        let waits_ms = refused_after_ms.entry(reason.to_string()).or_default();
+                        waits_ms.push(waited_ms);
+                    }
                 }
                 _ => {}
             }
@@ -140,6 +162,20 @@
         &mut self.rows[index.unwrap_or(PROMPT_TOKENS_BOUNDS.len())]
     }
 
+    /// Counts the refusal of a request of a customer.
+    fn count_refusal(
+        &mut self,
+        customer: &str,
+        reason: &str,
+        waited_ms: i64,
+        share_ratio: Option<f64>,
+    ) {
+        let key = (customer.to_owned(), reason.to_owned());
+        let refusals = self.refused_by_customer.entry(key).or_default();
+        refusals.waited_ms.push(waited_ms);
+        refusals.share_ratios.extend(share_ratio);
+    }
+
     /// Counts the outcome of a request that ended at `wall_ms`.
     fn count_outcome(&mut self, wall_ms: u64, outcome: &str) {
         let elapsed_ms = wall_ms.saturating_sub(self.start_ms);
@@ -247,6 +283,36 @@
         Ok(())
     }
 
+    /// Writes the table of refusals by customer, the most frequent first: the count, how many were
+    /// refused at once, the time that the requests had waited, and the median ratio of the
+    /// customer's standing to its share. Nothing if the log names no customers.
+    fn write_refusals_by_customer(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.refused_by_customer.is_empty() {
+            return Ok(());
+        }
+        writeln!(f, "\nRefused requests by customer:")?;
+        writeln!(
+            f,
+            "{:>24} {:>18} {:>7} {:>13} {:>15} {:>12}",
+            "customer", "reason", "count", "under 100 ms", "waited", "of its share"
+        )?;
+        let mut rows: Vec<_> = self.refused_by_customer.iter().collect();
+        rows.sort_by_key(|(key, refusals)| (Reverse(refusals.waited_ms.len()), *key));
+        for ((customer, reason), refusals) in rows {
+            let waited_ms = &refusals.waited_ms;
+            let immediate = waited_ms.iter().filter(|ms| **ms < IMMEDIATE_REFUSAL_MS);
+            writeln!(
+                f,
+                "{customer:>24} {reason:>18} {:>7} {:>13} {:>15} {:>12}",
+                waited_ms.len(),
+                immediate.count(),
+                median_and_p90(waited_ms),
+                median_ratio(&refusals.share_ratios),
+            )?;
+        }
+        Ok(())
+    }
+
     /// Writes the table of outcomes by interval of time.
     fn write_outcomes(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let names = self.frequent_outcomes();
@@ -272,6 +338,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.write_first_events(f)?;
         self.write_refusals(f)?;
+        self.write_refusals_by_customer(f)?;
         self.write_outcomes(f)
     }
 }
@@ -293,6 +360,14 @@
     format!("{} {}", quantile(values, 0.5), quantile(values, 0.9))
 }
 
+/// The median as text with one decimal place; "-" if there are no values.
+fn median_ratio(values: &[f64]) -> String {
+    let mut values = values.to_vec();
+    values.sort_unstable_by(f64::total_cmp);
+    let median = values.get(values.len().saturating_sub(1) / 2);
+    median.map_or_else(|| "-".to_owned(), |ratio| format!("{ratio:.1}"))
+}
+
 /// The quantile at a fraction from 0 to 1, by the nearest rank; 0 if there are no values.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn quantile(values: &[i64], fraction: f64) -> i64 {
--- a/src/cmd/outcome_descriptions.rs
+++ b/src/cmd/outcome_descriptions.rs
@@ -14,6 +14,9 @@
         "unknown_key" => "rejected: the key is missing or not in the manifest",
         "body_too_large" => "rejected: the body is larger than the manifest allows",
         "body_late" => "not run: the body did not arrive in time",
+        "customer_limit" => {
+            "not run: its customer was above its share while there was too little room"
+        }
         "deadline" => "not run: it could not have ended before its deadline",
         "queue_full" => "not run: the backlog of the engines would have made it late",
         "too_large" => "not run: its prompt needs more memory than all engines have",
--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -7,6 +7,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::EngineCountsRecord;
 use crate::gateway::ExcludedRecord;
+use crate::units::Priority;
 
 /// The events of one request in order of time, after the state of the host at the first of them.
 /// Displayed as text, with times in ms before or after the first event.
@@ -112,6 +113,31 @@
     }
 }
 
+/// Writes the customer, its standing against its share, and the priority, each if it is known, on a
+/// line of their own.
+fn write_customer(
+    f: &mut fmt::Formatter<'_>,
+    customer: Option<&str>,
+    priority: Option<Priority>,
+    share_ratio: Option<f64>,
+) -> fmt::Result {
+    let mut parts = Vec::new();
+    match (customer, share_ratio) {
+        (Some(customer), Some(ratio)) => parts.push(format!(
+            "its customer {customer} was at {ratio:.1} times its share"
+        )),
+        (Some(customer), None) => parts.push(format!("its customer is {customer}")),
+        (None, _) => {}
+    }
+    if let Some(priority) = priority {
+        parts.push(format!("its priority {priority}"));
+    }
+    if parts.is_empty() {
+        return Ok(());
+    }
+    write!(f, "\n                     {}", parts.join(", "))
+}
+
 /// Displays an event as text, which has several lines for some events.
 struct EventText<'a>(&'a DecisionEvent);
 
@@ -205,6 +231,9 @@
                 hosts_heard,
                 manifest_age_ms,
                 excluded,
+                customer,
+                priority,
+                share_ratio,
                 ..
             } => {
                 write!(
@@ -215,6 +244,7 @@
                      {upstreams} upstreams listed, load of {hosts_heard} other hosts known, retry \
                      after {retry_after_ms} ms; manifest confirmed {manifest_age_ms} ms ago"
                 )?;
+                write_customer(f, customer.as_deref(), *priority, *share_ratio)?;
                 write_engine_counts(f, "near", near.as_deref())?;
                 write_engine_counts(f, "all", all.as_deref())?;
                 write_excluded(f, excluded.as_ref())
@@ -227,6 +257,9 @@
                 choices,
                 near,
                 all,
+                customer,
+                priority,
+                share_ratio,
                 ..
             } => {
                 write!(
@@ -235,8 +268,9 @@
                      on time and {time_left_ms} ms until its deadline, after {choices} placement \
                      decisions; {prompt_tokens} prompt tokens"
                 )?;
-                write_engine_counts(f, "near", Some(near))?;
-                write_engine_counts(f, "all", Some(all))
+                write_customer(f, customer.as_deref(), *priority, *share_ratio)?;
+                write_engine_counts(f, "near", near.as_deref())?;
+                write_engine_counts(f, "all", all.as_deref())
             }
             DecisionEvent::Ended {
                 outcome,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -61,6 +61,11 @@
 }
 
 impl Call {
+    /// The priority; none if the manifest lists none for the customer or the route.
+    pub fn listed_priority(&self) -> Option<Priority> {
+        self.has_listed_priority.then_some(self.priority)
+    }
+
     /// Whether upstreams of any region may serve the call.
     pub fn may_run_anywhere(&self) -> bool {
         let any = AllowedRegions::Any;
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -404,8 +404,11 @@
             objective_left_ms: whole_millis(self.call.objective_left(now)),
             time_left_ms: whole_millis(self.call.time_left(now)),
             choices: self.choices,
-            near: Box::new(near),
-            all: Box::new(all),
+            near: Some(Box::new(near)),
+            all: Some(Box::new(all)),
+            customer: self.call.customer.as_ref().map(ToString::to_string),
+            priority: self.call.listed_priority(),
+            share_ratio: None,
         });
     }
 
@@ -426,6 +429,9 @@
             near: near.map(Box::new),
             all: all.map(Box::new),
             excluded: excluded_upstreams(gateway, &self.call, now),
+            customer: self.call.customer.as_ref().map(ToString::to_string),
+            priority: self.call.listed_priority(),
+            share_ratio: None,
             retry_after_ms: whole_millis(retry_after),
             upstreams: listed.unwrap_or(0),
             hosts_heard: gateway.ledger().live_peer_count(now),
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -8,6 +8,7 @@
 use crate::gateway::EngineCountsRecord;
 use crate::gateway::ExcludedRecord;
 use crate::gateway::RateLimitRecord;
+use crate::units::Priority;
 
 /// A decision about a request, or a change in the state of the host. Each event is written as one
 /// line of JSON.
@@ -281,7 +282,7 @@
         /// The time since the start of this host, in ms.
         uptime_ms: u64,
     },
-    /// A prompt for several engines has waited for one second. Logged once per request.
+    /// A request has waited for one second. Logged once per request.
     Waiting {
         /// The id of the request.
         request: String,
@@ -295,10 +296,23 @@
         time_left_ms: u64,
         /// The number of placement decisions so far.
         choices: u32,
-        /// The engines in the failure domain of this host.
-        near: Box<EngineCountsRecord>,
-        /// All engines of the service.
-        all: Box<EngineCountsRecord>,
+        /// For a prompt that several engines can share, the engines in the failure domain of this
+        /// host.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        near: Option<Box<EngineCountsRecord>>,
+        /// For a prompt that several engines can share, all engines of the service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        all: Option<Box<EngineCountsRecord>>,
+        /// The customer; none on a route that needs no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        customer: Option<String>,
+        /// The priority; none if the manifest lists none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        priority: Option<Priority>,
+        /// The ratio of what all hosts do for the customer at the service to the customer's share;
+        /// none if customers do not share the service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        share_ratio: Option<f64>,
     },
     /// This host refused a request, with the state that the decision was based on.
     Refused {
@@ -328,6 +342,16 @@
         /// The upstreams of the service that accepted no requests; none if all did.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         excluded: Option<ExcludedRecord>,
+        /// The customer; none on a route that needs no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        customer: Option<String>,
+        /// The priority; none if the manifest lists none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        priority: Option<Priority>,
+        /// The ratio of what all hosts do for the customer at the service to the customer's share;
+        /// none if customers do not share the service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        share_ratio: Option<f64>,
         /// The time after which the caller was asked to retry, in ms.
         retry_after_ms: u64,
         /// The number of listed upstreams of the service.
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use banyanarch::units::Priority;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -17,6 +18,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use workdir::WorkDir;
+use yare::parameterized;
 
 fn request_with_id(request: &str, key: &str, path: &str) -> Request<Full<Bytes>> {
     let mut req = request_of(key, path);
@@ -238,3 +240,105 @@
         "{output:?}"
     );
 }
+
+/// A `refused` line of a customer, whose last fields are `standing`.
+fn refused_line(request: &str, waited: u64, standing: &str) -> String {
+    format!(
+        r#"{{"wall_ms":{waited},"host":"h","event":"refused","request":"{request}","reason":"customer_limit","prompt_tokens":900,"elapsed_ms":{waited},"objective_left_ms":0,"retry_after_ms":500,"upstreams":9,"hosts_heard":3,"manifest_age_ms":700{standing}}}"#
+    )
+}
+
+/// Guards against a wait or a refusal that can't be put down to the customer's own load, and against
+/// logs of earlier versions that can't be read any more.
+#[parameterized(
+    all = {
+        r#","customer":"acme","priority":2,"share_ratio":3.14"#,
+        &["its customer acme was at 3.1 times its share, its priority 2"],
+    },
+    below_its_share = {
+        r#","customer":"acme","share_ratio":0.4"#,
+        &["its customer acme was at 0.4 times its share\n"],
+    },
+    no_share = { r#","customer":"acme","priority":0"#, &["its customer is acme, its priority 0"] },
+    earlier_version = { "", &[] },
+)]
+fn a_wait_and_a_refusal_name_the_customer_and_its_share(standing: &str, expected: &[&str]) {
+    let dir = WorkDir::new();
+    let waiting = format!(
+        r#"{{"wall_ms":1000,"host":"h","event":"waiting","request":"r-1","prompt_tokens":900,"elapsed_ms":1000,"objective_left_ms":500,"time_left_ms":9000,"choices":4{standing}}}"#
+    );
+    let lines = [waiting, refused_line("r-1", 1_200, standing)];
+    dir.write_file("host.log", &lines.join("\n"));
+    let output = dir.run(&["explain", "r-1", "--logs", "host.log"]);
+    assert_eq!(output.code, 0, "{output:?}");
+    assert!(output.stdout.contains("waits, 1000 ms after"), "{output:?}");
+    for text in expected {
+        assert_eq!(output.stdout.matches(text).count(), 2, "{output:?}");
+    }
+    let names_customer = output.stdout.contains("its customer");
+    assert_eq!(names_customer, !expected.is_empty(), "{output:?}");
+}
+
+/// Guards against a flood that can't be found in the logs: one customer is refused far more often
+/// than the others.
+#[test]
+fn a_summary_shows_the_refusals_of_each_customer() {
+    let dir = WorkDir::new();
+    let of =
+        |customer: &str, ratio: f64| format!(r#","customer":"{customer}","share_ratio":{ratio}"#);
+    let lines = [
+        refused_line("r-1", 1_000, &of("calm", 0.5)),
+        refused_line("r-2", 10, &of("flood", 2.0)),
+        refused_line("r-3", 20, &of("flood", 4.0)),
+        refused_line("r-4", 2_000, &of("flood", 6.0)),
+        refused_line("r-5", 2_000, ""),
+    ];
+    dir.write_file("host.log", &lines.join("\n"));
+    let output = dir.run(&["explain", "--summary", "--logs", "host.log"]);
+    assert_eq!(output.code, 0, "{output:?}");
+    let table = output.stdout.split("Refused requests by customer:").nth(1);
+    let rows: Vec<Vec<&str>> = table
+        .unwrap()
+        .lines()
+        .skip(2)
+        .take(2)
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(
+        rows,
+        [
+            ["flood", "customer_limit", "3", "2", "20", "2000", "4.0"],
+            ["calm", "customer_limit", "1", "0", "1000", "1000", "0.5"],
+        ]
+    );
+}
+
+/// Guards against a refusal without the customer and the priority that it was decided for.
+#[test]
+fn a_refusal_of_a_host_names_its_customer_and_priority() {
+    let dir = WorkDir::new();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let log = runtime.block_on(async {
+        let mut routes = table(1);
+        let customer = "acme".parse().unwrap();
+        routes.keys.set_priority(customer, Priority(7));
+        let catalog = FakeCatalog::new(routes);
+        let upstream = ScriptedUpstream::start([ScriptStep::Refuse]).await;
+        catalog.list("a", "app", upstream.addr);
+        let host = TestHost::start_with(conf("host-1"), &catalog).await;
+        for (request, key) in [("r-first", "key-1"), ("r-second", "key-2")] {
+            host.call(request_with_id(request, key, "/once/1")).await;
+        }
+        wait_until(|| host.log.text().matches(r#""event":"ended""#).count() == 2).await;
+        host.log.text()
+    });
+    dir.write_file("host-1.log", &log);
+    let expected = [
+        ("r-first", "its customer is acme, its priority 7\n"),
+        ("r-second", "its customer is globex, its priority 1\n"),
+    ];
+    for (request, text) in expected {
+        let output = dir.run(&["explain", request, "--logs", "host-1.log"]);
+        assert!(output.stdout.contains(text), "{output:?}");
+    }
+}
