Soak: floods of one customer, and a check that the others are served

No run of the soak had a customer that takes more than its part, and its upstreams ran any number of requests at once, so a flood would have cost nobody anything. Without the flag runs are as before.

The check takes its bounds from the stated target: of the attempts of all other customers during a flood 0.95 are served and 0.8 in time (the first part of the body within the objective). It leaves a flood out if these customers were not served as well in the 4 s before it, if more than a third of the upstreams of the smallest service is disturbed, or if anything else is.

--- a/soak/src/call.rs
+++ b/soak/src/call.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Returns the time within which a response, or the first event of a stream, is on time.
+    pub fn objective(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::LongPrompt => 3_000,
+            _ => 400,
+        })
+    }
+
     /// Returns the maximum number of upstreams that may run one call.
     pub fn runs_max(self) -> u32 {
         // Calls that must run at most once may also be sent a second time if the first upstream did
@@ -93,10 +101,10 @@
     }
 }
 
-/// Returns the performance model of the engines in the manifest.
-fn engine_model() -> EngineModel {
+/// Returns the performance model of engines with this number of slots in the manifest.
+fn engine_model(slots: u32) -> EngineModel {
     EngineModel {
-        slots: 16,
+        slots,
         memory_tokens: Tokens(450_000),
         stride: 46,
         step_ms: 0.925,
@@ -108,10 +116,11 @@
 }
 
 /// Returns the manifest with this version. The route of [`CallClass::Moving`] leads to the service
-/// `moving_to`. Customers are given with their keys.
+/// `moving_to`. Engines have this number of slots. Customers are given with their keys.
 pub fn manifest(
     version: u64,
     moving_to: &str,
+    slots: u32,
     customers: &[(String, Vec<String>)],
 ) -> ManifestConf {
     let route = |class: CallClass| RouteConf {
@@ -119,11 +128,7 @@
         hostname: HOSTNAME.to_owned(),
         kind: class.call_kind(),
         timeout: class.timeout(),
-        objective: Duration::from_millis(if class == CallClass::LongPrompt {
-            3_000
-        } else {
-            400
-        }),
+        objective: class.objective(),
         service: match class {
             CallClass::Idempotent | CallClass::AtMostOnce => PLAIN_SERVICES[0].to_owned(),
             CallClass::Moving => moving_to.to_owned(),
@@ -137,7 +142,7 @@
         services: vec![
             (PLAIN_SERVICES[0].to_owned(), None),
             (PLAIN_SERVICES[1].to_owned(), None),
-            (ENGINE_SERVICE.to_owned(), Some(engine_model())),
+            (ENGINE_SERVICE.to_owned(), Some(engine_model(slots))),
         ],
         customers: customers.to_vec(),
     }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -33,6 +33,8 @@
 /// A caller, which sends one request at a time.
 #[derive(Default)]
 pub(crate) struct Caller {
+    /// When the first part of the body of the current response arrived, unless it is empty.
+    first_data_at: Option<Instant>,
     /// The open connection and the address of its host.
     open_connection: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
 }
@@ -50,21 +52,36 @@
 }
 
 impl Caller {
-    /// Sends one request to a host and returns its outcome. A connection that is still open
+    /// Sends one request to a host and returns its outcome, and the time until the first part of the
+    /// body of its response, if any. A connection that is still open
     /// afterwards is kept for the next request.
     pub(crate) async fn attempt(
         &mut self,
         host: SocketAddr,
         caller_request: &CallerRequest<'_>,
+    ) -> (CallerOutcome, Option<Duration>) {
+        let sent_at = Instant::now();
+        self.first_data_at = None;
+        let outcome = self.exchange(host, caller_request).await;
+        let first_data_at = self.first_data_at;
+        (outcome, first_data_at.map(|at| at - sent_at))
+    }
+
+    /// Sends one request to a host and returns its outcome.
+    async fn exchange(
+        &mut self,
+        host: SocketAddr,
+        caller_request: &CallerRequest<'_>,
     ) -> CallerOutcome {
         let ends_at = Instant::now() + caller_request.class.timeout() + RESPONSE_GRACE;
         let Some(mut sender) = self.take_or_open_connection(host).await else {
             return CallerOutcome::NoConnection;
         };
+        let first_data_at = &mut self.first_data_at;
         let exchange = async {
             let res = sender.send_request(build_request(caller_request)).await;
             let outcome = match res {
-                Ok(res) => read_outcome(caller_request, res).await,
+                Ok(res) => read_outcome(caller_request, res, first_data_at).await,
                 Err(err) => CallerOutcome::ConnectionBroken(err.to_string()),
             };
             (outcome, sender)
@@ -128,17 +145,27 @@
     req
 }
 
-/// Reads the body of a response and returns the outcome.
+/// Reads the body of a response and returns the outcome. Sets when the first part of the body has
+/// arrived.
 async fn read_outcome(
     caller_request: &CallerRequest<'_>,
     res: Response<Incoming>,
+    first_data_at: &mut Option<Instant>,
 ) -> CallerOutcome {
-    let (head, body) = res.into_parts();
+    let (head, mut incoming) = res.into_parts();
     let signature = stand_in::signature(&head.headers);
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) => return CallerOutcome::ConnectionBroken(err.to_string()),
-    };
+    let mut body = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Some(data) = frame.data_ref() {
+                    first_data_at.get_or_insert_with(Instant::now);
+                    body.extend_from_slice(data);
+                }
+            }
+            Err(err) => return CallerOutcome::ConnectionBroken(err.to_string()),
+        }
+    }
     if !head.status.is_success() {
         return CallerOutcome::Failure(head.status.as_u16(), signature);
     }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,6 +5,7 @@
 use crate::call;
 use crate::call::CallClass;
 use crate::deployment::REVOCATION_DELAY;
+use crate::flood_checks;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::FaultScope;
@@ -92,6 +93,7 @@
         violations.extend(notice_checks::check(observations));
         violations.extend(retry_checks::check(observations));
         violations.extend(path_checks::check(observations));
+        violations.extend(flood_checks::check(observations));
     }
     violations
 }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -32,11 +32,16 @@
 
 /// Number of failure domains.
 pub(crate) const DOMAINS: usize = 3;
+/// Number of customers.
+pub(crate) const CUSTOMERS: usize = 3;
 /// How long a revoked key may still be accepted.
 pub(crate) const REVOCATION_DELAY: Duration = Duration::from_secs(5);
 /// Time from the stop signal until a host is killed.
 pub(crate) const STOP_GRACE: Duration = Duration::from_secs(8);
 
+/// The number of slots that upstreams state if they accept any number of requests.
+const UNBOUNDED_SLOTS: u32 = 16;
+
 /// The size of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct DeploymentSize {
@@ -77,6 +82,8 @@
     pub(crate) manifest_inputs: Mutex<ManifestInputs>,
     /// For each host the addresses of the link proxies that it uses in place of real addresses.
     address_maps: Vec<Arc<Mutex<AddressMap>>>,
+    /// The number of requests that an upstream runs at once; none if it runs any number.
+    slots: Option<u32>,
     /// Number of upstreams that were started, from which their ids are made.
     upstreams_started: Mutex<u32>,
 }
@@ -108,9 +115,11 @@
 }
 
 impl Deployment {
-    /// Starts a deployment with the daemon `program`. Its hosts write their logs into `dir`.
+    /// Starts a deployment with the daemon `program`. Each upstream runs at most `slots` requests
+    /// at once, or any number if that is none. Hosts write their logs into `dir`.
     pub(crate) async fn start(
         size: DeploymentSize,
+        slots: Option<u32>,
         program: &Path,
         dir: &Path,
     ) -> io::Result<Arc<Self>> {
@@ -142,7 +151,8 @@
             store_links.push(store_link);
             address_maps.push(addresses);
         }
-        let customers = (0..3).map(|c| (format!("customer-{c}"), vec![format!("key-{c}-0")]));
+        let customers =
+            (0..CUSTOMERS).map(|c| (format!("customer-{c}"), vec![format!("key-{c}-0")]));
         let mut deployment = Self {
             started_at: Instant::now(),
             history: Arc::default(),
@@ -159,6 +169,7 @@
                 customers: customers.collect(),
             }),
             address_maps,
+            slots,
             upstreams_started: Mutex::default(),
         };
         deployment.link_peers(links_ip).await?;
@@ -216,6 +227,9 @@
             history,
         )
         .await?;
+        if let Some(slots) = self.slots {
+            upstream.set_slots(slots);
+        }
         for from in 0..DOMAINS {
             let link = LinkProxy::start(loopback_ip(247), upstream.addr).await?;
             for host in (0..self.hosts.len()).filter(|host| host % DOMAINS == from) {
@@ -228,10 +242,17 @@
         Ok(())
     }
 
+    /// The number of slots that upstreams state in the store and in the manifest.
+    fn stated_slots(&self) -> u32 {
+        self.slots.unwrap_or(UNBOUNDED_SLOTS)
+    }
+
     /// Writes the entry of an upstream to the store.
     pub(crate) fn register_upstream(&self, upstream: &UpstreamStandIn, is_leaving: bool) {
         let domain = format!("domain-{}", upstream.domain);
-        let spec = stand_in::upstream_spec(upstream.service, upstream.addr, &domain, is_leaving);
+        let slots = self.stated_slots();
+        let (service, addr) = (upstream.service, upstream.addr);
+        let spec = stand_in::upstream_spec(service, addr, &domain, slots, is_leaving);
         self.store.put(stand_in::UPSTREAMS_KIND, &upstream.id, spec);
     }
 
@@ -260,6 +281,7 @@
         let manifest = call::manifest(
             manifest_inputs.version,
             moving_to,
+            self.stated_slots(),
             &manifest_inputs.customers,
         );
         let (kind, name) = stand_in::MANIFEST;
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,5 @@
 //! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store,
-//! outages and cuts between hosts and upstreams have random generators of their own, so that they do
+//! outages, floods and cuts between hosts and upstreams have random generators of their own, so that they do
 //! not change which other faults a seed draws.
 
 use std::ops::Range;
@@ -11,6 +11,7 @@
 
 use crate::deployment::DOMAINS;
 use crate::faults::Fault;
+use crate::flood::Flood;
 use crate::link_proxy::LinkMode;
 use crate::run::SoakConf;
 use crate::store::StoreMode;
@@ -30,6 +31,9 @@
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
+/// XORed with the seed of the run for the draws of floods.
+const FLOODS_SEED_MASK: u64 = 0x000F_100D;
+
 /// Draws the faults of a seed other than rate limits, notices and restores of the store, each with
 /// the pause before it.
 pub fn draw_faults(conf: &SoakConf) -> Vec<(Duration, Fault)> {
@@ -132,6 +136,29 @@
     })
 }
 
+/// Draws the floods of customers, each with the pause before it and, most times, one upstream that
+/// is gone or slow during the flood.
+pub(crate) fn draw_floods(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ FLOODS_SEED_MASK);
+    let floods = draw(conf, rng.clone(), 9_000..12_000, |rng| {
+        Fault::Flood(Flood::draw(rng), draw_duration(rng, 4_000..7_000))
+    });
+    let mut faults = Vec::new();
+    for flood in floods {
+        faults.push(flood);
+        let upstream = rng.random_range(0..1_000);
+        let gap = draw_duration(&mut rng, 200..1_000);
+        let time = draw_duration(&mut rng, 1_500..3_000);
+        let slow = UpstreamMode::Slow(draw_duration(&mut rng, 300..1_500));
+        match rng.random_range(0..4) {
+            0 => {}
+            1 => faults.push((gap, Fault::KillUpstream(upstream, time))),
+            _ => faults.push((gap, Fault::Upstream(upstream, slow, time))),
+        }
+    }
+    faults
+}
+
 /// Draws pauses and faults until the time for faults is used up.
 fn draw(
     conf: &SoakConf,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -18,6 +18,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::STOP_GRACE;
 use crate::deployment::lock;
+use crate::flood::Flood;
 use crate::history::FaultScope;
 use crate::history::LimitPeriod;
 use crate::history::StoreChange;
@@ -89,6 +90,8 @@
     BackOffUpstream(usize, Duration, Duration),
     /// A failure domain is evacuated for this time.
     EvacuateDomain(usize, Duration),
+    /// A customer floods the deployment for this time.
+    Flood(Flood, Duration),
     /// The moving route is moved to the other plain service.
     MoveRoute,
     /// The oldest key of a customer is revoked and a new one is issued.
@@ -178,6 +181,7 @@
             | Self::LeaveUpstreamUnlisted(_, time)
             | Self::BackOffUpstream(_, _, time)
             | Self::EvacuateDomain(_, time)
+            | Self::Flood(_, time)
             | Self::KillUpstream(_, time) => *time = time.mul_f64(factor),
             Self::RestoreStore(times) => {
                 for time in times {
@@ -394,6 +398,10 @@
             deployment.store.remove(kind, &name);
             return;
         }
+        Fault::Flood(flood, time) => {
+            flood.run(deployment, time).await;
+            FaultScope::Flood(flood.customer)
+        }
         Fault::MoveRoute => {
             deployment.publish_manifest(|manifest_inputs| {
                 manifest_inputs.moving_to = 1 - manifest_inputs.moving_to;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -49,6 +49,9 @@
     pub deadline: Duration,
     /// When the attempt started, before any connection was opened.
     pub sent_at: Timestamp,
+    /// The time until the first part of a response body, which for a stream is its first event;
+    /// none if there was none.
+    pub first_data_after: Option<Duration>,
     /// When the caller had the response or stopped waiting.
     pub ended_at: Timestamp,
     /// The outcome.
@@ -125,6 +128,8 @@
     Store,
     /// An upstream.
     Upstream,
+    /// The customer with this index sends many times its usual requests.
+    Flood(usize),
     /// All upstreams.
     AllUpstreams,
 }
@@ -155,6 +160,7 @@
             | FaultScope::UpstreamPaths(_)
             | FaultScope::Store
             | FaultScope::Upstream
+            | FaultScope::Flood(_)
             | FaultScope::AllUpstreams => false,
         }
     }
@@ -166,7 +172,10 @@
             FaultScope::Hosts(hosts) | FaultScope::Processes(hosts) => hosts.contains(&host),
             FaultScope::PlannedStop(stopped) => *stopped == host,
             FaultScope::Store => true,
-            FaultScope::UpstreamPaths(_) | FaultScope::Upstream | FaultScope::AllUpstreams => false,
+            FaultScope::UpstreamPaths(_)
+            | FaultScope::Upstream
+            | FaultScope::Flood(_)
+            | FaultScope::AllUpstreams => false,
         }
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,8 @@
 mod deployment;
 mod fault_draws;
 pub mod faults;
+pub mod flood;
+mod flood_checks;
 pub mod history;
 mod host_process;
 mod limit_checks;
@@ -20,6 +22,7 @@
 pub mod store;
 pub mod upstream;
 mod upstream_body;
+mod upstream_slots;
 
 pub use deployment::DeploymentSize;
 pub use fault_draws::draw_faults;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -27,6 +27,7 @@
     --minutes M     How long faults are injected, per seed. [default: 0.5]
     --stretch X     Factor on the drawn duration of each fault. [default: 1]
     --path-cuts     Inject only cuts between hosts and all upstreams.
+    --floods        Inject only floods of one customer, while some upstreams are gone or slow.
     --hosts N       Number of hosts. [default: 6]
     --engines N     Number of engines. [default: 12]
     --instances N   Number of instances of each plain service. [default: 3]
@@ -90,6 +91,7 @@
     let seeds = args.opt_value_from_str("--seeds").map_err(error_text)?;
     let minutes: Option<f64> = args.opt_value_from_str("--minutes").map_err(error_text)?;
     let only_path_cuts = args.contains("--path-cuts");
+    let only_floods = args.contains("--floods");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
     let engines = args.opt_value_from_str("--engines").map_err(error_text)?;
@@ -123,6 +125,7 @@
                 instances: instances.unwrap_or(3),
             },
             only_path_cuts,
+            only_floods,
             guarantees: GuaranteeSet::All,
         },
         node,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -25,12 +25,14 @@
 use crate::deployment::lock;
 use crate::fault_draws::draw_evacuations;
 use crate::fault_draws::draw_faults;
+use crate::fault_draws::draw_floods;
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_outages;
 use crate::fault_draws::draw_path_cuts;
 use crate::fault_draws::draw_restores;
 use crate::faults;
+use crate::faults::Fault;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::StoreChange;
@@ -43,6 +45,8 @@
 const OBSERVATION_TIME: Duration = Duration::from_secs(3);
 /// Number of callers that start at each host.
 const CALLERS_PER_HOST: usize = 4;
+/// The slots of each upstream while customers flood the deployment.
+const FLOODED_SLOTS: u32 = 4;
 /// Time from the last request until all memory reservations have been released or have expired.
 const RESERVATION_EXPIRY_TIME: Duration = Duration::from_millis(4_200);
 
@@ -60,6 +64,9 @@
     /// Whether only cuts between hosts and all upstreams are injected. With all faults, hosts are
     /// rarely undisturbed for long enough to compare those that are cut with the others.
     pub only_path_cuts: bool,
+    /// Whether only floods of one customer are injected, while some upstreams are gone or slow.
+    /// Upstreams have few slots then.
+    pub only_floods: bool,
     /// The guarantees that are checked.
     pub guarantees: GuaranteeSet,
 }
@@ -79,7 +86,8 @@
 
 /// Runs one seed with the daemon `program`. Hosts write their logs into `dir`.
 pub async fn run(conf: &SoakConf, program: &Path, dir: &Path) -> io::Result<SoakReport> {
-    let deployment = Deployment::start(conf.size, program, dir).await?;
+    let slots = conf.only_floods.then_some(FLOODED_SLOTS);
+    let deployment = Deployment::start(conf.size, slots, program, dir).await?;
     let stop = watch::Sender::new(false);
     let mut callers = JoinSet::new();
     for index in 0..conf.size.hosts * CALLERS_PER_HOST {
@@ -91,17 +99,7 @@
         ));
     }
     sleep(STARTUP_TIME).await;
-    let mut series = vec![draw_path_cuts(conf)];
-    if !conf.only_path_cuts {
-        series.extend([
-            draw_faults(conf),
-            draw_limits(conf),
-            draw_notices(conf),
-            draw_restores(conf),
-            draw_evacuations(conf),
-            draw_outages(conf),
-        ]);
-    }
+    let series = draw_series(conf);
     let faults = series.iter().map(Vec::len).sum();
     let injections = series
         .into_iter()
@@ -126,6 +124,25 @@
     })
 }
 
+/// Draws the series of faults of a run.
+fn draw_series(conf: &SoakConf) -> Vec<Vec<(Duration, Fault)>> {
+    if conf.only_floods {
+        return vec![draw_floods(conf)];
+    }
+    let mut series = vec![draw_path_cuts(conf)];
+    if !conf.only_path_cuts {
+        series.extend([
+            draw_faults(conf),
+            draw_limits(conf),
+            draw_notices(conf),
+            draw_restores(conf),
+            draw_evacuations(conf),
+            draw_outages(conf),
+        ]);
+    }
+    series
+}
+
 /// Returns violations for memory that is still reserved and for hosts that exited by themselves.
 fn check_final_state(deployment: &Deployment) -> Vec<Violation> {
     let upstreams = lock(&deployment.upstreams);
@@ -187,7 +204,7 @@
             abandoned_after: is_abandoned.then(|| Duration::from_millis(rng.random_range(5..500))),
         };
         let sent_at = deployment.now();
-        let outcome = caller
+        let (outcome, first_data_after) = caller
             .attempt(deployment.caller_links[host].addr, &caller_request)
             .await;
         // Every other caller stays, so that also hosts that serve nobody keep callers.
@@ -200,6 +217,7 @@
             key,
             deadline: class.timeout(),
             sent_at,
+            first_data_after,
             ended_at: deployment.now(),
             outcome,
         };
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -42,6 +42,9 @@
 use crate::upstream_body::full_response;
 use crate::upstream_body::refusal;
 use crate::upstream_body::truncated_response;
+use crate::upstream_slots::NoSlot;
+use crate::upstream_slots::Slot;
+use crate::upstream_slots::UpstreamSlots;
 
 /// How an upstream handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -116,6 +119,8 @@
     backoff: Mutex<Option<Duration>>,
     /// When each reservation expires, by name.
     reservation_ends: Mutex<IndexMap<String, Timestamp>>,
+    /// The slots; none if the upstream runs any number of requests at once.
+    slots: Mutex<Option<Arc<UpstreamSlots>>>,
 }
 
 impl UpstreamStandIn {
@@ -142,6 +147,7 @@
             is_leaving: AtomicBool::new(false),
             backoff: Mutex::default(),
             reservation_ends: Mutex::default(),
+            slots: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&shared).accept_connections(listener));
         Ok(Self {
@@ -159,6 +165,13 @@
         self.shared.mode.send_replace(mode);
     }
 
+    /// Runs at most this number of requests at once from now on, lets as many wait, and refuses all
+    /// others.
+    pub fn set_slots(&self, slots: u32) {
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+        *self.shared.slots() = Some(Arc::new(UpstreamSlots::new(slots)));
+    }
+
     /// Advertises a limit in requests per second from now on, in place of any other limit.
     pub(crate) fn start_advertising_limit(&self, per_s: f64) {
         *self.shared.advertised_limit() = Some(per_s);
@@ -289,6 +302,12 @@
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         }
+        let Ok(slot) = self.take_slot().await else {
+            self.record_refusal(&request, None, arrival);
+            let mut res = refusal(None);
+            stand_in::mark_not_executed(res.headers_mut(), &request);
+            return Ok(res);
+        };
         self.record(&head, &body, &forwarded, arrival);
         let delay = if let UpstreamMode::Slow(delay) = mode {
             delay
@@ -306,7 +325,7 @@
                 full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned())
             }
             _ if self.service == call::ENGINE_SERVICE => {
-                self.event_stream_response(&forwarded, mode)
+                self.event_stream_response(&forwarded, mode, slot)
             }
             UpstreamMode::TruncatesResponses => {
                 truncated_response(&call::plain_response_body(&request, &self.id))
@@ -415,11 +434,12 @@
     /// Returns a response that streams the events after the last one that the caller has received.
     /// The stream pauses while the upstream is unresponsive. With
     /// [`UpstreamMode::TruncatesResponses`] as `mode` the stream fails in the middle of its third
-    /// event.
+    /// event. The slot is free again at the end of the stream.
     fn event_stream_response(
         self: &Arc<Self>,
         forwarded: &ForwardedHead,
         mode: UpstreamMode,
+        slot: Option<Slot>,
     ) -> Response<Body> {
         let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(1);
         let request = forwarded.request.clone();
@@ -427,6 +447,7 @@
         let last = call::event_count(&request);
         let shared = Arc::clone(self);
         tokio::spawn(async move {
+            let _slot = slot;
             let mut mode_updates = shared.mode.subscribe();
             for id in first..=last {
                 tokio::time::sleep(EVENT_INTERVAL).await;
@@ -457,6 +478,20 @@
         Response::new(frames.boxed_unsync())
     }
 
+    /// Waits for a slot; none if the upstream runs any number of requests at once. Fails if too many
+    /// requests wait already.
+    async fn take_slot(&self) -> Result<Option<Slot>, NoSlot> {
+        let slots = self.slots().clone();
+        match slots {
+            Some(slots) => slots.take().await.map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn slots(&self) -> std::sync::MutexGuard<'_, Option<Arc<UpstreamSlots>>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn advertised_limit(&self) -> std::sync::MutexGuard<'_, Option<f64>> {
         self.advertised_limit_per_s
             .lock()
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -34,6 +34,7 @@
         size: SIZE,
         guarantees,
         only_path_cuts: false,
+        only_floods: false,
         stretch: 1.0,
     }
 }
@@ -93,6 +94,7 @@
         key: "key-1-0".to_owned(),
         deadline: class.timeout(),
         sent_at: at(10_000),
+        first_data_after: Some(at(90)),
         ended_at: at(10_100),
         outcome,
     }
@@ -485,3 +487,79 @@
     let violations = violated_guarantees(attempt, runs, changes.collect());
     assert_eq!(violations.is_empty(), is_kept, "{violations:?}");
 }
+
+/// The attempts of a customer, one each 50 ms for 2 s before a flood and 3 s during it, of which those
+/// during the flood that `outcome_at` selects by their number have the given outcome and time.
+fn attempts_of(
+    observations: &mut Observations,
+    customer: usize,
+    outcome_at: impl Fn(u64) -> (CallerOutcome, u64),
+) {
+    for index in 0..100 {
+        let (mut attempt, _) = served(CallClass::Idempotent);
+        attempt.key = format!("key-{customer}-0");
+        attempt.sent_at = at(8_000 + index * 50);
+        attempt.ended_at = attempt.sent_at + at(20);
+        if index >= 40 {
+            let (outcome, first_data_after_ms) = outcome_at(index - 40);
+            attempt.outcome = outcome;
+            attempt.first_data_after = Some(at(first_data_after_ms));
+        }
+        let request = format!("0004{customer:02x}00{index:02x}");
+        observations.attempts.insert(request, attempt);
+    }
+    // Three upstreams, so that one of them may be disturbed.
+    for index in 1..=3 {
+        let run = UpstreamRun {
+            upstream: format!("u00{index}"),
+            ..run_at(8_000)
+        };
+        let request = format!("0004{customer:02x}00{index:02x}");
+        observations.runs.insert(request, vec![run]);
+    }
+}
+
+/// Guards against a check that never finds customers who pay for another one's flood, or that blames
+/// the flood for other faults.
+#[parameterized(
+    all_served = { 0, 0, &[], true },
+    five_percent_refused = { 3, 0, &[], true },
+    more_refused = { 4, 0, &[], false },
+    a_fifth_late = { 0, 12, &[], true },
+    more_late = { 0, 13, &[], false },
+    an_upstream_slow = { 4, 0, &[FaultScope::Upstream], false },
+    too_many_upstreams_slow = { 4, 0, &[FaultScope::Upstream, FaultScope::Upstream], true },
+    a_host_killed = { 4, 0, &[FaultScope::Processes(vec![1])], true },
+    no_upstream_left = { 4, 0, &[FaultScope::AllUpstreams], true },
+)]
+fn customers_who_pay_for_a_flood_are_found(
+    refused: u64,
+    late: u64,
+    other_faults: &[FaultScope],
+    is_kept: bool,
+) {
+    let mut observations = Observations::default();
+    attempts_of(&mut observations, 1, |index| match index {
+        _ if index < refused => (CallerOutcome::Failure(503, None), 5),
+        _ => {
+            let (attempt, _) = served(CallClass::Idempotent);
+            let is_late = index < refused + late;
+            (attempt.outcome, if is_late { 401 } else { 400 })
+        }
+    });
+    // The flooding customer itself may be refused.
+    attempts_of(&mut observations, 2, |_| {
+        (CallerOutcome::Failure(503, None), 5)
+    });
+    observations
+        .faults
+        .extend(fault_from_to(FaultScope::Flood(2), 10_000, 13_000));
+    for scope in other_faults {
+        let fault = fault_from_to(scope.clone(), 9_500, 12_000);
+        observations.faults.extend(fault);
+    }
+    let violations = check(&observations, GuaranteeSet::All, at(10_000));
+    let mut guarantees = violations.iter().map(|violation| violation.guarantee);
+    let is_found = guarantees.any(|guarantee| guarantee.starts_with("customers at their usual"));
+    assert_eq!(is_found, !is_kept, "{violations:?}");
+}
--- a/soak/tests/upstream.rs
+++ b/soak/tests/upstream.rs
@@ -55,3 +55,42 @@
         "{run:?}, handled from {handled_from:?}"
     );
 }
+
+/// Guards against floods that cost nobody anything, since stand-ins run any number of requests at
+/// once: two run, two wait, and the fifth is refused as not run.
+#[tokio::test]
+async fn an_upstream_with_slots_refuses_what_does_not_fit() {
+    let history = Arc::new(History::default());
+    let upstream = UpstreamStandIn::start(
+        "u001".to_owned(),
+        call::PLAIN_SERVICES[0],
+        0,
+        IpAddr::V4(Ipv4Addr::LOCALHOST),
+        Instant::now(),
+        Arc::clone(&history),
+    )
+    .await
+    .unwrap();
+    upstream.set_slots(2);
+    upstream.set_mode(UpstreamMode::Slow(Duration::from_millis(1_000)));
+    let addr = upstream.addr;
+    let send = |index: usize| {
+        let req = Request::post("/safe/x")
+            .header("host", "u001")
+            .header("x-attempt-id", format!("000100000{index}"))
+            .body(Full::<Bytes>::default())
+            .unwrap();
+        async move {
+            let res = one_shot::call(addr, req, 1 << 16, Duration::from_secs(10)).await;
+            res.unwrap().status().as_u16()
+        }
+    };
+    let mut statuses = futures_util::future::join_all((0..5).map(send)).await;
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 200, 200, 503]);
+    upstream.set_mode(UpstreamMode::Healthy);
+    assert_eq!(send(5).await, 200, "the slots are free again");
+    let observations = history.lock();
+    assert_eq!(observations.runs.len(), 5);
+    assert_eq!(observations.refusals.len(), 1);
+}
