--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -1,4 +1,4 @@
-//! Draws faults and injects them. Faults may overlap. Where several set the mode of the same link,
+//! The faults, and how they are injected. Faults may overlap. Where several set the mode of the same link,
 //! upstream or store, the last one to set the mode decides, and the end of any of them restores
 //! normal operation.
 
@@ -7,8 +7,6 @@
 
 use banyanarch_platform::stand_in;
 use nix::sys::signal::Signal;
-use rand::Rng;
-use rand::rngs::StdRng;
 use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -98,68 +96,6 @@
     RevokeKey(usize),
 }
 
-fn draw_link_mode(rng: &mut StdRng) -> LinkMode {
-    match rng.random_range(0..4) {
-        0 => LinkMode::Delayed(Duration::from_millis(rng.random_range(20..400))),
-        1 => LinkMode::Stalled,
-        2 => LinkMode::StalledToTarget,
-        _ => LinkMode::Reset,
-    }
-}
-
-fn draw_store_mode(rng: &mut StdRng) -> StoreMode {
-    match rng.random_range(0..6) {
-        0 => StoreMode::Slow(Duration::from_millis(rng.random_range(50..700))),
-        1 => StoreMode::Unavailable,
-        2 => StoreMode::TooManyRequests,
-        3 => StoreMode::Unresponsive,
-        4 => StoreMode::DropsWriteResponses,
-        _ => StoreMode::DelaysWrites,
-    }
-}
-
-/// Draws any faulty mode other than `Down`.
-fn draw_upstream_mode(rng: &mut StdRng) -> UpstreamMode {
-    match rng.random_range(0..7) {
-        0 => UpstreamMode::Unresponsive,
-        1 => UpstreamMode::Slow(Duration::from_millis(rng.random_range(50..1_500))),
-        2 => UpstreamMode::RejectsRequests,
-        3 => UpstreamMode::DropsResponses,
-        4 => UpstreamMode::TruncatesResponses,
-        5 => UpstreamMode::RespondsWithError,
-        _ => UpstreamMode::NamesOtherRequest,
-    }
-}
-
-impl Fault {
-    /// Draws a fault for a deployment of this many hosts.
-    pub(crate) fn draw(rng: &mut StdRng, hosts: usize) -> Self {
-        let host = rng.random_range(0..hosts);
-        let domain = rng.random_range(0..DOMAINS);
-        let other = (domain + rng.random_range(1..DOMAINS)) % DOMAINS;
-        let upstream = rng.random_range(0..1_000);
-        let time = Duration::from_millis(rng.random_range(200..5_000));
-        match rng.random_range(0..24) {
-            0 | 1 => Self::KillHost(host, time / 3),
-            2 if rng.random_ratio(1, 4) => Self::KillAllHosts(time / 3),
-            2..=4 => Self::StopHost(host),
-            5 | 6 => Self::PauseHost(host, time),
-            7 => Self::ReloadHostSettings(host),
-            8 | 9 => Self::Store(draw_store_mode(rng), time),
-            10 => Self::StoreLink(host, draw_link_mode(rng), time),
-            11 => Self::CallerLink(host, draw_link_mode(rng), time),
-            12 | 13 => Self::PeerLinks(host, draw_link_mode(rng), time),
-            14 | 15 => Self::UpstreamLinks(domain, other, draw_link_mode(rng), time),
-            16 => Self::DomainLinks(domain, draw_link_mode(rng), time),
-            17 | 18 => Self::Upstream(upstream, draw_upstream_mode(rng), time),
-            19 | 20 => Self::KillUpstream(upstream, time / 2),
-            21 => Self::LeaveUpstream(upstream),
-            22 => Self::MoveRoute,
-            _ => Self::RevokeKey(upstream),
-        }
-    }
-}
-
 impl Fault {
     /// Returns the same fault with the times for which it lasts multiplied by `factor`. Delays
     /// inside modes stay as they are.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod store;
 pub mod upstream;
 mod upstream_body;
+mod upstream_mode;
 mod upstream_slots;
 
 pub use deployment::DeploymentSize;
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -42,35 +42,11 @@
 use crate::upstream_body::full_response;
 use crate::upstream_body::refusal;
 use crate::upstream_body::truncated_response;
+pub use crate::upstream_mode::UpstreamMode;
 use crate::upstream_slots::NoSlot;
 use crate::upstream_slots::Slot;
 use crate::upstream_slots::UpstreamSlots;
 
-/// How an upstream handles requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum UpstreamMode {
-    /// The upstream responds correctly.
-    #[default]
-    Healthy,
-    /// The upstream has crashed: its connections are reset and new ones are refused.
-    Down,
-    /// The upstream accepts connections but sends nothing.
-    Unresponsive,
-    /// The upstream starts each response later by this duration.
-    Slow(Duration),
-    /// The upstream runs no requests and reports each as not run.
-    RejectsRequests,
-    /// The upstream runs requests but breaks the connection before the response starts.
-    DropsResponses,
-    /// The upstream breaks the connection in the middle of each response.
-    TruncatesResponses,
-    /// The upstream runs requests and responds with status 500.
-    RespondsWithError,
-    /// The upstream runs requests, but its responses name another request than the one that was
-    /// sent.
-    NamesOtherRequest,
-}
-
 /// Time that a healthy upstream takes until a response starts.
 const PROCESSING_TIME: Duration = Duration::from_millis(25);
 /// Time between two events of a stream.
