--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,5 +1,5 @@
 //! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store,
-//! outages and cuts between hosts and upstreams have random generators of their own, so that they do
+//! outages, floods and cuts between hosts and upstreams have random generators of their own, so that they do
 //! not change which other faults a seed draws.
 
 use std::ops::Range;
@@ -11,6 +11,7 @@
 
 use crate::deployment::DOMAINS;
 use crate::faults::Fault;
+use crate::flood::Flood;
 use crate::link_proxy::LinkMode;
 use crate::run::SoakConf;
 use crate::store::StoreMode;
@@ -30,6 +31,9 @@
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
+/// XORed with the seed of the run for the draws of floods.
+const FLOODS_SEED_MASK: u64 = 0x000F_100D;
+
 /// Draws the faults of a seed other than rate limits, notices and restores of the store, each with
 /// the pause before it.
 pub fn draw_faults(conf: &SoakConf) -> Vec<(Duration, Fault)> {
@@ -132,6 +136,29 @@
     })
 }
 
+/// Draws the floods of customers, each with the pause before it and, most times, one upstream that
+/// is gone or slow during the flood.
+pub(crate) fn draw_floods(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ FLOODS_SEED_MASK);
+    let floods = draw(conf, rng.clone(), 9_000..12_000, |rng| {
+        Fault::Flood(Flood::draw(rng), draw_duration(rng, 4_000..7_000))
+    });
+    let mut faults = Vec::new();
+    for flood in floods {
+        faults.push(flood);
+        let upstream = rng.random_range(0..1_000);
+        let gap = draw_duration(&mut rng, 200..1_000);
+        let time = draw_duration(&mut rng, 1_500..3_000);
+        let slow = UpstreamMode::Slow(draw_duration(&mut rng, 300..1_500));
+        match rng.random_range(0..4) {
+            0 => {}
+            1 => faults.push((gap, Fault::KillUpstream(upstream, time))),
+            _ => faults.push((gap, Fault::Upstream(upstream, slow, time))),
+        }
+    }
+    faults
+}
+
 /// Draws pauses and faults until the time for faults is used up.
 fn draw(
     conf: &SoakConf,
@@ -155,3 +182,65 @@
 fn draw_duration(rng: &mut StdRng, range_ms: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range_ms))
 }
+
+fn draw_link_mode(rng: &mut StdRng) -> LinkMode {
+    match rng.random_range(0..4) {
+        0 => LinkMode::Delayed(Duration::from_millis(rng.random_range(20..400))),
+        1 => LinkMode::Stalled,
+        2 => LinkMode::StalledToTarget,
+        _ => LinkMode::Reset,
+    }
+}
+
+fn draw_store_mode(rng: &mut StdRng) -> StoreMode {
+    match rng.random_range(0..6) {
+        0 => StoreMode::Slow(Duration::from_millis(rng.random_range(50..700))),
+        1 => StoreMode::Unavailable,
+        2 => StoreMode::TooManyRequests,
+        3 => StoreMode::Unresponsive,
+        4 => StoreMode::DropsWriteResponses,
+        _ => StoreMode::DelaysWrites,
+    }
+}
+
+/// Draws any faulty mode other than `Down`.
+fn draw_upstream_mode(rng: &mut StdRng) -> UpstreamMode {
+    match rng.random_range(0..7) {
+        0 => UpstreamMode::Unresponsive,
+        1 => UpstreamMode::Slow(Duration::from_millis(rng.random_range(50..1_500))),
+        2 => UpstreamMode::RejectsRequests,
+        3 => UpstreamMode::DropsResponses,
+        4 => UpstreamMode::TruncatesResponses,
+        5 => UpstreamMode::RespondsWithError,
+        _ => UpstreamMode::NamesOtherRequest,
+    }
+}
+
+impl Fault {
+    /// Draws a fault for a deployment of this many hosts.
+    pub(crate) fn draw(rng: &mut StdRng, hosts: usize) -> Self {
+        let host = rng.random_range(0..hosts);
+        let domain = rng.random_range(0..DOMAINS);
+        let other = (domain + rng.random_range(1..DOMAINS)) % DOMAINS;
+        let upstream = rng.random_range(0..1_000);
+        let time = Duration::from_millis(rng.random_range(200..5_000));
+        match rng.random_range(0..24) {
+            0 | 1 => Self::KillHost(host, time / 3),
+            2 if rng.random_ratio(1, 4) => Self::KillAllHosts(time / 3),
+            2..=4 => Self::StopHost(host),
+            5 | 6 => Self::PauseHost(host, time),
+            7 => Self::ReloadHostSettings(host),
+            8 | 9 => Self::Store(draw_store_mode(rng), time),
+            10 => Self::StoreLink(host, draw_link_mode(rng), time),
+            11 => Self::CallerLink(host, draw_link_mode(rng), time),
+            12 | 13 => Self::PeerLinks(host, draw_link_mode(rng), time),
+            14 | 15 => Self::UpstreamLinks(domain, other, draw_link_mode(rng), time),
+            16 => Self::DomainLinks(domain, draw_link_mode(rng), time),
+            17 | 18 => Self::Upstream(upstream, draw_upstream_mode(rng), time),
+            19 | 20 => Self::KillUpstream(upstream, time / 2),
+            21 => Self::LeaveUpstream(upstream),
+            22 => Self::MoveRoute,
+            _ => Self::RevokeKey(upstream),
+        }
+    }
+}
