Instances of plain services are chosen by expected time, free slots and connections

A call to a plain service went to the instance with the fewest calls in flight, whatever its speed and slots, and was turned away where all slots and the queue were taken, at the price of a retry. `max-conns` of the manifest was read by nobody.

`choose_instance` now compares expected times (the mean service time, once it is known, times the share of taken slots), waits while all slots are taken, and keeps the calls in flight below the connections that an instance accepts. Where slots are free the choice is as before. Once most slots are taken, a random fast instance gets the call, by its free slots: hosts that know the same outdated loads all chose the least busy one. Hosts whose calls wait share the free slots.

Until calls wait in a queue, a call waits as long as it can still be on time, and is refused otherwise with the time at which there is room.

tests/decide_gateway.rs: two tests name the new fields and the enum; what they hold is the same.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,12 +1,15 @@
 //! Chooses the upstreams for the next send of a call, based on the current state of this host.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::decide::EngineModel;
+use crate::decide::InstanceChoice;
 use crate::decide::InstanceView;
 use crate::decide::RefuseReason;
 use crate::decide::RequestLoad;
+use crate::decide::SlotCompetition;
 use crate::decide::choose_instance;
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
@@ -43,6 +46,9 @@
 /// outside the allowed regions. Operators change that, which takes seconds at least.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// The time since its arrival after which a call that was not sent counts as having waited.
+const SLOT_WAIT_MIN: Duration = Duration::from_millis(5);
+
 /// The upstreams of one send, with the memory reservations to make before it, the loads to count
 /// for it, its forecast, and the records of what upstreams had stated about themselves.
 pub(crate) struct SendPlan {
@@ -143,7 +149,7 @@
                 let views = engine_views(gateway, &usable, &limits, now);
                 decide_among_engines(call, model, &usable, &views, &request, now)
             }
-            None => decide_among_instances(gateway, &usable, &limits, now),
+            None => decide_among_instances(gateway, call, sends, &usable, &limits, now),
         };
         let PlacementDecision::Send(mut plan) = chosen else {
             return chosen;
@@ -281,29 +287,24 @@
     }
 }
 
-/// Chooses an instance of a plain service.
+/// Chooses an instance of a plain service. While all instances are full, the call waits as long as
+/// it can still be on time.
 fn decide_among_instances(
     gateway: &Gateway,
+    call: &Call,
+    sends: &SendHistory<'_>,
     usable: &[&ListedUpstream],
     limits: &LimitStates,
     now: Instant,
 ) -> PlacementDecision {
-    let health = gateway.health();
-    let ledger = gateway.ledger();
-    let open = usable
-        .iter()
-        .filter(|upstream| limits.is_open(&upstream.id));
-    let views = open.map(|upstream| InstanceView {
-        id: upstream.id.clone(),
-        in_flight: ledger.load(&upstream.id, now).in_flight,
-        is_local: upstream.domain == gateway.conf.domain,
-        is_failing: health.is_failing(&upstream.id),
-    });
-    let views: Vec<InstanceView> = views.collect();
-    drop(ledger);
-    drop(health);
-    let chosen = choose_instance(&views, rand::random());
-    let Some(upstream) = chosen.and_then(|id| find_upstream(usable, id)) else {
+    let views = instance_views(gateway, call, usable, limits, now);
+    let competition = slot_competition(gateway, call, sends, now);
+    let upstream = match choose_instance(&views, competition, rand::random()) {
+        InstanceChoice::Send(id) => find_upstream(usable, &id),
+        InstanceChoice::Wait(wait) => return wait_for_slot(call, sends, &views, wait, now),
+        InstanceChoice::None => None,
+    };
+    let Some(upstream) = upstream else {
         return no_upstream();
     };
     let load = RequestLoad {
@@ -326,6 +327,69 @@
     }))
 }
 
+/// The current state of the instances of a plain service as this host knows it.
+fn instance_views(
+    gateway: &Gateway,
+    call: &Call,
+    usable: &[&ListedUpstream],
+    limits: &LimitStates,
+    now: Instant,
+) -> Vec<InstanceView> {
+    let routes = gateway.platform_view.routes();
+    let service = routes
+        .as_ref()
+        .and_then(|routes| routes.services.get(&call.service));
+    let connections_max = service.and_then(|service| service.connections_max);
+    let health = gateway.health();
+    let ledger = gateway.ledger();
+    let open = usable
+        .iter()
+        .filter(|upstream| limits.is_open(&upstream.id));
+    let views = open.map(|upstream| InstanceView {
+        id: upstream.id.clone(),
+        in_flight: ledger.load(&upstream.id, now).in_flight,
+        slots: NonZeroU32::new(upstream.slots),
+        connections_max,
+        service_time: None,
+        is_local: upstream.domain == gateway.conf.domain,
+        is_failing: health.is_failing(&upstream.id),
+    });
+    views.collect()
+}
+
+/// The hosts that compete for free slots with a call that has waited; none if the call has not.
+fn slot_competition(
+    gateway: &Gateway,
+    call: &Call,
+    sends: &SendHistory<'_>,
+    now: Instant,
+) -> Option<SlotCompetition> {
+    let waited = now.saturating_duration_since(call.arrived_at);
+    let has_waited = sends.tried.is_empty() && waited >= SLOT_WAIT_MIN;
+    has_waited.then(|| SlotCompetition {
+        hosts: u32::try_from(gateway.platform_view.sharing_hosts().unwrap_or(1))
+            .unwrap_or(u32::MAX),
+        draw: rand::random(),
+    })
+}
+
+/// Handles a call while all instances of its service are full. The call waits if it can still be on
+/// time when there is room.
+fn wait_for_slot(
+    call: &Call,
+    sends: &SendHistory<'_>,
+    views: &[InstanceView],
+    wait: Duration,
+    now: Instant,
+) -> PlacementDecision {
+    let service_time = views.iter().filter_map(|view| view.service_time).min();
+    let forecast = wait + service_time.unwrap_or_default();
+    if forecast <= patience(call, sends, now) {
+        return PlacementDecision::Wait(wait);
+    }
+    refuse(RefuseReason::QueueFull, wait)
+}
+
 /// Chooses the engines of a prompt.
 fn decide_among_engines(
     call: &Call,
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -1,5 +1,6 @@
 //! A service as described by the manifest.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use crate::decide::EngineModel;
@@ -23,6 +24,9 @@
     pub name: ServiceId,
     /// The performance model of the service's engines; none for a plain service.
     pub engine: Option<EngineModel>,
+    /// The number of connections that an upstream accepts from all hosts together; none if it
+    /// accepts any number.
+    pub connections_max: Option<NonZeroU32>,
     /// What cold upstreams accept.
     pub cold: ColdStart,
 }
--- a/tests/decide_gateway.rs
+++ b/tests/decide_gateway.rs
@@ -6,6 +6,7 @@
 use banyanarch::decide::HealthTracker;
 use banyanarch::decide::HelperRelease;
 use banyanarch::decide::HostLoad;
+use banyanarch::decide::InstanceChoice;
 use banyanarch::decide::InstanceView;
 use banyanarch::decide::LoadLedger;
 use banyanarch::decide::PrefillSent;
@@ -166,12 +167,18 @@
     let view = |id: &UpstreamId, in_flight| InstanceView {
         id: id.clone(),
         in_flight,
+        slots: None,
+        connections_max: None,
+        service_time: None,
         is_local: true,
         is_failing: health.is_failing(id),
     };
     let healthy = upstream("healthy");
     let views = [view(&failing, 0), view(&healthy, 5)];
-    assert_eq!(choose_instance(&views, 1), Some(&healthy));
+    assert_eq!(
+        choose_instance(&views, None, 1),
+        InstanceChoice::Send(healthy)
+    );
 }
 
 #[test]
@@ -179,14 +186,18 @@
     let view = |name: &str, in_flight, is_local| InstanceView {
         id: upstream(name),
         in_flight,
+        slots: None,
+        connections_max: None,
+        service_time: None,
         is_local,
         is_failing: false,
     };
     let idle = [view("local", 1, true), view("remote", 0, false)];
-    assert_eq!(choose_instance(&idle, 0), Some(&upstream("local")));
+    let send = |name| InstanceChoice::Send(upstream(name));
+    assert_eq!(choose_instance(&idle, None, 0), send("local"));
     let busy = [view("local", 3, true), view("remote", 0, false)];
-    assert_eq!(choose_instance(&busy, 0), Some(&upstream("remote")));
-    assert_eq!(choose_instance(&[], 0), None);
+    assert_eq!(choose_instance(&busy, None, 0), send("remote"));
+    assert_eq!(choose_instance(&[], None, 0), InstanceChoice::None);
 }
 
 fn sent(total_ms: u64, remaining_ms: u64) -> PrefillSent {
--- a/tests/gateway_evacuations.rs
+++ b/tests/gateway_evacuations.rs
@@ -154,6 +154,7 @@
     let service = Service {
         name,
         engine: None,
+        connections_max: None,
         cold: ColdStart {
             time: Duration::from_secs(60),
             rate: Some(RequestsPerSecond(0.25)),
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -131,6 +131,15 @@
         self.state.lock().unwrap().change(entry);
     }
 
+    /// Lists an upstream of a service that processes this many requests concurrently.
+    pub fn list_with_slots(&self, id: &str, service: &str, addr: SocketAddr, slots: u32) {
+        let entry = ListedUpstream {
+            slots,
+            ..listed_upstream("here", id, service, addr)
+        };
+        self.state.lock().unwrap().change(entry);
+    }
+
     /// Evacuates a failure domain.
     pub fn evacuate(&self, domain: &str) {
         let mut state = self.state.lock().unwrap();
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -264,6 +264,7 @@
     let engines = Service {
         name: "llm".parse().unwrap(),
         engine: Some(engine_model()),
+        connections_max: None,
         cold: ColdStart::default(),
     };
     table.services.insert(engines.name.clone(), engines);
