--- a/src/decide/engines/occupancy.rs
+++ b/src/decide/engines/occupancy.rs
@@ -7,29 +7,49 @@
 use crate::decide::engines::parts::accepts_part;
 use crate::decide::engines::parts::smallest_part_time;
 
-/// The fraction of the engines' capacity for prompts like this one that is taken; 1 without
-/// engines. For short prompts it is the fraction of the slots, and more than 1 if prompts wait
-/// inside engines. For other prompts it is the fraction of the engines that can't take the smallest
-/// part now.
-pub fn occupancy(model: &EngineModel, engines: &[EngineView], request: &EngineRequest) -> f64 {
+/// The fraction of the engines' slots that is taken; 1 without engines, and more than 1 if requests
+/// wait inside engines.
+pub fn slots_taken(model: &EngineModel, engines: &[EngineView]) -> f64 {
     if engines.is_empty() {
         return 1.0;
     }
-    match request.class(model) {
-        PromptClass::Short => slots_taken(model, engines),
-        PromptClass::Medium | PromptClass::Long => engines_taken(model, engines, request),
+    let in_flight: u32 = engines.iter().map(|engine| engine.load.in_flight).sum();
+    f64::from(in_flight) / (engines.len() as f64 * slots(model))
+}
+
+/// The fraction of the engines' capacity that could not serve a prompt like this one in time; 1
+/// without engines. An engine counts by its free slots, or wholly if the prompt needs no slot there
+/// because several engines read it.
+pub fn capacity_taken(model: &EngineModel, engines: &[EngineView], request: &EngineRequest) -> f64 {
+    if engines.is_empty() {
+        return 1.0;
     }
+    let free = engines
+        .iter()
+        .map(|engine| capacity_free(model, engine, request));
+    1.0 - free.sum::<f64>() / engines.len() as f64
 }
 
-fn slots_taken(model: &EngineModel, engines: &[EngineView]) -> f64 {
-    let in_flight: u32 = engines.iter().map(|engine| engine.load.in_flight).sum();
-    let slots = engines.len() as f64 * f64::from(model.slots.max(1));
-    f64::from(in_flight) / slots
+/// The fraction of an engine that could serve a prompt like this one in time.
+fn capacity_free(model: &EngineModel, engine: &EngineView, request: &EngineRequest) -> f64 {
+    let class = request.class(model);
+    let part_time = match class {
+        PromptClass::Short => model.prefill_time(request.prompt),
+        PromptClass::Medium | PromptClass::Long => smallest_part_time(model, request),
+    };
+    let is_in_time = engine.time_to_first_event(model, part_time) <= request.objective_left;
+    if !is_in_time || !accepts_part(model, engine, part_time, request) {
+        return 0.0;
+    }
+    match class {
+        PromptClass::Long => 1.0,
+        PromptClass::Short | PromptClass::Medium => {
+            let free = model.slots.saturating_sub(engine.load.in_flight);
+            f64::from(free) / slots(model)
+        }
+    }
 }
 
-fn engines_taken(model: &EngineModel, engines: &[EngineView], request: &EngineRequest) -> f64 {
-    let part_time = smallest_part_time(model, request);
-    let is_taken = |engine: &&EngineView| !accepts_part(model, engine, part_time, request);
-    let taken = engines.iter().filter(is_taken).count();
-    taken as f64 / engines.len() as f64
+fn slots(model: &EngineModel) -> f64 {
+    f64::from(model.slots.max(1))
 }
--- a/src/decide/room_check.rs
+++ b/src/decide/room_check.rs
@@ -6,19 +6,19 @@
 //!
 //! The check is a trunk reservation: the last places are kept for calls of customers within their
 //! share, and the very last ones for the more urgent of these. Hosts learn late of places that
-//! others have taken, so calls are refused with a probability that rises with the occupancy, and
-//! not all at once from a threshold on.
+//! others have taken, so calls are refused with a probability that rises with the fraction
+//! that is taken, and not all at once from a threshold on.
 
 use crate::decide::ShareStanding;
 
-/// The occupancy from which on calls of customers above their share are refused, some at first.
+/// The taken fraction from which on calls of customers above their share are refused, some at first.
 const ABOVE_SHARE_FROM: f64 = 0.6;
-/// The occupancy from which on a customer above its share gets no more than its share. The places
+/// The taken fraction from which on a customer above its share gets no more than its share. The places
 /// beyond it are for calls that hosts let in before they learn of each other's.
 const ABOVE_SHARE_LIMITED: f64 = 0.75;
-/// The occupancy from which on calls of customers within their share are refused, some at first.
+/// The taken fraction from which on calls of customers within their share are refused, some at first.
 const WITHIN_SHARE_FROM: f64 = 0.94;
-/// The occupancy from which on all calls of customers within their share are refused. It is more
+/// The taken fraction from which on all calls of customers within their share are refused. It is more
 /// than all places: upstreams queue a few calls.
 const WITHIN_SHARE_ALL: f64 = 1.04;
 /// How much sooner both bounds apply for each step of lower priority.
@@ -33,8 +33,10 @@
     pub standing: ShareStanding,
     /// The number of more urgent priorities at the service.
     pub priority_steps: u8,
-    /// The fraction of the places of the service that are taken; more than 1 if calls wait there.
-    pub occupancy: f64,
+    /// The fraction of the slots of the service that is taken; more than 1 if calls wait there.
+    pub slots_taken: f64,
+    /// The fraction of the capacity of the service that could not serve the call in time.
+    pub capacity_taken: f64,
 }
 
 /// Whether a call is let in.
@@ -60,7 +62,7 @@
         return RoomCheck::Admit;
     }
     let from = WITHIN_SHARE_FROM - priority_step;
-    if draw < refused_fraction(request.occupancy, from, WITHIN_SHARE_ALL - priority_step) {
+    if draw < refused_fraction(request.slots_taken, from, WITHIN_SHARE_ALL - priority_step) {
         return RoomCheck::Full;
     }
     RoomCheck::Admit
@@ -72,12 +74,13 @@
     let beyond_share = 1.0 - 1.0 / request.standing.ratio;
     let limited = ABOVE_SHARE_LIMITED - priority_step;
     let from = ABOVE_SHARE_FROM - priority_step;
-    let by_share = beyond_share * refused_fraction(request.occupancy, from, limited);
+    let taken = request.slots_taken.max(request.capacity_taken);
+    let by_share = beyond_share * refused_fraction(taken, from, limited);
     let all_from = WITHIN_SHARE_FROM - priority_step;
-    by_share.max(refused_fraction(request.occupancy, limited, all_from))
+    by_share.max(refused_fraction(taken, limited, all_from))
 }
 
 /// The fraction of calls that are refused: none below `from`, all above `all`.
-fn refused_fraction(occupancy: f64, from: f64, all: f64) -> f64 {
-    ((occupancy - from) / (all - from)).clamp(0.0, 1.0)
+fn refused_fraction(taken: f64, from: f64, all: f64) -> f64 {
+    ((taken - from) / (all - from)).clamp(0.0, 1.0)
 }
--- a/src/gateway/load_guard.rs
+++ b/src/gateway/load_guard.rs
@@ -65,6 +65,6 @@
         }
         drop(ledger);
         self.gateway.load_changed.notify_one();
-        self.gateway.waiting.wake_heads();
+        self.gateway.waiting.wake_for_slot();
     }
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -21,9 +21,10 @@
 use crate::decide::engines::EngineRequest;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
+use crate::decide::engines::capacity_taken;
 use crate::decide::engines::choose_engines;
 use crate::decide::engines::count_engines;
-use crate::decide::engines::occupancy;
+use crate::decide::engines::slots_taken;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::EngineCountsRecord;
@@ -197,7 +198,8 @@
     let room = RoomRequest {
         standing: sends.standing,
         priority_steps: call.priority.0.saturating_sub(most_urgent.0),
-        occupancy: occupancy(model, views, request),
+        slots_taken: slots_taken(model, views),
+        capacity_taken: capacity_taken(model, views, request),
     };
     let retry_after = request.answer_time(model);
     match check_room(&room, rand::random()) {
--- a/src/gateway/waiting_calls.rs
+++ b/src/gateway/waiting_calls.rs
@@ -67,9 +67,11 @@
         calls.is_some_and(|calls| calls.queue.is_behind_others(rank))
     }
 
-    /// Wakes the first calls of all lanes, because the load at upstreams has changed.
-    pub(crate) fn wake_heads(&self) {
-        for calls in self.lock().values() {
+    /// Wakes the first calls of all lanes that wait for slots, because one may have become free.
+    /// Prompts that several engines read wait for more than a slot.
+    pub(crate) fn wake_for_slot(&self) {
+        let lanes = self.lock();
+        for (_, calls) in lanes.iter().filter(|(key, _)| key.lane.has_equal_needs()) {
             calls.wake_heads();
         }
     }
--- a/tests/decide_room_check.rs
+++ b/tests/decide_room_check.rs
@@ -16,7 +16,8 @@
     RoomRequest {
         standing: ShareStanding { ratio },
         priority_steps,
-        occupancy,
+        slots_taken: occupancy,
+        capacity_taken: occupancy,
     }
 }
 
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -15,8 +15,9 @@
 use banyanarch::decide::engines::EnginePlan;
 use banyanarch::decide::engines::EngineRequest;
 use banyanarch::decide::engines::EngineView;
+use banyanarch::decide::engines::capacity_taken;
 use banyanarch::decide::engines::choose_engines;
-use banyanarch::decide::engines::occupancy;
+use banyanarch::decide::engines::slots_taken;
 use banyanarch::routing::stream_caller_timeout;
 use banyanarch::units::ByteSize;
 use banyanarch::units::CustomerId;
@@ -260,10 +261,11 @@
         }
     }
 
-    /// Lets the first waiting requests of a host try now.
+    /// Lets the first requests of a host that wait for slots try now.
     fn wake_heads(&mut self, host: usize) {
-        let queues = self.hosts[host].queues.values();
-        let heads: Vec<RequestId> = queues.flat_map(|queue| queue.heads()).collect();
+        let queues = self.hosts[host].queues.iter();
+        let queues = queues.filter(|(lane, _)| lane.has_equal_needs());
+        let heads: Vec<RequestId> = queues.flat_map(|(_, queue)| queue.heads()).collect();
         self.wake(&heads);
     }
 
@@ -399,7 +401,8 @@
         let room = RoomRequest {
             standing,
             priority_steps: 0,
-            occupancy: occupancy(&self.site.model, views, engine_request),
+            slots_taken: slots_taken(&self.site.model, views),
+            capacity_taken: capacity_taken(&self.site.model, views, engine_request),
         };
         check_room(&room, self.rng.random()) != RoomCheck::Admit
     }
