Soak: the store turns some hosts away right before an evacuation

The soak drew evacuations and outages of the store, but no store that turns some hosts away and serves the others, and its check excused a host from an evacuation for good if a fault affected it up to 3 s before.

A series of its own, with its own random generator, turns two fifths of the hosts away for 2.5 to 6 s and evacuates a failure domain up to 4.5 s after that. The check finds, besides what it found, a request to a domain that was evacuated more than 5 s ago from a host without a fault for 5 s.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -22,6 +22,8 @@
 pub(crate) const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Time after the store has accepted a change until the change must be in force on all hosts.
 const CHANGE_PROPAGATION_TIME: Duration = Duration::from_millis(2_700);
+/// Time after the last fault that affected a host until it must know the evacuations in force.
+const EVACUATION_LEARNING_TIME: Duration = Duration::from_secs(5);
 /// Extra time allowed beyond the deadline of a request, for machines under load.
 const LATENCY_SLACK: Duration = Duration::from_millis(1_000);
 /// How much the deadline that an upstream receives may exceed the remaining time.
@@ -341,7 +343,8 @@
     }
 
     /// Whether no run started in a failure domain after its evacuation had propagated and before
-    /// that ended, unless a fault affected the host.
+    /// that ended. A fault that affected the host delays this until it has learnt the evacuations
+    /// again after the end of the fault.
     fn is_evacuated_domain_avoided(&self) -> bool {
         self.runs.iter().all(|run| {
             let earlier = self.observations.changes.iter();
@@ -355,11 +358,23 @@
             });
             evacuated_at.is_none_or(|evacuated_at| {
                 run.arrived_at <= evacuated_at + CHANGE_PROPAGATION_TIME
-                    || !self.is_host_undisturbed_since(evacuated_at)
+                    || (!self.is_host_undisturbed_since(evacuated_at)
+                        && !self.has_learnt_evacuation(evacuated_at, run.arrived_at))
             })
         })
     }
 
+    /// Whether the evacuation and the end of the last fault that affected the host are so long before
+    /// `at` that the host must know the evacuation.
+    fn has_learnt_evacuation(&self, evacuated_at: Timestamp, at: Timestamp) -> bool {
+        let Some(evacuated_by) = at.checked_sub(EVACUATION_LEARNING_TIME) else {
+            return false;
+        };
+        let (host, to) = (self.attempt.host, self.attempt.ended_at);
+        let mut faults = self.observations.faults_affecting(host, evacuated_by, to);
+        evacuated_at < evacuated_by && faults.next().is_none()
+    }
+
     /// Whether no run started at a leaving upstream after the announcement had propagated, unless a
     /// fault affected the host.
     fn is_leaving_upstream_avoided(&self) -> bool {
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -115,7 +115,7 @@
         for index in 0..size.hosts {
             let own_ip = loopback_ip(index);
             let addresses = Arc::new(Mutex::new(AddressMap::default()));
-            let store_addr = store.serve(links_ip, Arc::clone(&addresses)).await?;
+            let store_addr = store.serve(index, links_ip, Arc::clone(&addresses)).await?;
             let store_link = LinkProxy::start(links_ip, store_addr).await?;
             let conf = NodeConf {
                 name: format!("host-{index}"),
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -1,6 +1,6 @@
 //! Draws the faults of a seed. Rate limits, notices of upstreams, evacuations, restores of the store,
-//! outages and cuts between hosts and upstreams have random generators of their own, so that they do
-//! not change which other faults a seed draws.
+//! outages, cuts between hosts and upstreams, and stores that turn some hosts away have random
+//! generators of their own, so that they do not change which other faults a seed draws.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 
 /// XORed with the seed of the run for the draws of evacuations.
 const EVACUATIONS_SEED_MASK: u64 = 0x00E7_ACED;
+/// XORed with the seed of the run for the draws of stores that turn hosts away before an evacuation.
+const PARTIAL_OUTAGES_SEED_MASK: u64 = 0x00A3_7E1D;
 /// XORed with the seed of the run for the draws of cuts between hosts and all upstreams.
 const PATH_CUTS_SEED_MASK: u64 = 0x00C0_7A11;
 /// XORed with the seed of the run for the draws of outages.
@@ -74,6 +76,35 @@
     })
 }
 
+/// Draws partial outages of the store, each with the pause before it: the store turns some hosts away
+/// for some seconds, and soon after that a failure domain is evacuated.
+pub(crate) fn draw_partial_outages(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ PARTIAL_OUTAGES_SEED_MASK);
+    let outages = draw(conf, rng.clone(), 1_000..7_000, |rng| {
+        let hosts = 0..conf.size.hosts;
+        let turned_away = hosts.filter(|_| rng.random_ratio(2, 5)).collect();
+        Fault::StoreTurnsAway(turned_away, draw_duration(rng, 2_500..6_000))
+    });
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    for (gap, outage) in outages {
+        at += gap;
+        let Fault::StoreTurnsAway(_, time) = outage else {
+            continue;
+        };
+        if at > conf.faults_for {
+            break;
+        }
+        let domain = rng.random_range(0..DOMAINS);
+        let calm = draw_duration(&mut rng, 0..4_500);
+        let evacuated = draw_duration(&mut rng, 7_000..12_000);
+        at += time + calm;
+        faults.push((gap, outage));
+        faults.push((time + calm, Fault::EvacuateDomain(domain, evacuated)));
+    }
+    faults
+}
+
 /// Draws the restores of the store from snapshots, each with the pause before it.
 pub(crate) fn draw_restores(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let rng = StdRng::seed_from_u64(conf.seed ^ RESTORES_SEED_MASK);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -53,6 +53,8 @@
     ReloadHostSettings(usize),
     /// The store is in this mode for this time.
     Store(StoreMode, Duration),
+    /// The store turns these hosts away with status 503 for this time and serves the others.
+    StoreTurnsAway(Vec<usize>, Duration),
     /// The store is restored from a snapshot. The times are, in order: how long the store runs
     /// after the snapshot, how long it then does not respond before it is restored, and how long
     /// after the restore upstreams register again.
@@ -166,6 +168,7 @@
             | Self::KillAllHosts(time)
             | Self::PauseHost(_, time)
             | Self::Store(_, time)
+            | Self::StoreTurnsAway(_, time)
             | Self::StoreLink(_, _, time)
             | Self::CallerLink(_, _, time)
             | Self::PeerLinks(_, _, time)
@@ -255,6 +258,12 @@
             deployment.store.set_mode(StoreMode::Healthy);
             FaultScope::Store
         }
+        Fault::StoreTurnsAway(hosts, time) => {
+            deployment.store.turn_away(&hosts);
+            sleep(time).await;
+            deployment.store.serve_again(&hosts);
+            FaultScope::Hosts(hosts)
+        }
         Fault::RestoreStore([running, down, unregistered]) => {
             let snapshot = deployment.store.snapshot();
             sleep(running).await;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -28,6 +28,7 @@
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_outages;
+use crate::fault_draws::draw_partial_outages;
 use crate::fault_draws::draw_path_cuts;
 use crate::fault_draws::draw_restores;
 use crate::faults;
@@ -100,6 +101,7 @@
             draw_restores(conf),
             draw_evacuations(conf),
             draw_outages(conf),
+            draw_partial_outages(conf),
         ]);
     }
     let faults = series.iter().map(Vec::len).sum();
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -62,6 +62,8 @@
     objects_by_kind: ObjectsByKind,
     revision: u64,
     mode: StoreMode,
+    /// For each host how many faults turn it away.
+    turned_away: IndexMap<usize, usize>,
     /// Changes of upstream entries that a restore undid and that are still to be repeated, by
     /// upstream id: the spec to write again, or none if the entry is to be removed again.
     pending_registrations: IndexMap<String, Option<Value>>,
@@ -86,6 +88,23 @@
         self.lock().mode = mode;
     }
 
+    /// Turns hosts away, whatever the mode, until [`StoreStandIn::serve_again`].
+    pub(crate) fn turn_away(&self, hosts: &[usize]) {
+        let mut data = self.lock();
+        for host in hosts {
+            *data.turned_away.entry(*host).or_default() += 1;
+        }
+    }
+
+    /// Ends one call of [`StoreStandIn::turn_away`] with the same hosts.
+    pub(crate) fn serve_again(&self, hosts: &[usize]) {
+        let mut data = self.lock();
+        for host in hosts {
+            let count = data.turned_away.entry(*host).or_default();
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Returns a snapshot of the current content.
     pub(crate) fn snapshot(&self) -> StoreSnapshot {
         let data = self.lock();
@@ -144,10 +163,11 @@
         self.lock().remove(kind, name);
     }
 
-    /// Starts a listener for one host on a free port of `ip`. Addresses in the responses are
-    /// replaced as `address_map` says.
+    /// Starts a listener for the host with this index on a free port of `ip`. Addresses in the
+    /// responses are replaced as `address_map` says.
     pub(crate) async fn serve(
         &self,
+        host: usize,
         ip: IpAddr,
         address_map: Arc<Mutex<AddressMap>>,
     ) -> std::io::Result<SocketAddr> {
@@ -160,7 +180,7 @@
                 let service = service_fn(move |req| {
                     let (store, address_map) = (store.clone(), Arc::clone(&address_map));
                     async move {
-                        let mut res = store.handle(req, &address_map).await?;
+                        let mut res = store.handle(host, req, &address_map).await?;
                         stand_in::set_store_era(res.headers_mut(), store.lock().era);
                         Ok::<_, Infallible>(res)
                     }
@@ -175,6 +195,7 @@
     /// Responds to a call as the mode says.
     async fn handle(
         &self,
+        host: usize,
         req: Request<Incoming>,
         address_map: &Mutex<AddressMap>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
@@ -187,6 +208,9 @@
         let Some(call) = StoreCall::parse(&head.method, head.uri.path(), &body) else {
             return Ok(json_response(StatusCode::BAD_REQUEST, &Value::Null));
         };
+        if self.lock().is_turned_away(host) {
+            return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+        }
         let mode = self.lock().mode;
         match mode {
             StoreMode::Healthy => {}
@@ -222,6 +246,10 @@
 }
 
 impl StoreData {
+    fn is_turned_away(&self, host: usize) -> bool {
+        self.turned_away.get(&host).is_some_and(|count| *count > 0)
+    }
+
     fn put(&mut self, kind: &str, name: &str, spec: Value) {
         if kind == stand_in::UPSTREAMS_KIND {
             self.pending_registrations.swap_remove(name);
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -468,6 +468,34 @@
     assert_eq!(is_found, !is_kept, "{violations:?}");
 }
 
+/// Guards against a check of evacuations that excuses a host for good because a fault affected it
+/// before the evacuation.
+#[parameterized(
+    turned_away_long_ago = { FaultScope::Hosts(vec![0]), 4_000, false },
+    turned_away_until_now = { FaultScope::Hosts(vec![0]), 9_000, true },
+    store_away_long_ago = { FaultScope::Store, 4_000, false },
+    other_host_turned_away = { FaultScope::Hosts(vec![1]), 9_000, false },
+)]
+fn a_fault_excuses_a_host_from_an_evacuation_for_a_time(
+    scope: FaultScope,
+    to_ms: u64,
+    is_kept: bool,
+) {
+    let (attempt, runs) = served(CallClass::Idempotent);
+    let mut observations = Observations::default();
+    observations.runs.insert(REQUEST.to_owned(), runs);
+    observations.attempts.insert(REQUEST.to_owned(), attempt);
+    observations
+        .faults
+        .extend(fault_from_to(scope, 1_000, to_ms));
+    let change = (at(4_500), StoreChange::DomainEvacuated(0));
+    observations.changes.push(change);
+    let violations = check(&observations, GuaranteeSet::All, at(20_000));
+    let mut guarantees = violations.iter().map(|violation| violation.guarantee);
+    let is_found = guarantees.any(|guarantee| guarantee.starts_with("an evacuated"));
+    assert_eq!(is_found, !is_kept, "{violations:?}");
+}
+
 /// Guards against a check of evacuations that overlooks where one ended, or one of two that overlap.
 #[parameterized(
     ended = { vec![(2_000, StoreChange::DomainEvacuated(0)), (7_000, StoreChange::EvacuationEnded(0))], true },
