--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -132,7 +132,7 @@
         for index in 0..size.hosts {
             let own_ip = loopback_ip(index);
             let addresses = Arc::new(Mutex::new(AddressMap::default()));
-            let store_addr = store.serve(links_ip, Arc::clone(&addresses)).await?;
+            let store_addr = store.serve(index, links_ip, Arc::clone(&addresses)).await?;
             let store_link = LinkProxy::start(links_ip, store_addr).await?;
             let [callers_addr, ready_addr, internal_addr] = free_addrs(own_ip).await?;
             let conf = NodeConf {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -29,6 +29,7 @@
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_outages;
+use crate::fault_draws::draw_partial_outages;
 use crate::fault_draws::draw_path_cuts;
 use crate::fault_draws::draw_restores;
 use crate::faults;
@@ -138,6 +139,7 @@
             draw_restores(conf),
             draw_evacuations(conf),
             draw_outages(conf),
+            draw_partial_outages(conf),
         ]);
     }
     series
