--- a/soak/src/flood_checks.rs
+++ b/soak/src/flood_checks.rs
@@ -1,7 +1,5 @@
 //! Checks that customers at their usual load are served while another one floods the deployment.
 
-use std::time::Duration;
-
 use indexmap::IndexSet;
 
 use crate::checks::SETTLING_TIME;
@@ -19,9 +17,6 @@
 const ON_TIME_MIN_PERCENT: usize = 80;
 /// Number of attempts below which the shares are not checked.
 const ATTEMPTS_MIN: usize = 40;
-/// Time before a flood in which the same customers must have been served as well, so that what they
-/// lose is due to the flood.
-const TIME_BEFORE: Duration = Duration::from_secs(4);
 
 /// Attempts that were served, those on time among them, and all attempts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -87,7 +82,8 @@
             !attempt.key.starts_with(&key_prefix) && attempt.sent_at >= from && attempt.sent_at < to
         }))
     };
-    let before = of_others(flood.from.saturating_sub(TIME_BEFORE), flood.from);
+    // What the customers lose is due to the flood only if they were served before it.
+    let before = of_others(flood.from.saturating_sub(SETTLING_TIME), flood.from);
     let during = of_others(flood.from, flood.to);
     let is_counted =
         before.all >= ATTEMPTS_MIN && during.all >= ATTEMPTS_MIN && before.is_isolated();
