Outcomes of calls are added up over hosts, and decide who is ejected

Each host counts by upstream, over two seconds, the calls that its upstreams answered, failed and refused, and the times until first events against their forecasts; the times of plain services over ten seconds. `UpstreamOutcomes` adds the latest reports of the others, which expire. Upstreams that no host has found failing or slow are not reported; once one has, all report their calls to it.

`OutlierEjection` compares each upstream with the rest of its service: one that fails more than 0.35 of its calls, and far more than healthy ones may and the rest does, for half a second is ejected for 3 s, twice as long each further time, then probed by one call at a time over a host, staggered between hosts, and reinstated. At least half of a service stays in use; what ails more than half of it ejects nobody. Engines whose first events take several times their forecast, and the rest's, get a learned slowdown.

Nothing feeds it yet.

--- a/src/decide/health_tracker.rs
+++ b/src/decide/health_tracker.rs
@@ -8,13 +8,27 @@
 //! request. Hosts of one failure domain report unreachable upstreams to each other. Otherwise each
 //! host of a fleet of sixty would detect the failure at the cost of a few calls, and again after
 //! every pause.
+//!
+//! Outcomes of calls that reached an upstream are added up over all hosts
+//! ([`UpstreamOutcomes`]), and decide which upstreams are ejected ([`OutlierEjection`]).
 
 use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
 
+use crate::decide::CallOutcome;
+use crate::decide::EjectionEvent;
+use crate::decide::FleetOutcomes;
+use crate::decide::LoadSource;
+use crate::decide::OutcomeReport;
+use crate::decide::OutcomeSubject;
+use crate::decide::OutlierEjection;
+use crate::decide::ServiceMember;
+use crate::decide::UpstreamOutcomes;
 use crate::units::FailureDomainId;
+use crate::units::ServiceId;
+use crate::units::Slowdown;
 use crate::units::UpstreamId;
 
 /// The first pause after a failed connection. A process takes longer than this to restart.
@@ -176,9 +190,80 @@
 pub struct HealthTracker {
     upstreams: IndexMap<UpstreamId, UpstreamRecord>,
     domains: IndexMap<FailureDomainId, DomainRecord>,
+    outcomes: UpstreamOutcomes,
+    ejection: OutlierEjection,
 }
 
 impl HealthTracker {
+    /// Counts the outcome of a call of this host.
+    pub fn on_outcome(
+        &mut self,
+        upstream: &UpstreamId,
+        service: &ServiceId,
+        outcome: CallOutcome,
+        now: Instant,
+    ) {
+        self.outcomes.on_outcome(upstream, service, outcome, now);
+        self.ejection.on_outcome(upstream);
+    }
+
+    /// Records what another host or collector reports of the outcomes of its calls.
+    pub fn on_outcome_report(
+        &mut self,
+        source: LoadSource,
+        subject: OutcomeSubject,
+        report: OutcomeReport,
+        now: Instant,
+    ) {
+        self.outcomes.on_report(source, subject, report, now);
+    }
+
+    /// The outcomes of this host's own calls, for reports to other hosts.
+    pub fn outcome_reports(&self, now: Instant) -> Vec<(OutcomeSubject, OutcomeReport)> {
+        self.outcomes.reports(now)
+    }
+
+    /// Records that this host sends a call to an upstream, which is a probe if the upstream is
+    /// being probed by `hosts` hosts.
+    pub fn on_sent(&mut self, upstream: &UpstreamId, hosts: usize, now: Instant) {
+        self.ejection.on_sent(upstream, hosts, now);
+    }
+
+    /// Compares the upstreams of a service by the outcomes of all hosts, and ejects, probes and
+    /// reinstates them. Returns what has changed. `draw` is a random number from 0 to 1.
+    pub fn evaluate_outcomes(
+        &mut self,
+        service: &ServiceId,
+        upstreams: &[(UpstreamId, FailureDomainId)],
+        hosts: usize,
+        draw: f64,
+        now: Instant,
+    ) -> Vec<EjectionEvent> {
+        let members = upstreams.iter().map(|(id, domain)| ServiceMember {
+            id: id.clone(),
+            outcomes: self.outcomes.of_upstream(id, now),
+            is_usable: !self.is_unreachable(id, domain),
+        });
+        let members: Vec<ServiceMember> = members.collect();
+        let sums = self.outcomes.of_service(service, now).sums;
+        self.ejection.evaluate(&members, &sums, hosts, draw, now)
+    }
+
+    /// The outcomes of an upstream's recent calls over all hosts.
+    pub fn outcomes(&self, upstream: &UpstreamId, now: Instant) -> FleetOutcomes {
+        self.outcomes.of_upstream(upstream, now)
+    }
+
+    /// The mean service time of an instance over all hosts; none if too few calls are known.
+    pub fn service_time(&self, upstream: &UpstreamId, now: Instant) -> Option<Duration> {
+        self.outcomes.service_time(upstream, now)
+    }
+
+    /// The engines that are slow according to the outcomes of calls.
+    pub fn learned_slowdowns(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, Slowdown)> {
+        self.ejection.slowdowns(now)
+    }
+
     /// Records a fault of an upstream, which raises the failure rate and may start a pause. If a
     /// connection failed, the upstream counts as unreachable; after `DOMAIN_TIMEOUT_THRESHOLD`
     /// connection timeouts its domain does.
@@ -342,12 +427,20 @@
             .min()
     }
 
-    /// Whether the upstream may receive requests at `now`: it is reachable and not paused, and its
-    /// domain is reachable.
+    /// Whether the upstream may receive requests at `now`: it is reachable, not paused and not
+    /// ejected, and its domain is reachable.
     pub fn is_usable(&self, upstream: &UpstreamId, domain: &FailureDomainId, now: Instant) -> bool {
         let record = self.upstreams.get(upstream);
         let is_suspended = record.is_some_and(|r| r.is_unreachable || r.is_paused(now));
-        !is_suspended && !self.is_domain_unreachable(domain)
+        !is_suspended
+            && !self.is_domain_unreachable(domain)
+            && self.ejection.may_send(upstream, now)
+    }
+
+    /// Whether the last connection to the upstream, or to its domain, failed.
+    fn is_unreachable(&self, upstream: &UpstreamId, domain: &FailureDomainId) -> bool {
+        let record = self.upstreams.get(upstream);
+        record.is_some_and(|record| record.is_unreachable) || self.is_domain_unreachable(domain)
     }
 
     fn is_domain_unreachable(&self, domain: &FailureDomainId) -> bool {
@@ -377,6 +470,8 @@
     /// left.
     pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
         self.upstreams.retain(|id, _| is_listed(id));
+        self.outcomes.retain(&is_listed);
+        self.ejection.retain(&is_listed);
         let upstreams = &self.upstreams;
         self.domains
             .retain(|domain, _| upstreams.values().any(|record| record.domain == *domain));
