Catalog sharing: a host that has a list that is lacking is asked again soon

What callers would see: the same as a lost list, for three seconds more. A host that did not respond within 200 ms was left out for 3 s, also while it went on to report a fresh list to a host that had none. When a store is back, all hosts of a domain ask the first one that has the lists at once, and one of 0.12 of a core may be late for some.

Change: such a host is asked again after half a second by a host that lacks the list. Hosts that have the list leave it out for 3 s as before, and so do those that hear no fresh report of it, as across a cut.

--- a/src/gateway/catalog_sharing/reader.rs
+++ b/src/gateway/catalog_sharing/reader.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decide::ReaderFailure;
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
@@ -20,7 +21,6 @@
 use crate::gateway::catalog_sharing::message::ListKind;
 use crate::gateway::catalog_sharing::message::ReadRequest;
 use crate::gateway::catalog_sharing::message::ReadResponse;
-use crate::gateway::catalog_sharing::reader_selector::Unavailable;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
 
@@ -345,7 +345,7 @@
                 Ok(read.value)
             }
             Err(err) => {
-                self.mark_unavailable(own, Unavailable::Stale);
+                self.mark_unavailable(own, ReaderFailure::Stale);
                 self.cursor.set_immediate(true);
                 if matches!(err, CatalogError::Malformed(_)) {
                     // Reading the same changes again would fail in the same way.
@@ -357,7 +357,7 @@
     }
 
     /// Excludes a host, which may be this one, from the selection of readers for a while.
-    fn mark_unavailable(&self, host: &HostId, why: Unavailable) {
+    fn mark_unavailable(&self, host: &HostId, why: ReaderFailure) {
         let now = self.gateway.clock.now();
         self.gateway
             .reader_selector
@@ -420,9 +420,9 @@
                 // A host without this list may run the previous version and have fresh manifests
                 // and upstreams.
                 PeerResult::Stale if list.may_be_unknown() => {}
-                PeerResult::Stale => self.mark_unavailable(&reader.host, Unavailable::Stale),
+                PeerResult::Stale => self.mark_unavailable(&reader.host, ReaderFailure::Stale),
                 PeerResult::NoResponse => {
-                    self.mark_unavailable(&reader.host, Unavailable::NoResponse);
+                    self.mark_unavailable(&reader.host, ReaderFailure::NoResponse);
                 }
             }
         }
--- a/src/gateway/catalog_sharing/reader_selector.rs
+++ b/src/gateway/catalog_sharing/reader_selector.rs
@@ -14,15 +14,14 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::EXCLUDED_FOR;
+use crate::decide::ListNeed;
+use crate::decide::ReaderFailure;
 use crate::exchange::ListedHost;
 use crate::gateway::Gateway;
 use crate::gateway::catalog_sharing::message::ListKind;
 use crate::units::HostId;
 
-/// How long a host that did not respond, or had no fresh list, is not selected. This is longer than
-/// a read, so that the hosts of a domain do not send requests to a partitioned host again and
-/// again.
-const UNAVAILABLE_FOR: Duration = Duration::from_secs(3);
 /// How long a host that has just started may request lists from hosts that it has not heard yet.
 /// After this time the others know of it and it receives their updates. Without this period, hosts
 /// that all start at the same time would each read the platform themselves, with about seven calls
@@ -32,15 +31,6 @@
 /// without failures has lists of up to 1.2 s, and its report may be half a second old.
 const REPORTED_AGE_MAX: Duration = Duration::from_secs(2);
 
-/// Why a host is not selected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unavailable {
-    /// The host did not respond.
-    NoResponse,
-    /// The host had no fresh list.
-    Stale,
-}
-
 /// The times since boot at which the lists of a host were current, as reported by that host.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReportedLists {
@@ -54,7 +44,7 @@
 #[derive(Debug, Default)]
 struct SelectorState {
     /// Hosts that are not selected, with the reason and the time since which they are not.
-    unavailable: IndexMap<HostId, (Unavailable, Instant)>,
+    unavailable: IndexMap<HostId, (ReaderFailure, Instant)>,
     /// The host that was selected last for lists other than the evacuations; none while this host
     /// reads the platform itself.
     selected: Option<HostId>,
@@ -65,16 +55,25 @@
 }
 
 impl SelectorState {
-    /// Whether a host is not excluded from the selection for a list. A host is not excluded because
-    /// its other lists were stale if it has since reported that this one is fresh. `at` is since
-    /// boot.
-    fn is_available(&self, host: &HostId, list: ListKind, now: Instant, at: Duration) -> bool {
-        let Some((why, since)) = self.unavailable.get(host) else {
+    /// Whether a host is not excluded from the selection for a list. `lacks_list` is whether this
+    /// host's own list is not fresh, and `at` is since boot.
+    fn is_available(
+        &self,
+        host: &HostId,
+        list: ListKind,
+        lacks_list: bool,
+        now: Instant,
+        at: Duration,
+    ) -> bool {
+        let Some((failure, since)) = self.unavailable.get(host) else {
             return true;
         };
-        let has_this_list =
-            list == ListKind::Evacuations && self.is_fresh(host, list, at) == Some(true);
-        !is_unavailable(*since, now) || (*why == Unavailable::Stale && has_this_list)
+        let need = ListNeed {
+            lacks_list,
+            is_reported_fresh: self.is_fresh(host, list, at) == Some(true),
+            is_reported_alone: list == ListKind::Evacuations,
+        };
+        now.saturating_duration_since(*since) >= failure.excluded_for(need)
     }
 
     /// The report of a host, which is empty if there was none.
@@ -108,12 +107,12 @@
 pub(crate) struct ReaderSelector(Mutex<SelectorState>);
 
 impl ReaderSelector {
-    /// Excludes a host, which may be this one, from the selection for [`UNAVAILABLE_FOR`].
-    pub(crate) fn mark_unavailable(&self, host: &HostId, why: Unavailable, now: Instant) {
+    /// Excludes a host, which may be this one, from the selection for a while.
+    pub(crate) fn mark_unavailable(&self, host: &HostId, why: ReaderFailure, now: Instant) {
         let mut state = self.lock();
         state
             .unavailable
-            .retain(|_, (_, since)| is_unavailable(*since, now));
+            .retain(|_, (_, since)| now.saturating_duration_since(*since) < EXCLUDED_FOR);
         state.unavailable.insert(host.clone(), (why, now));
     }
 
@@ -140,14 +139,14 @@
         now: Instant,
     ) -> bool {
         let mut state = self.lock();
-        if let Some((Unavailable::Stale, since)) = state.unavailable.get(host)
+        if let Some((ReaderFailure::Stale, since)) = state.unavailable.get(host)
             && now.saturating_duration_since(*since) > age
         {
             state.unavailable.swap_remove(host);
         }
         state.report_of(host).lists = Some(confirmed_at);
         let at = confirmed_at + age;
-        state.is_available(host, ListKind::Routes, now, at)
+        state.is_available(host, ListKind::Routes, true, now, at)
     }
 
     /// Records the time since boot at which a host's evacuations were current according to its
@@ -162,7 +161,7 @@
     ) -> bool {
         let mut state = self.lock();
         state.report_of(host).evacuations = confirmed_at;
-        state.is_available(host, ListKind::Evacuations, now, at)
+        state.is_available(host, ListKind::Evacuations, true, now, at)
     }
 
     /// Records that a host has responded without fresh evacuations, until its next report.
@@ -225,16 +224,16 @@
         let is_unlisted = |reader: &&ListedHost| !gateway.platform_view.is_known_host(&reader.host);
         let unlisted_reader = starting_reader.as_ref().filter(is_unlisted);
         let has_just_started = now.saturating_duration_since(gateway.started_at) < STARTUP_PERIOD;
+        let lacks_fresh_list = !gateway.catalog_cache.is_fresh(list, at);
         let is_candidate = |listed: &&ListedHost| {
             let is_own = listed.host == conf.host;
             let is_alive = (includes_unheard && has_just_started)
                 || is_starting_reader(listed)
                 || ledger.is_host_live(&listed.host, now);
             let is_stale = state.is_fresh(&listed.host, list, at) == Some(false);
-            let is_available = state.is_available(&listed.host, list, now, at);
+            let is_available = state.is_available(&listed.host, list, lacks_fresh_list, now, at);
             (is_own || (is_alive && !is_stale)) && is_available
         };
-        let lacks_fresh_list = !gateway.catalog_cache.is_fresh(list, at);
         // If no host of this domain has fresh lists, a host of another domain is selected. If this
         // host has no fresh list itself, hosts that have reported a fresh one are preferred.
         let rank = |listed: &&ListedHost| {
@@ -273,8 +272,3 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Whether a host that was excluded at `since` is still excluded at `now`.
-fn is_unavailable(since: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(since) < UNAVAILABLE_FOR
-}
