Exchange: hosts report what their customers want and use

What callers saw: a host knows its own calls only, so it could not tell that a customer floods the whole fleet.

Change: HostUpdate has CustomerUseEntry at tag 21: rates of the last second, the usual demand and call, and for how long they were learned. Collectors add up the entries of the hosts of their domain and forward those of other domains. Without customers nothing is sent.

--- a/src/decide/customer_shares.rs
+++ b/src/decide/customer_shares.rs
@@ -121,14 +121,13 @@
         self.refresh(now);
     }
 
-    /// Forgets the services and customers for which `is_listed` returns false.
-    pub fn retain(&mut self, is_listed: impl Fn(ServiceHash, Option<CustomerHash>) -> bool) {
+    /// Forgets the customers for which `is_listed` returns false.
+    pub fn retain(&mut self, is_listed: impl Fn(CustomerHash) -> bool) {
         for reported in self.sources.values_mut() {
-            reported.retain(|report| is_listed(report.service, report.customer));
+            reported.retain(|report| report.customer.is_none_or(&is_listed));
         }
-        self.services.retain(|id, _| is_listed(*id, None));
-        for (id, service) in &mut self.services {
-            service.retain(|customer| is_listed(*id, Some(customer)));
+        for service in self.services.values_mut() {
+            service.retain(&is_listed);
         }
     }
 
@@ -149,7 +148,8 @@
         }
     }
 
-    /// Drops expired reports and updates the sums over all customers, if that is due.
+    /// Drops expired reports, updates the sums over all customers and forgets services without
+    /// demand, if that is due.
     fn refresh(&mut self, now: Instant) {
         let is_recent = |at| now.saturating_duration_since(at) < REFRESH_INTERVAL;
         if self.refreshed_at.is_some_and(is_recent) {
@@ -171,6 +171,8 @@
             service.set_reported_customers(customers.get(id).copied().unwrap_or(0));
             service.refresh(now);
         }
+        self.services
+            .retain(|_, service| !service.is_negligible(now));
     }
 }
 
--- a/src/decide/engine_model.rs
+++ b/src/decide/engine_model.rs
@@ -55,6 +55,16 @@
         let passes = u32::try_from(passes).unwrap_or(u32::MAX);
         self.pass_time(writers, context).saturating_mul(passes)
     }
+
+    /// The engine time that a request takes: that to read its prompt, and its part of the time to
+    /// write half of its largest answer while all slots are in use.
+    pub fn engine_time(&self, prompt: Tokens, output_max: Tokens) -> Duration {
+        let slots = self.slots.max(1);
+        let output = Tokens(output_max.0 / 2);
+        let context = prompt.0.saturating_add(output.0 / 2);
+        let context = Tokens(context.saturating_mul(slots.into())).min(self.memory_tokens);
+        self.prefill_time(prompt) + self.write_time(output, slots, context) / slots
+    }
 }
 
 fn millis(ms: f64) -> Duration {
--- a/src/decide/service_shares.rs
+++ b/src/decide/service_shares.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Whether no customer wants anything or usually does.
+    pub(crate) fn is_negligible(&self, now: Instant) -> bool {
+        self.customers.is_empty() && self.others.is_negligible(now)
+    }
+
     /// The demand of each customer.
     pub(crate) fn customers(&self) -> impl Iterator<Item = (CustomerHash, &CustomerDemand)> {
         self.customers.iter().map(|(id, demand)| (*id, demand))
--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -12,7 +12,9 @@
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
 use crate::exchange::collector_messages::CollectorMessages;
+use crate::exchange::customer_use_sum::CustomerUseSum;
 use crate::exchange::sent_limits::SentLimits;
+use crate::exchange::sent_uses::SentUses;
 use crate::exchange::source_state::LoadsByUpstream;
 use crate::exchange::source_state::SourceState;
 use crate::units::HostId;
@@ -32,6 +34,8 @@
     domain_total: SourceState,
     /// The rate limits last sent to the other collectors.
     sent_limits: SentLimits,
+    /// What was last sent to the other collectors of the customers' use.
+    sent_uses: SentUses,
 }
 
 impl Aggregate {
@@ -42,6 +46,7 @@
             remote_domains: IndexMap::new(),
             domain_total: SourceState::new(now),
             sent_limits: SentLimits::default(),
+            sent_uses: SentUses::default(),
         }
     }
 
@@ -67,10 +72,11 @@
     }
 
     /// Treats everything as not sent yet, for a recipient that has received nothing. The next
-    /// messages carry the complete load and all rate limits.
+    /// messages carry the complete load, all rate limits and the use of all customers.
     pub(crate) fn resend_all(&mut self) {
         self.domain_total.resend_all();
         self.sent_limits = SentLimits::default();
+        self.sent_uses = SentUses::default();
         for remote in self.remote_domains.values_mut() {
             remote.resend_all();
         }
@@ -94,10 +100,14 @@
             unreachable_domains: Vec::new(),
             poisons: Vec::new(),
             limits: Vec::new(),
+            customer_uses: Vec::new(),
             is_partial: true,
             ..own.clone()
         };
         if let Ok(host) = own.host.parse() {
+            if let Some(known) = self.neighbours.get_mut(&host) {
+                known.forget_customer_uses();
+            }
             self.on_neighbour_update(host, own, now);
         }
         let remote_domains = self.remote_domains.values_mut();
@@ -118,6 +128,8 @@
         let mut domain = self.domain_total.next_update(now);
         if let Some(domain) = &mut domain {
             domain.limits = self.sent_limits.take_due(self.total_limits(now), now);
+            let uses = self.total_uses(now);
+            domain.customer_uses = self.sent_uses.take_due(uses, now);
         }
         CollectorMessages { relay, domain }
     }
@@ -149,6 +161,14 @@
         sum.into_values().collect()
     }
 
+    /// What customers want and use at all hosts of the domain together.
+    fn total_uses(&self, now: Instant) -> CustomerUseSum {
+        let neighbours = self.neighbours.values();
+        neighbours
+            .flat_map(|neighbour| neighbour.customer_uses(now))
+            .collect()
+    }
+
     /// The load of all hosts of the domain together.
     fn total_loads(&self) -> LoadsByUpstream {
         let mut sum = LoadsByUpstream::new();
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -68,6 +68,10 @@
     /// leaving.
     #[prost(fixed64, repeated, tag = "18")]
     pub leaving_upstreams: Vec<u64>,
+    /// What customers want and use of services. Customers that are not included are unchanged;
+    /// recipients forget those that are not repeated within a second.
+    #[prost(message, repeated, tag = "21")]
+    pub customer_uses: Vec<CustomerUseEntry>,
 }
 
 /// The load at one upstream.
@@ -208,3 +212,41 @@
     #[prost(bytes = "vec", repeated, tag = "2")]
     pub attempts: Vec<Vec<u8>>,
 }
+
+/// What one customer, or several together, want and use of a service at the sender or in its
+/// failure domain.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct CustomerUseEntry {
+    /// The hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub service_hash: u64,
+    /// The hash of the customer's name; 0 for all customers of the service together that have no
+    /// entry of their own.
+    #[prost(fixed64, tag = "2")]
+    pub customer_hash: u64,
+    /// In an entry for several customers, the number of customers that want something of the
+    /// service, those with an entry of their own included; otherwise 0.
+    #[prost(uint32, tag = "3")]
+    pub customers: u32,
+    /// The engine time of the calls that arrived, in microseconds per second.
+    #[prost(uint64, tag = "4")]
+    pub wanted_us_per_s: u64,
+    /// The engine time of the calls that were sent to upstreams, in microseconds per second.
+    #[prost(uint64, tag = "5")]
+    pub used_us_per_s: u64,
+    /// The engine time of one call that arrived, in microseconds: a mean weighted by engine time.
+    #[prost(uint64, tag = "6")]
+    pub call_us: u64,
+    /// What the customer usually wants, over all hosts, in microseconds per second; 0 in an entry for
+    /// several customers.
+    #[prost(uint64, tag = "7")]
+    pub usual_us_per_s: u64,
+    /// The usual engine time of one call, in microseconds: a mean weighted by engine time.
+    #[prost(uint64, tag = "8")]
+    pub usual_call_us: u64,
+    /// For how long the sender has learned the usual demand, in seconds; the longest time among
+    /// several senders.
+    #[prost(uint32, tag = "9")]
+    pub learned_s: u32,
+}
--- a/src/exchange/source_state.rs
+++ b/src/exchange/source_state.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 
+use crate::exchange::CustomerUseEntry;
 use crate::exchange::HostUpdate;
 use crate::exchange::LoadEntry;
 use crate::exchange::PoisonEntry;
@@ -13,6 +14,7 @@
 use crate::exchange::UpstreamHash;
 use crate::exchange::load_state::LoadState;
 use crate::exchange::received_limits::ReceivedLimits;
+use crate::exchange::received_uses::ReceivedUses;
 
 /// The interval of full updates, with deltas in between. A lost message leaves wrong state for at
 /// most this long. Half the interval would double the bytes between hosts of a fleet of 195 at its
@@ -38,6 +40,7 @@
     full_sent_at: Option<Instant>,
     sent_poisons: Vec<(Instant, PoisonEntry)>,
     limits: ReceivedLimits,
+    customer_uses: ReceivedUses,
 }
 
 impl SourceState {
@@ -52,6 +55,7 @@
             full_sent_at: None,
             sent_poisons: Vec::new(),
             limits: ReceivedLimits::default(),
+            customer_uses: ReceivedUses::default(),
         }
     }
 
@@ -70,6 +74,17 @@
         self.limits.current(now)
     }
 
+    /// What the source has reported of customers that want or use something.
+    pub(crate) fn customer_uses(&self, now: Instant) -> impl Iterator<Item = CustomerUseEntry> {
+        self.customer_uses.current(now)
+    }
+
+    /// Forgets what the source has reported of customers, for a source whose next update is complete
+    /// in this regard.
+    pub(crate) fn forget_customer_uses(&mut self) {
+        self.customer_uses.clear();
+    }
+
     /// Records an update of the source. A full update replaces the load of the source, and a
     /// partial one changes it. After a restart of the source, the next forwarded update is a full
     /// one.
@@ -79,7 +94,10 @@
         if update.incarnation != self.header.incarnation {
             self.resend_all();
             self.loads.clear();
+            self.customer_uses.clear();
         }
+        let uses = std::mem::take(&mut update.customer_uses);
+        self.customer_uses.record(uses, now);
         if !update.is_partial {
             self.loads.clear();
         }
@@ -105,12 +123,13 @@
         self.has_update = true;
     }
 
-    /// Treats the load and the rate limits as not forwarded yet, for recipients that have received
+    /// Treats the load, the rate limits and the customers' use as not forwarded yet, for recipients that have received
     /// nothing. The next update is due even if the source sends nothing until then, and it is a
     /// full one. Requests that crashed upstreams are not repeated.
     pub(crate) fn resend_all(&mut self) {
         self.sent_loads.clear();
         self.limits.mark_all_pending();
+        self.customer_uses.mark_all_pending();
         self.full_sent_at = None;
         self.has_update = true;
     }
@@ -126,6 +145,7 @@
         let mut update = HostUpdate {
             poisons: self.take_poisons(now),
             limits: self.limits.take_pending(now),
+            customer_uses: self.customer_uses.take_pending(),
             is_partial: !is_full,
             ..self.header.clone()
         };
--- /dev/null
+++ b/src/gateway/customer_shares.rs
@@ -0,0 +1,109 @@
+//! A gateway's part in the shares of customers: the engine time of its calls, and the entries of
+//! updates.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexSet;
+
+use crate::decide::CustomerUse;
+use crate::decide::LoadSource;
+use crate::exchange::CustomerUseEntry;
+use crate::exchange::HostUpdate;
+use crate::gateway::Call;
+use crate::gateway::Gateway;
+use crate::routing::RouteTable;
+use crate::units::CustomerHash;
+use crate::units::ServiceHash;
+
+/// The time that a call to a service without an engine model counts for. Shares are compared within
+/// one service only.
+const PLAIN_CALL_TIME: Duration = Duration::from_millis(10);
+
+impl Gateway {
+    /// The time for which a call occupies an engine, as predicted by the model of its service; the
+    /// same time for all calls to a service without a model.
+    pub fn engine_time(&self, call: &Call) -> Duration {
+        let routes = self.platform_view.routes();
+        let service = routes.as_ref().and_then(|r| r.services.get(&call.service));
+        let model = service.and_then(|service| service.engine.as_ref());
+        match model {
+            Some(model) if call.route.kind.is_stream() => {
+                model.engine_time(call.head.prompt, call.head.output)
+            }
+            _ => PLAIN_CALL_TIME,
+        }
+    }
+
+    /// Adds an admitted call to what its customer wants.
+    pub(crate) fn record_arrival(&self, call: &Call) {
+        let Some(customer) = &call.customer else {
+            return;
+        };
+        let cost = self.engine_time(call);
+        let now = self.clock.now();
+        self.shares().on_arrival(&call.service, customer, cost, now);
+    }
+
+    /// Adds a call that is sent to an upstream to what is used for its customer.
+    pub fn record_use(&self, call: &Call) {
+        let Some(customer) = &call.customer else {
+            return;
+        };
+        let cost = self.engine_time(call);
+        let now = self.clock.now();
+        self.shares().on_send(&call.service, customer, cost, now);
+    }
+
+    /// Applies what another host or collector reports of the customers of services.
+    pub(crate) fn apply_customer_uses(
+        &self,
+        source: &LoadSource,
+        update: &HostUpdate,
+        now: Instant,
+    ) {
+        let uses = update.customer_uses.iter().map(CustomerUse::from);
+        self.shares()
+            .record_use(source, update.incarnation, uses, now);
+    }
+
+    /// Forgets the demand of customers without a key in the manifest.
+    pub(crate) fn retain_listed_customers(&self, routes: &RouteTable) {
+        let customers: IndexSet<CustomerHash> =
+            routes.keys.customers().map(CustomerHash::from).collect();
+        self.shares()
+            .retain(|customer| customers.contains(&customer));
+    }
+}
+
+impl From<&CustomerUse> for CustomerUseEntry {
+    fn from(customer_use: &CustomerUse) -> Self {
+        Self {
+            service_hash: customer_use.service.0,
+            customer_hash: customer_use.customer.map_or(0, |customer| customer.0),
+            customers: customer_use.customers,
+            wanted_us_per_s: customer_use.wanted_us_per_s,
+            used_us_per_s: customer_use.used_us_per_s,
+            call_us: customer_use.call_us,
+            usual_us_per_s: customer_use.usual_us_per_s,
+            usual_call_us: customer_use.usual_call_us,
+            learned_s: u32::try_from(customer_use.learned.as_secs()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<&CustomerUseEntry> for CustomerUse {
+    fn from(entry: &CustomerUseEntry) -> Self {
+        Self {
+            service: ServiceHash(entry.service_hash),
+            customer: (entry.customer_hash != 0).then_some(CustomerHash(entry.customer_hash)),
+            customers: entry.customers,
+            wanted_us_per_s: entry.wanted_us_per_s,
+            used_us_per_s: entry.used_us_per_s,
+            call_us: entry.call_us,
+            usual_us_per_s: entry.usual_us_per_s,
+            usual_call_us: entry.usual_call_us,
+            learned: Duration::from_secs(entry.learned_s.into()),
+        }
+    }
+}
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -18,6 +18,7 @@
 use crate::decide::PrefillSent;
 use crate::decide::RecentSends;
 use crate::decide::RequestFingerprint;
+use crate::exchange::CustomerUseEntry;
 use crate::exchange::ExchangeHandler;
 use crate::exchange::HostUpdate;
 use crate::exchange::ListedHost;
@@ -83,6 +84,12 @@
                 .reports(now)
                 .map(limit_entry)
                 .collect(),
+            customer_uses: self
+                .shares()
+                .own_use(now)
+                .iter()
+                .map(CustomerUseEntry::from)
+                .collect(),
             leaving_upstreams: self
                 .availability()
                 .recently_leaving(now)
@@ -151,6 +158,7 @@
                 self.on_limit_report(&source, upstream, &decode_limit(limit), now);
             }
         }
+        self.apply_customer_uses(&source, &update, now);
         let mut ledger = self.ledger();
         ledger.record_loads(source, update.incarnation, kind, loads, now);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod catalog;
 mod catalog_sharing;
 mod conf;
+mod customer_shares;
 mod decision_event;
 mod decision_log;
 mod dependency;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::decide::AvailabilityTracker;
+use crate::decide::CustomerShares;
 use crate::decide::HealthTracker;
 use crate::decide::LoadLedger;
 use crate::decide::PathTracker;
@@ -79,6 +80,7 @@
     /// The metrics.
     pub metrics: GatewayMetrics,
     ledger: Mutex<LoadLedger>,
+    shares: Mutex<CustomerShares>,
     health: Mutex<HealthTracker>,
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
@@ -156,6 +158,7 @@
             log,
             metrics,
             ledger: Mutex::default(),
+            shares: Mutex::default(),
             health: Mutex::default(),
             paths: Mutex::default(),
             tunnels: TunnelCounter::default(),
@@ -195,6 +198,11 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what customers want of services, over all hosts.
+    pub fn shares(&self) -> MutexGuard<'_, CustomerShares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the health of upstreams as this host knows it.
     pub fn health(&self) -> MutexGuard<'_, HealthTracker> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -98,6 +98,9 @@
     match gateway.platform_view.set_routes(routes) {
         RoutesUpdate::Applied => {
             gateway.apply_cold_limits();
+            if let Some(routes) = gateway.platform_view.routes() {
+                gateway.retain_listed_customers(&routes);
+            }
             gateway.load_changed.notify_one();
             gateway.log.record(event);
             true
--- a/src/routing/keys.rs
+++ b/src/routing/keys.rs
@@ -44,6 +44,11 @@
         self.by_key.get(key)
     }
 
+    /// The customers that hold a key in force. One that holds several comes several times.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerId> {
+        self.by_key.values()
+    }
+
     /// The number of keys in force.
     pub fn len(&self) -> usize {
         self.by_key.len()
--- a/tests/decide_customer_shares.rs
+++ b/tests/decide_customer_shares.rs
@@ -381,7 +381,7 @@
     let mut fleet = Fleet::at_usual_load(6, 6, 15);
     let removed = CustomerHash::from(&customer(LARGE));
     let (shares, now) = (&mut fleet.hosts[0], fleet.now);
-    shares.retain(|_, customer| customer != Some(removed));
+    shares.retain(|customer| customer != removed);
     assert_eq!(
         shares.figures(&service(), &customer(LARGE), now),
         ShareFigures::default()
@@ -400,13 +400,21 @@
     );
 }
 
-/// Services of which the manifest lists none any more take their reports along.
+/// Reports of customers that the manifest no longer names would be subtracted from the new ones.
 #[test]
-fn a_service_that_the_manifest_removes_is_forgotten() {
-    let mut fleet = Fleet::at_usual_load(2, 2, 16);
-    fleet.hosts[0].retain(|_, _| false);
-    assert_eq!(fleet.hosts[0].own_use(fleet.now), []);
-    assert_eq!(fleet.figures(0, LARGE), ShareFigures::default());
+fn reports_of_removed_customers_are_forgotten() {
+    let now = Instant::now();
+    let mut shares = CustomerShares::default();
+    shares.record_use(&host(1), 1, [report(1, 900_000)], now);
+    shares.retain(|_| false);
+    assert_eq!(
+        shares.figures(&service(), &customer(1), now),
+        ShareFigures::default()
+    );
+    shares.record_use(&host(2), 1, [report(1, 100_000)], now);
+    shares.record_use(&host(1), 1, [report(1, 300_000)], now);
+    let figures = shares.figures(&service(), &customer(1), now);
+    assert_eq!(figures.wanted_us_per_s, 400_000.0);
 }
 
 /// With 333 customers a report names the largest only. If the others were missing from the sums, an
--- a/tests/exchange_world/mod.rs
+++ b/tests/exchange_world/mod.rs
@@ -373,7 +373,8 @@
         self.events.push(at, event);
     }
 
-    fn instant(&self) -> Instant {
+    /// The current time.
+    pub fn instant(&self) -> Instant {
         self.base + self.now
     }
 }
--- a/tests/exchange_world/node.rs
+++ b/tests/exchange_world/node.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::CustomerShares;
+use banyanarch::decide::CustomerUse;
 use banyanarch::decide::LoadLedger;
 use banyanarch::decide::LoadSource;
 use banyanarch::decide::LoadUpdateKind;
+use banyanarch::exchange::CustomerUseEntry;
 use banyanarch::exchange::ExchangeState;
 use banyanarch::exchange::HostUpdate;
 use banyanarch::exchange::ListedHost;
@@ -26,6 +29,9 @@
     pub hosts: Arc<Vec<ListedHost>>,
     pub exchange: ExchangeState,
     pub ledger: LoadLedger,
+    pub shares: CustomerShares,
+    /// The largest number of customer entries in one message of this host.
+    pub customer_uses_max: usize,
     pub is_up: bool,
     pub is_paused: bool,
     pub is_partitioned: bool,
@@ -50,6 +56,8 @@
             listed,
             hosts: Arc::default(),
             ledger: LoadLedger::default(),
+            shares: CustomerShares::default(),
+            customer_uses_max: 0,
             is_up: true,
             is_paused: false,
             is_partitioned: false,
@@ -93,6 +101,7 @@
         let own = &self.own;
         let (host, incarnation) = (&self.listed.host, self.incarnation);
         let sent = self.sent;
+        let uses = self.shares.own_use(now);
         let update = || {
             let busy = own.iter().filter(|(_, in_flight)| **in_flight > 0);
             let loads = busy.map(|(upstream, in_flight)| LoadEntry {
@@ -105,10 +114,16 @@
                 incarnation: incarnation + 1,
                 loads: loads.collect(),
                 limits: sent.into_iter().collect(),
+                customer_uses: uses.iter().map(CustomerUseEntry::from).collect(),
                 ..HostUpdate::default()
             }
         };
-        self.exchange.due_messages(update, now)
+        let outgoing = self.exchange.due_messages(update, now);
+        let entries = outgoing
+            .iter()
+            .map(|outgoing| outgoing.update.customer_uses.len());
+        self.customer_uses_max = entries.fold(self.customer_uses_max, usize::max);
+        outgoing
     }
 
     pub fn on_message(
@@ -133,6 +148,9 @@
             } else {
                 LoadUpdateKind::Snapshot
             };
+            let uses = update.customer_uses.iter().map(CustomerUse::from);
+            self.shares
+                .record_use(&source, update.incarnation, uses, now);
             let id = |load: &LoadEntry| names[&load.hash()].clone();
             let loads = update.loads.iter();
             let loads = loads.map(|load| (id(load), requests(load.in_flight)));
