--- a/src/decide/room_check.rs
+++ b/src/decide/room_check.rs
@@ -31,6 +31,8 @@
 pub struct RoomRequest {
     /// What the customer wants compared with its share.
     pub standing: ShareStanding,
+    /// The fraction of what the customer wants that fits beside what the others want.
+    pub fitting_fraction: f64,
     /// The number of more urgent priorities at the service.
     pub priority_steps: u8,
     /// The fraction of the slots of the service that is taken; more than 1 if calls wait there.
@@ -68,10 +70,10 @@
     RoomCheck::Admit
 }
 
-/// The fraction of the calls of a customer above its share that are refused: as many as it wants
-/// beyond its share where places run short, and all where only the last ones are left.
+/// The fraction of the calls of a customer above its share that are refused: as many as do not
+/// fit beside those of others where places run short, and all where only the last ones are left.
 fn refused_above_share(request: &RoomRequest, priority_step: f64) -> f64 {
-    let beyond_share = 1.0 - 1.0 / request.standing.ratio;
+    let beyond_share = 1.0 - request.fitting_fraction;
     let limited = ABOVE_SHARE_LIMITED - priority_step;
     let from = ABOVE_SHARE_FROM - priority_step;
     let taken = request.slots_taken.max(request.capacity_taken);
--- a/src/decide/service_shares.rs
+++ b/src/decide/service_shares.rs
@@ -147,13 +147,14 @@
             usual_call_us: call_us,
             equal_part_us_per_s: self.equal_part_us_per_s,
             growth_of_others: self.growth_beside(demand, now),
+            wanted_by_others_us_per_s: self.wanted_beside(demand, now),
         }
     }
 
     /// What all customers but one want, divided by what they usually want.
     fn growth_beside(&self, demand: &CustomerDemand, now: Instant) -> f64 {
         let usual = self.usual_sum_us_per_s - demand.usual_us_per_s();
-        let wanted = self.bounded_sum_us_per_s - bounded_demand(demand, now);
+        let wanted = self.wanted_beside(demand, now);
         if usual > 0.0 {
             (wanted / usual).clamp(1.0, GROWTH_FACTOR_MAX)
         } else {
@@ -161,6 +162,22 @@
         }
     }
 
+    /// Whether no customer wants anything or usually does.
+    pub(crate) fn is_negligible(&self, now: Instant) -> bool {
+        self.customers.is_empty() && self.others.is_negligible(now)
+    }
+
+    /// What all customers but one want, each up to [`GROWTH_FACTOR_MAX`] times its usual demand.
+    fn wanted_beside(&self, demand: &CustomerDemand, now: Instant) -> f64 {
+        (self.bounded_sum_us_per_s - bounded_demand(demand, now)).max(0.0)
+    }
+
+    /// What all customers want, each up to [`GROWTH_FACTOR_MAX`] times its usual demand, in engine
+    /// time per second.
+    pub(crate) fn wanted_us_per_s(&self) -> f64 {
+        self.bounded_sum_us_per_s
+    }
+
     /// The demand of each customer.
     pub(crate) fn customers(&self) -> impl Iterator<Item = (CustomerHash, &CustomerDemand)> {
         self.customers.iter().map(|(id, demand)| (*id, demand))
--- a/src/decide/share_figures.rs
+++ b/src/decide/share_figures.rs
@@ -27,6 +27,8 @@
     pub equal_part_us_per_s: f64,
     /// What the other customers want, divided by what they usually want; at least 1.
     pub growth_of_others: f64,
+    /// What the other customers want; of each, no more than a multiple of its usual demand counts.
+    pub wanted_by_others_us_per_s: f64,
 }
 
 impl ShareFigures {
@@ -46,14 +48,37 @@
         (self.usual_us_per_s * self.usual_call_us).sqrt()
     }
 
+    /// The fraction of what the customer wants that a service has left beside the other customers;
+    /// at least the customer's share, and at most 1. `capacity_us_per_s` is what the service has for
+    /// all customers.
+    pub fn fitting_fraction(&self, capacity_us_per_s: f64) -> f64 {
+        let left = capacity_us_per_s - self.wanted_by_others_us_per_s;
+        let fitting = left.max(self.share_us_per_s());
+        if self.wanted_us_per_s <= fitting {
+            return 1.0;
+        }
+        fitting / self.wanted_us_per_s
+    }
+
     /// The customer's demand compared with its share; within it if no share can be derived yet.
     pub fn standing(&self) -> ShareStanding {
+        self.standing_of(self.wanted_us_per_s)
+    }
+
+    /// The customer's standing before a call that has just arrived, which is part of its demand. One
+    /// prompt of a million tokens takes an engine longer than all other calls of a second, and does
+    /// not make its customer exceed its share by itself.
+    pub fn standing_before(&self, call_us: f64) -> ShareStanding {
+        self.standing_of((self.wanted_us_per_s - call_us).max(0.0))
+    }
+
+    fn standing_of(&self, wanted_us_per_s: f64) -> ShareStanding {
         let share = self.share_us_per_s();
         if share <= 0.0 {
             return ShareStanding::within();
         }
         ShareStanding {
-            ratio: self.wanted_us_per_s / share,
+            ratio: wanted_us_per_s / share,
         }
     }
 }
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -80,6 +80,8 @@
 pub(crate) struct CallDispatcher {
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) call: Arc<Call>,
+    /// What the customer wanted compared with its share when the call arrived.
+    standing: ShareStanding,
     /// The upstreams that the call was sent to, in order.
     tried: Vec<UpstreamId>,
     /// Number of sends that reached an upstream. If it is not 0, the next send is a retry that the
@@ -104,6 +106,7 @@
 impl CallDispatcher {
     pub(crate) fn new(gateway: Arc<Gateway>, call: Arc<Call>) -> Self {
         Self {
+            standing: gateway.standing_on_arrival(&call),
             gateway,
             call,
             tried: Vec::new(),
@@ -187,6 +190,7 @@
             self.limit_wait = None;
             if let Some(place) = self.place.take() {
                 place.leave_for_send();
+                self.record_queue_wait(now);
             }
             if self.arrivals > 0 && !self.gateway.try_retry(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::Overload {
@@ -200,6 +204,7 @@
             if !self.gateway.accept_requests(placement.upstream_ids()) {
                 continue;
             }
+            self.gateway.record_use(&self.call);
             let sent = self.send_once(*placement, reservation, last_event).await;
             if let Some(outcome) = sent {
                 return outcome;
@@ -250,6 +255,14 @@
         WaitOutcome::Tried
     }
 
+    /// Records how long a call has waited among others.
+    fn record_queue_wait(&self, now: Instant) {
+        let waited = now.saturating_duration_since(self.call.arrived_at);
+        let customer = self.call.customer.as_ref();
+        let customers = &self.gateway.metrics.customers;
+        customers.record_queue_wait(customer, self.call.route.kind, waited);
+    }
+
     /// When the call is to be tried even if others come first, because it may have to be refused.
     fn turn_until(&self, now: Instant) -> Instant {
         let slot_wait_until = self.call.slot_wait_until();
@@ -279,7 +292,7 @@
             return WaitRank::RESUMED;
         }
         let is_late = self.call.objective_left(now).is_zero();
-        WaitRank::new(self.call.priority, self.standing(now), is_late)
+        WaitRank::new(self.call.priority, self.standing, is_late)
     }
 
     fn lane_key(&self, now: Instant) -> LaneKey {
@@ -289,11 +302,6 @@
         }
     }
 
-    /// What the customer of the call wants of the service compared with its share.
-    fn standing(&self, now: Instant) -> ShareStanding {
-        self.gateway.share_standing(&self.call, now)
-    }
-
     /// The refusal of a call whose lane has no room for it.
     fn refuse_full(&self) -> CallRefusal {
         self.refuse(CallRefusal::Overload {
@@ -515,6 +523,9 @@
         {
             self.log_refusal(*reason, *retry_after);
         }
+        if self.place.is_some() {
+            self.record_queue_wait(self.gateway.clock.now());
+        }
         if self.runs > 0 {
             return CallRefusal::OutcomeUnknown;
         }
@@ -523,13 +534,12 @@
 
     /// The sends so far, as the choice of an upstream needs them.
     fn sends(&self) -> SendHistory<'_> {
-        let now = self.gateway.clock.now();
         SendHistory {
             tried: &self.tried,
             may_have_run: self.runs > 0,
             waits_for_limit: self.limit_wait.is_some(),
             is_admitted: self.is_admitted,
-            standing: self.standing(now),
+            standing: self.standing,
         }
     }
 
@@ -556,7 +566,7 @@
             all: Some(Box::new(all)),
             customer: self.call.customer.as_ref().map(ToString::to_string),
             priority: self.call.listed_priority(),
-            share_ratio: None,
+            share_ratio: self.call.customer.as_ref().map(|_| self.standing.ratio),
         });
     }
 
@@ -579,7 +589,7 @@
             excluded: excluded_upstreams(gateway, &self.call, now),
             customer: self.call.customer.as_ref().map(ToString::to_string),
             priority: self.call.listed_priority(),
-            share_ratio: None,
+            share_ratio: self.call.customer.as_ref().map(|_| self.standing.ratio),
             retry_after_ms: whole_millis(retry_after),
             upstreams: listed.unwrap_or(0),
             hosts_heard: gateway.ledger().live_peer_count(now),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod catalog_sharing;
 mod conf;
 mod customer_metrics;
+mod customer_shares;
 mod decision_event;
 mod decision_log;
 mod dependency;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -162,7 +162,7 @@
                 let request = engine_request(gateway, &routes, call, sends, now);
                 let views = engine_views(gateway, &usable, &limits, now);
                 if let Some(refusal) =
-                    check_engine_room(&routes, call, sends, model, &views, &request)
+                    check_engine_room(gateway, &routes, call, sends, &views, &request)
                 {
                     return refusal;
                 }
@@ -184,19 +184,21 @@
 /// Checks whether a call that has just come is let in while the engines run short. Returns the
 /// refusal of one that is not.
 fn check_engine_room(
+    gateway: &Gateway,
     routes: &RouteTable,
     call: &Call,
     sends: &SendHistory<'_>,
-    model: &EngineModel,
     views: &[EngineView],
     request: &EngineRequest,
 ) -> Option<PlacementDecision> {
     if sends.is_admitted || sends.may_have_run || !routes.keys.is_required() {
         return None;
     }
+    let model = engine_model(routes, call)?;
     let most_urgent = routes.most_urgent(&call.service);
     let room = RoomRequest {
         standing: sends.standing,
+        fitting_fraction: gateway.fitting_fraction(call, views.len()),
         priority_steps: call.priority.0.saturating_sub(most_urgent.0),
         slots_taken: slots_taken(model, views),
         capacity_taken: capacity_taken(model, views, request),
@@ -223,14 +225,14 @@
     now: Instant,
 ) -> Option<CallRefusal> {
     let routes = gateway.platform_view.routes()?;
-    let model = engine_model(&routes, call)?;
+    engine_model(&routes, call)?;
     let by_service = gateway.platform_view.upstreams()?;
     let listed = by_service.get(&call.service)?;
     let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
     let limits = LimitStates::of(gateway, &usable, now);
     let views = engine_views(gateway, &usable, &limits, now);
     let request = engine_request(gateway, &routes, call, sends, now);
-    match check_engine_room(&routes, call, sends, model, &views, &request) {
+    match check_engine_room(gateway, &routes, call, sends, &views, &request) {
         Some(PlacementDecision::Refuse(refusal)) => Some(refusal),
         _ => None,
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,13 +16,13 @@
 
 use crate::clock::Clock;
 use crate::decide::AvailabilityTracker;
+use crate::decide::CustomerShares;
 use crate::decide::HealthTracker;
 use crate::decide::LoadLedger;
 use crate::decide::PathTracker;
 use crate::decide::PoisonList;
 use crate::decide::PoisonReport;
 use crate::decide::RetryWindow;
-use crate::decide::ShareStanding;
 use crate::exchange::UpdateRoute;
 use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
@@ -82,6 +82,7 @@
     /// The metrics.
     pub metrics: GatewayMetrics,
     ledger: Mutex<LoadLedger>,
+    shares: Mutex<CustomerShares>,
     health: Mutex<HealthTracker>,
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
@@ -163,6 +164,7 @@
             log,
             metrics,
             ledger: Mutex::default(),
+            shares: Mutex::default(),
             health: Mutex::default(),
             paths: Mutex::default(),
             tunnels: TunnelCounter::default(),
@@ -204,6 +206,11 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what customers want of services, over all hosts.
+    pub fn shares(&self) -> MutexGuard<'_, CustomerShares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the health of upstreams as this host knows it.
     pub fn health(&self) -> MutexGuard<'_, HealthTracker> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
@@ -314,16 +321,6 @@
         check.is_allowed
     }
 
-    /// What the customer of a call wants of the service compared with its share.
-    pub(crate) fn share_standing(&self, _call: &Call, _now: Instant) -> ShareStanding {
-        ShareStanding::within()
-    }
-
-    /// The time of an engine that a call takes.
-    pub(crate) fn engine_time(&self, _call: &Call) -> Duration {
-        Duration::from_millis(1)
-    }
-
     /// Whether a call may be sent now by what this host knows of keys and of evacuations, both of
     /// which must be recent enough. Checked right before each send, since a call may have waited.
     pub fn may_send(&self, call: &Call) -> bool {
--- a/src/gateway/waiting_calls.rs
+++ b/src/gateway/waiting_calls.rs
@@ -76,15 +76,6 @@
         }
     }
 
-    /// The number of waiting calls of each service and lane in which calls have waited.
-    pub(crate) fn counts(&self) -> Vec<(LaneKey, usize)> {
-        let lanes = self.lock();
-        let counts = lanes
-            .iter()
-            .map(|(key, calls)| (key.clone(), calls.queue.len()));
-        counts.collect()
-    }
-
     /// Adds a call. Returns false if its lane is full.
     fn push(&self, key: &LaneKey, call: WaitingCall, wakeup: &Arc<Notify>) -> bool {
         let id = call.id;
--- a/src/units/names.rs
+++ b/src/units/names.rs
@@ -64,6 +64,13 @@
     }
 }
 
+impl ServiceId {
+    /// The name under which the calls of one lane of the service are accounted.
+    pub fn lane(&self, lane: &str) -> Self {
+        Self(format!("{self}/{lane}").into())
+    }
+}
+
 impl PoolId {
     /// The name of the pool that holds shard `shard` of a target's upstreams in a failure domain.
     pub fn new(domain: &FailureDomainId, target: &TargetId, shard: u32) -> Self {
--- a/tests/decide_room_check.rs
+++ b/tests/decide_room_check.rs
@@ -15,6 +15,7 @@
 fn request(ratio: f64, priority_steps: u8, occupancy: f64) -> RoomRequest {
     RoomRequest {
         standing: ShareStanding { ratio },
+        fitting_fraction: (1.0 / ratio).min(1.0),
         priority_steps,
         slots_taken: occupancy,
         capacity_taken: occupancy,
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -34,6 +34,7 @@
 use super::host::Host;
 use super::host::LoadReport;
 use super::load::Load;
+use super::load::SHORT;
 use super::load::Site;
 use super::refusals::Refusals;
 use super::run_results::Outcome;
@@ -46,6 +47,9 @@
 const CALLER_ROUND_TRIP: Duration = Duration::from_millis(7);
 /// Delay before a choice is repeated after a refused reservation.
 const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Engine time per second that customers above their share may bring in use, for each engine, in
+/// microseconds.
+const ENGINE_US_PER_S: f64 = 0.8e6;
 /// Delay after which a request that waits behind others is tried again.
 const QUEUED_RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -85,6 +89,8 @@
     is_pending: bool,
     /// Whether its host has let the request in.
     is_admitted: bool,
+    /// What its customer wanted compared with its share when it arrived.
+    standing: ShareStanding,
     /// The lane in whose queue the request is, if any.
     queued_in: Option<CallLane>,
     /// When the request is to be tried again, unless it is woken before.
@@ -116,7 +122,8 @@
     hosts: Vec<Host>,
     engines: Vec<Engine>,
     ids: Vec<UpstreamId>,
-    service: ServiceId,
+    /// The accounts of the shares of short prompts and of longer ones.
+    accounts: [ServiceId; 2],
     customers: Vec<CustomerId>,
     states: Vec<RequestState>,
     reports: Vec<LoadReport>,
@@ -144,6 +151,7 @@
             arrived: Duration::ZERO,
             is_pending: false,
             is_admitted: false,
+            standing: ShareStanding::within(),
             queued_in: None,
             retry_at: Duration::ZERO,
             plan: None,
@@ -161,7 +169,7 @@
         };
         Self {
             ids: ids.collect(),
-            service: "engines".parse().unwrap(),
+            accounts: ["engines", "engines/long"].map(|account| account.parse().unwrap()),
             customers: (0..site.customers)
                 .map(|index| format!("customer-{index}").parse().unwrap())
                 .collect(),
@@ -217,9 +225,23 @@
         let cost = self.site.model.engine_time(spec.prompt, spec.output_max);
         let (host, now) = (self.states[request].host, self.instant());
         let customer = &self.customers[spec.customer];
-        self.hosts[host]
-            .shares
-            .on_arrival(&self.service, customer, cost, now);
+        let account = &self.accounts[usize::from(spec.class != SHORT)];
+        let shares = &mut self.hosts[host].shares;
+        shares.on_arrival(account, customer, cost, now);
+        let figures = shares.figures(account, customer, now);
+        self.states[request].standing = figures.standing_before(cost.as_secs_f64() * 1e6);
+    }
+
+    /// The fraction of what the customer of a request wants that fits beside what others want.
+    fn fitting_fraction(&self, request: usize, engines: usize) -> f64 {
+        let spec = &self.load.requests[request];
+        let shares = &self.hosts[self.states[request].host].shares;
+        let lane = usize::from(spec.class != SHORT);
+        let other_lane_us_per_s = shares.wanted_us_per_s(&self.accounts[1 - lane]);
+        let customer = &self.customers[spec.customer];
+        shares
+            .figures(&self.accounts[lane], customer, self.instant())
+            .fitting_fraction(engines as f64 * ENGINE_US_PER_S - other_lane_us_per_s)
     }
 
     /// Tries a request that is due or was woken, unless others come first.
@@ -343,15 +365,12 @@
             return;
         }
         let (pause, now) = (class.pause, self.instant());
-        let customer = self.customers[spec.customer].clone();
         let host = self.states[request].host;
-        let standing = self.hosts[host]
-            .shares
-            .standing(&self.service, &customer, now);
+        let standing = self.states[request].standing;
         let engine_request = self.engine_request(request, time_left);
         let views = self.hosts[host].views(&self.site, &self.ids, self.now, now);
         if !self.states[request].is_admitted {
-            if self.is_refused_for_room(&engine_request, &views, standing) {
+            if self.is_refused_for_room(request, &engine_request, &views) {
                 let retry_after = engine_request.answer_time(&self.site.model);
                 return self.refuse(request, retry_after);
             }
@@ -394,12 +413,13 @@
     /// Whether a request that has just come is refused because the engines run short.
     fn is_refused_for_room(
         &mut self,
+        request: usize,
         engine_request: &EngineRequest,
         views: &[EngineView],
-        standing: ShareStanding,
     ) -> bool {
         let room = RoomRequest {
-            standing,
+            standing: self.states[request].standing,
+            fitting_fraction: self.fitting_fraction(request, views.len()),
             priority_steps: 0,
             slots_taken: slots_taken(&self.site.model, views),
             capacity_taken: capacity_taken(&self.site.model, views, engine_request),
