--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -2,12 +2,14 @@
 //! message of another host, by the size of the fleet.
 //!
 //! `cargo bench --locked --bench placement` prints a line for each size: microseconds to read the
-//! loads of all engines, to read them and choose, and to process one message.
+//! loads of all engines, to read them and choose, and to process one message. Two further lines give
+//! the time to record a call and compare its customer with its share, by the number of customers.
 
 use std::hint::black_box;
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::CustomerShares;
 use banyanarch::decide::EngineModel;
 use banyanarch::decide::HostLoad;
 use banyanarch::decide::LimitState;
@@ -16,6 +18,8 @@
 use banyanarch::decide::engines::EngineRequest;
 use banyanarch::decide::engines::EngineView;
 use banyanarch::decide::engines::choose_engines;
+use banyanarch::units::CustomerId;
+use banyanarch::units::ServiceId;
 use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
 use banyanarch::units::UpstreamId;
@@ -34,6 +38,35 @@
         let (read, choose, record) = measure(size);
         println!("{size:>5}  {read:>7.1}  {choose:>9.1}  {record:>7.1}");
     }
+    println!("customers  arrival_us  standing_us");
+    for customers in [24, 333] {
+        let (arrival, standing) = measure_shares(customers);
+        println!("{customers:>9}  {arrival:>10.2}  {standing:>11.2}");
+    }
+}
+
+/// Returns the mean times to record the arrival of a call and to compare its customer with its
+/// share, in microseconds.
+fn measure_shares(customers: usize) -> (f64, f64) {
+    let now = Instant::now();
+    let service: ServiceId = "chat".parse().unwrap();
+    let ids: Vec<CustomerId> = (0..customers)
+        .map(|index| format!("customer-{index}").parse().unwrap())
+        .collect();
+    let cost = Duration::from_millis(50);
+    let mut shares = CustomerShares::default();
+    let mut call = 0_usize;
+    let arrival = mean_time_us(|| {
+        call += 1;
+        let at = now + Duration::from_millis(call as u64);
+        shares.on_arrival(&service, &ids[call % customers], cost, at);
+    });
+    let at = now + Duration::from_millis(call as u64);
+    let standing = mean_time_us(|| {
+        call += 1;
+        black_box(shares.standing(&service, &ids[call % customers], at));
+    });
+    (arrival, standing)
 }
 
 /// Returns the mean times to read the loads, to read them and choose, and to record a message, in
