Hosts tell each other the outcomes of their calls and eject by them

Callers saw engines and instances that fail a part of their calls at once draw work: 33 to 82 hosts saw few of the calls each and told nobody.

Updates carry at tag 22, `UpstreamOutcomeEntry`, the counts of upstreams that fail or are slow at any host, and of plain instances: each upstream at most four times a second, 32 upstreams a host, 64 a collector, the worst first. Collectors add them up and relay those of other domains; what a host or collector no longer says is forgotten after a second. Every 250 ms each host compares the upstreams of each service and logs what changes (`upstream_ejection`, with the counts that decided, and `gateway_upstream_ejections`). Learned slowdowns of engines stand beside the reported ones, the larger one counts. `choose_instance` gets the mean service time over all hosts.

Counted as failures: 5xx but 504, invalid answers, answers that end before their length on a direct connection. Not counted: refusals, 4xx, 504, timeouts, resets, callers that leave.

What the entries cost at 82, 300 and 985 hosts is not measured.

--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -11,8 +11,11 @@
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
+use crate::exchange::UpstreamOutcomeEntry;
 use crate::exchange::collector_messages::CollectorMessages;
+use crate::exchange::received_outcomes::OutcomeKey;
 use crate::exchange::sent_limits::SentLimits;
+use crate::exchange::sent_outcomes::SentOutcomes;
 use crate::exchange::source_state::LoadsByUpstream;
 use crate::exchange::source_state::SourceState;
 use crate::units::HostId;
@@ -32,6 +35,8 @@
     domain_total: SourceState,
     /// The rate limits last sent to the other collectors.
     sent_limits: SentLimits,
+    /// The outcomes of calls last sent to the other collectors.
+    sent_outcomes: SentOutcomes,
 }
 
 impl Aggregate {
@@ -42,6 +47,7 @@
             remote_domains: IndexMap::new(),
             domain_total: SourceState::new(now),
             sent_limits: SentLimits::default(),
+            sent_outcomes: SentOutcomes::default(),
         }
     }
 
@@ -94,6 +100,7 @@
             unreachable_domains: Vec::new(),
             poisons: Vec::new(),
             limits: Vec::new(),
+            outcomes: Vec::new(),
             is_partial: true,
             ..own.clone()
         };
@@ -118,6 +125,7 @@
         let mut domain = self.domain_total.next_update(now);
         if let Some(domain) = &mut domain {
             domain.limits = self.sent_limits.take_due(self.total_limits(now), now);
+            domain.outcomes = self.sent_outcomes.take_due(self.total_outcomes(now), now);
         }
         CollectorMessages { relay, domain }
     }
@@ -149,6 +157,20 @@
         sum.into_values().collect()
     }
 
+    /// The outcomes of the calls of all hosts of the domain, the worst first.
+    fn total_outcomes(&self, now: Instant) -> Vec<UpstreamOutcomeEntry> {
+        let mut sum: IndexMap<OutcomeKey, UpstreamOutcomeEntry> = IndexMap::new();
+        let neighbours = self.neighbours.values();
+        for entry in neighbours.flat_map(|neighbour| neighbour.outcomes(now)) {
+            let known = sum.get(&entry.key());
+            let total = known.map_or(*entry, |known| known.plus(entry));
+            sum.insert(entry.key(), total);
+        }
+        let mut outcomes: Vec<UpstreamOutcomeEntry> = sum.into_values().collect();
+        outcomes.sort_by_key(|entry| std::cmp::Reverse(entry.rank()));
+        outcomes
+    }
+
     /// The load of all hosts of the domain together.
     fn total_loads(&self) -> LoadsByUpstream {
         let mut sum = LoadsByUpstream::new();
--- a/src/exchange/exchange_state.rs
+++ b/src/exchange/exchange_state.rs
@@ -32,6 +32,7 @@
 use crate::exchange::aggregate::Aggregate;
 use crate::exchange::collector_tracker::CollectorTracker;
 use crate::exchange::sent_limits::SentLimits;
+use crate::exchange::sent_outcomes::SentOutcomes;
 use crate::exchange::update_interval;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
@@ -90,6 +91,8 @@
     has_relay_data: bool,
     /// The rate limits in the last updates of this host.
     sent_limits: SentLimits,
+    /// The outcomes of calls in the last updates of this host.
+    sent_outcomes: SentOutcomes,
 }
 
 impl ExchangeState {
@@ -116,6 +119,7 @@
             relay_sent_at: now,
             has_relay_data: false,
             sent_limits: SentLimits::default(),
+            sent_outcomes: SentOutcomes::default(),
         }
     }
 
@@ -205,6 +209,7 @@
             self.pacer.on_sent(interval, now);
             let mut own = own();
             own.limits = self.sent_limits.take_due(own.limits, now);
+            own.outcomes = self.sent_outcomes.take_due(own.outcomes, now);
             outgoing.extend(self.own_messages(own));
         }
         if self.is_collector() && self.relay_due_at() <= now {
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -68,6 +68,10 @@
     /// leaving.
     #[prost(fixed64, repeated, tag = "18")]
     pub leaving_upstreams: Vec<u64>,
+    /// The outcomes of the sender's recent calls to upstreams that fail or are slow at any host, and
+    /// to plain services. An absent entry means that there is nothing to say.
+    #[prost(message, repeated, tag = "22")]
+    pub outcomes: Vec<UpstreamOutcomeEntry>,
 }
 
 /// The load at one upstream.
@@ -196,6 +200,76 @@
     }
 }
 
+/// The outcomes of the recent calls of the sender, or of its failure domain, to one upstream or to
+/// all upstreams of a service.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct UpstreamOutcomeEntry {
+    /// The hash of the upstream's id, or of the service's name if `is_service` is set.
+    #[prost(fixed64, tag = "1")]
+    pub upstream_hash: u64,
+    /// Whether the entry is about all upstreams of a service.
+    #[prost(bool, tag = "2")]
+    pub is_service: bool,
+    /// The calls in the outcome window that were answered or failed.
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
+    /// The failures among them.
+    #[prost(uint32, tag = "4")]
+    pub failures: u32,
+    /// The calls that the upstream refused without running them.
+    #[prost(uint32, tag = "5")]
+    pub refusals: u32,
+    /// The calls of which the time until the first event is known.
+    #[prost(uint32, tag = "6")]
+    pub timed_calls: u32,
+    /// The sum of the forecasts of these times, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub forecast_us: u64,
+    /// The sum of these times, in microseconds.
+    #[prost(uint64, tag = "8")]
+    pub taken_us: u64,
+    /// The calls to a plain service of which the service time is known.
+    #[prost(uint32, tag = "9")]
+    pub service_calls: u32,
+    /// The sum of the service times of these calls, in microseconds.
+    #[prost(uint64, tag = "10")]
+    pub service_time_us: u64,
+}
+
+impl UpstreamOutcomeEntry {
+    /// What identifies the entry: the hash, and whether it is that of a service.
+    pub(crate) fn key(&self) -> (u64, bool) {
+        (self.upstream_hash, self.is_service)
+    }
+
+    /// The sums of both entries, which are about the same upstream or service.
+    pub(crate) fn plus(self, other: &Self) -> Self {
+        Self {
+            calls: self.calls.saturating_add(other.calls),
+            failures: self.failures.saturating_add(other.failures),
+            refusals: self.refusals.saturating_add(other.refusals),
+            timed_calls: self.timed_calls.saturating_add(other.timed_calls),
+            forecast_us: self.forecast_us.saturating_add(other.forecast_us),
+            taken_us: self.taken_us.saturating_add(other.taken_us),
+            service_calls: self.service_calls.saturating_add(other.service_calls),
+            service_time_us: self.service_time_us.saturating_add(other.service_time_us),
+            ..self
+        }
+    }
+
+    /// The order of entries when not all fit into a message: services first, then the worst.
+    pub(crate) fn rank(&self) -> (bool, u32, u64, u64) {
+        let late_us = self.taken_us.saturating_sub(self.forecast_us);
+        (
+            self.is_service,
+            self.failures,
+            late_us,
+            self.service_time_us,
+        )
+    }
+}
+
 /// A request that crashed upstreams, with the ids of the attempts that crashed them.
 #[derive(Clone, PartialEq, Eq, Hash)]
 #[derive(prost::Message)]
--- a/src/exchange/source_state.rs
+++ b/src/exchange/source_state.rs
@@ -11,8 +11,10 @@
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
+use crate::exchange::UpstreamOutcomeEntry;
 use crate::exchange::load_state::LoadState;
 use crate::exchange::received_limits::ReceivedLimits;
+use crate::exchange::received_outcomes::ReceivedOutcomes;
 
 /// The interval of full updates, with deltas in between. A lost message leaves wrong state for at
 /// most this long. Half the interval would double the bytes between hosts of a fleet of 195 at its
@@ -38,6 +40,7 @@
     full_sent_at: Option<Instant>,
     sent_poisons: Vec<(Instant, PoisonEntry)>,
     limits: ReceivedLimits,
+    outcomes: ReceivedOutcomes,
 }
 
 impl SourceState {
@@ -52,6 +55,7 @@
             full_sent_at: None,
             sent_poisons: Vec::new(),
             limits: ReceivedLimits::default(),
+            outcomes: ReceivedOutcomes::default(),
         }
     }
 
@@ -70,12 +74,19 @@
         self.limits.current(now)
     }
 
+    /// The outcomes of calls that the source has reported.
+    pub(crate) fn outcomes(&self, now: Instant) -> impl Iterator<Item = &UpstreamOutcomeEntry> {
+        self.outcomes.current(now)
+    }
+
     /// Records an update of the source. A full update replaces the load of the source, and a
     /// partial one changes it. After a restart of the source, the next forwarded update is a full
     /// one.
     pub(crate) fn on_update(&mut self, mut update: HostUpdate, now: Instant) {
         let loads = std::mem::take(&mut update.loads);
         self.limits.record(std::mem::take(&mut update.limits), now);
+        let outcomes = std::mem::take(&mut update.outcomes);
+        self.outcomes.record(outcomes, now);
         if update.incarnation != self.header.incarnation {
             self.resend_all();
             self.loads.clear();
@@ -126,6 +137,7 @@
         let mut update = HostUpdate {
             poisons: self.take_poisons(now),
             limits: self.limits.take_pending(now),
+            outcomes: self.outcomes.take_pending(now),
             is_partial: !is_full,
             ..self.header.clone()
         };
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -152,6 +152,30 @@
         /// The host that reported it; none if a response to this host did.
         told_by: Option<String>,
     },
+    /// This host has ejected an upstream because of the outcomes of calls of all hosts, probes it, or
+    /// has reinstated it.
+    UpstreamEjection {
+        /// The id of the upstream.
+        upstream: String,
+        /// What has changed: `ejected`, `probed` or `reinstated`.
+        change: Cow<'static, str>,
+        /// The recent calls to the upstream that were answered or failed.
+        calls: u32,
+        /// The failures among them.
+        failures: u32,
+        /// The recent calls to the rest of the service, without other upstreams that fail too many;
+        /// 0 if more than half of the service does.
+        rest_calls: u32,
+        /// The failures among them.
+        rest_failures: u32,
+        /// The hosts, and collectors on behalf of their hosts, whose calls are among them besides
+        /// those of this host.
+        hosts_heard: usize,
+        /// The time for which the upstream gets no calls, in ms; 0 if it is not ejected.
+        pause_ms: u64,
+        /// The ejections that made the pause longer, this one included; 0 if it is not ejected.
+        ejections: u32,
+    },
     /// An upstream that has refused a request wants no requests from this host for a time that ends
     /// later than any it wanted before.
     UpstreamBackoff {
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -32,6 +32,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 use crate::gateway::catalog_sharing::is_fresh;
+use crate::gateway::outcomes::outcome_entry;
 use crate::units::AttemptId;
 use crate::units::ContentHash;
 use crate::units::FailureDomainId;
@@ -40,6 +41,7 @@
 use crate::units::Slowdown;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
+use crate::units::whole_micros;
 use crate::units::whole_millis;
 use crate::units::whole_millis_u32;
 
@@ -88,6 +90,12 @@
                 .recently_leaving(now)
                 .map(|upstream| UpstreamHash::from(upstream).0)
                 .collect(),
+            outcomes: self
+                .health()
+                .outcome_reports(now)
+                .iter()
+                .map(outcome_entry)
+                .collect(),
             unreachable_upstreams,
             unreachable_domains,
             routes_version,
@@ -151,6 +159,7 @@
                 self.on_limit_report(&source, upstream, &decode_limit(limit), now);
             }
         }
+        self.apply_outcomes(&source, &update.outcomes, now);
         let mut ledger = self.ledger();
         ledger.record_loads(source, update.incarnation, kind, loads, now);
     }
@@ -356,11 +365,6 @@
     }
 }
 
-/// The time in whole microseconds, saturating.
-fn whole_micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn poison_entry(poison: &PoisonReport) -> PoisonEntry {
     let (RequestFingerprint::Content(hash) | RequestFingerprint::Key(hash)) = poison.fingerprint;
     PoisonEntry {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -11,6 +11,7 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
@@ -21,6 +22,7 @@
 use hyper::http::uri::Authority;
 use tokio::time::timeout_at;
 
+use crate::decide::CallOutcome;
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
@@ -33,6 +35,7 @@
 use crate::gateway::request_tracker::RequestTracker;
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::stream_relay::StreamRelay;
+use crate::http::one_shot::is_truncated;
 use crate::http::remove_connection_headers;
 use crate::routing::AllowedRegions;
 use crate::routing::RouteTable;
@@ -242,13 +245,19 @@
         head,
         body,
         upstream,
+        sent_at,
+        is_direct,
         ..
     } = response;
+    let gateway = &dispatcher.gateway;
     let read = Limited::new(body, BUFFERED_RESPONSE_MAX).collect();
     let cause = match timeout_at(dispatcher.call.deadline.into(), read).await {
         Err(_) => return Err(Some(CallRefusal::DeadlineExceeded)),
         Ok(Ok(body)) => {
             dispatcher.on_served();
+            if let Some(outcome) = outcome_of_full_response(head.status, sent_at, gateway) {
+                gateway.record_outcome(&upstream, outcome);
+            }
             let mut headers = head.headers;
             remove_connection_headers(&mut headers);
             headers.remove(PROXY_AUTHENTICATE);
@@ -257,7 +266,12 @@
             *res.headers_mut() = headers;
             return Ok(res);
         }
-        Ok(Err(err)) => err.to_string(),
+        Ok(Err(err)) => {
+            if is_direct && is_truncated(err.as_ref()) {
+                gateway.record_outcome(&upstream, CallOutcome::Failed);
+            }
+            err.to_string()
+        }
     };
     dispatcher.on_connection_lost(&upstream, UpstreamFault::Broken, &cause);
     if dispatcher.may_run_again() {
@@ -267,6 +281,23 @@
     }
 }
 
+/// What a complete response to a call that is no stream tells about the upstream; none for an error
+/// of the upstream, which was counted with its head. Only successful responses tell its speed.
+fn outcome_of_full_response(
+    status: StatusCode,
+    sent_at: Instant,
+    gateway: &Gateway,
+) -> Option<CallOutcome> {
+    if status.is_server_error() {
+        return None;
+    }
+    if !status.is_success() {
+        return Some(CallOutcome::Completed);
+    }
+    let took = gateway.clock.now().saturating_duration_since(sent_at);
+    Some(CallOutcome::Answered(took))
+}
+
 /// Builds the response to a call that no upstream responds to, and records the end of the request.
 fn local_response(
     gateway: &Gateway,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,7 @@
     sends: Counter<u64>,
     retries: Counter<u64>,
     faults: Counter<u64>,
+    ejections: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
     catalog: Histogram<f64>,
@@ -58,6 +59,7 @@
             sends: meter.u64_counter("gateway_sends").build(),
             retries: meter.u64_counter("gateway_retries").build(),
             faults: meter.u64_counter("gateway_upstream_faults").build(),
+            ejections: meter.u64_counter("gateway_upstream_ejections").build(),
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
             tunnels: meter.u64_counter("gateway_tunnels").build(),
@@ -99,6 +101,12 @@
         self.faults.add(1, &[KeyValue::new("fault", fault)]);
     }
 
+    /// Records that an upstream was ejected, is probed, or was reinstated. `change` is the name of
+    /// the change.
+    pub fn record_ejection(&self, change: &'static str) {
+        self.ejections.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Records a response in which an upstream states something about itself. `notice` is the kind
     /// of the statement.
     pub fn record_notice(&self, notice: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod load_guard;
 mod log_limiter;
 mod metrics;
+mod outcomes;
 mod pages;
 mod placement;
 mod platform_view;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -350,7 +350,7 @@
         in_flight: ledger.load(&upstream.id, now).in_flight,
         slots: NonZeroU32::new(upstream.slots),
         connections_max,
-        service_time: None,
+        service_time: health.service_time(&upstream.id, now),
         is_local: upstream.domain == gateway.conf.domain,
         is_failing: health.is_failing(&upstream.id),
     });
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use crate::gateway::ShutdownPhase;
 use crate::gateway::catalog_sharing::serve_reads;
 use crate::gateway::engine_reports::poll_engine_reports;
+use crate::gateway::outcomes::evaluate_outcomes;
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::probe::probe_unreachable;
 use crate::gateway::server::serve_callers;
@@ -98,6 +99,7 @@
         exchange_addr,
     ));
     tasks.spawn(probe_unreachable(Arc::clone(&gateway)));
+    tasks.spawn(evaluate_outcomes(Arc::clone(&gateway)));
     tasks.spawn(poll_engine_reports(Arc::clone(&gateway)));
     tasks.spawn(serve_pages(
         Arc::<GatewayPages>::clone(&pages),
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -14,6 +14,7 @@
 use hyper::http::response;
 use tokio::time::timeout;
 
+use crate::decide::CallOutcome;
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
@@ -40,6 +41,8 @@
 /// The minimum time after which an idempotent call without a response is sent to another upstream:
 /// ten times the duration of calls to plain services.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(600);
+/// The part of the time until the first event that is not in forecasts: connecting and both ways.
+const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(30);
 /// How long the first event of a stream may be overdue, beyond three times its forecast, before it
 /// is requested from another engine. Shorter than the two seconds after which callers give up.
 const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(1_000);
@@ -58,12 +61,42 @@
     /// The forecast time from the send until the first event.
     pub(crate) forecast: Duration,
     pub(crate) sent_at: Instant,
+    /// The time until the first event that an engine at full speed would take; none for plain
+    /// services and for prompts that several engines share.
+    pub(crate) full_speed_forecast: Option<Duration>,
+    /// Whether the connection goes to the upstream itself and not through another host.
+    pub(crate) is_direct: bool,
     /// Counts the load on the upstream until the body has been read.
     pub(crate) load: LoadGuard,
     /// Holds the memory reservations until the body has been read.
     pub(crate) _reservation: Option<ReservationGuard>,
 }
 
+impl UpstreamResponse {
+    /// Records the time until the first event of a stream.
+    pub(crate) fn on_first_event(&self, gateway: &Gateway) {
+        let Some(forecast) = self.full_speed_forecast else {
+            return;
+        };
+        let taken = gateway.clock.now().saturating_duration_since(self.sent_at);
+        let forecast = forecast + FIRST_EVENT_LATENCY;
+        gateway.record_outcome(&self.upstream, CallOutcome::FirstEvent { forecast, taken });
+    }
+
+    /// Records that a stream has ended as it should.
+    pub(crate) fn on_stream_end(&self, gateway: &Gateway) {
+        gateway.record_outcome(&self.upstream, CallOutcome::Completed);
+    }
+
+    /// Records that the response ended before it was complete. If it came through another host, that
+    /// host may be the cause.
+    pub(crate) fn on_truncated(&self, gateway: &Gateway) {
+        if self.is_direct {
+            gateway.record_outcome(&self.upstream, CallOutcome::Failed);
+        }
+    }
+}
+
 /// The outcome of one send.
 pub(crate) enum SendOutcome {
     /// The upstream has responded.
@@ -107,6 +140,9 @@
     ) -> SendOutcome {
         let now = self.gateway.clock.now();
         let timeout_after = self.response_timeout(&plan, now);
+        let full_speed_forecast = self.full_speed_forecast(&plan, now);
+        let hosts = self.gateway.probing_hosts();
+        self.gateway.health().on_sent(&plan.upstream.id, hosts, now);
         let load = LoadGuard::new(self.gateway, plan.loads);
         let upstream = plan.upstream;
         let reservations = reservation.iter().flat_map(ReservationGuard::reservations);
@@ -131,8 +167,8 @@
                 };
             }
         };
-        let res = match sent {
-            Ok(Ok(res)) => res,
+        let (res, is_direct) = match sent {
+            Ok(Ok(sent)) => sent,
             Ok(Err(err)) => return outcome_of_error(&err),
             Err(_) => {
                 return SendOutcome::Lost {
@@ -149,10 +185,14 @@
             .count_unknown_headers(&upstream.id, &head.headers);
         self.gateway.on_notices(&upstream.id, &response.notices);
         if response.did_not_run {
+            let at_fault = response.at_fault.filter(|addr| *addr != upstream.addr);
+            if at_fault.is_none() {
+                self.gateway.record_outcome(&upstream, CallOutcome::Refused);
+            }
             return SendOutcome::NotRun {
                 fault: UpstreamFault::RequestRefused,
                 arrived: true,
-                at_fault: response.at_fault.filter(|addr| *addr != upstream.addr),
+                at_fault,
                 cause: format!("refused with {}", head.status),
             };
         }
@@ -160,6 +200,9 @@
             && response.is_for_request
             && !head.headers.contains_key(CONTENT_ENCODING)
             && !implies_not_run(head.status);
+        if !is_valid || is_own_error(head.status) {
+            self.gateway.record_outcome(&upstream, CallOutcome::Failed);
+        }
         if !is_valid {
             return SendOutcome::Lost {
                 fault: UpstreamFault::Failed,
@@ -172,22 +215,36 @@
             upstream,
             forecast: plan.forecast,
             sent_at: now,
+            full_speed_forecast,
+            is_direct,
             load,
             _reservation: reservation,
         }))
     }
 
-    /// Connects to the upstream and sends the request.
+    /// The forecast of the first event without the slowdown that the plan has counted on; none for
+    /// plain services and for prompts that several engines share.
+    fn full_speed_forecast(&self, plan: &SendPlan, now: Instant) -> Option<Duration> {
+        if plan.forecast.is_zero() || plan.loads.len() > 1 {
+            return None;
+        }
+        let slowdown = self.gateway.slowdowns.of(&plan.upstream.id, now);
+        Some(plan.forecast.div_f64(slowdown.factor()))
+    }
+
+    /// Connects to the upstream and sends the request. Returns the response and whether the
+    /// connection goes to the upstream itself.
     async fn send_request(
         &self,
         upstream: &ListedUpstream,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<OneShotResponseBody>, OneShotError> {
+    ) -> Result<(Response<OneShotResponseBody>, bool), OneShotError> {
         let gateway = self.gateway;
         let connection = gateway
             .connect_upstream(&upstream.id, upstream.addr, connect_timeout)
             .await?;
+        let is_direct = connection.via.is_none();
         if let Some(via) = connection.via {
             let now = gateway.clock.now();
             let elapsed = now.saturating_duration_since(self.call.arrived_at);
@@ -198,7 +255,8 @@
                 elapsed_ms: whole_millis(elapsed),
             });
         }
-        one_shot::send_on(connection.stream, req).await
+        let res = one_shot::send_on(connection.stream, req).await?;
+        Ok((res, is_direct))
     }
 
     /// Builds the HTTP request for the upstream.
@@ -263,6 +321,11 @@
     }
 }
 
+/// Whether the status is an error of the upstream's own. At the deadline, the caller is to blame.
+fn is_own_error(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 /// Whether the status tells callers that the request has not run. An upstream that returns such a
 /// status without stating this in its headers may have run the request, and forwarding the status
 /// would be a false promise.
--- a/src/gateway/slowdowns.rs
+++ b/src/gateway/slowdowns.rs
@@ -45,7 +45,11 @@
 
 /// The engines that are slow according to this host's own polls and to other hosts' reports.
 #[derive(Debug, Default)]
-pub(crate) struct Slowdowns(Mutex<IndexMap<UpstreamId, KnownSlowdown>>);
+pub(crate) struct Slowdowns {
+    reported: Mutex<IndexMap<UpstreamId, KnownSlowdown>>,
+    /// The slowdowns of engines that report none, or a lower one, learned from the outcomes of calls.
+    learned: Mutex<IndexMap<UpstreamId, Slowdown>>,
+}
 
 impl Slowdowns {
     /// Records an engine's report to this host. Returns whether the change since the last report is
@@ -76,14 +80,34 @@
         known.insert(engine.clone(), KnownSlowdown::new(slowdown, false, now));
     }
 
-    /// The slowdowns of all engines whose reports are valid at `now`, usually none. The copy is
-    /// made once for a choice, which may be among thousands of engines, to lock once.
+    /// Replaces the slowdowns that were learned from the outcomes of calls.
+    pub(crate) fn set_learned(&self, learned: IndexMap<UpstreamId, Slowdown>) {
+        *self.lock_learned() = learned;
+    }
+
+    /// The slowdowns of all engines whose reports are valid at `now`, or whose slowdown was learned,
+    /// usually none; the larger one of an engine that has both. The copy is made once for a choice,
+    /// which may be among thousands of engines, to lock once.
     pub(crate) fn current(&self, now: Instant) -> IndexMap<UpstreamId, Slowdown> {
+        let mut current = self.lock_learned().clone();
         let known = self.lock();
-        let valid = known.iter().filter(|(_, known)| known.is_valid(now));
-        valid
-            .map(|(id, known)| (id.clone(), known.slowdown))
-            .collect()
+        for (id, known) in known.iter().filter(|(_, known)| known.is_valid(now)) {
+            let slowdown = current.entry(id.clone()).or_insert(known.slowdown);
+            if known.slowdown > *slowdown {
+                *slowdown = known.slowdown;
+            }
+        }
+        current
+    }
+
+    /// The slowdown of one engine at `now`.
+    pub(crate) fn of(&self, engine: &UpstreamId, now: Instant) -> Slowdown {
+        let learned = self.lock_learned().get(engine).copied().unwrap_or_default();
+        let known = self.lock().get(engine).copied();
+        match known.filter(|known| known.is_valid(now)) {
+            Some(known) if known.slowdown > learned => known.slowdown,
+            _ => learned,
+        }
     }
 
     /// The slowdowns that this host found by its own polls, for its broadcasts. Drops all reports
@@ -97,6 +121,10 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<UpstreamId, KnownSlowdown>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.reported.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_learned(&self) -> MutexGuard<'_, IndexMap<UpstreamId, Slowdown>> {
+        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -16,6 +16,7 @@
 use crate::gateway::send::UPSTREAM_RESTARTED;
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::send::first_event_timeout;
+use crate::http::one_shot::is_truncated;
 
 /// How long a stream may be silent before another engine resumes it, as a multiple of the longest
 /// pause that is on time. Callers give up after eight times this pause.
@@ -43,6 +44,8 @@
     Data(Bytes),
     /// The end of the response.
     End,
+    /// The response ended before it was complete.
+    Truncated(String),
     /// The engine failed, with the fault and its cause.
     Broken(UpstreamFault, String),
     /// The deadline of the call has passed.
@@ -82,13 +85,21 @@
                     }
                 }
                 NextChunk::End if !self.splitter.has_partial_event() => {
+                    if let Some(response) = &self.current {
+                        response.on_stream_end(&self.dispatcher.gateway);
+                    }
                     self.finish("served");
                     self.dispatcher.on_served();
                     return None;
                 }
                 NextChunk::End => {
                     let cause = "ended in the middle of an event".to_owned();
-                    if !self.fail_over(UpstreamFault::Broken, cause).await {
+                    if !self.fail_over_truncated(cause).await {
+                        return Some(self.truncate("broken"));
+                    }
+                }
+                NextChunk::Truncated(cause) => {
+                    if !self.fail_over_truncated(cause).await {
                         return Some(self.truncate("broken"));
                     }
                 }
@@ -124,6 +135,7 @@
         };
         match next {
             Ok(Some(Ok(frame))) => NextChunk::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(err))) if is_truncated(&err) => NextChunk::Truncated(err.to_string()),
             Ok(Some(Err(err))) => NextChunk::Broken(UpstreamFault::Broken, err.to_string()),
             Ok(None) => NextChunk::End,
             Err(_) if wait == time_left => NextChunk::DeadlineExceeded,
@@ -157,6 +169,9 @@
                 .on_pause(now.saturating_duration_since(self.last_event_at));
         } else {
             self.tracker.on_first_event(now);
+            if let Some(response) = &self.current {
+                response.on_first_event(&self.dispatcher.gateway);
+            }
         }
         if let Some(response) = &mut self.current {
             response.load.on_prefill_done();
@@ -165,6 +180,14 @@
         self.last_event_at = now;
     }
 
+    /// Does what [`StreamRelay::fail_over`] does after a response that ended before it was complete.
+    async fn fail_over_truncated(&mut self, cause: String) -> bool {
+        if let Some(response) = &self.current {
+            response.on_truncated(&self.dispatcher.gateway);
+        }
+        self.fail_over(UpstreamFault::Broken, cause).await
+    }
+
     /// Records the fault and sends the call to another engine, which resumes the stream after the
     /// last event that was forwarded. Returns false if no engine resumes the stream. An incomplete
     /// event after the last forwarded one is discarded, since the other engine sends this event
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -121,6 +121,21 @@
     }
 }
 
+/// Whether a body ended before its announced length, as opposed to a connection that was reset.
+pub fn is_truncated(err: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(err);
+    while let Some(err) = cause {
+        let io_kind = err
+            .downcast_ref::<std::io::Error>()
+            .map(std::io::Error::kind);
+        if io_kind == Some(std::io::ErrorKind::UnexpectedEof) {
+            return true;
+        }
+        cause = err.source();
+    }
+    false
+}
+
 /// Sends a request on a new connection and reads the complete response, with a body of at most
 /// `len_max` bytes, within `time_limit`.
 pub async fn call(
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -24,6 +24,7 @@
 pub use counters::StoreEra;
 pub use error::ParseUnitError;
 pub use millicores::Millicores;
+pub use millis::whole_micros;
 pub use millis::whole_millis;
 pub use millis::whole_millis_u32;
 pub use names::CustomerId;
--- a/tests/decide_instance_choice.rs
+++ b/tests/decide_instance_choice.rs
@@ -315,8 +315,8 @@
                     InstanceChoice::None => unreachable!(),
                 };
                 let jitter = rng.random_range(0.5..1.5);
-                let ticks = wait.mul_f64(jitter).div_duration_f64(TICK).ceil();
-                call.decide_tick = tick + (ticks as usize).max(1);
+                let ticks = wait.mul_f64(jitter).as_micros().div_ceil(TICK.as_micros());
+                call.decide_tick = tick + usize::try_from(ticks).unwrap().max(1);
                 kept.push(call);
             }
             waiting[host] = kept;
--- a/tests/decide_upstream_outcomes.rs
+++ b/tests/decide_upstream_outcomes.rs
@@ -526,7 +526,7 @@
         health.on_outcome(&good, &service(), CallOutcome::Completed, start);
     }
     let upstreams = [(bad.clone(), domain()), (good, domain())];
-    let mut evaluate = |health: &mut HealthTracker, at| {
+    let evaluate = |health: &mut HealthTracker, at| {
         health.evaluate_outcomes(&service(), &upstreams, 40, 0.5, at)
     };
     assert_eq!(evaluate(&mut health, start), []);
