--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -11,9 +11,12 @@
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
+use crate::exchange::UpstreamOutcomeEntry;
 use crate::exchange::collector_messages::CollectorMessages;
 use crate::exchange::customer_use_sum::CustomerUseSum;
+use crate::exchange::received_outcomes::OutcomeKey;
 use crate::exchange::sent_limits::SentLimits;
+use crate::exchange::sent_outcomes::SentOutcomes;
 use crate::exchange::sent_uses::SentUses;
 use crate::exchange::source_state::LoadsByUpstream;
 use crate::exchange::source_state::SourceState;
@@ -36,6 +39,8 @@
     sent_limits: SentLimits,
     /// What was last sent to the other collectors of the customers' use.
     sent_uses: SentUses,
+    /// The outcomes of calls last sent to the other collectors.
+    sent_outcomes: SentOutcomes,
 }
 
 impl Aggregate {
@@ -47,6 +52,7 @@
             domain_total: SourceState::new(now),
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
+            sent_outcomes: SentOutcomes::default(),
         }
     }
 
@@ -101,6 +107,7 @@
             poisons: Vec::new(),
             limits: Vec::new(),
             customer_uses: Vec::new(),
+            outcomes: Vec::new(),
             is_partial: true,
             ..own.clone()
         };
@@ -130,6 +137,7 @@
             domain.limits = self.sent_limits.take_due(self.total_limits(now), now);
             let uses = self.total_uses(now);
             domain.customer_uses = self.sent_uses.take_due(uses, now);
+            domain.outcomes = self.sent_outcomes.take_due(self.total_outcomes(now), now);
         }
         CollectorMessages { relay, domain }
     }
@@ -169,6 +177,20 @@
             .collect()
     }
 
+    /// The outcomes of the calls of all hosts of the domain, the worst first.
+    fn total_outcomes(&self, now: Instant) -> Vec<UpstreamOutcomeEntry> {
+        let mut sum: IndexMap<OutcomeKey, UpstreamOutcomeEntry> = IndexMap::new();
+        let neighbours = self.neighbours.values();
+        for entry in neighbours.flat_map(|neighbour| neighbour.outcomes(now)) {
+            let known = sum.get(&entry.key());
+            let total = known.map_or(*entry, |known| known.plus(entry));
+            sum.insert(entry.key(), total);
+        }
+        let mut outcomes: Vec<UpstreamOutcomeEntry> = sum.into_values().collect();
+        outcomes.sort_by_key(|entry| std::cmp::Reverse(entry.rank()));
+        outcomes
+    }
+
     /// The load of all hosts of the domain together.
     fn total_loads(&self) -> LoadsByUpstream {
         let mut sum = LoadsByUpstream::new();
--- a/src/exchange/exchange_state.rs
+++ b/src/exchange/exchange_state.rs
@@ -32,6 +32,7 @@
 use crate::exchange::aggregate::Aggregate;
 use crate::exchange::collector_tracker::CollectorTracker;
 use crate::exchange::sent_limits::SentLimits;
+use crate::exchange::sent_outcomes::SentOutcomes;
 use crate::exchange::sent_uses::SentUses;
 use crate::exchange::update_interval;
 use crate::units::FailureDomainId;
@@ -93,6 +94,8 @@
     sent_limits: SentLimits,
     /// What the last updates of this host contained of the customers' use.
     sent_uses: SentUses,
+    /// The outcomes of calls in the last updates of this host.
+    sent_outcomes: SentOutcomes,
 }
 
 impl ExchangeState {
@@ -120,6 +123,7 @@
             has_relay_data: false,
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
+            sent_outcomes: SentOutcomes::default(),
         }
     }
 
@@ -211,6 +215,7 @@
             own.limits = self.sent_limits.take_due(own.limits, now);
             let uses = own.customer_uses.into_iter().collect();
             own.customer_uses = self.sent_uses.take_due(uses, now);
+            own.outcomes = self.sent_outcomes.take_due(own.outcomes, now);
             outgoing.extend(self.own_messages(own));
         }
         if self.is_collector() && self.relay_due_at() <= now {
--- a/src/exchange/source_state.rs
+++ b/src/exchange/source_state.rs
@@ -12,8 +12,10 @@
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
+use crate::exchange::UpstreamOutcomeEntry;
 use crate::exchange::load_state::LoadState;
 use crate::exchange::received_limits::ReceivedLimits;
+use crate::exchange::received_outcomes::ReceivedOutcomes;
 use crate::exchange::received_uses::ReceivedUses;
 
 /// The interval of full updates, with deltas in between. A lost message leaves wrong state for at
@@ -41,6 +43,7 @@
     sent_poisons: Vec<(Instant, PoisonEntry)>,
     limits: ReceivedLimits,
     customer_uses: ReceivedUses,
+    outcomes: ReceivedOutcomes,
 }
 
 impl SourceState {
@@ -56,6 +59,7 @@
             sent_poisons: Vec::new(),
             limits: ReceivedLimits::default(),
             customer_uses: ReceivedUses::default(),
+            outcomes: ReceivedOutcomes::default(),
         }
     }
 
@@ -85,12 +89,19 @@
         self.customer_uses.clear();
     }
 
+    /// The outcomes of calls that the source has reported.
+    pub(crate) fn outcomes(&self, now: Instant) -> impl Iterator<Item = &UpstreamOutcomeEntry> {
+        self.outcomes.current(now)
+    }
+
     /// Records an update of the source. A full update replaces the load of the source, and a
     /// partial one changes it. After a restart of the source, the next forwarded update is a full
     /// one.
     pub(crate) fn on_update(&mut self, mut update: HostUpdate, now: Instant) {
         let loads = std::mem::take(&mut update.loads);
         self.limits.record(std::mem::take(&mut update.limits), now);
+        let outcomes = std::mem::take(&mut update.outcomes);
+        self.outcomes.record(outcomes, now);
         if update.incarnation != self.header.incarnation {
             self.resend_all();
             self.loads.clear();
@@ -146,6 +157,7 @@
             poisons: self.take_poisons(now),
             limits: self.limits.take_pending(now),
             customer_uses: self.customer_uses.take_pending(),
+            outcomes: self.outcomes.take_pending(now),
             is_partial: !is_full,
             ..self.header.clone()
         };
