--- a/src/decide/call_queue.rs
+++ b/src/decide/call_queue.rs
@@ -18,28 +18,51 @@
 /// The most memory of the calls of a lane that wait on a host. Further calls are refused at once.
 pub const WAITING_SIZE_MAX: ByteSize = ByteSize(16 << 20);
 
+/// Number of calls with unlike needs that may be tried at a time, in their order. A prompt of half a
+/// million tokens waits for as many engines as a few shorter ones together, which should not wait
+/// for it while engines are idle.
+const TRIED_OF_UNLIKE_CALLS: usize = 4;
+
 /// The calls of one lane that wait on a host for places at one service.
 #[derive(Debug)]
 pub struct CallQueue {
-    lane: CallLane,
+    /// Whether a place that suits one call suits all.
+    has_equal_needs: bool,
     queue: FairQueue<WaitingCall>,
     size: ByteSize,
 }
 
 impl CallQueue {
-    /// Creates an empty queue.
+    /// Creates the empty queue of the calls of a lane that may use all upstreams of their service.
     pub fn new(lane: CallLane) -> Self {
         Self {
-            lane,
+            has_equal_needs: lane.has_equal_needs(),
+            queue: FairQueue::new(),
+            size: ByteSize(0),
+        }
+    }
+
+    /// Creates the empty queue of calls that may use different upstreams of their service, so that
+    /// none of them keeps others from places.
+    pub fn of_limited_calls() -> Self {
+        Self {
+            has_equal_needs: false,
             queue: FairQueue::new(),
             size: ByteSize(0),
         }
     }
 
-    /// Adds a call. Returns false, and adds nothing, if the queue has no room for it.
+    /// Adds a call. Returns false, and adds nothing, if the queue has no room for it. Half of the
+    /// room is kept for calls that can still be on time and whose customers are within their share.
     pub fn push(&mut self, call: WaitingCall) -> bool {
         let size = ByteSize(self.size.0.saturating_add(call.size.0));
-        if self.queue.len() >= WAITING_CALLS_MAX || size > WAITING_SIZE_MAX {
+        let (calls_max, size_max) = if call.rank.is_first_group() {
+            (WAITING_CALLS_MAX, WAITING_SIZE_MAX.0)
+        } else {
+            (WAITING_CALLS_MAX / 2, WAITING_SIZE_MAX.0 / 2)
+        };
+        let is_full = self.queue.len() >= calls_max || size.0 > size_max;
+        if is_full && call.rank != WaitRank::RESUMED && !self.queue.is_empty() {
             return false;
         }
         self.size = size;
@@ -71,19 +94,14 @@
 
     /// The calls that may be tried now, in their order.
     pub fn heads(&self) -> Vec<RequestId> {
-        let heads = self.queue.heads(self.lane.tried_at_a_time());
+        let heads = self.queue.heads(tried_at_a_time(self.has_equal_needs));
         heads.into_iter().map(QueueEntry::request).collect()
     }
 
     /// Whether a call of this rank that has just come must wait behind others.
     pub fn is_behind_others(&self, rank: WaitRank) -> bool {
-        if !self.lane.has_equal_needs() {
-            return false;
-        }
-        let first = self.queue.heads(1);
-        first
-            .first()
-            .is_some_and(|call| call.priority() <= Priority::from(rank))
+        let first = self.queue.first_priority();
+        self.has_equal_needs && first.is_some_and(|first| first <= Priority::from(rank))
     }
 
     /// The number of waiting calls.
@@ -102,3 +120,12 @@
         }
     }
 }
+
+/// The number of calls, from the first, that may be tried at a time.
+fn tried_at_a_time(has_equal_needs: bool) -> usize {
+    if has_equal_needs {
+        1
+    } else {
+        TRIED_OF_UNLIKE_CALLS
+    }
+}
--- a/src/decide/engines/occupancy.rs
+++ b/src/decide/engines/occupancy.rs
@@ -1,6 +1,7 @@
 //! How much of the engines of a service is taken.
 
 use crate::decide::EngineModel;
+use crate::decide::LimitState;
 use crate::decide::engines::EngineRequest;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
@@ -13,7 +14,11 @@
     if engines.is_empty() {
         return 1.0;
     }
-    let in_flight: u32 = engines.iter().map(|engine| engine.load.in_flight).sum();
+    let taken = |engine: &EngineView| match engine.limit {
+        LimitState::Exhausted => engine.load.in_flight.max(model.slots),
+        LimitState::Unlimited | LimitState::Open => engine.load.in_flight,
+    };
+    let in_flight: u32 = engines.iter().map(taken).sum();
     f64::from(in_flight) / (engines.len() as f64 * slots(model))
 }
 
@@ -38,6 +43,9 @@
         PromptClass::Medium | PromptClass::Long => smallest_part_time(model, request),
     };
     let is_in_time = engine.time_to_first_event(model, part_time) <= request.objective_left;
+    if engine.limit == LimitState::Exhausted {
+        return 0.0;
+    }
     if !is_in_time || !accepts_part(model, engine, part_time, request) {
         return 0.0;
     }
--- a/src/decide/health_tracker.rs
+++ b/src/decide/health_tracker.rs
@@ -207,6 +207,12 @@
         self.ejection.on_outcome(upstream);
     }
 
+    /// Whether a call that was sent at `sent_at` is from before the upstream was last ejected. Its
+    /// outcome says nothing about the upstream now.
+    pub fn is_from_before_ejection(&self, upstream: &UpstreamId, sent_at: Instant) -> bool {
+        self.ejection.is_from_before_ejection(upstream, sent_at)
+    }
+
     /// Records what another host or collector reports of the outcomes of its calls.
     pub fn on_outcome_report(
         &mut self,
--- a/src/decide/outlier_ejection.rs
+++ b/src/decide/outlier_ejection.rs
@@ -136,6 +136,7 @@
     usage: Use,
     /// The ejections that count for the next pause.
     ejections: u32,
+    ejected_at: Option<Instant>,
     reinstated_at: Option<Instant>,
     /// The learned slowdown, and when it was last seen.
     slowdown: Option<(Slowdown, Instant)>,
@@ -150,6 +151,7 @@
         Self {
             usage: Self::FULL,
             ejections: 0,
+            ejected_at: None,
             reinstated_at: None,
             slowdown: None,
         }
@@ -169,6 +171,7 @@
         let pause = PAUSE_BASE.saturating_mul(1 << self.ejections.min(8));
         let pause = pause.min(PAUSE_MAX);
         self.ejections += 1;
+        self.ejected_at = Some(now);
         self.usage = Use::Ejected { until: now + pause };
         EjectionChange::Ejected {
             pause,
@@ -349,6 +352,13 @@
         }
     }
 
+    /// Whether a call that was sent at `sent_at` is from before the upstream was last ejected.
+    pub fn is_from_before_ejection(&self, upstream: &UpstreamId, sent_at: Instant) -> bool {
+        let record = self.records.get(upstream);
+        let ejected_at = record.and_then(|record| record.ejected_at);
+        ejected_at.is_some_and(|ejected_at| sent_at < ejected_at)
+    }
+
     /// Records that a call of this host to an upstream has ended.
     pub fn on_outcome(&mut self, upstream: &UpstreamId) {
         let record = self.records.get_mut(upstream);
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -30,7 +30,7 @@
     /// The queued requests by deadline, each with the sequence number of its key.
     expiry: BTreeSet<(Instant, u64, RequestId)>,
     next_seq: u64,
-    /// The common credit of all lower priorities in tokens. The credit grows while the highest
+    /// The common credit of all lower priorities, in the unit of the costs. The credit grows while the highest
     /// priority is served and pays for requests of lower ones.
     lower_credit: f64,
 }
@@ -167,7 +167,7 @@
     }
 
     /// The highest priority that has queued requests.
-    fn first_priority(&self) -> Option<Priority> {
+    pub fn first_priority(&self) -> Option<Priority> {
         let non_empty = self.levels.iter().find(|(_, level)| !level.is_empty());
         non_empty.map(|(priority, _)| *priority)
     }
--- a/src/decide/wait_rank.rs
+++ b/src/decide/wait_rank.rs
@@ -23,6 +23,12 @@
         let group = 2 * u8::from(is_late) + u8::from(standing.is_above_share());
         Self(1 + group * GROUP_SIZE + priority.0.min(PRIORITY_MAX))
     }
+
+    /// Whether the call can still be on time and its customer is within its share, or an upstream
+    /// may have run it.
+    pub fn is_first_group(self) -> bool {
+        self.0 <= GROUP_SIZE
+    }
 }
 
 impl From<WaitRank> for Priority {
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -93,6 +93,9 @@
     runs: u32,
     /// Number of times that the upstreams were compared to choose one.
     choices: u32,
+    /// Whether waiting calls are served in an order, which they are where the manifest lists
+    /// customers.
+    is_ordered: bool,
     /// Whether the call was let in by a choice.
     is_admitted: bool,
     /// The place of the call among the waiting ones, while it waits.
@@ -105,7 +108,9 @@
 
 impl CallDispatcher {
     pub(crate) fn new(gateway: Arc<Gateway>, call: Arc<Call>) -> Self {
+        let routes = gateway.platform_view.routes();
         Self {
+            is_ordered: routes.is_some_and(|routes| routes.keys.is_required()),
             standing: gateway.standing_on_arrival(&call),
             gateway,
             call,
@@ -167,6 +172,10 @@
                 PlacementDecision::Wait(wait) => {
                     self.is_admitted = true;
                     self.log_long_wait(now);
+                    if !self.is_ordered {
+                        self.sleep_with_jitter(wait, now).await;
+                        continue;
+                    }
                     match self.wait_for_turn(wait, now).await {
                         WaitOutcome::Tried => {}
                         WaitOutcome::LaneFull => {
@@ -177,6 +186,7 @@
                 }
                 PlacementDecision::WaitForLimit(wait) => {
                     self.is_admitted = true;
+                    self.place = None;
                     let new = || LimitWait::new(&self.gateway, &self.call.service);
                     self.limit_wait.get_or_insert_with(new);
                     self.sleep_with_jitter(wait, now).await;
@@ -188,10 +198,6 @@
             };
             self.is_admitted = true;
             self.limit_wait = None;
-            if let Some(place) = self.place.take() {
-                place.leave_for_send();
-                self.record_queue_wait(now);
-            }
             if self.arrivals > 0 && !self.gateway.try_retry(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::Overload {
                     reason: RefuseReason::RetryBudget,
@@ -214,7 +220,8 @@
 
     /// Whether the call has just come and others that wait for the same places come first.
     fn must_wait_behind_others(&self, now: Instant) -> bool {
-        if self.place.is_some() || self.limit_wait.is_some() {
+        let is_limited = !self.tried.is_empty() || !self.call.may_run_anywhere();
+        if self.place.is_some() || self.limit_wait.is_some() || is_limited || !self.is_ordered {
             return false;
         }
         let rank = self.rank(now);
@@ -255,9 +262,9 @@
         WaitOutcome::Tried
     }
 
-    /// Records how long a call has waited among others.
-    fn record_queue_wait(&self, now: Instant) {
-        let waited = now.saturating_duration_since(self.call.arrived_at);
+    /// Records how long the call has waited among others.
+    fn record_queue_wait(&self, place: &WaitingPlace) {
+        let waited = place.waited();
         let customer = self.call.customer.as_ref();
         let customers = &self.gateway.metrics.customers;
         customers.record_queue_wait(customer, self.call.route.kind, waited);
@@ -265,12 +272,10 @@
 
     /// When the call is to be tried even if others come first, because it may have to be refused.
     fn turn_until(&self, now: Instant) -> Instant {
-        let slot_wait_until = self.call.slot_wait_until();
-        if now < slot_wait_until && self.runs == 0 {
-            slot_wait_until
-        } else {
-            self.call.deadline
-        }
+        let due_at = self.call.arrived_at + self.call.route.objective;
+        let ahead = [self.call.slot_wait_until(), due_at, self.call.deadline];
+        let first = ahead.into_iter().find(|at| *at > now);
+        first.unwrap_or(self.call.deadline)
     }
 
     /// The call as its lane orders it.
@@ -299,6 +304,7 @@
         LaneKey {
             service: self.call.service.clone(),
             lane: call_lane(&self.gateway, &self.call, now),
+            is_limited: !self.tried.is_empty() || !self.call.may_run_anywhere(),
         }
     }
 
@@ -344,7 +350,11 @@
             last_event,
             is_last,
         };
-        match sending.send(placement, reservation).await {
+        let place = self.place.take();
+        if let Some(place) = &place {
+            self.record_queue_wait(place);
+        }
+        match sending.send(placement, reservation, place).await {
             SendOutcome::Answered(answered) => {
                 self.arrivals += 1;
                 self.runs += 1;
@@ -523,8 +533,8 @@
         {
             self.log_refusal(*reason, *retry_after);
         }
-        if self.place.is_some() {
-            self.record_queue_wait(self.gateway.clock.now());
+        if let Some(place) = &self.place {
+            self.record_queue_wait(place);
         }
         if self.runs > 0 {
             return CallRefusal::OutcomeUnknown;
@@ -539,6 +549,7 @@
             may_have_run: self.runs > 0,
             waits_for_limit: self.limit_wait.is_some(),
             is_admitted: self.is_admitted,
+            has_waited_for_slot: self.place.is_some(),
             standing: self.standing,
         }
     }
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -276,7 +276,7 @@
             .on_age_report(host, confirmed_at, age, now);
         let is_fresh = is_fresh(confirmed_at, at);
         if is_fresh {
-            self.evacuation_lease.on_contact(now);
+            self.record_contact(confirmed_at, at, now);
         }
         if can_be_asked && is_fresh && !self.catalog_cache.is_fresh(ListKind::Routes, at) {
             self.routes_changed.notify_one();
@@ -284,6 +284,15 @@
         }
     }
 
+    /// Records that the platform was in reach of a host of this fleet at `confirmed_at`, since boot;
+    /// `at` and `now` are the current time. A host that was cut off a moment ago still reports fresh
+    /// lists.
+    fn record_contact(&self, confirmed_at: Duration, at: Duration, now: Instant) {
+        let age = at.saturating_sub(confirmed_at);
+        let contact_at = now.checked_sub(age).unwrap_or(now);
+        self.evacuation_lease.on_contact(contact_at);
+    }
+
     /// Records the age that a host reports of its evacuations. If these are fresh and this host's
     /// own are stale, the task that reads them is woken to read from that host.
     fn apply_evacuations_age(&self, host: &HostId, update: &HostUpdate, now: Instant) {
@@ -294,10 +303,11 @@
         let can_be_asked = self
             .reader_selector
             .on_evacuations_report(host, confirmed_at, now, at);
-        let is_fresh = confirmed_at.is_some_and(|confirmed_at| is_fresh(confirmed_at, at));
-        if is_fresh {
-            self.evacuation_lease.on_contact(now);
+        let fresh_at = confirmed_at.filter(|confirmed_at| is_fresh(*confirmed_at, at));
+        if let Some(fresh_at) = fresh_at {
+            self.record_contact(fresh_at, at, now);
         }
+        let is_fresh = fresh_at.is_some();
         if can_be_asked && is_fresh && !self.catalog_cache.is_fresh(ListKind::Evacuations, at) {
             self.evacuations_changed.notify_one();
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -263,7 +263,7 @@
         Ok(Ok(body)) => {
             dispatcher.on_served();
             if let Some(outcome) = outcome_of_full_response(head.status, sent_at, gateway) {
-                gateway.record_outcome(&upstream, outcome);
+                gateway.record_outcome(&upstream, outcome, sent_at);
             }
             let mut headers = head.headers;
             remove_connection_headers(&mut headers);
@@ -275,7 +275,7 @@
         }
         Ok(Err(err)) => {
             if is_direct && is_truncated(err.as_ref()) {
-                gateway.record_outcome(&upstream, CallOutcome::Failed);
+                gateway.record_outcome(&upstream, CallOutcome::Failed, sent_at);
             }
             err.to_string()
         }
--- a/src/gateway/outcomes.rs
+++ b/src/gateway/outcomes.rs
@@ -39,10 +39,19 @@
 }
 
 impl Gateway {
-    /// Counts the outcome of a call of this host.
-    pub(crate) fn record_outcome(&self, upstream: &ListedUpstream, outcome: CallOutcome) {
+    /// Counts the outcome of a call that this host sent at `sent_at`, unless the upstream was ejected
+    /// since then.
+    pub(crate) fn record_outcome(
+        &self,
+        upstream: &ListedUpstream,
+        outcome: CallOutcome,
+        sent_at: Instant,
+    ) {
         let now = self.clock.now();
         let mut health = self.health();
+        if health.is_from_before_ejection(&upstream.id, sent_at) {
+            return;
+        }
         health.on_outcome(&upstream.id, &upstream.service, outcome, now);
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -52,13 +52,13 @@
 /// The longest time after which a caller should retry whose customer is above its share.
 const SHARE_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
+/// The largest ratio of a customer's demand to its share that makes its callers retry later.
+const SHARE_RETRY_RATIO_MAX: f64 = 10.0;
+
 /// The time after which a caller should retry when all upstreams that are left are evacuated or
 /// outside the allowed regions. Operators change that, which takes seconds at least.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// The time since its arrival after which a call that was not sent counts as having waited.
-const SLOT_WAIT_MIN: Duration = Duration::from_millis(5);
-
 /// The upstreams of one send, with the memory reservations to make before it, the loads to count
 /// for it, its forecast, and the records of what upstreams had stated about themselves.
 pub(crate) struct SendPlan {
@@ -113,6 +113,8 @@
     pub(crate) waits_for_limit: bool,
     /// Whether the call was let in by an earlier choice.
     pub(crate) is_admitted: bool,
+    /// Whether the call has waited for a free slot since its last send.
+    pub(crate) has_waited_for_slot: bool,
     /// What the customer of the call wants compared with its share.
     pub(crate) standing: ShareStanding,
 }
@@ -191,25 +193,33 @@
     views: &[EngineView],
     request: &EngineRequest,
 ) -> Option<PlacementDecision> {
-    if sends.is_admitted || sends.may_have_run || !routes.keys.is_required() {
+    if sends.is_admitted || sends.may_have_run || views.is_empty() || !routes.keys.is_required() {
         return None;
     }
     let model = engine_model(routes, call)?;
     let most_urgent = routes.most_urgent(&call.service);
+    let is_above_share = sends.standing.is_above_share();
     let room = RoomRequest {
         standing: sends.standing,
-        fitting_fraction: gateway.fitting_fraction(call, views.len()),
+        fitting_fraction: if is_above_share {
+            gateway.fitting_fraction(call, views.len())
+        } else {
+            1.0
+        },
         priority_steps: call.priority.0.saturating_sub(most_urgent.0),
         slots_taken: slots_taken(model, views),
-        capacity_taken: capacity_taken(model, views, request),
+        capacity_taken: if is_above_share {
+            capacity_taken(model, views, request)
+        } else {
+            0.0
+        },
     };
     let retry_after = request.answer_time(model);
     match check_room(&room, rand::random()) {
         RoomCheck::Admit => None,
         RoomCheck::AboveShare => {
-            let retry_after = retry_after
-                .mul_f64(sends.standing.ratio)
-                .min(SHARE_RETRY_AFTER_MAX);
+            let ratio = sends.standing.ratio.min(SHARE_RETRY_RATIO_MAX);
+            let retry_after = retry_after.mul_f64(ratio).min(SHARE_RETRY_AFTER_MAX);
             Some(refuse(RefuseReason::CustomerLimit, retry_after))
         }
         RoomCheck::Full => Some(refuse(RefuseReason::QueueFull, retry_after)),
@@ -251,6 +261,7 @@
         may_have_run: false,
         waits_for_limit: false,
         is_admitted: true,
+        has_waited_for_slot: false,
         standing: ShareStanding::within(),
     };
     let request = engine_request(gateway, &routes, call, &sends, now);
@@ -401,7 +412,8 @@
 }
 
 /// Chooses an instance of a plain service. While all instances are full, the call waits as long as
-/// it can still be on time.
+/// it can still be on time, and one that is late already takes its place in the queue of the
+/// instance with the fewest calls.
 fn decide_among_instances(
     gateway: &Gateway,
     call: &Call,
@@ -411,10 +423,22 @@
     now: Instant,
 ) -> PlacementDecision {
     let views = instance_views(gateway, call, usable, limits, now);
-    let competition = slot_competition(gateway, call, sends, now);
-    let upstream = match choose_instance(&views, competition, rand::random()) {
+    let competition = slot_competition(gateway, sends);
+    let mut choice = choose_instance(&views, competition, rand::random());
+    if let InstanceChoice::Wait(wait) = choice {
+        if can_wait_for_slot(call, sends, &views, wait, now) {
+            return PlacementDecision::Wait(wait);
+        }
+        // This is the last try, whatever the calls of other hosts do.
+        choice = choose_instance(&views, None, rand::random());
+    }
+    let upstream = match choice {
         InstanceChoice::Send(id) => find_upstream(usable, &id),
-        InstanceChoice::Wait(wait) => return wait_for_slot(call, sends, &views, wait, now),
+        InstanceChoice::Wait(_) if call.objective_left(now).is_zero() => {
+            let least_busy = views.iter().min_by_key(|view| view.in_flight);
+            least_busy.and_then(|view| find_upstream(usable, &view.id))
+        }
+        InstanceChoice::Wait(wait) => return refuse(RefuseReason::QueueFull, wait),
         InstanceChoice::None => None,
     };
     let Some(upstream) = upstream else {
@@ -471,36 +495,25 @@
 }
 
 /// The hosts that compete for free slots with a call that has waited; none if the call has not.
-fn slot_competition(
-    gateway: &Gateway,
-    call: &Call,
-    sends: &SendHistory<'_>,
-    now: Instant,
-) -> Option<SlotCompetition> {
-    let waited = now.saturating_duration_since(call.arrived_at);
-    let has_waited = sends.tried.is_empty() && waited >= SLOT_WAIT_MIN;
-    has_waited.then(|| SlotCompetition {
+fn slot_competition(gateway: &Gateway, sends: &SendHistory<'_>) -> Option<SlotCompetition> {
+    sends.has_waited_for_slot.then(|| SlotCompetition {
         hosts: u32::try_from(gateway.platform_view.sharing_hosts().unwrap_or(1))
             .unwrap_or(u32::MAX),
         draw: rand::random(),
     })
 }
 
-/// Handles a call while all instances of its service are full. The call waits if it can still be on
-/// time when there is room.
-fn wait_for_slot(
+/// Whether a call can still be on time when there is room at an instance, which is expected after
+/// `wait`.
+fn can_wait_for_slot(
     call: &Call,
     sends: &SendHistory<'_>,
     views: &[InstanceView],
     wait: Duration,
     now: Instant,
-) -> PlacementDecision {
+) -> bool {
     let service_time = views.iter().filter_map(|view| view.service_time).min();
-    let forecast = wait + service_time.unwrap_or_default();
-    if forecast <= patience(call, sends, now) {
-        return PlacementDecision::Wait(wait);
-    }
-    refuse(RefuseReason::QueueFull, wait)
+    wait + service_time.unwrap_or_default() <= patience(call, sends, now)
 }
 
 /// Chooses the engines of a prompt.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -26,6 +26,7 @@
 use crate::gateway::placement::SendPlan;
 use crate::gateway::reservation::EngineReservation;
 use crate::gateway::reservation::ReservationGuard;
+use crate::gateway::waiting_calls::WaitingPlace;
 use crate::http::one_shot;
 use crate::http::one_shot::OneShotError;
 use crate::http::one_shot::OneShotResponseBody;
@@ -81,19 +82,20 @@
         };
         let taken = gateway.clock.now().saturating_duration_since(self.sent_at);
         let forecast = forecast + FIRST_EVENT_LATENCY;
-        gateway.record_outcome(&self.upstream, CallOutcome::FirstEvent { forecast, taken });
+        let outcome = CallOutcome::FirstEvent { forecast, taken };
+        gateway.record_outcome(&self.upstream, outcome, self.sent_at);
     }
 
     /// Records that a stream has ended as it should.
     pub(crate) fn on_stream_end(&self, gateway: &Gateway) {
-        gateway.record_outcome(&self.upstream, CallOutcome::Completed);
+        gateway.record_outcome(&self.upstream, CallOutcome::Completed, self.sent_at);
     }
 
     /// Records that the response ended before it was complete. If it came through another host, that
     /// host may be the cause.
     pub(crate) fn on_truncated(&self, gateway: &Gateway) {
         if self.is_direct {
-            gateway.record_outcome(&self.upstream, CallOutcome::Failed);
+            gateway.record_outcome(&self.upstream, CallOutcome::Failed, self.sent_at);
         }
     }
 }
@@ -132,12 +134,13 @@
 
 impl PendingSend<'_> {
     /// Sends the call and waits for the head of the response. The load of the call is counted from
-    /// here on, and what the upstream states about itself is recorded. On any failure the load and
+    /// here on, it leaves its `place` among the waiting calls, and what the upstream states about itself is recorded. On any failure the load and
     /// the reservations are released.
     pub(crate) async fn send(
         &self,
         plan: SendPlan,
         reservation: Option<ReservationGuard>,
+        place: Option<WaitingPlace>,
     ) -> SendOutcome {
         let now = self.gateway.clock.now();
         let timeout_after = self.response_timeout(&plan, now);
@@ -145,6 +148,10 @@
         let hosts = self.gateway.probing_hosts();
         self.gateway.health().on_sent(&plan.upstream.id, hosts, now);
         let load = LoadGuard::new(self.gateway, plan.loads);
+        // The next waiting call is tried once this one counts.
+        if let Some(place) = place {
+            place.leave_for_send();
+        }
         let upstream = plan.upstream;
         let reservations = reservation.iter().flat_map(ReservationGuard::reservations);
         let mut helpers: Vec<HelperAddr> =
@@ -189,7 +196,8 @@
         if response.did_not_run {
             let at_fault = response.at_fault.filter(|addr| *addr != upstream.addr);
             if at_fault.is_none() {
-                self.gateway.record_outcome(&upstream, CallOutcome::Refused);
+                self.gateway
+                    .record_outcome(&upstream, CallOutcome::Refused, now);
             }
             return SendOutcome::NotRun {
                 fault: UpstreamFault::RequestRefused,
@@ -203,7 +211,8 @@
             && !head.headers.contains_key(CONTENT_ENCODING)
             && !implies_not_run(head.status);
         if !is_valid || is_own_error(head.status) {
-            self.gateway.record_outcome(&upstream, CallOutcome::Failed);
+            self.gateway
+                .record_outcome(&upstream, CallOutcome::Failed, now);
         }
         if !is_valid {
             return SendOutcome::Lost {
--- a/src/gateway/waiting_calls.rs
+++ b/src/gateway/waiting_calls.rs
@@ -1,8 +1,7 @@
 //! The calls that wait on this host for places at upstreams.
 //!
-//! Each call decides about its own placement when it is its turn. A turn comes when the load that
-//! this host knows of has changed, or when the time is over after which the call wanted to be tried
-//! again. Whoever is woken passes the turn on to the calls ahead of it.
+//! Each call decides about its own placement when it is its turn. A turn comes when a send of this
+//! host has ended, or when the time is over after which the call wanted to be tried again.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,6 +27,9 @@
 pub(crate) struct LaneKey {
     pub(crate) service: ServiceId,
     pub(crate) lane: CallLane,
+    /// Whether the calls may not use all upstreams of the service: their regions are limited, or
+    /// they were sent to some before.
+    pub(crate) is_limited: bool,
 }
 
 /// The waiting calls of one lane, and how to wake each of them.
@@ -38,9 +40,14 @@
 }
 
 impl LaneCalls {
-    fn new(lane: CallLane) -> Self {
+    fn new(key: &LaneKey) -> Self {
+        let queue = if key.is_limited {
+            CallQueue::of_limited_calls()
+        } else {
+            CallQueue::new(key.lane)
+        };
         Self {
-            queue: CallQueue::new(lane),
+            queue,
             wakeups: IndexMap::new(),
         }
     }
@@ -81,7 +88,7 @@
         let id = call.id;
         let mut lanes = self.lock();
         let calls = lanes.entry(key.clone());
-        let calls = calls.or_insert_with(|| LaneCalls::new(key.lane));
+        let calls = calls.or_insert_with(|| LaneCalls::new(key));
         if !calls.queue.push(call) {
             return false;
         }
@@ -105,6 +112,7 @@
     key: LaneKey,
     id: RequestId,
     wakeup: Arc<Notify>,
+    joined_at: Instant,
 }
 
 impl WaitingPlace {
@@ -117,24 +125,38 @@
             key,
             id,
             wakeup,
+            joined_at: gateway.clock.now(),
         })
     }
 
-    /// Waits for the turn of this call: until it is woken, or `retry_in` is over, and no call that
-    /// comes first has yet to be tried. Returns at `until` at the latest.
+    /// How long the call has waited here.
+    pub(crate) fn waited(&self) -> Duration {
+        let now = self.gateway.clock.now();
+        now.saturating_duration_since(self.joined_at)
+    }
+
+    /// Waits for the turn of this call: until it is woken, or `retry_in` is over, and it is among
+    /// the first ones. Returns at `until` at the latest.
     pub(crate) async fn turn(&self, rank: WaitRank, retry_in: Duration, until: Instant) {
         let calls = &self.gateway.waiting;
-        calls.with_lane(&self.key, |calls| calls.queue.set_rank(&self.id, rank));
+        calls.with_lane(&self.key, |calls| {
+            calls.queue.set_rank(&self.id, rank);
+            if !calls.queue.heads().contains(&self.id) {
+                calls.wake_heads();
+            }
+        });
         loop {
             let left = until.saturating_duration_since(self.gateway.clock.now());
-            tokio::select! {
-                () = self.wakeup.notified() => {}
-                () = sleep(retry_in.min(left)) => {}
-            }
+            // A call that was woken and is no longer among the first ones passes the turn on. One
+            // whose own time is over does not, since the first ones have times of their own.
+            let was_woken = tokio::select! {
+                () = self.wakeup.notified() => true,
+                () = sleep(retry_in.min(left)) => false,
+            };
             let is_over = self.gateway.clock.now() >= until;
             let is_next = calls.with_lane(&self.key, |calls| {
                 let is_next = calls.queue.heads().contains(&self.id);
-                if !is_next {
+                if was_woken && !is_next {
                     calls.wake_heads();
                 }
                 is_next
--- a/tests/engine_world/mod.rs
+++ b/tests/engine_world/mod.rs
@@ -2,7 +2,7 @@
 //! by their reports to each other. Time is simulated, and loads are drawn from a fixed seed, so a
 //! run is reproducible.
 
-#![allow(dead_code, unreachable_pub)]
+#![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod engine;
 #[path = "../event_queue/mod.rs"]
