Explain: a refusal tells the ratio of its customer's demand to its share

Since hosts know it, the line in place of "its customer is acme" is "its customer acme was at 0.0 times its share"; the test expects the whole of it.

--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -334,8 +334,14 @@
     });
     dir.write_file("host-1.log", &log);
     let expected = [
-        ("r-first", "its customer is acme, its priority 7\n"),
-        ("r-second", "its customer is globex, its priority 1\n"),
+        (
+            "r-first",
+            "its customer acme was at 0.0 times its share, its priority 7\n",
+        ),
+        (
+            "r-second",
+            "its customer globex was at 0.0 times its share, its priority 1\n",
+        ),
     ];
     for (request, text) in expected {
         let output = dir.run(&["explain", request, "--logs", "host-1.log"]);
