--- a/src/decide/room_check.rs
+++ b/src/decide/room_check.rs
@@ -33,7 +33,7 @@
     pub standing: ShareStanding,
     /// The fraction of what the customer wants that fits beside what the others want.
     pub fitting_fraction: f64,
-    /// The number of more urgent priorities at the service.
+    /// How many steps the call is less urgent than the most urgent calls of the service.
     pub priority_steps: u8,
     /// The fraction of the slots of the service that is taken; more than 1 if calls wait there.
     pub slots_taken: f64,
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -17,13 +17,13 @@
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::admission::check_admission;
 use crate::gateway::limit_wait::LimitWait;
 use crate::gateway::placement::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::placement::PlacementDecision;
 use crate::gateway::placement::SendHistory;
 use crate::gateway::placement::SendPlan;
 use crate::gateway::placement::call_lane;
-use crate::gateway::placement::check_admission;
 use crate::gateway::placement::decide_placement;
 use crate::gateway::placement::excluded_upstreams;
 use crate::gateway::placement::survey_candidates;
@@ -137,7 +137,8 @@
     }
 
     /// Sends the call until an upstream answers, or refuses it when no further send is allowed.
-    /// Waits in the order of the waiting calls while no upstream has capacity. A resumed stream continues after `last_event`.
+    /// Waits in the order of the waiting calls while no upstream has capacity. A resumed stream
+    /// continues after `last_event`.
     pub(crate) async fn dispatch(&mut self, last_event: Option<&str>) -> DispatchOutcome {
         loop {
             let now = self.gateway.clock.now();
@@ -220,8 +221,8 @@
 
     /// Whether the call has just come and others that wait for the same places come first.
     fn must_wait_behind_others(&self, now: Instant) -> bool {
-        let is_limited = !self.tried.is_empty() || !self.call.may_run_anywhere();
-        if self.place.is_some() || self.limit_wait.is_some() || is_limited || !self.is_ordered {
+        let is_waiting = self.place.is_some() || self.limit_wait.is_some();
+        if is_waiting || self.is_limited() || !self.is_ordered {
             return false;
         }
         let rank = self.rank(now);
@@ -304,10 +305,15 @@
         LaneKey {
             service: self.call.service.clone(),
             lane: call_lane(&self.gateway, &self.call, now),
-            is_limited: !self.tried.is_empty() || !self.call.may_run_anywhere(),
+            is_limited: self.is_limited(),
         }
     }
 
+    /// Whether the call may not use all upstreams of its service.
+    fn is_limited(&self) -> bool {
+        !self.tried.is_empty() || !self.call.may_run_anywhere()
+    }
+
     /// The refusal of a call whose lane has no room for it.
     fn refuse_full(&self) -> CallRefusal {
         self.refuse(CallRefusal::Overload {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! platform is reached through [`Catalog`] and [`HeaderCodec`]. Decisions are made by
 //! [`crate::decide`].
 
+mod admission;
 mod advertised_limit;
 mod availability;
 mod broadcast_hosts;
@@ -34,6 +35,7 @@
 mod freshness;
 mod handler;
 mod header_codec;
+mod instance_placement;
 mod limit_states;
 mod limit_wait;
 mod listeners;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,30 +1,20 @@
 //! Chooses the upstreams for the next send of a call, based on the current state of this host.
 
-use std::num::NonZeroU32;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::decide::CallLane;
 use crate::decide::EngineModel;
-use crate::decide::InstanceChoice;
-use crate::decide::InstanceView;
 use crate::decide::RefuseReason;
 use crate::decide::RequestLoad;
-use crate::decide::RoomCheck;
-use crate::decide::RoomRequest;
 use crate::decide::ShareStanding;
-use crate::decide::SlotCompetition;
-use crate::decide::check_room;
-use crate::decide::choose_instance;
 use crate::decide::engines::EngineChoice;
 use crate::decide::engines::EnginePlan;
 use crate::decide::engines::EngineRequest;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::PromptClass;
-use crate::decide::engines::capacity_taken;
 use crate::decide::engines::choose_engines;
 use crate::decide::engines::count_engines;
-use crate::decide::engines::slots_taken;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::EngineCountsRecord;
@@ -33,12 +23,13 @@
 use crate::gateway::HelperAddr;
 use crate::gateway::ListedUpstream;
 use crate::gateway::RateLimitRecord;
+use crate::gateway::admission::check_engine_room;
 use crate::gateway::candidates::Candidates;
 use crate::gateway::candidates::ServiceBackoff;
+use crate::gateway::instance_placement::decide_among_instances;
 use crate::gateway::limit_states::LimitStates;
 use crate::gateway::reservation::EngineReservation;
 use crate::routing::RouteTable;
-use crate::units::Tokens;
 use crate::units::UpstreamId;
 
 /// The time after which a caller should retry when no upstream is left to try. The upstream list is
@@ -49,12 +40,6 @@
 /// the limit may have been lifted by then.
 const LIMIT_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 
-/// The longest time after which a caller should retry whose customer is above its share.
-const SHARE_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
-
-/// The largest ratio of a customer's demand to its share that makes its callers retry later.
-const SHARE_RETRY_RATIO_MAX: f64 = 10.0;
-
 /// The time after which a caller should retry when all upstreams that are left are evacuated or
 /// outside the allowed regions. Operators change that, which takes seconds at least.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -183,71 +168,6 @@
     }
 }
 
-/// Checks whether a call that has just come is let in while the engines run short. Returns the
-/// refusal of one that is not.
-fn check_engine_room(
-    gateway: &Gateway,
-    routes: &RouteTable,
-    call: &Call,
-    sends: &SendHistory<'_>,
-    views: &[EngineView],
-    request: &EngineRequest,
-) -> Option<PlacementDecision> {
-    if sends.is_admitted || sends.may_have_run || views.is_empty() || !routes.keys.is_required() {
-        return None;
-    }
-    let model = engine_model(routes, call)?;
-    let most_urgent = routes.most_urgent(&call.service);
-    let is_above_share = sends.standing.is_above_share();
-    let room = RoomRequest {
-        standing: sends.standing,
-        fitting_fraction: if is_above_share {
-            gateway.fitting_fraction(call, views.len())
-        } else {
-            1.0
-        },
-        priority_steps: call.priority.0.saturating_sub(most_urgent.0),
-        slots_taken: slots_taken(model, views),
-        capacity_taken: if is_above_share {
-            capacity_taken(model, views, request)
-        } else {
-            0.0
-        },
-    };
-    let retry_after = request.answer_time(model);
-    match check_room(&room, rand::random()) {
-        RoomCheck::Admit => None,
-        RoomCheck::AboveShare => {
-            let ratio = sends.standing.ratio.min(SHARE_RETRY_RATIO_MAX);
-            let retry_after = retry_after.mul_f64(ratio).min(SHARE_RETRY_AFTER_MAX);
-            Some(refuse(RefuseReason::CustomerLimit, retry_after))
-        }
-        RoomCheck::Full => Some(refuse(RefuseReason::QueueFull, retry_after)),
-    }
-}
-
-/// Checks whether a call is let in that has to wait behind others. Returns the refusal of one that
-/// is not.
-pub(crate) fn check_admission(
-    gateway: &Gateway,
-    call: &Call,
-    sends: &SendHistory<'_>,
-    now: Instant,
-) -> Option<CallRefusal> {
-    let routes = gateway.platform_view.routes()?;
-    engine_model(&routes, call)?;
-    let by_service = gateway.platform_view.upstreams()?;
-    let listed = by_service.get(&call.service)?;
-    let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
-    let limits = LimitStates::of(gateway, &usable, now);
-    let views = engine_views(gateway, &usable, &limits, now);
-    let request = engine_request(gateway, &routes, call, sends, now);
-    match check_engine_room(gateway, &routes, call, sends, &views, &request) {
-        Some(PlacementDecision::Refuse(refusal)) => Some(refusal),
-        _ => None,
-    }
-}
-
 /// The lane in which a call waits.
 pub(crate) fn call_lane(gateway: &Gateway, call: &Call, now: Instant) -> CallLane {
     let Some(routes) = gateway.platform_view.routes() else {
@@ -315,7 +235,7 @@
 
 /// How long a call may wait for upstreams: while it can still be on time, or if an upstream may
 /// have run it, until its deadline.
-fn patience(call: &Call, sends: &SendHistory<'_>, now: Instant) -> Duration {
+pub(super) fn patience(call: &Call, sends: &SendHistory<'_>, now: Instant) -> Duration {
     if sends.may_have_run {
         call.time_left(now)
     } else {
@@ -358,14 +278,14 @@
 }
 
 /// The engine model of the service; none if the call is no stream or the service has no engines.
-fn engine_model<'a>(routes: &'a RouteTable, call: &Call) -> Option<&'a EngineModel> {
+pub(super) fn engine_model<'a>(routes: &'a RouteTable, call: &Call) -> Option<&'a EngineModel> {
     let service = routes.services.get(&call.service)?;
     let model = service.engine.as_ref()?;
     call.route.kind.is_stream().then_some(model)
 }
 
 /// The request that the choice of engines is made for.
-fn engine_request(
+pub(super) fn engine_request(
     gateway: &Gateway,
     routes: &RouteTable,
     call: &Call,
@@ -411,111 +331,6 @@
     }
 }
 
-/// Chooses an instance of a plain service. While all instances are full, the call waits as long as
-/// it can still be on time, and one that is late already takes its place in the queue of the
-/// instance with the fewest calls.
-fn decide_among_instances(
-    gateway: &Gateway,
-    call: &Call,
-    sends: &SendHistory<'_>,
-    usable: &[&ListedUpstream],
-    limits: &LimitStates,
-    now: Instant,
-) -> PlacementDecision {
-    let views = instance_views(gateway, call, usable, limits, now);
-    let competition = slot_competition(gateway, sends);
-    let mut choice = choose_instance(&views, competition, rand::random());
-    if let InstanceChoice::Wait(wait) = choice {
-        if can_wait_for_slot(call, sends, &views, wait, now) {
-            return PlacementDecision::Wait(wait);
-        }
-        // This is the last try, whatever the calls of other hosts do.
-        choice = choose_instance(&views, None, rand::random());
-    }
-    let upstream = match choice {
-        InstanceChoice::Send(id) => find_upstream(usable, &id),
-        InstanceChoice::Wait(_) if call.objective_left(now).is_zero() => {
-            let least_busy = views.iter().min_by_key(|view| view.in_flight);
-            least_busy.and_then(|view| find_upstream(usable, &view.id))
-        }
-        InstanceChoice::Wait(wait) => return refuse(RefuseReason::QueueFull, wait),
-        InstanceChoice::None => None,
-    };
-    let Some(upstream) = upstream else {
-        return no_upstream();
-    };
-    let load = RequestLoad {
-        takes_slot: true,
-        is_short: false,
-        pause: None,
-        prefill_time: Duration::ZERO,
-        held_tokens: Tokens::ZERO,
-        helper_release: None,
-        prefill_due: None,
-    };
-    PlacementDecision::Send(Box::new(SendPlan {
-        upstream: upstream.clone(),
-        helpers: Vec::new(),
-        reservations: Vec::new(),
-        loads: vec![(upstream.id.clone(), load)],
-        forecast: Duration::ZERO,
-        limit: None,
-        excluded: None,
-    }))
-}
-
-/// The current state of the instances of a plain service as this host knows it.
-fn instance_views(
-    gateway: &Gateway,
-    call: &Call,
-    usable: &[&ListedUpstream],
-    limits: &LimitStates,
-    now: Instant,
-) -> Vec<InstanceView> {
-    let routes = gateway.platform_view.routes();
-    let service = routes
-        .as_ref()
-        .and_then(|routes| routes.services.get(&call.service));
-    let connections_max = service.and_then(|service| service.connections_max);
-    let health = gateway.health();
-    let ledger = gateway.ledger();
-    let open = usable
-        .iter()
-        .filter(|upstream| limits.is_open(&upstream.id));
-    let views = open.map(|upstream| InstanceView {
-        id: upstream.id.clone(),
-        in_flight: ledger.load(&upstream.id, now).in_flight,
-        slots: NonZeroU32::new(upstream.slots),
-        connections_max,
-        service_time: health.service_time(&upstream.id, now),
-        is_local: upstream.domain == gateway.conf.domain,
-        is_failing: health.is_failing(&upstream.id),
-    });
-    views.collect()
-}
-
-/// The hosts that compete for free slots with a call that has waited; none if the call has not.
-fn slot_competition(gateway: &Gateway, sends: &SendHistory<'_>) -> Option<SlotCompetition> {
-    sends.has_waited_for_slot.then(|| SlotCompetition {
-        hosts: u32::try_from(gateway.platform_view.sharing_hosts().unwrap_or(1))
-            .unwrap_or(u32::MAX),
-        draw: rand::random(),
-    })
-}
-
-/// Whether a call can still be on time when there is room at an instance, which is expected after
-/// `wait`.
-fn can_wait_for_slot(
-    call: &Call,
-    sends: &SendHistory<'_>,
-    views: &[InstanceView],
-    wait: Duration,
-    now: Instant,
-) -> bool {
-    let service_time = views.iter().filter_map(|view| view.service_time).min();
-    wait + service_time.unwrap_or_default() <= patience(call, sends, now)
-}
-
 /// Chooses the engines of a prompt.
 fn decide_among_engines(
     call: &Call,
@@ -536,7 +351,7 @@
 }
 
 /// The current state of the engines as this host knows it.
-fn engine_views(
+pub(super) fn engine_views(
     gateway: &Gateway,
     usable: &[&ListedUpstream],
     limits: &LimitStates,
@@ -597,17 +412,20 @@
     }))
 }
 
-fn find_upstream<'a>(usable: &[&'a ListedUpstream], id: &UpstreamId) -> Option<&'a ListedUpstream> {
+pub(super) fn find_upstream<'a>(
+    usable: &[&'a ListedUpstream],
+    id: &UpstreamId,
+) -> Option<&'a ListedUpstream> {
     usable.iter().find(|upstream| upstream.id == *id).copied()
 }
 
 /// The refusal of a call that no upstream is left for.
-fn no_upstream() -> PlacementDecision {
+pub(super) fn no_upstream() -> PlacementDecision {
     refuse(RefuseReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER)
 }
 
 /// The refusal of a call for this reason.
-fn refuse(reason: RefuseReason, retry_after: Duration) -> PlacementDecision {
+pub(super) fn refuse(reason: RefuseReason, retry_after: Duration) -> PlacementDecision {
     PlacementDecision::Refuse(CallRefusal::Overload {
         reason,
         retry_after,
