Instances: a call that has waited for a slot until it is late is refused

Cause: a waiting call is tried once more when its objective passes; if that try found it late, it was sent to a full instance as if it had come late, and its caller was told nothing until the deadline.

Change: only a call that is late without having waited for a slot takes its place in the queue of an instance.

--- a/src/gateway/instance_placement.rs
+++ b/src/gateway/instance_placement.rs
@@ -24,8 +24,8 @@
 use crate::units::Tokens;
 
 /// Chooses an instance of a plain service. While all instances are full, the call waits as long as
-/// it can still be on time, and one that is late already takes its place in the queue of the
-/// instance with the fewest calls.
+/// it can still be on time, and one that is late before it waits takes its place in the queue of
+/// the instance with the fewest calls.
 pub(super) fn decide_among_instances(
     gateway: &Gateway,
     call: &Call,
@@ -46,7 +46,7 @@
     }
     let upstream = match choice {
         InstanceChoice::Send(id) => find_upstream(usable, &id),
-        InstanceChoice::Wait(_) if call.objective_left(now).is_zero() => {
+        InstanceChoice::Wait(_) if is_late_before_waiting(call, sends, now) => {
             let least_busy = views.iter().min_by_key(|view| view.in_flight);
             least_busy.and_then(|view| find_upstream(usable, &view.id))
         }
@@ -115,6 +115,11 @@
     })
 }
 
+/// Whether a call is late without having waited for a slot, because of its earlier sends.
+fn is_late_before_waiting(call: &Call, sends: &SendHistory<'_>, now: Instant) -> bool {
+    call.objective_left(now).is_zero() && !sends.has_waited_for_slot
+}
+
 /// Whether a call can still be on time when there is room at an instance, which is expected after
 /// `wait`.
 fn can_wait_for_slot(
