Lanes: the lane of a call follows from its prompt alone

The lane was derived from a whole engine request, with a made-up history and a random draw, four to five times a call, and the share of a call was looked up twice on arrival. The class of a prompt is now a function of the model, the prompt and the strictest pause, which engine requests use as well; an arrival records the demand and returns the standing before it in one step. The engines that a call could be sent to are listed by one function for logs and for admission. No change of behaviour.

--- a/src/decide/call_lane.rs
+++ b/src/decide/call_lane.rs
@@ -1,7 +1,5 @@
 //! Lanes of waiting calls.
 
-use crate::decide::EngineModel;
-use crate::decide::engines::EngineRequest;
 use crate::decide::engines::PromptClass;
 
 /// A class of calls that wait for the same kind of place at a service.
@@ -18,18 +16,19 @@
 }
 
 impl CallLane {
-    /// The lane of a prompt.
-    pub fn of_prompt(model: &EngineModel, request: &EngineRequest) -> Self {
-        match request.class(model) {
-            PromptClass::Short => Self::Short,
-            PromptClass::Medium => Self::Medium,
-            PromptClass::Long => Self::Long,
-        }
-    }
-
     /// Whether a place that suits one call of the lane suits all. If so, no call may overtake
     /// another one that comes first.
     pub fn has_equal_needs(self) -> bool {
         matches!(self, Self::Short | Self::Plain)
     }
 }
+
+impl From<PromptClass> for CallLane {
+    fn from(class: PromptClass) -> Self {
+        match class {
+            PromptClass::Short => Self::Short,
+            PromptClass::Medium => Self::Medium,
+            PromptClass::Long => Self::Long,
+        }
+    }
+}
--- a/src/decide/engines/engine_request.rs
+++ b/src/decide/engines/engine_request.rs
@@ -63,31 +63,37 @@
     pub shuffle_seed: u32,
 }
 
-impl EngineRequest {
-    /// The class of the prompt on engines of `model`. A prompt is short if its prefill time fits
-    /// into the strictest pause, and otherwise medium or long by its memory. Cached prefixes do not
-    /// count.
-    pub fn class(&self, model: &EngineModel) -> PromptClass {
-        if model.prefill_time(self.prompt) <= self.short_prefill_time(model) {
-            PromptClass::Short
-        } else if self.prompt.as_f64() <= model.memory_tokens.as_f64() * LONG_MEMORY_FRACTION {
-            PromptClass::Medium
+impl PromptClass {
+    /// The class of a prompt on engines of `model`, where `strictest_pause` is the shortest pause
+    /// that any caller of the service accepts. A prompt is short if its prefill time fits into that
+    /// pause, and otherwise medium or long by its memory. Cached prefixes do not count.
+    pub fn of(model: &EngineModel, prompt: Tokens, strictest_pause: Option<Duration>) -> Self {
+        if model.prefill_time(prompt) <= short_prefill_time(model, strictest_pause) {
+            Self::Short
+        } else if prompt.as_f64() <= model.memory_tokens.as_f64() * LONG_MEMORY_FRACTION {
+            Self::Medium
         } else {
-            PromptClass::Long
+            Self::Long
         }
     }
+}
 
-    /// The longest prefill time of a short prompt. A prompt that takes this long can be read on a
-    /// full engine without exceeding the shortest accepted pause.
-    fn short_prefill_time(&self, model: &EngineModel) -> Duration {
-        let full_pass = model.pass_time(model.slots, Tokens::ZERO);
-        self.strictest_pause
-            .map_or(SHORT_PREFILL_TIME_DEFAULT, |pause| {
-                let left = pause
-                    .mul_f64(PLANNED_PAUSE_FRACTION)
-                    .saturating_sub(full_pass);
-                left.max(SHORT_PREFILL_TIME_MIN)
-            })
+/// The longest prefill time of a short prompt. A prompt that takes this long can be read on a full
+/// engine without exceeding the shortest accepted pause.
+fn short_prefill_time(model: &EngineModel, strictest_pause: Option<Duration>) -> Duration {
+    let full_pass = model.pass_time(model.slots, Tokens::ZERO);
+    strictest_pause.map_or(SHORT_PREFILL_TIME_DEFAULT, |pause| {
+        let left = pause
+            .mul_f64(PLANNED_PAUSE_FRACTION)
+            .saturating_sub(full_pass);
+        left.max(SHORT_PREFILL_TIME_MIN)
+    })
+}
+
+impl EngineRequest {
+    /// The class of the prompt on engines of `model`.
+    pub fn class(&self, model: &EngineModel) -> PromptClass {
+        PromptClass::of(model, self.prompt, self.strictest_pause)
     }
 
     /// Sort key that puts equally good engines into a random order, different for each choice.
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,14 +14,12 @@
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
 use crate::gateway::Gateway;
-use crate::gateway::candidates::Candidates;
-use crate::gateway::limit_states::LimitStates;
 use crate::gateway::placement::PlacementDecision;
 use crate::gateway::placement::SendHistory;
 use crate::gateway::placement::engine_model;
 use crate::gateway::placement::engine_request;
-use crate::gateway::placement::engine_views;
 use crate::gateway::placement::refuse;
+use crate::gateway::placement::usable_engine_views;
 use crate::routing::RouteTable;
 
 /// The longest time after which a caller should retry whose customer is above its share.
@@ -83,11 +81,7 @@
 ) -> Option<CallRefusal> {
     let routes = gateway.platform_view.routes()?;
     engine_model(&routes, call)?;
-    let by_service = gateway.platform_view.upstreams()?;
-    let listed = by_service.get(&call.service)?;
-    let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
-    let limits = LimitStates::of(gateway, &usable, now);
-    let views = engine_views(gateway, &usable, &limits, now);
+    let views = usable_engine_views(gateway, call, sends, now)?;
     let request = engine_request(gateway, &routes, call, sends, now);
     match check_engine_room(gateway, &routes, call, sends, &views, &request) {
         Some(PlacementDecision::Refuse(refusal)) => Some(refusal),
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -107,11 +107,12 @@
 }
 
 impl CallDispatcher {
+    /// Starts to dispatch a call that was admitted, and adds it to what its customer wants.
     pub(crate) fn new(gateway: Arc<Gateway>, call: Arc<Call>) -> Self {
         let routes = gateway.platform_view.routes();
         Self {
             is_ordered: routes.is_some_and(|routes| routes.keys.is_required()),
-            standing: gateway.standing_on_arrival(&call),
+            standing: gateway.record_arrival(&call),
             gateway,
             call,
             tried: Vec::new(),
@@ -228,7 +229,7 @@
         let rank = self.rank(now);
         self.gateway
             .waiting
-            .is_behind_others(&self.lane_key(now), rank)
+            .is_behind_others(&self.lane_key(), rank)
     }
 
     /// The refusal of a call that is not let in; none if it is.
@@ -245,7 +246,7 @@
     async fn wait_for_turn(&mut self, retry_in: Duration, now: Instant) -> WaitOutcome {
         if self.place.is_none() {
             let call = self.waiting_call(now);
-            self.place = WaitingPlace::join(&self.gateway, self.lane_key(now), call);
+            self.place = WaitingPlace::join(&self.gateway, self.lane_key(), call);
         }
         let Some(place) = &self.place else {
             return WaitOutcome::LaneFull;
@@ -301,10 +302,10 @@
         WaitRank::new(self.call.priority, self.standing, is_late)
     }
 
-    fn lane_key(&self, now: Instant) -> LaneKey {
+    fn lane_key(&self) -> LaneKey {
         LaneKey {
             service: self.call.service.clone(),
-            lane: call_lane(&self.gateway, &self.call, now),
+            lane: call_lane(&self.gateway, &self.call),
             is_limited: self.is_limited(),
         }
     }
--- a/src/gateway/customer_shares.rs
+++ b/src/gateway/customer_shares.rs
@@ -46,18 +46,24 @@
         }
     }
 
-    /// Adds an admitted call to what its customer wants.
-    pub(crate) fn record_arrival(&self, call: &Call) {
+    /// Adds an admitted call to what its customer wants. Returns what the customer wanted before it,
+    /// compared with its share.
+    pub(crate) fn record_arrival(&self, call: &Call) -> ShareStanding {
         let Some(customer) = &call.customer else {
-            return;
+            return ShareStanding::within();
         };
         let cost = self.engine_time(call);
         let now = self.clock.now();
         let account = self.share_account(call);
-        self.shares().on_arrival(&account, customer, cost, now);
-        self.metrics
-            .customers
-            .record_time_wanted(Some(customer), &call.service, cost);
+        let mut shares = self.shares();
+        shares.on_arrival(&account, customer, cost, now);
+        let figures = shares.figures(&account, customer, now);
+        drop(shares);
+        let standing = figures.standing_before(cost.as_secs_f64() * 1e6);
+        let metrics = &self.metrics.customers;
+        metrics.record_time_wanted(Some(customer), &call.service, cost);
+        metrics.set_share_ratio(customer, &account, standing.ratio);
+        standing
     }
 
     /// Adds a call that is sent to an upstream to what is used for its customer.
@@ -74,23 +80,6 @@
             .record_time_used(Some(customer), &call.service, cost);
     }
 
-    /// What the customer of a call that has just arrived wants of the service compared with its
-    /// share.
-    pub(crate) fn standing_on_arrival(&self, call: &Call) -> ShareStanding {
-        let Some(customer) = &call.customer else {
-            return ShareStanding::within();
-        };
-        let account = self.share_account(call);
-        let call_us = self.engine_time(call).as_secs_f64() * 1e6;
-        let now = self.clock.now();
-        let figures = self.shares().figures(&account, customer, now);
-        let standing = figures.standing_before(call_us);
-        self.metrics
-            .customers
-            .set_share_ratio(customer, &account, standing.ratio);
-        standing
-    }
-
     /// The fraction of what the customer of a call wants that fits on this many engines beside what
     /// the other customers want.
     pub(crate) fn fitting_fraction(&self, call: &Call, engines: usize) -> f64 {
@@ -112,7 +101,7 @@
     /// The name under which the share of a call is accounted. Medium and long prompts have one of
     /// their own, so that they don't take the share of their customer's short ones.
     fn share_account(&self, call: &Call) -> ServiceId {
-        match call_lane(self, call, self.clock.now()) {
+        match call_lane(self, call) {
             CallLane::Short | CallLane::Plain => call.service.clone(),
             CallLane::Medium | CallLane::Long => call.service.lane(LONG_LANE),
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -56,7 +56,6 @@
         Ok(call) => {
             tracker.on_admitted(&call);
             gateway.count_request(&call.service);
-            gateway.record_arrival(&call);
             serve_call(&gateway, call, tracker).await
         }
         Err((request, refusal)) => local_response(&gateway, &request, &refusal, tracker),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -169,23 +169,19 @@
 }
 
 /// The lane in which a call waits.
-pub(crate) fn call_lane(gateway: &Gateway, call: &Call, now: Instant) -> CallLane {
-    let Some(routes) = gateway.platform_view.routes() else {
-        return CallLane::Plain;
-    };
-    let Some(model) = engine_model(&routes, call) else {
-        return CallLane::Plain;
-    };
-    let sends = SendHistory {
-        tried: &[],
-        may_have_run: false,
-        waits_for_limit: false,
-        is_admitted: true,
-        has_waited_for_slot: false,
-        standing: ShareStanding::within(),
-    };
-    let request = engine_request(gateway, &routes, call, &sends, now);
-    CallLane::of_prompt(model, &request)
+pub(crate) fn call_lane(gateway: &Gateway, call: &Call) -> CallLane {
+    let routes = gateway.platform_view.routes();
+    let class = routes
+        .as_ref()
+        .and_then(|routes| prompt_class(routes, call));
+    class.map_or(CallLane::Plain, CallLane::from)
+}
+
+/// The class of a prompt; none if the call is no stream or the service has no engines.
+fn prompt_class(routes: &RouteTable, call: &Call) -> Option<PromptClass> {
+    let model = engine_model(routes, call)?;
+    let pause = routes.strictest_pause(&call.service);
+    Some(PromptClass::of(model, call.head.prompt, pause))
 }
 
 /// Handles a call while the limits of all upstreams are used up. The call waits if it can still be
@@ -263,18 +259,28 @@
     now: Instant,
 ) -> Option<(EngineCountsRecord, EngineCountsRecord)> {
     let routes = gateway.platform_view.routes()?;
+    if prompt_class(&routes, call)? == PromptClass::Short {
+        return None;
+    }
     let model = engine_model(&routes, call)?;
+    let views = usable_engine_views(gateway, call, sends, now)?;
+    let request = engine_request(gateway, &routes, call, sends, now);
+    let (near, all) = count_engines(model, &views, &request);
+    Some((near.into(), all.into()))
+}
+
+/// The current state of the engines that a call could be sent to; none if no engine is listed.
+pub(super) fn usable_engine_views(
+    gateway: &Gateway,
+    call: &Call,
+    sends: &SendHistory<'_>,
+    now: Instant,
+) -> Option<Vec<EngineView>> {
     let by_service = gateway.platform_view.upstreams()?;
     let listed = by_service.get(&call.service)?;
-    let request = engine_request(gateway, &routes, call, sends, now);
-    if request.class(model) == PromptClass::Short {
-        return None;
-    }
     let usable = Candidates::select(gateway, call, listed, sends.tried, now).usable;
     let limits = LimitStates::of(gateway, &usable, now);
-    let views = engine_views(gateway, &usable, &limits, now);
-    let (near, all) = count_engines(model, &views, &request);
-    Some((near.into(), all.into()))
+    Some(engine_views(gateway, &usable, &limits, now))
 }
 
 /// The engine model of the service; none if the call is no stream or the service has no engines.
@@ -351,7 +357,7 @@
 }
 
 /// The current state of the engines as this host knows it.
-pub(super) fn engine_views(
+fn engine_views(
     gateway: &Gateway,
     usable: &[&ListedUpstream],
     limits: &LimitStates,
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -382,7 +382,7 @@
             }
             self.states[request].is_admitted = true;
         }
-        let lane = CallLane::of_prompt(&self.site.model, &engine_request);
+        let lane = CallLane::from(engine_request.class(&self.site.model));
         let is_late = engine_request.objective_left.is_zero();
         let rank = WaitRank::new(Priority(0), standing, is_late);
         let is_new = self.states[request].queued_in.is_none();
