Tidy: one way to wait in the dispatcher, one way to find the demand of a customer

Sleeping and waiting for a turn each drew the jitter and each gave up when the host refuses calls; they share both now, and a full lane is a refusal like any other instead of an outcome that is matched twice. Arrivals and sends look up the demand in one place, and the two queues of calls differ in one argument. No change of behaviour.

--- a/src/decide/call_queue.rs
+++ b/src/decide/call_queue.rs
@@ -35,18 +35,18 @@
 impl CallQueue {
     /// Creates the empty queue of the calls of a lane that may use all upstreams of their service.
     pub fn new(lane: CallLane) -> Self {
-        Self {
-            has_equal_needs: lane.has_equal_needs(),
-            queue: FairQueue::new(),
-            size: ByteSize(0),
-        }
+        Self::with_needs(lane.has_equal_needs())
     }
 
     /// Creates the empty queue of calls that may use different upstreams of their service, so that
     /// none of them keeps others from places.
     pub fn of_limited_calls() -> Self {
+        Self::with_needs(false)
+    }
+
+    fn with_needs(has_equal_needs: bool) -> Self {
         Self {
-            has_equal_needs: false,
+            has_equal_needs,
             queue: FairQueue::new(),
             size: ByteSize(0),
         }
@@ -94,7 +94,12 @@
 
     /// The calls that may be tried now, in their order.
     pub fn heads(&self) -> Vec<RequestId> {
-        let heads = self.queue.heads(tried_at_a_time(self.has_equal_needs));
+        let tried = if self.has_equal_needs {
+            1
+        } else {
+            TRIED_OF_UNLIKE_CALLS
+        };
+        let heads = self.queue.heads(tried);
         heads.into_iter().map(QueueEntry::request).collect()
     }
 
@@ -125,12 +130,3 @@
         }
     }
 }
-
-/// The number of calls, from the first, that may be tried at a time.
-fn tried_at_a_time(has_equal_needs: bool) -> usize {
-    if has_equal_needs {
-        1
-    } else {
-        TRIED_OF_UNLIKE_CALLS
-    }
-}
--- a/src/decide/customer_shares.rs
+++ b/src/decide/customer_shares.rs
@@ -13,6 +13,7 @@
 use crate::decide::LoadSource;
 use crate::decide::ShareFigures;
 use crate::decide::ShareStanding;
+use crate::decide::customer_demand::CustomerDemand;
 use crate::decide::reported_uses::ReportedUses;
 use crate::decide::service_shares::ServiceShares;
 use crate::units::CustomerHash;
@@ -40,9 +41,7 @@
         cost: Duration,
         now: Instant,
     ) {
-        let customer = CustomerHash::from(customer);
-        self.service_mut(service.into(), now)
-            .customer_mut(customer, now)
+        self.demand_mut(service, customer, now)
             .on_arrival(cost, now);
         self.refresh(now);
     }
@@ -55,10 +54,7 @@
         cost: Duration,
         now: Instant,
     ) {
-        let customer = CustomerHash::from(customer);
-        self.service_mut(service.into(), now)
-            .customer_mut(customer, now)
-            .on_send(cost, now);
+        self.demand_mut(service, customer, now).on_send(cost, now);
         self.refresh(now);
     }
 
@@ -138,6 +134,16 @@
         }
     }
 
+    fn demand_mut(
+        &mut self,
+        service: &ServiceId,
+        customer: &CustomerId,
+        now: Instant,
+    ) -> &mut CustomerDemand {
+        self.service_mut(service.into(), now)
+            .customer_mut(customer.into(), now)
+    }
+
     fn service_mut(&mut self, id: ServiceHash, now: Instant) -> &mut ServiceShares {
         let new = || ServiceShares::new(now);
         self.services.entry(id).or_insert_with(new)
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -67,14 +67,6 @@
 /// The memory of a waiting call besides its body.
 const CALL_OVERHEAD: ByteSize = ByteSize(4 << 10);
 
-/// The result of waiting for a turn.
-enum WaitOutcome {
-    /// The call is to be tried.
-    Tried,
-    /// Too many calls wait already.
-    LaneFull,
-}
-
 /// Dispatches one call and keeps track of its sends: which upstreams were tried, and how many sends
 /// have run.
 pub(crate) struct CallDispatcher {
@@ -162,9 +154,8 @@
                 if let Some(refusal) = self.check_admission(now) {
                     return DispatchOutcome::Refused(self.refuse(refusal));
                 }
-                match self.wait_for_turn(QUEUED_RETRY_DELAY, now).await {
-                    WaitOutcome::Tried => {}
-                    WaitOutcome::LaneFull => return DispatchOutcome::Refused(self.refuse_full()),
+                if let Some(refusal) = self.wait_for_turn(QUEUED_RETRY_DELAY, now).await {
+                    return DispatchOutcome::Refused(self.refuse(refusal));
                 }
                 continue;
             }
@@ -176,13 +167,8 @@
                     self.log_long_wait(now);
                     if !self.is_ordered {
                         self.sleep_with_jitter(wait, now).await;
-                        continue;
-                    }
-                    match self.wait_for_turn(wait, now).await {
-                        WaitOutcome::Tried => {}
-                        WaitOutcome::LaneFull => {
-                            return DispatchOutcome::Refused(self.refuse_full());
-                        }
+                    } else if let Some(refusal) = self.wait_for_turn(wait, now).await {
+                        return DispatchOutcome::Refused(self.refuse(refusal));
                     }
                     continue;
                 }
@@ -239,29 +225,23 @@
         refusal
     }
 
-    /// Waits for the turn of the call among those that wait for the same kind of place. `retry_in`
-    /// is the time after which it is tried again if nothing wakes it; it is jittered, so that calls
-    /// that wait on several hosts for the same upstreams do not all choose them at the same moment.
-    /// A call that has not run yet waits no longer than until this host refuses such calls.
-    async fn wait_for_turn(&mut self, retry_in: Duration, now: Instant) -> WaitOutcome {
+    /// Waits for the turn of the call among those that wait for the same kind of place, and returns
+    /// a refusal if too many wait already. `retry_in` is the time, with jitter, after which the call
+    /// is tried again if nothing wakes it.
+    async fn wait_for_turn(&mut self, retry_in: Duration, now: Instant) -> Option<CallRefusal> {
         if self.place.is_none() {
             let call = self.waiting_call(now);
             self.place = WaitingPlace::join(&self.gateway, self.lane_key(), call);
         }
         let Some(place) = &self.place else {
-            return WaitOutcome::LaneFull;
+            return Some(CallRefusal::Overload {
+                reason: RefuseReason::QueueFull,
+                retry_after: NO_UPSTREAM_RETRY_AFTER,
+            });
         };
-        let retry_in = retry_in.mul_f64(rand::random_range(0.5..1.5));
-        let turn = place.turn(self.rank(now), retry_in, self.turn_until(now));
-        if self.runs > 0 {
-            turn.await;
-            return WaitOutcome::Tried;
-        }
-        tokio::select! {
-            () = turn => {}
-            () = wait_for_phase(&self.gateway, ShutdownPhase::Completing) => {}
-        }
-        WaitOutcome::Tried
+        let turn = place.turn(self.rank(now), with_jitter(retry_in), self.turn_until(now));
+        self.wait_unless_stopping(turn).await;
+        None
     }
 
     /// Records how long the call has waited among others.
@@ -315,26 +295,21 @@
         !self.tried.is_empty() || !self.call.may_run_anywhere()
     }
 
-    /// The refusal of a call whose lane has no room for it.
-    fn refuse_full(&self) -> CallRefusal {
-        self.refuse(CallRefusal::Overload {
-            reason: RefuseReason::QueueFull,
-            retry_after: NO_UPSTREAM_RETRY_AFTER,
-        })
+    /// Sleeps with jitter, but no longer than until the deadline of the call.
+    async fn sleep_with_jitter(&self, wait: Duration, now: Instant) {
+        let wait = with_jitter(wait).min(self.call.time_left(now));
+        self.wait_unless_stopping(sleep(wait)).await;
     }
 
-    /// Sleeps with jitter, so that requests that wait on several hosts for the same upstreams do
-    /// not all choose them at the same moment. A call that has not run yet sleeps no longer than
-    /// until this host refuses such calls.
-    async fn sleep_with_jitter(&self, wait: Duration, now: Instant) {
-        let wait = wait.mul_f64(rand::random_range(0.5..1.5));
-        let wait = wait.min(self.call.time_left(now));
+    /// Waits for `waiting`. A call that has not run yet waits no longer than until this host refuses
+    /// such calls.
+    async fn wait_unless_stopping(&self, waiting: impl Future<Output = ()>) {
         if self.runs > 0 {
-            sleep(wait).await;
+            waiting.await;
             return;
         }
         tokio::select! {
-            () = sleep(wait) => {}
+            () = waiting => {}
             () = wait_for_phase(&self.gateway, ShutdownPhase::Completing) => {}
         }
     }
@@ -647,3 +622,9 @@
         });
     }
 }
+
+/// Half to one and a half of this time, so that requests that wait on several hosts for the same
+/// upstreams do not all choose them at the same moment.
+fn with_jitter(wait: Duration) -> Duration {
+    wait.mul_f64(rand::random_range(0.5..1.5))
+}
