Exchange: what a collector receives of one kind is kept in one way

Limits, uses of customers and outcomes each kept their entries with the time of receipt and whether they were forwarded, in three copies. They share that now, and differ in their keys, in how long an entry counts, and in what expires when. No change of behaviour.

--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -19,6 +19,7 @@
 mod message;
 mod message_scope;
 mod outgoing_update;
+mod received_entries;
 mod received_limits;
 mod received_outcomes;
 mod received_uses;
