Calls: the listed priority is kept once, and the engine model is found by the function for it

A call kept its priority and whether it was listed; the second follows from an optional first. The priority that an engine is told and the engine time of a call each looked up the engine model of a stream by themselves; `engine_model` does. No change of behaviour.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -51,7 +51,7 @@
         } else {
             1.0
         },
-        priority_steps: call.priority.0.saturating_sub(most_urgent.0),
+        priority_steps: call.priority().0.saturating_sub(most_urgent.0),
         slots_taken: slots_taken(model, views),
         capacity_taken: if is_above_share {
             capacity_taken(model, views, request)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -52,11 +52,8 @@
     pub customer: Option<CustomerId>,
     /// The regions that the customer allows.
     pub customer_regions: AllowedRegions,
-    /// The priority: the customer's if the manifest lists one, else the route's, else 0, which is
-    /// served first.
-    pub priority: Priority,
-    /// Whether the manifest lists a priority for the customer or the route.
-    pub has_listed_priority: bool,
+    /// The customer's priority if the manifest lists one, else the route's; none if it lists none.
+    pub listed_priority: Option<Priority>,
     /// When the request arrived.
     pub arrived_at: Instant,
     /// When the caller must have the final response.
@@ -64,9 +61,9 @@
 }
 
 impl Call {
-    /// The priority; none if the manifest lists none for the customer or the route.
-    pub fn listed_priority(&self) -> Option<Priority> {
-        self.has_listed_priority.then_some(self.priority)
+    /// The priority among the calls of a service: the listed one, else 0, which is served first.
+    pub fn priority(&self) -> Priority {
+        self.listed_priority.unwrap_or_default()
     }
 
     /// Whether upstreams of any region may serve the call.
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -279,7 +279,7 @@
             return WaitRank::RESUMED;
         }
         let is_late = self.call.objective_left(now).is_zero();
-        WaitRank::new(self.call.priority, self.standing, is_late)
+        WaitRank::new(self.call.priority(), self.standing, is_late)
     }
 
     fn lane_key(&self) -> LaneKey {
@@ -558,7 +558,7 @@
             near: Some(Box::new(near)),
             all: Some(Box::new(all)),
             customer: self.call.customer.as_ref().map(ToString::to_string),
-            priority: self.call.listed_priority(),
+            priority: self.call.listed_priority,
             share_ratio: self.call.customer.as_ref().map(|_| self.standing.ratio),
         });
     }
@@ -581,7 +581,7 @@
             all: all.map(Box::new),
             excluded: excluded_upstreams(gateway, &self.call, now),
             customer: self.call.customer.as_ref().map(ToString::to_string),
-            priority: self.call.listed_priority(),
+            priority: self.call.listed_priority,
             share_ratio: self.call.customer.as_ref().map(|_| self.standing.ratio),
             retry_after_ms: whole_millis(retry_after),
             upstreams: listed.unwrap_or(0),
--- a/src/gateway/customer_shares.rs
+++ b/src/gateway/customer_shares.rs
@@ -15,6 +15,7 @@
 use crate::gateway::Call;
 use crate::gateway::Gateway;
 use crate::gateway::placement::call_lane;
+use crate::gateway::placement::engine_model;
 use crate::routing::RouteTable;
 use crate::units::CustomerHash;
 use crate::units::ServiceHash;
@@ -36,14 +37,12 @@
     /// same time for all calls to a service without a model.
     pub fn engine_time(&self, call: &Call) -> Duration {
         let routes = self.platform_view.routes();
-        let service = routes.as_ref().and_then(|r| r.services.get(&call.service));
-        let model = service.and_then(|service| service.engine.as_ref());
-        match model {
-            Some(model) if call.route.kind.is_stream() => {
-                model.engine_time(call.head.prompt, call.head.output)
-            }
-            _ => PLAIN_CALL_TIME,
-        }
+        let model = routes
+            .as_ref()
+            .and_then(|routes| engine_model(routes, call));
+        model.map_or(PLAIN_CALL_TIME, |model| {
+            model.engine_time(call.head.prompt, call.head.output)
+        })
     }
 
     /// Adds an admitted call to what its customer wants. Returns what the customer wanted before it,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -24,6 +24,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::load_guard::LoadGuard;
 use crate::gateway::placement::SendPlan;
+use crate::gateway::placement::engine_model;
 use crate::gateway::reservation::EngineReservation;
 use crate::gateway::reservation::ReservationGuard;
 use crate::gateway::waiting_calls::WaitingPlace;
@@ -311,12 +312,8 @@
 /// The priority that the engine is told; none if the manifest lists none for the customer or the
 /// route, or if the call is no stream of a service with engines.
 fn priority_at_engine(gateway: &Gateway, call: &Call) -> Option<Priority> {
-    if !call.has_listed_priority || !call.route.kind.is_stream() {
-        return None;
-    }
     let routes = gateway.platform_view.routes()?;
-    let service = routes.services.get(&call.service)?;
-    service.engine.is_some().then_some(call.priority)
+    engine_model(&routes, call).and(call.listed_priority)
 }
 
 /// The outcome of a send that failed with this error. If no connection was made or the request was
