Logs: a lost call is told with the progress of its answer and its shared parts

Operators could not tell which of the calls on an upstream that ended may have crashed it: neither the parts of a prompt nor how far an answer had come were logged. No decision changes.

--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::ShutdownPhase;
 use crate::gateway::admission::check_admission;
+use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::limit_wait::LimitWait;
 use crate::gateway::placement::NO_UPSTREAM_RETRY_AFTER;
 use crate::gateway::placement::PlacementDecision;
@@ -342,7 +343,7 @@
                 self.runs += 1;
                 let failed = answered.head.status.is_server_error();
                 if failed {
-                    self.on_fault(&upstream, UpstreamFault::Failed, "failed");
+                    self.on_fault(&upstream, UpstreamFault::Failed, "failed", None);
                 } else {
                     let now = self.gateway.clock.now();
                     let mut health = self.gateway.health();
@@ -371,7 +372,7 @@
                 }
                 self.not_run += 1;
                 self.arrivals += u32::from(arrived);
-                self.on_fault(&upstream, fault, &cause);
+                self.on_fault(&upstream, fault, &cause, None);
                 if self.not_run > NOT_RUN_SENDS_MAX {
                     let refusal = CallRefusal::Overload {
                         reason: RefuseReason::NoUpstream,
@@ -384,7 +385,7 @@
             SendOutcome::Lost { fault, cause } => {
                 self.arrivals += 1;
                 self.runs += 1;
-                self.on_connection_lost(&upstream, fault, &cause);
+                self.on_connection_lost(&upstream, fault, &cause, AnswerProgress::Unanswered);
                 if self.may_run_again() {
                     return None;
                 }
@@ -447,8 +448,9 @@
         upstream: &ListedUpstream,
         fault: UpstreamFault,
         cause: &str,
+        progress: AnswerProgress,
     ) {
-        self.on_fault(upstream, fault, cause);
+        self.on_fault(upstream, fault, cause, Some(progress));
         if fault == UpstreamFault::Broken {
             let now = self.gateway.clock.now();
             let attempt = AttemptId(rand::random());
@@ -469,8 +471,14 @@
     }
 
     /// Records a fault of an upstream. If the upstream is unreachable, the fault is broadcast at
-    /// once.
-    fn on_fault(&self, upstream: &ListedUpstream, fault: UpstreamFault, cause: &str) {
+    /// once. `progress` is how far the answer had come; none if the call was not written.
+    fn on_fault(
+        &self,
+        upstream: &ListedUpstream,
+        fault: UpstreamFault,
+        cause: &str,
+        progress: Option<AnswerProgress>,
+    ) {
         let now = self.gateway.clock.now();
         self.gateway
             .health()
@@ -484,10 +492,22 @@
             request: self.call.head.request.clone(),
             upstream: upstream.id.to_string(),
             fault: format!("{}: {cause}", fault.name()),
+            answer: progress.map(|progress| progress.name().into()),
+            shared_parts: self.parts_after(progress),
             elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived_at)),
         });
     }
 
+    /// The shared parts of the prompt, for the log, if the upstream was lost after the answer had
+    /// begun.
+    fn parts_after(&self, progress: Option<AnswerProgress>) -> Vec<String> {
+        if progress.is_none_or(|progress| progress == AnswerProgress::Unanswered) {
+            return Vec::new();
+        }
+        let parts = self.call.head.shared_parts.iter();
+        parts.map(ToString::to_string).collect()
+    }
+
     /// Records a fault of the helper at this address, because of which another engine refused a
     /// prompt.
     fn on_helper_fault(&self, addr: std::net::SocketAddr) {
@@ -501,6 +521,7 @@
                 helper,
                 UpstreamFault::RequestRefused,
                 "named as the cause by another engine",
+                None,
             );
         }
     }
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -262,6 +262,13 @@
         upstream: String,
         /// The fault and its cause.
         fault: String,
+        /// How far the answer had come: `unanswered`, `begun` or `events`; none for faults before the
+        /// request was written.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        answer: Option<Cow<'static, str>>,
+        /// The parts of the prompt that other requests may share, if the answer had begun.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        shared_parts: Vec<String>,
         /// The time since the request arrived, in ms.
         elapsed_ms: u64,
     },
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -30,6 +30,7 @@
 use crate::gateway::RequestHead;
 use crate::gateway::ResponseBody;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
 use crate::gateway::request_tracker::RequestTracker;
@@ -278,7 +279,12 @@
             err.to_string()
         }
     };
-    dispatcher.on_connection_lost(&upstream, UpstreamFault::Broken, &cause);
+    dispatcher.on_connection_lost(
+        &upstream,
+        UpstreamFault::Broken,
+        &cause,
+        AnswerProgress::Begun,
+    );
     if dispatcher.may_run_again() {
         Err(None)
     } else {
--- a/src/gateway/header_codec.rs
+++ b/src/gateway/header_codec.rs
@@ -11,11 +11,13 @@
 use crate::gateway::UpstreamNotices;
 use crate::units::CustomerId;
 use crate::units::Priority;
+use crate::units::PromptPartId;
 use crate::units::Tokens;
 use crate::units::UpstreamName;
 
 /// What a caller's request head contains besides method, path and host: the attempt id, the time
-/// limit, the key, the lengths of prompt and output in tokens, and the last event received.
+/// limit, the key, the lengths of prompt and output in tokens, the last event received, and the parts
+/// of the prompt.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestHead {
     /// The caller's id of this attempt; empty if none was given.
@@ -30,6 +32,9 @@
     pub output: Tokens,
     /// The id of the last event of an earlier response that the caller has received.
     pub last_event: Option<String>,
+    /// The parts of the prompt that other requests may share, in the order of the prompt. Empty if
+    /// there are none or they are unknown.
+    pub shared_parts: Vec<PromptPartId>,
 }
 
 /// What the head of a call that is forwarded to an upstream contains besides the caller's headers.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod advertised_limit;
+mod answer_progress;
 mod availability;
 mod broadcast_hosts;
 mod call;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -10,6 +10,7 @@
 use crate::decide::UpstreamFault;
 use crate::gateway::EventSplitter;
 use crate::gateway::TruncatedResponse;
+use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
 use crate::gateway::request_tracker::RequestTracker;
@@ -29,6 +30,8 @@
     dispatcher: CallDispatcher,
     /// The response that is being relayed; none after it failed.
     current: Option<Box<UpstreamResponse>>,
+    /// How far the current response has come.
+    progress: AnswerProgress,
     splitter: EventSplitter,
     tracker: RequestTracker,
     /// When the last events were forwarded, or the call was last sent if that is later.
@@ -62,6 +65,7 @@
         Self {
             dispatcher,
             current: Some(response),
+            progress: AnswerProgress::Begun,
             splitter: EventSplitter::default(),
             tracker,
             last_event_at,
@@ -177,6 +181,7 @@
             response.load.on_prefill_done();
         }
         self.has_event = true;
+        self.progress = AnswerProgress::Events;
         self.last_event_at = now;
     }
 
@@ -197,7 +202,7 @@
         // response.
         if let Some(failed) = self.current.take() {
             self.dispatcher
-                .on_connection_lost(&failed.upstream, fault, &cause);
+                .on_connection_lost(&failed.upstream, fault, &cause, self.progress);
         }
         if !self.dispatcher.may_run_again() {
             return false;
@@ -208,6 +213,7 @@
             DispatchOutcome::Answered(response) if response.head.status.is_success() => {
                 self.last_event_at = response.sent_at;
                 self.current = Some(response);
+                self.progress = AnswerProgress::Begun;
                 true
             }
             DispatchOutcome::Answered(_) | DispatchOutcome::Refused(_) => false,
--- a/tests/gateway_world/header_codec.rs
+++ b/tests/gateway_world/header_codec.rs
@@ -10,6 +10,7 @@
 use banyanarch::gateway::ResponseHead;
 use banyanarch::gateway::Stated;
 use banyanarch::gateway::UpstreamNotices;
+use banyanarch::units::PromptPartId;
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::Tokens;
 use hyper::HeaderMap;
@@ -60,6 +61,12 @@
     }
 }
 
+/// The parts of a prompt that other requests may share, separated by commas.
+fn shared_parts(headers: &HeaderMap) -> Vec<PromptPartId> {
+    let text = text(headers, "test-parts").unwrap_or_default();
+    text.split(',').filter_map(|id| id.parse().ok()).collect()
+}
+
 impl HeaderCodec for TestHeaderCodec {
     fn read_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, InvalidHeader> {
         let deadline = text(headers, "test-deadline-ms").and_then(|ms| ms.parse().ok());
@@ -70,6 +77,7 @@
             prompt: Tokens(number(headers, "test-prompt")),
             output: Tokens(1_000),
             last_event: text(headers, "test-after"),
+            shared_parts: shared_parts(headers),
         })
     }
 
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -28,6 +28,9 @@
     Break,
     /// Announce a longer body than is sent, then close the connection.
     Truncate,
+    /// Reset the connection after the head of the response if the request has this part in its
+    /// prompt; otherwise send three events and end the stream.
+    CrashOnPart(&'static str),
     /// Send nothing until the other end disconnects.
     Hang,
     /// Send the events after the requested one up to this one, and end the stream.
@@ -54,6 +57,14 @@
     }
 }
 
+impl Arrival {
+    /// Whether the prompt of the request has this part.
+    pub fn has_part(&self, part: &str) -> bool {
+        let parts = self.header("test-parts").unwrap_or_default();
+        parts.split(',').any(|listed| listed == part)
+    }
+}
+
 /// The rest of the script, and what the upstream has recorded.
 #[derive(Default)]
 struct ScriptState {
@@ -149,6 +160,10 @@
             let events: String = (after + 1..=to).map(event).collect();
             format!("HTTP/1.1 200 OK\r\n{signed}content-type: text/event-stream\r\n\r\n{events}")
         };
+        let crashes = match &step {
+            ScriptStep::CrashOnPart(part) => arrival.has_part(part),
+            _ => false,
+        };
         let text = match &step {
             ScriptStep::Respond(status, body) => full(*status, &signed, body),
             ScriptStep::RespondAfter(after, body) => {
@@ -166,6 +181,7 @@
                 format!("HTTP/1.1 200 OK\r\n{signed}content-length: 100\r\n\r\nincomplete")
             }
             ScriptStep::Break | ScriptStep::Hang => String::new(),
+            ScriptStep::CrashOnPart(_) => events(if crashes { 0 } else { 3 }),
             ScriptStep::Events(to) | ScriptStep::EventsThenHang(to) => events(*to),
             ScriptStep::EventsThenBreak(to) => {
                 let next = event(to + 1);
@@ -178,6 +194,7 @@
         match step {
             ScriptStep::Hang | ScriptStep::EventsThenHang(_) => self.wait_closed(stream).await,
             ScriptStep::Break | ScriptStep::EventsThenBreak(_) => reset(stream),
+            ScriptStep::CrashOnPart(_) if crashes => reset(stream),
             _ => {}
         }
     }
