Test, failing: requests with a part that crashes upstreams are refused on all hosts

Three hosts and twelve engines that end when they begin an answer on one part of a prompt. Requests that share this part and nothing else go on being sent; none is refused within 10 s.

--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -2,6 +2,9 @@
 
 mod gateway_world;
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -14,6 +17,9 @@
 use hyper::Request;
 use yare::parameterized;
 
+/// How long a host may go on sending requests with a part that crashes upstreams.
+const REFUSED_WITHIN: Duration = Duration::from_secs(10);
+
 /// A request for a stream with these shared parts in its prompt.
 fn request_with_parts(path: &str, parts: &str) -> Request<Full<Bytes>> {
     let mut req = request(path);
@@ -51,3 +57,79 @@
     let logged = line["shared_parts"].as_array().cloned().unwrap_or_default();
     assert_eq!(logged, parts);
 }
+
+/// Three hosts, and engines that end when they begin an answer on the part `bad`.
+async fn hosts_with_engines_that_crash() -> (Arc<FakeCatalog>, Vec<TestHost>, Vec<ScriptedUpstream>)
+{
+    let catalog = FakeCatalog::new(table(1));
+    let mut engines = Vec::new();
+    for index in 0..12 {
+        let engine = ScriptedUpstream::start([ScriptStep::CrashOnPart("bad")]).await;
+        catalog.list(&format!("engine-{index}"), "llm", engine.addr);
+        engines.push(engine);
+    }
+    let mut hosts = Vec::new();
+    for name in ["first", "second", "third"] {
+        hosts.push(TestHost::start(name, &catalog).await);
+    }
+    for host in &hosts {
+        host.wait_for_hosts(hosts.len()).await;
+    }
+    (catalog, hosts, engines)
+}
+
+/// The number of requests with the part `bad` that have reached engines.
+fn bad_arrivals(engines: &[ScriptedUpstream]) -> usize {
+    let arrivals = engines.iter().flat_map(ScriptedUpstream::arrivals);
+    arrivals.filter(|arrival| arrival.has_part("bad")).count()
+}
+
+/// Sends requests with these parts, no two alike, until the host refuses one without having sent it.
+async fn call_until_refused(host: &TestHost, name: &str, parts: &str) {
+    let calls = async {
+        for index in 0.. {
+            let req = request_with_parts(&format!("/model/{name}-{index}"), parts);
+            let res = host.try_call(req).await;
+            if res.is_ok_and(|res| res.status() == 503) {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(REFUSED_WITHIN, calls)
+        .await
+        .unwrap_or_else(|_| panic!("host {name} goes on sending requests with the part"));
+}
+
+/// Guards against requests that share a part which crashes upstreams, and nothing else: each is a new
+/// one, at any host, and one upstream after another ends.
+#[parameterized(
+    after_a_common_part = { "a,bad" },
+    before_a_common_part = { "bad,a" },
+    alone = { "bad" },
+)]
+#[test_macro(tokio::test)]
+async fn requests_with_a_part_that_crashes_upstreams_are_refused_on_all_hosts(parts: &str) {
+    let (catalog, mut hosts, engines) = hosts_with_engines_that_crash().await;
+    for (index, host) in hosts.iter().enumerate() {
+        call_until_refused(host, &index.to_string(), parts).await;
+    }
+    let before = bad_arrivals(&engines);
+    hosts.push(TestHost::start("late", &catalog).await);
+    hosts[3].wait_for_hosts(hosts.len()).await;
+    wait_until(|| {
+        let now = hosts[3].gateway.clock.now();
+        hosts[3].gateway.ledger().live_peer_count(now) == 3
+    })
+    .await;
+    call_until_refused(&hosts[3], "late", parts).await;
+    for (index, host) in hosts.iter().enumerate() {
+        for other in ["a", "b", "c"] {
+            let req =
+                request_with_parts(&format!("/model/{index}-{other}"), &format!("bad,{other}"));
+            assert_eq!(host.call(req).await.status(), 503);
+            let sound = request_with_parts(&format!("/model/{index}-{other}"), other);
+            assert_eq!(host.call(sound).await.status(), 200);
+        }
+    }
+    assert!(bad_arrivals(&engines) <= before + 3);
+}
