A part of prompts that crashes upstreams is refused on all hosts

Requests that share one part of their prompts crash each upstream that begins an answer on them; no two of them are alike.

Cause: crashes were charged to a whole request, known by method, URI, customer and body, so that requests with the part in common were each a new one. The parts were not decoded at all.

Change: a call whose answer had begun and had no event yet when its upstream ended is a suspect of this crash. Hosts tell each other suspects, parts that were served and upstreams that turn out to be alive. From three crashed upstreams on (twelve for a part that was served before) the part that explains most crashes is refused on every host with 503 `poison_part`, at once and again right before each send; parts that only stood beside it are told apart by the next request that has one of them. A part that is served is free again.

Why it works: the evidence of the whole fleet counts, not that of one host; a crash has one cause, so that the calls beside it are cleared; and nothing but being served clears a part.

--- a/src/cmd/outcome_descriptions.rs
+++ b/src/cmd/outcome_descriptions.rs
@@ -27,6 +27,7 @@
         "evacuated" => "not run: the failure domains of all upstreams were evacuated",
         "outside_regions" => "not run: no upstream was in a region that may serve it",
         "poison" => "not run: it had crashed upstreams before",
+        "poison_part" => "not run: its prompt has parts that crash upstreams",
         "time_up_not_run" => "not run: its deadline passed while it waited",
         "time_up" => "may have run: its deadline passed before the answer was complete",
         "unknown" => "may have run: the upstream's answer was lost, and a retry was not allowed",
--- a/src/cmd/request_timeline.rs
+++ b/src/cmd/request_timeline.rs
@@ -234,6 +234,8 @@
                 customer,
                 priority,
                 share_ratio,
+                quarantined_parts,
+                crashes,
                 ..
             } => {
                 write!(
@@ -244,6 +246,10 @@
                      {upstreams} upstreams listed, load of {hosts_heard} other hosts known, retry \
                      after {retry_after_ms} ms; manifest confirmed {manifest_age_ms} ms ago"
                 )?;
+                if !quarantined_parts.is_empty() {
+                    let parts = quarantined_parts.join(" ");
+                    write!(f, "; {crashes} upstreams crashed under parts [{parts}]")?;
+                }
                 write_customer(f, customer.as_deref(), *priority, *share_ratio)?;
                 write_engine_counts(f, "near", near.as_deref())?;
                 write_engine_counts(f, "all", all.as_deref())?;
--- /dev/null
+++ b/src/decide/crash_attribution.rs
@@ -0,0 +1,125 @@
+//! Which parts of prompts explain the crashes of upstreams.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::decide::CrashSuspect;
+use crate::decide::served_parts::ServedParts;
+use crate::units::CrashId;
+use crate::units::PromptPartId;
+
+/// The number of upstreams that must have crashed under a part that is not known to have been
+/// served. One crash may have any cause, and calls that begin at the same moment on the same
+/// upstream are suspected together.
+const CRASHES_MIN: usize = 3;
+/// The same for a part that was served before the crashes.
+const CRASHES_MIN_IF_SERVED: usize = 12;
+
+/// Parts that explain crashes: each call that is suspected of one of these has all of them.
+#[derive(Debug)]
+pub(crate) struct Explanation {
+    /// The parts, in ascending order.
+    pub(crate) parts: Vec<PromptPartId>,
+    /// The calls whose crashes are explained.
+    pub(crate) suspects: Vec<CrashSuspect>,
+}
+
+/// The crashes under one part: those in which a suspected call had it.
+type CrashesByPart = IndexMap<PromptPartId, IndexSet<CrashId>>;
+
+/// Finds the parts that explain crashes: repeatedly takes the part with the most crashes that are
+/// not explained yet. Each crash has one cause, so that all other calls that are suspected of it are
+/// cleared. Parts that were served after a crash do not explain it.
+pub(crate) fn explain_crashes<'a>(
+    suspects: impl Iterator<Item = (&'a CrashSuspect, Instant)>,
+    served: &ServedParts,
+    now: Instant,
+) -> Vec<Explanation> {
+    let mut open: Vec<(&CrashSuspect, Instant)> = suspects.collect();
+    let mut explanations = Vec::new();
+    loop {
+        let crashes = crashes_by_part(&open, served, now);
+        let Some(main) = most_suspected(&crashes, served, now) else {
+            return explanations;
+        };
+        let (explained, rest): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .partition(|(suspect, _)| crashes[&main].contains(&suspect.crash));
+        open = rest;
+        let suspects = explained.into_iter().map(|(suspect, _)| suspect);
+        let suspects: Vec<&CrashSuspect> = suspects
+            .filter(|suspect| suspect.parts.contains(&main))
+            .collect();
+        explanations.push(Explanation {
+            parts: inseparable_parts(main, &suspects, &crashes, served, now),
+            suspects: suspects.into_iter().cloned().collect(),
+        });
+    }
+}
+
+fn crashes_by_part(
+    open: &[(&CrashSuspect, Instant)],
+    served: &ServedParts,
+    now: Instant,
+) -> CrashesByPart {
+    let mut crashes = CrashesByPart::new();
+    for (suspect, at) in open {
+        for part in &suspect.parts {
+            let served_at = served.served_at(*part, now);
+            if served_at.is_none_or(|served_at| served_at < *at) {
+                crashes.entry(*part).or_default().insert(suspect.crash);
+            }
+        }
+    }
+    crashes
+}
+
+/// The part with the most crashes among those that have enough. Parts that were served before come
+/// after the others: sound requests share them with those that crash upstreams.
+fn most_suspected(
+    crashes: &CrashesByPart,
+    served: &ServedParts,
+    now: Instant,
+) -> Option<PromptPartId> {
+    let enough = crashes
+        .iter()
+        .filter(|(part, crashes)| crashes.len() >= crashes_min(**part, served, now));
+    let rank = |(part, crashes): &(&PromptPartId, &IndexSet<CrashId>)| {
+        let is_new = served.served_at(**part, now).is_none();
+        (is_new, crashes.len())
+    };
+    enough.max_by_key(rank).map(|(part, _)| *part)
+}
+
+fn crashes_min(part: PromptPartId, served: &ServedParts, now: Instant) -> usize {
+    match served.served_at(part, now) {
+        Some(_) => CRASHES_MIN_IF_SERVED,
+        None => CRASHES_MIN,
+    }
+}
+
+/// The part, and those that may be the cause as well since a suspected call had them together with
+/// it in each of the crashes. A part that was served before is left out unless the main one was too.
+fn inseparable_parts(
+    main: PromptPartId,
+    suspects: &[&CrashSuspect],
+    crashes: &CrashesByPart,
+    served: &ServedParts,
+    now: Instant,
+) -> Vec<PromptPartId> {
+    let of_main = &crashes[&main];
+    let crashes_with = |part: PromptPartId| {
+        let with_part = suspects.iter().filter(|s| s.parts.contains(&part));
+        let found: IndexSet<CrashId> = with_part.map(|suspect| suspect.crash).collect();
+        found.len()
+    };
+    let min_of_main = crashes_min(main, served, now);
+    let together = crashes.iter().filter(|(part, _)| {
+        crashes_min(**part, served, now) <= min_of_main && crashes_with(**part) == of_main.len()
+    });
+    let mut parts: Vec<PromptPartId> = together.map(|(part, _)| *part).collect();
+    parts.sort_unstable();
+    parts
+}
--- /dev/null
+++ b/src/decide/part_evidence.rs
@@ -0,0 +1,18 @@
+//! What hosts tell each other about parts of prompts.
+
+use std::time::Duration;
+
+use crate::decide::CrashSuspect;
+use crate::units::CrashId;
+use crate::units::PromptPartId;
+
+/// What hosts tell each other about parts of prompts, with the age of the observation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PartEvidence {
+    /// A call may have crashed an upstream.
+    Crash(CrashSuspect, Duration),
+    /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
+    Alive(CrashId, Duration),
+    /// A request with this part was served to its end.
+    Served(PromptPartId, Duration),
+}
--- a/src/decide/policy.rs
+++ b/src/decide/policy.rs
@@ -187,6 +187,8 @@
     QueueFull,
     /// The request crashed upstreams before.
     Poison,
+    /// The prompt of the request has parts that crash upstreams.
+    PoisonPart,
     /// The upstreams of the service are failing and the retry budget is exhausted.
     RetryBudget,
     /// The platform is unreachable, and a request that is not repeatable needs a claim from it.
@@ -213,6 +215,7 @@
             Self::Expired => "expired",
             Self::QueueFull => "queue_full",
             Self::Poison => "poison",
+            Self::PoisonPart => "poison_part",
             Self::RetryBudget => "retry_budget",
             Self::NoClaim => "no_claim",
             Self::RateLimited => "rate_limited",
@@ -232,6 +235,7 @@
             Self::Expired,
             Self::QueueFull,
             Self::Poison,
+            Self::PoisonPart,
             Self::RetryBudget,
             Self::NoClaim,
             Self::RateLimited,
--- /dev/null
+++ b/src/decide/quarantined_parts.rs
@@ -0,0 +1,32 @@
+//! Parts of prompts that crash upstreams.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::units::PromptPartId;
+
+/// Parts of prompts that crash upstreams: requests with all of them are refused.
+///
+/// More than one part is listed where the crashes do not tell which of them is the cause, since they
+/// have only been seen together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedParts {
+    /// The parts, in ascending order.
+    pub parts: Vec<PromptPartId>,
+    /// The number of upstreams that have crashed.
+    pub crashes: usize,
+    /// When requests with the parts may be sent again.
+    pub until: Instant,
+}
+
+impl QuarantinedParts {
+    /// Whether a request with these parts is refused.
+    pub fn applies_to(&self, parts: &[PromptPartId], now: Instant) -> bool {
+        now < self.until && self.parts.iter().all(|part| parts.contains(part))
+    }
+
+    /// How long the quarantine lasts from now on.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+}
--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -8,15 +8,18 @@
 
 use crate::exchange::HostUpdate;
 use crate::exchange::MessageScope;
+use crate::exchange::PartEvidenceEntry;
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
 use crate::exchange::UpstreamOutcomeEntry;
 use crate::exchange::collector_messages::CollectorMessages;
 use crate::exchange::customer_use_sum::CustomerUseSum;
+use crate::exchange::part_evidence_entry::PartEvidenceKey;
 use crate::exchange::received_outcomes::OutcomeKey;
 use crate::exchange::sent_limits::SentLimits;
 use crate::exchange::sent_outcomes::SentOutcomes;
+use crate::exchange::sent_part_evidence::SentPartEvidence;
 use crate::exchange::sent_uses::SentUses;
 use crate::exchange::source_state::LoadsByUpstream;
 use crate::exchange::source_state::SourceState;
@@ -41,6 +44,8 @@
     sent_uses: SentUses,
     /// The outcomes of calls last sent to the other collectors.
     sent_outcomes: SentOutcomes,
+    /// What was last sent to the other collectors about parts of prompts.
+    sent_part_evidence: SentPartEvidence,
 }
 
 impl Aggregate {
@@ -53,6 +58,7 @@
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
             sent_outcomes: SentOutcomes::default(),
+            sent_part_evidence: SentPartEvidence::default(),
         }
     }
 
@@ -83,6 +89,7 @@
         self.domain_total.resend_all();
         self.sent_limits = SentLimits::default();
         self.sent_uses = SentUses::default();
+        self.sent_part_evidence = SentPartEvidence::default();
         for remote in self.remote_domains.values_mut() {
             remote.resend_all();
         }
@@ -108,6 +115,7 @@
             limits: Vec::new(),
             customer_uses: Vec::new(),
             outcomes: Vec::new(),
+            part_evidence: Vec::new(),
             is_partial: true,
             ..own.clone()
         };
@@ -138,6 +146,8 @@
             let uses = self.total_uses(now);
             domain.customer_uses = self.sent_uses.take_due(uses, now);
             domain.outcomes = self.sent_outcomes.take_due(self.total_outcomes(now), now);
+            let evidence = self.total_part_evidence(now);
+            domain.part_evidence = self.sent_part_evidence.take_due(evidence, now);
         }
         CollectorMessages { relay, domain }
     }
@@ -191,6 +201,17 @@
         outcomes
     }
 
+    /// What the hosts of the domain know of parts of prompts, each entry with its lowest age.
+    fn total_part_evidence(&self, now: Instant) -> Vec<PartEvidenceEntry> {
+        let mut known: IndexMap<PartEvidenceKey, PartEvidenceEntry> = IndexMap::new();
+        let neighbours = self.neighbours.values();
+        for entry in neighbours.flat_map(|neighbour| neighbour.part_evidence(now)) {
+            let same = known.entry(entry.key()).or_insert_with(|| entry.clone());
+            same.age_ms = same.age_ms.min(entry.age_ms);
+        }
+        known.into_values().collect()
+    }
+
     /// The load of all hosts of the domain together.
     fn total_loads(&self) -> LoadsByUpstream {
         let mut sum = LoadsByUpstream::new();
--- a/src/exchange/exchange_state.rs
+++ b/src/exchange/exchange_state.rs
@@ -33,6 +33,7 @@
 use crate::exchange::collector_tracker::CollectorTracker;
 use crate::exchange::sent_limits::SentLimits;
 use crate::exchange::sent_outcomes::SentOutcomes;
+use crate::exchange::sent_part_evidence::SentPartEvidence;
 use crate::exchange::sent_uses::SentUses;
 use crate::exchange::update_interval;
 use crate::units::FailureDomainId;
@@ -96,6 +97,8 @@
     sent_uses: SentUses,
     /// The outcomes of calls in the last updates of this host.
     sent_outcomes: SentOutcomes,
+    /// What the last updates of this host contained about parts of prompts.
+    sent_part_evidence: SentPartEvidence,
 }
 
 impl ExchangeState {
@@ -124,6 +127,7 @@
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
             sent_outcomes: SentOutcomes::default(),
+            sent_part_evidence: SentPartEvidence::default(),
         }
     }
 
@@ -216,6 +220,7 @@
             let uses = own.customer_uses.into_iter().collect();
             own.customer_uses = self.sent_uses.take_due(uses, now);
             own.outcomes = self.sent_outcomes.take_due(own.outcomes, now);
+            own.part_evidence = self.sent_part_evidence.take_due(own.part_evidence, now);
             outgoing.extend(self.own_messages(own));
         }
         if self.is_collector() && self.relay_due_at() <= now {
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::exchange::MessageScope;
+use crate::exchange::PartEvidenceEntry;
 use crate::exchange::UpstreamHash;
 use crate::units::whole_millis_u32;
 
@@ -80,6 +81,10 @@
     /// to plain services. An absent entry means that there is nothing to say.
     #[prost(message, repeated, tag = "22")]
     pub outcomes: Vec<UpstreamOutcomeEntry>,
+    /// What the sender knows of parts of prompts that may crash upstreams. Recipients keep what they
+    /// were told.
+    #[prost(message, repeated, tag = "23")]
+    pub part_evidence: Vec<PartEvidenceEntry>,
 }
 
 /// The load at one upstream.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -1,5 +1,5 @@
 //! The continuous exchange of load between hosts: their requests at upstreams, rate limits, and
-//! requests that crash upstreams.
+//! requests and parts of prompts that crash upstreams.
 //!
 //! Each host sends its complete state in one datagram, to every other host in a small fleet, and to
 //! the hosts of its failure domain in a larger one ([`ExchangeState`]). Collectors relay deltas,
@@ -19,13 +19,16 @@
 mod message;
 mod message_scope;
 mod outgoing_update;
+mod part_evidence_entry;
 mod received_entries;
 mod received_limits;
 mod received_outcomes;
+mod received_part_evidence;
 mod received_uses;
 mod send_pacer;
 mod sent_limits;
 mod sent_outcomes;
+mod sent_part_evidence;
 mod sent_uses;
 mod source_state;
 mod task;
@@ -47,6 +50,7 @@
 pub use message::UpstreamOutcomeEntry;
 pub use message_scope::MessageScope;
 pub use outgoing_update::OutgoingUpdate;
+pub use part_evidence_entry::PartEvidenceEntry;
 pub use send_pacer::SendPacer;
 pub use send_pacer::SendReason;
 pub use send_pacer::update_interval;
--- a/src/exchange/source_state.rs
+++ b/src/exchange/source_state.rs
@@ -9,6 +9,7 @@
 use crate::exchange::CustomerUseEntry;
 use crate::exchange::HostUpdate;
 use crate::exchange::LoadEntry;
+use crate::exchange::PartEvidenceEntry;
 use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
@@ -16,6 +17,7 @@
 use crate::exchange::load_state::LoadState;
 use crate::exchange::received_limits::ReceivedLimits;
 use crate::exchange::received_outcomes::ReceivedOutcomes;
+use crate::exchange::received_part_evidence::ReceivedPartEvidence;
 use crate::exchange::received_uses::ReceivedUses;
 
 /// The interval of full updates, with deltas in between. A lost message leaves wrong state for at
@@ -44,6 +46,7 @@
     limits: ReceivedLimits,
     customer_uses: ReceivedUses,
     outcomes: ReceivedOutcomes,
+    part_evidence: ReceivedPartEvidence,
 }
 
 impl SourceState {
@@ -60,6 +63,7 @@
             limits: ReceivedLimits::default(),
             customer_uses: ReceivedUses::default(),
             outcomes: ReceivedOutcomes::default(),
+            part_evidence: ReceivedPartEvidence::default(),
         }
     }
 
@@ -94,6 +98,11 @@
         self.outcomes.current(now)
     }
 
+    /// What the source has reported about parts of prompts.
+    pub(crate) fn part_evidence(&self, now: Instant) -> impl Iterator<Item = PartEvidenceEntry> {
+        self.part_evidence.current(now)
+    }
+
     /// Records an update of the source. A full update replaces the load of the source, and a
     /// partial one changes it. After a restart of the source, the next forwarded update is a full
     /// one.
@@ -102,6 +111,8 @@
         self.limits.record(std::mem::take(&mut update.limits), now);
         let outcomes = std::mem::take(&mut update.outcomes);
         self.outcomes.record(outcomes, now);
+        let part_evidence = std::mem::take(&mut update.part_evidence);
+        self.part_evidence.record(part_evidence, now);
         if update.incarnation != self.header.incarnation {
             self.resend_all();
             self.loads.clear();
@@ -141,6 +152,7 @@
         self.sent_loads.clear();
         self.limits.mark_all_pending();
         self.customer_uses.mark_all_pending();
+        self.part_evidence.mark_all_pending();
         self.full_sent_at = None;
         self.has_update = true;
     }
@@ -158,6 +170,7 @@
             limits: self.limits.take_pending(now),
             customer_uses: self.customer_uses.take_pending(),
             outcomes: self.outcomes.take_pending(now),
+            part_evidence: self.part_evidence.take_pending(now),
             is_partial: !is_full,
             ..self.header.clone()
         };
--- /dev/null
+++ b/src/gateway/call_crashes.rs
@@ -0,0 +1,94 @@
+//! Calls that crash upstreams, as the dispatcher of a call sees them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+
+use crate::decide::RefuseReason;
+use crate::decide::UpstreamFault;
+use crate::gateway::CallRefusal;
+use crate::gateway::ListedUpstream;
+use crate::gateway::answer_progress::AnswerProgress;
+use crate::gateway::call_dispatcher::CallDispatcher;
+use crate::gateway::prompt_parts::part_names;
+use crate::units::AttemptId;
+
+/// Time after which a caller may retry a request that crashes upstreams: until then some hosts may
+/// still remember its other sends.
+const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+impl CallDispatcher {
+    /// The refusal of a call that crashes upstreams, or whose prompt has parts that do; none if
+    /// neither is known.
+    pub(crate) fn crash_refusal(&self, now: Instant) -> Option<CallRefusal> {
+        if let Some(quarantined) = self.gateway.find_quarantined(&self.call, now) {
+            return Some(CallRefusal::Overload {
+                reason: RefuseReason::PoisonPart,
+                retry_after: quarantined.time_left(now),
+            });
+        }
+        self.is_poison(now).then_some(CallRefusal::Overload {
+            reason: RefuseReason::Poison,
+            retry_after: POISON_RETRY_AFTER,
+        })
+    }
+
+    /// Whether the call itself has crashed upstreams, according to the known reports.
+    fn is_poison(&self, now: Instant) -> bool {
+        let poison = self.gateway.poison();
+        // Hashing a body takes 0.1 ms, so it is done only if there are any poison reports.
+        !poison.is_empty() && poison.is_poison(&[self.call.fingerprint()], now)
+    }
+
+    /// Records that the connection to an upstream was lost while the call may have been running. If
+    /// the connection broke, the call may have crashed the upstream, and the report of this is
+    /// broadcast.
+    pub(crate) fn on_connection_lost(
+        &self,
+        upstream: &ListedUpstream,
+        fault: UpstreamFault,
+        cause: &str,
+        progress: AnswerProgress,
+    ) {
+        self.on_fault(upstream, fault, cause, Some(progress));
+        if fault != UpstreamFault::Broken {
+            return;
+        }
+        let now = self.gateway.clock.now();
+        if progress == AnswerProgress::Begun {
+            self.gateway.on_crash_suspect(&self.call, upstream, now);
+        }
+        let attempt = AttemptId(rand::random());
+        let fingerprint = self.call.fingerprint();
+        let crashes = self.gateway.poison().on_crash(&[fingerprint], attempt, now);
+        if !crashes.is_empty() {
+            self.gateway.broadcast_crashes(crashes);
+        }
+    }
+
+    /// Records that an upstream has answered the call to its end, which clears the call of crashes. A
+    /// success also clears the parts of its prompt: for a failure the upstream need not have begun to
+    /// write an answer on them.
+    pub(crate) fn on_answered(&self, status: StatusCode) {
+        if status.is_success() {
+            let now = self.gateway.clock.now();
+            self.gateway.on_parts_served(&self.call, now);
+        }
+        let mut poison = self.gateway.poison();
+        if !poison.is_empty() {
+            poison.remove(self.call.fingerprint());
+        }
+    }
+
+    /// The shared parts of the prompt, for the log, if the upstream was lost after the answer had
+    /// begun.
+    pub(crate) fn parts_after(&self, progress: Option<AnswerProgress>) -> Vec<String> {
+        match progress {
+            Some(AnswerProgress::Begun | AnswerProgress::Events) => {
+                part_names(&self.call.head.shared_parts)
+            }
+            Some(AnswerProgress::Unanswered) | None => Vec::new(),
+        }
+    }
+}
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -28,6 +28,7 @@
 use crate::gateway::placement::decide_placement;
 use crate::gateway::placement::excluded_upstreams;
 use crate::gateway::placement::survey_candidates;
+use crate::gateway::prompt_parts::part_names;
 use crate::gateway::reservation::EngineReservation;
 use crate::gateway::reservation::ReservationGuard;
 use crate::gateway::send::PendingSend;
@@ -36,7 +37,6 @@
 use crate::gateway::server::wait_for_phase;
 use crate::gateway::waiting_calls::LaneKey;
 use crate::gateway::waiting_calls::WaitingPlace;
-use crate::units::AttemptId;
 use crate::units::ByteSize;
 use crate::units::CustomerId;
 use crate::units::RequestId;
@@ -53,9 +53,6 @@
 const QUEUED_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Waiting time after which a prompt is logged with the engines that it waits for.
 const LONG_WAIT: Duration = Duration::from_secs(1);
-/// Time after which a caller may retry a request that crashes upstreams: until then some hosts may
-/// still remember its other sends.
-const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// The result of dispatching a call.
 pub(crate) enum DispatchOutcome {
@@ -145,11 +142,8 @@
             if !self.gateway.may_send(&self.call) {
                 return DispatchOutcome::Refused(self.refuse(CallRefusal::StaleKnowledge));
             }
-            if self.is_poison(now) {
-                return DispatchOutcome::Refused(self.refuse(CallRefusal::Overload {
-                    reason: RefuseReason::Poison,
-                    retry_after: POISON_RETRY_AFTER,
-                }));
+            if let Some(refusal) = self.crash_refusal(now) {
+                return DispatchOutcome::Refused(self.refuse(refusal));
             }
             if self.must_wait_behind_others(now) {
                 if let Some(refusal) = self.check_admission(now) {
@@ -196,6 +190,10 @@
             let Some(reservation) = self.reserve(&placement).await else {
                 continue;
             };
+            // The call may have been found to crash upstreams during the reservation.
+            if let Some(refusal) = self.crash_refusal(self.gateway.clock.now()) {
+                return DispatchOutcome::Refused(self.refuse(refusal));
+            }
             if !self.gateway.accept_requests(placement.upstream_ids()) {
                 continue;
             }
@@ -432,47 +430,9 @@
         }
     }
 
-    /// Whether the call is refused because it has crashed upstreams, according to the known
-    /// reports.
-    fn is_poison(&self, now: Instant) -> bool {
-        let poison = self.gateway.poison();
-        // Hashing a body takes 0.1 ms, so it is done only if there are any poison reports.
-        !poison.is_empty() && poison.is_poison(&[self.call.fingerprint()], now)
-    }
-
-    /// Records that the connection to an upstream was lost while the call may have been running. If
-    /// the connection broke, the call may have crashed the upstream, and the report of this is
-    /// broadcast.
-    pub(crate) fn on_connection_lost(
-        &self,
-        upstream: &ListedUpstream,
-        fault: UpstreamFault,
-        cause: &str,
-        progress: AnswerProgress,
-    ) {
-        self.on_fault(upstream, fault, cause, Some(progress));
-        if fault == UpstreamFault::Broken {
-            let now = self.gateway.clock.now();
-            let attempt = AttemptId(rand::random());
-            let fingerprint = self.call.fingerprint();
-            let crashes = self.gateway.poison().on_crash(&[fingerprint], attempt, now);
-            if !crashes.is_empty() {
-                self.gateway.broadcast_crashes(crashes);
-            }
-        }
-    }
-
-    /// Removes the reports of crashes by the call, which has been served.
-    pub(crate) fn on_served(&self) {
-        let mut poison = self.gateway.poison();
-        if !poison.is_empty() {
-            poison.remove(self.call.fingerprint());
-        }
-    }
-
     /// Records a fault of an upstream. If the upstream is unreachable, the fault is broadcast at
     /// once. `progress` is how far the answer had come; none if the call was not written.
-    fn on_fault(
+    pub(crate) fn on_fault(
         &self,
         upstream: &ListedUpstream,
         fault: UpstreamFault,
@@ -498,16 +458,6 @@
         });
     }
 
-    /// The shared parts of the prompt, for the log, if the upstream was lost after the answer had
-    /// begun.
-    fn parts_after(&self, progress: Option<AnswerProgress>) -> Vec<String> {
-        if progress.is_none_or(|progress| progress == AnswerProgress::Unanswered) {
-            return Vec::new();
-        }
-        let parts = self.call.head.shared_parts.iter();
-        parts.map(ToString::to_string).collect()
-    }
-
     /// Records a fault of the helper at this address, because of which another engine refused a
     /// prompt.
     fn on_helper_fault(&self, addr: std::net::SocketAddr) {
@@ -590,6 +540,10 @@
         let by_service = gateway.platform_view.upstreams();
         let listed = by_service.and_then(|all| all.get(&self.call.service).map(Vec::len));
         let (near, all) = survey_candidates(gateway, &self.call, &self.sends(), now).unzip();
+        let quarantined = match reason {
+            RefuseReason::PoisonPart => gateway.find_quarantined(&self.call, now),
+            _ => None,
+        };
         gateway.log.record(DecisionEvent::Refused {
             request: self.call.head.request.clone(),
             reason: reason.name().into(),
@@ -601,6 +555,10 @@
             near: near.map(Box::new),
             all: all.map(Box::new),
             excluded: excluded_upstreams(gateway, &self.call, now),
+            quarantined_parts: quarantined
+                .as_ref()
+                .map_or_else(Vec::new, |known| part_names(&known.parts)),
+            crashes: quarantined.map_or(0, |known| known.crashes),
             customer: self.call.customer.as_ref().map(ToString::to_string),
             priority: self.call.listed_priority,
             share_ratio: self.call.customer.as_ref().map(|_| self.standing.ratio),
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -272,6 +272,21 @@
         /// The time since the request arrived, in ms.
         elapsed_ms: u64,
     },
+    /// Requests with some parts in their prompts, which crash upstreams, are refused from now on, or
+    /// no longer.
+    PartQuarantine {
+        /// The change: `begun` or `ended`.
+        change: Cow<'static, str>,
+        /// The ids of the parts: requests with all of them are refused.
+        parts: Vec<String>,
+        /// The number of upstreams that have crashed.
+        crashes: usize,
+        /// The host whose report caused the change; none for an observation of this host.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        told_by: Option<String>,
+        /// For how long requests are refused if nothing more is observed, in ms.
+        time_left_ms: u64,
+    },
     /// An engine refused to reserve memory for a prompt that several engines share.
     ReservationRefused {
         /// The id of the request.
@@ -388,6 +403,12 @@
         /// The upstreams of the service that accepted no requests; none if all did.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         excluded: Option<ExcludedRecord>,
+        /// The parts of the prompt that crash upstreams; empty for other reasons.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        quarantined_parts: Vec<String>,
+        /// The number of upstreams that have crashed under these parts; 0 for other reasons.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        crashes: usize,
         /// The customer; none on a route that needs no key.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         customer: Option<String>,
@@ -459,3 +480,8 @@
         }
     }
 }
+
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -106,6 +106,7 @@
                 .iter()
                 .map(outcome_entry)
                 .collect(),
+            part_evidence: self.part_evidence(now),
             unreachable_upstreams,
             unreachable_domains,
             routes_version,
@@ -137,6 +138,7 @@
         for poison in update.poisons.iter().filter_map(decode_poison) {
             self.poison().merge(&poison, now);
         }
+        self.apply_part_evidence(&update.host, &update.part_evidence, now);
         self.apply_versions(&host, &update);
         self.apply_list_age(&host, &update, now);
         self.apply_evacuations_age(&host, &update, now);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -260,7 +260,8 @@
     let cause = match timeout_at(dispatcher.call.deadline.into(), read).await {
         Err(_) => return Err(Some(CallRefusal::DeadlineExceeded)),
         Ok(Ok(body)) => {
-            dispatcher.on_served();
+            dispatcher.on_answered(head.status);
+            gateway.on_upstream_answer(&upstream, sent_at);
             if let Some(outcome) = outcome_of_full_response(head.status, sent_at, gateway) {
                 gateway.record_outcome(&upstream, outcome, sent_at);
             }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,7 @@
     retries: Counter<u64>,
     faults: Counter<u64>,
     ejections: Counter<u64>,
+    quarantines: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
     catalog: Histogram<f64>,
@@ -65,6 +66,7 @@
             retries: meter.u64_counter("gateway_retries").build(),
             faults: meter.u64_counter("gateway_upstream_faults").build(),
             ejections: meter.u64_counter("gateway_upstream_ejections").build(),
+            quarantines: meter.u64_counter("gateway_part_quarantines").build(),
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
             tunnels: meter.u64_counter("gateway_tunnels").build(),
@@ -112,6 +114,12 @@
         self.ejections.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Records that requests with some parts in their prompts are refused from now on, or no longer.
+    /// `change` is the name of the change.
+    pub fn record_quarantine(&self, change: &'static str) {
+        self.quarantines.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Records a response in which an upstream states something about itself. `notice` is the kind
     /// of the statement.
     pub fn record_notice(&self, notice: &'static str) {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use crate::decide::CustomerShares;
 use crate::decide::HealthTracker;
 use crate::decide::LoadLedger;
+use crate::decide::PartQuarantine;
 use crate::decide::PathTracker;
 use crate::decide::PoisonList;
 use crate::decide::PoisonReport;
@@ -87,6 +88,7 @@
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     poison: Mutex<PoisonList>,
+    pub(crate) part_quarantine: Mutex<PartQuarantine>,
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
@@ -173,6 +175,7 @@
                 POISON_CRASHES_MAX,
                 POISON_RETENTION,
             )),
+            part_quarantine: Mutex::default(),
             shutdown_requested_at: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             load_changed: Notify::new(),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use tokio::time::timeout;
 
 use crate::decide::UpstreamFault;
@@ -93,7 +94,7 @@
                         response.on_stream_end(&self.dispatcher.gateway);
                     }
                     self.finish("served");
-                    self.dispatcher.on_served();
+                    self.dispatcher.on_answered(StatusCode::OK);
                     return None;
                 }
                 NextChunk::End => {
@@ -168,6 +169,12 @@
     /// Records that events are about to be forwarded.
     fn on_events(&mut self) {
         let now = self.dispatcher.gateway.clock.now();
+        if self.progress == AnswerProgress::Begun
+            && let Some(response) = &self.current
+        {
+            let gateway = &self.dispatcher.gateway;
+            gateway.on_upstream_answer(&response.upstream, response.sent_at);
+        }
         if self.has_event {
             self.tracker
                 .on_pause(now.saturating_duration_since(self.last_event_at));
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -5,6 +5,7 @@
 
 mod byte_size;
 mod counters;
+mod crash_id;
 mod customer_hash;
 mod error;
 mod macros;
@@ -25,6 +26,7 @@
 pub use counters::ObjectVersion;
 pub use counters::Priority;
 pub use counters::StoreEra;
+pub use crash_id::CrashId;
 pub use customer_hash::CustomerHash;
 pub use error::ParseUnitError;
 pub use millicores::Millicores;
--- /dev/null
+++ b/tests/decide_part_quarantine.rs
@@ -0,0 +1,274 @@
+//! Which parts of prompts are refused after crashes of upstreams, decided without a network.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::decide::CrashSuspect;
+use banyanarch::decide::PartEvidence;
+use banyanarch::decide::PartQuarantine;
+use banyanarch::units::CrashId;
+use banyanarch::units::PromptPartId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use yare::parameterized;
+
+const BAD: u64 = 0xbad;
+const COMMON: u64 = 0xc0;
+
+fn ids(parts: &[u64]) -> Vec<PromptPartId> {
+    parts.iter().copied().map(PromptPartId).collect()
+}
+
+fn suspect(crash: u64, parts: &[u64]) -> CrashSuspect {
+    CrashSuspect {
+        crash: CrashId(crash),
+        parts: ids(parts),
+    }
+}
+
+fn is_refused(quarantine: &PartQuarantine, parts: &[u64], now: Instant) -> bool {
+    quarantine.find(&ids(parts), now).is_some()
+}
+
+/// Guards against parts that are refused too late, or after fewer crashes than can be a coincidence.
+#[test]
+fn a_part_is_refused_from_the_third_upstream_that_crashes_under_it() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=2 {
+        quarantine.on_crash(suspect(crash, &[COMMON, BAD]), now);
+        quarantine.on_crash(suspect(crash, &[0x1, BAD]), now);
+    }
+    assert!(!is_refused(&quarantine, &[0x2, BAD], now));
+    quarantine.on_crash(suspect(3, &[0x3, BAD]), now);
+    assert!(is_refused(&quarantine, &[0x2, BAD], now));
+}
+
+/// Guards against sound requests that are refused because they share other parts with those that
+/// crash upstreams, wherever these parts stand and whether or not they were served before.
+#[parameterized(
+    before_and_served = { &[COMMON, BAD], true },
+    behind_and_served = { &[BAD, COMMON], true },
+    before_and_unknown = { &[COMMON, BAD], false },
+    behind_and_unknown = { &[BAD, COMMON], false },
+)]
+fn parts_in_common_with_crashing_requests_are_not_refused(parts: &[u64], is_served: bool) {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    if is_served {
+        quarantine.on_served(&ids(&[COMMON]), now);
+    }
+    for crash in 1..=20 {
+        quarantine.on_crash(suspect(crash, parts), now + Duration::from_millis(crash));
+    }
+    let now = now + Duration::from_secs(1);
+    assert!(is_refused(&quarantine, parts, now));
+    assert!(!is_refused(&quarantine, &[COMMON, 0x1], now));
+}
+
+/// Guards against a part that stays unknown because it was only seen together with another one.
+#[test]
+fn parts_that_were_seen_together_are_told_apart_by_the_next_request() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        quarantine.on_crash(suspect(crash, &[COMMON, BAD]), now);
+    }
+    assert!(!is_refused(&quarantine, &[0x1, BAD], now));
+    quarantine.on_served(&ids(&[COMMON, 0x1]), now);
+    assert!(is_refused(&quarantine, &[0x1, BAD], now));
+}
+
+/// Guards against a second part that goes on crashing upstreams beside the first one.
+#[parameterized(
+    in_different_requests = { &[&[COMMON, BAD], &[COMMON, 0xbad2]] },
+    in_one_request_too = { &[&[BAD, 0xbad2], &[COMMON, BAD], &[COMMON, 0xbad2]] },
+)]
+fn several_parts_can_be_refused_at_a_time(requests: &[&[u64]]) {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    quarantine.on_served(&ids(&[COMMON]), now);
+    let now = now + Duration::from_secs(1);
+    for crash in 1..=5 {
+        for (index, parts) in requests.iter().enumerate() {
+            let crash = crash * 10 + u64::try_from(index).unwrap();
+            quarantine.on_crash(suspect(crash, parts), now);
+        }
+    }
+    assert!(is_refused(&quarantine, &[0x1, BAD], now));
+    assert!(is_refused(&quarantine, &[0x1, 0xbad2], now));
+    assert!(!is_refused(&quarantine, &[COMMON, 0x1], now));
+}
+
+/// Guards against calls that only ran beside: on each upstream that ends under the part, other calls
+/// begin at the same moment.
+#[test]
+fn bystanders_are_not_refused() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    quarantine.on_served(&ids(&[COMMON]), now);
+    let now = now + Duration::from_secs(1);
+    for crash in 1..=30 {
+        quarantine.on_crash(suspect(crash, &[COMMON, BAD]), now);
+        quarantine.on_crash(suspect(crash, &[COMMON, 0x100 + crash / 2]), now);
+    }
+    for session in 0..=16 {
+        assert!(!is_refused(&quarantine, &[COMMON, 0x100 + session], now));
+    }
+    assert!(is_refused(&quarantine, &[0x1, BAD], now));
+}
+
+/// Guards against sound parts that are refused after connections broke while their upstreams lived on:
+/// links that reset, answers that are lost.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn no_part_is_refused_after_connections_broke(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut quarantine = PartQuarantine::default();
+    let start = Instant::now();
+    let mut refused = 0;
+    for call in 0..20_000_u64 {
+        let now = start + Duration::from_millis(20 * call);
+        let parts = parts_of_call(call, &mut rng);
+        refused += u32::from(is_refused(&quarantine, &parts, now));
+        let upstream = 1 + rng.random_range(0..20_u64);
+        // Every fifth call is lost as its answer begins during one second of ten.
+        let is_troubled = now.duration_since(start).as_secs() % 10 == 9;
+        if is_troubled && rng.random_ratio(1, 5) {
+            quarantine.on_crash(suspect(upstream, &parts), now);
+        } else {
+            let sent_at = now.checked_sub(Duration::from_millis(1)).unwrap();
+            quarantine.on_alive(CrashId(upstream), sent_at, now);
+            quarantine.on_served(&ids(&parts), now);
+        }
+        // Until an upstream has answered again it may have crashed.
+        if now.duration_since(start).as_secs() % 10 == 3 {
+            assert_eq!(quarantine.quarantined(now).count(), 0);
+        }
+    }
+    assert!(refused <= 20, "{refused} of 20,000 refused");
+}
+
+/// Guards against sound parts that are refused after many upstreams have ended at once for other
+/// reasons, each with calls whose answers had just begun.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn no_part_is_refused_after_many_upstreams_ended(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut quarantine = PartQuarantine::default();
+    let start = Instant::now();
+    for call in 0..20_000_u64 {
+        let now = start + Duration::from_millis(20 * call);
+        let parts = parts_of_call(call, &mut rng);
+        assert!(!is_refused(&quarantine, &parts, now));
+        quarantine.on_served(&ids(&parts), now);
+        // Ten upstreams end, each with two of its calls in their first moment.
+        if call % 500 == 499 {
+            for lost in 0..20_u64 {
+                let crash = 1 + call * 10 + lost / 2;
+                let parts = parts_of_call(call - lost, &mut rng);
+                quarantine.on_crash(suspect(crash, &parts), now);
+            }
+        }
+    }
+}
+
+/// A few parts are in most prompts, and each session has a part of its own.
+fn parts_of_call(call: u64, rng: &mut StdRng) -> [u64; 2] {
+    let common = 0x10 + rng.random_range(0..8_u64).min(rng.random_range(0..8));
+    [common, 0x1000 + call / 6]
+}
+
+/// Guards against a part that stays refused although requests with it are served: those that were on
+/// their way when it was refused.
+#[test]
+fn a_part_that_is_served_is_no_longer_refused() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=4 {
+        quarantine.on_crash(suspect(crash, &[COMMON]), now);
+    }
+    assert!(is_refused(&quarantine, &[COMMON], now));
+    let later = now + Duration::from_millis(500);
+    quarantine.on_evidence(
+        PartEvidence::Served(PromptPartId(COMMON), Duration::from_millis(100)),
+        later,
+    );
+    assert!(!is_refused(&quarantine, &[COMMON], later));
+}
+
+/// Guards against hosts that know only their own crashes, and hosts that have just started: what one
+/// host tells suffices for the other.
+#[test]
+fn what_a_host_tells_lets_others_refuse_the_same_parts() {
+    let now = Instant::now();
+    let mut first = PartQuarantine::default();
+    let mut second = PartQuarantine::default();
+    second.on_served(&ids(&[COMMON]), now);
+    first.on_crash(suspect(1, &[COMMON, BAD]), now);
+    second.on_crash(suspect(2, &[COMMON, BAD]), now);
+    second.on_crash(suspect(3, &[COMMON, BAD]), now);
+    for evidence in second.evidence(now) {
+        first.on_evidence(evidence, now);
+    }
+    assert!(is_refused(&first, &[0x1, BAD], now));
+    let later = now + Duration::from_secs(600);
+    let mut started = PartQuarantine::default();
+    for evidence in first.evidence(later) {
+        started.on_evidence(evidence, later);
+    }
+    assert!(is_refused(&started, &[COMMON, BAD], later));
+    assert!(!is_refused(&started, &[COMMON], later));
+}
+
+/// Guards against what is told in a circle: a host repeats what it was told, and the age counts on.
+#[test]
+fn what_is_told_again_does_not_last_longer() {
+    let now = Instant::now();
+    let mut quarantines = [PartQuarantine::default(), PartQuarantine::default()];
+    for crash in 1..=3 {
+        quarantines[0].on_crash(suspect(crash, &[BAD]), now);
+    }
+    for minutes in 0..120 {
+        let now = now + Duration::from_secs(60 * minutes);
+        for (from, to) in [(0, 1), (1, 0)] {
+            for evidence in quarantines[from].evidence(now) {
+                quarantines[to].on_evidence(evidence, now);
+            }
+        }
+    }
+    let last = now + Duration::from_secs(3_599);
+    let after = now + Duration::from_secs(3_600);
+    for quarantine in &quarantines {
+        assert!(is_refused(quarantine, &[BAD], last));
+        assert!(!is_refused(quarantine, &[BAD], after));
+    }
+}
+
+/// Guards against a caller that displaces what is known, and against unbounded memory: crashes under
+/// ever new parts, and many parts that are served.
+#[test]
+fn many_parts_do_not_displace_a_refused_one() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        quarantine.on_crash(suspect(crash, &[BAD]), now);
+    }
+    for other in 0..20_000 {
+        quarantine.on_served(&ids(&[0x1_0000 + other]), now);
+    }
+    for crash in 0..2_000 {
+        quarantine.on_crash(suspect(100 + crash, &[0x10_0000 + crash]), now);
+    }
+    assert!(is_refused(&quarantine, &[BAD], now));
+    assert!(quarantine.evidence(now).len() <= 256);
+}
