Streams without a length that close before an event are not complete

Callers saw an empty stream that looked complete where an engine had ended after the head of its response: a connection without length and chunks closes like a complete one, and no byte was pending. It also counted as served, which would clear a part of prompts that crashes engines.

Such a response is now complete only after an event of its own; otherwise another engine goes on, or the caller sees that the stream is cut. Streams that end inside an event, answers that end with their connection and answers that are reset were handled already; they get tests.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -11,6 +11,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_ENCODING;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use tokio::time::timeout;
 
@@ -69,6 +71,8 @@
     pub(crate) full_speed_forecast: Option<Duration>,
     /// Whether the connection goes to the upstream itself and not through another host.
     pub(crate) is_direct: bool,
+    /// Whether the body has a length or chunks, and does not just end with the connection.
+    pub(crate) is_framed: bool,
     /// Counts the load on the upstream until the body has been read.
     pub(crate) load: LoadGuard,
     /// Holds the memory reservations until the body has been read.
@@ -221,7 +225,11 @@
                 cause: format!("{} is no valid response to this request", head.status),
             };
         }
+        let headers = &head.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         SendOutcome::Answered(Box::new(UpstreamResponse {
+            is_framed,
             head,
             body,
             upstream,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -89,7 +89,7 @@
                         return Some(Ok(events));
                     }
                 }
-                NextChunk::End if !self.splitter.has_partial_event() => {
+                NextChunk::End if self.is_complete() => {
                     if let Some(response) = &self.current {
                         response.on_stream_end(&self.dispatcher.gateway);
                     }
@@ -98,7 +98,7 @@
                     return None;
                 }
                 NextChunk::End => {
-                    let cause = "ended in the middle of an event".to_owned();
+                    let cause = "ended in the middle of an event or without one".to_owned();
                     if !self.fail_over_truncated(cause).await {
                         return Some(self.truncate("broken"));
                     }
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Whether a response that has ended is complete. Without a length or chunks, one that had no
+    /// event by then was cut: the connection of an engine that ends may close like any other.
+    fn is_complete(&self) -> bool {
+        let is_framed = self.current.as_ref().is_some_and(|res| res.is_framed);
+        let has_event = self.progress == AnswerProgress::Events;
+        !self.splitter.has_partial_event() && (is_framed || has_event)
+    }
+
     /// Waits for the next input from the engine.
     async fn next_chunk(&mut self) -> NextChunk {
         let now = self.dispatcher.gateway.clock.now();
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -35,8 +35,15 @@
     CrashOnPart(&'static str),
     /// Send nothing until the other end disconnects.
     Hang,
+    /// Respond with status 200 and this body, signed, without its length. The body ends with the
+    /// connection.
+    Unframed(&'static str),
+    /// Send the same, and reset the connection instead of closing it.
+    UnframedThenReset(&'static str),
     /// Send the events after the requested one up to this one, and end the stream.
     Events(u32),
+    /// Send the same events and half of the next one, and close the connection.
+    EventsThenEnd(u32),
     /// Send the same events, and reset the connection in the middle of the next event.
     EventsThenBreak(u32),
     /// Send the same events, and then nothing until the other end disconnects.
@@ -203,7 +210,10 @@
             ScriptStep::Break | ScriptStep::Hang => String::new(),
             ScriptStep::CrashOnPart(_) => events(if crashes { 0 } else { 3 }),
             ScriptStep::Events(to) | ScriptStep::EventsThenHang(to) => events(*to),
-            ScriptStep::EventsThenBreak(to) => {
+            ScriptStep::Unframed(body) | ScriptStep::UnframedThenReset(body) => {
+                format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")
+            }
+            ScriptStep::EventsThenBreak(to) | ScriptStep::EventsThenEnd(to) => {
                 let next = event(to + 1);
                 format!("{}{}", events(*to), &next[..next.len() / 2])
             }
@@ -213,7 +223,9 @@
         }
         match step {
             ScriptStep::Hang | ScriptStep::EventsThenHang(_) => self.wait_closed(stream).await,
-            ScriptStep::Break | ScriptStep::EventsThenBreak(_) => reset(stream),
+            ScriptStep::Break
+            | ScriptStep::EventsThenBreak(_)
+            | ScriptStep::UnframedThenReset(_) => reset(stream),
             ScriptStep::CrashOnPart(_) if crashes => {
                 self.state.lock().unwrap().crashed_at = Some(Instant::now());
                 reset(stream);
