A host that gets most new connections keeps descriptors for serving them

Where the balancer hands most new connections of a domain or region to one host, that host could accept as many as it has descriptors and then had none left towards upstreams: requests that it had read would fail. No log told of it.

At most half of the descriptors (`limits.max-fds` of the settings, 1,024 without) are for connections of callers; further ones are closed unread, so that callers try another host at once. `connections_full` and a counter tell of it.

--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -12,8 +12,8 @@
 use crate::units::RegionId;
 
 /// The validated configuration of one host: its names, addresses and processors, how long revoked
-/// keys and evacuated upstreams may still be used, the bound on retries of all hosts together, and the grace period of
-/// a stop.
+/// keys and evacuated upstreams may still be used, the bounds on connections of this host and on retries of all hosts
+/// together, and the grace period of a stop.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewayConf {
     /// The name of this host.
@@ -40,6 +40,8 @@
     /// The processor capacity that this host may use. Among the hosts of a failure domain the one
     /// with the largest capacity collects updates.
     pub processors: Millicores,
+    /// The number of connections of callers that may be open; further ones are closed unread.
+    pub caller_connections_max: usize,
     /// The bound on retries for all hosts together.
     pub retry_bound: RetryBound,
     /// The grace period: the time from the stop request until the process is killed.
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -33,6 +33,14 @@
         /// The number of requests that were still running and were cut off.
         cut: u64,
     },
+    /// So many connections of callers are open that further ones are closed unread. Logged once until
+    /// a connection is served again.
+    ConnectionsFull {
+        /// The number of open connections.
+        open: usize,
+        /// The number that may be open.
+        max: usize,
+    },
     /// The settings file was read again.
     Reloaded {
         /// The result.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,6 +41,7 @@
     faults: Counter<u64>,
     ejections: Counter<u64>,
     quarantines: Counter<u64>,
+    closed_connections: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
     catalog: Histogram<f64>,
@@ -67,6 +68,9 @@
             faults: meter.u64_counter("gateway_upstream_faults").build(),
             ejections: meter.u64_counter("gateway_upstream_ejections").build(),
             quarantines: meter.u64_counter("gateway_part_quarantines").build(),
+            closed_connections: meter
+                .u64_counter("gateway_closed_caller_connections")
+                .build(),
             first_event: seconds_histogram(&meter, "gateway_first_event", &FIRST_EVENT_BOUNDS),
             pause: seconds_histogram(&meter, "gateway_pause", &PAUSE_BOUNDS),
             tunnels: meter.u64_counter("gateway_tunnels").build(),
@@ -120,6 +124,11 @@
         self.quarantines.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Records that a connection of a caller was closed unread, since too many were open.
+    pub fn record_connection_closed(&self) {
+        self.closed_connections.add(1, &[]);
+    }
+
     /// Records a response in which an upstream states something about itself. `notice` is the kind
     /// of the statement.
     pub fn record_notice(&self, notice: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod call_crashes;
 mod call_dispatcher;
 mod call_refusal;
+mod caller_connections;
 mod candidates;
 mod catalog;
 mod catalog_sharing;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,9 +19,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ResponseBody;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::caller_connections::ConnectionDecision;
+use crate::gateway::caller_connections::OpenConnection;
 use crate::gateway::handler::handle;
 use crate::routing::CallerLimits;
 
@@ -41,8 +44,8 @@
     loop {
         tokio::select! {
             stream = accept(&listener) => {
-                if let Some(conn) = connection(&gateway, stream) {
-                    spawn(graceful.watch(conn));
+                if let Some((conn, open)) = open_connection(&gateway, stream) {
+                    spawn(graceful.watch(conn), open);
                 }
             }
             () = &mut refusing => break,
@@ -52,8 +55,8 @@
     // refused, since a connection that is not accepted would be reset together with its request.
     let refuse_rest = async {
         loop {
-            if let Some(conn) = connection(&gateway, accept(&listener).await) {
-                spawn(conn);
+            if let Some((conn, open)) = open_connection(&gateway, accept(&listener).await) {
+                spawn(conn, open);
             }
         }
     };
@@ -93,6 +96,28 @@
     }
 }
 
+/// Prepares serving a new connection, and counts it as open. None if too many are open or the caller
+/// has closed it already.
+fn open_connection(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+) -> Option<(CallerConnection, OpenConnection)> {
+    let max = gateway.conf.caller_connections_max;
+    match gateway.caller_connections.on_accepted(max) {
+        ConnectionDecision::Serve(open) => Some((connection(gateway, stream)?, open)),
+        ConnectionDecision::Close { is_first } => {
+            gateway.metrics.record_connection_closed();
+            if is_first {
+                let open = gateway.caller_connections.open();
+                gateway
+                    .log
+                    .record(DecisionEvent::ConnectionsFull { open, max });
+            }
+            None
+        }
+    }
+}
+
 /// Prepares serving a connection; none if the caller has closed it already.
 fn connection(gateway: &Arc<Gateway>, stream: TcpStream) -> Option<CallerConnection> {
     if let Err(err) = stream.set_nodelay(true) {
@@ -116,8 +141,12 @@
 }
 
 /// Serves a connection in a task of its own.
-fn spawn(conn: impl Future<Output = Result<(), hyper::Error>> + Send + 'static) {
+fn spawn(
+    conn: impl Future<Output = Result<(), hyper::Error>> + Send + 'static,
+    open: OpenConnection,
+) {
     tokio::spawn(async move {
+        let _open = open;
         if let Err(err) = conn.await {
             debug!("gateway: connection ended early: {err}");
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -35,6 +35,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::PlatformView;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::caller_connections::CallerConnections;
 use crate::gateway::catalog_sharing::CatalogCache;
 use crate::gateway::catalog_sharing::ReaderSelector;
 use crate::gateway::evacuation_lease::EvacuationLease;
@@ -92,6 +93,8 @@
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
+    /// The open connections of callers.
+    pub(crate) caller_connections: CallerConnections,
     /// Notified when the load that this host puts on upstreams changes.
     pub(crate) load_changed: Notify,
     /// Notified when a connection to an upstream fails.
@@ -178,6 +181,7 @@
             part_quarantine: Mutex::default(),
             shutdown_requested_at: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
+            caller_connections: CallerConnections::default(),
             load_changed: Notify::new(),
             broadcast_now: Notify::new(),
             health_changed: Notify::new(),
--- a/tests/decide_engine_load.rs
+++ b/tests/decide_engine_load.rs
@@ -253,3 +253,32 @@
     assert!(served > 0.95, "{served} {results}");
     assert!(on_time > 0.8, "{on_time} {results}");
 }
+
+/// Guards against a host that serves less of its requests when it gets those of all hosts: it must
+/// use the engines of the fleet, not a share of them.
+#[parameterized(
+    small = { Site::small() },
+    large = { Site::large() },
+    three_domains = { Site::three_domains() },
+)]
+fn one_host_that_gets_all_requests_serves_them_as_all_hosts_do(site: Site) {
+    let phases = [Phase {
+        for_s: 10.0,
+        factors: [1.0, 1.0, 1.0],
+    }];
+    let usual = run(&site, &phases, 1);
+    let called_hosts = Some(1);
+    let one = run(
+        &Site {
+            called_hosts,
+            ..site
+        },
+        &phases,
+        1,
+    );
+    for class in [SHORT, MEDIUM, LONG] {
+        let served = |results: &RunResults| 1.0 - results.fraction(class, RequestResult::Refused);
+        assert!(served(&one) >= 0.75 * served(&usual), "{one}");
+        assert!(one.earned(class) >= 0.75 * usual.earned(class), "{one}");
+    }
+}
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -94,6 +94,8 @@
     pub refusals: Option<Refusals>,
     /// Number of customers. The first one sends most.
     pub customers: usize,
+    /// Number of hosts that get requests; none if all do.
+    pub called_hosts: Option<usize>,
 }
 
 /// One request of a load.
@@ -159,6 +161,7 @@
             slow: None,
             refusals: None,
             customers: 24,
+            called_hosts: None,
         }
     }
 
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -205,7 +205,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(request) => {
-                let host = self.rng.random_range(0..self.hosts.len());
+                let called = self.site.called_hosts.unwrap_or(self.hosts.len());
+                let host = self.rng.random_range(0..called);
                 let state = &mut self.states[request];
                 state.host = host;
                 state.arrived = self.now;
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -112,6 +112,7 @@
         key_lease: Some(Duration::from_secs(5)),
         evacuation_lease: Some(Duration::from_secs(5)),
         processors: Millicores(1_000),
+        caller_connections_max: 512,
         retry_bound: RetryBound {
             per_request: 0.2,
             // Large enough for every retry of a host that has just started.
