Calls that had received events are not charged with the end of their upstream

Callers whose sound requests ran beside one that crashed upstreams were refused as `poison` for 30 s: 37 of the 40 refusals in the incident's first 17 s were of calls that only ran on the same upstreams, since every call that broke was counted.

A call that crashes upstreams does so as it begins to run, so only calls without an event of this upstream are charged. requests_that_ran_beside_a_crash_are_not_refused failed before: the second of three such calls was refused.

--- a/src/gateway/call_crashes.rs
+++ b/src/gateway/call_crashes.rs
@@ -42,8 +42,8 @@
     }
 
     /// Records that the connection to an upstream was lost while the call may have been running. If
-    /// the connection broke, the call may have crashed the upstream, and the report of this is
-    /// broadcast.
+    /// the connection broke before an event of the answer, the call may have crashed the upstream, and
+    /// the report of this is broadcast. A call that crashes upstreams does so as it begins to run.
     pub(crate) fn on_connection_lost(
         &self,
         upstream: &ListedUpstream,
@@ -52,7 +52,7 @@
         progress: AnswerProgress,
     ) {
         self.on_fault(upstream, fault, cause, Some(progress));
-        if fault != UpstreamFault::Broken {
+        if fault != UpstreamFault::Broken || progress == AnswerProgress::Events {
             return;
         }
         let now = self.gateway.clock.now();
--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -157,3 +157,24 @@
     }
     assert!(bad_arrivals(&engines) <= before + 3);
 }
+
+/// Guards against sound requests that are refused as if they crashed upstreams: they ran beside one
+/// that did, several times, and had already received events.
+#[tokio::test]
+async fn requests_that_ran_beside_a_crash_are_not_refused() {
+    let catalog = FakeCatalog::new(table(1));
+    let lost = [2, 4, 2, 4, 2, 4].map(ScriptStep::EventsThenBreak);
+    let script = lost.into_iter().chain([ScriptStep::Events(6)]);
+    let upstream = ScriptedUpstream::start(script).await;
+    for id in ["a", "b", "c"] {
+        catalog.list(id, "llm", upstream.addr);
+    }
+    let host = TestHost::start("host", &catalog).await;
+    for _ in 0..3 {
+        let res = host.try_call(request("/model/1")).await;
+        assert!(res.is_err(), "the stream is cut with both of its engines");
+    }
+    assert_eq!(upstream.arrivals().len(), 6);
+    let res = host.call(request("/model/1")).await;
+    assert_eq!(res.status(), 200);
+}
