Parts of prompts: what hosts tell each other costs the same in every fleet

Each host repeated all it knew of a refused part every two seconds, and collectors forwarded each repetition, which grows with the fleet: by reading, 10 crashes and 39 neighbours are 7 KB a second for each host, of 4 KB that are left for control.

Hosts repeat only as many crashes as prove the part, at intervals that grow with the number of their neighbours and are spread among them, so that a host that starts hears of it as soon as before. That a refused part was served is told at once instead of with the next repetition.

--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -24,6 +24,29 @@
     pub(crate) parts: Vec<PromptPartId>,
     /// The calls whose crashes are explained.
     pub(crate) suspects: Vec<CrashSuspect>,
+    /// The number of crashes that suffice for the explanation.
+    pub(crate) crashes_min: usize,
+}
+
+impl Explanation {
+    /// Some of the suspected calls, which suffice for the explanation: of as many crashes as it
+    /// needs, and first those that differ in their parts.
+    pub(crate) fn proof(&self) -> Vec<&CrashSuspect> {
+        let mut seen: IndexSet<&[PromptPartId]> = IndexSet::new();
+        let mut suspects: Vec<(bool, &CrashSuspect)> = Vec::new();
+        for suspect in &self.suspects {
+            suspects.push((!seen.insert(&suspect.parts), suspect));
+        }
+        suspects.sort_by_key(|(is_repeated, _)| *is_repeated);
+        let mut crashes: IndexSet<CrashId> = IndexSet::new();
+        let mut proof = Vec::new();
+        for (_, suspect) in suspects {
+            if crashes.len() < self.crashes_min && crashes.insert(suspect.crash) {
+                proof.push(suspect);
+            }
+        }
+        proof
+    }
 }
 
 /// The crashes under one part: those in which a suspected call had it.
@@ -55,6 +78,7 @@
         explanations.push(Explanation {
             parts: inseparable_parts(main, &suspects, &crashes, served, now),
             suspects: suspects.into_iter().cloned().collect(),
+            crashes_min: crashes_min(main, served, now),
         });
     }
 }
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -15,4 +15,7 @@
     Alive(CrashId, Duration),
     /// A request with this part was served to its end.
     Served(PromptPartId, Duration),
+    /// A request with this part was served to its end, and the part was refused until then. Hosts
+    /// tell this at once.
+    Released(PromptPartId, Duration),
 }
--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -54,8 +54,13 @@
     alive: IndexMap<CrashId, Instant>,
     served: ServedParts,
     quarantined: Vec<QuarantinedParts>,
-    /// The suspected calls that belong to quarantined parts, which hosts that start must learn.
+    /// The suspected calls that belong to quarantined parts.
     explained: IndexSet<CrashSuspect>,
+    /// Those of them which suffice for hosts that start to refuse the same parts.
+    proofs: IndexSet<CrashSuspect>,
+    /// The parts that were refused until a request of this host with them was served, with the time
+    /// of this.
+    released: IndexMap<PromptPartId, Instant>,
 }
 
 impl PartQuarantine {
@@ -92,7 +97,14 @@
         for part in parts {
             self.served.record(*part, now);
         }
-        self.evaluate_if_suspected(parts, now)
+        let changes = self.evaluate_if_suspected(parts, now);
+        for change in &changes {
+            if let QuarantineChange::Ended(ended) = change {
+                let released = ended.parts.iter().filter(|part| parts.contains(part));
+                self.released.extend(released.map(|part| (*part, now)));
+            }
+        }
+        changes
     }
 
     /// Records that an upstream has answered a call that was sent at `sent_at`. If its connections
@@ -127,7 +139,7 @@
                 self.record_crash(suspect, crash, now)
             }
             PartEvidence::Alive(crash, age) => self.clear_crash(crash, at(age), now),
-            PartEvidence::Served(part, age) => {
+            PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
                 self.served.record(part, at(age));
                 self.evaluate_if_suspected(&[part], now)
             }
@@ -145,7 +157,7 @@
         let told = self
             .suspects
             .iter()
-            .filter(|(suspect, crash)| is_recent(crash) || self.explained.contains(*suspect));
+            .filter(|(suspect, crash)| is_recent(crash) || self.proofs.contains(*suspect));
         let parts: IndexMap<PromptPartId, Instant> = told
             .clone()
             .flat_map(|(suspect, _)| &suspect.parts)
@@ -158,7 +170,10 @@
             .map(|(part, at)| PartEvidence::Served(part, age(at)));
         let alive = self.alive.iter().filter(|(_, at)| age(**at) < TELLING_TIME);
         let alive = alive.map(|(crash, at)| PartEvidence::Alive(*crash, age(*at)));
-        alive.chain(crashes).chain(served).collect()
+        let released = self.released.iter();
+        let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
+        let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
+        alive.chain(released).chain(crashes).chain(served).collect()
     }
 
     fn record_crash(
@@ -199,8 +214,9 @@
                 !is_older_than(crash.known_at, SUSPICION, now)
             }
         });
-        self.alive
-            .retain(|_, at| !is_older_than(*at, TELLING_TIME, now));
+        let is_told = |at: &Instant| !is_older_than(*at, TELLING_TIME, now);
+        self.alive.retain(|_, at| is_told(at));
+        self.released.retain(|_, at| is_told(at));
     }
 
     /// Drops the oldest suspected call, if possible one whose crash is not explained.
@@ -232,6 +248,8 @@
         let quarantined: Vec<QuarantinedParts> = quarantined.collect();
         let changes = changes_between(&self.quarantined, &quarantined);
         self.quarantined = quarantined;
+        let proofs = explanations.iter().flat_map(Explanation::proof);
+        self.proofs = proofs.cloned().collect();
         self.explained = explanations.into_iter().flat_map(|e| e.suspects).collect();
         changes
     }
--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -50,7 +50,7 @@
 
 impl Aggregate {
     /// Creates an empty aggregate.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(host: &HostId, now: Instant) -> Self {
         Self {
             neighbours: IndexMap::new(),
             remote_domains: IndexMap::new(),
@@ -58,7 +58,7 @@
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
             sent_outcomes: SentOutcomes::default(),
-            sent_part_evidence: SentPartEvidence::default(),
+            sent_part_evidence: SentPartEvidence::new(host),
         }
     }
 
@@ -89,7 +89,7 @@
         self.domain_total.resend_all();
         self.sent_limits = SentLimits::default();
         self.sent_uses = SentUses::default();
-        self.sent_part_evidence = SentPartEvidence::default();
+        self.sent_part_evidence.clear();
         for remote in self.remote_domains.values_mut() {
             remote.resend_all();
         }
@@ -105,8 +105,13 @@
     }
 
     /// Returns the messages to send now and records them as sent. `own` is the update of this host
-    /// alone, which is added to the load of the domain.
-    pub(crate) fn next_messages(&mut self, own: HostUpdate, now: Instant) -> CollectorMessages {
+    /// alone, which is added to the load of the domain. `collectors` is the number of other collectors.
+    pub(crate) fn next_messages(
+        &mut self,
+        own: HostUpdate,
+        collectors: usize,
+        now: Instant,
+    ) -> CollectorMessages {
         let header = HostUpdate {
             loads: Vec::new(),
             unreachable_upstreams: Vec::new(),
@@ -147,7 +152,7 @@
             domain.customer_uses = self.sent_uses.take_due(uses, now);
             domain.outcomes = self.sent_outcomes.take_due(self.total_outcomes(now), now);
             let evidence = self.total_part_evidence(now);
-            domain.part_evidence = self.sent_part_evidence.take_due(evidence, now);
+            domain.part_evidence = self.sent_part_evidence.take_due(evidence, collectors, now);
         }
         CollectorMessages { relay, domain }
     }
--- a/src/exchange/exchange_state.rs
+++ b/src/exchange/exchange_state.rs
@@ -106,6 +106,8 @@
     pub fn new(host: HostId, domain: FailureDomainId, now: Instant) -> Self {
         let stagger = xxh3_64(host.as_str().as_bytes()) % RELAY_STAGGER_MS;
         Self {
+            sent_part_evidence: SentPartEvidence::new(&host),
+            aggregate: Aggregate::new(&host, now),
             host,
             domain,
             started_at: now,
@@ -116,7 +118,6 @@
             legacy_peers: Vec::new(),
             domain_peers: Vec::new(),
             collector_tracker: CollectorTracker::default(),
-            aggregate: Aggregate::new(now),
             collector: None,
             remote_collectors: Vec::new(),
             active_collectors: ActiveCollectors::default(),
@@ -127,7 +128,6 @@
             sent_limits: SentLimits::default(),
             sent_uses: SentUses::default(),
             sent_outcomes: SentOutcomes::default(),
-            sent_part_evidence: SentPartEvidence::default(),
         }
     }
 
@@ -220,7 +220,9 @@
             let uses = own.customer_uses.into_iter().collect();
             own.customer_uses = self.sent_uses.take_due(uses, now);
             own.outcomes = self.sent_outcomes.take_due(own.outcomes, now);
-            own.part_evidence = self.sent_part_evidence.take_due(own.part_evidence, now);
+            own.part_evidence =
+                self.sent_part_evidence
+                    .take_due(own.part_evidence, self.direct_peers.len(), now);
             outgoing.extend(self.own_messages(own));
         }
         if self.is_collector() && self.relay_due_at() <= now {
@@ -414,7 +416,8 @@
     /// The messages that this host sends as a collector: relayed updates for the hosts of its own
     /// domain, and the load of its own domain for the other collectors.
     fn collector_messages(&mut self, own: HostUpdate, now: Instant) -> Vec<OutgoingUpdate> {
-        let messages = self.aggregate.next_messages(own, now);
+        let collectors = self.remote_collectors.len();
+        let messages = self.aggregate.next_messages(own, collectors, now);
         let relayed = split_relay(messages.relay)
             .into_iter()
             .map(|update| OutgoingUpdate {
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use crate::decide::CrashSuspect;
+use crate::decide::PartEvidence;
+use crate::units::CrashId;
+use crate::units::PromptPartId;
 use crate::units::whole_millis_u32;
 
 /// What the sender knows of parts of prompts and of crashes: that a call with these parts may have
@@ -21,14 +25,61 @@
     /// was last served, in ms.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Whether the part was refused before it was served.
+    #[prost(bool, tag = "4")]
+    pub is_release: bool,
 }
 
-/// What identifies an entry: the crash and the parts.
-pub(crate) type PartEvidenceKey = (u64, Vec<u64>);
+/// What identifies an entry: the crash, the parts, and whether it is a release.
+pub(crate) type PartEvidenceKey = (u64, Vec<u64>, bool);
+
+impl From<PartEvidence> for PartEvidenceEntry {
+    fn from(evidence: PartEvidence) -> Self {
+        match evidence {
+            PartEvidence::Crash(suspect, age) => Self {
+                crash: suspect.crash.0,
+                parts: suspect.parts.iter().map(|part| part.0).collect(),
+                age_ms: whole_millis_u32(age),
+                is_release: false,
+            },
+            PartEvidence::Alive(crash, age) => Self {
+                crash: crash.0,
+                parts: Vec::new(),
+                age_ms: whole_millis_u32(age),
+                is_release: false,
+            },
+            PartEvidence::Served(part, age) => Self::served(part, age, false),
+            PartEvidence::Released(part, age) => Self::served(part, age, true),
+        }
+    }
+}
 
 impl PartEvidenceEntry {
+    fn served(part: PromptPartId, age: Duration, is_release: bool) -> Self {
+        Self {
+            crash: 0,
+            parts: vec![part.0],
+            age_ms: whole_millis_u32(age),
+            is_release,
+        }
+    }
+
+    /// Decodes the entry; none if it is empty.
+    pub fn evidence(&self) -> Option<PartEvidence> {
+        let age = Duration::from_millis(self.age_ms.into());
+        let parts: Vec<PromptPartId> = self.parts.iter().map(|part| PromptPartId(*part)).collect();
+        let crash = CrashId(self.crash);
+        match (self.crash, parts.first()) {
+            (0, None) => None,
+            (0, Some(part)) if self.is_release => Some(PartEvidence::Released(*part, age)),
+            (0, Some(part)) => Some(PartEvidence::Served(*part, age)),
+            (_, None) => Some(PartEvidence::Alive(crash, age)),
+            (_, Some(_)) => Some(PartEvidence::Crash(CrashSuspect { crash, parts }, age)),
+        }
+    }
+
     pub(crate) fn key(&self) -> PartEvidenceKey {
-        (self.crash, self.parts.clone())
+        (self.crash, self.parts.clone(), self.is_release)
     }
 
     /// Returns the entry with its age increased by `time`.
--- a/src/exchange/received_entries.rs
+++ b/src/exchange/received_entries.rs
@@ -34,7 +34,7 @@
     }
 }
 
-impl<K: Eq + Hash, E: Clone> ReceivedEntries<K, E> {
+impl<K: Eq + Hash, E: Copy> ReceivedEntries<K, E> {
     /// Records an entry. It counts as not yet forwarded, even if an equal one was forwarded before.
     pub(crate) fn record(&mut self, key: K, entry: E, now: Instant) {
         let received = ReceivedEntry {
@@ -71,7 +71,7 @@
             .filter(|received| !received.is_forwarded)
             .map(|received| {
                 received.is_forwarded = true;
-                (received.entry.clone(), received.received_at)
+                (received.entry, received.received_at)
             })
     }
 
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -3,11 +3,9 @@
 
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::decide::CrashSuspect;
-use crate::decide::PartEvidence;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
@@ -19,7 +17,6 @@
 use crate::units::CrashId;
 use crate::units::PromptPartId;
 use crate::units::whole_millis;
-use crate::units::whole_millis_u32;
 
 impl Gateway {
     /// Locks what is known of parts that crash upstreams.
@@ -69,7 +66,7 @@
     /// The entries about parts of prompts for the updates of this host.
     pub(crate) fn part_evidence(&self, now: Instant) -> Vec<PartEvidenceEntry> {
         let evidence = self.part_quarantine().evidence(now);
-        evidence.into_iter().map(evidence_entry).collect()
+        evidence.into_iter().map(PartEvidenceEntry::from).collect()
     }
 
     /// Applies what another host reports about parts of prompts.
@@ -79,7 +76,7 @@
         entries: &[PartEvidenceEntry],
         now: Instant,
     ) {
-        for evidence in entries.iter().filter_map(decode_evidence) {
+        for evidence in entries.iter().filter_map(PartEvidenceEntry::evidence) {
             let changes = self.part_quarantine().on_evidence(evidence, now);
             self.log_quarantine_changes(&changes, Some(told_by));
         }
@@ -105,36 +102,3 @@
 pub(crate) fn part_names(parts: &[PromptPartId]) -> Vec<String> {
     parts.iter().map(ToString::to_string).collect()
 }
-
-fn evidence_entry(evidence: PartEvidence) -> PartEvidenceEntry {
-    match evidence {
-        PartEvidence::Crash(suspect, age) => PartEvidenceEntry {
-            crash: suspect.crash.0,
-            parts: suspect.parts.iter().map(|part| part.0).collect(),
-            age_ms: whole_millis_u32(age),
-        },
-        PartEvidence::Alive(crash, age) => PartEvidenceEntry {
-            crash: crash.0,
-            parts: Vec::new(),
-            age_ms: whole_millis_u32(age),
-        },
-        PartEvidence::Served(part, age) => PartEvidenceEntry {
-            crash: 0,
-            parts: vec![part.0],
-            age_ms: whole_millis_u32(age),
-        },
-    }
-}
-
-/// Decodes an entry; none if it is empty.
-fn decode_evidence(entry: &PartEvidenceEntry) -> Option<PartEvidence> {
-    let age = Duration::from_millis(entry.age_ms.into());
-    let parts: Vec<PromptPartId> = entry.parts.iter().map(|part| PromptPartId(*part)).collect();
-    let crash = CrashId(entry.crash);
-    match (entry.crash, parts.first()) {
-        (0, None) => None,
-        (0, Some(part)) => Some(PartEvidence::Served(*part, age)),
-        (_, None) => Some(PartEvidence::Alive(crash, age)),
-        (_, Some(_)) => Some(PartEvidence::Crash(CrashSuspect { crash, parts }, age)),
-    }
-}
--- a/tests/decide_part_quarantine.rs
+++ b/tests/decide_part_quarantine.rs
@@ -272,3 +272,25 @@
     assert!(is_refused(&quarantine, &[BAD], now));
     assert!(quarantine.evidence(now).len() <= 256);
 }
+
+/// Guards against hosts that go on refusing a part after another host has served it.
+#[test]
+fn that_a_refused_part_was_served_is_told() {
+    let now = Instant::now();
+    let mut quarantines = [PartQuarantine::default(), PartQuarantine::default()];
+    for quarantine in &mut quarantines {
+        for crash in 1..=3 {
+            quarantine.on_crash(suspect(crash, &[COMMON]), now);
+        }
+    }
+    let later = now + Duration::from_millis(500);
+    let [first, second] = &mut quarantines;
+    first.on_served(&ids(&[COMMON, 0x1]), later);
+    let told = first.evidence(later);
+    let released = PartEvidence::Released(PromptPartId(COMMON), Duration::ZERO);
+    assert!(told.contains(&released), "{told:?}");
+    for evidence in told {
+        second.on_evidence(evidence, later);
+    }
+    assert!(!is_refused(second, &[COMMON], later));
+}
--- a/tests/exchange_world/node.rs
+++ b/tests/exchange_world/node.rs
@@ -9,6 +9,7 @@
 use banyanarch::decide::LoadLedger;
 use banyanarch::decide::LoadSource;
 use banyanarch::decide::LoadUpdateKind;
+use banyanarch::decide::PartQuarantine;
 use banyanarch::exchange::CustomerUseEntry;
 use banyanarch::exchange::ExchangeState;
 use banyanarch::exchange::HostUpdate;
@@ -16,6 +17,7 @@
 use banyanarch::exchange::LoadEntry;
 use banyanarch::exchange::MessageScope;
 use banyanarch::exchange::OutgoingUpdate;
+use banyanarch::exchange::PartEvidenceEntry;
 use banyanarch::exchange::RateLimitEntry;
 use banyanarch::exchange::UpstreamHash;
 use banyanarch::units::UpstreamId;
@@ -30,6 +32,7 @@
     pub exchange: ExchangeState,
     pub ledger: LoadLedger,
     pub shares: CustomerShares,
+    pub part_quarantine: PartQuarantine,
     /// The largest number of customer entries in one message of this host.
     pub customer_uses_max: usize,
     pub is_up: bool,
@@ -57,6 +60,7 @@
             hosts: Arc::default(),
             ledger: LoadLedger::default(),
             shares: CustomerShares::default(),
+            part_quarantine: PartQuarantine::default(),
             customer_uses_max: 0,
             is_up: true,
             is_paused: false,
@@ -102,6 +106,7 @@
         let (host, incarnation) = (&self.listed.host, self.incarnation);
         let sent = self.sent;
         let uses = self.shares.own_use(now);
+        let evidence = self.part_quarantine.evidence(now);
         let update = || {
             let busy = own.iter().filter(|(_, in_flight)| **in_flight > 0);
             let loads = busy.map(|(upstream, in_flight)| LoadEntry {
@@ -115,6 +120,11 @@
                 loads: loads.collect(),
                 limits: sent.into_iter().collect(),
                 customer_uses: uses.iter().map(CustomerUseEntry::from).collect(),
+                part_evidence: evidence
+                    .iter()
+                    .cloned()
+                    .map(PartEvidenceEntry::from)
+                    .collect(),
                 ..HostUpdate::default()
             }
         };
@@ -143,6 +153,13 @@
                 self.heard_sends
                     .insert(source.clone(), limit.sent_in_window);
             }
+            for evidence in update
+                .part_evidence
+                .iter()
+                .filter_map(PartEvidenceEntry::evidence)
+            {
+                self.part_quarantine.on_evidence(evidence, now);
+            }
             let kind = if update.is_partial {
                 LoadUpdateKind::Delta
             } else {
