--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -17,12 +17,12 @@
 /// The same for a part that was served before the crashes.
 const CRASHES_MIN_IF_SERVED: usize = 12;
 
-/// Parts that explain crashes: each call that is suspected of one of these has all of them.
+/// Parts that explain crashes. All of them were in a suspected call of each crash.
 #[derive(Debug)]
 pub(crate) struct Explanation {
     /// The parts, in ascending order.
     pub(crate) parts: Vec<PromptPartId>,
-    /// The calls whose crashes are explained.
+    /// The suspected calls of these crashes that have the part with the most crashes.
     pub(crate) suspects: Vec<CrashSuspect>,
     /// The number of crashes that suffice for the explanation.
     pub(crate) crashes_min: usize,
@@ -33,19 +33,16 @@
     /// needs, and first those that differ in their parts.
     pub(crate) fn proof(&self) -> Vec<&CrashSuspect> {
         let mut seen: IndexSet<&[PromptPartId]> = IndexSet::new();
-        let mut suspects: Vec<(bool, &CrashSuspect)> = Vec::new();
-        for suspect in &self.suspects {
-            suspects.push((!seen.insert(&suspect.parts), suspect));
-        }
-        suspects.sort_by_key(|(is_repeated, _)| *is_repeated);
+        let (different, repeated): (Vec<_>, Vec<_>) = self
+            .suspects
+            .iter()
+            .partition(|suspect| seen.insert(&suspect.parts));
         let mut crashes: IndexSet<CrashId> = IndexSet::new();
-        let mut proof = Vec::new();
-        for (_, suspect) in suspects {
-            if crashes.len() < self.crashes_min && crashes.insert(suspect.crash) {
-                proof.push(suspect);
-            }
-        }
-        proof
+        let of_new_crashes = different
+            .into_iter()
+            .chain(repeated)
+            .filter(|suspect| crashes.insert(suspect.crash));
+        of_new_crashes.take(self.crashes_min).collect()
     }
 }
 
--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -24,10 +24,10 @@
 /// The number of suspected calls that are kept.
 const SUSPECTS_MAX: usize = 256;
 /// How long a suspected call is kept while its crash is not explained.
-const SUSPICION: Duration = Duration::from_secs(600);
+const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
 /// How long requests with quarantined parts are refused after the last crash. The parts do not
 /// change, so this ends only for upstreams that were replaced by a repaired version.
-const QUARANTINE: Duration = Duration::from_secs(3_600);
+const QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
 /// How long after a crash a call may be sent whose answer shows that the upstream has not crashed.
 /// Upstreams take longer to start again, under a name that they may keep.
 const ALIVE_WITHIN: Duration = Duration::from_secs(1);
@@ -45,7 +45,8 @@
     is_own: bool,
 }
 
-/// What one host knows of parts that crash upstreams, from its own calls and from other hosts.
+/// What one host knows of parts that crash upstreams, from its own calls and from other hosts. What is
+/// refused follows from it alone, so that hosts which know the same refuse the same.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
     /// The suspected calls.
@@ -64,9 +65,9 @@
 }
 
 impl PartQuarantine {
-    /// Whether nothing is suspected.
+    /// Whether there is nothing to refuse, and nothing to tell other hosts.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.alive.is_empty()
+        self.suspects.is_empty() && self.alive.is_empty() && self.released.is_empty()
     }
 
     /// The quarantined parts because of which a request with these parts is refused, if any.
@@ -126,7 +127,7 @@
         }
     }
 
-    /// Applies what another host knows. Returns what has changed.
+    /// Applies what another host has told. Returns what has changed.
     pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
         let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
         match evidence {
@@ -146,8 +147,9 @@
         }
     }
 
-    /// What other hosts are told now: the suspected calls that quarantined parts are based on, those
-    /// of this host that are recent, and when their parts were last served.
+    /// What other hosts are told now: the upstreams that have not crashed, the parts that are refused
+    /// no longer, the suspected calls that prove quarantined parts, those of this host that are recent,
+    /// and when the parts of these calls were last served.
     pub fn evidence(&self, now: Instant) -> Vec<PartEvidence> {
         if self.is_empty() {
             return Vec::new();
@@ -185,7 +187,7 @@
         self.expire(now);
         let is_known = self.suspects.contains_key(&suspect);
         let has_answered = self.alive.contains_key(&suspect.crash);
-        let is_expired = is_older_than(crash.at, QUARANTINE, now);
+        let is_expired = is_older_than(crash.at, QUARANTINE_TIME, now);
         if suspect.parts.is_empty() || is_known || has_answered || is_expired {
             return Vec::new();
         }
@@ -209,9 +211,9 @@
         let explained = &self.explained;
         self.suspects.retain(|suspect, crash| {
             if explained.contains(suspect) {
-                !is_older_than(crash.at, QUARANTINE, now)
+                !is_older_than(crash.at, QUARANTINE_TIME, now)
             } else {
-                !is_older_than(crash.known_at, SUSPICION, now)
+                !is_older_than(crash.known_at, SUSPECT_RETENTION, now)
             }
         });
         let is_told = |at: &Instant| !is_older_than(*at, TELLING_TIME, now);
@@ -226,6 +228,7 @@
         self.suspects.shift_remove_index(index.unwrap_or(0));
     }
 
+    /// Evaluates anew if a suspected call has one of these parts.
     fn evaluate_if_suspected(
         &mut self,
         parts: &[PromptPartId],
@@ -244,7 +247,9 @@
         let suspects = self.suspects.iter();
         let suspects = suspects.map(|(suspect, crash)| (suspect, crash.at));
         let explanations = explain_crashes(suspects, &self.served, now);
-        let quarantined = explanations.iter().map(|found| self.quarantine(found, now));
+        let quarantined = explanations
+            .iter()
+            .map(|found| self.quarantine_of(found, now));
         let quarantined: Vec<QuarantinedParts> = quarantined.collect();
         let changes = changes_between(&self.quarantined, &quarantined);
         self.quarantined = quarantined;
@@ -254,7 +259,7 @@
         changes
     }
 
-    fn quarantine(&self, explanation: &Explanation, now: Instant) -> QuarantinedParts {
+    fn quarantine_of(&self, explanation: &Explanation, now: Instant) -> QuarantinedParts {
         let suspects = &explanation.suspects;
         let crashes: IndexSet<CrashId> = suspects.iter().map(|suspect| suspect.crash).collect();
         let crashed_at = suspects.iter().filter_map(|suspect| {
@@ -264,7 +269,7 @@
         QuarantinedParts {
             parts: explanation.parts.clone(),
             crashes: crashes.len(),
-            until: crashed_at.max().unwrap_or(now) + QUARANTINE,
+            until: crashed_at.max().unwrap_or(now) + QUARANTINE_TIME,
         }
     }
 }
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -33,6 +33,9 @@
 
     /// Records that an upstream ended after it had begun to answer a call and before an event.
     pub(crate) fn on_crash_suspect(&self, call: &Call, upstream: &ListedUpstream, now: Instant) {
+        if call.head.shared_parts.is_empty() {
+            return;
+        }
         let suspect = CrashSuspect {
             crash: CrashId::from(&upstream.id),
             parts: call.head.shared_parts.clone(),
