--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -24,6 +24,7 @@
 use crate::call;
 use crate::call::CallClass;
 use crate::history::CallerOutcome;
+use crate::prompt_parts::prompt_parts;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -126,11 +127,13 @@
 
 /// Returns the HTTP request for a request of a caller.
 fn build_request(caller_request: &CallerRequest<'_>) -> Request<Full<Bytes>> {
+    let parts = prompt_parts(caller_request.request);
     let head = CallerHead {
         request: caller_request.request,
         deadline: caller_request.class.timeout(),
         key: caller_request.key,
         tokens: caller_request.class.tokens(),
+        prompt_parts: caller_request.class.is_stream().then_some(parts.as_str()),
     };
     let mut req = Request::new(Full::new(Bytes::from(call::request_body(
         caller_request.request,
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -15,7 +15,9 @@
 use crate::history::UpstreamRun;
 use crate::limit_checks;
 use crate::notice_checks;
+use crate::part_checks;
 use crate::path_checks;
+use crate::prompt_parts::crashes_engines;
 use crate::retry_checks;
 
 /// Time after the end of a fault until its effects are gone and hosts have current data from the
@@ -96,6 +98,7 @@
         violations.extend(retry_checks::check(observations));
         violations.extend(path_checks::check(observations));
         violations.extend(flood_checks::check(observations));
+        violations.extend(part_checks::check(observations));
     }
     violations
 }
@@ -408,7 +411,9 @@
                 CallerOutcome::Abandoned | CallerOutcome::Failure(401, _)
             )
     };
-    let counted: Vec<&CallerAttempt> = observations.attempts.values().filter(is_counted).collect();
+    let sound = observations.attempts.iter();
+    let sound = sound.filter(|(request, _)| !crashes_engines(request));
+    let counted: Vec<&CallerAttempt> = sound.map(|(_, a)| a).filter(is_counted).collect();
     let is_served =
         |attempt: &&&CallerAttempt| matches!(attempt.outcome, CallerOutcome::Success { .. });
     let served = counted.iter().filter(is_served).count();
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -33,6 +33,8 @@
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
+/// XORed with the seed of the run for the draws of restarts of hosts alone.
+const RESTARTS_SEED_MASK: u64 = 0x0057_A275;
 /// XORed with the seed of the run for the draws of floods.
 const FLOODS_SEED_MASK: u64 = 0x000F_100D;
 
@@ -190,6 +192,19 @@
     faults
 }
 
+/// Draws kills and planned stops of hosts, each with the pause before it.
+pub(crate) fn draw_restarts(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let rng = StdRng::seed_from_u64(conf.seed ^ RESTARTS_SEED_MASK);
+    draw(conf, rng, 1_500..6_000, |rng| {
+        let host = rng.random_range(0..conf.size.hosts);
+        if rng.random_ratio(1, 2) {
+            Fault::KillHost(host, draw_duration(rng, 100..2_000))
+        } else {
+            Fault::StopHost(host)
+        }
+    })
+}
+
 /// Draws pauses and faults until the time for faults is used up.
 fn draw(
     conf: &SoakConf,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -32,6 +32,8 @@
 /// Interval at which a cut of all upstreams is applied to links that are new or were opened by the
 /// end of another fault.
 const PATH_CUT_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which engines that have crashed are replaced.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 /// How long a leaving upstream continues to serve.
 const LEAVING_TIME: Duration = Duration::from_millis(3_500);
 
@@ -415,6 +417,22 @@
     upstreams[index % upstreams.len()].clone()
 }
 
+/// Starts a replacement for each engine that has crashed, for as long as the future is polled.
+pub(crate) async fn replace_crashed(deployment: &Deployment) {
+    loop {
+        sleep(CRASH_CHECK_INTERVAL).await;
+        let crashed = lock(&deployment.upstreams).clone();
+        let crashed: Vec<UpstreamStandIn> = crashed
+            .into_iter()
+            .filter(UpstreamStandIn::is_down)
+            .collect();
+        for upstream in crashed {
+            deployment.end_upstream(&upstream);
+            start_replacement(deployment, &upstream).await;
+        }
+    }
+}
+
 /// Starts another upstream of the same service in the same failure domain.
 async fn start_replacement(deployment: &Deployment, original: &UpstreamStandIn) {
     if let Err(err) = deployment
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -208,6 +208,8 @@
     pub faults: Vec<FaultRecord>,
     /// When upstreams crashed or were ended, by upstream id.
     pub upstream_ends: IndexMap<String, Timestamp>,
+    /// When engines crashed under a part of a prompt.
+    pub part_crashes: Vec<Timestamp>,
     /// Limit periods that have ended.
     pub limit_periods: Vec<LimitPeriod>,
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,6 +28,8 @@
     --stretch X     Factor on the drawn duration of each fault. [default: 1]
     --path-cuts     Inject only cuts between hosts and all upstreams.
     --floods        Inject only floods of one customer, while some upstreams are gone or slow.
+    --parts         Inject only restarts of hosts, while requests with one part in their prompts
+                    crash engines.
     --hosts N       Number of hosts. [default: 6]
     --engines N     Number of engines. [default: 12]
     --instances N   Number of instances of each plain service. [default: 3]
@@ -92,6 +94,7 @@
     let minutes: Option<f64> = args.opt_value_from_str("--minutes").map_err(error_text)?;
     let only_path_cuts = args.contains("--path-cuts");
     let only_floods = args.contains("--floods");
+    let only_parts = args.contains("--parts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
     let engines = args.opt_value_from_str("--engines").map_err(error_text)?;
@@ -126,6 +129,7 @@
             },
             only_path_cuts,
             only_floods,
+            only_parts,
             guarantees: GuaranteeSet::All,
         },
         node,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -31,12 +31,14 @@
 use crate::fault_draws::draw_outages;
 use crate::fault_draws::draw_partial_outages;
 use crate::fault_draws::draw_path_cuts;
+use crate::fault_draws::draw_restarts;
 use crate::fault_draws::draw_restores;
 use crate::faults;
 use crate::faults::Fault;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::StoreChange;
+use crate::prompt_parts::crashing_request;
 
 /// Time before the first fault, in which hosts read the manifest and discover each other.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
@@ -68,6 +70,9 @@
     /// Whether only floods of one customer are injected, while some upstreams are gone or slow.
     /// Upstreams have few slots then.
     pub only_floods: bool,
+    /// Whether only restarts of hosts are injected, and callers send requests with a part in their
+    /// prompts that crashes engines.
+    pub only_parts: bool,
     /// The guarantees that are checked.
     pub guarantees: GuaranteeSet,
 }
@@ -85,6 +90,12 @@
     pub violations: Vec<Violation>,
 }
 
+/// Time before the first request that crashes engines, in which the usual share of served requests is
+/// observed.
+const SOUND_TIME: Duration = Duration::from_secs(8);
+/// Of the prompts of callers, one in this number crashes engines.
+const CRASHING_RATIO: u32 = 6;
+
 /// Runs one seed with the daemon `program`. Hosts write their logs into `dir`.
 pub async fn run(conf: &SoakConf, program: &Path, dir: &Path) -> io::Result<SoakReport> {
     let slots = conf.only_floods.then_some(FLOODED_SLOTS);
@@ -96,9 +107,14 @@
             Arc::clone(&deployment),
             conf.seed,
             index,
+            conf.only_parts,
             stop.subscribe(),
         ));
     }
+    let replacing = conf.only_parts.then(|| {
+        let deployment = Arc::clone(&deployment);
+        tokio::spawn(async move { faults::replace_crashed(&deployment).await })
+    });
     sleep(STARTUP_TIME).await;
     let series = draw_series(conf);
     let faults = series.iter().map(Vec::len).sum();
@@ -111,6 +127,9 @@
     sleep(OBSERVATION_TIME).await;
     stop.send_replace(true);
     while callers.join_next().await.is_some() {}
+    if let Some(replacing) = replacing {
+        replacing.abort();
+    }
     sleep(RESERVATION_EXPIRY_TIME).await;
     let mut violations = checks::check(&deployment.history.lock(), conf.guarantees, served_from);
     violations.extend(check_final_state(&deployment));
@@ -130,6 +149,9 @@
     if conf.only_floods {
         return vec![draw_floods(conf)];
     }
+    if conf.only_parts {
+        return vec![draw_restarts(conf)];
+    }
     let mut series = vec![draw_path_cuts(conf)];
     if !conf.only_path_cuts {
         series.extend([
@@ -175,6 +197,7 @@
     deployment: Arc<Deployment>,
     seed: u64,
     index: usize,
+    sends_crashing: bool,
     stop: watch::Receiver<bool>,
 ) {
     let mut rng =
@@ -187,7 +210,7 @@
             return;
         }
         sleep(Duration::from_millis(rng.random_range(20..200))).await;
-        let request = format!("{index:04x}{count:06x}");
+        let mut request = format!("{index:04x}{count:06x}");
         let class = match rng.random_range(0..100) {
             0..30 => CallClass::Idempotent,
             30..50 => CallClass::AtMostOnce,
@@ -197,6 +220,13 @@
             70..98 => CallClass::ShortPrompt,
             _ => CallClass::LongPrompt,
         };
+        let is_crashing = sends_crashing
+            && class.is_stream()
+            && deployment.now() >= SOUND_TIME
+            && rng.random_ratio(1, CRASHING_RATIO);
+        if is_crashing {
+            request = crashing_request(&request);
+        }
         let key = draw_key(&deployment, &mut revoked_keys, &mut rng);
         let is_abandoned = rng.random_ratio(1, 25);
         let caller_request = CallerRequest {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -33,10 +33,13 @@
 use tokio::time::Instant;
 
 use crate::call;
+use crate::history::FaultRecord;
+use crate::history::FaultScope;
 use crate::history::History;
 use crate::history::Timestamp;
 use crate::history::UpstreamRefusal;
 use crate::history::UpstreamRun;
+use crate::prompt_parts::has_crashing_part;
 use crate::upstream_body::Body;
 use crate::upstream_body::FrameStream;
 use crate::upstream_body::full_response;
@@ -172,6 +175,11 @@
         *self.shared.backoff() = backoff;
     }
 
+    /// Whether the upstream has ended.
+    pub(crate) fn is_down(&self) -> bool {
+        *self.shared.mode.borrow() == UpstreamMode::Down
+    }
+
     /// Number of requests that have arrived, handled or not.
     pub fn arrivals(&self) -> usize {
         self.shared.arrivals.load(Ordering::Relaxed)
@@ -408,7 +416,8 @@
     }
 
     /// Returns a response that streams the events after the last one that the caller has received.
-    /// The stream pauses while the upstream is unresponsive. With
+    /// The stream pauses while the upstream is unresponsive. A part of the prompt may crash the
+    /// upstream before the first event. With
     /// [`UpstreamMode::TruncatesResponses`] as `mode` the stream fails in the middle of its third
     /// event. The slot is free again at the end of the stream.
     fn event_stream_response(
@@ -421,10 +430,18 @@
         let request = forwarded.request.clone();
         let first = forwarded.last_event.unwrap_or(0) + 1;
         let last = call::event_count(&request);
+        let crashes = has_crashing_part(&forwarded.prompt_parts);
         let shared = Arc::clone(self);
         tokio::spawn(async move {
             let _slot = slot;
             let mut mode_updates = shared.mode.subscribe();
+            if crashes {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+                shared.crash();
+                // The connections are reset before the stream ends.
+                tokio::time::sleep(EVENT_INTERVAL).await;
+                return;
+            }
             for id in first..=last {
                 tokio::time::sleep(EVENT_INTERVAL).await;
                 if mode_updates
@@ -454,6 +471,22 @@
         Response::new(frames.boxed_unsync())
     }
 
+    /// Ends the upstream, unless it has ended already.
+    fn crash(&self) {
+        if self.mode.send_replace(UpstreamMode::Down) == UpstreamMode::Down {
+            return;
+        }
+        let now = self.started_at.elapsed();
+        let mut observations = self.history.lock();
+        observations.part_crashes.push(now);
+        observations.faults.push(FaultRecord {
+            from: now,
+            to: now,
+            scope: FaultScope::Upstream,
+        });
+        observations.upstream_ends.insert(self.id.clone(), now);
+    }
+
     /// Waits for a slot; none if the upstream runs any number of requests at once. Fails if too many
     /// requests wait already.
     async fn take_slot(&self) -> Result<Option<Slot>, NoSlot> {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -35,6 +35,7 @@
         guarantees,
         only_path_cuts: false,
         only_floods: false,
+        only_parts: false,
         stretch: 1.0,
     }
 }
