Parts of prompts are found by answers in one piece too

A call to a route without a stream that was lost before the head of its response was no suspect of the crash, although its upstream may have begun the answer: it sends nothing before the whole is written. Requests with such a part would have gone on crashing upstreams. No deployment of today sends parts on such routes.

a_part_is_found_by_answers_in_one_piece_too failed before: nothing was refused within 10 s.

--- a/src/gateway/call_crashes.rs
+++ b/src/gateway/call_crashes.rs
@@ -56,7 +56,8 @@
             return;
         }
         let now = self.gateway.clock.now();
-        if progress == AnswerProgress::Begun {
+        if progress == AnswerProgress::Begun || !self.call.route.kind.is_stream() {
+            // An answer in one piece may have begun although nothing of it was received.
             self.gateway.on_crash_suspect(&self.call, upstream, now);
         }
         let attempt = AttemptId(rand::random());
--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -110,9 +110,14 @@
 
 /// Sends requests with these parts, no two alike, until the host refuses one without having sent it.
 async fn call_until_refused(host: &TestHost, name: &str, parts: &str) {
+    call_until_refused_at(host, "model", name, parts).await;
+}
+
+/// The same on a route.
+async fn call_until_refused_at(host: &TestHost, route: &str, name: &str, parts: &str) {
     let calls = async {
         for index in 0.. {
-            let req = request_with_parts(&format!("/model/{name}-{index}"), parts);
+            let req = request_with_parts(&format!("/{route}/{name}-{index}"), parts);
             let res = host.try_call(req).await;
             if res.is_ok_and(|res| is_refused(&res)) {
                 return;
@@ -178,3 +183,23 @@
     let res = host.call(request("/model/1")).await;
     assert_eq!(res.status(), 200);
 }
+
+/// Guards against a part that goes on crashing upstreams which answer in one piece: nothing of the
+/// answer was received when they ended.
+#[tokio::test]
+async fn a_part_is_found_by_answers_in_one_piece_too() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstream = ScriptedUpstream::start([ScriptStep::Break]).await;
+    for id in ["a", "b", "c"] {
+        catalog.list(id, "app", upstream.addr);
+    }
+    let host = TestHost::start("host", &catalog).await;
+    call_until_refused_at(&host, "safe", "first", "bad").await;
+    let arrived = upstream.arrivals().len();
+    assert!(is_refused(
+        &host.call(request_with_parts("/safe/2", "c,bad")).await
+    ));
+    assert_eq!(upstream.arrivals().len(), arrived);
+    let sound = host.call(request_with_parts("/safe/3", "c")).await;
+    assert_eq!(sound.status(), 502, "{sound:?}");
+}
