--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -473,10 +473,11 @@
 
     /// Ends the upstream, unless it has ended already.
     fn crash(&self) {
+        // Noted before callers can see it.
+        let now = self.started_at.elapsed();
         if self.mode.send_replace(UpstreamMode::Down) == UpstreamMode::Down {
             return;
         }
-        let now = self.started_at.elapsed();
         let mut observations = self.history.lock();
         observations.part_crashes.push(now);
         observations.faults.push(FaultRecord {
