Test: a host that starts later is told of the part before it gets requests with it

It could learn the part from crashes of its own before, and then refused it only together with the part beside it: whether the test passed hung on when it was told.

--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -145,9 +145,10 @@
     let before = bad_arrivals(&engines);
     hosts.push(TestHost::start("late", &catalog).await);
     hosts[3].wait_for_hosts(hosts.len()).await;
+    let late = &hosts[3].gateway;
     wait_until(|| {
-        let now = hosts[3].gateway.clock.now();
-        hosts[3].gateway.ledger().live_peer_count(now) == 3
+        let quarantine = late.part_quarantine();
+        quarantine.quarantined(late.clock.now()).count() > 0
     })
     .await;
     call_until_refused(&hosts[3], "late", parts).await;
