An answer that is cut in a tunnel does not look complete

Cause: a tunnel carried bytes alone. An answer without a length ends with its connection, and a process that ends closes its connections just as an upstream does that has sent everything. How the upstream's connection ended was inferred from how another process's connection ended.

Evidence: in the record of the case each client has the last chunk 1 to 3 ms after the kill, while the upstream's run goes on for 45 to 70 ms more; no request runs again. The decision log of the reproduction has `sent` and `tunneled`, and no fault.

Change: a tunnel is one of frames, which carry the bytes and, last, how the upstream ended its connection. A tunnel that ends without that is lost: a stream is resumed or cut, a call repeated or answered as unknown. Both builds may run beside each other: a provider of bare bytes proves complete only what a length or a last chunk does, and a host that asks for bare bytes gets a connection that is reset unless the upstream has closed its own. Faults are logged with their causes.

It works since an end is announced by the only process that has seen it, whoever closes a connection later.

--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -75,6 +75,9 @@
     /// The id of the upstream to which a tunnel is requested in place of a list; empty if none is.
     #[prost(string, tag = "4")]
     pub(crate) tunnel_to: String,
+    /// Whether the requesting host understands a tunnel of frames.
+    #[prost(bool, tag = "5")]
+    pub(crate) accepts_frames: bool,
 }
 
 impl ReadRequest {
@@ -83,6 +86,7 @@
         Self {
             list: NO_LIST,
             tunnel_to: upstream.to_string(),
+            accepts_frames: true,
             ..Self::default()
         }
     }
@@ -131,6 +135,9 @@
     /// or the responding host does not know it.
     #[prost(uint64, tag = "12")]
     pub(crate) as_of: u64,
+    /// Whether the tunnel is one of frames; otherwise it carries bare bytes.
+    #[prost(bool, tag = "13")]
+    pub(crate) is_framed: bool,
 }
 
 impl ReadResponse {
--- a/src/gateway/catalog_sharing/server.rs
+++ b/src/gateway/catalog_sharing/server.rs
@@ -61,7 +61,7 @@
             }
         };
         if !request.tunnel_to.is_empty() {
-            serve_tunnel(gateway, framed, &request.tunnel_to).await;
+            serve_tunnel(gateway, framed, &request).await;
             return;
         }
         let response = gateway
--- a/src/gateway/engine_endpoint.rs
+++ b/src/gateway/engine_endpoint.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use tokio::net::TcpStream;
-
 use crate::gateway::UpstreamConnector;
+use crate::http::BoxedByteStream;
 use crate::http::one_shot::OneShotError;
 use crate::units::UpstreamId;
 
@@ -21,7 +20,7 @@
 
 impl EngineEndpoint<'_> {
     /// Opens a connection to the engine.
-    pub async fn connect(&self) -> Result<TcpStream, OneShotError> {
+    pub async fn connect(&self) -> Result<BoxedByteStream, OneShotError> {
         self.connector.connect(self.id, self.addr).await
     }
 }
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -17,6 +17,7 @@
 use crate::gateway::send::UPSTREAM_RESTARTED;
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::send::first_event_timeout;
+use crate::http::one_shot::error_with_causes;
 use crate::http::one_shot::is_truncated;
 
 /// How long an engine may be silent between two events before the call is sent to another one as
@@ -122,9 +123,9 @@
                     }
                 }
                 Some(Err(err)) if is_truncated(&err) => {
-                    return RunInput::truncated(err.to_string());
+                    return RunInput::truncated(error_with_causes(&err));
                 }
-                Some(Err(err)) => return RunInput::broken(err.to_string()),
+                Some(Err(err)) => return RunInput::broken(error_with_causes(&err)),
                 None if self.is_complete() => return RunInput::End,
                 None => {
                     return RunInput::truncated("ended in the middle of an event or without one");
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -36,6 +36,7 @@
 use crate::gateway::request_tracker::RequestTracker;
 use crate::gateway::send::UpstreamResponse;
 use crate::gateway::stream_relay::StreamRelay;
+use crate::http::one_shot::error_with_causes;
 use crate::http::one_shot::is_truncated;
 use crate::http::remove_connection_headers;
 use crate::routing::AllowedRegions;
@@ -277,7 +278,7 @@
             if is_direct && is_truncated(err.as_ref()) {
                 gateway.record_outcome(&upstream, CallOutcome::Failed, sent_at);
             }
-            err.to_string()
+            error_with_causes(err.as_ref())
         }
     };
     dispatcher.recorder.on_connection_lost(
--- a/src/gateway/tunnel/client.rs
+++ b/src/gateway/tunnel/client.rs
@@ -8,7 +8,6 @@
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use prost::Message as _;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -17,6 +16,9 @@
 use crate::gateway::catalog_sharing::ReadResponse;
 use crate::gateway::send::CONNECT_TIMEOUT;
 use crate::gateway::tunnel::TunnelOutcome;
+use crate::gateway::tunnel::stream::bare_stream;
+use crate::gateway::tunnel::stream::framed_stream;
+use crate::http::BoxedByteStream;
 use crate::http::one_shot;
 use crate::peer::framing;
 use crate::units::UpstreamId;
@@ -54,12 +56,11 @@
 
 impl std::error::Error for TunnelError {}
 
-/// Opens a tunnel to an upstream through the host at `addr`. The returned connection carries the
-/// bytes of the upstream.
+/// Opens a tunnel to an upstream through the host at `addr`. Returns the connection that it carries.
 pub(crate) async fn open_tunnel(
     addr: SocketAddr,
     upstream: &UpstreamId,
-) -> Result<TcpStream, TunnelError> {
+) -> Result<BoxedByteStream, TunnelError> {
     let failed = |err: &dyn fmt::Display| TunnelError::HostFailed(err.to_string());
     let stream = one_shot::connect(addr, CONNECT_TIMEOUT).await;
     let stream = stream.map_err(|err| failed(&err))?;
@@ -75,8 +76,9 @@
     };
     let response = ReadResponse::decode(frame).map_err(|err| failed(&err))?;
     match response.tunnel() {
+        TunnelOutcome::Connected if response.is_framed => Ok(framed_stream(framed)),
         // The upstream sends nothing before the request, so no byte of it has been read here.
-        TunnelOutcome::Connected => Ok(framed.into_inner()),
+        TunnelOutcome::Connected => Ok(bare_stream(framed.into_inner())),
         outcome => Err(TunnelError::Refused(outcome)),
     }
 }
--- a/src/gateway/tunnel/outcome.rs
+++ b/src/gateway/tunnel/outcome.rs
@@ -7,7 +7,7 @@
 pub(crate) enum TunnelOutcome {
     /// The host is of an earlier version, which provides no tunnels.
     Unsupported = 0,
-    /// From now on the connection carries the bytes of the upstream.
+    /// From now on the connection is the tunnel.
     Connected = 1,
     /// The host cannot connect to the upstream.
     Unreachable = 2,
--- a/src/gateway/tunnel/search.rs
+++ b/src/gateway/tunnel/search.rs
@@ -5,7 +5,6 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::decide::TunnelAnswer;
@@ -18,6 +17,7 @@
 use crate::gateway::tunnel::TunnelOutcome;
 use crate::gateway::tunnel::open_tunnel;
 use crate::gateway::upstream_connection::UpstreamConnection;
+use crate::http::BoxedByteStream;
 use crate::units::HostId;
 use crate::units::UpstreamId;
 
@@ -28,7 +28,7 @@
 /// The answer of a host that was asked for a tunnel.
 struct HostAnswer {
     host: HostId,
-    opened: Result<TcpStream, TunnelError>,
+    opened: Result<BoxedByteStream, TunnelError>,
 }
 
 impl Gateway {
--- /dev/null
+++ b/src/gateway/tunnel/stream.rs
@@ -0,0 +1,69 @@
+//! The connection to an upstream that a tunnel carries.
+
+use std::io;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream;
+use futures_util::stream::SplitStream;
+use prost::Message as _;
+use tokio::io::join;
+use tokio::net::TcpStream;
+use tokio_util::io::CopyToBytes;
+use tokio_util::io::ReaderStream;
+use tokio_util::io::SinkWriter;
+use tokio_util::io::StreamReader;
+
+use crate::gateway::catalog_sharing::PeerConnection;
+use crate::gateway::tunnel::failure::TunnelFailure;
+use crate::gateway::tunnel::frame::TunnelFrame;
+use crate::gateway::tunnel::frame::UpstreamEnd;
+use crate::http::BoxedByteStream;
+
+/// The connection to an upstream over a tunnel of frames. It ends only with the end that the
+/// providing host announces.
+pub(crate) fn framed_stream(framed: PeerConnection) -> BoxedByteStream {
+    let (wtr, rdr) = framed.split();
+    let bytes = stream::unfold(rdr, async |mut rdr| {
+        let bytes = next_bytes(&mut rdr).await?;
+        Some((bytes, rdr))
+    });
+    let frames = wtr.with(async |data: Bytes| {
+        let frame = TunnelFrame::of_data(data).encode_to_vec();
+        Ok::<Bytes, io::Error>(Bytes::from(frame))
+    });
+    let rdr = StreamReader::new(bytes.boxed());
+    let wtr = SinkWriter::new(CopyToBytes::new(Box::pin(frames)));
+    Box::new(join(rdr, wtr))
+}
+
+/// The next bytes of the upstream; none once it has closed its connection.
+async fn next_bytes(rdr: &mut SplitStream<PeerConnection>) -> Option<io::Result<Bytes>> {
+    let Some(Ok(frame)) = rdr.next().await else {
+        return Some(Err(TunnelFailure::TunnelLost.into()));
+    };
+    match decode(frame) {
+        Ok(frame) => match frame.end() {
+            UpstreamEnd::Open => Some(Ok(frame.data)),
+            UpstreamEnd::Closed => None,
+            UpstreamEnd::Broken => Some(Err(TunnelFailure::UpstreamBroken.into())),
+        },
+        Err(err) => Some(Err(err)),
+    }
+}
+
+/// Decodes a frame of a tunnel.
+pub(super) fn decode(frame: BytesMut) -> io::Result<TunnelFrame> {
+    TunnelFrame::decode(frame.freeze()).map_err(io::Error::other)
+}
+
+/// The connection to an upstream through a host of an earlier version, which passes on bare bytes
+/// and cannot announce an end: only what the response itself shows to be complete is.
+pub(crate) fn bare_stream(tunnel: TcpStream) -> BoxedByteStream {
+    let (rdr, wtr) = tunnel.into_split();
+    let lost = stream::iter([Err(TunnelFailure::TunnelLost.into())]);
+    let bytes = ReaderStream::new(rdr).chain(lost);
+    Box::new(join(StreamReader::new(bytes), wtr))
+}
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::UpstreamConnector;
 use crate::gateway::send::CONNECT_TIMEOUT;
+use crate::http::BoxedByteStream;
 use crate::http::one_shot;
 use crate::http::one_shot::OneShotError;
 use crate::units::HostId;
@@ -32,14 +33,17 @@
 
 /// A connection to an upstream.
 pub(crate) struct UpstreamConnection {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: BoxedByteStream,
     /// The host that provides the tunnel; none for a direct connection.
     pub(crate) via: Option<HostId>,
 }
 
 impl UpstreamConnection {
     fn direct(stream: TcpStream) -> Self {
-        Self { stream, via: None }
+        Self {
+            stream: Box::new(stream),
+            via: None,
+        }
     }
 }
 
@@ -48,7 +52,7 @@
         &'a self,
         upstream: &'a UpstreamId,
         addr: SocketAddr,
-    ) -> BoxFuture<'a, Result<TcpStream, OneShotError>> {
+    ) -> BoxFuture<'a, Result<BoxedByteStream, OneShotError>> {
         async move {
             let connected = self.connect_upstream(upstream, addr, CONNECT_TIMEOUT).await;
             Ok(connected.map_err(|err| err.direct)?.stream)
--- a/src/gateway/upstream_connector.rs
+++ b/src/gateway/upstream_connector.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use futures_util::future::BoxFuture;
-use tokio::net::TcpStream;
 
+use crate::http::BoxedByteStream;
 use crate::http::one_shot::OneShotError;
 use crate::units::UpstreamId;
 
@@ -15,5 +15,5 @@
         &'a self,
         upstream: &'a UpstreamId,
         addr: SocketAddr,
-    ) -> BoxFuture<'a, Result<TcpStream, OneShotError>>;
+    ) -> BoxFuture<'a, Result<BoxedByteStream, OneShotError>>;
 }
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -32,6 +32,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::http::BoxedByteStream;
+
 /// How long sent data and keepalive probes may stay unacknowledged, in ms. A host that has lost
 /// power or cannot be reached acknowledges neither.
 const UNACKNOWLEDGED_MAX_MS: u32 = 3_000;
@@ -40,7 +42,7 @@
 /// Unacknowledged keepalive probes after which the connection counts as broken.
 const KEEPALIVE_PROBES_MAX: u32 = 3;
 
-type Conn = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Conn = Connection<TokioIo<BoxedByteStream>, Full<Bytes>>;
 
 /// Why a request has no complete response. The kinds differ in whether the request may have been
 /// received.
@@ -93,13 +95,13 @@
     connect_timeout: Duration,
 ) -> Result<Response<OneShotResponseBody>, OneShotError> {
     let stream = connect(addr, connect_timeout).await?;
-    send_on(stream, req).await
+    send_on(Box::new(stream), req).await
 }
 
 /// Sends a request on a connection that is used for nothing else, and returns the head of the
 /// response, with the body still to be read. The wait for the head has no timeout.
 pub async fn send_on(
-    stream: TcpStream,
+    stream: BoxedByteStream,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<OneShotResponseBody>, OneShotError> {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -116,7 +118,9 @@
         Ok(res) => Ok(res.map(|incoming| OneShotResponseBody { conn, incoming })),
         Err(mut err) => match err.take_message() {
             Some(_) => Err(OneShotError::NotSent(err.into_error().to_string())),
-            None => Err(OneShotError::ConnectionBroken(err.into_error().to_string())),
+            None => Err(OneShotError::ConnectionBroken(error_with_causes(
+                &err.into_error(),
+            ))),
         },
     }
 }
@@ -136,6 +140,13 @@
     false
 }
 
+/// An error with its causes, as text. The error of a connection is a cause of that of its response.
+pub fn error_with_causes(err: &(dyn std::error::Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(err), |err| err.source());
+    let causes: Vec<String> = causes.map(ToString::to_string).collect();
+    causes.join(": ")
+}
+
 /// Sends a request on a new connection and reads the complete response, with a body of at most
 /// `len_max` bytes, within `time_limit`.
 pub async fn call(
@@ -167,7 +178,7 @@
 /// Sends a request on a connection that is used for nothing else, and reads the complete response,
 /// with the limits of [`call_with_idle_timeout`].
 pub async fn call_on(
-    stream: TcpStream,
+    stream: BoxedByteStream,
     req: Request<Full<Bytes>>,
     len_max: usize,
     idle_timeout: Duration,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -448,7 +448,7 @@
     let stream = TcpStream::connect(host.callers).await.unwrap();
     // Longer than the host takes to act on the change of the phase.
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let res = one_shot::send_on(stream, request("/once/1")).await;
+    let res = one_shot::send_on(Box::new(stream), request("/once/1")).await;
     assert_eq!(res.unwrap().status().as_u16(), 503);
     running.abort();
 }
--- /dev/null
+++ b/tests/gateway_tunnel_ends.rs
@@ -0,0 +1,298 @@
+//! Responses without a length that end together with the tunnel they come through.
+
+mod gateway_world;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use banyanarch::exchange::ListedHost;
+use banyanarch::gateway::Catalog;
+use banyanarch::gateway::Gateway;
+use banyanarch::gateway::GatewayConf;
+use bytes::Bytes;
+use gateway_world::TestHost;
+use gateway_world::catalog::FakeCatalog;
+use gateway_world::conf;
+use gateway_world::request;
+use gateway_world::table;
+use gateway_world::upstream::ScriptStep;
+use gateway_world::upstream::ScriptedUpstream;
+use gateway_world::upstream::event;
+use gateway_world::upstream_link::Cut;
+use gateway_world::upstream_link::UpstreamLink;
+use gateway_world::wait_until;
+use hyper::Response;
+use indexmap::IndexMap;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use yare::parameterized;
+
+/// A host in a process of its own, as far as its connections are concerned.
+struct SeparateHost {
+    host: TestHost,
+    runtime: Option<Runtime>,
+}
+
+impl SeparateHost {
+    async fn start(conf: GatewayConf, catalog: &Arc<FakeCatalog>) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let catalog = Arc::clone(catalog);
+        let started = runtime.spawn(async move { TestHost::start_with(conf, &catalog).await });
+        Self {
+            host: started.await.unwrap(),
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends the host as a process that is killed: its connections are closed without a word.
+    fn kill(&mut self) {
+        self.runtime
+            .take()
+            .expect("not killed yet")
+            .shutdown_background();
+    }
+}
+
+impl Drop for SeparateHost {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// The configuration of a host in another failure domain than [`conf`].
+fn conf_there(name: &str) -> GatewayConf {
+    GatewayConf {
+        domain: "there".parse().unwrap(),
+        ..conf(name)
+    }
+}
+
+/// Two upstreams, and a host without a path to them.
+struct World {
+    catalog: Arc<FakeCatalog>,
+    upstream: ScriptedUpstream,
+    cut: TestHost,
+    _link: UpstreamLink,
+}
+
+impl World {
+    async fn start(service: &str, script: impl IntoIterator<Item = ScriptStep>) -> Self {
+        let catalog = FakeCatalog::new(table(1));
+        let upstream = ScriptedUpstream::start(script).await;
+        let link = UpstreamLink::cut(Cut::Refused).await;
+        let cut_catalog = catalog.separate_link();
+        // Both upstreams share one script, since either may be chosen first.
+        for id in ["a", "b"] {
+            catalog.list(id, service, upstream.addr);
+            cut_catalog.replace_addr(id, link.addr);
+        }
+        let cut = TestHost::start_with(conf_there("cut"), &cut_catalog).await;
+        Self {
+            catalog,
+            upstream,
+            cut,
+            _link: link,
+        }
+    }
+
+    /// Starts a host that reaches the upstreams.
+    async fn start_provider(&self, conf: GatewayConf) -> SeparateHost {
+        let provider = SeparateHost::start(conf, &self.catalog).await;
+        let (provided, cut) = (&provider.host.gateway, &self.cut.gateway);
+        let is_heard = |by: &Gateway, host: &Gateway| {
+            let is_listed = by.platform_view.hosts();
+            let is_listed = is_listed.iter().any(|listed| listed.host == host.conf.host);
+            is_listed && by.ledger().is_host_live(&host.conf.host, Instant::now())
+        };
+        wait_until(|| is_heard(provided, cut) && is_heard(cut, provided)).await;
+        provider
+    }
+
+    /// How often the call of a lost tunnel was reported as the fault of the tunnel.
+    fn tunnel_faults(&self) -> usize {
+        let lines = self.cut.log.lines().into_iter();
+        let faults = lines.filter(|line| line["event"] == "upstream_fault");
+        let of_tunnels = faults.filter(|line| line["fault"].as_str().unwrap().contains("tunnel"));
+        of_tunnels.count()
+    }
+}
+
+/// How the host that provides the tunnel ends.
+#[derive(Clone, Copy, Debug)]
+enum HostEnd {
+    /// It is killed.
+    Killed,
+    /// It is told to stop, and is gone after its grace period.
+    Stopped,
+}
+
+/// Sends a call through a host that ends once the upstream has sent a part of its response. Returns
+/// the response; none if it was cut.
+async fn call_while_tunnel_ends(
+    path: &str,
+    service: &str,
+    first: ScriptStep,
+    second: ScriptStep,
+    end: HostEnd,
+) -> (Option<Response<Bytes>>, World) {
+    let world = World::start(service, [first, second]).await;
+    let grace = GatewayConf {
+        stop_grace: Duration::from_millis(300),
+        ..conf("near")
+    };
+    let mut near = world.start_provider(grace).await;
+    let call = world.cut.spawn_call(request(path));
+    wait_until(|| world.upstream.arrivals().len() == 1).await;
+    let _other = world.start_provider(conf("other")).await;
+    // The first part of the response has passed through the tunnel by then.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    if let HostEnd::Stopped = end {
+        near.host.gateway.begin_shutdown();
+        wait_until(|| near.host.serving.is_finished()).await;
+    }
+    near.kill();
+    (call.await.unwrap().ok(), world)
+}
+
+/// Guards against a stream that looks complete because the host in the middle has ended, and is not
+/// resumed.
+#[parameterized(killed = { HostEnd::Killed }, stopped = { HostEnd::Stopped })]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_stream_goes_on_when_its_tunnel_ends(end: HostEnd) {
+    let (first, second) = (ScriptStep::EventsThenHang(3), ScriptStep::Events(6));
+    let (res, world) = call_while_tunnel_ends("/model/1", "llm", first, second, end).await;
+    let expected: String = (1..=6).map(event).collect();
+    assert_eq!(res.expect("the stream is whole").body(), &expected);
+    assert_eq!(world.upstream.arrivals().len(), 2);
+}
+
+/// Guards against a stream that looks complete after a part of it, and cannot be resumed.
+#[parameterized(killed = { HostEnd::Killed }, stopped = { HostEnd::Stopped })]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_stream_that_cannot_be_resumed_is_cut_when_its_tunnel_ends(end: HostEnd) {
+    let (first, second) = (ScriptStep::EventsThenHang(3), ScriptStep::Events(6));
+    let (res, world) = call_while_tunnel_ends("/fixed/1", "app", first, second, end).await;
+    assert!(res.is_none(), "the caller sees that the stream is cut");
+    assert_eq!(world.upstream.arrivals().len(), 1);
+    wait_until(|| world.tunnel_faults() == 1).await;
+}
+
+/// Guards against half an answer that looks complete because the host in the middle has ended.
+#[parameterized(
+    repeatable_killed = { "/safe/1", HostEnd::Killed, 200, "whole" },
+    repeatable_stopped = { "/safe/1", HostEnd::Stopped, 200, "whole" },
+    not_repeatable_killed = { "/once/1", HostEnd::Killed, 502, "" },
+    not_repeatable_stopped = { "/once/1", HostEnd::Stopped, 502, "" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn half_an_answer_is_not_returned_when_its_tunnel_ends(
+    path: &str,
+    end: HostEnd,
+    status: u16,
+    body: &str,
+) {
+    let first = ScriptStep::UnframedThenHang("hal");
+    let second = ScriptStep::Respond(200, "whole");
+    let (res, _) = call_while_tunnel_ends(path, "app", first, second, end).await;
+    let res = res.expect("the host answers");
+    assert_eq!(res.status(), status);
+    if !body.is_empty() {
+        assert_eq!(res.body(), body);
+    }
+    assert!(!res.body().starts_with(b"hal"));
+}
+
+/// Guards against answers without a length that are taken for broken ones since a tunnel carries
+/// them.
+#[tokio::test]
+async fn an_answer_that_the_upstream_ends_is_complete_behind_a_tunnel() {
+    let script = [
+        ScriptStep::Unframed("whole"),
+        ScriptStep::Respond(200, "framed"),
+    ];
+    let world = World::start("app", script).await;
+    let _near = world.start_provider(conf("near")).await;
+    for expected in ["whole", "framed"] {
+        let res = world.cut.call(request("/once/1")).await;
+        assert_eq!(
+            (res.status().as_u16(), res.body().as_ref()),
+            (200, expected.as_bytes())
+        );
+    }
+}
+
+/// Guards against a stream that is cut after its last event since a tunnel carries it.
+#[tokio::test]
+async fn a_stream_that_the_upstream_ends_is_complete_behind_a_tunnel() {
+    let world = World::start("app", [ScriptStep::Events(3)]).await;
+    let _near = world.start_provider(conf("near")).await;
+    let res = world.cut.call(request("/fixed/1")).await;
+    let expected: String = (1..=3).map(event).collect();
+    assert_eq!(res.body(), &expected);
+}
+
+/// Records an update of another host, which counts as live for a while.
+fn hear(host: &TestHost, sender: &ListedHost) {
+    let mut ledger = host.gateway.ledger();
+    ledger.record_host_loads(sender.host.clone(), 1, IndexMap::new(), Instant::now());
+}
+
+/// A host of an earlier version: it confirms a tunnel, and passes on bare bytes.
+async fn pass_on_bare_bytes(listener: TcpListener, upstream: SocketAddr) {
+    let mut request = [0_u8; 256];
+    while let Ok((mut host, _)) = listener.accept().await {
+        let len = host.read(&mut request).await.unwrap();
+        if len == 0 {
+            continue;
+        }
+        // A frame of two bytes: the answer that the tunnel is connected.
+        host.write_all(&[0, 0, 0, 2, 0x58, 1]).await.unwrap();
+        let mut upstream = TcpStream::connect(upstream).await.unwrap();
+        tokio::spawn(async move {
+            let (mut host_rd, mut host_wr) = host.split();
+            let (mut upstream_rd, mut upstream_wr) = upstream.split();
+            tokio::select! {
+                _ = tokio::io::copy(&mut host_rd, &mut upstream_wr) => {}
+                _ = tokio::io::copy(&mut upstream_rd, &mut host_wr) => {}
+            }
+        });
+    }
+}
+
+/// Guards against an end that a host of an earlier version cannot announce and is taken for the end
+/// of the answer, and against framed answers through such a host that are taken for broken ones.
+#[parameterized(
+    unframed = { ScriptStep::Unframed("hal"), 502, "" },
+    framed = { ScriptStep::Respond(200, "whole"), 200, "whole" },
+)]
+#[test_macro(tokio::test)]
+async fn the_bare_end_of_a_tunnel_is_not_the_end_of_an_answer(
+    step: ScriptStep,
+    status: u16,
+    body: &str,
+) {
+    let world = World::start("app", [step]).await;
+    let earlier = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listed = ListedHost {
+        host: "earlier".parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        exchange_addr: earlier.local_addr().unwrap(),
+        processors: None,
+    };
+    world.catalog.register_host(listed.clone()).await.unwrap();
+    tokio::spawn(pass_on_bare_bytes(earlier, world.upstream.addr));
+    world.cut.wait_for_hosts(2).await;
+    hear(&world.cut, &listed);
+    let res = world.cut.call(request("/once/1")).await;
+    assert_eq!(res.status(), status);
+    if !body.is_empty() {
+        assert_eq!(res.body(), body);
+    }
+}
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -40,6 +40,8 @@
     Unframed(&'static str),
     /// Send the same, and reset the connection instead of closing it.
     UnframedThenReset(&'static str),
+    /// Send the same, and then nothing until the other end disconnects.
+    UnframedThenHang(&'static str),
     /// Send the events after the requested one up to this one, and end the stream.
     Events(u32),
     /// Send the same events and half of the next one, and close the connection.
@@ -213,7 +215,9 @@
             ScriptStep::Break | ScriptStep::Hang => String::new(),
             ScriptStep::CrashOnPart(_) => events(if crashes { 0 } else { 3 }),
             ScriptStep::Events(to) | ScriptStep::EventsThenHang(to) => events(*to),
-            ScriptStep::Unframed(body) | ScriptStep::UnframedThenReset(body) => {
+            ScriptStep::Unframed(body)
+            | ScriptStep::UnframedThenReset(body)
+            | ScriptStep::UnframedThenHang(body) => {
                 format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")
             }
             ScriptStep::EventsWithPause(0, pause, to) => {
@@ -230,7 +234,9 @@
             return;
         }
         match step {
-            ScriptStep::Hang | ScriptStep::EventsThenHang(_) => self.wait_closed(stream).await,
+            ScriptStep::Hang | ScriptStep::EventsThenHang(_) | ScriptStep::UnframedThenHang(_) => {
+                self.wait_closed(stream).await;
+            }
             ScriptStep::EventsWithPause(first @ 1.., pause, to) => {
                 let closed = tokio::time::timeout(pause, self.wait_closed(stream));
                 if closed.await.is_err() {
