--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -6,14 +6,14 @@
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
+use crate::decide::RequestPart;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
-use crate::units::PromptPartId;
 
 /// The number of upstreams that must have crashed under a part that is not known to have been
 /// served. One crash may have any cause, and calls that begin at the same moment on the same
 /// upstream are suspected together.
-const CRASHES_MIN: usize = 3;
+pub(crate) const CRASHES_MIN: usize = 3;
 /// The same for a part that was served before the crashes.
 const CRASHES_MIN_IF_SERVED: usize = 12;
 
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct Explanation {
     /// The parts, in ascending order.
-    pub(crate) parts: Vec<PromptPartId>,
+    pub(crate) parts: Vec<RequestPart>,
     /// The suspected calls of these crashes that have the part with the most crashes.
     pub(crate) suspects: Vec<CrashSuspect>,
     /// The number of crashes that suffice for the explanation.
@@ -32,7 +32,7 @@
     /// Some of the suspected calls, which suffice for the explanation: of as many crashes as it
     /// needs, and first those that differ in their parts.
     pub(crate) fn proof(&self) -> Vec<&CrashSuspect> {
-        let mut seen: IndexSet<&[PromptPartId]> = IndexSet::new();
+        let mut seen: IndexSet<&[RequestPart]> = IndexSet::new();
         let (different, repeated): (Vec<_>, Vec<_>) = self
             .suspects
             .iter()
@@ -47,7 +47,7 @@
 }
 
 /// The crashes under one part: those in which a suspected call had it.
-type CrashesByPart = IndexMap<PromptPartId, IndexSet<CrashId>>;
+type CrashesByPart = IndexMap<RequestPart, IndexSet<CrashId>>;
 
 /// Finds the parts that explain crashes: repeatedly takes the part with the most crashes that are
 /// not explained yet. Each crash has one cause, so that all other calls that are suspected of it are
@@ -103,18 +103,18 @@
     crashes: &CrashesByPart,
     served: &ServedParts,
     now: Instant,
-) -> Option<PromptPartId> {
+) -> Option<RequestPart> {
     let enough = crashes
         .iter()
         .filter(|(part, crashes)| crashes.len() >= crashes_min(**part, served, now));
-    let rank = |(part, crashes): &(&PromptPartId, &IndexSet<CrashId>)| {
+    let rank = |(part, crashes): &(&RequestPart, &IndexSet<CrashId>)| {
         let is_new = served.served_at(**part, now).is_none();
         (is_new, crashes.len())
     };
     enough.max_by_key(rank).map(|(part, _)| *part)
 }
 
-fn crashes_min(part: PromptPartId, served: &ServedParts, now: Instant) -> usize {
+fn crashes_min(part: RequestPart, served: &ServedParts, now: Instant) -> usize {
     match served.served_at(part, now) {
         Some(_) => CRASHES_MIN_IF_SERVED,
         None => CRASHES_MIN,
@@ -124,14 +124,14 @@
 /// The part, and those that may be the cause as well since a suspected call had them together with
 /// it in each of the crashes. A part that was served before is left out unless the main one was too.
 fn inseparable_parts(
-    main: PromptPartId,
+    main: RequestPart,
     suspects: &[&CrashSuspect],
     crashes: &CrashesByPart,
     served: &ServedParts,
     now: Instant,
-) -> Vec<PromptPartId> {
+) -> Vec<RequestPart> {
     let of_main = &crashes[&main];
-    let crashes_with = |part: PromptPartId| {
+    let crashes_with = |part: RequestPart| {
         let with_part = suspects.iter().filter(|s| s.parts.contains(&part));
         let found: IndexSet<CrashId> = with_part.map(|suspect| suspect.crash).collect();
         found.len()
@@ -140,7 +140,7 @@
     let together = crashes.iter().filter(|(part, _)| {
         crashes_min(**part, served, now) <= min_of_main && crashes_with(**part) == of_main.len()
     });
-    let mut parts: Vec<PromptPartId> = together.map(|(part, _)| *part).collect();
+    let mut parts: Vec<RequestPart> = together.map(|(part, _)| *part).collect();
     parts.sort_unstable();
     parts
 }
--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -1,14 +1,15 @@
 //! A call that may have crashed an upstream.
 
+use crate::decide::RequestPart;
 use crate::units::CrashId;
-use crate::units::PromptPartId;
 
-/// A call that may have crashed an upstream: its answer had begun, and the connection broke before
-/// an event was received.
+/// A call that may have crashed an upstream: the connection broke before an event of its answer was
+/// received.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct CrashSuspect {
     /// The crash.
     pub crash: CrashId,
-    /// The parts of the call's prompt that other requests may share, in the order of the prompt.
-    pub parts: Vec<PromptPartId>,
+    /// What the call has in common with others: parts of its prompt, in their order, if its answer had
+    /// begun, and the request as a whole.
+    pub parts: Vec<RequestPart>,
 }
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::decide::CrashSuspect;
+use crate::decide::RequestPart;
 use crate::units::CrashId;
-use crate::units::PromptPartId;
 
 /// What hosts tell each other about parts of prompts, with the age of the observation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,8 +14,8 @@
     /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
     Alive(CrashId, Duration),
     /// A request with this part was served to its end.
-    Served(PromptPartId, Duration),
-    /// A request with this part was served to its end, and the part was refused until then. Hosts
-    /// tell this at once.
-    Released(PromptPartId, Duration),
+    Served(RequestPart, Duration),
+    /// A request with this part was served to its end, and the part was refused or suspected until
+    /// then. Hosts tell this at once.
+    Released(RequestPart, Duration),
 }
--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -1,9 +1,9 @@
-//! Detection and refusal of requests with parts in their prompts that crash every upstream which
-//! begins an answer on them.
+//! Detection and refusal of requests that crash every upstream which begins an answer on them.
 //!
-//! Such requests have nothing in common but the part. Each crash breaks many calls that only ran on
-//! the same upstream, on several hosts, so single crashes say little: a part is refused once several
-//! upstreams have crashed under it and no request with it was served since.
+//! Such requests have nothing in common but a part: a part of their prompts, or the request as a
+//! whole, which comes again. Each crash breaks many calls that only ran on the same upstream, on
+//! several hosts, so single crashes say little: a part is refused once several upstreams have crashed
+//! under it and no request with it was served since.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -15,19 +15,38 @@
 use crate::decide::PartEvidence;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
+use crate::decide::RequestPart;
+use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::crash_attribution::Explanation;
 use crate::decide::crash_attribution::explain_crashes;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
-use crate::units::PromptPartId;
+use crate::units::RequestHash;
+use crate::units::UpstreamId;
 
 /// The number of suspected calls that are kept.
-const SUSPECTS_MAX: usize = 256;
-/// How long a suspected call is kept while its crash is not explained.
-const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
-/// How long requests with quarantined parts are refused after the last crash. The parts do not
-/// change, so this ends only for upstreams that were replaced by a repaired version.
-const QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
+const SUSPECTS_MAX: usize = 1_024;
+/// The number of suspected calls that are dropped together when there are more.
+const DROP_BATCH: usize = 128;
+/// The number of suspected calls that other hosts are told of at a time. Those that prove quarantined
+/// parts come first.
+const TOLD_MAX: usize = 128;
+/// How long the parts of the prompt of a suspected call are kept while its crash is not explained.
+const PART_RETENTION: Duration = Duration::from_secs(600);
+/// How long requests with quarantined parts of a prompt are refused after the last crash. The parts
+/// do not change, so this ends only for upstreams that were replaced by a repaired version.
+const PART_QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
+/// How long a single request is refused after the last crash, by the number of crashes beyond those
+/// that begin the quarantine. A request that was only lost beside others is soon served again, and one
+/// that does crash upstreams ends two more in a day.
+const REQUEST_QUARANTINE_TIMES: [Duration; 3] = [
+    Duration::from_secs(30),
+    Duration::from_secs(600),
+    Duration::from_secs(24 * 3_600),
+];
+/// How long a suspected call is kept if its crash is explained, and otherwise the call as a whole,
+/// which its first answer clears. After a quarantine that is shorter, one more crash begins it again.
+const CRASH_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 /// How long after a crash a call may be sent whose answer shows that the upstream has not crashed.
 /// Upstreams take longer to start again, under a name that they may keep.
 const ALIVE_WITHIN: Duration = Duration::from_secs(1);
@@ -61,17 +80,27 @@
     proofs: IndexSet<CrashSuspect>,
     /// The parts that were refused until a request of this host with them was served, with the time
     /// of this.
-    released: IndexMap<PromptPartId, Instant>,
+    released: IndexMap<RequestPart, Instant>,
 }
 
 impl PartQuarantine {
+    /// The id of the crash of an upstream on which a call that arrived at this time was lost: another
+    /// one than those that were known by then.
+    pub fn crash_id(&self, upstream: &UpstreamId, arrived_at: Instant) -> CrashId {
+        let mut crash = CrashId::from(upstream);
+        while self.known_at(crash).is_some_and(|at| at < arrived_at) {
+            crash = crash.next();
+        }
+        crash
+    }
+
     /// Whether there is nothing to refuse, and nothing to tell other hosts.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty() && self.alive.is_empty() && self.released.is_empty()
     }
 
     /// The quarantined parts because of which a request with these parts is refused, if any.
-    pub fn find(&self, parts: &[PromptPartId], now: Instant) -> Option<&QuarantinedParts> {
+    pub fn find(&self, parts: &[RequestPart], now: Instant) -> Option<&QuarantinedParts> {
         let mut quarantined = self.quarantined.iter();
         quarantined.find(|known| known.applies_to(parts, now))
     }
@@ -94,7 +123,7 @@
 
     /// Records that a request of this host with these parts was served to its end. Returns what has
     /// changed.
-    pub fn on_served(&mut self, parts: &[PromptPartId], now: Instant) -> Vec<QuarantineChange> {
+    pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
         for part in parts {
             self.served.record(*part, now);
         }
@@ -108,23 +137,38 @@
         changes
     }
 
-    /// Records that an upstream has answered a call that was sent at `sent_at`. If its connections
-    /// broke shortly before that, it has not crashed. Returns what has changed.
+    /// Records that an upstream has answered this request of this host to its end. Unlike parts of a
+    /// prompt, the request as a whole is cleared by a failure too. Returns what has changed.
+    pub fn on_answered(&mut self, request: RequestHash, now: Instant) -> Vec<QuarantineChange> {
+        let part = RequestPart::Whole(request);
+        if !self.is_suspected(&[part]) {
+            return Vec::new();
+        }
+        self.served.record(part, now);
+        // Other hosts may have lost the request as often.
+        self.released.insert(part, now);
+        self.evaluate(now)
+    }
+
+    /// Records that an upstream, whose first crash would have this id, has answered a call that was
+    /// sent at `sent_at`. If its connections broke shortly before that, it has not crashed. Returns
+    /// what has changed.
     pub fn on_alive(
         &mut self,
-        crash: CrashId,
+        first: CrashId,
         sent_at: Instant,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        let is_refuted = |known: &KnownCrash| {
-            known.at < sent_at && sent_at.duration_since(known.at) < ALIVE_WITHIN
-        };
-        let mut suspects = self.suspects.iter();
-        if suspects.any(|(suspect, known)| suspect.crash == crash && is_refuted(known)) {
-            self.clear_crash(crash, now, now)
-        } else {
-            Vec::new()
+        let mut changes = Vec::new();
+        let mut crash = first;
+        while let Some(at) = self.known_at(crash) {
+            let is_refuted = at < sent_at && sent_at.duration_since(at) < ALIVE_WITHIN;
+            if is_refuted && !self.alive.contains_key(&crash) {
+                changes.extend(self.clear_crash(crash, now, now));
+            }
+            crash = crash.next();
         }
+        changes
     }
 
     /// Applies what another host has told. Returns what has changed.
@@ -156,11 +200,13 @@
         }
         let age = |at: Instant| now.saturating_duration_since(at);
         let is_recent = |crash: &KnownCrash| crash.is_own && age(crash.at) < TELLING_TIME;
-        let told = self
+        let (proofs, others): (Vec<_>, Vec<_>) = self
             .suspects
             .iter()
-            .filter(|(suspect, crash)| is_recent(crash) || self.proofs.contains(*suspect));
-        let parts: IndexMap<PromptPartId, Instant> = told
+            .partition(|(suspect, _)| self.proofs.contains(*suspect));
+        let recent = others.into_iter().filter(|(_, crash)| is_recent(crash));
+        let told = proofs.into_iter().chain(recent).take(TOLD_MAX);
+        let parts: IndexMap<RequestPart, Instant> = told
             .clone()
             .flat_map(|(suspect, _)| &suspect.parts)
             .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
@@ -187,15 +233,38 @@
         self.expire(now);
         let is_known = self.suspects.contains_key(&suspect);
         let has_answered = self.alive.contains_key(&suspect.crash);
-        let is_expired = is_older_than(crash.at, QUARANTINE_TIME, now);
+        let is_expired = is_older_than(crash.at, CRASH_RETENTION, now);
         if suspect.parts.is_empty() || is_known || has_answered || is_expired {
             return Vec::new();
         }
         if self.suspects.len() >= SUSPECTS_MAX {
             self.drop_oldest();
         }
+        let parts = suspect.parts.clone();
         self.suspects.insert(suspect, crash);
-        self.evaluate(now)
+        if self.may_explain(&parts) {
+            self.evaluate(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Whether one of these parts is in suspected calls of enough crashes to be quarantined.
+    fn may_explain(&self, parts: &[RequestPart]) -> bool {
+        parts.iter().any(|part| {
+            let suspects = self.suspects.keys();
+            let with_part = suspects.filter(|suspect| suspect.parts.contains(part));
+            let crashes: IndexSet<CrashId> = with_part.map(|suspect| suspect.crash).collect();
+            crashes.len() >= CRASHES_MIN
+        })
+    }
+
+    /// When a crash happened that is known, or that was found not to be one.
+    fn known_at(&self, crash: CrashId) -> Option<Instant> {
+        let mut suspects = self.suspects.iter();
+        let suspected = suspects.find(|(suspect, _)| suspect.crash == crash);
+        let suspected_at = suspected.map(|(_, known)| known.at);
+        suspected_at.or_else(|| self.alive.get(&crash).copied())
     }
 
     /// Clears all calls that were suspected of a crash, since the upstream is alive.
@@ -214,39 +283,82 @@
     /// Forgets what is too old to count.
     fn expire(&mut self, now: Instant) {
         let explained = &self.explained;
+        let mut expired = Vec::new();
         self.suspects.retain(|suspect, crash| {
-            if explained.contains(suspect) {
-                !is_older_than(crash.at, QUARANTINE_TIME, now)
-            } else {
-                !is_older_than(crash.known_at, SUSPECT_RETENTION, now)
+            if is_older_than(crash.at, CRASH_RETENTION, now) {
+                return false;
             }
+            let is_kept = explained.contains(suspect)
+                || suspect.parts.iter().all(RequestPart::is_whole)
+                || !is_older_than(crash.known_at, PART_RETENTION, now);
+            if !is_kept {
+                expired.push((suspect.clone(), *crash));
+            }
+            is_kept
         });
+        for (mut suspect, crash) in expired {
+            suspect.parts.retain(RequestPart::is_whole);
+            if !suspect.parts.is_empty() {
+                self.suspects.entry(suspect).or_insert(crash);
+            }
+        }
         let is_told = |at: &Instant| !is_older_than(*at, TELLING_TIME, now);
         self.alive.retain(|_, at| is_told(at));
         self.released.retain(|_, at| is_told(at));
     }
 
-    /// Drops the oldest suspected call, if possible one whose crash is not explained.
+    /// Drops the oldest suspected calls: if possible some that have no part in common with a suspected
+    /// call of another crash, else one whose crash is not explained.
     fn drop_oldest(&mut self) {
-        let mut open = self.suspects.keys();
-        let index = open.position(|suspect| !self.explained.contains(suspect));
-        self.suspects.shift_remove_index(index.unwrap_or(0));
+        let repeated = self.repeated_parts();
+        let is_single = |suspect: &CrashSuspect| {
+            let mut parts = suspect.parts.iter();
+            parts.all(|part| !repeated.contains(part))
+        };
+        let single = self.suspects.keys().filter(|suspect| is_single(suspect));
+        let single: IndexSet<CrashSuspect> = single.take(DROP_BATCH).cloned().collect();
+        if single.is_empty() {
+            let mut open = self.suspects.keys();
+            let index = open.position(|suspect| !self.explained.contains(suspect));
+            self.suspects.shift_remove_index(index.unwrap_or(0));
+        } else {
+            self.suspects.retain(|suspect, _| !single.contains(suspect));
+        }
+    }
+
+    /// The parts that are in suspected calls of several crashes.
+    fn repeated_parts(&self) -> IndexSet<RequestPart> {
+        let mut first: IndexMap<RequestPart, CrashId> = IndexMap::new();
+        let mut repeated = IndexSet::new();
+        for suspect in self.suspects.keys() {
+            for part in &suspect.parts {
+                if *first.entry(*part).or_insert(suspect.crash) != suspect.crash {
+                    repeated.insert(*part);
+                }
+            }
+        }
+        repeated
     }
 
     /// Evaluates anew if a suspected call has one of these parts.
     fn evaluate_if_suspected(
         &mut self,
-        parts: &[PromptPartId],
+        parts: &[RequestPart],
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        let mut suspects = self.suspects.keys();
-        if suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part))) {
+        if self.is_suspected(parts) {
             self.evaluate(now)
         } else {
             Vec::new()
         }
     }
 
+    /// Whether a suspected call has one of these parts.
+    fn is_suspected(&self, parts: &[RequestPart]) -> bool {
+        let mut suspects = self.suspects.keys();
+        suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part)))
+    }
+
     /// Finds anew which parts are quarantined.
     fn evaluate(&mut self, now: Instant) -> Vec<QuarantineChange> {
         let suspects = self.suspects.iter();
@@ -256,7 +368,9 @@
             .iter()
             .map(|found| self.quarantine_of(found, now));
         let quarantined: Vec<QuarantinedParts> = quarantined.collect();
-        let changes = changes_between(&self.quarantined, &quarantined);
+        let lasting = self.quarantined.iter().filter(|known| now < known.until);
+        let lasting: Vec<QuarantinedParts> = lasting.cloned().collect();
+        let changes = changes_between(&lasting, &quarantined);
         self.quarantined = quarantined;
         let proofs = explanations.iter().flat_map(Explanation::proof);
         self.proofs = proofs.cloned().collect();
@@ -274,11 +388,21 @@
         QuarantinedParts {
             parts: explanation.parts.clone(),
             crashes: crashes.len(),
-            until: crashed_at.max().unwrap_or(now) + QUARANTINE_TIME,
+            until: crashed_at.max().unwrap_or(now) + quarantine_time(explanation, crashes.len()),
         }
     }
 }
 
+/// How long requests are refused after the last of so many crashes.
+fn quarantine_time(explanation: &Explanation, crashes: usize) -> Duration {
+    if !explanation.parts.iter().any(RequestPart::is_whole) {
+        return PART_QUARANTINE_TIME;
+    }
+    let further = crashes.saturating_sub(explanation.crashes_min);
+    let last = REQUEST_QUARANTINE_TIMES.len() - 1;
+    REQUEST_QUARANTINE_TIMES[further.min(last)]
+}
+
 fn is_older_than(at: Instant, age: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) >= age
 }
@@ -287,7 +411,7 @@
     before: &[QuarantinedParts],
     after: &[QuarantinedParts],
 ) -> Vec<QuarantineChange> {
-    let is_in = |list: &[QuarantinedParts], parts: &[PromptPartId]| {
+    let is_in = |list: &[QuarantinedParts], parts: &[RequestPart]| {
         list.iter().any(|known| known.parts == parts)
     };
     let begun = after.iter().filter(|known| !is_in(before, &known.parts));
--- a/src/decide/quarantined_parts.rs
+++ b/src/decide/quarantined_parts.rs
@@ -1,18 +1,18 @@
-//! Parts of prompts that crash upstreams.
+//! What requests that crash upstreams have in common.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::units::PromptPartId;
+use crate::decide::RequestPart;
 
-/// Parts of prompts that crash upstreams: requests with all of them are refused.
+/// Parts of requests that crash upstreams: requests with all of them are refused.
 ///
 /// More than one part is listed where the crashes do not tell which of them is the cause, since they
 /// have only been seen together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedParts {
     /// The parts, in ascending order.
-    pub parts: Vec<PromptPartId>,
+    pub parts: Vec<RequestPart>,
     /// The number of upstreams that have crashed.
     pub crashes: usize,
     /// When requests with the parts may be sent again.
@@ -21,7 +21,7 @@
 
 impl QuarantinedParts {
     /// Whether a request with these parts is refused.
-    pub fn applies_to(&self, parts: &[PromptPartId], now: Instant) -> bool {
+    pub fn applies_to(&self, parts: &[RequestPart], now: Instant) -> bool {
         now < self.until && self.parts.iter().all(|part| parts.contains(part))
     }
 
--- /dev/null
+++ b/src/decide/request_part.rs
@@ -0,0 +1,43 @@
+//! What requests have in common.
+
+use std::fmt;
+
+use crate::units::PromptPartId;
+use crate::units::RequestHash;
+
+/// What a request has in common with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RequestPart {
+    /// A part of its prompt.
+    Prompt(PromptPartId),
+    /// The request as a whole, which it has in common with its repeats.
+    Whole(RequestHash),
+}
+
+impl RequestPart {
+    /// Whether this is a request as a whole.
+    pub fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+}
+
+impl From<PromptPartId> for RequestPart {
+    fn from(part: PromptPartId) -> Self {
+        Self::Prompt(part)
+    }
+}
+
+impl From<RequestHash> for RequestPart {
+    fn from(request: RequestHash) -> Self {
+        Self::Whole(request)
+    }
+}
+
+impl fmt::Display for RequestPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Prompt(part) => part.fmt(f),
+            Self::Whole(request) => write!(f, "request-{request}"),
+        }
+    }
+}
--- a/src/decide/served_parts.rs
+++ b/src/decide/served_parts.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use crate::units::PromptPartId;
+use crate::decide::RequestPart;
 
 /// The number of parts after which a generation is full. Two generations take half a megabyte.
 const GENERATION_MAX: usize = 8_192;
@@ -16,13 +16,13 @@
 /// parts, those that were served longest ago are forgotten.
 #[derive(Debug, Default)]
 pub(crate) struct ServedParts {
-    recent: IndexMap<PromptPartId, Instant>,
-    former: IndexMap<PromptPartId, Instant>,
+    recent: IndexMap<RequestPart, Instant>,
+    former: IndexMap<RequestPart, Instant>,
 }
 
 impl ServedParts {
     /// Records that a request with the part was served.
-    pub(crate) fn record(&mut self, part: PromptPartId, at: Instant) {
+    pub(crate) fn record(&mut self, part: RequestPart, at: Instant) {
         let at = self.last_at(part).map_or(at, |known| known.max(at));
         if self.recent.len() >= GENERATION_MAX && !self.recent.contains_key(&part) {
             self.former = std::mem::take(&mut self.recent);
@@ -31,12 +31,12 @@
     }
 
     /// When the part was last served; none if it was not within the retention, or is forgotten.
-    pub(crate) fn served_at(&self, part: PromptPartId, now: Instant) -> Option<Instant> {
+    pub(crate) fn served_at(&self, part: RequestPart, now: Instant) -> Option<Instant> {
         let is_kept = |at: &Instant| now.saturating_duration_since(*at) < RETENTION;
         self.last_at(part).filter(is_kept)
     }
 
-    fn last_at(&self, part: PromptPartId) -> Option<Instant> {
+    fn last_at(&self, part: RequestPart) -> Option<Instant> {
         let known = self.recent.get(&part).or_else(|| self.former.get(&part));
         known.copied()
     }
--- a/src/exchange/aggregate.rs
+++ b/src/exchange/aggregate.rs
@@ -9,7 +9,6 @@
 use crate::exchange::HostUpdate;
 use crate::exchange::MessageScope;
 use crate::exchange::PartEvidenceEntry;
-use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
 use crate::exchange::UpstreamOutcomeEntry;
@@ -116,7 +115,6 @@
             loads: Vec::new(),
             unreachable_upstreams: Vec::new(),
             unreachable_domains: Vec::new(),
-            poisons: Vec::new(),
             limits: Vec::new(),
             customer_uses: Vec::new(),
             outcomes: Vec::new(),
@@ -138,10 +136,8 @@
                 .collect(),
             ..header.clone()
         };
-        let poisons = self.take_domain_poisons(now);
         let header = HostUpdate {
             scope: MessageScope::Domain.into(),
-            poisons,
             ..header
         };
         self.domain_total.replace(header, self.total_loads(), now);
@@ -157,17 +153,6 @@
         CollectorMessages { relay, domain }
     }
 
-    /// Removes and returns the requests that crashed upstreams, as reported by the hosts of the
-    /// domain.
-    fn take_domain_poisons(&mut self, now: Instant) -> Vec<PoisonEntry> {
-        let neighbours = self.neighbours.values_mut();
-        let mut poisons: Vec<PoisonEntry> = neighbours
-            .flat_map(|neighbour| neighbour.take_poisons(now))
-            .collect();
-        poisons.dedup();
-        poisons
-    }
-
     /// The rate limits of upstreams, with the requests that all hosts of the domain have sent
     /// there.
     fn total_limits(&self, now: Instant) -> Vec<RateLimitEntry> {
--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -24,6 +24,7 @@
     /// The load at upstreams. Upstreams without load are left out.
     #[prost(message, repeated, tag = "4")]
     pub loads: Vec<LoadEntry>,
+    // Tag 5 was that of requests that crashed upstreams, which `part_evidence` contains now.
     /// The version of the manifest that the sender read last; 0 if it has read none or does not
     /// report one.
     #[prost(uint64, tag = "7")]
@@ -38,9 +39,6 @@
     /// Failure domains that the sender considers partitioned from its own.
     #[prost(string, repeated, tag = "10")]
     pub unreachable_domains: Vec<String>,
-    /// Requests that crashed upstreams recently.
-    #[prost(message, repeated, tag = "5")]
-    pub poisons: Vec<PoisonEntry>,
     /// Whose state the message carries. Hosts of an earlier version know messages of the scope
     /// [`MessageScope::Host`] only and are sent no others.
     #[prost(enumeration = "MessageScope", tag = "11")]
@@ -283,19 +281,6 @@
     }
 }
 
-/// A request that crashed upstreams, with the ids of the attempts that crashed them.
-#[derive(Clone, PartialEq, Eq, Hash)]
-#[derive(prost::Message)]
-pub struct PoisonEntry {
-    /// The hash of the request's content, which identifies the request when it is sent again; 16
-    /// bytes.
-    #[prost(bytes = "vec", tag = "1")]
-    pub content_hash: Vec<u8>,
-    /// The ids of the attempts that crashed an upstream, 16 bytes each.
-    #[prost(bytes = "vec", repeated, tag = "2")]
-    pub attempts: Vec<Vec<u8>>,
-}
-
 /// What one customer, or several together, want and use of a service at the sender or in its
 /// failure domain.
 #[derive(Clone, Copy, PartialEq)]
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -44,7 +44,6 @@
 pub use message::CustomerUseEntry;
 pub use message::HostUpdate;
 pub use message::LoadEntry;
-pub use message::PoisonEntry;
 pub use message::RateLimitEntry;
 pub use message::SlowdownEntry;
 pub use message::UpstreamOutcomeEntry;
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -1,16 +1,21 @@
-//! The entry of an update about parts of prompts.
+//! The entry of an update about parts of requests.
 
 use std::time::Duration;
 
 use crate::decide::CrashSuspect;
 use crate::decide::PartEvidence;
+use crate::decide::RequestPart;
 use crate::units::CrashId;
 use crate::units::PromptPartId;
+use crate::units::RequestHash;
 use crate::units::whole_millis_u32;
 
-/// What the sender knows of parts of prompts and of crashes: that a call with these parts may have
+/// What the sender knows of parts of requests and of crashes: that a call with these parts may have
 /// crashed an upstream, that the upstream has not crashed, or that requests with a part were served to
 /// their end.
+///
+/// Hosts of an earlier version ignore the fields about whole requests. What is only about a whole
+/// request therefore leaves the others empty.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
 pub struct PartEvidenceEntry {
@@ -28,25 +33,33 @@
     /// Whether the part was refused before it was served.
     #[prost(bool, tag = "4")]
     pub is_release: bool,
+    /// The hash of the call that may have crashed the upstream, or of the request that was served; 0
+    /// if there is none.
+    #[prost(fixed64, tag = "5")]
+    pub request: u64,
+    /// The id of the crash if the entry lists no part of a prompt; otherwise 0.
+    #[prost(fixed64, tag = "6")]
+    pub request_crash: u64,
 }
 
-/// What identifies an entry: the crash, the parts, and whether it is a release.
-pub(crate) type PartEvidenceKey = (u64, Vec<u64>, bool);
+/// What identifies an entry: all of it but the age.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PartEvidenceKey {
+    crash: u64,
+    parts: Vec<u64>,
+    is_release: bool,
+    request: u64,
+    request_crash: u64,
+}
 
 impl From<PartEvidence> for PartEvidenceEntry {
     fn from(evidence: PartEvidence) -> Self {
         match evidence {
-            PartEvidence::Crash(suspect, age) => Self {
-                crash: suspect.crash.0,
-                parts: suspect.parts.iter().map(|part| part.0).collect(),
-                age_ms: whole_millis_u32(age),
-                is_release: false,
-            },
+            PartEvidence::Crash(suspect, age) => Self::crash(&suspect, age),
             PartEvidence::Alive(crash, age) => Self {
                 crash: crash.0,
-                parts: Vec::new(),
                 age_ms: whole_millis_u32(age),
-                is_release: false,
+                ..Self::default()
             },
             PartEvidence::Served(part, age) => Self::served(part, age, false),
             PartEvidence::Released(part, age) => Self::served(part, age, true),
@@ -55,21 +68,46 @@
 }
 
 impl PartEvidenceEntry {
-    fn served(part: PromptPartId, age: Duration, is_release: bool) -> Self {
+    fn crash(suspect: &CrashSuspect, age: Duration) -> Self {
+        let parts = suspect.parts.iter().filter_map(prompt_part);
+        let parts: Vec<u64> = parts.collect();
+        let request = suspect.parts.iter().find_map(whole_request);
+        let (crash, request_crash) = match parts.as_slice() {
+            [] => (0, suspect.crash.0),
+            _ => (suspect.crash.0, 0),
+        };
+        Self {
+            crash,
+            parts,
+            age_ms: whole_millis_u32(age),
+            is_release: false,
+            request: request.unwrap_or(0),
+            request_crash,
+        }
+    }
+
+    fn served(part: RequestPart, age: Duration, is_release: bool) -> Self {
         Self {
-            crash: 0,
-            parts: vec![part.0],
+            parts: prompt_part(&part).into_iter().collect(),
+            request: whole_request(&part).unwrap_or(0),
             age_ms: whole_millis_u32(age),
             is_release,
+            ..Self::default()
         }
     }
 
     /// Decodes the entry; none if it is empty.
     pub fn evidence(&self) -> Option<PartEvidence> {
         let age = Duration::from_millis(self.age_ms.into());
-        let parts: Vec<PromptPartId> = self.parts.iter().map(|part| PromptPartId(*part)).collect();
-        let crash = CrashId(self.crash);
-        match (self.crash, parts.first()) {
+        let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
+        let request = (self.request != 0).then(|| RequestHash(self.request).into());
+        let parts: Vec<RequestPart> = parts.chain(request).collect();
+        let crash = CrashId(if self.crash == 0 {
+            self.request_crash
+        } else {
+            self.crash
+        });
+        match (crash.0, parts.first()) {
             (0, None) => None,
             (0, Some(part)) if self.is_release => Some(PartEvidence::Released(*part, age)),
             (0, Some(part)) => Some(PartEvidence::Served(*part, age)),
@@ -79,7 +117,13 @@
     }
 
     pub(crate) fn key(&self) -> PartEvidenceKey {
-        (self.crash, self.parts.clone(), self.is_release)
+        PartEvidenceKey {
+            crash: self.crash,
+            parts: self.parts.clone(),
+            is_release: self.is_release,
+            request: self.request,
+            request_crash: self.request_crash,
+        }
     }
 
     /// Returns the entry with its age increased by `time`.
@@ -90,3 +134,19 @@
         }
     }
 }
+
+/// The part of a prompt, as it stands in messages.
+fn prompt_part(part: &RequestPart) -> Option<u64> {
+    match part {
+        RequestPart::Prompt(part) => Some(part.0),
+        RequestPart::Whole(_) => None,
+    }
+}
+
+/// The whole request, as it stands in messages.
+fn whole_request(part: &RequestPart) -> Option<u64> {
+    match part {
+        RequestPart::Prompt(_) => None,
+        RequestPart::Whole(request) => Some(request.0),
+    }
+}
--- a/src/exchange/source_state.rs
+++ b/src/exchange/source_state.rs
@@ -10,7 +10,6 @@
 use crate::exchange::HostUpdate;
 use crate::exchange::LoadEntry;
 use crate::exchange::PartEvidenceEntry;
-use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::UpstreamHash;
 use crate::exchange::UpstreamOutcomeEntry;
@@ -24,9 +23,6 @@
 /// most this long. Half the interval would double the bytes between hosts of a fleet of 195 at its
 /// usual load.
 const FULL_UPDATE_INTERVAL: Duration = Duration::from_secs(2);
-/// The interval at which a request that crashed upstreams is forwarded while its hosts report it.
-/// They report it for four times as long, so one message may be lost.
-const POISON_REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The load at upstreams, by the hash of the upstream's id.
 pub(crate) type LoadsByUpstream = IndexMap<UpstreamHash, LoadState>;
@@ -42,7 +38,6 @@
     has_update: bool,
     sent_loads: LoadsByUpstream,
     full_sent_at: Option<Instant>,
-    sent_poisons: Vec<(Instant, PoisonEntry)>,
     limits: ReceivedLimits,
     customer_uses: ReceivedUses,
     outcomes: ReceivedOutcomes,
@@ -59,7 +54,6 @@
             has_update: false,
             sent_loads: LoadsByUpstream::new(),
             full_sent_at: None,
-            sent_poisons: Vec::new(),
             limits: ReceivedLimits::default(),
             customer_uses: ReceivedUses::default(),
             outcomes: ReceivedOutcomes::default(),
@@ -127,10 +121,6 @@
             self.loads
                 .insert(load.hash(), LoadState::from_entry(load, now));
         }
-        // Requests that have not been forwarded yet are kept.
-        let mut poisons = std::mem::take(&mut self.header.poisons);
-        poisons.retain(|poison| !update.poisons.contains(poison));
-        update.poisons.extend(poisons);
         self.header = update;
         self.heard_at = now;
         self.has_update = true;
@@ -147,7 +137,7 @@
 
     /// Treats the load, the rate limits and the customers' use as not forwarded yet, for recipients that have received
     /// nothing. The next update is due even if the source sends nothing until then, and it is a
-    /// full one. Requests that crashed upstreams are not repeated.
+    /// full one.
     pub(crate) fn resend_all(&mut self) {
         self.sent_loads.clear();
         self.limits.mark_all_pending();
@@ -166,7 +156,6 @@
         let is_due = |at: Instant| now.saturating_duration_since(at) >= FULL_UPDATE_INTERVAL;
         let is_full = self.full_sent_at.is_none_or(is_due);
         let mut update = HostUpdate {
-            poisons: self.take_poisons(now),
             limits: self.limits.take_pending(now),
             customer_uses: self.customer_uses.take_pending(),
             outcomes: self.outcomes.take_pending(now),
@@ -186,18 +175,6 @@
         Some(update)
     }
 
-    /// Removes and returns the requests that crashed upstreams, without those that were forwarded
-    /// within [`POISON_REPEAT_INTERVAL`].
-    pub(crate) fn take_poisons(&mut self, now: Instant) -> Vec<PoisonEntry> {
-        self.sent_poisons
-            .retain(|(at, _)| now.saturating_duration_since(*at) < POISON_REPEAT_INTERVAL);
-        let mut poisons = std::mem::take(&mut self.header.poisons);
-        poisons.retain(|poison| !self.sent_poisons.iter().any(|(_, sent)| sent == poison));
-        let sent = poisons.iter().map(|poison| (now, poison.clone()));
-        self.sent_poisons.extend(sent);
-        poisons
-    }
-
     fn changed_loads(&self, now: Instant) -> Vec<LoadEntry> {
         let is_changed = |upstream: &UpstreamHash, load: &LoadState| {
             let sent = self.sent_loads.get(upstream);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! An admitted request of a caller.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,7 +10,7 @@
 use hyper::Method;
 use hyper::Uri;
 
-use crate::decide::RequestFingerprint;
+use crate::decide::RequestPart;
 use crate::gateway::RequestHead;
 use crate::routing::AllowedRegions;
 use crate::routing::Route;
@@ -18,6 +19,7 @@
 use crate::units::CustomerId;
 use crate::units::Priority;
 use crate::units::RegionId;
+use crate::units::RequestHash;
 use crate::units::ServiceId;
 
 /// The minimum patience of a caller whose stream was interrupted. Callers wait for at least two
@@ -58,6 +60,8 @@
     pub arrived_at: Instant,
     /// When the caller must have the final response.
     pub deadline: Instant,
+    /// The result of [`Call::hash`], once it is known.
+    pub(crate) hash: OnceLock<RequestHash>,
 }
 
 impl Call {
@@ -125,12 +129,26 @@
         (self.arrived_at + patience).saturating_duration_since(now + TRANSIT_MARGIN)
     }
 
-    /// The fingerprint of the call: a hash of method, URI, customer and body, by which the call is
-    /// recognised when a caller sends it again.
-    pub fn fingerprint(&self) -> RequestFingerprint {
-        let customer = self.customer.as_ref().map_or("", CustomerId::as_str);
-        let mut text = format!("{}\n{}\n{customer}\n", self.method, self.uri).into_bytes();
-        text.extend_from_slice(&self.body);
-        RequestFingerprint::of_content(ContentHash::of(&text))
+    /// The hash of method, URI, customer and body, by which the call is recognised when its caller
+    /// sends it again.
+    pub fn hash(&self) -> RequestHash {
+        *self.hash.get_or_init(|| {
+            let customer = self.customer.as_ref().map_or("", CustomerId::as_str);
+            let mut text = format!("{}\n{}\n{customer}\n", self.method, self.uri).into_bytes();
+            text.extend_from_slice(&self.body);
+            ContentHash::of(&text).into()
+        })
+    }
+
+    /// The parts of the call's prompt that other calls may share.
+    pub fn prompt_parts(&self) -> impl Iterator<Item = RequestPart> {
+        let parts = self.head.shared_parts.iter();
+        parts.copied().map(RequestPart::from)
+    }
+
+    /// All that the call has in common with others: parts of its prompt, and the call as a whole.
+    pub fn parts(&self) -> Vec<RequestPart> {
+        let whole = RequestPart::from(self.hash());
+        self.prompt_parts().chain([whole]).collect()
     }
 }
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -67,7 +67,9 @@
         let now = gateway.clock.now();
         let (near, all) = survey_candidates(gateway, &self.call, &self.sends(), now).unzip();
         let quarantined = match reason {
-            RefuseReason::PoisonPart => gateway.find_quarantined(&self.call, now),
+            RefuseReason::Poison | RefuseReason::PoisonPart => {
+                gateway.find_quarantined(&self.call, now)
+            }
             _ => None,
         };
         gateway.log.record(DecisionEvent::Refused {
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::decide::RequestPart;
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
@@ -11,7 +12,6 @@
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::prompt_parts::part_names;
 use crate::gateway::send::UpstreamResponse;
-use crate::units::AttemptId;
 use crate::units::whole_millis;
 
 /// Records what the sends of one call tell about upstreams, at once: other calls and hosts depend on
@@ -99,16 +99,10 @@
             return;
         }
         let now = self.gateway.clock.now();
-        if progress == AnswerProgress::Begun || !self.call.route.kind.is_stream() {
-            // An answer in one piece may have begun although nothing of it was received.
-            self.gateway.on_crash_suspect(&self.call, upstream, now);
-        }
-        let attempt = AttemptId(rand::random());
-        let fingerprint = self.call.fingerprint();
-        let crashes = self.gateway.poison().on_crash(&[fingerprint], attempt, now);
-        if !crashes.is_empty() {
-            self.gateway.broadcast_crashes(crashes);
-        }
+        // An answer in one piece may have begun although nothing of it was received.
+        let has_begun = progress == AnswerProgress::Begun || !self.call.route.kind.is_stream();
+        self.gateway
+            .on_crash_suspect(&self.call, upstream, has_begun, now);
     }
 
     /// Records a fault of an upstream. If the upstream is unreachable, the fault is broadcast at
@@ -135,6 +129,7 @@
             fault: format!("{}: {cause}", fault.name()),
             answer: progress.map(|progress| progress.name().into()),
             shared_parts: self.parts_after(progress),
+            suspected: self.suspected_after(fault, progress),
             elapsed_ms: whole_millis(now.saturating_duration_since(self.call.arrived_at)),
         });
     }
@@ -157,12 +152,24 @@
         }
     }
 
+    /// The name of the request as a whole, for the log, if it may have crashed the upstream.
+    fn suspected_after(
+        &self,
+        fault: UpstreamFault,
+        progress: Option<AnswerProgress>,
+    ) -> Option<String> {
+        let has_event = progress == Some(AnswerProgress::Events);
+        let is_suspected = fault == UpstreamFault::Broken && !has_event;
+        is_suspected.then(|| RequestPart::from(self.call.hash()).to_string())
+    }
+
     /// The shared parts of the prompt, for the log, if the upstream was lost after the answer had
     /// begun.
     fn parts_after(&self, progress: Option<AnswerProgress>) -> Vec<String> {
         match progress {
             Some(AnswerProgress::Begun | AnswerProgress::Events) => {
-                part_names(&self.call.head.shared_parts)
+                let parts: Vec<RequestPart> = self.call.prompt_parts().collect();
+                part_names(&parts)
             }
             Some(AnswerProgress::Unanswered) | None => Vec::new(),
         }
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -277,10 +277,14 @@
         /// The parts of the prompt that other requests may share, if the answer had begun.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         shared_parts: Vec<String>,
+        /// The name of the request as a whole among quarantined parts, if the request is suspected
+        /// of having crashed the upstream.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        suspected: Option<String>,
         /// The time since the request arrived, in ms.
         elapsed_ms: u64,
     },
-    /// Requests with some parts in their prompts, which crash upstreams, are refused from now on, or
+    /// Requests with some parts, which crash upstreams, are refused from now on, or
     /// no longer.
     PartQuarantine {
         /// The change: `begun` or `ended`.
--- a/src/gateway/exchange_entries.rs
+++ b/src/gateway/exchange_entries.rs
@@ -6,17 +6,12 @@
 
 use crate::decide::HostLoad;
 use crate::decide::LimitReport;
-use crate::decide::PoisonReport;
 use crate::decide::PrefillSent;
 use crate::decide::RecentSends;
-use crate::decide::RequestFingerprint;
 use crate::exchange::LoadEntry;
-use crate::exchange::PoisonEntry;
 use crate::exchange::RateLimitEntry;
 use crate::exchange::SlowdownEntry;
 use crate::exchange::UpstreamHash;
-use crate::units::AttemptId;
-use crate::units::ContentHash;
 use crate::units::RequestsPerSecond;
 use crate::units::Slowdown;
 use crate::units::Tokens;
@@ -109,26 +104,3 @@
         },
     }
 }
-
-/// The entry of an update for a request that crashes upstreams.
-pub(crate) fn poison_entry(poison: &PoisonReport) -> PoisonEntry {
-    let (RequestFingerprint::Content(hash) | RequestFingerprint::Key(hash)) = poison.fingerprint;
-    PoisonEntry {
-        content_hash: hash.0.to_be_bytes().to_vec(),
-        attempts: poison
-            .attempts
-            .iter()
-            .map(|attempt| attempt.0.to_be_bytes().to_vec())
-            .collect(),
-    }
-}
-
-/// Decodes a poison report; none if the content hash is malformed. Malformed attempts are left out.
-pub(crate) fn decode_poison(entry: &PoisonEntry) -> Option<PoisonReport> {
-    let number = |bytes: &Vec<u8>| Some(u128::from_be_bytes(bytes.as_slice().try_into().ok()?));
-    let attempts = entry.attempts.iter().filter_map(number).map(AttemptId);
-    Some(PoisonReport {
-        fingerprint: RequestFingerprint::of_content(ContentHash(number(&entry.content_hash)?)),
-        attempts: attempts.collect(),
-    })
-}
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -18,18 +18,15 @@
 use crate::exchange::ListedHost;
 use crate::exchange::LoadEntry;
 use crate::exchange::MessageScope;
-use crate::exchange::PoisonEntry;
 use crate::exchange::UpdateRoute;
 use crate::exchange::UpstreamHash;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::exchange_entries::decode_limit;
 use crate::gateway::exchange_entries::decode_load;
-use crate::gateway::exchange_entries::decode_poison;
 use crate::gateway::exchange_entries::decode_slowdown;
 use crate::gateway::exchange_entries::limit_entry;
 use crate::gateway::exchange_entries::load_entry;
-use crate::gateway::exchange_entries::poison_entry;
 use crate::gateway::exchange_entries::resolve_upstream;
 use crate::gateway::exchange_entries::slowdown_entry;
 use crate::gateway::outcomes::outcome_entry;
@@ -39,9 +36,6 @@
 use crate::units::whole_millis;
 use crate::units::whole_millis_u32;
 
-/// Largest number of poison reports in one update; the latest are sent.
-const POISON_REPORTS_MAX: usize = 64;
-
 impl ExchangeHandler for Gateway {
     fn host(&self) -> HostId {
         self.conf.host.clone()
@@ -56,7 +50,6 @@
     fn local_update(&self) -> HostUpdate {
         let now = self.clock.now();
         let loads = self.own_load_entries(now);
-        let poisons = self.own_poison_entries();
         let (routes_version, upstreams_version) = self.catalog_cache.versions();
         let (unreachable_upstreams, unreachable_domains) = self.unreachable_reports(now);
         HostUpdate {
@@ -96,7 +89,6 @@
             incarnation: self.incarnation,
             sequence: self.updates_sent.fetch_add(1, Ordering::Relaxed),
             loads,
-            poisons,
             ..HostUpdate::default()
         }
     }
@@ -116,9 +108,6 @@
         if !self.platform_view.is_known_host(&host) {
             self.hosts_changed.notify_one();
         }
-        for poison in update.poisons.iter().filter_map(decode_poison) {
-            self.poison().merge(&poison, now);
-        }
         self.apply_part_evidence(&update.host, &update.part_evidence, now);
         self.apply_versions(&host, &update);
         self.apply_list_age(&host, &update, now);
@@ -168,13 +157,6 @@
         loads.map(|(id, load)| load_entry(id, &load)).collect()
     }
 
-    /// The entries of an update for the latest crashes that this host has detected.
-    fn own_poison_entries(&self) -> Vec<PoisonEntry> {
-        let poisons = self.recent_crashes();
-        let surplus = poisons.len().saturating_sub(POISON_REPORTS_MAX);
-        poisons.iter().skip(surplus).map(poison_entry).collect()
-    }
-
     /// Applies a peer's reports on single upstreams: slowdowns, rate limits, and which are leaving.
     fn apply_upstream_entries(
         &self,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -1,6 +1,7 @@
 //! The handling of one request from its head to its response.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -176,6 +177,7 @@
         headers: head.headers,
         body: Bytes::new(),
         head: request_head,
+        hash: OnceLock::new(),
     })
 }
 
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -1,5 +1,5 @@
-//! Parts of prompts that crash upstreams: where crashes and served requests are recorded, told to
-//! other hosts and learned from them.
+//! Requests that crash upstreams, by themselves or by parts of their prompts: where crashes and served
+//! requests are recorded, told to other hosts and learned from them.
 
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,17 +9,17 @@
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
+use crate::decide::RequestPart;
 use crate::exchange::PartEvidenceEntry;
 use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 use crate::units::CrashId;
-use crate::units::PromptPartId;
 use crate::units::whole_millis;
 
 impl Gateway {
-    /// Locks what is known of parts that crash upstreams.
+    /// Locks what is known of requests that crash upstreams.
     pub fn part_quarantine(&self) -> MutexGuard<'_, PartQuarantine> {
         let quarantine = self.part_quarantine.lock();
         quarantine.unwrap_or_else(PoisonError::into_inner)
@@ -27,29 +27,65 @@
 
     /// The quarantined parts because of which a call is refused, if any.
     pub(crate) fn find_quarantined(&self, call: &Call, now: Instant) -> Option<QuarantinedParts> {
-        let quarantine = self.part_quarantine();
-        quarantine.find(&call.head.shared_parts, now).cloned()
+        // Hashing a large body takes a while, so it is done only if anything is quarantined.
+        let has_any = self.part_quarantine().quarantined(now).next().is_some();
+        if !has_any {
+            return None;
+        }
+        let parts = call.parts();
+        self.part_quarantine().find(&parts, now).cloned()
     }
 
-    /// Records that an upstream ended after it had begun to answer a call and before an event.
-    pub(crate) fn on_crash_suspect(&self, call: &Call, upstream: &ListedUpstream, now: Instant) {
-        if call.head.shared_parts.is_empty() {
-            return;
+    /// Records that an upstream ended before an event of its answer to a call. The parts of the prompt
+    /// are suspected only if the answer `has_begun`.
+    pub(crate) fn on_crash_suspect(
+        &self,
+        call: &Call,
+        upstream: &ListedUpstream,
+        has_begun: bool,
+        now: Instant,
+    ) {
+        let request = RequestPart::from(call.hash());
+        let mut parts: Vec<RequestPart> = Vec::new();
+        if has_begun {
+            parts.extend(call.prompt_parts());
         }
-        let suspect = CrashSuspect {
-            crash: CrashId::from(&upstream.id),
-            parts: call.head.shared_parts.clone(),
+        let mut quarantine = self.part_quarantine();
+        let crash = CrashId::from(&upstream.id);
+        // A request may break its connections without ending the upstream. This counts against the
+        // request alone, since each host may see as many of these as it has calls.
+        let request_crash = quarantine.crash_id(&upstream.id, call.arrived_at);
+        let repeated = CrashSuspect {
+            crash: request_crash,
+            parts: vec![request],
         };
-        let changes = self.part_quarantine().on_crash(suspect, now);
+        if request_crash == crash {
+            parts.push(request);
+        }
+        let mut changes = quarantine.on_crash(CrashSuspect { crash, parts }, now);
+        if request_crash != crash {
+            changes.extend(quarantine.on_crash(repeated, now));
+        }
+        drop(quarantine);
         self.log_quarantine_changes(&changes, None);
         self.broadcast_now.notify_one();
     }
 
+    /// Records that an upstream has answered a call to its end, which clears the request of crashes.
+    pub(crate) fn on_request_answered(&self, call: &Call, now: Instant) {
+        if self.part_quarantine().is_empty() {
+            return;
+        }
+        let request = call.hash();
+        let changes = self.part_quarantine().on_answered(request, now);
+        self.log_quarantine_changes(&changes, None);
+    }
+
     /// Records that a call was served to its end.
     pub(crate) fn on_parts_served(&self, call: &Call, now: Instant) {
-        let parts = &call.head.shared_parts;
+        let parts: Vec<RequestPart> = call.prompt_parts().collect();
         if !parts.is_empty() {
-            let changes = self.part_quarantine().on_served(parts, now);
+            let changes = self.part_quarantine().on_served(&parts, now);
             self.log_quarantine_changes(&changes, None);
         }
     }
@@ -102,6 +138,6 @@
 }
 
 /// The ids of parts as they stand in logs.
-pub(crate) fn part_names(parts: &[PromptPartId]) -> Vec<String> {
+pub(crate) fn part_names(parts: &[RequestPart]) -> Vec<String> {
     parts.iter().map(ToString::to_string).collect()
 }
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -1,18 +1,15 @@
 //! The state that all requests of a host share.
 
-mod crashes;
 mod in_flight_request;
 mod readiness;
 mod retries;
 mod shutdown_state;
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
-use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -26,8 +23,6 @@
 use crate::decide::LoadLedger;
 use crate::decide::PartQuarantine;
 use crate::decide::PathTracker;
-use crate::decide::PoisonList;
-use crate::decide::PoisonReport;
 use crate::decide::RetryWindow;
 use crate::decide::SilenceTracker;
 use crate::exchange::UpdateRoute;
@@ -55,15 +50,6 @@
 
 pub(crate) use in_flight_request::InFlightRequest;
 
-/// The number of crashes after which a request is refused. Callers of the gateway send no key that
-/// distinguishes their requests, so requests with the same content that ran concurrently when an
-/// upstream died count as one request.
-const POISON_CRASHES_MAX: usize = 3;
-/// How long a request that crashes upstreams is refused after its last crash. The time is short so
-/// that a request refused by coincidence is served again; one that does crash its upstream is
-/// refused again soon.
-const POISON_RETENTION: Duration = Duration::from_secs(30);
-
 /// The shared state of one host, in parts that have their own locks. No lock is held across an
 /// await.
 pub struct Gateway {
@@ -87,7 +73,6 @@
     silences: Mutex<SilenceTracker>,
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
-    poison: Mutex<PoisonList>,
     pub(crate) part_quarantine: Mutex<PartQuarantine>,
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
@@ -143,8 +128,6 @@
     pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
     /// The unknown headers in responses of upstreams.
     pub(crate) unknown_headers: SeenNames,
-    /// The crashes that this host has detected recently, with the time of each.
-    crashes: Mutex<VecDeque<(Instant, PoisonReport)>>,
 }
 
 impl Gateway {
@@ -174,10 +157,6 @@
             paths: Mutex::default(),
             tunnels: TunnelCounter::default(),
             retries: Mutex::default(),
-            poison: Mutex::new(PoisonList::with_bounds(
-                POISON_CRASHES_MAX,
-                POISON_RETENTION,
-            )),
             part_quarantine: Mutex::default(),
             shutdown_requested_at: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
@@ -204,7 +183,6 @@
             waiting: WaitingCalls::default(),
             malformed_notices: LogLimiter::default(),
             unknown_headers: SeenNames::default(),
-            crashes: Mutex::default(),
         }
     }
 
@@ -266,9 +244,4 @@
             .unwrap_or_else(PoisonError::into_inner);
         *current = route;
     }
-
-    /// Locks the list of requests that crash upstreams.
-    pub fn poison(&self) -> MutexGuard<'_, PoisonList> {
-        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/tests/decide_part_quarantine.rs
+++ b/tests/decide_part_quarantine.rs
@@ -6,8 +6,11 @@
 use banyanarch::decide::CrashSuspect;
 use banyanarch::decide::PartEvidence;
 use banyanarch::decide::PartQuarantine;
+use banyanarch::decide::RequestPart;
+use banyanarch::exchange::PartEvidenceEntry;
 use banyanarch::units::CrashId;
 use banyanarch::units::PromptPartId;
+use banyanarch::units::RequestHash;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,8 +19,12 @@
 const BAD: u64 = 0xbad;
 const COMMON: u64 = 0xc0;
 
-fn ids(parts: &[u64]) -> Vec<PromptPartId> {
-    parts.iter().copied().map(PromptPartId).collect()
+fn prompt(part: u64) -> RequestPart {
+    PromptPartId(part).into()
+}
+
+fn ids(parts: &[u64]) -> Vec<RequestPart> {
+    parts.iter().copied().map(prompt).collect()
 }
 
 fn suspect(crash: u64, parts: &[u64]) -> CrashSuspect {
@@ -200,7 +207,7 @@
     assert!(is_refused(&quarantine, &[COMMON], now));
     let later = now + Duration::from_millis(500);
     quarantine.on_evidence(
-        PartEvidence::Served(PromptPartId(COMMON), Duration::from_millis(100)),
+        PartEvidence::Served(prompt(COMMON), Duration::from_millis(100)),
         later,
     );
     assert!(!is_refused(&quarantine, &[COMMON], later));
@@ -287,10 +294,186 @@
     let [first, second] = &mut quarantines;
     first.on_served(&ids(&[COMMON, 0x1]), later);
     let told = first.evidence(later);
-    let released = PartEvidence::Released(PromptPartId(COMMON), Duration::ZERO);
+    let released = PartEvidence::Released(prompt(COMMON), Duration::ZERO);
     assert!(told.contains(&released), "{told:?}");
     for evidence in told {
         second.on_evidence(evidence, later);
     }
     assert!(!is_refused(second, &[COMMON], later));
 }
+
+/// A request as a whole.
+fn whole(request: u64) -> RequestPart {
+    RequestHash(request).into()
+}
+
+/// A call that may have crashed an upstream, with nothing in its prompt that others share.
+fn suspected_request(crash: u64, request: u64) -> CrashSuspect {
+    CrashSuspect {
+        crash: CrashId(crash),
+        parts: vec![whole(request)],
+    }
+}
+
+fn is_request_refused(quarantine: &PartQuarantine, request: u64, now: Instant) -> bool {
+    quarantine.find(&[whole(request)], now).is_some()
+}
+
+/// Sends a request that crashes each upstream at this interval, unless it is refused. Returns the
+/// times of the crashes since the first one.
+fn crashes_of_repeats(interval: Duration, total: Duration) -> Vec<Duration> {
+    let started_at = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    let mut crashes = Vec::new();
+    for step in 0.. {
+        let since_start = interval * step;
+        if since_start > total {
+            break;
+        }
+        let now = started_at + since_start;
+        if !is_request_refused(&quarantine, BAD, now) {
+            quarantine.on_crash(suspected_request(u64::from(step) + 1, BAD), now);
+            crashes.push(since_start);
+        }
+    }
+    crashes
+}
+
+/// Guards against a request that crashes upstreams and is passed on again for good after the first
+/// time that it was refused, however often it comes.
+#[parameterized(
+    each_second = { 1 },
+    each_3_s = { 3 },
+    each_6_s = { 6 },
+    each_40_s = { 40 },
+    each_5_minutes = { 300 },
+    each_hour = { 3_600 },
+)]
+fn a_request_that_crashes_upstreams_ends_few_after_the_third(interval_s: u64) {
+    let interval = Duration::from_secs(interval_s);
+    let crashes = crashes_of_repeats(interval, Duration::from_secs(23 * 3_600));
+    assert!((3..=6).contains(&crashes.len()), "{crashes:?}");
+}
+
+/// Guards against a sound request that is refused for long because it was lost beside three crashes.
+#[test]
+fn a_request_that_was_lost_three_times_is_soon_served_again() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        quarantine.on_crash(suspected_request(crash, 0x1), now);
+    }
+    assert!(is_request_refused(&quarantine, 0x1, now));
+    let later = now + Duration::from_secs(31);
+    assert!(!is_request_refused(&quarantine, 0x1, later));
+    quarantine.on_answered(RequestHash(0x1), later);
+    quarantine.on_crash(suspected_request(4, 0x1), later);
+    assert!(!is_request_refused(&quarantine, 0x1, later));
+}
+
+/// Guards against hosts that go on refusing a request after another host has had it answered, or begin
+/// to refuse it although each of its crashes was followed by an answer.
+#[test]
+fn that_a_suspected_request_was_answered_is_told() {
+    let now = Instant::now();
+    let mut first = PartQuarantine::default();
+    let mut second = PartQuarantine::default();
+    for crash in 1..=2 {
+        first.on_crash(suspected_request(crash, 0x1), now);
+        second.on_crash(suspected_request(crash, 0x1), now);
+    }
+    let later = now + Duration::from_millis(500);
+    first.on_answered(RequestHash(0x1), later);
+    for evidence in first.evidence(later) {
+        let entry = PartEvidenceEntry::from(evidence);
+        second.on_evidence(entry.evidence().unwrap(), later);
+    }
+    second.on_crash(suspected_request(3, 0x1), later);
+    assert!(!is_request_refused(&second, 0x1, later));
+}
+
+/// Guards against bystanders that are refused in place of the request that crashes upstreams.
+#[test]
+fn requests_that_ran_beside_a_request_that_crashes_upstreams_are_not_refused() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=4 {
+        for bystander in 0..15 {
+            let request = 100 * crash + bystander;
+            quarantine.on_crash(suspected_request(crash, request), now);
+        }
+        quarantine.on_crash(suspected_request(crash, BAD), now);
+    }
+    // One of them was repeated, and lost twice.
+    quarantine.on_crash(suspected_request(2, 100), now);
+    assert!(is_request_refused(&quarantine, BAD, now));
+    for request in (1..=4).flat_map(|crash| 100 * crash..100 * crash + 15) {
+        assert!(!is_request_refused(&quarantine, request, now));
+    }
+}
+
+/// Guards against crashes of a request that are forgotten since many others are lost meanwhile.
+#[test]
+fn many_lost_requests_do_not_displace_one_that_crashes_upstreams() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        quarantine.on_crash(suspected_request(crash, BAD), now);
+        for other in 0..if crash == 1 { 500 } else { 5_000 } {
+            let request = 0x10_0000 * crash + other;
+            quarantine.on_crash(suspected_request(0x100 + request, request), now);
+        }
+    }
+    assert!(is_request_refused(&quarantine, BAD, now));
+    assert!(quarantine.evidence(now).len() <= 256);
+}
+
+/// Guards against a request that ends its connections and not the upstream, as long as no other answer
+/// shows that the upstream lives: each loss counts, and those of calls that arrived before it do not.
+#[test]
+fn a_request_that_breaks_its_connections_again_and_again_is_refused() {
+    let now = Instant::now();
+    let upstream = "only".parse().unwrap();
+    let mut quarantine = PartQuarantine::default();
+    for loss in 0..3 {
+        assert!(!is_request_refused(&quarantine, BAD, now));
+        let arrived_at = now + Duration::from_millis(100 * loss);
+        let lost_at = arrived_at + Duration::from_millis(50);
+        for _ in 0..2 {
+            let crash = quarantine.crash_id(&upstream, arrived_at);
+            quarantine.on_crash(suspected_request(crash.0, BAD), lost_at);
+        }
+    }
+    let later = now + Duration::from_secs(1);
+    assert!(is_request_refused(&quarantine, BAD, later));
+    let sent_at = now + Duration::from_millis(700);
+    quarantine.on_alive(CrashId::from(&upstream), sent_at, later);
+    assert!(!is_request_refused(&quarantine, BAD, later));
+}
+
+/// Guards against hosts of an earlier version that take what is told of whole requests for something
+/// else: they know only the fields about parts of prompts.
+#[parameterized(
+    crash_of_a_request = { PartEvidence::Crash(suspected_request(7, BAD), Duration::ZERO), None },
+    crash_of_a_prompt = {
+        PartEvidence::Crash(
+            CrashSuspect { crash: CrashId(7), parts: vec![prompt(COMMON), whole(BAD)] },
+            Duration::ZERO,
+        ),
+        Some(PartEvidence::Crash(suspect(7, &[COMMON]), Duration::ZERO))
+    },
+    released_request = { PartEvidence::Released(whole(BAD), Duration::ZERO), None },
+)]
+fn what_is_told_of_requests_is_understood_by_both_versions(
+    evidence: PartEvidence,
+    earlier: Option<PartEvidence>,
+) {
+    let entry = PartEvidenceEntry::from(evidence.clone());
+    assert_eq!(entry.evidence(), Some(evidence));
+    let as_read_before = PartEvidenceEntry {
+        request: 0,
+        request_crash: 0,
+        ..entry
+    };
+    assert_eq!(as_read_before.evidence(), earlier);
+}
--- a/tests/exchange_parts.rs
+++ b/tests/exchange_parts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use banyanarch::decide::CrashSuspect;
+use banyanarch::decide::RequestPart;
 use banyanarch::units::CrashId;
 use banyanarch::units::PromptPartId;
 use exchange_world::CHANGES_PER_S;
@@ -13,8 +14,8 @@
 use exchange_world::World;
 use yare::parameterized;
 
-const BAD: PromptPartId = PromptPartId(0xbad);
-const COMMON: PromptPartId = PromptPartId(0xc0);
+const BAD: RequestPart = RequestPart::Prompt(PromptPartId(0xbad));
+const COMMON: RequestPart = RequestPart::Prompt(PromptPartId(0xc0));
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -45,12 +46,12 @@
     }
 }
 
-fn refuses(world: &World, host: usize, parts: &[PromptPartId]) -> bool {
+fn refuses(world: &World, host: usize, parts: &[RequestPart]) -> bool {
     let now = world.instant();
     world.nodes[host].part_quarantine.find(parts, now).is_some()
 }
 
-fn all_refuse(world: &World, parts: &[PromptPartId]) -> bool {
+fn all_refuse(world: &World, parts: &[RequestPart]) -> bool {
     (0..world.nodes.len()).all(|host| refuses(world, host, parts))
 }
 
--- a/tests/gateway_hosts.rs
+++ b/tests/gateway_hosts.rs
@@ -52,7 +52,7 @@
     for _ in 0..2 {
         assert_eq!(status(&first.call(request("/safe/1")).await), 502);
     }
-    wait_until(|| !second.gateway.poison().is_empty()).await;
+    wait_until(|| !second.gateway.part_quarantine().is_empty()).await;
     let arrived = || upstreams.iter().map(|u| u.arrivals().len()).sum::<usize>();
     let before = arrived();
     assert!(before >= 3, "{before}");
@@ -60,8 +60,8 @@
     assert!(refused(&first).await);
     let is_known_to_second = || {
         let now = second.gateway.clock.now();
-        let reports = second.gateway.poison().all(now);
-        reports.iter().any(|poison| poison.attempts.len() >= 3)
+        let quarantine = second.gateway.part_quarantine();
+        quarantine.quarantined(now).any(|known| known.crashes >= 3)
     };
     wait_until(is_known_to_second).await;
     assert!(refused(&second).await);
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -27,6 +27,8 @@
     Refuse,
     /// Reset the connection without a response.
     Break,
+    /// Reset the connection without a response if the request has this path, and otherwise respond.
+    BreakOn(&'static str),
     /// Announce a longer body than is sent, then close the connection.
     Truncate,
     /// Reset the connection after the head of the response if the request has this part in its
@@ -69,6 +71,11 @@
         let found = fields.find(|(field, _)| field.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value)
     }
+
+    /// The path of the request.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
 }
 
 impl Arrival {
@@ -196,6 +203,10 @@
             ScriptStep::CrashOnPart(part) => arrival.has_part(part),
             _ => false,
         };
+        let breaks = match &step {
+            ScriptStep::BreakOn(path) => arrival.path() == *path,
+            _ => false,
+        };
         let text = match &step {
             ScriptStep::Respond(status, body) => full(*status, &signed, body),
             ScriptStep::RespondAfter(after, body) => {
@@ -212,7 +223,8 @@
             ScriptStep::Truncate => {
                 format!("HTTP/1.1 200 OK\r\n{signed}content-length: 100\r\n\r\nincomplete")
             }
-            ScriptStep::Break | ScriptStep::Hang => String::new(),
+            ScriptStep::BreakOn(_) if !breaks => full(200, &signed, "ok"),
+            ScriptStep::Break | ScriptStep::BreakOn(_) | ScriptStep::Hang => String::new(),
             ScriptStep::CrashOnPart(_) => events(if crashes { 0 } else { 3 }),
             ScriptStep::Events(to) | ScriptStep::EventsThenHang(to) => events(*to),
             ScriptStep::Unframed(body)
@@ -247,6 +259,7 @@
             ScriptStep::Break
             | ScriptStep::EventsThenBreak(_)
             | ScriptStep::UnframedThenReset(_) => reset(stream),
+            ScriptStep::BreakOn(_) if breaks => reset(stream),
             ScriptStep::CrashOnPart(_) if crashes => {
                 self.state.lock().unwrap().crashed_at = Some(Instant::now());
                 reset(stream);
