Responses without end are left for another upstream

Callers saw, or would have: streams held for their whole time and then broken off with status 200 and no event, calls without an answer within 20 s, and hosts whose memory grows with what an upstream sends, while other upstreams are sound.

Cause: the incomplete event of a stream was kept without a bound, and each of its bytes counted as a sign of life; interim responses before a head were passed over in any number.

Change: an incomplete event has 256 KiB at most, and the response is invalid beyond that; only events are a sign of life of a stream; at most 256 KiB come before the head of a response. A response that is invalid counts against the upstream, and does not make the request a suspect of a crash.

It works since whatever is kept or passed over while there is no answer has a bound, and silence is measured by what callers can use.

Also: tests that start hosts in two domains share their configuration and their wait for each other.

--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -89,13 +89,13 @@
         progress: AnswerProgress,
     ) {
         self.on_fault(upstream, fault, cause, Some(progress));
-        if fault != UpstreamFault::Broken {
+        if fault == UpstreamFault::Silent {
             return;
         }
         self.gateway
             .silences()
             .on_lost(&self.call.service, &upstream.id);
-        if progress == AnswerProgress::Events {
+        if fault != UpstreamFault::Broken || progress == AnswerProgress::Events {
             return;
         }
         let now = self.gateway.clock.now();
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -12,6 +12,7 @@
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::EventSplitter;
+use crate::gateway::SplitStep;
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_recorder::CallRecorder;
 use crate::gateway::send::UPSTREAM_RESTARTED;
@@ -39,28 +40,33 @@
 
 /// Why the response of an engine cannot be completed.
 pub(crate) struct RunFailure {
+    /// The fault of the engine.
+    pub(crate) fault: UpstreamFault,
     /// The cause, for the decision log.
     pub(crate) cause: String,
-    /// Whether the response ended before it was complete, as opposed to a connection that was reset.
-    pub(crate) is_truncated: bool,
+    /// Whether the response is at fault, which ended before it was complete or is none, as opposed to
+    /// a connection that was reset.
+    pub(crate) is_invalid: bool,
 }
 
 impl RunInput {
     fn truncated(cause: impl Into<String>) -> Self {
-        let cause = cause.into();
-        let is_truncated = true;
-        Self::Failed(RunFailure {
-            cause,
-            is_truncated,
-        })
+        Self::failed(UpstreamFault::Broken, cause, true)
     }
 
     fn broken(cause: impl Into<String>) -> Self {
-        let cause = cause.into();
-        let is_truncated = false;
+        Self::failed(UpstreamFault::Broken, cause, false)
+    }
+
+    fn invalid(cause: impl Into<String>) -> Self {
+        Self::failed(UpstreamFault::Failed, cause, true)
+    }
+
+    fn failed(fault: UpstreamFault, cause: impl Into<String>, is_invalid: bool) -> Self {
         Self::Failed(RunFailure {
-            cause,
-            is_truncated,
+            fault,
+            cause: cause.into(),
+            is_invalid,
         })
     }
 }
@@ -87,7 +93,7 @@
     pub(crate) response: Box<UpstreamResponse>,
     pub(crate) splitter: EventSplitter,
     pub(crate) progress: AnswerProgress,
-    /// When the engine last sent something, or the call was sent to it.
+    /// When the engine last sent an event, or the call was sent to it.
     pub(crate) heard_at: Instant,
     /// Whether the engine was recorded as silent since then.
     pub(crate) is_silent: bool,
@@ -116,10 +122,14 @@
             };
             match frame {
                 Some(Ok(frame)) => {
-                    self.on_heard(recorder);
                     let bytes = frame.into_data().unwrap_or_default();
-                    if let Some(events) = self.splitter.push(&bytes) {
-                        return RunInput::Events(events);
+                    match self.splitter.push(&bytes) {
+                        SplitStep::Events(events) => {
+                            self.on_heard(recorder);
+                            return RunInput::Events(events);
+                        }
+                        SplitStep::Incomplete => {}
+                        SplitStep::TooLong => return RunInput::invalid("an event without end"),
                     }
                 }
                 Some(Err(err)) if is_truncated(&err) => {
@@ -134,7 +144,7 @@
         }
     }
 
-    /// Records that the engine has sent something.
+    /// Records that the engine has sent an event.
     fn on_heard(&mut self, recorder: &CallRecorder) {
         self.heard_at = recorder.gateway.clock.now();
         let was_silent = std::mem::take(&mut self.is_silent);
@@ -157,10 +167,10 @@
 
     /// Records that the engine cannot complete its response. Returns the cause for the log.
     pub(crate) fn on_failed(&self, failure: &RunFailure, recorder: &CallRecorder) -> String {
-        if failure.is_truncated {
+        if failure.is_invalid {
             self.response.on_truncated(&recorder.gateway);
         }
-        let fault = UpstreamFault::Broken;
+        let fault = failure.fault;
         let upstream = &self.response.upstream;
         recorder.on_connection_lost(upstream, fault, &failure.cause, self.progress);
         format!("{}: {}", fault.name(), failure.cause)
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -8,6 +8,20 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Maximum length of an incomplete event, in bytes. Events of models have a few kilobytes.
+const EVENT_LEN_MAX: usize = 256 << 10;
+
+/// What the bytes of a stream have completed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SplitStep {
+    /// These events.
+    Events(Bytes),
+    /// Nothing yet.
+    Incomplete,
+    /// Nothing, and the event is longer than any event may be.
+    TooLong,
+}
+
 /// Splits the bytes of a stream into complete events, and buffers the incomplete one at the end.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -21,15 +35,21 @@
 
 impl EventSplitter {
     /// Adds bytes and returns the complete events available now, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> SplitStep {
         self.pending.extend_from_slice(bytes);
-        let end = self.last_event_end()?;
+        let Some(end) = self.last_event_end() else {
+            return if self.pending.len() > EVENT_LEN_MAX {
+                SplitStep::TooLong
+            } else {
+                SplitStep::Incomplete
+            };
+        };
         let events = self.pending.split_to(end).freeze();
         self.scanned = 0;
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
-        Some(events)
+        SplitStep::Events(events)
     }
 
     /// Whether the buffer holds an incomplete event.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -113,6 +113,7 @@
 pub use engine_endpoint::EngineEndpoint;
 pub use error::GatewayError;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::SplitStep;
 pub use excluded_record::ExcludedRecord;
 pub use freshness::Freshness;
 pub use header_codec::ForwardHead;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod connection_headers;
 mod error;
+mod head_limit;
 pub mod one_shot;
 mod sse;
 
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -33,6 +34,7 @@
 use tokio::time::timeout;
 
 use crate::http::BoxedByteStream;
+use crate::http::head_limit::HeadLimit;
 
 /// How long sent data and keepalive probes may stay unacknowledged, in ms. A host that has lost
 /// power or cannot be reached acknowledges neither.
@@ -42,7 +44,7 @@
 /// Unacknowledged keepalive probes after which the connection counts as broken.
 const KEEPALIVE_PROBES_MAX: u32 = 3;
 
-type Conn = Connection<TokioIo<BoxedByteStream>, Full<Bytes>>;
+type Conn = Connection<TokioIo<HeadLimit>, Full<Bytes>>;
 
 /// Why a request has no complete response. The kinds differ in whether the request may have been
 /// received.
@@ -104,6 +106,7 @@
     stream: BoxedByteStream,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<OneShotResponseBody>, OneShotError> {
+    let (stream, has_head) = HeadLimit::new(stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, conn) = handshake.map_err(|err| OneShotError::NotSent(err.to_string()))?;
     let mut conn = Some(Box::pin(conn));
@@ -115,7 +118,10 @@
         sending.as_mut().poll(cx)
     });
     match sent.await {
-        Ok(res) => Ok(res.map(|incoming| OneShotResponseBody { conn, incoming })),
+        Ok(res) => {
+            has_head.store(true, Ordering::Relaxed);
+            Ok(res.map(|incoming| OneShotResponseBody { conn, incoming }))
+        }
         Err(mut err) => match err.take_message() {
             Some(_) => Err(OneShotError::NotSent(err.into_error().to_string())),
             None => Err(OneShotError::ConnectionBroken(error_with_causes(
--- a/tests/gateway_tunnel_ends.rs
+++ b/tests/gateway_tunnel_ends.rs
@@ -9,12 +9,12 @@
 
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
-use banyanarch::gateway::Gateway;
 use banyanarch::gateway::GatewayConf;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
+use gateway_world::conf_there;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -66,14 +66,6 @@
     }
 }
 
-/// The configuration of a host in another failure domain than [`conf`].
-fn conf_there(name: &str) -> GatewayConf {
-    GatewayConf {
-        domain: "there".parse().unwrap(),
-        ..conf(name)
-    }
-}
-
 /// Two upstreams, and a host without a path to them.
 struct World {
     catalog: Arc<FakeCatalog>,
@@ -105,13 +97,8 @@
     /// Starts a host that reaches the upstreams.
     async fn start_provider(&self, conf: GatewayConf) -> SeparateHost {
         let provider = SeparateHost::start(conf, &self.catalog).await;
-        let (provided, cut) = (&provider.host.gateway, &self.cut.gateway);
-        let is_heard = |by: &Gateway, host: &Gateway| {
-            let is_listed = by.platform_view.hosts();
-            let is_listed = is_listed.iter().any(|listed| listed.host == host.conf.host);
-            is_listed && by.ledger().is_host_live(&host.conf.host, Instant::now())
-        };
-        wait_until(|| is_heard(provided, cut) && is_heard(cut, provided)).await;
+        provider.host.wait_for_host(&self.cut).await;
+        self.cut.wait_for_host(&provider.host).await;
         provider
     }
 
--- a/tests/gateway_tunnels.rs
+++ b/tests/gateway_tunnels.rs
@@ -13,6 +13,7 @@
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
+use gateway_world::conf_there;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -29,15 +30,6 @@
 /// How long hosts that reach no upstream may take to find hosts that do.
 const SERVED_WITHIN: Duration = Duration::from_secs(20);
 
-/// A configuration in another failure domain than [`conf`], so that neither host reads the lists of
-/// the other.
-fn conf_there(name: &str) -> GatewayConf {
-    GatewayConf {
-        domain: "there".parse().unwrap(),
-        ..conf(name)
-    }
-}
-
 /// An upstream `a`, a host that reaches it, and one whose link to it is cut. Both hosts hear each
 /// other.
 struct World {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod catalog;
+pub mod endless_upstream;
 pub mod engine_client;
 pub mod header_codec;
 pub mod timed_upstream;
@@ -13,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use banyanarch::clock::Clock;
 use banyanarch::clock::SystemClock;
@@ -124,6 +126,15 @@
     }
 }
 
+/// A configuration in another failure domain than [`conf`], so that neither host reads the lists of
+/// the other.
+pub fn conf_there(name: &str) -> GatewayConf {
+    GatewayConf {
+        domain: "there".parse().unwrap(),
+        ..conf(name)
+    }
+}
+
 impl TestHost {
     pub async fn start(name: &str, catalog: &Arc<FakeCatalog>) -> Self {
         Self::start_with(conf(name), catalog).await
@@ -186,6 +197,17 @@
         wait_until(|| self.gateway.platform_view.hosts().len() == count).await;
     }
 
+    /// Waits until this host lists and hears another one.
+    pub async fn wait_for_host(&self, other: &Self) {
+        let name = &other.gateway.conf.host;
+        wait_until(|| {
+            let hosts = self.gateway.platform_view.hosts();
+            let is_listed = hosts.iter().any(|listed| listed.host == *name);
+            is_listed && self.gateway.ledger().is_host_live(name, Instant::now())
+        })
+        .await;
+    }
+
     /// Sends a request and reads the complete response.
     pub async fn call(&self, req: Request<Full<Bytes>>) -> Response<Bytes> {
         self.try_call(req).await.expect("the host responds")
