A lost tunnel is no fault of the upstream behind it

Callers saw: after a host in the middle of tunnels had ended, upstreams that it had reached were left out for a while by the hosts that used it, and requests lost with it counted as if they had crashed these upstreams, up to being refused.

Cause: a connection that broke in a tunnel had one meaning, that the upstream broke it. Since the upstream's end is announced, the end of the tunnel itself is known apart, but was reported in the same way.

Change: a connection knows the way by which it reaches its upstream, and whether the tunnel on it is lost. Such calls end with the fault tunnel_lost, which neither pauses the upstream, nor raises its failure rate, nor makes a suspect. What may have run is treated as before.

--- a/src/decide/upstream_fault.rs
+++ b/src/decide/upstream_fault.rs
@@ -12,6 +12,9 @@
     NoPath,
     /// The connection broke during a request.
     Broken,
+    /// The tunnel through which another host reached the upstream ended during a request: the fault is
+    /// not the upstream's.
+    TunnelLost,
     /// The upstream sent nothing for far longer than the work takes.
     Silent,
     /// The upstream refused the request without running it.
@@ -33,6 +36,7 @@
             Self::ConnectRefused => "connect_refused",
             Self::NoPath => "no_path",
             Self::Broken => "broken",
+            Self::TunnelLost => "tunnel_lost",
             Self::Silent => "silent",
             Self::RequestRefused => "turned_away",
             Self::Failed => "failed",
--- a/src/decide/upstream_health_record.rs
+++ b/src/decide/upstream_health_record.rs
@@ -71,7 +71,7 @@
     /// Records a fault, which raises the failure rate and may start a pause. If a connection failed,
     /// the upstream counts as unreachable.
     pub(crate) fn on_fault(&mut self, fault: UpstreamFault, now: Instant) {
-        if fault != UpstreamFault::NoPath {
+        if !matches!(fault, UpstreamFault::NoPath | UpstreamFault::TunnelLost) {
             self.failure_rate += (1.0 - self.failure_rate) * FAILURE_RATE_GAIN;
         }
         let pause = match fault {
@@ -85,7 +85,7 @@
             UpstreamFault::Broken => PAUSE_BROKEN,
             UpstreamFault::RequestRefused => PAUSE_REFUSED,
             UpstreamFault::NoPath => PAUSE_NO_PATH,
-            UpstreamFault::Failed => Duration::ZERO,
+            UpstreamFault::Failed | UpstreamFault::TunnelLost => Duration::ZERO,
         };
         self.pause(pause, now);
         if fault.is_unreachable() || fault == UpstreamFault::Broken {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -255,7 +255,7 @@
         body,
         upstream,
         sent_at,
-        is_direct,
+        path,
         ..
     } = response;
     let gateway = &dispatcher.gateway;
@@ -277,18 +277,20 @@
             return Ok(res);
         }
         Ok(Err(err)) => {
-            if is_direct && is_truncated(err.as_ref()) {
+            if path.is_direct() && is_truncated(err.as_ref()) {
                 gateway.record_outcome(&upstream, CallOutcome::Failed, sent_at);
             }
             error_with_causes(err.as_ref())
         }
     };
-    dispatcher.recorder.on_connection_lost(
-        &upstream,
-        UpstreamFault::Broken,
-        &cause,
-        AnswerProgress::Begun,
-    );
+    let fault = if path.is_lost() {
+        UpstreamFault::TunnelLost
+    } else {
+        UpstreamFault::Broken
+    };
+    dispatcher
+        .recorder
+        .on_connection_lost(&upstream, fault, &cause, AnswerProgress::Begun);
     if dispatcher.may_run_again() {
         Err(None)
     } else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -84,6 +84,7 @@
 mod upstream_connector;
 mod upstream_incarnations;
 mod upstream_notices;
+mod upstream_path;
 mod waiting_calls;
 
 pub use advertised_limit::AdvertisedLimit;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -30,6 +30,7 @@
 use crate::gateway::placement::engine_model;
 use crate::gateway::reservation::EngineReservation;
 use crate::gateway::reservation::ReservationGuard;
+use crate::gateway::upstream_path::UpstreamPath;
 use crate::gateway::waiting_calls::WaitingPlace;
 use crate::http::one_shot;
 use crate::http::one_shot::OneShotError;
@@ -70,8 +71,8 @@
     /// The time until the first event that an engine at full speed would take; none for plain
     /// services and for prompts that several engines share.
     pub(crate) full_speed_forecast: Option<Duration>,
-    /// Whether the connection goes to the upstream itself and not through another host.
-    pub(crate) is_direct: bool,
+    /// The way by which the upstream was reached.
+    pub(crate) path: UpstreamPath,
     /// Whether the body has a length or chunks, and does not just end with the connection.
     pub(crate) is_framed: bool,
     /// Counts the load on the upstream until the body has been read; none once it was released.
@@ -114,7 +115,7 @@
     /// Records that the response ended before it was complete. If it came through another host, that
     /// host may be the cause.
     pub(crate) fn on_truncated(&self, gateway: &Gateway) {
-        if self.is_direct {
+        if self.path.is_direct() {
             gateway.record_outcome(&self.upstream, CallOutcome::Failed, self.sent_at);
         }
     }
@@ -195,7 +196,7 @@
                 };
             }
         };
-        let (res, is_direct) = match sent {
+        let (res, path) = match sent {
             Ok(Ok(sent)) => sent,
             Ok(Err(err)) => return outcome_of_error(&err),
             Err(_) => {
@@ -250,7 +251,7 @@
             forecast: plan.forecast,
             sent_at: now,
             full_speed_forecast,
-            is_direct,
+            path,
             load: Some(load),
             reservation,
         }))
@@ -266,20 +267,20 @@
         Some(plan.forecast.div_f64(slowdown.factor()))
     }
 
-    /// Connects to the upstream and sends the request. Returns the response and whether the
-    /// connection goes to the upstream itself.
+    /// Connects to the upstream and sends the request. Returns the response and the way by which the
+    /// upstream was reached.
     async fn send_request(
         &self,
         upstream: &ListedUpstream,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<(Response<OneShotResponseBody>, bool), SendError> {
+    ) -> Result<(Response<OneShotResponseBody>, UpstreamPath), SendError> {
         let gateway = &self.gateway;
         let connection = gateway
             .connect_upstream(&upstream.id, upstream.addr, connect_timeout)
             .await?;
-        let is_direct = connection.via.is_none();
-        if let Some(via) = connection.via {
+        let path = connection.path;
+        if let Some(via) = path.via() {
             let now = gateway.clock.now();
             let elapsed = now.saturating_duration_since(self.call.arrived_at);
             gateway.log.record(DecisionEvent::Tunneled {
@@ -289,8 +290,11 @@
                 elapsed_ms: whole_millis(elapsed),
             });
         }
-        let res = one_shot::send_on(connection.stream, req).await?;
-        Ok((res, is_direct))
+        match one_shot::send_on(connection.stream, req).await {
+            Ok(res) => Ok((res, path)),
+            Err(err) if path.is_lost() => Err(SendError::TunnelLost(err)),
+            Err(err) => Err(SendError::Exchange(err)),
+        }
     }
 
     /// Builds the HTTP request for the upstream.
@@ -339,6 +343,8 @@
     Connect(ConnectError),
     /// The connection failed.
     Exchange(OneShotError),
+    /// The connection failed since its tunnel was lost.
+    TunnelLost(OneShotError),
 }
 
 impl From<ConnectError> for SendError {
@@ -347,12 +353,6 @@
     }
 }
 
-impl From<OneShotError> for SendError {
-    fn from(err: OneShotError) -> Self {
-        Self::Exchange(err)
-    }
-}
-
 /// The outcome of a send that failed with this error. If no connection was made or the request was
 /// not written, the upstream did not run the call; otherwise it may have.
 fn outcome_of_error(err: &SendError) -> SendOutcome {
@@ -364,6 +364,10 @@
     };
     match err {
         SendError::Connect(err) => not_run(err.fault(), err.to_string()),
+        SendError::TunnelLost(err) => SendOutcome::Lost {
+            fault: UpstreamFault::TunnelLost,
+            cause: err.to_string(),
+        },
         SendError::Exchange(err) => match err {
             OneShotError::ConnectionBroken(_) | OneShotError::Timeout => SendOutcome::Lost {
                 fault: UpstreamFault::Broken,
--- a/src/gateway/tunnel/client.rs
+++ b/src/gateway/tunnel/client.rs
@@ -16,6 +16,7 @@
 use crate::gateway::catalog_sharing::ReadResponse;
 use crate::gateway::send::CONNECT_TIMEOUT;
 use crate::gateway::tunnel::TunnelOutcome;
+use crate::gateway::tunnel::TunnelStatus;
 use crate::gateway::tunnel::stream::bare_stream;
 use crate::gateway::tunnel::stream::framed_stream;
 use crate::http::BoxedByteStream;
@@ -56,11 +57,12 @@
 
 impl std::error::Error for TunnelError {}
 
-/// Opens a tunnel to an upstream through the host at `addr`. Returns the connection that it carries.
+/// Opens a tunnel to an upstream through the host at `addr`. Returns the connection that it carries,
+/// and its status.
 pub(crate) async fn open_tunnel(
     addr: SocketAddr,
     upstream: &UpstreamId,
-) -> Result<BoxedByteStream, TunnelError> {
+) -> Result<(BoxedByteStream, TunnelStatus), TunnelError> {
     let failed = |err: &dyn fmt::Display| TunnelError::HostFailed(err.to_string());
     let stream = one_shot::connect(addr, CONNECT_TIMEOUT).await;
     let stream = stream.map_err(|err| failed(&err))?;
@@ -75,10 +77,16 @@
         Ok(Some(frame)) => frame.map_err(|err| failed(&err))?,
     };
     let response = ReadResponse::decode(frame).map_err(|err| failed(&err))?;
+    let status = TunnelStatus::default();
     match response.tunnel() {
-        TunnelOutcome::Connected if response.is_framed => Ok(framed_stream(framed)),
+        TunnelOutcome::Connected if response.is_framed => {
+            Ok((framed_stream(framed, status.clone()), status))
+        }
         // The upstream sends nothing before the request, so no byte of it has been read here.
-        TunnelOutcome::Connected => Ok(bare_stream(framed.into_inner())),
+        TunnelOutcome::Connected => {
+            let stream = bare_stream(framed.into_inner(), status.clone());
+            Ok((stream, status))
+        }
         outcome => Err(TunnelError::Refused(outcome)),
     }
 }
--- a/src/gateway/tunnel/mod.rs
+++ b/src/gateway/tunnel/mod.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod search;
 mod server;
+mod status;
 mod stream;
 mod tunnel_counter;
 
@@ -23,5 +24,6 @@
 pub(crate) use client::open_tunnel;
 pub(crate) use outcome::TunnelOutcome;
 pub(crate) use server::serve_tunnel;
+pub(crate) use status::TunnelStatus;
 pub(crate) use tunnel_counter::TunnelCounter;
 pub(crate) use tunnel_counter::TunnelGuard;
--- a/src/gateway/tunnel/search.rs
+++ b/src/gateway/tunnel/search.rs
@@ -15,8 +15,10 @@
 use crate::gateway::Gateway;
 use crate::gateway::tunnel::TunnelError;
 use crate::gateway::tunnel::TunnelOutcome;
+use crate::gateway::tunnel::TunnelStatus;
 use crate::gateway::tunnel::open_tunnel;
 use crate::gateway::upstream_connection::UpstreamConnection;
+use crate::gateway::upstream_path::UpstreamPath;
 use crate::http::BoxedByteStream;
 use crate::units::HostId;
 use crate::units::UpstreamId;
@@ -28,7 +30,7 @@
 /// The answer of a host that was asked for a tunnel.
 struct HostAnswer {
     host: HostId,
-    opened: Result<BoxedByteStream, TunnelError>,
+    opened: Result<(BoxedByteStream, TunnelStatus), TunnelError>,
 }
 
 impl Gateway {
@@ -61,11 +63,14 @@
                 else => return None,
             };
             match answer.opened {
-                Ok(stream) => {
+                Ok((stream, status)) => {
                     self.pause_outrun_hosts(search, &answer.host);
                     return Some(UpstreamConnection {
                         stream,
-                        via: Some(answer.host),
+                        path: UpstreamPath::Tunnel {
+                            via: answer.host,
+                            status,
+                        },
                     });
                 }
                 Err(err) => self.on_tunnel_refused(upstream, search, &answer.host, &err),
--- a/src/gateway/tunnel/stream.rs
+++ b/src/gateway/tunnel/stream.rs
@@ -17,6 +17,7 @@
 use tokio_util::io::StreamReader;
 
 use crate::gateway::catalog_sharing::PeerConnection;
+use crate::gateway::tunnel::TunnelStatus;
 use crate::gateway::tunnel::failure::TunnelFailure;
 use crate::gateway::tunnel::frame::TunnelFrame;
 use crate::gateway::tunnel::frame::UpstreamEnd;
@@ -24,11 +25,11 @@
 
 /// The connection to an upstream over a tunnel of frames. It ends only with the end that the
 /// providing host announces.
-pub(crate) fn framed_stream(framed: PeerConnection) -> BoxedByteStream {
+pub(crate) fn framed_stream(framed: PeerConnection, status: TunnelStatus) -> BoxedByteStream {
     let (wtr, rdr) = framed.split();
-    let bytes = stream::unfold(rdr, async |mut rdr| {
-        let bytes = next_bytes(&mut rdr).await?;
-        Some((bytes, rdr))
+    let bytes = stream::unfold((rdr, status), async |(mut rdr, status)| {
+        let bytes = next_bytes(&mut rdr, &status).await?;
+        Some((bytes, (rdr, status)))
     });
     let frames = wtr.with(async |data: Bytes| {
         let frame = TunnelFrame::of_data(data).encode_to_vec();
@@ -40,9 +41,12 @@
 }
 
 /// The next bytes of the upstream; none once it has closed its connection.
-async fn next_bytes(rdr: &mut SplitStream<PeerConnection>) -> Option<io::Result<Bytes>> {
+async fn next_bytes(
+    rdr: &mut SplitStream<PeerConnection>,
+    status: &TunnelStatus,
+) -> Option<io::Result<Bytes>> {
     let Some(Ok(frame)) = rdr.next().await else {
-        return Some(Err(TunnelFailure::TunnelLost.into()));
+        return Some(Err(lost(status)));
     };
     match decode(frame) {
         Ok(frame) => match frame.end() {
@@ -61,9 +65,15 @@
 
 /// The connection to an upstream through a host of an earlier version, which passes on bare bytes
 /// and cannot announce an end: only what the response itself shows to be complete is.
-pub(crate) fn bare_stream(tunnel: TcpStream) -> BoxedByteStream {
+pub(crate) fn bare_stream(tunnel: TcpStream, status: TunnelStatus) -> BoxedByteStream {
     let (rdr, wtr) = tunnel.into_split();
-    let lost = stream::iter([Err(TunnelFailure::TunnelLost.into())]);
-    let bytes = ReaderStream::new(rdr).chain(lost);
-    Box::new(join(StreamReader::new(bytes), wtr))
+    let end = stream::once(async move { Err(lost(&status)) });
+    let bytes = ReaderStream::new(rdr).chain(end);
+    Box::new(join(StreamReader::new(bytes.boxed()), wtr))
+}
+
+/// The error of a connection whose tunnel has ended.
+fn lost(status: &TunnelStatus) -> io::Error {
+    status.set_lost();
+    TunnelFailure::TunnelLost.into()
 }
--- a/src/gateway/upstream_connection.rs
+++ b/src/gateway/upstream_connection.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::UpstreamConnector;
 use crate::gateway::send::CONNECT_TIMEOUT;
+use crate::gateway::upstream_path::UpstreamPath;
 use crate::http::BoxedByteStream;
 use crate::http::one_shot;
 use crate::http::one_shot::OneShotError;
@@ -34,15 +35,14 @@
 /// A connection to an upstream.
 pub(crate) struct UpstreamConnection {
     pub(crate) stream: BoxedByteStream,
-    /// The host that provides the tunnel; none for a direct connection.
-    pub(crate) via: Option<HostId>,
+    pub(crate) path: UpstreamPath,
 }
 
 impl UpstreamConnection {
     fn direct(stream: TcpStream) -> Self {
         Self {
             stream: Box::new(stream),
-            via: None,
+            path: UpstreamPath::Direct,
         }
     }
 }
@@ -101,7 +101,7 @@
     ) -> Result<UpstreamConnection, ConnectError> {
         match connected {
             Ok(connection) => {
-                match &connection.via {
+                match connection.path.via() {
                     None => self.on_path_connected(upstream),
                     Some(via) => self.on_path_bypassed(upstream, via),
                 }
