A request that crashes engines is refused again after its first hour

Callers of banyanarchd saw, or would have: a request that crashes the engine which runs it is refused for an hour after its second crash, and from then on passed on at each repeat.

Cause: a record holds two crashes. Once it was full, a further crash was neither added nor did it renew the time of the last one, so that the record stayed expired.

Change: the last two crashes are kept, and each new one renews the time. The bounds are constants again, since only this path uses the list.

Test: a_further_crash_makes_a_request_poison_again fails before (no report for the third crash) and passes after. Not changed: the hour itself, and that hosts which start are not told of former crashes.

--- a/src/decide/poison.rs
+++ b/src/decide/poison.rs
@@ -3,6 +3,7 @@
 //! Load condition: a caller, or a retry, sends such a request again and again. Without this list
 //! the request crashes one engine after another, together with all other requests that run there.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,26 +26,16 @@
 const RETENTION: Duration = Duration::from_secs(3_600);
 
 /// The requests during which upstreams crashed, as far as one host knows, with their crashes.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct PoisonList {
     fingerprints: IndexMap<RequestFingerprint, CrashRecord>,
-    /// The number of crashes from which on a request is refused.
-    crashes_max: usize,
-    /// How long a request is refused after its last crash.
-    retention: Duration,
-}
-
-impl Default for PoisonList {
-    fn default() -> Self {
-        Self::with_bounds(CRASHES_MAX, RETENTION)
-    }
 }
 
 /// The known crashes of one request.
 #[derive(Debug)]
 struct CrashRecord {
-    /// The attempts during which an upstream crashed, at most `crashes_max`.
-    attempts: Vec<AttemptId>,
+    /// The last attempts during which an upstream crashed, at most [`CRASHES_MAX`].
+    attempts: VecDeque<AttemptId>,
     /// When this host learned of the last of these attempts.
     last_at: Instant,
 }
@@ -55,16 +46,6 @@
         Self::default()
     }
 
-    /// An empty list that refuses a request from its `crashes_max`th crash on, until `retention`
-    /// has passed since the last crash.
-    pub fn with_bounds(crashes_max: usize, retention: Duration) -> Self {
-        Self {
-            fingerprints: IndexMap::new(),
-            crashes_max,
-            retention,
-        }
-    }
-
     /// Records that the upstream of an attempt crashed while the attempt ran. Returns the reports
     /// to send to other hosts; empty if this host knew of the crash already.
     pub fn on_crash(
@@ -80,27 +61,31 @@
         reports.filter(|report| self.merge(report, now)).collect()
     }
 
-    /// Merges a report of another host, of which at most `crashes_max` crashes are kept. Returns
-    /// whether the report contained anything new. If the list is full, the oldest entries are
-    /// dropped.
+    /// Merges a report of another host. The last [`CRASHES_MAX`] crashes are kept, and each new one
+    /// renews the time for which the request is refused. Returns whether the report contained anything
+    /// new. If the list is full, the oldest entries are dropped.
     pub fn merge(&mut self, report: &PoisonReport, now: Instant) -> bool {
         self.evict_if_full(report.fingerprint, now);
         let record = self
             .fingerprints
             .entry(report.fingerprint)
             .or_insert_with(|| CrashRecord {
-                attempts: Vec::with_capacity(self.crashes_max),
+                attempts: VecDeque::with_capacity(CRASHES_MAX),
                 last_at: now,
             });
-        let known = record.attempts.len();
+        let mut has_news = false;
         for attempt in &report.attempts {
-            let is_known = record.attempts.contains(attempt);
-            if !is_known && record.attempts.len() < self.crashes_max {
-                record.attempts.push(*attempt);
-                record.last_at = now;
+            if record.attempts.contains(attempt) {
+                continue;
+            }
+            if record.attempts.len() >= CRASHES_MAX {
+                record.attempts.pop_front();
             }
+            record.attempts.push_back(*attempt);
+            record.last_at = now;
+            has_news = true;
         }
-        record.attempts.len() > known
+        has_news
     }
 
     /// Whether a request with any of these fingerprints is to be refused.
@@ -108,7 +93,7 @@
         fingerprints.iter().any(|fingerprint| {
             let record = self.fingerprints.get(fingerprint);
             record.is_some_and(|record| {
-                record.attempts.len() >= self.crashes_max && !record.is_expired(self.retention, now)
+                record.attempts.len() >= CRASHES_MAX && !record.is_expired(now)
             })
         })
     }
@@ -130,10 +115,10 @@
         let kept = self
             .fingerprints
             .iter()
-            .filter(|(_, record)| !record.is_expired(self.retention, now));
+            .filter(|(_, record)| !record.is_expired(now));
         kept.map(|(fingerprint, record)| PoisonReport {
             fingerprint: *fingerprint,
-            attempts: record.attempts.clone(),
+            attempts: record.attempts.iter().copied().collect(),
         })
         .collect()
     }
@@ -146,9 +131,8 @@
         {
             return;
         }
-        let retention = self.retention;
         self.fingerprints
-            .retain(|_, record| !record.is_expired(retention, now));
+            .retain(|_, record| !record.is_expired(now));
         let surplus = self
             .fingerprints
             .len()
@@ -158,7 +142,7 @@
 }
 
 impl CrashRecord {
-    fn is_expired(&self, retention: Duration, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_at) > retention
+    fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_at) > RETENTION
     }
 }
--- a/tests/decide_retry.rs
+++ b/tests/decide_retry.rs
@@ -125,6 +125,25 @@
     assert!(!fresh.is_poison(&[fingerprint()], now + Duration::from_secs(7_200)));
 }
 
+/// Guards against a request that crashes engines and is never refused again once the first hour is
+/// over.
+#[test]
+fn a_further_crash_makes_a_request_poison_again() {
+    let started_at = Instant::now();
+    let mut list = PoisonList::new();
+    for attempt in [1, 2] {
+        list.on_crash(&[fingerprint()], AttemptId(attempt), started_at);
+    }
+    let mut now = started_at;
+    for attempt in 3..10 {
+        now += Duration::from_secs(3_601);
+        assert!(!list.is_poison(&[fingerprint()], now));
+        let reports = list.on_crash(&[fingerprint()], AttemptId(attempt), now);
+        assert_eq!(reports, [report(attempt)]);
+        assert!(list.is_poison(&[fingerprint()], now));
+    }
+}
+
 #[test]
 fn the_same_key_is_recognised_with_another_body() {
     let now = Instant::now();
