Upstreams that had left get nothing when a restored store lists them again

Cause: an upstream that leaves without a word is only missing from the list, and what was missing was forgotten. Listed again in the same era it has registered again; listed by a later era it may come from the copy. The list did not carry the era in which it was read.

Evidence: an_upstream_that_has_left_gets_nothing_after_a_restore fails before: the upstream gets calls as soon as the restored list is read.

One that a later era lists again gets nothing for 3 s, in which the entry of one that is gone is removed again; one that is still listed then is used. The list carries its era, also between hosts.

It works since the hold lasts longer than upstreams take to write again what the copy lacks.

--- a/src/gateway/availability.rs
+++ b/src/gateway/availability.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexSet;
 
 use crate::decide::AvailabilityTracker;
+use crate::decide::ReturnedUpstreams;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
@@ -16,6 +17,10 @@
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
 
+/// How long upstreams get no requests that had left the list before the store was restored. What
+/// upstreams wrote after the copy is written again within about two seconds.
+const RETURNED_HOLD: Duration = Duration::from_secs(3);
+
 impl Gateway {
     /// Locks what is known of whether upstreams accept requests.
     pub(crate) fn availability(&self) -> MutexGuard<'_, AvailabilityTracker> {
@@ -53,6 +58,22 @@
         availability.on_list(|id| ids.contains(id), now);
     }
 
+    /// Sends nothing for a while to upstreams that a restored store lists although they had left: if
+    /// they are gone, their entries are removed again within this time.
+    pub(crate) fn hold_returned(&self, listed: &[ListedUpstream], known: &mut ReturnedUpstreams) {
+        let now = self.clock.now();
+        let ids = listed.iter().map(|upstream| upstream.id.clone()).collect();
+        let era = self.catalog_cache.upstreams_era();
+        for upstream in known.on_list(ids, era, now) {
+            self.availability()
+                .on_backoff(&upstream, RETURNED_HOLD, now);
+            self.log.record(DecisionEvent::UpstreamReturned {
+                upstream: upstream.to_string(),
+                held_ms: whole_millis(RETURNED_HOLD),
+            });
+        }
+    }
+
     /// Records what an upstream states about itself in a response to this host. Changes are logged.
     pub(crate) fn on_notices(&self, upstream: &UpstreamId, notices: &UpstreamNotices) {
         self.on_response_limit(upstream, &notices.limit);
--- a/src/gateway/catalog_sharing/cached_lists.rs
+++ b/src/gateway/catalog_sharing/cached_lists.rs
@@ -30,6 +30,8 @@
     /// version of the program, which computes it in another way.
     pub(super) upstreams_version: u64,
     pub(super) upstreams_confirmed_at: Option<Duration>,
+    /// The last change of the platform that `upstreams` include; none if it is not known.
+    pub(super) upstreams_as_of: Option<ObjectVersion>,
     pub(super) hosts: Option<Confirmed<Vec<ListedHost>>>,
     pub(super) evacuations: Option<Confirmed<IndexSet<FailureDomainId>>>,
     /// The last change of the platform that `evacuations` include; none if it is not known.
@@ -124,7 +126,10 @@
     /// Responds with the upstreams that the requesting host does not have.
     fn respond_upstreams(&self, request: &ReadRequest, now: Duration) -> Option<ReadResponse> {
         let confirmed_at = self.upstreams_confirmed_at?;
-        let header = ReadResponse::header(self.upstreams_version, confirmed_at, now);
+        let header = ReadResponse {
+            as_of: self.upstreams_as_of.map_or(0, |as_of| as_of.0),
+            ..ReadResponse::header(self.upstreams_version, confirmed_at, now)
+        };
         if self.upstreams_version == request.known_version {
             return Some(header);
         }
--- a/src/gateway/catalog_sharing/catalog_cache.rs
+++ b/src/gateway/catalog_sharing/catalog_cache.rs
@@ -22,6 +22,7 @@
 use crate::gateway::catalog_sharing::message::UpstreamEntry;
 use crate::units::FailureDomainId;
 use crate::units::ObjectVersion;
+use crate::units::StoreEra;
 
 /// The cached lists, which this host uses itself and sends to its peers.
 #[derive(Debug, Default)]
@@ -66,6 +67,18 @@
         has_changed
     }
 
+    /// Records the last change of the platform that the upstreams include, if it is known and not
+    /// older than the recorded one.
+    pub(crate) fn set_upstreams_as_of(&self, as_of: Option<ObjectVersion>) {
+        let mut lists = self.lock();
+        lists.upstreams_as_of = lists.upstreams_as_of.max(as_of);
+    }
+
+    /// The era of the store in which the upstreams were listed; none if it is not known.
+    pub(crate) fn upstreams_era(&self) -> Option<StoreEra> {
+        self.lock().upstreams_as_of.map(ObjectVersion::era)
+    }
+
     /// Applies changes of the upstreams, without confirming that the list is current. Returns
     /// whether the list has changed.
     pub(crate) fn apply_changes(&self, changes: Vec<UpstreamChange>) -> bool {
@@ -80,6 +93,8 @@
     /// the list has changed.
     pub(crate) fn apply_response(&self, response: &ReadResponse, confirmed_at: Duration) -> bool {
         let listed = response.upstreams.iter().filter_map(UpstreamEntry::decode);
+        let as_of = (response.as_of != 0).then_some(ObjectVersion(response.as_of));
+        self.set_upstreams_as_of(as_of);
         let mut lists = self.lock();
         let has_changed = if response.is_delta {
             let removed = response.removed.iter().filter_map(|name| name.parse().ok());
--- a/src/gateway/catalog_sharing/message.rs
+++ b/src/gateway/catalog_sharing/message.rs
@@ -131,8 +131,8 @@
     /// The answer to a request for a tunnel.
     #[prost(enumeration = "TunnelOutcome", tag = "11")]
     pub(crate) tunnel: i32,
-    /// The last change of the platform that the evacuations include; 0 if they were not requested
-    /// or the responding host does not know it.
+    /// The last change of the platform that the evacuations or the upstreams include; 0 if neither
+    /// was requested or the responding host does not know it.
     #[prost(uint64, tag = "12")]
     pub(crate) as_of: u64,
     /// Whether the tunnel is one of frames; otherwise it carries bare bytes.
--- a/src/gateway/catalog_sharing/reader/platform_reads.rs
+++ b/src/gateway/catalog_sharing/reader/platform_reads.rs
@@ -71,8 +71,10 @@
             self.cursor = Cursor::default();
             read = self.catalog.upstreams(None).await;
         }
+        let as_of = read.as_ref().ok().and_then(|read| read.as_of);
         let read = self.record_read(read, confirmed_at)?;
         let cache = &self.gateway.catalog_cache;
+        cache.set_upstreams_as_of(as_of);
         let mut has_more = false;
         let has_changed = match read {
             UpstreamsRead::Snapshot(listed) => cache.replace_upstreams(&listed, confirmed_at),
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -210,6 +210,14 @@
         /// The time that this host grants, in ms.
         backoff_ms: u64,
     },
+    /// A store that was restored from an older copy lists an upstream that had left. It gets no
+    /// requests until it is removed again, or for this time.
+    UpstreamReturned {
+        /// The id of the upstream.
+        upstream: String,
+        /// The time, in ms.
+        held_ms: u64,
+    },
     /// A response contains a header that this system does not know. Logged once per name.
     UnknownHeader {
         /// The id of the upstream.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexSet;
 use tokio::time::sleep;
 
+use crate::decide::ReturnedUpstreams;
 use crate::exchange::ListedHost;
 use crate::gateway::Catalog;
 use crate::gateway::DecisionEvent;
@@ -140,6 +141,7 @@
 pub(crate) async fn sync_upstreams(gateway: Arc<Gateway>, catalog: Arc<dyn Catalog>) {
     let mut reader = CatalogReader::new(Arc::clone(&gateway), catalog);
     let mut known: IndexSet<UpstreamId> = IndexSet::new();
+    let mut returned = ReturnedUpstreams::default();
     let mut dependency = Dependency::new(&gateway, ListKind::Upstreams);
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
@@ -152,6 +154,7 @@
             && let Some(listed) = gateway.catalog_cache.upstreams()
         {
             let mut listed = listed.to_vec();
+            gateway.hold_returned(&listed, &mut returned);
             gateway.mark_leaving(&mut listed);
             known = apply_upstreams(&gateway, listed, &known);
         }
--- a/tests/gateway_store_returns.rs
+++ b/tests/gateway_store_returns.rs
@@ -183,3 +183,47 @@
     wait_until(|| generation(&other) == Generation(3)).await;
     wait_until_restored(&other).await;
 }
+
+/// Guards against requests that go to an upstream which has left, since the store was restored from a
+/// copy that still lists it.
+#[tokio::test]
+async fn an_upstream_that_has_left_gets_nothing_after_a_restore() {
+    let catalog = FakeCatalog::new(table(1));
+    let (left, other) = (answering_upstream().await, answering_upstream().await);
+    catalog.list("left", "app", left.addr);
+    catalog.list("other", "app", other.addr);
+    let host = TestHost::start("host", &catalog).await;
+    let snapshot = catalog.snapshot();
+    catalog.remove("left");
+    wait_until(|| host.log.text().contains(r#""left":["left"]"#)).await;
+    let before = left.arrivals().len();
+    catalog.restore(snapshot);
+    wait_until_restored(&host).await;
+    wait_until(|| host.log.text().contains(r#""joined":["left"]"#)).await;
+    for _ in 0..20 {
+        assert_eq!(host.call(request("/once/1")).await.status(), 200);
+    }
+    catalog.remove("left");
+    assert_eq!(left.arrivals().len(), before);
+}
+
+/// Guards against an upstream that is never used again, since its entry had expired before the store was
+/// restored and the upstream is alive.
+#[tokio::test]
+async fn an_upstream_that_is_still_listed_after_a_restore_is_used_again() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstream = answering_upstream().await;
+    catalog.list("a", "app", upstream.addr);
+    let host = TestHost::start("host", &catalog).await;
+    let snapshot = catalog.snapshot();
+    catalog.remove("a");
+    wait_until(|| host.log.text().contains(r#""left":["a"]"#)).await;
+    catalog.restore(snapshot);
+    let served = async {
+        while host.call(request("/once/1")).await.status() != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = tokio::time::timeout(Duration::from_secs(20), served).await;
+    served.expect("the upstream is used again");
+}
