Requests of any length pass through a tunnel of frames

Callers would have seen 502 for a request of more than 8 MiB that is sent through a tunnel, on hosts whose manifest allows such bodies.

Cause: what the HTTP client writes at once became one frame, and no message between hosts may have more than 8 MiB.

Change: bytes are split into frames of 16 KiB in this direction too. A frame that cannot be read is a lost tunnel, not a fault of the upstream.

Test: a_long_request_arrives_behind_a_tunnel, with a body of 9 MiB, fails before (502) and passes after. Upstreams of the tests read long requests in linear time.

--- a/src/gateway/tunnel/frame.rs
+++ b/src/gateway/tunnel/frame.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 
+/// The maximum number of bytes that a host puts into one frame.
+pub(crate) const FRAME_DATA_MAX: usize = 16 << 10;
+
 /// How the upstream has ended its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(prost::Enumeration)]
--- a/src/gateway/tunnel/server.rs
+++ b/src/gateway/tunnel/server.rs
@@ -35,14 +35,13 @@
 use crate::gateway::send::CONNECT_TIMEOUT;
 use crate::gateway::tunnel::TunnelGuard;
 use crate::gateway::tunnel::TunnelOutcome;
+use crate::gateway::tunnel::frame::FRAME_DATA_MAX;
 use crate::gateway::tunnel::frame::TunnelFrame;
 use crate::gateway::tunnel::frame::UpstreamEnd;
 use crate::gateway::tunnel::stream::decode;
 use crate::http::one_shot;
 use crate::units::UpstreamId;
 
-/// The maximum number of bytes of an upstream in one frame.
-const FRAME_DATA_MAX: usize = 16 << 10;
 /// How long the other host may take to close a tunnel whose end was announced.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/src/gateway/tunnel/stream.rs
+++ b/src/gateway/tunnel/stream.rs
@@ -8,6 +8,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use futures_util::stream::SplitStream;
+use log::debug;
 use prost::Message as _;
 use tokio::io::join;
 use tokio::net::TcpStream;
@@ -19,6 +20,7 @@
 use crate::gateway::catalog_sharing::PeerConnection;
 use crate::gateway::tunnel::TunnelStatus;
 use crate::gateway::tunnel::failure::TunnelFailure;
+use crate::gateway::tunnel::frame::FRAME_DATA_MAX;
 use crate::gateway::tunnel::frame::TunnelFrame;
 use crate::gateway::tunnel::frame::UpstreamEnd;
 use crate::http::BoxedByteStream;
@@ -31,10 +33,7 @@
         let bytes = next_bytes(&mut rdr, &status).await?;
         Some((bytes, (rdr, status)))
     });
-    let frames = wtr.with(async |data: Bytes| {
-        let frame = TunnelFrame::of_data(data).encode_to_vec();
-        Ok::<Bytes, io::Error>(Bytes::from(frame))
-    });
+    let frames = wtr.with_flat_map(|data: Bytes| stream::iter(frames_of(data)));
     let rdr = StreamReader::new(bytes.boxed());
     let wtr = SinkWriter::new(CopyToBytes::new(Box::pin(frames)));
     Box::new(join(rdr, wtr))
@@ -45,17 +44,33 @@
     rdr: &mut SplitStream<PeerConnection>,
     status: &TunnelStatus,
 ) -> Option<io::Result<Bytes>> {
-    let Some(Ok(frame)) = rdr.next().await else {
-        return Some(Err(lost(status)));
+    let frame = match rdr.next().await {
+        Some(Ok(frame)) => decode(frame),
+        Some(Err(err)) => Err(err),
+        None => return Some(Err(lost(status))),
     };
-    match decode(frame) {
+    match frame {
         Ok(frame) => match frame.end() {
             UpstreamEnd::Open => Some(Ok(frame.data)),
             UpstreamEnd::Closed => None,
             UpstreamEnd::Broken => Some(Err(TunnelFailure::UpstreamBroken.into())),
         },
-        Err(err) => Some(Err(err)),
+        Err(err) => {
+            debug!("tunnel: cannot read from the other host: {err}");
+            Some(Err(lost(status)))
+        }
+    }
+}
+
+/// The encoded frames that carry these bytes.
+fn frames_of(mut data: Bytes) -> Vec<io::Result<Bytes>> {
+    let mut frames = Vec::with_capacity(data.len().div_ceil(FRAME_DATA_MAX));
+    while !data.is_empty() {
+        let part = data.split_to(data.len().min(FRAME_DATA_MAX));
+        let frame = TunnelFrame::of_data(part).encode_to_vec();
+        frames.push(Ok(Bytes::from(frame)));
     }
+    frames
 }
 
 /// Decodes a frame of a tunnel.
--- a/tests/gateway_tunnel_ends.rs
+++ b/tests/gateway_tunnel_ends.rs
@@ -10,6 +10,7 @@
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
 use banyanarch::gateway::GatewayConf;
+use banyanarch::units::Generation;
 use bytes::Bytes;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
@@ -23,6 +24,7 @@
 use gateway_world::upstream_link::Cut;
 use gateway_world::upstream_link::UpstreamLink;
 use gateway_world::wait_until;
+use http_body_util::Full;
 use hyper::Response;
 use indexmap::IndexMap;
 use tokio::io::AsyncReadExt;
@@ -32,6 +34,9 @@
 use tokio::runtime::Runtime;
 use yare::parameterized;
 
+/// More than any message between hosts may contain.
+const LONG_BODY_LEN: usize = 9 << 20;
+
 /// A host in a process of its own, as far as its connections are concerned.
 struct SeparateHost {
     host: TestHost,
@@ -216,6 +221,29 @@
     }
 }
 
+/// Guards against a long request that is cut since it does not fit into one message of a tunnel.
+#[tokio::test]
+async fn a_long_request_arrives_behind_a_tunnel() {
+    let world = World::start("app", [ScriptStep::Respond(200, "ok")]).await;
+    let mut routes = table(2);
+    routes.limits.body_bytes = LONG_BODY_LEN;
+    world.catalog.publish(routes);
+    let _near = world.start_provider(conf("near")).await;
+    let generation = || {
+        world
+            .cut
+            .gateway
+            .platform_view
+            .routes()
+            .map(|routes| routes.generation)
+    };
+    wait_until(|| generation() == Some(Generation(2))).await;
+    let mut req = request("/once/1");
+    *req.body_mut() = Full::from("x".repeat(LONG_BODY_LEN));
+    assert_eq!(world.cut.call(req).await.status(), 200);
+    assert_eq!(world.upstream.arrivals()[0].body.len(), LONG_BODY_LEN);
+}
+
 /// Guards against a stream that is cut after its last event since a tunnel carries it.
 #[tokio::test]
 async fn a_stream_that_the_upstream_ends_is_complete_behind_a_tunnel() {
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -293,26 +293,27 @@
 
 async fn read_request(stream: &mut TcpStream) -> Option<Arrival> {
     let mut bytes = Vec::new();
-    let mut buffer = [0_u8; 4096];
-    loop {
-        let count = stream.read(&mut buffer).await.ok()?;
-        if count == 0 {
+    let head_len = loop {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
             return None;
         }
-        bytes.extend_from_slice(&buffer[..count]);
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let mut arrival = Arrival {
-            head: head.to_owned(),
-            body: body.to_owned(),
-        };
-        let len = arrival.header("content-length").unwrap_or("0");
-        let len: usize = len.parse().unwrap();
-        if body.len() >= len {
-            arrival.body.truncate(len);
-            return Some(arrival);
+        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+        if let Some(end) = end {
+            break end;
+        }
+    };
+    let mut arrival = Arrival {
+        head: String::from_utf8_lossy(&bytes[..head_len]).into_owned(),
+        body: String::new(),
+    };
+    let len = arrival.header("content-length").unwrap_or("0");
+    let len: usize = len.parse().unwrap();
+    let body_at = head_len + 4;
+    while bytes.len() < body_at + len {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
         }
     }
+    arrival.body = String::from_utf8_lossy(&bytes[body_at..body_at + len]).into_owned();
+    Some(arrival)
 }
