An answer refutes a crash by any of the calls that were lost with it

Cause: whether an upstream has answered within a second after its connections broke was asked of the first call that was lost, no longer of each.

Test: an_answer_refutes_a_crash_by_the_last_call_that_was_lost fails before and passes after.

--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -161,9 +161,8 @@
     ) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         let mut crash = first;
-        while let Some(at) = self.known_at(crash) {
-            let is_refuted = at < sent_at && sent_at.duration_since(at) < ALIVE_WITHIN;
-            if is_refuted && !self.alive.contains_key(&crash) {
+        while self.known_at(crash).is_some() {
+            if self.is_refuted(crash, sent_at) {
                 changes.extend(self.clear_crash(crash, now, now));
             }
             crash = crash.next();
@@ -171,6 +170,16 @@
         changes
     }
 
+    /// Whether a suspected call of this crash was lost shortly before an upstream was sent a call that
+    /// it has answered.
+    fn is_refuted(&self, crash: CrashId, sent_at: Instant) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|(suspect, known)| {
+            let is_before = known.at < sent_at;
+            suspect.crash == crash && is_before && sent_at - known.at < ALIVE_WITHIN
+        })
+    }
+
     /// Applies what another host has told. Returns what has changed.
     pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
         let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
--- a/tests/decide_part_quarantine.rs
+++ b/tests/decide_part_quarantine.rs
@@ -451,6 +451,21 @@
     assert!(!is_request_refused(&quarantine, BAD, later));
 }
 
+/// Guards against a crash that an answer does not refute, since the first of its calls was lost long
+/// before the last one.
+#[test]
+fn an_answer_refutes_a_crash_by_the_last_call_that_was_lost() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    quarantine.on_crash(suspected_request(7, 0x1), now);
+    let lost_at = now + Duration::from_millis(900);
+    quarantine.on_crash(suspected_request(7, 0x2), lost_at);
+    let sent_at = now + Duration::from_millis(1_200);
+    quarantine.on_alive(CrashId(7), sent_at, sent_at);
+    let told = quarantine.evidence(sent_at);
+    assert_eq!(told, [PartEvidence::Alive(CrashId(7), Duration::ZERO)]);
+}
+
 /// Guards against hosts of an earlier version that take what is told of whole requests for something
 /// else: they know only the fields about parts of prompts.
 #[parameterized(
