--- a/tests/gateway_endless_bytes.rs
+++ b/tests/gateway_endless_bytes.rs
@@ -2,7 +2,6 @@
 
 mod gateway_world;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use gateway_world::TestHost;
@@ -32,8 +31,9 @@
 /// Two upstreams of each service: one sends without end, and one responds as it should.
 struct World {
     endless: EndlessUpstream,
-    catalog: Arc<FakeCatalog>,
     host: TestHost,
+    /// A host that reaches all upstreams, if the other one does not.
+    _near: Option<TestHost>,
     _sound: [ScriptedUpstream; 2],
     _link: UpstreamLink,
 }
@@ -59,10 +59,17 @@
             }
         }
         let host = TestHost::start_with(conf_there("host"), &cut_catalog).await;
+        let mut near = None;
+        if is_tunneled {
+            let started = TestHost::start_with(conf("near"), &catalog).await;
+            started.wait_for_host(&host).await;
+            host.wait_for_host(&started).await;
+            near = Some(started);
+        }
         Self {
             endless,
-            catalog,
             host,
+            _near: near,
             _sound: sound,
             _link: link,
         }
@@ -106,11 +113,6 @@
     is_tunneled: bool,
 ) {
     let world = World::start(bytes, is_tunneled).await;
-    let _near = if is_tunneled {
-        Some(start_provider(&world).await)
-    } else {
-        None
-    };
     world.call_until_met("/safe/1", "ok").await;
 }
 
@@ -127,11 +129,6 @@
     is_tunneled: bool,
 ) {
     let world = World::start(bytes, is_tunneled).await;
-    let _near = if is_tunneled {
-        Some(start_provider(&world).await)
-    } else {
-        None
-    };
     let expected: String = (1..=3).map(event).collect();
     world.call_until_met("/model/1", &expected).await;
 }
@@ -143,11 +140,3 @@
     let expected: String = (1..=3).map(event).collect();
     world.call_until_met("/model/1", &expected).await;
 }
-
-/// Starts a host that reaches all upstreams, and waits until the two hosts hear each other.
-async fn start_provider(world: &World) -> TestHost {
-    let near = TestHost::start_with(conf("near"), &world.catalog).await;
-    near.wait_for_host(&world.host).await;
-    world.host.wait_for_host(&near).await;
-    near
-}
