Tidy: one place says whether a call is a suspect, and whose fault a lost tunnel is

Whether a lost call may have crashed its upstream was decided twice, for the log and for the record; may_have_crashed serves both. Two places turned the fault of a connection into that of its tunnel; UpstreamPath::fault does so now. A send whose request may not have left keeps a case of its own, since it has another outcome. Comments of released parts say that suspected requests are among them.

--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -78,8 +78,8 @@
     explained: IndexSet<CrashSuspect>,
     /// Those of them which suffice for hosts that start to refuse the same parts.
     proofs: IndexSet<CrashSuspect>,
-    /// The parts that were refused until a request of this host with them was served, with the time
-    /// of this.
+    /// The parts that were refused, and the whole requests that were suspected, until this host had
+    /// such a request served, with the time of this.
     released: IndexMap<RequestPart, Instant>,
 }
 
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -30,7 +30,7 @@
     /// was last served, in ms.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
-    /// Whether the part was refused before it was served.
+    /// Whether the part was refused or suspected before it was served.
     #[prost(bool, tag = "4")]
     pub is_release: bool,
     /// The hash of the call that may have crashed the upstream, or of the request that was served; 0
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -95,7 +95,7 @@
         self.gateway
             .silences()
             .on_lost(&self.call.service, &upstream.id);
-        if fault != UpstreamFault::Broken || progress == AnswerProgress::Events {
+        if !may_have_crashed(fault, progress) {
             return;
         }
         let now = self.gateway.clock.now();
@@ -158,8 +158,7 @@
         fault: UpstreamFault,
         progress: Option<AnswerProgress>,
     ) -> Option<String> {
-        let has_event = progress == Some(AnswerProgress::Events);
-        let is_suspected = fault == UpstreamFault::Broken && !has_event;
+        let is_suspected = may_have_crashed(fault, progress?);
         is_suspected.then(|| RequestPart::from(self.call.hash()).to_string())
     }
 
@@ -175,3 +174,9 @@
         }
     }
 }
+
+/// Whether a call that was lost with this fault, at this point of its answer, may have crashed the
+/// upstream.
+fn may_have_crashed(fault: UpstreamFault, progress: AnswerProgress) -> bool {
+    fault == UpstreamFault::Broken && progress != AnswerProgress::Events
+}
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -292,8 +292,7 @@
         /// The time since the request arrived, in ms.
         elapsed_ms: u64,
     },
-    /// Requests with some parts, which crash upstreams, are refused from now on, or
-    /// no longer.
+    /// Requests with some parts, which crash upstreams, are refused from now on, or no longer.
     PartQuarantine {
         /// The change: `begun` or `ended`.
         change: Cow<'static, str>,
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -170,11 +170,7 @@
         if failure.is_invalid {
             self.response.on_truncated(&recorder.gateway);
         }
-        let fault = if self.response.path.is_lost() {
-            UpstreamFault::TunnelLost
-        } else {
-            failure.fault
-        };
+        let fault = self.response.path.fault(failure.fault);
         let upstream = &self.response.upstream;
         recorder.on_connection_lost(upstream, fault, &failure.cause, self.progress);
         format!("{}: {}", fault.name(), failure.cause)
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -283,11 +283,7 @@
             error_with_causes(err.as_ref())
         }
     };
-    let fault = if path.is_lost() {
-        UpstreamFault::TunnelLost
-    } else {
-        UpstreamFault::Broken
-    };
+    let fault = path.fault(UpstreamFault::Broken);
     dispatcher
         .recorder
         .on_connection_lost(&upstream, fault, &cause, AnswerProgress::Begun);
--- a/src/gateway/upstream_path.rs
+++ b/src/gateway/upstream_path.rs
@@ -1,5 +1,6 @@
 //! The way by which an upstream was reached.
 
+use crate::decide::UpstreamFault;
 use crate::gateway::tunnel::TunnelStatus;
 use crate::units::HostId;
 
@@ -37,4 +38,13 @@
             Self::Tunnel { status, .. } => status.is_lost(),
         }
     }
+
+    /// What the failure of a response on the connection means: `fault`, unless the tunnel is lost.
+    pub(crate) fn fault(&self, fault: UpstreamFault) -> UpstreamFault {
+        if self.is_lost() {
+            UpstreamFault::TunnelLost
+        } else {
+            fault
+        }
+    }
 }
