Incident: requests that crash upstreams at other points than the first event

The soak's engines crash before their answers, late, at the head, within the first event or after it (--crash-point), under a part of the prompt or under the repeats of one request (--crash-cause).

--- a/soak/src/call.rs
+++ b/soak/src/call.rs
@@ -9,6 +9,8 @@
 use banyanarch_platform::stand_in::RouteConf;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::crashing_request::CrashCause;
+
 /// The host name in the requests of callers.
 pub const HOSTNAME: &str = "soak.example";
 /// The plain services, between which the route of [`CallClass::Moving`] alternates.
@@ -148,9 +150,12 @@
     }
 }
 
-/// Returns the body of a request.
+/// Returns the body of a request. The repeats of the request that crashes engines are alike.
 pub fn request_body(request: &str) -> String {
-    format!("question of {request}")
+    match CrashCause::of(request) {
+        Some(CrashCause::Repeat) => "question that crashes engines".to_owned(),
+        Some(CrashCause::Part) | None => format!("question of {request}"),
+    }
 }
 
 /// Returns the body of the response of a plain service.
--- /dev/null
+++ b/soak/src/crash_point.rs
@@ -0,0 +1,75 @@
+//! When engines end under a request that crashes them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// How far an engine comes with the answer to a request that crashes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// The engine sends nothing.
+    Unanswered,
+    /// The engine sends nothing for a while, in which further requests arrive.
+    UnansweredLate,
+    /// The engine sends the head of the response.
+    Head,
+    /// The engine sends the head and the first half of an event.
+    HalfEvent,
+    /// The engine sends the head and one event.
+    Event,
+}
+
+impl CrashPoint {
+    /// All points.
+    pub const ALL: [Self; 5] = [
+        Self::Unanswered,
+        Self::UnansweredLate,
+        Self::Head,
+        Self::HalfEvent,
+        Self::Event,
+    ];
+
+    /// Draws a point.
+    pub(crate) fn draw(rng: &mut StdRng) -> Self {
+        Self::ALL[rng.random_range(0..Self::ALL.len())]
+    }
+
+    /// The name on the command line and in the ids of requests.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unanswered => "unanswered",
+            Self::UnansweredLate => "late",
+            Self::Head => "head",
+            Self::HalfEvent => "half",
+            Self::Event => "event",
+        }
+    }
+
+    /// How long the engine runs before it ends without an answer; none if it answers.
+    pub(crate) fn unanswered_for(self) -> Option<Duration> {
+        match self {
+            Self::Unanswered => Some(Duration::ZERO),
+            Self::UnansweredLate => Some(Duration::from_millis(1_500)),
+            Self::Head | Self::HalfEvent | Self::Event => None,
+        }
+    }
+}
+
+impl fmt::Display for CrashPoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+impl FromStr for CrashPoint {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL.into_iter();
+        let found = all.find(|point| point.name() == text);
+        found.ok_or_else(|| format!("no crash point: {text}"))
+    }
+}
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -12,7 +12,8 @@
 use tokio::sync::mpsc;
 
 use crate::call;
-use crate::prompt_parts::has_crashing_part;
+use crate::crash_point::CrashPoint;
+use crate::crashing_request::crash_point;
 use crate::upstream_body::Body;
 use crate::upstream_body::FrameStream;
 use crate::upstream_mode::UpstreamMode;
@@ -28,8 +29,8 @@
     request: String,
     /// The id of the first event.
     first: u32,
-    /// Whether a part of the prompt crashes the upstream.
-    crashes: bool,
+    /// Where the request crashes the upstream; none if it does not.
+    crash_point: Option<CrashPoint>,
     /// The mode when the request arrived.
     mode: UpstreamMode,
     /// The slot, which is free again at the end of the stream.
@@ -47,14 +48,14 @@
             shared,
             request: forwarded.request.clone(),
             first: forwarded.last_event.unwrap_or(0) + 1,
-            crashes: has_crashing_part(&forwarded.prompt_parts),
+            crash_point: crash_point(&forwarded.request),
             mode,
             _slot: slot,
         }
     }
 
     /// Returns a response that streams the events. The stream pauses while the upstream is
-    /// unresponsive or silent. A part of the prompt may crash the upstream before the first event.
+    /// unresponsive or silent. The request may crash the upstream at the first event.
     /// With [`UpstreamMode::TruncatesResponses`] the stream fails in the middle of its third event.
     pub(crate) fn into_response(self) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(1);
@@ -69,11 +70,8 @@
     /// Sends the events until the last one, or until the stream fails or nobody receives it.
     async fn send_all(self, sender: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>) {
         let mut mode_updates = self.shared.mode.subscribe();
-        if self.crashes {
-            tokio::time::sleep(EVENT_INTERVAL).await;
-            self.shared.crash();
-            // The connections are reset before the stream ends.
-            tokio::time::sleep(EVENT_INTERVAL).await;
+        if let Some(point) = self.crash_point {
+            self.crash(point, &sender).await;
             return;
         }
         for id in self.first..=call::event_count(&self.request) {
@@ -85,8 +83,7 @@
             {
                 return;
             }
-            let data = call::event_data(&self.request, id);
-            let event = format!("id: {id}\ndata: {data}\n\n");
+            let event = self.event(id);
             if self.mode == UpstreamMode::TruncatesResponses && id == self.first + 2 {
                 let partial_event = Bytes::copy_from_slice(&event.as_bytes()[..9]);
                 let _ = sender.send(Ok(Frame::data(partial_event))).await;
@@ -99,4 +96,32 @@
             }
         }
     }
+
+    /// Ends the upstream at this point of the answer.
+    async fn crash(
+        &self,
+        point: CrashPoint,
+        sender: &mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
+    ) {
+        let event = self.event(self.first);
+        let sent_bytes = match point {
+            CrashPoint::Event => event.len(),
+            CrashPoint::HalfEvent => event.len() / 2,
+            CrashPoint::Unanswered | CrashPoint::UnansweredLate | CrashPoint::Head => 0,
+        };
+        if sent_bytes > 0 {
+            let sent = Bytes::copy_from_slice(&event.as_bytes()[..sent_bytes]);
+            let _ = sender.send(Ok(Frame::data(sent))).await;
+        }
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        self.shared.crash(&self.request);
+        // The connections are reset before the stream ends.
+        tokio::time::sleep(EVENT_INTERVAL).await;
+    }
+
+    /// The event with this id.
+    fn event(&self, id: u32) -> String {
+        let data = call::event_data(&self.request, id);
+        format!("id: {id}\ndata: {data}\n\n")
+    }
 }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -230,6 +230,8 @@
     pub upstream_ends: IndexMap<String, Timestamp>,
     /// When engines crashed under a part of a prompt.
     pub part_crashes: Vec<Timestamp>,
+    /// When engines crashed under a request that is repeated.
+    pub repeat_crashes: Vec<Timestamp>,
     /// Limit periods that have ended.
     pub limit_periods: Vec<LimitPeriod>,
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod call;
 mod caller;
 pub mod checks;
+pub mod crash_point;
+pub mod crashing_request;
 mod deployment;
 mod event_stream;
 mod fault;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,8 @@
 use soak::DeploymentSize;
 use soak::SoakConf;
 use soak::checks::GuaranteeSet;
+use soak::crash_point::CrashPoint;
+use soak::crashing_request::CrashCause;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -29,7 +31,11 @@
     --path-cuts     Inject only cuts between hosts and all upstreams.
     --floods        Inject only floods of one customer, while some upstreams are gone or slow.
     --parts         Inject only restarts of hosts, while requests with one part in their prompts
-                    crash engines. With --path-cuts, inject both.
+                    crash engines, and so do the repeats of one request. With --path-cuts,
+                    inject both.
+    --crash-point P Where these requests crash engines: unanswered, late, head, half or event.
+                    [default: drawn for each request]
+    --crash-cause C Why: part or repeat. [default: both]
     --silences      Inject only silences of upstreams and changes of the manifest.
     --hosts N       Number of hosts. [default: 6]
     --draw-hosts    Draw the number of hosts of each run: 1 to 8 in each of 3 failure domains.
@@ -100,6 +106,8 @@
     let only_floods = args.contains("--floods");
     let only_parts = args.contains("--parts");
     let only_silences = args.contains("--silences");
+    let crash_point: Result<Option<CrashPoint>, _> = args.opt_value_from_str("--crash-point");
+    let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
     let draws_hosts = args.contains("--draw-hosts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
@@ -137,6 +145,8 @@
             only_path_cuts,
             only_floods,
             only_parts,
+            crash_point: crash_point.map_err(error_text)?,
+            crash_cause: crash_cause.map_err(error_text)?,
             only_silences,
             guarantees: GuaranteeSet::All,
         },
--- a/soak/src/part_checks.rs
+++ b/soak/src/part_checks.rs
@@ -1,18 +1,19 @@
-//! Checks that requests with a part in their prompts that crashes engines stop reaching engines, and
-//! that requests without it are served.
+//! Checks that requests that crash engines stop reaching engines, and that others are served.
 
 use std::time::Duration;
 
 use crate::call::CallClass;
 use crate::checks::Violation;
+use crate::crashing_request::CrashCause;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::Observations;
 use crate::history::Timestamp;
-use crate::prompt_parts::crashes_engines;
 
-/// The number of crashes after which such requests must stop.
-const CRASHES_MAX: usize = 5;
+/// The number of crashes after which requests with a part that crashes engines must stop.
+const PART_CRASHES_MAX: usize = 5;
+/// The same for the repeats of one request.
+const REPEAT_CRASHES_MAX: usize = 3;
 /// How long after the last of these crashes they may still arrive, and how long a host must have been
 /// undisturbed.
 const STABILITY_TIME: Duration = Duration::from_secs(3);
@@ -21,34 +22,71 @@
 /// Number of attempts below which the served shares are not compared.
 const ATTEMPTS_MIN: usize = 20;
 
-/// Returns the violations by requests with the part and by those without it.
+/// Returns the violations by requests that crash engines and by others.
 pub(crate) fn check(observations: &Observations) -> Vec<Violation> {
-    let mut crashes = observations.part_crashes.clone();
+    let crashes = &observations.part_crashes;
+    let by_part = check_stop(
+        observations,
+        CrashCause::Part,
+        nth_time(crashes, PART_CRASHES_MAX),
+    );
+    let by_repeat = check_stop(
+        observations,
+        CrashCause::Repeat,
+        nth_time(&observations.repeat_crashes, REPEAT_CRASHES_MAX),
+    );
+    let lost = check_others(observations);
+    by_part.into_iter().chain(by_repeat).chain(lost).collect()
+}
+
+/// The time of the crash with this number, counted from 1; none if there were fewer.
+fn nth_time(crashes: &[Timestamp], number: usize) -> Option<Timestamp> {
+    let mut crashes = crashes.to_vec();
     crashes.sort();
-    let Some(fifth_at) = crashes.get(CRASHES_MAX - 1).copied() else {
-        return Vec::new();
-    };
-    let late = late_arrivals(observations, fifth_at + STABILITY_TIME);
-    let too_many = (late.len() > ARRIVALS_MAX).then(|| Violation {
-        guarantee: "requests with a part that crashes engines stop reaching them",
-        details: format!("fifth crash at {fifth_at:?}, arrivals later: {late:?}"),
-    });
-    let from = fifth_at + 2 * STABILITY_TIME;
-    let before = served(observations, |sent_at| sent_at < crashes[0]);
+    crashes.get(number - 1).copied()
+}
+
+/// The violation by requests that reach engines long after this crash, by which they must be known.
+fn check_stop(
+    observations: &Observations,
+    cause: CrashCause,
+    known_at: Option<Timestamp>,
+) -> Option<Violation> {
+    let known_at = known_at?;
+    let late = late_arrivals(observations, cause, known_at + STABILITY_TIME);
+    (late.len() > ARRIVALS_MAX).then(|| Violation {
+        guarantee: match cause {
+            CrashCause::Part => "requests with a part that crashes engines stop reaching them",
+            CrashCause::Repeat => "repeats of a request that crashes engines stop reaching them",
+        },
+        details: format!("{} arrivals, known at {known_at:?}: {late:?}", late.len()),
+    })
+}
+
+/// The violation by sound requests that are not served.
+fn check_others(observations: &Observations) -> Option<Violation> {
+    let first_at = nth_time(&observations.part_crashes, 1)?;
+    let known_at = nth_time(&observations.part_crashes, PART_CRASHES_MAX)?;
+    let from = known_at + 2 * STABILITY_TIME;
+    let before = served(observations, |sent_at| sent_at < first_at);
     let after = served(observations, |sent_at| sent_at >= from);
     let is_comparable = before.1 >= ATTEMPTS_MIN && after.1 >= ATTEMPTS_MIN;
     let is_lost = is_comparable && after.0 * 2 * before.1 < before.0 * after.1;
-    let lost = is_lost.then(|| Violation {
+    is_lost.then(|| Violation {
         guarantee: "requests without a part that crashes engines are served",
         details: format!("{before:?} before the first crash, {after:?} from {from:?} on"),
-    });
-    too_many.into_iter().chain(lost).collect()
+    })
 }
 
-/// The arrivals of requests with the part from this time on, of which the host was undisturbed.
-fn late_arrivals(observations: &Observations, from: Timestamp) -> Vec<(String, Timestamp)> {
+/// The arrivals of requests that crash engines for this cause, from this time on, of which the host
+/// was undisturbed.
+fn late_arrivals(
+    observations: &Observations,
+    cause: CrashCause,
+    from: Timestamp,
+) -> Vec<(String, Timestamp)> {
     let crashing = observations.runs.iter();
-    let crashing = crashing.filter(|(request, _)| crashes_engines(request));
+    let crashing = crashing.filter(|(request, _)| CrashCause::of(request) == Some(cause));
     let arrivals = crashing.flat_map(|(request, runs)| runs.iter().map(move |run| (request, run)));
     let late = arrivals.filter(|(request, run)| {
         let attempt = observations.attempts.get(*request);
@@ -67,7 +105,7 @@
     let attempts = observations.attempts.iter().filter(|(request, attempt)| {
         let since = attempt.sent_at.saturating_sub(STABILITY_TIME);
         attempt.class == CallClass::ShortPrompt
-            && !crashes_engines(request)
+            && CrashCause::of(request).is_none()
             && is_counted(attempt.sent_at)
             && attempt.is_owed()
             && !observations.is_process_disturbed(attempt.host, since, attempt.ended_at)
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -21,6 +21,8 @@
 use crate::checks;
 use crate::checks::GuaranteeSet;
 use crate::checks::Violation;
+use crate::crash_point::CrashPoint;
+use crate::crashing_request::CrashCause;
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSize;
 use crate::deployment::lock;
@@ -40,7 +42,6 @@
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::StoreChange;
-use crate::prompt_parts::crashing_request;
 
 /// Time before the first fault, in which hosts read the manifest and discover each other.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
@@ -81,6 +82,10 @@
     /// Whether only restarts of hosts are injected, and callers send requests with a part in their
     /// prompts that crashes engines. With `only_path_cuts`, both kinds of faults are.
     pub only_parts: bool,
+    /// Where requests crash engines; none if it is drawn for each request. Only with `only_parts`.
+    pub crash_point: Option<CrashPoint>,
+    /// The only cause of these crashes; none if both occur. Only with `only_parts`.
+    pub crash_cause: Option<CrashCause>,
     /// Whether only silences of upstreams and changes of the manifest are injected.
     pub only_silences: bool,
     /// The guarantees that are checked.
@@ -103,8 +108,10 @@
 /// Time before the first request that crashes engines, in which the usual share of served requests is
 /// observed.
 const SOUND_TIME: Duration = Duration::from_secs(8);
-/// Of the prompts of callers, one in this number crashes engines.
+/// Of the prompts of callers, one in this number has a part that crashes engines.
 const CRASHING_RATIO: u32 = 6;
+/// Of the short prompts of callers, one in this number is a repeat of the request that crashes engines.
+const REPEAT_RATIO: u32 = 25;
 
 /// Runs one seed with the daemon `program`. Hosts write their logs into `dir`.
 pub async fn run(conf: &SoakConf, program: &Path, dir: &Path) -> io::Result<SoakReport> {
@@ -245,14 +252,18 @@
             _ if conf.only_silences && rng.random_ratio(4, 5) => CallClass::ShortPrompt,
             _ => CallClass::LongPrompt,
         };
-        let is_crashing = conf.only_parts
-            && class.is_stream()
-            && deployment.now() >= SOUND_TIME
-            && rng.random_ratio(1, CRASHING_RATIO);
-        if is_crashing {
-            request = crashing_request(&request);
+        let may_crash = conf.only_parts && class.is_stream() && deployment.now() >= SOUND_TIME;
+        let cause = may_crash.then(|| draw_cause(class, &mut rng)).flatten();
+        let cause = cause.filter(|cause| conf.crash_cause.is_none_or(|only| only == *cause));
+        if let Some(cause) = cause {
+            let drawn = CrashPoint::draw(&mut rng);
+            request = cause.request(conf.crash_point.unwrap_or(drawn), &request);
         }
-        let key = draw_key(&deployment, &mut revoked_keys, &mut rng);
+        let key = if cause == Some(CrashCause::Repeat) {
+            first_key(&deployment)
+        } else {
+            draw_key(&deployment, &mut revoked_keys, &mut rng)
+        };
         let is_abandoned = rng.random_ratio(1, 25);
         let caller_request = CallerRequest {
             request: &request,
@@ -285,6 +296,24 @@
     }
 }
 
+/// Draws whether a prompt crashes engines, and why.
+fn draw_cause(class: CallClass, rng: &mut StdRng) -> Option<CrashCause> {
+    if rng.random_ratio(1, CRASHING_RATIO) {
+        Some(CrashCause::Part)
+    } else if class == CallClass::ShortPrompt && rng.random_ratio(1, REPEAT_RATIO) {
+        Some(CrashCause::Repeat)
+    } else {
+        None
+    }
+}
+
+/// A valid key of the first customer.
+fn first_key(deployment: &Deployment) -> String {
+    let manifest_inputs = lock(&deployment.manifest_inputs);
+    let (_, keys) = &manifest_inputs.customers[0];
+    keys.last().cloned().unwrap_or_default()
+}
+
 /// Draws a valid key, or one time in twenty a revoked key if there is one.
 fn draw_key(deployment: &Deployment, revoked_keys: &mut Vec<String>, rng: &mut StdRng) -> String {
     if rng.random_ratio(1, 20) {
--- a/soak/src/upstream_shared.rs
+++ b/soak/src/upstream_shared.rs
@@ -28,6 +28,9 @@
 use tokio::time::Instant;
 
 use crate::call;
+use crate::crash_point::CrashPoint;
+use crate::crashing_request::CrashCause;
+use crate::crashing_request::crash_point;
 use crate::event_stream::EventStream;
 use crate::history::FaultRecord;
 use crate::history::FaultScope;
@@ -190,6 +193,12 @@
             Duration::ZERO
         };
         tokio::time::sleep(PROCESSING_TIME + delay).await;
+        if let Some(time) = crash_point(&request).and_then(CrashPoint::unanswered_for) {
+            tokio::time::sleep(time).await;
+            self.crash(&request);
+            // The connections are reset before the response starts.
+            tokio::time::sleep(PROCESSING_TIME).await;
+        }
         if mode == UpstreamMode::DropsResponses {
             return Err(std::io::Error::other(
                 "response dropped by the mode of the stand-in",
@@ -309,15 +318,19 @@
         full_response(StatusCode::OK, "{}".to_owned())
     }
 
-    /// Ends the upstream, unless it has ended already.
-    pub(crate) fn crash(&self) {
+    /// Ends the upstream under this request, unless it has ended already.
+    pub(crate) fn crash(&self, request: &str) {
         // Noted before callers can see it.
         let now = self.started_at.elapsed();
         if self.mode.send_replace(UpstreamMode::Down) == UpstreamMode::Down {
             return;
         }
         let mut observations = self.history.lock();
-        observations.part_crashes.push(now);
+        match CrashCause::of(request) {
+            Some(CrashCause::Part) => observations.part_crashes.push(now),
+            Some(CrashCause::Repeat) => observations.repeat_crashes.push(now),
+            None => {}
+        }
         observations.faults.push(FaultRecord {
             from: now,
             to: now,
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -32,6 +32,8 @@
         only_path_cuts: false,
         only_floods: false,
         only_parts: false,
+        crash_point: None,
+        crash_cause: None,
         only_silences: true,
         stretch: 1.0,
     };
--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use gateway_world::TestHost;
@@ -65,10 +66,17 @@
 /// Three hosts, and engines that end when they begin an answer on the part `bad`.
 async fn hosts_with_engines_that_crash() -> (Arc<FakeCatalog>, Vec<TestHost>, Vec<ScriptedUpstream>)
 {
+    hosts_with_engines(ScriptStep::CrashOnPart("bad")).await
+}
+
+/// Three hosts, and engines that handle each request like this.
+async fn hosts_with_engines(
+    step: ScriptStep,
+) -> (Arc<FakeCatalog>, Vec<TestHost>, Vec<ScriptedUpstream>) {
     let catalog = FakeCatalog::new(table(1));
     let mut engines = Vec::new();
     for index in 0..12 {
-        let engine = ScriptedUpstream::start([ScriptStep::CrashOnPart("bad")]).await;
+        let engine = ScriptedUpstream::start([step.clone()]).await;
         catalog.list(&format!("engine-{index}"), "llm", engine.addr);
         engines.push(engine);
     }
@@ -99,8 +107,14 @@
 
 /// The number of requests with the part `bad` that have reached engines.
 fn bad_arrivals(engines: &[ScriptedUpstream]) -> usize {
+    bad_arrival_times(engines).len()
+}
+
+/// When requests with the part `bad` have reached engines, engine by engine.
+fn bad_arrival_times(engines: &[ScriptedUpstream]) -> Vec<Instant> {
     let arrivals = engines.iter().flat_map(ScriptedUpstream::arrivals);
-    arrivals.filter(|arrival| arrival.has_part("bad")).count()
+    let bad = arrivals.filter(|arrival| arrival.has_part("bad"));
+    bad.map(|arrival| arrival.at).collect()
 }
 
 /// Whether a request was refused because of its parts, without having run.
@@ -204,3 +218,82 @@
     let sound = host.call(request_with_parts("/safe/3", "c")).await;
     assert_eq!(sound.status(), 502, "{sound:?}");
 }
+
+/// The number of crashes under a part after which requests with it must stop, how soon after the last
+/// of them, and how many may still reach engines later.
+const PART_CRASHES_MAX: usize = 5;
+const STOPPED_WITHIN: Duration = Duration::from_secs(3);
+const LATE_ARRIVALS_MAX: usize = 3;
+
+/// How long requests with the part are sent, and the pause between two of one caller.
+const CALLED_FOR: Duration = Duration::from_secs(6);
+const CALL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends requests with these parts, no two alike, for some time. Returns how many there were, and how
+/// many of them were refused because of their parts.
+async fn call_for_a_while(host: &TestHost, name: &str, parts: &str) -> (usize, usize) {
+    let until = Instant::now() + CALLED_FOR;
+    let (mut calls, mut refused) = (0, 0);
+    while Instant::now() < until {
+        let req = request_with_parts(&format!("/model/{name}-{calls}"), parts);
+        let res = host.try_call(req).await;
+        calls += 1;
+        refused += usize::from(res.is_ok_and(|res| is_refused(&res)));
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    (calls, refused)
+}
+
+/// Guards against requests that share a part which crashes upstreams and go on reaching them because
+/// of how far the answers had come: not to their heads, or beyond their first events.
+#[parameterized(
+    before_the_head = { 0 },
+    after_an_event = { 1 },
+)]
+#[test_macro(tokio::test)]
+async fn a_part_is_found_however_far_the_answers_of_crashed_engines_had_come(events: u32) {
+    let step = ScriptStep::CrashOnPartAfter("bad", events);
+    let (_catalog, hosts, engines) = hosts_with_engines(step).await;
+    let [first, second, third] = &hosts[..] else {
+        panic!("three hosts");
+    };
+    let (sound, other_sound, ..) = tokio::join!(
+        call_for_a_while(first, "a", "common,a"),
+        call_for_a_while(second, "b", "common,b"),
+        call_for_a_while(second, "c", "common,bad"),
+        call_for_a_while(third, "d", "common,bad"),
+    );
+    let mut arrived_at: Vec<Instant> = bad_arrival_times(&engines);
+    arrived_at.sort();
+    let stopped_at = arrived_at[PART_CRASHES_MAX - 1] + STOPPED_WITHIN;
+    let late = arrived_at.iter().filter(|at| **at > stopped_at);
+    assert!(late.count() <= LATE_ARRIVALS_MAX, "{arrived_at:?}");
+    assert_eq!(
+        (sound.1, other_sound.1),
+        (0, 0),
+        "of {sound:?} {other_sound:?}"
+    );
+}
+
+/// Guards against a request that crashes upstreams and is passed on again and again because each of
+/// them sent an event before it ended.
+#[tokio::test]
+async fn a_request_that_crashes_upstreams_after_an_event_is_refused() {
+    let (_catalog, hosts, engines) =
+        hosts_with_engines(ScriptStep::CrashOnPartAfter("bad", 1)).await;
+    let calls = async {
+        loop {
+            let res = hosts[0]
+                .try_call(request_with_parts("/model/1", "bad"))
+                .await;
+            let is_refused = |res: Response<Bytes>| res.body().starts_with(b"poison");
+            if res.is_ok_and(is_refused) {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(REFUSED_WITHIN, calls)
+        .await
+        .expect("the host refuses the request");
+    assert!(bad_arrival_times(&engines).len() <= PART_CRASHES_MAX);
+}
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -35,6 +35,8 @@
     /// prompt, and refuse all requests until [`ScriptedUpstream::restart`]; otherwise send three events
     /// and end the stream.
     CrashOnPart(&'static str),
+    /// The same, but crash after the complete events up to this one, without a head if it is 0.
+    CrashOnPartAfter(&'static str, u32),
     /// Send nothing until the other end disconnects.
     Hang,
     /// Respond with status 200 and this body, signed, without its length. The body ends with the
@@ -60,6 +62,7 @@
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub at: Instant,
     pub head: String,
     pub body: String,
 }
@@ -200,7 +203,9 @@
             format!("HTTP/1.1 200 OK\r\n{signed}content-type: text/event-stream\r\n\r\n{events}")
         };
         let crashes = match &step {
-            ScriptStep::CrashOnPart(part) => arrival.has_part(part),
+            ScriptStep::CrashOnPart(part) | ScriptStep::CrashOnPartAfter(part, _) => {
+                arrival.has_part(part)
+            }
             _ => false,
         };
         let breaks = match &step {
@@ -225,7 +230,10 @@
             }
             ScriptStep::BreakOn(_) if !breaks => full(200, &signed, "ok"),
             ScriptStep::Break | ScriptStep::BreakOn(_) | ScriptStep::Hang => String::new(),
-            ScriptStep::CrashOnPart(_) => events(if crashes { 0 } else { 3 }),
+            ScriptStep::CrashOnPartAfter(_, 0) if crashes => String::new(),
+            ScriptStep::CrashOnPartAfter(_, to) if crashes => events(after + to),
+            ScriptStep::CrashOnPart(_) if crashes => events(0),
+            ScriptStep::CrashOnPart(_) | ScriptStep::CrashOnPartAfter(..) => events(3),
             ScriptStep::Events(to) | ScriptStep::EventsThenHang(to) => events(*to),
             ScriptStep::Unframed(body)
             | ScriptStep::UnframedThenReset(body)
@@ -260,7 +268,7 @@
             | ScriptStep::EventsThenBreak(_)
             | ScriptStep::UnframedThenReset(_) => reset(stream),
             ScriptStep::BreakOn(_) if breaks => reset(stream),
-            ScriptStep::CrashOnPart(_) if crashes => {
+            ScriptStep::CrashOnPart(_) | ScriptStep::CrashOnPartAfter(..) if crashes => {
                 self.state.lock().unwrap().crashed_at = Some(Instant::now());
                 reset(stream);
             }
@@ -303,6 +311,7 @@
         }
     };
     let mut arrival = Arrival {
+        at: Instant::now(),
         head: String::from_utf8_lossy(&bytes[..head_len]).into_owned(),
         body: String::new(),
     };
