Parts of prompts that crash upstreams are found at any point of the answer

Cause: a call was a suspect for the parts of its prompt only if the head of its answer had come and no event, the shape of the one recorded incident. A process that ends as it begins to write may have sent nothing, its bytes may be lost to the reset, or it has sent an event. A request as a whole was no suspect after an event either.

Change: calls without a head and those with one event count too (LostCalls). Each of them says little, since all that wait at an upstream are lost with it. A part is the cause only if it was lost in three crashes, each time with another request, 200 ms apart and with something served between them, and was served by nobody for ten minutes.

Why it works: what separates the cause from what waited beside it is what was served since. Sound parts are served between two crashes; upstreams that end together count once; while nothing at all is served, nothing is blamed.

--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -1,15 +1,34 @@
 //! A call that may have crashed an upstream.
 
+use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
 
-/// A call that may have crashed an upstream: the connection broke before an event of its answer was
-/// received.
+/// A call that may have crashed an upstream: the connection broke before a second event of its answer
+/// was received.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct CrashSuspect {
     /// The crash.
     pub crash: CrashId,
-    /// What the call has in common with others: parts of its prompt, in their order, if its answer had
-    /// begun, and the request as a whole.
+    /// What the call has in common with others: parts of its prompt, in their order, if the head of its
+    /// answer was received and no event, and the request as a whole.
     pub parts: Vec<RequestPart>,
 }
+
+impl CrashSuspect {
+    /// The same call as one that was lost; none if the request as a whole or the parts of its prompt
+    /// are not known.
+    pub(crate) fn lost_call(&self) -> Option<LostCall> {
+        let request = self.parts.iter().find_map(|part| match part {
+            RequestPart::Whole(request) => Some(*request),
+            RequestPart::Prompt(_) => None,
+        })?;
+        let shared = self.parts.iter().filter(|part| !part.is_whole());
+        let parts: Vec<RequestPart> = shared.copied().collect();
+        (!parts.is_empty()).then_some(LostCall {
+            crash: self.crash,
+            request,
+            parts,
+        })
+    }
+}
--- /dev/null
+++ b/src/decide/lost_calls.rs
@@ -0,0 +1,163 @@
+//! Parts of prompts that crash upstreams, found by calls that were lost with them at any point of their
+//! answers.
+//!
+//! A crash loses all calls that wait at the upstream, so that each of them says little. A part is the
+//! cause only if it was lost in several crashes, each time with another request and none of them
+//! served, while requests without it were served between the crashes. Upstreams that end together or
+//! all of them, for other reasons, therefore count once.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::decide::LostCall;
+use crate::decide::RequestPart;
+use crate::decide::crash_attribution::CRASHES_MIN;
+use crate::decide::served_parts::ServedParts;
+use crate::units::CrashId;
+use crate::units::RequestHash;
+
+/// The number of lost calls that are kept.
+const CALLS_MAX: usize = 1_024;
+/// The number of lost calls that are dropped together when there are more.
+const DROP_BATCH: usize = 128;
+/// How long a lost call is kept.
+const RETENTION: Duration = Duration::from_secs(600);
+/// The shortest time between crashes that count separately. Upstreams that end together need not have
+/// a part in common that is the cause.
+const APART_MIN: Duration = Duration::from_millis(200);
+/// The number of times at which requests were served that are kept.
+const SERVES_MAX: usize = 64;
+/// The shortest time between the ones that are kept.
+const SERVES_APART: Duration = Duration::from_millis(50);
+
+/// When a call was lost, and what is known of that moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Loss {
+    /// When the upstream crashed.
+    pub(crate) at: Instant,
+    /// When this host learned of it.
+    pub(crate) known_at: Instant,
+    /// Whether other hosts are to be told of the call.
+    pub(crate) is_told: bool,
+}
+
+/// The calls that were lost with upstreams, and when requests were served.
+#[derive(Debug, Default)]
+pub(crate) struct LostCalls {
+    /// The lost calls, each with the last time before it at which a request was served.
+    calls: IndexMap<LostCall, (Loss, Option<Instant>)>,
+    serves: VecDeque<Instant>,
+}
+
+impl LostCalls {
+    /// Records that a request was served.
+    pub(crate) fn on_served(&mut self, at: Instant) {
+        if self.serves.back().is_some_and(|last| *last >= at) {
+            return;
+        }
+        let kept = self.serves.len();
+        let is_near = |last: Instant| at.saturating_duration_since(last) < SERVES_APART;
+        if kept >= 2 && is_near(self.serves[kept - 2]) {
+            self.serves[kept - 1] = at;
+            return;
+        }
+        if kept >= SERVES_MAX {
+            self.serves.pop_front();
+        }
+        self.serves.push_back(at);
+    }
+
+    /// Records a lost call, of whose parts those that were served before are left out.
+    pub(crate) fn record(&mut self, mut call: LostCall, loss: Loss, served: &ServedParts) {
+        let now = loss.known_at;
+        call.parts
+            .retain(|part| served.served_at(*part, now).is_none());
+        if call.parts.is_empty() || now.saturating_duration_since(loss.at) >= RETENTION {
+            return;
+        }
+        self.calls.retain(|_, (known, _)| {
+            let age = now.saturating_duration_since(known.known_at);
+            age < RETENTION
+        });
+        if self.calls.len() >= CALLS_MAX {
+            self.calls.drain(..DROP_BATCH);
+        }
+        let mut serves = self.serves.iter().rev();
+        let served_before = serves.find(|served_at| **served_at < loss.at).copied();
+        self.calls.entry(call).or_insert((loss, served_before));
+    }
+
+    /// Forgets the calls that were lost in a crash that is none.
+    pub(crate) fn clear_crash(&mut self, crash: CrashId) {
+        self.calls.retain(|call, _| call.crash != crash);
+    }
+
+    /// The lost calls of which other hosts are to be told, with the times of their crashes.
+    pub(crate) fn told(&self) -> impl Iterator<Item = (&LostCall, Instant)> {
+        let told = self.calls.iter().filter(|(_, (loss, _))| loss.is_told);
+        told.map(|(call, (loss, _))| (call, loss.at))
+    }
+
+    /// Those of these parts that explain crashes, with the calls that were lost with them, one for each
+    /// crash that counts. Crashes that are explained otherwise are left out.
+    pub(crate) fn find_causes(
+        &self,
+        parts: &[RequestPart],
+        served: &ServedParts,
+        is_explained: impl Fn(&LostCall) -> bool,
+        now: Instant,
+    ) -> Vec<(RequestPart, Vec<(CrashId, Instant)>)> {
+        let is_new = |part: &&RequestPart| served.served_at(**part, now).is_none();
+        let suspected = parts.iter().filter(is_new);
+        let suspected: Vec<RequestPart> = suspected
+            .filter(|part| self.crashes_with(**part) >= CRASHES_MIN)
+            .copied()
+            .collect();
+        if suspected.is_empty() {
+            return Vec::new();
+        }
+        let explained = self.calls.keys().filter(|call| is_explained(call));
+        let explained: IndexSet<CrashId> = explained.map(|call| call.crash).collect();
+        let causes = suspected
+            .into_iter()
+            .map(|part| (part, self.separate_crashes(part, &explained)));
+        let causes = causes.filter(|(_, crashes)| crashes.len() >= CRASHES_MIN);
+        causes.collect()
+    }
+
+    /// The number of crashes in which a call with the part was lost.
+    fn crashes_with(&self, part: RequestPart) -> usize {
+        let calls = self.calls.keys().filter(|call| call.parts.contains(&part));
+        let crashes: IndexSet<CrashId> = calls.map(|call| call.crash).collect();
+        crashes.len()
+    }
+
+    /// The crashes in which a call with the part was lost, as far as they count separately.
+    fn separate_crashes(
+        &self,
+        part: RequestPart,
+        explained: &IndexSet<CrashId>,
+    ) -> Vec<(CrashId, Instant)> {
+        let calls = self.calls.iter();
+        let with_part = calls
+            .filter(|(call, _)| call.parts.contains(&part) && !explained.contains(&call.crash));
+        let mut losses: Vec<_> = with_part.collect();
+        losses.sort_by_key(|(_, (loss, _))| loss.at);
+        let mut separate: Vec<(CrashId, Instant)> = Vec::new();
+        let mut requests: IndexSet<RequestHash> = IndexSet::new();
+        for (call, (loss, served_before)) in losses {
+            let is_separate = separate.last().is_none_or(|(_, last)| {
+                let is_served_between = served_before.is_some_and(|served_at| served_at > *last);
+                loss.at.saturating_duration_since(*last) >= APART_MIN && is_served_between
+            });
+            if is_separate && requests.insert(call.request) {
+                separate.push((call.crash, loss.at));
+            }
+        }
+        separate
+    }
+}
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
 
@@ -11,6 +12,8 @@
 pub enum PartEvidence {
     /// A call may have crashed an upstream.
     Crash(CrashSuspect, Duration),
+    /// A call was lost with an upstream, before the head of its answer or after the first event.
+    Lost(LostCall, Duration),
     /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
     Alive(CrashId, Duration),
     /// A request with this part was served to its end.
--- a/src/decide/part_quarantine.rs
+++ b/src/decide/part_quarantine.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LostCall;
 use crate::decide::PartEvidence;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
@@ -19,6 +20,8 @@
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::crash_attribution::Explanation;
 use crate::decide::crash_attribution::explain_crashes;
+use crate::decide::lost_calls::Loss;
+use crate::decide::lost_calls::LostCalls;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
 use crate::units::RequestHash;
@@ -70,6 +73,7 @@
 pub struct PartQuarantine {
     /// The suspected calls.
     suspects: IndexMap<CrashSuspect, KnownCrash>,
+    lost_calls: LostCalls,
     /// Upstreams that have answered soon after their connections broke, with the time of this.
     alive: IndexMap<CrashId, Instant>,
     served: ServedParts,
@@ -118,15 +122,30 @@
             known_at: now,
             is_own: true,
         };
-        self.record_crash(suspect, crash, now)
+        self.record_suspect(suspect, crash, now)
+    }
+
+    /// Records a call of this host that was lost before the head of its answer or after the first event.
+    /// Returns what has changed.
+    pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
+        let crash = KnownCrash {
+            at: now,
+            known_at: now,
+            is_own: true,
+        };
+        self.record_lost(call, crash, now)
     }
 
     /// Records that a request of this host with these parts was served to its end. Returns what has
     /// changed.
     pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
+        self.lost_calls.on_served(now);
         for part in parts {
             self.served.record(*part, now);
         }
+        if parts.is_empty() {
+            return Vec::new();
+        }
         let changes = self.evaluate_if_suspected(parts, now);
         for change in &changes {
             if let QuarantineChange::Ended(ended) = change {
@@ -190,10 +209,19 @@
                     known_at: now,
                     is_own: false,
                 };
-                self.record_crash(suspect, crash, now)
+                self.record_suspect(suspect, crash, now)
+            }
+            PartEvidence::Lost(call, age) => {
+                let crash = KnownCrash {
+                    at: at(age),
+                    known_at: now,
+                    is_own: false,
+                };
+                self.record_lost(call, crash, now)
             }
             PartEvidence::Alive(crash, age) => self.clear_crash(crash, at(age), now),
             PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
+                self.lost_calls.on_served(at(age));
                 self.served.record(part, at(age));
                 self.evaluate_if_suspected(&[part], now)
             }
@@ -220,8 +248,21 @@
             .flat_map(|(suspect, _)| &suspect.parts)
             .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
             .collect();
-        let crashes =
-            told.map(|(suspect, crash)| PartEvidence::Crash(suspect.clone(), age(crash.at)));
+        let lost = self.lost_calls.told();
+        let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
+            .filter(|(_, at)| age(*at) < TELLING_TIME)
+            .map(|(call, _)| ((call.crash, call.request.into()), call))
+            .collect();
+        let crashes = told.map(|(suspect, crash)| {
+            let lost = match suspect.parts.as_slice() {
+                [part] => lost.get(&(suspect.crash, *part)),
+                _ => None,
+            };
+            lost.map_or_else(
+                || PartEvidence::Crash(suspect.clone(), age(crash.at)),
+                |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
+            )
+        });
         let served = parts
             .into_iter()
             .map(|(part, at)| PartEvidence::Served(part, age(at)));
@@ -233,6 +274,92 @@
         alive.chain(released).chain(crashes).chain(served).collect()
     }
 
+    /// Records a suspect, which was lost like any other call, too.
+    fn record_suspect(
+        &mut self,
+        suspect: CrashSuspect,
+        crash: KnownCrash,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let lost = suspect.lost_call();
+        let mut changes = self.record_crash(suspect, crash, now);
+        if let Some(call) = lost {
+            changes.extend(self.search_causes(call, crash, false, now));
+        }
+        changes
+    }
+
+    /// Records a lost call, which is suspected as a whole.
+    fn record_lost(
+        &mut self,
+        call: LostCall,
+        crash: KnownCrash,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let whole = CrashSuspect {
+            crash: call.crash,
+            parts: vec![call.request.into()],
+        };
+        let mut changes = self.record_crash(whole, crash, now);
+        changes.extend(self.search_causes(call, crash, crash.is_own, now));
+        changes
+    }
+
+    /// Adds a lost call, and finds those of its parts that crash upstreams. From then on they are
+    /// suspected like those of calls whose answers had begun. Returns what has changed.
+    fn search_causes(
+        &mut self,
+        call: LostCall,
+        crash: KnownCrash,
+        is_told: bool,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        if self.alive.contains_key(&call.crash) {
+            return Vec::new();
+        }
+        let parts = call.parts.clone();
+        let loss = Loss {
+            at: crash.at,
+            known_at: now,
+            is_told,
+        };
+        self.lost_calls.record(call, loss, &self.served);
+        let mut changes = Vec::new();
+        for (suspect, at) in self.likely_causes(&parts, now) {
+            let crash = KnownCrash {
+                at,
+                known_at: now,
+                is_own: true,
+            };
+            changes.extend(self.record_crash(suspect, crash, now));
+        }
+        changes
+    }
+
+    /// Those of these parts that explain crashes by lost calls, with each of the crashes.
+    fn likely_causes(&self, parts: &[RequestPart], now: Instant) -> Vec<(CrashSuspect, Instant)> {
+        if self.find(parts, now).is_some() {
+            return Vec::new();
+        }
+        let explained: IndexSet<CrashId> = self.explained.iter().map(|s| s.crash).collect();
+        let is_explained = |call: &LostCall| {
+            explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
+        };
+        let causes = self
+            .lost_calls
+            .find_causes(parts, &self.served, is_explained, now);
+        let mut suspects: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
+        for (part, crashes) in causes {
+            for crash in crashes {
+                suspects.entry(crash).or_default().push(part);
+            }
+        }
+        let suspects = suspects.into_iter();
+        suspects
+            .map(|((crash, at), parts)| (CrashSuspect { crash, parts }, at))
+            .collect()
+    }
+
     fn record_crash(
         &mut self,
         suspect: CrashSuspect,
@@ -280,6 +407,7 @@
     fn clear_crash(&mut self, crash: CrashId, at: Instant, now: Instant) -> Vec<QuarantineChange> {
         self.expire(now);
         self.alive.insert(crash, at);
+        self.lost_calls.clear_crash(crash);
         let known = self.suspects.len();
         self.suspects.retain(|suspect, _| suspect.crash != crash);
         if self.suspects.len() < known {
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LostCall;
 use crate::decide::PartEvidence;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
@@ -40,6 +41,10 @@
     /// The id of the crash if the entry lists no part of a prompt; otherwise 0.
     #[prost(fixed64, tag = "6")]
     pub request_crash: u64,
+    /// The parts of the call, in the order of its prompt, if it was lost before the head of its answer
+    /// or after the first event.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub lost_parts: Vec<u64>,
 }
 
 /// What identifies an entry: all of it but the age.
@@ -50,12 +55,14 @@
     is_release: bool,
     request: u64,
     request_crash: u64,
+    lost_parts: Vec<u64>,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
     fn from(evidence: PartEvidence) -> Self {
         match evidence {
             PartEvidence::Crash(suspect, age) => Self::crash(&suspect, age),
+            PartEvidence::Lost(call, age) => Self::lost(&call, age),
             PartEvidence::Alive(crash, age) => Self {
                 crash: crash.0,
                 age_ms: whole_millis_u32(age),
@@ -83,6 +90,17 @@
             is_release: false,
             request: request.unwrap_or(0),
             request_crash,
+            lost_parts: Vec::new(),
+        }
+    }
+
+    fn lost(call: &LostCall, age: Duration) -> Self {
+        Self {
+            age_ms: whole_millis_u32(age),
+            request: call.request.0,
+            request_crash: call.crash.0,
+            lost_parts: call.parts.iter().filter_map(prompt_part).collect(),
+            ..Self::default()
         }
     }
 
@@ -107,6 +125,9 @@
         } else {
             self.crash
         });
+        if !self.lost_parts.is_empty() {
+            return self.lost_call().map(|call| PartEvidence::Lost(call, age));
+        }
         match (crash.0, parts.first()) {
             (0, None) => None,
             (0, Some(part)) if self.is_release => Some(PartEvidence::Released(*part, age)),
@@ -116,6 +137,17 @@
         }
     }
 
+    /// The lost call of the entry; none if it does not name the crash and the request.
+    fn lost_call(&self) -> Option<LostCall> {
+        let is_named = self.request != 0 && self.request_crash != 0;
+        let parts = self.lost_parts.iter();
+        is_named.then(|| LostCall {
+            crash: CrashId(self.request_crash),
+            request: RequestHash(self.request),
+            parts: parts.map(|part| PromptPartId(*part).into()).collect(),
+        })
+    }
+
     pub(crate) fn key(&self) -> PartEvidenceKey {
         PartEvidenceKey {
             crash: self.crash,
@@ -123,6 +155,7 @@
             is_release: self.is_release,
             request: self.request,
             request_crash: self.request_crash,
+            lost_parts: self.lost_parts.clone(),
         }
     }
 
--- a/src/gateway/answer_progress.rs
+++ b/src/gateway/answer_progress.rs
@@ -7,7 +7,9 @@
     Unanswered,
     /// The head of the response was received: the call has begun to run.
     Begun,
-    /// At least one complete event of a stream was received.
+    /// One complete event of a stream was received.
+    FirstEvent,
+    /// Several complete events of a stream were received.
     Events,
 }
 
@@ -17,7 +19,22 @@
         match self {
             Self::Unanswered => "unanswered",
             Self::Begun => "begun",
+            Self::FirstEvent => "first_event",
             Self::Events => "events",
         }
     }
+
+    /// How far the answer has come after this number of complete events.
+    pub(crate) fn after_events(events: usize) -> Self {
+        match events {
+            0 => Self::Begun,
+            1 => Self::FirstEvent,
+            2.. => Self::Events,
+        }
+    }
+
+    /// Whether an event was received.
+    pub(crate) fn has_event(self) -> bool {
+        matches!(self, Self::FirstEvent | Self::Events)
+    }
 }
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -79,8 +79,8 @@
     }
 
     /// Records that the connection to an upstream was lost while the call may have been running. If
-    /// the connection broke before an event of the answer, the call may have crashed the upstream, and
-    /// the report of this is broadcast. A call that crashes upstreams does so as it begins to run.
+    /// the connection broke before a second event of the answer, the call may have crashed the upstream,
+    /// and the report of this is broadcast. A call that crashes upstreams does so as it begins to run.
     pub(super) fn on_connection_lost(
         &self,
         upstream: &ListedUpstream,
@@ -100,9 +100,9 @@
         }
         let now = self.gateway.clock.now();
         // An answer in one piece may have begun although nothing of it was received.
-        let has_begun = progress == AnswerProgress::Begun || !self.call.route.kind.is_stream();
+        let is_beginning = progress == AnswerProgress::Begun || !self.call.route.kind.is_stream();
         self.gateway
-            .on_crash_suspect(&self.call, upstream, has_begun, now);
+            .on_crash_suspect(&self.call, upstream, is_beginning, now);
     }
 
     /// Records a fault of an upstream. If the upstream is unreachable, the fault is broadcast at
@@ -162,16 +162,13 @@
         is_suspected.then(|| RequestPart::from(self.call.hash()).to_string())
     }
 
-    /// The shared parts of the prompt, for the log, if the upstream was lost after the answer had
-    /// begun.
+    /// The shared parts of the prompt, for the log, if the call may have been running.
     fn parts_after(&self, progress: Option<AnswerProgress>) -> Vec<String> {
-        match progress {
-            Some(AnswerProgress::Begun | AnswerProgress::Events) => {
-                let parts: Vec<RequestPart> = self.call.prompt_parts().collect();
-                part_names(&parts)
-            }
-            Some(AnswerProgress::Unanswered) | None => Vec::new(),
+        if progress.is_none() {
+            return Vec::new();
         }
+        let parts: Vec<RequestPart> = self.call.prompt_parts().collect();
+        part_names(&parts)
     }
 }
 
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -179,7 +179,7 @@
     /// Whether a response that has ended is complete. Without a length or chunks, one that had no
     /// event by then was cut: the connection of an engine that ends may close like any other.
     fn is_complete(&self) -> bool {
-        let has_event = self.progress == AnswerProgress::Events;
+        let has_event = self.progress.has_event();
         !self.splitter.has_partial_event() && (self.response.is_framed || has_event)
     }
 
@@ -187,7 +187,7 @@
     pub(crate) fn silent_at(&self, call: &Call) -> Instant {
         let pause = call.route.pause_objective;
         let pause = pause.map_or(SILENCE_DEFAULT, |pause| pause * SILENCE_OBJECTIVES_MAX);
-        let allowed = if self.progress == AnswerProgress::Events {
+        let allowed = if self.progress.has_event() {
             pause
         } else {
             pause.max(first_event_timeout(call, self.response.forecast))
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
@@ -36,35 +37,43 @@
         self.part_quarantine().find(&parts, now).cloned()
     }
 
-    /// Records that an upstream ended before an event of its answer to a call. The parts of the prompt
-    /// are suspected only if the answer `has_begun`.
+    /// Records that an upstream ended before the second event of its answer to a call. The parts of the
+    /// prompt are suspected of each such crash if the answer `is_beginning`: its head was received and no
+    /// event. Otherwise they are only if crashes with other calls suggest it.
     pub(crate) fn on_crash_suspect(
         &self,
         call: &Call,
         upstream: &ListedUpstream,
-        has_begun: bool,
+        is_beginning: bool,
         now: Instant,
     ) {
-        let request = RequestPart::from(call.hash());
-        let mut parts: Vec<RequestPart> = Vec::new();
-        if has_begun {
-            parts.extend(call.prompt_parts());
-        }
+        let request = call.hash();
+        let mut parts: Vec<RequestPart> = call.prompt_parts().collect();
         let mut quarantine = self.part_quarantine();
         let crash = CrashId::from(&upstream.id);
         // A request may break its connections without ending the upstream. This counts against the
         // request alone, since each host may see as many of these as it has calls.
         let request_crash = quarantine.crash_id(&upstream.id, call.arrived_at);
-        let repeated = CrashSuspect {
-            crash: request_crash,
-            parts: vec![request],
-        };
-        if request_crash == crash {
-            parts.push(request);
-        }
-        let mut changes = quarantine.on_crash(CrashSuspect { crash, parts }, now);
-        if request_crash != crash {
+        let is_repeated = request_crash != crash;
+        let mut changes = Vec::new();
+        if is_repeated {
+            let repeated = CrashSuspect {
+                crash: request_crash,
+                parts: vec![request.into()],
+            };
             changes.extend(quarantine.on_crash(repeated, now));
+        } else if is_beginning {
+            parts.push(request.into());
+        }
+        if is_beginning {
+            changes.extend(quarantine.on_crash(CrashSuspect { crash, parts }, now));
+        } else if !is_repeated {
+            let lost = LostCall {
+                crash,
+                request,
+                parts,
+            };
+            changes.extend(quarantine.on_lost(lost, now));
         }
         drop(quarantine);
         self.log_quarantine_changes(&changes, None);
@@ -84,7 +93,7 @@
     /// Records that a call was served to its end.
     pub(crate) fn on_parts_served(&self, call: &Call, now: Instant) {
         let parts: Vec<RequestPart> = call.prompt_parts().collect();
-        if !parts.is_empty() {
+        if !parts.is_empty() || call.route.kind.is_stream() {
             let changes = self.part_quarantine().on_served(&parts, now);
             self.log_quarantine_changes(&changes, None);
         }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -230,7 +230,7 @@
             run.response.on_first_event(gateway);
         }
         run.response.on_prefill_done();
-        run.progress = AnswerProgress::Events;
+        run.progress = AnswerProgress::after_events(run.splitter.event_count());
         self.runs.push(run);
         self.has_event = true;
         self.dispatcher.forwarded_at = now;
--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -36,8 +36,9 @@
 /// Operators must be able to tell from logs which of the calls on an upstream that ended may have
 /// crashed it, and which parts these have in common.
 #[parameterized(
-    before_the_head = { ScriptStep::Break, "unanswered", &[] },
+    before_the_head = { ScriptStep::Break, "unanswered", &["a", "bad"] },
     before_an_event = { ScriptStep::CrashOnPart("bad"), "begun", &["a", "bad"] },
+    after_an_event = { ScriptStep::EventsThenBreak(1), "first_event", &["a", "bad"] },
     between_events = { ScriptStep::EventsThenBreak(2), "events", &["a", "bad"] },
 )]
 #[test_macro(tokio::test)]
