Tests: answers that are cut anywhere in their heads or bodies

Operators of systems like this one reported callers that got a 200 with an empty or short body, framed as whole, from an upstream that stopped inside the head of its answer and closed.

--- a/tests/gateway_tunnel_ends.rs
+++ b/tests/gateway_tunnel_ends.rs
@@ -2,13 +2,10 @@
 
 mod gateway_world;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use banyanarch::exchange::ListedHost;
-use banyanarch::gateway::Catalog;
 use banyanarch::gateway::GatewayConf;
 use banyanarch::units::Generation;
 use bytes::Bytes;
@@ -16,6 +13,7 @@
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
 use gateway_world::conf_there;
+use gateway_world::earlier_host::EarlierHost;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -26,11 +24,6 @@
 use gateway_world::wait_until;
 use http_body_util::Full;
 use hyper::Response;
-use indexmap::IndexMap;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 use yare::parameterized;
 
@@ -202,6 +195,23 @@
     assert!(!res.body().starts_with(b"hal"));
 }
 
+/// Guards against half a head that looks like an answer because the host in the middle has ended.
+#[parameterized(
+    repeatable_killed = { "/safe/1", HostEnd::Killed, 200 },
+    repeatable_stopped = { "/safe/1", HostEnd::Stopped, 200 },
+    not_repeatable_killed = { "/once/1", HostEnd::Killed, 502 },
+    not_repeatable_stopped = { "/once/1", HostEnd::Stopped, 502 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn half_a_head_is_no_answer_when_its_tunnel_ends(path: &str, end: HostEnd, status: u16) {
+    let first = ScriptStep::HalfHeadThenHang;
+    let second = ScriptStep::Respond(200, "whole");
+    let (res, _) = call_while_tunnel_ends(path, "app", first, second, end).await;
+    let res = res.expect("the host answers");
+    assert_eq!(res.status(), status);
+    assert_eq!(res.body() == "whole", status == 200);
+}
+
 /// Guards against answers without a length that are taken for broken ones since a tunnel carries
 /// them.
 #[tokio::test]
@@ -254,34 +264,6 @@
     assert_eq!(res.body(), &expected);
 }
 
-/// Records an update of another host, which counts as live for a while.
-fn hear(host: &TestHost, sender: &ListedHost) {
-    let mut ledger = host.gateway.ledger();
-    ledger.record_host_loads(sender.host.clone(), 1, IndexMap::new(), Instant::now());
-}
-
-/// A host of an earlier version: it confirms a tunnel, and passes on bare bytes.
-async fn pass_on_bare_bytes(listener: TcpListener, upstream: SocketAddr) {
-    let mut request = [0_u8; 256];
-    while let Ok((mut host, _)) = listener.accept().await {
-        let len = host.read(&mut request).await.unwrap();
-        if len == 0 {
-            continue;
-        }
-        // A frame of two bytes: the answer that the tunnel is connected.
-        host.write_all(&[0, 0, 0, 2, 0x58, 1]).await.unwrap();
-        let mut upstream = TcpStream::connect(upstream).await.unwrap();
-        tokio::spawn(async move {
-            let (mut host_rd, mut host_wr) = host.split();
-            let (mut upstream_rd, mut upstream_wr) = upstream.split();
-            tokio::select! {
-                _ = tokio::io::copy(&mut host_rd, &mut upstream_wr) => {}
-                _ = tokio::io::copy(&mut upstream_rd, &mut host_wr) => {}
-            }
-        });
-    }
-}
-
 /// Guards against an end that a host of an earlier version cannot announce and is taken for the end
 /// of the answer, and against framed answers through such a host that are taken for broken ones.
 #[parameterized(
@@ -295,17 +277,7 @@
     body: &str,
 ) {
     let world = World::start("app", [step]).await;
-    let earlier = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let listed = ListedHost {
-        host: "earlier".parse().unwrap(),
-        domain: "here".parse().unwrap(),
-        exchange_addr: earlier.local_addr().unwrap(),
-        processors: None,
-    };
-    world.catalog.register_host(listed.clone()).await.unwrap();
-    tokio::spawn(pass_on_bare_bytes(earlier, world.upstream.addr));
-    world.cut.wait_for_hosts(2).await;
-    hear(&world.cut, &listed);
+    let _earlier = EarlierHost::start(&world.catalog, world.upstream.addr, &world.cut).await;
     let res = world.cut.call(request("/once/1")).await;
     assert_eq!(res.status(), status);
     if !body.is_empty() {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod catalog;
+pub mod cut_upstream;
+pub mod earlier_host;
 pub mod endless_upstream;
 pub mod engine_client;
 pub mod header_codec;
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -46,6 +46,8 @@
     UnframedThenReset(&'static str),
     /// Send the same, and then nothing until the other end disconnects.
     UnframedThenHang(&'static str),
+    /// Send the first half of the head of a response, and then nothing until the other end disconnects.
+    HalfHeadThenHang,
     /// Send the events after the requested one up to this one, and end the stream.
     Events(u32),
     /// Send the same events and half of the next one, and close the connection.
@@ -240,6 +242,7 @@
             | ScriptStep::UnframedThenHang(body) => {
                 format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")
             }
+            ScriptStep::HalfHeadThenHang => format!("HTTP/1.1 200 OK\r\n{signed}content-le"),
             ScriptStep::EventsWithPause(0, pause, to) => {
                 tokio::time::sleep(*pause).await;
                 events(*to)
@@ -254,7 +257,10 @@
             return;
         }
         match step {
-            ScriptStep::Hang | ScriptStep::EventsThenHang(_) | ScriptStep::UnframedThenHang(_) => {
+            ScriptStep::Hang
+            | ScriptStep::HalfHeadThenHang
+            | ScriptStep::EventsThenHang(_)
+            | ScriptStep::UnframedThenHang(_) => {
                 self.wait_closed(stream).await;
             }
             ScriptStep::EventsWithPause(first @ 1.., pause, to) => {
@@ -299,7 +305,8 @@
     stream.set_linger(Some(Duration::ZERO)).unwrap();
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<Arrival> {
+/// Reads a request; none if the other end has closed the connection.
+pub async fn read_request(stream: &mut TcpStream) -> Option<Arrival> {
     let mut bytes = Vec::new();
     let head_len = loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
