--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the soak test.
 
 use std::io;
+use std::num::NonZeroU32;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -36,6 +37,7 @@
     --crash-point P Where these requests crash engines: unanswered, late, head, half or event.
                     [default: drawn for each request]
     --crash-cause C Why: part or repeat. [default: both]
+    --crash-ratio N Of the prompts, one in N has the part. [default: 6]
     --silences      Inject only silences of upstreams and changes of the manifest.
     --hosts N       Number of hosts. [default: 6]
     --draw-hosts    Draw the number of hosts of each run: 1 to 8 in each of 3 failure domains.
@@ -52,6 +54,8 @@
 
 /// Exit code for an invalid command line and for a run that could not be started or completed.
 const EXIT_ERROR: u8 = 2;
+/// Of the prompts, one in this number has the part that crashes engines, unless it is given.
+const CRASH_RATIO: u32 = 6;
 /// Maximum number of violations that are printed per seed.
 const PRINTED_VIOLATIONS_MAX: usize = 20;
 
@@ -108,6 +112,7 @@
     let only_silences = args.contains("--silences");
     let crash_point: Result<Option<CrashPoint>, _> = args.opt_value_from_str("--crash-point");
     let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
+    let crash_ratio: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-ratio");
     let draws_hosts = args.contains("--draw-hosts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
@@ -147,6 +152,9 @@
             only_parts,
             crash_point: crash_point.map_err(error_text)?,
             crash_cause: crash_cause.map_err(error_text)?,
+            crash_ratio: crash_ratio
+                .map_err(error_text)?
+                .map_or(CRASH_RATIO, NonZeroU32::get),
             only_silences,
             guarantees: GuaranteeSet::All,
         },
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -84,6 +84,9 @@
     pub only_parts: bool,
     /// Where requests crash engines; none if it is drawn for each request. Only with `only_parts`.
     pub crash_point: Option<CrashPoint>,
+    /// Of the prompts of callers, one in this number has a part that crashes engines. Only with
+    /// `only_parts`.
+    pub crash_ratio: u32,
     /// The only cause of these crashes; none if both occur. Only with `only_parts`.
     pub crash_cause: Option<CrashCause>,
     /// Whether only silences of upstreams and changes of the manifest are injected.
@@ -108,8 +111,6 @@
 /// Time before the first request that crashes engines, in which the usual share of served requests is
 /// observed.
 const SOUND_TIME: Duration = Duration::from_secs(8);
-/// Of the prompts of callers, one in this number has a part that crashes engines.
-const CRASHING_RATIO: u32 = 6;
 /// Of the short prompts of callers, one in this number is a repeat of the request that crashes engines.
 const REPEAT_RATIO: u32 = 25;
 
@@ -253,7 +254,9 @@
             _ => CallClass::LongPrompt,
         };
         let may_crash = conf.only_parts && class.is_stream() && deployment.now() >= SOUND_TIME;
-        let cause = may_crash.then(|| draw_cause(class, &mut rng)).flatten();
+        let cause = may_crash
+            .then(|| draw_cause(class, conf.crash_ratio, &mut rng))
+            .flatten();
         let cause = cause.filter(|cause| conf.crash_cause.is_none_or(|only| only == *cause));
         if let Some(cause) = cause {
             let drawn = CrashPoint::draw(&mut rng);
@@ -297,8 +300,8 @@
 }
 
 /// Draws whether a prompt crashes engines, and why.
-fn draw_cause(class: CallClass, rng: &mut StdRng) -> Option<CrashCause> {
-    if rng.random_ratio(1, CRASHING_RATIO) {
+fn draw_cause(class: CallClass, part_ratio: u32, rng: &mut StdRng) -> Option<CrashCause> {
+    if rng.random_ratio(1, part_ratio) {
         Some(CrashCause::Part)
     } else if class == CallClass::ShortPrompt && rng.random_ratio(1, REPEAT_RATIO) {
         Some(CrashCause::Repeat)
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -40,6 +40,7 @@
         only_parts: false,
         crash_point: None,
         crash_cause: None,
+        crash_ratio: 6,
         only_silences: false,
         stretch: 1.0,
     }
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -34,6 +34,7 @@
         only_parts: false,
         crash_point: None,
         crash_cause: None,
+        crash_ratio: 6,
         only_silences: true,
         stretch: 1.0,
     };
