--- a/soak/src/crash_point.rs
+++ b/soak/src/crash_point.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+/// XORed with the seed of the run for the draw of the point.
+const POINTS_SEED_MASK: u64 = 0x00C4_A54A;
+
 /// How far an engine comes with the answer to a request that crashes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -32,8 +36,10 @@
         Self::Event,
     ];
 
-    /// Draws a point.
-    pub(crate) fn draw(rng: &mut StdRng) -> Self {
+    /// The point that a seed draws. It is the same for all requests of a run: those that crash engines
+    /// at one point would reveal the others.
+    pub(crate) fn draw(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ POINTS_SEED_MASK);
         Self::ALL[rng.random_range(0..Self::ALL.len())]
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -35,7 +35,7 @@
                     crash engines, and so do the repeats of one request. With --path-cuts,
                     inject both.
     --crash-point P Where these requests crash engines: unanswered, late, head, half or event.
-                    [default: drawn for each request]
+                    [default: drawn for the run]
     --crash-cause C Why: part or repeat. [default: both]
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
     --silences      Inject only silences of upstreams and changes of the manifest.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -82,7 +82,7 @@
     /// Whether only restarts of hosts are injected, and callers send requests with a part in their
     /// prompts that crashes engines. With `only_path_cuts`, both kinds of faults are.
     pub only_parts: bool,
-    /// Where requests crash engines; none if it is drawn for each request. Only with `only_parts`.
+    /// Where requests crash engines; none if it is drawn for the run. Only with `only_parts`.
     pub crash_point: Option<CrashPoint>,
     /// Of the prompts of callers, one in this number has a part that crashes engines. Only with
     /// `only_parts`.
@@ -233,6 +233,9 @@
 ) {
     let mut rng =
         StdRng::seed_from_u64(conf.seed ^ (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    let crash_point = conf
+        .crash_point
+        .unwrap_or_else(|| CrashPoint::draw(conf.seed));
     let mut caller = Caller::default();
     let mut host = index % deployment.hosts.len();
     let mut revoked_keys: Vec<String> = Vec::new();
@@ -259,8 +262,7 @@
             .flatten();
         let cause = cause.filter(|cause| conf.crash_cause.is_none_or(|only| only == *cause));
         if let Some(cause) = cause {
-            let drawn = CrashPoint::draw(&mut rng);
-            request = cause.request(conf.crash_point.unwrap_or(drawn), &request);
+            request = cause.request(crash_point, &request);
         }
         let key = if cause == Some(CrashCause::Repeat) {
             first_key(&deployment)
