A part that one host serves is not refused by another that has only lost it

A host that suspects a part of a prompt which another host has served may not know it: served parts were told only by hosts that suspected them themselves.

What is told, and what is concluded from lost calls, have files of their own.

--- /dev/null
+++ b/src/decide/part_quarantine/evidence.rs
@@ -0,0 +1,110 @@
+//! What hosts tell each other of requests that crash upstreams.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::LostCall;
+use crate::decide::PartEvidence;
+use crate::decide::PartQuarantine;
+use crate::decide::QuarantineChange;
+use crate::decide::RequestPart;
+use crate::decide::part_quarantine::KnownCrash;
+use crate::decide::part_quarantine::TELLING_TIME;
+use crate::units::CrashId;
+
+/// The number of suspected calls that other hosts are told of at a time. Those that prove quarantined
+/// parts come first.
+const TOLD_MAX: usize = 128;
+
+impl PartQuarantine {
+    /// Applies what another host has told. Returns what has changed.
+    pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
+        let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        match evidence {
+            PartEvidence::Crash(suspect, age) => {
+                let crash = KnownCrash {
+                    at: at(age),
+                    known_at: now,
+                    is_own: false,
+                };
+                self.note_served(&suspect.parts, now);
+                self.record_suspect(suspect, crash, now)
+            }
+            PartEvidence::Lost(call, age) => {
+                let crash = KnownCrash {
+                    at: at(age),
+                    known_at: now,
+                    is_own: false,
+                };
+                self.note_served(&call.parts, now);
+                self.record_lost(call, crash, now)
+            }
+            PartEvidence::Alive(crash, age) => self.clear_crash(crash, at(age), now),
+            PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
+                self.lost_calls.on_served(at(age));
+                self.served.record(part, at(age));
+                self.evaluate_if_suspected(&[part], now)
+            }
+        }
+    }
+
+    /// Notes those of these parts of a prompt, suspected by another host, that are known to have been
+    /// served: that host may not know it.
+    fn note_served(&mut self, parts: &[RequestPart], now: Instant) {
+        for part in parts.iter().filter(|part| !part.is_whole()) {
+            if self.served.served_at(*part, now).is_some() {
+                self.suspected_elsewhere.insert(*part, now);
+            }
+        }
+    }
+
+    /// What other hosts are told now: the upstreams that have not crashed, the parts that are refused
+    /// no longer, the suspected calls that prove quarantined parts, those of this host that are recent,
+    /// and when the parts of these calls, and those that other hosts suspect, were last served.
+    pub fn evidence(&self, now: Instant) -> Vec<PartEvidence> {
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let is_recent = |crash: &KnownCrash| crash.is_own && age(crash.at) < TELLING_TIME;
+        let (proofs, others): (Vec<_>, Vec<_>) = self
+            .suspects
+            .iter()
+            .partition(|(suspect, _)| self.proofs.contains(*suspect));
+        let recent = others.into_iter().filter(|(_, crash)| is_recent(crash));
+        let told = proofs.into_iter().chain(recent).take(TOLD_MAX);
+        let elsewhere = self.suspected_elsewhere.iter();
+        let elsewhere = elsewhere.filter(|(_, at)| age(**at) < TELLING_TIME);
+        let suspected = told.clone().flat_map(|(suspect, _)| &suspect.parts);
+        let parts: IndexMap<RequestPart, Instant> = suspected
+            .chain(elsewhere.map(|(part, _)| part))
+            .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
+            .collect();
+        let lost = self.lost_calls.told();
+        let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
+            .filter(|(_, at)| age(*at) < TELLING_TIME)
+            .map(|(call, _)| ((call.crash, call.request.into()), call))
+            .collect();
+        let crashes = told.map(|(suspect, crash)| {
+            let lost = match suspect.parts.as_slice() {
+                [part] => lost.get(&(suspect.crash, *part)),
+                _ => None,
+            };
+            lost.map_or_else(
+                || PartEvidence::Crash(suspect.clone(), age(crash.at)),
+                |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
+            )
+        });
+        let served = parts
+            .into_iter()
+            .map(|(part, at)| PartEvidence::Served(part, age(at)));
+        let alive = self.alive.iter().filter(|(_, at)| age(**at) < TELLING_TIME);
+        let alive = alive.map(|(crash, at)| PartEvidence::Alive(*crash, age(*at)));
+        let released = self.released.iter();
+        let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
+        let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
+        alive.chain(released).chain(crashes).chain(served).collect()
+    }
+}
--- /dev/null
+++ b/src/decide/part_quarantine/lost.rs
@@ -0,0 +1,114 @@
+//! Calls that were lost at any point of their answers, and what they tell of the parts of their prompts.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::decide::CrashSuspect;
+use crate::decide::LostCall;
+use crate::decide::PartQuarantine;
+use crate::decide::QuarantineChange;
+use crate::decide::RequestPart;
+use crate::decide::lost_calls::Loss;
+use crate::decide::part_quarantine::KnownCrash;
+use crate::units::CrashId;
+
+impl PartQuarantine {
+    /// Records a call of this host that was lost before the head of its answer or after the first event.
+    /// Returns what has changed.
+    pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
+        let crash = KnownCrash {
+            at: now,
+            known_at: now,
+            is_own: true,
+        };
+        self.record_lost(call, crash, now)
+    }
+
+    /// Records a suspect, which was lost like any other call, too.
+    pub(super) fn record_suspect(
+        &mut self,
+        suspect: CrashSuspect,
+        crash: KnownCrash,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let lost = suspect.lost_call();
+        let mut changes = self.record_crash(suspect, crash, now);
+        if let Some(call) = lost {
+            changes.extend(self.search_causes(call, crash, false, now));
+        }
+        changes
+    }
+
+    /// Records a lost call, which is suspected as a whole.
+    pub(super) fn record_lost(
+        &mut self,
+        call: LostCall,
+        crash: KnownCrash,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let whole = CrashSuspect {
+            crash: call.crash,
+            parts: vec![call.request.into()],
+        };
+        let mut changes = self.record_crash(whole, crash, now);
+        changes.extend(self.search_causes(call, crash, crash.is_own, now));
+        changes
+    }
+
+    /// Adds a lost call, and finds those of its parts that crash upstreams. From then on they are
+    /// suspected like those of calls whose answers had begun. Returns what has changed.
+    fn search_causes(
+        &mut self,
+        call: LostCall,
+        crash: KnownCrash,
+        is_told: bool,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        if self.alive.contains_key(&call.crash) {
+            return Vec::new();
+        }
+        let parts = call.parts.clone();
+        let loss = Loss {
+            at: crash.at,
+            known_at: now,
+            is_told,
+        };
+        self.lost_calls.record(call, loss, &self.served);
+        let mut changes = Vec::new();
+        for (suspect, at) in self.likely_causes(&parts, now) {
+            let crash = KnownCrash {
+                at,
+                known_at: now,
+                is_own: true,
+            };
+            changes.extend(self.record_crash(suspect, crash, now));
+        }
+        changes
+    }
+
+    /// Those of these parts that explain crashes by lost calls, with each of the crashes.
+    fn likely_causes(&self, parts: &[RequestPart], now: Instant) -> Vec<(CrashSuspect, Instant)> {
+        if self.find(parts, now).is_some() {
+            return Vec::new();
+        }
+        let explained: IndexSet<CrashId> = self.explained.iter().map(|s| s.crash).collect();
+        let is_explained = |call: &LostCall| {
+            explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
+        };
+        let causes = self
+            .lost_calls
+            .find_causes(parts, &self.served, is_explained, now);
+        let mut suspects: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
+        for (part, crashes) in causes {
+            for crash in crashes {
+                suspects.entry(crash).or_default().push(part);
+            }
+        }
+        let suspects = suspects.into_iter();
+        suspects
+            .map(|((crash, at), parts)| (CrashSuspect { crash, parts }, at))
+            .collect()
+    }
+}
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -5,6 +5,9 @@
 //! several hosts, so single crashes say little: a part is refused once several upstreams have crashed
 //! under it and no request with it was served since.
 
+mod evidence;
+mod lost;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,15 +15,12 @@
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
-use crate::decide::LostCall;
-use crate::decide::PartEvidence;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
 use crate::decide::RequestPart;
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::crash_attribution::Explanation;
 use crate::decide::crash_attribution::explain_crashes;
-use crate::decide::lost_calls::Loss;
 use crate::decide::lost_calls::LostCalls;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
@@ -31,9 +31,6 @@
 const SUSPECTS_MAX: usize = 1_024;
 /// The number of suspected calls that are dropped together when there are more.
 const DROP_BATCH: usize = 128;
-/// The number of suspected calls that other hosts are told of at a time. Those that prove quarantined
-/// parts come first.
-const TOLD_MAX: usize = 128;
 /// How long the parts of the prompt of a suspected call are kept while its crash is not explained.
 const PART_RETENTION: Duration = Duration::from_secs(600);
 /// How long requests with quarantined parts of a prompt are refused after the last crash. The parts
@@ -85,6 +82,8 @@
     /// The parts that were refused, and the whole requests that were suspected, until this host had
     /// such a request served, with the time of this.
     released: IndexMap<RequestPart, Instant>,
+    /// The parts that this host knows to have been served, and another host suspected at this time.
+    suspected_elsewhere: IndexMap<RequestPart, Instant>,
 }
 
 impl PartQuarantine {
@@ -125,17 +124,6 @@
         self.record_suspect(suspect, crash, now)
     }
 
-    /// Records a call of this host that was lost before the head of its answer or after the first event.
-    /// Returns what has changed.
-    pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
-        let crash = KnownCrash {
-            at: now,
-            known_at: now,
-            is_own: true,
-        };
-        self.record_lost(call, crash, now)
-    }
-
     /// Records that a request of this host with these parts was served to its end. Returns what has
     /// changed.
     pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
@@ -199,167 +187,6 @@
         })
     }
 
-    /// Applies what another host has told. Returns what has changed.
-    pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
-        let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
-        match evidence {
-            PartEvidence::Crash(suspect, age) => {
-                let crash = KnownCrash {
-                    at: at(age),
-                    known_at: now,
-                    is_own: false,
-                };
-                self.record_suspect(suspect, crash, now)
-            }
-            PartEvidence::Lost(call, age) => {
-                let crash = KnownCrash {
-                    at: at(age),
-                    known_at: now,
-                    is_own: false,
-                };
-                self.record_lost(call, crash, now)
-            }
-            PartEvidence::Alive(crash, age) => self.clear_crash(crash, at(age), now),
-            PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
-                self.lost_calls.on_served(at(age));
-                self.served.record(part, at(age));
-                self.evaluate_if_suspected(&[part], now)
-            }
-        }
-    }
-
-    /// What other hosts are told now: the upstreams that have not crashed, the parts that are refused
-    /// no longer, the suspected calls that prove quarantined parts, those of this host that are recent,
-    /// and when the parts of these calls were last served.
-    pub fn evidence(&self, now: Instant) -> Vec<PartEvidence> {
-        if self.is_empty() {
-            return Vec::new();
-        }
-        let age = |at: Instant| now.saturating_duration_since(at);
-        let is_recent = |crash: &KnownCrash| crash.is_own && age(crash.at) < TELLING_TIME;
-        let (proofs, others): (Vec<_>, Vec<_>) = self
-            .suspects
-            .iter()
-            .partition(|(suspect, _)| self.proofs.contains(*suspect));
-        let recent = others.into_iter().filter(|(_, crash)| is_recent(crash));
-        let told = proofs.into_iter().chain(recent).take(TOLD_MAX);
-        let parts: IndexMap<RequestPart, Instant> = told
-            .clone()
-            .flat_map(|(suspect, _)| &suspect.parts)
-            .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
-            .collect();
-        let lost = self.lost_calls.told();
-        let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
-            .filter(|(_, at)| age(*at) < TELLING_TIME)
-            .map(|(call, _)| ((call.crash, call.request.into()), call))
-            .collect();
-        let crashes = told.map(|(suspect, crash)| {
-            let lost = match suspect.parts.as_slice() {
-                [part] => lost.get(&(suspect.crash, *part)),
-                _ => None,
-            };
-            lost.map_or_else(
-                || PartEvidence::Crash(suspect.clone(), age(crash.at)),
-                |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
-            )
-        });
-        let served = parts
-            .into_iter()
-            .map(|(part, at)| PartEvidence::Served(part, age(at)));
-        let alive = self.alive.iter().filter(|(_, at)| age(**at) < TELLING_TIME);
-        let alive = alive.map(|(crash, at)| PartEvidence::Alive(*crash, age(*at)));
-        let released = self.released.iter();
-        let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
-        let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
-        alive.chain(released).chain(crashes).chain(served).collect()
-    }
-
-    /// Records a suspect, which was lost like any other call, too.
-    fn record_suspect(
-        &mut self,
-        suspect: CrashSuspect,
-        crash: KnownCrash,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        let lost = suspect.lost_call();
-        let mut changes = self.record_crash(suspect, crash, now);
-        if let Some(call) = lost {
-            changes.extend(self.search_causes(call, crash, false, now));
-        }
-        changes
-    }
-
-    /// Records a lost call, which is suspected as a whole.
-    fn record_lost(
-        &mut self,
-        call: LostCall,
-        crash: KnownCrash,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        let whole = CrashSuspect {
-            crash: call.crash,
-            parts: vec![call.request.into()],
-        };
-        let mut changes = self.record_crash(whole, crash, now);
-        changes.extend(self.search_causes(call, crash, crash.is_own, now));
-        changes
-    }
-
-    /// Adds a lost call, and finds those of its parts that crash upstreams. From then on they are
-    /// suspected like those of calls whose answers had begun. Returns what has changed.
-    fn search_causes(
-        &mut self,
-        call: LostCall,
-        crash: KnownCrash,
-        is_told: bool,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        if self.alive.contains_key(&call.crash) {
-            return Vec::new();
-        }
-        let parts = call.parts.clone();
-        let loss = Loss {
-            at: crash.at,
-            known_at: now,
-            is_told,
-        };
-        self.lost_calls.record(call, loss, &self.served);
-        let mut changes = Vec::new();
-        for (suspect, at) in self.likely_causes(&parts, now) {
-            let crash = KnownCrash {
-                at,
-                known_at: now,
-                is_own: true,
-            };
-            changes.extend(self.record_crash(suspect, crash, now));
-        }
-        changes
-    }
-
-    /// Those of these parts that explain crashes by lost calls, with each of the crashes.
-    fn likely_causes(&self, parts: &[RequestPart], now: Instant) -> Vec<(CrashSuspect, Instant)> {
-        if self.find(parts, now).is_some() {
-            return Vec::new();
-        }
-        let explained: IndexSet<CrashId> = self.explained.iter().map(|s| s.crash).collect();
-        let is_explained = |call: &LostCall| {
-            explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
-        };
-        let causes = self
-            .lost_calls
-            .find_causes(parts, &self.served, is_explained, now);
-        let mut suspects: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
-        for (part, crashes) in causes {
-            for crash in crashes {
-                suspects.entry(crash).or_default().push(part);
-            }
-        }
-        let suspects = suspects.into_iter();
-        suspects
-            .map(|((crash, at), parts)| (CrashSuspect { crash, parts }, at))
-            .collect()
-    }
-
     fn record_crash(
         &mut self,
         suspect: CrashSuspect,
@@ -442,6 +269,7 @@
         let is_told = |at: &Instant| !is_older_than(*at, TELLING_TIME, now);
         self.alive.retain(|_, at| is_told(at));
         self.released.retain(|_, at| is_told(at));
+        self.suspected_elsewhere.retain(|_, at| is_told(at));
     }
 
     /// Drops the oldest suspected calls: if possible some that have no part in common with a suspected
--- a/tests/decide_lost_calls.rs
+++ b/tests/decide_lost_calls.rs
@@ -197,6 +197,30 @@
     assert!(!is_refused(&started, &[COMMON], later));
 }
 
+/// Guards against a sound part that one host refuses although another one serves it, and knows of the
+/// calls that the first has lost.
+#[test]
+fn a_part_that_another_host_has_served_is_not_refused() {
+    let mut now = Instant::now();
+    let (mut here, mut there) = (PartQuarantine::default(), PartQuarantine::default());
+    there.on_served(&ids(&[COMMON, 0x1]), now);
+    now += Duration::from_secs(60);
+    for crash in 1..=4 {
+        here.on_lost(lost(crash, crash, &[0x1]), now);
+        for evidence in here.evidence(now) {
+            there.on_evidence(evidence, now);
+        }
+        for evidence in there.evidence(now) {
+            let entry = PartEvidenceEntry::from(evidence);
+            here.on_evidence(entry.evidence().unwrap(), now);
+        }
+        now += Duration::from_millis(300);
+        here.on_served(&ids(&[COMMON]), now);
+        now += Duration::from_millis(300);
+    }
+    assert!(!is_refused(&here, &[0x1], now));
+}
+
 /// Guards against hosts of an earlier version that take a lost call for something else: they know the
 /// request as a whole.
 #[test]
