Soak: a stop kills only the process that it has told to stop

The trace shows the soak's own fault: three stops of host 0 overlap (11.587, 13.868, 19.308 s). The process that the second one told to stop had ended by 14.4 s; at the end of its grace, 21.868 s, it killed the one that had been started since.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -74,11 +74,19 @@
         }
         Fault::StopHost(host) => {
             lock(&deployment.hosts[host]).signal(Signal::SIGTERM);
+            let incarnation = lock(&deployment.hosts[host]).incarnation;
+            // Another fault may end this process and start the next one.
+            let is_stopping = || {
+                let mut host = lock(&deployment.hosts[host]);
+                host.incarnation == incarnation && host.is_running()
+            };
             let end = deployment.now() + STOP_GRACE;
-            while deployment.now() < end && lock(&deployment.hosts[host]).is_running() {
+            while deployment.now() < end && is_stopping() {
                 sleep(Duration::from_millis(20)).await;
             }
-            lock(&deployment.hosts[host]).signal(Signal::SIGKILL);
+            if is_stopping() {
+                lock(&deployment.hosts[host]).signal(Signal::SIGKILL);
+            }
             restart_host(deployment, host).await;
             FaultScope::PlannedStop(host)
         }
