--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::decide::CrashSuspect;
 use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::decide::crash_attribution::CRASHES_MIN;
@@ -26,8 +27,8 @@
 const DROP_BATCH: usize = 128;
 /// How long a lost call is kept.
 const RETENTION: Duration = Duration::from_secs(600);
-/// The shortest time between crashes that count separately. Upstreams that end together need not have
-/// a part in common that is the cause.
+/// The shortest time between crashes that count separately. Upstreams that end together may do so for
+/// one reason, which need not be a request.
 const APART_MIN: Duration = Duration::from_millis(200);
 /// The number of times at which requests were served that are kept.
 const SERVES_MAX: usize = 64;
@@ -102,15 +103,15 @@
         told.map(|(call, (loss, _))| (call, loss.at))
     }
 
-    /// Those of these parts that explain crashes, with the calls that were lost with them, one for each
-    /// crash that counts. Crashes that are explained otherwise are left out.
+    /// The crashes that some of these parts explain, with these parts and the time of the crash. Calls of
+    /// which the crash `is_explained` otherwise are left out.
     pub(crate) fn find_causes(
         &self,
         parts: &[RequestPart],
         served: &ServedParts,
         is_explained: impl Fn(&LostCall) -> bool,
         now: Instant,
-    ) -> Vec<(RequestPart, Vec<(CrashId, Instant)>)> {
+    ) -> Vec<(CrashSuspect, Instant)> {
         let is_new = |part: &&RequestPart| served.served_at(**part, now).is_none();
         let suspected = parts.iter().filter(is_new);
         let suspected: Vec<RequestPart> = suspected
@@ -122,11 +123,19 @@
         }
         let explained = self.calls.keys().filter(|call| is_explained(call));
         let explained: IndexSet<CrashId> = explained.map(|call| call.crash).collect();
-        let causes = suspected
-            .into_iter()
-            .map(|part| (part, self.separate_crashes(part, &explained)));
-        let causes = causes.filter(|(_, crashes)| crashes.len() >= CRASHES_MIN);
-        causes.collect()
+        let mut causes: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
+        for part in suspected {
+            let crashes = self.separate_crashes(part, &explained);
+            if crashes.len() >= CRASHES_MIN {
+                for crash in crashes {
+                    causes.entry(crash).or_default().push(part);
+                }
+            }
+        }
+        let causes = causes.into_iter();
+        causes
+            .map(|((crash, at), parts)| (CrashSuspect { crash, parts }, at))
+            .collect()
     }
 
     /// The number of crashes in which a call with the part was lost.
@@ -136,7 +145,7 @@
         crashes.len()
     }
 
-    /// The crashes in which a call with the part was lost, as far as they count separately.
+    /// The crashes in which a call with the part was lost and that count separately, in order.
     fn separate_crashes(
         &self,
         part: RequestPart,
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -1,6 +1,5 @@
 //! What hosts tell each other of requests that crash upstreams.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -12,6 +11,7 @@
 use crate::decide::RequestPart;
 use crate::decide::part_quarantine::KnownCrash;
 use crate::decide::part_quarantine::TELLING_TIME;
+use crate::decide::part_quarantine::time_before;
 use crate::units::CrashId;
 
 /// The number of suspected calls that other hosts are told of at a time. Those that prove quarantined
@@ -21,30 +21,20 @@
 impl PartQuarantine {
     /// Applies what another host has told. Returns what has changed.
     pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
-        let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
         match evidence {
             PartEvidence::Crash(suspect, age) => {
-                let crash = KnownCrash {
-                    at: at(age),
-                    known_at: now,
-                    is_own: false,
-                };
                 self.note_served(&suspect.parts, now);
-                self.record_suspect(suspect, crash, now)
+                self.record_suspect(suspect, KnownCrash::told(age, now), now)
             }
             PartEvidence::Lost(call, age) => {
-                let crash = KnownCrash {
-                    at: at(age),
-                    known_at: now,
-                    is_own: false,
-                };
                 self.note_served(&call.parts, now);
-                self.record_lost(call, crash, now)
+                self.record_lost(call, KnownCrash::told(age, now), now)
             }
-            PartEvidence::Alive(crash, age) => self.clear_crash(crash, at(age), now),
+            PartEvidence::Alive(crash, age) => self.clear_crash(crash, time_before(now, age), now),
             PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
-                self.lost_calls.on_served(at(age));
-                self.served.record(part, at(age));
+                let served_at = time_before(now, age);
+                self.lost_calls.on_served(served_at);
+                self.served.record(part, served_at);
                 self.evaluate_if_suspected(&[part], now)
             }
         }
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
@@ -18,12 +17,7 @@
     /// Records a call of this host that was lost before the head of its answer or after the first event.
     /// Returns what has changed.
     pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
-        let crash = KnownCrash {
-            at: now,
-            known_at: now,
-            is_own: true,
-        };
-        self.record_lost(call, crash, now)
+        self.record_lost(call, KnownCrash::own(now), now)
     }
 
     /// Records a suspect, which was lost like any other call, too.
@@ -80,15 +74,15 @@
         for (suspect, at) in self.likely_causes(&parts, now) {
             let crash = KnownCrash {
                 at,
-                known_at: now,
-                is_own: true,
+                ..KnownCrash::own(now)
             };
             changes.extend(self.record_crash(suspect, crash, now));
         }
         changes
     }
 
-    /// Those of these parts that explain crashes by lost calls, with each of the crashes.
+    /// The crashes that some of these parts explain by lost calls, with these parts. Empty if calls with
+    /// them are refused already.
     fn likely_causes(&self, parts: &[RequestPart], now: Instant) -> Vec<(CrashSuspect, Instant)> {
         if self.find(parts, now).is_some() {
             return Vec::new();
@@ -97,18 +91,7 @@
         let is_explained = |call: &LostCall| {
             explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
         };
-        let causes = self
-            .lost_calls
-            .find_causes(parts, &self.served, is_explained, now);
-        let mut suspects: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
-        for (part, crashes) in causes {
-            for crash in crashes {
-                suspects.entry(crash).or_default().push(part);
-            }
-        }
-        let suspects = suspects.into_iter();
-        suspects
-            .map(|((crash, at), parts)| (CrashSuspect { crash, parts }, at))
-            .collect()
+        self.lost_calls
+            .find_causes(parts, &self.served, is_explained, now)
     }
 }
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -64,6 +64,26 @@
     is_own: bool,
 }
 
+impl KnownCrash {
+    /// A crash that this host has seen now.
+    fn own(now: Instant) -> Self {
+        Self {
+            at: now,
+            known_at: now,
+            is_own: true,
+        }
+    }
+
+    /// A crash of this age of which another host has told now.
+    fn told(age: Duration, now: Instant) -> Self {
+        Self {
+            at: time_before(now, age),
+            known_at: now,
+            is_own: false,
+        }
+    }
+}
+
 /// What one host knows of parts that crash upstreams, from its own calls and from other hosts. What is
 /// refused follows from it alone, so that hosts which know the same refuse the same.
 #[derive(Debug, Default)]
@@ -116,12 +136,7 @@
 
     /// Records a suspected call of this host. Returns what has changed.
     pub fn on_crash(&mut self, suspect: CrashSuspect, now: Instant) -> Vec<QuarantineChange> {
-        let crash = KnownCrash {
-            at: now,
-            known_at: now,
-            is_own: true,
-        };
-        self.record_suspect(suspect, crash, now)
+        self.record_suspect(suspect, KnownCrash::own(now), now)
     }
 
     /// Records that a request of this host with these parts was served to its end. Returns what has
@@ -368,6 +383,11 @@
     REQUEST_QUARANTINE_TIMES[further.min(last)]
 }
 
+/// The time of something of this age; now if the clock does not reach back so far.
+fn time_before(now: Instant, age: Duration) -> Instant {
+    now.checked_sub(age).unwrap_or(now)
+}
+
 fn is_older_than(at: Instant, age: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) >= age
 }
