--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -85,7 +85,7 @@
     pub deadline: Option<Duration>,
     /// The customer that the upstream was given.
     pub customer: Option<String>,
-    /// Whether method, path and body arrived as the caller sent them.
+    /// Whether method, path, body and the parts of the prompt arrived as the caller sent them.
     pub is_unchanged: bool,
     /// Whether the request contained a caller's key, which must not be forwarded.
     pub has_key: bool,
--- a/soak/src/upstream_shared.rs
+++ b/soak/src/upstream_shared.rs
@@ -38,6 +38,7 @@
 use crate::history::Timestamp;
 use crate::history::UpstreamRefusal;
 use crate::history::UpstreamRun;
+use crate::prompt_parts::prompt_parts;
 use crate::silence_gate::SilenceGate;
 use crate::upstream_body::Body;
 use crate::upstream_body::full_response;
@@ -257,6 +258,8 @@
         let is_path_unchanged = call::CallClass::ALL
             .iter()
             .any(|class| path == format!("/{}/x", class.route_name()));
+        let are_parts_unchanged = self.service != call::ENGINE_SERVICE
+            || forwarded.prompt_parts == prompt_parts(&forwarded.request);
         let run = UpstreamRun {
             upstream: self.id.clone(),
             domain: self.domain,
@@ -266,7 +269,8 @@
             customer: forwarded.customer.clone(),
             is_unchanged: is_path_unchanged
                 && head.method == "POST"
-                && body == expected_body.as_bytes(),
+                && body == expected_body.as_bytes()
+                && are_parts_unchanged,
             has_key: forwarded.has_key,
             advertised_limit_per_s: *self.advertised_limit(),
             says_leaving: arrival.says_leaving,
--- a/soak/tests/part_checks.rs
+++ b/soak/tests/part_checks.rs
@@ -15,6 +15,7 @@
 use yare::parameterized;
 
 const STOPS: &str = "requests with a part that crashes engines stop reaching them";
+const REPEATS_STOP: &str = "repeats of a request that crashes engines stop reaching them";
 const SERVED: &str = "requests without a part that crashes engines are served";
 
 fn at(ms: u64) -> Duration {
@@ -102,6 +103,36 @@
     assert_eq!(is_violated(STOPS, crashes, observations), expected);
 }
 
+/// Guards against a check that never finds a request which goes on crashing engines, or that counts the
+/// repeats by which hosts learn of it.
+#[parameterized(
+    four_later = { 3, 4, 13_300, true },
+    three_later = { 3, 3, 13_300, false },
+    four_too_early = { 3, 4, 13_100, false },
+    two_crashes = { 2, 4, 13_300, false },
+)]
+fn repeats_that_go_on_crashing_engines_are_found(
+    crashes: u64,
+    arrivals: u64,
+    arrived_ms: u64,
+    expected: bool,
+) {
+    let mut observations = Observations {
+        repeat_crashes: (0..crashes).map(|crash| at(10_000 + crash * 100)).collect(),
+        ..Observations::default()
+    };
+    for arrival in 0..arrivals {
+        let request = format!("repeat-head-{arrival}");
+        let arrived_ms = arrived_ms + arrival;
+        let runs = vec![run(arrived_ms)];
+        observations.runs.insert(request.clone(), runs);
+        observations
+            .attempts
+            .insert(request, attempt(arrived_ms, false));
+    }
+    assert_eq!(is_violated(REPEATS_STOP, 0, observations), expected);
+}
+
 /// Guards against a check that never finds sound requests which are refused with the others.
 #[parameterized(
     half = { 2, false },
