Tidy: lost calls and suspects share one record of a crash

LostCalls had a twin of KnownCrash (Loss) and its own comparison of ages; it uses KnownCrash, which has a file of its own, and is_older_than. Suspects of a request as a whole are made in one place (CrashSuspect::of_request), and RequestPart says which request it is. on_crash_suspect has one branch for each case.

No decision changes. One thing that is told does: a request that the same host lost twice in one crash, once after the head and once before it, is told as a lost call instead of as a whole; receivers know its parts from the first of the two.

--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -3,6 +3,7 @@
 use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
+use crate::units::RequestHash;
 
 /// A call that may have crashed an upstream: the connection broke before a second event of its answer
 /// was received.
@@ -16,13 +17,18 @@
 }
 
 impl CrashSuspect {
+    /// A call that is suspected as a whole alone.
+    pub fn of_request(crash: CrashId, request: RequestHash) -> Self {
+        Self {
+            crash,
+            parts: vec![request.into()],
+        }
+    }
+
     /// The same call as one that was lost; none if the request as a whole or the parts of its prompt
     /// are not known.
     pub(crate) fn lost_call(&self) -> Option<LostCall> {
-        let request = self.parts.iter().find_map(|part| match part {
-            RequestPart::Whole(request) => Some(*request),
-            RequestPart::Prompt(_) => None,
-        })?;
+        let request = self.parts.iter().find_map(RequestPart::request)?;
         let shared = self.parts.iter().filter(|part| !part.is_whole());
         let parts: Vec<RequestPart> = shared.copied().collect();
         (!parts.is_empty()).then_some(LostCall {
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -17,6 +17,8 @@
 use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::decide::crash_attribution::CRASHES_MIN;
+use crate::decide::known_crash::KnownCrash;
+use crate::decide::part_quarantine::is_older_than;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
 use crate::units::RequestHash;
@@ -35,22 +37,11 @@
 /// The shortest time between the ones that are kept.
 const SERVES_APART: Duration = Duration::from_millis(50);
 
-/// When a call was lost, and what is known of that moment.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Loss {
-    /// When the upstream crashed.
-    pub(crate) at: Instant,
-    /// When this host learned of it.
-    pub(crate) known_at: Instant,
-    /// Whether other hosts are to be told of the call.
-    pub(crate) is_told: bool,
-}
-
 /// The calls that were lost with upstreams, and when requests were served.
 #[derive(Debug, Default)]
 pub(crate) struct LostCalls {
     /// The lost calls, each with the last time before it at which a request was served.
-    calls: IndexMap<LostCall, (Loss, Option<Instant>)>,
+    calls: IndexMap<LostCall, (KnownCrash, Option<Instant>)>,
     serves: VecDeque<Instant>,
 }
 
@@ -73,23 +64,21 @@
     }
 
     /// Records a lost call, of whose parts those that were served before are left out.
-    pub(crate) fn record(&mut self, mut call: LostCall, loss: Loss, served: &ServedParts) {
-        let now = loss.known_at;
+    pub(crate) fn record(&mut self, mut call: LostCall, crash: KnownCrash, served: &ServedParts) {
+        let now = crash.known_at;
         call.parts
             .retain(|part| served.served_at(*part, now).is_none());
-        if call.parts.is_empty() || now.saturating_duration_since(loss.at) >= RETENTION {
+        if call.parts.is_empty() || is_older_than(crash.at, RETENTION, now) {
             return;
         }
-        self.calls.retain(|_, (known, _)| {
-            let age = now.saturating_duration_since(known.known_at);
-            age < RETENTION
-        });
+        self.calls
+            .retain(|_, (known, _)| !is_older_than(known.known_at, RETENTION, now));
         if self.calls.len() >= CALLS_MAX {
             self.calls.drain(..DROP_BATCH);
         }
         let mut serves = self.serves.iter().rev();
-        let served_before = serves.find(|served_at| **served_at < loss.at).copied();
-        self.calls.entry(call).or_insert((loss, served_before));
+        let served_before = serves.find(|served_at| **served_at < crash.at).copied();
+        self.calls.entry(call).or_insert((crash, served_before));
     }
 
     /// Forgets the calls that were lost in a crash that is none.
@@ -97,10 +86,9 @@
         self.calls.retain(|call, _| call.crash != crash);
     }
 
-    /// The lost calls of which other hosts are to be told, with the times of their crashes.
-    pub(crate) fn told(&self) -> impl Iterator<Item = (&LostCall, Instant)> {
-        let told = self.calls.iter().filter(|(_, (loss, _))| loss.is_told);
-        told.map(|(call, (loss, _))| (call, loss.at))
+    /// The lost calls with their crashes.
+    pub(crate) fn calls(&self) -> impl Iterator<Item = (&LostCall, &KnownCrash)> {
+        self.calls.iter().map(|(call, (crash, _))| (call, crash))
     }
 
     /// The crashes that some of these parts explain, with these parts and the time of the crash. Calls of
@@ -155,16 +143,16 @@
         let with_part = calls
             .filter(|(call, _)| call.parts.contains(&part) && !explained.contains(&call.crash));
         let mut losses: Vec<_> = with_part.collect();
-        losses.sort_by_key(|(_, (loss, _))| loss.at);
+        losses.sort_by_key(|(_, (crash, _))| crash.at);
         let mut separate: Vec<(CrashId, Instant)> = Vec::new();
         let mut requests: IndexSet<RequestHash> = IndexSet::new();
-        for (call, (loss, served_before)) in losses {
+        for (call, (crash, served_before)) in losses {
             let is_separate = separate.last().is_none_or(|(_, last)| {
                 let is_served_between = served_before.is_some_and(|served_at| served_at > *last);
-                loss.at.saturating_duration_since(*last) >= APART_MIN && is_served_between
+                is_older_than(*last, APART_MIN, crash.at) && is_served_between
             });
             if is_separate && requests.insert(call.request) {
-                separate.push((call.crash, loss.at));
+                separate.push((call.crash, crash.at));
             }
         }
         separate
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -41,6 +41,7 @@
 mod host_load;
 mod instance_choice;
 mod intake;
+mod known_crash;
 mod lane;
 mod lane_split;
 mod lease_state;
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -9,9 +9,9 @@
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::RequestPart;
-use crate::decide::part_quarantine::KnownCrash;
+use crate::decide::known_crash::KnownCrash;
+use crate::decide::known_crash::time_before;
 use crate::decide::part_quarantine::TELLING_TIME;
-use crate::decide::part_quarantine::time_before;
 use crate::units::CrashId;
 
 /// The number of suspected calls that other hosts are told of at a time. Those that prove quarantined
@@ -72,9 +72,9 @@
             .chain(elsewhere.map(|(part, _)| part))
             .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
             .collect();
-        let lost = self.lost_calls.told();
+        let lost = self.lost_calls.calls();
         let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
-            .filter(|(_, at)| age(*at) < TELLING_TIME)
+            .filter(|(_, crash)| is_recent(crash))
             .map(|(call, _)| ((call.crash, call.request.into()), call))
             .collect();
         let crashes = told.map(|(suspect, crash)| {
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -9,8 +9,7 @@
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::RequestPart;
-use crate::decide::lost_calls::Loss;
-use crate::decide::part_quarantine::KnownCrash;
+use crate::decide::known_crash::KnownCrash;
 use crate::units::CrashId;
 
 impl PartQuarantine {
@@ -30,7 +29,7 @@
         let lost = suspect.lost_call();
         let mut changes = self.record_crash(suspect, crash, now);
         if let Some(call) = lost {
-            changes.extend(self.search_causes(call, crash, false, now));
+            changes.extend(self.search_causes(call, crash, now));
         }
         changes
     }
@@ -42,12 +41,9 @@
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        let whole = CrashSuspect {
-            crash: call.crash,
-            parts: vec![call.request.into()],
-        };
+        let whole = CrashSuspect::of_request(call.crash, call.request);
         let mut changes = self.record_crash(whole, crash, now);
-        changes.extend(self.search_causes(call, crash, crash.is_own, now));
+        changes.extend(self.search_causes(call, crash, now));
         changes
     }
 
@@ -57,19 +53,13 @@
         &mut self,
         call: LostCall,
         crash: KnownCrash,
-        is_told: bool,
         now: Instant,
     ) -> Vec<QuarantineChange> {
         if self.alive.contains_key(&call.crash) {
             return Vec::new();
         }
         let parts = call.parts.clone();
-        let loss = Loss {
-            at: crash.at,
-            known_at: now,
-            is_told,
-        };
-        self.lost_calls.record(call, loss, &self.served);
+        self.lost_calls.record(call, crash, &self.served);
         let mut changes = Vec::new();
         for (suspect, at) in self.likely_causes(&parts, now) {
             let crash = KnownCrash {
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -21,6 +21,7 @@
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::crash_attribution::Explanation;
 use crate::decide::crash_attribution::explain_crashes;
+use crate::decide::known_crash::KnownCrash;
 use crate::decide::lost_calls::LostCalls;
 use crate::decide::served_parts::ServedParts;
 use crate::units::CrashId;
@@ -53,37 +54,6 @@
 /// How long other hosts are told of a suspected call of this host while its crash is not explained.
 const TELLING_TIME: Duration = Duration::from_secs(10);
 
-/// The crash of an upstream under a suspected call.
-#[derive(Clone, Copy, Debug)]
-struct KnownCrash {
-    /// When the upstream crashed.
-    at: Instant,
-    /// When this host learned of it.
-    known_at: Instant,
-    /// Whether the call was one of this host.
-    is_own: bool,
-}
-
-impl KnownCrash {
-    /// A crash that this host has seen now.
-    fn own(now: Instant) -> Self {
-        Self {
-            at: now,
-            known_at: now,
-            is_own: true,
-        }
-    }
-
-    /// A crash of this age of which another host has told now.
-    fn told(age: Duration, now: Instant) -> Self {
-        Self {
-            at: time_before(now, age),
-            known_at: now,
-            is_own: false,
-        }
-    }
-}
-
 /// What one host knows of parts that crash upstreams, from its own calls and from other hosts. What is
 /// refused follows from it alone, so that hosts which know the same refuse the same.
 #[derive(Debug, Default)]
@@ -383,12 +353,8 @@
     REQUEST_QUARANTINE_TIMES[further.min(last)]
 }
 
-/// The time of something of this age; now if the clock does not reach back so far.
-fn time_before(now: Instant, age: Duration) -> Instant {
-    now.checked_sub(age).unwrap_or(now)
-}
-
-fn is_older_than(at: Instant, age: Duration, now: Instant) -> bool {
+/// Whether something of this time is at least this old now.
+pub(in crate::decide) fn is_older_than(at: Instant, age: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) >= age
 }
 
--- a/src/decide/request_part.rs
+++ b/src/decide/request_part.rs
@@ -17,7 +17,15 @@
 impl RequestPart {
     /// Whether this is a request as a whole.
     pub fn is_whole(&self) -> bool {
-        matches!(self, Self::Whole(_))
+        self.request().is_some()
+    }
+
+    /// The request, if this is one as a whole.
+    pub fn request(&self) -> Option<RequestHash> {
+        match self {
+            Self::Prompt(_) => None,
+            Self::Whole(request) => Some(*request),
+        }
     }
 }
 
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -117,6 +117,9 @@
     /// Decodes the entry; none if it is empty.
     pub fn evidence(&self) -> Option<PartEvidence> {
         let age = Duration::from_millis(self.age_ms.into());
+        if !self.lost_parts.is_empty() {
+            return self.lost_call().map(|call| PartEvidence::Lost(call, age));
+        }
         let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
         let request = (self.request != 0).then(|| RequestHash(self.request).into());
         let parts: Vec<RequestPart> = parts.chain(request).collect();
@@ -125,9 +128,6 @@
         } else {
             self.crash
         });
-        if !self.lost_parts.is_empty() {
-            return self.lost_call().map(|call| PartEvidence::Lost(call, age));
-        }
         match (crash.0, parts.first()) {
             (0, None) => None,
             (0, Some(part)) if self.is_release => Some(PartEvidence::Released(*part, age)),
@@ -178,8 +178,5 @@
 
 /// The whole request, as it stands in messages.
 fn whole_request(part: &RequestPart) -> Option<u64> {
-    match part {
-        RequestPart::Prompt(_) => None,
-        RequestPart::Whole(request) => Some(request.0),
-    }
+    part.request().map(|request| request.0)
 }
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -76,14 +76,12 @@
         self.events
     }
 
-    /// The end of the last complete event in the buffer; none if there is no complete event. Counts the
-    /// complete events. An
-    /// empty line ends an event, and lines end with LF or CR LF.
+    /// The end of the last complete event in the buffer; none if there is no complete event. An empty
+    /// line ends an event, and lines end with LF or CR LF. Counts the complete events.
     fn last_event_end(&mut self) -> Option<usize> {
         let from = self.scanned.saturating_sub(3);
         let tail = &self.pending[from..];
         let mut end = None;
-        let mut events = 0;
         for (index, byte) in tail.iter().enumerate() {
             if *byte != b'\n' {
                 continue;
@@ -91,13 +89,12 @@
             let rest = &tail[index + 1..];
             if rest.first() == Some(&b'\n') {
                 end = Some(from + index + 2);
-                events += 1;
+                self.events += 1;
             } else if rest.starts_with(b"\r\n") {
                 end = Some(from + index + 3);
-                events += 1;
+                self.events += 1;
             }
         }
-        self.events += events;
         self.scanned = self.pending.len();
         end
     }
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -48,7 +48,6 @@
         now: Instant,
     ) {
         let request = call.hash();
-        let mut parts: Vec<RequestPart> = call.prompt_parts().collect();
         let mut quarantine = self.part_quarantine();
         let crash = CrashId::from(&upstream.id);
         // A request may break its connections without ending the upstream. This counts against the
@@ -57,17 +56,15 @@
         let is_repeated = request_crash != crash;
         let mut changes = Vec::new();
         if is_repeated {
-            let repeated = CrashSuspect {
-                crash: request_crash,
-                parts: vec![request.into()],
-            };
+            let repeated = CrashSuspect::of_request(request_crash, request);
             changes.extend(quarantine.on_crash(repeated, now));
-        } else if is_beginning {
-            parts.push(request.into());
         }
         if is_beginning {
+            let whole = (!is_repeated).then(|| request.into());
+            let parts = call.prompt_parts().chain(whole).collect();
             changes.extend(quarantine.on_crash(CrashSuspect { crash, parts }, now));
         } else if !is_repeated {
+            let parts = call.prompt_parts().collect();
             let lost = LostCall {
                 crash,
                 request,
