Tidy: tests share how a host hears of another, and how requests arrive

The third copy of hear is TestHost::hear; the two tests of part_checks make their arrivals in one place; cuts are played without an Arc. Assertions are unchanged. An id without a crash point crashes no engine of the soak, instead of one at the head; the soak makes no such ids.

--- a/soak/src/crashing_request.rs
+++ b/soak/src/crashing_request.rs
@@ -55,6 +55,5 @@
 /// Where a request crashes engines; none if it does not.
 pub(crate) fn crash_point(request: &str) -> Option<CrashPoint> {
     CrashCause::of(request)?;
-    let point = request.split('-').nth(1)?;
-    Some(point.parse().unwrap_or(CrashPoint::Head))
+    request.split('-').nth(1)?.parse().ok()
 }
--- a/soak/tests/part_checks.rs
+++ b/soak/tests/part_checks.rs
@@ -58,9 +58,29 @@
     }
 }
 
+/// This number of crashes from second 10 on, one each 100 ms.
+fn crash_times(crashes: u64) -> Vec<Duration> {
+    (0..crashes).map(|crash| at(10_000 + crash * 100)).collect()
+}
+
+/// Arrivals of requests whose ids begin so, one each millisecond.
+fn arrivals_of(prefix: &str, arrivals: u64, arrived_ms: u64) -> Observations {
+    let mut observations = Observations::default();
+    for arrival in 0..arrivals {
+        let request = format!("{prefix}-{arrival}");
+        let arrived_ms = arrived_ms + arrival;
+        let runs = vec![run(arrived_ms)];
+        observations.runs.insert(request.clone(), runs);
+        observations
+            .attempts
+            .insert(request, attempt(arrived_ms, false));
+    }
+    observations
+}
+
 /// Whether a guarantee is violated after crashes from second 10 on, one each 100 ms.
 fn is_violated(guarantee: &str, crashes: u64, mut observations: Observations) -> bool {
-    observations.part_crashes = (0..crashes).map(|crash| at(10_000 + crash * 100)).collect();
+    observations.part_crashes = crash_times(crashes);
     let violations = check(&observations, GuaranteeSet::All, at(60_000));
     violations
         .iter()
@@ -84,16 +104,7 @@
     restarted_ms: Option<u64>,
     expected: bool,
 ) {
-    let mut observations = Observations::default();
-    for arrival in 0..arrivals {
-        let request = format!("crash-{arrival}");
-        let arrived_ms = arrived_ms + arrival;
-        let runs = vec![run(arrived_ms)];
-        observations.runs.insert(request.clone(), runs);
-        observations
-            .attempts
-            .insert(request, attempt(arrived_ms, false));
-    }
+    let mut observations = arrivals_of("crash", arrivals, arrived_ms);
     let restarts = restarted_ms.map(|ms| FaultRecord {
         from: at(ms),
         to: at(ms),
@@ -117,19 +128,10 @@
     arrived_ms: u64,
     expected: bool,
 ) {
-    let mut observations = Observations {
-        repeat_crashes: (0..crashes).map(|crash| at(10_000 + crash * 100)).collect(),
-        ..Observations::default()
+    let observations = Observations {
+        repeat_crashes: crash_times(crashes),
+        ..arrivals_of("repeat", arrivals, arrived_ms)
     };
-    for arrival in 0..arrivals {
-        let request = format!("repeat-head-{arrival}");
-        let arrived_ms = arrived_ms + arrival;
-        let runs = vec![run(arrived_ms)];
-        observations.runs.insert(request.clone(), runs);
-        observations
-            .attempts
-            .insert(request, attempt(arrived_ms, false));
-    }
     assert_eq!(is_violated(REPEATS_STOP, 0, observations), expected);
 }
 
--- a/tests/gateway_cut_heads.rs
+++ b/tests/gateway_cut_heads.rs
@@ -2,7 +2,6 @@
 
 mod gateway_world;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -46,7 +45,7 @@
     host: TestHost,
     upstream: CutUpstream,
     _provider: Option<TestHost>,
-    _earlier: Option<EarlierHost>,
+    earlier: Option<EarlierHost>,
     _link: UpstreamLink,
 }
 
@@ -81,7 +80,7 @@
             host,
             upstream,
             _provider: provider,
-            _earlier: earlier,
+            earlier,
             _link: link,
         }
     }
@@ -96,7 +95,7 @@
                 return is_success;
             }
             assert!(!is_success, "no upstream has got {path}");
-            if let Some(earlier) = &self._earlier {
+            if let Some(earlier) = &self.earlier {
                 earlier.announce(&self.host);
             }
             tokio::time::sleep(RESEND_AFTER).await;
@@ -119,14 +118,11 @@
 }
 
 /// The cuts after which a caller's answer looks whole although it is not, or the reverse.
-async fn wrong_ends(world: &Arc<World>, route: &str, cuts: Vec<CutAnswer>) -> Vec<String> {
-    let calls = stream::iter(cuts).map(|cut| {
-        let world = Arc::clone(world);
+async fn wrong_ends(world: &World, route: &str, cuts: Vec<CutAnswer>) -> Vec<String> {
+    let calls = stream::iter(cuts).map(async |cut| {
         let path = format!("/{route}/{cut}");
-        async move {
-            let looks_complete = world.looks_complete(&path).await;
-            (looks_complete != cut.is_whole(REQUEST)).then_some(path)
-        }
+        let looks_complete = world.looks_complete(&path).await;
+        (looks_complete != cut.is_whole(REQUEST)).then_some(path)
     });
     let wrong = calls.buffer_unordered(CONCURRENT);
     wrong.filter_map(|path| async { path }).collect().await
@@ -140,7 +136,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn an_answer_that_is_cut_anywhere_does_not_look_complete(path: Path) {
-    let world = Arc::new(World::start(path, "app").await);
+    let world = World::start(path, "app").await;
     for framing in Framing::PLAIN {
         let wrong = wrong_ends(&world, "once", cuts(framing)).await;
         assert!(wrong.is_empty(), "{wrong:?}");
@@ -150,8 +146,8 @@
 /// Guards against the same behind a host of an earlier version: also what such a host cannot tell from
 /// a cut must not look complete.
 #[tokio::test]
-async fn an_answer_that_is_cut_behind_an_earlier_host_does_not_look_complete() {
-    let world = Arc::new(World::start(Path::EarlierTunnel, "app").await);
+async fn an_answer_that_is_cut_behind_anearlier_host_does_not_look_complete() {
+    let world = World::start(Path::EarlierTunnel, "app").await;
     for framing in Framing::PLAIN {
         let framed = cuts(framing).into_iter();
         let framed = framed.filter(|cut| framing != Framing::Connection || !cut.is_whole(REQUEST));
@@ -169,7 +165,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn a_stream_that_is_cut_anywhere_does_not_look_complete(path: Path) {
-    let world = Arc::new(World::start(path, "app").await);
+    let world = World::start(path, "app").await;
     let wrong = wrong_ends(&world, "fixed", cuts(Framing::Events)).await;
     assert!(wrong.is_empty(), "{wrong:?}");
 }
@@ -182,7 +178,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn a_resumed_stream_that_is_cut_in_its_head_does_not_look_complete(path: Path) {
-    let world = Arc::new(World::start(path, "app").await);
+    let world = World::start(path, "app").await;
     let (head, body) = Framing::Events.answer(REQUEST);
     let first = CutAnswer {
         framing: Framing::Events,
--- a/tests/gateway_tunnels.rs
+++ b/tests/gateway_tunnels.rs
@@ -21,7 +21,6 @@
 use gateway_world::upstream_link::Cut;
 use gateway_world::upstream_link::UpstreamLink;
 use gateway_world::wait_until;
-use indexmap::IndexMap;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -368,12 +367,6 @@
     }
 }
 
-/// Records an update of another host, which counts as live for a while.
-fn hear(host: &TestHost, sender: &ListedHost, now: Instant) {
-    let mut ledger = host.gateway.ledger();
-    ledger.record_host_loads(sender.host.clone(), 1, IndexMap::new(), now);
-}
-
 /// Failure: a host waits for a neighbour that does not answer until its call has failed, each time.
 #[tokio::test]
 async fn a_host_that_does_not_answer_is_not_waited_for() {
@@ -386,7 +379,7 @@
     loop {
         let now = Instant::now();
         assert!(now < deadline, "{}", world.cut.log.text());
-        hear(&world.cut, &listed, now);
+        world.cut.hear(&listed, now);
         if world.cut.call(request("/safe/1")).await.status() == 200 {
             break;
         }
@@ -414,7 +407,7 @@
     });
     let cut = start_cut_host("cut", &catalog, &link).await;
     cut.wait_for_hosts(2).await;
-    hear(&cut, &listed, Instant::now());
+    cut.hear(&listed, Instant::now());
     assert_eq!(cut.call(request("/once/1")).await.status(), 503);
     asked.await.unwrap();
 }
--- a/tests/gateway_world/earlier_host.rs
+++ b/tests/gateway_world/earlier_host.rs
@@ -6,7 +6,6 @@
 
 use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::Catalog;
-use indexmap::IndexMap;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -40,9 +39,7 @@
 
     /// Records an update of this host, which counts as live for a while.
     pub fn announce(&self, user: &TestHost) {
-        let mut ledger = user.gateway.ledger();
-        let host = self.listed.host.clone();
-        ledger.record_host_loads(host, 1, IndexMap::new(), Instant::now());
+        user.hear(&self.listed, Instant::now());
     }
 }
 
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -22,6 +22,7 @@
 use banyanarch::clock::SystemClock;
 use banyanarch::decide::EngineModel;
 use banyanarch::decide::RetryBound;
+use banyanarch::exchange::ListedHost;
 use banyanarch::gateway::DecisionLog;
 use banyanarch::gateway::Gateway;
 use banyanarch::gateway::GatewayConf;
@@ -210,6 +211,12 @@
         .await;
     }
 
+    /// Records an update of another host, which counts as live for a while.
+    pub fn hear(&self, sender: &ListedHost, now: Instant) {
+        let mut ledger = self.gateway.ledger();
+        ledger.record_host_loads(sender.host.clone(), 1, IndexMap::new(), now);
+    }
+
     /// Sends a request and reads the complete response.
     pub async fn call(&self, req: Request<Full<Bytes>>) -> Response<Bytes> {
         self.try_call(req).await.expect("the host responds")
