Soak: outages after a calm time, restarts of all hosts, engines that end after several events

The soak's deployment earned 0.05 retries a request, so that shares of hosts decided and the earned part was never measured; hosts restarted one by one while requests crash engines; and engines ended with the first event at the latest.

--- a/soak/src/crash_point.rs
+++ b/soak/src/crash_point.rs
@@ -24,23 +24,31 @@
     HalfEvent,
     /// The engine sends the head and one event.
     Event,
+    /// The engine sends the head and several events.
+    Events,
 }
 
 impl CrashPoint {
     /// All points.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Unanswered,
         Self::UnansweredLate,
         Self::Head,
         Self::HalfEvent,
         Self::Event,
+        Self::Events,
     ];
 
     /// The point that a seed draws. It is the same for all requests of a run: those that crash engines
     /// at one point would reveal the others.
     pub(crate) fn draw(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ POINTS_SEED_MASK);
-        Self::ALL[rng.random_range(0..Self::ALL.len())]
+        let point = Self::ALL[rng.random_range(0..Self::ALL.len() - 1)];
+        if rng.random_ratio(1, 6) {
+            Self::Events
+        } else {
+            point
+        }
     }
 
     /// The name on the command line and in the ids of requests.
@@ -51,6 +59,7 @@
             Self::Head => "head",
             Self::HalfEvent => "half",
             Self::Event => "event",
+            Self::Events => "events",
         }
     }
 
@@ -59,7 +68,7 @@
         match self {
             Self::Unanswered => Some(Duration::ZERO),
             Self::UnansweredLate => Some(Duration::from_millis(1_500)),
-            Self::Head | Self::HalfEvent | Self::Event => None,
+            Self::Head | Self::HalfEvent | Self::Event | Self::Events => None,
         }
     }
 }
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use banyanarch::decide::RetryBound;
 use banyanarch_platform::stand_in;
 use banyanarch_platform::stand_in::NodeConf;
 use indexmap::IndexMap;
@@ -135,6 +136,7 @@
     pub(crate) async fn start(
         size: DeploymentSize,
         slots: Option<u32>,
+        retry_bound: RetryBound,
         program: &Path,
         dir: &Path,
     ) -> io::Result<Arc<Self>> {
@@ -160,6 +162,7 @@
                 store_addr: store_link.addr,
                 revocation_delay: REVOCATION_DELAY,
                 stop_grace: STOP_GRACE,
+                retry_bound,
             };
             caller_links.push(LinkProxy::start(links_ip, conf.callers_addr).await?);
             hosts.push(Mutex::new(HostProcess::new(conf, program, dir)));
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -23,6 +23,9 @@
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
+/// The number of events that [`CrashPoint::Events`] sends.
+const EVENTS_BEFORE_CRASH: u32 = 3;
+
 /// The events of a response to a prompt after the last one that the caller has received.
 pub(crate) struct EventStream {
     shared: Arc<UpstreamShared>,
@@ -103,11 +106,20 @@
         point: CrashPoint,
         sender: &mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
     ) {
+        if point == CrashPoint::Events {
+            for id in self.first..self.first + EVENTS_BEFORE_CRASH {
+                let _ = sender.send(Ok(Frame::data(self.event(id).into()))).await;
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+        }
         let event = self.event(self.first);
         let sent_bytes = match point {
             CrashPoint::Event => event.len(),
             CrashPoint::HalfEvent => event.len() / 2,
-            CrashPoint::Unanswered | CrashPoint::UnansweredLate | CrashPoint::Head => 0,
+            CrashPoint::Unanswered
+            | CrashPoint::UnansweredLate
+            | CrashPoint::Head
+            | CrashPoint::Events => 0,
         };
         if sent_bytes > 0 {
             let sent = Bytes::copy_from_slice(&event.as_bytes()[..sent_bytes]);
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -31,6 +31,10 @@
 const PATH_CUTS_SEED_MASK: u64 = 0x00C0_7A11;
 /// XORed with the seed of the run for the draws of outages.
 const OUTAGES_SEED_MASK: u64 = 0x0007_A6E5;
+/// XORed with the seed of the run for the draws of outages while hosts restart.
+const EARNED_OUTAGES_SEED_MASK: u64 = 0x00EA_27ED;
+/// XORed with the seed of the run for the draws of restarts of all hosts.
+const FULL_RESTARTS_SEED_MASK: u64 = 0x0F01_157A;
 /// XORed with the seed of the run for the draws of notices of upstreams.
 const NOTICES_SEED_MASK: u64 = 0x0B0F_F1EA;
 
@@ -154,6 +158,74 @@
     faults
 }
 
+/// Draws restarts of all hosts: killed at the same time or one after the other. The pauses between the
+/// series of kills are longer than it takes until hosts that have started count as undisturbed.
+pub(crate) fn draw_full_restarts(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ FULL_RESTARTS_SEED_MASK);
+    let mut faults = Vec::new();
+    let mut at = draw_duration(&mut rng, 9_000..14_000);
+    let mut gap = at;
+    while at < conf.faults_for {
+        let kills = draw_kills(conf, &mut rng);
+        at += kills.iter().map(|(gap, _)| *gap).sum::<Duration>();
+        for (after, fault) in kills {
+            faults.push((gap + after, fault));
+            gap = Duration::ZERO;
+        }
+        gap = draw_duration(&mut rng, 6_000..9_000);
+        at += gap;
+    }
+    faults
+}
+
+/// Draws outages of all upstreams, each with the pause before it, in which requests have earned
+/// retries. Soon after the start of each, all hosts are killed, one to three times.
+pub(crate) fn draw_earned_outages(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(conf.seed ^ EARNED_OUTAGES_SEED_MASK);
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < conf.faults_for {
+        let gap = draw_duration(&mut rng, 11_000..15_000);
+        let time = draw_duration(&mut rng, 8_000..12_000);
+        at += gap + time;
+        faults.push((gap, Fault::AllUpstreams(draw_outage_mode(&mut rng), time)));
+        let mut pause = draw_duration(&mut rng, 1_000..4_000);
+        for _ in 0..rng.random_range(1..=3) {
+            for (after, fault) in draw_kills(conf, &mut rng) {
+                faults.push((pause + after, fault));
+                pause = Duration::ZERO;
+            }
+            pause = draw_duration(&mut rng, 1_500..3_000);
+        }
+    }
+    faults
+}
+
+/// Draws how all hosts are killed: at the same time, or one after the other. The first has no pause
+/// before it.
+fn draw_kills(conf: &SoakConf, rng: &mut StdRng) -> Vec<(Duration, Fault)> {
+    let down = draw_duration(rng, 50..300);
+    if rng.random_ratio(1, 2) {
+        return vec![(Duration::ZERO, Fault::KillAllHosts(down))];
+    }
+    let apart = draw_duration(rng, 100..700);
+    let kill = |host| {
+        let after = if host == 0 { Duration::ZERO } else { apart };
+        (after, Fault::KillHost(host, down))
+    };
+    (0..conf.size.hosts).map(kill).collect()
+}
+
+/// Draws how upstreams fail all requests.
+fn draw_outage_mode(rng: &mut StdRng) -> UpstreamMode {
+    match rng.random_range(0..4) {
+        0 => UpstreamMode::RejectsRequests,
+        1 => UpstreamMode::TruncatesResponses,
+        2 => UpstreamMode::DropsResponses,
+        _ => UpstreamMode::RespondsWithError,
+    }
+}
+
 /// Draws the cuts between all hosts of one or two failure domains and all upstreams, each with the
 /// pause before it.
 pub(crate) fn draw_path_cuts(conf: &SoakConf) -> Vec<(Duration, Fault)> {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use banyanarch::decide::RetryBound;
 use indexmap::IndexMap;
 
 use crate::call::CallClass;
@@ -216,6 +217,8 @@
 /// Everything that was observed in a run.
 #[derive(Debug, Default)]
 pub struct Observations {
+    /// The bound on retries of the deployment; that of the stand-in's settings if none.
+    pub retry_bound: Option<RetryBound>,
     /// Attempts that have ended, by request id.
     pub attempts: IndexMap<String, CallerAttempt>,
     /// Runs at upstreams, by request id.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -34,10 +34,12 @@
     --parts         Inject only restarts of hosts, while requests with one part in their prompts
                     crash engines, and so do the repeats of one request. With --path-cuts,
                     inject both.
-    --crash-point P Where these requests crash engines: unanswered, late, head, half or event.
-                    [default: drawn for the run]
+    --crash-point P Where these requests crash engines: unanswered, late, head, half, event or
+                    events. [default: drawn for the run]
     --crash-cause C Why: part or repeat. [default: both]
+    --restart-all   With --parts, also restart all hosts, at the same time or in turn.
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
+    --outages       Inject only outages of all upstreams, and restarts of all hosts in them.
     --silences      Inject only silences of upstreams and changes of the manifest.
     --hosts N       Number of hosts. [default: 6]
     --draw-hosts    Draw the number of hosts of each run: 1 to 8 in each of 3 failure domains.
@@ -109,7 +111,9 @@
     let only_path_cuts = args.contains("--path-cuts");
     let only_floods = args.contains("--floods");
     let only_parts = args.contains("--parts");
+    let only_outages = args.contains("--outages");
     let only_silences = args.contains("--silences");
+    let restarts_all = args.contains("--restart-all");
     let crash_point: Result<Option<CrashPoint>, _> = args.opt_value_from_str("--crash-point");
     let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
     let crash_ratio: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-ratio");
@@ -150,11 +154,13 @@
             only_path_cuts,
             only_floods,
             only_parts,
+            restarts_all,
             crash_point: crash_point.map_err(error_text)?,
             crash_cause: crash_cause.map_err(error_text)?,
             crash_ratio: crash_ratio
                 .map_err(error_text)?
                 .map_or(CRASH_RATIO, NonZeroU32::get),
+            only_outages,
             only_silences,
             guarantees: GuaranteeSet::All,
         },
--- a/soak/src/retry_checks.rs
+++ b/soak/src/retry_checks.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use banyanarch::decide::RetryBound;
 use banyanarch_platform::stand_in::RETRY_BOUND;
 use indexmap::IndexMap;
 
@@ -25,9 +26,10 @@
 /// No fault of hosts, links or the store is an excuse.
 pub(crate) fn check(observations: &Observations) -> Vec<Violation> {
     let retries = retries_by_service(observations);
+    let bound = observations.retry_bound.unwrap_or(RETRY_BOUND);
     let violations = retries.iter().filter_map(|(service, retries)| {
         let requests = requests_for(observations, service);
-        check_service(service, &requests, retries)
+        check_service(service, &bound, &requests, retries)
     });
     violations.collect()
 }
@@ -71,17 +73,18 @@
 
 fn check_service(
     service: &str,
+    bound: &RetryBound,
     requests: &[Timestamp],
     retries: &[Timestamp],
 ) -> Option<Violation> {
-    let window = RETRY_BOUND.window;
+    let window = bound.window;
     retries.iter().find_map(|end| {
         // Requests shortly before the window have earned retries in it.
         let shifts = [Duration::ZERO, window / 2, window];
-        let counts = shifts.map(|shift| count_until(requests, end.saturating_sub(shift)));
+        let counts = shifts.map(|shift| count_until(requests, end.saturating_sub(shift), window));
         let requests = counts.into_iter().max().unwrap_or_default();
-        let retries = count_until(retries, *end);
-        let allowed = RETRY_BOUND.allowance + RETRY_BOUND.per_request * requests as f64;
+        let retries = count_until(retries, *end, window);
+        let allowed = bound.allowance + bound.per_request * requests as f64;
         (retries as f64 > allowed).then(|| Violation {
             guarantee: "a service gets no more retries than all hosts together may send",
             details: format!(
@@ -93,7 +96,7 @@
 }
 
 /// The number of times within the window that ends at `end`. The times must be sorted.
-fn count_until(times: &[Timestamp], end: Timestamp) -> usize {
-    let from = end.saturating_sub(RETRY_BOUND.window);
+fn count_until(times: &[Timestamp], end: Timestamp, window: Duration) -> usize {
+    let from = end.saturating_sub(window);
     times.partition_point(|at| *at <= end) - times.partition_point(|at| *at <= from)
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use banyanarch::decide::RetryBound;
+use banyanarch_platform::stand_in::RETRY_BOUND;
 use futures_util::future::join_all;
 use rand::Rng;
 use rand::SeedableRng;
@@ -27,9 +29,11 @@
 use crate::deployment::DeploymentSize;
 use crate::deployment::lock;
 use crate::fault::Fault;
+use crate::fault_draws::draw_earned_outages;
 use crate::fault_draws::draw_evacuations;
 use crate::fault_draws::draw_faults;
 use crate::fault_draws::draw_floods;
+use crate::fault_draws::draw_full_restarts;
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
 use crate::fault_draws::draw_outages;
@@ -87,8 +91,14 @@
     /// Of the prompts of callers, one in this number has a part that crashes engines. Only with
     /// `only_parts`.
     pub crash_ratio: u32,
+    /// Whether all hosts restart together and in turn while requests crash engines. Only with
+    /// `only_parts`.
+    pub restarts_all: bool,
     /// The only cause of these crashes; none if both occur. Only with `only_parts`.
     pub crash_cause: Option<CrashCause>,
+    /// Whether only outages of all upstreams are injected, in which hosts restart together and in turn.
+    /// Requests earn many retries then.
+    pub only_outages: bool,
     /// Whether only silences of upstreams and changes of the manifest are injected.
     pub only_silences: bool,
     /// The guarantees that are checked.
@@ -114,10 +124,30 @@
 /// Of the short prompts of callers, one in this number is a repeat of the request that crashes engines.
 const REPEAT_RATIO: u32 = 25;
 
+/// The retries that requests earn where outages are the only faults.
+const EARNED_PER_REQUEST: f64 = 0.2;
+
+impl SoakConf {
+    /// The bound on retries of the deployment.
+    fn retry_bound(&self) -> RetryBound {
+        let per_request = if self.only_outages {
+            EARNED_PER_REQUEST
+        } else {
+            RETRY_BOUND.per_request
+        };
+        RetryBound {
+            per_request,
+            ..RETRY_BOUND
+        }
+    }
+}
+
 /// Runs one seed with the daemon `program`. Hosts write their logs into `dir`.
 pub async fn run(conf: &SoakConf, program: &Path, dir: &Path) -> io::Result<SoakReport> {
     let slots = conf.only_floods.then_some(FLOODED_SLOTS);
-    let deployment = Deployment::start(conf.size, slots, program, dir).await?;
+    let retry_bound = conf.retry_bound();
+    let deployment = Deployment::start(conf.size, slots, retry_bound, program, dir).await?;
+    deployment.history.lock().retry_bound = Some(retry_bound);
     let stop = watch::Sender::new(false);
     let mut callers = JoinSet::new();
     let callers_per_host = if conf.only_silences {
@@ -173,11 +203,17 @@
     if conf.only_floods {
         return vec![draw_floods(conf)];
     }
+    if conf.only_outages {
+        return vec![draw_earned_outages(conf)];
+    }
     if conf.only_silences {
         return vec![draw_silences(conf, SILENCES_GAP_MS)];
     }
     if conf.only_parts {
         let mut series = vec![draw_restarts(conf)];
+        if conf.restarts_all {
+            series.push(draw_full_restarts(conf));
+        }
         if conf.only_path_cuts {
             series.push(draw_path_cuts(conf));
         }
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -38,6 +38,8 @@
         only_path_cuts: false,
         only_floods: false,
         only_parts: false,
+        restarts_all: false,
+        only_outages: false,
         crash_point: None,
         crash_cause: None,
         crash_ratio: 6,
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -32,6 +32,8 @@
         only_path_cuts: false,
         only_floods: false,
         only_parts: false,
+        restarts_all: false,
+        only_outages: false,
         crash_point: None,
         crash_cause: None,
         crash_ratio: 6,
