Retries that a restarted host's requests earn do not add up to those of the process before it

Callers saw upstreams that fail get more repeats than all hosts together may send, while hosts restarted in an outage.

Cause: the allowance grows with the uptime of a process, so that its share and that of the process before add up. The earned part did not: the old process has used what the requests of the window before its end earned, and the new one used what its own earn from its first second. A window with both holds 0.8 x the ratio x the requests of nearly two windows.

The former cases retried from the first step on, so that nothing was ever earned unused.

Change: a process uses a tenth of what its requests earn until its uptime is one window. What the process before may have used (0.8) and this (0.1) leave a tenth for windows of hosts that begin at different times.

--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -6,7 +6,9 @@
 //! requests. It holds however often hosts restart, although a process does not know the retries of
 //! the one before it: the share grows in proportion to the uptime, to the whole share after one
 //! window. The processes of one host that start within a window together get at most one share, and
-//! the process that was running before may have used another one.
+//! the process that was running before may have used another one. In the same way, requests earn
+//! less until the uptime is one window: the process before may have used what the requests of the
+//! window before its end had earned.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -16,9 +18,12 @@
 
 /// The fraction of the allowance that hosts use in steady state. Restarts may use the other half.
 const ALLOWANCE_FRACTION: f64 = 0.5;
-/// The fraction of the earned retries that hosts use. The windows of two hosts begin at different
-/// times, so together they may contain more requests than any single window.
+/// The fraction of the earned retries that hosts use in steady state. The windows of two hosts begin
+/// at different times, so together they may contain more requests than any single window.
 const EARNED_FRACTION: f64 = 0.8;
+/// The same for a process whose uptime is less than a window. Together with the fraction that the
+/// process before it may have used, it leaves room for windows that begin at different times.
+const EARNED_FRACTION_AFTER_START: f64 = 0.1;
 
 /// The bound on retries for all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,8 +72,14 @@
         drop_expired(&mut self.retries, bound.window, now);
         let even_share = hosts.map_or(0.0, |hosts| bound.allowance / hosts.max(1) as f64);
         let share = even_share * ALLOWANCE_FRACTION;
-        let earned = bound.per_request * self.requests.len() as f64 * EARNED_FRACTION;
-        let budget = share * self.uptime_fraction(bound.window, now) + earned;
+        let uptime = self.uptime_fraction(bound.window, now);
+        let earned_fraction = if uptime < 1.0 {
+            EARNED_FRACTION_AFTER_START
+        } else {
+            EARNED_FRACTION
+        };
+        let earned = bound.per_request * self.requests.len() as f64 * earned_fraction;
+        let budget = share * uptime + earned;
         let retries = self.retries.len();
         let is_allowed = ((retries + 1) as f64) <= budget;
         if is_allowed {
--- a/tests/decide_retry_window.rs
+++ b/tests/decide_retry_window.rs
@@ -151,32 +151,59 @@
     requests_per_s: f64,
 ) {
     for seed in 0..5 {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let start = Instant::now();
-        let step = ms(20);
-        // Steady shares have to be used before the first restart.
-        let mut windows: Vec<RetryWindow> = (0..hosts).map(|_| steady_window(start)).collect();
-        let mut requests: Vec<Duration> = Vec::new();
-        let mut retries: Vec<Duration> = Vec::new();
-        let mut elapsed = Duration::ZERO;
-        while elapsed < 4 * BOUND.window {
-            elapsed += step;
-            let now = start + elapsed;
-            for (host, window) in windows.iter_mut().enumerate() {
-                if restarts.restarts(host, hosts, elapsed, step, &mut rng) {
-                    *window = RetryWindow::new(now);
-                }
-                if rng.random_bool(requests_per_s / hosts as f64 * step.as_secs_f64()) {
-                    window.on_request(&BOUND, now);
-                    requests.push(elapsed);
-                }
-                while window.try_retry(&BOUND, Some(hosts), now).is_allowed {
-                    retries.push(elapsed);
-                }
+        play(hosts, restarts, requests_per_s, Duration::ZERO, seed);
+    }
+}
+
+/// Failure: upstreams fail after a calm time, in which requests have earned retries. Hosts use them at
+/// once, restart, and use what the requests since then earn as well.
+#[parameterized(
+    all_at_the_beginning = { 8, Restarts::All(ms(20_000)), 43.0 },
+    all_soon_and_again = { 8, Restarts::All(ms(2_500)), 43.0 },
+    in_turn = { 8, Restarts::InTurn(ms(150)), 43.0 },
+    random = { 8, Restarts::Random(2.0), 43.0 },
+    much_traffic = { 8, Restarts::All(ms(20_000)), 300.0 },
+    one_host = { 1, Restarts::All(ms(20_000)), 43.0 },
+    large_fleet = { 195, Restarts::All(ms(20_000)), 500.0 },
+)]
+fn the_bound_holds_when_hosts_restart_after_a_calm_time(
+    hosts: usize,
+    restarts: Restarts,
+    requests_per_s: f64,
+) {
+    for seed in 0..5 {
+        let calm = 2 * BOUND.window - ms(500);
+        play(hosts, restarts, requests_per_s, calm, seed);
+    }
+}
+
+/// Lets hosts send as many retries as they may after a calm time, and asserts the bound.
+fn play(hosts: usize, restarts: Restarts, requests_per_s: f64, calm: Duration, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let step = ms(20);
+    // Steady shares have to be used before the first restart.
+    let mut windows: Vec<RetryWindow> = (0..hosts).map(|_| steady_window(start)).collect();
+    let mut requests: Vec<Duration> = Vec::new();
+    let mut retries: Vec<Duration> = Vec::new();
+    let mut elapsed = Duration::ZERO;
+    while elapsed < 4 * BOUND.window {
+        elapsed += step;
+        let now = start + elapsed;
+        for (host, window) in windows.iter_mut().enumerate() {
+            if restarts.restarts(host, hosts, elapsed, step, &mut rng) {
+                *window = RetryWindow::new(now);
+            }
+            if rng.random_bool(requests_per_s / hosts as f64 * step.as_secs_f64()) {
+                window.on_request(&BOUND, now);
+                requests.push(elapsed);
+            }
+            while elapsed > calm && window.try_retry(&BOUND, Some(hosts), now).is_allowed {
+                retries.push(elapsed);
             }
         }
-        assert_windows_within_bound(&requests, &retries, seed);
     }
+    assert_windows_within_bound(&requests, &retries, seed);
 }
 
 /// Asserts the bound for every window that ends at a retry.
