Requests that crash upstreams after several events are found

Callers saw engines end one after the other, and all streams on them with them, under requests with one part in their prompts, or repeats of one request, whose answers had come further than one event. Nothing refused these requests.

Cause: a call was a suspect up to the first event of its answer and not after it (`may_have_crashed`).

Change: how far an answer had come no longer decides whether a call is a suspect. Streams in the middle of their answers are what runs beside a crash, so a request as a whole that was lost after several events counts like parts of prompts do: only crashes that lie 200 ms apart with something served between them, or a second apart, and none before its last answer.

--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -5,8 +5,7 @@
 use crate::units::CrashId;
 use crate::units::RequestHash;
 
-/// A call that may have crashed an upstream: the connection broke before a second event of its answer
-/// was received.
+/// A call that may have crashed an upstream: the connection broke before the end of its answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct CrashSuspect {
     /// The crash.
@@ -35,6 +34,7 @@
             crash: self.crash,
             request,
             parts,
+            has_events: false,
         })
     }
 }
--- a/src/decide/lost_call.rs
+++ b/src/decide/lost_call.rs
@@ -4,7 +4,7 @@
 use crate::units::CrashId;
 use crate::units::RequestHash;
 
-/// A call that was lost with an upstream before the head of its answer or after the first event. An
+/// A call that was lost with an upstream before the head of its answer or after an event. An
 /// upstream that ends as it begins to write an answer may have sent nothing, or an event, so this call
 /// may be the cause; but so may all others that waited there.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -15,4 +15,16 @@
     pub request: RequestHash,
     /// The parts of its prompt that requests share, in their order.
     pub parts: Vec<RequestPart>,
+    /// Whether several events of its answer were received. Such calls are more likely to have only run
+    /// beside the one that crashed the upstream.
+    pub has_events: bool,
+}
+
+impl LostCall {
+    /// What the call has in common with others that may have crashed the upstream: the parts of its
+    /// prompt and the request as a whole.
+    pub(crate) fn all_parts(&self) -> Vec<RequestPart> {
+        let whole = RequestPart::from(self.request);
+        self.parts.iter().copied().chain([whole]).collect()
+    }
 }
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -4,7 +4,8 @@
 //! A crash loses all calls that wait at the upstream, so that each of them says little. A part is the
 //! cause only if it was lost in several crashes, each time with another request and none of them
 //! served, while requests without it were served between the crashes. Upstreams that end together or
-//! all of them, for other reasons, therefore count once.
+//! all of them, for other reasons, therefore count once. A request as a whole that was lost after
+//! events of its answers is judged in the same way, over its repeats.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -27,11 +28,15 @@
 const CALLS_MAX: usize = 1_024;
 /// The number of lost calls that are dropped together when there are more.
 const DROP_BATCH: usize = 128;
-/// How long a lost call is kept.
-const RETENTION: Duration = Duration::from_secs(600);
+/// How long a lost call counts for the parts of its prompt.
+const PARTS_RETENTION: Duration = Duration::from_secs(600);
+/// How long a lost call counts for the request as a whole.
+const REQUEST_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 /// The shortest time between crashes that count separately. Upstreams that end together may do so for
 /// one reason, which need not be a request.
 const APART_MIN: Duration = Duration::from_millis(200);
+/// The same for the repeats of one request if no request was served between the crashes.
+const REPEATS_APART_MIN: Duration = Duration::from_secs(1);
 /// The number of times at which requests were served that are kept.
 const SERVES_MAX: usize = 64;
 /// The shortest time between the ones that are kept.
@@ -63,16 +68,36 @@
         self.serves.push_back(at);
     }
 
+    /// Whether there are lost calls that count for a request as a whole.
+    pub(crate) fn has_late(&self) -> bool {
+        self.calls.keys().any(|call| call.has_events)
+    }
+
+    /// When the last of the calls that count for a request as a whole was lost in this crash; none if
+    /// none was.
+    pub(crate) fn late_at(&self, crash: CrashId) -> Option<Instant> {
+        let calls = self.calls.iter().rev();
+        let mut lost = calls.filter(|(call, _)| call.has_events && call.crash == crash);
+        lost.next().map(|(_, (known, _))| known.at)
+    }
+
+    /// Whether there are lost calls that count for this request as a whole.
+    pub(crate) fn has_late_of(&self, request: RequestHash) -> bool {
+        let mut calls = self.calls.keys();
+        calls.any(|call| call.has_events && call.request == request)
+    }
+
     /// Records a lost call, of whose parts those that were served before are left out.
     pub(crate) fn record(&mut self, mut call: LostCall, crash: KnownCrash, served: &ServedParts) {
         let now = crash.known_at;
         call.parts
             .retain(|part| served.served_at(*part, now).is_none());
-        if call.parts.is_empty() || is_older_than(crash.at, RETENTION, now) {
+        if retention(&call).is_none_or(|time| is_older_than(crash.at, time, now)) {
             return;
         }
-        self.calls
-            .retain(|_, (known, _)| !is_older_than(known.known_at, RETENTION, now));
+        self.calls.retain(|call, (known, _)| {
+            retention(call).is_some_and(|time| !is_older_than(known.known_at, time, now))
+        });
         if self.calls.len() >= CALLS_MAX {
             self.calls.drain(..DROP_BATCH);
         }
@@ -91,20 +116,19 @@
         self.calls.iter().map(|(call, (crash, _))| (call, crash))
     }
 
-    /// The crashes that some of these parts explain, with these parts and the time of the crash. Calls of
-    /// which the crash `is_explained` otherwise are left out.
+    /// The crashes that some of the parts of a lost call explain, or the request as a whole, with these
+    /// and the time of the crash. Calls of which the crash `is_explained` otherwise are left out.
     pub(crate) fn find_causes(
         &self,
-        parts: &[RequestPart],
+        call: &LostCall,
         served: &ServedParts,
         is_explained: impl Fn(&LostCall) -> bool,
         now: Instant,
     ) -> Vec<(CrashSuspect, Instant)> {
-        let is_new = |part: &&RequestPart| served.served_at(**part, now).is_none();
-        let suspected = parts.iter().filter(is_new);
+        let is_new = |part: &RequestPart| part.is_whole() || served.served_at(*part, now).is_none();
+        let suspected = call.all_parts().into_iter().filter(is_new);
         let suspected: Vec<RequestPart> = suspected
-            .filter(|part| self.crashes_with(**part) >= CRASHES_MIN)
-            .copied()
+            .filter(|part| self.crashes_with(*part, served, now) >= CRASHES_MIN)
             .collect();
         if suspected.is_empty() {
             return Vec::new();
@@ -113,7 +137,7 @@
         let explained: IndexSet<CrashId> = explained.map(|call| call.crash).collect();
         let mut causes: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
         for part in suspected {
-            let crashes = self.separate_crashes(part, &explained);
+            let crashes = self.separate_crashes(part, &explained, served, now);
             if crashes.len() >= CRASHES_MIN {
                 for crash in crashes {
                     causes.entry(crash).or_default().push(part);
@@ -126,10 +150,32 @@
             .collect()
     }
 
+    /// The lost calls that count for a part, with their crashes and the last times before these at which
+    /// a request was served.
+    fn calls_with(
+        &self,
+        part: RequestPart,
+        served: &ServedParts,
+        now: Instant,
+    ) -> impl Iterator<Item = (&LostCall, &KnownCrash, Option<Instant>)> {
+        let served_at = served.served_at(part, now);
+        let calls = self.calls.iter();
+        let with_part = calls.filter(move |(call, (crash, _))| match part.request() {
+            None => {
+                call.parts.contains(&part) && !is_older_than(crash.known_at, PARTS_RETENTION, now)
+            }
+            Some(request) => {
+                let is_unserved = served_at.is_none_or(|served_at| served_at < crash.at);
+                call.has_events && call.request == request && is_unserved
+            }
+        });
+        with_part.map(|(call, (crash, served_before))| (call, crash, *served_before))
+    }
+
     /// The number of crashes in which a call with the part was lost.
-    fn crashes_with(&self, part: RequestPart) -> usize {
-        let calls = self.calls.keys().filter(|call| call.parts.contains(&part));
-        let crashes: IndexSet<CrashId> = calls.map(|call| call.crash).collect();
+    fn crashes_with(&self, part: RequestPart, served: &ServedParts, now: Instant) -> usize {
+        let calls = self.calls_with(part, served, now);
+        let crashes: IndexSet<CrashId> = calls.map(|(call, ..)| call.crash).collect();
         crashes.len()
     }
 
@@ -138,23 +184,36 @@
         &self,
         part: RequestPart,
         explained: &IndexSet<CrashId>,
+        served: &ServedParts,
+        now: Instant,
     ) -> Vec<(CrashId, Instant)> {
-        let calls = self.calls.iter();
-        let with_part = calls
-            .filter(|(call, _)| call.parts.contains(&part) && !explained.contains(&call.crash));
-        let mut losses: Vec<_> = with_part.collect();
-        losses.sort_by_key(|(_, (crash, _))| crash.at);
+        let with_part = self.calls_with(part, served, now);
+        let open = with_part.filter(|(call, ..)| !explained.contains(&call.crash));
+        let mut losses: Vec<_> = open.collect();
+        losses.sort_by_key(|(_, crash, _)| crash.at);
         let mut separate: Vec<(CrashId, Instant)> = Vec::new();
         let mut requests: IndexSet<RequestHash> = IndexSet::new();
-        for (call, (crash, served_before)) in losses {
+        for (call, crash, served_before) in losses {
             let is_separate = separate.last().is_none_or(|(_, last)| {
                 let is_served_between = served_before.is_some_and(|served_at| served_at > *last);
-                is_older_than(*last, APART_MIN, crash.at) && is_served_between
+                let is_repeat_apart =
+                    part.is_whole() && is_older_than(*last, REPEATS_APART_MIN, crash.at);
+                is_older_than(*last, APART_MIN, crash.at) && (is_served_between || is_repeat_apart)
             });
-            if is_separate && requests.insert(call.request) {
+            // One request that is lost again and again says nothing of the parts of its prompt.
+            if is_separate && (part.is_whole() || requests.insert(call.request)) {
                 separate.push((call.crash, crash.at));
             }
         }
         separate
     }
 }
+
+/// How long a lost call is kept; none if it counts for nothing.
+fn retention(call: &LostCall) -> Option<Duration> {
+    if call.has_events {
+        Some(REQUEST_RETENTION)
+    } else {
+        (!call.parts.is_empty()).then_some(PARTS_RETENTION)
+    }
+}
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -12,7 +12,7 @@
 pub enum PartEvidence {
     /// A call may have crashed an upstream.
     Crash(CrashSuspect, Duration),
-    /// A call was lost with an upstream, before the head of its answer or after the first event.
+    /// A call was lost with an upstream, before the head of its answer or after an event.
     Lost(LostCall, Duration),
     /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
     Alive(CrashId, Duration),
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -87,6 +87,9 @@
                 |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
             )
         });
+        let late = self.lost_calls.calls();
+        let late = late.filter(|(call, crash)| call.has_events && is_recent(crash));
+        let late = late.map(|(call, crash)| PartEvidence::Lost(call.clone(), age(crash.at)));
         let served = parts
             .into_iter()
             .map(|(part, at)| PartEvidence::Served(part, age(at)));
@@ -95,6 +98,7 @@
         let released = self.released.iter();
         let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
         let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
-        alive.chain(released).chain(crashes).chain(served).collect()
+        let lost = crashes.chain(late.take(TOLD_MAX));
+        alive.chain(released).chain(lost).chain(served).collect()
     }
 }
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -8,12 +8,11 @@
 use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
-use crate::decide::RequestPart;
 use crate::decide::known_crash::KnownCrash;
 use crate::units::CrashId;
 
 impl PartQuarantine {
-    /// Records a call of this host that was lost before the head of its answer or after the first event.
+    /// Records a call of this host that was lost before the head of its answer or after an event.
     /// Returns what has changed.
     pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
         self.record_lost(call, KnownCrash::own(now), now)
@@ -34,13 +33,16 @@
         changes
     }
 
-    /// Records a lost call, which is suspected as a whole.
+    /// Records a lost call, which is suspected as a whole unless events of its answer were received.
     pub(super) fn record_lost(
         &mut self,
         call: LostCall,
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
+        if call.has_events {
+            return self.search_causes(call, crash, now);
+        }
         let whole = CrashSuspect::of_request(call.crash, call.request);
         let mut changes = self.record_crash(whole, crash, now);
         changes.extend(self.search_causes(call, crash, now));
@@ -58,10 +60,12 @@
         if self.alive.contains_key(&call.crash) {
             return Vec::new();
         }
-        let parts = call.parts.clone();
-        self.lost_calls.record(call, crash, &self.served);
+        self.lost_calls.record(call.clone(), crash, &self.served);
         let mut changes = Vec::new();
-        for (suspect, at) in self.likely_causes(&parts, now) {
+        for suspect in self.known_causes(&call, now) {
+            changes.extend(self.record_crash(suspect, crash, now));
+        }
+        for (suspect, at) in self.likely_causes(&call, now) {
             let crash = KnownCrash {
                 at,
                 ..KnownCrash::own(now)
@@ -71,10 +75,22 @@
         changes
     }
 
-    /// The crashes that some of these parts explain by lost calls, with these parts. Empty if calls with
-    /// them are refused already.
-    fn likely_causes(&self, parts: &[RequestPart], now: Instant) -> Vec<(CrashSuspect, Instant)> {
-        if self.find(parts, now).is_some() {
+    /// What of a lost call has crashed upstreams before, and is refused no longer.
+    fn known_causes(&self, call: &LostCall, now: Instant) -> Vec<CrashSuspect> {
+        let parts = call.all_parts();
+        let expired = self.quarantined.iter().filter(|known| now >= known.until);
+        let of_call = expired.filter(|known| known.parts.iter().all(|part| parts.contains(part)));
+        let suspects = of_call.map(|known| CrashSuspect {
+            crash: call.crash,
+            parts: known.parts.clone(),
+        });
+        suspects.collect()
+    }
+
+    /// The crashes that some parts of this lost call explain, with these parts. Empty if calls with them
+    /// are refused already.
+    fn likely_causes(&self, call: &LostCall, now: Instant) -> Vec<(CrashSuspect, Instant)> {
+        if self.find(&call.all_parts(), now).is_some() {
             return Vec::new();
         }
         let explained: IndexSet<CrashId> = self.explained.iter().map(|s| s.crash).collect();
@@ -82,6 +98,6 @@
             explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
         };
         self.lost_calls
-            .find_causes(parts, &self.served, is_explained, now)
+            .find_causes(call, &self.served, is_explained, now)
     }
 }
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -89,7 +89,10 @@
 
     /// Whether there is nothing to refuse, and nothing to tell other hosts.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.alive.is_empty() && self.released.is_empty()
+        self.suspects.is_empty()
+            && self.alive.is_empty()
+            && self.released.is_empty()
+            && !self.lost_calls.has_late()
     }
 
     /// The quarantined parts because of which a request with these parts is refused, if any.
@@ -133,7 +136,7 @@
     /// prompt, the request as a whole is cleared by a failure too. Returns what has changed.
     pub fn on_answered(&mut self, request: RequestHash, now: Instant) -> Vec<QuarantineChange> {
         let part = RequestPart::Whole(request);
-        if !self.is_suspected(&[part]) {
+        if !self.is_suspected(&[part]) && !self.lost_calls.has_late_of(request) {
             return Vec::new();
         }
         self.served.record(part, now);
@@ -153,7 +156,7 @@
     ) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         let mut crash = first;
-        while self.known_at(crash).is_some() {
+        while self.known_at(crash).is_some() || self.lost_calls.late_at(crash).is_some() {
             if self.is_refuted(crash, sent_at) {
                 changes.extend(self.clear_crash(crash, now, now));
             }
@@ -162,14 +165,15 @@
         changes
     }
 
-    /// Whether a suspected call of this crash was lost shortly before an upstream was sent a call that
+    /// Whether a suspected or lost call of this crash was lost shortly before an upstream was sent a call that
     /// it has answered.
     fn is_refuted(&self, crash: CrashId, sent_at: Instant) -> bool {
-        let mut suspects = self.suspects.iter();
-        suspects.any(|(suspect, known)| {
-            let is_before = known.at < sent_at;
-            suspect.crash == crash && is_before && sent_at - known.at < ALIVE_WITHIN
-        })
+        let suspects = self.suspects.iter();
+        let suspected = suspects.filter(|(suspect, _)| suspect.crash == crash);
+        let mut lost_at = suspected
+            .map(|(_, known)| known.at)
+            .chain(self.lost_calls.late_at(crash));
+        lost_at.any(|at| at < sent_at && sent_at - at < ALIVE_WITHIN)
     }
 
     fn record_crash(
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -42,9 +42,13 @@
     #[prost(fixed64, tag = "6")]
     pub request_crash: u64,
     /// The parts of the call, in the order of its prompt, if it was lost before the head of its answer
-    /// or after the first event.
+    /// or after an event.
     #[prost(fixed64, repeated, tag = "7")]
     pub lost_parts: Vec<u64>,
+    /// The hash of the call if several events of its answer were received, in place of that in the
+    /// field `request`; otherwise 0. Hosts of an earlier version ignore such calls.
+    #[prost(fixed64, tag = "8")]
+    pub late_request: u64,
 }
 
 /// What identifies an entry: all of it but the age.
@@ -56,6 +60,7 @@
     request: u64,
     request_crash: u64,
     lost_parts: Vec<u64>,
+    late_request: u64,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
@@ -90,14 +95,20 @@
             is_release: false,
             request: request.unwrap_or(0),
             request_crash,
-            lost_parts: Vec::new(),
+            ..Self::default()
         }
     }
 
     fn lost(call: &LostCall, age: Duration) -> Self {
+        let (request, late_request) = if call.has_events {
+            (0, call.request.0)
+        } else {
+            (call.request.0, 0)
+        };
         Self {
             age_ms: whole_millis_u32(age),
-            request: call.request.0,
+            request,
+            late_request,
             request_crash: call.crash.0,
             lost_parts: call.parts.iter().filter_map(prompt_part).collect(),
             ..Self::default()
@@ -117,7 +128,7 @@
     /// Decodes the entry; none if it is empty.
     pub fn evidence(&self) -> Option<PartEvidence> {
         let age = Duration::from_millis(self.age_ms.into());
-        if !self.lost_parts.is_empty() {
+        if !self.lost_parts.is_empty() || self.late_request != 0 {
             return self.lost_call().map(|call| PartEvidence::Lost(call, age));
         }
         let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
@@ -139,11 +150,18 @@
 
     /// The lost call of the entry; none if it does not name the crash and the request.
     fn lost_call(&self) -> Option<LostCall> {
-        let is_named = self.request != 0 && self.request_crash != 0;
+        let has_events = self.late_request != 0;
+        let request = if has_events {
+            self.late_request
+        } else {
+            self.request
+        };
+        let is_named = request != 0 && self.request_crash != 0;
         let parts = self.lost_parts.iter();
         is_named.then(|| LostCall {
             crash: CrashId(self.request_crash),
-            request: RequestHash(self.request),
+            request: RequestHash(request),
+            has_events,
             parts: parts.map(|part| PromptPartId(*part).into()).collect(),
         })
     }
@@ -156,6 +174,7 @@
             request: self.request,
             request_crash: self.request_crash,
             lost_parts: self.lost_parts.clone(),
+            late_request: self.late_request,
         }
     }
 
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -79,8 +79,8 @@
     }
 
     /// Records that the connection to an upstream was lost while the call may have been running. If
-    /// the connection broke before a second event of the answer, the call may have crashed the upstream,
-    /// and the report of this is broadcast. A call that crashes upstreams does so as it begins to run.
+    /// the connection broke, the call may have crashed the upstream, however far the answer had come,
+    /// and the report of this is broadcast.
     pub(super) fn on_connection_lost(
         &self,
         upstream: &ListedUpstream,
@@ -95,14 +95,12 @@
         self.gateway
             .silences()
             .on_lost(&self.call.service, &upstream.id);
-        if !may_have_crashed(fault, progress) {
+        if fault != UpstreamFault::Broken {
             return;
         }
         let now = self.gateway.clock.now();
-        // An answer in one piece may have begun although nothing of it was received.
-        let is_beginning = progress == AnswerProgress::Begun || !self.call.route.kind.is_stream();
         self.gateway
-            .on_crash_suspect(&self.call, upstream, is_beginning, now);
+            .on_crash_suspect(&self.call, upstream, progress, now);
     }
 
     /// Records a fault of an upstream. If the upstream is unreachable, the fault is broadcast at
@@ -152,13 +150,14 @@
         }
     }
 
-    /// The name of the request as a whole, for the log, if it may have crashed the upstream.
+    /// The name of the request as a whole, for the log, if it may have crashed the upstream: the
+    /// connection broke while the call may have been running.
     fn suspected_after(
         &self,
         fault: UpstreamFault,
         progress: Option<AnswerProgress>,
     ) -> Option<String> {
-        let is_suspected = may_have_crashed(fault, progress?);
+        let is_suspected = fault == UpstreamFault::Broken && progress.is_some();
         is_suspected.then(|| RequestPart::from(self.call.hash()).to_string())
     }
 
@@ -171,9 +170,3 @@
         part_names(&parts)
     }
 }
-
-/// Whether a call that was lost with this fault, at this point of its answer, may have crashed the
-/// upstream.
-fn may_have_crashed(fault: UpstreamFault, progress: AnswerProgress) -> bool {
-    fault == UpstreamFault::Broken && progress != AnswerProgress::Events
-}
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -16,6 +16,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
+use crate::gateway::answer_progress::AnswerProgress;
 use crate::units::CrashId;
 use crate::units::whole_millis;
 
@@ -37,16 +38,19 @@
         self.part_quarantine().find(&parts, now).cloned()
     }
 
-    /// Records that an upstream ended before the second event of its answer to a call. The parts of the
-    /// prompt are suspected of each such crash if the answer `is_beginning`: its head was received and no
-    /// event. Otherwise they are only if crashes with other calls suggest it.
+    /// Records that the connection to an upstream broke while it answered a call. The parts of the
+    /// prompt are suspected of each such crash if its head was received and no event. Otherwise they are
+    /// only if crashes with other calls suggest it.
     pub(crate) fn on_crash_suspect(
         &self,
         call: &Call,
         upstream: &ListedUpstream,
-        is_beginning: bool,
+        progress: AnswerProgress,
         now: Instant,
     ) {
+        // An answer in one piece may have begun although nothing of it was received.
+        let is_beginning = progress == AnswerProgress::Begun || !call.route.kind.is_stream();
+        let has_events = progress == AnswerProgress::Events;
         let request = call.hash();
         let mut quarantine = self.part_quarantine();
         let crash = CrashId::from(&upstream.id);
@@ -55,7 +59,7 @@
         let request_crash = quarantine.crash_id(&upstream.id, call.arrived_at);
         let is_repeated = request_crash != crash;
         let mut changes = Vec::new();
-        if is_repeated {
+        if is_repeated && !has_events {
             let repeated = CrashSuspect::of_request(request_crash, request);
             changes.extend(quarantine.on_crash(repeated, now));
         }
@@ -63,12 +67,13 @@
             let whole = (!is_repeated).then(|| request.into());
             let parts = call.prompt_parts().chain(whole).collect();
             changes.extend(quarantine.on_crash(CrashSuspect { crash, parts }, now));
-        } else if !is_repeated {
+        } else if !is_repeated || has_events {
             let parts = call.prompt_parts().collect();
             let lost = LostCall {
                 crash,
                 request,
                 parts,
+                has_events,
             };
             changes.extend(quarantine.on_lost(lost, now));
         }
--- a/tests/decide_lost_calls.rs
+++ b/tests/decide_lost_calls.rs
@@ -33,6 +33,7 @@
         crash: CrashId(crash),
         request: RequestHash(request),
         parts: ids(parts),
+        has_events: false,
     }
 }
 
@@ -363,3 +364,111 @@
     let refused: usize = (1..=8).map(|seed| refused_beside_ends(ends, seed)).sum();
     assert_eq!(refused, 0, "of 40,000");
 }
+
+/// A call that was lost in a crash after several events of its answer.
+fn late(crash: u64, request: u64) -> LostCall {
+    LostCall {
+        has_events: true,
+        ..lost(crash, request, &[])
+    }
+}
+
+/// Whether a request as a whole is refused.
+fn is_request_refused(quarantine: &PartQuarantine, request: u64, now: Instant) -> bool {
+    quarantine
+        .find(&[RequestHash(request).into()], now)
+        .is_some()
+}
+
+/// Guards against a request that crashes upstreams after events of its answers and goes on reaching
+/// them, and against sound ones that are refused because they were lost beside it.
+#[parameterized(
+    while_others_are_served = { 300, true, true },
+    seldom = { 3_600_000, true, true },
+    while_nothing_is_served = { 1_100, false, true },
+    together_with_others = { 100, true, false },
+    soon_again_while_nothing_is_served = { 300, false, false },
+)]
+fn a_request_that_was_lost_after_events_is_refused(
+    interval_ms: u64,
+    are_others_served: bool,
+    is_found: bool,
+) {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    let mut now = start;
+    for crash in 1..=3 {
+        now = start + Duration::from_millis(interval_ms * crash);
+        if are_others_served {
+            quarantine.on_served(&ids(&[0x5]), now - Duration::from_millis(interval_ms / 2));
+        }
+        quarantine.on_lost(late(crash, 7), now);
+        quarantine.on_lost(late(crash, 100 + crash), now);
+    }
+    assert_eq!(is_request_refused(&quarantine, 7, now), is_found);
+    assert!(!is_request_refused(&quarantine, 102, now));
+}
+
+/// Guards against sound requests that are refused after they were lost in several crashes, although
+/// they were answered between these.
+#[test]
+fn an_answer_clears_a_request_that_was_lost_after_events() {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=6 {
+        let now = start + Duration::from_secs(2 * crash);
+        quarantine.on_lost(late(crash, 7), now);
+        assert!(!is_request_refused(&quarantine, 7, now), "crash {crash}");
+        if crash % 2 == 0 {
+            quarantine.on_answered(RequestHash(7), now + Duration::from_secs(1));
+        }
+    }
+}
+
+/// Guards against requests that are refused because they were lost with connections, not upstreams.
+#[test]
+fn an_upstream_that_answers_refutes_a_loss_after_events() {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=6 {
+        let now = start + Duration::from_secs(2 * crash);
+        quarantine.on_lost(late(crash, 7), now);
+        let sent_at = now + Duration::from_millis(200);
+        quarantine.on_alive(CrashId(crash), sent_at, sent_at);
+        assert!(!is_request_refused(&quarantine, 7, now), "crash {crash}");
+    }
+}
+
+/// Guards against a request, or a part of prompts, that crashes several more upstreams each time when
+/// its quarantine is over.
+#[test]
+fn one_more_loss_refuses_a_request_again() {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        let now = start + Duration::from_secs(2 * crash);
+        quarantine.on_lost(late(crash, 7), now);
+    }
+    let now = start + Duration::from_secs(120);
+    assert!(!is_request_refused(&quarantine, 7, now));
+    quarantine.on_lost(late(4, 7), now);
+    assert!(is_request_refused(&quarantine, 7, now));
+}
+
+/// Guards against hosts that go on sending a request which others have lost after events.
+#[test]
+fn what_a_host_tells_of_losses_after_events_lets_others_refuse_the_request() {
+    let start = Instant::now();
+    let mut own = PartQuarantine::default();
+    let mut other = PartQuarantine::default();
+    let mut now = start;
+    for crash in 1..=3 {
+        now = start + Duration::from_secs(2 * crash);
+        own.on_lost(late(crash, 7), now);
+        for evidence in own.evidence(now) {
+            let entry = PartEvidenceEntry::from(evidence);
+            other.on_evidence(entry.evidence().unwrap(), now);
+        }
+    }
+    assert!(is_request_refused(&other, 7, now));
+}
--- a/tests/gateway_prompt_parts.rs
+++ b/tests/gateway_prompt_parts.rs
@@ -246,10 +246,12 @@
 }
 
 /// Guards against requests that share a part which crashes upstreams and go on reaching them because
-/// of how far the answers had come: not to their heads, or beyond their first events.
+/// of how far the answers had come: not to their heads, or beyond some of their events.
 #[parameterized(
     before_the_head = { 0 },
     after_an_event = { 1 },
+    after_two_events = { 2 },
+    after_many_events = { 8 },
 )]
 #[test_macro(tokio::test)]
 async fn a_part_is_found_however_far_the_answers_of_crashed_engines_had_come(events: u32) {
@@ -298,3 +300,52 @@
         .expect("the host refuses the request");
     assert!(bad_arrival_times(&engines).len() <= PART_CRASHES_MAX);
 }
+
+/// The number of crashes under one request after which it must stop.
+const REQUEST_CRASHES_MAX: usize = 3;
+/// How long the request is repeated, and the pause between two repeats.
+const REPEATED_FOR: Duration = Duration::from_secs(8);
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Repeats the request that crashes upstreams for some time. Returns how often it was refused.
+async fn repeat_for_a_while(host: &TestHost) -> usize {
+    let until = Instant::now() + REPEATED_FOR;
+    let mut refused = 0;
+    while Instant::now() < until {
+        let res = host.try_call(request_with_parts("/model/1", "bad")).await;
+        refused += usize::from(res.is_ok_and(|res| res.body().starts_with(b"poison")));
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+    refused
+}
+
+/// Guards against a request that crashes upstreams and is passed on again and again because each of
+/// them sent several events before it ended.
+#[parameterized(
+    two_while_others_are_served = { 2, true },
+    many_while_others_are_served = { 8, true },
+    many_alone = { 8, false },
+)]
+#[test_macro(tokio::test)]
+async fn a_request_that_crashes_upstreams_after_several_events_is_refused(
+    events: u32,
+    are_others_served: bool,
+) {
+    let step = ScriptStep::CrashOnPartAfter("bad", events);
+    let (_catalog, hosts, engines) = hosts_with_engines(step).await;
+    let others = async {
+        if are_others_served {
+            call_for_a_while(&hosts[1], "a", "common,a").await
+        } else {
+            (0, 0)
+        }
+    };
+    let (refused, others) = tokio::join!(repeat_for_a_while(&hosts[0]), others);
+    assert!(refused > 0, "the host refuses the request");
+    assert_eq!(others.1, 0, "of {others:?}");
+    let mut arrived_at = bad_arrival_times(&engines);
+    arrived_at.sort();
+    let stopped_at = arrived_at[REQUEST_CRASHES_MAX - 1] + STOPPED_WITHIN;
+    let late = arrived_at.iter().filter(|at| **at > stopped_at);
+    assert!(late.count() <= LATE_ARRIVALS_MAX, "{arrived_at:?}");
+}
