Hosts that all restart know which requests crash upstreams

Callers saw engines end again after each restart of all hosts: three more under one request, up to six under a part of prompts, and what ran on them lost.

Cause: what is refused was known to running hosts alone, which tell each other and those that start.

Change: quarantines are kept in the platform's store, the parts and the last crashes on which the length of the refusal depends. An entry is deleted when the quarantine ends, written again after the store was away or came back from an older copy, and left out if another writer made it odd. What hosts tell starts with the last crashes.

Tests: hosts_that_all_restart_refuse_a_request_that_crashes_upstreams, a_quarantine_is_saved_when_the_store_is_back, a_quarantine_that_has_ended_is_deleted, hosts_that_start_refuse_a_request_for_as_long.

--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -20,6 +20,7 @@
     /// was suspended past the end of its lease would go on using the lease.
     fn since_boot(&self) -> Duration;
 
-    /// The time of day, for logs and people only, because the clocks of hosts differ.
+    /// The time of day, for logs, people, and what outlives the process. The clocks of hosts differ,
+    /// so nothing that must be exact to seconds is measured on it.
     fn wall(&self) -> SystemTime;
 }
--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -1,5 +1,6 @@
 //! Which parts of prompts explain the crashes of upstreams.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -22,27 +23,28 @@
 pub(crate) struct Explanation {
     /// The parts, in ascending order.
     pub(crate) parts: Vec<RequestPart>,
-    /// The suspected calls of these crashes that have the part with the most crashes.
-    pub(crate) suspects: Vec<CrashSuspect>,
+    /// The suspected calls of these crashes that have the part with the most crashes, each with the
+    /// time of the crash, the latest first.
+    pub(crate) suspects: Vec<(CrashSuspect, Instant)>,
     /// The number of crashes that suffice for the explanation.
     pub(crate) crashes_min: usize,
 }
 
 impl Explanation {
     /// Some of the suspected calls, which suffice for the explanation: of as many crashes as it
-    /// needs, and first those that differ in their parts.
-    pub(crate) fn proof(&self) -> Vec<&CrashSuspect> {
+    /// needs and `further` ones, the latest first, and before that those that differ in their parts.
+    pub(crate) fn proof(&self, further: usize) -> Vec<&(CrashSuspect, Instant)> {
         let mut seen: IndexSet<&[RequestPart]> = IndexSet::new();
         let (different, repeated): (Vec<_>, Vec<_>) = self
             .suspects
             .iter()
-            .partition(|suspect| seen.insert(&suspect.parts));
+            .partition(|(suspect, _)| seen.insert(&suspect.parts));
         let mut crashes: IndexSet<CrashId> = IndexSet::new();
         let of_new_crashes = different
             .into_iter()
             .chain(repeated)
-            .filter(|suspect| crashes.insert(suspect.crash));
-        of_new_crashes.take(self.crashes_min).collect()
+            .filter(|(suspect, _)| crashes.insert(suspect.crash));
+        of_new_crashes.take(self.crashes_min + further).collect()
     }
 }
 
@@ -68,13 +70,16 @@
             .into_iter()
             .partition(|(suspect, _)| crashes[&main].contains(&suspect.crash));
         open = rest;
-        let suspects = explained.into_iter().map(|(suspect, _)| suspect);
-        let suspects: Vec<&CrashSuspect> = suspects
-            .filter(|suspect| suspect.parts.contains(&main))
-            .collect();
+        let with_main = explained.into_iter();
+        let with_main = with_main.filter(|(suspect, _)| suspect.parts.contains(&main));
+        let mut suspects: Vec<(&CrashSuspect, Instant)> = with_main.collect();
+        suspects.sort_by_key(|(_, at)| Reverse(*at));
         explanations.push(Explanation {
             parts: inseparable_parts(main, &suspects, &crashes, served, now),
-            suspects: suspects.into_iter().cloned().collect(),
+            suspects: suspects
+                .into_iter()
+                .map(|(s, at)| (s.clone(), at))
+                .collect(),
             crashes_min: crashes_min(main, served, now),
         });
     }
@@ -125,15 +130,15 @@
 /// it in each of the crashes. A part that was served before is left out unless the main one was too.
 fn inseparable_parts(
     main: RequestPart,
-    suspects: &[&CrashSuspect],
+    suspects: &[(&CrashSuspect, Instant)],
     crashes: &CrashesByPart,
     served: &ServedParts,
     now: Instant,
 ) -> Vec<RequestPart> {
     let of_main = &crashes[&main];
     let crashes_with = |part: RequestPart| {
-        let with_part = suspects.iter().filter(|s| s.parts.contains(&part));
-        let found: IndexSet<CrashId> = with_part.map(|suspect| suspect.crash).collect();
+        let with_part = suspects.iter().filter(|(s, _)| s.parts.contains(&part));
+        let found: IndexSet<CrashId> = with_part.map(|(suspect, _)| suspect.crash).collect();
         found.len()
     };
     let min_of_main = crashes_min(main, served, now);
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -28,7 +28,7 @@
             }
             PartEvidence::Lost(call, age) => {
                 self.note_served(&call.parts, now);
-                self.record_lost(call, KnownCrash::told(age, now), now)
+                self.record_lost(&call, KnownCrash::told(age, now), now)
             }
             PartEvidence::Alive(crash, age) => self.clear_crash(crash, time_before(now, age), now),
             PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -14,7 +14,7 @@
 impl PartQuarantine {
     /// Records a call of this host that was lost before the head of its answer or after an event.
     /// Returns what has changed.
-    pub fn on_lost(&mut self, call: LostCall, now: Instant) -> Vec<QuarantineChange> {
+    pub fn on_lost(&mut self, call: &LostCall, now: Instant) -> Vec<QuarantineChange> {
         self.record_lost(call, KnownCrash::own(now), now)
     }
 
@@ -28,7 +28,7 @@
         let lost = suspect.lost_call();
         let mut changes = self.record_crash(suspect, crash, now);
         if let Some(call) = lost {
-            changes.extend(self.search_causes(call, crash, now));
+            changes.extend(self.search_causes(&call, crash, now));
         }
         changes
     }
@@ -36,7 +36,7 @@
     /// Records a lost call, which is suspected as a whole unless events of its answer were received.
     pub(super) fn record_lost(
         &mut self,
-        call: LostCall,
+        call: &LostCall,
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
@@ -53,7 +53,7 @@
     /// suspected like those of calls whose answers had begun. Returns what has changed.
     fn search_causes(
         &mut self,
-        call: LostCall,
+        call: &LostCall,
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
@@ -62,10 +62,10 @@
         }
         self.lost_calls.record(call.clone(), crash, &self.served);
         let mut changes = Vec::new();
-        for suspect in self.known_causes(&call, now) {
+        for suspect in self.known_causes(call, now) {
             changes.extend(self.record_crash(suspect, crash, now));
         }
-        for (suspect, at) in self.likely_causes(&call, now) {
+        for (suspect, at) in self.likely_causes(call, now) {
             let crash = KnownCrash {
                 at,
                 ..KnownCrash::own(now)
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -7,7 +7,9 @@
 
 mod evidence;
 mod lost;
+mod records;
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,6 +56,9 @@
 /// How long other hosts are told of a suspected call of this host while its crash is not explained.
 const TELLING_TIME: Duration = Duration::from_secs(10);
 
+/// A crash and its time.
+type DatedCrash = (CrashId, Instant);
+
 /// What one host knows of parts that crash upstreams, from its own calls and from other hosts. What is
 /// refused follows from it alone, so that hosts which know the same refuse the same.
 #[derive(Debug, Default)]
@@ -67,8 +72,10 @@
     quarantined: Vec<QuarantinedParts>,
     /// The suspected calls that belong to quarantined parts.
     explained: IndexSet<CrashSuspect>,
-    /// Those of them which suffice for hosts that start to refuse the same parts.
+    /// Those of them which suffice for hosts that start to refuse the same parts for as long.
     proofs: IndexSet<CrashSuspect>,
+    /// The parts that are or were quarantined, with the crashes of these, the latest first.
+    causes: IndexMap<Vec<RequestPart>, Vec<DatedCrash>>,
     /// The parts that were refused, and the whole requests that were suspected, until this host had
     /// such a request served, with the time of this.
     released: IndexMap<RequestPart, Instant>,
@@ -320,33 +327,51 @@
         let explanations = explain_crashes(suspects, &self.served, now);
         let quarantined = explanations
             .iter()
-            .map(|found| self.quarantine_of(found, now));
+            .map(|found| Self::quarantine_of(found, now));
         let quarantined: Vec<QuarantinedParts> = quarantined.collect();
         let lasting = self.quarantined.iter().filter(|known| now < known.until);
         let lasting: Vec<QuarantinedParts> = lasting.cloned().collect();
         let changes = changes_between(&lasting, &quarantined);
         self.quarantined = quarantined;
-        let proofs = explanations.iter().flat_map(Explanation::proof);
-        self.proofs = proofs.cloned().collect();
-        self.explained = explanations.into_iter().flat_map(|e| e.suspects).collect();
+        self.proofs.clear();
+        self.causes.clear();
+        for found in &explanations {
+            let proof = found.proof(further_crashes(&found.parts));
+            self.proofs.extend(proof.iter().map(|(s, _)| s.clone()));
+            let mut crashes: Vec<DatedCrash> = proof
+                .iter()
+                .map(|(suspect, at)| (suspect.crash, *at))
+                .collect();
+            crashes.sort_by_key(|(_, at)| Reverse(*at));
+            self.causes.insert(found.parts.clone(), crashes);
+        }
+        let explained = explanations.into_iter().flat_map(|e| e.suspects);
+        self.explained = explained.map(|(suspect, _)| suspect).collect();
         changes
     }
 
-    fn quarantine_of(&self, explanation: &Explanation, now: Instant) -> QuarantinedParts {
+    fn quarantine_of(explanation: &Explanation, now: Instant) -> QuarantinedParts {
         let suspects = &explanation.suspects;
-        let crashes: IndexSet<CrashId> = suspects.iter().map(|suspect| suspect.crash).collect();
-        let crashed_at = suspects.iter().filter_map(|suspect| {
-            let crash = self.suspects.get(suspect)?;
-            Some(crash.at)
-        });
+        let crashes: IndexSet<CrashId> = suspects.iter().map(|(s, _)| s.crash).collect();
+        let crashed_at = suspects.first().map_or(now, |(_, at)| *at);
         QuarantinedParts {
             parts: explanation.parts.clone(),
             crashes: crashes.len(),
-            until: crashed_at.max().unwrap_or(now) + quarantine_time(explanation, crashes.len()),
+            until: crashed_at + quarantine_time(explanation, crashes.len()),
         }
     }
 }
 
+/// The number of crashes beyond those that begin the quarantine of these parts which still make it
+/// longer.
+fn further_crashes(parts: &[RequestPart]) -> usize {
+    if parts.iter().any(RequestPart::is_whole) {
+        REQUEST_QUARANTINE_TIMES.len() - 1
+    } else {
+        0
+    }
+}
+
 /// How long requests are refused after the last of so many crashes.
 fn quarantine_time(explanation: &Explanation, crashes: usize) -> Duration {
     if !explanation.parts.iter().any(RequestPart::is_whole) {
--- a/src/decide/request_part.rs
+++ b/src/decide/request_part.rs
@@ -1,10 +1,15 @@
 //! What requests have in common.
 
 use std::fmt;
+use std::str::FromStr;
 
+use crate::units::ParseUnitError;
 use crate::units::PromptPartId;
 use crate::units::RequestHash;
 
+/// What stands before the hash of a request in text.
+const WHOLE_PREFIX: &str = "request-";
+
 /// What a request has in common with others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestPart {
@@ -45,7 +50,18 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Prompt(part) => part.fmt(f),
-            Self::Whole(request) => write!(f, "request-{request}"),
+            Self::Whole(request) => write!(f, "{WHOLE_PREFIX}{request}"),
+        }
+    }
+}
+
+impl FromStr for RequestPart {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.strip_prefix(WHOLE_PREFIX) {
+            Some(request) => request.parse().map(Self::Whole),
+            None => text.parse().map(Self::Prompt),
         }
     }
 }
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -10,10 +10,12 @@
 
 use crate::decide::ReaderEntry;
 use crate::exchange::ListedHost;
+use crate::gateway::SavedQuarantine;
 use crate::routing::RouteTable;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::ObjectVersion;
+use crate::units::QuarantineId;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
 use crate::units::UpstreamName;
@@ -190,6 +192,18 @@
         claim: ReaderClaim,
     ) -> BoxFuture<'_, Result<ReaderEntry, CatalogError>>;
 
+    /// Reads the quarantines of parts that crash upstreams.
+    fn quarantines(&self) -> BoxFuture<'_, Result<Vec<SavedQuarantine>, CatalogError>>;
+
+    /// Saves a quarantine. One with the same id is replaced if it lacks some of the crashes.
+    fn save_quarantine(
+        &self,
+        quarantine: SavedQuarantine,
+    ) -> BoxFuture<'_, Result<(), CatalogError>>;
+
+    /// Deletes a quarantine.
+    fn delete_quarantine(&self, id: QuarantineId) -> BoxFuture<'_, Result<(), CatalogError>>;
+
     /// Adds a host to the list. An entry with the same name is replaced.
     fn register_host(&self, host: ListedHost) -> BoxFuture<'_, Result<(), CatalogError>>;
 
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -306,6 +306,28 @@
         /// For how long requests are refused if nothing more is observed, in ms.
         time_left_ms: u64,
     },
+    /// The quarantines in the platform were read after the start.
+    QuarantinesRestored {
+        /// The number of quarantines.
+        quarantines: usize,
+    },
+    /// A quarantine was saved in the platform.
+    QuarantineSaved {
+        /// The id of the quarantine.
+        quarantine: String,
+        /// The number of crashes that were saved.
+        crashes: usize,
+    },
+    /// A quarantine that has ended was deleted from the platform.
+    QuarantineDeleted {
+        /// The id of the quarantine.
+        quarantine: String,
+    },
+    /// A call to the platform about quarantines failed. It is repeated.
+    QuarantinesFailed {
+        /// The error.
+        error: String,
+    },
     /// An engine refused to reserve memory for a prompt that several engines share.
     ReservationRefused {
         /// The id of the request.
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -75,10 +75,11 @@
                 parts,
                 has_events,
             };
-            changes.extend(quarantine.on_lost(lost, now));
+            changes.extend(quarantine.on_lost(&lost, now));
         }
         drop(quarantine);
         self.log_quarantine_changes(&changes, None);
+        self.note_own_crash(request_crash, now);
         self.broadcast_now.notify_one();
     }
 
@@ -132,7 +133,13 @@
         }
     }
 
-    fn log_quarantine_changes(&self, changes: &[QuarantineChange], told_by: Option<&str>) {
+    /// Logs changes of what is quarantined, and has them saved.
+    pub(crate) fn log_quarantine_changes(
+        &self,
+        changes: &[QuarantineChange],
+        told_by: Option<&str>,
+    ) {
+        self.on_quarantine_changes(changes);
         let now = self.clock.now();
         for change in changes {
             let quarantined = change.quarantined();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use crate::gateway::outcomes::evaluate_outcomes;
 use crate::gateway::pages::GatewayPages;
 use crate::gateway::probe::probe_unreachable;
+use crate::gateway::quarantine_sync::sync_quarantines;
 use crate::gateway::server::serve_callers;
 use crate::gateway::server::wait_for_phase;
 use crate::gateway::starting_reader::find_starting_reader;
@@ -98,6 +99,7 @@
         Arc::clone(&catalog),
         exchange_addr,
     ));
+    tasks.spawn(sync_quarantines(Arc::clone(&gateway), Arc::clone(&catalog)));
     tasks.spawn(probe_unreachable(Arc::clone(&gateway)));
     tasks.spawn(evaluate_outcomes(Arc::clone(&gateway)));
     tasks.spawn(poll_engine_reports(Arc::clone(&gateway)));
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -45,6 +46,7 @@
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::gateway::waiting_calls::WaitingCalls;
 use crate::observe::SeenNames;
+use crate::units::QuarantineId;
 use crate::units::ServiceId;
 use crate::units::UpstreamId;
 
@@ -74,6 +76,10 @@
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     pub(crate) part_quarantine: Mutex<PartQuarantine>,
+    /// The quarantines of which this host has seen crashes since they were last saved.
+    own_quarantines: Mutex<IndexSet<QuarantineId>>,
+    /// Notified when quarantines are to be saved or deleted.
+    pub(crate) quarantines_changed: Notify,
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
@@ -158,6 +164,8 @@
             tunnels: TunnelCounter::default(),
             retries: Mutex::default(),
             part_quarantine: Mutex::default(),
+            own_quarantines: Mutex::default(),
+            quarantines_changed: Notify::new(),
             shutdown_requested_at: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             caller_connections: CallerConnections::default(),
@@ -211,6 +219,12 @@
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the quarantines of which this host has seen crashes.
+    pub(crate) fn own_quarantines(&self) -> MutexGuard<'_, IndexSet<QuarantineId>> {
+        let own = self.own_quarantines.lock();
+        own.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The upstream with this id; none if it is not listed or is leaving.
     pub(crate) fn find_listed(&self, id: &UpstreamId) -> Option<ListedUpstream> {
         let by_service = self.platform_view.upstreams()?;
--- a/src/gateway/starting_reader.rs
+++ b/src/gateway/starting_reader.rs
@@ -48,6 +48,12 @@
         is_preferred.then(|| found.listed.clone())
     }
 
+    /// Whether this host reads the platform for others that start.
+    pub(crate) fn is_starting_reader(&self) -> bool {
+        let found = self.found_reader.borrow();
+        found.as_ref().is_some_and(|found| found.is_own)
+    }
+
     /// Whether this host has no complete lists yet and waits for those of another host.
     pub(crate) fn awaits_starting_reader(&self) -> bool {
         let uptime = self.clock.now().saturating_duration_since(self.started_at);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -135,6 +135,7 @@
     gateway.upstreams_changed.notify_one();
     gateway.evacuations_changed.notify_one();
     gateway.hosts_changed.notify_one();
+    gateway.quarantines_changed.notify_one();
 }
 
 /// Reads the upstreams and applies their changes for as long as the process runs.
--- a/src/units/macros.rs
+++ b/src/units/macros.rs
@@ -120,3 +120,9 @@
     let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._:@/-".contains(&b);
     !text.is_empty() && text.len() <= NAME_LEN_MAX && text.bytes().all(allowed)
 }
+
+/// Parses a number of up to 16 hexadecimal digits without a sign.
+pub(crate) fn parse_hex_u64(text: &str) -> Option<u64> {
+    let is_hex = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
--- a/tests/decide_lost_calls.rs
+++ b/tests/decide_lost_calls.rs
@@ -59,8 +59,8 @@
     let mut quarantine = PartQuarantine::default();
     let mut now = start;
     for (crash, request) in (1..).zip(requests) {
-        quarantine.on_lost(lost(crash, request, &[COMMON, BAD]), now);
-        quarantine.on_lost(lost(crash, 100 + crash, &[COMMON]), now);
+        quarantine.on_lost(&lost(crash, request, &[COMMON, BAD]), now);
+        quarantine.on_lost(&lost(crash, 100 + crash, &[COMMON]), now);
         let served_at = now + Duration::from_millis(500);
         match between {
             ServedBetween::Nothing => {}
@@ -101,7 +101,7 @@
     let mut quarantine = PartQuarantine::default();
     for crash in 0..40 {
         let now = start + Duration::from_millis(4 * crash);
-        quarantine.on_lost(lost(1 + crash, crash, &[COMMON, BAD]), now);
+        quarantine.on_lost(&lost(1 + crash, crash, &[COMMON, BAD]), now);
         quarantine.on_served(&ids(&[0x2]), now);
     }
     let now = start + Duration::from_secs(1);
@@ -114,7 +114,7 @@
     let mut now = Instant::now();
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=5 {
-        quarantine.on_lost(lost(crash, crash, &[BAD]), now);
+        quarantine.on_lost(&lost(crash, crash, &[BAD]), now);
         now += Duration::from_millis(300);
         quarantine.on_alive(CrashId(crash), now, now);
         quarantine.on_served(&ids(&[COMMON]), now);
@@ -130,9 +130,9 @@
     let mut now = Instant::now();
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=20 {
-        quarantine.on_lost(lost(crash, crash, &[BAD]), now);
+        quarantine.on_lost(&lost(crash, crash, &[BAD]), now);
         if crash > 3 {
-            quarantine.on_lost(lost(crash, 100 + crash, &[0x1]), now);
+            quarantine.on_lost(&lost(crash, 100 + crash, &[0x1]), now);
         }
         now += Duration::from_millis(300);
         quarantine.on_served(&ids(&[COMMON]), now);
@@ -155,7 +155,7 @@
             let crash = call.crash;
             quarantine.on_crash(CrashSuspect { crash, parts }, now);
         } else {
-            quarantine.on_lost(call, now);
+            quarantine.on_lost(&call, now);
         }
         now += Duration::from_millis(300);
         quarantine.on_served(&ids(&[COMMON]), now);
@@ -172,7 +172,7 @@
     let mut hosts = [const { None }; 3].map(|_: Option<()>| PartQuarantine::default());
     for crash in 1..=3 {
         let host = usize::try_from(crash).unwrap() - 1;
-        hosts[host].on_lost(lost(crash, crash, &[COMMON, BAD]), now);
+        hosts[host].on_lost(&lost(crash, crash, &[COMMON, BAD]), now);
         let told = hosts[host].evidence(now);
         for other in (0..3).filter(|other| *other != host) {
             for evidence in &told {
@@ -207,7 +207,7 @@
     there.on_served(&ids(&[COMMON, 0x1]), now);
     now += Duration::from_secs(60);
     for crash in 1..=4 {
-        here.on_lost(lost(crash, crash, &[0x1]), now);
+        here.on_lost(&lost(crash, crash, &[0x1]), now);
         for evidence in here.evidence(now) {
             there.on_evidence(evidence, now);
         }
@@ -248,13 +248,13 @@
     let mut now = Instant::now();
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=3 {
-        quarantine.on_lost(lost(crash, crash, &[BAD]), now);
+        quarantine.on_lost(&lost(crash, crash, &[BAD]), now);
         now += Duration::from_millis(300);
         quarantine.on_served(&ids(&[COMMON]), now);
         now += Duration::from_millis(300);
     }
     for call in 0..5_000 {
-        quarantine.on_lost(lost(0x100 + call, call, &[0x10_0000 + call]), now);
+        quarantine.on_lost(&lost(0x100 + call, call, &[0x10_0000 + call]), now);
     }
     assert!(is_refused(&quarantine, &[BAD], now));
     assert!(quarantine.evidence(now).len() <= 256);
@@ -319,7 +319,7 @@
                     .partition(|call| call.upstream == upstream);
                 waiting = others;
                 for call in lost_calls {
-                    quarantine.on_lost(lost(crash, call.request, &call.parts), now);
+                    quarantine.on_lost(&lost(crash, call.request, &call.parts), now);
                     to_send.push(Waiting {
                         answered_ms: now_ms + ANSWERED_AFTER_MS,
                         ..call
@@ -402,8 +402,8 @@
         if are_others_served {
             quarantine.on_served(&ids(&[0x5]), now - Duration::from_millis(interval_ms / 2));
         }
-        quarantine.on_lost(late(crash, 7), now);
-        quarantine.on_lost(late(crash, 100 + crash), now);
+        quarantine.on_lost(&late(crash, 7), now);
+        quarantine.on_lost(&late(crash, 100 + crash), now);
     }
     assert_eq!(is_request_refused(&quarantine, 7, now), is_found);
     assert!(!is_request_refused(&quarantine, 102, now));
@@ -417,7 +417,7 @@
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=6 {
         let now = start + Duration::from_secs(2 * crash);
-        quarantine.on_lost(late(crash, 7), now);
+        quarantine.on_lost(&late(crash, 7), now);
         assert!(!is_request_refused(&quarantine, 7, now), "crash {crash}");
         if crash % 2 == 0 {
             quarantine.on_answered(RequestHash(7), now + Duration::from_secs(1));
@@ -432,7 +432,7 @@
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=6 {
         let now = start + Duration::from_secs(2 * crash);
-        quarantine.on_lost(late(crash, 7), now);
+        quarantine.on_lost(&late(crash, 7), now);
         let sent_at = now + Duration::from_millis(200);
         quarantine.on_alive(CrashId(crash), sent_at, sent_at);
         assert!(!is_request_refused(&quarantine, 7, now), "crash {crash}");
@@ -447,11 +447,11 @@
     let mut quarantine = PartQuarantine::default();
     for crash in 1..=3 {
         let now = start + Duration::from_secs(2 * crash);
-        quarantine.on_lost(late(crash, 7), now);
+        quarantine.on_lost(&late(crash, 7), now);
     }
     let now = start + Duration::from_secs(120);
     assert!(!is_request_refused(&quarantine, 7, now));
-    quarantine.on_lost(late(4, 7), now);
+    quarantine.on_lost(&late(4, 7), now);
     assert!(is_request_refused(&quarantine, 7, now));
 }
 
@@ -464,7 +464,7 @@
     let mut now = start;
     for crash in 1..=3 {
         now = start + Duration::from_secs(2 * crash);
-        own.on_lost(late(crash, 7), now);
+        own.on_lost(&late(crash, 7), now);
         for evidence in own.evidence(now) {
             let entry = PartEvidenceEntry::from(evidence);
             other.on_evidence(entry.evidence().unwrap(), now);
--- a/tests/decide_part_quarantine.rs
+++ b/tests/decide_part_quarantine.rs
@@ -492,3 +492,70 @@
     };
     assert_eq!(as_read_before.evidence(), earlier);
 }
+
+/// What a host that starts knows, after what another one tells or after a record of it.
+#[derive(Clone, Copy, Debug)]
+enum Learned {
+    Told,
+    Restored,
+}
+
+/// Guards against hosts that restart in turn, or all at the same time, and refuse a request for a
+/// shorter time than those that saw all of its crashes: each passes it on once more.
+#[parameterized(
+    told_after_three = { Learned::Told, 3 },
+    told_after_four = { Learned::Told, 4 },
+    told_after_nine = { Learned::Told, 9 },
+    restored_after_three = { Learned::Restored, 3 },
+    restored_after_four = { Learned::Restored, 4 },
+    restored_after_nine = { Learned::Restored, 9 },
+)]
+fn hosts_that_start_refuse_a_request_for_as_long(learned: Learned, crashes: u64) {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    let mut now = start;
+    for crash in 1..=crashes {
+        now = start + Duration::from_secs(crash);
+        quarantine.on_crash(suspected_request(crash, BAD), now);
+    }
+    let now = now + Duration::from_secs(20);
+    let mut started = PartQuarantine::default();
+    match learned {
+        Learned::Told => {
+            for evidence in quarantine.evidence(now) {
+                let entry = PartEvidenceEntry::from(evidence);
+                started.on_evidence(entry.evidence().unwrap(), now);
+            }
+        }
+        Learned::Restored => {
+            for record in quarantine.records(now) {
+                started.restore(&record, now);
+            }
+        }
+    }
+    let time_left = |quarantine: &PartQuarantine| {
+        let known = quarantine.find(&[whole(BAD)], now).unwrap();
+        known.time_left(now).as_secs()
+    };
+    assert_eq!(time_left(&started), time_left(&quarantine));
+}
+
+/// Guards against parts that are refused with a common one alone after a restart of all hosts, or not
+/// refused without it.
+#[test]
+fn a_restored_part_is_refused_with_whatever_it_was_seen() {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    quarantine.on_served(&ids(&[COMMON]), start);
+    for crash in 1..=3 {
+        let now = start + Duration::from_secs(crash);
+        quarantine.on_crash(suspect(crash, &[COMMON, BAD]), now);
+    }
+    let now = start + Duration::from_secs(4);
+    let mut started = PartQuarantine::default();
+    for record in quarantine.records(now) {
+        started.restore(&record, now);
+    }
+    assert!(is_refused(&started, &[0x1, BAD], now));
+    assert!(!is_refused(&started, &[COMMON, 0x1], now));
+}
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -4,6 +4,8 @@
 
 use std::sync::Arc;
 
+use banyanarch::decide::RequestPart;
+use banyanarch::units::HostId;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -12,6 +14,7 @@
 use gateway_world::upstream::ScriptStep;
 use gateway_world::upstream::ScriptedUpstream;
 use gateway_world::wait_until;
+use yare::parameterized;
 
 /// The path of the request that crashes upstreams.
 const BAD: &str = "/once/bad";
@@ -52,6 +55,19 @@
         }
     }
 
+    /// Ends all hosts at the same time, and starts them again under their names.
+    async fn restart_hosts(&mut self) {
+        let names: Vec<HostId> = self.hosts.iter().map(TestHost::name).collect();
+        for host in self.hosts.drain(..) {
+            host.serving.abort();
+        }
+        for name in names {
+            let conf = conf(name.as_str());
+            self.hosts
+                .push(TestHost::start_with(conf, &self.catalog).await);
+        }
+    }
+
     /// Lists the upstreams as started again, as they are after a crash.
     fn restart_upstreams(&self) {
         for id in ["a", "b", "c"] {
@@ -107,3 +123,64 @@
         assert_eq!(host.call(request("/once/sound")).await.status(), 200);
     }
 }
+
+/// Guards against hosts that all restart at the same time and pass a request that crashes upstreams on
+/// again, as often as at first.
+#[tokio::test]
+async fn hosts_that_all_restart_refuse_a_request_that_crashes_upstreams() {
+    let mut world = World::start(3).await;
+    world.crash_until_refused().await;
+    wait_until(|| world.catalog.saved_quarantines().len() == 1).await;
+    let before = world.bad_runs();
+    for _ in 0..3 {
+        world.restart_upstreams();
+        world.restart_hosts().await;
+        for host in &world.hosts {
+            world.wait_until_refusing(host).await;
+            assert_eq!(host.call(request(BAD)).await.status(), 503);
+        }
+    }
+    assert_eq!(world.bad_runs(), before);
+    assert_eq!(
+        world.hosts[0].call(request("/once/sound")).await.status(),
+        200
+    );
+}
+
+/// Guards against a quarantine that is lost since the store was away when it began, or came back from
+/// a copy that does not have it.
+#[parameterized(
+    store_away = { true },
+    store_restored = { false },
+)]
+#[test_macro(tokio::test)]
+async fn a_quarantine_is_saved_when_the_store_is_back(is_away: bool) {
+    let world = World::start(2).await;
+    let snapshot = world.catalog.snapshot();
+    world.catalog.set_unreachable(is_away);
+    world.crash_until_refused().await;
+    if is_away {
+        assert!(world.catalog.saved_quarantines().is_empty());
+        world.catalog.set_unreachable(false);
+    } else {
+        wait_until(|| world.catalog.saved_quarantines().len() == 1).await;
+        world.catalog.restore(snapshot);
+    }
+    wait_until(|| world.catalog.saved_quarantines().len() == 1).await;
+}
+
+/// Guards against a sound request that is refused after each restart although it was answered since.
+#[tokio::test]
+async fn a_quarantine_that_has_ended_is_deleted() {
+    let world = World::start(2).await;
+    world.crash_until_refused().await;
+    wait_until(|| world.catalog.saved_quarantines().len() == 1).await;
+    let parts = world.catalog.saved_quarantines()[0].parts.clone();
+    let request = parts.iter().find_map(RequestPart::request).unwrap();
+    for host in &world.hosts {
+        let now = host.gateway.clock.now();
+        let changes = host.gateway.part_quarantine().on_answered(request, now);
+        host.gateway.on_quarantine_changes(&changes);
+    }
+    wait_until(|| world.catalog.saved_quarantines().is_empty()).await;
+}
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -18,6 +18,7 @@
 use banyanarch::gateway::ListedUpstream;
 use banyanarch::gateway::ReaderClaim;
 use banyanarch::gateway::RoutesRead;
+use banyanarch::gateway::SavedQuarantine;
 use banyanarch::gateway::UpstreamChange;
 use banyanarch::gateway::UpstreamsRead;
 use banyanarch::gateway::Watch;
@@ -25,6 +26,7 @@
 use banyanarch::units::FailureDomainId;
 use banyanarch::units::HostId;
 use banyanarch::units::ObjectVersion;
+use banyanarch::units::QuarantineId;
 use banyanarch::units::StoreEra;
 use banyanarch::units::UpstreamId;
 use futures_util::FutureExt;
@@ -49,6 +51,7 @@
     hosts: Vec<ListedHost>,
     readers: IndexMap<FailureDomainId, ReaderEntry>,
     evacuated: IndexSet<FailureDomainId>,
+    quarantines: IndexMap<QuarantineId, SavedQuarantine>,
     /// The number of changes of the evacuations.
     evacuation_changes: usize,
 }
@@ -267,6 +270,18 @@
         listed
     }
 
+    /// The quarantines that hosts have saved.
+    pub fn saved_quarantines(&self) -> Vec<SavedQuarantine> {
+        let state = self.state.lock().unwrap();
+        state.quarantines.values().cloned().collect()
+    }
+
+    /// Saves a quarantine as a host does.
+    pub fn add_quarantine(&self, quarantine: SavedQuarantine) {
+        let mut state = self.state.lock().unwrap();
+        state.quarantines.insert(quarantine.id(), quarantine);
+    }
+
     pub fn listed_hosts(&self) -> Vec<ListedHost> {
         self.state.lock().unwrap().hosts.clone()
     }
@@ -384,6 +399,26 @@
         self.read_routes(known, watch).boxed()
     }
 
+    fn quarantines(&self) -> BoxFuture<'_, Result<Vec<SavedQuarantine>, CatalogError>> {
+        let read = self.respond(|state| state.quarantines.values().cloned().collect());
+        async move { read }.boxed()
+    }
+
+    fn save_quarantine(
+        &self,
+        quarantine: SavedQuarantine,
+    ) -> BoxFuture<'_, Result<(), CatalogError>> {
+        let saved = self.respond(|state| {
+            state.quarantines.insert(quarantine.id(), quarantine);
+        });
+        async move { saved }.boxed()
+    }
+
+    fn delete_quarantine(&self, id: QuarantineId) -> BoxFuture<'_, Result<(), CatalogError>> {
+        let deleted = self.respond(|state| state.quarantines.shift_remove(&id));
+        async move { deleted?.map(|_| ()).ok_or(CatalogError::NotFound) }.boxed()
+    }
+
     fn decode_routes(&self, text: &str) -> Result<RouteTable, CatalogError> {
         let index: usize = text.parse().unwrap();
         Ok(self.state.lock().unwrap().routes[index].clone())
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -39,6 +39,7 @@
 use banyanarch::routing::RouteTarget;
 use banyanarch::routing::Service;
 use banyanarch::units::Generation;
+use banyanarch::units::HostId;
 use banyanarch::units::Millicores;
 use banyanarch::units::Priority;
 use banyanarch::units::Tokens;
@@ -189,6 +190,10 @@
         }
     }
 
+    pub fn name(&self) -> HostId {
+        self.gateway.conf.host.clone()
+    }
+
     /// Waits until the host has read the list of hosts, from which on it uses its share of bounds for
     /// all hosts.
     pub async fn wait_for_host_list(&self) {
