Long-running tasks of a host are supervised

Callers saw a host that stayed ready and served by an old list for as long as its process lived: the task that reads the list had panicked, nobody noticed, and nothing in the log said so.

Cause: the tasks of a host were started and never looked at again.

Change: each task has a supervisor that logs and counts a panic and starts the task again after a growing pause, in which the host is not ready. A task that owns a listener cannot be started again; then the host shuts down in order. The handler of a request that panics answers 502 in place of a closed connection.

--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -33,6 +33,17 @@
         /// The number of requests that were still running and were cut off.
         cut: u64,
     },
+    /// A long-running task of this host has panicked.
+    TaskPanicked {
+        /// The name of the task.
+        task: Cow<'static, str>,
+        /// The message of the panic.
+        error: String,
+        /// The pause until the task is started again, in which this host is not ready, in ms; none if
+        /// the host shuts down.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        restarted_after_ms: Option<u64>,
+    },
     /// So many connections of callers are open that further ones are closed unread. Logged once until
     /// a connection is served again.
     ConnectionsFull {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,6 +41,7 @@
     faults: Counter<u64>,
     ejections: Counter<u64>,
     quarantines: Counter<u64>,
+    task_panics: Counter<u64>,
     closed_connections: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
@@ -68,6 +69,7 @@
             faults: meter.u64_counter("gateway_upstream_faults").build(),
             ejections: meter.u64_counter("gateway_upstream_ejections").build(),
             quarantines: meter.u64_counter("gateway_part_quarantines").build(),
+            task_panics: meter.u64_counter("gateway_task_panics").build(),
             closed_connections: meter
                 .u64_counter("gateway_closed_caller_connections")
                 .build(),
@@ -124,6 +126,11 @@
         self.quarantines.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Records that a task of this host has panicked.
+    pub(crate) fn record_task_panic(&self, task: &'static str) {
+        self.task_panics.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Records that a connection of a caller was closed unread, since too many were open.
     pub fn record_connection_closed(&self) {
         self.closed_connections.add(1, &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,6 +79,7 @@
 mod starting_reader;
 mod stated;
 mod stream_relay;
+mod supervisor;
 mod sync;
 mod tunnel;
 mod unknown_headers;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! Runs a gateway from its configuration to the end of the process.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use crate::daemon::serve_pages;
@@ -27,6 +29,8 @@
 use crate::gateway::server::serve_callers;
 use crate::gateway::server::wait_for_phase;
 use crate::gateway::starting_reader::find_starting_reader;
+use crate::gateway::supervisor::supervise;
+use crate::gateway::supervisor::supervise_once;
 use crate::gateway::sync;
 
 /// The timeout for removing this host from the platform's list. The removal is optional: other
@@ -72,43 +76,23 @@
         callers_addr: gateway.conf.callers_addr.to_string(),
     });
     let pages = Arc::new(GatewayPages(Arc::clone(&gateway)));
-    let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn(Exchange::new(listeners.exchange, exchange_handler).run());
-    tasks.spawn(serve_reads(Arc::clone(&gateway), listeners.catalog_sharing));
-    tasks.spawn(find_starting_reader(
+    let mut tasks = JoinSet::new();
+    let exchange = Exchange::new(listeners.exchange, exchange_handler).run();
+    let sharing = serve_reads(Arc::clone(&gateway), listeners.catalog_sharing);
+    tasks.spawn(supervise_once(Arc::clone(&gateway), "exchange", exchange));
+    tasks.spawn(supervise_once(
         Arc::clone(&gateway),
-        Arc::clone(&catalog),
-        exchange_addr,
+        "catalog_sharing",
+        sharing,
     ));
-    tasks.spawn(sync::sync_routes(
-        Arc::clone(&gateway),
-        Arc::clone(&catalog),
-    ));
-    tasks.spawn(sync::sync_upstreams(
-        Arc::clone(&gateway),
-        Arc::clone(&catalog),
-    ));
-    if gateway.conf.evacuation_lease.is_some() {
-        tasks.spawn(sync::sync_evacuations(
-            Arc::clone(&gateway),
-            Arc::clone(&catalog),
-        ));
-    }
-    tasks.spawn(sync::sync_hosts(
-        Arc::clone(&gateway),
-        Arc::clone(&catalog),
-        exchange_addr,
-    ));
-    tasks.spawn(sync_quarantines(Arc::clone(&gateway), Arc::clone(&catalog)));
-    tasks.spawn(probe_unreachable(Arc::clone(&gateway)));
-    tasks.spawn(evaluate_outcomes(Arc::clone(&gateway)));
-    tasks.spawn(poll_engine_reports(Arc::clone(&gateway)));
-    tasks.spawn(serve_pages(
-        Arc::<GatewayPages>::clone(&pages),
-        listeners.ready,
-    ));
-    tasks.spawn(serve_pages(pages, listeners.metrics));
-    tasks.spawn(withdraw(Arc::clone(&gateway), catalog));
+    let ready = serve_pages(Arc::<GatewayPages>::clone(&pages), listeners.ready);
+    tasks.spawn(supervise_once(Arc::clone(&gateway), "ready", ready));
+    let metrics = serve_pages(pages, listeners.metrics);
+    tasks.spawn(supervise_once(Arc::clone(&gateway), "metrics", metrics));
+    spawn_platform_tasks(&mut tasks, &gateway, &catalog, exchange_addr);
+    spawn_task(&mut tasks, &gateway, "probes", probe_unreachable);
+    spawn_task(&mut tasks, &gateway, "outcomes", evaluate_outcomes);
+    spawn_task(&mut tasks, &gateway, "engine_reports", poll_engine_reports);
     serve_callers(Arc::clone(&gateway), listeners.callers).await;
     tokio::select! {
         () = gateway.tunnels.wait_until_none() => {}
@@ -119,6 +103,59 @@
     Ok(())
 }
 
+/// Starts the tasks that read and write the platform.
+fn spawn_platform_tasks(
+    tasks: &mut JoinSet<()>,
+    gateway: &Arc<Gateway>,
+    catalog: &Arc<dyn Catalog>,
+    exchange_addr: SocketAddr,
+) {
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "starting_reader", move |gateway| {
+        find_starting_reader(gateway, Arc::clone(&with_catalog), exchange_addr)
+    });
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "routes", move |gateway| {
+        sync::sync_routes(gateway, Arc::clone(&with_catalog))
+    });
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "upstreams", move |gateway| {
+        sync::sync_upstreams(gateway, Arc::clone(&with_catalog))
+    });
+    if gateway.conf.evacuation_lease.is_some() {
+        let with_catalog = Arc::clone(catalog);
+        spawn_task(tasks, gateway, "evacuations", move |gateway| {
+            sync::sync_evacuations(gateway, Arc::clone(&with_catalog))
+        });
+    }
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "hosts", move |gateway| {
+        sync::sync_hosts(gateway, Arc::clone(&with_catalog), exchange_addr)
+    });
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "quarantines", move |gateway| {
+        sync_quarantines(gateway, Arc::clone(&with_catalog))
+    });
+    let with_catalog = Arc::clone(catalog);
+    spawn_task(tasks, gateway, "withdrawal", move |gateway| {
+        withdraw(gateway, Arc::clone(&with_catalog))
+    });
+}
+
+/// Starts a supervised task.
+fn spawn_task<F>(
+    tasks: &mut JoinSet<()>,
+    gateway: &Arc<Gateway>,
+    name: &'static str,
+    start: impl Fn(Arc<Gateway>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let of_task = Arc::clone(gateway);
+    let start = move || start(Arc::clone(&of_task));
+    tasks.spawn(supervise(Arc::clone(gateway), name, start));
+}
+
 /// Begins the shutdown at SIGTERM, and reloads the settings at SIGHUP. Returns at the first signal
 /// after the grace period.
 async fn handle_signals(
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! The server for callers.
 
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::gateway::CallRefusal;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ResponseBody;
@@ -26,6 +28,7 @@
 use crate::gateway::caller_connections::ConnectionDecision;
 use crate::gateway::caller_connections::OpenConnection;
 use crate::gateway::handler::handle;
+use crate::gateway::supervisor::panic_message;
 use crate::routing::CallerLimits;
 
 /// The pause after accepting a connection failed, in most cases for lack of file descriptors.
@@ -97,9 +100,22 @@
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Response<ResponseBody>, Infallible>>;
 
-    /// Handles every request as a call. Never fails, since refusals are responses.
+    /// Handles every request as a call. Never fails, since refusals are responses, also after a panic.
     fn call(&self, req: Request<Incoming>) -> Self::Future {
-        handle(Arc::clone(&self.0), req).map(Ok).boxed()
+        let gateway = Arc::clone(&self.0);
+        async move {
+            let handled = AssertUnwindSafe(handle(Arc::clone(&gateway), req));
+            Ok(match handled.catch_unwind().await {
+                Ok(res) => res,
+                Err(panic) => {
+                    let error = panic_message(panic.as_ref());
+                    log::error!("gateway: the handler of a request panicked: {error}");
+                    gateway.metrics.record_task_panic("request");
+                    CallRefusal::OutcomeUnknown.response()
+                }
+            })
+        }
+        .boxed()
     }
 }
 
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -42,6 +42,7 @@
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
 use crate::gateway::starting_reader::FoundReader;
+use crate::gateway::supervisor::StoppedTasks;
 use crate::gateway::tunnel::TunnelCounter;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::gateway::waiting_calls::WaitingCalls;
@@ -134,6 +135,8 @@
     pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
     /// The unknown headers in responses of upstreams.
     pub(crate) unknown_headers: SeenNames,
+    /// The long-running tasks that are stopped.
+    pub(crate) stopped_tasks: StoppedTasks,
 }
 
 impl Gateway {
@@ -191,6 +194,7 @@
             waiting: WaitingCalls::default(),
             malformed_notices: LogLimiter::default(),
             unknown_headers: SeenNames::default(),
+            stopped_tasks: StoppedTasks::default(),
         }
     }
 
--- a/src/gateway/shared/readiness.rs
+++ b/src/gateway/shared/readiness.rs
@@ -42,6 +42,7 @@
     pub fn is_ready(&self) -> bool {
         let now = self.clock.since_boot();
         self.phase() == ShutdownPhase::Serving
+            && self.stopped_tasks.is_empty()
             && self.platform_view.routes().is_some()
             && self.platform_view.upstreams().is_some()
             && self.knows_evacuations()
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -80,6 +80,7 @@
 pub struct FakeCatalog {
     state: Arc<Mutex<PlatformState>>,
     is_unreachable: AtomicBool,
+    is_panicking: AtomicBool,
     are_evacuations_unreadable: AtomicBool,
     are_hosts_unavailable: AtomicBool,
     reads: AtomicUsize,
@@ -243,6 +244,11 @@
         self.is_unreachable.store(is_unreachable, Ordering::Relaxed);
     }
 
+    /// Makes reads of the upstreams panic.
+    pub fn set_panicking(&self, is_panicking: bool) {
+        self.is_panicking.store(is_panicking, Ordering::Relaxed);
+    }
+
     /// How often the manifest was requested.
     pub fn reads(&self) -> usize {
         self.reads.load(Ordering::Relaxed)
@@ -321,6 +327,7 @@
         &self,
         watch: Option<Watch>,
     ) -> Result<CatalogRead<UpstreamsRead>, CatalogError> {
+        assert!(!self.is_panicking.load(Ordering::Relaxed), "panicking read");
         let as_of = Some(self.wait(watch, |state| state.changes.len()).await?);
         let Some(watch) = watch else {
             self.whole_reads.fetch_add(1, Ordering::Relaxed);
