--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -19,6 +19,7 @@
 use banyanarch::control::claims::ClaimStore;
 use banyanarch::objects::PlatformClient;
 use banyanarch::units::AttemptId;
+use banyanarch::units::seconds;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -48,7 +49,7 @@
     let mut claims = Vec::new();
     let start = Instant::now();
     for n in 0..rate * RUN_DURATION.as_secs() {
-        let due = Duration::from_secs_f64(n as f64 / rate as f64);
+        let due = seconds(n as f64 / rate as f64);
         tokio::time::sleep(due.saturating_sub(start.elapsed())).await;
         let store = Arc::clone(&stores[usize::try_from(n).unwrap() % hosts]);
         claims.push(tokio::spawn(
--- a/examples/customer_shares/load.rs
+++ b/examples/customer_shares/load.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use banyanarch::units::BoundedTime;
 use banyanarch::units::CustomerId;
+use banyanarch::units::seconds;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -105,8 +107,8 @@
             let is_changed = call.at >= changes_at;
             let left = if is_changed { self.capacity_left } else { 1.0 };
             let capacity = usual * CAPACITY * left;
-            room += (call.at - before).mul_f64(capacity);
-            room = room.min(Duration::from_secs_f64(capacity));
+            room += (call.at - before).scaled(capacity);
+            room = room.min(seconds(capacity));
             before = call.at;
             call.is_sent = room >= call.cost;
             room = room.saturating_sub(if call.is_sent {
@@ -129,7 +131,7 @@
 ) {
     let mut at = time.start;
     loop {
-        at += Duration::from_secs_f64(exponential(rng) / rate);
+        at += seconds(exponential(rng) / rate);
         if at >= time.end {
             return;
         }
@@ -138,7 +140,7 @@
         calls.push(Call {
             at,
             customer,
-            cost: Duration::from_secs_f64(exponential(rng) * mean_ms / 1e3),
+            cost: seconds(exponential(rng) * mean_ms / 1e3),
             is_sent: false,
         });
     }
--- a/examples/engine_loads/main.rs
+++ b/examples/engine_loads/main.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use banyanarch::units::Slowdown;
+use banyanarch::units::seconds;
 use engine_world::LONG;
 use engine_world::Load;
 use engine_world::MEDIUM;
@@ -97,7 +98,7 @@
         until: Duration::from_secs(12),
         one_in: 5,
         slowdown: Slowdown::new(3.5),
-        known_after: Duration::from_secs_f64(known_after),
+        known_after: seconds(known_after),
     }
 }
 
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -8,6 +8,8 @@
 use crate::store::StoreMode;
 use crate::upstream::UpstreamMode;
 
+use banyanarch::units::BoundedTime;
+
 /// A disturbance with its parameters: a failure, or a planned change such as a stop, a route move
 /// or a key revocation. Hosts and failure domains are given by index. Upstreams and customers are
 /// given by a number that is taken modulo their count.
@@ -97,10 +99,10 @@
             | Self::BackOffUpstream(_, _, time)
             | Self::EvacuateDomain(_, time)
             | Self::Flood(_, time)
-            | Self::KillUpstream(_, time) => *time = time.mul_f64(factor),
+            | Self::KillUpstream(_, time) => *time = time.scaled(factor),
             Self::RestoreStore(times) => {
                 for time in times {
-                    *time = time.mul_f64(factor);
+                    *time = time.scaled(factor);
                 }
             }
             Self::StopHost(_)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,7 +5,6 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use pico_args::Arguments;
 use soak::DeploymentSize;
@@ -17,6 +16,8 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use banyanarch::units::seconds;
+
 const USAGE: &str = "
 Runs real daemons on loopback under random faults and checks the guarantees from outside.
 
@@ -127,7 +128,10 @@
     if let Some(unknown) = args.finish().first() {
         return Err(format!("unknown argument {}", unknown.to_string_lossy()));
     }
-    let faults_for = Duration::try_from_secs_f64(minutes.unwrap_or(0.5) * 60.0);
+    let minutes = minutes.unwrap_or(0.5);
+    if !minutes.is_finite() || minutes < 0.0 {
+        return Err(format!("--minutes: {minutes} is no time"));
+    }
     let node: PathBuf = match node {
         Some(node) => node,
         None => default_node_path().map_err(|err| err.to_string())?,
@@ -144,7 +148,7 @@
         draws_hosts,
         conf: SoakConf {
             seed: 0,
-            faults_for: faults_for.map_err(|err| format!("--minutes: {err}"))?,
+            faults_for: seconds(minutes * 60.0),
             stretch: stretch.unwrap_or(1.0),
             size: DeploymentSize {
                 hosts: hosts.unwrap_or(6),
--- a/src/control/claims/shard/mod.rs
+++ b/src/control/claims/shard/mod.rs
@@ -30,6 +30,7 @@
 use crate::control::claims::shard::update_kind::UpdateKind;
 use crate::objects::PlatformError;
 use crate::units::AttemptId;
+use crate::units::BoundedTime;
 use crate::units::ObjectVersion;
 
 pub use action::ShardAction;
@@ -249,6 +250,6 @@
 
     /// A random duration between half of `delay` and `delay`, so that hosts do not retry together.
     fn with_jitter(&mut self, delay: Duration) -> Duration {
-        delay.mul_f64(self.rng.random_range(0.5..=1.0))
+        delay.scaled(self.rng.random_range(0.5..=1.0))
     }
 }
--- a/src/control/membership/machine/mod.rs
+++ b/src/control/membership/machine/mod.rs
@@ -35,6 +35,7 @@
 use crate::peer::message::PoisonNotice;
 use crate::peer::message::Probe;
 use crate::settings::PeerSeed;
+use crate::units::BoundedTime;
 use crate::units::FailureDomainId;
 use crate::units::Generation;
 use crate::units::HostId;
@@ -99,7 +100,7 @@
             generation: Generation::default(),
         };
         // Without a random offset, hosts that start together would probe at the same times.
-        let offset = conf::PROBE_INTERVAL.mul_f64(rng.random());
+        let offset = conf::PROBE_INTERVAL.scaled(rng.random());
         let digest_round = rng.random_range(0..60);
         let mut membership = Self {
             local_host,
--- a/src/control/membership/suspicion.rs
+++ b/src/control/membership/suspicion.rs
@@ -4,6 +4,7 @@
 
 use crate::control::membership::conf::SUSPICION_MIN;
 use crate::control::membership::conf::SUSPICION_PER_DOUBLING;
+use crate::units::BoundedTime;
 
 /// A suspicion of one host: since when the host is suspected, and whether the probes of this host
 /// and whether other hosts have confirmed it.
@@ -43,7 +44,7 @@
     /// Confirmation by both this host and another one halves the time; a single report may be due
     /// to a bad connection of the reporting host.
     pub(crate) fn is_expired(&self, host_count: usize, now: Instant) -> bool {
-        let timeout = SUSPICION_PER_DOUBLING.mul_f64((host_count as f64 + 1.0).log2());
+        let timeout = SUSPICION_PER_DOUBLING.scaled((host_count as f64 + 1.0).log2());
         let wait = match self.by_self && self.by_others {
             true => timeout / 2,
             false => timeout,
--- a/src/control/status/reporter.rs
+++ b/src/control/status/reporter.rs
@@ -9,6 +9,7 @@
 use crate::objects::Object;
 use crate::objects::PlatformError;
 use crate::objects::Precondition;
+use crate::units::BoundedTime;
 use crate::units::ObjectVersion;
 
 /// Minimum time between two writes. If the reports of 400 hosts change all the time, this gives at
@@ -55,7 +56,7 @@
     /// A reporter that has written nothing. Its first write comes at a random time within the first
     /// interval.
     pub fn new(mut rng: StdRng, now: Instant) -> Self {
-        let next_at = now + WRITE_INTERVAL.mul_f64(rng.random());
+        let next_at = now + WRITE_INTERVAL.scaled(rng.random());
         Self {
             rng,
             expected: None,
@@ -121,6 +122,6 @@
 
     /// An interval extended at random by up to half of its length.
     fn jittered(&mut self, interval: Duration) -> Duration {
-        interval.mul_f64(self.rng.random_range(1.0..1.5))
+        interval.scaled(self.rng.random_range(1.0..1.5))
     }
 }
--- a/src/decide/baseline/immediate_policy.rs
+++ b/src/decide/baseline/immediate_policy.rs
@@ -21,6 +21,7 @@
 use crate::decide::baseline::BaselineUpstream;
 use crate::decide::baseline::Picker;
 use crate::decide::gang_share;
+use crate::units::BoundedTime;
 use crate::units::GrantId;
 use crate::units::RequestId;
 use crate::units::Tokens;
@@ -95,7 +96,7 @@
         self.pending.push(Decision::Refuse {
             request,
             reason,
-            retry_after: RETRY_AFTER_MIN.mul_f64(jitter),
+            retry_after: RETRY_AFTER_MIN.scaled(jitter),
         });
     }
 }
--- a/src/decide/concurrency.rs
+++ b/src/decide/concurrency.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::units::seconds;
+
 /// The number of calls that make up one latency sample.
 const SAMPLE_CALLS: u32 = 16;
 /// The limit is lowered when the mean latency exceeds the latency floor by more than this factor.
@@ -66,7 +68,7 @@
     /// before the first sample is complete.
     pub fn latency(&self) -> Option<Duration> {
         self.floor_seconds
-            .map(|floor| Duration::from_secs_f64(floor * LATENCY_TOLERANCE))
+            .map(|floor| seconds(floor * LATENCY_TOLERANCE))
     }
 
     /// Records the latency of a completed call and how many calls were running at its end.
--- a/src/decide/customer_demand.rs
+++ b/src/decide/customer_demand.rs
@@ -5,6 +5,7 @@
 
 use crate::decide::CustomerUse;
 use crate::decide::recent_time::RecentTime;
+use crate::units::BoundedTime;
 
 /// The time constant with which the usual demand follows the current one.
 const LEARNING_TIME: Duration = Duration::from_secs(60);
@@ -53,7 +54,7 @@
     pub(crate) fn on_arrival(&mut self, cost: Duration, now: Instant) {
         self.own_wanted.add(cost, now);
         self.own_squared
-            .add(cost.mul_f64(cost.as_secs_f64() * 1e3), now);
+            .add(cost.scaled(cost.as_secs_f64() * 1e3), now);
     }
 
     /// Adds the engine time of a call that this host has sent.
--- a/src/decide/ejection.rs
+++ b/src/decide/ejection.rs
@@ -12,6 +12,7 @@
 
 use crate::decide::AttemptOutcome;
 use crate::decide::UpstreamInfo;
+use crate::units::BoundedTime;
 
 /// The number of consecutive failures that eject an upstream. A single failure may be caused by the
 /// request, and two may be a coincidence.
@@ -154,7 +155,7 @@
         self.consecutive_ejections += 1;
         self.failures = 0;
         self.state = EjectionState::Ejected {
-            until: now + pause.mul_f64(rng.random_range(0.75..1.25)),
+            until: now + pause.scaled(rng.random_range(0.75..1.25)),
         };
     }
 
--- a/src/decide/engine_model.rs
+++ b/src/decide/engine_model.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::units::Tokens;
+use crate::units::seconds;
 
 /// The speed model of the engines of one service. All times are those of one engine at full speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,5 +69,5 @@
 }
 
 fn millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
+    seconds(ms / 1e3)
 }
--- a/src/decide/engines/engine_request.rs
+++ b/src/decide/engines/engine_request.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::EngineModel;
 use crate::decide::engines::view::PLANNED_PAUSE_FRACTION;
+use crate::units::BoundedTime;
 use crate::units::Tokens;
 
 /// Longest prefill time of a short prompt where no caller states which pause it accepts.
@@ -84,7 +85,7 @@
     let full_pass = model.pass_time(model.slots, Tokens::ZERO);
     strictest_pause.map_or(SHORT_PREFILL_TIME_DEFAULT, |pause| {
         let left = pause
-            .mul_f64(PLANNED_PAUSE_FRACTION)
+            .scaled(PLANNED_PAUSE_FRACTION)
             .saturating_sub(full_pass);
         left.max(SHORT_PREFILL_TIME_MIN)
     })
--- a/src/decide/engines/long.rs
+++ b/src/decide/engines/long.rs
@@ -23,6 +23,7 @@
 use crate::decide::engines::parts::IN_TIME_FRACTION;
 use crate::decide::engines::parts::LATE_BACKLOG_MAX;
 use crate::decide::engines::parts::needs_idle_engines;
+use crate::units::BoundedTime;
 use crate::units::Tokens;
 
 /// Fraction of the engines for long prompts that write the answers. These engines read parts only
@@ -131,10 +132,10 @@
     let time_until_idle = best.backlog.saturating_sub(BACKLOG_MAX);
     let wait_limit = request.objective_left.saturating_sub(best.part_time);
     let slack = request.objective_left.saturating_sub(best.forecast);
-    if slack > wait_limit.mul_f64(SLACK_FRACTION) {
+    if slack > wait_limit.scaled(SLACK_FRACTION) {
         return EngineChoice::wait(time_until_idle);
     }
-    if best.stretched == 0 && best.forecast <= request.objective_left.mul_f64(IN_TIME_FRACTION) {
+    if best.stretched == 0 && best.forecast <= request.objective_left.scaled(IN_TIME_FRACTION) {
         return EngineChoice::Send(plan_of(best));
     }
     choose_for_late_prompt(best, request)
--- a/src/decide/engines/parts.rs
+++ b/src/decide/engines/parts.rs
@@ -7,6 +7,7 @@
 use crate::decide::engines::EngineRequest;
 use crate::decide::engines::EngineView;
 use crate::decide::engines::boundary::ceil;
+use crate::units::BoundedTime;
 
 /// Target for the engine time of one part. Two such parts in one pass that also writes answers stay
 /// within a pause of 200 ms.
@@ -44,7 +45,7 @@
 /// The largest read backlog that an engine may have and still get a part of `part_time`: that for
 /// late prompts if the request could not be on time even without a backlog.
 fn backlog_max(request: &EngineRequest, part_time: Duration) -> Duration {
-    let is_late = request.objective_left.mul_f64(IN_TIME_FRACTION) < part_time;
+    let is_late = request.objective_left.scaled(IN_TIME_FRACTION) < part_time;
     if is_late {
         LATE_BACKLOG_MAX
     } else {
--- a/src/decide/engines/view.rs
+++ b/src/decide/engines/view.rs
@@ -5,6 +5,7 @@
 use crate::decide::EngineModel;
 use crate::decide::LimitState;
 use crate::decide::UpstreamLoad;
+use crate::units::BoundedTime;
 use crate::units::Slowdown;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
@@ -94,7 +95,7 @@
             return Duration::MAX;
         };
         pause
-            .mul_f64(PLANNED_PAUSE_FRACTION)
+            .scaled(PLANNED_PAUSE_FRACTION)
             .saturating_sub(self.pass_time(model))
             .saturating_sub(self.backlog())
     }
@@ -103,7 +104,7 @@
     /// parts that they help with ahead of everything that waits.
     pub fn time_to_read_as_helper(&self, model: &EngineModel, part_time: Duration) -> Duration {
         let prefill_time = self.slowdown.scale(part_time);
-        prefill_time + self.pass_time(model).mul_f64(PASSES_TO_FIRST_EVENT)
+        prefill_time + self.pass_time(model).scaled(PASSES_TO_FIRST_EVENT)
     }
 
     /// Whether a part that this engine reads ahead of its backlog would make a prompt late that the
--- a/src/decide/estimator.rs
+++ b/src/decide/estimator.rs
@@ -13,6 +13,7 @@
 use crate::decide::Work;
 use crate::units::CustomerId;
 use crate::units::Tokens;
+use crate::units::seconds;
 
 /// The least weight of one sample: an estimate is renewed by about twenty requests.
 const SAMPLE_WEIGHT_MIN: f64 = 0.05;
@@ -69,8 +70,7 @@
 
     /// The time that an engine takes to generate `tokens` of an answer.
     pub fn output_time(&self, tokens: Tokens) -> Duration {
-        let seconds = tokens.as_f64() * self.token_gap_seconds;
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        seconds(tokens.as_f64() * self.token_gap_seconds)
     }
 
     /// Corrects the estimates by an ended attempt. Only completed attempts give a sample of the
--- a/src/decide/instance_choice.rs
+++ b/src/decide/instance_choice.rs
@@ -9,6 +9,7 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
+use crate::units::BoundedTime;
 use crate::units::UpstreamId;
 
 /// An instance in another failure domain is ranked as if it had this many calls more. A call takes
@@ -213,7 +214,7 @@
                 .or(self.fastest)
                 .unwrap_or(SERVICE_TIME_DEFAULT);
             let surplus = instance.in_flight.saturating_sub(slots) + 1;
-            service_time.mul_f64(f64::from(surplus) / f64::from(slots))
+            service_time.scaled(f64::from(surplus) / f64::from(slots))
         });
         let wait = waits.min().unwrap_or_default();
         wait.clamp(WAIT_MIN, WAIT_MAX)
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -16,10 +16,11 @@
 use crate::decide::SpeedEstimate;
 use crate::decide::WorkRate;
 use crate::decide::is_heavy;
-use crate::decide::placement::duration_from_secs;
+use crate::units::BoundedTime;
 use crate::units::GrantId;
 use crate::units::Priority;
 use crate::units::Tokens;
+use crate::units::seconds;
 use crate::upstream::LoadReport;
 
 /// The assumed age of a load report.
@@ -114,7 +115,7 @@
         for long in ended.filter(|prefill| prefill.lane == Lane::Long) {
             let since = self.holds.get(&long.grant).map_or(now, |hold| hold.since);
             let duration = now.saturating_duration_since(since);
-            self.tail_until = Some(now + duration.mul_f64(TAIL_FRACTION));
+            self.tail_until = Some(now + duration.scaled(TAIL_FRACTION));
         }
     }
 
@@ -264,8 +265,7 @@
 
     /// The time from now to the first token of a new prefill on this upstream.
     pub fn first_token_time(&self, prefill: f64, priority: Priority) -> Duration {
-        let seconds = self.work_until_done(prefill, priority) / self.speed.get();
-        duration_from_secs(seconds)
+        seconds(self.work_until_done(prefill, priority) / self.speed.get())
             .saturating_add(self.speed.overhead())
             .min(FIRST_TOKEN_TIME_MAX)
     }
--- a/src/decide/outlier_ejection.rs
+++ b/src/decide/outlier_ejection.rs
@@ -15,6 +15,7 @@
 use crate::decide::EjectionRecord;
 use crate::decide::OutcomeSums;
 use crate::decide::ServiceMember;
+use crate::units::BoundedTime;
 use crate::units::Slowdown;
 use crate::units::UpstreamId;
 
@@ -62,7 +63,7 @@
     ) -> Vec<EjectionEvent> {
         let rest = rest_of_service(members, service);
         self.learn_slowdowns(members, service, now);
-        let first_probe_in = probe_spacing(hosts).mul_f64(draw);
+        let first_probe_in = probe_spacing(hosts).scaled(draw);
         let mut events = Vec::new();
         for member in members {
             let Some(record) = self.records.get_mut(&member.id) else {
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -18,6 +18,7 @@
 use crate::decide::is_heavy;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
+use crate::units::seconds;
 
 /// The cost of each running attempt, which makes every step a little longer. The cost also spreads
 /// requests over otherwise equal upstreams.
@@ -229,8 +230,7 @@
         };
         let index = self.upstreams.values().position(may_probe)?;
         let prefill = waiting.prompt_tokens.as_f64();
-        let seconds = prefill / self.upstreams[index].ledger.speed.get();
-        let first_token = duration_from_secs(seconds);
+        let first_token = seconds(prefill / self.upstreams[index].ledger.speed.get());
         let remaining = waiting.work.deadline.saturating_duration_since(self.now);
         let has_time = remaining >= first_token.saturating_mul(PROBE_TIME_FACTOR);
         has_time.then_some(Placement::Dispatch {
@@ -260,7 +260,7 @@
         };
         Placement::Dispatch {
             index: self.index,
-            first_token: duration_from_secs(self.seconds),
+            first_token: seconds(self.seconds),
             prefill_tokens: self.prefill,
             why,
         }
@@ -286,11 +286,6 @@
     }
 }
 
-/// Converts seconds to a duration. A value out of range becomes the longest duration.
-pub(crate) fn duration_from_secs(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
-}
-
 /// Converts a fractional number of tokens to whole tokens, rounded down. A negative one becomes 0.
 #[allow(
     clippy::cast_possible_truncation,
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::HostCoverage;
 use crate::units::RequestsPerSecond;
+use crate::units::seconds;
 
 /// The window over which a limit is enforced.
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -75,8 +76,8 @@
         if self.is_open() {
             return Duration::ZERO;
         }
-        let wait = Duration::try_from_secs_f64((1.0 - self.remaining()) / self.reachable_rate());
-        wait.unwrap_or(LIMIT_WINDOW).clamp(WAIT_MIN, LIMIT_WINDOW)
+        let wait = seconds((1.0 - self.remaining()) / self.reachable_rate());
+        wait.clamp(WAIT_MIN, LIMIT_WINDOW)
     }
 
     /// Whether this host sends another request. `draw` is uniformly distributed over 0 to 1.
--- a/src/decide/reader_search.rs
+++ b/src/decide/reader_search.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::units::BoundedTime;
 use crate::units::HostId;
 use crate::units::Millicores;
 use crate::units::ObjectVersion;
@@ -82,7 +83,7 @@
         Self {
             own,
             own_addr,
-            claim_delay: CLAIM_DELAY_MAX.mul_f64(f64::from(missing) / f64::from(CLAIM_AT_ONCE.0)),
+            claim_delay: CLAIM_DELAY_MAX.scaled(f64::from(missing) / f64::from(CLAIM_AT_ONCE.0)),
             failures: 0,
             unanswered: 0,
             due: vec![SearchStep::Look],
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -14,6 +14,7 @@
 use crate::decide::FailedAttempt;
 use crate::decide::GiveUpReason;
 use crate::decide::RetryDecision;
+use crate::units::BoundedTime;
 
 /// The number of attempts of one request in total. The second finds another upstream, and the third
 /// covers a second failure. More attempts only delay the error response.
@@ -80,7 +81,7 @@
     fn backoff(&mut self, failed: &FailedAttempt) -> Duration {
         let exponent = failed.attempts.saturating_sub(1).min(16);
         let bound = BACKOFF_BASE.saturating_mul(1 << exponent).min(BACKOFF_MAX);
-        let jittered = bound.mul_f64(self.rng.random_range(0.5..1.0));
+        let jittered = bound.scaled(self.rng.random_range(0.5..1.0));
         jittered.max(failed.retry_after.unwrap_or_default())
     }
 
--- a/src/decide/shipped/engines/admission.rs
+++ b/src/decide/shipped/engines/admission.rs
@@ -9,8 +9,9 @@
 use crate::decide::QueuedRequest;
 use crate::decide::RefuseReason;
 use crate::decide::Work;
-use crate::decide::placement::duration_from_secs;
 use crate::decide::shipped::EnginePolicy;
+use crate::units::BoundedTime;
+use crate::units::seconds;
 
 /// The largest number of requests in all queues together. Further requests are refused.
 const QUEUED_MAX: usize = 10_000;
@@ -63,7 +64,7 @@
             return Err((RefuseReason::CustomerLimit, drain));
         }
         let remaining = waiting.work.deadline.saturating_duration_since(now);
-        let remaining = remaining.mul_f64(self.fleet.tuning.admit_fraction);
+        let remaining = remaining.scaled(self.fleet.tuning.admit_fraction);
         match self
             .forecast(waiting, lane, now)
             .admission(remaining, self.grants.is_empty())
@@ -83,7 +84,7 @@
                 .queues
                 .get(lane)
                 .wait_time(waiting, self.nominal_drain(lane, now), now),
-            prefill: duration_from_secs(prefill / speed),
+            prefill: seconds(prefill / speed),
             output: self.estimator.output_time(waiting.output_tokens),
         }
     }
--- a/src/decide/shipped/engines/dispatch.rs
+++ b/src/decide/shipped/engines/dispatch.rs
@@ -14,7 +14,6 @@
 use crate::decide::RefuseReason;
 use crate::decide::engine_priority;
 use crate::decide::gang_share;
-use crate::decide::placement::duration_from_secs;
 use crate::decide::placement::tokens_from_f64;
 use crate::decide::shipped::EnginePolicy;
 use crate::decide::shipped::GangStep;
@@ -24,6 +23,7 @@
 use crate::units::RequestId;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
+use crate::units::seconds;
 
 /// Number of requests at the head of a queue that are tried in one round, so that a request that
 /// waits for a certain upstream does not block the others.
@@ -191,7 +191,7 @@
     /// The request was taken out of the queue.
     fn grant_gang(&mut self, waiting: &QueuedRequest, members: Vec<UpstreamId>, now: Instant) {
         let prefill_tokens = waiting.prompt_tokens.as_f64() / members.len().max(1) as f64;
-        let first_token = duration_from_secs(prefill_tokens / self.fleet.median_speed());
+        let first_token = seconds(prefill_tokens / self.fleet.median_speed());
         let forecast = self.dispatch_forecast(waiting, first_token);
         if self.is_too_late(waiting, forecast, now) {
             self.refuse(waiting, RefuseReason::Deadline, now);
--- a/src/decide/shipped/engines/mod.rs
+++ b/src/decide/shipped/engines/mod.rs
@@ -25,7 +25,6 @@
 use crate::decide::RefuseReason;
 use crate::decide::UpstreamInfo;
 use crate::decide::Work;
-use crate::decide::placement::duration_from_secs;
 use crate::decide::shipped::GrantRecord;
 use crate::decide::shipped::PoolQueues;
 use crate::units::GrantId;
@@ -33,6 +32,7 @@
 use crate::units::Tokens;
 use crate::units::TokensPerSecond;
 use crate::units::UpstreamId;
+use crate::units::seconds;
 use crate::upstream::CacheEvent;
 use crate::upstream::LoadReport;
 
@@ -105,7 +105,7 @@
         let is_short_waiting = !self.queues.short.queue.is_empty();
         let engines = self.fleet.open_upstreams(now).filter(|_| is_short_waiting);
         let ready = engines
-            .map(|u| duration_from_secs(u.ledger.lane_backlog(Lane::Short) / u.ledger.speed.get()))
+            .map(|u| seconds(u.ledger.lane_backlog(Lane::Short) / u.ledger.speed.get()))
             .min();
         let ready_at = now + ready.unwrap_or(WAKE_MAX).clamp(WAKE_MIN, WAKE_MAX);
         let expiry = self.queues.all().filter_map(FairQueue::next_expiry).min();
@@ -184,7 +184,7 @@
             Lane::Short => 0.0,
             Lane::Long => waiting.prompt_tokens.as_f64() / grant.upstreams.len().max(1) as f64,
         };
-        let first_token = duration_from_secs(prefill / self.fleet.median_speed());
+        let first_token = seconds(prefill / self.fleet.median_speed());
         let expected = self.dispatch_forecast(&waiting, first_token).total();
         self.record_grant(grant, &waiting, Tokens::ZERO, (prefill, expected), now);
     }
--- a/src/decide/shipped/lane_queue.rs
+++ b/src/decide/shipped/lane_queue.rs
@@ -7,8 +7,8 @@
 use crate::decide::FairQueue;
 use crate::decide::QueueEntry;
 use crate::decide::QueuedRequest;
-use crate::decide::placement::duration_from_secs;
 use crate::units::RequestId;
+use crate::units::seconds;
 
 /// The waiting requests of one lane, and the rate at which they are dispatched.
 ///
@@ -36,7 +36,7 @@
     /// The time until the whole queue has drained. `nominal`, in cost per second, stands in for the
     /// drain rate while none has been measured.
     pub(crate) fn drain_time(&self, nominal: f64, now: Instant) -> Duration {
-        duration_from_secs(self.queue.cost() / self.drain.per_second(nominal, now))
+        seconds(self.queue.cost() / self.drain.per_second(nominal, now))
     }
 
     /// The time that a new request with the priority and account of `waiting` would wait in this
@@ -52,6 +52,6 @@
         let ahead = self
             .queue
             .cost_ahead(priority, &waiting.account, waiting.share);
-        duration_from_secs(ahead / self.drain.per_second(nominal, now))
+        seconds(ahead / self.drain.per_second(nominal, now))
     }
 }
--- a/src/decide/shipped/services.rs
+++ b/src/decide/shipped/services.rs
@@ -27,12 +27,12 @@
 use crate::decide::UpstreamInfo;
 use crate::decide::WarmUp;
 use crate::decide::Work;
-use crate::decide::placement::duration_from_secs;
 use crate::decide::shipped::GrantRecord;
 use crate::units::GrantId;
 use crate::units::RequestId;
 use crate::units::Tokens;
 use crate::units::UpstreamId;
+use crate::units::seconds;
 use crate::upstream::CacheEvent;
 use crate::upstream::LoadReport;
 
@@ -127,7 +127,7 @@
         let calls: u32 = self.upstreams.values().map(|u| u.limit.get()).sum();
         let latency = self.expected_latency().as_secs_f64().max(0.001);
         let nominal = f64::from(calls.max(1)) / latency;
-        duration_from_secs(cost / self.drain.per_second(nominal, now))
+        seconds(cost / self.drain.per_second(nominal, now))
     }
 
     /// Chooses the instance for a call and the reason to log. An instance that is due for a probe
--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -8,6 +8,7 @@
 
 use crate::units::Tokens;
 use crate::units::TokensPerSecond;
+use crate::units::seconds;
 
 /// The least prompt length of a sample. Shorter prefills measure only the overhead.
 const SAMPLE_TOKENS_MIN: Tokens = Tokens(256);
@@ -68,7 +69,7 @@
 
     /// The part of the time to first token that does not depend on the prompt length.
     pub fn overhead(&self) -> Duration {
-        Duration::from_secs_f64(self.overhead_seconds)
+        seconds(self.overhead_seconds)
     }
 
     /// Records a first token that gives only a lower bound of the speed, and raises the estimate
--- a/src/exchange/update_route.rs
+++ b/src/exchange/update_route.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::units::BoundedTime;
 use crate::units::HostId;
 
 /// The maximum factor between two ages that are not noticeably different. A smaller change is not
@@ -27,7 +28,7 @@
     pub fn differs_noticeably_from(&self, other: &Self) -> bool {
         let is_other_age = |one: Duration, other: Duration| {
             let (less, more) = (one.min(other), one.max(other));
-            more > less.mul_f64(AGE_FACTOR)
+            more > less.scaled(AGE_FACTOR)
         };
         self.collector != other.collector
             || is_other_age(self.local_age_max, other.local_age_max)
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -21,6 +21,7 @@
 use crate::gateway::placement::refuse;
 use crate::gateway::placement::usable_engine_views;
 use crate::routing::RouteTable;
+use crate::units::BoundedTime;
 
 /// The longest time after which a caller should retry whose customer is above its share.
 const SHARE_RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
@@ -64,7 +65,7 @@
         RoomCheck::Admit => None,
         RoomCheck::AboveShare => {
             let ratio = sends.standing.ratio.min(SHARE_RETRY_RATIO_MAX);
-            let retry_after = retry_after.mul_f64(ratio).min(SHARE_RETRY_AFTER_MAX);
+            let retry_after = retry_after.scaled(ratio).min(SHARE_RETRY_AFTER_MAX);
             Some(refuse(RefuseReason::CustomerLimit, retry_after))
         }
         RoomCheck::Full => Some(refuse(RefuseReason::QueueFull, retry_after)),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,6 +15,7 @@
 use crate::routing::AllowedRegions;
 use crate::routing::Route;
 use crate::routing::stream_caller_timeout;
+use crate::units::BoundedTime;
 use crate::units::ContentHash;
 use crate::units::CustomerId;
 use crate::units::Priority;
@@ -94,7 +95,7 @@
     /// When a call that waits for a slot is refused. A caller that is told early can still be
     /// served elsewhere or later.
     pub fn slot_wait_until(&self) -> Instant {
-        self.arrived_at + self.route.objective.mul_f64(SLOT_WAIT_FRACTION)
+        self.arrived_at + self.route.objective.scaled(SLOT_WAIT_FRACTION)
     }
 
     /// How long the call may still wait for a slot; zero after [`Call::slot_wait_until`].
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::gateway::silent_sends::Raced;
 use crate::gateway::silent_sends::SilentSends;
 use crate::gateway::waiting_calls::WaitingPlace;
+use crate::units::BoundedTime;
 use crate::units::UpstreamId;
 
 /// The part of the time left for which an answer that is a failure is held while another upstream may
@@ -182,7 +183,7 @@
             }
             if silent.has_failure() && answer_by == self.call.deadline {
                 let now = self.gateway.clock.now();
-                answer_by = now + self.call.time_left(now).mul_f64(FAILURE_HOLD_FRACTION);
+                answer_by = now + self.call.time_left(now).scaled(FAILURE_HOLD_FRACTION);
             }
         }
     }
--- a/src/gateway/call_waiting.rs
+++ b/src/gateway/call_waiting.rs
@@ -17,6 +17,7 @@
 use crate::gateway::server::wait_for_phase;
 use crate::gateway::waiting_calls::LaneKey;
 use crate::gateway::waiting_calls::WaitingPlace;
+use crate::units::BoundedTime;
 use crate::units::ByteSize;
 use crate::units::CustomerId;
 use crate::units::RequestId;
@@ -141,5 +142,5 @@
 /// Half to one and a half of this time, so that requests that wait on several hosts for the same
 /// upstreams do not all choose them at the same moment.
 fn with_jitter(wait: Duration) -> Duration {
-    wait.mul_f64(rand::random_range(0.5..1.5))
+    wait.scaled(rand::random_range(0.5..1.5))
 }
--- a/src/gateway/dependency.rs
+++ b/src/gateway/dependency.rs
@@ -15,6 +15,7 @@
 use crate::gateway::catalog_sharing::ListKind;
 use crate::gateway::catalog_sharing::ReadError;
 use crate::gateway::catalog_sharing::ReadSource;
+use crate::units::BoundedTime;
 use crate::units::whole_millis;
 
 /// Interval after a failed call to the platform. It is multiplied by the number of hosts that share
@@ -79,10 +80,10 @@
         let shared_interval = RETRY_INTERVAL.saturating_mul(retrying_hosts);
         // Hosts that lost the platform at the same time must not call it at the same time.
         if shared_interval <= own_backoff {
-            own_backoff.mul_f64(rand::random_range(0.75..1.25))
+            own_backoff.scaled(rand::random_range(0.75..1.25))
         } else {
             shared_interval
-                .mul_f64(rand::random_range(0.0..2.0))
+                .scaled(rand::random_range(0.0..2.0))
                 .max(RETRY_INTERVAL)
         }
     }
@@ -143,7 +144,7 @@
                 let hosts = self.gateway.platform_view.hosts().len();
                 let spread =
                     SPREAD_PER_HOST.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
-                let due_at = now + spread.mul_f64(rand::random());
+                let due_at = now + spread.scaled(rand::random());
                 self.platform_due_at.get_or_insert(due_at);
             }
         }
--- a/src/gateway/exchange_entries.rs
+++ b/src/gateway/exchange_entries.rs
@@ -96,7 +96,7 @@
 /// The rate limit that an entry reports, with what was sent to the upstream.
 pub(crate) fn decode_limit(entry: &RateLimitEntry) -> LimitReport {
     LimitReport {
-        limit: entry.limit_per_s.map(RequestsPerSecond),
+        limit: entry.limit_per_s.and_then(RequestsPerSecond::checked),
         age: (entry.age_ms != AGE_MS_UNKNOWN).then(|| Duration::from_millis(entry.age_ms.into())),
         sent: RecentSends {
             in_window: entry.sent_in_window,
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::units::BoundedTime;
+
 /// The fraction of the lease for which requests that rely on it are sent. The rest allows for timers
 /// that fire late and clocks that drift.
 const LEASE_FRACTION: f64 = 0.9;
@@ -45,7 +47,7 @@
         match (lease, self.age(now)) {
             (_, None) => false,
             (None, Some(_)) => true,
-            (Some(lease), Some(age)) => age < lease.mul_f64(LEASE_FRACTION),
+            (Some(lease), Some(age)) => age < lease.scaled(LEASE_FRACTION),
         }
     }
 
--- a/src/gateway/limit_states.rs
+++ b/src/gateway/limit_states.rs
@@ -11,6 +11,7 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::RateLimitRecord;
 use crate::units::UpstreamId;
+use crate::units::seconds;
 
 /// An upstream's rate limit and when this host may send to it.
 #[derive(Clone, Copy, Debug)]
@@ -91,7 +92,6 @@
             .values()
             .map(|limited| limited.view.host_share_per_s())
             .sum();
-        let time = Duration::try_from_secs_f64(f64::from(calls) / per_s);
-        time.unwrap_or(Duration::MAX)
+        seconds(f64::from(calls) / per_s)
     }
 }
--- a/src/gateway/quarantine_sync.rs
+++ b/src/gateway/quarantine_sync.rs
@@ -20,6 +20,7 @@
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::SavedQuarantine;
+use crate::units::BoundedTime;
 use crate::units::CrashId;
 use crate::units::QuarantineId;
 use crate::units::StoreEra;
@@ -84,7 +85,7 @@
     fn interval(&self) -> Duration {
         let backoff = PASS_INTERVAL.saturating_mul(1 << self.failures.min(8));
         let interval = backoff.min(RETRY_INTERVAL_MAX);
-        interval.mul_f64(rand::random_range(0.75..1.25))
+        interval.scaled(rand::random_range(0.75..1.25))
     }
 
     /// Reads, saves and deletes what is due. Returns whether nothing is left to do.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -36,6 +36,7 @@
 use crate::http::one_shot::OneShotError;
 use crate::http::one_shot::OneShotResponseBody;
 use crate::routing::CallKind;
+use crate::units::BoundedTime;
 use crate::units::Priority;
 use crate::units::whole_millis;
 
@@ -264,7 +265,7 @@
             return None;
         }
         let slowdown = self.gateway.slowdowns.of(&plan.upstream.id, now);
-        Some(plan.forecast.div_f64(slowdown.factor()))
+        Some(plan.forecast.scaled(1.0 / slowdown.factor()))
     }
 
     /// Connects to the upstream and sends the request. Returns the response and the way by which the
@@ -325,7 +326,7 @@
 /// time at which the response is late anyway. Forecasts cannot include what other hosts send at the
 /// same moment.
 pub(crate) fn first_event_timeout(call: &Call, forecast: Duration) -> Duration {
-    let late_after = call.route.objective.mul_f64(FIRST_EVENT_OBJECTIVES_MIN);
+    let late_after = call.route.objective.scaled(FIRST_EVENT_OBJECTIVES_MIN);
     late_after.max(forecast * 3 + FIRST_EVENT_MARGIN)
 }
 
--- a/src/gateway/starting_reader.rs
+++ b/src/gateway/starting_reader.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::ReaderClaim;
 use crate::gateway::catalog_sharing::is_responding;
+use crate::units::BoundedTime;
 use crate::units::ObjectVersion;
 
 /// How long the starting reader is preferred to other hosts, and selected although no update of it
@@ -91,7 +92,7 @@
                 Err(err) => on_failed(&gateway, &mut search, &err),
             },
             // Hosts that failed at the same time must not call the platform at the same time.
-            SearchStep::Wait(wait) => sleep(wait.mul_f64(random_range(0.75..1.25))).await,
+            SearchStep::Wait(wait) => sleep(wait.scaled(random_range(0.75..1.25))).await,
             SearchStep::Claim(replaces) => {
                 let claim = claim(&gateway, exchange_addr, replaces);
                 match catalog
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -21,6 +21,7 @@
 use crate::peer::handshake::PeerStream;
 use crate::peer::message::Envelope;
 use crate::peer::pool::PoolShared;
+use crate::units::BoundedTime;
 use crate::units::HostId;
 
 /// The timeout for opening a connection, including the handshake. It is ample for a few round trips
@@ -171,7 +172,7 @@
     /// Waits before the next attempt to connect. Messages that are queued during the wait fail at
     /// once, so that their callers try another host instead of waiting for their timeouts.
     async fn back_off(&mut self, error: &PeerError) {
-        let wait = self.backoff.mul_f64(self.rng.random_range(0.5..1.0));
+        let wait = self.backoff.scaled(self.rng.random_range(0.5..1.0));
         self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
         let until = Instant::now() + wait;
         while let Ok(Some(outgoing)) = tokio::time::timeout_at(until, self.outgoing.recv()).await {
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -3,6 +3,7 @@
 //! Ids chosen by people are shared strings, so that a clone costs only a reference count. Generated
 //! ids are random 128-bit numbers written in hexadecimal.
 
+mod bounded_time;
 mod byte_size;
 mod counters;
 mod crash_id;
@@ -21,6 +22,10 @@
 mod slowdown;
 mod tokens;
 
+pub use bounded_time::BoundedTime;
+pub use bounded_time::DURATION_MAX;
+pub use bounded_time::milliseconds;
+pub use bounded_time::seconds;
 pub use byte_size::ByteSize;
 pub use counters::FencingNumber;
 pub use counters::Generation;
--- a/src/units/rates.rs
+++ b/src/units/rates.rs
@@ -6,6 +6,7 @@
 
 use crate::units::ParseUnitError;
 use crate::units::Tokens;
+use crate::units::seconds;
 
 /// Defines a rate: a finite, non-negative number followed by a unit.
 macro_rules! rate_newtype {
@@ -49,9 +50,16 @@
     "a rate like 20req/s"
 );
 
+impl RequestsPerSecond {
+    /// The rate; none if the number is negative or not finite.
+    pub fn checked(per_s: f64) -> Option<Self> {
+        (per_s.is_finite() && per_s >= 0.0).then_some(Self(per_s))
+    }
+}
+
 impl TokensPerSecond {
     /// The time that `tokens` take at this rate; `Duration::MAX` at a rate of 0.
     pub fn time_for(self, tokens: Tokens) -> Duration {
-        Duration::try_from_secs_f64(tokens.as_f64() / self.0).unwrap_or(Duration::MAX)
+        seconds(tokens.as_f64() / self.0)
     }
 }
--- a/src/units/slowdown.rs
+++ b/src/units/slowdown.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::units::ParseUnitError;
+use crate::units::seconds;
 
 /// The factor by which an engine takes longer than its model predicts, at least 1; 1 at full speed.
 /// Written as a number followed by `x`, such as `3.5x`.
@@ -15,11 +16,14 @@
     /// The slowdown of an engine at full speed.
     pub const NONE: Self = Self(1.0);
 
-    /// Creates a slowdown. Factors below 1 count as 1: an engine that seemed faster than its model
-    /// would attract all requests. Factors that are not finite count as 1 too.
+    /// The largest slowdown. An engine that is this slow gets no requests while there is another.
+    pub const MAX: Self = Self(1e4);
+
+    /// Creates a slowdown, at most [`Slowdown::MAX`]. Factors below 1 count as 1: an engine that seemed
+    /// faster than its model would attract all requests. Factors that are not finite count as 1 too.
     pub fn new(factor: f64) -> Self {
         Self(if factor.is_finite() {
-            factor.max(1.0)
+            factor.clamp(1.0, Self::MAX.0)
         } else {
             1.0
         })
@@ -35,7 +39,7 @@
         if self == Self::NONE {
             return time;
         }
-        Duration::try_from_secs_f64(time.as_secs_f64() * self.0).unwrap_or(Duration::MAX)
+        seconds(time.as_secs_f64() * self.0)
     }
 }
 
@@ -54,13 +58,13 @@
 impl FromStr for Slowdown {
     type Err = ParseUnitError;
 
-    /// Parses a finite number of at least 1 that is followed by `x`, such as `3.5x`.
+    /// Parses a number from 1 to [`Slowdown::MAX`] that is followed by `x`, such as `3.5x`.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let number = text
             .strip_suffix('x')
             .and_then(|number| number.parse().ok());
         match number {
-            Some(number) if f64::is_finite(number) && number >= 1.0 => Ok(Self(number)),
+            Some(number) if (1.0..=Self::MAX.0).contains(&number) => Ok(Self(number)),
             _ => Err(ParseUnitError::new("a factor like 3.5x", text)),
         }
     }
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -24,6 +24,8 @@
 use crate::fleet::FleetPlan;
 use crate::http::call_json;
 
+use banyanarch::units::BoundedTime;
+
 const DOMAIN: &str = "sg-highway";
 const ENGINES: usize = 4;
 const SERVICES: usize = 2;
@@ -55,9 +57,9 @@
     for request in generate_requests(options.seed, options.duration) {
         callers.spawn(send_until_resolved(request, Arc::clone(&hosts), start));
     }
-    tokio::time::sleep_until((start + options.duration.mul_f64(ENGINE_KILL_FRACTION)).into()).await;
+    tokio::time::sleep_until((start + options.duration.scaled(ENGINE_KILL_FRACTION)).into()).await;
     kill_busiest_engine(&mut fleet).await;
-    tokio::time::sleep_until((start + options.duration.mul_f64(HOST_KILL_FRACTION)).into()).await;
+    tokio::time::sleep_until((start + options.duration.scaled(HOST_KILL_FRACTION)).into()).await;
     kill_host(&mut fleet);
     let resolved: Vec<ResolvedRequest> = callers.join_all().await;
     let tally = Tally::new(&resolved, &fleet.runs()?);
--- a/standin/src/demo/requests.rs
+++ b/standin/src/demo/requests.rs
@@ -9,6 +9,8 @@
 use crate::caller::CallerRequest;
 use crate::caller::RequestKind;
 
+use banyanarch::units::BoundedTime;
+
 /// Duration in seconds for which the counts of `REQUEST_GROUPS` are given.
 const REFERENCE_DURATION_S: u64 = 15;
 const CUSTOMERS: [&str; 4] = ["film-studio", "ad-agency", "karaoke-app", "radio"];
@@ -85,7 +87,7 @@
         let count = (group.count * duration.as_secs()).div_ceil(REFERENCE_DURATION_S);
         for nth in 0..count {
             let number = requests.len() as u64;
-            let arrival = duration.mul_f64(rng.random());
+            let arrival = duration.scaled(rng.random());
             requests.push(new_request(group, nth, (number, arrival), &mut rng));
         }
     }
--- a/standin/src/engine/api.rs
+++ b/standin/src/engine/api.rs
@@ -7,6 +7,7 @@
 
 use banyanarch::units::AttemptId;
 use banyanarch::units::ContentHash;
+use banyanarch::units::seconds;
 use banyanarch::upstream::LoadReport;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -293,7 +294,7 @@
     async fn wait_for_transfer(&self, chain: &[Segment]) {
         let tokens: u64 = chain.iter().map(|segment| segment.tokens).sum();
         let duration_s = tokens as f64 / self.shared.options.kv_tokens_per_second;
-        tokio::time::sleep(Duration::from_secs_f64(duration_s)).await;
+        tokio::time::sleep(seconds(duration_s)).await;
     }
 
     fn reserve(&self, id: &str, body: &[u8]) -> Response<Body> {
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::units::BoundedTime;
 use banyanarch::units::Tokens;
+use banyanarch::units::seconds;
 use banyanarch::upstream::LoadReport;
 use indexmap::IndexMap;
 
@@ -305,8 +307,8 @@
         let prefill_s = prefill as f64 / self.options.prefill_tokens_per_second;
         let attempts_us = self.options.step_per_attempt_us * step.decode.len() as u64;
         let base = Duration::from_micros(self.options.step_base_us + attempts_us);
-        let duration = base + Duration::from_secs_f64(prefill_s);
-        duration.mul_f64(self.faults.slow_factor.max(0.01))
+        let duration = base + seconds(prefill_s);
+        duration.scaled(self.faults.slow_factor.max(0.01))
     }
 
     /// Returns the ids of attempts in the given phases, by priority, then by arrival.
--- a/standin/src/load/arrivals.rs
+++ b/standin/src/load/arrivals.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use banyanarch::decide::LengthClass;
+use banyanarch::units::seconds;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -86,7 +87,7 @@
         if at_s >= scenario.duration_s {
             return;
         }
-        let arrival = Duration::from_secs_f64(scenario.pattern.align(at_s));
+        let arrival = seconds(scenario.pattern.align(at_s));
         requests.push(new_request(scenario, class, arrival, rng));
     }
 }
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -14,6 +14,7 @@
 
 use banyanarch::decide::LengthClass;
 use banyanarch::settings::PolicyName;
+use banyanarch::units::seconds;
 
 pub use run_report::RunReport;
 
@@ -103,7 +104,7 @@
         } else {
             1.0
         };
-        let window = Duration::from_secs_f64(scenario.class_alone_s * duration_factor);
+        let window = seconds(scenario.class_alone_s * duration_factor);
         let own = requests
             .iter()
             .filter(|request| request.class() == *class && request.arrival < window);
--- a/standin/src/load/player.rs
+++ b/standin/src/load/player.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use banyanarch::units::ContentHash;
+use banyanarch::units::seconds;
 use bytes::Bytes;
 use hyper::Method;
 use tokio::task::JoinSet;
@@ -149,7 +150,7 @@
 
 async fn inject_engine_faults(scenario: &Scenario, fleet: &Fleet, start: Instant) {
     for (at_s, engines, faults) in &scenario.faults {
-        let due_at = start + Duration::from_secs_f64(*at_s);
+        let due_at = start + seconds(*at_s);
         tokio::time::sleep_until(due_at.into()).await;
         for (index, engine) in fleet.engines.iter().enumerate() {
             if engines.contains(index) {
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use banyanarch::units::AttemptId;
+use banyanarch::units::BoundedTime;
 use banyanarch::units::ContentHash;
 use futures_util::future::BoxFuture;
 use hyper::Request;
@@ -198,7 +199,7 @@
         let overload =
             (*self.active_calls.borrow() as f64 / self.options.slots.max(1) as f64).max(1.0);
         let latency = Duration::from_millis(self.options.latency_ms);
-        tokio::time::sleep(latency.mul_f64(faults.slow_factor.max(0.0) * overload)).await;
+        tokio::time::sleep(latency.scaled(faults.slow_factor.max(0.0) * overload)).await;
         self.active_calls
             .send_modify(|active_calls| *active_calls -= 1);
         let end = match is_nth(count, faults.fail_one_in) {
--- a/tests/decide_customer_shares.rs
+++ b/tests/decide_customer_shares.rs
@@ -12,6 +12,7 @@
 use banyanarch::units::CustomerId;
 use banyanarch::units::ServiceHash;
 use banyanarch::units::ServiceId;
+use banyanarch::units::seconds;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -119,7 +120,7 @@
             let rate = CALLS_PER_S * factor;
             let mut at = exponential(&mut self.rng) / rate;
             while at < step.as_secs_f64() {
-                calls.push((Duration::from_secs_f64(at), customer));
+                calls.push((seconds(at), customer));
                 at += exponential(&mut self.rng) / rate;
             }
         }
--- a/tests/decide_fakes/workload.rs
+++ b/tests/decide_fakes/workload.rs
@@ -7,6 +7,7 @@
 use banyanarch::decide::PoolKind;
 use banyanarch::decide::Tuning;
 use banyanarch::manifest::Objective;
+use banyanarch::units;
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::Tokens;
 use banyanarch::units::TokensPerSecond;
@@ -82,7 +83,7 @@
             let mut vary = |middle: u64| self.rng.random_range(middle / 2..=middle * 3 / 2);
             let (prompt, output) = (vary(request.prompt), vary(request.output));
             self.requests.push(RequestSpec {
-                at: Duration::from_secs_f64(at),
+                at: units::seconds(at),
                 prompt: prompt.max(request.prefix.map_or(1, |(_, tokens)| tokens + 100)),
                 output: output.clamp(1, request.output_max),
                 ..request.clone()
--- a/tests/decide_instance_choice.rs
+++ b/tests/decide_instance_choice.rs
@@ -7,6 +7,7 @@
 use banyanarch::decide::InstanceView;
 use banyanarch::decide::SlotCompetition;
 use banyanarch::decide::choose_instance;
+use banyanarch::units::BoundedTime;
 use banyanarch::units::UpstreamId;
 use rand::Rng;
 use rand::SeedableRng;
@@ -315,7 +316,7 @@
                     InstanceChoice::None => unreachable!(),
                 };
                 let jitter = rng.random_range(0.5..1.5);
-                let ticks = wait.mul_f64(jitter).as_micros().div_ceil(TICK.as_micros());
+                let ticks = wait.scaled(jitter).as_micros().div_ceil(TICK.as_micros());
                 call.decide_tick = tick + usize::try_from(ticks).unwrap().max(1);
                 kept.push(call);
             }
--- a/tests/decide_upstream_outcomes.rs
+++ b/tests/decide_upstream_outcomes.rs
@@ -8,6 +8,7 @@
 use banyanarch::decide::EjectionEvent;
 use banyanarch::decide::HealthTracker;
 use banyanarch::decide::LoadSource;
+use banyanarch::units::BoundedTime;
 use banyanarch::units::FailureDomainId;
 use banyanarch::units::HostId;
 use banyanarch::units::ServiceId;
@@ -347,7 +348,7 @@
     fleet.run(ms(3_000), |index, _, rng| {
         let forecast = ms(rng.random_range(30..300));
         let factor = rng.random_range(0.6..1.4) * if index < 4 { 4.0 } else { 1.0 };
-        let taken = forecast.mul_f64(factor);
+        let taken = forecast.scaled(factor);
         CallOutcome::FirstEvent { forecast, taken }
     });
     for host in &fleet.hosts {
@@ -366,7 +367,7 @@
     let mut fleet = Fleet::new(33, 20, 400.0);
     fleet.run(ms(3_000), |_, _, rng| {
         let forecast = ms(rng.random_range(30..300));
-        let taken = forecast.mul_f64(rng.random_range(2.0..6.0));
+        let taken = forecast.scaled(rng.random_range(2.0..6.0));
         CallOutcome::FirstEvent { forecast, taken }
     });
     let mut slow = fleet.hosts.iter();
--- a/tests/engine_world/engine.rs
+++ b/tests/engine_world/engine.rs
@@ -5,6 +5,7 @@
 
 use banyanarch::decide::EngineModel;
 use banyanarch::units::Slowdown;
+use banyanarch::units::seconds;
 
 /// The most prompt tokens that one token step reads.
 const CHUNK_TOKENS: f64 = 2_048.0;
@@ -110,7 +111,7 @@
         self.writers.retain(|writer| writer.events_left > 0);
         self.pass = Some(end);
         let duration_ms = f64::from(steps) * step_ms + read_ms;
-        Some(slowdown.scale(Duration::from_secs_f64(duration_ms / 1e3)))
+        Some(slowdown.scale(seconds(duration_ms / 1e3)))
     }
 
     /// Ends the current pass and returns its results.
--- a/tests/engine_world/load.rs
+++ b/tests/engine_world/load.rs
@@ -5,6 +5,7 @@
 use banyanarch::decide::EngineModel;
 use banyanarch::units::Slowdown;
 use banyanarch::units::Tokens;
+use banyanarch::units::seconds;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -127,7 +128,7 @@
 }
 
 fn secs(s: f64) -> Duration {
-    Duration::from_secs_f64(s)
+    seconds(s)
 }
 
 impl Site {
--- a/tests/engine_world/world.rs
+++ b/tests/engine_world/world.rs
@@ -19,6 +19,7 @@
 use banyanarch::decide::engines::choose_engines;
 use banyanarch::decide::engines::slots_taken;
 use banyanarch::routing::stream_caller_timeout;
+use banyanarch::units::BoundedTime;
 use banyanarch::units::ByteSize;
 use banyanarch::units::CustomerId;
 use banyanarch::units::Priority;
@@ -410,7 +411,7 @@
                 if !self.enqueue(request, lane, rank) {
                     return self.refuse(request, wait);
                 }
-                let wait = wait.mul_f64(self.rng.random_range(0.5..1.5));
+                let wait = wait.scaled(self.rng.random_range(0.5..1.5));
                 self.retry_after(request, wait.min(time_left));
             }
             EngineChoice::Refuse { retry_after, .. } => self.refuse(request, retry_after),
--- a/tests/exchange_world/mod.rs
+++ b/tests/exchange_world/mod.rs
@@ -21,6 +21,7 @@
 use banyanarch::exchange::UpstreamHash;
 use banyanarch::units::Millicores;
 use banyanarch::units::UpstreamId;
+use banyanarch::units::seconds;
 use indexmap::IndexMap;
 use prost::Message;
 use rand::Rng;
@@ -366,7 +367,7 @@
 
     fn change_gap(&mut self) -> Duration {
         let draw: f64 = self.rng.random();
-        Duration::from_secs_f64(-(1.0 - draw).ln() / self.changes_per_s)
+        seconds(-(1.0 - draw).ln() / self.changes_per_s)
     }
 
     fn push(&mut self, at: Duration, event: Event) {
--- a/tests/limit_world/mod.rs
+++ b/tests/limit_world/mod.rs
@@ -15,6 +15,7 @@
 use banyanarch::decide::RateLimitTracker;
 use banyanarch::units::RequestsPerSecond;
 use banyanarch::units::UpstreamId;
+use banyanarch::units::seconds;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -201,7 +202,7 @@
     fn on_request(&mut self) {
         let draw: f64 = self.rng.random();
         let gap = -(1.0 - draw).ln() / self.site.request_rate;
-        self.push(self.now + Duration::from_secs_f64(gap), Event::Request);
+        self.push(self.now + seconds(gap), Event::Request);
         let host = self.rng.random_range(0..self.hosts.len());
         if !self.admits(host) {
             return;
--- a/tests/start_world/mod.rs
+++ b/tests/start_world/mod.rs
@@ -13,6 +13,7 @@
 use banyanarch::decide::ReaderSearch;
 use banyanarch::decide::SearchStep;
 use banyanarch::decide::StartingReader;
+use banyanarch::units::BoundedTime;
 use banyanarch::units::Millicores;
 use banyanarch::units::ObjectVersion;
 use indexmap::IndexMap;
@@ -84,7 +85,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut events = EventQueue::default();
         for host in 0..fleet.hosts {
-            events.push(START_SPREAD.mul_f64(rng.random()), host);
+            events.push(START_SPREAD.scaled(rng.random()), host);
         }
         let search = |host: usize| {
             let is_strong = (host / fleet.domains).is_multiple_of(STRONG_EVERY);
@@ -162,7 +163,7 @@
                 self.found.insert(host, (reader, self.now));
                 return;
             }
-            SearchStep::Wait(wait) => wait.mul_f64(self.rng.random_range(0.75..1.25)),
+            SearchStep::Wait(wait) => wait.scaled(self.rng.random_range(0.75..1.25)),
             SearchStep::Look => {
                 self.counts.looks += 1;
                 let is_away = self.now < self.away_until;
