A host that starts after a restore puts no older manifest in force than others have

Cause: running hosts keep the newer manifest in force, but a process that starts has none, and nothing told it which generation the others have: what they hand out, and what the store has, is the copy.

Change: hosts report the generation in force in their updates. A host that has no manifest, beside a store that was restored at some time, waits for such a report, two seconds of uptime at most, and puts nothing older in force for as long as others report a newer one. Beside a store that was never restored nothing changes. Hosts of an earlier version report nothing, and are not waited for longer.

Tests: a_host_that_starts_after_a_restore_puts_no_older_manifest_in_force, an_older_manifest_is_put_in_force_when_no_host_has_a_newer_one.

--- a/src/exchange/message.rs
+++ b/src/exchange/message.rs
@@ -83,6 +83,10 @@
     /// were told.
     #[prost(message, repeated, tag = "23")]
     pub part_evidence: Vec<PartEvidenceEntry>,
+    /// One more than the generation of the manifest in force at the sender; 0 if there is none or the
+    /// sender does not report it.
+    #[prost(uint64, tag = "24")]
+    pub generation_plus_one: u64,
 }
 
 /// The load at one upstream.
--- a/src/gateway/exchange_handler.rs
+++ b/src/gateway/exchange_handler.rs
@@ -31,6 +31,7 @@
 use crate::gateway::exchange_entries::slowdown_entry;
 use crate::gateway::outcomes::outcome_entry;
 use crate::units::FailureDomainId;
+use crate::units::Generation;
 use crate::units::HostId;
 use crate::units::UpstreamId;
 use crate::units::whole_millis;
@@ -81,6 +82,7 @@
                 .map(outcome_entry)
                 .collect(),
             part_evidence: self.part_evidence(now),
+            generation_plus_one: self.generation_plus_one(),
             unreachable_upstreams,
             unreachable_domains,
             routes_version,
@@ -110,6 +112,9 @@
         }
         self.apply_part_evidence(&update.host, &update.part_evidence, now);
         self.apply_versions(&host, &update);
+        if let Some(generation) = update.generation_plus_one.checked_sub(1) {
+            self.heard_generation.on_report(Generation(generation), now);
+        }
         self.apply_list_age(&host, &update, now);
         self.apply_evacuations_age(&host, &update, now);
         self.apply_unreachable(&host, &update, now);
@@ -215,6 +220,12 @@
         (upstreams.collect(), domains.collect())
     }
 
+    /// One more than the generation of the manifest in force; 0 if there is none.
+    fn generation_plus_one(&self) -> u64 {
+        let routes = self.platform_view.routes();
+        routes.map_or(0, |routes| routes.generation.0.saturating_add(1))
+    }
+
     /// The age in ms, plus one, of lists that were confirmed at this time since boot; 0 if there
     /// are none.
     fn age_plus_one_ms(&self, confirmed_at: Option<Duration>) -> u32 {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod freshness;
 mod handler;
 mod header_codec;
+mod heard_generation;
 mod instance_placement;
 mod limit_states;
 mod limit_wait;
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -38,6 +38,7 @@
 use crate::gateway::catalog_sharing::CatalogCache;
 use crate::gateway::catalog_sharing::ReaderSelector;
 use crate::gateway::evacuation_lease::EvacuationLease;
+use crate::gateway::heard_generation::HeardGeneration;
 use crate::gateway::log_limiter::LogLimiter;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
@@ -135,6 +136,8 @@
     pub(crate) malformed_notices: LogLimiter<(UpstreamId, &'static str)>,
     /// The unknown headers in responses of upstreams.
     pub(crate) unknown_headers: SeenNames,
+    /// The generation of the manifest that other hosts have in force.
+    pub(crate) heard_generation: HeardGeneration,
     /// The long-running tasks that are stopped.
     pub(crate) stopped_tasks: StoppedTasks,
 }
@@ -194,6 +197,7 @@
             waiting: WaitingCalls::default(),
             malformed_notices: LogLimiter::default(),
             unknown_headers: SeenNames::default(),
+            heard_generation: HeardGeneration::default(),
             stopped_tasks: StoppedTasks::default(),
         }
     }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -29,6 +29,7 @@
 use crate::gateway::dependency::Dependency;
 use crate::gateway::dependency::RETRY_INTERVAL;
 use crate::routing::RouteTable;
+use crate::units::Generation;
 use crate::units::ObjectVersion;
 use crate::units::StoreEra;
 use crate::units::UpstreamId;
@@ -41,6 +42,10 @@
 /// Interval between two reads of the hosts, which change rarely. A host that is missing from the
 /// list gets no updates until the next read, which an update of that host triggers early.
 const HOSTS_INTERVAL: Duration = Duration::from_millis(2_000);
+/// The uptime within which a host that starts hears which manifest others have in force.
+const HEARS_WITHIN: Duration = Duration::from_secs(2);
+/// The interval at which that is checked.
+const HEARING_INTERVAL: Duration = Duration::from_millis(20);
 /// Shortest interval between two reads of the hosts that are triggered by updates of unknown hosts.
 const UNLISTED_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -52,6 +57,8 @@
     // Whether the manifest that was read last is in force. One that can't be decoded or is older
     // than the one in force is not put in force, and reading it again renews no lease.
     let mut is_in_force = true;
+    // A manifest that was read and is not in force.
+    let mut pending: Option<RouteTable> = None;
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
     loop {
@@ -62,10 +69,17 @@
         let read = read.and_then(|read| {
             if let Some(text) = &read.changed {
                 is_in_force = false;
-                is_in_force = apply_manifest(&gateway, catalog.decode_routes(text)?);
+                pending = None;
+                pending = Some(catalog.decode_routes(text)?);
             }
             Ok(read)
         });
+        if let Some(routes) = pending.take() {
+            wait_for_generation(&gateway).await;
+            is_in_force = apply_manifest(&gateway, &routes);
+            // What other hosts have in force is forgotten when they are gone.
+            pending = (!is_in_force).then_some(routes);
+        }
         dependency.on_read(requested_at, &read);
         let has_more = read.as_ref().is_ok_and(|read| read.has_more);
         if let Ok(read) = read
@@ -79,6 +93,22 @@
     }
 }
 
+/// Waits until this host has heard which manifest others have in force, if it has none and the store
+/// was restored at some time, so that it may hold an older one.
+async fn wait_for_generation(gateway: &Gateway) {
+    let is_restored = gateway.catalog_cache.routes_version().era() != StoreEra::default();
+    loop {
+        let now = gateway.clock.now();
+        let uptime = now.saturating_duration_since(gateway.started_at);
+        let has_heard = gateway.heard_generation.get(now).is_some();
+        let has_own = gateway.platform_view.routes().is_some();
+        if !is_restored || has_heard || has_own || uptime >= HEARS_WITHIN {
+            return;
+        }
+        sleep(HEARING_INTERVAL).await;
+    }
+}
+
 /// When the next read is due after one that succeeded: at once if newer content may follow.
 fn next_read_at(requested_at: Instant, has_more: bool) -> Instant {
     if has_more {
@@ -90,14 +120,21 @@
 
 /// Puts a manifest in force unless a newer one is, and logs the result. Returns whether the
 /// manifest is in force now.
-fn apply_manifest(gateway: &Gateway, routes: RouteTable) -> bool {
+fn apply_manifest(gateway: &Gateway, routes: &RouteTable) -> bool {
     let generation = routes.generation;
+    if let Some(in_force) = newer_elsewhere(gateway, generation) {
+        gateway.log.record(DecisionEvent::ManifestOlder {
+            in_force: in_force.0,
+            generation: generation.0,
+        });
+        return false;
+    }
     let event = DecisionEvent::ManifestInForce {
         generation: generation.0,
         routes: routes.route_count(),
         keys: routes.keys.len(),
     };
-    match gateway.platform_view.set_routes(routes) {
+    match gateway.platform_view.set_routes(routes.clone()) {
         RoutesUpdate::Applied => {
             gateway.apply_cold_limits();
             if let Some(routes) = gateway.platform_view.routes() {
@@ -118,6 +155,16 @@
     }
 }
 
+/// The generation that other hosts have in force if this host has no manifest and it is newer than
+/// this one.
+fn newer_elsewhere(gateway: &Gateway, generation: Generation) -> Option<Generation> {
+    if gateway.platform_view.routes().is_some() {
+        return None;
+    }
+    let heard = gateway.heard_generation.get(gateway.clock.now())?;
+    (heard > generation).then_some(heard)
+}
+
 /// If the cached manifest is of another era than the version `before`, the store was restored from
 /// an older copy: logs this, and wakes the tasks that read the upstreams and the hosts.
 fn log_store_return(gateway: &Gateway, before: ObjectVersion) {
--- a/tests/gateway_store_returns.rs
+++ b/tests/gateway_store_returns.rs
@@ -9,6 +9,7 @@
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
+use gateway_world::conf_there;
 use gateway_world::request;
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
@@ -227,3 +228,55 @@
     let served = tokio::time::timeout(Duration::from_secs(20), served).await;
     served.expect("the upstream is used again");
 }
+
+/// Guards against a host that starts after a restore and accepts a key which the others refuse: the
+/// copy holds an older manifest than the one that they have in force.
+#[tokio::test]
+async fn a_host_that_starts_after_a_restore_puts_no_older_manifest_in_force() {
+    let catalog = FakeCatalog::new(table(1));
+    let upstream = answering_upstream().await;
+    catalog.list("a", "app", upstream.addr);
+    let running = [
+        TestHost::start("first", &catalog).await,
+        TestHost::start("second", &catalog).await,
+    ];
+    let snapshot = catalog.snapshot();
+    catalog.publish(table(2));
+    for host in &running {
+        wait_until(|| generation(host) == Generation(2)).await;
+    }
+    catalog.restore(snapshot);
+    for host in &running {
+        wait_until_restored(host).await;
+    }
+    for conf in [conf("third"), conf_there("fourth")] {
+        let started = TestHost::start_without_waiting(conf, &catalog).await;
+        wait_until(|| started.log.text().contains("manifest_older")).await;
+        assert!(!started.gateway.is_ready());
+        assert_eq!(started.call(request("/safe/1")).await.status(), 503);
+        started.serving.abort();
+    }
+    let started = TestHost::start_without_waiting(conf("fifth"), &catalog).await;
+    wait_until(|| started.log.text().contains("manifest_older")).await;
+    catalog.publish(table(2));
+    wait_until(|| generation(&started) == Generation(2)).await;
+    wait_until(|| started.gateway.is_ready()).await;
+    assert_eq!(started.call(request("/safe/2")).await.status(), 200);
+}
+
+/// Guards against hosts that stay without a manifest after a restore because the only ones that had a
+/// newer one are gone.
+#[tokio::test]
+async fn an_older_manifest_is_put_in_force_when_no_host_has_a_newer_one() {
+    let catalog = FakeCatalog::new(table(1));
+    let running = TestHost::start("first", &catalog).await;
+    let snapshot = catalog.snapshot();
+    catalog.publish(table(2));
+    wait_until(|| generation(&running) == Generation(2)).await;
+    catalog.restore(snapshot);
+    wait_until_restored(&running).await;
+    let started = TestHost::start_without_waiting(conf("second"), &catalog).await;
+    wait_until(|| started.log.text().contains("manifest_older")).await;
+    running.serving.abort();
+    wait_until(|| generation(&started) == Generation(1)).await;
+}
