--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -67,6 +67,8 @@
     BackOffUpstream(usize, Duration, Duration),
     /// A failure domain is evacuated for this time.
     EvacuateDomain(usize, Duration),
+    /// Another writer has an odd entry among those of the upstreams for this time, in one of some ways.
+    OddEntry(usize, Duration),
     /// A customer floods the deployment for this time.
     Flood(Flood, Duration),
     /// The moving route is moved to the other plain service.
@@ -98,6 +100,7 @@
             | Self::LeaveUpstreamUnlisted(_, time)
             | Self::BackOffUpstream(_, _, time)
             | Self::EvacuateDomain(_, time)
+            | Self::OddEntry(_, time)
             | Self::Flood(_, time)
             | Self::KillUpstream(_, time) => *time = time.scaled(factor),
             Self::RestoreStore(times) => {
--- a/soak/src/fault_draws.rs
+++ b/soak/src/fault_draws.rs
@@ -5,6 +5,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use banyanarch_platform::stand_in::ODD_ENTRIES;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -31,6 +32,8 @@
 const PATH_CUTS_SEED_MASK: u64 = 0x00C0_7A11;
 /// XORed with the seed of the run for the draws of outages.
 const OUTAGES_SEED_MASK: u64 = 0x0007_A6E5;
+/// XORed with the seed of the run for the draws of odd entries.
+const ODD_ENTRIES_SEED_MASK: u64 = 0x000D_DE27;
 /// XORed with the seed of the run for the draws of outages while hosts restart.
 const EARNED_OUTAGES_SEED_MASK: u64 = 0x00EA_27ED;
 /// XORed with the seed of the run for the draws of restarts of all hosts.
@@ -118,6 +121,15 @@
     faults
 }
 
+/// Draws odd entries of another writer, each with the pause before it.
+pub(crate) fn draw_odd_entries(conf: &SoakConf) -> Vec<(Duration, Fault)> {
+    let rng = StdRng::seed_from_u64(conf.seed ^ ODD_ENTRIES_SEED_MASK);
+    draw(conf, rng, 500..4_000, |rng| {
+        let way = rng.random_range(0..ODD_ENTRIES);
+        Fault::OddEntry(way, draw_duration(rng, 500..6_000))
+    })
+}
+
 /// Draws the restores of the store from snapshots, each with the pause before it.
 pub(crate) fn draw_restores(conf: &SoakConf) -> Vec<(Duration, Fault)> {
     let rng = StdRng::seed_from_u64(conf.seed ^ RESTORES_SEED_MASK);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -256,6 +256,20 @@
             deployment.store.remove(kind, &name);
             return;
         }
+        Fault::OddEntry(way, time) => {
+            let name = format!("odd-{way}");
+            let upstream = upstream_at(deployment, way);
+            let spec = stand_in::odd_upstream_spec(
+                way,
+                upstream.service,
+                &format!("domain-{}", upstream.domain),
+                upstream.addr,
+            );
+            deployment.store.put(stand_in::UPSTREAMS_KIND, &name, spec);
+            sleep(time).await;
+            deployment.store.remove(stand_in::UPSTREAMS_KIND, &name);
+            return;
+        }
         Fault::Flood(flood, time) => {
             flood.run(deployment, time).await;
             FaultScope::Flood(flood.customer)
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -36,6 +36,7 @@
 use crate::fault_draws::draw_full_restarts;
 use crate::fault_draws::draw_limits;
 use crate::fault_draws::draw_notices;
+use crate::fault_draws::draw_odd_entries;
 use crate::fault_draws::draw_outages;
 use crate::fault_draws::draw_partial_outages;
 use crate::fault_draws::draw_path_cuts;
@@ -204,13 +205,13 @@
         return vec![draw_floods(conf)];
     }
     if conf.only_outages {
-        return vec![draw_earned_outages(conf)];
+        return vec![draw_earned_outages(conf), draw_odd_entries(conf)];
     }
     if conf.only_silences {
         return vec![draw_silences(conf, SILENCES_GAP_MS)];
     }
     if conf.only_parts {
-        let mut series = vec![draw_restarts(conf)];
+        let mut series = vec![draw_restarts(conf), draw_odd_entries(conf)];
         if conf.restarts_all {
             series.push(draw_full_restarts(conf));
         }
@@ -226,6 +227,7 @@
             draw_limits(conf),
             draw_notices(conf),
             draw_restores(conf),
+            draw_odd_entries(conf),
             draw_evacuations(conf),
             draw_outages(conf),
             draw_partial_outages(conf),
