--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -34,7 +34,7 @@
             crash: self.crash,
             request,
             parts,
-            has_events: false,
+            is_mid_stream: false,
         })
     }
 }
--- a/src/decide/lost_call.rs
+++ b/src/decide/lost_call.rs
@@ -15,9 +15,9 @@
     pub request: RequestHash,
     /// The parts of its prompt that requests share, in their order.
     pub parts: Vec<RequestPart>,
-    /// Whether several events of its answer were received. Such calls are more likely to have only run
-    /// beside the one that crashed the upstream.
-    pub has_events: bool,
+    /// Whether it was lost in the middle of its stream, after several events. Such calls are more likely
+    /// to have only run beside the one that crashed the upstream.
+    pub is_mid_stream: bool,
 }
 
 impl LostCall {
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -68,23 +68,23 @@
         self.serves.push_back(at);
     }
 
-    /// Whether there are lost calls that count for a request as a whole.
-    pub(crate) fn has_late(&self) -> bool {
-        self.calls.keys().any(|call| call.has_events)
+    /// Whether there are calls that were lost in the middle of their streams. They count for the request
+    /// as a whole.
+    pub(crate) fn has_mid_stream(&self) -> bool {
+        self.calls.keys().any(|call| call.is_mid_stream)
     }
 
-    /// When the last of the calls that count for a request as a whole was lost in this crash; none if
-    /// none was.
-    pub(crate) fn late_at(&self, crash: CrashId) -> Option<Instant> {
+    /// When the last call was lost in the middle of its stream in this crash; none if none was.
+    pub(crate) fn mid_stream_at(&self, crash: CrashId) -> Option<Instant> {
         let calls = self.calls.iter().rev();
-        let mut lost = calls.filter(|(call, _)| call.has_events && call.crash == crash);
+        let mut lost = calls.filter(|(call, _)| call.is_mid_stream && call.crash == crash);
         lost.next().map(|(_, (known, _))| known.at)
     }
 
-    /// Whether there are lost calls that count for this request as a whole.
-    pub(crate) fn has_late_of(&self, request: RequestHash) -> bool {
+    /// Whether there are calls of this request that were lost in the middle of their streams.
+    pub(crate) fn has_mid_stream_of(&self, request: RequestHash) -> bool {
         let mut calls = self.calls.keys();
-        calls.any(|call| call.has_events && call.request == request)
+        calls.any(|call| call.is_mid_stream && call.request == request)
     }
 
     /// Records a lost call, of whose parts those that were served before are left out.
@@ -166,7 +166,7 @@
             }
             Some(request) => {
                 let is_unserved = served_at.is_none_or(|served_at| served_at < crash.at);
-                call.has_events && call.request == request && is_unserved
+                call.is_mid_stream && call.request == request && is_unserved
             }
         });
         with_part.map(|(call, (crash, served_before))| (call, crash, *served_before))
@@ -211,7 +211,7 @@
 
 /// How long a lost call is kept; none if it counts for nothing.
 fn retention(call: &LostCall) -> Option<Duration> {
-    if call.has_events {
+    if call.is_mid_stream {
         Some(REQUEST_RETENTION)
     } else {
         (!call.parts.is_empty()).then_some(PARTS_RETENTION)
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -87,9 +87,10 @@
                 |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
             )
         });
-        let late = self.lost_calls.calls();
-        let late = late.filter(|(call, crash)| call.has_events && is_recent(crash));
-        let late = late.map(|(call, crash)| PartEvidence::Lost(call.clone(), age(crash.at)));
+        let mid_stream = self.lost_calls.calls();
+        let mid_stream = mid_stream.filter(|(call, crash)| call.is_mid_stream && is_recent(crash));
+        let mid_stream =
+            mid_stream.map(|(call, crash)| PartEvidence::Lost(call.clone(), age(crash.at)));
         let served = parts
             .into_iter()
             .map(|(part, at)| PartEvidence::Served(part, age(at)));
@@ -98,7 +99,7 @@
         let released = self.released.iter();
         let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
         let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
-        let lost = crashes.chain(late.take(TOLD_MAX));
+        let lost = crashes.chain(mid_stream.take(TOLD_MAX));
         alive.chain(released).chain(lost).chain(served).collect()
     }
 }
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -40,7 +40,7 @@
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        if call.has_events {
+        if call.is_mid_stream {
             return self.search_causes(call, crash, now);
         }
         let whole = CrashSuspect::of_request(call.crash, call.request);
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -99,7 +99,7 @@
         self.suspects.is_empty()
             && self.alive.is_empty()
             && self.released.is_empty()
-            && !self.lost_calls.has_late()
+            && !self.lost_calls.has_mid_stream()
     }
 
     /// The quarantined parts because of which a request with these parts is refused, if any.
@@ -143,7 +143,7 @@
     /// prompt, the request as a whole is cleared by a failure too. Returns what has changed.
     pub fn on_answered(&mut self, request: RequestHash, now: Instant) -> Vec<QuarantineChange> {
         let part = RequestPart::Whole(request);
-        if !self.is_suspected(&[part]) && !self.lost_calls.has_late_of(request) {
+        if !self.is_suspected(&[part]) && !self.lost_calls.has_mid_stream_of(request) {
             return Vec::new();
         }
         self.served.record(part, now);
@@ -163,7 +163,7 @@
     ) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         let mut crash = first;
-        while self.known_at(crash).is_some() || self.lost_calls.late_at(crash).is_some() {
+        while self.known_at(crash).is_some() || self.lost_calls.mid_stream_at(crash).is_some() {
             if self.is_refuted(crash, sent_at) {
                 changes.extend(self.clear_crash(crash, now, now));
             }
@@ -179,7 +179,7 @@
         let suspected = suspects.filter(|(suspect, _)| suspect.crash == crash);
         let mut lost_at = suspected
             .map(|(_, known)| known.at)
-            .chain(self.lost_calls.late_at(crash));
+            .chain(self.lost_calls.mid_stream_at(crash));
         lost_at.any(|at| at < sent_at && sent_at - at < ALIVE_WITHIN)
     }
 
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -48,7 +48,7 @@
     /// The hash of the call if several events of its answer were received, in place of that in the
     /// field `request`; otherwise 0. Hosts of an earlier version ignore such calls.
     #[prost(fixed64, tag = "8")]
-    pub late_request: u64,
+    pub mid_stream_request: u64,
 }
 
 /// What identifies an entry: all of it but the age.
@@ -60,7 +60,7 @@
     request: u64,
     request_crash: u64,
     lost_parts: Vec<u64>,
-    late_request: u64,
+    mid_stream_request: u64,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
@@ -100,7 +100,7 @@
     }
 
     fn lost(call: &LostCall, age: Duration) -> Self {
-        let (request, late_request) = if call.has_events {
+        let (request, mid_stream_request) = if call.is_mid_stream {
             (0, call.request.0)
         } else {
             (call.request.0, 0)
@@ -108,7 +108,7 @@
         Self {
             age_ms: whole_millis_u32(age),
             request,
-            late_request,
+            mid_stream_request,
             request_crash: call.crash.0,
             lost_parts: call.parts.iter().filter_map(prompt_part).collect(),
             ..Self::default()
@@ -128,7 +128,7 @@
     /// Decodes the entry; none if it is empty.
     pub fn evidence(&self) -> Option<PartEvidence> {
         let age = Duration::from_millis(self.age_ms.into());
-        if !self.lost_parts.is_empty() || self.late_request != 0 {
+        if !self.lost_parts.is_empty() || self.mid_stream_request != 0 {
             return self.lost_call().map(|call| PartEvidence::Lost(call, age));
         }
         let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
@@ -150,9 +150,9 @@
 
     /// The lost call of the entry; none if it does not name the crash and the request.
     fn lost_call(&self) -> Option<LostCall> {
-        let has_events = self.late_request != 0;
-        let request = if has_events {
-            self.late_request
+        let is_mid_stream = self.mid_stream_request != 0;
+        let request = if is_mid_stream {
+            self.mid_stream_request
         } else {
             self.request
         };
@@ -161,7 +161,7 @@
         is_named.then(|| LostCall {
             crash: CrashId(self.request_crash),
             request: RequestHash(request),
-            has_events,
+            is_mid_stream,
             parts: parts.map(|part| PromptPartId(*part).into()).collect(),
         })
     }
@@ -174,7 +174,7 @@
             request: self.request,
             request_crash: self.request_crash,
             lost_parts: self.lost_parts.clone(),
-            late_request: self.late_request,
+            mid_stream_request: self.mid_stream_request,
         }
     }
 
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -50,7 +50,7 @@
     ) {
         // An answer in one piece may have begun although nothing of it was received.
         let is_beginning = progress == AnswerProgress::Begun || !call.route.kind.is_stream();
-        let has_events = progress == AnswerProgress::Events;
+        let is_mid_stream = progress == AnswerProgress::Events;
         let request = call.hash();
         let mut quarantine = self.part_quarantine();
         let crash = CrashId::from(&upstream.id);
@@ -59,7 +59,7 @@
         let request_crash = quarantine.crash_id(&upstream.id, call.arrived_at);
         let is_repeated = request_crash != crash;
         let mut changes = Vec::new();
-        if is_repeated && !has_events {
+        if is_repeated && !is_mid_stream {
             let repeated = CrashSuspect::of_request(request_crash, request);
             changes.extend(quarantine.on_crash(repeated, now));
         }
@@ -67,13 +67,13 @@
             let whole = (!is_repeated).then(|| request.into());
             let parts = call.prompt_parts().chain(whole).collect();
             changes.extend(quarantine.on_crash(CrashSuspect { crash, parts }, now));
-        } else if !is_repeated || has_events {
+        } else if !is_repeated || is_mid_stream {
             let parts = call.prompt_parts().collect();
             let lost = LostCall {
                 crash,
                 request,
                 parts,
-                has_events,
+                is_mid_stream,
             };
             changes.extend(quarantine.on_lost(&lost, now));
         }
--- a/tests/decide_lost_calls.rs
+++ b/tests/decide_lost_calls.rs
@@ -33,7 +33,7 @@
         crash: CrashId(crash),
         request: RequestHash(request),
         parts: ids(parts),
-        has_events: false,
+        is_mid_stream: false,
     }
 }
 
@@ -368,7 +368,7 @@
 /// A call that was lost in a crash after several events of its answer.
 fn late(crash: u64, request: u64) -> LostCall {
     LostCall {
-        has_events: true,
+        is_mid_stream: true,
         ..lost(crash, request, &[])
     }
 }
