An older manifest is not applied, copied and logged again at each read

A manifest that was not put in force was kept and tried again at each read, also where this host itself has a newer one: a line `manifest_older` each second, and a copy of the whole table each time. Only one that waits because other hosts report a newer generation is kept now, is logged once when it was read, and is given away in place of copied. What is put in force, and when, is the same.

`EngineModel` had its own copy of `units::milliseconds`.

--- a/src/decide/engine_model.rs
+++ b/src/decide/engine_model.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::units::Tokens;
-use crate::units::seconds;
+use crate::units::milliseconds;
 
 /// The speed model of the engines of one service. All times are those of one engine at full speed.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,7 +37,7 @@
     pub fn prefill_time(&self, prompt: Tokens) -> Duration {
         let tokens = prompt.as_f64();
         let megapairs = tokens * tokens / 2.0 / 1e6;
-        millis(tokens / self.prefill_tokens_per_ms + megapairs * self.prefill_per_megapair_ms)
+        milliseconds(tokens / self.prefill_tokens_per_ms + megapairs * self.prefill_per_megapair_ms)
     }
 
     /// Time of a pass that writes `writers` answers and reads no prompt. The prompts and answers
@@ -46,7 +46,7 @@
         let step_ms = self.step_ms
             + f64::from(writers) * self.step_per_sequence_ms
             + context.as_f64() / 1e3 * self.step_per_kilotoken_ms;
-        millis(step_ms * f64::from(self.stride.max(1)))
+        milliseconds(step_ms * f64::from(self.stride.max(1)))
     }
 
     /// Time to write an answer of `output` tokens on an engine that writes `writers` answers, this
@@ -67,7 +67,3 @@
         self.prefill_time(prompt) + self.write_time(output, slots, context) / slots
     }
 }
-
-fn millis(ms: f64) -> Duration {
-    seconds(ms / 1e3)
-}
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -57,7 +57,7 @@
     // Whether the manifest that was read last is in force. One that can't be decoded or is older
     // than the one in force is not put in force, and reading it again renews no lease.
     let mut is_in_force = true;
-    // A manifest that was read and is not in force.
+    // A manifest that was read and waits until no other host has a newer one in force.
     let mut pending: Option<RouteTable> = None;
     let mut source = ReadSource::Any;
     gateway.starting_reader_found().await;
@@ -76,9 +76,15 @@
         });
         if let Some(routes) = pending.take() {
             wait_for_generation(&gateway).await;
-            is_in_force = apply_manifest(&gateway, &routes);
-            // What other hosts have in force is forgotten when they are gone.
-            pending = (!is_in_force).then_some(routes);
+            if let Some(in_force) = newer_elsewhere(&gateway, routes.generation) {
+                if read.as_ref().is_ok_and(|read| read.changed.is_some()) {
+                    log_older(&gateway, in_force, routes.generation);
+                }
+                // What other hosts have in force is forgotten when they are gone.
+                pending = Some(routes);
+            } else {
+                is_in_force = apply_manifest(&gateway, routes);
+            }
         }
         dependency.on_read(requested_at, &read);
         let has_more = read.as_ref().is_ok_and(|read| read.has_more);
@@ -120,21 +126,14 @@
 
 /// Puts a manifest in force unless a newer one is, and logs the result. Returns whether the
 /// manifest is in force now.
-fn apply_manifest(gateway: &Gateway, routes: &RouteTable) -> bool {
+fn apply_manifest(gateway: &Gateway, routes: RouteTable) -> bool {
     let generation = routes.generation;
-    if let Some(in_force) = newer_elsewhere(gateway, generation) {
-        gateway.log.record(DecisionEvent::ManifestOlder {
-            in_force: in_force.0,
-            generation: generation.0,
-        });
-        return false;
-    }
     let event = DecisionEvent::ManifestInForce {
         generation: generation.0,
         routes: routes.route_count(),
         keys: routes.keys.len(),
     };
-    match gateway.platform_view.set_routes(routes.clone()) {
+    match gateway.platform_view.set_routes(routes) {
         RoutesUpdate::Applied => {
             gateway.apply_cold_limits();
             if let Some(routes) = gateway.platform_view.routes() {
@@ -146,15 +145,20 @@
         }
         RoutesUpdate::Unchanged => true,
         RoutesUpdate::Stale { in_force } => {
-            gateway.log.record(DecisionEvent::ManifestOlder {
-                in_force: in_force.0,
-                generation: generation.0,
-            });
+            log_older(gateway, in_force, generation);
             false
         }
     }
 }
 
+/// Logs that the platform has an older manifest than the one in force.
+fn log_older(gateway: &Gateway, in_force: Generation, generation: Generation) {
+    gateway.log.record(DecisionEvent::ManifestOlder {
+        in_force: in_force.0,
+        generation: generation.0,
+    });
+}
+
 /// The generation that other hosts have in force if this host has no manifest and it is newer than
 /// this one.
 fn newer_elsewhere(gateway: &Gateway, generation: Generation) -> Option<Generation> {
