--- a/soak/src/crash_point.rs
+++ b/soak/src/crash_point.rs
@@ -10,6 +10,13 @@
 
 /// XORed with the seed of the run for the draw of the point.
 const POINTS_SEED_MASK: u64 = 0x00C4_A54A;
+/// How long after the arrival of a request the engine ends that has answered it. Streams take half a
+/// second.
+const ANSWERED_FOR: Duration = Duration::from_millis(900);
+/// How long after any other end of a call the engine ends.
+const ENDED_FOR: Duration = Duration::from_millis(400);
+/// When the callers of [`CrashPoint::Abandoned`] leave.
+const ABANDONED_AFTER: Duration = Duration::from_millis(200);
 
 /// How far an engine comes with the answer to a request that crashes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,11 +33,21 @@
     Event,
     /// The engine sends the head and several events.
     Events,
+    /// The engine sends the whole answer and ends some time later.
+    Answered,
+    /// The engine answers with a failure and ends some time later.
+    Failed,
+    /// The engine sends an answer that belongs to another request and ends some time later.
+    Invalid,
+    /// The engine sends nothing, and ends some time after the caller has left.
+    Abandoned,
+    /// The engine sends nothing, and ends some time after the deadline.
+    Overdue,
 }
 
 impl CrashPoint {
-    /// All points.
-    pub const ALL: [Self; 6] = [
+    /// The points at which the call is under way.
+    const IN_CALL: [Self; 6] = [
         Self::Unanswered,
         Self::UnansweredLate,
         Self::Head,
@@ -38,12 +55,23 @@
         Self::Event,
         Self::Events,
     ];
+    /// The points at which the call has ended.
+    const AFTER_CALL: [Self; 5] = [
+        Self::Answered,
+        Self::Failed,
+        Self::Invalid,
+        Self::Abandoned,
+        Self::Overdue,
+    ];
 
     /// The point that a seed draws. It is the same for all requests of a run: those that crash engines
     /// at one point would reveal the others.
-    pub(crate) fn draw(seed: u64) -> Self {
+    pub(crate) fn draw(seed: u64, is_after_call: bool) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ POINTS_SEED_MASK);
-        let point = Self::ALL[rng.random_range(0..Self::ALL.len() - 1)];
+        if is_after_call {
+            return Self::AFTER_CALL[rng.random_range(0..Self::AFTER_CALL.len())];
+        }
+        let point = Self::IN_CALL[rng.random_range(0..Self::IN_CALL.len() - 1)];
         if rng.random_ratio(1, 6) {
             Self::Events
         } else {
@@ -60,6 +88,11 @@
             Self::HalfEvent => "half",
             Self::Event => "event",
             Self::Events => "events",
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Invalid => "invalid",
+            Self::Abandoned => "abandoned",
+            Self::Overdue => "overdue",
         }
     }
 
@@ -68,9 +101,39 @@
         match self {
             Self::Unanswered => Some(Duration::ZERO),
             Self::UnansweredLate => Some(Duration::from_millis(1_500)),
-            Self::Head | Self::HalfEvent | Self::Event | Self::Events => None,
+            _ => None,
+        }
+    }
+
+    /// How long after the arrival of a request with this timeout the engine ends, if the call has ended
+    /// by then; none if the call is still under way.
+    pub(crate) fn ends_after(self, timeout: Duration) -> Option<Duration> {
+        match self {
+            Self::Answered => Some(ANSWERED_FOR),
+            Self::Failed | Self::Invalid => Some(ENDED_FOR),
+            Self::Abandoned => Some(ABANDONED_AFTER + ENDED_FOR),
+            Self::Overdue => Some(timeout + ENDED_FOR),
+            _ => None,
         }
     }
+
+    /// Whether the engine ends in the middle of the stream.
+    pub(crate) fn is_in_stream(self) -> bool {
+        matches!(
+            self,
+            Self::Head | Self::HalfEvent | Self::Event | Self::Events
+        )
+    }
+
+    /// Whether the engine sends nothing until it ends.
+    pub(crate) fn is_silent(self) -> bool {
+        matches!(self, Self::Abandoned | Self::Overdue)
+    }
+
+    /// When the caller leaves; none if it stays.
+    pub(crate) fn abandoned_after(self) -> Option<Duration> {
+        (self == Self::Abandoned).then_some(ABANDONED_AFTER)
+    }
 }
 
 impl fmt::Display for CrashPoint {
@@ -83,7 +146,7 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut all = Self::ALL.into_iter();
+        let mut all = Self::IN_CALL.into_iter().chain(Self::AFTER_CALL);
         let found = all.find(|point| point.name() == text);
         found.ok_or_else(|| format!("no crash point: {text}"))
     }
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -32,7 +32,7 @@
     request: String,
     /// The id of the first event.
     first: u32,
-    /// Where the request crashes the upstream; none if it does not.
+    /// Where the request crashes the upstream; none if it does not do so in the stream.
     crash_point: Option<CrashPoint>,
     /// The mode when the request arrived.
     mode: UpstreamMode,
@@ -51,7 +51,7 @@
             shared,
             request: forwarded.request.clone(),
             first: forwarded.last_event.unwrap_or(0) + 1,
-            crash_point: crash_point(&forwarded.request),
+            crash_point: crash_point(&forwarded.request).filter(|point| point.is_in_stream()),
             mode,
             _slot: slot,
         }
@@ -116,10 +116,7 @@
         let sent_bytes = match point {
             CrashPoint::Event => event.len(),
             CrashPoint::HalfEvent => event.len() / 2,
-            CrashPoint::Unanswered
-            | CrashPoint::UnansweredLate
-            | CrashPoint::Head
-            | CrashPoint::Events => 0,
+            _ => 0,
         };
         if sent_bytes > 0 {
             let sent = Bytes::copy_from_slice(&event.as_bytes()[..sent_bytes]);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,7 +36,9 @@
                     crash engines, and so do the repeats of one request. With --path-cuts,
                     inject both.
     --crash-point P Where these requests crash engines: unanswered, late, head, half, event or
-                    events. [default: drawn for the run]
+                    events; or how their calls have ended by then: answered, failed, invalid,
+                    abandoned or overdue. [default: one of the first six, drawn for the run]
+    --after-calls   With --parts, draw one of the last five for the run.
     --crash-cause C Why: part or repeat. [default: both]
     --restart-all   With --parts, also restart all hosts, at the same time or in turn.
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
@@ -118,6 +120,7 @@
     let crash_point: Result<Option<CrashPoint>, _> = args.opt_value_from_str("--crash-point");
     let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
     let crash_ratio: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-ratio");
+    let crashes_after_calls = args.contains("--after-calls");
     let draws_hosts = args.contains("--draw-hosts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
@@ -160,6 +163,7 @@
             only_parts,
             restarts_all,
             crash_point: crash_point.map_err(error_text)?,
+            crashes_after_calls,
             crash_cause: crash_cause.map_err(error_text)?,
             crash_ratio: crash_ratio
                 .map_err(error_text)?
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -89,6 +89,8 @@
     pub only_parts: bool,
     /// Where requests crash engines; none if it is drawn for the run. Only with `only_parts`.
     pub crash_point: Option<CrashPoint>,
+    /// Whether the calls have ended at the point that is drawn.
+    pub crashes_after_calls: bool,
     /// Of the prompts of callers, one in this number has a part that crashes engines. Only with
     /// `only_parts`.
     pub crash_ratio: u32,
@@ -273,7 +275,7 @@
         StdRng::seed_from_u64(conf.seed ^ (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
     let crash_point = conf
         .crash_point
-        .unwrap_or_else(|| CrashPoint::draw(conf.seed));
+        .unwrap_or_else(|| CrashPoint::draw(conf.seed, conf.crashes_after_calls));
     let mut caller = Caller::default();
     let mut host = index % deployment.hosts.len();
     let mut revoked_keys: Vec<String> = Vec::new();
@@ -308,11 +310,15 @@
             draw_key(&deployment, &mut revoked_keys, &mut rng)
         };
         let is_abandoned = rng.random_ratio(1, 25);
+        let abandoned_after = is_abandoned.then(|| Duration::from_millis(rng.random_range(5..500)));
+        let abandoned_after = cause
+            .and_then(|_| crash_point.abandoned_after())
+            .or(abandoned_after);
         let caller_request = CallerRequest {
             request: &request,
             class,
             key: &key,
-            abandoned_after: is_abandoned.then(|| Duration::from_millis(rng.random_range(5..500))),
+            abandoned_after,
         };
         let sent_at = deployment.now();
         let (outcome, first_data_after) = caller
--- a/soak/src/upstream_shared.rs
+++ b/soak/src/upstream_shared.rs
@@ -187,6 +187,12 @@
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         };
+        let crash_point = crash_point(&request);
+        let mode = match crash_point {
+            Some(CrashPoint::Failed) => UpstreamMode::RespondsWithError,
+            Some(CrashPoint::Invalid) => UpstreamMode::NamesOtherRequest,
+            _ => mode,
+        };
         self.record(&head, &body, &forwarded, arrival, mode);
         let delay = if let UpstreamMode::Slow(delay) = mode {
             delay
@@ -194,7 +200,15 @@
             Duration::ZERO
         };
         tokio::time::sleep(PROCESSING_TIME + delay).await;
-        if let Some(time) = crash_point(&request).and_then(CrashPoint::unanswered_for) {
+        let timeout = forwarded.deadline.unwrap_or_default();
+        if let Some(delay) = crash_point.and_then(|point| point.ends_after(timeout)) {
+            // Goes on if the connection is closed meanwhile.
+            tokio::spawn(Arc::clone(&self).crash_after(delay, request.clone()));
+        }
+        if crash_point.is_some_and(CrashPoint::is_silent) {
+            std::future::pending::<()>().await;
+        }
+        if let Some(time) = crash_point.and_then(CrashPoint::unanswered_for) {
             tokio::time::sleep(time).await;
             self.crash(&request);
             // The connections are reset before the response starts.
@@ -322,6 +336,12 @@
         full_response(StatusCode::OK, "{}".to_owned())
     }
 
+    /// Ends the upstream under this request after a delay, unless it has ended by then.
+    async fn crash_after(self: Arc<Self>, delay: Duration, request: String) {
+        tokio::time::sleep(delay).await;
+        self.crash(&request);
+    }
+
     /// Ends the upstream under this request, unless it has ended already.
     pub(crate) fn crash(&self, request: &str) {
         // Noted before callers can see it.
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -41,6 +41,7 @@
         restarts_all: false,
         only_outages: false,
         crash_point: None,
+        crashes_after_calls: false,
         crash_cause: None,
         crash_ratio: 6,
         only_silences: false,
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -35,6 +35,7 @@
         restarts_all: false,
         only_outages: false,
         crash_point: None,
+        crashes_after_calls: false,
         crash_cause: None,
         crash_ratio: 6,
         only_silences: true,
