--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -8,7 +8,7 @@
 
 use crate::decide::CrashSuspect;
 use crate::decide::RequestPart;
-use crate::decide::served_parts::ServedParts;
+use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
 
 /// The number of upstreams that must have crashed under a part that is not known to have been
@@ -56,7 +56,7 @@
 /// cleared. Parts that were served after a crash do not explain it.
 pub(crate) fn explain_crashes<'a>(
     suspects: impl Iterator<Item = (&'a CrashSuspect, Instant)>,
-    served: &ServedParts,
+    served: &ServedRecord,
     now: Instant,
 ) -> Vec<Explanation> {
     let mut open: Vec<(&CrashSuspect, Instant)> = suspects.collect();
@@ -87,14 +87,14 @@
 
 fn crashes_by_part(
     open: &[(&CrashSuspect, Instant)],
-    served: &ServedParts,
+    served: &ServedRecord,
     now: Instant,
 ) -> CrashesByPart {
     let mut crashes = CrashesByPart::new();
     for (suspect, at) in open {
         for part in &suspect.parts {
-            let served_at = served.served_at(*part, now);
-            if served_at.is_none_or(|served_at| served_at < *at) {
+            let cleared_at = served.cleared_at(*part, now);
+            if cleared_at.is_none_or(|cleared_at| cleared_at < *at) {
                 crashes.entry(*part).or_default().insert(suspect.crash);
             }
         }
@@ -106,21 +106,21 @@
 /// after the others: sound requests share them with those that crash upstreams.
 fn most_suspected(
     crashes: &CrashesByPart,
-    served: &ServedParts,
+    served: &ServedRecord,
     now: Instant,
 ) -> Option<RequestPart> {
     let enough = crashes
         .iter()
         .filter(|(part, crashes)| crashes.len() >= crashes_min(**part, served, now));
     let rank = |(part, crashes): &(&RequestPart, &IndexSet<CrashId>)| {
-        let is_new = served.served_at(**part, now).is_none();
+        let is_new = served.cleared_at(**part, now).is_none();
         (is_new, crashes.len())
     };
     enough.max_by_key(rank).map(|(part, _)| *part)
 }
 
-fn crashes_min(part: RequestPart, served: &ServedParts, now: Instant) -> usize {
-    match served.served_at(part, now) {
+fn crashes_min(part: RequestPart, served: &ServedRecord, now: Instant) -> usize {
+    match served.cleared_at(part, now) {
         Some(_) => CRASHES_MIN_IF_SERVED,
         None => CRASHES_MIN,
     }
@@ -132,7 +132,7 @@
     main: RequestPart,
     suspects: &[(&CrashSuspect, Instant)],
     crashes: &CrashesByPart,
-    served: &ServedParts,
+    served: &ServedRecord,
     now: Instant,
 ) -> Vec<RequestPart> {
     let of_main = &crashes[&main];
--- a/src/decide/crash_suspect.rs
+++ b/src/decide/crash_suspect.rs
@@ -1,5 +1,6 @@
 //! A call that may have crashed an upstream.
 
+use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
@@ -24,17 +25,15 @@
         }
     }
 
-    /// The same call as one that was lost; none if the request as a whole or the parts of its prompt
-    /// are not known.
+    /// The same call as one that was lost; none if the request as a whole is not known.
     pub(crate) fn lost_call(&self) -> Option<LostCall> {
         let request = self.parts.iter().find_map(RequestPart::request)?;
         let shared = self.parts.iter().filter(|part| !part.is_whole());
-        let parts: Vec<RequestPart> = shared.copied().collect();
-        (!parts.is_empty()).then_some(LostCall {
+        Some(LostCall {
             crash: self.crash,
             request,
-            parts,
-            is_mid_stream: false,
+            parts: shared.copied().collect(),
+            point: LossPoint::Early,
         })
     }
 }
--- a/src/decide/lost_call.rs
+++ b/src/decide/lost_call.rs
@@ -1,12 +1,22 @@
-//! A call that was lost with an upstream, of which it is not known whether its answer had begun.
+//! A call that was lost with an upstream, or had ended there shortly before.
 
 use crate::decide::RequestPart;
 use crate::units::CrashId;
 use crate::units::RequestHash;
 
-/// A call that was lost with an upstream before the head of its answer or after an event. An
-/// upstream that ends as it begins to write an answer may have sent nothing, or an event, so this call
-/// may be the cause; but so may all others that waited there.
+/// How far a call had come when its upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LossPoint {
+    /// Up to one event of its answer had been received.
+    Early,
+    /// Several events had been received.
+    MidStream,
+    /// The call had ended.
+    AfterEnd,
+}
+
+/// A call that was lost with an upstream, or had ended there shortly before. It may be the cause; but so
+/// may all others that ran there.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LostCall {
     /// The crash.
@@ -15,12 +25,17 @@
     pub request: RequestHash,
     /// The parts of its prompt that requests share, in their order.
     pub parts: Vec<RequestPart>,
-    /// Whether it was lost in the middle of its stream, after several events. Such calls are more likely
-    /// to have only run beside the one that crashed the upstream.
-    pub is_mid_stream: bool,
+    /// How far it had come.
+    pub point: LossPoint,
 }
 
 impl LostCall {
+    /// Whether the call suspects nothing by itself: it is more likely to have only run beside the one that
+    /// crashed the upstream.
+    pub(crate) fn is_weak(&self) -> bool {
+        self.point != LossPoint::Early
+    }
+
     /// What the call has in common with others that may have crashed the upstream: the parts of its
     /// prompt and the request as a whole.
     pub(crate) fn all_parts(&self) -> Vec<RequestPart> {
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -1,11 +1,11 @@
-//! Parts of prompts that crash upstreams, found by calls that were lost with them at any point of their
-//! answers.
+//! Parts of prompts, and requests as a whole, that crash upstreams, found by calls that were lost with
+//! them at any point of their answers, or had ended there shortly before.
 //!
 //! A crash loses all calls that wait at the upstream, so that each of them says little. A part is the
 //! cause only if it was lost in several crashes, each time with another request and none of them
 //! served, while requests without it were served between the crashes. Upstreams that end together or
-//! all of them, for other reasons, therefore count once. A request as a whole that was lost after
-//! events of its answers is judged in the same way, over its repeats.
+//! all of them, for other reasons, therefore count once. A request as a whole is judged in the same way,
+//! over its repeats.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,12 +15,13 @@
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::RequestPart;
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::known_crash::KnownCrash;
 use crate::decide::part_quarantine::is_older_than;
-use crate::decide::served_parts::ServedParts;
+use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
 use crate::units::RequestHash;
 
@@ -68,44 +69,84 @@
         self.serves.push_back(at);
     }
 
-    /// Whether there are calls that were lost in the middle of their streams. They count for the request
-    /// as a whole.
-    pub(crate) fn has_mid_stream(&self) -> bool {
-        self.calls.keys().any(|call| call.is_mid_stream)
+    /// Whether there are calls that count for the request as a whole and suspect nothing by themselves.
+    pub(crate) fn has_weak(&self) -> bool {
+        self.calls.keys().any(LostCall::is_weak)
     }
 
-    /// When the last call was lost in the middle of its stream in this crash; none if none was.
-    pub(crate) fn mid_stream_at(&self, crash: CrashId) -> Option<Instant> {
+    /// When the last such call was lost in this crash; none if none was.
+    pub(crate) fn weak_at(&self, crash: CrashId) -> Option<Instant> {
         let calls = self.calls.iter().rev();
-        let mut lost = calls.filter(|(call, _)| call.is_mid_stream && call.crash == crash);
+        let mut lost = calls.filter(|(call, _)| call.is_weak() && call.crash == crash);
         lost.next().map(|(_, (known, _))| known.at)
     }
 
-    /// Whether there are calls of this request that were lost in the middle of their streams.
-    pub(crate) fn has_mid_stream_of(&self, request: RequestHash) -> bool {
+    /// The requests of such calls in this crash.
+    pub(crate) fn weak_requests_in(&self, crash: CrashId) -> impl Iterator<Item = RequestHash> {
+        let calls = self.calls.keys();
+        let of_crash = calls.filter(move |call| call.is_weak() && call.crash == crash);
+        of_crash.map(|call| call.request)
+    }
+
+    /// Whether there are such calls of this request.
+    pub(crate) fn has_weak_of(&self, request: RequestHash) -> bool {
         let mut calls = self.calls.keys();
-        calls.any(|call| call.is_mid_stream && call.request == request)
+        calls.any(|call| call.is_weak() && call.request == request)
+    }
+
+    /// Whether there are lost calls with the part that had ended before their upstreams.
+    pub(crate) fn has_ended_call_with(&self, part: RequestPart) -> bool {
+        let mut ended = self
+            .calls
+            .keys()
+            .filter(|call| call.point == LossPoint::AfterEnd);
+        ended.any(|call| call.all_parts().contains(&part))
     }
 
     /// Records a lost call, of whose parts those that were served before are left out.
-    pub(crate) fn record(&mut self, mut call: LostCall, crash: KnownCrash, served: &ServedParts) {
+    pub(crate) fn record(&mut self, mut call: LostCall, crash: KnownCrash, served: &ServedRecord) {
         let now = crash.known_at;
         call.parts
-            .retain(|part| served.served_at(*part, now).is_none());
-        if retention(&call).is_none_or(|time| is_older_than(crash.at, time, now)) {
+            .retain(|part| served.survived_at(*part, now).is_none());
+        if is_older_than(crash.at, REQUEST_RETENTION, now) {
             return;
         }
-        self.calls.retain(|call, (known, _)| {
-            retention(call).is_some_and(|time| !is_older_than(known.known_at, time, now))
-        });
+        self.calls
+            .retain(|_, (known, _)| !is_older_than(known.known_at, REQUEST_RETENTION, now));
         if self.calls.len() >= CALLS_MAX {
-            self.calls.drain(..DROP_BATCH);
+            self.drop_oldest();
         }
         let mut serves = self.serves.iter().rev();
         let served_before = serves.find(|served_at| **served_at < crash.at).copied();
         self.calls.entry(call).or_insert((crash, served_before));
     }
 
+    /// Drops the oldest calls: if possible those that have nothing in common with a call of another crash.
+    fn drop_oldest(&mut self) {
+        let repeated = self.repeated_parts();
+        let is_single = |call: &LostCall| {
+            let mut parts = call.all_parts().into_iter();
+            parts.all(|part| !repeated.contains(&part))
+        };
+        let single = self.calls.keys().filter(|call| is_single(call));
+        let single: IndexSet<LostCall> = single.take(DROP_BATCH).cloned().collect();
+        if single.is_empty() {
+            self.calls.drain(..DROP_BATCH);
+        } else {
+            self.calls.retain(|call, _| !single.contains(call));
+        }
+    }
+
+    /// What calls of several crashes have in common.
+    fn repeated_parts(&self) -> IndexSet<RequestPart> {
+        let calls = self.calls.keys();
+        let parts = calls.flat_map(|call| {
+            let parts = call.all_parts().into_iter();
+            parts.map(|part| (part, call.crash))
+        });
+        repeated_parts(parts)
+    }
+
     /// Forgets the calls that were lost in a crash that is none.
     pub(crate) fn clear_crash(&mut self, crash: CrashId) {
         self.calls.retain(|call, _| call.crash != crash);
@@ -116,17 +157,18 @@
         self.calls.iter().map(|(call, (crash, _))| (call, crash))
     }
 
-    /// The crashes that some of the parts of a lost call explain, or the request as a whole, with these
+    /// The crashes that some of these parts of a lost call explain, or the request as a whole, with these
     /// and the time of the crash. Calls of which the crash `is_explained` otherwise are left out.
     pub(crate) fn find_causes(
         &self,
-        call: &LostCall,
-        served: &ServedParts,
+        parts: Vec<RequestPart>,
+        served: &ServedRecord,
         is_explained: impl Fn(&LostCall) -> bool,
         now: Instant,
     ) -> Vec<(CrashSuspect, Instant)> {
-        let is_new = |part: &RequestPart| part.is_whole() || served.served_at(*part, now).is_none();
-        let suspected = call.all_parts().into_iter().filter(is_new);
+        let is_new =
+            |part: &RequestPart| part.is_whole() || served.survived_at(*part, now).is_none();
+        let suspected = parts.into_iter().filter(is_new);
         let suspected: Vec<RequestPart> = suspected
             .filter(|part| self.crashes_with(*part, served, now) >= CRASHES_MIN)
             .collect();
@@ -135,9 +177,17 @@
         }
         let explained = self.calls.keys().filter(|call| is_explained(call));
         let explained: IndexSet<CrashId> = explained.map(|call| call.crash).collect();
+        let open = self.crashes_under_open_calls(served, now);
         let mut causes: IndexMap<(CrashId, Instant), Vec<RequestPart>> = IndexMap::new();
         for part in suspected {
-            let crashes = self.separate_crashes(part, &explained, served, now);
+            let with_part = self.calls_with(part, served, now);
+            let losses = with_part.filter(|(call, ..)| match call.point {
+                LossPoint::AfterEnd => {
+                    !explained.contains(&call.crash) && !open.contains(&call.crash)
+                }
+                LossPoint::Early | LossPoint::MidStream => !explained.contains(&call.crash),
+            });
+            let crashes = separate_crashes(part, losses);
             if crashes.len() >= CRASHES_MIN {
                 for crash in crashes {
                     causes.entry(crash).or_default().push(part);
@@ -155,65 +205,95 @@
     fn calls_with(
         &self,
         part: RequestPart,
-        served: &ServedParts,
+        served: &ServedRecord,
         now: Instant,
-    ) -> impl Iterator<Item = (&LostCall, &KnownCrash, Option<Instant>)> {
-        let served_at = served.served_at(part, now);
+    ) -> impl Iterator<Item = Loss<'_>> {
+        let answered_at = served.answered_at(part, now);
+        let survived_at = served.survived_at(part, now);
         let calls = self.calls.iter();
-        let with_part = calls.filter(move |(call, (crash, _))| match part.request() {
-            None => {
-                call.parts.contains(&part) && !is_older_than(crash.known_at, PARTS_RETENTION, now)
-            }
-            Some(request) => {
-                let is_unserved = served_at.is_none_or(|served_at| served_at < crash.at);
-                call.is_mid_stream && call.request == request && is_unserved
+        let with_part = calls.filter(move |(call, (crash, _))| {
+            let cleared_at = match call.point {
+                LossPoint::AfterEnd => survived_at,
+                LossPoint::Early | LossPoint::MidStream => answered_at,
+            };
+            match part.request() {
+                None => {
+                    let is_kept = !is_older_than(crash.known_at, PARTS_RETENTION, now);
+                    is_kept && cleared_at.is_none() && call.parts.contains(&part)
+                }
+                Some(request) => {
+                    call.request == request && cleared_at.is_none_or(|at| at < crash.at)
+                }
             }
         });
         with_part.map(|(call, (crash, served_before))| (call, crash, *served_before))
     }
 
+    /// The crashes in which calls were open that have something in common which was lost in several of
+    /// them and never answered. That is more likely to be the cause than calls that had ended.
+    fn crashes_under_open_calls(&self, served: &ServedRecord, now: Instant) -> IndexSet<CrashId> {
+        let mut crashes: IndexMap<RequestPart, IndexSet<CrashId>> = IndexMap::new();
+        let open = self.calls.iter();
+        let open = open.filter(|(call, _)| call.point != LossPoint::AfterEnd);
+        for (call, (crash, _)) in open {
+            for part in call.all_parts() {
+                let answered_at = served.answered_at(part, now);
+                if answered_at.is_none_or(|at| part.is_whole() && at < crash.at) {
+                    crashes.entry(part).or_default().insert(call.crash);
+                }
+            }
+        }
+        let repeated = crashes
+            .into_values()
+            .filter(|crashes| crashes.len() >= CRASHES_MIN);
+        repeated.flatten().collect()
+    }
+
     /// The number of crashes in which a call with the part was lost.
-    fn crashes_with(&self, part: RequestPart, served: &ServedParts, now: Instant) -> usize {
+    fn crashes_with(&self, part: RequestPart, served: &ServedRecord, now: Instant) -> usize {
         let calls = self.calls_with(part, served, now);
         let crashes: IndexSet<CrashId> = calls.map(|(call, ..)| call.crash).collect();
         crashes.len()
     }
+}
 
-    /// The crashes in which a call with the part was lost and that count separately, in order.
-    fn separate_crashes(
-        &self,
-        part: RequestPart,
-        explained: &IndexSet<CrashId>,
-        served: &ServedParts,
-        now: Instant,
-    ) -> Vec<(CrashId, Instant)> {
-        let with_part = self.calls_with(part, served, now);
-        let open = with_part.filter(|(call, ..)| !explained.contains(&call.crash));
-        let mut losses: Vec<_> = open.collect();
-        losses.sort_by_key(|(_, crash, _)| crash.at);
-        let mut separate: Vec<(CrashId, Instant)> = Vec::new();
-        let mut requests: IndexSet<RequestHash> = IndexSet::new();
-        for (call, crash, served_before) in losses {
-            let is_separate = separate.last().is_none_or(|(_, last)| {
-                let is_served_between = served_before.is_some_and(|served_at| served_at > *last);
-                let is_repeat_apart =
-                    part.is_whole() && is_older_than(*last, REPEATS_APART_MIN, crash.at);
-                is_older_than(*last, APART_MIN, crash.at) && (is_served_between || is_repeat_apart)
-            });
-            // One request that is lost again and again says nothing of the parts of its prompt.
-            if is_separate && (part.is_whole() || requests.insert(call.request)) {
-                separate.push((call.crash, crash.at));
-            }
+/// A lost call, with its crash and the last time before that at which a request was served.
+type Loss<'a> = (&'a LostCall, &'a KnownCrash, Option<Instant>);
+
+/// The crashes among these losses of calls with the part that count separately, in order.
+fn separate_crashes<'a>(
+    part: RequestPart,
+    losses: impl Iterator<Item = Loss<'a>>,
+) -> Vec<(CrashId, Instant)> {
+    let mut losses: Vec<Loss<'a>> = losses.collect();
+    losses.sort_by_key(|(_, crash, _)| crash.at);
+    let mut separate: Vec<(CrashId, Instant)> = Vec::new();
+    let mut requests: IndexSet<RequestHash> = IndexSet::new();
+    for (call, crash, served_before) in losses {
+        let is_separate = separate.last().is_none_or(|(_, last)| {
+            let is_served_between = served_before.is_some_and(|served_at| served_at > *last);
+            let is_repeat_apart =
+                part.is_whole() && is_older_than(*last, REPEATS_APART_MIN, crash.at);
+            is_older_than(*last, APART_MIN, crash.at) && (is_served_between || is_repeat_apart)
+        });
+        // One request that is lost again and again says nothing of the parts of its prompt.
+        if is_separate && (part.is_whole() || requests.insert(call.request)) {
+            separate.push((call.crash, crash.at));
         }
-        separate
     }
+    separate
 }
 
-/// How long a lost call is kept; none if it counts for nothing.
-fn retention(call: &LostCall) -> Option<Duration> {
-    if call.is_mid_stream {
-        Some(REQUEST_RETENTION)
-    } else {
-        (!call.parts.is_empty()).then_some(PARTS_RETENTION)
+/// The parts that are listed with several crashes.
+pub(crate) fn repeated_parts(
+    listed: impl Iterator<Item = (RequestPart, CrashId)>,
+) -> IndexSet<RequestPart> {
+    let mut first: IndexMap<RequestPart, CrashId> = IndexMap::new();
+    let mut repeated = IndexSet::new();
+    for (part, crash) in listed {
+        if *first.entry(part).or_insert(crash) != crash {
+            repeated.insert(part);
+        }
     }
+    repeated
 }
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -12,8 +12,10 @@
 pub enum PartEvidence {
     /// A call may have crashed an upstream.
     Crash(CrashSuspect, Duration),
-    /// A call was lost with an upstream, before the head of its answer or after an event.
+    /// A call was lost with an upstream, or had ended there shortly before.
     Lost(LostCall, Duration),
+    /// An upstream has ended, as an attempt to connect to it has shown.
+    Ended(CrashId, Duration),
     /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
     Alive(CrashId, Duration),
     /// A request with this part was served to its end.
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::PartEvidence;
 use crate::decide::PartQuarantine;
@@ -21,20 +22,40 @@
 impl PartQuarantine {
     /// Applies what another host has told. Returns what has changed.
     pub fn on_evidence(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
+        let mut changes = self.judge_due(now);
+        changes.extend(self.apply(evidence, now));
+        changes
+    }
+
+    fn apply(&mut self, evidence: PartEvidence, now: Instant) -> Vec<QuarantineChange> {
         match evidence {
             PartEvidence::Crash(suspect, age) => {
                 self.note_served(&suspect.parts, now);
-                self.record_suspect(suspect, KnownCrash::told(age, now), now)
+                let ended = suspect.crash;
+                let mut changes = self.record_suspect(suspect, KnownCrash::told(age, now), now);
+                changes.extend(self.suspect_ended_calls(ended, now));
+                changes
             }
             PartEvidence::Lost(call, age) => {
                 self.note_served(&call.parts, now);
-                self.record_lost(&call, KnownCrash::told(age, now), now)
+                let (ended, crash) = (call.crash, KnownCrash::told(age, now));
+                let mut changes = if call.point == LossPoint::AfterEnd {
+                    self.suspect_after_end(vec![(call, crash.at)], crash, now);
+                    Vec::new()
+                } else {
+                    self.record_lost(&call, crash, now)
+                };
+                changes.extend(self.suspect_ended_calls(ended, now));
+                changes
+            }
+            PartEvidence::Ended(crash, age) => {
+                self.record_end(crash, KnownCrash::told(age, now), now)
             }
             PartEvidence::Alive(crash, age) => self.clear_crash(crash, time_before(now, age), now),
             PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
                 let served_at = time_before(now, age);
                 self.lost_calls.on_served(served_at);
-                self.served.record(part, served_at);
+                self.served.on_survived(part, served_at);
                 self.evaluate_if_suspected(&[part], now)
             }
         }
@@ -44,7 +65,7 @@
     /// served: that host may not know it.
     fn note_served(&mut self, parts: &[RequestPart], now: Instant) {
         for part in parts.iter().filter(|part| !part.is_whole()) {
-            if self.served.served_at(*part, now).is_some() {
+            if self.served.survived_at(*part, now).is_some() {
                 self.suspected_elsewhere.insert(*part, now);
             }
         }
@@ -70,7 +91,7 @@
         let suspected = told.clone().flat_map(|(suspect, _)| &suspect.parts);
         let parts: IndexMap<RequestPart, Instant> = suspected
             .chain(elsewhere.map(|(part, _)| part))
-            .filter_map(|part| Some((*part, self.served.served_at(*part, now)?)))
+            .filter_map(|part| Some((*part, self.served.survived_at(*part, now)?)))
             .collect();
         let lost = self.lost_calls.calls();
         let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
@@ -87,10 +108,11 @@
                 |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
             )
         });
-        let mid_stream = self.lost_calls.calls();
-        let mid_stream = mid_stream.filter(|(call, crash)| call.is_mid_stream && is_recent(crash));
-        let mid_stream =
-            mid_stream.map(|(call, crash)| PartEvidence::Lost(call.clone(), age(crash.at)));
+        let weak = self.lost_calls.calls();
+        let weak = weak.filter(|(call, crash)| call.is_weak() && is_recent(crash));
+        let weak = weak.map(|(call, crash)| PartEvidence::Lost(call.clone(), age(crash.at)));
+        let ended = self.ended.iter().filter(|(_, end)| is_recent(end));
+        let ended = ended.map(|(crash, end)| PartEvidence::Ended(*crash, age(end.at)));
         let served = parts
             .into_iter()
             .map(|(part, at)| PartEvidence::Served(part, age(at)));
@@ -99,7 +121,8 @@
         let released = self.released.iter();
         let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
         let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
-        let lost = crashes.chain(mid_stream.take(TOLD_MAX));
-        alive.chain(released).chain(lost).chain(served).collect()
+        let lost = crashes.chain(weak.take(TOLD_MAX));
+        let told = alive.chain(released).chain(ended).chain(lost);
+        told.chain(served).collect()
     }
 }
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -8,14 +8,17 @@
 use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
+use crate::decide::RequestPart;
 use crate::decide::known_crash::KnownCrash;
 use crate::units::CrashId;
 
 impl PartQuarantine {
-    /// Records a call of this host that was lost before the head of its answer or after an event.
+    /// Records a call of this host that was lost with an upstream.
     /// Returns what has changed.
     pub fn on_lost(&mut self, call: &LostCall, now: Instant) -> Vec<QuarantineChange> {
-        self.record_lost(call, KnownCrash::own(now), now)
+        let mut changes = self.record_lost(call, KnownCrash::own(now), now);
+        changes.extend(self.suspect_ended_calls(call.crash, now));
+        changes
     }
 
     /// Records a suspect, which was lost like any other call, too.
@@ -33,14 +36,14 @@
         changes
     }
 
-    /// Records a lost call, which is suspected as a whole unless events of its answer were received.
+    /// Records a lost call, which is suspected as a whole unless it is a weak suspect.
     pub(super) fn record_lost(
         &mut self,
         call: &LostCall,
         crash: KnownCrash,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        if call.is_mid_stream {
+        if call.is_weak() {
             return self.search_causes(call, crash, now);
         }
         let whole = CrashSuspect::of_request(call.crash, call.request);
@@ -49,8 +52,7 @@
         changes
     }
 
-    /// Adds a lost call, and finds those of its parts that crash upstreams. From then on they are
-    /// suspected like those of calls whose answers had begun. Returns what has changed.
+    /// Adds a lost call, and finds those of its parts that crash upstreams. Returns what has changed.
     fn search_causes(
         &mut self,
         call: &LostCall,
@@ -61,35 +63,61 @@
             return Vec::new();
         }
         self.lost_calls.record(call.clone(), crash, &self.served);
+        self.suspect_causes(call, call.all_parts(), crash, now)
+    }
+
+    /// Finds those of these parts of a lost call that crash upstreams. From then on they are suspected
+    /// like those of calls whose answers had begun. Returns what has changed.
+    pub(super) fn suspect_causes(
+        &mut self,
+        call: &LostCall,
+        parts: Vec<RequestPart>,
+        crash: KnownCrash,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
-        for suspect in self.known_causes(call, now) {
+        for suspect in self.known_causes(&parts, call.crash, now) {
             changes.extend(self.record_crash(suspect, crash, now));
         }
-        for (suspect, at) in self.likely_causes(call, now) {
+        for (suspect, at) in self.likely_causes(call, parts, now) {
             let crash = KnownCrash {
                 at,
                 ..KnownCrash::own(now)
             };
+            for part in &suspect.parts {
+                if self.lost_calls.has_ended_call_with(*part) {
+                    self.served.on_found_after_call(*part);
+                }
+            }
             changes.extend(self.record_crash(suspect, crash, now));
         }
         changes
     }
 
-    /// What of a lost call has crashed upstreams before, and is refused no longer.
-    fn known_causes(&self, call: &LostCall, now: Instant) -> Vec<CrashSuspect> {
-        let parts = call.all_parts();
+    /// What of these parts of a lost call has crashed upstreams before, and is refused no longer.
+    fn known_causes(
+        &self,
+        parts: &[RequestPart],
+        crash: CrashId,
+        now: Instant,
+    ) -> Vec<CrashSuspect> {
         let expired = self.quarantined.iter().filter(|known| now >= known.until);
         let of_call = expired.filter(|known| known.parts.iter().all(|part| parts.contains(part)));
         let suspects = of_call.map(|known| CrashSuspect {
-            crash: call.crash,
+            crash,
             parts: known.parts.clone(),
         });
         suspects.collect()
     }
 
-    /// The crashes that some parts of this lost call explain, with these parts. Empty if calls with them
-    /// are refused already.
-    fn likely_causes(&self, call: &LostCall, now: Instant) -> Vec<(CrashSuspect, Instant)> {
+    /// The crashes that some of these parts of a lost call explain, with the parts. Empty if calls with
+    /// all of them are refused already.
+    fn likely_causes(
+        &self,
+        call: &LostCall,
+        parts: Vec<RequestPart>,
+        now: Instant,
+    ) -> Vec<(CrashSuspect, Instant)> {
         if self.find(&call.all_parts(), now).is_some() {
             return Vec::new();
         }
@@ -98,6 +126,6 @@
             explained.contains(&call.crash) || self.find(&call.parts, now).is_some()
         };
         self.lost_calls
-            .find_causes(call, &self.served, is_explained, now)
+            .find_causes(parts, &self.served, is_explained, now)
     }
 }
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -5,11 +5,13 @@
 //! several hosts, so single crashes say little: a part is refused once several upstreams have crashed
 //! under it and no request with it was served since.
 
+mod ended;
 mod evidence;
 mod lost;
 mod records;
 
 use std::cmp::Reverse;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,9 +25,12 @@
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::crash_attribution::Explanation;
 use crate::decide::crash_attribution::explain_crashes;
+use crate::decide::ended_calls::EndedCalls;
 use crate::decide::known_crash::KnownCrash;
 use crate::decide::lost_calls::LostCalls;
-use crate::decide::served_parts::ServedParts;
+use crate::decide::lost_calls::repeated_parts;
+use crate::decide::part_quarantine::ended::UnjudgedCalls;
+use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
 use crate::units::RequestHash;
 use crate::units::UpstreamId;
@@ -66,9 +71,15 @@
     /// The suspected calls.
     suspects: IndexMap<CrashSuspect, KnownCrash>,
     lost_calls: LostCalls,
+    /// The calls of this host whose upstreams are not known to have lived on.
+    ended_calls: EndedCalls,
+    /// The calls that had ended at upstreams which have ended since, until they are judged.
+    unjudged: VecDeque<UnjudgedCalls>,
+    /// The upstreams that have ended recently.
+    ended: IndexMap<CrashId, KnownCrash>,
     /// Upstreams that have answered soon after their connections broke, with the time of this.
     alive: IndexMap<CrashId, Instant>,
-    served: ServedParts,
+    served: ServedRecord,
     quarantined: Vec<QuarantinedParts>,
     /// The suspected calls that belong to quarantined parts.
     explained: IndexSet<CrashSuspect>,
@@ -96,10 +107,11 @@
 
     /// Whether there is nothing to refuse, and nothing to tell other hosts.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.ended.is_empty()
+            && self.suspects.is_empty()
             && self.alive.is_empty()
             && self.released.is_empty()
-            && !self.lost_calls.has_mid_stream()
+            && !self.lost_calls.has_weak()
     }
 
     /// The quarantined parts because of which a request with these parts is refused, if any.
@@ -116,15 +128,28 @@
 
     /// Records a suspected call of this host. Returns what has changed.
     pub fn on_crash(&mut self, suspect: CrashSuspect, now: Instant) -> Vec<QuarantineChange> {
-        self.record_suspect(suspect, KnownCrash::own(now), now)
+        let ended = suspect.crash;
+        let mut changes = self.record_suspect(suspect, KnownCrash::own(now), now);
+        changes.extend(self.suspect_ended_calls(ended, now));
+        changes
     }
 
-    /// Records that a request of this host with these parts was served to its end. Returns what has
-    /// changed.
+    /// Records that a request of this host with these parts was served to its end, by an upstream that
+    /// has lived on. Returns what has changed.
     pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
         self.lost_calls.on_served(now);
+        self.record_survived(parts, now, now)
+    }
+
+    /// Records that a request with these parts was served at `served_at` by an upstream that has lived on.
+    fn record_survived(
+        &mut self,
+        parts: &[RequestPart],
+        served_at: Instant,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
         for part in parts {
-            self.served.record(*part, now);
+            self.served.on_survived(*part, served_at);
         }
         if parts.is_empty() {
             return Vec::new();
@@ -139,14 +164,25 @@
         changes
     }
 
-    /// Records that an upstream has answered this request of this host to its end. Unlike parts of a
-    /// prompt, the request as a whole is cleared by a failure too. Returns what has changed.
+    /// Records that an upstream has answered this request of this host to its end, and has lived on.
+    /// Unlike parts of a prompt, the request as a whole is cleared by a failure too. Returns what has
+    /// changed.
     pub fn on_answered(&mut self, request: RequestHash, now: Instant) -> Vec<QuarantineChange> {
+        self.record_survived_request(request, now, now)
+    }
+
+    /// The same for an answer at `answered_at`.
+    fn record_survived_request(
+        &mut self,
+        request: RequestHash,
+        answered_at: Instant,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
         let part = RequestPart::Whole(request);
-        if !self.is_suspected(&[part]) && !self.lost_calls.has_mid_stream_of(request) {
+        if !self.is_suspected(&[part]) && !self.lost_calls.has_weak_of(request) {
             return Vec::new();
         }
-        self.served.record(part, now);
+        self.served.on_survived(part, answered_at);
         // Other hosts may have lost the request as often.
         self.released.insert(part, now);
         self.evaluate(now)
@@ -161,9 +197,9 @@
         sent_at: Instant,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        let mut changes = Vec::new();
+        let mut changes = self.on_life_sign(first, sent_at, now);
         let mut crash = first;
-        while self.known_at(crash).is_some() || self.lost_calls.mid_stream_at(crash).is_some() {
+        while self.known_at(crash).is_some() || self.lost_calls.weak_at(crash).is_some() {
             if self.is_refuted(crash, sent_at) {
                 changes.extend(self.clear_crash(crash, now, now));
             }
@@ -179,7 +215,7 @@
         let suspected = suspects.filter(|(suspect, _)| suspect.crash == crash);
         let mut lost_at = suspected
             .map(|(_, known)| known.at)
-            .chain(self.lost_calls.mid_stream_at(crash));
+            .chain(self.lost_calls.weak_at(crash));
         lost_at.any(|at| at < sent_at && sent_at - at < ALIVE_WITHIN)
     }
 
@@ -266,6 +302,7 @@
         self.alive.retain(|_, at| is_told(at));
         self.released.retain(|_, at| is_told(at));
         self.suspected_elsewhere.retain(|_, at| is_told(at));
+        self.ended.retain(|_, end| is_told(&end.known_at));
     }
 
     /// Drops the oldest suspected calls: if possible some that have no part in common with a suspected
@@ -289,16 +326,12 @@
 
     /// The parts that are in suspected calls of several crashes.
     fn repeated_parts(&self) -> IndexSet<RequestPart> {
-        let mut first: IndexMap<RequestPart, CrashId> = IndexMap::new();
-        let mut repeated = IndexSet::new();
-        for suspect in self.suspects.keys() {
-            for part in &suspect.parts {
-                if *first.entry(*part).or_insert(suspect.crash) != suspect.crash {
-                    repeated.insert(*part);
-                }
-            }
-        }
-        repeated
+        let suspects = self.suspects.keys();
+        let parts = suspects.flat_map(|suspect| {
+            let parts = suspect.parts.iter();
+            parts.map(|part| (*part, suspect.crash))
+        });
+        repeated_parts(parts)
     }
 
     /// Evaluates anew if a suspected call has one of these parts.
@@ -345,6 +378,9 @@
             crashes.sort_by_key(|(_, at)| Reverse(*at));
             self.causes.insert(found.parts.clone(), crashes);
         }
+        let causes = &self.causes;
+        self.served
+            .retain(|part| causes.keys().any(|parts| parts.contains(&part)));
         let explained = explanations.into_iter().flat_map(|e| e.suspects);
         self.explained = explained.map(|(suspect, _)| suspect).collect();
         changes
--- a/src/decide/part_quarantine/records.rs
+++ b/src/decide/part_quarantine/records.rs
@@ -30,6 +30,9 @@
     pub fn restore(&mut self, record: &QuarantineRecord, now: Instant) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         for (crash, age) in &record.crashes {
+            for part in &record.parts {
+                self.served.on_found_after_call(*part);
+            }
             let suspect = CrashSuspect {
                 crash: *crash,
                 parts: record.parts.clone(),
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decide::CrashSuspect;
+use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::PartEvidence;
 use crate::decide::RequestPart;
@@ -45,10 +46,17 @@
     /// or after an event.
     #[prost(fixed64, repeated, tag = "7")]
     pub lost_parts: Vec<u64>,
-    /// The hash of the call if several events of its answer were received, in place of that in the
-    /// field `request`; otherwise 0. Hosts of an earlier version ignore such calls.
+    /// The hash of the call if several events of its answer were received, or if it had ended before the
+    /// upstream did, in place of that in the field `request`; otherwise 0.
     #[prost(fixed64, tag = "8")]
-    pub mid_stream_request: u64,
+    pub weak_request: u64,
+    /// The id that a crash of an upstream has which has ended, if the entry is about that alone; otherwise
+    /// 0. Hosts of an earlier version ignore such entries.
+    #[prost(fixed64, tag = "9")]
+    pub ended: u64,
+    /// Whether the call had ended before the upstream did.
+    #[prost(bool, tag = "10")]
+    pub is_after_end: bool,
 }
 
 /// What identifies an entry: all of it but the age.
@@ -60,7 +68,9 @@
     request: u64,
     request_crash: u64,
     lost_parts: Vec<u64>,
-    mid_stream_request: u64,
+    weak_request: u64,
+    ended: u64,
+    is_after_end: bool,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
@@ -68,6 +78,11 @@
         match evidence {
             PartEvidence::Crash(suspect, age) => Self::crash(&suspect, age),
             PartEvidence::Lost(call, age) => Self::lost(&call, age),
+            PartEvidence::Ended(crash, age) => Self {
+                ended: crash.0,
+                age_ms: whole_millis_u32(age),
+                ..Self::default()
+            },
             PartEvidence::Alive(crash, age) => Self {
                 crash: crash.0,
                 age_ms: whole_millis_u32(age),
@@ -100,7 +115,7 @@
     }
 
     fn lost(call: &LostCall, age: Duration) -> Self {
-        let (request, mid_stream_request) = if call.is_mid_stream {
+        let (request, weak_request) = if call.is_weak() {
             (0, call.request.0)
         } else {
             (call.request.0, 0)
@@ -108,7 +123,8 @@
         Self {
             age_ms: whole_millis_u32(age),
             request,
-            mid_stream_request,
+            weak_request,
+            is_after_end: call.point == LossPoint::AfterEnd,
             request_crash: call.crash.0,
             lost_parts: call.parts.iter().filter_map(prompt_part).collect(),
             ..Self::default()
@@ -128,7 +144,10 @@
     /// Decodes the entry; none if it is empty.
     pub fn evidence(&self) -> Option<PartEvidence> {
         let age = Duration::from_millis(self.age_ms.into());
-        if !self.lost_parts.is_empty() || self.mid_stream_request != 0 {
+        if self.ended != 0 {
+            return Some(PartEvidence::Ended(CrashId(self.ended), age));
+        }
+        if !self.lost_parts.is_empty() || self.weak_request != 0 {
             return self.lost_call().map(|call| PartEvidence::Lost(call, age));
         }
         let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
@@ -150,9 +169,13 @@
 
     /// The lost call of the entry; none if it does not name the crash and the request.
     fn lost_call(&self) -> Option<LostCall> {
-        let is_mid_stream = self.mid_stream_request != 0;
-        let request = if is_mid_stream {
-            self.mid_stream_request
+        let point = match (self.weak_request, self.is_after_end) {
+            (0, _) => LossPoint::Early,
+            (_, false) => LossPoint::MidStream,
+            (_, true) => LossPoint::AfterEnd,
+        };
+        let request = if self.weak_request != 0 {
+            self.weak_request
         } else {
             self.request
         };
@@ -161,7 +184,7 @@
         is_named.then(|| LostCall {
             crash: CrashId(self.request_crash),
             request: RequestHash(request),
-            is_mid_stream,
+            point,
             parts: parts.map(|part| PromptPartId(*part).into()).collect(),
         })
     }
@@ -174,7 +197,9 @@
             request: self.request,
             request_crash: self.request_crash,
             lost_parts: self.lost_parts.clone(),
-            mid_stream_request: self.mid_stream_request,
+            weak_request: self.weak_request,
+            ended: self.ended,
+            is_after_end: self.is_after_end,
         }
     }
 
--- a/src/gateway/call_crashes.rs
+++ b/src/gateway/call_crashes.rs
@@ -2,8 +2,6 @@
 
 use std::time::Instant;
 
-use hyper::StatusCode;
-
 use crate::decide::RefuseReason;
 use crate::decide::RequestPart;
 use crate::gateway::CallRefusal;
@@ -24,15 +22,4 @@
             retry_after: quarantined.time_left(now),
         })
     }
-
-    /// Records that an upstream has answered the call to its end, which clears the call of crashes. A
-    /// success also clears the parts of its prompt: for a failure the upstream need not have begun to
-    /// write an answer on them.
-    pub(crate) fn on_answered(&self, status: StatusCode) {
-        let now = self.gateway.clock.now();
-        if status.is_success() {
-            self.gateway.on_parts_served(&self.call, now);
-        }
-        self.gateway.on_request_answered(&self.call, now);
-    }
 }
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -116,6 +116,9 @@
         self.gateway
             .health()
             .on_fault(&upstream.id, &upstream.domain, fault, now);
+        if fault == UpstreamFault::ConnectRefused {
+            self.gateway.on_upstream_ended(&upstream.id, fault.name());
+        }
         if fault.is_unreachable() {
             self.gateway.health_changed.notify_one();
             self.gateway.broadcast_now.notify_one();
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -317,6 +317,15 @@
         /// For how long requests are refused if nothing more is observed, in ms.
         time_left_ms: u64,
     },
+    /// An upstream was found to have ended, shortly after calls of this host had ended there.
+    UpstreamEnded {
+        /// The upstream.
+        upstream: String,
+        /// What shows it: `connect_refused` or `not_listed`.
+        sign: String,
+        /// The requests as a whole that may have crashed it, 16 at most.
+        suspected: Vec<String>,
+    },
     /// The quarantines in the platform were read after the start.
     QuarantinesRestored {
         /// The number of quarantines.
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -166,11 +166,14 @@
     }
 
     /// Records that the engine cannot complete its response. Returns the cause for the log.
-    pub(crate) fn on_failed(&self, failure: &RunFailure, recorder: &CallRecorder) -> String {
+    pub(crate) fn on_failed(&mut self, failure: &RunFailure, recorder: &CallRecorder) -> String {
         if failure.is_invalid {
             self.response.on_truncated(&recorder.gateway);
         }
         let fault = self.response.path.fault(failure.fault);
+        if fault == UpstreamFault::Broken {
+            self.response.run.on_broken();
+        }
         let upstream = &self.response.upstream;
         recorder.on_connection_lost(upstream, fault, &failure.cause, self.progress);
         format!("{}: {}", fault.name(), failure.cause)
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -256,6 +256,7 @@
         upstream,
         sent_at,
         path,
+        mut run,
         ..
     } = response;
     let gateway = &dispatcher.gateway;
@@ -263,7 +264,7 @@
     let cause = match timeout_at(dispatcher.call.deadline.into(), read).await {
         Err(_) => return Err(Some(CallRefusal::DeadlineExceeded)),
         Ok(Ok(body)) => {
-            dispatcher.on_answered(head.status);
+            run.on_answered(head.status);
             gateway.on_upstream_answer(&upstream, sent_at);
             if let Some(outcome) = outcome_of_full_response(head.status, sent_at, gateway) {
                 gateway.record_outcome(&upstream, outcome, sent_at);
@@ -284,6 +285,9 @@
         }
     };
     let fault = path.fault(UpstreamFault::Broken);
+    if fault == UpstreamFault::Broken {
+        run.on_broken();
+    }
     dispatcher
         .recorder
         .on_connection_lost(&upstream, fault, &cause, AnswerProgress::Begun);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod call_log;
 mod call_recorder;
 mod call_refusal;
+mod call_run;
 mod call_sending;
 mod call_silence;
 mod call_waiting;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::sleep_until;
 
+use crate::decide::UpstreamFault;
 use crate::gateway::Gateway;
 use crate::gateway::ListedUpstream;
 use crate::gateway::send::CONNECT_TIMEOUT;
@@ -59,6 +60,9 @@
     };
     health.on_fault(&upstream.id, &upstream.domain, fault, now);
     drop(health);
+    if fault == UpstreamFault::ConnectRefused {
+        gateway.on_upstream_ended(&upstream.id, fault.name());
+    }
     gateway.health_changed.notify_one();
 }
 
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -5,7 +5,10 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use crate::decide::CallEnd;
 use crate::decide::CrashSuspect;
+use crate::decide::EndedCall;
+use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
@@ -18,8 +21,12 @@
 use crate::gateway::ListedUpstream;
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::units::CrashId;
+use crate::units::UpstreamId;
 use crate::units::whole_millis;
 
+/// The number of suspected requests that one line of the log names.
+const LOGGED_REQUESTS_MAX: usize = 16;
+
 impl Gateway {
     /// Locks what is known of requests that crash upstreams.
     pub fn part_quarantine(&self) -> MutexGuard<'_, PartQuarantine> {
@@ -50,7 +57,11 @@
     ) {
         // An answer in one piece may have begun although nothing of it was received.
         let is_beginning = progress == AnswerProgress::Begun || !call.route.kind.is_stream();
-        let is_mid_stream = progress == AnswerProgress::Events;
+        let point = match progress {
+            AnswerProgress::Events => LossPoint::MidStream,
+            _ => LossPoint::Early,
+        };
+        let is_mid_stream = point == LossPoint::MidStream;
         let request = call.hash();
         let mut quarantine = self.part_quarantine();
         let crash = CrashId::from(&upstream.id);
@@ -73,7 +84,7 @@
                 crash,
                 request,
                 parts,
-                is_mid_stream,
+                point,
             };
             changes.extend(quarantine.on_lost(&lost, now));
         }
@@ -83,34 +94,45 @@
         self.broadcast_now.notify_one();
     }
 
-    /// Records that an upstream has answered a call to its end, which clears the request of crashes.
-    pub(crate) fn on_request_answered(&self, call: &Call, now: Instant) {
-        if self.part_quarantine().is_empty() {
-            return;
-        }
-        let request = call.hash();
-        let changes = self.part_quarantine().on_answered(request, now);
+    /// Records that a call has ended at an upstream, which may still crash under it.
+    pub(crate) fn on_call_ended(&self, call: &Call, upstream: &UpstreamId, end: CallEnd) {
+        let ended = EndedCall {
+            crash: CrashId::from(upstream),
+            request: call.hash(),
+            parts: call.prompt_parts().collect(),
+            end,
+        };
+        let now = self.clock.now();
+        let changes = self.part_quarantine().on_call_ended(ended, now);
         self.log_quarantine_changes(&changes, None);
     }
 
-    /// Records that a call was served to its end.
-    pub(crate) fn on_parts_served(&self, call: &Call, now: Instant) {
-        let parts: Vec<RequestPart> = call.prompt_parts().collect();
-        if !parts.is_empty() || call.route.kind.is_stream() {
-            let changes = self.part_quarantine().on_served(&parts, now);
-            self.log_quarantine_changes(&changes, None);
+    /// Records that an upstream has ended: it refuses connections, or is no longer listed.
+    pub(crate) fn on_upstream_ended(&self, upstream: &UpstreamId, sign: &str) {
+        let now = self.clock.now();
+        let crash = CrashId::from(upstream);
+        let mut quarantine = self.part_quarantine();
+        let changes = quarantine.on_upstream_ended(crash, now);
+        let suspected = quarantine.suspected_in(crash).take(LOGGED_REQUESTS_MAX);
+        let suspected: Vec<RequestPart> = suspected.map(RequestPart::from).collect();
+        drop(quarantine);
+        self.log_quarantine_changes(&changes, None);
+        if !suspected.is_empty() {
+            self.note_own_crash(crash, now);
+            self.broadcast_now.notify_one();
+            self.log.record(DecisionEvent::UpstreamEnded {
+                upstream: upstream.to_string(),
+                sign: sign.to_owned(),
+                suspected: part_names(&suspected),
+            });
         }
     }
 
     /// Records that an upstream has answered a call that was sent at `sent_at`.
     pub(crate) fn on_upstream_answer(&self, upstream: &ListedUpstream, sent_at: Instant) {
-        let mut quarantine = self.part_quarantine();
-        if quarantine.is_empty() {
-            return;
-        }
         let now = self.clock.now();
-        let changes = quarantine.on_alive(CrashId::from(&upstream.id), sent_at, now);
-        drop(quarantine);
+        let crash = CrashId::from(&upstream.id);
+        let changes = self.part_quarantine().on_alive(crash, sent_at, now);
         self.log_quarantine_changes(&changes, None);
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -25,6 +25,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::HelperAddr;
 use crate::gateway::ListedUpstream;
+use crate::gateway::call_run::CallRun;
 use crate::gateway::load_guard::LoadGuard;
 use crate::gateway::placement::SendPlan;
 use crate::gateway::placement::engine_model;
@@ -76,6 +77,8 @@
     pub(crate) path: UpstreamPath,
     /// Whether the body has a length or chunks, and does not just end with the connection.
     pub(crate) is_framed: bool,
+    /// The call at the upstream.
+    pub(crate) run: CallRun,
     /// Counts the load on the upstream until the body has been read; none once it was released.
     load: Option<LoadGuard>,
     /// Holds the memory reservations until the body has been read; none if there are none, or they
@@ -168,6 +171,9 @@
         let full_speed_forecast = self.full_speed_forecast(&plan, now);
         let hosts = self.gateway.probing_hosts();
         self.gateway.health().on_sent(&plan.upstream.id, hosts, now);
+        let helpers = plan.helper_ids().cloned().collect();
+        let upstream_id = plan.upstream.id.clone();
+        let mut run = CallRun::new(&self.gateway, &self.call, upstream_id, helpers);
         let load = LoadGuard::new(&self.gateway, plan.loads);
         // The next waiting call is tried once this one counts.
         if let Some(place) = place {
@@ -187,10 +193,12 @@
             last_event: self.last_event.as_deref(),
         };
         let req = self.request(&head);
-        let send = self.send_request(&upstream, req, CONNECT_TIMEOUT.min(timeout_after));
+        let connect_timeout = CONNECT_TIMEOUT.min(timeout_after);
+        let send = self.send_request(&upstream, req, connect_timeout, &mut run);
         let sent = tokio::select! {
             sent = timeout(timeout_after, send) => sent,
             () = self.gateway.incarnations.wait_until_lost(&upstream.id, now) => {
+                run.on_broken();
                 return SendOutcome::Lost {
                     fault: UpstreamFault::Broken,
                     cause: UPSTREAM_RESTARTED.to_owned(),
@@ -199,7 +207,18 @@
         };
         let (res, path) = match sent {
             Ok(Ok(sent)) => sent,
-            Ok(Err(err)) => return outcome_of_error(&err),
+            Ok(Err(err)) => {
+                let outcome = outcome_of_error(&err);
+                match outcome {
+                    SendOutcome::NotRun { .. } => run.on_not_run(),
+                    SendOutcome::Lost {
+                        fault: UpstreamFault::Broken,
+                        ..
+                    } => run.on_broken(),
+                    SendOutcome::Lost { .. } | SendOutcome::Answered(_) => {}
+                }
+                return outcome;
+            }
             Err(_) => {
                 return SendOutcome::Lost {
                     fault: UpstreamFault::Silent,
@@ -215,6 +234,7 @@
             .count_unknown_headers(&upstream.id, &head.headers);
         self.gateway.on_notices(&upstream.id, &response.notices);
         if response.did_not_run {
+            run.on_not_run();
             let at_fault = response.at_fault.filter(|addr| *addr != upstream.addr);
             if at_fault.is_none() {
                 self.gateway
@@ -253,6 +273,7 @@
             sent_at: now,
             full_speed_forecast,
             path,
+            run,
             load: Some(load),
             reservation,
         }))
@@ -268,13 +289,14 @@
         Some(plan.forecast.scaled(1.0 / slowdown.factor()))
     }
 
-    /// Connects to the upstream and sends the request. Returns the response and the way by which the
+    /// Connects to the upstream and sends the request, from which on it may run. Returns the response and the way by which the
     /// upstream was reached.
     async fn send_request(
         &self,
         upstream: &ListedUpstream,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
+        run: &mut CallRun,
     ) -> Result<(Response<OneShotResponseBody>, UpstreamPath), SendError> {
         let gateway = &self.gateway;
         let connection = gateway
@@ -291,6 +313,7 @@
                 elapsed_ms: whole_millis(elapsed),
             });
         }
+        run.on_sent();
         match one_shot::send_on(connection.stream, req).await {
             Ok(res) => Ok((res, path)),
             Err(err) if path.is_lost() => Err(SendError::TunnelLost(err)),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -90,15 +90,15 @@
                     return Some(Ok(events));
                 }
                 RelayStep::Input(index, RunInput::End) => {
-                    let run = &self.runs[index];
-                    run.response.on_stream_end(&self.dispatcher.gateway);
+                    let response = &mut self.runs[index].response;
+                    response.on_stream_end(&self.dispatcher.gateway);
+                    response.run.on_answered(StatusCode::OK);
                     self.runs.clear();
                     self.finish("served");
-                    self.dispatcher.on_answered(StatusCode::OK);
                     return None;
                 }
                 RelayStep::Input(index, RunInput::Failed(failure)) => {
-                    let run = self.runs.remove(index);
+                    let mut run = self.runs.remove(index);
                     self.last_fault = Some(run.on_failed(&failure, &self.dispatcher.recorder));
                 }
                 RelayStep::Silent => self.check_silence(),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -251,6 +251,10 @@
         .incarnations
         .update(&listed, |id| health.lost_at(id));
     drop(health);
+    let all: IndexSet<&UpstreamId> = listed.iter().map(|upstream| &upstream.id).collect();
+    for ended in before.iter().filter(|id| !all.contains(id)) {
+        gateway.on_upstream_ended(ended, "not_listed");
+    }
     gateway.mark_evacuated(&listed);
     gateway.apply_cold_limits();
     let usable = gateway.platform_view.set_upstreams(listed);
--- a/tests/decide_lost_calls.rs
+++ b/tests/decide_lost_calls.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use banyanarch::decide::CrashSuspect;
+use banyanarch::decide::LossPoint;
 use banyanarch::decide::LostCall;
 use banyanarch::decide::PartEvidence;
 use banyanarch::decide::PartQuarantine;
@@ -33,7 +34,7 @@
         crash: CrashId(crash),
         request: RequestHash(request),
         parts: ids(parts),
-        is_mid_stream: false,
+        point: LossPoint::Early,
     }
 }
 
@@ -368,7 +369,7 @@
 /// A call that was lost in a crash after several events of its answer.
 fn late(crash: u64, request: u64) -> LostCall {
     LostCall {
-        is_mid_stream: true,
+        point: LossPoint::MidStream,
         ..lost(crash, request, &[])
     }
 }
--- a/tests/gateway_ended_calls.rs
+++ b/tests/gateway_ended_calls.rs
@@ -190,8 +190,10 @@
         "of {} none was refused: {arrivals:?}",
         arrivals.len()
     );
-    let stopped_at = arrivals[crashes - 1] + ends_after + STOPPED_WITHIN;
-    let late = arrivals.iter().filter(|at| **at > stopped_at);
+    let known_at = arrivals.get(crashes - 1);
+    let stopped_at = known_at.map(|arrived_at| *arrived_at + ends_after + STOPPED_WITHIN);
+    let is_late = |at: &&Instant| stopped_at.is_some_and(|stopped_at| **at > stopped_at);
+    let late = arrivals.iter().filter(is_late);
     assert!(late.count() <= LATE_ARRIVALS_MAX, "{arrivals:?}");
     assert_eq!((sound, other_sound), (0, 0));
 }
--- a/tests/gateway_world/crashing_upstream.rs
+++ b/tests/gateway_world/crashing_upstream.rs
@@ -88,11 +88,12 @@
             let mut ends = self.ends.subscribe();
             loop {
                 tokio::select! {
+                    biased;
+                    _ = ends.changed() => break,
                     accepted = listener.accept() => {
                         let serving = self.clone().serve(accepted.unwrap().0, is_bad);
-                        tokio::spawn(until_end(serving, self.ends.subscribe()));
+                        tokio::spawn(until_end(serving, ends.clone()));
                     }
-                    _ = ends.changed() => break,
                 }
             }
             drop(listener);
