--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -94,6 +94,15 @@
         calls.any(|call| call.is_weak() && call.request == request)
     }
 
+    /// Whether this call, which had ended before its upstream, is known.
+    pub(crate) fn has_ended_call(&self, call: &LostCall) -> bool {
+        let mut known = self.calls.keys();
+        known.any(|known| {
+            let is_same = known.crash == call.crash && known.request == call.request;
+            is_same && known.point == LossPoint::AfterEnd
+        })
+    }
+
     /// Whether there are lost calls with the part that had ended before their upstreams.
     pub(crate) fn has_ended_call_with(&self, part: RequestPart) -> bool {
         let mut ended = self
--- a/src/decide/part_quarantine/ended.rs
+++ b/src/decide/part_quarantine/ended.rs
@@ -8,13 +8,11 @@
 
 use indexmap::IndexMap;
 
-use crate::decide::CallEnd;
 use crate::decide::EndedCall;
 use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::RequestPart;
-use crate::decide::ended_calls::KeptCall;
 use crate::decide::known_crash::KnownCrash;
 use crate::units::CrashId;
 use crate::units::RequestHash;
@@ -54,19 +52,8 @@
         self.record_end(crash, KnownCrash::own(now), now)
     }
 
-    /// Records the answer to a call, which clears the call of crashes that happen while upstreams run it.
-    /// Returns what has changed.
-    fn record_answer(&mut self, call: &EndedCall, now: Instant) -> Vec<QuarantineChange> {
-        if call.end == CallEnd::Succeeded {
-            self.lost_calls.on_served(now);
-        }
-        let parts = call.answered_parts();
-        for part in &parts {
-            self.served.on_answered(*part, now);
-        }
-        self.evaluate_if_suspected(&parts, now)
-    }
-
+    /// Records the end of an upstream, and suspects the calls of this host that have ended there. Returns
+    /// what has changed.
     pub(super) fn record_end(
         &mut self,
         crash: CrashId,
@@ -160,20 +147,4 @@
         let survived = self.ended_calls.take_survived(crash, sent_at);
         self.clear_calls(survived, now)
     }
-
-    /// Clears calls of which the upstreams have lived on, by the times at which they ended. Returns what
-    /// has changed.
-    fn clear_calls(&mut self, calls: Vec<KeptCall>, now: Instant) -> Vec<QuarantineChange> {
-        let mut changes = Vec::new();
-        for KeptCall { call, ended_at, .. } in calls {
-            if call.end == CallEnd::Succeeded {
-                changes.extend(self.record_survived(&call.parts, ended_at, now));
-            }
-            if call.end != CallEnd::Unanswered {
-                let request = call.request;
-                changes.extend(self.record_survived_request(request, ended_at, now));
-            }
-        }
-        changes
-    }
 }
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -39,12 +39,12 @@
             PartEvidence::Lost(call, age) => {
                 self.note_served(&call.parts, now);
                 let (ended, crash) = (call.crash, KnownCrash::told(age, now));
-                let mut changes = if call.point == LossPoint::AfterEnd {
+                let mut changes = Vec::new();
+                if call.point != LossPoint::AfterEnd {
+                    changes = self.record_lost(&call, crash, now);
+                } else if !self.lost_calls.has_ended_call(&call) {
                     self.suspect_after_end(vec![(call, crash.at)], crash, now);
-                    Vec::new()
-                } else {
-                    self.record_lost(&call, crash, now)
-                };
+                }
                 changes.extend(self.suspect_ended_calls(ended, now));
                 changes
             }
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod lost;
 mod records;
+mod served;
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -32,7 +33,6 @@
 use crate::decide::part_quarantine::ended::UnjudgedCalls;
 use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
-use crate::units::RequestHash;
 use crate::units::UpstreamId;
 
 /// The number of suspected calls that are kept.
@@ -134,60 +134,6 @@
         changes
     }
 
-    /// Records that a request of this host with these parts was served to its end, by an upstream that
-    /// has lived on. Returns what has changed.
-    pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
-        self.lost_calls.on_served(now);
-        self.record_survived(parts, now, now)
-    }
-
-    /// Records that a request with these parts was served at `served_at` by an upstream that has lived on.
-    fn record_survived(
-        &mut self,
-        parts: &[RequestPart],
-        served_at: Instant,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        for part in parts {
-            self.served.on_survived(*part, served_at);
-        }
-        if parts.is_empty() {
-            return Vec::new();
-        }
-        let changes = self.evaluate_if_suspected(parts, now);
-        for change in &changes {
-            if let QuarantineChange::Ended(ended) = change {
-                let released = ended.parts.iter().filter(|part| parts.contains(part));
-                self.released.extend(released.map(|part| (*part, now)));
-            }
-        }
-        changes
-    }
-
-    /// Records that an upstream has answered this request of this host to its end, and has lived on.
-    /// Unlike parts of a prompt, the request as a whole is cleared by a failure too. Returns what has
-    /// changed.
-    pub fn on_answered(&mut self, request: RequestHash, now: Instant) -> Vec<QuarantineChange> {
-        self.record_survived_request(request, now, now)
-    }
-
-    /// The same for an answer at `answered_at`.
-    fn record_survived_request(
-        &mut self,
-        request: RequestHash,
-        answered_at: Instant,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        let part = RequestPart::Whole(request);
-        if !self.is_suspected(&[part]) && !self.lost_calls.has_weak_of(request) {
-            return Vec::new();
-        }
-        self.served.on_survived(part, answered_at);
-        // Other hosts may have lost the request as often.
-        self.released.insert(part, now);
-        self.evaluate(now)
-    }
-
     /// Records that an upstream, whose first crash would have this id, has answered a call that was
     /// sent at `sent_at`. If its connections broke shortly before that, it has not crashed. Returns
     /// what has changed.
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -5,8 +5,10 @@
 use hyper::StatusCode;
 
 use crate::decide::CallEnd;
+use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::Gateway;
+use crate::gateway::send::SendOutcome;
 use crate::units::UpstreamId;
 
 /// A call at the upstreams that may run it. However it ends there, also when it is dropped, this is
@@ -43,14 +45,21 @@
         self.end = Some(CallEnd::Unanswered);
     }
 
-    /// Records that the call has not run.
-    pub(crate) fn on_not_run(&mut self) {
+    /// Records that the call has not run, or that its end is recorded as a crash.
+    pub(crate) fn forget(&mut self) {
         self.end = None;
     }
 
-    /// Records that the connection has broken, which is recorded as a crash.
-    pub(crate) fn on_broken(&mut self) {
-        self.end = None;
+    /// Records how the send has ended without an answer.
+    pub(crate) fn on_outcome(&mut self, outcome: &SendOutcome) {
+        match outcome {
+            SendOutcome::NotRun { .. }
+            | SendOutcome::Lost {
+                fault: UpstreamFault::Broken,
+                ..
+            } => self.forget(),
+            SendOutcome::Lost { .. } | SendOutcome::Answered(_) => {}
+        }
     }
 
     /// Records that the call was answered in full.
--- a/src/gateway/engine_run.rs
+++ b/src/gateway/engine_run.rs
@@ -172,7 +172,7 @@
         }
         let fault = self.response.path.fault(failure.fault);
         if fault == UpstreamFault::Broken {
-            self.response.run.on_broken();
+            self.response.run.forget();
         }
         let upstream = &self.response.upstream;
         recorder.on_connection_lost(upstream, fault, &failure.cause, self.progress);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -286,7 +286,7 @@
     };
     let fault = path.fault(UpstreamFault::Broken);
     if fault == UpstreamFault::Broken {
-        run.on_broken();
+        run.forget();
     }
     dispatcher
         .recorder
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -198,7 +198,7 @@
         let sent = tokio::select! {
             sent = timeout(timeout_after, send) => sent,
             () = self.gateway.incarnations.wait_until_lost(&upstream.id, now) => {
-                run.on_broken();
+                run.forget();
                 return SendOutcome::Lost {
                     fault: UpstreamFault::Broken,
                     cause: UPSTREAM_RESTARTED.to_owned(),
@@ -209,14 +209,7 @@
             Ok(Ok(sent)) => sent,
             Ok(Err(err)) => {
                 let outcome = outcome_of_error(&err);
-                match outcome {
-                    SendOutcome::NotRun { .. } => run.on_not_run(),
-                    SendOutcome::Lost {
-                        fault: UpstreamFault::Broken,
-                        ..
-                    } => run.on_broken(),
-                    SendOutcome::Lost { .. } | SendOutcome::Answered(_) => {}
-                }
+                run.on_outcome(&outcome);
                 return outcome;
             }
             Err(_) => {
@@ -234,7 +227,7 @@
             .count_unknown_headers(&upstream.id, &head.headers);
         self.gateway.on_notices(&upstream.id, &response.notices);
         if response.did_not_run {
-            run.on_not_run();
+            run.forget();
             let at_fault = response.at_fault.filter(|addr| *addr != upstream.addr);
             if at_fault.is_none() {
                 self.gateway
@@ -289,8 +282,8 @@
         Some(plan.forecast.scaled(1.0 / slowdown.factor()))
     }
 
-    /// Connects to the upstream and sends the request, from which on it may run. Returns the response and the way by which the
-    /// upstream was reached.
+    /// Connects to the upstream and sends the request, from which on it may run. Returns the response and
+    /// the way by which the upstream was reached.
     async fn send_request(
         &self,
         upstream: &ListedUpstream,
--- a/tests/decide_ended_calls.rs
+++ b/tests/decide_ended_calls.rs
@@ -318,7 +318,7 @@
     one_each_10_s = { 10_000, 1, 0 },
     all_each_30_s = { 30_000, 24, 0 },
 )]
-fn no_sound_request_is_refused_while_upstreams_end(
+fn sound_requests_are_served_while_upstreams_end_after_them(
     interval_ms: u64,
     at_once: usize,
     refused_max: usize,
