--- a/tests/gateway_world/crashing_upstream.rs
+++ b/tests/gateway_world/crashing_upstream.rs
@@ -42,6 +42,13 @@
     pub ends_after: Duration,
 }
 
+/// The arrival of a request that crashes upstreams.
+#[derive(Clone, Debug)]
+pub struct BadArrival {
+    pub path: String,
+    pub at: Instant,
+}
+
 /// An upstream with the name under which it is listed.
 #[derive(Clone)]
 pub struct CrashingUpstream {
@@ -51,7 +58,7 @@
     catalog: Arc<FakeCatalog>,
     /// The number of times that the upstream has ended.
     ends: Arc<watch::Sender<u64>>,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
+    arrivals: Arc<Mutex<Vec<BadArrival>>>,
 }
 
 impl CrashingUpstream {
@@ -77,8 +84,8 @@
         upstream
     }
 
-    /// When requests that crash it have arrived.
-    pub fn bad_arrivals(&self) -> Vec<Instant> {
+    /// The arrivals of requests that crash it.
+    pub fn bad_arrivals(&self) -> Vec<BadArrival> {
         self.arrivals.lock().unwrap().clone()
     }
 
@@ -113,7 +120,10 @@
         };
         let is_bad = is_bad(&arrival);
         if is_bad {
-            self.arrivals.lock().unwrap().push(arrival.at);
+            self.arrivals.lock().unwrap().push(BadArrival {
+                path: arrival.path().to_owned(),
+                at: arrival.at,
+            });
             tokio::spawn(self.clone().crash());
         }
         let answer = if is_bad {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod catalog;
+pub mod crash_world;
 pub mod crashing_upstream;
 pub mod cut_upstream;
 pub mod earlier_host;
