The end of a refusal lets one call through, not all of them

What callers saw: a request that crashes upstreams was refused for 30 s after its third crash. Then all hosts passed it on at the same moment, each call to as many upstreams as its route allows, until the next crash was known everywhere.

Cause: the time of a refusal was its only bound. What may be sent when it is over, and by whom, was not bounded at all.

Change: when the time is over, one call of all hosts is a probe. It is claimed in the platform, at the revision of the quarantine's entry, immediately before it is sent; it runs on one upstream, and by itself prolongs the refusal as a crash does. Only an upstream that lives on after its answer clears the request. Entries keep what other hosts have saved in them, where they were replaced before. Log: quarantine_probe.

The bound follows from the claim, which the platform grants once for each refusal, and not from what hosts know of each other.

--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -8,6 +8,7 @@
 mod ended;
 mod evidence;
 mod lost;
+mod probes;
 mod records;
 mod served;
 
@@ -19,6 +20,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::decide::CrashCheck;
 use crate::decide::CrashSuspect;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
@@ -44,9 +46,9 @@
 /// How long requests with quarantined parts of a prompt are refused after the last crash. The parts
 /// do not change, so this ends only for upstreams that were replaced by a repaired version.
 const PART_QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
-/// How long a single request is refused after the last crash, by the number of crashes beyond those
-/// that begin the quarantine. A request that was only lost beside others is soon served again, and one
-/// that does crash upstreams ends two more in a day.
+/// How long a single request is refused after the last crash or probe, by the number of probes and of
+/// crashes beyond those that begin the quarantine. A request that was only lost beside others is soon
+/// served again, and one that does crash upstreams ends one or two more in a day.
 const REQUEST_QUARANTINE_TIMES: [Duration; 3] = [
     Duration::from_secs(30),
     Duration::from_secs(600),
@@ -87,6 +89,8 @@
     proofs: IndexSet<CrashSuspect>,
     /// The parts that are or were quarantined, with the crashes of these, the latest first.
     causes: IndexMap<Vec<RequestPart>, Vec<DatedCrash>>,
+    /// When probes of quarantined parts were sent.
+    probes: IndexMap<Vec<RequestPart>, Vec<Instant>>,
     /// The parts that were refused, and the whole requests that were suspected, until this host had
     /// such a request served, with the time of this.
     released: IndexMap<RequestPart, Instant>,
@@ -120,6 +124,22 @@
         quarantined.find(|known| known.applies_to(parts, now))
     }
 
+    /// Whether a call with these parts may be sent.
+    pub fn check(&self, parts: &[RequestPart], now: Instant) -> CrashCheck {
+        let matching = self.quarantined.iter();
+        let matching = matching.filter(|known| known.are_all_in(parts));
+        match matching.max_by_key(|known| known.until) {
+            Some(known) if now < known.until => CrashCheck::Refuse(known.clone()),
+            Some(known) => CrashCheck::Probe(known.clone()),
+            None => CrashCheck::Admit,
+        }
+    }
+
+    /// Whether [`PartQuarantine::check`] admits all calls, whatever their parts.
+    pub fn admits_all(&self) -> bool {
+        self.quarantined.is_empty()
+    }
+
     /// All quarantined parts.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = &QuarantinedParts> {
         let quarantined = self.quarantined.iter();
@@ -304,13 +324,14 @@
         let suspects = self.suspects.iter();
         let suspects = suspects.map(|(suspect, crash)| (suspect, crash.at));
         let explanations = explain_crashes(suspects, &self.served, now);
+        let is_explained =
+            |parts: &Vec<RequestPart>| explanations.iter().any(|found| found.parts == *parts);
+        self.probes.retain(|parts, _| is_explained(parts));
         let quarantined = explanations
             .iter()
-            .map(|found| Self::quarantine_of(found, now));
+            .map(|found| self.quarantine_of(found, now));
         let quarantined: Vec<QuarantinedParts> = quarantined.collect();
-        let lasting = self.quarantined.iter().filter(|known| now < known.until);
-        let lasting: Vec<QuarantinedParts> = lasting.cloned().collect();
-        let changes = changes_between(&lasting, &quarantined);
+        let changes = changes_between(&self.quarantined, &quarantined, now);
         self.quarantined = quarantined;
         self.proofs.clear();
         self.causes.clear();
@@ -332,14 +353,17 @@
         changes
     }
 
-    fn quarantine_of(explanation: &Explanation, now: Instant) -> QuarantinedParts {
+    fn quarantine_of(&self, explanation: &Explanation, now: Instant) -> QuarantinedParts {
         let suspects = &explanation.suspects;
         let crashes: IndexSet<CrashId> = suspects.iter().map(|(s, _)| s.crash).collect();
         let crashed_at = suspects.first().map_or(now, |(_, at)| *at);
+        let probes = self.probes.get(&explanation.parts);
+        let probes = probes.map_or(&[][..], Vec::as_slice);
+        let from = probes.iter().fold(crashed_at, |from, at| from.max(*at));
         QuarantinedParts {
             parts: explanation.parts.clone(),
             crashes: crashes.len(),
-            until: crashed_at + quarantine_time(explanation, crashes.len()),
+            until: from + quarantine_time(explanation, crashes.len(), probes.len()),
         }
     }
 }
@@ -354,12 +378,12 @@
     }
 }
 
-/// How long requests are refused after the last of so many crashes.
-fn quarantine_time(explanation: &Explanation, crashes: usize) -> Duration {
+/// How long requests are refused after the last of so many crashes and probes.
+fn quarantine_time(explanation: &Explanation, crashes: usize, probes: usize) -> Duration {
     if !explanation.parts.iter().any(RequestPart::is_whole) {
         return PART_QUARANTINE_TIME;
     }
-    let further = crashes.saturating_sub(explanation.crashes_min);
+    let further = crashes.saturating_sub(explanation.crashes_min) + probes;
     let last = REQUEST_QUARANTINE_TIMES.len() - 1;
     REQUEST_QUARANTINE_TIMES[further.min(last)]
 }
@@ -372,11 +396,18 @@
 fn changes_between(
     before: &[QuarantinedParts],
     after: &[QuarantinedParts],
+    now: Instant,
 ) -> Vec<QuarantineChange> {
     let is_in = |list: &[QuarantinedParts], parts: &[RequestPart]| {
         list.iter().any(|known| known.parts == parts)
     };
-    let begun = after.iter().filter(|known| !is_in(before, &known.parts));
+    let was_refused = |parts: &[RequestPart]| {
+        let mut before = before.iter();
+        before.any(|known| known.parts == parts && now < known.until)
+    };
+    let begun = after
+        .iter()
+        .filter(|known| now < known.until && !was_refused(&known.parts));
     let ended = before.iter().filter(|known| !is_in(after, &known.parts));
     let begun = begun.cloned().map(QuarantineChange::Begun);
     begun
--- a/src/decide/part_quarantine/records.rs
+++ b/src/decide/part_quarantine/records.rs
@@ -7,6 +7,7 @@
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantineRecord;
 use crate::decide::known_crash::KnownCrash;
+use crate::decide::known_crash::time_before;
 use crate::decide::part_quarantine::DatedCrash;
 
 /// The number of quarantines that are kept.
@@ -18,9 +19,13 @@
         let causes = self.causes.iter().take(RECORDS_MAX);
         let records = causes.map(|(parts, crashes)| {
             let with_age = |(crash, at): &DatedCrash| (*crash, now.saturating_duration_since(*at));
+            let probes = self.probes.get(parts).into_iter().flatten();
             QuarantineRecord {
                 parts: parts.clone(),
                 crashes: crashes.iter().map(with_age).collect(),
+                probes: probes
+                    .map(|at| now.saturating_duration_since(*at))
+                    .collect(),
             }
         });
         records.collect()
@@ -39,6 +44,8 @@
             };
             changes.extend(self.record_crash(suspect, KnownCrash::told(*age, now), now));
         }
+        let probes = record.probes.iter().map(|age| time_before(now, *age));
+        changes.extend(self.restore_probes(&record.parts, probes.collect(), now));
         changes
     }
 }
--- a/src/decide/quarantine_record.rs
+++ b/src/decide/quarantine_record.rs
@@ -13,6 +13,8 @@
     pub parts: Vec<RequestPart>,
     /// The last crashes, each with its age.
     pub crashes: Vec<(CrashId, Duration)>,
+    /// The ages of the probes since the quarantine began, in their order.
+    pub probes: Vec<Duration>,
 }
 
 impl QuarantineRecord {
--- a/src/decide/quarantined_parts.rs
+++ b/src/decide/quarantined_parts.rs
@@ -15,14 +15,19 @@
     pub parts: Vec<RequestPart>,
     /// The number of upstreams that have crashed.
     pub crashes: usize,
-    /// When requests with the parts may be sent again.
+    /// Until when all requests with the parts are refused. From then on one of them may be a probe.
     pub until: Instant,
 }
 
 impl QuarantinedParts {
     /// Whether a request with these parts is refused.
     pub fn applies_to(&self, parts: &[RequestPart], now: Instant) -> bool {
-        now < self.until && self.parts.iter().all(|part| parts.contains(part))
+        now < self.until && self.are_all_in(parts)
+    }
+
+    /// Whether a request with these parts has all of the quarantined ones.
+    pub fn are_all_in(&self, parts: &[RequestPart]) -> bool {
+        self.parts.iter().all(|part| parts.contains(part))
     }
 
     /// How long the quarantine lasts from now on.
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -54,6 +54,8 @@
     pub(super) not_run: u32,
     /// Number of sends that may have run, the present one included.
     pub(super) runs: u32,
+    /// Whether the call is the probe of quarantined parts.
+    pub(super) is_probe: bool,
     /// Number of times that the upstreams were compared to choose one.
     pub(super) choices: u32,
     /// Whether waiting calls are served in an order, which they are where the manifest lists
@@ -99,6 +101,7 @@
             arrivals: 0,
             not_run: 0,
             runs: 0,
+            is_probe: false,
             choices: 0,
             is_admitted: false,
             place: None,
@@ -125,6 +128,9 @@
     }
 
     fn runs_max(&self) -> u32 {
+        if self.is_probe {
+            return 1;
+        }
         self.call.route.runs_max.max(1)
     }
 
--- a/src/gateway/call_sending.rs
+++ b/src/gateway/call_sending.rs
@@ -114,9 +114,7 @@
                 continue;
             };
             // The call may have been found to crash upstreams during the reservation.
-            if reservation.is_some()
-                && let Some(refusal) = self.crash_refusal(self.gateway.clock.now())
-            {
+            if let Some(refusal) = self.final_crash_refusal().await {
                 return NextSend::refused(self.refuse(refusal));
             }
             if !self.gateway.accept_requests(placement.upstream_ids()) {
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -106,6 +106,15 @@
     pub replaces: Option<ObjectVersion>,
 }
 
+/// The result of a claim to send a probe of quarantined parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeClaim {
+    /// This host may send it.
+    Claimed,
+    /// Another host has claimed a probe, with which the quarantine is saved.
+    Taken(SavedQuarantine),
+}
+
 /// The result of a read of the evacuations.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EvacuationsRead {
@@ -195,12 +204,19 @@
     /// Reads the quarantines of parts that crash upstreams.
     fn quarantines(&self) -> BoxFuture<'_, Result<Vec<SavedQuarantine>, CatalogError>>;
 
-    /// Saves a quarantine. One with the same id is replaced if it lacks some of the crashes.
+    /// Saves a quarantine. What is saved of the same parts is kept.
     fn save_quarantine(
         &self,
         quarantine: SavedQuarantine,
     ) -> BoxFuture<'_, Result<(), CatalogError>>;
 
+    /// Saves a quarantine whose last probe this host is about to send, unless as many probes are saved
+    /// already.
+    fn claim_probe(
+        &self,
+        quarantine: SavedQuarantine,
+    ) -> BoxFuture<'_, Result<ProbeClaim, CatalogError>>;
+
     /// Deletes a quarantine.
     fn delete_quarantine(&self, id: QuarantineId) -> BoxFuture<'_, Result<(), CatalogError>>;
 
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -343,6 +343,18 @@
         /// The id of the quarantine.
         quarantine: String,
     },
+    /// The time of a quarantine is over, and a request was to show whether it still crashes upstreams.
+    QuarantineProbe {
+        /// The id of the request.
+        request: String,
+        /// The ids of the quarantined parts.
+        parts: Vec<String>,
+        /// The number of upstreams that have crashed.
+        crashes: usize,
+        /// Whether the request is the probe, and sent. If not, another one is, or the platform has not
+        /// answered, and the request is refused.
+        is_claimed: bool,
+    },
     /// A call to the platform about quarantines failed. It is repeated.
     QuarantinesFailed {
         /// The error.
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::decide::CallEnd;
+use crate::decide::CrashCheck;
 use crate::decide::CrashSuspect;
 use crate::decide::EndedCall;
 use crate::decide::LossPoint;
@@ -36,13 +37,20 @@
 
     /// The quarantined parts because of which a call is refused, if any.
     pub(crate) fn find_quarantined(&self, call: &Call, now: Instant) -> Option<QuarantinedParts> {
-        // Hashing a large body takes a while, so it is done only if anything is quarantined.
-        let has_any = self.part_quarantine().quarantined(now).next().is_some();
-        if !has_any {
-            return None;
+        match self.check_crashes(call, now) {
+            CrashCheck::Admit => None,
+            CrashCheck::Refuse(quarantined) | CrashCheck::Probe(quarantined) => Some(quarantined),
+        }
+    }
+
+    /// Whether a call may be sent, as far as it may crash upstreams.
+    pub(crate) fn check_crashes(&self, call: &Call, now: Instant) -> CrashCheck {
+        // Hashing a large body takes a while, so it is done only if it can matter.
+        if self.part_quarantine().admits_all() {
+            return CrashCheck::Admit;
         }
         let parts = call.parts();
-        self.part_quarantine().find(&parts, now).cloned()
+        self.part_quarantine().check(&parts, now)
     }
 
     /// Records that the connection to an upstream broke while it answered a call. The parts of the
--- a/src/gateway/quarantine_sync.rs
+++ b/src/gateway/quarantine_sync.rs
@@ -13,12 +13,15 @@
 use indexmap::IndexSet;
 use tokio::time::sleep;
 
+use crate::decide::CrashCheck;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantineRecord;
+use crate::decide::RequestPart;
 use crate::gateway::Catalog;
 use crate::gateway::CatalogError;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
+use crate::gateway::ProbeClaim;
 use crate::gateway::SavedQuarantine;
 use crate::units::BoundedTime;
 use crate::units::CrashId;
@@ -58,11 +61,18 @@
     gateway.starting_reader_found().await;
     let mut sync = QuarantineSync::new(Arc::clone(&gateway), catalog);
     loop {
+        sync.answer_claims().await;
         let is_done = sync.pass().await;
-        if is_done {
-            gateway.quarantines_changed.notified().await;
-        } else {
-            sleep(sync.interval()).await;
+        let next_pass = async {
+            if is_done {
+                gateway.quarantines_changed.notified().await;
+            } else {
+                sleep(sync.interval()).await;
+            }
+        };
+        tokio::select! {
+            () = next_pass => {}
+            () = gateway.probe_claims.wait_until_pending() => {}
         }
     }
 }
@@ -124,6 +134,55 @@
         Ok(is_done)
     }
 
+    /// Answers the claims of calls to be probes.
+    async fn answer_claims(&mut self) {
+        for claim in self.gateway.probe_claims.take_pending() {
+            let is_claimed = match self.claim_probe(&claim.parts).await {
+                Ok(is_claimed) => is_claimed,
+                Err(err) => {
+                    self.gateway.log.record(DecisionEvent::QuarantinesFailed {
+                        error: err.to_string(),
+                    });
+                    let now = self.gateway.clock.now();
+                    self.gateway.probe_claims.on_failure(now);
+                    false
+                }
+            };
+            // A call that no longer waits does not need the answer.
+            let _ = claim.answer.send(is_claimed);
+        }
+    }
+
+    /// Claims a probe in the platform if one is due. Returns whether this host may send it.
+    async fn claim_probe(&self, parts: &[RequestPart]) -> Result<bool, CatalogError> {
+        let now = self.gateway.clock.now();
+        let records = {
+            let quarantine = self.gateway.part_quarantine();
+            let is_due = matches!(quarantine.check(parts, now), CrashCheck::Probe(_));
+            is_due.then(|| quarantine.records(now))
+        };
+        let mut records = records.into_iter().flatten();
+        let Some(mut record) = records.find(|record| record.parts == parts) else {
+            return Ok(false);
+        };
+        record.probes.push(Duration::ZERO);
+        let wall = self.gateway.clock.wall();
+        let claim = self
+            .catalog
+            .claim_probe(SavedQuarantine::new(&record, wall))
+            .await?;
+        let now = self.gateway.clock.now();
+        let changes = match &claim {
+            ProbeClaim::Claimed => self.gateway.part_quarantine().on_probe(parts, now, now),
+            ProbeClaim::Taken(saved) => {
+                let record = saved.record(self.gateway.clock.wall());
+                self.gateway.part_quarantine().restore(&record, now)
+            }
+        };
+        self.gateway.log_quarantine_changes(&changes, None);
+        Ok(claim == ProbeClaim::Claimed)
+    }
+
     /// Saves all quarantines again after the store was restored from an older copy.
     fn forget_former_era(&mut self) {
         let era = self.gateway.catalog_cache.routes_version().era();
--- a/src/gateway/saved_quarantine.rs
+++ b/src/gateway/saved_quarantine.rs
@@ -18,6 +18,8 @@
     pub parts: Vec<RequestPart>,
     /// The last crashes, with the time of day.
     pub crashes: Vec<(CrashId, SystemTime)>,
+    /// The times of day of the probes, in their order.
+    pub probes: Vec<SystemTime>,
 }
 
 impl SavedQuarantine {
@@ -26,9 +28,12 @@
         let crashes = record.crashes.iter();
         let crashes =
             crashes.filter_map(|(crash, age)| wall.checked_sub(*age).map(|at| (*crash, at)));
+        let probes = record.probes.iter();
+        let probes = probes.map(|age| wall.checked_sub(*age).unwrap_or(wall));
         Self {
             parts: record.parts.clone(),
             crashes: crashes.collect(),
+            probes: probes.collect(),
         }
     }
 
@@ -37,13 +42,31 @@
         QuarantineId::of_parts(&self.parts)
     }
 
-    /// Whether this has all crashes of the other one.
+    /// Whether this has all crashes and probes of the other one.
     pub fn includes(&self, other: &Self) -> bool {
-        let has = |crash: &CrashId| self.crashes.iter().any(|(known, _)| known == crash);
-        other.crashes.iter().all(|(crash, _)| has(crash))
+        let mut crashes = other.crashes.iter();
+        self.probes.len() >= other.probes.len() && crashes.all(|(crash, _)| self.has(*crash))
     }
 
-    /// The record at this time of day. Crashes that lie in the future are left out.
+    fn has(&self, crash: CrashId) -> bool {
+        self.crashes.iter().any(|(known, _)| *known == crash)
+    }
+
+    /// Adds what the other one knows of the same parts.
+    pub fn merge(&mut self, other: &Self) {
+        let crashes = other.crashes.iter();
+        let missing: Vec<_> = crashes
+            .filter(|(crash, _)| !self.has(*crash))
+            .copied()
+            .collect();
+        self.crashes.extend(missing);
+        if other.probes.len() > self.probes.len() {
+            self.probes.clone_from(&other.probes);
+        }
+    }
+
+    /// The record at this time of day. Crashes that lie in the future are left out, and probes count as
+    /// of now: there are no fewer of them.
     pub(crate) fn record(&self, wall: SystemTime) -> QuarantineRecord {
         let age = |at: SystemTime| match wall.duration_since(at) {
             Ok(age) => Some(age),
@@ -54,6 +77,11 @@
         QuarantineRecord {
             parts: self.parts.clone(),
             crashes: crashes.collect(),
+            probes: self
+                .probes
+                .iter()
+                .map(|at| age(*at).unwrap_or_default())
+                .collect(),
         }
     }
 }
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -40,6 +40,7 @@
 use crate::gateway::evacuation_lease::EvacuationLease;
 use crate::gateway::heard_generation::HeardGeneration;
 use crate::gateway::log_limiter::LogLimiter;
+use crate::gateway::probe_claims::ProbeClaims;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::slowdowns::Slowdowns;
 use crate::gateway::starting_reader::FoundReader;
@@ -82,6 +83,8 @@
     own_quarantines: Mutex<IndexSet<QuarantineId>>,
     /// Notified when quarantines are to be saved or deleted.
     pub(crate) quarantines_changed: Notify,
+    /// The calls that may be probes of quarantined parts.
+    pub(crate) probe_claims: ProbeClaims,
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
@@ -172,6 +175,7 @@
             part_quarantine: Mutex::default(),
             own_quarantines: Mutex::default(),
             quarantines_changed: Notify::new(),
+            probe_claims: ProbeClaims::default(),
             shutdown_requested_at: watch::Sender::new(None),
             in_flight: AtomicU64::new(0),
             caller_connections: CallerConnections::default(),
--- a/tests/decide_part_quarantine.rs
+++ b/tests/decide_part_quarantine.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use banyanarch::decide::CallEnd;
+use banyanarch::decide::CrashCheck;
 use banyanarch::decide::CrashSuspect;
+use banyanarch::decide::EndedCall;
 use banyanarch::decide::PartEvidence;
 use banyanarch::decide::PartQuarantine;
+use banyanarch::decide::QuarantineChange;
 use banyanarch::decide::RequestPart;
 use banyanarch::exchange::PartEvidenceEntry;
 use banyanarch::units::CrashId;
@@ -355,6 +359,73 @@
     assert!((3..=6).contains(&crashes.len()), "{crashes:?}");
 }
 
+/// A request that is refused since its third crash, and the time from which it may be probed.
+fn refused_request() -> (PartQuarantine, Instant) {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        quarantine.on_crash(suspected_request(crash, BAD), now);
+    }
+    let due_at = now + Duration::from_secs(31);
+    let check = quarantine.check(&[whole(BAD)], due_at);
+    assert!(matches!(check, CrashCheck::Probe(_)), "{check:?}");
+    (quarantine, due_at)
+}
+
+fn is_refused_at(quarantine: &PartQuarantine, now: Instant) -> bool {
+    matches!(quarantine.check(&[whole(BAD)], now), CrashCheck::Refuse(_))
+}
+
+/// Guards against hosts that all pass a request on when its first refusal is over: beside a probe, and
+/// after one that has shown nothing or a crash, it is refused for longer each time.
+#[parameterized(
+    unanswered = { false, 590 },
+    crashed = { true, 86_000 },
+)]
+fn a_request_is_refused_while_it_is_probed(has_crashed: bool, refused_for_s: u64) {
+    let (mut quarantine, now) = refused_request();
+    quarantine.on_probe(&[whole(BAD)], now, now);
+    if has_crashed {
+        quarantine.on_crash(suspected_request(4, BAD), now);
+    }
+    assert!(is_refused_at(&quarantine, now));
+    let later = now + Duration::from_secs(refused_for_s);
+    assert!(is_refused_at(&quarantine, later));
+}
+
+/// Guards against a request that every host may probe once more after a restart of all hosts.
+#[test]
+fn probes_are_known_after_a_restart() {
+    let (mut quarantine, now) = refused_request();
+    quarantine.on_probe(&[whole(BAD)], now, now);
+    let mut started = PartQuarantine::default();
+    for record in quarantine.records(now) {
+        started.restore(&record, now);
+    }
+    let later = now + Duration::from_secs(590);
+    assert!(is_refused_at(&started, later));
+}
+
+/// Guards against a sound request that stays refused after a probe, and against one that is cleared by an
+/// answer to it before it is known whether the upstream lives on.
+#[test]
+fn a_probe_ends_a_refusal_once_its_upstream_has_lived_on() {
+    let (mut quarantine, now) = refused_request();
+    quarantine.on_probe(&[whole(BAD)], now, now);
+    let answered = EndedCall {
+        crash: CrashId(9),
+        request: RequestHash(BAD),
+        parts: Vec::new(),
+        end: CallEnd::Succeeded,
+    };
+    quarantine.on_call_ended(answered, now);
+    assert!(is_refused_at(&quarantine, now));
+    let later = now + Duration::from_secs(3);
+    let changes = quarantine.on_alive(CrashId(9), later, later);
+    assert!(matches!(changes[..], [QuarantineChange::Ended(_)]));
+    assert_eq!(quarantine.check(&[whole(BAD)], later), CrashCheck::Admit);
+}
+
 /// Guards against a sound request that is refused for long because it was lost beside three crashes.
 #[test]
 fn a_request_that_was_lost_three_times_is_soon_served_again() {
--- a/tests/gateway_readmission.rs
+++ b/tests/gateway_readmission.rs
@@ -70,7 +70,7 @@
     let bad = join_all(names.iter().map(|name| world.call_bad(name, bad)));
     let (refused, sound) = tokio::join!(bad, world.call_sound(0, sound_for));
     let late = world.late_arrivals(Common::Request);
-    assert!(late.len() <= LATE_ARRIVALS_MAX, "{late:?}");
+    assert!(late.len() <= LATE_ARRIVALS_MAX, "{late:.1?}");
     assert!(refused.iter().all(|refused| *refused > 0), "{refused:?}");
     assert_eq!(sound, 0);
 }
--- a/tests/gateway_world/catalog.rs
+++ b/tests/gateway_world/catalog.rs
@@ -16,6 +16,7 @@
 use banyanarch::gateway::CatalogRead;
 use banyanarch::gateway::EvacuationsRead;
 use banyanarch::gateway::ListedUpstream;
+use banyanarch::gateway::ProbeClaim;
 use banyanarch::gateway::ReaderClaim;
 use banyanarch::gateway::RoutesRead;
 use banyanarch::gateway::SavedQuarantine;
@@ -396,6 +397,13 @@
     }
 }
 
+fn merge_quarantine(state: &mut PlatformState, mut quarantine: SavedQuarantine) {
+    if let Some(known) = state.quarantines.get(&quarantine.id()) {
+        quarantine.merge(known);
+    }
+    state.quarantines.insert(quarantine.id(), quarantine);
+}
+
 impl Catalog for FakeCatalog {
     fn routes(
         &self,
@@ -415,12 +423,26 @@
         &self,
         quarantine: SavedQuarantine,
     ) -> BoxFuture<'_, Result<(), CatalogError>> {
-        let saved = self.respond(|state| {
-            state.quarantines.insert(quarantine.id(), quarantine);
-        });
+        let saved = self.respond(|state| merge_quarantine(state, quarantine));
         async move { saved }.boxed()
     }
 
+    fn claim_probe(
+        &self,
+        quarantine: SavedQuarantine,
+    ) -> BoxFuture<'_, Result<ProbeClaim, CatalogError>> {
+        let claimed = self.respond(|state| match state.quarantines.get(&quarantine.id()) {
+            Some(known) if known.probes.len() >= quarantine.probes.len() => {
+                ProbeClaim::Taken(known.clone())
+            }
+            _ => {
+                merge_quarantine(state, quarantine);
+                ProbeClaim::Claimed
+            }
+        });
+        async move { claimed }.boxed()
+    }
+
     fn delete_quarantine(&self, id: QuarantineId) -> BoxFuture<'_, Result<(), CatalogError>> {
         let deleted = self.respond(|state| state.quarantines.shift_remove(&id));
         async move { deleted?.map(|_| ()).ok_or(CatalogError::NotFound) }.boxed()
--- a/tests/gateway_world/crash_world.rs
+++ b/tests/gateway_world/crash_world.rs
@@ -147,10 +147,12 @@
         self.catalog.add_quarantine(SavedQuarantine {
             parts: vec![request.into()],
             crashes: crashes.map(|crash| (crash, crashed_at)).into(),
+            probes: Vec::new(),
         });
         let record = QuarantineRecord {
             parts: vec![request.into()],
             crashes: crashes.map(|crash| (crash, crashed_before)).into(),
+            probes: Vec::new(),
         };
         for host in &self.hosts {
             let now = host.gateway.clock.now();
