One call of a request that crashes upstreams ends two of them at most, the next ones one

What callers saw: with a route of three attempts, a request whose upstreams answer 500 and end cost three upstreams each time that it came, nine before it was refused, six of them later than allowed.

Cause: the sends of one call lie within milliseconds. Each is decided before the end of the upstream before is known, and crashes less than 200 ms apart count as one, so that three calls were needed for three crashes.

Change: a call that two upstreams have failed, or broken their connections to, is not sent again. A call with a request under which two upstreams have ended runs on one upstream only. Silent upstreams do not count.

--- a/src/decide/crash_check.rs
+++ b/src/decide/crash_check.rs
@@ -7,6 +7,9 @@
 pub enum CrashCheck {
     /// Nothing is known against it.
     Admit,
+    /// Upstreams have ended under earlier calls with this request, and none has answered it since. The
+    /// call may run on one upstream only.
+    AdmitOnce,
     /// It is refused.
     Refuse(QuarantinedParts),
     /// Calls with these parts were refused for long enough. One call of all hosts may show whether they
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -69,6 +69,11 @@
         self.serves.push_back(at);
     }
 
+    /// Whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
     /// Whether there are calls that count for the request as a whole and suspect nothing by themselves.
     pub(crate) fn has_weak(&self) -> bool {
         self.calls.keys().any(LostCall::is_weak)
@@ -259,7 +264,12 @@
     }
 
     /// The number of crashes in which a call with the part was lost.
-    fn crashes_with(&self, part: RequestPart, served: &ServedRecord, now: Instant) -> usize {
+    pub(crate) fn crashes_with(
+        &self,
+        part: RequestPart,
+        served: &ServedRecord,
+        now: Instant,
+    ) -> usize {
         let calls = self.calls_with(part, served, now);
         let crashes: IndexSet<CrashId> = calls.map(|(call, ..)| call.crash).collect();
         crashes.len()
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -131,13 +131,24 @@
         match matching.max_by_key(|known| known.until) {
             Some(known) if now < known.until => CrashCheck::Refuse(known.clone()),
             Some(known) => CrashCheck::Probe(known.clone()),
+            None if self.has_ended_several(parts, now) => CrashCheck::AdmitOnce,
             None => CrashCheck::Admit,
         }
     }
 
+    /// Whether almost as many upstreams as begin a quarantine have ended under the request as a whole,
+    /// and none has answered it since.
+    fn has_ended_several(&self, parts: &[RequestPart], now: Instant) -> bool {
+        let mut whole = parts.iter().filter(|part| part.is_whole());
+        whole.any(|part| {
+            let crashes = self.lost_calls.crashes_with(*part, &self.served, now);
+            crashes + 1 >= CRASHES_MIN
+        })
+    }
+
     /// Whether [`PartQuarantine::check`] admits all calls, whatever their parts.
     pub fn admits_all(&self) -> bool {
-        self.quarantined.is_empty()
+        self.quarantined.is_empty() && self.lost_calls.is_empty()
     }
 
     /// All quarantined parts.
--- a/src/gateway/call_crashes.rs
+++ b/src/gateway/call_crashes.rs
@@ -22,6 +22,11 @@
         }
         match self.gateway.check_crashes(&self.call, now) {
             CrashCheck::Admit | CrashCheck::Probe(_) => None,
+            CrashCheck::AdmitOnce => {
+                // The loss may be one of this call.
+                self.may_run_once_only |= self.runs == 0;
+                None
+            }
             CrashCheck::Refuse(quarantined) => {
                 Some(refusal(&quarantined, quarantined.time_left(now)))
             }
--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -30,6 +30,10 @@
 /// Delay after no other upstream could take the call of a silent one; doubled each time.
 pub(crate) const RESEND_DELAY: Duration = Duration::from_millis(300);
 
+/// The number of upstreams at which a call fails or that break their connections to it before it is not
+/// sent again.
+const FAULTY_RUNS_MAX: u32 = 2;
+
 /// The result of dispatching a call.
 pub(crate) enum DispatchOutcome {
     /// An upstream answered, possibly with a failure, which the caller gets unchanged.
@@ -56,6 +60,9 @@
     pub(super) runs: u32,
     /// Whether the call is the probe of quarantined parts.
     pub(super) is_probe: bool,
+    /// Whether the call may run on one upstream only, since earlier ones with the request
+    /// have ended upstreams.
+    pub(super) may_run_once_only: bool,
     /// Number of times that the upstreams were compared to choose one.
     pub(super) choices: u32,
     /// Whether waiting calls are served in an order, which they are where the manifest lists
@@ -88,10 +95,7 @@
     pub(crate) fn new(gateway: Arc<Gateway>, call: Arc<Call>) -> Self {
         let routes = gateway.platform_view.routes();
         let forwarded_at = call.arrived_at;
-        let recorder = CallRecorder {
-            gateway: Arc::clone(&gateway),
-            call: Arc::clone(&call),
-        };
+        let recorder = CallRecorder::new(&gateway, &call);
         Self {
             is_ordered: routes.is_some_and(|routes| routes.keys.is_required()),
             standing: gateway.record_arrival(&call),
@@ -102,6 +106,7 @@
             not_run: 0,
             runs: 0,
             is_probe: false,
+            may_run_once_only: false,
             choices: 0,
             is_admitted: false,
             place: None,
@@ -127,8 +132,11 @@
         self.runs == 0 || (self.call.route.kind.is_repeatable() && self.runs < self.runs_max())
     }
 
+    /// The number of upstreams that the call may run on. What several of them have failed at is more
+    /// likely to be the fault of the call.
     fn runs_max(&self) -> u32 {
-        if self.is_probe {
+        let has_failed = self.recorder.faulty_runs() >= FAULTY_RUNS_MAX;
+        if self.is_probe || self.may_run_once_only || has_failed {
             return 1;
         }
         self.call.route.runs_max.max(1)
--- a/src/gateway/call_recorder.rs
+++ b/src/gateway/call_recorder.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use crate::decide::RequestPart;
 use crate::decide::UpstreamFault;
@@ -20,15 +22,31 @@
 pub(crate) struct CallRecorder {
     pub(super) gateway: Arc<Gateway>,
     pub(super) call: Arc<Call>,
+    /// The number of upstreams at which the call has failed or was lost.
+    faulty_runs: Arc<AtomicU32>,
 }
 
 impl CallRecorder {
+    pub(super) fn new(gateway: &Arc<Gateway>, call: &Arc<Call>) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            call: Arc::clone(call),
+            faulty_runs: Arc::default(),
+        }
+    }
+
+    /// The number of upstreams that have failed the call or broken their connections to it.
+    pub(super) fn faulty_runs(&self) -> u32 {
+        self.faulty_runs.load(Ordering::Relaxed)
+    }
+
     /// Records the head of a response.
     pub(super) fn on_response(&self, response: &UpstreamResponse) {
         let upstream = &response.upstream;
         let has_failed = response.head.status.is_server_error();
         self.on_heard(upstream, !has_failed);
         if has_failed {
+            self.faulty_runs.fetch_add(1, Ordering::Relaxed);
             self.on_fault(upstream, UpstreamFault::Failed, "failed", None);
         }
     }
@@ -92,6 +110,9 @@
         if fault == UpstreamFault::Silent {
             return;
         }
+        if matches!(fault, UpstreamFault::Broken | UpstreamFault::Failed) {
+            self.faulty_runs.fetch_add(1, Ordering::Relaxed);
+        }
         self.gateway
             .silences()
             .on_lost(&self.call.service, &upstream.id);
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -38,7 +38,7 @@
     /// The quarantined parts because of which a call is refused, if any.
     pub(crate) fn find_quarantined(&self, call: &Call, now: Instant) -> Option<QuarantinedParts> {
         match self.check_crashes(call, now) {
-            CrashCheck::Admit => None,
+            CrashCheck::Admit | CrashCheck::AdmitOnce => None,
             CrashCheck::Refuse(quarantined) | CrashCheck::Probe(quarantined) => Some(quarantined),
         }
     }
