A host that stops answers all calls before it exits, and takes those alone that can end

What callers saw: in a planned stop, calls that a host had taken late in its grace period were cut at its exit with no answer, plain ones that may not be repeated among them, so that nobody could tell whether they had run.

Cause: the time in which a stopping host takes calls is a constant, whatever they take, and at its exit what still ran was dropped with its connection.

Streams that have begun are still cut.

--- a/src/gateway/call_dispatcher.rs
+++ b/src/gateway/call_dispatcher.rs
@@ -262,7 +262,7 @@
     /// Returns the refusal for the caller, which says that the call has not run only if that is
     /// certain. Logs a refusal because of overload, and the reason for which a call that may have run
     /// is not sent again.
-    pub(super) fn refuse(&mut self, refusal: CallRefusal) -> CallRefusal {
+    pub(crate) fn refuse(&mut self, refusal: CallRefusal) -> CallRefusal {
         let refused_before = self.refused_for.replace(refusal.name());
         if let Some(place) = &self.place {
             self.record_queue_wait(place);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -34,8 +34,10 @@
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
+use crate::gateway::request_tracker::OUTCOME_SERVED;
 use crate::gateway::request_tracker::RequestTracker;
 use crate::gateway::send::UpstreamResponse;
+use crate::gateway::server::wait_for_phase;
 use crate::gateway::stream_relay::StreamRelay;
 use crate::http::one_shot::error_with_causes;
 use crate::http::one_shot::is_truncated;
@@ -93,6 +95,9 @@
     let routes = gateway.platform_view.routes();
     let routes = routes.ok_or_else(|| refused(CallRefusal::NoManifest))?;
     let mut call = route_call(gateway, &routes, head, request_head, arrived_at).map_err(refused)?;
+    if !gateway.has_time_for(&call) {
+        return Err(refused(CallRefusal::Stopping));
+    }
     let body_max = routes.limits.body_bytes;
     let body = Limited::new(body, body_max).collect();
     let body = timeout_at(call.deadline.into(), body).await;
@@ -181,8 +186,18 @@
     })
 }
 
-/// Sends an admitted call to upstreams and builds the response for the caller. A call whose
-/// response breaks off before any of it was forwarded is sent again if it may run again.
+/// How an admitted call has ended, or goes on.
+enum Served {
+    /// The stream that the caller gets from here on.
+    Stream(Box<UpstreamResponse>),
+    /// The complete answer.
+    Full(Response<ResponseBody>),
+    /// The caller gets no answer of an upstream.
+    Refused(CallRefusal),
+}
+
+/// Sends an admitted call to upstreams and builds the response for the caller. What has no answer when
+/// the host is about to exit is told whether it may have run.
 async fn serve_call(
     gateway: &Arc<Gateway>,
     call: Call,
@@ -190,30 +205,47 @@
 ) -> Response<ResponseBody> {
     let call = Arc::new(call);
     let mut dispatcher = CallDispatcher::new(Arc::clone(gateway), Arc::clone(&call));
+    let served = tokio::select! {
+        served = dispatch_to_answer(&mut dispatcher) => Some(served),
+        () = wait_for_phase(gateway, ShutdownPhase::Answering) => None,
+    };
+    match served {
+        Some(Served::Stream(response)) => stream_response(dispatcher, response, tracker),
+        Some(Served::Full(res)) => {
+            tracker.on_first_event(gateway.clock.now());
+            let outcome = if res.status().is_success() {
+                OUTCOME_SERVED
+            } else {
+                "upstream_failure"
+            };
+            tracker.finish(outcome, res.status().as_u16());
+            res
+        }
+        Some(Served::Refused(refusal)) => {
+            local_response(gateway, &call.head.request, &refusal, tracker)
+        }
+        None => {
+            dispatcher.stop_waiting();
+            let refusal = dispatcher.refuse(CallRefusal::Stopping);
+            local_response(gateway, &call.head.request, &refusal, tracker)
+        }
+    }
+}
+
+/// Sends a call to upstreams. One whose response breaks off before any of it was forwarded is sent again
+/// if it may run again.
+async fn dispatch_to_answer(dispatcher: &mut CallDispatcher) -> Served {
     loop {
         let response = match dispatcher.dispatch(None).await {
             DispatchOutcome::Answered(response) => response,
-            DispatchOutcome::Refused(refusal) => {
-                return local_response(gateway, &call.head.request, &refusal, tracker);
-            }
+            DispatchOutcome::Refused(refusal) => return Served::Refused(refusal),
         };
-        if call.route.kind.is_stream() && response.head.status.is_success() {
-            return stream_response(dispatcher, response, tracker);
+        if dispatcher.call.route.kind.is_stream() && response.head.status.is_success() {
+            return Served::Stream(response);
         }
-        match read_full_response(&dispatcher, *response).await {
-            Ok(res) => {
-                tracker.on_first_event(gateway.clock.now());
-                let outcome = if res.status().is_success() {
-                    "served"
-                } else {
-                    "upstream_failure"
-                };
-                tracker.finish(outcome, res.status().as_u16());
-                return res;
-            }
-            Err(Some(refusal)) => {
-                return local_response(gateway, &call.head.request, &refusal, tracker);
-            }
+        match read_full_response(dispatcher, *response).await {
+            Ok(res) => return Served::Full(res),
+            Err(Some(refusal)) => return Served::Refused(refusal),
             // The response broke off, and the call may be sent again.
             Err(None) => {}
         }
--- a/src/gateway/request_tracker.rs
+++ b/src/gateway/request_tracker.rs
@@ -17,6 +17,9 @@
 /// The status logged for a request whose caller disconnected before the response.
 const STATUS_CALLER_GONE: u16 = 499;
 
+/// The outcome of a request that was answered with success, to the end.
+pub(crate) const OUTCOME_SERVED: &str = "served";
+
 /// The progress of one request from its head to its end. If a tracker is dropped unfinished, the
 /// caller has disconnected, and this is recorded as the end.
 pub(crate) struct RequestTracker {
@@ -109,6 +112,10 @@
             metrics.record_longest_pause(self.customer.as_ref(), self.longest_pause);
         }
         let now = self.gateway.clock.now();
+        let took = now.saturating_duration_since(self.arrived_at);
+        if outcome == OUTCOME_SERVED {
+            self.gateway.durations().record(&self.route, took);
+        }
         self.gateway.log.record(DecisionEvent::Ended {
             request: std::mem::take(&mut self.request),
             route: std::mem::take(&mut self.route),
@@ -120,7 +127,7 @@
             outcome: outcome.to_owned(),
             cause: self.cause.take(),
             status,
-            elapsed_ms: whole_millis(now.saturating_duration_since(self.arrived_at)),
+            elapsed_ms: whole_millis(took),
             first_event_ms: self.first_event.map(whole_millis),
             longest_pause_ms: whole_millis(self.longest_pause),
             generation: self.generation.0,
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -25,6 +25,7 @@
 use crate::decide::PartQuarantine;
 use crate::decide::PathTracker;
 use crate::decide::RetryWindow;
+use crate::decide::RouteDurations;
 use crate::decide::SilenceTracker;
 use crate::exchange::UpdateRoute;
 use crate::gateway::DecisionLog;
@@ -76,6 +77,7 @@
     shares: Mutex<CustomerShares>,
     health: Mutex<HealthTracker>,
     silences: Mutex<SilenceTracker>,
+    durations: Mutex<RouteDurations>,
     paths: Mutex<PathTracker>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     pub(crate) part_quarantine: Mutex<PartQuarantine>,
@@ -169,6 +171,7 @@
             shares: Mutex::default(),
             health: Mutex::default(),
             silences: Mutex::default(),
+            durations: Mutex::default(),
             paths: Mutex::default(),
             tunnels: TunnelCounter::default(),
             retries: Mutex::default(),
@@ -226,6 +229,13 @@
         self.silences.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks how long requests take.
+    pub(crate) fn durations(&self) -> MutexGuard<'_, RouteDurations> {
+        self.durations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the reachability of upstreams by direct network paths.
     pub fn paths(&self) -> MutexGuard<'_, PathTracker> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/shared/shutdown_state.rs
+++ b/src/gateway/shared/shutdown_state.rs
@@ -1,8 +1,10 @@
 //! The graceful shutdown of a host.
 
+use crate::gateway::Call;
 use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::shutdown::ends_in_time;
 
 impl Gateway {
     /// Starts the graceful shutdown. Later calls have no effect.
@@ -26,6 +28,17 @@
         let _ = requested.wait_for(Option::is_some).await;
     }
 
+    /// Whether a new call is likely to end before this host exits, as far as calls of its route tell.
+    pub(crate) fn has_time_for(&self, call: &Call) -> bool {
+        let requested_at = *self.shutdown_requested_at.borrow();
+        if requested_at.is_none() {
+            return true;
+        }
+        let takes = self.durations().longest(&call.route.name);
+        let now = self.clock.now();
+        ends_in_time(requested_at, self.conf.stop_grace, takes, now)
+    }
+
     /// The current phase of the shutdown.
     pub fn phase(&self) -> ShutdownPhase {
         let requested_at = *self.shutdown_requested_at.borrow();
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -21,6 +21,7 @@
 use crate::gateway::engine_run::EngineRun;
 use crate::gateway::engine_run::RunInput;
 use crate::gateway::engine_run::next_input;
+use crate::gateway::request_tracker::OUTCOME_SERVED;
 use crate::gateway::request_tracker::RequestTracker;
 use crate::gateway::send::UpstreamResponse;
 
@@ -94,7 +95,7 @@
                     response.on_stream_end(&self.dispatcher.gateway);
                     response.run.on_answered(StatusCode::OK);
                     self.runs.clear();
-                    self.finish("served");
+                    self.finish(OUTCOME_SERVED);
                     return None;
                 }
                 RelayStep::Input(index, RunInput::Failed(failure)) => {
