Bodies that a host holds for all calls have one bound, from its own memory setting

Cause: each body had a bound, and all of them together had none.

A response that does not fit is dropped (memory_full, 502: it may have run), a request that does not fit is refused (503 no_memory: not run). Usual bodies need no reservation, so usual calls go on meanwhile. The semaphore of banyanarchd's bodies is the same budget now (http/byte_budget).

Evidence: the_bodies_of_all_calls_are_held_within_one_bound; with a budget too large to matter its sixteen calls are held until their deadline, ten seconds later, and it fails. Not in the bound: incomplete events, heads, the store's answers.

--- a/src/entry/body_reader.rs
+++ b/src/entry/body_reader.rs
@@ -1,6 +1,5 @@
 //! Reads request bodies within limits on size, time and memory.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,16 +7,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 
 use crate::entry::FailureReason;
+use crate::http::ByteBudget;
+use crate::http::ReservedBytes;
 use crate::units::ByteSize;
 
-/// The memory that one semaphore permit stands for. The semaphore takes at most 2^32 - 1 permits in
-/// one call, so a permit for each byte would limit a single body to 4 GiB.
-const PERMIT_BYTES: usize = 1 << 10;
-
 /// A caller that sends nothing for this long in the middle of its body is considered gone.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -27,32 +22,25 @@
 /// million-token prompts would exhaust the host's memory and fail every request on it; with the
 /// limit, the requests that do not fit are told to retry later.
 #[derive(Clone, Debug)]
-pub struct BodyMemory {
-    permits: Arc<Semaphore>,
-    permits_max: usize,
-}
+pub struct BodyMemory(ByteBudget);
 
 /// A body that has been read, with its reservation in the memory budget.
 #[derive(Debug)]
 pub struct BufferedBody {
     /// The whole body as one contiguous buffer.
     pub bytes: Bytes,
-    _permit: OwnedSemaphorePermit,
+    _reserved: ReservedBytes,
 }
 
 impl BodyMemory {
     /// Creates a budget of this size.
     pub fn new(size: ByteSize) -> Self {
-        let permits_max = (size.as_usize() / PERMIT_BYTES).min(Semaphore::MAX_PERMITS);
-        Self {
-            permits: Arc::new(Semaphore::new(permits_max)),
-            permits_max,
-        }
+        Self(ByteBudget::new(size))
     }
 
     /// The number of bytes that are reserved now.
     pub fn used_bytes(&self) -> usize {
-        (self.permits_max - self.permits.available_permits()) * PERMIT_BYTES
+        self.0.used_bytes()
     }
 
     /// Reads a body of at most `size_max`, and reserves memory for it before storing it.
@@ -66,7 +54,7 @@
             return Err(FailureReason::BodyTooLarge);
         }
         let announced_len = announced.and_then(|len| usize::try_from(len).ok());
-        let mut permit = self.reserve(announced_len.unwrap_or(0))?;
+        let mut reserved = self.reserve(announced_len.unwrap_or(0))?;
         let mut bytes = BytesMut::with_capacity(announced_len.unwrap_or(0));
         loop {
             let frame = tokio::time::timeout(BODY_READ_TIMEOUT, body.frame()).await;
@@ -81,21 +69,18 @@
                 return Err(FailureReason::BodyTooLarge);
             }
             if announced_len.is_none() {
-                permit.merge(self.reserve(data.len())?);
+                reserved.merge(self.reserve(data.len())?);
             }
             bytes.extend_from_slice(&data);
         }
         Ok(BufferedBody {
             bytes: bytes.freeze(),
-            _permit: permit,
+            _reserved: reserved,
         })
     }
 
     /// Reserves memory without waiting, and fails if the budget is used up.
-    fn reserve(&self, len: usize) -> Result<OwnedSemaphorePermit, FailureReason> {
-        let permits = u32::try_from(len.div_ceil(PERMIT_BYTES));
-        let permits = permits.map_err(|_| FailureReason::BodyTooLarge)?;
-        let permit = Arc::clone(&self.permits).try_acquire_many_owned(permits);
-        permit.map_err(|_| FailureReason::BodyMemory)
+    fn reserve(&self, len: usize) -> Result<ReservedBytes, FailureReason> {
+        self.0.reserve(len).ok_or(FailureReason::BodyMemory)
     }
 }
--- a/src/gateway/call_refusal.rs
+++ b/src/gateway/call_refusal.rs
@@ -35,6 +35,8 @@
     BodyTooLarge,
     /// The body did not arrive in time, or broke off.
     BodyLate,
+    /// This host holds as many bytes of bodies as it may.
+    NoMemory,
     /// The request cannot be served now.
     Overload {
         /// The reason.
@@ -60,6 +62,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::NoManifest
+            | Self::NoMemory
             | Self::Stopping
             | Self::StaleKnowledge
             | Self::Overload { .. }
@@ -80,6 +83,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLate => "body_late",
+            Self::NoMemory => "no_memory",
             Self::Overload { reason, .. } => reason.name(),
             Self::DeadlineExceededNotRun => "time_up_not_run",
             Self::DeadlineExceeded => "time_up",
@@ -90,7 +94,9 @@
     /// The time after which the caller should retry; none if a retry cannot help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoManifest | Self::Stopping | Self::StaleKnowledge => Some(RETRY_AFTER_HOST),
+            Self::NoManifest | Self::NoMemory | Self::Stopping | Self::StaleKnowledge => {
+                Some(RETRY_AFTER_HOST)
+            }
             Self::Overload { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::decide::RetryBound;
+use crate::units::ByteSize;
 use crate::units::FailureDomainId;
 use crate::units::HostId;
 use crate::units::Millicores;
@@ -42,6 +43,9 @@
     pub processors: Millicores,
     /// The number of connections of callers that may be open; further ones are closed unread.
     pub caller_connections_max: usize,
+    /// The bytes of bodies that this host may hold for callers at the same time. Their buffers may take
+    /// twice as much.
+    pub held_bytes_max: ByteSize,
     /// The bound on retries for all hosts together.
     pub retry_bound: RetryBound,
     /// The grace period: the time from the stop request until the process is killed.
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -360,6 +360,15 @@
         /// The error.
         error: String,
     },
+    /// A response was dropped, since this host holds as many bytes of bodies as it may.
+    MemoryFull {
+        /// The id of the request.
+        request: String,
+        /// The upstream.
+        upstream: String,
+        /// The number of bytes that are reserved for bodies.
+        held_bytes: usize,
+    },
     /// An engine refused to reserve memory for a prompt that several engines share.
     ReservationRefused {
         /// The id of the request.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -7,9 +7,6 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -27,6 +24,7 @@
 use crate::decide::UpstreamFault;
 use crate::gateway::Call;
 use crate::gateway::CallRefusal;
+use crate::gateway::DecisionEvent;
 use crate::gateway::Gateway;
 use crate::gateway::RequestHead;
 use crate::gateway::ResponseBody;
@@ -34,6 +32,8 @@
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
+use crate::gateway::held_body::HoldError;
+use crate::gateway::held_body::hold_body;
 use crate::gateway::request_tracker::OUTCOME_SERVED;
 use crate::gateway::request_tracker::RequestTracker;
 use crate::gateway::send::UpstreamResponse;
@@ -99,17 +99,16 @@
         return Err(refused(CallRefusal::Stopping));
     }
     let body_max = routes.limits.body_bytes;
-    let body = Limited::new(body, body_max).collect();
+    let body = hold_body(body, body_max, &gateway.held_bytes);
     let body = timeout_at(call.deadline.into(), body).await;
     let body = body.map_err(|_| refused(CallRefusal::BodyLate))?;
-    let body = body.map_err(|err| {
-        refused(if err.is::<LengthLimitError>() {
-            CallRefusal::BodyTooLarge
-        } else {
-            CallRefusal::BodyLate
+    call.body = body.map_err(|err| {
+        refused(match err {
+            HoldError::TooLong => CallRefusal::BodyTooLarge,
+            HoldError::NoMemory => CallRefusal::NoMemory,
+            HoldError::Broken(_) => CallRefusal::BodyLate,
         })
     })?;
-    call.body = body.to_bytes();
     Ok(call)
 }
 
@@ -292,7 +291,7 @@
         ..
     } = response;
     let gateway = &dispatcher.gateway;
-    let read = Limited::new(body, BUFFERED_RESPONSE_MAX).collect();
+    let read = hold_body(body, BUFFERED_RESPONSE_MAX, &gateway.held_bytes);
     let cause = match timeout_at(dispatcher.call.deadline.into(), read).await {
         Err(_) => return Err(Some(CallRefusal::DeadlineExceeded)),
         Ok(Ok(body)) => {
@@ -304,16 +303,25 @@
             let mut headers = head.headers;
             remove_connection_headers(&mut headers);
             headers.remove(PROXY_AUTHENTICATE);
-            let mut res = Response::new(ResponseBody::full(body.to_bytes()));
+            let mut res = Response::new(ResponseBody::full(body));
             *res.status_mut() = head.status;
             *res.headers_mut() = headers;
             return Ok(res);
         }
-        Ok(Err(err)) => {
-            if path.is_direct() && is_truncated(err.as_ref()) {
+        Ok(Err(HoldError::NoMemory)) => {
+            gateway.log.record(DecisionEvent::MemoryFull {
+                request: dispatcher.call.head.request.clone(),
+                upstream: upstream.id.to_string(),
+                held_bytes: gateway.held_bytes.used_bytes(),
+            });
+            return Err(Some(CallRefusal::OutcomeUnknown));
+        }
+        Ok(Err(err @ HoldError::TooLong)) => err.to_string(),
+        Ok(Err(HoldError::Broken(err))) => {
+            if path.is_direct() && is_truncated(&err) {
                 gateway.record_outcome(&upstream, CallOutcome::Failed, sent_at);
             }
-            error_with_causes(err.as_ref())
+            error_with_causes(&err)
         }
     };
     let fault = path.fault(UpstreamFault::Broken);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod handler;
 mod header_codec;
 mod heard_generation;
+mod held_body;
 mod instance_placement;
 mod limit_states;
 mod limit_wait;
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -49,6 +49,7 @@
 use crate::gateway::tunnel::TunnelCounter;
 use crate::gateway::upstream_incarnations::UpstreamIncarnations;
 use crate::gateway::waiting_calls::WaitingCalls;
+use crate::http::ByteBudget;
 use crate::observe::SeenNames;
 use crate::units::QuarantineId;
 use crate::units::ServiceId;
@@ -90,6 +91,8 @@
     pub(crate) started_at: Instant,
     shutdown_requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicU64,
+    /// The bytes of bodies that this host may hold.
+    pub(crate) held_bytes: ByteBudget,
     /// The open connections of callers.
     pub(crate) caller_connections: CallerConnections,
     /// Notified when the load that this host puts on upstreams changes.
@@ -160,6 +163,7 @@
         let started_at = clock.now();
         Self {
             started_at,
+            held_bytes: ByteBudget::new(conf.held_bytes_max),
             conf,
             clock,
             header_codec,
@@ -209,6 +213,11 @@
         }
     }
 
+    /// The number of bytes of bodies that this host holds beside usual ones.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.used_bytes()
+    }
+
     /// Locks the load that all hosts put on upstreams.
     pub fn ledger(&self) -> MutexGuard<'_, LoadLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! A small HTTP/1.1 client over hyper. Its errors say whether a request may have left this host.
 
 mod body;
+mod byte_budget;
 mod byte_stream;
 mod client;
 mod connection_headers;
@@ -11,6 +12,8 @@
 
 pub use body::ChunksBody;
 pub use body::PooledResponseBody;
+pub use byte_budget::ByteBudget;
+pub use byte_budget::ReservedBytes;
 pub use byte_stream::BoxedByteStream;
 pub use byte_stream::ByteStream;
 pub use client::HttpClient;
--- a/tests/gateway_endless_bytes.rs
+++ b/tests/gateway_endless_bytes.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use banyanarch::units::ByteSize;
 use gateway_world::TestHost;
 use gateway_world::catalog::FakeCatalog;
 use gateway_world::conf;
@@ -25,6 +26,12 @@
 /// the kernel holds on the way.
 const READ_MAX: usize = 24 << 20;
 
+/// The bytes that a host may hold beside usual bodies, the calls that get endless ones, and the most that
+/// all of these may be sent until they end. In ten seconds it would be 12 MB.
+const HELD_MAX: usize = 256 << 10;
+const ENDLESS_CALLS: usize = 16;
+const HELD_SENT_MAX: usize = 3 << 20;
+
 /// How long a host may take to choose the upstream that sends without end.
 const MET_WITHIN: Duration = Duration::from_secs(20);
 
@@ -133,6 +140,30 @@
     world.call_until_met("/model/1", &expected).await;
 }
 
+/// Guards against a host that holds a part of an endless body for each call, and runs out of memory with
+/// many of them: all its calls end with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_bodies_of_all_calls_are_held_within_one_bound() {
+    let catalog = FakeCatalog::new(table_with(1, |_| {}));
+    let endless = EndlessUpstream::start(EndlessBytes::SlowBody).await;
+    let sound = ScriptedUpstream::start([ScriptStep::Events(3)]).await;
+    catalog.list("app", "app", endless.addr);
+    catalog.list("llm", "llm", sound.addr);
+    let mut conf = conf("host");
+    conf.held_bytes_max = ByteSize(HELD_MAX as u64);
+    let host = TestHost::start_with(conf, &catalog).await;
+    let calls = (0..ENDLESS_CALLS).map(|index| host.spawn_call(request(&format!("/once/{index}"))));
+    let calls: Vec<_> = calls.collect();
+    wait_until(|| host.gateway.held_bytes() > 0).await;
+    let res = host.call(request("/model/1")).await;
+    assert_eq!(res.status(), 200, "usual answers need no reservation");
+    for call in calls {
+        assert_eq!(call.await.unwrap().unwrap().status(), 502);
+    }
+    assert!(endless.sent() < HELD_SENT_MAX, "{} bytes", endless.sent());
+    assert_eq!(host.gateway.held_bytes(), 0);
+}
+
 /// Guards against an event that comes slowly and never ends, and counts as a sign of life.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_event_that_comes_slowly_and_never_ends_counts_as_silence() {
--- a/tests/gateway_world/endless_upstream.rs
+++ b/tests/gateway_world/endless_upstream.rs
@@ -22,6 +22,8 @@
     Headers,
     /// A body without a length.
     Body,
+    /// The same, slowly.
+    SlowBody,
     /// The extension of a chunk.
     ChunkExtension,
     /// Trailers behind the last chunk.
@@ -32,7 +34,7 @@
     SlowEvent,
 }
 
-/// The pause between two lines of a slow event.
+/// The pause between two parts of a slow event or body.
 const SLOW_PAUSE: Duration = Duration::from_millis(50);
 /// The most that is sent on one connection, so that a test ends that nobody stops.
 const SENT_MAX: usize = 256 << 20;
@@ -49,7 +51,7 @@
             }
             Self::Header => (format!("{signed}endless: "), repeat("endless")),
             Self::Headers => (signed, repeat("endless: yes\r\n")),
-            Self::Body => (format!("{signed}\r\n"), repeat("endless")),
+            Self::Body | Self::SlowBody => (format!("{signed}\r\n"), repeat("endless")),
             Self::ChunkExtension => (
                 format!("{signed}transfer-encoding: chunked\r\n\r\n5;"),
                 repeat("endless"),
@@ -133,7 +135,7 @@
         sent += next.len();
         counts.sent.fetch_add(next.len(), Ordering::Relaxed);
         next.clone_from(&rest);
-        if let EndlessBytes::SlowEvent = bytes {
+        if matches!(bytes, EndlessBytes::SlowEvent | EndlessBytes::SlowBody) {
             tokio::time::sleep(SLOW_PAUSE).await;
         }
     }
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -40,6 +40,7 @@
 use banyanarch::routing::RouteTable;
 use banyanarch::routing::RouteTarget;
 use banyanarch::routing::Service;
+use banyanarch::units::ByteSize;
 use banyanarch::units::Generation;
 use banyanarch::units::HostId;
 use banyanarch::units::Millicores;
@@ -122,6 +123,7 @@
         evacuation_lease: Some(Duration::from_secs(5)),
         processors: Millicores(1_000),
         caller_connections_max: 512,
+        held_bytes_max: ByteSize(64 << 20),
         retry_bound: RetryBound {
             per_request: 0.2,
             // Large enough for every retry of a host that has just started.
