What one host has judged, other hosts refuse without judging it again

What callers saw: a request that its upstreams answer and then end under was refused by all hosts but one, which went on sending it for seconds.

Cause: a host told others of such calls as calls that had ended before their upstreams, also once it had found the request by them, and each host judged them again. A host with a call of its own whose upstream was still alive took that for an answer that refutes them; and its own answer cleared the request, since it did not know that only an upstream that lives on does.

Change: what was found is told as a suspect, behind the calls by which it was found; a suspect with such calls is cleared only by upstreams that live on.

Evidence: what_others_have_found_is_refused_by_a_host_with_a_recent_call (tests/decide_ended_calls.rs), red before in both cases. The upstreams of that request may end after times that differ: held before too, and is a test now.

--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -32,6 +32,7 @@
             PartEvidence::Crash(suspect, age) => {
                 self.note_served(&suspect.parts, now);
                 let ended = suspect.crash;
+                self.note_found_after_call(&suspect.parts);
                 let mut changes = self.record_suspect(suspect, KnownCrash::told(age, now), now);
                 changes.extend(self.suspect_ended_calls(ended, now));
                 changes
@@ -61,6 +62,16 @@
         }
     }
 
+    /// Notes those of these parts that were found after calls with them had ended: an answer does not
+    /// clear them.
+    pub(super) fn note_found_after_call(&mut self, parts: &[RequestPart]) {
+        for part in parts {
+            if self.lost_calls.has_ended_call_with(*part) {
+                self.served.on_found_after_call(*part);
+            }
+        }
+    }
+
     /// Notes those of these parts of a prompt, suspected by another host, that are known to have been
     /// served: that host may not know it.
     fn note_served(&mut self, parts: &[RequestPart], now: Instant) {
@@ -94,8 +105,10 @@
             .filter_map(|part| Some((*part, self.served.survived_at(*part, now)?)))
             .collect();
         let lost = self.lost_calls.calls();
+        // What is suspected although its call says little by itself has been judged here. Other hosts need
+        // not judge it again by their own calls.
         let lost: IndexMap<(CrashId, RequestPart), &LostCall> = lost
-            .filter(|(_, crash)| is_recent(crash))
+            .filter(|(call, crash)| !call.is_weak() && is_recent(crash))
             .map(|(call, _)| ((call.crash, call.request.into()), call))
             .collect();
         let crashes = told.map(|(suspect, crash)| {
@@ -121,7 +134,8 @@
         let released = self.released.iter();
         let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
         let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
-        let lost = crashes.chain(weak.take(TOLD_MAX));
+        // What had ended before its upstream comes first: it tells how the suspects are cleared.
+        let lost = weak.take(TOLD_MAX).chain(crashes);
         let told = alive.chain(released).chain(ended).chain(lost);
         told.chain(served).collect()
     }
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -84,11 +84,7 @@
                 at,
                 ..KnownCrash::own(now)
             };
-            for part in &suspect.parts {
-                if self.lost_calls.has_ended_call_with(*part) {
-                    self.served.on_found_after_call(*part);
-                }
-            }
+            self.note_found_after_call(&suspect.parts);
             changes.extend(self.record_crash(suspect, crash, now));
         }
         changes
--- a/tests/decide_ended_calls.rs
+++ b/tests/decide_ended_calls.rs
@@ -328,3 +328,92 @@
         .sum();
     assert!(refused <= refused_max, "{refused} of {CALLS}");
 }
+
+/// How many requests arrive later than three seconds after the third crash if one comes again each 0.6 to
+/// 0.9 s, and its upstreams answer and end `ends_after_ms` later, and up to `spread_ms` after that.
+fn late_arrivals_of_answered(ends_after_ms: u64, spread_ms: u64, seed: u64) -> usize {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut quarantine = PartQuarantine::default();
+    let mut next_at = start;
+    let mut ends: Vec<(Instant, u64)> = Vec::new();
+    let mut ended_at: Vec<Instant> = Vec::new();
+    let mut late = 0;
+    for step in 0..1_000 {
+        let now = start + Duration::from_millis(10 * step);
+        ends.retain(|(ends_at, crash)| {
+            let has_ended = *ends_at <= now;
+            if has_ended {
+                quarantine.on_upstream_ended(CrashId(*crash), now);
+                ended_at.push(now);
+            } else {
+                // Sound calls go on there.
+                quarantine.on_alive(CrashId(*crash), now, now);
+                quarantine.on_served(&[], now);
+            }
+            !has_ended
+        });
+        if now < next_at {
+            continue;
+        }
+        next_at = now + Duration::from_millis(rng.random_range(600..900));
+        if is_request_refused(&quarantine, 7, now) {
+            continue;
+        }
+        let crash = 1_000 + step;
+        quarantine.on_call_ended(ended(crash, 7, &[], CallEnd::Succeeded), now);
+        let lives = ends_after_ms + rng.random_range(0..=spread_ms);
+        ends.push((now + Duration::from_millis(lives), crash));
+        late += usize::from(ended_at.get(2).is_some_and(|third| now > *third + secs(3)));
+    }
+    late
+}
+
+/// Guards against a request that is cleared by an upstream which only takes longer to end under it.
+#[parameterized(
+    soon = { 10, 20 },
+    some_time_later = { 1_000, 0 },
+    some_time_later_by_turns = { 1_000, 120 },
+    after_very_different_times = { 200, 1_500 },
+)]
+fn a_request_whose_upstreams_end_after_different_times_is_refused(
+    ends_after_ms: u64,
+    spread_ms: u64,
+) {
+    for seed in 0..300 {
+        let late = late_arrivals_of_answered(ends_after_ms, spread_ms, seed);
+        assert!(late <= 3, "{late} with seed {seed}");
+    }
+}
+
+/// Guards against one host that goes on sending a request which the others refuse, since the upstream of
+/// its own last call with it has not ended yet.
+#[parameterized(
+    succeeded = { CallEnd::Succeeded },
+    failed = { CallEnd::Failed },
+)]
+fn what_others_have_found_is_refused_by_a_host_with_a_recent_call(end: CallEnd) {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for crash in 1..=3 {
+        let now = start + secs(2 * crash);
+        quarantine.on_call_ended(ended(crash, 7, &[], end), now);
+        quarantine.on_upstream_ended(CrashId(crash), now + secs(1));
+    }
+    let now = judge(&mut quarantine, start + secs(7));
+    assert!(is_request_refused(&quarantine, 7, now));
+    let mut other = PartQuarantine::default();
+    other.on_call_ended(ended(9, 7, &[], end), now - secs(1));
+    other.on_alive(CrashId(9), now - Duration::from_millis(500), now);
+    tell(&quarantine, &mut other, now);
+    let now = judge(&mut other, now);
+    assert!(is_request_refused(&other, 7, now));
+}
+
+/// Tells another host what this one knows.
+fn tell(quarantine: &PartQuarantine, other: &mut PartQuarantine, now: Instant) {
+    for evidence in quarantine.evidence(now) {
+        let entry = PartEvidenceEntry::from(evidence);
+        other.on_evidence(entry.evidence().unwrap(), now);
+    }
+}
