An answer before the crashes of a request does not clear it when it is known late

What callers saw: a request that was refused by all hosts reached upstreams again some seconds later, each time that it came.

Cause: a call counts as survived seven to ten seconds after its end if nothing shows the end of its upstream. That it was answered then, before the crashes, raised the crashes that the request needs from three to twelve, which ended its quarantine, and the other hosts were told of it as of an answer of this moment, which cleared all crashes there.

Change: an answer that came before the last crash of a quarantined request does not count, and an answer is told with its own time.

Evidence: an_answer_before_the_crashes_does_not_clear_a_request_elsewhere (tests/decide_ended_calls.rs), red before.

--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -56,6 +56,9 @@
             PartEvidence::Served(part, age) | PartEvidence::Released(part, age) => {
                 let served_at = time_before(now, age);
                 self.lost_calls.on_served(served_at);
+                if self.has_crashed_since(part, served_at) {
+                    return Vec::new();
+                }
                 self.served.on_survived(part, served_at);
                 self.evaluate_if_suspected(&[part], now)
             }
@@ -132,8 +135,9 @@
         let alive = self.alive.iter().filter(|(_, at)| age(**at) < TELLING_TIME);
         let alive = alive.map(|(crash, at)| PartEvidence::Alive(*crash, age(*at)));
         let released = self.released.iter();
-        let released = released.filter(|(_, at)| age(**at) < TELLING_TIME);
-        let released = released.map(|(part, at)| PartEvidence::Released(*part, age(*at)));
+        let released = released.filter(|(_, release)| age(release.known_at) < TELLING_TIME);
+        let released =
+            released.map(|(part, release)| PartEvidence::Released(*part, age(release.served_at)));
         // What had ended before its upstream comes first: it tells how the suspects are cleared.
         let lost = weak.take(TOLD_MAX).chain(crashes);
         let told = alive.chain(released).chain(ended).chain(lost);
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -63,6 +63,15 @@
 /// How long other hosts are told of a suspected call of this host while its crash is not explained.
 const TELLING_TIME: Duration = Duration::from_secs(10);
 
+/// That a part was released.
+#[derive(Clone, Copy, Debug)]
+struct Release {
+    /// When a request with it was served.
+    served_at: Instant,
+    /// When this host learned that the upstream has lived on.
+    known_at: Instant,
+}
+
 /// A crash and its time.
 type DatedCrash = (CrashId, Instant);
 
@@ -92,8 +101,8 @@
     /// When probes of quarantined parts were sent.
     probes: IndexMap<Vec<RequestPart>, Vec<Instant>>,
     /// The parts that were refused, and the whole requests that were suspected, until this host had
-    /// such a request served, with the time of this.
-    released: IndexMap<RequestPart, Instant>,
+    /// such a request served.
+    released: IndexMap<RequestPart, Release>,
     /// The parts that this host knows to have been served, and another host suspected at this time.
     suspected_elsewhere: IndexMap<RequestPart, Instant>,
 }
@@ -277,7 +286,8 @@
         }
         let is_told = |at: &Instant| !is_older_than(*at, TELLING_TIME, now);
         self.alive.retain(|_, at| is_told(at));
-        self.released.retain(|_, at| is_told(at));
+        self.released
+            .retain(|_, release| is_told(&release.known_at));
         self.suspected_elsewhere.retain(|_, at| is_told(at));
         self.ended.retain(|_, end| is_told(&end.known_at));
     }
--- a/src/decide/part_quarantine/served.rs
+++ b/src/decide/part_quarantine/served.rs
@@ -8,6 +8,7 @@
 use crate::decide::QuarantineChange;
 use crate::decide::RequestPart;
 use crate::decide::ended_calls::KeptCall;
+use crate::decide::part_quarantine::Release;
 use crate::units::RequestHash;
 
 impl PartQuarantine {
@@ -35,7 +36,11 @@
         for change in &changes {
             if let QuarantineChange::Ended(ended) = change {
                 let released = ended.parts.iter().filter(|part| parts.contains(part));
-                self.released.extend(released.map(|part| (*part, now)));
+                let release = Release {
+                    served_at,
+                    known_at: now,
+                };
+                self.released.extend(released.map(|part| (*part, release)));
             }
         }
         changes
@@ -59,12 +64,30 @@
         if !self.is_suspected(&[part]) && !self.lost_calls.has_weak_of(request) {
             return Vec::new();
         }
+        if self.has_crashed_since(part, answered_at) {
+            return Vec::new();
+        }
         self.served.on_survived(part, answered_at);
         // Other hosts may have lost the request as often.
-        self.released.insert(part, now);
+        let release = Release {
+            served_at: answered_at,
+            known_at: now,
+        };
+        self.released.insert(part, release);
         self.evaluate(now)
     }
 
+    /// Whether a request as a whole is quarantined because of a crash after this time. What was answered
+    /// before does not count against that, however late it is known.
+    pub(super) fn has_crashed_since(&self, part: RequestPart, served_at: Instant) -> bool {
+        let mut causes = self.causes.iter();
+        part.is_whole()
+            && causes.any(|(parts, crashes)| {
+                let last = crashes.first();
+                parts.contains(&part) && last.is_some_and(|(_, at)| *at >= served_at)
+            })
+    }
+
     /// Records the answer to a call, which clears the call of crashes that happen while upstreams run it.
     /// Returns what has changed.
     pub(super) fn record_answer(
--- a/tests/decide_ended_calls.rs
+++ b/tests/decide_ended_calls.rs
@@ -410,6 +410,30 @@
     assert!(is_request_refused(&other, 7, now));
 }
 
+/// Guards against a request that all other hosts send again, since one host has learnt late that an
+/// upstream has lived on after an answer that came before the crashes.
+#[test]
+fn an_answer_before_the_crashes_does_not_clear_a_request_elsewhere() {
+    let start = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    let mut other = PartQuarantine::default();
+    let end = CallEnd::Succeeded;
+    quarantine.on_call_ended(ended(9, 7, &[], end), start);
+    for crash in 1..=3 {
+        let now = start + Duration::from_millis(1_500 * crash);
+        quarantine.on_call_ended(ended(crash, 7, &[], end), now);
+        quarantine.on_upstream_ended(CrashId(crash), now + Duration::from_millis(300));
+    }
+    let now = judge(&mut quarantine, start + secs(5));
+    tell(&quarantine, &mut other, now);
+    assert!(is_request_refused(&other, 7, now));
+    let later = start + secs(8);
+    quarantine.on_call_ended(ended(10, 8, &[], end), later);
+    tell(&quarantine, &mut other, later);
+    assert!(is_request_refused(&quarantine, 7, later));
+    assert!(is_request_refused(&other, 7, later));
+}
+
 /// Tells another host what this one knows.
 fn tell(quarantine: &PartQuarantine, other: &mut PartQuarantine, now: Instant) {
     for evidence in quarantine.evidence(now) {
