Suspicions are kept by hosts that hear no other alone, and marked as such

The hosts had saved 593 entries in 72 s: a long prompt is read by several engines, so one call of it ends at three of them, and its suspicion was restored like a quarantine and took the crashes of the part that was the cause.

Change: only hosts that hear no other save suspicions; entries say so (is-suspicion), and are restored as what they are, calls that had ended before their upstreams, with all that keeps the innocent out.

--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -173,11 +173,10 @@
         self.calls.iter().map(|(call, (crash, _))| (call, crash))
     }
 
-    /// What calls lately lost in at least `crashes_min` crashes that count separately have in common, and no
-    /// upstream has answered since, with these crashes.
+    /// What the calls lately lost have in common with others, unless an upstream has answered it since, with
+    /// the crashes that count separately.
     pub(crate) fn suspected(
         &self,
-        crashes_min: usize,
         served: &ServedRecord,
         now: Instant,
     ) -> Vec<(RequestPart, Vec<(CrashId, Instant)>)> {
@@ -188,7 +187,7 @@
             (part, separate_crashes(part, losses))
         });
         with_crashes
-            .filter(|(_, crashes)| crashes.len() >= crashes_min)
+            .filter(|(_, crashes)| !crashes.is_empty())
             .collect()
     }
 
--- a/src/decide/part_quarantine/records.rs
+++ b/src/decide/part_quarantine/records.rs
@@ -9,7 +9,6 @@
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantineRecord;
 use crate::decide::RequestPart;
-use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::known_crash::KnownCrash;
 use crate::decide::known_crash::time_before;
 use crate::decide::part_quarantine::DatedCrash;
@@ -26,6 +25,7 @@
             let with_age = |(crash, at): &DatedCrash| (*crash, now.saturating_duration_since(*at));
             let probes = self.probes.get(parts).into_iter().flatten();
             QuarantineRecord {
+                is_found: true,
                 parts: parts.clone(),
                 crashes: crashes.iter().map(with_age).collect(),
                 probes: probes
@@ -36,12 +36,13 @@
         records.collect()
     }
 
-    /// What at least `crashes_min` crashes suggest and too few show for a quarantine.
-    pub fn suspicions(&self, crashes_min: usize, now: Instant) -> Vec<QuarantineRecord> {
-        let suspected = self.lost_calls.suspected(crashes_min, &self.served, now);
+    /// What crashes suggest that do not suffice for a quarantine.
+    pub fn suspicions(&self, now: Instant) -> Vec<QuarantineRecord> {
+        let suspected = self.lost_calls.suspected(&self.served, now);
         let is_open = |part: &RequestPart| !self.causes.keys().any(|parts| parts.contains(part));
         let open = suspected.into_iter().filter(|(part, _)| is_open(part));
         let records = open.map(|(part, crashes)| QuarantineRecord {
+            is_found: false,
             parts: vec![part],
             crashes: crashes
                 .into_iter()
@@ -53,9 +54,14 @@
     }
 
     /// Applies a record of a suspicion, which counts like calls that had ended before their upstreams.
-    fn restore_suspicion(&mut self, record: &QuarantineRecord, now: Instant) {
+    fn restore_suspicion(
+        &mut self,
+        record: &QuarantineRecord,
+        now: Instant,
+    ) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
         let [part] = record.parts[..] else {
-            return;
+            return changes;
         };
         for (crash, age) in &record.crashes {
             // Which request had the part is not kept. It was another one in each crash.
@@ -66,15 +72,17 @@
                 parts: (!part.is_whole()).then_some(part).into_iter().collect(),
                 point: LossPoint::AfterEnd,
             };
-            self.lost_calls.restore(call, KnownCrash::told(*age, now));
+            let crash = KnownCrash::told(*age, now);
+            self.lost_calls.restore(call.clone(), crash);
+            changes.extend(self.suspect_causes(&call, vec![part], crash, now));
         }
+        changes
     }
 
     /// Applies a record of another process. Returns what has changed.
     pub fn restore(&mut self, record: &QuarantineRecord, now: Instant) -> Vec<QuarantineChange> {
-        if record.crashes.len() < CRASHES_MIN {
-            self.restore_suspicion(record, now);
-            return Vec::new();
+        if !record.is_found {
+            return self.restore_suspicion(record, now);
         }
         let mut changes = Vec::new();
         for (crash, age) in &record.crashes {
--- a/src/decide/quarantine_record.rs
+++ b/src/decide/quarantine_record.rs
@@ -11,6 +11,8 @@
 pub struct QuarantineRecord {
     /// The parts, in ascending order: requests with all of them are refused.
     pub parts: Vec<RequestPart>,
+    /// Whether the crashes were found to be under these parts. If not, they only suggest it.
+    pub is_found: bool,
     /// The last crashes, each with its age.
     pub crashes: Vec<(CrashId, Duration)>,
     /// The ages of the probes since the quarantine began, in their order.
--- a/src/gateway/quarantine_sync.rs
+++ b/src/gateway/quarantine_sync.rs
@@ -3,9 +3,9 @@
 //!
 //! Hosts tell each other what they know, so few need the platform: the hosts that read the platform
 //! for others that start read the quarantines once after their own start. A quarantine is saved by the
-//! hosts that have seen its crashes and, if they should fail, by those that read for others. So is what
-//! two crashes suggest. A host that hears no other tells and learns by the platform alone: it saves what
-//! one crash suggests, and reads again and again.
+//! hosts that have seen its crashes and, if they should fail, by those that read for others. A host that
+//! hears no other tells and learns by the platform alone: it saves also what its crashes suggest, and
+//! reads again and again.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,10 +41,6 @@
 const ALONE_AFTER: Duration = Duration::from_secs(3);
 /// The pause between two reads of such a host.
 const ALONE_READ_INTERVAL: Duration = Duration::from_secs(1);
-/// The crashes from which on a suspicion is saved.
-const SAVED_CRASHES_MIN: usize = 2;
-/// The same for a host that hears no other.
-const ALONE_SAVED_CRASHES_MIN: usize = 1;
 
 /// What one host knows of the quarantines in the platform.
 struct QuarantineSync {
@@ -142,17 +138,11 @@
         self.own.extend(self.gateway.take_own_quarantines());
         let (records, suspicions) = {
             let quarantine = self.gateway.part_quarantine();
-            let suspicions = quarantine.suspicions(ALONE_SAVED_CRASHES_MIN, now);
+            let suspicions = quarantine.suspicions(now);
             (quarantine.records(now), suspicions)
         };
-        let crashes_min = if is_alone {
-            ALONE_SAVED_CRASHES_MIN
-        } else {
-            SAVED_CRASHES_MIN
-        };
-        let is_saved = |record: &&QuarantineRecord| record.crashes.len() >= crashes_min;
         let mut is_done = self.has_read && !is_alone;
-        for record in records.iter().chain(suspicions.iter().filter(is_saved)) {
+        for record in records.iter().chain(suspicions.iter().filter(|_| is_alone)) {
             is_done &= self.save_if_due(record, now).await?;
         }
         let lasting = records.iter().chain(&suspicions);
@@ -329,7 +319,7 @@
         let records = {
             let quarantine = self.part_quarantine();
             let mut records = quarantine.records(now);
-            records.extend(quarantine.suspicions(ALONE_SAVED_CRASHES_MIN, now));
+            records.extend(quarantine.suspicions(now));
             records
         };
         let of_crash = records
--- a/src/gateway/saved_quarantine.rs
+++ b/src/gateway/saved_quarantine.rs
@@ -16,6 +16,8 @@
 pub struct SavedQuarantine {
     /// The parts, in ascending order: requests with all of them are refused.
     pub parts: Vec<RequestPart>,
+    /// Whether the crashes were found to be under these parts. If not, they only suggest it.
+    pub is_found: bool,
     /// The last crashes, with the time of day.
     pub crashes: Vec<(CrashId, SystemTime)>,
     /// The times of day of the probes, in their order.
@@ -31,6 +33,7 @@
         let probes = record.probes.iter();
         let probes = probes.map(|age| wall.checked_sub(*age).unwrap_or(wall));
         Self {
+            is_found: record.is_found,
             parts: record.parts.clone(),
             crashes: crashes.collect(),
             probes: probes.collect(),
@@ -45,7 +48,10 @@
     /// Whether this has all crashes and probes of the other one.
     pub fn includes(&self, other: &Self) -> bool {
         let mut crashes = other.crashes.iter();
-        self.probes.len() >= other.probes.len() && crashes.all(|(crash, _)| self.has(*crash))
+        let is_found = self.is_found || !other.is_found;
+        is_found
+            && self.probes.len() >= other.probes.len()
+            && crashes.all(|(crash, _)| self.has(*crash))
     }
 
     fn has(&self, crash: CrashId) -> bool {
@@ -60,6 +66,7 @@
             .copied()
             .collect();
         self.crashes.extend(missing);
+        self.is_found |= other.is_found;
         if other.probes.len() > self.probes.len() {
             self.probes.clone_from(&other.probes);
         }
@@ -75,6 +82,7 @@
         let crashes = self.crashes.iter();
         let crashes = crashes.filter_map(|(crash, at)| age(*at).map(|age| (*crash, age)));
         QuarantineRecord {
+            is_found: self.is_found,
             parts: self.parts.clone(),
             crashes: crashes.collect(),
             probes: self
--- a/tests/gateway_world/crash_world.rs
+++ b/tests/gateway_world/crash_world.rs
@@ -168,11 +168,13 @@
         let crashes = [1, 2, 3].map(CrashId);
         let crashed_at = SystemTime::now() - crashed_before;
         self.catalog.add_quarantine(SavedQuarantine {
+            is_found: true,
             parts: vec![request.into()],
             crashes: crashes.map(|crash| (crash, crashed_at)).into(),
             probes: Vec::new(),
         });
         let record = QuarantineRecord {
+            is_found: true,
             parts: vec![request.into()],
             crashes: crashes.map(|crash| (crash, crashed_before)).into(),
             probes: Vec::new(),
