Reproduced: of several requests that crash upstreams, one is released when another explains its crashes

Callers see sound requests lost with upstreams that requests crash which had been refused already. The soak repeats several different requests now, some of them to plain services, and counts the late arrivals of each by itself.

--- a/soak/src/call.rs
+++ b/soak/src/call.rs
@@ -9,7 +9,7 @@
 use banyanarch_platform::stand_in::RouteConf;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::crashing_request::CrashCause;
+use crate::crashing_request::repeated_number;
 
 /// The host name in the requests of callers.
 pub const HOSTNAME: &str = "soak.example";
@@ -150,11 +150,11 @@
     }
 }
 
-/// Returns the body of a request. The repeats of the request that crashes engines are alike.
+/// Returns the body of a request. The repeats of a request that crashes upstreams are alike.
 pub fn request_body(request: &str) -> String {
-    match CrashCause::of(request) {
-        Some(CrashCause::Repeat) => "question that crashes engines".to_owned(),
-        Some(CrashCause::Part) | None => format!("question of {request}"),
+    match repeated_number(request) {
+        Some(number) => format!("question {number} that crashes upstreams"),
+        None => format!("question of {request}"),
     }
 }
 
--- a/soak/src/crash_point.rs
+++ b/soak/src/crash_point.rs
@@ -117,6 +117,16 @@
         }
     }
 
+    /// The point for an answer of a plain service, which is no stream: the upstream sends nothing where
+    /// an engine ends in the middle of its stream.
+    pub(crate) fn of_plain_answer(self) -> Self {
+        if self.is_in_stream() {
+            Self::Unanswered
+        } else {
+            self
+        }
+    }
+
     /// Whether the engine ends in the middle of the stream.
     pub(crate) fn is_in_stream(self) -> bool {
         matches!(
--- a/soak/src/crashing_request.rs
+++ b/soak/src/crashing_request.rs
@@ -30,7 +30,8 @@
         }
     }
 
-    /// The id of a request that crashes engines at this point, made from another id.
+    /// The id of a request that crashes engines at this point, made from another id. That of a repeat
+    /// begins with the number of the request.
     pub(crate) fn request(self, point: CrashPoint, request: &str) -> String {
         let prefix = match self {
             Self::Part => PART_PREFIX,
@@ -52,6 +53,16 @@
     }
 }
 
+/// The number of the request of which this is a repeat; none if it is no repeat.
+pub fn repeated_number(request: &str) -> Option<u32> {
+    let is_repeat = CrashCause::of(request) == Some(CrashCause::Repeat);
+    let number = request
+        .split('-')
+        .nth(2)
+        .and_then(|number| number.parse().ok());
+    is_repeat.then(|| number.unwrap_or(0))
+}
+
 /// Where a request crashes engines; none if it does not.
 pub(crate) fn crash_point(request: &str) -> Option<CrashPoint> {
     CrashCause::of(request)?;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -233,8 +233,8 @@
     pub upstream_ends: IndexMap<String, Timestamp>,
     /// When engines crashed under a part of a prompt.
     pub part_crashes: Vec<Timestamp>,
-    /// When engines crashed under a request that is repeated.
-    pub repeat_crashes: Vec<Timestamp>,
+    /// When upstreams crashed under each request that is repeated, by its number.
+    pub repeat_crashes: IndexMap<u32, Vec<Timestamp>>,
     /// Limit periods that have ended.
     pub limit_periods: Vec<LimitPeriod>,
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -40,6 +40,9 @@
                     abandoned or overdue. [default: one of the first six, drawn for the run]
     --after-calls   With --parts, draw one of the last five for the run.
     --crash-cause C Why: part or repeat. [default: both]
+    --crash-requests N  The number of different requests that are repeated and crash upstreams.
+                    [default: 1]
+    --crash-services    With --parts, some of these requests go to plain services.
     --restart-all   With --parts, also restart all hosts, at the same time or in turn.
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
     --outages       Inject only outages of all upstreams, and restarts of all hosts in them.
@@ -120,6 +123,8 @@
     let crash_point: Result<Option<CrashPoint>, _> = args.opt_value_from_str("--crash-point");
     let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
     let crash_ratio: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-ratio");
+    let crash_requests: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-requests");
+    let crashes_services = args.contains("--crash-services");
     let crashes_after_calls = args.contains("--after-calls");
     let draws_hosts = args.contains("--draw-hosts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
@@ -164,6 +169,10 @@
             restarts_all,
             crash_point: crash_point.map_err(error_text)?,
             crashes_after_calls,
+            crash_requests: crash_requests
+                .map_err(error_text)?
+                .map_or(1, NonZeroU32::get),
+            crashes_services,
             crash_cause: crash_cause.map_err(error_text)?,
             crash_ratio: crash_ratio
                 .map_err(error_text)?
--- a/soak/src/part_checks.rs
+++ b/soak/src/part_checks.rs
@@ -5,6 +5,7 @@
 use crate::call::CallClass;
 use crate::checks::Violation;
 use crate::crashing_request::CrashCause;
+use crate::crashing_request::repeated_number;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
 use crate::history::Observations;
@@ -27,14 +28,14 @@
     let crashes = &observations.part_crashes;
     let by_part = check_stop(
         observations,
-        CrashCause::Part,
+        Crashing::Part,
         nth_time(crashes, PART_CRASHES_MAX),
     );
-    let by_repeat = check_stop(
-        observations,
-        CrashCause::Repeat,
-        nth_time(&observations.repeat_crashes, REPEAT_CRASHES_MAX),
-    );
+    let by_repeat = observations.repeat_crashes.iter();
+    let by_repeat = by_repeat.filter_map(|(number, crashes)| {
+        let known_at = nth_time(crashes, REPEAT_CRASHES_MAX);
+        check_stop(observations, Crashing::Repeat(*number), known_at)
+    });
     let lost = check_others(observations);
     by_part.into_iter().chain(by_repeat).chain(lost).collect()
 }
@@ -46,18 +47,36 @@
     crashes.get(number - 1).copied()
 }
 
+/// Requests that crash engines and are counted together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Crashing {
+    /// Those with the part that does.
+    Part,
+    /// The repeats of the request with this number.
+    Repeat(u32),
+}
+
+impl Crashing {
+    fn contains(self, request: &str) -> bool {
+        match self {
+            Self::Part => CrashCause::of(request) == Some(CrashCause::Part),
+            Self::Repeat(number) => repeated_number(request) == Some(number),
+        }
+    }
+}
+
 /// The violation by requests that reach engines long after this crash, by which they must be known.
 fn check_stop(
     observations: &Observations,
-    cause: CrashCause,
+    crashing: Crashing,
     known_at: Option<Timestamp>,
 ) -> Option<Violation> {
     let known_at = known_at?;
-    let late = late_arrivals(observations, cause, known_at + STABILITY_TIME);
+    let late = late_arrivals(observations, crashing, known_at + STABILITY_TIME);
     (late.len() > ARRIVALS_MAX).then(|| Violation {
-        guarantee: match cause {
-            CrashCause::Part => "requests with a part that crashes engines stop reaching them",
-            CrashCause::Repeat => "repeats of a request that crashes engines stop reaching them",
+        guarantee: match crashing {
+            Crashing::Part => "requests with a part that crashes engines stop reaching them",
+            Crashing::Repeat(_) => "repeats of a request that crashes engines stop reaching them",
         },
         details: format!("{} arrivals, known at {known_at:?}: {late:?}", late.len()),
     })
@@ -78,16 +97,15 @@
     })
 }
 
-/// The arrivals of requests that crash engines for this cause, from this time on, of which the host
-/// was undisturbed.
+/// The arrivals of these requests from this time on, of which the host was undisturbed.
 fn late_arrivals(
     observations: &Observations,
-    cause: CrashCause,
+    crashing: Crashing,
     from: Timestamp,
 ) -> Vec<(String, Timestamp)> {
-    let crashing = observations.runs.iter();
-    let crashing = crashing.filter(|(request, _)| CrashCause::of(request) == Some(cause));
-    let arrivals = crashing.flat_map(|(request, runs)| runs.iter().map(move |run| (request, run)));
+    let runs = observations.runs.iter();
+    let runs = runs.filter(|(request, _)| crashing.contains(request));
+    let arrivals = runs.flat_map(|(request, runs)| runs.iter().map(move |run| (request, run)));
     let late = arrivals.filter(|(request, run)| {
         let attempt = observations.attempts.get(*request);
         let is_disturbed = |host| {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -97,6 +97,10 @@
     /// Whether all hosts restart together and in turn while requests crash engines. Only with
     /// `only_parts`.
     pub restarts_all: bool,
+    /// The number of different requests that are repeated and crash upstreams. Only with `only_parts`.
+    pub crash_requests: u32,
+    /// Whether some of these requests go to plain services. Only with `only_parts`.
+    pub crashes_services: bool,
     /// The only cause of these crashes; none if both occur. Only with `only_parts`.
     pub crash_cause: Option<CrashCause>,
     /// Whether only outages of all upstreams are injected, in which hosts restart together and in turn.
@@ -124,8 +128,14 @@
 /// Time before the first request that crashes engines, in which the usual share of served requests is
 /// observed.
 const SOUND_TIME: Duration = Duration::from_secs(8);
-/// Of the short prompts of callers, one in this number is a repeat of the request that crashes engines.
+/// Of the short prompts of callers, one in this number is a repeat of each request that crashes upstreams.
 const REPEAT_RATIO: u32 = 25;
+/// The classes of the requests that crash upstreams, in turn, if some of them go to plain services.
+const REPEATED_CLASSES: [CallClass; 3] = [
+    CallClass::ShortPrompt,
+    CallClass::Idempotent,
+    CallClass::AtMostOnce,
+];
 
 /// The retries that requests earn where outages are the only faults.
 const EARNED_PER_REQUEST: f64 = 0.2;
@@ -285,7 +295,7 @@
         }
         sleep(Duration::from_millis(rng.random_range(20..200))).await;
         let mut request = format!("{index:04x}{count:06x}");
-        let class = match rng.random_range(0..100) {
+        let mut class = match rng.random_range(0..100) {
             0..30 => CallClass::Idempotent,
             30..50 => CallClass::AtMostOnce,
             50..70 => CallClass::Moving,
@@ -298,9 +308,14 @@
         };
         let may_crash = conf.only_parts && class.is_stream() && deployment.now() >= SOUND_TIME;
         let cause = may_crash
-            .then(|| draw_cause(class, conf.crash_ratio, &mut rng))
+            .then(|| draw_cause(class, &conf, &mut rng))
             .flatten();
         let cause = cause.filter(|cause| conf.crash_cause.is_none_or(|only| only == *cause));
+        if cause == Some(CrashCause::Repeat) && conf.crash_requests > 1 {
+            let number = rng.random_range(0..conf.crash_requests);
+            class = repeated_class(&conf, number);
+            request = format!("{number}-{request}");
+        }
         if let Some(cause) = cause {
             request = cause.request(crash_point, &request);
         }
@@ -346,16 +361,26 @@
 }
 
 /// Draws whether a prompt crashes engines, and why.
-fn draw_cause(class: CallClass, part_ratio: u32, rng: &mut StdRng) -> Option<CrashCause> {
-    if rng.random_ratio(1, part_ratio) {
+fn draw_cause(class: CallClass, conf: &SoakConf, rng: &mut StdRng) -> Option<CrashCause> {
+    let repeats = conf.crash_requests.min(REPEAT_RATIO);
+    if rng.random_ratio(1, conf.crash_ratio) {
         Some(CrashCause::Part)
-    } else if class == CallClass::ShortPrompt && rng.random_ratio(1, REPEAT_RATIO) {
+    } else if class == CallClass::ShortPrompt && rng.random_ratio(repeats, REPEAT_RATIO) {
         Some(CrashCause::Repeat)
     } else {
         None
     }
 }
 
+/// The class of the repeated request with this number.
+fn repeated_class(conf: &SoakConf, number: u32) -> CallClass {
+    if !conf.crashes_services {
+        return CallClass::ShortPrompt;
+    }
+    let index = usize::try_from(number).unwrap_or_default();
+    REPEATED_CLASSES[index % REPEATED_CLASSES.len()]
+}
+
 /// A valid key of the first customer.
 fn first_key(deployment: &Deployment) -> String {
     let manifest_inputs = lock(&deployment.manifest_inputs);
--- a/soak/src/upstream_shared.rs
+++ b/soak/src/upstream_shared.rs
@@ -31,6 +31,7 @@
 use crate::crash_point::CrashPoint;
 use crate::crashing_request::CrashCause;
 use crate::crashing_request::crash_point;
+use crate::crashing_request::repeated_number;
 use crate::event_stream::EventStream;
 use crate::history::FaultRecord;
 use crate::history::FaultScope;
@@ -187,7 +188,10 @@
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         };
-        let crash_point = crash_point(&request);
+        let mut crash_point = crash_point(&request);
+        if self.service != call::ENGINE_SERVICE {
+            crash_point = crash_point.map(CrashPoint::of_plain_answer);
+        }
         let mode = match crash_point {
             Some(CrashPoint::Failed) => UpstreamMode::RespondsWithError,
             Some(CrashPoint::Invalid) => UpstreamMode::NamesOtherRequest,
@@ -352,7 +356,11 @@
         let mut observations = self.history.lock();
         match CrashCause::of(request) {
             Some(CrashCause::Part) => observations.part_crashes.push(now),
-            Some(CrashCause::Repeat) => observations.repeat_crashes.push(now),
+            Some(CrashCause::Repeat) => {
+                let number = repeated_number(request).unwrap_or_default();
+                let crashes = observations.repeat_crashes.entry(number);
+                crashes.or_default().push(now);
+            }
             None => {}
         }
         observations.faults.push(FaultRecord {
--- a/soak/tests/part_checks.rs
+++ b/soak/tests/part_checks.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use soak::call;
 use soak::call::CallClass;
 use soak::checks::GuaranteeSet;
@@ -129,7 +130,7 @@
     expected: bool,
 ) {
     let observations = Observations {
-        repeat_crashes: crash_times(crashes),
+        repeat_crashes: IndexMap::from([(0, crash_times(crashes))]),
         ..arrivals_of("repeat", arrivals, arrived_ms)
     };
     assert_eq!(is_violated(REPEATS_STOP, 0, observations), expected);
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -43,6 +43,8 @@
         crash_point: None,
         crashes_after_calls: false,
         crash_cause: None,
+        crash_requests: 1,
+        crashes_services: false,
         crash_ratio: 6,
         only_silences: false,
         stretch: 1.0,
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -37,6 +37,8 @@
         crash_point: None,
         crashes_after_calls: false,
         crash_cause: None,
+        crash_requests: 1,
+        crashes_services: false,
         crash_ratio: 6,
         only_silences: true,
         stretch: 1.0,
