A request that crashes upstreams is not sent again because another one explains its crashes

Callers lost sound calls with upstreams that a request crashed which hosts had refused already, or never refused, as long as other requests crashed upstreams too.

Cause: what is refused followed from a ranking of all requests that is made anew with each crash. A request was released as soon as another one had more crashes and explained its own, and one that never led the ranking was never refused.

Change: a request as a whole that was lost in three crashes, and answered since by none, is sent as a probe only, whatever explains the crashes, by the account that refused requests have. Hosts that start are told of it; its entry in the platform is kept by all hosts that still count its crashes; a request has one account, also where parts of its prompt were always seen with it. A sound request that ran beside three crashes is served by its first probe, which is due at once; one that upstreams have survived lately needs twelve.

Why it works: the number of sends after the third crash depends on that request alone, and is counted in the platform.

--- a/src/decide/crash_attribution.rs
+++ b/src/decide/crash_attribution.rs
@@ -16,7 +16,7 @@
 /// upstream are suspected together.
 pub(crate) const CRASHES_MIN: usize = 3;
 /// The same for a part that was served before the crashes.
-const CRASHES_MIN_IF_SERVED: usize = 12;
+pub(crate) const CRASHES_MIN_IF_SERVED: usize = 12;
 
 /// Parts that explain crashes. All of them were in a suspected call of each crash.
 #[derive(Debug)]
@@ -146,6 +146,10 @@
         crashes_min(**part, served, now) <= min_of_main && crashes_with(**part) == of_main.len()
     });
     let mut parts: Vec<RequestPart> = together.map(|(part, _)| *part).collect();
+    // A request as a whole always has the same other parts.
+    if let Some(whole) = parts.iter().copied().find(RequestPart::is_whole) {
+        return vec![whole];
+    }
     parts.sort_unstable();
     parts
 }
--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -299,6 +299,37 @@
         repeated.flatten().collect()
     }
 
+    /// The crashes in which the part was lost and that count separately, whatever else explains them. All
+    /// crashes under calls that were open and had no answer count.
+    pub(crate) fn losses_of(
+        &self,
+        part: RequestPart,
+        served: &ServedRecord,
+        now: Instant,
+    ) -> Vec<(CrashId, Instant)> {
+        let early = self.calls_with(part, served, now);
+        let early = early.filter(|(call, ..)| call.point == LossPoint::Early);
+        let early: IndexMap<CrashId, Instant> = early
+            .map(|(call, crash, _)| (call.crash, crash.at))
+            .collect();
+        let separate = separate_crashes(part, self.calls_with(part, served, now));
+        if early.len() >= separate.len() {
+            early.into_iter().collect()
+        } else {
+            separate
+        }
+    }
+
+    /// The requests that were lost in at least this number of crashes.
+    pub(crate) fn requests_lost_in(&self, crashes_min: usize) -> Vec<RequestHash> {
+        let mut crashes: IndexMap<RequestHash, IndexSet<CrashId>> = IndexMap::new();
+        for call in self.calls.keys() {
+            crashes.entry(call.request).or_default().insert(call.crash);
+        }
+        crashes.retain(|_, crashes| crashes.len() >= crashes_min);
+        crashes.into_keys().collect()
+    }
+
     /// The number of crashes in which a call with the part was lost.
     pub(crate) fn crashes_with(
         &self,
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -14,6 +14,9 @@
     Crash(CrashSuspect, Duration),
     /// A call was lost with an upstream, or had ended there shortly before.
     Lost(LostCall, Duration),
+    /// A request that was lost as often as begins a quarantine was lost in this crash, too, which counts
+    /// separately from the others.
+    Suspected(LostCall, Duration),
     /// An upstream has ended, as an attempt to connect to it has shown.
     Ended(CrashId, Duration),
     /// An upstream has answered a call that was sent after its connections broke: it has not crashed.
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -49,6 +49,10 @@
                 changes.extend(self.suspect_ended_calls(ended, now));
                 changes
             }
+            PartEvidence::Suspected(call, age) => {
+                self.lost_calls.restore(call, KnownCrash::told(age, now));
+                Vec::new()
+            }
             PartEvidence::Ended(crash, age) => {
                 self.record_end(crash, KnownCrash::told(age, now), now)
             }
@@ -141,6 +145,27 @@
         // What had ended before its upstream comes first: it tells how the suspects are cleared.
         let lost = weak.take(TOLD_MAX).chain(crashes);
         let told = alive.chain(released).chain(ended).chain(lost);
-        told.chain(served).collect()
+        let suspected = self.suspected_losses(now).take(TOLD_MAX);
+        told.chain(served).chain(suspected).collect()
+    }
+
+    /// The crashes of the requests that were probed without being found, for hosts that start.
+    fn suspected_losses(&self, now: Instant) -> impl Iterator<Item = PartEvidence> {
+        let probed = self.probes.keys();
+        let probed = probed.filter(|parts| !self.causes.contains_key(*parts));
+        let probed = probed.filter_map(|parts| parts.first().copied());
+        probed.flat_map(move |part| {
+            let losses = self.losses_of(part, now).unwrap_or_default().into_iter();
+            losses.filter_map(move |(crash, at)| {
+                let call = LostCall {
+                    crash,
+                    request: part.request()?,
+                    parts: Vec::new(),
+                    point: LossPoint::AfterEnd,
+                };
+                let age = now.saturating_duration_since(at);
+                Some(PartEvidence::Suspected(call, age))
+            })
+        })
     }
 }
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! several hosts, so single crashes say little: a part is refused once several upstreams have crashed
 //! under it and no request with it was served since.
 
+mod admission;
 mod ended;
 mod evidence;
 mod lost;
@@ -20,7 +21,6 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::decide::CrashCheck;
 use crate::decide::CrashSuspect;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
@@ -127,39 +127,6 @@
             && !self.lost_calls.has_weak()
     }
 
-    /// The quarantined parts because of which a request with these parts is refused, if any.
-    pub fn find(&self, parts: &[RequestPart], now: Instant) -> Option<&QuarantinedParts> {
-        let mut quarantined = self.quarantined.iter();
-        quarantined.find(|known| known.applies_to(parts, now))
-    }
-
-    /// Whether a call with these parts may be sent.
-    pub fn check(&self, parts: &[RequestPart], now: Instant) -> CrashCheck {
-        let matching = self.quarantined.iter();
-        let matching = matching.filter(|known| known.are_all_in(parts));
-        match matching.max_by_key(|known| known.until) {
-            Some(known) if now < known.until => CrashCheck::Refuse(known.clone()),
-            Some(known) => CrashCheck::Probe(known.clone()),
-            None if self.has_ended_several(parts, now) => CrashCheck::AdmitOnce,
-            None => CrashCheck::Admit,
-        }
-    }
-
-    /// Whether almost as many upstreams as begin a quarantine have ended under the request as a whole,
-    /// and none has answered it since.
-    fn has_ended_several(&self, parts: &[RequestPart], now: Instant) -> bool {
-        let mut whole = parts.iter().filter(|part| part.is_whole());
-        whole.any(|part| {
-            let crashes = self.lost_calls.crashes_with(*part, &self.served, now);
-            crashes + 1 >= CRASHES_MIN
-        })
-    }
-
-    /// Whether [`PartQuarantine::check`] admits all calls, whatever their parts.
-    pub fn admits_all(&self) -> bool {
-        self.quarantined.is_empty() && self.lost_calls.is_empty()
-    }
-
     /// All quarantined parts.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = &QuarantinedParts> {
         let quarantined = self.quarantined.iter();
@@ -347,7 +314,11 @@
         let explanations = explain_crashes(suspects, &self.served, now);
         let is_explained =
             |parts: &Vec<RequestPart>| explanations.iter().any(|found| found.parts == *parts);
-        self.probes.retain(|parts, _| is_explained(parts));
+        let probes = std::mem::take(&mut self.probes).into_iter();
+        let probes = probes
+            .filter(|(parts, _)| is_explained(parts) || self.is_lost_often(parts, now))
+            .collect();
+        self.probes = probes;
         let quarantined = explanations
             .iter()
             .map(|found| self.quarantine_of(found, now));
@@ -384,6 +355,7 @@
         QuarantinedParts {
             parts: explanation.parts.clone(),
             crashes: crashes.len(),
+            is_found: true,
             until: from + quarantine_time(explanation, crashes.len(), probes.len()),
         }
     }
--- a/src/decide/quarantined_parts.rs
+++ b/src/decide/quarantined_parts.rs
@@ -15,6 +15,8 @@
     pub parts: Vec<RequestPart>,
     /// The number of upstreams that have crashed.
     pub crashes: usize,
+    /// Whether the crashes were found to be under these parts. If not, others may explain them.
+    pub is_found: bool,
     /// Until when all requests with the parts are refused. From then on one of them may be a probe.
     pub until: Instant,
 }
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -57,6 +57,10 @@
     /// Whether the call had ended before the upstream did.
     #[prost(bool, tag = "10")]
     pub is_after_end: bool,
+    /// Whether the call is told since the request was lost as often as begins a quarantine. Hosts of an
+    /// earlier version take it for any other call that had ended.
+    #[prost(bool, tag = "11")]
+    pub is_suspected: bool,
 }
 
 /// What identifies an entry: all of it but the age.
@@ -71,6 +75,7 @@
     weak_request: u64,
     ended: u64,
     is_after_end: bool,
+    is_suspected: bool,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
@@ -78,6 +83,10 @@
         match evidence {
             PartEvidence::Crash(suspect, age) => Self::crash(&suspect, age),
             PartEvidence::Lost(call, age) => Self::lost(&call, age),
+            PartEvidence::Suspected(call, age) => Self {
+                is_suspected: true,
+                ..Self::lost(&call, age)
+            },
             PartEvidence::Ended(crash, age) => Self {
                 ended: crash.0,
                 age_ms: whole_millis_u32(age),
@@ -148,7 +157,10 @@
             return Some(PartEvidence::Ended(CrashId(self.ended), age));
         }
         if !self.lost_parts.is_empty() || self.weak_request != 0 {
-            return self.lost_call().map(|call| PartEvidence::Lost(call, age));
+            return self.lost_call().map(|call| match self.is_suspected {
+                true => PartEvidence::Suspected(call, age),
+                false => PartEvidence::Lost(call, age),
+            });
         }
         let parts = self.parts.iter().map(|part| PromptPartId(*part).into());
         let request = (self.request != 0).then(|| RequestHash(self.request).into());
@@ -200,6 +212,7 @@
             weak_request: self.weak_request,
             ended: self.ended,
             is_after_end: self.is_after_end,
+            is_suspected: self.is_suspected,
         }
     }
 
--- a/src/gateway/call_crashes.rs
+++ b/src/gateway/call_crashes.rs
@@ -48,6 +48,7 @@
             request: self.call.head.request.clone(),
             parts: part_names(&quarantined.parts),
             crashes: quarantined.crashes,
+            is_found: quarantined.is_found,
             is_claimed: self.is_probe,
         });
         if self.is_probe {
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -343,7 +343,8 @@
         /// The id of the quarantine.
         quarantine: String,
     },
-    /// The time of a quarantine is over, and a request was to show whether it still crashes upstreams.
+    /// The time of a quarantine is over, or a request was lost as often as begins one, and the request was
+    /// to show whether it still crashes upstreams.
     QuarantineProbe {
         /// The id of the request.
         request: String,
@@ -351,6 +352,8 @@
         parts: Vec<String>,
         /// The number of upstreams that have crashed.
         crashes: usize,
+        /// Whether the crashes were found to be under these parts. If not, others may explain them.
+        is_found: bool,
         /// Whether the request is the probe, and sent. If not, another one is, or the platform has not
         /// answered, and the request is refused.
         is_claimed: bool,
--- a/src/gateway/quarantine_sync.rs
+++ b/src/gateway/quarantine_sync.rs
@@ -136,18 +136,16 @@
         }
         let now = self.gateway.clock.now();
         self.own.extend(self.gateway.take_own_quarantines());
-        let (records, suspicions) = {
+        let (records, suspicions, lasting) = {
             let quarantine = self.gateway.part_quarantine();
             let suspicions = quarantine.suspicions(now);
-            (quarantine.records(now), suspicions)
+            (quarantine.records(now), suspicions, quarantine.lasting(now))
         };
         let mut is_done = self.has_read && !is_alone;
         for record in records.iter().chain(suspicions.iter().filter(|_| is_alone)) {
             is_done &= self.save_if_due(record, now).await?;
         }
-        let lasting = records.iter().chain(&suspicions);
-        self.delete_ended(lasting.map(QuarantineRecord::id).collect())
-            .await?;
+        self.delete_ended(lasting).await?;
         Ok(is_done)
     }
 
@@ -179,13 +177,12 @@
     /// Claims a probe in the platform if one is due. Returns whether this host may send it.
     async fn claim_probe(&self, parts: &[RequestPart]) -> Result<bool, CatalogError> {
         let now = self.gateway.clock.now();
-        let records = {
+        let record = {
             let quarantine = self.gateway.part_quarantine();
             let is_due = matches!(quarantine.check(parts, now), CrashCheck::Probe(_));
-            is_due.then(|| quarantine.records(now))
+            is_due.then(|| quarantine.record_of(parts, now)).flatten()
         };
-        let mut records = records.into_iter().flatten();
-        let Some(mut record) = records.find(|record| record.parts == parts) else {
+        let Some(mut record) = record else {
             return Ok(false);
         };
         record.probes.push(Duration::ZERO);
--- a/tests/gateway_readmission.rs
+++ b/tests/gateway_readmission.rs
@@ -40,6 +40,8 @@
     several_streams_failed = { "model", LastAnswer::Failure, millis(10), millis(1_000), None, Callers::SeveralBad },
     plain_answered = { "safe", LastAnswer::Success, millis(10), millis(900), None, Callers::SeveralBad },
     unanswered_once = { "once", LastAnswer::Nothing, millis(1_500), millis(500), None, Callers::OnlyBad },
+    several_streams_answered = { "model", LastAnswer::Success, millis(400), millis(1_000), None, Callers::SeveralBad },
+    several_unanswered_late = { "once", LastAnswer::Nothing, millis(1_500), millis(500), None, Callers::SeveralBad },
     abandoned = { "safe", LastAnswer::Nothing, millis(2_500), millis(300), Some(millis(2_000)), Callers::SeveralBad },
 )]
 #[test_macro(tokio::test)]
