--- a/tests/gateway_world/crashing_upstream.rs
+++ b/tests/gateway_world/crashing_upstream.rs
@@ -9,6 +9,7 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -21,6 +22,9 @@
 /// How long an upstream that has ended is away.
 const RESTARTED_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// What the upstream sends to a request that crashes it, before it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LastAnswer {
@@ -104,8 +108,12 @@
                 }
             }
             drop(listener);
+            // Refuses connections, and keeps the port from other tests.
+            let reserved = TcpSocket::new_v4().unwrap();
+            reserved.set_reuseaddr(true).unwrap();
+            reserved.bind(self.addr).unwrap();
             sleep(RESTARTED_AFTER).await;
-            listener = TcpListener::bind(self.addr).await.unwrap();
+            listener = reserved.listen(BACKLOG).unwrap();
             let started = *self.ends.borrow();
             self.catalog.restart(&self.name, started);
         }
