--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -14,6 +14,7 @@
 use banyanarch::decide::RetryBound;
 use banyanarch_platform::stand_in;
 use banyanarch_platform::stand_in::NodeConf;
+use banyanarch_platform::stand_in::ProcessLimits;
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::SeedableRng;
@@ -137,6 +138,7 @@
         size: DeploymentSize,
         slots: Option<u32>,
         retry_bound: RetryBound,
+        limits: ProcessLimits,
         program: &Path,
         dir: &Path,
     ) -> io::Result<Arc<Self>> {
@@ -163,6 +165,7 @@
                 revocation_delay: REVOCATION_DELAY,
                 stop_grace: STOP_GRACE,
                 retry_bound,
+                limits,
             };
             caller_links.push(LinkProxy::start(links_ip, conf.callers_addr).await?);
             hosts.push(Mutex::new(HostProcess::new(conf, program, dir)));
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// The id of the process; none before the first start.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.process.as_ref().map(Child::id)
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         self.process
             .as_mut()
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,6 +12,9 @@
 use soak::checks::GuaranteeSet;
 use soak::crash_point::CrashPoint;
 use soak::crashing_request::CrashCause;
+use soak::crowd::CrowdConf;
+use soak::crowd::run_crowd;
+use soak::crowd_kind::CrowdKind;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -47,6 +50,13 @@
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
     --outages       Inject only outages of all upstreams, and restarts of all hosts in them.
     --silences      Inject only silences of upstreams and changes of the manifest.
+    --crowd KIND    In place of all that, send a crowd of clients that do not behave to one host, and
+                    print what memory and descriptors it takes and which ordinary requests it serves:
+                    whole, pieces, medium, large-chunks, small-chunks, announced-too-long,
+                    sent-too-long, head or silent.
+    --clients N     Number of clients of the crowd. [default: 1000]
+    --memory-mb M   With --crowd, the memory in the host's settings. [default: 64]
+    --descriptors N With --crowd, the descriptors in the host's settings. [default: 1600]
     --hosts N       Number of hosts. [default: 6]
     --draw-hosts    Draw the number of hosts of each run: 1 to 8 in each of 3 failure domains.
     --engines N     Number of engines. [default: 12]
@@ -77,6 +87,8 @@
     draws_hosts: bool,
     /// The configuration of each run, apart from its seed.
     conf: SoakConf,
+    /// The crowd that is run in place of seeds, if any.
+    crowd: Option<CrowdConf>,
     /// The daemon program.
     node: PathBuf,
     /// The directory for logs.
@@ -96,7 +108,11 @@
             return ExitCode::from(EXIT_ERROR);
         }
     };
-    match run_all(&options) {
+    let outcome = match &options.crowd {
+        Some(crowd) => run_one_crowd(crowd, &options),
+        None => run_all(&options),
+    };
+    match outcome {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
         Err(err) => {
@@ -128,6 +144,7 @@
     let crashes_after_calls = args.contains("--after-calls");
     let draws_hosts = args.contains("--draw-hosts");
     let stretch = args.opt_value_from_str("--stretch").map_err(error_text)?;
+    let crowd = parse_crowd(&mut args).map_err(error_text)?;
     let hosts = args.opt_value_from_str("--hosts").map_err(error_text)?;
     let engines = args.opt_value_from_str("--engines").map_err(error_text)?;
     let instances = args.opt_value_from_str("--instances").map_err(error_text)?;
@@ -181,11 +198,40 @@
             only_silences,
             guarantees: GuaranteeSet::All,
         },
+        crowd,
         node,
         logs: logs.unwrap_or_else(|| std::env::temp_dir().join("soak-logs")),
     })
 }
 
+/// Parses the options of a crowd; none if there is none.
+fn parse_crowd(args: &mut Arguments) -> Result<Option<CrowdConf>, pico_args::Error> {
+    let kind: Option<CrowdKind> = args.opt_value_from_str("--crowd")?;
+    let clients: Option<usize> = args.opt_value_from_str("--clients")?;
+    let memory_mb: Option<f64> = args.opt_value_from_str("--memory-mb")?;
+    let descriptors: Option<usize> = args.opt_value_from_str("--descriptors")?;
+    Ok(kind.map(|kind| CrowdConf {
+        kind,
+        clients: clients.unwrap_or(1_000),
+        memory_mb: memory_mb.unwrap_or(64.0),
+        descriptors: descriptors.unwrap_or(1_600),
+    }))
+}
+
+/// Runs a crowd and prints what was seen. Returns 1 if the host took too much or did not serve an ordinary
+/// request, otherwise 0.
+fn run_one_crowd(conf: &CrowdConf, options: &Options) -> io::Result<u64> {
+    let dir = options.logs.join(format!("crowd-{}", conf.kind));
+    std::fs::create_dir_all(&dir)?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(run_crowd(conf, &options.node, &dir))?;
+    println!("{}: {report:?}", conf.kind);
+    Ok(u64::from(!report.has_passed(conf)))
+}
+
 /// Returns the path of the daemon in the directory of this program.
 fn default_node_path() -> io::Result<PathBuf> {
     Ok(std::env::current_exe()?.with_file_name("banyanarch-node"))
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use banyanarch::decide::RetryBound;
+use banyanarch_platform::stand_in::ProcessLimits;
 use banyanarch_platform::stand_in::RETRY_BOUND;
 use futures_util::future::join_all;
 use rand::Rng;
@@ -159,7 +160,8 @@
 pub async fn run(conf: &SoakConf, program: &Path, dir: &Path) -> io::Result<SoakReport> {
     let slots = conf.only_floods.then_some(FLOODED_SLOTS);
     let retry_bound = conf.retry_bound();
-    let deployment = Deployment::start(conf.size, slots, retry_bound, program, dir).await?;
+    let limits = ProcessLimits::default();
+    let deployment = Deployment::start(conf.size, slots, retry_bound, limits, program, dir).await?;
     deployment.history.lock().retry_bound = Some(retry_bound);
     let stop = watch::Sender::new(false);
     let mut callers = JoinSet::new();
