Bodies are counted by the buffers that they take

Callers whose body comes in chunks of a byte were refused in calm (503, no_memory) although it is inside the limits, and a host held more than it counted.

Cause: each chunk was reserved by itself, at least a kilobyte, while the first 32 KiB of each body and what a growing buffer has beyond its bytes were not counted at all.

Change: the capacity of a body's buffer is reserved before it grows, and not beyond an announced length. A quarter of the budget is kept for bodies of up to 32 KiB, which needed no reservation before.

Why it works: what is reserved is what is allocated.

--- a/src/gateway/held_body.rs
+++ b/src/gateway/held_body.rs
@@ -4,16 +4,18 @@
 use std::pin::pin;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
 use crate::http::ByteBudget;
 use crate::http::ReservedBytes;
 
-/// The bytes of a body that need no reservation, so that usual bodies are kept also while large ones
-/// use up the budget.
-const UNRESERVED_MAX: usize = 32 << 10;
+/// The largest buffer of a usual body.
+const USUAL_MAX: usize = 32 << 10;
+/// The smallest buffer of a body whose length is not known.
+const BUFFER_MIN: usize = 2 << 10;
+/// The part of the budget that is kept for usual bodies while large ones use up the rest, as a divisor.
+const USUAL_DIVISOR: usize = 4;
 
 /// Why a body was not kept whole.
 #[derive(Debug)]
@@ -36,20 +38,47 @@
     }
 }
 
-/// Bytes with their reservation, which lasts until the last clone of them is dropped.
-struct HeldBytes {
-    bytes: BytesMut,
-    _reserved: ReservedBytes,
+/// A buffer whose whole capacity is reserved.
+#[derive(Default)]
+struct HeldBuffer {
+    bytes: Vec<u8>,
+    reserved: Option<ReservedBytes>,
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl AsRef<[u8]> for HeldBuffer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-/// Reads a body of at most `len_max` bytes to its end. What is longer than usual is reserved in the
-/// budget for as long as the returned bytes are kept.
+impl HeldBuffer {
+    /// Makes room for `len` bytes, and not for more than `len_max`. Returns false if the budget has no
+    /// room.
+    fn grow(&mut self, len: usize, len_max: usize, budget: &ByteBudget) -> bool {
+        let before = self.bytes.capacity();
+        if len <= before {
+            return true;
+        }
+        let capacity = (before * 2).max(BUFFER_MIN).min(len_max).max(len);
+        let kept = if capacity > USUAL_MAX {
+            budget.max_bytes() / USUAL_DIVISOR
+        } else {
+            0
+        };
+        let Some(added) = budget.reserve_beside(capacity - before, kept) else {
+            return false;
+        };
+        match &mut self.reserved {
+            Some(reserved) => reserved.merge(added),
+            None => self.reserved = Some(added),
+        }
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        true
+    }
+}
+
+/// Reads a body of at most `len_max` bytes to its end. Its buffer is reserved in the budget for as long
+/// as the returned bytes are kept.
 pub(crate) async fn hold_body<B>(
     body: B,
     len_max: usize,
@@ -58,31 +87,25 @@
 where
     B: Body<Data = Bytes>,
 {
+    let announced = body.size_hint().exact();
+    let announced = announced.map(|len| usize::try_from(len).unwrap_or(usize::MAX));
     let mut body = pin!(body);
-    let mut bytes = BytesMut::new();
-    let mut reserved: Option<ReservedBytes> = None;
+    let mut held = HeldBuffer::default();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(HoldError::Broken)?.into_data() else {
             continue;
         };
-        let len = bytes.len() + data.len();
+        let len = held.bytes.len() + data.len();
         if len > len_max {
             return Err(HoldError::TooLong);
         }
-        if len > UNRESERVED_MAX {
-            let added = budget.reserve(data.len()).ok_or(HoldError::NoMemory)?;
-            match &mut reserved {
-                Some(reserved) => reserved.merge(added),
-                None => reserved = Some(added),
-            }
+        if !held.grow(len, announced.unwrap_or(len_max), budget) {
+            return Err(HoldError::NoMemory);
         }
-        bytes.extend_from_slice(&data);
+        held.bytes.extend_from_slice(&data);
     }
-    Ok(match reserved {
-        None => bytes.freeze(),
-        Some(reserved) => Bytes::from_owner(HeldBytes {
-            bytes,
-            _reserved: reserved,
-        }),
+    Ok(match held.reserved {
+        None => Bytes::new(),
+        Some(_) => Bytes::from_owner(held),
     })
 }
--- a/src/http/byte_budget.rs
+++ b/src/http/byte_budget.rs
@@ -37,8 +37,22 @@
         (self.permits_max - self.permits.available_permits()) * PERMIT_BYTES
     }
 
+    /// The size of the budget.
+    pub fn max_bytes(&self) -> usize {
+        self.permits_max * PERMIT_BYTES
+    }
+
     /// Reserves bytes without waiting; none if the budget is used up.
     pub fn reserve(&self, len: usize) -> Option<ReservedBytes> {
+        self.reserve_beside(len, 0)
+    }
+
+    /// The same if `kept` bytes stay free beside them.
+    pub fn reserve_beside(&self, len: usize, kept: usize) -> Option<ReservedBytes> {
+        let free = self.permits.available_permits() * PERMIT_BYTES;
+        if len.saturating_add(kept) > free {
+            return None;
+        }
         let permits = u32::try_from(len.div_ceil(PERMIT_BYTES)).ok()?;
         let permit = Arc::clone(&self.permits).try_acquire_many_owned(permits);
         permit.ok().map(ReservedBytes)
