What connections of callers take is bounded by the memory of the host

Callers lost all their requests at a host that ran out of memory under many clients, most of them inside the limits of one request each.

Cause: the memory of a host bounded bodies alone. Beside them each connection had a read buffer that hyper doubles with each read that fills it, up to twice the limit on heads, and there were as many connections as descriptors allow.

--- /dev/null
+++ b/src/gateway/caller_stream.rs
@@ -0,0 +1,85 @@
+//! The byte stream of a caller's connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::io::Take;
+use tokio::net::TcpStream;
+
+use crate::gateway::caller_connection::CallerConnection;
+
+/// The most bytes of one read. A read of 8 KiB would have hyper double its buffer for the next one, and
+/// keep it for as long as the connection is open.
+const READ_MAX: u64 = (8 << 10) - 1;
+
+/// The byte stream of a caller's connection, which is read in small portions. What is read is counted by
+/// the connection.
+pub(crate) struct CallerStream {
+    stream: Take<TcpStream>,
+    connection: Arc<CallerConnection>,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
+        Self {
+            stream: stream.take(READ_MAX),
+            connection,
+        }
+    }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.get_mut())
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.stream.set_limit(READ_MAX);
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let len = buf.filled().len() - filled;
+        Poll::Ready(self.connection.on_read(len))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.stream().poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.stream().poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.get_ref().is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(cx)
+    }
+}
--- a/src/gateway/conf.rs
+++ b/src/gateway/conf.rs
@@ -43,8 +43,7 @@
     pub processors: Millicores,
     /// The number of connections of callers that may be open; further ones are closed unread.
     pub caller_connections_max: usize,
-    /// The bytes of bodies that this host may hold for callers at the same time. Their buffers may take
-    /// twice as much.
+    /// The bytes of bodies and long heads that this host may hold for callers at the same time.
     pub held_bytes_max: ByteSize,
     /// The bound on retries for all hosts together.
     pub retry_bound: RetryBound,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -25,8 +25,10 @@
 use crate::gateway::Gateway;
 use crate::gateway::ResponseBody;
 use crate::gateway::ShutdownPhase;
+use crate::gateway::caller_connection::CallerConnection;
 use crate::gateway::caller_connections::ConnectionDecision;
 use crate::gateway::caller_connections::OpenConnection;
+use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::handler::handle;
 use crate::gateway::supervisor::panic_message;
 use crate::routing::CallerLimits;
@@ -90,10 +92,13 @@
     }
 }
 
-type CallerConnection = http1::Connection<TokioIo<TcpStream>, CallerService>;
+type ServedConnection = http1::Connection<TokioIo<CallerStream>, CallerService>;
 
 /// The service that handles the requests of one caller connection.
-struct CallerService(Arc<Gateway>);
+struct CallerService {
+    gateway: Arc<Gateway>,
+    connection: Arc<CallerConnection>,
+}
 
 impl Service<Request<Incoming>> for CallerService {
     type Response = Response<ResponseBody>;
@@ -102,10 +107,14 @@
 
     /// Handles every request as a call. Never fails, since refusals are responses, also after a panic.
     fn call(&self, req: Request<Incoming>) -> Self::Future {
-        let gateway = Arc::clone(&self.0);
+        let gateway = Arc::clone(&self.gateway);
+        let connection = Arc::clone(&self.connection);
+        connection.on_head();
         async move {
             let handled = AssertUnwindSafe(handle(Arc::clone(&gateway), req));
-            Ok(match handled.catch_unwind().await {
+            let handled = handled.catch_unwind().await;
+            connection.on_answered();
+            Ok(match handled {
                 Ok(res) => res,
                 Err(panic) => {
                     let error = panic_message(panic.as_ref());
@@ -124,7 +133,7 @@
 fn open_connection(
     gateway: &Arc<Gateway>,
     stream: TcpStream,
-) -> Option<(CallerConnection, OpenConnection)> {
+) -> Option<(ServedConnection, OpenConnection)> {
     let max = gateway.conf.caller_connections_max;
     match gateway.caller_connections.on_accepted(max) {
         ConnectionDecision::Serve(open) => Some((connection(gateway, stream)?, open)),
@@ -142,7 +151,7 @@
 }
 
 /// Prepares serving a connection; none if the caller has closed it already.
-fn connection(gateway: &Arc<Gateway>, stream: TcpStream) -> Option<CallerConnection> {
+fn connection(gateway: &Arc<Gateway>, stream: TcpStream) -> Option<ServedConnection> {
     if let Err(err) = stream.set_nodelay(true) {
         debug!("gateway: connection closed right after it was accepted: {err}");
         return None;
@@ -155,11 +164,17 @@
     // idle connections. The limits are doubled because a manifest may raise them during a
     // connection.
     let head_timeout = limits.idle_timeout * 2 + limits.head_timeout;
+    let connection = Arc::new(CallerConnection::new(gateway.held_bytes.clone()));
+    let stream = CallerStream::new(stream, Arc::clone(&connection));
+    let service = CallerService {
+        gateway: Arc::clone(gateway),
+        connection,
+    };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size((limits.head_bytes * 2).max(HEAD_BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), CallerService(Arc::clone(gateway)));
+        .serve_connection(TokioIo::new(stream), service);
     Some(conn)
 }
 
