A body that is announced too long is refused from its head, and callers get their refusals

Callers that announce a body over the limit were answered only at their deadline, with 408, or with 503 once the host held as much as it may; callers that were still sending when they were refused found their connection reset.

Cause: the announced length was not looked at, and a connection with something unread is reset when it is closed.

Evidence: two of the tests in tests/gateway_client_bodies.rs fail before, with 408 in place of 413 and with a broken connection in place of 503.

Change: 413 from the head. After a refusal with the body unread the host ends its side, and reads and drops what still comes for a second or 4 MiB at most, in a buffer of 8 KiB.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -27,6 +27,8 @@
     head_len: usize,
     /// The reservation for a head that is longer than usual.
     reserved: Option<ReservedBytes>,
+    /// Whether a request was refused before its body had been read.
+    has_unread_body: bool,
 }
 
 impl CallerConnection {
@@ -73,6 +75,16 @@
         };
     }
 
+    /// Records that a request is refused before its body has been read.
+    pub(crate) fn on_unread_body(&self) {
+        self.state().has_unread_body = true;
+    }
+
+    /// Whether the body of the last request has not been read, since the request was refused.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.state().has_unread_body
+    }
+
     /// Records that a request has been answered: what is read from now on is the head of the next one.
     pub(crate) fn on_answered(&self) {
         self.state().has_head = false;
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -6,6 +6,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
@@ -13,6 +14,8 @@
 use tokio::io::ReadBuf;
 use tokio::io::Take;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
 use crate::gateway::caller_connection::CallerConnection;
 
@@ -20,11 +23,25 @@
 /// keep it for as long as the connection is open.
 const READ_MAX: u64 = (8 << 10) - 1;
 
+/// How long, and how many bytes of, a body that was refused is read and dropped before the connection is
+/// closed. A connection that is closed with something unread is reset, and the caller may lose the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const DISCARDED_MAX: usize = 4 << 20;
+const DISCARD_BUFFER: usize = 8 << 10;
+
 /// The byte stream of a caller's connection, which is read in small portions. What is read is counted by
 /// the connection.
 pub(crate) struct CallerStream {
     stream: Take<TcpStream>,
     connection: Arc<CallerConnection>,
+    /// The end of a body that was refused, while it is dropped.
+    discarding: Option<Discarding>,
+}
+
+/// How much of a refused body is still read.
+struct Discarding {
+    timeout: Pin<Box<Sleep>>,
+    bytes_left: usize,
 }
 
 impl CallerStream {
@@ -32,7 +49,31 @@
         Self {
             stream: stream.take(READ_MAX),
             connection,
+            discarding: None,
+        }
+    }
+
+    /// Reads and drops what the caller still sends, within limits.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let discarding = self.discarding.get_or_insert_with(|| Discarding {
+            timeout: Box::pin(sleep(DISCARD_TIMEOUT)),
+            bytes_left: DISCARDED_MAX,
+        });
+        if discarding.timeout.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
         }
+        let mut bytes = [0; DISCARD_BUFFER];
+        while discarding.bytes_left > 0 {
+            let mut buf = ReadBuf::new(&mut bytes);
+            let stream = Pin::new(self.stream.get_mut());
+            let read = ready!(stream.poll_read(cx, &mut buf));
+            let len = buf.filled().len();
+            if read.is_err() || len == 0 {
+                break;
+            }
+            discarding.bytes_left = discarding.bytes_left.saturating_sub(len);
+        }
+        Poll::Ready(())
     }
 
     fn stream(&mut self) -> Pin<&mut TcpStream> {
@@ -80,6 +121,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_shutdown(cx)
+        ready!(self.stream().poll_shutdown(cx))?;
+        if self.connection.has_unread_body() {
+            ready!(self.poll_discard(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
@@ -32,6 +33,7 @@
 use crate::gateway::answer_progress::AnswerProgress;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
+use crate::gateway::caller_connection::CallerConnection;
 use crate::gateway::held_body::HoldError;
 use crate::gateway::held_body::hold_body;
 use crate::gateway::request_tracker::OUTCOME_SERVED;
@@ -49,21 +51,28 @@
 /// allows another upstream to be tried when the response breaks off.
 const BUFFERED_RESPONSE_MAX: usize = 8 << 20;
 
-/// Handles one request and returns the response for the caller.
+/// Handles one request on a connection and returns the response for the caller.
 pub(crate) async fn handle(
     gateway: Arc<Gateway>,
+    connection: &CallerConnection,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived_at = gateway.clock.now();
     let mut tracker = RequestTracker::new(&gateway, arrived_at);
     let (head, body) = req.into_parts();
+    let has_body = !body.is_end_stream();
     let mut res = match admit(&gateway, head, body, arrived_at, &mut tracker).await {
         Ok(call) => {
             tracker.on_admitted(&call);
             gateway.count_request(&call.service);
             serve_call(&gateway, call, tracker).await
         }
-        Err((request, refusal)) => local_response(&gateway, &request, &refusal, tracker),
+        Err((request, refusal)) => {
+            if has_body {
+                connection.on_unread_body();
+            }
+            local_response(&gateway, &request, &refusal, tracker)
+        }
     };
     if gateway.phase() != ShutdownPhase::Serving {
         res.headers_mut()
@@ -99,6 +108,9 @@
         return Err(refused(CallRefusal::Stopping));
     }
     let body_max = routes.limits.body_bytes;
+    if usize::try_from(body.size_hint().lower()).map_or(true, |len| len > body_max) {
+        return Err(refused(CallRefusal::BodyTooLarge));
+    }
     let body = hold_body(body, body_max, &gateway.held_bytes);
     let body = timeout_at(call.deadline.into(), body).await;
     let body = body.map_err(|_| refused(CallRefusal::BodyLate))?;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -111,7 +111,7 @@
         let connection = Arc::clone(&self.connection);
         connection.on_head();
         async move {
-            let handled = AssertUnwindSafe(handle(Arc::clone(&gateway), req));
+            let handled = AssertUnwindSafe(handle(Arc::clone(&gateway), &connection, req));
             let handled = handled.catch_unwind().await;
             connection.on_answered();
             Ok(match handled {
--- a/tests/gateway_client_bodies.rs
+++ b/tests/gateway_client_bodies.rs
@@ -3,6 +3,7 @@
 mod gateway_world;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use banyanarch::units::ByteSize;
 use gateway_world::TestHost;
@@ -68,3 +69,33 @@
     assert_eq!(status(&mut stream).await, "HTTP/1.1 200 OK");
     assert_eq!(host.gateway.held_bytes(), 0);
 }
+
+/// Guards against a body over the limit that is read until the host holds as much as it may, although its
+/// head announces its length.
+#[tokio::test]
+async fn a_body_that_is_announced_too_long_is_refused_before_it_is_read() {
+    let (host, _upstream) = host().await;
+    let announced = format!("content-length: {}", 400 << 20);
+    let mut stream = open(host.callers, head("r-1", &announced).as_bytes()).await;
+    assert_eq!(status(&mut stream).await, "HTTP/1.1 413 Payload Too Large");
+}
+
+/// Guards against a caller that loses a refusal, since its connection is reset under what it still sends.
+#[tokio::test]
+async fn a_caller_that_sends_on_gets_its_refusal() {
+    let (host, _upstream) = host().await;
+    // More than the host may hold, and less than one body may have.
+    let mut stream = open(
+        host.callers,
+        head("r-1", "content-length: 2000000").as_bytes(),
+    )
+    .await;
+    for _ in 0..20 {
+        stream.write_all(&[b'x'; 100_000]).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(
+        status(&mut stream).await,
+        "HTTP/1.1 503 Service Unavailable"
+    );
+}
