Bodies and connections that stand still give way to others

Ordinary callers were refused (503) or could not connect for as long as a crowd kept bodies or connections open: until the deadlines that its clients named, and then new ones took their places.

Cause: what is shared was kept by whoever came first. A body held its bytes and a connection its place whether anything still came on it or not, and one customer could hold all.

Change: where there is no room for a body, the largest one on which nothing, or little, has come for a second is refused; if there is none, the largest one of the customer that holds more than half, for another customer. Where there is no room for a connection, the one that has stood still for longest in its first request, or in a body, is closed. Connections that have had an answer and are idle stay, as before.

Why it works: nothing that moves is displaced by what stands still, and a refused body has not run.

--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -44,6 +44,16 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         restarted_after_ms: Option<u64>,
     },
+    /// Bodies of which the callers sent nothing more, or of the customer with most of them, were refused to
+    /// make room for that of another request.
+    BodiesDisplaced {
+        /// The id of the request.
+        request: String,
+        /// The number of bodies.
+        displaced: usize,
+        /// The bytes of bodies that this host holds.
+        held_bytes: usize,
+    },
     /// So many connections of callers are open that further ones are closed unread. Logged once until
     /// a connection is served again.
     ConnectionsFull {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -31,9 +31,11 @@
 use crate::gateway::ResponseBody;
 use crate::gateway::ShutdownPhase;
 use crate::gateway::answer_progress::AnswerProgress;
+use crate::gateway::body_memory::BodyMemory;
 use crate::gateway::call_dispatcher::CallDispatcher;
 use crate::gateway::call_dispatcher::DispatchOutcome;
 use crate::gateway::caller_connection::CallerConnection;
+use crate::gateway::caller_connection::Displacement;
 use crate::gateway::held_body::HoldError;
 use crate::gateway::held_body::hold_body;
 use crate::gateway::request_tracker::OUTCOME_SERVED;
@@ -61,8 +63,10 @@
     let mut tracker = RequestTracker::new(&gateway, arrived_at);
     let (head, body) = req.into_parts();
     let has_body = !body.is_end_stream();
-    let mut res = match admit(&gateway, head, body, arrived_at, &mut tracker).await {
+    let admitted = admit(&gateway, connection, head, body, arrived_at, &mut tracker);
+    let mut res = match admitted.await {
         Ok(call) => {
+            connection.on_request_read();
             tracker.on_admitted(&call);
             gateway.count_request(&call.service);
             serve_call(&gateway, call, tracker).await
@@ -85,6 +89,7 @@
 /// with a refusal.
 async fn admit(
     gateway: &Gateway,
+    connection: &CallerConnection,
     head: request::Parts,
     body: Incoming,
     arrived_at: Instant,
@@ -111,9 +116,17 @@
     if usize::try_from(body.size_hint().lower()).map_or(true, |len| len > body_max) {
         return Err(refused(CallRefusal::BodyTooLarge));
     }
-    let body = hold_body(body, body_max, &gateway.held_bytes);
-    let body = timeout_at(call.deadline.into(), body).await;
-    let body = body.map_err(|_| refused(CallRefusal::BodyLate))?;
+    connection.on_customer(call.customer.as_ref());
+    let memory = BodyMemory {
+        gateway,
+        request: &request,
+        customer: call.customer.as_ref(),
+    };
+    let body = timeout_at(call.deadline.into(), hold_body(body, body_max, &memory));
+    let body = tokio::select! {
+        body = body => body.map_err(|_| refused(CallRefusal::BodyLate))?,
+        () = connection.displaced(Displacement::Refuse) => Err(HoldError::NoMemory),
+    };
     call.body = body.map_err(|err| {
         refused(match err {
             HoldError::TooLong => CallRefusal::BodyTooLarge,
@@ -303,7 +316,13 @@
         ..
     } = response;
     let gateway = &dispatcher.gateway;
-    let read = hold_body(body, BUFFERED_RESPONSE_MAX, &gateway.held_bytes);
+    let call = &dispatcher.call;
+    let memory = BodyMemory {
+        gateway,
+        request: &call.head.request,
+        customer: call.customer.as_ref(),
+    };
+    let read = hold_body(body, BUFFERED_RESPONSE_MAX, &memory);
     let cause = match timeout_at(dispatcher.call.deadline.into(), read).await {
         Err(_) => return Err(Some(CallRefusal::DeadlineExceeded)),
         Ok(Ok(body)) => {
--- a/src/gateway/held_body.rs
+++ b/src/gateway/held_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-use crate::http::ByteBudget;
+use crate::gateway::body_memory::BodyMemory;
 use crate::http::ReservedBytes;
 
 /// The largest buffer of a usual body.
@@ -52,20 +52,19 @@
 }
 
 impl HeldBuffer {
-    /// Makes room for `len` bytes, and not for more than `len_max`. Returns false if the budget has no
-    /// room.
-    fn grow(&mut self, len: usize, len_max: usize, budget: &ByteBudget) -> bool {
+    /// Makes room for `len` bytes, and not for more than `len_max`. Returns false if there is no memory.
+    async fn grow(&mut self, len: usize, len_max: usize, memory: &BodyMemory<'_>) -> bool {
         let before = self.bytes.capacity();
         if len <= before {
             return true;
         }
         let capacity = (before * 2).max(BUFFER_MIN).min(len_max).max(len);
         let kept = if capacity > USUAL_MAX {
-            budget.max_bytes() / USUAL_DIVISOR
+            memory.max_bytes() / USUAL_DIVISOR
         } else {
             0
         };
-        let Some(added) = budget.reserve_beside(capacity - before, kept) else {
+        let Some(added) = memory.reserve(capacity - before, kept).await else {
             return false;
         };
         match &mut self.reserved {
@@ -77,12 +76,12 @@
     }
 }
 
-/// Reads a body of at most `len_max` bytes to its end. Its buffer is reserved in the budget for as long
-/// as the returned bytes are kept.
+/// Reads a body of at most `len_max` bytes to its end. Its buffer is reserved for as long as the returned
+/// bytes are kept.
 pub(crate) async fn hold_body<B>(
     body: B,
     len_max: usize,
-    budget: &ByteBudget,
+    memory: &BodyMemory<'_>,
 ) -> Result<Bytes, HoldError<B::Error>>
 where
     B: Body<Data = Bytes>,
@@ -99,7 +98,7 @@
         if len > len_max {
             return Err(HoldError::TooLong);
         }
-        if !held.grow(len, announced.unwrap_or(len_max), budget) {
+        if !held.grow(len, announced.unwrap_or(len_max), memory).await {
             return Err(HoldError::NoMemory);
         }
         held.bytes.extend_from_slice(&data);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod advertised_limit;
 mod answer_progress;
 mod availability;
+mod body_memory;
 mod broadcast_hosts;
 mod call;
 mod call_crashes;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -26,6 +26,7 @@
 use crate::gateway::ResponseBody;
 use crate::gateway::ShutdownPhase;
 use crate::gateway::caller_connection::CallerConnection;
+use crate::gateway::caller_connection::Displacement;
 use crate::gateway::caller_connections::ConnectionDecision;
 use crate::gateway::caller_connections::OpenConnection;
 use crate::gateway::caller_stream::CallerStream;
@@ -49,15 +50,16 @@
     loop {
         tokio::select! {
             stream = accept(&listener) => {
-                let Some((conn, open)) = open_connection(&gateway, stream) else {
+                let Some(conn) = open_connection(&gateway, stream) else {
                     continue;
                 };
                 // The phase may have changed since it was last checked. The end of the loop would
                 // close this connection as idle.
+                let CountedConnection { served, connection, open } = conn;
                 if gateway.phase() >= ShutdownPhase::Refusing {
-                    spawn(conn, open);
+                    spawn(served, connection, open);
                 } else {
-                    spawn(graceful.watch(conn), open);
+                    spawn(graceful.watch(served), connection, open);
                 }
             }
             () = &mut refusing => break,
@@ -67,8 +69,8 @@
     // refused, since a connection that is not accepted would be reset together with its request.
     let refuse_rest = async {
         loop {
-            if let Some((conn, open)) = open_connection(&gateway, accept(&listener).await) {
-                spawn(conn, open);
+            if let Some(conn) = open_connection(&gateway, accept(&listener).await) {
+                spawn(conn.served, conn.connection, conn.open);
             }
         }
     };
@@ -128,15 +130,27 @@
     }
 }
 
+/// A connection that is counted as open, to be served.
+struct CountedConnection {
+    served: ServedConnection,
+    connection: Arc<CallerConnection>,
+    open: OpenConnection,
+}
+
 /// Prepares serving a new connection, and counts it as open. None if too many are open or the caller
 /// has closed it already.
-fn open_connection(
-    gateway: &Arc<Gateway>,
-    stream: TcpStream,
-) -> Option<(ServedConnection, OpenConnection)> {
+fn open_connection(gateway: &Arc<Gateway>, stream: TcpStream) -> Option<CountedConnection> {
     let max = gateway.conf.caller_connections_max;
-    match gateway.caller_connections.on_accepted(max) {
-        ConnectionDecision::Serve(open) => Some((connection(gateway, stream)?, open)),
+    let clock = Arc::clone(&gateway.clock);
+    let now = clock.now();
+    let connection = Arc::new(CallerConnection::new(clock, gateway.held_bytes.clone()));
+    let connections = &gateway.caller_connections;
+    match connections.on_accepted(&connection, max, now) {
+        ConnectionDecision::Serve(open) => Some(CountedConnection {
+            served: serve_connection(gateway, stream, &connection)?,
+            connection,
+            open,
+        }),
         ConnectionDecision::Close { is_first } => {
             gateway.metrics.record_connection_closed();
             if is_first {
@@ -151,7 +165,11 @@
 }
 
 /// Prepares serving a connection; none if the caller has closed it already.
-fn connection(gateway: &Arc<Gateway>, stream: TcpStream) -> Option<ServedConnection> {
+fn serve_connection(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+    connection: &Arc<CallerConnection>,
+) -> Option<ServedConnection> {
     if let Err(err) = stream.set_nodelay(true) {
         debug!("gateway: connection closed right after it was accepted: {err}");
         return None;
@@ -164,11 +182,10 @@
     // idle connections. The limits are doubled because a manifest may raise them during a
     // connection.
     let head_timeout = limits.idle_timeout * 2 + limits.head_timeout;
-    let connection = Arc::new(CallerConnection::new(gateway.held_bytes.clone()));
-    let stream = CallerStream::new(stream, Arc::clone(&connection));
+    let stream = CallerStream::new(stream, Arc::clone(connection));
     let service = CallerService {
         gateway: Arc::clone(gateway),
-        connection,
+        connection: Arc::clone(connection),
     };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -178,15 +195,21 @@
     Some(conn)
 }
 
-/// Serves a connection in a task of its own.
+/// Serves a connection in a task of its own, until it ends or gives way to another one.
 fn spawn(
-    conn: impl Future<Output = Result<(), hyper::Error>> + Send + 'static,
+    served: impl Future<Output = Result<(), hyper::Error>> + Send + 'static,
+    connection: Arc<CallerConnection>,
     open: OpenConnection,
 ) {
     tokio::spawn(async move {
         let _open = open;
-        if let Err(err) = conn.await {
-            debug!("gateway: connection ended early: {err}");
+        tokio::select! {
+            served = served => {
+                if let Err(err) = served {
+                    debug!("gateway: connection ended early: {err}");
+                }
+            }
+            () = connection.displaced(Displacement::Close) => {}
         }
     });
 }
--- a/tests/gateway_client_bodies.rs
+++ b/tests/gateway_client_bodies.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use banyanarch::units::ByteSize;
 use gateway_world::TestHost;
@@ -12,12 +13,15 @@
 use gateway_world::table;
 use gateway_world::upstream::ScriptStep;
 use gateway_world::upstream::ScriptedUpstream;
+use gateway_world::wait_until;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// The bytes of bodies that the host may hold.
 const HELD_MAX: u64 = 1 << 20;
+/// How long a request is sent again at most.
+const PATIENCE: Duration = Duration::from_secs(20);
 
 async fn host() -> (TestHost, ScriptedUpstream) {
     let catalog = FakeCatalog::new(table(1));
@@ -99,3 +103,60 @@
         "HTTP/1.1 503 Service Unavailable"
     );
 }
+
+/// Sends a request with a body of this length and the key until it is served.
+async fn call_until_served(addr: SocketAddr, key: &str, len: usize) {
+    let served = async {
+        for attempt in 0.. {
+            let request = format!("r-{key}-{attempt}");
+            let head = head(&request, &format!("content-length: {len}"));
+            let mut bytes = head.replace("key-1", key).into_bytes();
+            bytes.extend(vec![b'x'; len]);
+            let mut stream = open(addr, &bytes).await;
+            if status(&mut stream).await == "HTTP/1.1 200 OK" {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, served).await.unwrap();
+}
+
+/// Requests whose bodies stop before their ends, which together take what the host may hold.
+async fn stop_short(addr: SocketAddr) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for index in 0..4 {
+        let head = head(&format!("short-{index}"), "content-length: 300000");
+        let mut bytes = head.into_bytes();
+        bytes.extend(vec![b'x'; 250_000]);
+        streams.push(open(addr, &bytes).await);
+    }
+    streams
+}
+
+/// Guards against bodies that never end and keep others from being read until their deadlines, which their
+/// senders name.
+#[tokio::test]
+async fn a_body_that_stands_still_gives_way_to_another_one() {
+    let (host, _upstream) = host().await;
+    let _short = stop_short(host.callers).await;
+    wait_until(|| host.gateway.held_bytes() > 500_000).await;
+    call_until_served(host.callers, "key-1", 600_000).await;
+    wait_until(|| host.log.text().contains("bodies_displaced")).await;
+}
+
+/// Guards against one customer whose bodies keep those of all others from being read.
+#[tokio::test]
+async fn a_customer_with_most_bytes_gives_way_to_another_one() {
+    let (host, _upstream) = host().await;
+    let clock = Instant::now();
+    let _short = stop_short(host.callers).await;
+    wait_until(|| host.gateway.held_bytes() > 500_000).await;
+    call_until_served(host.callers, "key-2", 600_000).await;
+    let log = host.log.text();
+    assert!(
+        log.contains("bodies_displaced"),
+        "{:?}: {log}",
+        clock.elapsed()
+    );
+}
--- a/tests/gateway_connections.rs
+++ b/tests/gateway_connections.rs
@@ -89,6 +89,27 @@
         .unwrap();
 }
 
+/// Guards against connections on which nothing is sent and that keep all others out.
+#[tokio::test]
+async fn a_connection_on_which_nothing_is_sent_gives_way_to_a_new_one() {
+    let (host, _upstream) = host_with_few_connections().await;
+    let mut silent = Vec::new();
+    for _ in 0..CONNECTIONS_MAX {
+        silent.push(TcpStream::connect(host.callers).await.unwrap());
+    }
+    let served = async {
+        while open_and_call(host.callers, 1).await.0.is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), served)
+        .await
+        .unwrap();
+    // Those that are left are served as before.
+    let response = call_on(silent.last_mut().unwrap()).await;
+    assert!(response.unwrap().starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against a host that serves less of what it has read when it gets the connections of all: of
 /// three hosts one gets every call, each on a new connection, while the others are idle. The calls of
 /// one customer take less than half of the slots, so that its share does not limit it.
