--- a/src/decide/part_quarantine/admission.rs
+++ b/src/decide/part_quarantine/admission.rs
@@ -28,13 +28,27 @@
     pub fn check(&self, parts: &[RequestPart], now: Instant) -> CrashCheck {
         let matching = self.quarantined.iter();
         let matching = matching.filter(|known| known.are_all_in(parts));
-        let found = matching.max_by_key(|known| known.until);
-        let suspected = || parts.iter().find_map(|part| self.suspected(*part, now));
-        match found.cloned().or_else(suspected) {
+        match matching.max_by_key(|known| known.until) {
+            Some(known) if now < known.until => CrashCheck::Refuse(known.clone()),
+            Some(known) => CrashCheck::Probe(known.clone()),
+            None => self.check_losses(parts, now),
+        }
+    }
+
+    /// The same by the crashes in which the request as a whole was lost, whatever explains them.
+    fn check_losses(&self, parts: &[RequestPart], now: Instant) -> CrashCheck {
+        let mut whole = parts.iter().copied().filter(RequestPart::is_whole);
+        let lost = whole.find(|part| {
+            let crashes = self.lost_calls.crashes_with(*part, &self.served, now);
+            crashes + 1 >= CRASHES_MIN
+        });
+        let Some(part) = lost else {
+            return CrashCheck::Admit;
+        };
+        match self.suspected(part, now) {
             Some(known) if now < known.until => CrashCheck::Refuse(known),
             Some(known) => CrashCheck::Probe(known),
-            None if self.has_ended_several(parts, now) => CrashCheck::AdmitOnce,
-            None => CrashCheck::Admit,
+            None => CrashCheck::AdmitOnce,
         }
     }
 
@@ -75,16 +89,6 @@
         };
         (losses.len() >= losses_min).then_some(losses)
     }
-
-    /// Whether almost as many upstreams as begin a quarantine have ended under the request as a whole,
-    /// and none has answered it since.
-    fn has_ended_several(&self, parts: &[RequestPart], now: Instant) -> bool {
-        let mut whole = parts.iter().filter(|part| part.is_whole());
-        whole.any(|part| {
-            let crashes = self.lost_calls.crashes_with(*part, &self.served, now);
-            crashes + 1 >= CRASHES_MIN
-        })
-    }
 }
 
 /// How long after the last of so many probes of a suspected request the next one may be sent.
