--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -121,7 +121,8 @@
         state.read_len += len;
         state.read_at = now;
         let added = state.read_len.saturating_sub(held);
-        if added == 0 || !matches!(state.phase, Phase::FirstHead | Phase::NextHead) {
+        let is_head = matches!(state.phase, Phase::FirstHead | Phase::NextHead);
+        if added == 0 || !is_head || state.has_unread_body {
             return Ok(());
         }
         let Some(added) = self.budget.reserve(added) else {
@@ -137,7 +138,9 @@
     /// Records that the head of a request has been read.
     pub(crate) fn on_head(&self) {
         self.begin(Phase::Body);
-        self.state().customer = None;
+        let mut state = self.state();
+        state.customer = None;
+        state.has_unread_body = false;
     }
 
     /// Records whose request it is.
--- a/tests/gateway_client_bodies.rs
+++ b/tests/gateway_client_bodies.rs
@@ -153,3 +153,19 @@
     call_until_served(host.callers, "key-2", 600_000).await;
     wait_until(|| host.log.text().contains("bodies_displaced")).await;
 }
+
+/// Guards against a long head that is not counted, or still counts when its request has been answered.
+#[tokio::test]
+async fn a_long_head_is_counted_until_it_has_been_read() {
+    let (host, _upstream) = host().await;
+    let head = head(
+        "r-1",
+        &format!("padding: {}\r\ncontent-length: 0", "x".repeat(12_000)),
+    );
+    let (begin, end) = head.split_at(head.len() - 2);
+    let mut stream = open(host.callers, begin.as_bytes()).await;
+    wait_until(|| host.gateway.held_bytes() > 0).await;
+    stream.write_all(end.as_bytes()).await.unwrap();
+    assert_eq!(status(&mut stream).await, "HTTP/1.1 200 OK");
+    assert_eq!(host.gateway.held_bytes(), 0);
+}
