A refusal that comes too late for a body does not meet the next request of its connection

A body that ends in the moment in which it is chosen to give way was served, and the next request on the same connection, and each one after it, would have been refused with 503. Read in the code; no run has shown it. The choice ends with the request now.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -103,6 +103,9 @@
     }
 
     fn begin(&self, phase: Phase) {
+        // A refusal that came too late is not for the next request.
+        self.displacement
+            .send_if_modified(|known| known.take_if(|how| *how == Displacement::Refuse).is_some());
         let now = self.clock.now();
         let mut state = self.state();
         state.phase = phase;
