Soak: the default figures of a crowd are named constants

They stood as numbers in the middle of the command line's parser. Values unchanged; the test of crowds keeps its own, which are its bounds.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -74,6 +74,10 @@
 const EXIT_ERROR: u8 = 2;
 /// Of the prompts, one in this number has the part that crashes engines, unless it is given.
 const CRASH_RATIO: u32 = 6;
+/// The number of clients of a crowd, and the memory and descriptors of its host, unless they are given.
+const CROWD_CLIENTS: usize = 1_000;
+const CROWD_MEMORY_MB: f64 = 64.0;
+const CROWD_DESCRIPTORS: usize = 1_600;
 /// Maximum number of violations that are printed per seed.
 const PRINTED_VIOLATIONS_MAX: usize = 20;
 
@@ -212,9 +216,9 @@
     let descriptors: Option<usize> = args.opt_value_from_str("--descriptors")?;
     Ok(kind.map(|kind| CrowdConf {
         kind,
-        clients: clients.unwrap_or(1_000),
-        memory_mb: memory_mb.unwrap_or(64.0),
-        descriptors: descriptors.unwrap_or(1_600),
+        clients: clients.unwrap_or(CROWD_CLIENTS),
+        memory_mb: memory_mb.unwrap_or(CROWD_MEMORY_MB),
+        descriptors: descriptors.unwrap_or(CROWD_DESCRIPTORS),
     }))
 }
 
