--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -47,11 +47,12 @@
         mode: UpstreamMode,
         slot: Option<Slot>,
     ) -> Self {
+        let crash_point = crash_point(&forwarded.request, &shared.id);
         Self {
             shared,
             request: forwarded.request.clone(),
             first: forwarded.last_event.unwrap_or(0) + 1,
-            crash_point: crash_point(&forwarded.request).filter(|point| point.is_in_stream()),
+            crash_point: crash_point.filter(|point| point.is_in_stream()),
             mode,
             _slot: slot,
         }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -231,8 +231,8 @@
     pub faults: Vec<FaultRecord>,
     /// When upstreams crashed or were ended, by upstream id.
     pub upstream_ends: IndexMap<String, Timestamp>,
-    /// When engines crashed under a part of a prompt.
-    pub part_crashes: Vec<Timestamp>,
+    /// When engines crashed under each part of prompts, by its number.
+    pub part_crashes: IndexMap<u32, Vec<Timestamp>>,
     /// When upstreams crashed under each request that is repeated, by its number.
     pub repeat_crashes: IndexMap<u32, Vec<Timestamp>>,
     /// Limit periods that have ended.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -45,6 +45,9 @@
     --crash-cause C Why: part or repeat. [default: both]
     --crash-requests N  The number of different requests that are repeated and crash upstreams.
                     [default: 1]
+    --crash-parts N The number of different parts of prompts that crash engines. [default: 1]
+    --crash-share P Of the tries with such a part, this share crash their engines, in percent; the
+                    others are served. [default: 100]
     --crash-services    With --parts, some of these requests go to plain services.
     --restart-all   With --parts, also restart all hosts, at the same time or in turn.
     --crash-ratio N Of the prompts, one in N has the part. [default: 6]
@@ -144,6 +147,8 @@
     let crash_cause: Result<Option<CrashCause>, _> = args.opt_value_from_str("--crash-cause");
     let crash_ratio: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-ratio");
     let crash_requests: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-requests");
+    let crash_parts: Result<Option<NonZeroU32>, _> = args.opt_value_from_str("--crash-parts");
+    let crash_share: Result<Option<u32>, _> = args.opt_value_from_str("--crash-share");
     let crashes_services = args.contains("--crash-services");
     let crashes_after_calls = args.contains("--after-calls");
     let draws_hosts = args.contains("--draw-hosts");
@@ -157,6 +162,10 @@
     if let Some(unknown) = args.finish().first() {
         return Err(format!("unknown argument {}", unknown.to_string_lossy()));
     }
+    let crash_share_percent = crash_share.map_err(error_text)?.unwrap_or(100);
+    if crash_share_percent > 100 {
+        return Err(format!("--crash-share: {crash_share_percent} is over 100"));
+    }
     let minutes = minutes.unwrap_or(0.5);
     if !minutes.is_finite() || minutes < 0.0 {
         return Err(format!("--minutes: {minutes} is no time"));
@@ -193,6 +202,8 @@
             crash_requests: crash_requests
                 .map_err(error_text)?
                 .map_or(1, NonZeroU32::get),
+            crash_parts: crash_parts.map_err(error_text)?.map_or(1, NonZeroU32::get),
+            crash_share_percent,
             crashes_services,
             crash_cause: crash_cause.map_err(error_text)?,
             crash_ratio: crash_ratio
--- a/soak/src/part_checks.rs
+++ b/soak/src/part_checks.rs
@@ -5,6 +5,7 @@
 use crate::call::CallClass;
 use crate::checks::Violation;
 use crate::crashing_request::CrashCause;
+use crate::crashing_request::CrashingPart;
 use crate::crashing_request::repeated_number;
 use crate::history::CallerAttempt;
 use crate::history::CallerOutcome;
@@ -25,19 +26,18 @@
 
 /// Returns the violations by requests that crash engines and by others.
 pub(crate) fn check(observations: &Observations) -> Vec<Violation> {
-    let crashes = &observations.part_crashes;
-    let by_part = check_stop(
-        observations,
-        Crashing::Part,
-        nth_time(crashes, PART_CRASHES_MAX),
-    );
+    let by_part = observations.part_crashes.iter();
+    let by_part = by_part.filter_map(|(number, crashes)| {
+        let known_at = nth_time(crashes, PART_CRASHES_MAX);
+        check_stop(observations, Crashing::Part(*number), known_at)
+    });
     let by_repeat = observations.repeat_crashes.iter();
     let by_repeat = by_repeat.filter_map(|(number, crashes)| {
         let known_at = nth_time(crashes, REPEAT_CRASHES_MAX);
         check_stop(observations, Crashing::Repeat(*number), known_at)
     });
     let lost = check_others(observations);
-    by_part.into_iter().chain(by_repeat).chain(lost).collect()
+    by_part.chain(by_repeat).chain(lost).collect()
 }
 
 /// The time of the crash with this number, counted from 1; none if there were fewer.
@@ -50,8 +50,8 @@
 /// Requests that crash engines and are counted together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Crashing {
-    /// Those with the part that does.
-    Part,
+    /// Those with the part of this number.
+    Part(u32),
     /// The repeats of the request with this number.
     Repeat(u32),
 }
@@ -59,7 +59,9 @@
 impl Crashing {
     fn contains(self, request: &str) -> bool {
         match self {
-            Self::Part => CrashCause::of(request) == Some(CrashCause::Part),
+            Self::Part(number) => {
+                CrashingPart::of(request).is_some_and(|part| part.number == number)
+            }
             Self::Repeat(number) => repeated_number(request) == Some(number),
         }
     }
@@ -75,7 +77,7 @@
     let late = late_arrivals(observations, crashing, known_at + STABILITY_TIME);
     (late.len() > ARRIVALS_MAX).then(|| Violation {
         guarantee: match crashing {
-            Crashing::Part => "requests with a part that crashes engines stop reaching them",
+            Crashing::Part(_) => "requests with a part that crashes engines stop reaching them",
             Crashing::Repeat(_) => "repeats of a request that crashes engines stop reaching them",
         },
         details: format!("{} arrivals, known at {known_at:?}: {late:?}", late.len()),
@@ -84,8 +86,10 @@
 
 /// The violation by sound requests that are not served.
 fn check_others(observations: &Observations) -> Option<Violation> {
-    let first_at = nth_time(&observations.part_crashes, 1)?;
-    let known_at = nth_time(&observations.part_crashes, PART_CRASHES_MAX)?;
+    let parts = || observations.part_crashes.values();
+    let first_at = parts().filter_map(|crashes| nth_time(crashes, 1)).min()?;
+    let known = parts().map(|crashes| nth_time(crashes, PART_CRASHES_MAX));
+    let known_at = known.flatten().max()?;
     let from = known_at + 2 * STABILITY_TIME;
     let before = served(observations, |sent_at| sent_at < first_at);
     let after = served(observations, |sent_at| sent_at >= from);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,6 +26,7 @@
 use crate::checks::Violation;
 use crate::crash_point::CrashPoint;
 use crate::crashing_request::CrashCause;
+use crate::crashing_request::CrashingPart;
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentSize;
 use crate::deployment::lock;
@@ -100,6 +101,11 @@
     pub restarts_all: bool,
     /// The number of different requests that are repeated and crash upstreams. Only with `only_parts`.
     pub crash_requests: u32,
+    /// The number of different parts of prompts that crash engines. Only with `only_parts`.
+    pub crash_parts: u32,
+    /// The share of the tries with such a part that crash their engines, in percent. The others are
+    /// served. Only with `only_parts`.
+    pub crash_share_percent: u32,
     /// Whether some of these requests go to plain services. Only with `only_parts`.
     pub crashes_services: bool,
     /// The only cause of these crashes; none if both occur. Only with `only_parts`.
@@ -319,6 +325,10 @@
             request = format!("{number}-{request}");
         }
         if let Some(cause) = cause {
+            let part = draw_part(&conf, &mut rng);
+            if cause == CrashCause::Part && part != CrashingPart::default() {
+                request = format!("{part}-{request}");
+            }
             request = cause.request(crash_point, &request);
         }
         let key = if cause == Some(CrashCause::Repeat) {
@@ -374,6 +384,18 @@
     }
 }
 
+/// Draws the part of a prompt that crashes engines.
+fn draw_part(conf: &SoakConf, rng: &mut StdRng) -> CrashingPart {
+    let number = match conf.crash_parts {
+        0..=1 => 0,
+        parts => rng.random_range(0..parts),
+    };
+    CrashingPart {
+        number,
+        share_percent: conf.crash_share_percent,
+    }
+}
+
 /// The class of the repeated request with this number.
 fn repeated_class(conf: &SoakConf, number: u32) -> CallClass {
     if !conf.crashes_services {
--- a/soak/src/upstream_shared.rs
+++ b/soak/src/upstream_shared.rs
@@ -30,6 +30,7 @@
 use crate::call;
 use crate::crash_point::CrashPoint;
 use crate::crashing_request::CrashCause;
+use crate::crashing_request::CrashingPart;
 use crate::crashing_request::crash_point;
 use crate::crashing_request::repeated_number;
 use crate::event_stream::EventStream;
@@ -188,7 +189,7 @@
             stand_in::mark_not_executed(res.headers_mut(), &request);
             return Ok(res);
         };
-        let mut crash_point = crash_point(&request);
+        let mut crash_point = crash_point(&request, &self.id);
         if self.service != call::ENGINE_SERVICE {
             crash_point = crash_point.map(CrashPoint::of_plain_answer);
         }
@@ -355,7 +356,11 @@
         }
         let mut observations = self.history.lock();
         match CrashCause::of(request) {
-            Some(CrashCause::Part) => observations.part_crashes.push(now),
+            Some(CrashCause::Part) => {
+                let part = CrashingPart::of(request).unwrap_or_default();
+                let crashes = observations.part_crashes.entry(part.number);
+                crashes.or_default().push(now);
+            }
             Some(CrashCause::Repeat) => {
                 let number = repeated_number(request).unwrap_or_default();
                 let crashes = observations.repeat_crashes.entry(number);
--- a/soak/tests/part_checks.rs
+++ b/soak/tests/part_checks.rs
@@ -81,7 +81,7 @@
 
 /// Whether a guarantee is violated after crashes from second 10 on, one each 100 ms.
 fn is_violated(guarantee: &str, crashes: u64, mut observations: Observations) -> bool {
-    observations.part_crashes = crash_times(crashes);
+    observations.part_crashes = IndexMap::from([(0, crash_times(crashes))]);
     let violations = check(&observations, GuaranteeSet::All, at(60_000));
     violations
         .iter()
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -44,6 +44,8 @@
         crashes_after_calls: false,
         crash_cause: None,
         crash_requests: 1,
+        crash_parts: 1,
+        crash_share_percent: 100,
         crashes_services: false,
         crash_ratio: 6,
         only_silences: false,
--- a/soak/tests/silences.rs
+++ b/soak/tests/silences.rs
@@ -38,6 +38,8 @@
         crashes_after_calls: false,
         crash_cause: None,
         crash_requests: 1,
+        crash_parts: 1,
+        crash_share_percent: 100,
         crashes_services: false,
         crash_ratio: 6,
         only_silences: true,
