Answers without a clear end, and those whose reset a write has seen, do not reach callers

Callers saw: an answer of an upstream in trouble as a complete one, with a body that was not the upstream's. The head named a transfer encoding that does not end in chunks (the frames came as the body), a length beside chunks (cut by the length), a length that was not that of the body; or the status was 101, 600 or 999. Behind another host, a part of an answer without a length whose connection was reset during an upload.

Cause: a head became an answer by what the HTTP library lets through. It takes a body with an unknown encoding for one that ends with its connection, ignores a length beside chunks, which was passed on, and stops at the announced length. In the tunnel, the write of the upload takes the error of the connection, so that the next read sees an end. Class: the end of an answer was inferred from what a lower layer does with what it does not understand.

Lengths that are no numbers, lines that are no fields, status 000 and names with blanks or control bytes were refused before.

Bytes behind the announced end that are no other response make the answer invalid; a second response, which upstreams may send, does not. A tunnel whose upstream did not take the request announces that its connection was broken. An answer that is none counts as a failure of the upstream, not as its end.

Why it works: what is not understood is no answer, whatever a library makes of it. Not seen: bytes behind the end that come later than the rest of the body.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -390,6 +390,10 @@
                 fault: UpstreamFault::Broken,
                 cause: err.to_string(),
             },
+            OneShotError::InvalidAnswer(_) => SendOutcome::Lost {
+                fault: UpstreamFault::Failed,
+                cause: err.to_string(),
+            },
             OneShotError::ConnectTimeout
             | OneShotError::ConnectFailed(_)
             | OneShotError::NotSent(_) => not_run(UpstreamFault::ConnectRefused, err.to_string()),
--- a/src/gateway/tunnel/server.rs
+++ b/src/gateway/tunnel/server.rs
@@ -147,14 +147,19 @@
 async fn pass_on_frames(framed: PeerConnection, upstream: TcpStream) {
     let (mut host_wtr, mut host_rdr) = framed.split();
     let (mut upstream_rdr, mut upstream_wtr) = upstream.into_split();
+    let mut has_failed = false;
     let end = tokio::select! {
         // The other host ends a tunnel only when it wants no more of the response.
-        () = copy_frames(&mut host_rdr, &mut upstream_wtr) => return,
+        () = copy_frames(&mut host_rdr, &mut upstream_wtr, &mut has_failed) => return,
         end = copy_to_frames(&mut upstream_rdr, &mut host_wtr) => end,
     };
-    let Some(end) = end else {
+    let Some(mut end) = end else {
         return;
     };
+    // The write has taken the error of the connection, so that its reset looks like an end to the reader.
+    if has_failed {
+        end = UpstreamEnd::Broken;
+    }
     if let Err(err) = send_frame(&mut host_wtr, &TunnelFrame::of_end(end)).await {
         debug!("tunnel: cannot announce the end of the upstream: {err}");
         return;
@@ -166,8 +171,13 @@
     }
 }
 
-/// Passes on the frames of the other host until it closes the tunnel or the upstream fails.
-async fn copy_frames(rdr: &mut SplitStream<PeerConnection>, wtr: &mut OwnedWriteHalf) {
+/// Passes on the frames of the other host until it closes the tunnel. `has_failed` is set if the upstream
+/// does not take them.
+async fn copy_frames(
+    rdr: &mut SplitStream<PeerConnection>,
+    wtr: &mut OwnedWriteHalf,
+    has_failed: &mut bool,
+) {
     while let Some(Ok(frame)) = rdr.next().await {
         let sent = match decode(frame) {
             Ok(frame) => wtr.write_all(&frame.data).await,
@@ -175,6 +185,7 @@
         };
         if let Err(err) = sent {
             debug!("tunnel: cannot pass on a request: {err}");
+            *has_failed = true;
             // What the upstream has sent before it closed its connection is still passed on.
             return pending().await;
         }
--- a/src/http/head_limit.rs
+++ b/src/http/answer_stream.rs
@@ -1,4 +1,4 @@
-//! A limit on what is read of a connection before the head of the response.
+//! The connection on which one response is read.
 
 use std::io;
 use std::pin::Pin;
@@ -13,33 +13,37 @@
 use tokio::io::ReadBuf;
 
 use crate::http::BoxedByteStream;
+use crate::http::answer_end::AnswerEnd;
 
 /// Maximum number of bytes before the end of the head of a response, interim responses included. The
 /// HTTP library limits each head, but not the number of interim responses.
 const HEAD_LEN_MAX: usize = 256 << 10;
 
-/// A connection of which only [`HEAD_LEN_MAX`] bytes can be read before the head of the response.
+/// A connection of which only [`HEAD_LEN_MAX`] bytes can be read before the head of the response. Reading
+/// fails if the response goes on after the end that its head announces.
 #[derive(Debug)]
-pub(super) struct HeadLimit {
+pub(super) struct AnswerStream {
     stream: BoxedByteStream,
     read_len: usize,
+    end: AnswerEnd,
     has_head: Arc<AtomicBool>,
 }
 
-impl HeadLimit {
+impl AnswerStream {
     /// Limits a connection until the flag, which is returned too, is set.
     pub(super) fn new(stream: BoxedByteStream) -> (Self, Arc<AtomicBool>) {
         let has_head = Arc::new(AtomicBool::new(false));
         let limit = Self {
             stream,
             read_len: 0,
+            end: AnswerEnd::default(),
             has_head: Arc::clone(&has_head),
         };
         (limit, has_head)
     }
 }
 
-impl AsyncRead for HeadLimit {
+impl AsyncRead for AnswerStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -52,12 +56,17 @@
         }
         let before = buf.filled().len();
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
-        this.read_len = this.read_len.saturating_add(buf.filled().len() - before);
+        let bytes = &buf.filled()[before..];
+        this.read_len = this.read_len.saturating_add(bytes.len());
+        if let Err(err) = this.end.on_bytes(bytes) {
+            buf.set_filled(before);
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, err)));
+        }
         read
     }
 }
 
-impl AsyncWrite for HeadLimit {
+impl AsyncWrite for AnswerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -22,6 +22,7 @@
 use crate::http::ChunksBody;
 use crate::http::HttpError;
 use crate::http::PooledResponseBody;
+use crate::http::answer_head::check_answer_head;
 
 /// Maximum number of idle connections that are kept; further ones are closed after use. The limit
 /// is larger than the number of requests that an upstream runs in one batch.
@@ -166,6 +167,7 @@
         }
         match sender.try_send_request(req).await {
             Ok(res) => {
+                check_answer_head(res.status(), res.headers())?;
                 let idle = Arc::clone(&self.idle);
                 let res = res.map(|incoming| PooledResponseBody::new(incoming, sender, idle));
                 Ok(ConnectionSend::Response(Box::new(res)))
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -3,6 +3,8 @@
 use std::error::Error;
 use std::fmt;
 
+use crate::http::AnswerError;
+
 /// Why an HTTP call has no complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HttpError {
@@ -27,3 +29,9 @@
 }
 
 impl Error for HttpError {}
+
+impl From<AnswerError> for HttpError {
+    fn from(err: AnswerError) -> Self {
+        Self::Interrupted(err.to_string())
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,15 +1,19 @@
 //! A small HTTP/1.1 client over hyper. Its errors say whether a request may have left this host.
 
+mod answer_end;
+mod answer_error;
+mod answer_head;
+mod answer_stream;
 mod body;
 mod byte_budget;
 mod byte_stream;
 mod client;
 mod connection_headers;
 mod error;
-mod head_limit;
 pub mod one_shot;
 mod sse;
 
+pub use answer_error::AnswerError;
 pub use body::ChunksBody;
 pub use body::PooledResponseBody;
 pub use byte_budget::ByteBudget;
--- a/src/http/one_shot.rs
+++ b/src/http/one_shot.rs
@@ -33,8 +33,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::http::AnswerError;
 use crate::http::BoxedByteStream;
-use crate::http::head_limit::HeadLimit;
+use crate::http::answer_head::check_answer_head;
+use crate::http::answer_stream::AnswerStream;
 
 /// How long sent data and keepalive probes may stay unacknowledged, in ms. A host that has lost
 /// power or cannot be reached acknowledges neither.
@@ -44,7 +46,7 @@
 /// Unacknowledged keepalive probes after which the connection counts as broken.
 const KEEPALIVE_PROBES_MAX: u32 = 3;
 
-type Conn = Connection<TokioIo<HeadLimit>, Full<Bytes>>;
+type Conn = Connection<TokioIo<AnswerStream>, Full<Bytes>>;
 
 /// Why a request has no complete response. The kinds differ in whether the request may have been
 /// received.
@@ -58,6 +60,8 @@
     NotSent(String),
     /// The connection broke after the request may have been sent.
     ConnectionBroken(String),
+    /// The server has sent something that is no response with a clear end.
+    InvalidAnswer(AnswerError),
     /// The complete response did not arrive in time.
     Timeout,
 }
@@ -69,6 +73,7 @@
             Self::ConnectFailed(err) => write!(f, "cannot connect: {err}"),
             Self::NotSent(why) => write!(f, "not sent: {why}"),
             Self::ConnectionBroken(why) => write!(f, "connection broken: {why}"),
+            Self::InvalidAnswer(err) => write!(f, "no valid response: {err}"),
             Self::Timeout => f.write_str("no complete response in time"),
         }
     }
@@ -76,6 +81,12 @@
 
 impl std::error::Error for OneShotError {}
 
+impl From<AnswerError> for OneShotError {
+    fn from(err: AnswerError) -> Self {
+        Self::InvalidAnswer(err)
+    }
+}
+
 /// Opens a connection that the kernel closes if the other end no longer acknowledges data.
 pub async fn connect(
     addr: SocketAddr,
@@ -106,7 +117,7 @@
     stream: BoxedByteStream,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<OneShotResponseBody>, OneShotError> {
-    let (stream, has_head) = HeadLimit::new(stream);
+    let (stream, has_head) = AnswerStream::new(stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, conn) = handshake.map_err(|err| OneShotError::NotSent(err.to_string()))?;
     let mut conn = Some(Box::pin(conn));
@@ -120,6 +131,7 @@
     match sent.await {
         Ok(res) => {
             has_head.store(true, Ordering::Relaxed);
+            check_answer_head(res.status(), res.headers())?;
             Ok(res.map(|incoming| OneShotResponseBody { conn, incoming }))
         }
         Err(mut err) => match err.take_message() {
--- a/tests/gateway_world/upstream.rs
+++ b/tests/gateway_world/upstream.rs
@@ -39,6 +39,8 @@
     CrashOnPartAfter(&'static str, u32),
     /// Send nothing until the other end disconnects.
     Hang,
+    /// Send a signed head with this status, and then this: fields, an empty line and a body.
+    Spoilt(&'static str, &'static str),
     /// Respond with status 200 and this body, signed, without its length. The body ends with the
     /// connection.
     Unframed(&'static str),
@@ -242,6 +244,7 @@
             | ScriptStep::UnframedThenHang(body) => {
                 format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")
             }
+            ScriptStep::Spoilt(status, rest) => format!("HTTP/1.1 {status}\r\n{signed}{rest}"),
             ScriptStep::HalfHeadThenHang => format!("HTTP/1.1 200 OK\r\n{signed}content-le"),
             ScriptStep::EventsWithPause(0, pause, to) => {
                 tokio::time::sleep(*pause).await;
