A part of prompts that ends upstreams is found by the counts of its tries, although some are served

Users saw tries with one part of prompts begin at upstreams long after its fifth crash. In the model of parts 9 of 21 cases fail; the requests of callers that repeat them hide their part, too.

Cause: one answer cleared a part as a whole (LostCalls dropped parts that were served, a crash counted only if it was later than the last answer), a request that was lost three times took its crashes away from the part, and each new explanation withdrew what another one had found. Class: evidence about one try was taken for evidence about the part, and a finding was withdrawn by evidence about something else.

Change: hosts count the crashes with each part, its tries that are served, and what they lose of other calls, and tell each other (new fields in entries about parts; earlier hosts ignore them). From the fifth crash on, a part is the cause if more crashes had calls with it than the losses of other prompts explain (3.5 standard deviations of a binomial). What is found so is withdrawn by no other explanation and by no try that was on its way, only by one that is served after the refusal, an hour later. A part in more than a fifth of the prompts is never found so: there is too little to compare it with, and its refusal would be an outage. Crashes that were found earlier for other reasons count as before. Log: part_counted, with the numbers of each decision.

--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -20,6 +20,7 @@
 use crate::decide::RequestPart;
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::known_crash::KnownCrash;
+use crate::decide::part_losses::PartLosses;
 use crate::decide::part_quarantine::is_older_than;
 use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
@@ -119,29 +120,35 @@
         ended.any(|call| call.all_parts().contains(&part))
     }
 
-    /// Records a lost call, of whose parts those that were served before are left out.
-    pub(crate) fn record(&mut self, mut call: LostCall, crash: KnownCrash, served: &ServedRecord) {
+    /// Records a lost call. Returns whether it is a new one.
+    pub(crate) fn record(
+        &mut self,
+        call: LostCall,
+        crash: KnownCrash,
+        served: &ServedRecord,
+    ) -> bool {
         let now = crash.known_at;
-        call.parts
-            .retain(|part| served.survived_at(*part, now).is_none());
-        if is_older_than(crash.at, REQUEST_RETENTION, now) {
-            return;
+        if is_older_than(crash.at, REQUEST_RETENTION, now) || self.calls.contains_key(&call) {
+            return false;
         }
         self.calls
             .retain(|_, (known, _)| !is_older_than(known.known_at, REQUEST_RETENTION, now));
         if self.calls.len() >= CALLS_MAX {
-            self.drop_oldest();
+            self.drop_oldest(served, now);
         }
         let mut serves = self.serves.iter().rev();
         let served_before = serves.find(|served_at| **served_at < crash.at).copied();
-        self.calls.entry(call).or_insert((crash, served_before));
+        self.calls.insert(call, (crash, served_before));
+        true
     }
 
-    /// Drops the oldest calls: if possible those that have nothing in common with a call of another crash.
-    fn drop_oldest(&mut self) {
+    /// Drops the oldest calls: if possible those that have nothing in common with a call of another crash,
+    /// apart from what was served.
+    fn drop_oldest(&mut self, served: &ServedRecord, now: Instant) {
+        let is_unserved = |part: &RequestPart| served.survived_at(*part, now).is_none();
         let repeated = self.repeated_parts();
         let is_single = |call: &LostCall| {
-            let mut parts = call.all_parts().into_iter();
+            let mut parts = call.all_parts().into_iter().filter(is_unserved);
             parts.all(|part| !repeated.contains(&part))
         };
         let single = self.calls.keys().filter(|call| is_single(call));
@@ -192,7 +199,7 @@
     }
 
     /// Adds a lost call that is known to count separately from those of other crashes.
-    pub(crate) fn restore(&mut self, call: LostCall, crash: KnownCrash) {
+    pub(crate) fn restore(&mut self, call: LostCall, crash: KnownCrash, served: &ServedRecord) {
         let is_known = self
             .calls
             .keys()
@@ -201,7 +208,7 @@
             return;
         }
         if self.calls.len() >= CALLS_MAX {
-            self.drop_oldest();
+            self.drop_oldest(served, crash.known_at);
         }
         let served_before = crash.at.checked_sub(Duration::from_millis(1));
         self.calls.insert(call, (crash, served_before));
@@ -279,6 +286,42 @@
         with_part.map(|(call, (crash, served_before))| (call, crash, *served_before))
     }
 
+    /// The losses of calls with a part of a prompt, whatever was served with it, apart from those in crashes
+    /// that are `explained` otherwise.
+    pub(crate) fn losses_with(
+        &self,
+        part: RequestPart,
+        explained: &IndexSet<CrashId>,
+        now: Instant,
+    ) -> PartLosses {
+        let calls = self.calls.iter();
+        let calls = calls.map(|(call, (crash, _))| (call, crash));
+        let open = calls.filter(|(call, crash)| {
+            let is_kept = !is_older_than(crash.known_at, PARTS_RETENTION, now);
+            is_kept && !explained.contains(&call.crash)
+        });
+        let mut all: Vec<(&LostCall, &KnownCrash)> = open.collect();
+        all.sort_by_key(|(_, crash)| crash.at);
+        let has_part = |(call, _): &&(&LostCall, &KnownCrash)| call.parts.contains(&part);
+        let Some(first) = all.iter().position(|lost| has_part(&lost)) else {
+            return PartLosses::default();
+        };
+        let all = &all[first..];
+        let with_part: Vec<(&LostCall, &KnownCrash)> =
+            all.iter().filter(has_part).copied().collect();
+        let requests = with_part.iter().map(|(call, _)| call.request);
+        let requests: IndexSet<RequestHash> = requests.collect();
+        let (all_crashes, all_open_crashes) = crashes_apart(all);
+        let (crashes, open_crashes) = crashes_apart(&with_part);
+        PartLosses {
+            crashes,
+            open_crashes,
+            requests: requests.len(),
+            all_crashes: all_crashes.len(),
+            all_open_crashes,
+        }
+    }
+
     /// The crashes in which calls were open that have something in common which was lost in several of
     /// them and never answered. That is more likely to be the cause than calls that had ended.
     fn crashes_under_open_calls(&self, served: &ServedRecord, now: Instant) -> IndexSet<CrashId> {
@@ -347,6 +390,23 @@
     known.request == call.request || call.parts.iter().any(|part| known.parts.contains(part))
 }
 
+/// The crashes of these losses, in the order of their times, that lie apart, and the number of those that
+/// lost a call which was open.
+fn crashes_apart(losses: &[(&LostCall, &KnownCrash)]) -> (Vec<(CrashId, Instant)>, usize) {
+    let open = losses.iter();
+    let open = open.filter(|(call, _)| call.point != LossPoint::AfterEnd);
+    let open: IndexSet<CrashId> = open.map(|(call, _)| call.crash).collect();
+    let mut crashes: Vec<(CrashId, Instant)> = Vec::new();
+    for (call, crash) in losses {
+        let last = crashes.last();
+        if last.is_none_or(|(_, last)| is_older_than(*last, APART_MIN, crash.at)) {
+            crashes.push((call.crash, crash.at));
+        }
+    }
+    let open_crashes = crashes.iter().filter(|(id, _)| open.contains(id)).count();
+    (crashes, open_crashes)
+}
+
 /// A lost call, with its crash and the last time before that at which a request was served.
 type Loss<'a> = (&'a LostCall, &'a KnownCrash, Option<Instant>);
 
--- a/src/decide/part_evidence.rs
+++ b/src/decide/part_evidence.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::CrashSuspect;
 use crate::decide::LostCall;
+use crate::decide::PartTries;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
 
@@ -12,6 +13,10 @@
 pub enum PartEvidence {
     /// A call may have crashed an upstream.
     Crash(CrashSuspect, Duration),
+    /// The same of a call with a part that crashes upstreams although some tries with it are served.
+    Counted(CrashSuspect, Duration),
+    /// What a host has seen of the tries with a part.
+    Tries(PartTries),
     /// A call was lost with an upstream, or had ended there shortly before.
     Lost(LostCall, Duration),
     /// A request that was lost as often as begins a quarantine was lost in this crash, too, which counts
--- a/src/decide/part_quarantine/ended.rs
+++ b/src/decide/part_quarantine/ended.rs
@@ -8,11 +8,13 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::CallEnd;
 use crate::decide::EndedCall;
 use crate::decide::LostCall;
 use crate::decide::PartQuarantine;
 use crate::decide::QuarantineChange;
 use crate::decide::RequestPart;
+use crate::decide::ended_calls::KeptCall;
 use crate::decide::known_crash::KnownCrash;
 use crate::units::CrashId;
 use crate::units::RequestHash;
@@ -36,9 +38,13 @@
         let expired = self.ended_calls.take_expired(now);
         let mut changes = self.clear_calls(expired, now);
         changes.extend(self.record_answer(&call, now));
-        if self.ended.contains_key(&call.crash) {
+        let has_ended = self.ended.contains_key(&call.crash);
+        let is_served = call.end == CallEnd::Succeeded && !has_ended;
+        self.tallies.on_ended(&call.parts, is_served);
+        if has_ended {
+            self.count_lost_after_end(&call, false);
             let lost = vec![(call.into_lost(), now)];
-            self.suspect_after_end(lost, KnownCrash::own(now), now);
+            changes.extend(self.suspect_after_end(lost, KnownCrash::own(now), now));
         } else {
             self.ended_calls.push(call, now);
         }
@@ -75,19 +81,27 @@
         crash: CrashId,
         now: Instant,
     ) -> Vec<QuarantineChange> {
-        let calls = self.ended_calls.take_of(crash).into_iter();
+        let calls = self.ended_calls.take_of(crash);
+        for KeptCall { call, .. } in &calls {
+            let was_served = call.end == CallEnd::Succeeded;
+            self.count_lost_after_end(call, was_served);
+        }
+        let calls = calls.into_iter();
         let calls = calls.map(|kept| (kept.call.into_lost(), kept.ended_at));
-        self.suspect_after_end(calls.collect(), KnownCrash::own(now), now);
-        self.judge_due(now)
+        let mut changes = self.suspect_after_end(calls.collect(), KnownCrash::own(now), now);
+        changes.extend(self.judge_due(now));
+        changes
     }
 
-    /// Suspects calls that had ended, at these times and in their order, when their upstream did.
+    /// Suspects calls that had ended, at these times and in their order, when their upstream did. Returns
+    /// what has changed.
     pub(super) fn suspect_after_end(
         &mut self,
         calls: Vec<(LostCall, Instant)>,
         crash: KnownCrash,
         now: Instant,
-    ) {
+    ) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
         let lived = |ended_at: Instant| crash.at.saturating_duration_since(ended_at);
         let mut lived_after: IndexMap<RequestPart, Duration> = IndexMap::new();
         let mut lost = Vec::new();
@@ -97,7 +111,7 @@
             }
             let parts = call.all_parts().into_iter();
             lived_after.extend(parts.map(|part| (part, lived(ended_at))));
-            self.lost_calls.record(call.clone(), crash, &self.served);
+            changes.extend(self.record_and_count(&call, crash, now));
             lost.push(call);
         }
         if !lost.is_empty() {
@@ -108,6 +122,7 @@
                 due_at: now + JUDGED_AFTER,
             });
         }
+        changes
     }
 
     /// Finds causes among the calls that had ended before their upstreams, once calls that were lost with
--- a/src/decide/part_quarantine/evidence.rs
+++ b/src/decide/part_quarantine/evidence.rs
@@ -44,13 +44,23 @@
                 if call.point != LossPoint::AfterEnd {
                     changes = self.record_lost(&call, crash, now);
                 } else if !self.lost_calls.has_ended_call(&call) {
-                    self.suspect_after_end(vec![(call, crash.at)], crash, now);
+                    changes = self.suspect_after_end(vec![(call, crash.at)], crash, now);
                 }
                 changes.extend(self.suspect_ended_calls(ended, now));
                 changes
             }
             PartEvidence::Suspected(call, age) => {
-                self.lost_calls.restore(call, KnownCrash::told(age, now));
+                let crash = KnownCrash::told(age, now);
+                self.lost_calls.restore(call, crash, &self.served);
+                Vec::new()
+            }
+            PartEvidence::Counted(suspect, age) => {
+                self.record_counted(suspect, KnownCrash::told(age, now), now)
+            }
+            PartEvidence::Tries(told) => {
+                if told.teller != self.teller {
+                    self.tallies.on_told(told);
+                }
                 Vec::new()
             }
             PartEvidence::Ended(crash, age) => {
@@ -64,6 +74,7 @@
                     return Vec::new();
                 }
                 self.served.on_survived(part, served_at);
+                self.release_counted(part, served_at);
                 self.evaluate_if_suspected(&[part], now)
             }
         }
@@ -109,6 +120,7 @@
         let suspected = told.clone().flat_map(|(suspect, _)| &suspect.parts);
         let parts: IndexMap<RequestPart, Instant> = suspected
             .chain(elsewhere.map(|(part, _)| part))
+            .filter(|part| !self.counted.contains_key(*part))
             .filter_map(|part| Some((*part, self.served.survived_at(*part, now)?)))
             .collect();
         let lost = self.lost_calls.calls();
@@ -123,6 +135,11 @@
                 [part] => lost.get(&(suspect.crash, *part)),
                 _ => None,
             };
+            let is_counted =
+                matches!(suspect.parts[..], [part] if self.counted.contains_key(&part));
+            if is_counted {
+                return PartEvidence::Counted(suspect.clone(), age(crash.at));
+            }
             lost.map_or_else(
                 || PartEvidence::Crash(suspect.clone(), age(crash.at)),
                 |call| PartEvidence::Lost((*call).clone(), age(crash.at)),
@@ -146,7 +163,9 @@
         let lost = weak.take(TOLD_MAX).chain(crashes);
         let told = alive.chain(released).chain(ended).chain(lost);
         let suspected = self.suspected_losses(now).take(TOLD_MAX);
-        told.chain(served).chain(suspected).collect()
+        let tries = self.tallies.tries(self.teller).take(TOLD_MAX);
+        let tries = tries.map(PartEvidence::Tries);
+        told.chain(tries).chain(served).chain(suspected).collect()
     }
 
     /// The crashes of the requests that were probed without being found, for hosts that start.
--- a/src/decide/part_quarantine/lost.rs
+++ b/src/decide/part_quarantine/lost.rs
@@ -16,6 +16,7 @@
     /// Records a call of this host that was lost with an upstream.
     /// Returns what has changed.
     pub fn on_lost(&mut self, call: &LostCall, now: Instant) -> Vec<QuarantineChange> {
+        self.count_lost_open(&call.parts, call.crash);
         let mut changes = self.record_lost(call, KnownCrash::own(now), now);
         changes.extend(self.suspect_ended_calls(call.crash, now));
         changes
@@ -62,8 +63,9 @@
         if self.alive.contains_key(&call.crash) {
             return Vec::new();
         }
-        self.lost_calls.record(call.clone(), crash, &self.served);
-        self.suspect_causes(call, call.all_parts(), crash, now)
+        let mut changes = self.record_and_count(call, crash, now);
+        changes.extend(self.suspect_causes(call, call.all_parts(), crash, now));
+        changes
     }
 
     /// Finds those of these parts of a lost call that crash upstreams. From then on they are suspected
--- a/src/decide/part_quarantine/mod.rs
+++ b/src/decide/part_quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! under it and no request with it was served since.
 
 mod admission;
+mod counted;
 mod ended;
 mod evidence;
 mod lost;
@@ -22,6 +23,7 @@
 use indexmap::IndexSet;
 
 use crate::decide::CrashSuspect;
+use crate::decide::PartCount;
 use crate::decide::QuarantineChange;
 use crate::decide::QuarantinedParts;
 use crate::decide::RequestPart;
@@ -33,8 +35,10 @@
 use crate::decide::lost_calls::LostCalls;
 use crate::decide::lost_calls::repeated_parts;
 use crate::decide::part_quarantine::ended::UnjudgedCalls;
+use crate::decide::part_tallies::PartTallies;
 use crate::decide::served_record::ServedRecord;
 use crate::units::CrashId;
+use crate::units::TellerId;
 use crate::units::UpstreamId;
 
 /// The number of suspected calls that are kept.
@@ -43,9 +47,14 @@
 const DROP_BATCH: usize = 128;
 /// How long the parts of the prompt of a suspected call are kept while its crash is not explained.
 const PART_RETENTION: Duration = Duration::from_secs(600);
-/// How long requests with quarantined parts of a prompt are refused after the last crash. The parts
-/// do not change, so this ends only for upstreams that were replaced by a repaired version.
-const PART_QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
+/// How long requests with quarantined parts of a prompt are refused after the last crash or probe, by the
+/// number of probes. The parts do not change, so this ends only for upstreams that were replaced by a
+/// repaired version.
+const PART_QUARANTINE_TIMES: [Duration; 3] = [
+    Duration::from_secs(3_600),
+    Duration::from_secs(6 * 3_600),
+    Duration::from_secs(24 * 3_600),
+];
 /// How long a single request is refused after the last crash or probe, by the number of probes and of
 /// crashes beyond those that begin the quarantine. A request that was only lost beside others is soon
 /// served again, and one that does crash upstreams ends one or two more in a day.
@@ -82,6 +91,15 @@
     /// The suspected calls.
     suspects: IndexMap<CrashSuspect, KnownCrash>,
     lost_calls: LostCalls,
+    /// How many tries with each part were lost and served.
+    tallies: PartTallies,
+    /// The parts that crash upstreams by these counts, with the crashes. What else is known does not end
+    /// that.
+    counted: IndexMap<RequestPart, Vec<DatedCrash>>,
+    /// What the counts have said since this was last taken.
+    part_counts: Vec<PartCount>,
+    /// The id under which this host tells others what it has counted.
+    teller: TellerId,
     /// The calls of this host whose upstreams are not known to have lived on.
     ended_calls: EndedCalls,
     /// The calls that had ended at upstreams which have ended since, until they are judged.
@@ -108,6 +126,14 @@
 }
 
 impl PartQuarantine {
+    /// Creates what a process knows at its start.
+    pub fn new(teller: TellerId) -> Self {
+        Self {
+            teller,
+            ..Self::default()
+        }
+    }
+
     /// The id of the crash of an upstream on which a call that arrived at this time was lost: another
     /// one than those that were known by then.
     pub fn crash_id(&self, upstream: &UpstreamId, arrived_at: Instant) -> CrashId {
@@ -136,6 +162,7 @@
     /// Records a suspected call of this host. Returns what has changed.
     pub fn on_crash(&mut self, suspect: CrashSuspect, now: Instant) -> Vec<QuarantineChange> {
         let ended = suspect.crash;
+        self.count_lost_open(&suspect.parts, suspect.crash);
         let mut changes = self.record_suspect(suspect, KnownCrash::own(now), now);
         changes.extend(self.suspect_ended_calls(ended, now));
         changes
@@ -309,9 +336,13 @@
 
     /// Finds anew which parts are quarantined.
     fn evaluate(&mut self, now: Instant) -> Vec<QuarantineChange> {
+        let mut explanations = self.counted_explanations();
+        let counted = self.counted.values().flatten();
+        let counted: IndexSet<CrashId> = counted.map(|(crash, _)| *crash).collect();
         let suspects = self.suspects.iter();
-        let suspects = suspects.map(|(suspect, crash)| (suspect, crash.at));
-        let explanations = explain_crashes(suspects, &self.served, now);
+        let open = suspects.filter(|(suspect, _)| !counted.contains(&suspect.crash));
+        let open = open.map(|(suspect, crash)| (suspect, crash.at));
+        explanations.extend(explain_crashes(open, &self.served, now));
         let is_explained =
             |parts: &Vec<RequestPart>| explanations.iter().any(|found| found.parts == *parts);
         let probes = std::mem::take(&mut self.probes).into_iter();
@@ -374,7 +405,8 @@
 /// How long requests are refused after the last of so many crashes and probes.
 fn quarantine_time(explanation: &Explanation, crashes: usize, probes: usize) -> Duration {
     if !explanation.parts.iter().any(RequestPart::is_whole) {
-        return PART_QUARANTINE_TIME;
+        let last = PART_QUARANTINE_TIMES.len() - 1;
+        return PART_QUARANTINE_TIMES[probes.min(last)];
     }
     let further = crashes.saturating_sub(explanation.crashes_min) + probes;
     let last = REQUEST_QUARANTINE_TIMES.len() - 1;
--- a/src/decide/part_quarantine/records.rs
+++ b/src/decide/part_quarantine/records.rs
@@ -14,6 +14,7 @@
 use crate::decide::crash_attribution::CRASHES_MIN;
 use crate::decide::known_crash::KnownCrash;
 use crate::decide::known_crash::time_before;
+use crate::decide::part_tallies::COUNTED_CRASHES_MIN;
 use crate::units::QuarantineId;
 use crate::units::RequestHash;
 
@@ -104,7 +105,7 @@
                 point: LossPoint::AfterEnd,
             };
             let crash = KnownCrash::told(*age, now);
-            self.lost_calls.restore(call.clone(), crash);
+            self.lost_calls.restore(call.clone(), crash, &self.served);
             changes.extend(self.suspect_causes(&call, vec![part], crash, now));
         }
         changes
@@ -125,6 +126,8 @@
     /// Applies the crashes of a quarantine.
     fn restore_found(&mut self, record: &QuarantineRecord, now: Instant) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
+        let is_counted = record.crashes.len() >= COUNTED_CRASHES_MIN
+            && matches!(record.parts[..], [part] if !part.is_whole());
         for (crash, age) in &record.crashes {
             for part in &record.parts {
                 self.served.on_found_after_call(*part);
@@ -133,7 +136,12 @@
                 crash: *crash,
                 parts: record.parts.clone(),
             };
-            changes.extend(self.record_crash(suspect, KnownCrash::told(*age, now), now));
+            let crash = KnownCrash::told(*age, now);
+            changes.extend(if is_counted {
+                self.record_counted(suspect, crash, now)
+            } else {
+                self.record_crash(suspect, crash, now)
+            });
         }
         changes
     }
--- a/src/decide/part_quarantine/served.rs
+++ b/src/decide/part_quarantine/served.rs
@@ -16,6 +16,7 @@
     /// has lived on. Returns what has changed.
     pub fn on_served(&mut self, parts: &[RequestPart], now: Instant) -> Vec<QuarantineChange> {
         self.lost_calls.on_served(now);
+        self.tallies.on_ended(parts, true);
         self.record_survived(parts, now, now)
     }
 
@@ -28,6 +29,7 @@
     ) -> Vec<QuarantineChange> {
         for part in parts {
             self.served.on_survived(*part, served_at);
+            self.release_counted(*part, served_at);
         }
         if parts.is_empty() {
             return Vec::new();
--- a/src/exchange/part_evidence_entry.rs
+++ b/src/exchange/part_evidence_entry.rs
@@ -2,16 +2,23 @@
 
 use std::time::Duration;
 
+use crate::decide::CallCounts;
 use crate::decide::CrashSuspect;
 use crate::decide::LossPoint;
 use crate::decide::LostCall;
 use crate::decide::PartEvidence;
+use crate::decide::PartTries;
 use crate::decide::RequestPart;
 use crate::units::CrashId;
 use crate::units::PromptPartId;
 use crate::units::RequestHash;
+use crate::units::TellerId;
 use crate::units::whole_millis_u32;
 
+/// The number of other calls up to which their count is told again after each growth by a quarter, and
+/// beyond that when it has doubled.
+const EXACT_CALLS_MAX: u32 = 64;
+
 /// What the sender knows of parts of requests and of crashes: that a call with these parts may have
 /// crashed an upstream, that the upstream has not crashed, or that requests with a part were served to
 /// their end.
@@ -61,9 +68,36 @@
     /// earlier version take it for any other call that had ended.
     #[prost(bool, tag = "11")]
     pub is_suspected: bool,
+    /// Whether the part crashes upstreams although some tries with it are served. Hosts of an earlier
+    /// version take the entry for one of any other suspected call.
+    #[prost(bool, tag = "12")]
+    pub is_counted: bool,
+    /// The part if the entry is about the tries with it alone; otherwise 0. Hosts of an earlier version
+    /// ignore such entries.
+    #[prost(fixed64, tag = "13")]
+    pub tried_part: u64,
+    /// The process that has counted these tries.
+    #[prost(fixed64, tag = "14")]
+    pub teller: u64,
+    /// The number of these tries that were served.
+    #[prost(uint32, tag = "15")]
+    pub served: u32,
+    /// The calls of that process with prompts without the part that have ended.
+    #[prost(uint32, tag = "16")]
+    pub others_ended: u32,
+    /// Those of them that were lost while they were open.
+    #[prost(uint32, tag = "17")]
+    pub others_lost_open: u32,
+    /// Those of them that had ended when their upstreams did.
+    #[prost(uint32, tag = "18")]
+    pub others_lost_after_end: u32,
+    /// The number of these tries that were served and whose upstreams ended soon afterwards.
+    #[prost(uint32, tag = "19")]
+    pub served_and_lost: u32,
 }
 
-/// What identifies an entry: all of it but the age.
+/// What identifies an entry: all of it but the age, and of counts their magnitudes, so that they are told
+/// again when they have grown.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct PartEvidenceKey {
     crash: u64,
@@ -76,12 +110,32 @@
     ended: u64,
     is_after_end: bool,
     is_suspected: bool,
+    is_counted: bool,
+    tried_part: u64,
+    teller: u64,
+    served_magnitude: u32,
+    served_and_lost: u32,
+    others_magnitude: u32,
 }
 
 impl From<PartEvidence> for PartEvidenceEntry {
     fn from(evidence: PartEvidence) -> Self {
         match evidence {
             PartEvidence::Crash(suspect, age) => Self::crash(&suspect, age),
+            PartEvidence::Counted(suspect, age) => Self {
+                is_counted: true,
+                ..Self::crash(&suspect, age)
+            },
+            PartEvidence::Tries(tries) => Self {
+                tried_part: prompt_part(&tries.part).unwrap_or(0),
+                teller: tries.teller.0,
+                served: tries.served,
+                served_and_lost: tries.lost_after_end,
+                others_ended: tries.others.ended,
+                others_lost_open: tries.others.lost_open,
+                others_lost_after_end: tries.others.lost_after_end,
+                ..Self::default()
+            },
             PartEvidence::Lost(call, age) => Self::lost(&call, age),
             PartEvidence::Suspected(call, age) => Self {
                 is_suspected: true,
@@ -156,6 +210,9 @@
         if self.ended != 0 {
             return Some(PartEvidence::Ended(CrashId(self.ended), age));
         }
+        if self.tried_part != 0 {
+            return Some(PartEvidence::Tries(self.part_tries()));
+        }
         if !self.lost_parts.is_empty() || self.weak_request != 0 {
             return self.lost_call().map(|call| match self.is_suspected {
                 true => PartEvidence::Suspected(call, age),
@@ -175,10 +232,27 @@
             (0, Some(part)) if self.is_release => Some(PartEvidence::Released(*part, age)),
             (0, Some(part)) => Some(PartEvidence::Served(*part, age)),
             (_, None) => Some(PartEvidence::Alive(crash, age)),
+            (_, Some(_)) if self.is_counted => {
+                Some(PartEvidence::Counted(CrashSuspect { crash, parts }, age))
+            }
             (_, Some(_)) => Some(PartEvidence::Crash(CrashSuspect { crash, parts }, age)),
         }
     }
 
+    fn part_tries(&self) -> PartTries {
+        PartTries {
+            part: PromptPartId(self.tried_part).into(),
+            teller: TellerId(self.teller),
+            served: self.served,
+            lost_after_end: self.served_and_lost,
+            others: CallCounts {
+                ended: self.others_ended,
+                lost_open: self.others_lost_open,
+                lost_after_end: self.others_lost_after_end,
+            },
+        }
+    }
+
     /// The lost call of the entry; none if it does not name the crash and the request.
     fn lost_call(&self) -> Option<LostCall> {
         let point = match (self.weak_request, self.is_after_end) {
@@ -213,6 +287,13 @@
             ended: self.ended,
             is_after_end: self.is_after_end,
             is_suspected: self.is_suspected,
+            is_counted: self.is_counted,
+            tried_part: self.tried_part,
+            teller: self.teller,
+            served_magnitude: magnitude(self.served),
+            served_and_lost: magnitude(self.served_and_lost),
+            others_magnitude: magnitude(self.others_ended.min(EXACT_CALLS_MAX))
+                + self.others_ended.checked_ilog2().unwrap_or(0),
         }
     }
 
@@ -225,6 +306,13 @@
     }
 }
 
+/// The magnitude of a count, in steps by which it grows by an eighth to a quarter.
+fn magnitude(count: u32) -> u32 {
+    let exponent = count.checked_ilog2().unwrap_or(0);
+    let leading = count >> exponent.saturating_sub(2);
+    4 * exponent + leading
+}
+
 /// The part of a prompt, as it stands in messages.
 fn prompt_part(part: &RequestPart) -> Option<u64> {
     match part {
--- a/src/gateway/decision_event.rs
+++ b/src/gateway/decision_event.rs
@@ -327,6 +327,20 @@
         /// For how long requests are refused if nothing more is observed, in ms.
         time_left_ms: u64,
     },
+    /// The tries with a part of prompts, under which many upstreams have ended, were counted.
+    PartCounted {
+        /// The id of the part.
+        part: String,
+        /// The crashes in which calls with it were lost, apart from those that another part was found to
+        /// cause.
+        crashes: usize,
+        /// The tries that were served, as far as this host knows.
+        served: usize,
+        /// The crashes that would have lost calls with it if it caused none.
+        expected_crashes: f64,
+        /// Whether the part is refused from now on. If not, the other numbers say why.
+        is_cause: bool,
+    },
     /// An upstream was found to have ended, shortly after calls of this host had ended there.
     UpstreamEnded {
         /// The upstream.
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -170,6 +170,7 @@
         told_by: Option<&str>,
     ) {
         self.on_quarantine_changes(changes);
+        self.log_part_counts();
         let now = self.clock.now();
         for change in changes {
             let quarantined = change.quarantined();
@@ -185,6 +186,22 @@
     }
 }
 
+impl Gateway {
+    /// Logs what the counts of tries say of parts under which many upstreams have ended.
+    fn log_part_counts(&self) {
+        let counts = self.part_quarantine().take_part_counts();
+        for count in counts {
+            self.log.record(DecisionEvent::PartCounted {
+                part: count.part.to_string(),
+                crashes: count.crashes,
+                served: count.survivals,
+                expected_crashes: count.expected,
+                is_cause: count.is_cause,
+            });
+        }
+    }
+}
+
 /// The ids of parts as they stand in logs.
 pub(crate) fn part_names(parts: &[RequestPart]) -> Vec<String> {
     parts.iter().map(ToString::to_string).collect()
--- a/src/gateway/shared/mod.rs
+++ b/src/gateway/shared/mod.rs
@@ -53,6 +53,7 @@
 use crate::observe::SeenNames;
 use crate::units::QuarantineId;
 use crate::units::ServiceId;
+use crate::units::TellerId;
 use crate::units::UpstreamId;
 
 pub(crate) use in_flight_request::InFlightRequest;
@@ -161,6 +162,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let started_at = clock.now();
+        let incarnation = rand::random();
         Self {
             started_at,
             held_bytes: ByteBudget::new(conf.held_bytes_max),
@@ -179,7 +181,7 @@
             paths: Mutex::default(),
             tunnels: TunnelCounter::default(),
             retries: Mutex::default(),
-            part_quarantine: Mutex::default(),
+            part_quarantine: Mutex::new(PartQuarantine::new(TellerId(incarnation))),
             own_quarantines: Mutex::default(),
             quarantines_changed: Notify::new(),
             probe_claims: ProbeClaims::default(),
@@ -189,7 +191,7 @@
             load_changed: Notify::new(),
             broadcast_now: Notify::new(),
             health_changed: Notify::new(),
-            incarnation: rand::random(),
+            incarnation,
             catalog_cache: CatalogCache::default(),
             incarnations: UpstreamIncarnations::default(),
             routes_changed: Notify::new(),
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -20,6 +20,7 @@
 mod request_hash;
 mod service_hash;
 mod slowdown;
+mod teller_id;
 mod tokens;
 
 pub use bounded_time::BoundedTime;
@@ -61,4 +62,5 @@
 pub use request_hash::RequestHash;
 pub use service_hash::ServiceHash;
 pub use slowdown::Slowdown;
+pub use teller_id::TellerId;
 pub use tokens::Tokens;
--- a/tests/crash_model/mod.rs
+++ b/tests/crash_model/mod.rs
@@ -1,8 +1,11 @@
 //! Upstreams that some requests crash, callers that repeat these, and hosts that know the same, under a
 //! clock moved by hand.
 
+#![allow(dead_code)]
 #![allow(unreachable_pub)]
 
+pub mod parts;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -56,7 +59,7 @@
 
 impl Ending {
     /// When the call ends, and with what; none if it is open when its upstream ends.
-    fn call_end(self) -> Option<(Duration, CallEnd)> {
+    pub(crate) fn call_end(self) -> Option<(Duration, CallEnd)> {
         let ms = Duration::from_millis;
         match self {
             Self::Open => None,
@@ -67,7 +70,7 @@
     }
 
     /// When the upstream ends.
-    fn upstream_ends_after(self) -> Duration {
+    pub(crate) fn upstream_ends_after(self) -> Duration {
         Duration::from_millis(match self {
             Self::Open => 1_500,
             Self::Answered => 900,
