Parts are found by counts only if chance is all but excluded, and their losses are listed in one place

Cause: sessions with five losses of five tries are a few deviations from half a loss expected, and there are thousands of them. The bound of the binomial (Chernoff) is used in place of deviations: below e^-10.

--- a/src/decide/lost_calls.rs
+++ b/src/decide/lost_calls.rs
@@ -36,7 +36,7 @@
 const REQUEST_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 /// The shortest time between crashes that count separately. Upstreams that end together may do so for
 /// one reason, which need not be a request.
-const APART_MIN: Duration = Duration::from_millis(200);
+pub(crate) const APART_MIN: Duration = Duration::from_millis(200);
 /// The same for the repeats of one request if no request was served between the crashes.
 const REPEATS_APART_MIN: Duration = Duration::from_secs(1);
 /// The number of the last lost calls whose suspicions are kept beyond the life of a process.
@@ -294,32 +294,11 @@
         explained: &IndexSet<CrashId>,
         now: Instant,
     ) -> PartLosses {
-        let calls = self.calls.iter();
-        let calls = calls.map(|(call, (crash, _))| (call, crash));
-        let open = calls.filter(|(call, crash)| {
+        let open = self.calls().filter(|(call, crash)| {
             let is_kept = !is_older_than(crash.known_at, PARTS_RETENTION, now);
             is_kept && !explained.contains(&call.crash)
         });
-        let mut all: Vec<(&LostCall, &KnownCrash)> = open.collect();
-        all.sort_by_key(|(_, crash)| crash.at);
-        let has_part = |(call, _): &&(&LostCall, &KnownCrash)| call.parts.contains(&part);
-        let Some(first) = all.iter().position(|lost| has_part(&lost)) else {
-            return PartLosses::default();
-        };
-        let all = &all[first..];
-        let with_part: Vec<(&LostCall, &KnownCrash)> =
-            all.iter().filter(has_part).copied().collect();
-        let requests = with_part.iter().map(|(call, _)| call.request);
-        let requests: IndexSet<RequestHash> = requests.collect();
-        let (all_crashes, all_open_crashes) = crashes_apart(all);
-        let (crashes, open_crashes) = crashes_apart(&with_part);
-        PartLosses {
-            crashes,
-            open_crashes,
-            requests: requests.len(),
-            all_crashes: all_crashes.len(),
-            all_open_crashes,
-        }
+        PartLosses::among(open, part)
     }
 
     /// The crashes in which calls were open that have something in common which was lost in several of
@@ -390,23 +369,6 @@
     known.request == call.request || call.parts.iter().any(|part| known.parts.contains(part))
 }
 
-/// The crashes of these losses, in the order of their times, that lie apart, and the number of those that
-/// lost a call which was open.
-fn crashes_apart(losses: &[(&LostCall, &KnownCrash)]) -> (Vec<(CrashId, Instant)>, usize) {
-    let open = losses.iter();
-    let open = open.filter(|(call, _)| call.point != LossPoint::AfterEnd);
-    let open: IndexSet<CrashId> = open.map(|(call, _)| call.crash).collect();
-    let mut crashes: Vec<(CrashId, Instant)> = Vec::new();
-    for (call, crash) in losses {
-        let last = crashes.last();
-        if last.is_none_or(|(_, last)| is_older_than(*last, APART_MIN, crash.at)) {
-            crashes.push((call.crash, crash.at));
-        }
-    }
-    let open_crashes = crashes.iter().filter(|(id, _)| open.contains(id)).count();
-    (crashes, open_crashes)
-}
-
 /// A lost call, with its crash and the last time before that at which a request was served.
 type Loss<'a> = (&'a LostCall, &'a KnownCrash, Option<Instant>);
 
--- a/src/decide/part_tallies.rs
+++ b/src/decide/part_tallies.rs
@@ -25,9 +25,8 @@
 /// The number of other calls for each try. What many calls have in common is not told from the others by
 /// the few that lack it, and its refusal would be an outage.
 const OTHERS_PER_TRY_MIN: usize = 4;
-/// By how many standard deviations the crashes must exceed those that the losses of other calls
-/// explain.
-const DEVIATIONS_MIN: f64 = 3.5;
+/// The negative logarithm of the probability up to which so many crashes count as chance.
+const SURPRISE_MIN: f64 = 10.0;
 /// Other calls that are presumed beside those that are known, and the losses among them: few calls say
 /// little of the share that is lost.
 const PRESUMED_CALLS: f64 = 10.0;
@@ -283,12 +282,27 @@
         self.all_crashes as f64 * self.chance()
     }
 
+    /// The negative logarithm of the bound on the probability that chance explains as many crashes.
+    fn surprise(self) -> f64 {
+        let all = self.all_crashes.max(self.crashes).max(1) as f64;
+        let share = self.crashes as f64 / all;
+        let chance = self.chance();
+        if share <= chance {
+            return 0.0;
+        }
+        let of_crashes = share * (share / chance).ln();
+        let of_others = if share < 1.0 {
+            (1.0 - share) * ((1.0 - share) / (1.0 - chance)).ln()
+        } else {
+            0.0
+        };
+        all * (of_crashes + of_others)
+    }
+
     /// Whether the crashes are more than chance explains.
     fn show_a_cause(self) -> bool {
-        let deviation = (self.expected() * (1.0 - self.chance())).sqrt();
-        let crashes_min = self.expected() + DEVIATIONS_MIN * deviation;
         let is_rarely_lost = self.survivals > self.crashes * (TRIES_PER_CRASH_MAX - 1);
-        self.crashes >= COUNTED_CRASHES_MIN && self.crashes as f64 >= crashes_min && !is_rarely_lost
+        self.crashes >= COUNTED_CRASHES_MIN && self.surprise() >= SURPRISE_MIN && !is_rarely_lost
     }
 }
 
