--- a/src/decide/part_tallies.rs
+++ b/src/decide/part_tallies.rs
@@ -26,7 +26,10 @@
 /// the few that lack it, and its refusal would be an outage.
 const OTHERS_PER_TRY_MIN: usize = 4;
 /// The negative logarithm of the probability up to which so many crashes count as chance.
-const SURPRISE_MIN: f64 = 10.0;
+const SURPRISE_MIN: f64 = 8.0;
+/// The same where crashes after the ends of calls count as well: many calls have ended at an upstream
+/// shortly before it does.
+const SURPRISE_MIN_AFTER_END: f64 = 10.0;
 /// Other calls that are presumed beside those that are known, and the losses among them: few calls say
 /// little of the share that is lost.
 const PRESUMED_CALLS: f64 = 10.0;
@@ -253,7 +256,8 @@
             crashes,
             survivals,
             expected: all.expected(),
-            is_cause: is_seldom && (open.show_a_cause() || all.show_a_cause()),
+            is_cause: is_seldom
+                && (open.show_a_cause(SURPRISE_MIN) || all.show_a_cause(SURPRISE_MIN_AFTER_END)),
         })
     }
 }
@@ -300,9 +304,9 @@
     }
 
     /// Whether the crashes are more than chance explains.
-    fn show_a_cause(self) -> bool {
+    fn show_a_cause(self, surprise_min: f64) -> bool {
         let is_rarely_lost = self.survivals > self.crashes * (TRIES_PER_CRASH_MAX - 1);
-        self.crashes >= COUNTED_CRASHES_MIN && self.surprise() >= SURPRISE_MIN && !is_rarely_lost
+        self.crashes >= COUNTED_CRASHES_MIN && self.surprise() >= surprise_min && !is_rarely_lost
     }
 }
 
