--- a/src/decide/part_tallies.rs
+++ b/src/decide/part_tallies.rs
@@ -101,7 +101,7 @@
     pub crashes: usize,
     /// The tries with it that were served.
     pub survivals: usize,
-    /// How many of the tries would have been lost if they were like other calls.
+    /// The crashes that would have lost calls with it by chance, if it caused none.
     pub expected: f64,
     /// Whether the part is taken for what crashes the upstreams.
     pub is_cause: bool,
@@ -216,7 +216,7 @@
         })
     }
 
-    /// Forgets the upstreams that have ended under a part. It is counted from now on.
+    /// Forgets what is counted of a part, until the next crash under it.
     pub(crate) fn forget(&mut self, part: RequestPart) {
         self.tallies.shift_remove(&part);
     }
@@ -267,6 +267,7 @@
 struct Outcomes {
     /// The crashes in which calls with the part were lost.
     crashes: usize,
+    /// The tries with it that were served.
     survivals: usize,
     /// All crashes of this time.
     all_crashes: usize,
@@ -286,7 +287,8 @@
         self.all_crashes as f64 * self.chance()
     }
 
-    /// The negative logarithm of the bound on the probability that chance explains as many crashes.
+    /// The negative logarithm of a bound on the probability that chance explains as many crashes: the
+    /// Chernoff bound of the binomial distribution.
     fn surprise(self) -> f64 {
         let all = self.all_crashes.max(self.crashes).max(1) as f64;
         let share = self.crashes as f64 / all;
