Revert: a part that was found stays refused after its fifth crash

A host that had just started found a part of a quarter of all prompts by three crashes, as it did before now and then, and the next try that is served ends that; kept from the fifth crash on, and told to all hosts as counted, it was refused for good.

--- a/src/decide/part_quarantine/counted.rs
+++ b/src/decide/part_quarantine/counted.rs
@@ -76,32 +76,10 @@
         self.part_counts.truncate(PART_COUNTS_MAX);
         let causes = counted.into_iter().filter(|(count, _)| count.is_cause);
         let cause = causes.max_by_key(|(count, _)| (count.crashes, Reverse(count.survivals)));
-        match cause {
-            Some((count, crashes)) => self.suspect_counted(count.part, crashes, now),
-            None => self.confirm_found(call, &explained, now),
-        }
-    }
-
-    /// Counts the crashes of a part of this lost call that is refused for other reasons: once they are many,
-    /// tries that were on their way do not end the refusal. Returns what has changed.
-    fn confirm_found(
-        &mut self,
-        call: &LostCall,
-        explained: &IndexSet<CrashId>,
-        now: Instant,
-    ) -> Vec<QuarantineChange> {
-        let is_found = |part: &&RequestPart| {
-            let mut refused = self.quarantined(now);
-            refused.any(|known| known.parts == [**part])
-        };
-        let Some(part) = call.parts.iter().find(is_found).copied() else {
+        let Some((count, crashes)) = cause else {
             return Vec::new();
         };
-        let crashes = self.lost_calls.losses_with(part, explained, now).crashes;
-        if crashes.len() < COUNTED_CRASHES_MIN {
-            return Vec::new();
-        }
-        self.suspect_counted(part, crashes, now)
+        self.suspect_counted(count.part, crashes, now)
     }
 
     /// Records the crashes of a part that crashes upstreams although some tries with it are served. Returns
