Review: a host hangs while the reader of its logs stands still

A script: the process that reads the logs of one host of three stops. Once the pipe is full the host answers nothing, on no channel, and does not end at SIGTERM.

--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -393,6 +393,9 @@
         self.store_addr = None
         self.changes = changes
         self.process = None
+        # Whether the logs go through a pipe to a process of their own.
+        self.collects_logs = False
+        self.collector = None
         self.front = None
         self.ready = None
         self.ports = None
@@ -462,11 +465,23 @@
         env = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "BANYANARCH_NODE_FILE": path}
         self.out = open(os.path.join(self.world.folder, f"{self.name}.out"), "ab")
         self.err = open(os.path.join(self.world.folder, f"{self.name}.err"), "ab")
+        out, err = self.out, self.err
+        if self.collects_logs:
+            out = err = self.start_collector()
         self.process = subprocess.Popen(
-            [NODE], cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=self.out, stderr=self.err
+            [NODE], cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=out, stderr=err
         )
+        if self.collects_logs:
+            os.close(out)
         self.world.record.line(f"host {self.name} starts")
 
+    def start_collector(self):
+        """Starts a process that reads the logs of the host from a pipe. Returns the end to write to."""
+        rdr, wtr = os.pipe()
+        self.collector = subprocess.Popen(["cat"], stdin=rdr, stdout=self.out)
+        os.close(rdr)
+        return wtr
+
     def signal(self, number):
         self.world.record.line(f"host {self.name} gets signal {number}")
         self.process.send_signal(number)
@@ -551,6 +566,10 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
+            if node.collector is not None:
+                node.collector.send_signal(signal.SIGCONT)
+                node.collector.kill()
+                node.collector.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
